plat: describe the seams between the daemon's parts

Cause: several parts are built side by side and need fixed seams. Conclusion: parts can be built against these types.

--- /dev/null
+++ b/internal/peer/beat/beat.go
@@ -0,0 +1,110 @@
+// Package beat keeps each daemon's picture of all the others: who is alive,
+// which shards each owns under which epoch, which configuration each runs, and
+// when anyone last reached the store.
+//
+// Beat is a state machine: Step takes the time and one message and returns the
+// effects to carry out. There is no full mesh: in each round a daemon probes
+// one other, and news travels with probes and their answers, each item a
+// bounded number of times. Nothing here decides ownership; that is settled in
+// the store. A wrong picture costs a relayed request or a slow takeover.
+package beat
+
+import (
+	"time"
+)
+
+const (
+	// Alive answers probes.
+	Alive State = "alive"
+	// Draining answers probes but takes no new work.
+	Draining State = "draining"
+	// Suspect did not answer and may be down.
+	Suspect State = "suspect"
+	// Down is taken for gone.
+	Down State = "down"
+)
+
+type (
+	// State is what is known of a daemon's life.
+	State string
+
+	// Shard is the ownership of one shard.
+	Shard struct {
+		Shard int    `json:"shard"`
+		Epoch uint64 `json:"epoch"`
+	}
+
+	// Member is one daemon as known here. Of two pictures of a daemon the one
+	// with the higher Incarnation holds, then the one with the higher Serial;
+	// Suspect and Down are others' words and overrule only an equal Serial.
+	Member struct {
+		Name          string  `json:"name"`
+		Address       string  `json:"address"` // for callers, IP and port
+		Peer          string  `json:"peer"`    // for other daemons
+		FailureDomain string  `json:"failure_domain"`
+		Disk          bool    `json:"disk,omitempty"` // has a data folder for blobs
+		State         State   `json:"state"`
+		Incarnation   uint64  `json:"incarnation"` // start time in nanoseconds
+		Serial        uint64  `json:"serial"`      // rises with each change of its own
+		Config        uint64  `json:"config"`      // version in force
+		Shards        []Shard `json:"shards,omitempty"`
+	}
+
+	// Message is what Beat reacts to.
+	Message interface{ message() }
+
+	// Self tells the machine what its own daemon is. Seeds are peer addresses
+	// to try first.
+	Self struct {
+		Member Member
+		Seeds  []string
+	}
+
+	// Reached tells that this daemon's call to the store succeeded.
+	Reached struct{ At time.Time }
+
+	// Tick starts a round; one is due every Interval.
+	Tick struct{}
+
+	// Packet is what one daemon tells another. Age is the time since anybody
+	// known to the sender last reached the store; negative is never. Ack is
+	// the round that is answered, 0 in a probe. Full asks for, or is, the
+	// whole picture.
+	Packet struct {
+		From  string        `json:"from"` // peer address
+		Round uint64        `json:"round"`
+		Ack   uint64        `json:"ack,omitempty"`
+		Full  bool          `json:"full,omitempty"`
+		Age   time.Duration `json:"age"`
+		Head  uint64        `json:"head"` // newest configuration version known
+		News  []Member      `json:"news,omitempty"`
+	}
+
+	// Effect is what Beat wants done.
+	Effect interface{ effect() }
+
+	// Send delivers a packet to a peer address; it may be lost.
+	Send struct {
+		To     string
+		Packet Packet
+	}
+
+	// Changed tells that the picture of a daemon changed.
+	Changed struct{ Member Member }
+
+	// Newer tells that a peer knows a newer configuration than was told to
+	// this machine. From is the peer address to fetch it from.
+	Newer struct {
+		Version uint64
+		From    string
+	}
+)
+
+func (Self) message()    {}
+func (Reached) message() {}
+func (Tick) message()    {}
+func (Packet) message()  {}
+
+func (Send) effect()    {}
+func (Changed) effect() {}
+func (Newer) effect()   {}
--- /dev/null
+++ b/internal/plat/vmlist/vmlist.go
@@ -0,0 +1,31 @@
+// Package vmlist describes the platform's list of live and leaving VMs. The
+// list lags: a VM may be gone before it leaves the list.
+package vmlist
+
+import "context"
+
+const (
+	// Live is a VM in service.
+	Live State = "live"
+	// Leaving is a VM that must get no new work.
+	Leaving State = "leaving"
+)
+
+type (
+	// List reads the platform's list.
+	List interface {
+		VMs(ctx context.Context) ([]VM, error)
+	}
+
+	// State is a VM's place in its life.
+	State string
+
+	// VM is one row of the list. Address is an IP number with the port of
+	// what runs there.
+	VM struct {
+		Name          string `json:"name"`
+		Address       string `json:"address"`
+		FailureDomain string `json:"failure_domain"`
+		State         State  `json:"state"`
+	}
+)
