sched: place by cost, bound queues, retries and breakers

The first machine only counted outstanding requests. Ask has an Account; Forget tells that a program has another owner.

--- /dev/null
+++ b/internal/place/hedge/hedge.go
@@ -0,0 +1,54 @@
+// Package hedge tells when a second attempt beside a slow first one is worth
+// its work: once the first has taken longer than 95 of 100 recent calls of the
+// same service.
+package hedge
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	windows    = 2
+	lowest     = int64(100 * time.Microsecond)
+	highest    = int64(10 * time.Minute)
+	digits     = 2
+	quantile   = 95
+	minSamples = 20 // fewer say nothing about the slowest twentieth
+	turnover   = 30 * time.Second
+)
+
+type (
+	// Hedge is the record of one service. The zero value hedges nothing yet.
+	Hedge struct {
+		hist    *hdrhistogram.WindowedHistogram
+		rotated time.Time
+		count   int
+		after   time.Duration
+	}
+)
+
+// Observe notes how long a successful call took.
+func (h *Hedge) Observe(now time.Time, took time.Duration) {
+	if h.hist == nil {
+		h.hist = hdrhistogram.NewWindowed(windows, lowest, highest, digits)
+		h.rotated = now
+	}
+	_ = h.hist.Current.RecordValue(min(max(int64(took), lowest), highest))
+	h.count++
+	if h.count == minSamples {
+		h.read()
+	}
+	if now.Sub(h.rotated) >= turnover && h.count >= minSamples {
+		h.read()
+		h.hist.Rotate()
+		h.rotated, h.count = now, 0
+	}
+}
+
+func (h *Hedge) read() { h.after = time.Duration(h.hist.Merge().ValueAtQuantile(quantile)) }
+
+// After returns the time after which a call is hedged, and whether enough is
+// known to tell.
+func (h *Hedge) After() (d time.Duration, ok bool) { return h.after, h.after > 0 }
--- /dev/null
+++ b/internal/place/load/load.go
@@ -0,0 +1,108 @@
+// Package load keeps one owner's picture of the work at one upstream.
+//
+// Load reports lag: what was sent after a report was measured is missing from
+// it, and what ended since is still in it. Load therefore remembers its own
+// recent starts and ends, takes its own share out of each report, and adds
+// what it has in flight now. What remains is the work of other owners.
+package load
+
+import (
+	"time"
+
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+const (
+	ringSize = 64
+	// An engine's clock may be off; no report is taken for older than this.
+	maxLag = 5 * time.Second
+	// Work of others is forgotten by half in this time without a report.
+	halfLife = 5 * time.Second
+)
+
+type (
+	// Load is the picture of one upstream. The zero value is idle.
+	Load struct {
+		report   engine.Load
+		received time.Time
+		others   float64
+		inflight int
+		ring     [ringSize]change
+		next     int
+	}
+
+	change struct {
+		at    time.Time
+		delta int
+	}
+)
+
+// Start notes that a request was sent.
+func (l *Load) Start(now time.Time) { l.change(now, 1) }
+
+// End notes that a request ended.
+func (l *Load) End(now time.Time) { l.change(now, -1) }
+
+func (l *Load) change(now time.Time, delta int) {
+	l.inflight += delta
+	l.ring[l.next] = change{at: now, delta: delta}
+	l.next = (l.next + 1) % ringSize
+}
+
+// Report takes a load report and reports whether it was newer than the last.
+// An engine that restarted counts from the start again, so the time of
+// measurement decides where the numbers do not.
+func (l *Load) Report(now time.Time, r engine.Load) bool {
+	if r.Seq <= l.report.Seq && !r.At.After(l.report.At) {
+		return false
+	}
+	at := r.At
+	if at.After(now) {
+		at = now
+	}
+	if now.Sub(at) > maxLag {
+		at = now.Add(-maxLag)
+	}
+	l.report, l.received = r, now
+	l.others = max(0, float64(r.Running+r.Waiting-l.own(at)))
+	return true
+}
+
+// own returns how many own requests were in flight at the time.
+func (l *Load) own(at time.Time) int {
+	n := l.inflight
+	for _, c := range l.ring {
+		if c.at.After(at) {
+			n -= c.delta
+		}
+	}
+	return max(n, 0)
+}
+
+// Inflight returns the owner's own requests in flight.
+func (l *Load) Inflight() int { return l.inflight }
+
+// Others estimates the requests that other owners have in flight.
+func (l *Load) Others(now time.Time) float64 { return l.others * l.fresh(now) }
+
+// Waiting estimates the requests that wait inside the upstream.
+func (l *Load) Waiting(now time.Time) float64 { return float64(l.report.Waiting) * l.fresh(now) }
+
+// fresh falls from 1 to 0 as the report ages, so that an upstream whose
+// reports stopped in a bad moment is not shunned for good.
+func (l *Load) fresh(now time.Time) float64 {
+	if l.others == 0 && l.report.Waiting == 0 {
+		return 0
+	}
+	age := now.Sub(l.received)
+	return float64(halfLife) / float64(halfLife+max(age, 0))
+}
+
+// Room returns how many tokens fit before something is evicted, and whether
+// the upstream ever said.
+func (l *Load) Room() (tokens int, known bool) {
+	return l.report.Total - l.report.Used, l.report.Total > 0
+}
+
+// Leaving reports whether the newest report said that the upstream leaves.
+func (l *Load) Leaving() bool { return l.report.Leaving }
--- /dev/null
+++ b/internal/place/prefix/block.go
@@ -0,0 +1,105 @@
+package prefix
+
+func (x *Index) program(name string) *program {
+	if x.programs == nil {
+		x.programs = map[string]*program{}
+	}
+	p := x.programs[name]
+	if p == nil {
+		p = &program{}
+		x.programs[name] = p
+	}
+	return p
+}
+
+func (x *Index) block(hash uint64) *block {
+	if x.blocks == nil {
+		x.blocks = map[uint64]*block{}
+	}
+	b := x.blocks[hash]
+	if b == nil {
+		b = &block{}
+		x.blocks[hash] = b
+	}
+	return b
+}
+
+// hear returns the block, which is remembered for a while if no program of
+// this owner needs it. Without the bound the events of a large fleet would
+// fill the memory of every daemon.
+func (x *Index) hear(hash uint64) *block {
+	if b := x.blocks[hash]; b != nil {
+		return b
+	}
+	if len(x.heard) < maxHeard {
+		x.heard = append(x.heard, hash)
+		return x.block(hash)
+	}
+	old := x.heard[x.heardAt]
+	if b := x.blocks[old]; b != nil && b.users == 0 {
+		delete(x.blocks, old)
+	}
+	x.heard[x.heardAt] = hash
+	x.heardAt = (x.heardAt + 1) % maxHeard
+	return x.block(hash)
+}
+
+func (x *Index) drop(chain []uint64) {
+	for _, h := range chain {
+		b := x.blocks[h]
+		b.users--
+		if b.users == 0 {
+			x.retire(h, b)
+		}
+	}
+}
+
+// retire keeps a block that no program of this owner needs any more among
+// those heard of, if events told of it: an engine may hold it for programs of
+// other owners, and the next program here may begin with it.
+func (x *Index) retire(hash uint64, b *block) {
+	kept := b.holders[:0]
+	for _, h := range b.holders {
+		if h.heard {
+			h.placed = false
+			kept = append(kept, h)
+		}
+	}
+	b.holders = kept
+	delete(x.blocks, hash)
+	if len(kept) > 0 {
+		x.hear(hash).holders = kept
+	}
+}
+
+func (b *block) hold(n holder) {
+	for i, h := range b.holders {
+		if h.engine == n.engine {
+			n.placed = n.placed || h.placed
+			n.heard = n.heard || h.heard
+			b.holders[i] = n
+			return
+		}
+	}
+	b.holders = append(b.holders, n)
+}
+
+func (b *block) evict(e uint16) {
+	for i, h := range b.holders {
+		if h.engine == e {
+			last := len(b.holders) - 1
+			b.holders[i] = b.holders[last]
+			b.holders = b.holders[:last]
+			return
+		}
+	}
+}
+
+func has(list []int, e int) bool {
+	for _, v := range list {
+		if v == e {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/place/prefix/prefix.go
@@ -0,0 +1,246 @@
+// Package prefix keeps what is known of the prompt prefixes that engines hold.
+//
+// There are two sources. Own placements tell what an engine must have computed
+// and may have evicted since. Cache events tell both, but late and with gaps.
+// After a gap all that was only heard of is distrusted, and what was placed by
+// this owner is what remains; the usage that comes with each answer corrects
+// it. Only blocks of programs of this owner are kept for good; of others' a
+// bounded number is remembered, since a context shared by many programs may be
+// needed here next.
+//
+// Engines evict the end of a prefix before its beginning. An engine that holds
+// a block is therefore taken to hold all blocks before it.
+package prefix
+
+import (
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+const (
+	tailScan   = 32      // blocks looked at from the end of a prompt
+	headScan   = 8       // and from its beginning, where shared contexts are
+	maxMatches = 64      // engines returned at most
+	maxHeard   = 1 << 16 // blocks of unknown programs remembered
+)
+
+type (
+	// Index is the knowledge about all engines, which are named by small
+	// numbers. The zero value knows nothing.
+	Index struct {
+		blocks   map[uint64]*block
+		programs map[string]*program
+		engines  []state
+		heard    []uint64 // ring
+		heardAt  int
+		matches  []Match
+		stamp    uint32
+	}
+
+	// Match is an engine that holds the first Tokens of a prompt.
+	Match struct{ Engine, Tokens int }
+
+	block struct {
+		users   int32 // programs of this owner that need it
+		holders []holder
+	}
+
+	holder struct {
+		engine uint16
+		placed bool // this owner sent a prompt with the block there
+		heard  bool // an event told of it
+		era    uint32
+	}
+
+	program struct {
+		chain   []uint64
+		engines []int
+	}
+
+	state struct {
+		seq     uint64 // of the last event
+		era     uint32 // rises with each gap
+		base    uint32 // placements before this era are void
+		stamp   uint32 // of the last lookup that met the engine
+		matched int
+	}
+)
+
+func (x *Index) grow(e int) {
+	for len(x.engines) <= e {
+		x.engines = append(x.engines, state{})
+	}
+}
+
+// Use notes the prompt that a program sends, which replaces its earlier one.
+// Blocks that no program needs any more are forgotten.
+func (x *Index) Use(name string, blocks []engine.Block) {
+	p := x.program(name)
+	same := 0
+	for same < len(blocks) && same < len(p.chain) && blocks[same].Hash == p.chain[same] {
+		same++
+	}
+	x.drop(p.chain[same:])
+	p.chain = p.chain[:same]
+	for _, b := range blocks[same:] {
+		x.block(b.Hash).users++
+		p.chain = append(p.chain, b.Hash)
+	}
+}
+
+// Placed notes that the program's prompt was sent to the engine.
+func (x *Index) Placed(name string, e int) {
+	x.grow(e)
+	p := x.program(name)
+	if !has(p.engines, e) {
+		p.engines = append(p.engines, e)
+	}
+	for _, h := range p.chain {
+		x.block(h).hold(holder{engine: uint16(e), placed: true, era: x.engines[e].era})
+	}
+}
+
+// Found corrects the index by an answer's usage: the engine had only so many
+// tokens of the prompt cached when it began, fewer than expected. What it
+// computed since is held, so only other programs' view of shared blocks can
+// be wrong; those are the blocks that it had to compute again, and are right
+// now. Nothing is left to forget but the engine's claim on longer chains.
+func (x *Index) Found(e int, blocks []engine.Block, cached int) {
+	x.grow(e)
+	sum := 0
+	for _, b := range blocks {
+		sum += b.Tokens
+		if sum <= cached {
+			x.block(b.Hash).hold(holder{engine: uint16(e), placed: true, era: x.engines[e].era})
+		}
+	}
+}
+
+// Holders returns the engines where the program left memory.
+func (x *Index) Holders(name string) []int {
+	if p := x.programs[name]; p != nil {
+		return p.engines
+	}
+	return nil
+}
+
+// Known reports whether the program is one of this owner's.
+func (x *Index) Known(name string) bool { return x.programs[name] != nil }
+
+// Programs calls f for each program with memory at the engine, in no order.
+func (x *Index) Programs(e int, f func(name string, tokens []uint64)) {
+	for name, p := range x.programs {
+		if has(p.engines, e) {
+			f(name, p.chain)
+		}
+	}
+}
+
+// Left notes that the engine holds nothing for the program any more.
+func (x *Index) Left(name string, e int) {
+	p := x.programs[name]
+	if p == nil {
+		return
+	}
+	for i, v := range p.engines {
+		if v == e {
+			p.engines = append(p.engines[:i], p.engines[i+1:]...)
+			return
+		}
+	}
+}
+
+// End forgets the program. Blocks that another program shares stay known.
+func (x *Index) End(name string) {
+	if p := x.programs[name]; p != nil {
+		x.drop(p.chain)
+		delete(x.programs, name)
+	}
+}
+
+// Reset forgets all that was known of the engine, which restarted empty.
+func (x *Index) Reset(e int) {
+	x.grow(e)
+	x.engines[e].era++
+	x.engines[e].base = x.engines[e].era
+	x.engines[e].seq = 0
+}
+
+// Apply takes an engine's cache events in order and reports whether some were
+// missing. A number that falls tells that the engine restarted.
+func (x *Index) Apply(e int, events []engine.Event) (gap bool) {
+	x.grow(e)
+	for _, ev := range events {
+		s := &x.engines[e]
+		switch {
+		case ev.Seq == s.seq && s.seq > 0:
+			continue
+		case ev.Seq < s.seq:
+			x.Reset(e)
+		case s.seq > 0 && ev.Seq != s.seq+1:
+			s.era++
+			gap = true
+		}
+		s.seq = ev.Seq
+		for _, h := range ev.Stored {
+			x.hear(h).hold(holder{engine: uint16(e), heard: true, era: s.era})
+		}
+		for _, h := range ev.Evicted {
+			if b := x.blocks[h]; b != nil {
+				b.evict(uint16(e))
+			}
+		}
+	}
+	return gap
+}
+
+// Match returns engines that hold a beginning of the prompt, the longest
+// first. The result is valid until the next call.
+func (x *Index) Match(blocks []engine.Block) []Match {
+	x.matches = x.matches[:0]
+	x.stamp++
+	total := 0
+	for _, b := range blocks {
+		total += b.Tokens
+	}
+	tail := max(len(blocks)-tailScan, 0)
+	for i := len(blocks) - 1; i >= 0 && len(x.matches) < maxMatches; i-- {
+		if i >= tail || i < headScan {
+			x.collect(blocks[i].Hash, total)
+		}
+		total -= blocks[i].Tokens
+	}
+	return x.matches
+}
+
+// Matched returns the tokens that the last Match found at the engine.
+func (x *Index) Matched(e int) int {
+	if e >= len(x.engines) || x.engines[e].stamp != x.stamp {
+		return 0
+	}
+	return x.engines[e].matched
+}
+
+func (x *Index) collect(hash uint64, tokens int) {
+	b := x.blocks[hash]
+	if b == nil {
+		return
+	}
+	for _, h := range b.holders {
+		s := &x.engines[h.engine]
+		if s.stamp == x.stamp || !s.trusts(h) {
+			continue
+		}
+		s.stamp, s.matched = x.stamp, tokens
+		x.matches = append(x.matches, Match{Engine: int(h.engine), Tokens: tokens})
+		if len(x.matches) == maxMatches {
+			return
+		}
+	}
+}
+
+func (s *state) trusts(h holder) bool {
+	if h.placed {
+		return h.era >= s.base
+	}
+	return h.era == s.era
+}
--- /dev/null
+++ b/internal/place/sched/admit.go
@@ -0,0 +1,165 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/place/queue"
+	"github.com/slaterock/slaterock/internal/place/retry"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	defaultQueueLimit = 256
+	defaultQueueWait  = 5 * time.Second
+	// A request is held for its best upstream no longer than this.
+	holdLimit = time.Second
+	// Requests looked at in one round, so that a step's time is bounded.
+	dispatchScan  = 16
+	failureMemory = time.Minute
+	minRetryAfter = 500 * time.Millisecond
+	// New programs are refused at this share of the wait that programs under
+	// way may expect.
+	newShare = 0.5
+)
+
+func (s *Sched) ask(now time.Time, a Ask) {
+	if slot, ok := s.byID[a.ID]; ok {
+		if s.requests[slot].queued {
+			return
+		}
+		s.withdraw(now, a.ID)
+	}
+	last, again := s.failed[a.ID]
+	if !s.mayTry(a, last, again) {
+		return
+	}
+	slot := s.open(now, a, last, again)
+	r := &s.requests[slot]
+	g := s.groups[a.Group]
+	if g == nil || !s.reachable(now, g, r) {
+		s.refuse(slot, result.CodeNoUpstream, "no upstream in group "+a.Group, s.reopens(now, g))
+		return
+	}
+	if len(a.Blocks) > 0 {
+		s.index.Use(a.Program, a.Blocks)
+	}
+	s.enqueue(now, g, slot)
+	s.dispatch(now, g)
+}
+
+// mayTry refuses a further attempt that could run a request twice, and one
+// that the retry budget does not pay for.
+func (s *Sched) mayTry(a Ask, last failure, again bool) bool {
+	idempotent := a.Idempotent || a.Service == ""
+	switch {
+	case again && !retry.Safe(idempotent, last.sent):
+		s.emit(Refuse{ID: a.ID, Code: result.CodeUnknown, Message: "an earlier attempt may have run at " + last.upstream})
+	case (a.Retry || again) && !s.retries.Spend():
+		s.emit(Refuse{ID: a.ID, Code: result.CodeUpstreamFailed, Message: "retry budget is spent", RetryAfter: s.later(time.Second)})
+	default:
+		if !a.Retry && !again {
+			s.retries.Earn()
+			s.hedges.Earn()
+		}
+		return true
+	}
+	delete(s.failed, a.ID)
+	return false
+}
+
+// reachable reports whether any upstream could take the request, now or later
+// in the queue.
+func (s *Sched) reachable(now time.Time, g *group, r *request) bool {
+	for _, i := range g.ups {
+		u := s.ups[i]
+		if u.usable(now) && u.serves(r.ask.Model) && !r.avoids(u.name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Sched) reopens(now time.Time, g *group) time.Duration {
+	if g == nil {
+		return 0
+	}
+	first := time.Duration(0)
+	for _, i := range g.ups {
+		w := s.ups[i].brk.Wait(now)
+		if w > 0 && (first == 0 || w < first) {
+			first = w
+		}
+	}
+	if first == 0 {
+		return 0
+	}
+	return s.later(first)
+}
+
+// enqueue admits the request or refuses it, or another one that counts less.
+func (s *Sched) enqueue(now time.Time, g *group, slot int32) {
+	r := &s.requests[slot]
+	key := queue.Key(now.Sub(s.start).Seconds(), r.ask.Priority, r.ask.Attained, s.accounts[r.ask.Account]-1)
+	begins := r.ask.Attained == 0 && r.ask.Model != ""
+	wait := g.wait(g.queue.Ahead(key))
+	bound := g.bound()
+	if begins {
+		bound = time.Duration(newShare * float64(bound))
+	}
+	if g.queue.Len() > 0 && wait > bound {
+		s.refuse(slot, result.CodeOverloaded, overloaded(g, wait), s.later(wait))
+		return
+	}
+	r.queued = true
+	most := g.conf.QueueLimit
+	if most <= 0 {
+		most = defaultQueueLimit
+	}
+	out, dropped := g.queue.Push(queue.Item{ID: slot, Key: key, New: begins}, most)
+	if dropped {
+		s.refuse(out.ID, result.CodeOverloaded, overloaded(g, wait), s.later(wait))
+	}
+}
+
+// expire refuses requests that waited twice as long as was promised. It is a
+// guard: admission refuses at arrival what it expects to wait too long.
+func (s *Sched) expire(now time.Time, g *group) {
+	for i := 0; i < g.queue.Len(); {
+		slot := g.queue.At(i).ID
+		if now.Sub(s.requests[slot].arrived) <= 2*g.bound() {
+			i++
+			continue
+		}
+		g.queue.RemoveAt(i)
+		s.refuse(slot, result.CodeOverloaded, overloaded(g, g.wait(g.queue.Len())), s.later(g.wait(g.queue.Len())))
+	}
+}
+
+func (g *group) bound() time.Duration {
+	if g.conf.QueueWait > 0 {
+		return g.conf.QueueWait
+	}
+	return defaultQueueWait
+}
+
+// wait estimates how long a request waits behind so many others.
+func (g *group) wait(ahead int) time.Duration {
+	mean := g.speed.Mean()
+	return time.Duration(float64(ahead+1) * mean / max(g.capacity, 1) * float64(time.Second))
+}
+
+// later spreads callers that are told to come back over twice the time.
+func (s *Sched) later(d time.Duration) time.Duration {
+	d = max(d, minRetryAfter)
+	return d + time.Duration(s.rng.Float64()*float64(d))
+}
+
+func overloaded(g *group, wait time.Duration) string {
+	return fmt.Sprintf("group %s is overloaded: expected wait %s", g.name, wait.Round(time.Millisecond))
+}
+
+func (s *Sched) refuse(slot int32, code result.Code, message string, after time.Duration) {
+	s.emit(Refuse{ID: s.requests[slot].ask.ID, Code: code, Message: message, RetryAfter: after})
+	s.close(slot)
+}
--- a/internal/place/sched/machine.go
+++ b/internal/place/sched/machine.go
@@ -1,10 +1,15 @@
 package sched
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
-	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/place/hedge"
+	"github.com/slaterock/slaterock/internal/place/prefix"
+	"github.com/slaterock/slaterock/internal/place/retry"
+	"github.com/slaterock/slaterock/internal/place/score"
+	"github.com/slaterock/slaterock/internal/place/sweep"
 )
 
 type (
@@ -14,49 +19,109 @@
 		Seed uint64 // of the sampling among upstreams; differs between daemons
 
 		cfg      file.File
-		inflight map[string]int
+		weights  score.Weights
+		start    time.Time
+		rng      *rand.Rand
+		ups      []*upstream
+		byName   map[string]int
+		groups   map[string]*group
+		requests []request
+		free     []int32
+		byID     map[string]int32
+		accounts map[string]int // requests in the system
+		failed   map[string]failure
+		pruned   time.Time
+		services map[string]*hedge.Hedge
+		retries  retry.Budget
+		hedges   retry.Budget
+		index    prefix.Index
+		sweep    sweep.Sweep
+		out      []Effect
+	}
+
+	// failure is how the last attempt of a request ended.
+	failure struct {
+		at       time.Time
+		upstream string
+		sent     bool
+		tries    int
 	}
 )
 
 // Step applies one message and returns the effects in the order in which they
 // must be carried out.
 func (s *Sched) Step(now time.Time, m Message) []Effect {
-	if s.inflight == nil {
-		s.inflight = map[string]int{}
-	}
+	s.begin(now)
 	switch m := m.(type) {
 	case Configure:
-		s.cfg = m.File
+		s.configure(now, m.File)
 	case Ask:
-		return s.ask(m)
+		s.ask(now, m)
+	case Withdraw:
+		s.withdraw(now, m.ID)
+	case First:
+		s.first(now, m)
 	case Done:
-		s.inflight[m.Upstream]--
+		s.done(now, m)
+	case Load:
+		s.load(now, m)
+	case Cache:
+		s.cache(m)
+	case VMs:
+		s.vms(now, m)
+	case Ended:
+		s.ended(m.Program)
+	case Forget:
+		s.forget(m.Program)
+	case Held:
+		s.held(m)
+	case Tick:
+		s.tick(now)
 	}
-	return nil
+	return s.out
 }
 
-func (s *Sched) ask(a Ask) []Effect {
-	best, found := "", false
-	for name, u := range s.cfg.Upstreams {
-		if u.Group != a.Group || contains(a.Avoid, name) {
-			continue
-		}
-		if !found || s.inflight[name] < s.inflight[best] || s.inflight[name] == s.inflight[best] && name < best {
-			best, found = name, true
-		}
+func (s *Sched) begin(now time.Time) {
+	s.out = nil // the caller may keep the last effects while others call Step
+	if s.rng != nil {
+		return
 	}
-	if !found {
-		return []Effect{Refuse{ID: a.ID, Code: result.CodeNoUpstream, Message: "no upstream in group " + a.Group}}
+	s.rng = rand.New(rand.NewPCG(s.Seed, 1))
+	s.start = now
+	s.byName = map[string]int{}
+	s.groups = map[string]*group{}
+	s.byID = map[string]int32{}
+	s.accounts = map[string]int{}
+	s.failed = map[string]failure{}
+	s.services = map[string]*hedge.Hedge{}
+	s.sweep.Start = s.Seed
+}
+
+func (s *Sched) emit(e Effect) { s.out = append(s.out, e) }
+
+func (s *Sched) tick(now time.Time) {
+	for _, name := range s.groupNames() {
+		g := s.groups[name]
+		g.measure(s, now)
+		s.expire(now, g)
+		s.dispatch(now, g)
 	}
-	s.inflight[best]++
-	return []Effect{Assign{ID: a.ID, Upstream: best, Address: s.cfg.Upstreams[best].Address}}
+	s.hedge(now)
+	if i, ok := s.sweep.Due(now, len(s.ups)); ok && s.ups[i].engine() {
+		s.emit(List{Upstream: s.ups[i].name})
+	}
+	s.prune(now)
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
+// prune forgets failures whose request never came back.
+func (s *Sched) prune(now time.Time) {
+	if now.Sub(s.pruned) < failureMemory {
+		return
+	}
+	s.pruned = now
+	for id, f := range s.failed {
+		if now.Sub(f.at) > failureMemory {
+			delete(s.failed, id)
 		}
 	}
-	return false
 }
--- /dev/null
+++ b/internal/place/sched/memory.go
@@ -0,0 +1,89 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Exports of one leaving upstream; more would hold up its own streams.
+	maxExports = 256
+)
+
+// cache takes cache events.
+func (s *Sched) cache(m Cache) {
+	if i, ok := s.byName[m.Upstream]; ok {
+		s.index.Apply(i, m.Events)
+	}
+}
+
+// ended releases the program's memory wherever it was placed.
+func (s *Sched) ended(program string) {
+	for _, e := range s.index.Holders(program) {
+		s.emit(Release{Upstream: s.ups[e].name, Program: program})
+	}
+	s.index.End(program)
+}
+
+// forget drops a program that another daemon owns now. Its attempts that are
+// still under way here must not release its memory when they end.
+func (s *Sched) forget(program string) {
+	s.index.End(program)
+	for i := range s.requests {
+		if r := &s.requests[i]; r.used && r.ask.Program == program {
+			r.ask.Blocks = nil
+		}
+	}
+}
+
+// late releases again where an attempt outlived its program: the engine went
+// on after the first release and left memory that nobody would release.
+func (s *Sched) late(r *request, upstream string) {
+	if len(r.ask.Blocks) > 0 && !s.index.Known(r.ask.Program) {
+		s.emit(Release{Upstream: upstream, Program: r.ask.Program})
+	}
+}
+
+func (s *Sched) held(m Held) {
+	for _, p := range s.sweep.Compare(m.Upstream, m.Programs, m.Live) {
+		s.emit(Release{Upstream: m.Upstream, Program: p})
+	}
+}
+
+// leave exports, once, what programs still need of an upstream that leaves.
+// Without that every program there would pay its whole prefill again, all at
+// the same moment.
+func (s *Sched) leave(now time.Time, i int, u *upstream) {
+	if !u.leaving() {
+		u.left = false
+		return
+	}
+	if u.left || u.group == nil {
+		return
+	}
+	u.left = true
+	u.group.measure(s, now)
+	var names []string
+	s.index.Programs(i, func(name string, _ []uint64) { names = append(names, name) })
+	slices.Sort(names)
+	for _, name := range names[:min(len(names), maxExports)] {
+		s.export(now, i, name)
+	}
+}
+
+func (s *Sched) export(now time.Time, from int, program string) {
+	if len(s.index.Holders(program)) > 1 {
+		return // another engine holds it, perhaps an older part
+	}
+	u := s.ups[from]
+	r := request{ask: Ask{Program: program, Group: u.group.name}}
+	if len(u.conf.Models) == 1 {
+		r.ask.Model = u.conf.Models[0]
+	}
+	c := s.pick(now, &r)
+	if c.free == none {
+		return
+	}
+	s.index.Placed(program, c.free)
+	s.emit(Export{Upstream: u.name, Program: program, To: s.ups[c.free].name})
+}
--- a/internal/place/sched/sched.go
+++ b/internal/place/sched/sched.go
@@ -42,6 +42,7 @@
 	// further attempt is a new Ask with the same ID and Avoid set.
 	Ask struct {
 		ID         string
+		Account    string // whose share counts when there is not enough for all
 		Program    string
 		Root       string // the family whose attained service counts
 		Group      string
@@ -89,6 +90,10 @@
 	// Ended tells that a program is over and its memory not needed.
 	Ended struct{ Program string }
 
+	// Forget tells that another daemon owns the program now: nothing is
+	// released, as the program goes on.
+	Forget struct{ Program string }
+
 	// Held is an engine's answer to List: the programs it holds memory for.
 	// Live are those of them that some owner still knows.
 	Held struct {
@@ -139,6 +144,7 @@
 func (Cache) message()     {}
 func (VMs) message()       {}
 func (Ended) message()     {}
+func (Forget) message()    {}
 func (Held) message()      {}
 func (Tick) message()      {}
 
--- a/internal/place/sched/sched_test.go
+++ b/internal/place/sched/sched_test.go
@@ -1,15 +1,75 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/brkr"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/vmlist"
 	"github.com/slaterock/slaterock/internal/prog/result"
 )
 
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is a configuration with n engines e0, e1 ... and two tools t0, t1.
+func fleet(n int) file.File {
+	f := file.File{
+		Groups: map[string]file.Group{
+			"engines": {Kind: file.Engines, QueueLimit: 4, QueueWait: 10 * time.Second, MaxInflight: 2},
+			"tools":   {Kind: file.Services, MaxInflight: 100},
+		},
+		Services:  map[string]file.Service{"ledger": {Group: "tools", Idempotent: true, Hedge: true}},
+		Upstreams: map[string]file.Upstream{},
+	}
+	for i := range n {
+		f.Upstreams[fmt.Sprintf("e%d", i)] = file.Upstream{Group: "engines", Address: fmt.Sprintf("127.0.0.1:%d", i+1)}
+	}
+	for i := range 2 {
+		f.Upstreams[fmt.Sprintf("t%d", i)] = file.Upstream{Group: "tools", Address: fmt.Sprintf("127.0.0.1:%d", 5000+i)}
+	}
+	return f
+}
+
+func ask(id string) Ask {
+	return Ask{ID: id, Account: "a", Program: "p-" + id, Group: "engines", Model: "m", Attained: 1}
+}
+
+func toolAsk(id string) Ask {
+	return Ask{ID: id, Account: "a", Program: "p-" + id, Group: "tools", Service: "ledger", Idempotent: true}
+}
+
+func prompt(hashes ...uint64) []engine.Block {
+	var out []engine.Block
+	for _, h := range hashes {
+		out = append(out, engine.Block{Hash: h, Tokens: 1000})
+	}
+	return out
+}
+
+// assigned returns the upstream that the effects assign the request to.
+func assigned(effects []Effect, id string) string {
+	for _, e := range effects {
+		if a, ok := e.(Assign); ok && a.ID == id {
+			return a.Upstream
+		}
+	}
+	return ""
+}
+
+func refused(effects []Effect, id string) (Refuse, bool) {
+	for _, e := range effects {
+		if r, ok := e.(Refuse); ok && r.ID == id {
+			return r, true
+		}
+	}
+	return Refuse{}, false
+}
+
 func TestAskIsAnswered(t *testing.T) {
 	cfg := file.File{Upstreams: map[string]file.Upstream{"e1": {Group: "engines", Address: "127.0.0.1:1"}}}
 	tests := map[string]struct {
@@ -29,3 +89,225 @@
 		})
 	}
 }
+
+func TestStaysWhereTheCacheIs(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(8)})
+	a := ask("1")
+	a.Blocks = prompt(1, 2, 3)
+	home := assigned(s.Step(epoch, a), "1")
+	s.Step(epoch, Done{ID: "1", Upstream: home, Usage: engine.Usage{Prompt: 3000, Output: 10}})
+	for i := range 20 {
+		a.ID, a.Blocks = fmt.Sprint("n", i), append(a.Blocks, prompt(uint64(10+i))...)
+		is.Equal(assigned(s.Step(epoch, a), a.ID), home)
+		s.Step(epoch, Done{ID: a.ID, Upstream: home})
+	}
+}
+
+// An upstream that is being replaced says so in its load report, or the
+// platform's list does, whichever is first. A request that is sent there
+// afterwards dies with it, and its user waits for a second attempt.
+func TestLeavingGetsNoNewWork(t *testing.T) {
+	tests := map[string]struct{ notice Message }{
+		"own signal":       {Load{Upstream: "e0", Report: engine.Load{Seq: 1, Leaving: true}}},
+		"list":             {VMs{List: []vmlist.VM{{Address: "127.0.0.1:1", State: vmlist.Leaving}, {Address: "127.0.0.1:2", State: vmlist.Live}}}},
+		"list by name":     {VMs{List: []vmlist.VM{{Name: "e0", State: vmlist.Leaving}, {Name: "e1", State: vmlist.Live}}}},
+		"gone from list":   {VMs{List: []vmlist.VM{{Name: "e1", State: vmlist.Live}}}},
+		"no more declared": {Configure{File: without(fleet(2), "e0")}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s Sched
+			s.Step(epoch, Configure{File: fleet(2)})
+			s.Step(epoch, VMs{List: []vmlist.VM{{Name: "e0", State: vmlist.Live}, {Name: "e1", State: vmlist.Live}}})
+			s.Step(epoch, tt.notice)
+			for i := range 20 {
+				id := fmt.Sprint(i)
+				is.Equal(assigned(s.Step(epoch, ask(id)), id), "e1")
+				s.Step(epoch, Done{ID: id, Upstream: "e1"})
+			}
+		})
+	}
+}
+
+func without(f file.File, name string) file.File {
+	delete(f.Upstreams, name)
+	return f
+}
+
+// An attempt fails after the upstream may have begun it. If it were sent
+// again, a receipt would be issued twice.
+func TestRetryOnlyWhereSafe(t *testing.T) {
+	tests := map[string]struct {
+		idempotent bool
+		outcome    Outcome
+		want       result.Code // empty: another attempt is sent
+	}{
+		"idempotent, failed":     {true, Failed, ""},
+		"idempotent, unsent":     {true, Unsent, ""},
+		"non-idempotent, unsent": {false, Unsent, ""},
+		"non-idempotent, failed": {false, Failed, result.CodeUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s Sched
+			s.Step(epoch, Configure{File: fleet(1)})
+			a := toolAsk("1")
+			a.Idempotent = tt.idempotent
+			first := assigned(s.Step(epoch, a), "1")
+			s.Step(epoch, Done{ID: "1", Upstream: first, Outcome: tt.outcome})
+			a.Retry = true
+			got := s.Step(epoch, a)
+			if r, ok := refused(got, "1"); ok {
+				is.Equal(r.Code, tt.want)
+				return
+			}
+			is.Equal(tt.want, result.Code(""))
+			second := assigned(append(got, s.Step(epoch.Add(time.Second), Tick{})...), "1")
+			is.True(second != "" && second != first) // never where it just failed
+		})
+	}
+}
+
+// Every upstream of a group fails at once, and every request asks for another
+// attempt. Without a budget the load doubles in the moment it can be borne
+// least; with it the retries stay a share of the traffic.
+func TestRetriesAreAShareOfTraffic(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	f := fleet(2)
+	f.Limits.RetryShare = 0.1
+	s.Step(epoch, Configure{File: f})
+	spent := 0
+	now := epoch
+	for i := range 1000 {
+		now = now.Add(time.Second)
+		a := toolAsk(fmt.Sprint(i))
+		up := assigned(s.Step(now, a), a.ID)
+		s.Step(now, Done{ID: a.ID, Upstream: up, Outcome: Succeeded})
+		a.Retry = true
+		got := s.Step(now, a)
+		if r, ok := refused(got, a.ID); ok {
+			is.Equal(r.Code, result.CodeUpstreamFailed)
+			is.True(r.RetryAfter > 0)
+			continue
+		}
+		spent++
+		s.Step(now, Done{ID: a.ID, Upstream: assigned(got, a.ID)})
+	}
+	is.True(spent >= 95 && spent <= 110)
+}
+
+// One tool crashes and refuses every connection. Until its breaker opens each
+// request that meets it is delayed by a failed attempt.
+func TestBreakerKeepsWorkAway(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(1)})
+	failures := 0
+	for i := range 200 {
+		a := toolAsk(fmt.Sprint(i))
+		up := assigned(s.Step(epoch, a), a.ID)
+		out := Succeeded
+		if up == "t0" {
+			out = Unsent
+			failures++
+		}
+		s.Step(epoch, Done{ID: a.ID, Upstream: up, Outcome: out})
+	}
+	is.Equal(failures, brkr.Threshold)
+	later := epoch.Add(2 * time.Second)
+	probes := 0
+	for i := range 20 {
+		a := toolAsk(fmt.Sprint("p", i))
+		if assigned(s.Step(later, a), a.ID) == "t0" {
+			probes++
+		}
+	}
+	is.Equal(probes, 1) // half-open: one at a time
+}
+
+// A group takes four requests at a time and four more may wait. The callers of
+// the others hear at once that their request did not run, and when to return.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(2)})
+	var sent, told int
+	for i := range 20 {
+		got := s.Step(epoch, ask(fmt.Sprint(i)))
+		for _, e := range got {
+			switch e := e.(type) {
+			case Assign:
+				sent++
+			case Refuse:
+				told++
+				is.Equal(e.Code, result.CodeOverloaded)
+				is.True(e.RetryAfter > 0)
+			}
+		}
+	}
+	is.Equal(sent, 4)
+	is.Equal(told, 12)
+}
+
+func TestHedgePastP95(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(1)})
+	now := epoch
+	for i := range 30 {
+		a := toolAsk(fmt.Sprint(i))
+		up := assigned(s.Step(now, a), a.ID)
+		now = now.Add(100 * time.Millisecond)
+		s.Step(now, Done{ID: a.ID, Upstream: up})
+	}
+	up := assigned(s.Step(now, toolAsk("slow")), "slow")
+	is.Equal(assigned(s.Step(now.Add(90*time.Millisecond), Tick{}), "slow"), "")
+	got := s.Step(now.Add(200*time.Millisecond), Tick{})
+	is.Equal(len(got), 1)
+	hedge := got[0].(Assign)
+	is.True(hedge.Hedge && hedge.Upstream != up)
+	is.Equal(assigned(s.Step(now.Add(300*time.Millisecond), Tick{}), "slow"), "") // one hedge only
+}
+
+func TestMemoryIsReleased(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(2)})
+	a := ask("1")
+	a.Blocks = prompt(1, 2)
+	up := assigned(s.Step(epoch, a), "1")
+	is.Equal(s.Step(epoch, Ended{Program: a.Program}), []Effect{Release{Upstream: up, Program: a.Program}})
+	// The stream went on for a moment and left memory after the release.
+	is.Equal(s.Step(epoch, Done{ID: "1", Upstream: up, Outcome: Withdrawn}), []Effect{Release{Upstream: up, Program: a.Program}})
+}
+
+func TestLeavingExportsWhatIsNeeded(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(2)})
+	a := ask("1")
+	a.Blocks = prompt(1, 2)
+	up := assigned(s.Step(epoch, a), "1")
+	s.Step(epoch, Done{ID: "1", Upstream: up})
+	got := s.Step(epoch, Load{Upstream: up, Report: engine.Load{Seq: 1, Leaving: true}})
+	is.Equal(len(got), 1)
+	is.Equal(got[0].(Export).Program, a.Program)
+	is.True(got[0].(Export).To != up)
+}
+
+// A daemon died before it released what its programs held. The sweep finds
+// them with nobody to answer for them, twice, and has them released.
+func TestSweepReleasesWhatNobodyOwns(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(1)})
+	is.Equal(s.Step(epoch, Tick{}), []Effect{List{Upstream: "e0"}})
+	h := Held{Upstream: "e0", Programs: []string{"dead", "alive"}, Live: []string{"alive"}}
+	is.Equal(len(s.Step(epoch, h)), 0)
+	is.Equal(s.Step(epoch, h), []Effect{Release{Upstream: "e0", Program: "dead"}})
+}
--- /dev/null
+++ b/internal/place/sched/table.go
@@ -0,0 +1,169 @@
+package sched
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/brkr"
+	"github.com/slaterock/slaterock/internal/place/limit"
+	"github.com/slaterock/slaterock/internal/place/load"
+	"github.com/slaterock/slaterock/internal/place/queue"
+	"github.com/slaterock/slaterock/internal/place/score"
+	"github.com/slaterock/slaterock/internal/place/speed"
+	"github.com/slaterock/slaterock/internal/plat/vmlist"
+)
+
+type (
+	upstream struct {
+		name   string
+		conf   file.Upstream
+		group  *group
+		load   load.Load
+		limit  limit.Limit
+		brk    brkr.Breaker
+		speed  speed.Speed
+		listed bool // the platform's list had it
+		gone   bool // the list calls it leaving, or had it and has it no more
+		absent bool // not in the configuration in force
+		left   bool // its leaving was acted on
+	}
+
+	group struct {
+		name     string
+		conf     file.Group
+		ups      []int
+		queue    queue.Queue
+		speed    speed.Speed
+		capacity float64 // requests that its usable upstreams take at a time
+		output   float64 // mean tokens of an answer
+	}
+)
+
+func (u *upstream) engine() bool { return u.group.conf.Kind != file.Services && !u.absent }
+
+func (u *upstream) leaving() bool { return u.gone || u.absent || u.load.Leaving() }
+
+func (u *upstream) usable(now time.Time) bool { return !u.leaving() && u.brk.Allow(now) }
+
+func (u *upstream) serves(model string) bool {
+	return model == "" || len(u.conf.Models) == 0 || contains(u.conf.Models, model)
+}
+
+// room reports whether one more request may be sent. The configured bound
+// counts the work of all owners; one request of this owner is always let
+// through, or the others could shut it out for good.
+func (u *upstream) room(now time.Time) bool {
+	own := u.load.Inflight()
+	if own == 0 {
+		return true
+	}
+	if own >= u.limit.Value() {
+		return false
+	}
+	most := u.group.conf.MaxInflight
+	return most == 0 || float64(own)+u.load.Others(now) < float64(most)
+}
+
+// configure keeps what was learnt of upstreams that stay.
+func (s *Sched) configure(now time.Time, f file.File) {
+	s.cfg = f
+	s.weights = score.Weights{Latency: f.System.LatencyWeight, Cache: f.System.CacheWeight}
+	s.retries.Share, s.hedges.Share = f.Limits.RetryShare, f.Limits.HedgeShare
+	for _, g := range s.groups {
+		g.ups = g.ups[:0]
+	}
+	for _, u := range s.ups {
+		u.absent = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.Upstreams)) {
+		s.register(name, f.Upstreams[name])
+	}
+	for _, name := range s.groupNames() {
+		s.groups[name].measure(s, now)
+		s.dispatch(now, s.groups[name])
+	}
+	for i, u := range s.ups {
+		s.leave(now, i, u)
+	}
+}
+
+func (s *Sched) register(name string, conf file.Upstream) {
+	i, ok := s.byName[name]
+	if !ok {
+		i = len(s.ups)
+		s.ups = append(s.ups, &upstream{name: name})
+		s.byName[name] = i
+	}
+	u := s.ups[i]
+	if u.conf.Address != conf.Address {
+		s.ups[i] = &upstream{name: name} // another process under the same name
+		u = s.ups[i]
+		s.index.Reset(i)
+	}
+	u.conf, u.absent = conf, false
+	u.group = s.group(conf.Group)
+	u.limit.Max = u.group.conf.MaxInflight
+	u.group.ups = append(u.group.ups, i)
+}
+
+func (s *Sched) group(name string) *group {
+	g := s.groups[name]
+	if g == nil {
+		g = &group{name: name}
+		s.groups[name] = g
+	}
+	g.conf = s.cfg.Groups[name]
+	return g
+}
+
+func (s *Sched) groupNames() []string { return slices.Sorted(maps.Keys(s.groups)) }
+
+func (g *group) measure(s *Sched, now time.Time) {
+	g.capacity = 0
+	for _, i := range g.ups {
+		if u := s.ups[i]; u.usable(now) {
+			g.capacity += float64(u.limit.Value())
+		}
+	}
+}
+
+func (s *Sched) load(now time.Time, m Load) {
+	i, ok := s.byName[m.Upstream]
+	if !ok {
+		return
+	}
+	u := s.ups[i]
+	if u.load.Report(now, m.Report) {
+		s.leave(now, i, u)
+	}
+}
+
+// vms takes the platform's list. It lags, so a VM that was listed and is no
+// more is treated as leaving; one that was never listed is given the benefit
+// of the doubt, as the list may be late in naming it.
+func (s *Sched) vms(now time.Time, m VMs) {
+	states := make(map[string]vmlist.State, 2*len(m.List))
+	for _, vm := range m.List {
+		states[vm.Name], states[vm.Address] = vm.State, vm.State
+	}
+	for i, u := range s.ups {
+		state, ok := states[u.conf.Address]
+		if !ok {
+			state, ok = states[u.name]
+		}
+		u.gone = ok && state == vmlist.Leaving || !ok && u.listed
+		u.listed = u.listed || ok
+		s.leave(now, i, u)
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/place/speed/speed.go
@@ -0,0 +1,130 @@
+// Package speed learns how fast one upstream works: prefill and decoding time
+// for each token of an engine, and the time of one call to a service.
+//
+// What is wanted is the speed without waiting, but only times with waiting can
+// be measured. An estimate therefore follows faster times quickly and slower
+// ones slowly, which settles near the low end of what is seen and still
+// follows an upstream that has become slower for good.
+package speed
+
+import "time"
+
+const (
+	down = 0.2
+	up   = 0.01
+	mean = 0.1
+	// Shorter prompts measure the fixed cost of a request, not the prefill.
+	minPrefill = 256
+	// An upstream's own speed counts for half when it was last seen so long ago.
+	memory = 30 * time.Second
+
+	defaultPrefill = 0.0002 // seconds per token
+	defaultCall    = 0.5    // seconds
+)
+
+type (
+	// Speed is what was learnt of one upstream. All values are in seconds.
+	Speed struct {
+		prefill float64 // per token
+		call    float64 // mean time of one request, from dispatch to end
+		best    float64 // low end of the time of one request
+		decode  float64 // mean time of one token after the first
+		seen    time.Time
+	}
+)
+
+// Prefill notes the time to the first token of a request with so many tokens
+// that were not cached.
+func (s *Speed) Prefill(took time.Duration, tokens int) {
+	if tokens < minPrefill || took <= 0 {
+		return
+	}
+	s.prefill = low(s.prefill, took.Seconds()/float64(tokens))
+}
+
+// Decode notes the time of a request's tokens after the first.
+func (s *Speed) Decode(took time.Duration, tokens int) {
+	if tokens <= 1 || took <= 0 {
+		return
+	}
+	x := took.Seconds() / float64(tokens)
+	if s.decode == 0 {
+		s.decode = x
+	}
+	s.decode += mean * (x - s.decode)
+}
+
+// Call notes the whole time of one request that ended now.
+func (s *Speed) Call(now time.Time, took time.Duration) {
+	x := took.Seconds()
+	s.seen = now
+	s.best = low(s.best, x)
+	if s.call == 0 {
+		s.call = x
+		return
+	}
+	s.call += mean * (x - s.call)
+}
+
+// Among returns what is to be believed of the upstream when others of its
+// group are as fast as group on average: its own speed while it is fresh, the
+// group's when it is unknown or old. An upstream that was slow once and got no
+// work since would otherwise look slow for ever.
+func (s *Speed) Among(now time.Time, group *Speed) Speed {
+	if s.seen.IsZero() {
+		return *group
+	}
+	age := max(now.Sub(s.seen), 0)
+	w := float64(memory) / float64(memory+age)
+	mix := func(own, all float64) float64 {
+		if own == 0 || all == 0 {
+			return max(own, all)
+		}
+		return all + w*(own-all)
+	}
+	return Speed{
+		prefill: mix(s.prefill, group.prefill),
+		call:    mix(s.call, group.call),
+		decode:  mix(s.decode, group.decode),
+		best:    s.best,
+	}
+}
+
+// PerOutput returns the seconds of one token after the first, 0 if unknown.
+func (s *Speed) PerOutput() float64 { return s.decode }
+
+// PerToken returns the seconds of prefill for one token.
+func (s *Speed) PerToken() float64 {
+	if s.prefill == 0 {
+		return defaultPrefill
+	}
+	return s.prefill
+}
+
+// Expected returns the seconds to the first token of a request with so many
+// tokens to prefill, at an upstream that is not crowded.
+func (s *Speed) Expected(tokens int) float64 {
+	return s.PerToken() * float64(max(tokens, minPrefill))
+}
+
+// Mean returns the mean seconds of one request.
+func (s *Speed) Mean() float64 {
+	if s.call == 0 {
+		return defaultCall
+	}
+	return s.call
+}
+
+// Best returns the low end of the seconds of one request, 0 if none ended.
+func (s *Speed) Best() float64 { return s.best }
+
+func low(est, x float64) float64 {
+	switch {
+	case est == 0:
+		return x
+	case x < est:
+		return est + down*(x-est)
+	default:
+		return est + up*(x-est)
+	}
+}
