replay: traces, their replay and the baselines

Decisions could only be tested step by step. Traces now say what arrived, what upstreams did and what must come of it; replay drives the production machine and three baselines through them under a virtual clock.

--- a/internal/place/sched/machine.go
+++ b/internal/place/sched/machine.go
@@ -24,6 +24,7 @@
 		rng      *rand.Rand
 		ups      []*upstream
 		byName   map[string]int
+		engines  []int // those of ups that are swept
 		groups   map[string]*group
 		requests []request
 		free     []int32
@@ -107,8 +108,8 @@
 		s.dispatch(now, g)
 	}
 	s.hedge(now)
-	if i, ok := s.sweep.Due(now, len(s.ups)); ok && s.ups[i].engine() {
-		s.emit(List{Upstream: s.ups[i].name})
+	if i, ok := s.sweep.Due(now, len(s.engines)); ok {
+		s.emit(List{Upstream: s.ups[s.engines[i]].name})
 	}
 	s.prune(now)
 }
--- a/internal/place/sched/table.go
+++ b/internal/place/sched/table.go
@@ -41,7 +41,7 @@
 	}
 )
 
-func (u *upstream) engine() bool { return u.group.conf.Kind != file.Services && !u.absent }
+func (u *upstream) engine() bool { return !u.absent && u.group.conf.Kind != file.Services }
 
 func (u *upstream) leaving() bool { return u.gone || u.absent || u.load.Leaving() }
 
@@ -80,6 +80,12 @@
 	for _, name := range slices.Sorted(maps.Keys(f.Upstreams)) {
 		s.register(name, f.Upstreams[name])
 	}
+	s.engines = s.engines[:0]
+	for i, u := range s.ups {
+		if u.engine() {
+			s.engines = append(s.engines, i)
+		}
+	}
 	for _, name := range s.groupNames() {
 		s.groups[name].measure(s, now)
 		s.dispatch(now, s.groups[name])
--- a/internal/place/sweep/sweep.go
+++ b/internal/place/sweep/sweep.go
@@ -22,7 +22,8 @@
 
 		next     time.Time
 		turn     uint64
-		suspects map[string][]string
+		upstream string   // read last
+		suspects []string // and what it held for nobody then
 	}
 )
 
@@ -32,6 +33,9 @@
 		return 0, false
 	}
 	s.next = now.Add(Every)
+	if len(s.suspects) > 0 && s.turn > 0 {
+		s.turn-- // read the same one again, to be sure
+	}
 	i = int((s.Start + s.turn) % uint64(n))
 	s.turn++
 	return i, true
@@ -47,21 +51,20 @@
 	for _, p := range live {
 		alive[p] = true
 	}
-	before := s.suspects[upstream]
-	var now []string
+	var before, now []string
+	if s.upstream == upstream {
+		before = s.suspects
+	}
 	for _, p := range held {
-		if alive[p] {
-			continue
-		}
-		now = append(now, p)
-		if contains(before, p) {
+		switch {
+		case alive[p]:
+		case contains(before, p):
 			release = append(release, p)
+		default:
+			now = append(now, p)
 		}
 	}
-	if s.suspects == nil {
-		s.suspects = map[string][]string{}
-	}
-	s.suspects[upstream] = now
+	s.upstream, s.suspects = upstream, now
 	return release
 }
 
--- /dev/null
+++ b/internal/play/basis/basis.go
@@ -0,0 +1,126 @@
+// Package basis holds the simple policies that the scheduler is measured
+// against: round robin, least outstanding and sticky hash. They take the same
+// messages as sched.Sched, keep off leaving and avoided upstreams, release the
+// memory of programs that end, and neither queue nor refuse.
+package basis
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/vmlist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	// RoundRobin takes the upstreams in turn.
+	RoundRobin Policy = "round_robin"
+	// LeastOutstanding takes the one with the fewest own requests under way.
+	LeastOutstanding Policy = "least_outstanding"
+	// StickyHash takes the one that the program's family hashes to.
+	StickyHash Policy = "sticky_hash"
+)
+
+type (
+	// Policy names a baseline.
+	Policy string
+
+	// Basis is one owner under a baseline.
+	Basis struct {
+		Policy Policy
+
+		cfg      file.File
+		names    []string
+		inflight map[string]int
+		leaving  map[string]bool
+		turn     map[string]int
+		held     map[string][]string // upstreams by program
+	}
+)
+
+// Policies returns all baselines.
+func Policies() []Policy { return []Policy{RoundRobin, LeastOutstanding, StickyHash} }
+
+// Step applies one message and returns what to do.
+func (b *Basis) Step(_ time.Time, m sched.Message) []sched.Effect {
+	if b.inflight == nil {
+		b.inflight, b.leaving = map[string]int{}, map[string]bool{}
+		b.turn, b.held = map[string]int{}, map[string][]string{}
+	}
+	switch m := m.(type) {
+	case sched.Configure:
+		b.cfg, b.names = m.File, slices.Sorted(maps.Keys(m.File.Upstreams))
+	case sched.Ask:
+		return b.ask(m)
+	case sched.Done:
+		b.inflight[m.Upstream]--
+	case sched.Load:
+		b.leaving[m.Upstream] = m.Report.Leaving
+	case sched.VMs:
+		for _, vm := range m.List {
+			b.leaving[vm.Name] = b.leaving[vm.Name] || vm.State == vmlist.Leaving
+		}
+	case sched.Ended:
+		return b.ended(m.Program)
+	}
+	return nil
+}
+
+func (b *Basis) ended(program string) (out []sched.Effect) {
+	for _, name := range b.held[program] {
+		out = append(out, sched.Release{Upstream: name, Program: program})
+	}
+	delete(b.held, program)
+	return out
+}
+
+func (b *Basis) ask(a sched.Ask) []sched.Effect {
+	var able []string
+	for _, name := range b.names {
+		if b.cfg.Upstreams[name].Group == a.Group && !b.leaving[name] && !slices.Contains(a.Avoid, name) {
+			able = append(able, name)
+		}
+	}
+	if len(able) == 0 {
+		return []sched.Effect{sched.Refuse{ID: a.ID, Code: result.CodeNoUpstream, RetryAfter: time.Second}}
+	}
+	name := b.choose(able, a)
+	b.inflight[name]++
+	if a.Model != "" && !slices.Contains(b.held[a.Program], name) {
+		b.held[a.Program] = append(b.held[a.Program], name)
+	}
+	return []sched.Effect{sched.Assign{ID: a.ID, Upstream: name, Address: b.cfg.Upstreams[name].Address}}
+}
+
+func (b *Basis) choose(able []string, a sched.Ask) string {
+	switch b.Policy {
+	case StickyHash:
+		return slices.MaxFunc(able, func(x, y string) int {
+			return compare(xxhash.Sum64String(x+"/"+a.Root), xxhash.Sum64String(y+"/"+a.Root))
+		})
+	case LeastOutstanding:
+		b.turn[a.Group]++ // equals in turn
+		first := b.turn[a.Group] % len(able)
+		able = append(slices.Clone(able[first:]), able[:first]...)
+		return slices.MinFunc(able, func(x, y string) int { return b.inflight[x] - b.inflight[y] })
+	default:
+		b.turn[a.Group]++
+		return able[b.turn[a.Group]%len(able)]
+	}
+}
+
+func compare(x, y uint64) int {
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/play/gener/gener.go
@@ -0,0 +1,149 @@
+// Package gener declares the traces that are committed under traces/: the two
+// deployments on ordinary days and in their peaks, and the faults that the
+// scheduler is meant for. The numbers of programs, turns and tokens follow the
+// deployments' own description; where it gives none they are assumptions,
+// listed in docs/design/traces.md. A scenario is the same for the same seed.
+package gener
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/slaterock/slaterock/internal/play/trace"
+)
+
+type (
+	// Scenario builds one trace.
+	Scenario struct {
+		Name  string
+		build func(g *builder)
+	}
+
+	builder struct {
+		trace.Trace
+		rng *rand.Rand
+	}
+
+	span struct{ from, to int }
+)
+
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{"mafuta_day", func(g *builder) { g.mafuta(1.6, 110) }},
+		{"hotel_peak", func(g *builder) { g.hotels(3.4, 80) }},
+		{"kexanh_day", func(g *builder) { g.kexanh(1.2, 120) }},
+		{"supermarket_peak", func(g *builder) { g.supermarket(2.6, 90) }},
+		{"domain_lost", func(g *builder) {
+			g.mafuta(1.6, 110)
+			g.fault(trace.Fault{AtMS: 40_000, UntilMS: 80_000, What: trace.Down, FailureDomain: "temeke"})
+		}},
+		{"store_outage", func(g *builder) {
+			g.mafuta(0.3, 800)
+			g.Header.Returns = 40
+			g.fault(trace.Fault{AtMS: 60_000, UntilMS: 660_000, What: trace.Store})
+		}},
+		{"stale_load", func(g *builder) {
+			g.kexanh(1.6, 100)
+			g.everywhere("agent", trace.Fault{AtMS: 20_000, UntilMS: 80_000, What: trace.Silent})
+			g.fault(trace.Fault{AtMS: 30_000, UntilMS: 70_000, What: trace.Slow, Upstream: "agent-03", Factor: 4})
+		}},
+		{"event_gaps", func(g *builder) {
+			g.kexanh(1.2, 120)
+			g.everywhere("agent", trace.Fault{AtMS: 10_000, UntilMS: 100_000, What: trace.Gaps})
+		}},
+		{"looping_program", func(g *builder) {
+			g.mafuta(1.2, 60)
+			g.loops()
+		}},
+		{"hung_tool", func(g *builder) {
+			g.mafuta(1.6, 90)
+			g.fault(trace.Fault{AtMS: 20_000, UntilMS: 60_000, What: trace.Hang, Upstream: "ledger-02"})
+		}},
+		{"rolling_replacement", func(g *builder) {
+			g.kexanh(1.0, 130)
+			for i := range int64(10) {
+				at := 15_000 + 8_000*i
+				g.fault(trace.Fault{AtMS: at, UntilMS: at + 40_000, What: trace.Leave, Upstream: fmt.Sprintf("agent-%02d", 2*i)})
+			}
+		}},
+		{"hot_prefix", func(g *builder) { g.hot() }},
+		{"overload_3x", func(g *builder) { g.press(3, 40) }},
+	}
+}
+
+// Build returns the scenario's trace for the seed.
+func (s Scenario) Build(seed uint64) trace.Trace {
+	g := &builder{rng: rand.New(rand.NewPCG(seed, 7))}
+	g.Header = trace.Header{
+		Version: trace.Version, Name: s.Name, Seed: seed, LatencyWeight: 1, CacheWeight: 1, Owners: 7,
+		QueueLimit: 200, QueueWaitMS: 10_000, RetryShare: 0.2, HedgeShare: 0.05,
+		TimeoutMS: 60_000, ListLagMS: 1500, Returns: 5,
+	}
+	s.build(g)
+	slices.SortStableFunc(g.Programs, func(a, b trace.Program) int { return int(a.AtMS - b.AtMS) })
+	g.invariants()
+	for _, b := range bounds[s.Name] {
+		g.most(b.measure, b.most)
+	}
+	return g.Trace
+}
+
+// Press returns the trace of the goodput measurement: the same short programs
+// at so many times the rate that the engines can serve.
+func Press(times float64, seed uint64) trace.Trace {
+	return Scenario{"press", func(g *builder) { g.press(times, 60) }}.Build(seed)
+}
+
+// invariants states what must hold whatever happens.
+func (g *builder) invariants() {
+	for _, m := range []string{
+		"repeated", "out_of_order", "over_budget", "held_programs", "late_dispatches", "cut_streams", "false_refusals",
+	} {
+		g.most(m, 0)
+	}
+}
+
+func (g *builder) most(measure string, v float64) {
+	g.Expects = append(g.Expects, trace.Expect{Measure: measure, AtMost: &v})
+}
+
+func (g *builder) fault(f trace.Fault) { g.Faults = append(g.Faults, f) }
+
+func (g *builder) everywhere(group string, f trace.Fault) {
+	for _, u := range g.Upstreams {
+		if u.Group == group {
+			f.Upstream = u.Name
+			g.fault(f)
+		}
+	}
+}
+
+func (g *builder) in(s span) int { return s.from + g.rng.IntN(s.to-s.from+1) }
+
+func (g *builder) pause(s span) int64 { return int64(g.in(s)) * 100 }
+
+// arrivals calls f at Poisson times of the rate, in milliseconds.
+func (g *builder) arrivals(perSecond, seconds float64, f func(at int64)) {
+	for at := 0.0; ; {
+		at += g.rng.ExpFloat64() / perSecond
+		if at > seconds {
+			return
+		}
+		f(int64(at * 1000))
+	}
+}
+
+// zipf returns a number below n, small ones more often.
+func (g *builder) zipf(n int) int {
+	return min(int(math.Pow(float64(n), g.rng.Float64()))-1, n-1)
+}
+
+func (g *builder) add(p trace.Program) {
+	p.Name = fmt.Sprintf("p%d", len(g.Programs))
+	p.Group = "agent"
+	p.MaxTurns = max(p.MaxTurns, 320)
+	g.Programs = append(g.Programs, p)
+}
--- /dev/null
+++ b/internal/play/replay/cache.go
@@ -0,0 +1,100 @@
+package replay
+
+import (
+	"container/list"
+
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+type (
+	// cache is an engine's prefix cache: blocks in the order of use, each
+	// tagged with the programs that left it. A block without a tag is free.
+	cache struct {
+		room    int // tokens
+		used    int
+		order   *list.List // of *entry, the most recently used first
+		entries map[uint64]*list.Element
+	}
+
+	entry struct {
+		hash   uint64
+		tokens int
+		tags   map[string]bool
+	}
+)
+
+func newCache(room int) cache {
+	return cache{room: room, order: list.New(), entries: map[uint64]*list.Element{}}
+}
+
+// match returns how many blocks from the beginning are held.
+func (c *cache) match(blocks []engine.Block) int {
+	for i, b := range blocks {
+		if c.entries[b.Hash] == nil {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// store holds the blocks for the program and returns what was stored anew and
+// what was evicted. The beginning of a prompt counts as used after its end, so
+// that ends are evicted first.
+func (c *cache) store(program string, blocks []engine.Block) (stored, evicted []uint64) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		b := blocks[i]
+		el := c.entries[b.Hash]
+		if el == nil {
+			el = c.order.PushFront(&entry{hash: b.Hash, tokens: b.Tokens, tags: map[string]bool{}})
+			c.entries[b.Hash] = el
+			c.used += b.Tokens
+			stored = append(stored, b.Hash)
+		}
+		c.order.MoveToFront(el)
+		el.Value.(*entry).tags[program] = true
+	}
+	for c.used > c.room && c.order.Len() > 1 {
+		evicted = append(evicted, c.remove(c.order.Back()))
+	}
+	return stored, evicted
+}
+
+func (c *cache) remove(el *list.Element) uint64 {
+	e := c.order.Remove(el).(*entry)
+	delete(c.entries, e.hash)
+	c.used -= e.tokens
+	return e.hash
+}
+
+// release takes the program's tag away and frees what has no other.
+func (c *cache) release(program string) (evicted []uint64) {
+	for el := c.order.Front(); el != nil; {
+		next := el.Next()
+		e := el.Value.(*entry)
+		delete(e.tags, program)
+		if len(e.tags) == 0 {
+			evicted = append(evicted, c.remove(el))
+		}
+		el = next
+	}
+	return evicted
+}
+
+// blocksOf returns the blocks that the program left, the last used first.
+func (c *cache) blocksOf(program string) (out []engine.Block) {
+	for el := c.order.Front(); el != nil; el = el.Next() {
+		if e := el.Value.(*entry); e.tags[program] {
+			out = append(out, engine.Block{Hash: e.hash, Tokens: e.tokens})
+		}
+	}
+	return out
+}
+
+// programs adds the programs that the cache holds memory for.
+func (c *cache) programs(into map[string]bool) {
+	for el := c.order.Front(); el != nil; el = el.Next() {
+		for p := range el.Value.(*entry).tags {
+			into[p] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/play/replay/worker.go
@@ -0,0 +1,196 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/play/trace"
+)
+
+const refusedAfter = time.Millisecond // a connection that is refused
+
+type (
+	// worker is a small model of one upstream: so many requests at a time,
+	// one prefill after the other, decoding that slows with the batch, and a
+	// cache. All its numbers come from the trace.
+	worker struct {
+		w       *world
+		t       trace.Upstream
+		faults  map[trace.What]int // how many of each are on
+		slow    float64
+		running map[*attempt]bool
+		waiting []*attempt
+		prefill time.Time // the engine's prefill is busy until then
+		cache   cache
+		seq     uint64 // of cache events
+		reports uint64
+		events  []engine.Event // not yet delivered
+		left    time.Time      // since when its leaving was published
+	}
+
+	// attempt is one request at one worker.
+	attempt struct {
+		r      *request
+		u      *worker
+		ended  bool
+		cached int
+	}
+)
+
+func newWorker(w *world, t trace.Upstream) *worker {
+	return &worker{
+		w: w, t: t, faults: map[trace.What]int{}, slow: 1,
+		running: map[*attempt]bool{}, cache: newCache(t.CacheTokens),
+	}
+}
+
+func (u *worker) on(what trace.What) bool { return u.faults[what] > 0 }
+
+// submit takes a request.
+func (u *worker) submit(a *attempt) {
+	if u.on(trace.Down) {
+		u.w.after(refusedAfter, func() { u.w.attemptEnded(a, sched.Unsent, engine.Usage{}) })
+		return
+	}
+	if !u.left.IsZero() && u.w.now.Sub(u.left) > leavingGrace {
+		u.w.report.LateDispatches++
+	}
+	u.waiting = append(u.waiting, a)
+	u.next()
+}
+
+// next begins waiting requests while there are free slots, the highest
+// priority first.
+func (u *worker) next() {
+	for len(u.running) < u.t.Slots && len(u.waiting) > 0 {
+		best := 0
+		for i, a := range u.waiting {
+			if a.r.p.t.Priority > u.waiting[best].r.p.t.Priority {
+				best = i
+			}
+		}
+		a := u.waiting[best]
+		u.waiting = append(u.waiting[:best], u.waiting[best+1:]...)
+		u.running[a] = true
+		u.begin(a)
+	}
+}
+
+func (u *worker) begin(a *attempt) {
+	a.r.began(u.w)
+	if u.on(trace.Hang) {
+		return
+	}
+	c := a.r.call
+	if u.t.Service {
+		u.w.after(seconds(u.slow*ms(c.WorkMS).Seconds()), func() { u.finish(a, engine.Usage{}) })
+		return
+	}
+	n := u.cache.match(a.r.blocks)
+	prompt := 0
+	for i, b := range a.r.blocks {
+		prompt += b.Tokens
+		if i < n {
+			a.cached += b.Tokens
+		} else {
+			u.w.computed(b)
+		}
+	}
+	stored, evicted := u.cache.store(a.r.p.t.Name, a.r.blocks)
+	u.note(stored, evicted)
+	start := u.w.now
+	if u.prefill.After(start) {
+		start = u.prefill
+	}
+	u.prefill = start.Add(seconds(u.slow * float64(prompt-a.cached) / u.t.PrefillPerS))
+	u.w.after(u.prefill.Sub(u.w.now), func() { u.first(a, prompt) })
+}
+
+func (u *worker) first(a *attempt, prompt int) {
+	if a.ended {
+		return
+	}
+	u.w.step(a.r.p.owner, sched.First{ID: a.r.id, Upstream: u.t.Name})
+	beside := float64(len(u.running) - 1)
+	each := u.slow * u.t.DecodeMS / 1000 * (1 + u.t.BatchSlope*beside)
+	usage := engine.Usage{Prompt: prompt, Cached: a.cached, Output: a.r.call.Output, Finish: "stop"}
+	u.w.after(seconds(each*float64(a.r.call.Output)), func() { u.finish(a, usage) })
+}
+
+func (u *worker) finish(a *attempt, usage engine.Usage) {
+	if a.ended || u.on(trace.Hang) {
+		return
+	}
+	u.w.attemptEnded(a, sched.Succeeded, usage)
+}
+
+// drop takes the attempt out, whatever became of it.
+func (u *worker) drop(a *attempt) {
+	a.ended = true
+	delete(u.running, a)
+	for i, v := range u.waiting {
+		if v == a {
+			u.waiting = append(u.waiting[:i], u.waiting[i+1:]...)
+			break
+		}
+	}
+	u.next()
+}
+
+// crash fails all that runs and empties the cache. What waited inside may
+// have been begun for all its sender knows.
+func (u *worker) crash() {
+	all := u.waiting
+	u.waiting = nil
+	for _, r := range u.w.requests {
+		for _, a := range r.attempts {
+			if u.running[a] {
+				all = append(all, a)
+			}
+		}
+	}
+	u.cache, u.seq, u.reports, u.events, u.prefill = newCache(u.t.CacheTokens), 0, 0, nil, time.Time{}
+	for _, a := range all {
+		u.w.attemptEnded(a, sched.Failed, engine.Usage{})
+	}
+}
+
+func (u *worker) note(stored, evicted []uint64) {
+	if len(stored)+len(evicted) == 0 {
+		return
+	}
+	u.seq++
+	if u.on(trace.Gaps) && u.w.rng.IntN(2) == 0 {
+		return
+	}
+	u.events = append(u.events, engine.Event{Seq: u.seq, Stored: stored, Evicted: evicted})
+}
+
+// publish sends a load report and the cache events, which arrive later.
+func (u *worker) publish() {
+	if u.on(trace.Down) {
+		return
+	}
+	u.reports++
+	report := engine.Load{
+		Seq: u.reports, At: u.w.now, Running: len(u.running), Waiting: len(u.waiting),
+		Used: u.cache.used, Total: u.t.CacheTokens, Leaving: u.on(trace.Leave),
+	}
+	events := u.events
+	u.events = nil
+	silent := u.on(trace.Silent)
+	u.w.after(ms(u.t.LagMS), func() {
+		if report.Leaving && u.left.IsZero() && u.on(trace.Leave) {
+			u.left = u.w.now
+		}
+		for _, o := range u.w.owners {
+			if !silent {
+				u.w.step(o, sched.Load{Upstream: u.t.Name, Report: report})
+			}
+			if len(events) > 0 {
+				u.w.step(o, sched.Cache{Upstream: u.t.Name, Events: events})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/play/replay/world.go
@@ -0,0 +1,262 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/vmlist"
+	"github.com/slaterock/slaterock/internal/play/trace"
+)
+
+const (
+	tickEvery    = 100 * time.Millisecond
+	listEvery    = time.Second
+	answerAfter  = 5 * time.Millisecond // of an engine to List
+	leavingGrace = 2 * time.Second
+	// After the last program the replay goes on until the sweep has read
+	// every engine twice, and at least this long.
+	settle = 10 * time.Second
+	// A replay that has not ended after this much virtual time is stuck.
+	longest = 2 * time.Hour
+)
+
+type (
+	// Decider is one owner's decisions: sched.Sched in production.
+	Decider interface {
+		Step(now time.Time, m sched.Message) []sched.Effect
+	}
+
+	// Gate is asked before each call whether the program may make it, and
+	// told what each answer cost. Without one, the budget and the turn limit
+	// in the trace are kept by simple counting.
+	Gate interface {
+		Admit(now time.Time, p trace.Program, number int, spent int64) (outcome string)
+		Settle(now time.Time, p trace.Program, number int, usage engine.Usage)
+	}
+
+	// world is one replay under way.
+	world struct {
+		clock
+		t        trace.Trace
+		rng      *rand.Rand
+		gate     Gate
+		owners   []*owner
+		workers  []*worker
+		byName   map[string]*worker
+		programs []*program
+		requests []*request // under way
+		byID     map[string]*request
+		known    map[uint64]bool // blocks that were computed once
+		storeOut int
+		open     int
+		report   Report
+	}
+
+	owner struct{ d Decider }
+)
+
+func newWorld(t trace.Trace, o Options) *world {
+	w := &world{
+		t: t, gate: o.Gate, rng: rand.New(rand.NewPCG(o.Seed, 2)),
+		byName: map[string]*worker{}, byID: map[string]*request{}, known: map[uint64]bool{},
+	}
+	w.now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for i := range max(t.Header.Owners, 1) {
+		w.owners = append(w.owners, &owner{d: o.decider(i)})
+	}
+	for _, u := range t.Upstreams {
+		wk := newWorker(w, u)
+		w.workers = append(w.workers, wk)
+		w.byName[u.Name] = wk
+	}
+	return w
+}
+
+func (w *world) start() {
+	cfg := configuration(w.t)
+	for i, o := range w.owners {
+		w.step(o, sched.Configure{File: cfg})
+		first := tickEvery * time.Duration(i) / time.Duration(len(w.owners))
+		w.every(first, tickEvery, func() bool { w.step(o, sched.Tick{}); return true })
+	}
+	for i, u := range w.workers {
+		if u.t.ReportMS > 0 {
+			first := ms(u.t.ReportMS) * time.Duration(i) / time.Duration(len(w.workers))
+			w.every(first, ms(u.t.ReportMS), func() bool { u.publish(); return true })
+		}
+	}
+	w.every(0, listEvery, func() bool { w.list(); return true })
+	for _, f := range w.t.Faults {
+		w.after(ms(f.AtMS), func() { w.fault(f, true) })
+		w.after(ms(f.UntilMS), func() { w.fault(f, false) })
+	}
+	for i := range w.t.Programs {
+		p := &program{t: &w.t.Programs[i], begin: -1}
+		p.owner = w.owners[xxhash.Sum64String(p.t.Name)%uint64(len(w.owners))]
+		w.programs = append(w.programs, p)
+		w.open++
+		w.after(ms(p.t.AtMS), func() { p.arrive(w) })
+	}
+}
+
+// run replays to the end and beyond, until the sweep has had its time.
+func (w *world) run() {
+	begin := w.now
+	var ended time.Time
+	rounds := time.Duration(2*len(w.workers)) * sweepEvery / time.Duration(len(w.owners))
+	w.clock.run(func() bool {
+		if w.open > 0 {
+			return w.now.Sub(begin) > longest
+		}
+		if ended.IsZero() {
+			ended = w.now
+		}
+		return w.now.Sub(ended) > settle+2*rounds
+	})
+}
+
+func configuration(t trace.Trace) file.File {
+	h := t.Header
+	f := file.File{
+		System: file.System{LatencyWeight: h.LatencyWeight, CacheWeight: h.CacheWeight},
+		Limits: file.Limits{RetryShare: h.RetryShare, HedgeShare: h.HedgeShare, UpstreamTimeout: ms(h.TimeoutMS)},
+		Groups: map[string]file.Group{}, Services: map[string]file.Service{}, Upstreams: map[string]file.Upstream{},
+	}
+	for _, u := range t.Upstreams {
+		kind := file.Engines
+		if u.Service {
+			kind = file.Services
+		}
+		f.Groups[u.Group] = file.Group{Kind: kind, QueueLimit: h.QueueLimit, QueueWait: ms(h.QueueWaitMS), MaxInflight: h.MaxInflight}
+		f.Upstreams[u.Name] = file.Upstream{Group: u.Group, Address: u.Name, FailureDomain: u.FailureDomain}
+	}
+	for _, s := range t.Services {
+		f.Services[s.Name] = file.Service{Group: s.Group, Idempotent: s.Idempotent, Hedge: s.Hedge, Timeout: ms(s.TimeoutMS)}
+	}
+	return f
+}
+
+func (w *world) step(o *owner, m sched.Message) {
+	for _, e := range o.d.Step(w.now, m) {
+		switch e := e.(type) {
+		case sched.Assign:
+			w.assign(e)
+		case sched.Refuse:
+			w.refuse(e)
+		case sched.Release:
+			u := w.byName[e.Upstream]
+			u.note(nil, u.cache.release(e.Program))
+		case sched.Export:
+			w.export(e)
+		case sched.List:
+			w.after(answerAfter, func() { w.held(o, e.Upstream) })
+		}
+	}
+}
+
+func (w *world) held(o *owner, name string) {
+	u := w.byName[name]
+	if u.on(trace.Down) {
+		return
+	}
+	set := map[string]bool{}
+	u.cache.programs(set)
+	m := sched.Held{Upstream: name}
+	for _, p := range w.programs {
+		if set[p.t.Name] {
+			m.Programs = append(m.Programs, p.t.Name)
+			if !p.ended {
+				m.Live = append(m.Live, p.t.Name)
+			}
+		}
+	}
+	w.step(o, m)
+}
+
+func (w *world) export(e sched.Export) {
+	from, to := w.byName[e.Upstream], w.byName[e.To]
+	if from.on(trace.Down) || to.on(trace.Down) {
+		return
+	}
+	blocks := from.cache.blocksOf(e.Program)
+	stored, evicted := to.cache.store(e.Program, blocks)
+	to.note(stored, evicted)
+	w.report.Exports++
+}
+
+// list delivers the platform's list of VMs, late.
+func (w *world) list() {
+	var m sched.VMs
+	for _, u := range w.workers {
+		vm := vmlist.VM{Name: u.t.Name, Address: u.t.Name, FailureDomain: u.t.FailureDomain, State: vmlist.Live}
+		if u.on(trace.Leave) {
+			vm.State = vmlist.Leaving
+		}
+		m.List = append(m.List, vm)
+	}
+	w.after(ms(w.t.Header.ListLagMS), func() {
+		for i, u := range w.workers {
+			if m.List[i].State == vmlist.Leaving && u.left.IsZero() && u.on(trace.Leave) {
+				u.left = w.now
+			}
+		}
+		for _, o := range w.owners {
+			w.step(o, m)
+		}
+	})
+}
+
+func (w *world) fault(f trace.Fault, begins bool) {
+	delta := 1
+	if !begins {
+		delta = -1
+	}
+	if f.What == trace.Store {
+		w.storeOut += delta
+		return
+	}
+	for _, u := range w.workers {
+		if f.Upstream != u.t.Name && (f.FailureDomain == "" || f.FailureDomain != u.t.FailureDomain) {
+			continue
+		}
+		u.faults[f.What] += delta
+		switch {
+		case f.What == trace.Slow && begins:
+			u.slow = max(f.Factor, 1)
+		case f.What == trace.Slow:
+			u.slow = 1
+		case f.What == trace.Down && begins:
+			u.crash()
+		case f.What == trace.Leave && !begins:
+			w.report.CutStreams += len(u.running)
+			u.crash()
+			u.left = time.Time{}
+		}
+	}
+}
+
+// computed counts a block that an engine had to prefill.
+func (w *world) computed(b engine.Block) {
+	w.report.Prefilled += b.Tokens
+	if w.known[b.Hash] {
+		w.report.Wasted += b.Tokens
+	}
+	w.known[b.Hash] = true
+}
+
+func (w *world) remove(r *request) {
+	delete(w.byID, r.id)
+	i := slices.Index(w.requests, r)
+	w.requests = slices.Delete(w.requests, i, i+1)
+}
+
+func blockHash(format string, args ...any) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/play/trace/codec.go
@@ -0,0 +1,160 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const maxLine = 1 << 20 // bytes
+
+type (
+	// LineError is an error in one line of a trace, counted from 1.
+	LineError struct {
+		Line int
+		Err  error
+	}
+
+	head struct {
+		Kind string `json:"kind"`
+	}
+)
+
+var (
+	// ErrKind reports a line of unknown kind.
+	ErrKind = errors.New("unknown kind")
+	// ErrVersion reports a format that this package does not read.
+	ErrVersion = errors.New("unsupported version")
+	// ErrHeader reports a trace that does not begin with its header.
+	ErrHeader = errors.New("the first line must be the header")
+)
+
+// Error names the line.
+func (e *LineError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
+
+// Unwrap returns the cause.
+func (e *LineError) Unwrap() error { return e.Err }
+
+// Read reads a whole trace. Errors are of the type *LineError.
+func Read(r io.Reader) (t Trace, err error) {
+	n := 0
+	defer func() {
+		if err != nil {
+			err = &LineError{Line: n, Err: err}
+		}
+	}()
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		n++
+		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
+			continue
+		}
+		if err = t.add(lines.Bytes(), n); err != nil {
+			return t, err
+		}
+	}
+	n++
+	if err = lines.Err(); err == nil && t.Header.Version == 0 {
+		err = ErrHeader
+	}
+	return t, err
+}
+
+func (t *Trace) add(line []byte, n int) (err error) {
+	var h head
+	if err = json.Unmarshal(line, &h); err != nil {
+		return err
+	}
+	if (t.Header.Version == 0) != (h.Kind == t.Header.kind()) {
+		return ErrHeader
+	}
+	switch h.Kind {
+	case Header{}.kind():
+		if err = decode(line, &t.Header); err == nil && t.Header.Version != Version {
+			err = fmt.Errorf("%w %d", ErrVersion, t.Header.Version)
+		}
+	case Upstream{}.kind():
+		err = appendTo(&t.Upstreams, line)
+	case Service{}.kind():
+		err = appendTo(&t.Services, line)
+	case Program{}.kind():
+		err = appendTo(&t.Programs, line)
+	case Fault{}.kind():
+		err = appendTo(&t.Faults, line)
+	case Expect{}.kind():
+		if err = appendTo(&t.Expects, line); err == nil {
+			t.Expects[len(t.Expects)-1].Line = n
+		}
+	default:
+		err = fmt.Errorf("%w %q", ErrKind, h.Kind)
+	}
+	return err
+}
+
+func appendTo[T any](list *[]T, line []byte) error {
+	var v T
+	if err := decode(line, &v); err != nil {
+		return err
+	}
+	*list = append(*list, v)
+	return nil
+}
+
+// decode refuses unknown fields: a misspelt bound would otherwise be no bound.
+func decode[T any](line []byte, v *T) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(line, &fields); err != nil {
+		return err
+	}
+	delete(fields, "kind")
+	rest, err := json.Marshal(fields)
+	if err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(rest))
+	d.DisallowUnknownFields()
+	return d.Decode(v)
+}
+
+// Append writes one line, for a recorder that writes as it goes.
+func Append(w io.Writer, l Line) (err error) {
+	body, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	kind, err := json.Marshal(head{Kind: l.kind()})
+	if err != nil {
+		return err
+	}
+	line := append(kind[:len(kind)-1], ',')
+	line = append(append(line, body[1:]...), '\n')
+	_, err = w.Write(line)
+	return err
+}
+
+// Write writes a whole trace.
+func (t Trace) Write(w io.Writer) (err error) {
+	if err = Append(w, t.Header); err != nil {
+		return err
+	}
+	for _, lines := range [][]Line{list(t.Upstreams), list(t.Services), list(t.Faults), list(t.Programs), list(t.Expects)} {
+		for _, l := range lines {
+			if err = Append(w, l); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func list[T Line](in []T) []Line {
+	out := make([]Line, len(in))
+	for i, v := range in {
+		out[i] = v
+	}
+	return out
+}
