sched: weigh the program's calls to come and share what is shared

Owners chased each other's lagging reports: every turn moved to what looked idle a second ago, and most programs sat where the others did. The cost now counts the program's later calls by how many programs live at an upstream, trusts others' work only as far as it lasts, learns from its own answers how load slows them, samples three upstreams, and divides the rebuilding of a shared context among the programs that share it.

--- a/internal/place/load/load.go
+++ b/internal/place/load/load.go
@@ -18,6 +18,11 @@
 	maxLag = 5 * time.Second
 	// Work of others is forgotten by half in this time without a report.
 	halfLife = 5 * time.Second
+	// The part that each report has in the usual load.
+	usualShare = 0.05
+	// How much of a report's difference from the usual still holds when a
+	// request that is sent by it has arrived.
+	news = 0.2
 )
 
 type (
@@ -26,6 +31,8 @@
 		report   engine.Load
 		received time.Time
 		others   float64
+		usual    float64 // others, on average over some time
+		slots    float64 // requests that it serves at a time, 0 if unknown
 		inflight int
 		ring     [ringSize]change
 		next     int
@@ -64,7 +71,12 @@
 		at = now.Add(-maxLag)
 	}
 	l.report, l.received = r, now
+	// How much an upstream serves at a time shows when it keeps some waiting.
+	if r.Waiting > 0 || l.slots > 0 && float64(r.Running) > l.slots {
+		l.slots = float64(r.Running)
+	}
 	l.others = max(0, float64(r.Running+r.Waiting-l.own(at)))
+	l.usual += usualShare * (l.others - l.usual)
 	return true
 }
 
@@ -83,17 +95,22 @@
 func (l *Load) Inflight() int { return l.inflight }
 
 // Others estimates the requests that other owners have in flight.
-func (l *Load) Others(now time.Time) float64 { return l.others * l.fresh(now) }
+func (l *Load) Others(now time.Time) float64 {
+	return (l.usual + news*(l.others-l.usual)) * l.fresh(now)
+}
 
-// Waiting estimates the requests that wait inside the upstream.
-func (l *Load) Waiting(now time.Time) float64 { return float64(l.report.Waiting) * l.fresh(now) }
+// Usual returns the work of other owners on average over the last reports. A
+// single report tells of a moment that is over when it arrives; where others'
+// programs live shows in the average.
+func (l *Load) Usual(now time.Time) float64 { return l.usual * l.fresh(now) }
+
+// Slots returns how many requests the upstream serves at a time, 0 if it was
+// never seen full.
+func (l *Load) Slots() float64 { return l.slots }
 
 // fresh falls from 1 to 0 as the report ages, so that an upstream whose
 // reports stopped in a bad moment is not shunned for good.
 func (l *Load) fresh(now time.Time) float64 {
-	if l.others == 0 && l.report.Waiting == 0 {
-		return 0
-	}
 	age := now.Sub(l.received)
 	return float64(halfLife) / float64(halfLife+max(age, 0))
 }
--- a/internal/place/prefix/prefix.go
+++ b/internal/place/prefix/prefix.go
@@ -27,6 +27,10 @@
 	// Index is the knowledge about all engines, which are named by small
 	// numbers. The zero value knows nothing.
 	Index struct {
+		// Part is this owner's part of all programs, 0 if unknown. A block
+		// that several programs here share is shared by more elsewhere.
+		Part float64
+
 		blocks   map[uint64]*block
 		programs map[string]*program
 		engines  []state
@@ -36,8 +40,13 @@
 		stamp    uint32
 	}
 
-	// Match is an engine that holds the first Tokens of a prompt.
-	Match struct{ Engine, Tokens int }
+	// Match is an engine that holds the first Tokens of a prompt. Weight is
+	// the same with each block's tokens divided by the programs of this owner
+	// that need it: what one program's share of building them is.
+	Match struct {
+		Engine, Tokens int
+		Weight         float64
+	}
 
 	block struct {
 		users   int32 // programs of this owner that need it
@@ -54,14 +63,17 @@
 	program struct {
 		chain   []uint64
 		engines []int
+		home    int // where it was sent last, plus one
+		calls   int
 	}
 
 	state struct {
-		seq     uint64 // of the last event
-		era     uint32 // rises with each gap
-		base    uint32 // placements before this era are void
-		stamp   uint32 // of the last lookup that met the engine
-		matched int
+		seq   uint64 // of the last event
+		era   uint32 // rises with each gap
+		base  uint32 // placements before this era are void
+		stamp uint32 // of the last lookup that met the engine
+		match Match
+		homes int // programs that were sent here last
 	}
 )
 
@@ -91,6 +103,8 @@
 func (x *Index) Placed(name string, e int) {
 	x.grow(e)
 	p := x.program(name)
+	p.calls++
+	x.settle(p, e+1)
 	if !has(p.engines, e) {
 		p.engines = append(p.engines, e)
 	}
@@ -99,6 +113,42 @@
 	}
 }
 
+func (x *Index) settle(p *program, home int) {
+	if p.home > 0 {
+		x.engines[p.home-1].homes--
+	}
+	if home > 0 {
+		x.engines[home-1].homes++
+	}
+	p.home = home
+}
+
+// Homes returns how many programs were sent to the engine last: its load to
+// come, as long as they stay.
+func (x *Index) Homes(e int) int {
+	if e >= len(x.engines) {
+		return 0
+	}
+	return x.engines[e].homes
+}
+
+// Home returns where the program was sent last.
+func (x *Index) Home(name string) (e int, ok bool) {
+	p := x.programs[name]
+	if p == nil || p.home == 0 {
+		return 0, false
+	}
+	return p.home - 1, true
+}
+
+// Calls returns how often the program was sent.
+func (x *Index) Calls(name string) int {
+	if p := x.programs[name]; p != nil {
+		return p.calls
+	}
+	return 0
+}
+
 // Found corrects the index by an answer's usage: the engine had only so many
 // tokens of the prompt cached when it began, fewer than expected. What it
 // computed since is held, so only other programs' view of shared blocks can
@@ -152,6 +202,7 @@
 // End forgets the program. Blocks that another program shares stay known.
 func (x *Index) End(name string) {
 	if p := x.programs[name]; p != nil {
+		x.settle(p, 0)
 		x.drop(p.chain)
 		delete(x.programs, name)
 	}
@@ -198,29 +249,52 @@
 func (x *Index) Match(blocks []engine.Block) []Match {
 	x.matches = x.matches[:0]
 	x.stamp++
-	total := 0
-	for _, b := range blocks {
-		total += b.Tokens
+	var shares [headScan]float64
+	m := Match{}
+	for i, b := range blocks {
+		m.Tokens += b.Tokens
+		if i < headScan {
+			shares[i] = x.share(b)
+			m.Weight += shares[i]
+		} else {
+			m.Weight += float64(b.Tokens)
+		}
 	}
 	tail := max(len(blocks)-tailScan, 0)
 	for i := len(blocks) - 1; i >= 0 && len(x.matches) < maxMatches; i-- {
 		if i >= tail || i < headScan {
-			x.collect(blocks[i].Hash, total)
+			x.collect(blocks[i].Hash, m)
+		}
+		m.Tokens -= blocks[i].Tokens
+		if i < headScan {
+			m.Weight -= shares[i]
+		} else {
+			m.Weight -= float64(blocks[i].Tokens)
 		}
-		total -= blocks[i].Tokens
 	}
 	return x.matches
 }
 
-// Matched returns the tokens that the last Match found at the engine.
-func (x *Index) Matched(e int) int {
+func (x *Index) share(b engine.Block) float64 {
+	if known := x.blocks[b.Hash]; known != nil && known.users > 1 {
+		users := float64(known.users)
+		if x.Part > 0 {
+			users /= x.Part
+		}
+		return float64(b.Tokens) / users
+	}
+	return float64(b.Tokens)
+}
+
+// Matched returns what the last Match found at the engine.
+func (x *Index) Matched(e int) Match {
 	if e >= len(x.engines) || x.engines[e].stamp != x.stamp {
-		return 0
+		return Match{Engine: e}
 	}
-	return x.engines[e].matched
+	return x.engines[e].match
 }
 
-func (x *Index) collect(hash uint64, tokens int) {
+func (x *Index) collect(hash uint64, m Match) {
 	b := x.blocks[hash]
 	if b == nil {
 		return
@@ -230,8 +304,9 @@
 		if s.stamp == x.stamp || !s.trusts(h) {
 			continue
 		}
-		s.stamp, s.matched = x.stamp, tokens
-		x.matches = append(x.matches, Match{Engine: int(h.engine), Tokens: tokens})
+		m.Engine = int(h.engine)
+		s.stamp, s.match = x.stamp, m
+		x.matches = append(x.matches, m)
 		if len(x.matches) == maxMatches {
 			return
 		}
--- a/internal/place/sched/admit.go
+++ b/internal/place/sched/admit.go
@@ -56,7 +56,7 @@
 	case again && !retry.Safe(idempotent, last.sent):
 		s.emit(Refuse{ID: a.ID, Code: result.CodeUnknown, Message: "an earlier attempt may have run at " + last.upstream})
 	case (a.Retry || again) && !s.retries.Spend():
-		s.emit(Refuse{ID: a.ID, Code: result.CodeUpstreamFailed, Message: "retry budget is spent", RetryAfter: s.later(time.Second)})
+		s.emit(Refuse{ID: a.ID, Code: result.CodeUpstreamFailed, Message: "retry budget is spent", RetryAfter: s.spread(time.Second)})
 	default:
 		if !a.Retry && !again {
 			s.retries.Earn()
@@ -94,7 +94,7 @@
 	if first == 0 {
 		return 0
 	}
-	return s.later(first)
+	return s.spread(first)
 }
 
 // enqueue admits the request or refuses it, or another one that counts less.
@@ -108,7 +108,7 @@
 		bound = time.Duration(newShare * float64(bound))
 	}
 	if g.queue.Len() > 0 && wait > bound {
-		s.refuse(slot, result.CodeOverloaded, overloaded(g, wait), s.later(wait))
+		s.refuse(slot, result.CodeOverloaded, overloaded(g, wait), s.spread(wait))
 		return
 	}
 	r.queued = true
@@ -118,7 +118,7 @@
 	}
 	out, dropped := g.queue.Push(queue.Item{ID: slot, Key: key, New: begins}, most)
 	if dropped {
-		s.refuse(out.ID, result.CodeOverloaded, overloaded(g, wait), s.later(wait))
+		s.refuse(out.ID, result.CodeOverloaded, overloaded(g, wait), s.spread(wait))
 	}
 }
 
@@ -132,7 +132,7 @@
 			continue
 		}
 		g.queue.RemoveAt(i)
-		s.refuse(slot, result.CodeOverloaded, overloaded(g, g.wait(g.queue.Len())), s.later(g.wait(g.queue.Len())))
+		s.refuse(slot, result.CodeOverloaded, overloaded(g, g.wait(g.queue.Len())), s.spread(g.wait(g.queue.Len())))
 	}
 }
 
@@ -149,8 +149,8 @@
 	return time.Duration(float64(ahead+1) * mean / max(g.capacity, 1) * float64(time.Second))
 }
 
-// later spreads callers that are told to come back over twice the time.
-func (s *Sched) later(d time.Duration) time.Duration {
+// spread spreads callers that are told to come back over twice the time.
+func (s *Sched) spread(d time.Duration) time.Duration {
 	d = max(d, minRetryAfter)
 	return d + time.Duration(s.rng.Float64()*float64(d))
 }
--- a/internal/place/sched/attempt.go
+++ b/internal/place/sched/attempt.go
@@ -23,19 +23,20 @@
 		up       int
 		at       time.Time
 		first    time.Time
-		uncached int // tokens expected to be computed
+		uncached int     // tokens expected to be computed
+		beside   float64 // requests at the upstream when it was sent
 		active   bool
 	}
 )
 
 func (r *request) avoids(name string) bool { return name == r.last || contains(r.ask.Avoid, name) }
 
-func (r *request) start(up int, now time.Time, uncached int) {
-	t := &r.tries[0]
-	if t.active {
-		t = &r.tries[1]
+func (r *request) start(t try) {
+	if r.tries[0].active {
+		r.tries[1] = t
+		return
 	}
-	*t = try{up: up, at: now, uncached: uncached, active: true}
+	r.tries[0] = t
 }
 
 func (r *request) active() bool { return r.tries[0].active || r.tries[1].active }
@@ -171,9 +172,12 @@
 
 func (s *Sched) learn(now time.Time, r *request, t *try, m Done) {
 	u, took := s.ups[t.up], now.Sub(t.at)
+	g := u.group
 	u.speed.Call(now, took)
-	u.group.speed.Call(now, took)
+	g.speed.Call(now, took)
 	if r.ask.Service != "" {
+		u.speed.Pace(took.Seconds(), g.call.At(t.beside))
+		g.call.Observe(t.beside, took.Seconds())
 		u.limit.Observe(took.Seconds(), u.speed.Best(), u.load.Inflight()+1)
 		s.service(r.ask.Service).Observe(now, took)
 		return
@@ -183,10 +187,14 @@
 		return
 	}
 	u.speed.Prefill(t.first.Sub(t.at), m.Usage.Prompt-m.Usage.Cached)
-	u.group.speed.Prefill(t.first.Sub(t.at), m.Usage.Prompt-m.Usage.Cached)
-	u.speed.Decode(now.Sub(t.first), m.Usage.Output)
-	u.group.speed.Decode(now.Sub(t.first), m.Usage.Output)
-	u.group.output += outputShare * (float64(m.Usage.Output) - u.group.output)
+	g.speed.Prefill(t.first.Sub(t.at), m.Usage.Prompt-m.Usage.Cached)
+	g.output += outputShare * (float64(m.Usage.Output) - g.output)
+	if m.Usage.Output > 1 {
+		each := now.Sub(t.first).Seconds() / float64(m.Usage.Output)
+		beside := (t.beside + float64(u.load.Inflight()) + u.load.Others(now)) / 2
+		u.speed.Pace(each, g.decode.At(beside))
+		g.decode.Observe(beside, each)
+	}
 }
 
 const outputShare = 0.05
--- a/internal/place/sched/memory.go
+++ b/internal/place/sched/memory.go
@@ -19,6 +19,10 @@
 
 // ended releases the program's memory wherever it was placed.
 func (s *Sched) ended(program string) {
+	if e, ok := s.index.Home(program); ok && s.ups[e].group != nil {
+		g := s.ups[e].group
+		g.ended(float64(s.index.Calls(program)))
+	}
 	for _, e := range s.index.Holders(program) {
 		s.emit(Release{Upstream: s.ups[e].name, Program: program})
 	}
--- a/internal/place/sched/place.go
+++ b/internal/place/sched/place.go
@@ -3,23 +3,32 @@
 import (
 	"time"
 
+	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/place/score"
-	"github.com/slaterock/slaterock/internal/place/speed"
 	"github.com/slaterock/slaterock/internal/plat/engine"
 )
 
 const (
-	// sample is the number of upstreams that are compared, besides those that
-	// hold a part of the prompt. Owners that all compared the whole fleet by
-	// the same reports would all send to the same one.
-	sample = 16
+	// sample is the number of upstreams that are compared, drawn among all and
+	// again among those that hold a part of the prompt. Owners that all
+	// compared the whole fleet by the same reports would all send to the same
+	// one.
+	sample = 3
 	none   = -1
+	// Calls to come that are counted; a program may move before its end.
+	maxTurns = 8
+	// How much of the usual work of other owners counts for calls to come. It
+	// is known with so much noise that programs would chase it.
+	trust = 0.3
+	// Calls of a program before any has ended.
+	firstTurns = 4
 )
 
 type (
 	// choice is the cheapest upstream, and the cheapest of those that have
 	// room for one more request now.
 	choice struct {
+		home               int // where the program was sent last
 		best, free         int
 		bestCost, freeCost float64
 	}
@@ -29,7 +38,7 @@
 func (s *Sched) pick(now time.Time, r *request) choice {
 	c := choice{best: none, free: none}
 	g := s.groups[r.ask.Group]
-	if g == nil {
+	if g == nil || len(g.ups) == 0 {
 		return c
 	}
 	total := 0
@@ -38,23 +47,22 @@
 	}
 	total = max(total, r.ask.Prompt)
 	matches := s.index.Match(r.ask.Blocks)
-	held := 0
+	c.home = none
+	if home, ok := s.index.Home(r.ask.Program); ok {
+		c.home = home
+	}
+	held := 0.0
 	for _, m := range matches {
-		held = max(held, m.Tokens)
+		held = max(held, m.Weight)
 	}
-	n := len(g.ups)
-	if n <= sample {
-		first := s.rng.IntN(max(n, 1)) // so that equals are not always taken in order
-		for i := range n {
-			s.compare(now, &c, g, g.ups[(first+i)%n], r, total, held)
-		}
-		return c
+	if c.home != none {
+		s.compare(now, &c, g, c.home, r, total, held)
 	}
-	for _, m := range matches {
-		s.compare(now, &c, g, m.Engine, r, total, held)
+	for range min(sample, len(matches)) {
+		s.compare(now, &c, g, matches[s.rng.IntN(len(matches))].Engine, r, total, held)
 	}
 	for range sample {
-		s.compare(now, &c, g, g.ups[s.rng.IntN(n)], r, total, held)
+		s.compare(now, &c, g, g.ups[s.rng.IntN(len(g.ups))], r, total, held)
 	}
 	if c.best != none {
 		return c
@@ -65,12 +73,12 @@
 	return c
 }
 
-func (s *Sched) compare(now time.Time, c *choice, g *group, i int, r *request, total, held int) {
+func (s *Sched) compare(now time.Time, c *choice, g *group, i int, r *request, total int, held float64) {
 	u := s.ups[i]
 	if u.group != g || !u.usable(now) || !u.serves(r.ask.Model) || r.avoids(u.name) {
 		return
 	}
-	cost := s.weights.Cost(s.weigh(now, g, i, total, held))
+	cost := s.weights.Cost(s.weigh(now, g, i, total, held, i == c.home))
 	if c.best == none || cost < c.bestCost {
 		c.best, c.bestCost = i, cost
 	}
@@ -79,30 +87,59 @@
 	}
 }
 
-func (s *Sched) weigh(now time.Time, g *group, i, total, held int) score.Case {
+func (s *Sched) weigh(now time.Time, g *group, i, total int, held float64, stays bool) score.Case {
 	u := s.ups[i]
 	sp := u.speed.Among(now, &g.speed)
-	own, others := float64(u.load.Inflight()), u.load.Others(now)
-	cap := float64(u.limit.Value())
-	missing := total - s.index.Matched(i)
+	n := float64(u.load.Inflight()) + u.load.Others(now)
+	capacity := u.load.Slots()
+	if capacity == 0 {
+		capacity = float64(u.limit.Value()) + u.load.Others(now)
+	}
+	m := s.index.Matched(i)
+	missing := total - m.Tokens
+	service, rise := g.service(n)
 	return score.Case{
-		Inflight: own + others,
-		Queued:   max(0, own+1-cap) + u.load.Waiting(now),
-		Capacity: cap + others,
+		Queued:   max(0, n+1-capacity),
+		Capacity: capacity,
 		Mean:     sp.Mean(),
-		Service:  service(g, &sp),
+		Service:  service * sp.Factor(),
+		Slowed:   rise * n,
+		Later:    s.later(now, g, i, sp.Factor(), stays),
 		PerToken: sp.PerToken(),
 		Missing:  missing,
-		Lost:     max(0, held-s.index.Matched(i)),
+		Lost:     max(0, held-m.Weight),
 		Evicted:  evicted(u, missing),
 	}
 }
 
-func service(g *group, sp *speed.Speed) float64 {
-	if g.output > 0 {
-		return g.output * sp.PerOutput()
+// later returns the seconds that the calls to come of a program would cost at
+// the upstream. Programs stay where their prefix is, so what counts is not the
+// work there at this moment but how many programs live there.
+func (s *Sched) later(now time.Time, g *group, i int, factor float64, stays bool) float64 {
+	turns := min(g.turns, maxTurns)
+	if turns == 0 {
+		turns = firstTurns
+	}
+	turns--
+	if turns <= 0 {
+		return 0
+	}
+	homes := s.index.Homes(i)
+	if stays {
+		homes-- // itself
+	}
+	n := trust*s.ups[i].load.Usual(now) + g.duty*float64(homes)
+	service, rise := g.service(n)
+	return turns * (service*factor + rise*n)
+}
+
+// service returns the seconds that one request takes beside n others, and by
+// how much each of them adds.
+func (g *group) service(n float64) (seconds, rise float64) {
+	if g.conf.Kind == file.Services {
+		return g.call.At(n), g.call.Rise()
 	}
-	return sp.Mean()
+	return g.output * g.decode.At(n), g.output * g.decode.Rise()
 }
 
 func evicted(u *upstream, missing int) int {
@@ -148,7 +185,8 @@
 func (s *Sched) send(now time.Time, slot int32, up int, second bool) {
 	r, u := &s.requests[slot], s.ups[up]
 	expected := s.uncached(up, r.ask.Blocks, r.ask.Prompt)
-	r.start(up, now, expected)
+	beside := float64(u.load.Inflight()) + u.load.Others(now)
+	r.start(try{up: up, at: now, uncached: expected, beside: beside, active: true})
 	r.queued = false
 	u.load.Start(now)
 	u.brk.Sent(now)
@@ -168,5 +206,5 @@
 	for _, b := range blocks {
 		total += b.Tokens
 	}
-	return total - s.index.Matched(up)
+	return total - s.index.Matched(up).Tokens
 }
--- a/internal/place/sched/table.go
+++ b/internal/place/sched/table.go
@@ -11,10 +11,20 @@
 	"github.com/slaterock/slaterock/internal/place/load"
 	"github.com/slaterock/slaterock/internal/place/queue"
 	"github.com/slaterock/slaterock/internal/place/score"
+	"github.com/slaterock/slaterock/internal/place/slope"
 	"github.com/slaterock/slaterock/internal/place/speed"
 	"github.com/slaterock/slaterock/internal/plat/vmlist"
 )
 
+const (
+	// One request may wait inside an upstream, so that it has no idle moment
+	// while the end of another is reported.
+	spare = 1
+	// Parts of the newest value in running means.
+	dutyShare  = 0.02
+	turnsShare = 0.05
+)
+
 type (
 	upstream struct {
 		name   string
@@ -36,8 +46,12 @@
 		ups      []int
 		queue    queue.Queue
 		speed    speed.Speed
-		capacity float64 // requests that its usable upstreams take at a time
-		output   float64 // mean tokens of an answer
+		capacity float64     // requests that its usable upstreams take at a time
+		output   float64     // mean tokens of an answer
+		turns    float64     // mean calls of a program
+		duty     float64     // mean share of its life that a program has a call under way
+		decode   slope.Slope // seconds of one token of an answer, by the requests beside it
+		call     slope.Slope // seconds of one service call
 	}
 )
 
@@ -62,8 +76,12 @@
 	if own >= u.limit.Value() {
 		return false
 	}
+	total := float64(own) + u.load.Others(now)
+	if slots := u.load.Slots(); slots > 0 && total >= slots+spare {
+		return false
+	}
 	most := u.group.conf.MaxInflight
-	return most == 0 || float64(own)+u.load.Others(now) < float64(most)
+	return most == 0 || total < float64(most)
 }
 
 // configure keeps what was learnt of upstreams that stay.
@@ -126,15 +144,33 @@
 
 func (s *Sched) groupNames() []string { return slices.Sorted(maps.Keys(s.groups)) }
 
+// measure sums up the group's upstreams.
 func (g *group) measure(s *Sched, now time.Time) {
 	g.capacity = 0
+	homes, inflight, others := 0, 0, 0.0
 	for _, i := range g.ups {
-		if u := s.ups[i]; u.usable(now) {
-			g.capacity += float64(u.limit.Value())
+		u := s.ups[i]
+		homes += s.index.Homes(i)
+		inflight += u.load.Inflight()
+		others += u.load.Usual(now)
+		if u.usable(now) {
+			g.capacity += u.capacity()
+		}
+	}
+	if g.conf.Kind != file.Services && float64(inflight)+others > 0 {
+		if s.index.Part == 0 {
+			s.index.Part = 1
 		}
+		s.index.Part += dutyShare * (float64(inflight)/(float64(inflight)+others) - s.index.Part)
+	}
+	if homes > 0 {
+		g.duty += dutyShare * (min(float64(inflight)/float64(homes), 1) - g.duty)
 	}
 }
 
+// capacity is the requests of this owner that the upstream takes at a time.
+func (u *upstream) capacity() float64 { return float64(u.limit.Value()) }
+
 func (s *Sched) load(now time.Time, m Load) {
 	i, ok := s.byName[m.Upstream]
 	if !ok {
@@ -173,3 +209,11 @@
 	}
 	return false
 }
+
+// ended notes how many calls a program made in all.
+func (g *group) ended(calls float64) {
+	if g.turns == 0 {
+		g.turns = firstTurns
+	}
+	g.turns += turnsShare * (calls - g.turns)
+}
--- a/internal/place/score/score.go
+++ b/internal/place/score/score.go
@@ -11,9 +11,6 @@
 const (
 	// An evicted block is needed again only if its program goes on.
 	reuse = 0.5
-	// Each request beside ours slows decoding a little; this is the share of
-	// a request's mean time that a full upstream adds.
-	crowding = 0.5
 )
 
 type (
@@ -26,14 +23,15 @@
 
 	// Case is one request before one upstream.
 	Case struct {
-		Inflight float64 // requests at the upstream
 		Queued   float64 // requests that would be served before ours
-		Capacity float64 // requests that it serves at a time
+		Capacity float64 // requests that the upstream serves at a time
 		Mean     float64 // seconds of one request, which its turn costs those behind it
-		Service  float64 // seconds from the first token to the end
+		Service  float64 // seconds from the first token to the end, at its load
+		Slowed   float64 // seconds that ours adds to those under way there
+		Later    float64 // seconds of the program's calls to come, if it stays
 		PerToken float64 // seconds of prefill for one token
 		Missing  int     // tokens of the prompt that it does not hold
-		Lost     int     // tokens of these that another upstream holds
+		Lost     float64 // tokens of these that are rebuilt for this request alone
 		Evicted  int     // tokens that leave its cache for ours
 	}
 )
@@ -43,13 +41,10 @@
 	if w.Latency == 0 && w.Cache == 0 {
 		w = Weights{Latency: 1, Cache: 1}
 	}
-	latency := c.Wait() + c.Service + float64(c.Missing)*c.PerToken
-	waste := (float64(c.Lost) + reuse*float64(c.Evicted)) * c.PerToken
+	latency := c.Wait() + c.Service + c.Slowed + c.Later + float64(c.Missing)*c.PerToken
+	waste := (c.Lost + reuse*float64(c.Evicted)) * c.PerToken
 	return w.Latency*latency + w.Cache*waste
 }
 
-// Wait returns the seconds that the request loses to the work of others.
-func (c Case) Wait() float64 {
-	capacity := max(c.Capacity, 1)
-	return c.Mean * (c.Queued + crowding*c.Inflight) / capacity
-}
+// Wait returns the seconds before the request is served.
+func (c Case) Wait() float64 { return c.Mean * c.Queued / max(c.Capacity, 1) }
--- a/internal/place/speed/speed.go
+++ b/internal/place/speed/speed.go
@@ -15,6 +15,7 @@
 	mean = 0.1
 	// Shorter prompts measure the fixed cost of a request, not the prefill.
 	minPrefill = 256
+	maxPace    = 10 // so that one stray time does not count for ever
 	// An upstream's own speed counts for half when it was last seen so long ago.
 	memory = 30 * time.Second
 
@@ -28,7 +29,7 @@
 		prefill float64 // per token
 		call    float64 // mean time of one request, from dispatch to end
 		best    float64 // low end of the time of one request
-		decode  float64 // mean time of one token after the first
+		pace    float64 // multiple of the time that its group takes
 		seen    time.Time
 	}
 )
@@ -42,16 +43,16 @@
 	s.prefill = low(s.prefill, took.Seconds()/float64(tokens))
 }
 
-// Decode notes the time of a request's tokens after the first.
-func (s *Speed) Decode(took time.Duration, tokens int) {
-	if tokens <= 1 || took <= 0 {
+// Pace notes the time of a request as a multiple of what its group takes at
+// the same load.
+func (s *Speed) Pace(measured, expected float64) {
+	if expected <= 0 || measured <= 0 {
 		return
 	}
-	x := took.Seconds() / float64(tokens)
-	if s.decode == 0 {
-		s.decode = x
+	if s.pace == 0 {
+		s.pace = 1
 	}
-	s.decode += mean * (x - s.decode)
+	s.pace += mean * (min(measured/expected, maxPace) - s.pace)
 }
 
 // Call notes the whole time of one request that ended now.
@@ -85,13 +86,18 @@
 	return Speed{
 		prefill: mix(s.prefill, group.prefill),
 		call:    mix(s.call, group.call),
-		decode:  mix(s.decode, group.decode),
+		pace:    mix(s.pace, 1),
 		best:    s.best,
 	}
 }
 
-// PerOutput returns the seconds of one token after the first, 0 if unknown.
-func (s *Speed) PerOutput() float64 { return s.decode }
+// Factor returns by how much the upstream is slower than its group.
+func (s *Speed) Factor() float64 {
+	if s.pace == 0 {
+		return 1
+	}
+	return s.pace
+}
 
 // PerToken returns the seconds of prefill for one token.
 func (s *Speed) PerToken() float64 {
