sched: share the prefill of shared contexts and keep programs at home

A hot context was copied too seldom, since the first program at a copy was charged with all of it; and the best of three noisy estimates nearly always looked better than home. Prefill of shared blocks is now mostly counted as done for those that share them, and a move must gain 0.4 s.

--- a/internal/place/load/load.go
+++ b/internal/place/load/load.go
@@ -22,7 +22,7 @@
 	usualShare = 0.05
 	// How much of a report's difference from the usual still holds when a
 	// request that is sent by it has arrived.
-	news = 0.2
+	news = 0.1
 )
 
 type (
--- a/internal/place/prefix/prefix.go
+++ b/internal/place/prefix/prefix.go
@@ -38,6 +38,7 @@
 		heardAt  int
 		matches  []Match
 		stamp    uint32
+		all      float64 // the weight of the last lookup's whole prompt
 	}
 
 	// Match is an engine that holds the first Tokens of a prompt. Weight is
@@ -260,6 +261,7 @@
 			m.Weight += float64(b.Tokens)
 		}
 	}
+	x.all = m.Weight
 	tail := max(len(blocks)-tailScan, 0)
 	for i := len(blocks) - 1; i >= 0 && len(x.matches) < maxMatches; i-- {
 		if i >= tail || i < headScan {
@@ -286,6 +288,9 @@
 	return float64(b.Tokens)
 }
 
+// All returns the weight of the prompt of the last Match.
+func (x *Index) All() float64 { return x.all }
+
 // Matched returns what the last Match found at the engine.
 func (x *Index) Matched(e int) Match {
 	if e >= len(x.engines) || x.engines[e].stamp != x.stamp {
--- a/internal/place/sched/place.go
+++ b/internal/place/sched/place.go
@@ -78,7 +78,10 @@
 	if u.group != g || !u.usable(now) || !u.serves(r.ask.Model) || r.avoids(u.name) {
 		return
 	}
-	cost := s.weights.Cost(s.weigh(now, g, i, total, held, i == c.home))
+	cost := s.weights.Cost(s.weigh(now, g, i, total, held, s.index.All(), i == c.home))
+	if c.home != none && c.home != i {
+		cost += s.weights.Move()
+	}
 	if c.best == none || cost < c.bestCost {
 		c.best, c.bestCost = i, cost
 	}
@@ -87,7 +90,7 @@
 	}
 }
 
-func (s *Sched) weigh(now time.Time, g *group, i, total int, held float64, stays bool) score.Case {
+func (s *Sched) weigh(now time.Time, g *group, i, total int, held, all float64, stays bool) score.Case {
 	u := s.ups[i]
 	sp := u.speed.Among(now, &g.speed)
 	n := float64(u.load.Inflight()) + u.load.Others(now)
@@ -107,6 +110,7 @@
 		Later:    s.later(now, g, i, sp.Factor(), stays),
 		PerToken: sp.PerToken(),
 		Missing:  missing,
+		Shared:   max(0, float64(missing)-(all-m.Weight)),
 		Lost:     max(0, held-m.Weight),
 		Evicted:  evicted(u, missing),
 	}
--- a/internal/place/score/score.go
+++ b/internal/place/score/score.go
@@ -10,7 +10,10 @@
 
 const (
 	// An evicted block is needed again only if its program goes on.
-	reuse = 0.5
+	reuse    = 0.5
+	moveCost = 0.4
+	// How much of the prefill of a shared context is counted as done for the programs that will share it.
+	invest = 0.9
 )
 
 type (
@@ -31,6 +34,7 @@
 		Later    float64 // seconds of the program's calls to come, if it stays
 		PerToken float64 // seconds of prefill for one token
 		Missing  int     // tokens of the prompt that it does not hold
+		Shared   float64 // tokens of these that others pay for by sharing them
 		Lost     float64 // tokens of these that are rebuilt for this request alone
 		Evicted  int     // tokens that leave its cache for ours
 	}
@@ -41,10 +45,15 @@
 	if w.Latency == 0 && w.Cache == 0 {
 		w = Weights{Latency: 1, Cache: 1}
 	}
-	latency := c.Wait() + c.Service + c.Slowed + c.Later + float64(c.Missing)*c.PerToken
+	latency := c.Wait() + c.Service + c.Slowed + c.Later + (float64(c.Missing)-invest*c.Shared)*c.PerToken
 	waste := (c.Lost + reuse*float64(c.Evicted)) * c.PerToken
 	return w.Latency*latency + w.Cache*waste
 }
 
+// Move returns the seconds, weighted, by which another upstream must be better
+// than the one where a program lives. Estimates are noisy; without a threshold
+// the best of several noisy ones would nearly always look better than home.
+func (w Weights) Move() float64 { return moveCost * max(w.Latency, 1) }
+
 // Wait returns the seconds before the request is served.
 func (c Case) Wait() float64 { return c.Mean * c.Queued / max(c.Capacity, 1) }
