place, play: test the decisions, the traces and the replay

Until now only sched had tests. A waiting request also looks at the upstream that has just come free: in a large and full group a sample of three seldom met it.

--- a/internal/place/sched/attempt.go
+++ b/internal/place/sched/attempt.go
@@ -149,7 +149,9 @@
 		s.late(r, m.Upstream)
 		s.close(slot)
 	}
+	s.freed = s.upstream(m.Upstream)
 	s.dispatch(now, g)
+	s.freed = none
 }
 
 // judge learns from how the attempt ended.
--- /dev/null
+++ b/internal/place/sched/bench_test.go
@@ -0,0 +1,75 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+// large returns a machine with 1,100 engines and 5,000 programs, each with a
+// prompt of 100 blocks of which the first is shared by a hundred, and a
+// request of one of them.
+func large() (s *Sched, r request) {
+	s = &Sched{Seed: 1}
+	f := fleet(1100)
+	g := f.Groups["engines"]
+	g.MaxInflight, g.QueueLimit = 64, 1000
+	f.Groups["engines"] = g
+	s.Step(epoch, Configure{File: f})
+	for i := range 1100 {
+		s.Step(epoch, Load{Upstream: fmt.Sprintf("e%d", i), Report: engine.Load{Seq: 1, At: epoch, Running: i % 7, Total: 1 << 20}})
+	}
+	for i := range 5000 {
+		a := ask(fmt.Sprint(i))
+		a.Blocks = []engine.Block{{Hash: uint64(1 + i%50), Tokens: 20_000}}
+		for j := range 99 {
+			a.Blocks = append(a.Blocks, engine.Block{Hash: uint64(1000 + 100*i + j), Tokens: 300})
+		}
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		up := assigned(s.Step(now, a), a.ID)
+		s.Step(now, Done{ID: a.ID, Upstream: up, Usage: engine.Usage{Prompt: 50_000, Output: 100}})
+		r = request{ask: a}
+	}
+	return s, r
+}
+
+func TestDecisionDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	s, r := large()
+	now := epoch.Add(time.Minute)
+	is.Equal(testing.AllocsPerRun(100, func() { s.pick(now, &r) }), 0.0)
+	is.True(s.pick(now, &r).best != none)
+}
+
+func BenchmarkDecision(b *testing.B) {
+	s, r := large()
+	now := epoch.Add(time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.pick(now, &r)
+	}
+}
+
+func BenchmarkAskDone(b *testing.B) {
+	s, r := large()
+	now := epoch.Add(time.Minute)
+	ended := engine.Usage{Prompt: 50_000, Cached: 50_000, Output: 100}
+	b.ReportAllocs()
+	for b.Loop() {
+		up := assigned(s.Step(now, r.ask), r.ask.ID)
+		s.Step(now, Done{ID: r.ask.ID, Upstream: up, Usage: ended})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	s, _ := large()
+	now := epoch.Add(time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Step(now, Tick{})
+	}
+}
--- /dev/null
+++ b/internal/place/sched/fair_test.go
@@ -0,0 +1,147 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+)
+
+// press keeps a group of four slots busy for ten minutes. In each tick every
+// account asks as often as the function says, and what runs ends after its
+// second. It returns how many requests of each account were served.
+func press(asks func(account int, rng *rand.Rand) int, accounts int, edit func(account int, a *Ask)) map[int]int {
+	var s Sched
+	f := fleet(2)
+	f.Groups["engines"] = file.Group{Kind: file.Engines, QueueLimit: 60, QueueWait: 20 * time.Second, MaxInflight: 2}
+	now := epoch
+	s.Step(now, Configure{File: f})
+	rng := rand.New(rand.NewPCG(1, 1))
+	type run struct {
+		id, up  string
+		account int
+		end     time.Time
+	}
+	var running []run
+	served, owner, n := map[int]int{}, map[string]int{}, 0
+	take := func(effects []Effect) {
+		for _, e := range effects {
+			if a, ok := e.(Assign); ok {
+				running = append(running, run{a.ID, a.Upstream, owner[a.ID], now.Add(time.Second)})
+			}
+		}
+	}
+	for now.Sub(epoch) < 10*time.Minute {
+		for _, account := range rng.Perm(accounts) {
+			for range asks(account, rng) {
+				n++
+				a := ask(fmt.Sprint(n))
+				a.Account = fmt.Sprint(account)
+				if edit != nil {
+					edit(account, &a)
+				}
+				owner[a.ID] = account
+				take(s.Step(now, a))
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+		var still []run
+		for _, r := range running {
+			if r.end.After(now) {
+				still = append(still, r)
+			}
+		}
+		ended := running
+		running = still
+		for _, r := range ended {
+			if !r.end.After(now) {
+				served[r.account]++
+				take(s.Step(now, Done{ID: r.id, Upstream: r.up}))
+			}
+		}
+		take(s.Step(now, Tick{}))
+	}
+	return served
+}
+
+// One chain's programs ask twenty times as often as each other account. Served
+// in the order of arrival, it would take most of the engines, and the callers
+// of all others would be refused.
+func TestAccountsShareFairly(t *testing.T) {
+	is := is.New(t)
+	served := press(func(account int, rng *rand.Rand) int {
+		if account == 0 {
+			return 4
+		}
+		if rng.IntN(5) == 0 {
+			return 1
+		}
+		return 0
+	}, 12, nil)
+	total, least := 0, served[1]
+	for account, n := range served {
+		total += n
+		if account > 0 {
+			least = min(least, n)
+		}
+	}
+	is.True(total > 2200) // of 2,400: the slots stay busy
+	is.True(served[0] < 2*total/12)
+	is.True(least > total/12/2)
+}
+
+// A stream of urgent requests that alone would fill the group. Without ageing
+// a request of low priority would wait for as long as it lasts.
+func TestNothingStarves(t *testing.T) {
+	is := is.New(t)
+	served := press(func(account int, _ *rand.Rand) int {
+		if account == 0 {
+			return 1
+		}
+		return 0
+	}, 2, nil)
+	is.True(served[0] > 2200)
+	mixed := press(func(account int, rng *rand.Rand) int {
+		if account == 0 || rng.IntN(20) == 0 {
+			return 1
+		}
+		return 0
+	}, 2, func(account int, a *Ask) {
+		if account == 0 {
+			a.Priority = 1
+		}
+	})
+	is.True(mixed[0] > mixed[1]) // urgent first
+	is.True(mixed[1] > 0)        // but not only
+}
+
+// In a group of a hundred full upstreams one comes free. The request that
+// waits must find it, although only a few upstreams are compared for each.
+func TestFreedUpstreamIsFound(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	f := fleet(100)
+	f.Groups["engines"] = file.Group{Kind: file.Engines, MaxInflight: 1, QueueWait: time.Hour, QueueLimit: 1000}
+	s.Step(epoch, Configure{File: f})
+	var at []string
+	for i := 0; len(at) < 100; i++ {
+		id := fmt.Sprint(i)
+		if up := assigned(s.Step(epoch, ask(id)), id); up != "" {
+			at = append(at, id+" "+up)
+			continue
+		}
+		for assigned(s.Step(epoch, Tick{}), id) == "" { // until the sample meets a free one
+			continue
+		}
+		at = append(at, id)
+	}
+	is.Equal(assigned(s.Step(epoch, ask("waits")), "waits"), "")
+	var id, up string
+	_, err := fmt.Sscan(at[0], &id, &up)
+	is.NoErr(err)
+	is.Equal(assigned(s.Step(epoch, Done{ID: id, Upstream: up}), "waits"), up)
+}
--- a/internal/place/sched/machine.go
+++ b/internal/place/sched/machine.go
@@ -37,7 +37,10 @@
 		hedges   retry.Budget
 		index    prefix.Index
 		sweep    sweep.Sweep
-		out      []Effect
+		// freed is where an attempt has just ended. In a large and full group
+		// a small sample would seldom meet the few upstreams with room.
+		freed int
+		out   []Effect
 	}
 
 	// failure is how the last attempt of a request ended.
@@ -88,7 +91,7 @@
 		return
 	}
 	s.rng = rand.New(rand.NewPCG(s.Seed, 1))
-	s.start = now
+	s.start, s.freed = now, none
 	s.byName = map[string]int{}
 	s.groups = map[string]*group{}
 	s.byID = map[string]int32{}
--- a/internal/place/sched/place.go
+++ b/internal/place/sched/place.go
@@ -58,6 +58,9 @@
 	if c.home != none {
 		s.compare(now, &c, g, c.home, r, total, held)
 	}
+	if s.freed != none {
+		s.compare(now, &c, g, s.freed, r, total, held)
+	}
 	for range min(sample, len(matches)) {
 		s.compare(now, &c, g, matches[s.rng.IntN(len(matches))].Engine, r, total, held)
 	}
--- /dev/null
+++ b/internal/place/speed/speed_test.go
@@ -0,0 +1,43 @@
+package speed
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestPrefillIsTheLowEnd(t *testing.T) {
+	is := is.New(t)
+	var s Speed
+	for i := range 1000 {
+		took := time.Second // 1 ms for each token
+		if i%2 == 0 {
+			took = 5 * time.Second // waited
+		}
+		s.Prefill(took, 1000)
+		s.Prefill(time.Minute, minPrefill-1) // too short to tell
+	}
+	is.True(s.PerToken() > 0.0009 && s.PerToken() < 0.0015)
+}
+
+// One upstream was slow once and gets no work for it. Without forgetting, it
+// would never be tried again.
+func TestOldSpeedFades(t *testing.T) {
+	is := is.New(t)
+	var u, group Speed
+	for range 100 {
+		u.Call(epoch, 10*time.Second)
+		u.Pace(4, 1)
+		group.Call(epoch, time.Second)
+	}
+	now, later := u.Among(epoch, &group), u.Among(epoch.Add(30*memory), &group)
+	is.True(now.Factor() > 3.9 && now.Mean() > 9.9)
+	is.True(later.Factor() < 1.2 && later.Mean() < 1.5)
+	var unknown Speed
+	as := unknown.Among(epoch, &group)
+	is.True(math.Abs(as.Mean()-1) < 1e-9)
+}
--- a/internal/play/replay/program.go
+++ b/internal/play/replay/program.go
@@ -218,8 +218,9 @@
 		return
 	}
 	w.report.Refusals++
-	if e.Code == result.CodeOverloaded && r.runs > 0 && r.tries == 0 {
-		w.report.FalseRefusals++
+	if len(r.attempts) > 0 {
+		w.report.FalseRefusals++ // the caller hears "not run" while it runs
+		w.cancel(r)
 	}
 	w.remove(r)
 	r.p.req = nil
@@ -249,7 +250,8 @@
 	}
 	if r.call.Service == "" {
 		p.spent += int64(r.call.Prompt + r.call.Output)
-		p.chain = append(r.blocks, engine.Block{Hash: blockHash("%s/%d/answer", p.t.Name, p.number), Tokens: r.call.Output})
+		answer := engine.Block{Hash: blockHash("%s/%d/answer", p.t.Name, p.number), Tokens: r.call.Output}
+		p.chain = append(slices.Clone(r.blocks), answer)
 	}
 	p.number++
 	pause := ms(r.call.PauseMS)
--- a/internal/play/replay/report.go
+++ b/internal/play/replay/report.go
@@ -53,6 +53,7 @@
 	r.Policy, r.Programs, r.Outcomes = policy, len(w.programs), map[string]string{}
 	var latencies []time.Duration
 	var first, last time.Time
+	ends := make([]time.Time, 0, len(w.programs))
 	for _, p := range w.programs {
 		r.Outcomes[p.t.Name] = p.outcome
 		if p.t.Budget > 0 && p.spent > p.t.Budget {
@@ -61,13 +62,14 @@
 		if first.IsZero() || p.started.Before(first) {
 			first = p.started
 		}
+		if p.started.After(last) {
+			last = p.started
+		}
 		switch p.outcome {
 		case completed:
 			r.Completed++
 			latencies = append(latencies, p.latency)
-			if end := p.started.Add(p.latency + p.paused); end.After(last) {
-				last = end
-			}
+			ends = append(ends, p.started.Add(p.latency+p.paused))
 		case refused:
 			r.Refused++
 		case unknown:
@@ -80,9 +82,7 @@
 	}
 	slices.Sort(latencies)
 	r.P50, r.P95, r.P99 = quantile(latencies, 0.5), quantile(latencies, 0.95), quantile(latencies, 0.99)
-	if span := last.Sub(first).Seconds(); span > 0 {
-		r.Goodput = float64(r.Completed) / span
-	}
+	r.Goodput = goodput(ends, first, last)
 	held := map[string]bool{}
 	for _, u := range w.workers {
 		u.cache.programs(held)
@@ -92,6 +92,19 @@
 	return r
 }
 
+// goodput is the rate of completions in the second half of the arrivals, when
+// the load has had time to build up.
+func goodput(ends []time.Time, first, last time.Time) float64 {
+	from := first.Add(last.Sub(first) / 2)
+	n := 0
+	for _, t := range ends {
+		if t.After(from) && !t.After(last) {
+			n++
+		}
+	}
+	return float64(n) / max(last.Sub(from).Seconds(), 1)
+}
+
 func quantile(sorted []time.Duration, q float64) time.Duration {
 	if len(sorted) == 0 {
 		return 0
--- a/internal/play/replay/run.go
+++ b/internal/play/replay/run.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"os"
-	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,38 +25,63 @@
 // ErrBroken reports stated outcomes that were not met.
 var ErrBroken = errors.New("stated outcomes are broken")
 
+// printer keeps the first error of writing.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
 // Run replays the traces and prints each broken outcome with its line, or the
 // comparison that the arguments ask for. The error is ErrBroken if one broke.
 func Run(w io.Writer, a Args) (err error) {
 	defer func() { err = errors.Wrap(err, "replay") }()
+	p := &printer{w: w}
 	if a.Table {
-		return table(w, a)
+		return p.table(a)
 	}
 	broken := 0
 	for _, path := range a.Paths {
-		t, err := load(path)
-		if err != nil {
-			return err
-		}
-		r, err := Replay(t, Options{Gate: a.Gate})
+		n, err := p.replay(path, a)
 		if err != nil {
 			return err
 		}
-		broken += print(w, path, r)
-		if a.Policy == "" {
-			continue
-		}
+		broken += n
+	}
+	p.printf("%d traces, %d broken outcomes\n", len(a.Paths), broken)
+	if p.err == nil && broken > 0 {
+		return ErrBroken
+	}
+	return p.err
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format, args...)
+	}
+}
+
+func (p *printer) replay(path string, a Args) (broken int, err error) {
+	t, err := load(path)
+	if err != nil {
+		return 0, err
+	}
+	r, err := Replay(t, Options{Gate: a.Gate})
+	if err != nil {
+		return 0, err
+	}
+	p.printf("%s: %d of %d programs completed, p50 %s p95 %s p99 %s, wasted %d of %d prefilled tokens\n",
+		path, r.Completed, r.Programs, round(r.P50), round(r.P95), round(r.P99), r.Wasted, r.Prefilled)
+	for _, b := range r.Broken {
+		p.printf("%s:%d: %s\n", path, b.Line, b.Text)
+	}
+	if a.Policy != "" {
 		other, err := Replay(t, Options{Policy: a.Policy, Gate: a.Gate})
 		if err != nil {
-			return err
+			return 0, err
 		}
-		difference(w, r, other)
+		p.difference(r, other)
 	}
-	fmt.Fprintf(w, "%d traces, %d broken outcomes\n", len(a.Paths), broken)
-	if broken > 0 {
-		return ErrBroken
-	}
-	return nil
+	return len(r.Broken), nil
 }
 
 func load(path string) (t trace.Trace, err error) {
@@ -70,45 +94,33 @@
 	return trace.Read(f)
 }
 
-func print(w io.Writer, path string, r Report) (broken int) {
-	fmt.Fprintf(w, "%s: %d of %d programs completed, p50 %s p95 %s p99 %s, wasted %d of %d prefilled tokens\n",
-		path, r.Completed, r.Programs, round(r.P50), round(r.P95), round(r.P99), r.Wasted, r.Prefilled)
-	for _, b := range r.Broken {
-		fmt.Fprintf(w, "%s:%d: %s\n", path, b.Line, b.Text)
-	}
-	return len(r.Broken)
-}
-
-func difference(w io.Writer, a, b Report) {
-	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "\t%s\t%s\tdifference\t\n", a.Policy, b.Policy)
+func (p *printer) difference(a, b Report) {
+	p.printf("%16s %18s %18s %12s\n", "", a.Policy, b.Policy, "difference")
 	for _, m := range []string{"completed", "refused", "gave_up", "p50_ms", "p95_ms", "p99_ms", "wasted_tokens", "dispatched", "retries"} {
 		x, _ := a.measure(m)
 		y, _ := b.measure(m)
-		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%+.0f\t\n", m, x, y, y-x)
+		p.printf("%16s %18.0f %18.0f %+12.0f\n", m, x, y, y-x)
 	}
-	_ = t.Flush()
 }
 
 // table prints, for each trace and policy, the means over the seeds.
-func table(w io.Writer, a Args) error {
-	fmt.Fprintln(w, "| trace | policy | completed % | p50 s | p95 s | p99 s | wasted tokens |")
-	fmt.Fprintln(w, "|---|---|---:|---:|---:|---:|---:|")
+func (p *printer) table(a Args) error {
+	p.printf("| trace | policy | completed %% | p50 s | p95 s | p99 s | wasted tokens |\n|---|---|---:|---:|---:|---:|---:|\n")
 	for _, path := range a.Paths {
 		t, err := load(path)
 		if err != nil {
 			return err
 		}
 		for _, policy := range Policies() {
-			if err = row(w, t, policy, a); err != nil {
+			if err = p.row(t, policy, a); err != nil {
 				return err
 			}
 		}
 	}
-	return nil
+	return p.err
 }
 
-func row(w io.Writer, t trace.Trace, policy string, a Args) error {
+func (p *printer) row(t trace.Trace, policy string, a Args) error {
 	var completed, p50, p95, p99, wasted float64
 	n := float64(max(a.Seeds, 1))
 	for seed := range uint64(n) {
@@ -122,8 +134,8 @@
 		p99 += r.P99.Seconds() / n
 		wasted += float64(r.Wasted) / n
 	}
-	_, err := fmt.Fprintf(w, "| %s | %s | %.1f | %.2f | %.2f | %.2f | %.0f |\n", t.Header.Name, policy, completed, p50, p95, p99, wasted)
-	return err
+	p.printf("| %s | %s | %.1f | %.2f | %.2f | %.2f | %.0f |\n", t.Header.Name, policy, completed, p50, p95, p99, wasted)
+	return p.err
 }
 
 func round(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
--- a/internal/play/replay/world.go
+++ b/internal/play/replay/world.go
@@ -253,8 +253,9 @@
 
 func (w *world) remove(r *request) {
 	delete(w.byID, r.id)
-	i := slices.Index(w.requests, r)
-	w.requests = slices.Delete(w.requests, i, i+1)
+	if i := slices.Index(w.requests, r); i >= 0 {
+		w.requests = slices.Delete(w.requests, i, i+1)
+	}
 }
 
 func blockHash(format string, args ...any) uint64 {
--- a/internal/play/trace/codec.go
+++ b/internal/play/trace/codec.go
@@ -126,13 +126,7 @@
 	if err != nil {
 		return err
 	}
-	kind, err := json.Marshal(head{Kind: l.kind()})
-	if err != nil {
-		return err
-	}
-	line := append(kind[:len(kind)-1], ',')
-	line = append(append(line, body[1:]...), '\n')
-	_, err = w.Write(line)
+	_, err = fmt.Fprintf(w, "{\"kind\":%q,%s\n", l.kind(), body[1:])
 	return err
 }
 
