--- a/internal/place/sched/sched.go
+++ b/internal/place/sched/sched.go
@@ -43,6 +43,7 @@
 	Ask struct {
 		ID         string
 		Program    string
+		Account    string
 		Root       string // the family whose attained service counts
 		Group      string
 		Model      string // empty for a service
--- a/internal/prog/hist/hist.go
+++ b/internal/prog/hist/hist.go
@@ -32,8 +32,10 @@
 		Request string        `json:"request"`
 		Number  int           `json:"call"`
 		Kind    call.Kind     `json:"kind"`
-		Target  string        `json:"target"` // model, or service and path
-		Digest  string        `json:"digest"` // SHA-256 of the request's body, hex
+		Target  string        `json:"target"`           // model, or service and path
+		Digest  string        `json:"digest"`           // SHA-256 of the request's body, hex
+		Size    int           `json:"size"`             // of the request's body, bytes
+		Shared  int           `json:"shared,omitempty"` // leading messages as in the program's model call before; Asked has the rest
 		Asked   string        `json:"asked,omitempty"`
 		Tries   []Try         `json:"attempts"`
 		Result  result.Result `json:"result"`
--- /dev/null
+++ b/internal/prog/record/codec.go
@@ -0,0 +1,251 @@
+package record
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"reflect"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+)
+
+const (
+	// MaxUnit bounds one unit, in bytes, so that an entry with a unit in it
+	// stays below the store's largest value even if nothing compresses.
+	MaxUnit = 384 << 10
+	// MaxUnits bounds the units of one entry together, in bytes.
+	MaxUnits = 768 << 10
+
+	magic      = "slj1"
+	headerSize = len(magic) + 8
+	maxDecoded = 64 << 20
+	maxPieces  = 1 << 16
+)
+
+type (
+	// Unit is an encoded record or a piece of one.
+	Unit = cbor.RawMessage
+
+	// Entry is one value of a journal's chain.
+	Entry struct {
+		Shard  int    `json:"shard"`
+		Number uint64 `json:"number"`
+		Epoch  uint64 `json:"epoch"`
+		Nonce  uint64 `json:"nonce"`
+		Owner  string `json:"owner"`
+		Units  []Unit `json:"units"`
+	}
+
+	// Joiner puts the pieces of large records together again. The zero value
+	// is ready; one Joiner reads the entries of one chain in order.
+	Joiner struct {
+		id    uint64
+		next  int
+		count int
+		parts []byte
+	}
+
+	// CorruptError reports bytes that are no journal value.
+	CorruptError struct{ Reason string }
+
+	unit struct {
+		Kind  string          `json:"k"`
+		Body  cbor.RawMessage `json:"b,omitempty"`
+		Piece *piece          `json:"p,omitempty"`
+	}
+
+	piece struct {
+		ID    uint64 `json:"id"`
+		Index int    `json:"index"`
+		Count int    `json:"count"`
+		Data  []byte `json:"data"`
+	}
+)
+
+const (
+	kindTook     = "took"
+	kindOpened   = "opened"
+	kindReserved = "reserved"
+	kindIntent   = "intent"
+	kindEnded    = "ended"
+	kindClosed   = "closed"
+	kindPiece    = "piece"
+)
+
+var (
+	encoding, _ = cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	decoding, _ = cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20}.DecMode()
+	packer, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest))
+	unpacker, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxDecoded))
+)
+
+// Error names what is wrong with the bytes.
+func (e *CorruptError) Error() string { return "record: corrupt: " + e.Reason }
+
+// Units encodes a record. A record larger than MaxUnit becomes several pieces
+// that share id, which must differ between the records of one chain.
+func Units(r Record, id uint64) (us []Unit, err error) {
+	defer func() { err = errors.Wrapf(err, "record: encode %T", r) }()
+	body, err := encoding.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	whole, err := encoding.Marshal(unit{Kind: kind(r), Body: body})
+	if err != nil {
+		return nil, err
+	}
+	if len(whole) <= MaxUnit {
+		return []Unit{whole}, nil
+	}
+	count := (len(whole) + MaxUnit - 1) / MaxUnit
+	for i := range count {
+		data := whole[i*MaxUnit : min((i+1)*MaxUnit, len(whole))]
+		u, err := encoding.Marshal(unit{Kind: kindPiece, Piece: &piece{ID: id, Index: i, Count: count, Data: data}})
+		if err != nil {
+			return nil, err
+		}
+		us = append(us, u)
+	}
+	return us, nil
+}
+
+// Records decodes an entry's units. A record whose pieces are not all there
+// yet comes with the entry that holds the last of them. Pieces that are never
+// completed belong to a writer that lost the shard; they are dropped.
+func (j *Joiner) Records(e Entry) (rs []Record, err error) {
+	defer func() { err = errors.Wrapf(err, "record: entry %d of shard %d", e.Number, e.Shard) }()
+	for _, raw := range e.Units {
+		var u unit
+		if err := decoding.Unmarshal(raw, &u); err != nil {
+			return nil, &CorruptError{Reason: err.Error()}
+		}
+		whole := u
+		if u.Kind == kindPiece {
+			done, err := j.join(u.Piece)
+			if err != nil {
+				return nil, err
+			}
+			if !done {
+				continue
+			}
+			if err := decoding.Unmarshal(j.parts, &whole); err != nil {
+				return nil, &CorruptError{Reason: err.Error()}
+			}
+			*j = Joiner{}
+		}
+		r, err := decodeRecord(whole)
+		if err != nil {
+			return nil, err
+		}
+		rs = append(rs, r)
+	}
+	return rs, nil
+}
+
+func (j *Joiner) join(p *piece) (done bool, err error) {
+	if p == nil || p.Count < 1 || p.Count > maxPieces || p.Index < 0 || p.Index >= p.Count {
+		return false, &CorruptError{Reason: "piece out of range"}
+	}
+	if p.Index == 0 {
+		*j = Joiner{id: p.ID, count: p.Count}
+	}
+	if p.ID != j.id || p.Index != j.next || p.Count != j.count {
+		return false, &CorruptError{Reason: fmt.Sprintf("piece %d of %d is out of place", p.Index, p.Count)}
+	}
+	if len(j.parts)+len(p.Data) > maxDecoded {
+		return false, &CorruptError{Reason: "record too large"}
+	}
+	j.parts = append(j.parts, p.Data...)
+	j.next++
+	return j.next == j.count, nil
+}
+
+// Encode returns the entry's bytes as the store keeps them.
+func (e Entry) Encode() (b []byte, err error) { return Pack(e) }
+
+// Decode reads an entry; a *CorruptError if the bytes are damaged.
+func Decode(b []byte) (e Entry, err error) {
+	err = Unpack(b, &e)
+	return e, err
+}
+
+// Pack encodes a value with a checksum, compressed.
+func Pack(v any) (b []byte, err error) {
+	defer func() { err = errors.Wrap(err, "record: pack") }()
+	plain, err := encoding.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	b = make([]byte, headerSize, headerSize+len(plain)/2)
+	copy(b, magic)
+	b = packer.EncodeAll(plain, b)
+	binary.LittleEndian.PutUint64(b[len(magic):], xxhash.Sum64(b[headerSize:]))
+	return b, nil
+}
+
+// Unpack reads what Pack wrote into v. Damaged bytes give a *CorruptError: a
+// value that was half written or altered would otherwise lose programs without
+// a word.
+func Unpack(b []byte, v any) error {
+	if len(b) < headerSize || !bytes.Equal(b[:len(magic)], []byte(magic)) {
+		return &CorruptError{Reason: "no header"}
+	}
+	if binary.LittleEndian.Uint64(b[len(magic):]) != xxhash.Sum64(b[headerSize:]) {
+		return &CorruptError{Reason: "checksum differs"}
+	}
+	plain, err := unpacker.DecodeAll(b[headerSize:], nil)
+	if err != nil {
+		return &CorruptError{Reason: err.Error()}
+	}
+	if err := decoding.Unmarshal(plain, v); err != nil {
+		return &CorruptError{Reason: err.Error()}
+	}
+	return nil
+}
+
+func kind(r Record) string {
+	switch r.(type) {
+	case Took:
+		return kindTook
+	case Opened:
+		return kindOpened
+	case Reserved:
+		return kindReserved
+	case Intent:
+		return kindIntent
+	case Ended:
+		return kindEnded
+	case Closed:
+		return kindClosed
+	}
+	return ""
+}
+
+func decodeRecord(u unit) (Record, error) {
+	switch u.Kind {
+	case kindTook:
+		return decode[Took](u.Body)
+	case kindOpened:
+		return decode[Opened](u.Body)
+	case kindReserved:
+		return decode[Reserved](u.Body)
+	case kindIntent:
+		return decode[Intent](u.Body)
+	case kindEnded:
+		return decode[Ended](u.Body)
+	case kindClosed:
+		return decode[Closed](u.Body)
+	}
+	return nil, &CorruptError{Reason: fmt.Sprintf("unknown kind %q", u.Kind)}
+}
+
+func decode[R Record](body []byte) (Record, error) {
+	var r R
+	if err := decoding.Unmarshal(body, &r); err != nil {
+		return nil, &CorruptError{Reason: reflect.TypeFor[R]().Name() + ": " + err.Error()}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/shard/lease/lease.go
@@ -0,0 +1,150 @@
+// Package lease keeps one daemon's session with the store, and says until when
+// its shards are safe from others.
+//
+// All of a daemon's shards hang on one lease, so that keeping them costs one
+// write a renewal and not one for each shard. The time until which the lease
+// holds is counted on the daemon's own clock from before the renewal was sent:
+// a reply may be late, and a clock that starts at the reply would run past the
+// store's.
+//
+// Lease is a state machine: Step takes the time and one message and returns
+// effects.
+package lease
+
+import (
+	"time"
+
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+const (
+	defaultTTL = 6 * time.Second
+	renewals   = 3 // within one time to live
+)
+
+type (
+	// Lease is the machine. The zero value works with a time to live of six
+	// seconds.
+	Lease struct {
+		TTL  time.Duration
+		Rand func() uint64 // for jitter; nil is none
+
+		id      store.Lease
+		until   time.Time
+		busy    bool
+		sentAt  time.Time
+		next    time.Time
+		closing bool
+	}
+
+	// Message is what Lease reacts to.
+	Message interface{ message() }
+
+	// Granted answers Grant. Err is nil if it succeeded.
+	Granted struct {
+		ID  store.Lease
+		Err error
+	}
+
+	// Renewed answers Renew.
+	Renewed struct {
+		Lapsed bool // the store says that the lease is over
+		Err    error
+	}
+
+	// Tick lets time pass.
+	Tick struct{}
+
+	// Effect is what Lease wants done.
+	Effect interface{ effect() }
+
+	// Grant asks the store for a lease.
+	Grant struct{ TTL time.Duration }
+
+	// Renew extends the lease.
+	Renew struct{ ID store.Lease }
+
+	// Got tells that there is a new lease; shards may be taken under it.
+	Got struct{ ID store.Lease }
+
+	// Lost tells that the lease is over and its keys are gone.
+	Lost struct{ ID store.Lease }
+)
+
+func (Granted) message() {}
+func (Renewed) message() {}
+func (Tick) message()    {}
+
+func (Grant) effect() {}
+func (Renew) effect() {}
+func (Got) effect()   {}
+func (Lost) effect()  {}
+
+// ID is the lease held, zero without one.
+func (l *Lease) ID() store.Lease { return l.id }
+
+// Until is the time up to which no other daemon can hold what hangs on the
+// lease.
+func (l *Lease) Until() time.Time { return l.until }
+
+// Step applies one message.
+func (l *Lease) Step(now time.Time, m Message) []Effect {
+	switch m := m.(type) {
+	case Granted:
+		l.busy = false
+		if m.Err != nil {
+			l.wait(now)
+			return nil
+		}
+		l.id = m.ID
+		l.hold()
+		return []Effect{Got{ID: m.ID}}
+	case Renewed:
+		l.busy = false
+		if m.Lapsed {
+			lost := Lost{ID: l.id}
+			l.id, l.until, l.next = 0, time.Time{}, now
+			return append([]Effect{lost}, l.send(now)...)
+		}
+		if m.Err != nil {
+			l.wait(now)
+			return nil
+		}
+		l.hold()
+		return nil
+	}
+	return l.send(now)
+}
+
+func (l *Lease) ttl() time.Duration {
+	if l.TTL > 0 {
+		return l.TTL
+	}
+	return defaultTTL
+}
+
+func (l *Lease) hold() {
+	l.until = l.sentAt.Add(l.ttl())
+	l.next = l.sentAt.Add(l.ttl() / renewals)
+}
+
+// wait puts off the next call after a failure, with jitter so that the daemons
+// don't meet at the store when it comes back.
+func (l *Lease) wait(now time.Time) {
+	d := l.ttl() / (4 * renewals)
+	if l.Rand != nil {
+		d += time.Duration(l.Rand() % uint64(d))
+	}
+	l.next = now.Add(d)
+}
+
+func (l *Lease) send(now time.Time) []Effect {
+	if l.busy || now.Before(l.next) {
+		return nil
+	}
+	l.busy, l.sentAt = true, now
+	if l.id == 0 {
+		return []Effect{Grant{TTL: l.ttl()}}
+	}
+	return []Effect{Renew{ID: l.id}}
+}
--- /dev/null
+++ b/internal/shard/owner/program.go
@@ -0,0 +1,243 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/prog/budget"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/order"
+	"github.com/slaterock/slaterock/internal/prog/record"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/state"
+)
+
+const (
+	codeExpired = "expired"  // no call for the agent's idle limit
+	codeTooLong = "too_long" // open for longer than the agent's longest duration
+)
+
+type (
+	// program is the part of a program that is under way. What is durable
+	// stands in Owner.Fold.
+	program struct {
+		id       string
+		open     call.Open
+		priority int
+		root     *program
+		family   []*program    // root only: itself and all sub-agents
+		budget   budget.Budget // root only
+		attained int64         // root only: tokens served in this epoch and before
+		order    order.Order
+		turns    int
+		opened   time.Time
+		active   time.Time
+		openSeq  uint64
+		early    map[int]*run // calls that wait for the ones before them
+		current  *run
+		last     *run // newest that ended, until it is committed
+		prefix   []uint64
+		size     state.Size
+		closed   string
+	}
+
+	// usage is what an account has under way in this shard.
+	usage struct{ open int }
+)
+
+// adopt takes over what the journal left: reserved tokens count as spent, and
+// a call whose intent has no outcome ends as unknown. The former owner may have
+// dispatched it or not; doing it again could do it twice.
+func (o *Owner) adopt(now time.Time) {
+	ids := make([]string, 0, len(o.Fold.Programs))
+	for id := range o.Fold.Programs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids) // parents sort before their sub-agents
+	for _, id := range ids {
+		o.adoptProgram(now, id, o.Fold.Programs[id])
+	}
+}
+
+func (o *Owner) adoptProgram(now time.Time, id string, d *state.Program) {
+	p := o.put(d.Open, d.Priority, d.Opened)
+	p.active, p.turns, p.closed, p.size = d.Active, d.Turns, d.Closed, d.Tokens
+	p.order = order.Order{Next: d.Next}
+	if p.root == p {
+		p.budget = budget.Budget{Limit: d.Budget, Reserved: d.Reserved, Spent: d.Spent}.Recovered()
+		p.attained = d.Spent
+	}
+	if p.closed != "" {
+		o.accounts[p.open.Account].open--
+	}
+	open := make([]hist.Call, 0, len(d.Intents))
+	for _, c := range d.Intents {
+		open = append(open, c)
+	}
+	slices.SortFunc(open, func(a, b hist.Call) int { return cmp.Compare(a.Number, b.Number) })
+	for _, c := range open {
+		c.End = now
+		c.Result = result.Failed(result.CodeUnknown, result.Unknown,
+			"the daemon that had accepted the call was lost before its outcome was recorded; it is not run again")
+		head := c.Number >= p.order.Next
+		o.add(record.Ended{Program: id, Call: c, Final: true, Head: head})
+		p.order.Next = max(p.order.Next, c.Number+1)
+		p.turns++
+	}
+}
+
+// put adds a program to those under way.
+func (o *Owner) put(open call.Open, priority int, opened time.Time) *program {
+	p := &program{id: open.Program, open: open, priority: priority, opened: opened, active: opened}
+	p.root = o.progs[call.Root(open.Program)]
+	if p.root == nil {
+		p.root = p
+	}
+	p.root.family = append(p.root.family, p)
+	o.progs[p.id] = p
+	u := o.accounts[open.Account]
+	if u == nil {
+		u = &usage{}
+		o.accounts[open.Account] = u
+	}
+	u.open++
+	return p
+}
+
+func (o *Owner) agent(p *program) file.Agent { return o.cfg.Agents[p.open.Agent] }
+
+func (o *Owner) open(now time.Time, m Open) {
+	if p := o.progs[m.Open.Program]; p != nil {
+		o.reopen(m, p)
+		return
+	}
+	open, agent, r := o.admit(m.Open)
+	if r.Code != "" {
+		o.reply(m.Ticket, "", r)
+		return
+	}
+	p := o.put(open, cmp.Or(open.Priority, agent.Priority), now)
+	rec := record.Opened{Open: open, Priority: p.priority, Config: o.cfg.Version, At: now}
+	if p.root == p {
+		rec.Budget = cmp.Or(open.Budget, agent.Budget)
+		p.budget = budget.Budget{Limit: rec.Budget}
+		rec.Reserved, _ = p.budget.Ahead(0, o.block())
+		p.budget = p.budget.WithAsked(rec.Reserved)
+	}
+	p.openSeq = o.add(rec)
+	o.opening = append(o.opening, waiter{seq: p.openSeq, ticket: m.Ticket, result: opened()})
+}
+
+func opened() result.Result {
+	return result.Result{Code: result.CodeOK, Ran: result.Yes, Status: 200}
+}
+
+// reopen answers a repeated opening: the caller may have lost the answer to
+// the first.
+func (o *Owner) reopen(m Open, p *program) {
+	switch {
+	case p.open.Account != m.Open.Account:
+		o.reply(m.Ticket, "", result.Refuse(result.CodeConflict, "the program id is taken"))
+	case p.closed != "":
+		o.reply(m.Ticket, "", result.Refuse(result.CodeEnded, "the program has ended: %s", p.closed))
+	case !same(p.open, o.defaults(m.Open)):
+		o.reply(m.Ticket, "", result.Refuse(result.CodeConflict, "the program is open with other values"))
+	default:
+		o.opening = append(o.opening, waiter{seq: p.openSeq, ticket: m.Ticket, result: opened()})
+		o.release()
+	}
+}
+
+func same(a, b call.Open) bool { return a == b }
+
+// defaults fills in what the opener left to the configuration.
+func (o *Owner) defaults(open call.Open) call.Open {
+	if open.Agent == "" && open.Parent != "" {
+		if parent := o.progs[open.Parent]; parent != nil {
+			open.Agent = parent.open.Agent
+		}
+	}
+	if open.Agent == "" && len(o.cfg.Agents) == 1 {
+		for name := range o.cfg.Agents {
+			open.Agent = name
+		}
+	}
+	return open
+}
+
+// admit checks an opening; a result with a code refuses it.
+func (o *Owner) admit(open call.Open) (call.Open, file.Agent, result.Result) {
+	none := result.Result{}
+	open = o.defaults(open)
+	agent, ok := o.cfg.Agents[open.Agent]
+	acct, known := o.cfg.Accounts[open.Account]
+	use := o.accounts[open.Account]
+	_, gone := o.Fold.Gone[state.Hash(open.Program)]
+	switch {
+	case o.draining:
+		return open, agent, o.moving()
+	case gone:
+		return open, agent, result.Refuse(result.CodeEnded, "a program with this id has ended")
+	case !ok:
+		return open, agent, result.Refuse(result.CodeBadRequest, "agent %q is not declared", open.Agent)
+	case open.Budget < 0 || open.Budget > agent.Budget:
+		return open, agent, result.Refuse(result.CodeBadRequest, "budget_tokens must be 1 to %d", agent.Budget)
+	case known && acct.MaxPrograms > 0 && use != nil && use.open >= acct.MaxPrograms:
+		return open, agent, result.Refuse(result.CodeLimited, "the account has %d programs open", use.open).WithRetryAfter(time.Second)
+	case o.cfg.Limits.MaxPrograms > 0 && len(o.progs) >= o.cfg.Limits.MaxPrograms:
+		return open, agent, result.Refuse(result.CodeLimited, "too many programs are open").WithRetryAfter(time.Second)
+	case o.stalled():
+		return open, agent, o.down()
+	}
+	root := call.Root(open.Program)
+	if root == open.Program {
+		if open.Parent != "" {
+			return open, agent, result.Refuse(result.CodeBadRequest, "a sub-agent's id is its parent's, a slash and a name")
+		}
+		return open, agent, none
+	}
+	parent := o.progs[open.Parent]
+	switch {
+	case !call.ChildOf(open.Program, open.Parent):
+		return open, agent, result.Refuse(result.CodeBadRequest, "a sub-agent's id is its parent's, a slash and a name")
+	case parent == nil || parent.open.Account != open.Account:
+		return open, agent, result.Refuse(result.CodeNotFound, "no such parent program")
+	case parent.closed != "" || parent.root.closed != "":
+		return open, agent, result.Refuse(result.CodeEnded, "the parent program has ended")
+	case open.Budget != 0:
+		return open, agent, result.Refuse(result.CodeBadRequest, "a sub-agent shares its parent's budget and has none of its own")
+	}
+	return open, agent, none
+}
+
+func (o *Owner) end(now time.Time, m End) {
+	p := o.progs[m.End.Program]
+	switch {
+	case p == nil && o.gone(m.End.Program):
+		o.reply(m.Ticket, "", opened())
+	case p == nil || p.open.Account != m.End.Account:
+		o.reply(m.Ticket, "", result.Refuse(result.CodeNotFound, "no such program"))
+	case p.closed == "":
+		seq := o.close(now, p, string(m.End.Kind))
+		o.opening = append(o.opening, waiter{seq: seq, ticket: m.Ticket, result: opened()})
+	default:
+		o.opening = append(o.opening, waiter{seq: o.newest(), ticket: m.Ticket, result: opened()})
+		o.release()
+	}
+}
+
+func (o *Owner) gone(program string) bool {
+	_, ok := o.Fold.Gone[state.Hash(program)]
+	return ok
+}
+
+// newest is the sequence number of the newest record added.
+func (o *Owner) newest() uint64 {
+	if n := len(o.queue); n > 0 {
+		return o.queue[n-1].seq
+	}
+	return o.bySeq
+}
