fake: add stand-ins for the platform and their network clients

The daemon's parts meet the platform only through the interfaces of internal/plat; nothing implemented them yet, in memory or over the network.

This adds in-memory stand-ins with faults to switch on (key-value service, model engine, ledger service, VM list, weight store), servers for them, the clients kvnet, chat, plain, vmnet and wtnet, and site, which starts a whole stand-in platform on addresses of its own. Every exchange uses a connection of its own (package line): it knows whether a byte was sent, sends once, ends with its context, and a silent connection costs one exchange.

--- /dev/null
+++ b/internal/fake/host/host.go
@@ -0,0 +1,197 @@
+// Package host serves a stand-in over HTTP and plays the network's faults: it
+// can cut all connections or let the open ones go silent while new ones work.
+//
+// Each connection serves one request, so that whatever else happens on it is
+// its client's leaving; that ends the request's context.
+package host
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+const maxBody = 64 << 20
+
+type (
+	// Handler answers one request. The context ends when the client has left
+	// or the answer is sent, also where the answer is a stream that outlives
+	// the call.
+	Handler func(ctx context.Context, w *fasthttp.RequestCtx)
+
+	// Host is a server with its connections.
+	Host struct {
+		Handler Handler
+
+		server fasthttp.Server
+		ln     net.Listener
+		ctx    context.Context //nolint:containedctx // ends with the server
+		cancel context.CancelFunc
+		done   chan struct{}
+
+		mu    sync.Mutex
+		conns map[*conn]struct{}
+		mute  []*conn // closed at this end only
+	}
+
+	listener struct {
+		net.Listener
+		host *Host
+	}
+
+	conn struct {
+		net.Conn
+		host   *Host
+		once   sync.Once
+		mu     sync.Mutex
+		silent chan struct{}
+		closed chan struct{}
+	}
+)
+
+// Break ends the exchange without an answer.
+func Break(w *fasthttp.RequestCtx) {
+	w.HijackSetNoResponse(true)
+	w.Hijack(func(net.Conn) {})
+}
+
+// Start serves on the listener until Close.
+func (h *Host) Start(ln net.Listener) {
+	h.ln = ln
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.done = make(chan struct{})
+	h.conns = map[*conn]struct{}{}
+	h.server = fasthttp.Server{Handler: h.serve, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody}
+	go func() {
+		defer close(h.done)
+		_ = h.server.Serve(listener{Listener: ln, host: h})
+	}()
+}
+
+// Address returns the IP number and port.
+func (h *Host) Address() string { return h.ln.Addr().String() }
+
+// Close stops listening and cuts all connections, as a process that is killed.
+func (h *Host) Close() {
+	h.cancel()
+	_ = h.ln.Close()
+	h.Cut()
+	<-h.done
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.mute {
+		_ = c.Conn.Close()
+	}
+}
+
+// Cut closes all open connections.
+func (h *Host) Cut() {
+	for _, c := range h.open() {
+		_ = c.Close()
+	}
+}
+
+// Silence makes the open connections swallow what is sent and bring nothing
+// more, without closing them. New connections work.
+func (h *Host) Silence() {
+	for _, c := range h.open() {
+		c.hush()
+	}
+}
+
+// Conns returns the number of open connections.
+func (h *Host) Conns() int { return len(h.open()) }
+
+func (h *Host) serve(w *fasthttp.RequestCtx) {
+	w.SetConnectionClose()
+	ctx, cancel := context.WithCancel(h.ctx)
+	c := w.Conn().(*conn)
+	go func() {
+		defer cancel()
+		var b [1]byte
+		_, _ = c.Read(b[:])
+	}()
+	h.Handler(ctx, w)
+}
+
+func (h *Host) open() []*conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]*conn, 0, len(h.conns))
+	for c := range h.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, host: l.host, silent: make(chan struct{}), closed: make(chan struct{})}
+	l.host.mu.Lock()
+	defer l.host.mu.Unlock()
+	l.host.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.quiet() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.quiet() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection, or only its server's side if it is silent: the
+// other end must not notice.
+func (c *conn) Close() (err error) {
+	c.once.Do(func() {
+		close(c.closed)
+		if c.forget() {
+			err = c.Conn.Close()
+		}
+	})
+	return err
+}
+
+// forget takes the connection off the list and reports whether to close it.
+func (c *conn) forget() bool {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	delete(c.host.conns, c)
+	if c.quiet() {
+		c.host.mute = append(c.host.mute, c)
+		return false
+	}
+	return true
+}
+
+func (c *conn) hush() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.quiet() {
+		close(c.silent)
+	}
+}
+
+func (c *conn) quiet() bool {
+	select {
+	case <-c.silent:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/fake/ledger/server.go
@@ -0,0 +1,39 @@
+package ledger
+
+import (
+	"context"
+	"net"
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/fake/host"
+	"github.com/slaterock/slaterock/internal/plat/plain"
+	"github.com/slaterock/slaterock/internal/plat/tool"
+)
+
+// Serve serves the service on the listener. Where Do has no answer the
+// connection breaks.
+func Serve(ln net.Listener, s *Service) *host.Host {
+	h := &host.Host{Handler: s.serve}
+	h.Start(ln)
+	return h
+}
+
+func (s *Service) serve(ctx context.Context, w *fasthttp.RequestCtx) {
+	resp, err := s.Do(ctx, tool.Request{
+		ID:          string(w.Request.Header.Peek(plain.HeaderRequest)),
+		Method:      string(w.Method()),
+		Path:        string(w.RequestURI()),
+		ContentType: string(w.Request.Header.ContentType()),
+		Body:        slices.Clone(w.PostBody()),
+		TraceParent: string(w.Request.Header.Peek("Traceparent")),
+	})
+	if err != nil {
+		host.Break(w)
+		return
+	}
+	w.SetStatusCode(resp.Status)
+	w.SetContentType(resp.ContentType)
+	w.SetBody(resp.Body)
+}
--- /dev/null
+++ b/internal/fake/model/model.go
@@ -0,0 +1,220 @@
+// Package model is a stand-in for a model engine: it batches continuously,
+// caches prompt prefixes in limited memory, reports its load late and takes
+// orders.
+//
+// Its answers are a function of its name, the request's name and the last
+// message, so that a reader can tell whether an answer is whole and belongs to
+// the request; see Answer. Times follow from the token counts: prefill at a
+// steady rate for what is not cached, then pieces whose spacing grows with the
+// batch. Engine sleeps on time.NewTimer only, so that synctest drives it.
+package model
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+const (
+	defaultPrefill = 8000                   // tokens a second
+	defaultDecode  = 20 * time.Millisecond  // for each token of a batch of one
+	defaultBatch   = 500 * time.Microsecond // more for each further request of the batch
+	defaultLimit   = 16
+	defaultMemory  = 200_000 // tokens
+	defaultPiece   = 4       // tokens
+	minOutput      = 16
+	spanOutput     = 48
+)
+
+type (
+	// Engine implements engine.Engine. The zero value works at once; fields
+	// are set before the first call.
+	Engine struct {
+		Name        string
+		Seed        uint64
+		Speed       float64       // divides all times; 0 is 1
+		Prefill     int           // tokens a second
+		Decode      time.Duration // for each token of a batch of one
+		Batch       time.Duration // more for each further request
+		Limit       int           // requests of one batch
+		Memory      int           // tokens of cache
+		Piece       int           // tokens of one piece of an answer
+		Output      int           // tokens of an answer; 0 draws them from the request's name
+		LoadLag     time.Duration // age of load reports
+		EventLag    time.Duration // age of cache events
+		EventGap    int           // one event of so many is lost; 0 is none
+		IgnoreFence bool          // takes orders with an old fencing number
+		LoadTime    time.Duration // what loading a model takes
+		Models      []string      // served; empty is all
+		Peer        func(target string) *Engine
+
+		mu         sync.Mutex
+		fault      faults
+		queue      queue
+		cache      cache
+		reports    reports
+		events     events
+		orders     orders
+		dispatches []Dispatch
+	}
+
+	// Dispatch is one request as it arrived.
+	Dispatch struct {
+		Request     string
+		Program     string
+		Model       string
+		Priority    int
+		MaxTokens   int
+		Resume      int
+		TraceParent string
+		At          time.Time
+		Leaving     bool // it arrived after the engine had said that it leaves
+		Cached      int  // prompt tokens found cached, known once it runs
+		Prompt      int
+		Ended       string // finish reason or the fault; empty while it runs
+	}
+)
+
+// Dispatches returns all requests in the order of their arrival.
+func (e *Engine) Dispatches() []Dispatch {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Dispatch(nil), e.dispatches...)
+}
+
+// Chat implements engine.Engine.
+func (e *Engine) Chat(ctx context.Context, r engine.Request, sink func(engine.Delta) error) (u engine.Usage, err error) {
+	n, f, delay := e.arrive(r)
+	defer func() { e.ended(n, u, err) }()
+	if err := early(ctx, f, delay); err != nil {
+		return u, err
+	}
+	if !e.serves(r.Model) {
+		return u, errNoModel
+	}
+	if err := e.enter(ctx, r.Priority); err != nil {
+		return u, cancelled(err)
+	}
+	defer e.leave()
+	p := prompt{program: r.Program, blocks: engine.Blocks(r.Body), pinned: map[uint64]bool{}}
+	u = e.pin(p)
+	defer e.unpin(p)
+	e.found(n, u)
+	if err := e.sleep(ctx, time.Duration(u.Prompt-u.Cached)*time.Second/time.Duration(e.prefill())); err != nil {
+		u.Finish = finishCancelled
+		return u, cancelled(err)
+	}
+	e.keep(p)
+	return e.generate(ctx, r, f, u, sink)
+}
+
+func (e *Engine) generate(ctx context.Context, r engine.Request, f Fault, u engine.Usage, sink func(engine.Delta) error) (engine.Usage, error) {
+	total, finish := e.output(r)
+	pieces := cut(Answer(e.Name, r, total), e.piece()*charsPerToken)
+	for i, text := range pieces {
+		tokens := min(e.piece(), total-i*e.piece())
+		if i < r.Resume {
+			u.Output += tokens
+			continue
+		}
+		if err := late(ctx, f, i, len(pieces)); err != nil {
+			return u, err
+		}
+		if err := e.sleep(ctx, time.Duration(tokens)*e.token()); err != nil {
+			u.Finish = finishCancelled
+			return u, cancelled(err)
+		}
+		u.Output += tokens
+		if err := sink(engine.Delta{Text: text, Tokens: tokens}); err != nil {
+			u.Finish = finishCancelled
+			return u, cancelled(err)
+		}
+	}
+	u.Finish = finish
+	return u, nil
+}
+
+// output returns how many tokens the answer has and why it ends there.
+func (e *Engine) output(r engine.Request) (int, string) {
+	n := e.Output
+	if n <= 0 {
+		n = minOutput + int(xxhash.Sum64String(r.ID)%spanOutput)
+	}
+	if r.MaxTokens > 0 && n > r.MaxTokens {
+		return r.MaxTokens, finishLength
+	}
+	return n, finishStop
+}
+
+func (e *Engine) arrive(r engine.Request) (n int, f Fault, delay time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, delay = e.fault.next()
+	if f == Refuse {
+		return -1, f, 0
+	}
+	e.dispatches = append(e.dispatches, Dispatch{
+		Request: r.ID, Program: r.Program, Model: r.Model, Priority: r.Priority, MaxTokens: r.MaxTokens,
+		Resume: r.Resume, TraceParent: r.TraceParent, At: time.Now(), Leaving: e.orders.leaving,
+	})
+	return len(e.dispatches) - 1, f, delay
+}
+
+func (e *Engine) found(n int, u engine.Usage) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dispatches[n].Prompt, e.dispatches[n].Cached = u.Prompt, u.Cached
+}
+
+func (e *Engine) ended(n int, u engine.Usage, err error) {
+	if n < 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dispatches[n].Ended = u.Finish
+	if err != nil {
+		e.dispatches[n].Ended = err.Error()
+	}
+}
+
+func (e *Engine) sleep(ctx context.Context, d time.Duration) error {
+	if e.Speed > 0 {
+		d = time.Duration(float64(d) / e.Speed)
+	}
+	return sleep(ctx, d)
+}
+
+func (e *Engine) token() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return pick(e.Decode, defaultDecode) + time.Duration(e.queue.running-1)*pick(e.Batch, defaultBatch)
+}
+
+func (e *Engine) prefill() int { return pick(e.Prefill, defaultPrefill) }
+func (e *Engine) piece() int   { return pick(e.Piece, defaultPiece) }
+
+func pick[T int | time.Duration](v, otherwise T) T {
+	if v <= 0 {
+		return otherwise
+	}
+	return v
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/fake/model/order.go
@@ -0,0 +1,128 @@
+package model
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+// exportRate is how many tokens of cache move to another engine in a second.
+const exportRate = 100_000
+
+type (
+	orders struct {
+		leaving bool
+		fence   uint64 // highest seen
+		role    string
+		loaded  []string
+		log     []Taken
+	}
+
+	// Taken is an order as it arrived. Refused tells that its fencing number
+	// was too old.
+	Taken struct {
+		engine.Order
+		Refused bool
+		At      time.Time
+	}
+)
+
+// Leave sets the flag that tells readers of the load that the engine goes.
+func (e *Engine) Leave(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders.leaving = leaving
+	e.report()
+}
+
+// Orders returns all orders in the order of their arrival.
+func (e *Engine) Orders() []Taken {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders.log)
+}
+
+// Role returns the role that the last order gave.
+func (e *Engine) Role() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders.role
+}
+
+// Order implements engine.Engine. There is one fencing number for the whole
+// engine: an order below the highest number seen is refused, whoever sent it.
+func (e *Engine) Order(ctx context.Context, o engine.Order) error {
+	if !e.fenced(o) {
+		return errFenced
+	}
+	switch o.Kind {
+	case engine.OrderRelease:
+		e.release(o.Program)
+	case engine.OrderExport:
+		return e.export(ctx, o)
+	case engine.OrderLoad:
+		return e.load(ctx, o.Target)
+	case engine.OrderRole:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.orders.role = o.Target
+	default:
+		return errNoOrder
+	}
+	return nil
+}
+
+func (e *Engine) fenced(o engine.Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	refused := o.Fence < e.orders.fence && !e.IgnoreFence
+	e.orders.log = append(e.orders.log, Taken{Order: o, Refused: refused, At: time.Now()})
+	e.orders.fence = max(e.orders.fence, o.Fence)
+	return !refused
+}
+
+func (e *Engine) release(program string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.publish(nil, e.cache.release(program))
+	e.report()
+}
+
+func (e *Engine) export(ctx context.Context, o engine.Order) error {
+	if e.Peer == nil || e.Peer(o.Target) == nil {
+		return errNoOrder
+	}
+	e.mu.Lock()
+	p := prompt{program: o.Program, blocks: e.cache.owned(o.Program), pinned: map[uint64]bool{}}
+	e.mu.Unlock()
+	tokens := 0
+	for _, b := range p.blocks {
+		tokens += b.Tokens
+	}
+	if err := e.sleep(ctx, time.Duration(tokens)*time.Second/exportRate); err != nil {
+		return cancelled(err)
+	}
+	to := e.Peer(o.Target)
+	to.pin(p)
+	to.keep(p)
+	to.unpin(p)
+	return nil
+}
+
+func (e *Engine) load(ctx context.Context, model string) error {
+	if err := e.sleep(ctx, e.LoadTime); err != nil {
+		return cancelled(err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders.loaded = append(e.orders.loaded, model)
+	return nil
+}
+
+func (e *Engine) serves(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.Models) == 0 || slices.Contains(e.Models, model) || slices.Contains(e.orders.loaded, model)
+}
--- /dev/null
+++ b/internal/fake/model/report.go
@@ -0,0 +1,91 @@
+package model
+
+import (
+	"context"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+const maxEvents = 10_000
+
+type (
+	// reports are the loads that readers don't see yet, and the one they see.
+	reports struct {
+		seq  uint64
+		list []engine.Load
+	}
+
+	events struct {
+		seq  uint64
+		list []event
+	}
+
+	event struct {
+		engine.Event
+		at time.Time
+	}
+)
+
+// Load implements engine.Engine. The report is as old as LoadLag says.
+func (e *Engine) Load(ctx context.Context) (engine.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fault.fault == Refuse {
+		return engine.Load{}, errRefused
+	}
+	seen := time.Now().Add(-e.LoadLag)
+	l := &e.reports.list
+	for len(*l) > 1 && !(*l)[1].At.After(seen) {
+		*l = (*l)[1:]
+	}
+	out := engine.Load{Total: pick(e.Memory, defaultMemory)}
+	if len(*l) > 0 && !(*l)[0].At.After(seen) {
+		out = (*l)[0]
+	}
+	out.At = seen
+	return out, ctx.Err()
+}
+
+// Events implements engine.Engine. Events are as old as EventLag says, and
+// one of EventGap is missing.
+func (e *Engine) Events(ctx context.Context, after uint64) ([]engine.Event, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen := time.Now().Add(-e.EventLag)
+	var out []engine.Event
+	for _, v := range e.events.list {
+		lost := e.EventGap > 0 && (v.Seq+e.Seed)%uint64(e.EventGap) == 0
+		if v.Seq > after && !v.at.After(seen) && !lost {
+			out = append(out, v.Event)
+		}
+	}
+	return out, ctx.Err()
+}
+
+// report records the load as it is now; the caller holds the mutex.
+func (e *Engine) report() {
+	e.reports.seq++
+	e.reports.list = append(e.reports.list, engine.Load{
+		Seq: e.reports.seq, At: time.Now(),
+		Running: e.queue.running, Waiting: len(e.queue.waiting),
+		Used: e.cache.used, Total: pick(e.Memory, defaultMemory),
+		Leaving: e.orders.leaving,
+	})
+	if len(e.reports.list) > maxEvents {
+		e.reports.list = e.reports.list[maxEvents/2:]
+	}
+}
+
+// publish records what entered and left the cache; the caller holds the mutex.
+func (e *Engine) publish(stored, evicted []uint64) {
+	if len(stored)+len(evicted) == 0 {
+		return
+	}
+	e.events.seq++
+	v := engine.Event{Seq: e.events.seq, Stored: stored, Evicted: evicted}
+	e.events.list = append(e.events.list, event{Event: v, at: time.Now()})
+	if len(e.events.list) > maxEvents {
+		e.events.list = e.events.list[maxEvents/2:]
+	}
+}
--- /dev/null
+++ b/internal/fake/model/server.go
@@ -0,0 +1,123 @@
+package model
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/fake/host"
+	"github.com/slaterock/slaterock/internal/plat/chat"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+type (
+	// fields are what the engine reads of a request's body.
+	fields struct {
+		Model     string `json:"model"`
+		MaxTokens int    `json:"max_tokens"`
+		User      string `json:"user"`
+		Priority  int    `json:"priority"`
+	}
+)
+
+// Serve serves the engine on the listener in the usual chat protocol.
+func Serve(ln net.Listener, e *Engine) *host.Host {
+	h := &host.Host{Handler: e.serve}
+	h.Start(ln)
+	return h
+}
+
+func (e *Engine) serve(ctx context.Context, w *fasthttp.RequestCtx) {
+	switch string(w.Path()) {
+	case chat.PathChat:
+		e.serveChat(ctx, w)
+	case chat.PathLoad:
+		l, err := e.Load(ctx)
+		reply(w, l, err)
+	case chat.PathEvents:
+		after, _ := strconv.ParseUint(string(w.QueryArgs().Peek("after")), 10, 64)
+		events, err := e.Events(ctx, after)
+		reply(w, events, err)
+	case chat.PathHeld:
+		held, err := e.Held(ctx)
+		reply(w, held, err)
+	case chat.PathOrder:
+		var o engine.Order
+		err := json.Unmarshal(w.PostBody(), &o)
+		if err == nil {
+			err = e.Order(ctx, o)
+		}
+		reply(w, struct{}{}, err)
+	default:
+		w.SetStatusCode(http.StatusNotFound)
+	}
+}
+
+func (e *Engine) serveChat(ctx context.Context, w *fasthttp.RequestCtx) {
+	r, ok := request(w)
+	if !ok {
+		w.Error("not a chat request", http.StatusBadRequest)
+		return
+	}
+	s := &stream{deltas: make(chan engine.Delta), id: r.ID, model: r.Model, n: r.Resume}
+	go s.run(ctx, e, r)
+	err := s.next()
+	if err == nil || errors.Is(err, io.EOF) {
+		w.SetContentType("text/event-stream")
+		w.SetBodyStream(s, -1)
+		return
+	}
+	if status := statusOf(err); status != 0 {
+		w.Error(err.Error(), status)
+		return
+	}
+	host.Break(w)
+}
+
+func request(w *fasthttp.RequestCtx) (r engine.Request, ok bool) {
+	var f fields
+	body := slices.Clone(w.PostBody())
+	if json.Unmarshal(body, &f) != nil {
+		return r, false
+	}
+	resume, _ := strconv.Atoi(string(w.Request.Header.Peek(chat.HeaderResume)))
+	return engine.Request{
+		ID:          string(w.Request.Header.Peek(chat.HeaderRequest)),
+		Program:     f.User,
+		Model:       f.Model,
+		Body:        body,
+		Priority:    f.Priority,
+		MaxTokens:   f.MaxTokens,
+		TraceParent: string(w.Request.Header.Peek(chat.HeaderTrace)),
+		Resume:      resume,
+	}, true
+}
+
+func reply(w *fasthttp.RequestCtx, v any, err error) {
+	if err != nil {
+		w.Error(err.Error(), max(statusOf(err), http.StatusBadRequest))
+		return
+	}
+	body, _ := json.Marshal(v)
+	w.SetContentType("application/json")
+	w.SetBody(body)
+}
+
+// statusOf returns 0 where the connection breaks instead of an answer.
+func statusOf(err error) int {
+	var e *engine.Error
+	if !errors.As(err, &e) {
+		return 0
+	}
+	if !e.Sent {
+		return http.StatusServiceUnavailable
+	}
+	return e.Status
+}
--- /dev/null
+++ b/internal/fake/site/site.go
@@ -0,0 +1,128 @@
+// Package site starts a whole stand-in platform: the key-value service, the VM
+// list, the weight store, two model engines and one plain service, each on an
+// address of its own.
+//
+// Its objects are open to assertions and faults, and so are its servers, which
+// can be cut or made silent. Separate processes reach them by address; Close
+// ends all.
+package site
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/fake/host"
+	"github.com/slaterock/slaterock/internal/fake/keyval"
+	"github.com/slaterock/slaterock/internal/fake/ledger"
+	"github.com/slaterock/slaterock/internal/fake/model"
+	"github.com/slaterock/slaterock/internal/fake/vmset"
+	"github.com/slaterock/slaterock/internal/fake/weight"
+)
+
+// The parts, as Addresses names them.
+const (
+	Store   Part = "store"
+	VMs     Part = "vms"
+	Weights Part = "weights"
+	Engine1 Part = "e1"
+	Engine2 Part = "e2"
+	Ledger  Part = "ledger"
+)
+
+const anyPort = "127.0.0.1:0"
+
+type (
+	// Part names one stand-in.
+	Part string
+
+	// Site is the stand-in platform. The zero value listens on ports that the
+	// system chooses.
+	Site struct {
+		Listen map[Part]string // addresses to listen on; others are chosen
+		Speed  float64         // of the engines; 0 is 1
+
+		Store   keyval.Store
+		VMs     vmset.Set
+		Weights weight.Weights
+		E1, E2  model.Engine
+		Ledger  ledger.Service
+
+		hosts map[Part]*host.Host
+	}
+)
+
+// Start starts all parts; on an error none is left running. The context
+// bounds only the start.
+func (s *Site) Start(ctx context.Context) (err error) {
+	defer func() {
+		err = errors.Wrap(err, "start stand-in platform")
+		if err != nil {
+			s.Close()
+		}
+	}()
+	s.prepare()
+	s.hosts = map[Part]*host.Host{}
+	for p, serve := range s.servers() {
+		var l net.ListenConfig
+		ln, err := l.Listen(ctx, "tcp", s.listen(p))
+		if err != nil {
+			return err
+		}
+		s.hosts[p] = serve(ln)
+	}
+	return nil
+}
+
+// Address returns the part's IP number and port.
+func (s *Site) Address(p Part) string { return s.hosts[p].Address() }
+
+// Host returns the part's server, whose connections can be made to fail.
+func (s *Site) Host(p Part) *host.Host { return s.hosts[p] }
+
+// Close ends all parts.
+func (s *Site) Close() {
+	for _, h := range s.hosts {
+		h.Close()
+	}
+	s.hosts = nil
+}
+
+// Engine returns the engine at the address or with the name.
+func (s *Site) Engine(target string) *model.Engine {
+	for p, e := range map[Part]*model.Engine{Engine1: &s.E1, Engine2: &s.E2} {
+		if target == string(p) || s.hosts[p] != nil && target == s.hosts[p].Address() {
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *Site) prepare() {
+	for p, e := range map[Part]*model.Engine{Engine1: &s.E1, Engine2: &s.E2} {
+		e.Name = string(p)
+		e.Peer = s.Engine
+		if e.Speed == 0 {
+			e.Speed = s.Speed
+		}
+	}
+}
+
+func (s *Site) servers() map[Part]func(net.Listener) *host.Host {
+	return map[Part]func(net.Listener) *host.Host{
+		Store:   func(ln net.Listener) *host.Host { return keyval.Serve(ln, &s.Store) },
+		VMs:     func(ln net.Listener) *host.Host { return vmset.Serve(ln, &s.VMs) },
+		Weights: func(ln net.Listener) *host.Host { return weight.Serve(ln, &s.Weights) },
+		Engine1: func(ln net.Listener) *host.Host { return model.Serve(ln, &s.E1) },
+		Engine2: func(ln net.Listener) *host.Host { return model.Serve(ln, &s.E2) },
+		Ledger:  func(ln net.Listener) *host.Host { return ledger.Serve(ln, &s.Ledger) },
+	}
+}
+
+func (s *Site) listen(p Part) string {
+	if a, ok := s.Listen[p]; ok {
+		return a
+	}
+	return anyPort
+}
--- /dev/null
+++ b/internal/fake/weight/server.go
@@ -0,0 +1,37 @@
+package weight
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/fake/host"
+	"github.com/slaterock/slaterock/internal/plat/wtnet"
+)
+
+// Serve serves the weight store on the listener in the form that wtnet.Client
+// reads.
+func Serve(ln net.Listener, w *Weights) *host.Host {
+	h := &host.Host{Handler: w.serve}
+	h.Start(ln)
+	return h
+}
+
+func (w *Weights) serve(ctx context.Context, out *fasthttp.RequestCtx) {
+	var ask wtnet.Ask
+	if json.Unmarshal(out.PostBody(), &ask) != nil {
+		out.SetStatusCode(http.StatusBadRequest)
+		return
+	}
+	wait, err := w.Admit(ctx, ask.Model)
+	if err != nil {
+		out.Error(err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	body, _ := json.Marshal(wtnet.Answer{Wait: wait})
+	out.SetContentType("application/json")
+	out.SetBody(body)
+}
--- /dev/null
+++ b/internal/plat/kvnet/kvnet.go
@@ -0,0 +1,239 @@
+// Package kvnet reaches the platform's key-value service over HTTP: every call
+// is a POST of a Call to Path/OP and answers with an Answer.
+//
+// A call that could not connect certainly had no effect. A write whose answer
+// does not come may have taken effect, and the caller is told ErrUnknown. A
+// read is simply repeated on a new connection while its context lasts, so that
+// a connection that went silent costs one Try.
+package kvnet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/plat/line"
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+// Path is where the calls are; the operation's name follows.
+const Path = "/kv/"
+
+// The operations.
+const (
+	OpGet    Op = "get"
+	OpPut    Op = "put"
+	OpDelete Op = "delete"
+	OpList   Op = "list"
+	OpWatch  Op = "watch"
+	OpGrant  Op = "grant"
+	OpRenew  Op = "renew"
+	OpRevoke Op = "revoke"
+)
+
+// The codes of answers; empty is success.
+const (
+	CodeNotFound    Code = "not_found"
+	CodeConflict    Code = "conflict"
+	CodeLapsed      Code = "lapsed"
+	CodeUnavailable Code = "unavailable"
+	CodeTooLarge    Code = "too_large"
+	CodeAgain       Code = "again" // a watch whose Wait is over
+)
+
+const (
+	defaultTry   = time.Second
+	defaultWatch = 20 * time.Second
+	maxAnswer    = 2 * store.MaxValue
+)
+
+type (
+	// Client implements store.Store.
+	Client struct {
+		Line      line.Line     // First and Between are set for each call
+		Name      string        // tells clients apart at the service
+		Try       time.Duration // after which a connection counts as silent
+		WatchWait time.Duration // how long the service holds one watch
+	}
+
+	// Op names an operation.
+	Op string
+
+	// Code tells why a call failed.
+	Code string
+
+	// Call is a request's body. Fields that the operation lacks are empty.
+	Call struct {
+		Client string        `json:"client,omitempty"`
+		Key    string        `json:"key,omitempty"` // for List the prefix
+		Data   []byte        `json:"data,omitempty"`
+		Rev    store.Rev     `json:"rev,omitempty"`
+		Lease  store.Lease   `json:"lease,omitempty"`
+		After  string        `json:"after,omitempty"`
+		Limit  int           `json:"limit,omitempty"`
+		TTL    time.Duration `json:"ttl,omitempty"`  // nanoseconds
+		Wait   time.Duration `json:"wait,omitempty"` // nanoseconds; how long to hold a watch
+	}
+
+	// Answer is a response's body.
+	Answer struct {
+		Code  Code        `json:"code,omitempty"`
+		Entry store.Entry `json:"entry,omitzero"`
+		Rev   store.Rev   `json:"rev,omitempty"`
+		Keys  []string    `json:"keys,omitempty"`
+		Lease store.Lease `json:"lease,omitempty"`
+	}
+)
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	a, err := c.read(ctx, OpGet, Call{Key: key})
+	return a.Entry, err
+}
+
+// Put implements store.Store.
+func (c *Client) Put(ctx context.Context, key string, data []byte, rev store.Rev, lease store.Lease) (store.Rev, error) {
+	if len(data) > store.MaxValue {
+		return 0, store.ErrTooLarge
+	}
+	a, err := c.write(ctx, OpPut, Call{Key: key, Data: data, Rev: rev, Lease: lease})
+	if err != nil {
+		return 0, err
+	}
+	return a.Rev, nil
+}
+
+// Delete implements store.Store.
+func (c *Client) Delete(ctx context.Context, key string, rev store.Rev) error {
+	_, err := c.write(ctx, OpDelete, Call{Key: key, Rev: rev})
+	return err
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	a, err := c.read(ctx, OpList, Call{Key: prefix, After: after, Limit: limit})
+	return a.Keys, err
+}
+
+// Watch implements store.Store. It asks again whenever the service's hold is
+// over; an answer that is later than that means a silent connection.
+func (c *Client) Watch(ctx context.Context, key string, rev store.Rev) (store.Entry, error) {
+	hold := pick(c.WatchWait, defaultWatch)
+	for {
+		a, err := c.call(ctx, OpWatch, Call{Key: key, Rev: rev, Wait: hold}, hold+c.try())
+		switch {
+		case ctx.Err() != nil:
+			return store.Entry{}, ctx.Err()
+		case errors.Is(err, line.ErrSilent), err == nil && a.Code == CodeAgain:
+			continue
+		case err != nil:
+			return store.Entry{}, errors.Join(store.ErrUnavailable, err)
+		}
+		return a.Entry, a.err(key)
+	}
+}
+
+// Grant implements store.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
+	a, err := c.write(ctx, OpGrant, Call{TTL: ttl})
+	return a.Lease, err
+}
+
+// Renew implements store.Store.
+func (c *Client) Renew(ctx context.Context, lease store.Lease) error {
+	_, err := c.write(ctx, OpRenew, Call{Lease: lease})
+	return err
+}
+
+// Revoke implements store.Store.
+func (c *Client) Revoke(ctx context.Context, lease store.Lease) error {
+	_, err := c.write(ctx, OpRevoke, Call{Lease: lease})
+	return err
+}
+
+func (c *Client) read(ctx context.Context, op Op, r Call) (a Answer, err error) {
+	for ctx.Err() == nil {
+		a, err = c.call(ctx, op, r, c.try())
+		if !errors.Is(err, line.ErrSilent) {
+			break
+		}
+	}
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return Answer{}, errors.Join(store.ErrUnavailable, err)
+	}
+	return a, a.err(r.Key)
+}
+
+func (c *Client) write(ctx context.Context, op Op, r Call) (Answer, error) {
+	a, err := c.call(ctx, op, r, c.try())
+	var e *line.Error
+	switch {
+	case errors.As(err, &e) && !e.Sent:
+		return Answer{}, errors.Join(store.ErrUnavailable, err)
+	case err != nil:
+		return Answer{}, errors.Join(store.ErrUnknown, err)
+	}
+	return a, a.err(r.Key)
+}
+
+// call makes one exchange. Its errors are *line.Error.
+func (c *Client) call(ctx context.Context, op Op, r Call, first time.Duration) (a Answer, err error) {
+	r.Client = c.Name
+	body, err := json.Marshal(r)
+	if err != nil {
+		return a, &line.Error{Err: err}
+	}
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.Header.SetMethod(http.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetRequestURI(Path + string(op))
+	req.SetBodyRaw(body)
+	l := c.Line
+	l.First, l.Between, l.MaxBody = first, c.try(), maxAnswer
+	if err := l.Do(ctx, &req, &resp); err != nil {
+		return a, err
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return a, &line.Error{Sent: true, Err: fmt.Errorf("kvnet: status %d", resp.StatusCode())}
+	}
+	if err := json.Unmarshal(resp.Body(), &a); err != nil {
+		return a, &line.Error{Sent: true, Err: err}
+	}
+	return a, nil
+}
+
+func (c *Client) try() time.Duration { return pick(c.Try, defaultTry) }
+
+func (a Answer) err(key string) error {
+	switch a.Code {
+	case "":
+		return nil
+	case CodeNotFound:
+		return store.ErrNotFound
+	case CodeConflict:
+		return &store.ConflictError{Key: key, Rev: a.Rev}
+	case CodeLapsed:
+		return store.ErrLapsed
+	case CodeTooLarge:
+		return store.ErrTooLarge
+	case CodeUnavailable:
+		return store.ErrUnavailable
+	}
+	return errors.Join(store.ErrUnknown, fmt.Errorf("kvnet: code %q", a.Code))
+}
+
+func pick(v, otherwise time.Duration) time.Duration {
+	if v <= 0 {
+		return otherwise
+	}
+	return v
+}
--- /dev/null
+++ b/internal/plat/line/line.go
@@ -0,0 +1,193 @@
+// Package line makes one HTTP exchange over a connection of its own.
+//
+// Calls to upstreams and to the platform must know exactly whether a byte of
+// the request may have arrived, must end at once with their context, and must
+// notice a connection that goes silent without being closed. A pool of
+// connections makes all three hard: a kept connection may be dead without
+// anybody knowing, a client library may send a request again by itself. So
+// each exchange dials, sends once and closes. A silent connection then costs
+// one exchange, and the next has a new one.
+package line
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultDial    = time.Second
+	defaultFirst   = 30 * time.Second
+	defaultBetween = 10 * time.Second
+	defaultMaxBody = 64 << 20
+)
+
+type (
+	// Line sends requests to one address. The zero value of every field but
+	// Address is ready for use.
+	Line struct {
+		Address string        // IP number and port
+		Dial    time.Duration // to connect
+		First   time.Duration // from the request to the answer's first byte
+		Between time.Duration // between the pieces of an answer
+		MaxBody int           // bytes of an answer that is read whole
+
+		// Connect replaces the dialling, for tests.
+		Connect func(ctx context.Context, address string) (net.Conn, error)
+	}
+
+	// Error is an exchange without a whole answer. Sent false means that no
+	// byte of the request left for the other end.
+	Error struct {
+		Sent bool
+		Err  error
+	}
+
+	// Answer is an answer whose body is still being received.
+	Answer struct {
+		Header *fasthttp.ResponseHeader
+		Body   io.Reader
+
+		resp *fasthttp.Response
+		conn *conn
+		stop func() bool
+		ctx  context.Context //nolint:containedctx // its end is the cause of the body's errors
+	}
+
+	// conn gives every read a deadline of its own and counts what was written.
+	conn struct {
+		net.Conn
+		wait    time.Duration
+		between time.Duration
+		sent    atomic.Bool
+	}
+)
+
+// ErrSilent reports a connection over which nothing came in time.
+var ErrSilent = errors.New("line: connection is silent")
+
+// Error returns the cause's text.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Do makes the exchange and reads the whole answer into resp.
+func (l Line) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	c, stop, err := l.send(ctx, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	defer stop()
+	if err := resp.ReadLimitBody(bufio.NewReader(c), pick(l.MaxBody, defaultMaxBody)); err != nil {
+		return &Error{Sent: true, Err: cause(ctx, err)}
+	}
+	return nil
+}
+
+// Open makes the exchange and returns once the answer's header is there. The
+// body is read as it arrives; its errors are those of Cause. The caller closes
+// the answer.
+func (l Line) Open(ctx context.Context, req *fasthttp.Request) (*Answer, error) {
+	c, stop, err := l.send(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	resp := &fasthttp.Response{StreamBody: true}
+	if err := resp.ReadLimitBody(bufio.NewReader(c), pick(l.MaxBody, defaultMaxBody)); err != nil {
+		stop()
+		_ = c.Close()
+		return nil, &Error{Sent: true, Err: cause(ctx, err)}
+	}
+	return &Answer{Header: &resp.Header, Body: resp.BodyStream(), resp: resp, conn: c, stop: stop, ctx: ctx}, nil
+}
+
+// Cause returns what really ended the body: the context, silence, or err.
+func (a *Answer) Cause(err error) error { return cause(a.ctx, err) }
+
+// Close closes the connection.
+func (a *Answer) Close() {
+	a.stop()
+	_ = a.conn.Close()
+}
+
+func (l Line) send(ctx context.Context, req *fasthttp.Request) (c *conn, stop func() bool, err error) {
+	raw, err := l.connect(ctx)
+	if err != nil {
+		return nil, nil, &Error{Err: cause(ctx, err)}
+	}
+	c = &conn{Conn: raw, wait: pick(l.First, defaultFirst), between: pick(l.Between, defaultBetween)}
+	stop = context.AfterFunc(ctx, func() { _ = raw.Close() })
+	req.SetConnectionClose()
+	if len(req.Header.Host()) == 0 {
+		req.SetHost(l.Address)
+	}
+	w := bufio.NewWriter(c)
+	err = req.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, nil, &Error{Sent: c.sent.Load(), Err: cause(ctx, err)}
+	}
+	return c, stop, nil
+}
+
+func (l Line) connect(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, pick(l.Dial, defaultDial))
+	defer cancel()
+	if l.Connect != nil {
+		return l.Connect(ctx, l.Address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", l.Address)
+}
+
+// Read waits for the first byte, and then for each further piece, no longer
+// than its own limit. Without it a connection that nobody closes holds its
+// caller for ever.
+func (c *conn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.wait)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.wait = c.between
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.wait)); err != nil {
+		return 0, err
+	}
+	c.sent.Store(true)
+	return c.Conn.Write(p)
+}
+
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return errors.Join(ErrSilent, err)
+	}
+	return err
+}
+
+func pick[T int | time.Duration](v, otherwise T) T {
+	if v <= 0 {
+		return otherwise
+	}
+	return v
+}
