--- /dev/null
+++ b/internal/node/host/host.go
@@ -0,0 +1,411 @@
+// Package host drives the owner of one shard at this daemon: it turns callers'
+// requests and the ends of I/O into the machine's messages, one at a time, and
+// carries out the machine's effects.
+//
+// The machine runs on one goroutine. Everything that can take time, calls to
+// the store and attempts at upstreams, runs on the daemon's pool and comes back
+// as a message, so that a slow store or upstream never holds up the others.
+package host
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/node/feed"
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/store"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/record"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/runner"
+	"github.com/slaterock/slaterock/internal/prog/state"
+	"github.com/slaterock/slaterock/internal/shard/boot"
+	"github.com/slaterock/slaterock/internal/shard/chain"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+)
+
+const (
+	mailbox      = 1024
+	tickEvery    = 20 * time.Millisecond
+	storeTimeout = 5 * time.Second
+	// saveEvery is after how many journal entries a snapshot is taken. It
+	// bounds what a takeover reads.
+	saveEvery = 256
+)
+
+type (
+	// Attempt carries out one dispatch and returns how it ended. It adds the
+	// pieces of a model's answer to the feed as they come, and ends early with
+	// the context.
+	Attempt func(ctx context.Context, d owner.Dispatch, f *feed.Feed) owner.Tried
+
+	// Host owns one shard from Start until its context ends, it is fenced, or
+	// it is drained.
+	Host struct {
+		Taken   boot.Taken
+		Shard   int
+		Name    string // of the daemon
+		Store   store.Store
+		Hold    time.Time // no dispatch before
+		Attempt Attempt
+		Place   func(h *Host, m sched.Message)
+		Log     func(l owner.Log)
+		Go      func(f func()) // runs f on the daemon's pool, or at once elsewhere
+		Rand    func() uint64
+
+		machine  owner.Owner
+		mail     chan any
+		done     chan struct{}
+		drained  chan struct{}
+		cancel   context.CancelFunc
+		ctx      context.Context //nolint:containedctx // ends all work of the host
+		mu       sync.Mutex
+		tickets  map[owner.Ticket]*ticket
+		next     owner.Ticket
+		attempts map[string]map[string]context.CancelFunc // request, upstream
+		feeds    map[string]*feed.Feed
+		savedAt  uint64
+		saving   bool
+		fenced   bool
+	}
+
+	ticket struct {
+		reply chan result.Result
+		feed  chan *feed.Feed
+	}
+
+	look struct{ f func() }
+)
+
+var errGone = errors.New("host: the shard is not here any more")
+
+var _ runner.Runner = (*Host)(nil)
+
+// Start begins to own the shard. The host ends with ctx.
+func (h *Host) Start(ctx context.Context) {
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	h.mail = make(chan any, mailbox)
+	h.done = make(chan struct{})
+	h.drained = make(chan struct{})
+	h.tickets = map[owner.Ticket]*ticket{}
+	h.attempts = map[string]map[string]context.CancelFunc{}
+	h.feeds = map[string]*feed.Feed{}
+	h.savedAt = h.Taken.Snap.Head.Upto
+	h.machine = owner.Owner{Fold: h.Taken.Fold, Hold: h.Hold}
+	h.machine.Chain = chain.Chain{Shard: h.Shard, Epoch: h.Taken.Epoch, Owner: h.Name, Next: h.Taken.Next, Rand: h.Rand}
+	go h.run()
+}
+
+// Tell gives the machine a message.
+func (h *Host) Tell(m owner.Message) { h.post(m) }
+
+// Done is closed when the host has ended: it was fenced, drained or stopped.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// Drained is closed when all calls have ended and are committed after Drain.
+func (h *Host) Drained() <-chan struct{} { return h.drained }
+
+// Fenced reports whether another daemon has the shard. It is valid after Done.
+func (h *Host) Fenced() bool { return h.fenced }
+
+// Stop ends the host and waits for it.
+func (h *Host) Stop() {
+	h.cancel()
+	<-h.done
+}
+
+// Epoch is the epoch that the host owns the shard in.
+func (h *Host) Epoch() uint64 { return h.Taken.Epoch }
+
+func (h *Host) post(m any) bool {
+	select {
+	case h.mail <- m:
+		return true
+	case <-h.ctx.Done():
+		return false
+	}
+}
+
+func (h *Host) run() {
+	defer close(h.done)
+	defer h.cancel()
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case m := <-h.mail:
+			h.handle(m)
+		case <-t.C:
+			h.step(owner.Tick{})
+		}
+	}
+}
+
+func (h *Host) handle(m any) {
+	switch m := m.(type) {
+	case owner.Message:
+		h.step(m)
+	case look:
+		m.f()
+	}
+}
+
+func (h *Host) step(m owner.Message) {
+	for _, e := range h.machine.Step(time.Now(), m) {
+		h.carry(e)
+	}
+}
+
+func (h *Host) carry(e owner.Effect) {
+	switch e := e.(type) {
+	case owner.Write:
+		h.Go(func() { h.write(e.Effect) })
+	case owner.Place:
+		h.Place(h, e.Message)
+	case owner.Dispatch:
+		h.dispatch(e)
+	case owner.Stop:
+		if stop := h.attempts[e.Request][e.Upstream]; stop != nil {
+			stop()
+		}
+	case owner.Join:
+		if t := h.ticket(e.Ticket); t != nil {
+			t.feed <- h.feed(e.Request)
+		}
+	case owner.Reply:
+		h.reply(e.Ticket, e.Result)
+	case owner.Recall:
+		h.Go(func() { h.recall(e) })
+	case owner.Log:
+		delete(h.feeds, e.Call.Request)
+		h.Log(e)
+	case owner.Saving:
+		h.save()
+	case owner.Fenced:
+		h.fenced = true
+		h.cancel()
+	case owner.Drained:
+		close(h.drained)
+	}
+}
+
+func (h *Host) feed(request string) *feed.Feed {
+	f := h.feeds[request]
+	if f == nil {
+		f = &feed.Feed{}
+		h.feeds[request] = f
+	}
+	return f
+}
+
+func (h *Host) dispatch(d owner.Dispatch) {
+	ctx, stop := context.WithCancel(h.ctx)
+	if h.attempts[d.Request] == nil {
+		h.attempts[d.Request] = map[string]context.CancelFunc{}
+	}
+	h.attempts[d.Request][d.Upstream] = stop
+	f := h.feed(d.Request)
+	h.Go(func() {
+		t := h.Attempt(ctx, d, f)
+		stop()
+		h.post(look{f: func() { h.tried(t) }})
+	})
+}
+
+func (h *Host) tried(t owner.Tried) {
+	delete(h.attempts[t.Request], t.Upstream)
+	if len(h.attempts[t.Request]) == 0 {
+		delete(h.attempts, t.Request)
+	}
+	h.step(t)
+}
+
+// write carries out one step of the chain.
+func (h *Host) write(e chain.Effect) {
+	ctx, stop := context.WithTimeout(h.ctx, storeTimeout)
+	defer stop()
+	switch e := e.(type) {
+	case chain.Create:
+		_, err := h.Store.Put(ctx, e.Key, e.Data, 0, 0)
+		h.post(owner.Journal{Message: chain.Wrote{Number: e.Number, Outcome: outcome(err)}})
+	case chain.Read:
+		h.post(owner.Journal{Message: h.readBack(ctx, e)})
+	}
+}
+
+// outcome sorts the end of a creation. Whatever is not known to have had no
+// effect may have had it.
+func outcome(err error) chain.Outcome {
+	var c *store.ConflictError
+	switch {
+	case err == nil:
+		return chain.Created
+	case errors.As(err, &c):
+		return chain.Exists
+	case errors.Is(err, store.ErrUnavailable):
+		return chain.Unavailable
+	}
+	return chain.Lost
+}
+
+func (h *Host) readBack(ctx context.Context, r chain.Read) chain.Message {
+	v, err := h.Store.Get(ctx, r.Key)
+	if errors.Is(err, store.ErrNotFound) {
+		return chain.Absent{Number: r.Number}
+	}
+	if err != nil {
+		return chain.Unread{Number: r.Number}
+	}
+	e, err := record.Decode(v.Data)
+	if err != nil {
+		return chain.Unread{Number: r.Number}
+	}
+	return chain.Found{Entry: e}
+}
+
+// save takes a snapshot when enough entries have come since the last one.
+func (h *Host) save() {
+	if h.saving || h.machine.Fold.Upto < h.savedAt+saveEvery {
+		return
+	}
+	h.saving = true
+	f := h.machine.Snapshot()
+	h.Go(func() {
+		ctx, stop := context.WithTimeout(h.ctx, 10*storeTimeout)
+		defer stop()
+		gone, err := h.Taken.Snap.Save(ctx, f)
+		h.post(look{f: func() { h.saved(f.Upto, gone, err) }})
+	})
+}
+
+func (h *Host) saved(upto uint64, gone map[uint64]uint32, err error) {
+	h.saving = false
+	h.savedAt = upto // after a failure the next one waits as long
+	if err == nil {
+		h.step(owner.Saved{Upto: upto, Gone: gone})
+	}
+}
+
+func (h *Host) ticket(t owner.Ticket) *ticket {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tickets[t]
+}
+
+func (h *Host) reply(t owner.Ticket, r result.Result) {
+	h.mu.Lock()
+	w := h.tickets[t]
+	delete(h.tickets, t)
+	h.mu.Unlock()
+	if w != nil {
+		w.reply <- r
+	}
+}
+
+func (h *Host) enter() (owner.Ticket, *ticket) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.next++
+	t := &ticket{reply: make(chan result.Result, 1), feed: make(chan *feed.Feed, 4)}
+	h.tickets[h.next] = t
+	return h.next, t
+}
+
+func (h *Host) leave(t owner.Ticket) {
+	h.mu.Lock()
+	delete(h.tickets, t)
+	h.mu.Unlock()
+	h.post(owner.Leave{Ticket: t})
+}
+
+// Open implements runner.Runner.
+func (h *Host) Open(ctx context.Context, o call.Open) result.Result {
+	return h.ask(ctx, nil, func(t owner.Ticket) owner.Message { return owner.Open{Ticket: t, Open: o} })
+}
+
+// End implements runner.Runner.
+func (h *Host) End(ctx context.Context, e call.End) result.Result {
+	return h.ask(ctx, nil, func(t owner.Ticket) owner.Message { return owner.End{Ticket: t, End: e} })
+}
+
+// Call implements runner.Runner.
+func (h *Host) Call(ctx context.Context, c call.Call, sink runner.Sink) result.Result {
+	return h.ask(ctx, sink, func(t owner.Ticket) owner.Message { return owner.Call{Ticket: t, Call: c} })
+}
+
+// ask gives the machine a request and waits for its reply.
+func (h *Host) ask(ctx context.Context, sink runner.Sink, m func(owner.Ticket) owner.Message) result.Result {
+	id, t := h.enter()
+	if !h.post(m(id)) {
+		h.leave(id)
+		return gone()
+	}
+	var follow follower
+	follow.sink = sink
+	for {
+		select {
+		case r := <-t.reply:
+			return r
+		case f := <-t.feed:
+			follow.feed, follow.at = f, 0
+			if !follow.deliver() {
+				h.leave(id)
+				return left()
+			}
+		case <-follow.more:
+			if !follow.deliver() {
+				h.leave(id)
+				return left()
+			}
+		case <-ctx.Done():
+			h.leave(id)
+			return left()
+		case <-h.done:
+			return h.last(t)
+		}
+	}
+}
+
+// last returns a reply that was given just before the host ended.
+func (h *Host) last(t *ticket) result.Result {
+	select {
+	case r := <-t.reply:
+		return r
+	default:
+		return gone()
+	}
+}
+
+// gone tells the daemon that met the caller to look for the new owner, which
+// joins or repeats the call by its number.
+func gone() result.Result {
+	return result.Failed(result.CodeNotOwner, result.Unknown, "the program has moved to another daemon")
+}
+
+func left() result.Result {
+	return result.Failed(result.CodeCancelled, result.Unknown, "the caller is gone")
+}
+
+// History implements runner.Runner.
+func (h *Host) History(ctx context.Context, account, program string) (hist.History, result.Result) {
+	return h.past(ctx, account, state.Hash(program), func(hs []hist.History) (hist.History, bool) {
+		i := slices.IndexFunc(hs, func(p hist.History) bool { return p.Program == program })
+		return pick(hs, i)
+	})
+}
+
+// Request implements runner.Runner.
+func (h *Host) Request(ctx context.Context, account, request string) (hist.History, result.Result) {
+	hash, ok := requestHash(request)
+	if !ok {
+		return hist.History{}, notFound()
+	}
+	return h.past(ctx, account, hash, func(hs []hist.History) (hist.History, bool) { return only(hs, request) })
+}
--- /dev/null
+++ b/internal/node/host/look.go
@@ -0,0 +1,138 @@
+package host
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/node/feed"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/runner"
+	"github.com/slaterock/slaterock/internal/shard/fold"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+	"github.com/slaterock/slaterock/internal/shard/past"
+)
+
+type (
+	// follower hands the pieces of a feed to a sink, from the start.
+	follower struct {
+		sink runner.Sink
+		feed *feed.Feed
+		at   int
+		more <-chan struct{}
+	}
+)
+
+// deliver hands on what is new; false tells that the caller is gone.
+func (f *follower) deliver() bool {
+	text, more := f.feed.After(f.at)
+	f.more = more
+	if text == "" || f.sink == nil {
+		return true
+	}
+	f.at += len(text)
+	return f.sink(text) == nil
+}
+
+// recall answers a repeat from the journal.
+func (h *Host) recall(e owner.Recall) {
+	ctx, stop := context.WithTimeout(h.ctx, storeTimeout)
+	defer stop()
+	c, ok, err := past.Past{Store: h.Store, Shard: h.Shard}.Call(ctx, e.Program, e.Number, e.Entries)
+	switch {
+	case err != nil:
+		h.reply(e.Ticket, result.Refuse(result.CodeStoreDown, "the recorded outcome can't be read now").WithRetryAfter(storeTimeout))
+	case !ok:
+		h.reply(e.Ticket, result.Refuse(result.CodeOrder, "call %d has ended without an answer and later calls have run", e.Number))
+	default:
+		h.reply(e.Ticket, c.Result)
+	}
+}
+
+// past reads a family's histories and picks one.
+func (h *Host) past(ctx context.Context, account string, hash uint64, choose func([]hist.History) (hist.History, bool)) (hist.History, result.Result) {
+	refs, ok := h.refs(ctx, hash)
+	if !ok {
+		return hist.History{}, notFound()
+	}
+	if refs.Programs == nil {
+		g, err := fold.Find(ctx, h.Store, h.Shard, refs.At, hash)
+		if err != nil {
+			return hist.History{}, unread(err)
+		}
+		refs.Programs = g.Programs
+	}
+	hs, err := past.Past{Store: h.Store, Shard: h.Shard}.Family(ctx, refs.Programs)
+	if err != nil {
+		return hist.History{}, unread(err)
+	}
+	for i := range hs {
+		hs[i].Calls = append(hs[i].Calls, refs.Live[hs[i].Program]...)
+	}
+	p, ok := choose(hs)
+	if !ok || account != "" && p.Account != account {
+		return hist.History{}, notFound()
+	}
+	return p, result.Result{Code: result.CodeOK, Ran: result.Yes, Status: 200}
+}
+
+// refs asks the machine, on its goroutine, where a family's records are.
+func (h *Host) refs(ctx context.Context, hash uint64) (owner.Refs, bool) {
+	type answer struct {
+		refs owner.Refs
+		ok   bool
+	}
+	ch := make(chan answer, 1)
+	h.post(look{f: func() {
+		r, ok := h.machine.Refs(hash)
+		ch <- answer{r, ok}
+	}})
+	select {
+	case a := <-ch:
+		return a.refs, a.ok
+	case <-ctx.Done():
+	case <-h.done:
+	}
+	return owner.Refs{}, false
+}
+
+func notFound() result.Result {
+	return result.Refuse(result.CodeNotFound, "no such program or request")
+}
+
+func unread(err error) result.Result {
+	return result.Refuse(result.CodeStoreDown, "the history can't be read now: %s", errors.UnwrapAll(err)).WithRetryAfter(storeTimeout)
+}
+
+func pick(hs []hist.History, i int) (hist.History, bool) {
+	if i < 0 {
+		return hist.History{}, false
+	}
+	return hs[i], true
+}
+
+// only returns the program that has the request, with that call alone.
+func only(hs []hist.History, request string) (hist.History, bool) {
+	for _, p := range hs {
+		for _, c := range p.Calls {
+			if c.Request == request {
+				p.Calls = []hist.Call{c}
+				return p, true
+			}
+		}
+	}
+	return hist.History{}, false
+}
+
+// requestHash is the root's hash that a request id begins with.
+func requestHash(request string) (uint64, bool) {
+	head, _, ok := strings.Cut(request, "-")
+	if !ok {
+		return 0, false
+	}
+	h, err := strconv.ParseUint(head, 16, 64)
+	return h, err == nil
+}
--- /dev/null
+++ b/internal/node/placer/placer.go
@@ -0,0 +1,234 @@
+// Package placer drives placement at one daemon: one Sched serves all shards
+// that the daemon owns, so that their requests see each other's load.
+//
+// It polls the engines' load reports and cache events and the platform's list
+// of VMs, and carries out the orders that placement gives to engines.
+package placer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/vmlist"
+)
+
+const (
+	mailbox      = 4096
+	tickEvery    = 50 * time.Millisecond
+	pollEvery    = 500 * time.Millisecond
+	pollTimeout  = 2 * time.Second
+	orderTimeout = 5 * time.Second
+)
+
+type (
+	// Asker gets the answers to what it asked: a sched.Assign or a
+	// sched.Refuse.
+	Asker interface {
+		Answer(e sched.Effect)
+	}
+
+	// Placer is the driver. Serve runs it until its context ends.
+	Placer struct {
+		Seed    uint64
+		Engine  func(address string) engine.Engine
+		VMs     vmlist.List // nil if the platform has none
+		Go      func(f func())
+		Log     zerolog.Logger
+		Fence   func(upstream string) (uint64, bool) // the epoch for orders; false if another daemon gives them
+		Forward func(ctx context.Context, upstream string, o engine.Order) error
+		Live    func(ctx context.Context, programs []string) ([]string, error)
+
+		sched  sched.Sched
+		cfg    file.File
+		mail   chan letter
+		askers map[string]Asker
+		seen   map[string]uint64 // newest cache event by upstream
+		poll   map[string]bool   // upstreams with a poll under way
+		polled time.Time
+	}
+
+	letter struct {
+		from Asker
+		m    sched.Message
+		f    func()
+	}
+)
+
+// Init makes the placer ready to be told messages.
+func (p *Placer) Init() {
+	p.mail = make(chan letter, mailbox)
+	p.askers = map[string]Asker{}
+	p.seen = map[string]uint64{}
+	p.poll = map[string]bool{}
+	p.sched.Seed = p.Seed
+}
+
+// Tell gives placement a message. The answers to an Ask go to from.
+func (p *Placer) Tell(ctx context.Context, from Asker, m sched.Message) {
+	select {
+	case p.mail <- letter{from: from, m: m}:
+	case <-ctx.Done():
+	}
+}
+
+// Serve runs until ctx ends.
+func (p *Placer) Serve(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-p.mail:
+			if l.f != nil {
+				l.f()
+				continue
+			}
+			p.step(ctx, l.from, l.m)
+		case now := <-t.C:
+			p.step(ctx, nil, sched.Tick{})
+			if now.Sub(p.polled) >= pollEvery {
+				p.polled = now
+				p.pollAll(ctx)
+			}
+		}
+	}
+}
+
+func (p *Placer) step(ctx context.Context, from Asker, m sched.Message) {
+	switch m := m.(type) {
+	case sched.Configure:
+		p.cfg = m.File
+	case sched.Ask:
+		p.askers[m.ID] = from
+	case sched.Withdraw:
+		delete(p.askers, m.ID)
+	}
+	for _, e := range p.sched.Step(time.Now(), m) {
+		p.carry(ctx, e)
+	}
+}
+
+func (p *Placer) carry(ctx context.Context, e sched.Effect) {
+	switch e := e.(type) {
+	case sched.Assign:
+		if a := p.askers[e.ID]; a != nil {
+			a.Answer(e)
+		}
+	case sched.Refuse:
+		if a := p.askers[e.ID]; a != nil {
+			delete(p.askers, e.ID)
+			a.Answer(e)
+		}
+	case sched.Release:
+		p.order(ctx, e.Upstream, engine.Order{Kind: engine.OrderRelease, Program: e.Program})
+	case sched.Export:
+		target := p.cfg.Upstreams[e.To].Address
+		p.order(ctx, e.Upstream, engine.Order{Kind: engine.OrderExport, Program: e.Program, Target: target})
+	case sched.List:
+		p.list(ctx, e.Upstream)
+	}
+}
+
+// order gives an order to an engine, or has it given by the daemon that all
+// orders to that engine go through: an engine that ignores fencing numbers
+// would otherwise take orders from two owners in any sequence.
+func (p *Placer) order(ctx context.Context, upstream string, o engine.Order) {
+	address := p.cfg.Upstreams[upstream].Address
+	fence, here := p.Fence(upstream)
+	p.Go(func() {
+		ctx, stop := context.WithTimeout(ctx, orderTimeout)
+		defer stop()
+		var err error
+		if here {
+			o.Fence = fence
+			err = p.Engine(address).Order(ctx, o)
+		} else {
+			err = p.Forward(ctx, upstream, o)
+		}
+		if err != nil {
+			// What an order didn't free is found by the next sweep.
+			p.Log.Debug().Err(err).Str("upstream", upstream).Str("order", string(o.Kind)).Msg("order failed")
+		}
+	})
+}
+
+// list compares what an engine holds with what some owner still knows.
+func (p *Placer) list(ctx context.Context, upstream string) {
+	address := p.cfg.Upstreams[upstream].Address
+	p.Go(func() {
+		poll, stop := context.WithTimeout(ctx, orderTimeout)
+		defer stop()
+		held, err := p.Engine(address).Held(poll)
+		if err != nil {
+			return
+		}
+		live, err := p.Live(poll, held)
+		if err != nil {
+			return // releasing on half an answer would free what is needed
+		}
+		p.Tell(ctx, nil, sched.Held{Upstream: upstream, Programs: held, Live: live})
+	})
+}
+
+func (p *Placer) pollAll(ctx context.Context) {
+	for name, u := range p.cfg.Upstreams {
+		if p.cfg.Groups[u.Group].Kind == file.Engines && !p.poll[name] {
+			p.poll[name] = true
+			p.pollOne(ctx, name, u.Address, p.seen[name])
+		}
+	}
+	if p.VMs == nil || p.poll[""] {
+		return
+	}
+	p.poll[""] = true
+	p.Go(func() {
+		poll, stop := context.WithTimeout(ctx, pollTimeout)
+		defer stop()
+		list, err := p.VMs.VMs(poll)
+		p.do(ctx, func() {
+			p.poll[""] = false
+			if err == nil {
+				p.step(ctx, nil, sched.VMs{List: list})
+			}
+		})
+	})
+}
+
+func (p *Placer) pollOne(ctx context.Context, name, address string, after uint64) {
+	p.Go(func() {
+		jitter := time.Duration(rand.Int64N(int64(pollEvery / 4)))
+		select {
+		case <-time.After(jitter): // many daemons poll one engine
+		case <-ctx.Done():
+			return
+		}
+		poll, stop := context.WithTimeout(ctx, pollTimeout)
+		defer stop()
+		load, lerr := p.Engine(address).Load(poll)
+		events, eerr := p.Engine(address).Events(poll, after)
+		p.do(ctx, func() {
+			p.poll[name] = false
+			if lerr == nil {
+				p.step(ctx, nil, sched.Load{Upstream: name, Report: load})
+			}
+			if eerr == nil && len(events) > 0 {
+				p.seen[name] = max(p.seen[name], events[len(events)-1].Seq)
+				p.step(ctx, nil, sched.Cache{Upstream: name, Events: events})
+			}
+		})
+	})
+}
+
+func (p *Placer) do(ctx context.Context, f func()) {
+	select {
+	case p.mail <- letter{f: f}:
+	case <-ctx.Done():
+	}
+}
--- a/internal/place/sched/sched.go
+++ b/internal/place/sched/sched.go
@@ -44,7 +44,6 @@
 		ID         string
 		Account    string // whose share counts when there is not enough for all
 		Program    string
-		Account    string
 		Root       string // the family whose attained service counts
 		Group      string
 		Model      string // empty for a service
--- a/internal/prog/record/codec.go
+++ b/internal/prog/record/codec.go
@@ -249,3 +249,14 @@
 	}
 	return r, nil
 }
+
+// Continues reports whether the entry begins with a further piece of a record
+// that began in the entry before it.
+func (e Entry) Continues() bool {
+	if len(e.Units) == 0 {
+		return false
+	}
+	var u unit
+	err := decoding.Unmarshal(e.Units[0], &u)
+	return err == nil && u.Piece != nil && u.Piece.Index > 0
+}
--- a/internal/shard/fold/fold.go
+++ b/internal/shard/fold/fold.go
@@ -317,15 +317,21 @@
 	return f, nil
 }
 
-// Find reads the families with the given hash from the index value at a
-// position.
-func (s *Snap) Find(ctx context.Context, at uint32, hash uint64) (g Gone, err error) {
-	defer func() { err = errors.Wrapf(err, "fold: find in shard %d", s.Shard) }()
-	if int(at) >= len(s.Head.Index) {
+// Find reads the family with the given hash from the index value at a
+// position. It reads the head again, because a snapshot may have replaced the
+// value since.
+func Find(ctx context.Context, st store.Store, shard int, at uint32, hash uint64) (g Gone, err error) {
+	defer func() { err = errors.Wrapf(err, "fold: find in shard %d", shard) }()
+	s := Snap{Store: st, Shard: shard}
+	var h Head
+	if err = s.read(ctx, HeadKey(shard), &h); err != nil {
+		return g, err
+	}
+	if int(at) >= len(h.Index) {
 		return g, store.ErrNotFound
 	}
 	var ix index
-	if err = s.read(ctx, s.Head.Index[at], &ix); err != nil {
+	if err = s.read(ctx, h.Index[at], &ix); err != nil {
 		return g, err
 	}
 	for _, g := range ix.Gone {
--- a/internal/shard/owner/call.go
+++ b/internal/shard/owner/call.go
@@ -112,7 +112,9 @@
 	r.tickets = append(r.tickets, t)
 	r.alone = time.Time{}
 	o.tickets[t] = r
-	o.emit(Join{Ticket: t, Request: r.call.Request})
+	if r.phase != waitCommit {
+		o.emit(Join{Ticket: t, Request: r.call.Request})
+	}
 }
 
 // again answers a repeat of the newest call that ended.
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -216,6 +216,9 @@
 	for _, r := range o.waiting(c.Seq) {
 		o.proceed(now, r)
 	}
+	if c.Whole {
+		o.emit(Saving{})
+	}
 }
 
 func (o *Owner) reserved(program string, total int64) {
--- a/internal/shard/owner/owner.go
+++ b/internal/shard/owner/owner.go
@@ -160,6 +160,9 @@
 		Call             hist.Call
 	}
 
+	// Saving tells that a snapshot may be taken now.
+	Saving struct{}
+
 	// Fenced tells that the shard has another owner.
 	Fenced struct{}
 
@@ -225,6 +228,7 @@
 func (Reply) effect()    {}
 func (Recall) effect()   {}
 func (Log) effect()      {}
+func (Saving) effect()   {}
 func (Fenced) effect()   {}
 func (Drained) effect()  {}
 
