edge: meet callers over HTTP and locate programs

Cause: callers need one door that speaks the usual chat protocol and never misleads about an outcome, and every daemon must find a program's shard. Change: edge/server with the callers' and operators' paths, edge/chat with the protocol's forms, edge/reqid with request names that carry the family's hash, edge/locate with owner, preferred owner and the addresses for callers.

--- /dev/null
+++ b/internal/edge/locate/locate_test.go
@@ -0,0 +1,212 @@
+package locate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/edge/reqid"
+	"github.com/slaterock/slaterock/internal/peer/beat"
+)
+
+func member(name, domain string, state beat.State, shards ...beat.Shard) beat.Member {
+	return beat.Member{Name: name, Address: name + ":1", FailureDomain: domain, State: state, Shards: shards}
+}
+
+func fleet(n, domains int) []beat.Member {
+	members := make([]beat.Member, n)
+	for i := range members {
+		members[i] = member(fmt.Sprintf("vm%d", i), fmt.Sprintf("fd%d", i%domains), beat.Alive)
+	}
+	return members
+}
+
+func TestShardOfFamily(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Shard("round-7/receipts/b", 16), Shard("round-7", 16))
+	is.Equal(Shard("round-7", 0), 0)
+	for i := range 100 {
+		program := fmt.Sprintf("round-%d", i)
+		got, ok := RequestShard(reqid.New(program, i).String(), 16)
+		is.True(ok)
+		is.Equal(got, Shard(program, 16))
+	}
+	_, ok := RequestShard("whatever", 16)
+	is.True(!ok)
+}
+
+// A daemon that was paused still claims a shard that another took over since,
+// or it is leaving, or nothing is known of it. A request sent to the wrong one
+// comes back as not run, so a caller waits longer but is not misled.
+func TestOwner(t *testing.T) {
+	own := func(epoch uint64) beat.Shard { return beat.Shard{Shard: 3, Epoch: epoch} }
+	tests := map[string]struct {
+		members []beat.Member
+		owner   string
+	}{
+		"one claim":              {[]beat.Member{member("a", "x", beat.Alive, own(1)), member("b", "x", beat.Alive)}, "a"},
+		"stale claim":            {[]beat.Member{member("a", "x", beat.Alive, own(4)), member("b", "x", beat.Alive, own(5))}, "b"},
+		"stale claim, reversed":  {[]beat.Member{member("b", "x", beat.Alive, own(5)), member("a", "x", beat.Alive, own(4))}, "b"},
+		"draining owner":         {[]beat.Member{member("a", "x", beat.Draining, own(1))}, "a"},
+		"suspect owner":          {[]beat.Member{member("a", "x", beat.Suspect, own(1))}, "a"},
+		"owner down":             {[]beat.Member{member("a", "x", beat.Down, own(2)), member("b", "x", beat.Alive, own(1))}, ""},
+		"other shard claimed":    {[]beat.Member{member("a", "x", beat.Alive, beat.Shard{Shard: 2, Epoch: 9})}, ""},
+		"nobody known":           {nil, ""},
+		"epoch 0 is a claim too": {[]beat.Member{member("a", "x", beat.Alive, own(0))}, "a"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, found := Owner(tt.members, 3)
+			is.Equal(got.Name, tt.owner)
+			is.Equal(found, tt.owner != "")
+		})
+	}
+}
+
+// Daemons drain, hang or die in every combination. A caller who is sent to one
+// of them loses a connection timeout before it tries the next address.
+func TestEntries(t *testing.T) {
+	const shards = 8
+	program := "round-7"
+	own := beat.Shard{Shard: Shard(program, shards), Epoch: 1}
+	tests := map[string]struct {
+		members []beat.Member
+		first   string   // address
+		domains []string // of the first entries
+		n       int
+	}{
+		"owner first, then other domains": {
+			[]beat.Member{member("a", "x", beat.Alive), member("b", "x", beat.Alive, own), member("c", "y", beat.Alive), member("d", "z", beat.Alive)},
+			"b:1", nil, 4,
+		},
+		"same domain comes last": {
+			[]beat.Member{member("a", "x", beat.Alive, own), member("b", "x", beat.Alive), member("c", "y", beat.Alive)},
+			"a:1",
+			[]string{"x", "y", "x"},
+			3,
+		},
+		"owner draining": {[]beat.Member{member("a", "x", beat.Draining, own), member("b", "y", beat.Alive)}, "b:1", nil, 1},
+		"owner suspect":  {[]beat.Member{member("a", "x", beat.Suspect, own), member("b", "y", beat.Alive)}, "b:1", nil, 1},
+		"owner down":     {[]beat.Member{member("a", "x", beat.Down, own), member("b", "y", beat.Alive)}, "b:1", nil, 1},
+		"stale higher epoch of one that is down": {
+			[]beat.Member{member("a", "x", beat.Down, beat.Shard{Shard: own.Shard, Epoch: 9}), member("b", "y", beat.Alive, own)},
+			"b:1", nil, 1,
+		},
+		"none known": {nil, "", nil, 0},
+		"none alive": {[]beat.Member{member("a", "x", beat.Suspect), member("b", "x", beat.Draining)}, "", nil, 0},
+		"many":       {fleet(50, 5), "", nil, MaxEntries},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := Entries(tt.members, program, shards)
+			is.Equal(got.TTLSeconds, TTLSeconds)
+			is.Equal(len(got.Entries), tt.n)
+			if tt.first != "" {
+				is.Equal(got.Entries[0].Address, tt.first)
+			}
+			for i, d := range tt.domains {
+				is.Equal(got.Entries[i].FailureDomain, d)
+			}
+		})
+	}
+}
+
+// Callers that ask for different programs must not all be sent to the same
+// daemon, or that one is overloaded while the others idle.
+func TestEntriesSpread(t *testing.T) {
+	is := is.New(t)
+	members := fleet(8, 4)
+	count := map[string]int{}
+	const programs = 8000
+	for i := range programs {
+		answer := Entries(members, fmt.Sprintf("round-%d", i), 16)
+		count[answer.Entries[0].Address]++
+		domains := map[string]bool{}
+		for _, e := range answer.Entries[:4] {
+			domains[e.FailureDomain] = true
+		}
+		is.Equal(len(domains), 4)
+	}
+	for _, n := range count {
+		is.True(n > programs/8*8/10 && n < programs/8*12/10) // within a fifth of even
+	}
+	is.Equal(len(count), 8)
+}
+
+func TestPreferredIsBounded(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 7, 8, 40, 320} {
+		for _, shards := range []int{1, 8, 16, 64} {
+			is := is.New(t)
+			members := fleet(n, 3)
+			held := map[string]int{}
+			for s := range shards {
+				m, ok := Preferred(members, s, shards)
+				is.True(ok)
+				held[m.Name]++
+			}
+			for _, h := range held {
+				is.True(h <= (shards+n-1)/n+1)
+			}
+		}
+	}
+}
+
+// A daemon leaves. Every shard that moves although its owner stayed costs a
+// takeover, during which its programs wait.
+func TestPreferredMovesLittle(t *testing.T) {
+	is := is.New(t)
+	const shards = 64
+	members := fleet(40, 10)
+	before := make([]string, shards)
+	for s := range shards {
+		m, _ := Preferred(members, s, shards)
+		before[s] = m.Name
+	}
+	worst := 0
+	for gone := range members {
+		left := fleet(40, 10)
+		left[gone].State = beat.Draining
+		moved := 0
+		for s := range shards {
+			m, _ := Preferred(left, s, shards)
+			is.True(m.Name != members[gone].Name)
+			if m.Name != before[s] && before[s] != members[gone].Name {
+				moved++
+			}
+		}
+		worst = max(worst, moved)
+	}
+	is.True(worst <= 3) // of 64 shards, beside those of the daemon that left
+	_, ok := Preferred([]beat.Member{member("a", "x", beat.Draining)}, 0, shards)
+	is.True(!ok)
+}
+
+func BenchmarkEntries(b *testing.B) {
+	members := fleet(320, 10)
+	b.ReportAllocs()
+	for b.Loop() {
+		Entries(members, "round-7", 64)
+	}
+}
+
+func BenchmarkPreferred(b *testing.B) {
+	members := fleet(320, 10)
+	b.ReportAllocs()
+	for b.Loop() {
+		Preferred(members, 63, 64)
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	members := fleet(320, 10)
+	for i := range 64 {
+		members[i].Shards = []beat.Shard{{Shard: i, Epoch: 1}}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Owner(members, 63)
+	}
+}
--- /dev/null
+++ b/internal/edge/reqid/reqid.go
@@ -0,0 +1,77 @@
+// Package reqid forms the names of requests.
+//
+// A name is made where the caller is met and goes back to it on every
+// response, so that a support engineer can ask any daemon what became of it.
+// It therefore carries the hash of the program's family, from which each
+// daemon finds the shard without asking anyone, and the call's number, by
+// which a repeat of a call finds the call that it repeats:
+//
+//	<16 hex digits of the hash>-<call number>-<12 hex digits, random>
+package reqid
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/prog/call"
+)
+
+const (
+	hashDigits  = 16
+	nonceLength = 6
+	parts       = 3
+)
+
+// ID is the name of one request.
+type ID struct {
+	Root   uint64 // Hash of the program
+	Number int    // of the call
+	Nonce  [nonceLength]byte
+}
+
+// Hash returns the xxhash64 of the id of the program's root. A program and all
+// its sub-agents have the same hash.
+func Hash(program string) uint64 {
+	return xxhash.Sum64String(call.Root(program))
+}
+
+// New returns a new name for a call of the program.
+func New(program string, number int) ID {
+	id := ID{Root: Hash(program), Number: number}
+	_, _ = rand.Read(id.Nonce[:]) // never fails, by its contract
+	return id
+}
+
+// Parse reads a name as String writes it.
+func Parse(s string) (id ID, err error) {
+	defer func() { err = errors.Wrapf(err, "request id %q", s) }()
+	fields := strings.Split(s, "-")
+	if len(fields) != parts || len(fields[0]) != hashDigits {
+		return ID{}, errors.New("not of the form hash-number-nonce")
+	}
+	if id.Root, err = strconv.ParseUint(fields[0], 16, 64); err != nil {
+		return ID{}, err
+	}
+	if id.Number, err = strconv.Atoi(fields[1]); err != nil {
+		return ID{}, err
+	}
+	nonce, err := hex.DecodeString(fields[2])
+	if err != nil {
+		return ID{}, err
+	}
+	if copy(id.Nonce[:], nonce) != nonceLength || len(nonce) != nonceLength {
+		return ID{}, errors.New("nonce of the wrong length")
+	}
+	return id, nil
+}
+
+// String returns the name as callers see it.
+func (id ID) String() string {
+	return fmt.Sprintf("%016x-%d-%x", id.Root, id.Number, id.Nonce)
+}
--- /dev/null
+++ b/internal/edge/server/call.go
@@ -0,0 +1,272 @@
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/edge/chat"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	maxProgram  = 200 // bytes of a program's id
+	oncePrefix  = "once-"
+	onceLength  = 12
+	retryBusy   = time.Second
+	maxCallsKey = "max_calls"
+)
+
+type (
+	// flight is a call under way, seen from the goroutine that answers. Its
+	// events come in order, the last is ended.
+	flight struct {
+		ctx    context.Context //nolint:containedctx // ends the call when its caller is gone
+		cancel context.CancelFunc
+		events chan event
+	}
+
+	event interface{ event() }
+
+	// piece is a part of the answer's text.
+	piece struct{ text string }
+
+	// ended is the committed outcome.
+	ended struct{ result result.Result }
+)
+
+func (piece) event() {}
+func (ended) event() {}
+
+// chat runs a chat completion.
+func (s *Server) chat(x *exchange) {
+	c, problem := x.call(call.Model)
+	if problem != "" {
+		x.badRequest("%s", problem)
+		return
+	}
+	req, err := chat.Parse(c.Body)
+	if err != nil {
+		x.badRequest("%v", err)
+		return
+	}
+	c.Model, c.MaxTokens = req.Model, req.MaxTokens
+	once := c.Program == ""
+	if once {
+		c.Program = onceProgram()
+	}
+	s.begin(x, &c)
+	f, ok := s.launch(c, once)
+	if !ok {
+		x.busy()
+		return
+	}
+	answer := chat.Answer{ID: c.Request, Model: req.Model, Created: x.start.Unix(), Usage: req.Usage}
+	if req.Stream {
+		s.stream(x, f, answer)
+		return
+	}
+	r := f.outcome()
+	if !r.OK() {
+		x.refuse(r)
+		return
+	}
+	x.raw(fasthttp.StatusOK, jsonType, answer.Whole(r))
+}
+
+// service runs a call to a plain service. It needs a program and a number,
+// because without them a repeat could not be told from a new call, and a call
+// that may not be repeated would run twice.
+func (s *Server) service(x *exchange) {
+	c, problem := x.call(call.Service)
+	if problem == "" && c.Program == "" {
+		problem = "a call to a service needs the header " + HeaderProgram
+	}
+	if problem != "" {
+		x.badRequest("%s", problem)
+		return
+	}
+	name, rest, _ := strings.Cut(strings.TrimPrefix(x.path, pathServices), "/")
+	c.Service, c.Path = unescape(name), "/"+rest
+	if query := x.URI().QueryString(); len(query) > 0 {
+		c.Path += "?" + string(query)
+	}
+	s.begin(x, &c)
+	f, ok := s.launch(c, false)
+	if !ok {
+		x.busy()
+		return
+	}
+	r := f.outcome()
+	if !r.OK() {
+		x.refuse(r)
+		return
+	}
+	x.raw(orDefault(r.Status, fasthttp.StatusOK), r.ContentType, r.Body)
+}
+
+// call reads what all kinds of calls have in common. The body is copied,
+// because the library uses its memory again once the request is answered.
+func (x *exchange) call(kind call.Kind) (c call.Call, problem string) {
+	c = call.Call{
+		Account:     x.account,
+		Program:     string(x.Request.Header.Peek(HeaderProgram)),
+		Kind:        kind,
+		Method:      string(x.Method()),
+		ContentType: string(x.Request.Header.ContentType()),
+		Body:        append([]byte(nil), x.Request.Body()...),
+		TraceParent: string(x.Request.Header.Peek(headerTrace)),
+	}
+	number := string(x.Request.Header.Peek(HeaderCall))
+	if c.Program == "" && number == "" {
+		return c, ""
+	}
+	if problem = checkProgram(c.Program); problem != "" {
+		return c, problem
+	}
+	if number == "" {
+		return c, "the header " + HeaderCall + " is missing: number the calls of a program 0, 1, 2 ..."
+	}
+	n, err := strconv.Atoi(number)
+	if err != nil || n < 0 {
+		return c, "the header " + HeaderCall + " is not a number from 0 upwards"
+	}
+	c.Number = n
+	return c, ""
+}
+
+// begin names the request after its program and call.
+func (s *Server) begin(x *exchange, c *call.Call) {
+	x.name(c.Program, c.Number)
+	x.Response.Header.Set(HeaderProgram, c.Program)
+	c.Request = x.id.String()
+}
+
+// launch starts the call, or reports that too many are under way.
+func (s *Server) launch(c call.Call, once bool) (f *flight, ok bool) {
+	s.tune()
+	f = &flight{events: make(chan event)}
+	f.ctx, f.cancel = context.WithCancel(s.base)
+	s.calls.Add(1)
+	err := s.pool.Submit(func() {
+		defer s.calls.Done()
+		s.run(f, c, once)
+	})
+	if err != nil {
+		s.calls.Done()
+		f.cancel()
+	}
+	return f, err == nil
+}
+
+// tune puts the configured bound on calls in force.
+func (s *Server) tune() {
+	if n := orDefault(s.config().Limits.MaxCalls, DefaultMaxCalls); n != s.pool.Cap() {
+		s.pool.Tune(n)
+	}
+}
+
+func (s *Server) run(f *flight, c call.Call, once bool) {
+	if s.Runner == nil {
+		f.end(result.Refuse(result.CodeNotOwner, "this daemon is starting").WithRetryAfter(retryBusy))
+		return
+	}
+	if !once {
+		f.end(s.Runner.Call(f.ctx, c, f.sink))
+		return
+	}
+	opened := s.Runner.Open(f.ctx, call.Open{Account: c.Account, Program: c.Program})
+	if !opened.OK() {
+		f.end(opened)
+		return
+	}
+	r := s.Runner.Call(f.ctx, c, f.sink)
+	f.end(r)
+	s.endOnce(c, r)
+}
+
+// endOnce ends the program that was opened for one call. The caller has its
+// answer by then and does not wait; a program that can't be ended now expires.
+func (s *Server) endOnce(c call.Call, r result.Result) {
+	ctx, cancel := context.WithTimeout(s.base, endTimeout)
+	defer cancel()
+	kind := call.Finish
+	if !r.OK() {
+		kind = call.Cancel
+	}
+	s.Runner.End(ctx, call.End{Account: c.Account, Program: c.Program, Kind: kind})
+}
+
+func (f *flight) sink(text string) error {
+	return f.send(piece{text})
+}
+
+// end hands over the outcome. Where nobody waits for it any more it is in the
+// history all the same.
+func (f *flight) end(r result.Result) {
+	_ = f.send(ended{r})
+}
+
+// send hands an event to the goroutine that answers, which may be gone.
+func (f *flight) send(e event) error {
+	select {
+	case f.events <- e:
+		return nil
+	case <-f.ctx.Done():
+		return f.ctx.Err()
+	}
+}
+
+// outcome waits for the end of the call and leaves its pieces aside: the
+// result has the whole answer.
+func (f *flight) outcome() result.Result {
+	defer f.cancel()
+	for {
+		select {
+		case e := <-f.events:
+			if e, ok := e.(ended); ok {
+				return e.result
+			}
+		case <-f.ctx.Done():
+			return cutOff()
+		}
+	}
+}
+
+// cutOff is told to a caller whose call was still under way when the time for
+// a graceful stop was over.
+func cutOff() result.Result {
+	return result.Failed(result.CodeUnknown, result.Unknown, "the daemon stopped; repeat the call with the same number")
+}
+
+func (x *exchange) busy() {
+	r := result.Refuse(result.CodeOverloaded, "this daemon has as many calls under way as %s allows", maxCallsKey)
+	x.refuse(r.WithRetryAfter(retryBusy))
+}
+
+func checkProgram(id string) (problem string) {
+	switch {
+	case id == "":
+		return "the header " + HeaderProgram + " is missing"
+	case len(id) > maxProgram:
+		return "the program's id is longer than " + strconv.Itoa(maxProgram) + " bytes"
+	case strings.HasPrefix(id, "/") || strings.HasSuffix(id, "/") || strings.Contains(id, "//"):
+		return "the program's id has an empty part"
+	case strings.ContainsFunc(id, func(r rune) bool { return !unicode.IsPrint(r) || r == ' ' }):
+		return "the program's id has a character that is not printable"
+	}
+	return ""
+}
+
+func onceProgram() string {
+	var b [onceLength]byte
+	_, _ = rand.Read(b[:]) // never fails, by its contract
+	return oncePrefix + hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/edge/server/program.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+// openBody is what a caller sends to open a program.
+type openBody struct {
+	Program  string `json:"program"`
+	Agent    string `json:"agent"`
+	Parent   string `json:"parent"`
+	Priority int    `json:"priority"`
+	Budget   int64  `json:"budget_tokens"`
+}
+
+// open opens a program.
+func (s *Server) open(x *exchange) {
+	var b openBody
+	if err := json.Unmarshal(x.Request.Body(), &b); err != nil {
+		x.badRequest("the body is not a JSON object: %v", err)
+		return
+	}
+	if problem := checkOpen(b); problem != "" {
+		x.badRequest("%s", problem)
+		return
+	}
+	x.name(b.Program, 0)
+	if !s.started(x) {
+		return
+	}
+	r := s.Runner.Open(s.base, call.Open{
+		Account:  x.account,
+		Program:  b.Program,
+		Agent:    b.Agent,
+		Parent:   b.Parent,
+		Priority: b.Priority,
+		Budget:   b.Budget,
+	})
+	x.done(b.Program, r)
+}
+
+// program ends a program or returns its history. The last part of the path
+// tells which; what is between belongs to the program's id.
+func (s *Server) program(x *exchange) {
+	rest := strings.TrimPrefix(x.path, pathPrograms+"/")
+	cut := strings.LastIndexByte(rest, '/')
+	if cut < 0 {
+		x.notFound()
+		return
+	}
+	id, verb := unescape(rest[:cut]), rest[cut+1:]
+	if problem := checkProgram(id); problem != "" {
+		x.badRequest("%s", problem)
+		return
+	}
+	x.name(id, 0)
+	if !s.started(x) {
+		return
+	}
+	switch string(x.Method()) + " " + verb {
+	case "GET history":
+		s.history(x, id)
+	case "POST finish":
+		s.end(x, id, call.Finish)
+	case "POST cancel":
+		s.end(x, id, call.Cancel)
+	default:
+		x.notFound()
+	}
+}
+
+func (s *Server) history(x *exchange, id string) {
+	h, r := s.Runner.History(s.base, x.viewer(), id)
+	if !r.OK() {
+		x.refuse(r)
+		return
+	}
+	x.json(fasthttp.StatusOK, h)
+}
+
+func (s *Server) end(x *exchange, id string, kind call.EndKind) {
+	x.done(id, s.Runner.End(s.base, call.End{Account: x.account, Program: id, Kind: kind}))
+}
+
+// request returns what became of one request.
+func (s *Server) request(x *exchange) {
+	if !s.started(x) {
+		return
+	}
+	id := unescape(strings.TrimPrefix(x.path, pathRequests))
+	h, r := s.Runner.Request(s.base, x.viewer(), id)
+	if !r.OK() {
+		x.refuse(r)
+		return
+	}
+	x.json(fasthttp.StatusOK, h)
+}
+
+// done answers with the program's id where the Runner has nothing to add.
+func (x *exchange) done(program string, r result.Result) {
+	switch {
+	case !r.OK():
+		x.refuse(r)
+	case len(r.Body) > 0:
+		x.raw(fasthttp.StatusOK, jsonType, r.Body)
+	default:
+		x.json(fasthttp.StatusOK, struct {
+			Program string `json:"program"`
+		}{program})
+	}
+}
+
+func (s *Server) started(x *exchange) bool {
+	if s.Runner == nil {
+		x.refuse(result.Refuse(result.CodeNotOwner, "this daemon is starting").WithRetryAfter(retryBusy))
+	}
+	return s.Runner != nil
+}
+
+func checkOpen(b openBody) (problem string) {
+	switch problem := checkProgram(b.Program); {
+	case b.Program == "":
+		return "the field program is missing"
+	case problem != "":
+		return problem
+	case b.Parent != "" && !call.ChildOf(b.Program, b.Parent):
+		return "the id of a sub-agent must be its parent's id, a slash and a name"
+	case b.Parent == "" && call.Root(b.Program) != b.Program:
+		return "an id with a slash needs the field parent"
+	case b.Budget < 0:
+		return "budget_tokens is negative"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/edge/server/route.go
@@ -0,0 +1,166 @@
+package server
+
+import (
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/edge/reqid"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderRequest = "Slaterock-Request"
+	HeaderProgram = "Slaterock-Program"
+	HeaderCall    = "Slaterock-Call"
+
+	headerTrace  = "traceparent"
+	bearerPrefix = "Bearer "
+	jsonType     = "application/json"
+	textType     = "text/plain; charset=utf-8"
+
+	pathPrograms = "/v1/programs"
+	pathServices = "/v1/services/"
+	pathRequests = "/v1/requests/"
+)
+
+// exchange is one request and its answer.
+type exchange struct {
+	*fasthttp.RequestCtx
+
+	id       reqid.ID
+	path     string // not decoded
+	account  string
+	operator bool
+	start    time.Time
+}
+
+// viewer is the account whose programs the caller may read; empty is all.
+func (x *exchange) viewer() string {
+	if x.operator {
+		return ""
+	}
+	return x.account
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	x := &exchange{RequestCtx: ctx, start: time.Now(), path: string(ctx.URI().PathOriginal())}
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	x.name("", 0)
+	if s.probe(x) {
+		return
+	}
+	if !s.authenticate(x) {
+		x.refuse(result.Refuse(result.CodeUnauthorized, "the Bearer key is missing or not known"))
+		return
+	}
+	s.route(x)
+}
+
+// probe answers what needs no key.
+func (s *Server) probe(x *exchange) bool {
+	switch x.path {
+	case "/healthz":
+		x.text("ok\n")
+	case "/readyz":
+		s.ready(x)
+	case "/metrics":
+		s.metrics(x)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Server) route(x *exchange) {
+	switch {
+	case x.is("POST", "/v1/chat/completions"):
+		s.chat(x)
+	case strings.HasPrefix(x.path, pathServices):
+		s.service(x)
+	case x.is("POST", pathPrograms):
+		s.open(x)
+	case strings.HasPrefix(x.path, pathPrograms+"/"):
+		s.program(x)
+	case x.IsGet() && strings.HasPrefix(x.path, pathRequests):
+		s.request(x)
+	case x.is("GET", "/v1/entries"):
+		s.entries(x)
+	default:
+		s.operate(x)
+	}
+}
+
+func (s *Server) authenticate(x *exchange) bool {
+	key, found := strings.CutPrefix(string(x.Request.Header.Peek(fasthttp.HeaderAuthorization)), bearerPrefix)
+	if !found || key == "" || s.Account == nil {
+		return false
+	}
+	var ok bool
+	x.account, x.operator, ok = s.Account(key)
+	return ok
+}
+
+func (s *Server) ready(x *exchange) {
+	switch {
+	case s.draining.Load():
+		x.refuse(result.Refuse(result.CodeDraining, "this daemon is shutting down"))
+	case s.Runner == nil:
+		x.refuse(result.Refuse(result.CodeNotOwner, "this daemon is starting"))
+	default:
+		s.askReady(x)
+	}
+}
+
+func (s *Server) askReady(x *exchange) {
+	if s.Ready == nil {
+		x.text("ready\n")
+		return
+	}
+	if err := s.Ready(); err != nil {
+		x.refuse(result.Refuse(result.CodeNotOwner, "not ready: %v", err))
+		return
+	}
+	x.text("ready\n")
+}
+
+func (s *Server) metrics(x *exchange) {
+	if s.Metrics == nil {
+		x.notFound()
+		return
+	}
+	s.Metrics(x.RequestCtx)
+}
+
+func (s *Server) entries(x *exchange) {
+	if s.Entries == nil {
+		x.notFound()
+		return
+	}
+	x.json(fasthttp.StatusOK, s.Entries(string(x.QueryArgs().Peek("program"))))
+}
+
+func (x *exchange) is(method, path string) bool {
+	return x.path == path && string(x.Method()) == method
+}
+
+// name gives the request its name, which the answer carries from now on.
+func (x *exchange) name(program string, number int) {
+	x.id = reqid.New(program, number)
+	x.Response.Header.Set(HeaderRequest, x.id.String())
+}
+
+// unescape decodes a part of the path; a program's id may hold slashes, which
+// callers may send as they are or as %2F.
+func unescape(part string) string {
+	plain, err := url.PathUnescape(part)
+	if err != nil {
+		return part
+	}
+	return plain
+}
--- /dev/null
+++ b/internal/edge/server/stream.go
@@ -0,0 +1,154 @@
+package server
+
+import (
+	"bufio"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/edge/chat"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	streamType   = "text/event-stream"
+	streamDone   = "data: [DONE]\n\n"
+	streamBeat   = ": waiting\n\n"
+	streamError  = "event: error\n"
+	dataPrefix   = "data: "
+	eventEnd     = "\n\n"
+	headerBuffer = "X-Accel-Buffering" // keeps intermediaries from holding pieces back
+)
+
+// stream writes one answer as server-sent events. Text holds what was sent.
+type stream struct {
+	w      *bufio.Writer
+	f      *flight
+	answer chat.Answer
+	text   strings.Builder
+	opened bool
+}
+
+// stream answers with server-sent events. A call that fails before its first
+// piece, and before the first heartbeat is due, is refused by status instead.
+func (s *Server) stream(x *exchange, f *flight, answer chat.Answer) {
+	beats, stop := s.ticker(orDefault(s.Heartbeat, DefaultHeartbeat))
+	first := f.next(beats)
+	if e, ok := first.(ended); ok && !e.result.OK() {
+		stop()
+		f.cancel()
+		x.refuse(e.result)
+		return
+	}
+	x.Response.SetStatusCode(fasthttp.StatusOK)
+	x.Response.Header.SetContentType(streamType)
+	x.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	x.Response.Header.Set(headerBuffer, "no")
+	x.Response.ImmediateHeaderFlush = true
+	x.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer f.cancel() // also when the caller is gone: a write failed
+		defer stop()
+		st := stream{w: w, f: f, answer: answer}
+		st.run(first, beats)
+	})
+}
+
+// next returns the next event, or nil when a heartbeat is due first.
+func (f *flight) next(beats <-chan time.Time) event {
+	select {
+	case e := <-f.events:
+		return e
+	case <-beats:
+		return nil
+	case <-f.ctx.Done():
+		return ended{cutOff()}
+	}
+}
+
+func (st *stream) run(e event, beats <-chan time.Time) {
+	for {
+		var err error
+		switch e := e.(type) {
+		case piece:
+			err = st.piece(e.text)
+		case ended:
+			st.end(e.result)
+			return
+		default:
+			err = st.write(streamBeat)
+		}
+		if err != nil {
+			return
+		}
+		e = st.f.next(beats)
+	}
+}
+
+func (st *stream) piece(text string) error {
+	if err := st.open(); err != nil {
+		return err
+	}
+	st.text.WriteString(text)
+	return st.data(st.answer.Text(text))
+}
+
+// end finishes the stream. What was sent must be a beginning of the recorded
+// answer: if an answer were put together from two attempts, the caller would
+// have text that is in no history, so it is told of an error instead.
+func (st *stream) end(r result.Result) {
+	if !r.OK() {
+		_ = st.fail(r)
+		return
+	}
+	rest, ok := strings.CutPrefix(string(r.Body), st.text.String())
+	if !ok {
+		_ = st.fail(result.Failed(result.CodeUpstreamFailed, result.Yes,
+			"the recorded answer differs from what was sent; repeat the call with the same number"))
+		return
+	}
+	_ = st.finish(rest, r)
+}
+
+func (st *stream) finish(rest string, r result.Result) error {
+	if rest != "" {
+		if err := st.piece(rest); err != nil {
+			return err
+		}
+	}
+	if err := st.open(); err != nil {
+		return err
+	}
+	if err := st.data(st.answer.Finish(r)); err != nil {
+		return err
+	}
+	if st.answer.Usage {
+		if err := st.data(st.answer.Total(r)); err != nil {
+			return err
+		}
+	}
+	return st.write(streamDone)
+}
+
+func (st *stream) fail(r result.Result) error {
+	return st.write(streamError + dataPrefix + string(encodeError(r)) + eventEnd)
+}
+
+func (st *stream) open() error {
+	if st.opened {
+		return nil
+	}
+	st.opened = true
+	return st.data(st.answer.Role())
+}
+
+func (st *stream) data(chunk []byte) error {
+	return st.write(dataPrefix + string(chunk) + eventEnd)
+}
+
+func (st *stream) write(s string) error {
+	if _, err := st.w.WriteString(s); err != nil {
+		return err
+	}
+	return st.w.Flush()
+}
