--- /dev/null
+++ b/internal/plat/meter/meter.go
@@ -0,0 +1,166 @@
+// Package meter keeps a daemon's calls to the platform's key-value service
+// within its share of what the service takes, and counts them.
+//
+// The service's rates are shared by all daemons and grow more slowly than they
+// do. A call above the share waits for its turn as long as its context allows;
+// calls that keep a lease don't wait, because an owner that loses its shards to
+// its own queue would only cause more calls.
+package meter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+const burst = 2 // seconds' worth of calls
+
+type (
+	// Meter is a store.Store that calls Store. The zero rates are no bound.
+	Meter struct {
+		Store     store.Store
+		OnSuccess func(at time.Time) // a call sent at that time was answered
+
+		reads, writes   atomic.Pointer[rate.Limiter]
+		nreads, nwrites atomic.Uint64
+		nwatches        atomic.Uint64
+		nfailed         atomic.Uint64
+		waited          atomic.Int64
+	}
+
+	// Counts are calls since the start.
+	Counts struct {
+		Reads   uint64        `json:"reads"`
+		Writes  uint64        `json:"writes"`
+		Watches uint64        `json:"watches"`
+		Failed  uint64        `json:"failed"`
+		Waited  time.Duration `json:"waited"` // by calls above the share
+	}
+)
+
+var _ store.Store = (*Meter)(nil)
+
+// Allow sets this daemon's share, in calls a second.
+func (m *Meter) Allow(reads, writes float64) {
+	m.reads.Store(limiter(reads))
+	m.writes.Store(limiter(writes))
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burst)))
+}
+
+// Counts returns the calls so far.
+func (m *Meter) Counts() Counts {
+	return Counts{
+		Reads:   m.nreads.Load(),
+		Writes:  m.nwrites.Load(),
+		Watches: m.nwatches.Load(),
+		Failed:  m.nfailed.Load(),
+		Waited:  time.Duration(m.waited.Load()),
+	}
+}
+
+func (m *Meter) wait(ctx context.Context, p *atomic.Pointer[rate.Limiter]) error {
+	l := p.Load()
+	if l == nil {
+		return nil
+	}
+	start := time.Now()
+	if err := l.Wait(ctx); err != nil {
+		return errors.Wrap(store.ErrUnavailable, "over the call budget")
+	}
+	m.waited.Add(int64(time.Since(start)))
+	return nil
+}
+
+// done notes how a call ended. A refusal is an answer too.
+func (m *Meter) done(sent time.Time, err error) {
+	var c *store.ConflictError
+	answered := err == nil || errors.As(err, &c) || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrLapsed)
+	if !answered {
+		m.nfailed.Add(1)
+		return
+	}
+	if m.OnSuccess != nil {
+		m.OnSuccess(sent)
+	}
+}
+
+// Get implements store.Store.
+func (m *Meter) Get(ctx context.Context, key string) (e store.Entry, err error) {
+	if err := m.wait(ctx, &m.reads); err != nil {
+		return e, err
+	}
+	m.nreads.Add(1)
+	defer func(at time.Time) { m.done(at, err) }(time.Now())
+	return m.Store.Get(ctx, key)
+}
+
+// List implements store.Store.
+func (m *Meter) List(ctx context.Context, prefix, after string, limit int) (ks []string, err error) {
+	if err := m.wait(ctx, &m.reads); err != nil {
+		return nil, err
+	}
+	m.nreads.Add(1)
+	defer func(at time.Time) { m.done(at, err) }(time.Now())
+	return m.Store.List(ctx, prefix, after, limit)
+}
+
+// Watch implements store.Store.
+func (m *Meter) Watch(ctx context.Context, key string, rev store.Rev) (store.Entry, error) {
+	if err := m.wait(ctx, &m.reads); err != nil {
+		return store.Entry{}, err
+	}
+	m.nwatches.Add(1)
+	return m.Store.Watch(ctx, key, rev)
+}
+
+// Put implements store.Store.
+func (m *Meter) Put(ctx context.Context, key string, data []byte, rev store.Rev, lease store.Lease) (r store.Rev, err error) {
+	if err := m.wait(ctx, &m.writes); err != nil {
+		return 0, err
+	}
+	m.nwrites.Add(1)
+	defer func(at time.Time) { m.done(at, err) }(time.Now())
+	return m.Store.Put(ctx, key, data, rev, lease)
+}
+
+// Delete implements store.Store.
+func (m *Meter) Delete(ctx context.Context, key string, rev store.Rev) (err error) {
+	if err := m.wait(ctx, &m.writes); err != nil {
+		return err
+	}
+	m.nwrites.Add(1)
+	defer func(at time.Time) { m.done(at, err) }(time.Now())
+	return m.Store.Delete(ctx, key, rev)
+}
+
+// Grant implements store.Store.
+func (m *Meter) Grant(ctx context.Context, ttl time.Duration) (l store.Lease, err error) {
+	m.nwrites.Add(1)
+	defer func(at time.Time) { m.done(at, err) }(time.Now())
+	return m.Store.Grant(ctx, ttl)
+}
+
+// Renew implements store.Store.
+func (m *Meter) Renew(ctx context.Context, lease store.Lease) (err error) {
+	m.nwrites.Add(1)
+	defer func(at time.Time) { m.done(at, err) }(time.Now())
+	return m.Store.Renew(ctx, lease)
+}
+
+// Revoke implements store.Store.
+func (m *Meter) Revoke(ctx context.Context, lease store.Lease) (err error) {
+	m.nwrites.Add(1)
+	defer func(at time.Time) { m.done(at, err) }(time.Now())
+	return m.Store.Revoke(ctx, lease)
+}
