conf: read, apply and watch the configuration

Cause: daemons need a configuration that is checked whole, accepted by one compare-and-swap, and in force everywhere also when the store fails. Change: check reads INI text strictly and notes all faults with their lines; file and setup are the two texts read with it. chunk cuts a text at section headers, head names a version, apply swaps it in as a state machine that reads back after a lost acknowledgement, watch keeps the newest in force from the store or from peers.

--- /dev/null
+++ b/internal/conf/apply/step.go
@@ -0,0 +1,240 @@
+package apply
+
+import (
+	"slices"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/conf/chunk"
+	"github.com/slaterock/slaterock/internal/conf/head"
+)
+
+// Step reacts to one message. Each message that answers an effect belongs to
+// the last one that was asked for. The effects are to be carried out in order.
+func (a *Apply) Step(now time.Time, m Message) []Effect {
+	switch m := m.(type) {
+	case Start:
+		a.start, a.wait = m, firstWait
+		return a.read()
+	case HeadRead:
+		return a.headRead(now, m)
+	case Listed:
+		return a.listed(m)
+	case Inspected:
+		return a.inspected(m)
+	case Stored:
+		return a.stored()
+	case Conflict:
+		return a.conflict(m)
+	case Failed:
+		return a.pause()
+	case Unsure:
+		a.unknown = a.unknown || a.state == swapping
+		return a.pause()
+	case Wake:
+		return a.again()
+	case Stop:
+		return a.finish(Finish{Err: a.stopped()})
+	}
+	return nil
+}
+
+func (a *Apply) read() []Effect {
+	a.state = reading
+	return []Effect{ReadHead{}}
+}
+
+func (a *Apply) headRead(now time.Time, m HeadRead) []Effect {
+	if a.state == resolving {
+		return a.resolve(m)
+	}
+	a.base, a.rev = m.Head, m.Rev
+	if m.Head.Version > 0 && m.Head.Digest == a.start.Digest {
+		return a.finish(Finish{Head: m.Head, Unchanged: true})
+	}
+	if err := a.admit(); err != nil {
+		return a.finish(Finish{Err: err})
+	}
+	a.next = head.Head{
+		Digest: a.start.Digest,
+		Size:   a.start.Size,
+		Chunks: digests(a.start.Chunks),
+		Shards: a.start.Shards,
+		Nonce:  a.start.Nonce,
+		By:     a.start.By,
+		At:     now.UTC(),
+		Source: a.start.Source,
+	}.After(a.base)
+	a.queue = a.missing()
+	a.state = listing
+	return []Effect{ListChunks{}}
+}
+
+// admit reports why the text can't follow the version in force.
+func (a *Apply) admit() error {
+	if a.start.Base != Newest && a.start.Base != a.base.Version {
+		return conflict(a.start.Base, a.base)
+	}
+	if a.base.Version > 0 && a.base.Shards != a.start.Shards {
+		return &ShardsError{Have: a.base.Shards, Want: a.start.Shards}
+	}
+	return nil
+}
+
+// missing returns the chunks to store. Those that the base refers to stay: no
+// collector deletes them without swapping the head first, and then this
+// applier's own swap fails.
+func (a *Apply) missing() (queue []chunk.Chunk) {
+	for _, c := range a.start.Chunks {
+		known := slices.ContainsFunc(queue, func(q chunk.Chunk) bool { return q.Digest == c.Digest })
+		if !known && !a.base.Refers(c.Digest) {
+			queue = append(queue, c)
+		}
+	}
+	return queue
+}
+
+func (a *Apply) listed(m Listed) []Effect {
+	for _, d := range m.Digests {
+		if !a.next.Refers(d) && len(a.inspect) < maxCollect {
+			a.inspect = append(a.inspect, d)
+		}
+	}
+	return a.inspectNext()
+}
+
+// inspectNext asks for the revisions of garbage before the head is swapped.
+// Somebody else who means to use such a chunk writes it again, which changes
+// its revision, so that the deletion after the swap misses it. If he did so
+// before the revision was read here, he read an older head, and his swap fails.
+func (a *Apply) inspectNext() []Effect {
+	if len(a.inspect) == 0 {
+		return a.storeNext()
+	}
+	a.state = inspecting
+	return []Effect{Inspect{Digest: a.inspect[0]}}
+}
+
+func (a *Apply) inspected(m Inspected) []Effect {
+	a.inspect = a.inspect[1:]
+	if m.Garbage.Rev > 0 {
+		a.garbage = append(a.garbage, m.Garbage)
+	}
+	return a.inspectNext()
+}
+
+func (a *Apply) storeNext() []Effect {
+	if len(a.queue) == 0 {
+		return a.swap()
+	}
+	a.state = storing
+	return []Effect{PutChunk{Chunk: a.queue[0], Rev: a.chunk}}
+}
+
+func (a *Apply) swap() []Effect {
+	a.state = swapping
+	return []Effect{PutHead{Head: a.next, Rev: a.rev}}
+}
+
+func (a *Apply) stored() []Effect {
+	a.wait = firstWait
+	if a.state == swapping {
+		return a.accepted(a.next)
+	}
+	a.queue, a.chunk = a.queue[1:], 0
+	return a.storeNext()
+}
+
+// conflict reacts to a refused write. A chunk that exists is written again
+// from its revision; see inspectNext. A head that moved may have been moved by
+// this applier's own write, whose acknowledgement was lost.
+func (a *Apply) conflict(m Conflict) []Effect {
+	if a.state == storing {
+		a.chunk = m.Rev
+		return a.storeNext()
+	}
+	return a.readBack()
+}
+
+func (a *Apply) readBack() []Effect {
+	a.state = resolving
+	return []Effect{ReadHead{}}
+}
+
+func (a *Apply) resolve(m HeadRead) []Effect {
+	if m.Rev == a.rev {
+		return a.swap() // not taken so far; the same write again can't be taken twice
+	}
+	took, known := m.Head.Took(a.next.Version, a.next.Nonce)
+	switch {
+	case took:
+		return a.accepted(m.Head)
+	case known || !a.unknown:
+		return a.finish(Finish{Err: conflict(a.base.Version, m.Head)})
+	}
+	return a.finish(Finish{Err: &UnknownError{Version: a.next.Version, Nonce: a.next.Nonce}})
+}
+
+// accepted ends with the head as it is now, which is a later one if others
+// applied theirs on top.
+func (a *Apply) accepted(now head.Head) []Effect {
+	done := a.finish(Finish{Head: now})
+	if len(a.garbage) == 0 {
+		return done
+	}
+	return append([]Effect{Delete{Chunks: a.garbage}}, done...)
+}
+
+func (a *Apply) finish(f Finish) []Effect {
+	a.state = idle
+	return []Effect{f}
+}
+
+// pause waits before the store is asked again, longer each time.
+func (a *Apply) pause() []Effect {
+	d := a.wait
+	a.wait = min(2*a.wait, maxWait)
+	return []Effect{Sleep{For: d}}
+}
+
+// again repeats what failed. A write of the head whose outcome is unknown is
+// followed by a look at the head.
+func (a *Apply) again() []Effect {
+	switch a.state {
+	case reading:
+		return a.read()
+	case listing:
+		return []Effect{ListChunks{}}
+	case inspecting:
+		return a.inspectNext()
+	case storing:
+		return a.storeNext()
+	case swapping, resolving:
+		if a.unknown {
+			return a.readBack()
+		}
+		return a.swapOrRead()
+	}
+	return nil
+}
+
+func (a *Apply) swapOrRead() []Effect {
+	if a.state == resolving {
+		return a.readBack()
+	}
+	return a.swap()
+}
+
+func (a *Apply) stopped() error {
+	if a.unknown {
+		return &UnknownError{Version: a.next.Version, Nonce: a.next.Nonce}
+	}
+	return &NotAppliedError{Base: a.start.Base}
+}
+
+func digests(chunks []chunk.Chunk) []string {
+	list := make([]string, len(chunks))
+	for i, c := range chunks {
+		list[i] = c.Digest
+	}
+	return list
+}
--- /dev/null
+++ b/internal/conf/check/scan.go
@@ -0,0 +1,121 @@
+package check
+
+import (
+	"bytes"
+	"regexp"
+	"unicode/utf8"
+)
+
+const (
+	byteOrderMark = "\xef\xbb\xbf"
+	maxLine       = 64 << 10 // bytes
+)
+
+type (
+	// keyLine is where a key stands.
+	keyLine struct {
+		key  string
+		line int
+	}
+
+	// scanner finds the lines of sections and keys. It reads no values. What
+	// the INI library would read in some other way than an operator expects
+	// (a duplicate, a quoted block over several lines) is reported here and
+	// left out of the text that the library gets.
+	scanner struct {
+		text    *Text
+		clean   bytes.Buffer
+		section *Section
+		skip    bool // within a section that was refused
+		line    int
+	}
+)
+
+var (
+	sectionName = regexp.MustCompile(`^[a-z][a-z0-9_]*(\.[A-Za-z0-9][A-Za-z0-9._-]{0,127})?$`)
+	word        = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+	keyName     = regexp.MustCompile(`^[a-z][a-z0-9_]*$`)
+)
+
+func (s *scanner) scan(text []byte) {
+	text = bytes.TrimPrefix(text, []byte(byteOrderMark))
+	for raw := range bytes.Lines(text) {
+		s.line++
+		s.one(bytes.TrimSpace(raw))
+	}
+}
+
+func (s *scanner) one(line []byte) {
+	switch {
+	case len(line) == 0, line[0] == '#', line[0] == ';':
+	case len(line) > maxLine:
+		s.fail("", "the line is too long; want at most 65536 bytes")
+	case !printable(line):
+		s.fail("", "the line holds control characters or is not UTF-8; want plain text")
+	case line[0] == '[':
+		s.header(line)
+	default:
+		s.pair(line)
+	}
+}
+
+func (s *scanner) header(line []byte) {
+	s.skip, s.section = true, nil
+	name, rest, ok := bytes.Cut(line[1:], []byte("]"))
+	rest = bytes.TrimSpace(rest)
+	if !ok || len(rest) > 0 && rest[0] != '#' && rest[0] != ';' {
+		s.fail("", "the section's header is not complete; want [section] or [section.name]")
+		return
+	}
+	if !sectionName.Match(name) {
+		s.fail("", "%q is not a section's name; want lower case, then a dot and a name of letters, digits, '.', '_' and '-'", name)
+		return
+	}
+	if first, ok := s.text.byName[string(name)]; ok {
+		s.text.add(s.line, string(name), "", "the section stands twice, first on line %d; want it once", first.Line)
+		return
+	}
+	s.skip = false
+	s.section = s.text.open(string(name), s.line)
+	s.clean.WriteString("[" + string(name) + "]\n")
+}
+
+func (s *scanner) pair(line []byte) {
+	if s.skip {
+		return
+	}
+	if s.section == nil {
+		s.fail("", "the line stands before the first section; want a [section] above it")
+		return
+	}
+	key, value, ok := bytes.Cut(line, []byte("="))
+	key, value = bytes.TrimSpace(key), bytes.TrimSpace(value)
+	if !ok || !keyName.Match(key) {
+		s.fail("", "%q is not a setting; want key = value with a key in lower case", line)
+		return
+	}
+	if value := string(value); len(value) > 0 && (value[0] == '`' || len(value) > 2 && value[:3] == `"""`) {
+		s.fail(string(key), "quoted blocks are not read; want the value on one line")
+		return
+	}
+	if first := s.section.line(string(key)); first > 0 {
+		s.fail(string(key), "the key stands twice, first on line %d; want it once", first)
+		return
+	}
+	s.section.keys = append(s.section.keys, keyLine{string(key), s.line})
+	s.clean.Write(line)
+	s.clean.WriteByte('\n')
+}
+
+func (s *scanner) fail(key, format string, args ...any) {
+	name := ""
+	if s.section != nil {
+		name = s.section.Name
+	}
+	s.text.add(s.line, name, key, format, args...)
+}
+
+func printable(line []byte) bool {
+	control := bytes.ContainsFunc(line, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+	return !control && utf8.Valid(line)
+}
--- /dev/null
+++ b/internal/conf/check/section.go
@@ -0,0 +1,281 @@
+package check
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+type (
+	// Section is one section of a Text. Name is all of its header, Kind what
+	// stands before the first dot and Label what stands behind it.
+	Section struct {
+		Name, Kind, Label string
+		Line              int
+
+		text    *Text
+		values  *ini.Section
+		keys    []keyLine
+		asked   []string
+		refused bool
+	}
+)
+
+// Has reports whether the key is given.
+func (s *Section) Has(key string) bool { return s.line(key) > 0 }
+
+// Require notes each of the keys that the section lacks.
+func (s *Section) Require(keys ...string) {
+	for _, key := range keys {
+		if !s.Has(key) {
+			s.Fail(key, "the key is missing; want it in this section")
+		}
+	}
+}
+
+// Refuse notes a fault of the section itself; its keys are not looked at.
+func (s *Section) Refuse(format string, args ...any) {
+	s.refused = true
+	s.Fail("", format, args...)
+}
+
+// Fail notes a fault of the key, at its line, or at the section's header where
+// the key is not given.
+func (s *Section) Fail(key, format string, args ...any) {
+	line := s.line(key)
+	if line == 0 {
+		line = s.Line
+	}
+	s.text.add(line, s.Name, key, format, args...)
+}
+
+// String reads any text.
+func (s *Section) String(key, missing string) string {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	return value
+}
+
+// Word reads a name: letters, digits, '.', '_' and '-'.
+func (s *Section) Word(key, missing string) string {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	if !word.MatchString(value) {
+		s.Fail(key, "%q is not a name; want 1 to 128 letters, digits, '.', '_' and '-'", value)
+		return missing
+	}
+	return value
+}
+
+// Choice reads one of the words.
+func (s *Section) Choice(key, missing string, words ...string) string {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	if !slices.Contains(words, value) {
+		s.Fail(key, "%q is not known; want one of %s", value, strings.Join(words, ", "))
+		return missing
+	}
+	return value
+}
+
+// Words reads a list parted by commas, without empty or double items.
+func (s *Section) Words(key string) (words []string) {
+	value, ok := s.value(key)
+	if !ok {
+		return nil
+	}
+	for word := range strings.SplitSeq(value, ",") {
+		word = strings.TrimSpace(word)
+		switch {
+		case word == "":
+			s.Fail(key, "%q has an empty item; want words with commas between them", value)
+		case slices.Contains(words, word):
+			s.Fail(key, "%q stands twice; want it once", word)
+		default:
+			words = append(words, word)
+		}
+	}
+	return words
+}
+
+// Bool reads true or false.
+func (s *Section) Bool(key string, missing bool) bool {
+	word := s.Choice(key, strconv.FormatBool(missing), "true", "false")
+	return word == "true"
+}
+
+// Int reads a whole number from low to high.
+func (s *Section) Int(key string, missing, low, high int64) int64 {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
+		s.Fail(key, "%q is not a number; want %d to %d", value, low, high)
+		return missing
+	}
+	if n < low || n > high {
+		s.Fail(key, "%d is out of range; want %d to %d", n, low, high)
+		return missing
+	}
+	return n
+}
+
+// Float reads a number from low to high.
+func (s *Section) Float(key string, missing, low, high float64) float64 {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		s.Fail(key, "%q is not a number; want %v to %v", value, low, high)
+		return missing
+	}
+	if !(n >= low && n <= high) { // catches NaN too, which any plain comparison lets through
+		s.Fail(key, "%v is out of range; want %v to %v", n, low, high)
+		return missing
+	}
+	return n
+}
+
+// Duration reads a Go duration from low to high.
+func (s *Section) Duration(key string, missing, low, high time.Duration) time.Duration {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		s.Fail(key, "%q is not a duration such as 30s; want %s to %s", value, short(low), short(high))
+		return missing
+	}
+	if d < low || d > high {
+		s.Fail(key, "%s is out of range; want %s to %s", value, short(low), short(high))
+		return missing
+	}
+	return d
+}
+
+// Address reads an IP number and port that others can reach. Host names are
+// refused: at the time they are needed the names' service may be down.
+func (s *Section) Address(key, missing string) string {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	a, err := parseAddress(value)
+	if err != nil {
+		s.Fail(key, "%v", err)
+		return missing
+	}
+	return a
+}
+
+// Addresses reads a list of what Address takes.
+func (s *Section) Addresses(key string) (list []string) {
+	for _, word := range s.Words(key) {
+		a, err := parseAddress(word)
+		if err != nil {
+			s.Fail(key, "%v", err)
+			continue
+		}
+		list = append(list, a)
+	}
+	return list
+}
+
+// Listen reads an address to listen at. Unlike in Address the IP number may be
+// unspecified and the port 0, which the system then chooses.
+func (s *Section) Listen(key, missing string) string {
+	value, ok := s.value(key)
+	if !ok {
+		return missing
+	}
+	a, err := netip.ParseAddrPort(value)
+	if err != nil {
+		s.Fail(key, "%q is not an address; want an IP number and a port such as 0.0.0.0:7400", value)
+		return missing
+	}
+	return a.String()
+}
+
+func (s *Section) value(key string) (string, bool) {
+	s.asked = append(s.asked, key)
+	if s.line(key) == 0 || s.values == nil {
+		return "", false
+	}
+	return s.values.Key(key).Value(), true
+}
+
+func (s *Section) line(key string) int {
+	for _, k := range s.keys {
+		if k.key == key {
+			return k.line
+		}
+	}
+	return 0
+}
+
+// unknown notes the keys that nobody asked for. A misspelt key would otherwise
+// leave its default in force, and an operator would find out under load.
+func (s *Section) unknown() {
+	if s.refused {
+		return
+	}
+	for _, k := range s.keys {
+		if !slices.Contains(s.asked, k.key) {
+			s.Fail(k.key, "the key is unknown; want one of %s", strings.Join(s.asked, ", "))
+		}
+	}
+}
+
+// short writes a duration without the zero units that Go adds: 1h, not 1h0m0s.
+func short(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+// Unspecified reports whether an address is that of every interface.
+func Unspecified(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Addr().IsUnspecified()
+}
+
+func parseAddress(value string) (address string, err error) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return "", fmt.Errorf("%q is not an address; want an IP number and a port such as 10.1.0.7:7400", value)
+	}
+	if a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Port() == 0 {
+		return "", fmt.Errorf("%q can't be reached; want one host's IP number and a port from 1 to 65535", value)
+	}
+	return a.String(), nil
+}
+
+// Or returns the value, or what stands for it where it is zero.
+func Or[T comparable](value, missing T) T {
+	var zero T
+	if value == zero {
+		return missing
+	}
+	return value
+}
--- /dev/null
+++ b/internal/conf/file/refer.go
@@ -0,0 +1,140 @@
+package file
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/slaterock/slaterock/internal/conf/check"
+)
+
+// references checks what one section says of another. Left unchecked, a
+// reference into the void would show only when the first program is refused.
+func (p *parser) references() {
+	for _, s := range p.text.Sections() {
+		switch s.Kind {
+		case kindAgent:
+			p.refer(s, "model", p.file.Agents[s.Label].Model, kindModel, slices.Sorted(maps.Keys(p.file.Models)))
+		case kindModel:
+			p.referGroup(s, p.file.Models[s.Label].Group, Engines)
+		case kindService:
+			p.referGroup(s, p.file.Services[s.Label].Group, Services)
+		case kindUpstream:
+			p.upstreamModels(s, p.file.Upstreams[s.Label])
+		}
+	}
+	p.groups()
+	p.addresses()
+	p.hashes()
+}
+
+// refer notes a key that names no declared section of the kind. A key that is
+// missing was noted before.
+func (p *parser) refer(s *check.Section, key, name, kind string, declared []string) bool {
+	if !s.Has(key) {
+		return false
+	}
+	if slices.Contains(declared, name) {
+		return true
+	}
+	want := "a section [" + kind + ".NAME]"
+	if len(declared) > 0 {
+		want = "one of " + strings.Join(declared, ", ")
+	}
+	s.Fail(key, "%q is not declared as a %s; want %s", name, kind, want)
+	return false
+}
+
+func (p *parser) referGroup(s *check.Section, name string, kind GroupKind) {
+	if !p.refer(s, "group", name, kindGroup, p.groupNames()) {
+		return
+	}
+	if g := p.file.Groups[name]; g.Kind != kind && g.Kind != "" {
+		s.Fail("group", "%q is a group of kind %s; want a group of kind %s", name, g.Kind, kind)
+	}
+}
+
+func (p *parser) groupNames() []string { return slices.Sorted(maps.Keys(p.file.Groups)) }
+
+func (p *parser) upstreamModels(s *check.Section, u Upstream) {
+	if !p.refer(s, "group", u.Group, kindGroup, p.groupNames()) {
+		return
+	}
+	if len(u.Models) > 0 && p.file.Groups[u.Group].Kind == Services {
+		s.Fail("models", "the upstream's group %q is of kind %s; want no models", u.Group, Services)
+		return
+	}
+	for _, name := range u.Models {
+		if m, ok := p.file.Models[name]; !ok || m.Group != u.Group {
+			s.Fail("models", "%q is not declared as a model of group %q; want one of %s", name, u.Group, strings.Join(p.modelsOf(u.Group), ", "))
+		}
+	}
+}
+
+func (p *parser) modelsOf(group string) (names []string) {
+	for _, name := range slices.Sorted(maps.Keys(p.file.Models)) {
+		if p.file.Models[name].Group == group {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// groups notes each group without upstreams, and each model that none of its
+// group's upstreams serves: their requests would wait for nothing.
+func (p *parser) groups() {
+	members := map[string][]Upstream{}
+	for _, u := range p.file.Upstreams {
+		members[u.Group] = append(members[u.Group], u)
+	}
+	for _, s := range p.text.Sections() {
+		switch s.Kind {
+		case kindGroup:
+			if len(members[s.Label]) == 0 {
+				s.Fail("", "the group is empty; want at least one [upstream.NAME] with group = %s", s.Label)
+			}
+		case kindModel:
+			of := members[p.file.Models[s.Label].Group]
+			served := slices.ContainsFunc(of, func(u Upstream) bool {
+				return len(u.Models) == 0 || slices.Contains(u.Models, s.Label)
+			})
+			if len(of) > 0 && !served {
+				s.Fail("group", "no upstream of the group serves the model; want it in the models of one, or one without models")
+			}
+		}
+	}
+}
+
+// addresses notes an address that two upstreams share: both would be taken for
+// machines with room of their own, and the one machine gets twice its work.
+func (p *parser) addresses() {
+	first := map[string]string{}
+	for _, s := range p.text.Sections() {
+		address := p.file.Upstreams[s.Label].Address
+		if s.Kind != kindUpstream || address == "" {
+			continue
+		}
+		if other, ok := first[address]; ok {
+			s.Fail("address", "%s is the address of [%s] already; want one upstream at an address", address, other)
+			continue
+		}
+		first[address] = s.Name
+	}
+}
+
+// hashes notes a hash that two accounts share. A key starts with its account's
+// name, so the hash of one can't be the other's: it was copied by mistake.
+func (p *parser) hashes() {
+	first := map[string]string{}
+	for _, s := range p.text.Sections() {
+		hash := p.file.Accounts[s.Label].KeyHash
+		if s.Kind != kindAccount || hash == "" {
+			continue
+		}
+		if other, ok := first[hash]; ok {
+			s.Fail("key_hash", "the hash is that of [%s] already; want each account's own", other)
+			continue
+		}
+		first[hash] = s.Name
+	}
+}
--- /dev/null
+++ b/internal/conf/watch/keeper.go
@@ -0,0 +1,278 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/conf/apply"
+	"github.com/slaterock/slaterock/internal/conf/chunk"
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/conf/head"
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+const (
+	tickEvery   = 100 * time.Millisecond
+	callTimeout = 2 * time.Second
+	mailbox     = 256
+)
+
+var errNoFetch = errors.New("watch: no way to ask peers")
+
+type (
+	// Question asks a peer for its newest head, and for the chunks named.
+	Question struct {
+		Chunks []string `json:"chunks,omitempty"`
+	}
+
+	// Answer is a peer's newest head, zero if it has none, and those of the
+	// chunks asked for that it holds and that fit into one answer.
+	Answer struct {
+		Head   head.Head     `json:"head"`
+		Chunks []chunk.Chunk `json:"chunks,omitempty"`
+	}
+
+	// Keeper runs a Watch. Set the fields before Serve. All methods are safe
+	// for concurrent use; before Serve runs, what they are told waits.
+	Keeper struct {
+		Self  Member
+		Seeds []string // peer addresses to ask first
+		Store store.Store
+		// Fetch puts a question to a peer; the peer answers with its Answer.
+		Fetch func(ctx context.Context, peer string, q Question) (Answer, error)
+		// OnChange is told each version that comes in force, in order, from
+		// one goroutine. The next one waits until it returns.
+		OnChange func(f file.File)
+		// OnFault is told why a head was not taken. It may be nil.
+		OnFault func(h head.Head, err error)
+
+		once  sync.Once
+		inbox chan Message
+		ready chan struct{}
+		tasks sync.WaitGroup
+
+		mu     sync.Mutex
+		head   head.Head
+		file   file.File
+		files  map[uint64]file.File // loaded and not in force yet
+		chunks map[string][]byte    // packed, of the head in force and of what is loaded or applied
+	}
+)
+
+// Serve keeps the newest configuration in force until ctx ends, and returns
+// the context's error.
+func (k *Keeper) Serve(ctx context.Context) error {
+	k.init()
+	defer k.tasks.Wait()
+	var w Watch
+	k.do(ctx, w.Step(time.Now(), Start{Self: k.Self, Seeds: k.Seeds, Seed: rand.Uint64()}))
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		var m Message
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			m = Tick{}
+		case m = <-k.inbox:
+		}
+		k.do(ctx, w.Step(time.Now(), m))
+	}
+}
+
+// Newer tells that the peer at the address knows a version.
+func (k *Keeper) Newer(version uint64, from string) {
+	k.tell(Newer{Version: version, From: from})
+}
+
+// Members tells which daemons are alive.
+func (k *Keeper) Members(list []Member) {
+	k.tell(Members{List: list})
+}
+
+// Current returns the configuration in force; its Version is 0 if none is.
+func (k *Keeper) Current() file.File {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.file
+}
+
+// Head returns the head in force, zero if none is.
+func (k *Keeper) Head() head.Head {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.head
+}
+
+// Ready is closed once a configuration is in force.
+func (k *Keeper) Ready() <-chan struct{} {
+	k.init()
+	return k.ready
+}
+
+// Answer answers a peer's question.
+func (k *Keeper) Answer(q Question) Answer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a := Answer{Head: k.head}
+	size := 0
+	for _, d := range q.Chunks {
+		packed, ok := k.chunks[d]
+		if !ok {
+			continue
+		}
+		size += len(packed)
+		if size > maxAnswer && len(a.Chunks) > 0 {
+			break
+		}
+		a.Chunks = append(a.Chunks, chunk.Chunk{Digest: d, Packed: packed})
+	}
+	return a
+}
+
+// Apply puts a text in force for an operator; see apply.Run for its errors.
+// Peers can fetch its chunks from here before the store has accepted it: if
+// the store fails right after it did, they know the head and find the text.
+func (k *Keeper) Apply(ctx context.Context, r apply.Request) (apply.Outcome, error) {
+	k.init()
+	r.Source = k.Self.Peer
+	p, err := apply.Prepare(r)
+	if err != nil {
+		return apply.Outcome{}, err
+	}
+	k.stage(p.Chunks())
+	out, err := p.Run(ctx, k.Store)
+	if err != nil {
+		return out, err
+	}
+	if !out.Unchanged && out.Head.Digest == chunk.Digest(r.Text) {
+		k.keep(out.Head, out.File)
+		select {
+		case k.inbox <- Adopt{Head: out.Head}: // told once, so it must not be dropped
+		case <-ctx.Done(): // Serve is stopped, or reads it from the store
+		}
+	}
+	return out, nil
+}
+
+func (k *Keeper) init() {
+	k.once.Do(func() {
+		k.inbox = make(chan Message, mailbox)
+		k.ready = make(chan struct{})
+		k.files = map[uint64]file.File{}
+		k.chunks = map[string][]byte{}
+	})
+}
+
+// tell hands a message to Serve. A full mailbox drops it: Serve is stopped or
+// far behind, and what is told here is told again with later heartbeats.
+func (k *Keeper) tell(m Message) {
+	k.init()
+	select {
+	case k.inbox <- m:
+	default:
+	}
+}
+
+func (k *Keeper) do(ctx context.Context, effects []Effect) {
+	for _, e := range effects {
+		if f, ok := e.(Force); ok {
+			k.force(f.Head)
+			continue
+		}
+		k.tasks.Go(func() {
+			m := k.carryOut(ctx, e)
+			select {
+			case k.inbox <- m:
+			case <-ctx.Done():
+			}
+		})
+	}
+}
+
+func (k *Keeper) carryOut(ctx context.Context, e Effect) Message {
+	switch e := e.(type) {
+	case Read:
+		return k.read(ctx)
+	case Wait:
+		return k.wait(ctx, e)
+	case Ask:
+		return k.ask(ctx, e.Peer)
+	case Load:
+		return k.load(ctx, e)
+	}
+	return Tick{}
+}
+
+func (k *Keeper) read(ctx context.Context) Message {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return stored(k.Store.Get(ctx, head.Key))
+}
+
+func (k *Keeper) wait(ctx context.Context, e Wait) Message {
+	ctx, cancel := context.WithTimeout(ctx, e.For)
+	defer cancel()
+	entry, err := k.Store.Watch(ctx, head.Key, e.Rev)
+	if err != nil && ctx.Err() != nil {
+		return StoreQuiet{}
+	}
+	return stored(entry, err)
+}
+
+func stored(entry store.Entry, err error) Message {
+	if errors.Is(err, store.ErrNotFound) {
+		return StoreHead{}
+	}
+	if err != nil {
+		return StoreFailed{}
+	}
+	h, err := head.Decode(entry.Data)
+	if err != nil {
+		return StoreFailed{}
+	}
+	return StoreHead{Head: h, Rev: entry.Rev}
+}
+
+func (k *Keeper) ask(ctx context.Context, peer string) Message {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := k.fetch(ctx, peer, Question{})
+	if err != nil {
+		return AskFailed{Peer: peer}
+	}
+	return Answered{Peer: peer, Head: a.Head}
+}
+
+func (k *Keeper) fetch(ctx context.Context, peer string, q Question) (Answer, error) {
+	if k.Fetch == nil {
+		return Answer{}, errNoFetch
+	}
+	return k.Fetch(ctx, peer, q)
+}
+
+// force puts a loaded head in force and forgets the chunks of others.
+func (k *Keeper) force(h head.Head) {
+	k.mu.Lock()
+	k.head, k.file = h, k.files[h.Version]
+	for v := range k.files {
+		if v <= h.Version {
+			delete(k.files, v)
+		}
+	}
+	f := k.file
+	k.mu.Unlock()
+	if k.OnChange != nil {
+		k.OnChange(f)
+	}
+	select {
+	case <-k.ready:
+	default:
+		close(k.ready)
+	}
+}
--- /dev/null
+++ b/internal/conf/watch/load.go
@@ -0,0 +1,165 @@
+package watch
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/conf/chunk"
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/conf/head"
+)
+
+const (
+	maxAnswer = 512 << 10 // bytes of chunks in one answer to a peer
+	maxHeld   = 16 << 20  // bytes of chunks kept beside those in force
+)
+
+var errMissing = errors.New("watch: some chunks are nowhere to be had")
+
+// load fetches what is missing of a head's text, and reads it.
+func (k *Keeper) load(ctx context.Context, e Load) Message {
+	if e.StoreFirst {
+		k.fromStore(ctx, e.Head)
+	}
+	for _, peer := range e.Peers {
+		k.fromPeer(ctx, peer, e.Head)
+	}
+	if !e.StoreFirst {
+		k.fromStore(ctx, e.Head)
+	}
+	text, err := k.join(e.Head)
+	if err != nil {
+		k.fault(e.Head, err)
+		return LoadFailed{Head: e.Head}
+	}
+	f, err := file.Parse("configuration", text)
+	if err != nil {
+		k.fault(e.Head, err)
+		return LoadFailed{Head: e.Head, Unfit: true}
+	}
+	f.Version = e.Head.Version
+	k.keep(e.Head, f)
+	return Loaded{Head: e.Head}
+}
+
+func (k *Keeper) fromStore(ctx context.Context, h head.Head) {
+	for _, d := range k.missing(h) {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		entry, err := k.Store.Get(call, head.ChunkPrefix+d)
+		cancel()
+		if err != nil {
+			return // down, or collected because newer versions are in force
+		}
+		k.add(chunk.Chunk{Digest: d, Packed: entry.Data})
+	}
+}
+
+// fromPeer asks a peer until it has nothing more that is missing.
+func (k *Keeper) fromPeer(ctx context.Context, peer string, h head.Head) {
+	for {
+		missing := k.missing(h)
+		if len(missing) == 0 {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		a, err := k.fetch(call, peer, Question{Chunks: missing})
+		cancel()
+		if err != nil {
+			return
+		}
+		for _, c := range a.Chunks {
+			if slices.Contains(missing, c.Digest) {
+				k.add(c)
+			}
+		}
+		if len(k.missing(h)) == len(missing) {
+			return
+		}
+	}
+}
+
+func (k *Keeper) missing(h head.Head) (digests []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	seen := map[string]bool{}
+	for _, d := range h.Chunks {
+		if _, ok := k.chunks[d]; !ok && !seen[d] {
+			digests = append(digests, d)
+			seen[d] = true
+		}
+	}
+	return digests
+}
+
+// add keeps a chunk that is what its digest says. Others are dropped: a broken
+// one would be passed on to peers.
+func (k *Keeper) add(c chunk.Chunk) {
+	if _, err := c.Unpack(); err != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.chunks[c.Digest] = c.Packed
+}
+
+func (k *Keeper) join(h head.Head) (text []byte, err error) {
+	defer func() { err = errors.Wrapf(err, "configuration version %d", h.Version) }()
+	if len(k.missing(h)) > 0 {
+		return nil, errMissing
+	}
+	pieces := make([][]byte, len(h.Chunks))
+	for i, d := range h.Chunks {
+		k.mu.Lock()
+		c := chunk.Chunk{Digest: d, Packed: k.chunks[d]}
+		k.mu.Unlock()
+		pieces[i], err = c.Unpack()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return h.Join(pieces)
+}
+
+// keep holds a loaded file until its head comes in force, and drops the chunks
+// that neither this head nor the one in force needs once they are many.
+func (k *Keeper) keep(h head.Head, f file.File) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.files[h.Version] = f
+	if k.held() <= maxHeld {
+		return
+	}
+	needed := map[string]bool{}
+	for _, d := range append(append([]string{}, h.Chunks...), k.head.Chunks...) {
+		needed[d] = true
+	}
+	for d := range k.chunks {
+		if !needed[d] {
+			delete(k.chunks, d)
+		}
+	}
+}
+
+func (k *Keeper) held() (bytes int) {
+	for _, packed := range k.chunks {
+		bytes += len(packed)
+	}
+	return bytes
+}
+
+// stage holds chunks that are about to be applied.
+func (k *Keeper) stage(chunks []chunk.Chunk) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range chunks {
+		k.chunks[c.Digest] = c.Packed
+	}
+}
+
+func (k *Keeper) fault(h head.Head, err error) {
+	if k.OnFault != nil {
+		k.OnFault(h, err)
+	}
+}
