--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -55,6 +55,7 @@
 		Attempt Attempt
 		Place   func(h *Host, m sched.Message)
 		Log     func(l owner.Log)
+		Proved  func(h *Host)  // a Verify was answered
 		Go      func(f func()) // runs f on the daemon's pool, or at once elsewhere
 		Rand    func() uint64
 
@@ -188,6 +189,8 @@
 		h.Log(e)
 	case owner.Saving:
 		h.save()
+	case owner.Verified:
+		h.Proved(h)
 	case owner.Fenced:
 		h.fenced = true
 		h.cancel()
@@ -409,3 +412,22 @@
 	}
 	return h.past(ctx, account, hash, func(hs []hist.History) (hist.History, bool) { return only(hs, request) })
 }
+
+// Answer implements placer.Asker. It never waits: placement serves all shards,
+// and a host that waits for placement must not be waited for by it.
+func (h *Host) Answer(e sched.Effect) {
+	var m owner.Message
+	switch e := e.(type) {
+	case sched.Assign:
+		m = owner.Assigned{Assign: e}
+	case sched.Refuse:
+		m = owner.Refused{Refuse: e}
+	default:
+		return
+	}
+	select {
+	case h.mail <- m:
+	default:
+		h.Go(func() { h.post(m) })
+	}
+}
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -109,6 +109,8 @@
 		p.askers[m.ID] = from
 	case sched.Withdraw:
 		delete(p.askers, m.ID)
+	case sched.Done:
+		delete(p.askers, m.ID)
 	}
 	for _, e := range p.sched.Step(time.Now(), m) {
 		p.carry(ctx, e)
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -213,6 +213,10 @@
 	o.bySeq = max(o.bySeq, c.Seq)
 	o.Fold.Upto = c.Number
 	o.release()
+	if o.verifySeq != 0 && c.Seq >= o.verifySeq {
+		o.verifySeq = 0
+		o.emit(Verified{})
+	}
 	for _, r := range o.waiting(c.Seq) {
 		o.proceed(now, r)
 	}
--- a/internal/shard/owner/owner.go
+++ b/internal/shard/owner/owner.go
@@ -100,6 +100,10 @@
 		Gone map[uint64]uint32
 	}
 
+	// Verify asks for proof that the journal is still this owner's, after its
+	// lease had lapsed; the answer is Verified once a record is committed.
+	Verify struct{}
+
 	// Drain asks for no further calls; the owner says Drained when all has
 	// ended and is committed.
 	Drain struct{}
@@ -163,6 +167,9 @@
 	// Saving tells that a snapshot may be taken now.
 	Saving struct{}
 
+	// Verified tells that no other owner wrote to the journal up to now.
+	Verified struct{}
+
 	// Fenced tells that the shard has another owner.
 	Fenced struct{}
 
@@ -185,6 +192,7 @@
 		opening    []waiter  // replies that wait for a sequence number
 		queue      []pending // records that wait to be committed, in order
 		bySeq      uint64    // newest committed sequence number
+		verifySeq  uint64    // of the record that proves ownership, zero for none
 		draining   bool
 		drained    bool
 		sweepAt    time.Time
@@ -217,6 +225,7 @@
 func (Tried) message()     {}
 func (Journal) message()   {}
 func (Saved) message()     {}
+func (Verify) message()    {}
 func (Drain) message()     {}
 func (Tick) message()      {}
 
@@ -229,6 +238,7 @@
 func (Recall) effect()   {}
 func (Log) effect()      {}
 func (Saving) effect()   {}
+func (Verified) effect() {}
 func (Fenced) effect()   {}
 func (Drained) effect()  {}
 
@@ -259,6 +269,8 @@
 		o.journal(now, m.Message)
 	case Saved:
 		o.saved(m)
+	case Verify:
+		o.verifySeq = o.add(record.Took{Epoch: o.Chain.Epoch, Owner: o.Chain.Owner, At: now})
 	case Drain:
 		o.draining = true
 	case Tick:
