relay: follow a program's owner and never mix answers

Cause: shards move while calls are under way, links break after a request was sent, and every daemon meets callers of programs that it does not own. Change: a runner.Runner that asks the owner one hop away, looks again with bounded, jittered pauses, repeats calls by their number, skips what the caller was already sent, and takes back a refusal's no that the asked owner can't know.

--- /dev/null
+++ b/internal/edge/relay/relay_test.go
@@ -0,0 +1,375 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/edge/locate"
+	"github.com/slaterock/slaterock/internal/edge/reqid"
+	"github.com/slaterock/slaterock/internal/peer/beat"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/runner"
+)
+
+const (
+	program = "round-7"
+	shards  = 8
+	whole   = "karibu sana"
+)
+
+type (
+	// attempt is what one daemon does with one request.
+	attempt struct {
+		pieces []string
+		result result.Result
+		err    error
+		lasts  time.Duration
+	}
+
+	// daemon answers requests from a script; its last line is repeated.
+	daemon struct {
+		script []attempt
+		asked  int
+	}
+
+	// world is what the Relay sees: owners[i] is the picture after i pauses.
+	world struct {
+		daemons map[string]*daemon
+		owners  []beat.Member
+		looks   int
+	}
+)
+
+var (
+	errBroken = errors.New("link broke after the request was sent")
+	errUnsent = errors.New("no connection")
+
+	answered = result.Result{Code: result.CodeOK, Ran: result.Yes, Body: []byte(whole)}
+	notOwner = result.Refuse(result.CodeNotOwner, "not the owner")
+	movedOn  = result.Failed(result.CodeNotOwner, result.Unknown, "moved while it ran")
+	refused  = result.Refuse(result.CodeOverloaded, "too much to do")
+	unknown  = result.Failed(result.CodeUnknown, result.Unknown, "nobody can tell")
+)
+
+func (d *daemon) next() attempt {
+	a := d.script[min(d.asked, len(d.script)-1)]
+	d.asked++
+	return a
+}
+
+func (d *daemon) Try(ctx context.Context, _ call.Call, sink runner.Sink) (result.Result, error) {
+	a := d.next()
+	for _, p := range a.pieces {
+		if err := sink(p); err != nil {
+			return result.Result{}, err
+		}
+	}
+	select {
+	case <-time.After(a.lasts):
+		return a.result, a.err
+	case <-ctx.Done():
+		return result.Result{}, ctx.Err()
+	}
+}
+
+func (d *daemon) Call(ctx context.Context, c call.Call, sink runner.Sink) result.Result {
+	r, _ := d.Try(ctx, c, sink)
+	return r
+}
+
+func (d *daemon) Open(context.Context, call.Open) result.Result { return d.next().result }
+func (d *daemon) End(context.Context, call.End) result.Result   { return d.next().result }
+
+func (d *daemon) History(context.Context, string, string) (hist.History, result.Result) {
+	a := d.next()
+	return hist.History{Program: string(a.result.Body)}, a.result
+}
+
+func (d *daemon) Request(ctx context.Context, account, request string) (hist.History, result.Result) {
+	return d.History(ctx, account, request)
+}
+
+// owner is a daemon that claims the program's shard.
+func owner(name string, epoch uint64) beat.Member {
+	own := beat.Shard{Shard: locate.Shard(program, shards), Epoch: epoch}
+	return beat.Member{Name: name, Peer: name, State: beat.Alive, Shards: []beat.Shard{own}}
+}
+
+func (w *world) members() []beat.Member {
+	i := min(w.looks, len(w.owners)-1)
+	w.looks++
+	if i < 0 || w.owners[i].Name == "" {
+		return nil
+	}
+	return []beat.Member{w.owners[i]}
+}
+
+func (w *world) relay() *Relay {
+	r := &Relay{
+		Self:     "here",
+		Members:  w.members,
+		Shards:   func() int { return shards },
+		Peer:     func(address string) Remote { return w.daemons[address] },
+		Unsent:   func(err error) bool { return errors.Is(err, errUnsent) },
+		Patience: 10 * time.Second,
+	}
+	if d := w.daemons["here"]; d != nil {
+		r.Local = d
+	}
+	return r
+}
+
+// Owners of a program move, die and become unreachable while its calls are
+// under way. A caller must get its own answer once and whole, or hear what is
+// true of it: that it did not run, or that nobody can tell.
+func TestCallFollowsOwner(t *testing.T) {
+	type script map[string]*daemon
+	tests := map[string]struct {
+		daemons script
+		owners  []beat.Member
+		code    result.Code
+		ran     result.Ran
+		text    string         // sent to the caller
+		asked   map[string]int // attempts at each daemon
+		atMost  time.Duration
+	}{
+		"owned here": {
+			script{"here": {script: []attempt{{pieces: []string{whole}, result: answered}}}},
+			[]beat.Member{owner("here", 1)},
+			result.CodeOK, result.Yes, whole,
+			map[string]int{"here": 1},
+			0,
+		},
+		"owned by a peer": {
+			script{"a": {script: []attempt{{pieces: []string{"karibu ", "sana"}, result: answered}}}},
+			[]beat.Member{owner("a", 1)},
+			result.CodeOK, result.Yes, whole,
+			map[string]int{"a": 1},
+			0,
+		},
+		"picture stale, owner moved": {
+			script{"a": {script: []attempt{{result: notOwner}}}, "b": {script: []attempt{{pieces: []string{whole}, result: answered}}}},
+			[]beat.Member{owner("a", 1), owner("a", 1), owner("b", 2)},
+			result.CodeOK, result.Yes, whole,
+			map[string]int{"a": 2, "b": 1},
+			time.Second,
+		},
+		"owner not known at first": {
+			script{"b": {script: []attempt{{pieces: []string{whole}, result: answered}}}},
+			[]beat.Member{{}, {}, owner("b", 2)},
+			result.CodeOK, result.Yes, whole,
+			map[string]int{"b": 1},
+			time.Second,
+		},
+		"owner never known": {
+			script{},
+			nil,
+			result.CodeNotOwner, result.No, "", nil, 10 * time.Second,
+		},
+		"owner never reached": {
+			script{"a": {script: []attempt{{err: errUnsent}}}},
+			[]beat.Member{owner("a", 1)},
+			result.CodeNotOwner, result.No, "", nil, 10 * time.Second,
+		},
+		"link broke, same owner joins": {
+			script{"a": {script: []attempt{
+				{pieces: []string{"kar"}, err: errBroken},
+				{pieces: []string{"karibu", " sana"}, result: answered},
+			}}},
+			[]beat.Member{owner("a", 1)},
+			result.CodeOK, result.Yes, whole,
+			map[string]int{"a": 2},
+			time.Second,
+		},
+		"link broke twice, pieces cut elsewhere": {
+			script{"a": {script: []attempt{
+				{pieces: []string{"karibu s"}, err: errBroken},
+				{pieces: []string{"ka", "ri"}, err: errBroken},
+				{pieces: []string{"k", "aribu ", "sa", "na"}, result: answered},
+			}}},
+			[]beat.Member{owner("a", 1)},
+			result.CodeOK, result.Yes, whole,
+			map[string]int{"a": 3},
+			time.Second,
+		},
+		"owner died, new owner words it differently": {
+			script{
+				"a": {script: []attempt{{pieces: []string{"kar"}, err: errBroken}}},
+				"b": {script: []attempt{{pieces: []string{"jambo"}, result: answered}}},
+			},
+			[]beat.Member{owner("a", 1), owner("b", 2)},
+			result.CodeUpstreamFailed, result.Yes, "kar",
+			map[string]int{"a": 1, "b": 1},
+			time.Second,
+		},
+		"owner died, new owner refuses": { // its "no" can't speak for the first
+			script{"a": {script: []attempt{{err: errBroken}}}, "b": {script: []attempt{{result: refused}}}},
+			[]beat.Member{owner("a", 1), owner("b", 2)},
+			result.CodeOverloaded, result.Unknown, "",
+			map[string]int{"a": 1, "b": 1},
+			time.Second,
+		},
+		"link broke, same owner refuses": { // it knows that nothing ran
+			script{"a": {script: []attempt{{err: errBroken}, {result: refused}}}},
+			[]beat.Member{owner("a", 1)},
+			result.CodeOverloaded, result.No, "",
+			map[string]int{"a": 2},
+			time.Second,
+		},
+		"same daemon, new epoch, refuses": {
+			script{"a": {script: []attempt{{err: errBroken}, {result: refused}}}},
+			[]beat.Member{owner("a", 1), owner("a", 2)},
+			result.CodeOverloaded, result.Unknown, "",
+			map[string]int{"a": 2},
+			time.Second,
+		},
+		"broke at two owners, second refuses": {
+			script{"a": {script: []attempt{{err: errBroken}}}, "b": {script: []attempt{{err: errBroken}, {result: refused}}}},
+			[]beat.Member{owner("a", 1), owner("b", 2)},
+			result.CodeOverloaded, result.Unknown, "",
+			map[string]int{"a": 1, "b": 2},
+			time.Second,
+		},
+		"moved while it ran, then nobody": {
+			script{"here": {script: []attempt{{result: movedOn}}}},
+			[]beat.Member{owner("here", 1), {}},
+			result.CodeNotOwner, result.Unknown, "",
+			map[string]int{"here": 1},
+			10 * time.Second,
+		},
+		"unknown outcome on record": { // final, however often one asks
+			script{"a": {script: []attempt{{result: unknown}}}},
+			[]beat.Member{owner("a", 1)},
+			result.CodeUnknown, result.Unknown, "",
+			map[string]int{"a": 1},
+			0,
+		},
+		"broke after a long run": { // patience counts from the break
+			script{"a": {script: []attempt{
+				{pieces: []string{"kar"}, err: errBroken},
+				{pieces: []string{"karibu"}, err: errBroken, lasts: time.Minute},
+				{pieces: []string{whole}, result: answered},
+			}}},
+			[]beat.Member{owner("a", 1)},
+			result.CodeOK, result.Yes, whole,
+			map[string]int{"a": 3},
+			time.Minute + time.Second,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := world{daemons: tt.daemons, owners: tt.owners}
+				sent := ""
+				began := time.Now()
+				res := w.relay().Call(t.Context(), call.Call{Program: program}, func(text string) error {
+					sent += text
+					return nil
+				})
+				is.Equal(res.Code, tt.code)
+				is.Equal(res.Ran, tt.ran)
+				is.Equal(sent, tt.text)
+				is.True(time.Since(began) <= tt.atMost)
+				for name, n := range tt.asked {
+					is.Equal(tt.daemons[name].asked, n)
+				}
+				is.True(res.Code != result.CodeNotOwner || res.RetryAfter > 0)
+			})
+		})
+	}
+}
+
+// A caller hangs up while its owner can't be reached. Without an end to the
+// search, abandoned requests pile up for as long as the owner is away.
+func TestCallerGone(t *testing.T) {
+	tests := map[string]struct {
+		attempt attempt
+		ran     result.Ran
+	}{
+		"while looking":   {attempt{err: errUnsent}, result.No},
+		"while it runs":   {attempt{lasts: time.Hour}, result.Unknown},
+		"sink has failed": {attempt{pieces: []string{"k"}, lasts: time.Hour}, result.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := world{daemons: map[string]*daemon{"a": {script: []attempt{tt.attempt}}}, owners: []beat.Member{owner("a", 1)}}
+				ctx, stop := context.WithTimeout(t.Context(), time.Second)
+				defer stop()
+				began := time.Now()
+				res := w.relay().Call(ctx, call.Call{Program: program}, func(string) error { return context.Canceled })
+				is.Equal(res.Code, result.CodeCancelled)
+				is.Equal(res.Ran, tt.ran)
+				is.True(time.Since(began) <= time.Second)
+			})
+		})
+	}
+}
+
+// The link breaks under a request that is no call. All of these may be
+// repeated, so that a caller need not hear of it.
+func TestOthersAreRepeated(t *testing.T) {
+	found := result.Result{Code: result.CodeOK, Body: []byte(program)}
+	tests := map[string]func(r *Relay) result.Result{
+		"open": func(r *Relay) result.Result { return r.Open(context.Background(), call.Open{Program: program}) },
+		"end":  func(r *Relay) result.Result { return r.End(context.Background(), call.End{Program: program + "/sub"}) },
+		"history": func(r *Relay) result.Result {
+			_, res := r.History(context.Background(), "", program)
+			return res
+		},
+		"request": func(r *Relay) result.Result {
+			_, res := r.Request(context.Background(), "", reqid.New(program, 3).String())
+			return res
+		},
+	}
+	for name, do := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := &daemon{script: []attempt{{result: unknown}, {result: notOwner}, {result: found}}}
+				w := world{daemons: map[string]*daemon{"a": a}, owners: []beat.Member{owner("a", 1)}}
+				is.Equal(do(w.relay()).Code, result.CodeOK)
+				is.Equal(a.asked, 3)
+			})
+		})
+	}
+}
+
+// A support engineer mistypes a request's name. No daemon need be asked.
+func TestRequestUnreadable(t *testing.T) {
+	is := is.New(t)
+	w := world{owners: []beat.Member{owner("a", 1)}}
+	_, res := w.relay().Request(t.Context(), "", "receipt 12")
+	is.Equal(res.Code, result.CodeNotFound)
+	is.Equal(w.looks, 0)
+}
+
+// Many requests meet the same absent owner. If they all came back together the
+// new owner would meet them as one burst.
+func TestPausesGrowAndDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var pauses []time.Duration
+		for s := (search{patience: 10 * time.Second}); ; {
+			before := time.Now()
+			if !s.wait(t.Context()) {
+				break
+			}
+			pauses = append(pauses, time.Since(before))
+		}
+		is.True(len(pauses) >= 10_000/375 && len(pauses) < 200)
+		is.True(pauses[0] < 2*firstPause)
+		is.True(slices.Max(pauses) <= maxPause*3/2)
+		is.True(len(slices.Compact(slices.Clone(pauses))) == len(pauses))
+	})
+}
