--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -114,6 +114,9 @@
 // Fenced reports whether another daemon has the shard. It is valid after Done.
 func (h *Host) Fenced() bool { return h.fenced }
 
+// Cancel ends the host.
+func (h *Host) Cancel() { h.cancel() }
+
 // Stop ends the host and waits for it.
 func (h *Host) Stop() {
 	h.cancel()
--- /dev/null
+++ b/internal/node/shards/claim.go
@@ -0,0 +1,274 @@
+package shards
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/node/host"
+	"github.com/slaterock/slaterock/internal/plat/store"
+	"github.com/slaterock/slaterock/internal/shard/assign"
+	"github.com/slaterock/slaterock/internal/shard/boot"
+	"github.com/slaterock/slaterock/internal/shard/lease"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+)
+
+const (
+	claimTimeout = 10 * time.Second
+	leaseTimeout = 2 * time.Second
+	giveTimeout  = 5 * time.Second
+)
+
+type (
+	// claim is the value of a shard's key. While the key hangs on a lease its
+	// owner lives; Released tells that the owner gave the shard up cleanly.
+	claim struct {
+		Owner    string `json:"owner"`
+		Nonce    uint64 `json:"nonce"`
+		Released bool   `json:"released,omitempty"`
+	}
+
+	// claimed is a claim that was won. Clean tells that no former owner can
+	// still act.
+	claimed struct {
+		rev   store.Rev
+		clean bool
+	}
+)
+
+var errHeld = errors.New("shards: another daemon holds the shard")
+
+func key(shard int) string { return fmt.Sprintf("shard/%04d", shard) }
+
+func (s *Shards) stepLease(ctx context.Context, m lease.Message) {
+	for _, e := range s.lease.Step(time.Now(), m) {
+		switch e := e.(type) {
+		case lease.Grant:
+			s.Go(func() { s.grant(ctx, e) })
+		case lease.Renew:
+			s.Go(func() { s.renew(ctx, e) })
+		case lease.Got:
+			s.Log.Info().Uint64("lease", uint64(e.ID)).Msg("lease granted")
+			s.stepAssign(ctx, assign.Leased{OK: true})
+			for shard, w := range s.hosts {
+				s.rekey(ctx, shard, w, e.ID)
+			}
+		case lease.Lost:
+			s.Log.Warn().Uint64("lease", uint64(e.ID)).Msg("lease lapsed; no dispatch until ownership is proved")
+			s.stepAssign(ctx, assign.Leased{})
+			for _, w := range s.hosts {
+				w.suspended = true
+			}
+			s.tellLease()
+		}
+	}
+}
+
+func (s *Shards) grant(ctx context.Context, g lease.Grant) {
+	call, stop := context.WithTimeout(ctx, leaseTimeout)
+	defer stop()
+	id, err := s.Store.Grant(call, g.TTL)
+	s.post(ctx, leaseMessage{lease.Granted{ID: id, Err: err}})
+}
+
+func (s *Shards) renew(ctx context.Context, r lease.Renew) {
+	call, stop := context.WithTimeout(ctx, leaseTimeout)
+	defer stop()
+	err := s.Store.Renew(call, r.ID)
+	s.post(ctx, leaseMessage{lease.Renewed{Lapsed: errors.Is(err, store.ErrLapsed), Err: err}})
+}
+
+func (s *Shards) stepAssign(ctx context.Context, m assign.Message) {
+	for _, e := range s.assign.Step(time.Now(), m) {
+		switch e := e.(type) {
+		case assign.Claim:
+			id := s.lease.ID()
+			s.Go(func() { s.take(ctx, e.Shard, id) })
+		case assign.Give:
+			s.give(ctx, e)
+		}
+	}
+}
+
+// take claims a shard and takes its journal over.
+func (s *Shards) take(ctx context.Context, shard int, id store.Lease) {
+	call, stop := context.WithTimeout(ctx, claimTimeout)
+	defer stop()
+	w, err := s.start(call, ctx, shard, id)
+	if err != nil {
+		if !errors.Is(err, errHeld) {
+			s.Log.Warn().Err(err).Int("shard", shard).Msg("claim failed")
+		}
+		s.post(ctx, assignMessage{assign.Claimed{Shard: shard}})
+		return
+	}
+	s.post(ctx, tookMessage{shard: shard, w: w})
+}
+
+func (s *Shards) start(ctx, life context.Context, shard int, id store.Lease) (*ward, error) {
+	c, err := s.claim(ctx, shard, id)
+	if err != nil {
+		return nil, err
+	}
+	b := boot.Boot{Store: s.Store, Shard: shard, Owner: s.Name, Rand: s.Rand, Now: time.Now}
+	taken, err := b.Take(ctx)
+	if err != nil {
+		return nil, err
+	}
+	h := &host.Host{
+		Taken:   taken,
+		Shard:   shard,
+		Name:    s.Name,
+		Store:   s.Store,
+		Attempt: s.Attempt,
+		Place:   s.Place,
+		Log:     s.Ended,
+		Go:      s.Go,
+		Rand:    s.Rand,
+		Proved:  func(h *host.Host) { s.Go(func() { s.post(life, provedMessage{h}) }) },
+	}
+	if !c.clean && taken.Epoch > 1 {
+		h.Hold = time.Now().Add(graceTime)
+	}
+	h.Start(life)
+	return &ward{Host: h, key: c}, nil
+}
+
+// claim writes the shard's key under the lease.
+func (s *Shards) claim(ctx context.Context, shard int, id store.Lease) (claimed, error) {
+	mine := claim{Owner: s.Name, Nonce: s.Rand()}
+	rev, err := s.Store.Put(ctx, key(shard), encode(mine), 0, id)
+	if err == nil {
+		return claimed{rev: rev}, nil
+	}
+	var c *store.ConflictError
+	if !errors.As(err, &c) && !errors.Is(err, store.ErrUnknown) {
+		return claimed{}, err
+	}
+	e, rerr := s.Store.Get(ctx, key(shard))
+	if rerr != nil {
+		return claimed{}, errors.CombineErrors(err, rerr)
+	}
+	var held claim
+	if err := json.Unmarshal(e.Data, &held); err != nil {
+		return claimed{}, errors.Wrap(err, "shards: decode claim")
+	}
+	switch {
+	case held == mine:
+		return claimed{rev: e.Rev}, nil
+	case !held.Released:
+		return claimed{}, errHeld
+	}
+	rev, err = s.Store.Put(ctx, key(shard), encode(mine), e.Rev, id)
+	return claimed{rev: rev, clean: true}, err
+}
+
+func encode(c claim) []byte {
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // a struct of plain fields
+	}
+	return b
+}
+
+func (s *Shards) took(ctx context.Context, m tookMessage) {
+	s.mu.Lock()
+	s.hosts[m.shard] = m.w
+	cfg := s.cfg
+	s.mu.Unlock()
+	s.Log.Info().Int("shard", m.shard).Uint64("epoch", m.w.Epoch()).Int("entries_read", m.w.Taken.Read).Bool("clean", m.w.key.clean).Msg("shard taken")
+	m.w.Tell(owner.Configure{File: cfg})
+	m.w.Tell(pace(cfg))
+	s.stepAssign(ctx, assign.Claimed{Shard: m.shard, OK: true})
+	s.tellLease()
+	s.Owned(s.List())
+	go func() {
+		<-m.w.Done()
+		s.post(ctx, endedMessage{shard: m.shard, w: m.w})
+	}()
+}
+
+func (s *Shards) ended(ctx context.Context, m endedMessage) {
+	if s.hosts[m.shard] != m.w {
+		return
+	}
+	s.mu.Lock()
+	delete(s.hosts, m.shard)
+	s.mu.Unlock()
+	s.Log.Info().Int("shard", m.shard).Bool("fenced", m.w.Fenced()).Msg("shard left")
+	s.stepAssign(ctx, assign.Gone{Shard: m.shard})
+	s.Owned(s.List())
+}
+
+// rekey puts a shard's key under a new lease, after the old one lapsed. That
+// nobody else has the key now doesn't mean that nobody had it in between, so
+// the journal must prove it before the host may dispatch again.
+func (s *Shards) rekey(ctx context.Context, shard int, w *ward, id store.Lease) {
+	if !w.suspended {
+		return
+	}
+	s.Go(func() {
+		call, stop := context.WithTimeout(ctx, claimTimeout)
+		defer stop()
+		c, err := s.claim(call, shard, id)
+		s.post(ctx, rekeyMessage{w: w, c: c, ok: err == nil})
+	})
+}
+
+func (s *Shards) rekeyed(m rekeyMessage) {
+	if !m.ok {
+		m.w.Cancel()
+		return
+	}
+	m.w.key = m.c
+	m.w.Tell(owner.Verify{})
+}
+
+func (s *Shards) proved(h *host.Host) {
+	for _, w := range s.hosts {
+		if w.Host == h {
+			w.suspended = false
+		}
+	}
+	s.tellLease()
+}
+
+// give ends ownership once all calls have ended, and offers the shard.
+func (s *Shards) give(ctx context.Context, g assign.Give) {
+	w := s.hosts[g.Shard]
+	if w == nil || w.giving {
+		return
+	}
+	w.giving = true
+	w.Tell(owner.Drain{})
+	s.Go(func() {
+		select {
+		case <-w.Drained():
+		case <-w.Done():
+			return
+		}
+		w.Stop()
+		s.release(ctx, g, w.key)
+	})
+}
+
+// release leaves the shard's key behind marked as released, so that the next
+// owner need not wait for a lease to lapse.
+func (s *Shards) release(ctx context.Context, g assign.Give, c claimed) {
+	call, stop := context.WithTimeout(ctx, giveTimeout)
+	defer stop()
+	_, err := s.Store.Put(call, key(g.Shard), encode(claim{Owner: s.Name, Released: true}), c.rev, 0)
+	if err != nil {
+		s.Log.Warn().Err(err).Int("shard", g.Shard).Msg("release not recorded; the next owner waits for the lease")
+		return
+	}
+	if g.To.Name == "" {
+		return
+	}
+	if err := s.Offer(call, g.To, g.Shard); err != nil {
+		s.Log.Debug().Err(err).Int("shard", g.Shard).Msg("offer failed")
+	}
+}
--- a/internal/shard/owner/owner.go
+++ b/internal/shard/owner/owner.go
@@ -104,6 +104,9 @@
 	// lease had lapsed; the answer is Verified once a record is committed.
 	Verify struct{}
 
+	// Pace sets the least time between two journal writes.
+	Pace struct{ Interval time.Duration }
+
 	// Drain asks for no further calls; the owner says Drained when all has
 	// ended and is committed.
 	Drain struct{}
@@ -226,6 +229,7 @@
 func (Journal) message()   {}
 func (Saved) message()     {}
 func (Verify) message()    {}
+func (Pace) message()      {}
 func (Drain) message()     {}
 func (Tick) message()      {}
 
@@ -271,6 +275,8 @@
 		o.saved(m)
 	case Verify:
 		o.verifySeq = o.add(record.Took{Epoch: o.Chain.Epoch, Owner: o.Chain.Owner, At: now})
+	case Pace:
+		o.Chain.Interval = m.Interval
 	case Drain:
 		o.draining = true
 	case Tick:
