--- /dev/null
+++ b/internal/node/daemon/daemon.go
@@ -0,0 +1,290 @@
+// Package daemon puts one daemon together: it meets callers, knows the other
+// daemons, owns shards and reaches upstreams.
+//
+// Everything in it has its own package; daemon only connects their ends and
+// starts and stops them in order.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/conf/watch"
+	"github.com/slaterock/slaterock/internal/edge/relay"
+	"github.com/slaterock/slaterock/internal/edge/server"
+	"github.com/slaterock/slaterock/internal/node/host"
+	"github.com/slaterock/slaterock/internal/node/placer"
+	"github.com/slaterock/slaterock/internal/node/send"
+	"github.com/slaterock/slaterock/internal/node/setup"
+	"github.com/slaterock/slaterock/internal/node/shards"
+	"github.com/slaterock/slaterock/internal/peer/beat"
+	"github.com/slaterock/slaterock/internal/peer/gossip"
+	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/meter"
+	"github.com/slaterock/slaterock/internal/plat/store"
+	"github.com/slaterock/slaterock/internal/plat/tool"
+	"github.com/slaterock/slaterock/internal/plat/vmlist"
+)
+
+const (
+	poolSize     = 16 << 10
+	leaveTime    = 6 * time.Second // a caller may keep an answer of locate for 5 s
+	drainTimeout = 10 * time.Minute
+)
+
+type (
+	// Daemon is one daemon. Set the fields, then Run.
+	Daemon struct {
+		Settings setup.Settings
+		Store    store.Store
+		VMs      vmlist.List // nil without a list
+		Engine   func(address string) engine.Engine
+		Tool     func(address string) tool.Tool
+		Log      zerolog.Logger
+		// Listen and Peers replace listening on the addresses of the settings.
+		Listen, Peers net.Listener
+		Leave         time.Duration // how long a draining daemon goes on serving; zero is six seconds
+
+		pool   *ants.Pool
+		meter  meter.Meter
+		keeper watch.Keeper
+		gossip gossip.Gossip
+		link   link.Link
+		shards shards.Shards
+		placer placer.Placer
+		server server.Server
+		relay  relay.Relay
+		self   beat.Member
+		mu     sync.Mutex
+		drain  chan struct{}
+		once   sync.Once
+		ready  chan struct{}
+	}
+)
+
+var (
+	errNotReady = errors.New("daemon: no configuration yet")
+	errDraining = errors.New("daemon: draining")
+)
+
+// Init opens the listeners, so that Address is known before Run.
+func (d *Daemon) Init(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "daemon: start") }()
+	var lc net.ListenConfig
+	if d.Listen == nil {
+		if d.Listen, err = lc.Listen(ctx, "tcp", d.Settings.Daemon.Listen); err != nil {
+			return err
+		}
+	}
+	if d.Peers == nil {
+		if d.Peers, err = lc.Listen(ctx, "tcp", d.Settings.Peers.Listen); err != nil {
+			return err
+		}
+	}
+	if d.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true)); err != nil {
+		return err
+	}
+	d.drain = make(chan struct{})
+	d.ready = make(chan struct{})
+	d.self = beat.Member{
+		Name:          d.Settings.Daemon.Name,
+		Address:       either(d.Settings.Daemon.Advertise, d.Listen.Addr().String()),
+		Peer:          either(d.Settings.Peers.Advertise, d.Peers.Addr().String()),
+		FailureDomain: d.Settings.Daemon.FailureDomain,
+		Disk:          d.Settings.Daemon.DataFolder != "",
+		State:         beat.Alive,
+		Incarnation:   uint64(time.Now().UnixNano()),
+	}
+	return nil
+}
+
+func either(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// Address is where callers reach the daemon.
+func (d *Daemon) Address() string { return d.self.Address }
+
+// Ready is closed when a configuration is in force.
+func (d *Daemon) Ready() <-chan struct{} { return d.ready }
+
+// Drain asks the daemon to stop without cutting a request; Run returns then.
+func (d *Daemon) Drain() { d.once.Do(func() { close(d.drain) }) }
+
+// Run runs the daemon until ctx ends, which cuts what is under way, or until it
+// has drained.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "daemon") }()
+	ctx, stop := context.WithCancel(ctx)
+	defer d.pool.Release()
+	d.assemble(ctx)
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer stop()
+	work.Go(func() { d.placer.Serve(ctx) })
+	work.Go(func() { d.gossip.Run(ctx, beat.Self{Member: d.self, Seeds: d.Settings.Peers.Seeds}) })
+	work.Go(func() { d.failed(stop, d.link.Serve(ctx, d.Peers)) })
+	work.Go(func() { _ = d.keeper.Serve(ctx) })
+	work.Go(func() { d.shards.Serve(ctx) })
+	work.Go(func() { d.failed(stop, d.server.Serve(d.Listen)) })
+	select {
+	case <-ctx.Done():
+		cut, done := context.WithCancel(context.Background())
+		done()
+		_ = d.server.Shutdown(cut)
+		return nil
+	case <-d.drain:
+		return d.leave(ctx)
+	}
+}
+
+func (d *Daemon) failed(stop func(), err error) {
+	if err != nil {
+		d.Log.Error().Err(err).Msg("daemon stops")
+		stop()
+	}
+}
+
+// leave stops in an order that cuts nothing: callers are sent elsewhere first,
+// shards are handed over when their calls have ended, and what callers still
+// send is relayed until their answers from locate have run out.
+func (d *Daemon) leave(ctx context.Context) error {
+	d.Log.Info().Msg("draining")
+	d.server.StartDraining()
+	d.update(ctx, func(m *beat.Member) { m.State = beat.Draining })
+	ctx, stop := context.WithTimeout(ctx, drainTimeout)
+	defer stop()
+	leave := d.Leave
+	if leave == 0 {
+		leave = leaveTime
+	}
+	start := time.Now()
+	if err := d.shards.Drain(ctx); err != nil {
+		return errors.Wrap(err, "hand over")
+	}
+	select {
+	case <-time.After(leave - time.Since(start)):
+	case <-ctx.Done():
+	}
+	err := d.server.Shutdown(ctx)
+	d.Log.Info().Msg("drained")
+	return errors.Wrap(err, "finish requests")
+}
+
+// run runs f on the pool, or on a goroutine of its own when the pool is full:
+// work that waited for a free worker could be what a worker waits for.
+func (d *Daemon) run(f func()) {
+	if d.pool.Submit(f) != nil {
+		go f()
+	}
+}
+
+func (d *Daemon) update(ctx context.Context, change func(m *beat.Member)) {
+	d.mu.Lock()
+	change(&d.self)
+	d.self.Serial++
+	self := d.self
+	d.mu.Unlock()
+	d.gossip.Update(ctx, beat.Self{Member: self, Seeds: d.Settings.Peers.Seeds})
+}
+
+func (d *Daemon) assemble(ctx context.Context) {
+	d.meter.Store = d.Store
+	d.meter.OnSuccess = func(at time.Time) {
+		d.run(func() {
+			d.gossip.Reached(ctx, at)
+			d.shards.Reached(ctx, at)
+		})
+	}
+	d.assemblePeers(ctx)
+	d.assembleShards(ctx)
+	d.assembleEdge(ctx)
+	d.keeper.Self = watch.Member{Name: d.self.Name, Peer: d.self.Peer}
+	d.keeper.Seeds = d.Settings.Peers.Seeds
+	d.keeper.Store = &d.meter
+	d.keeper.Fetch = func(ctx context.Context, peer string, q watch.Question) (a watch.Answer, err error) {
+		err = d.link.Peer(peer).Invoke(ctx, methodConfig, q, &a)
+		return a, err
+	}
+	d.keeper.OnChange = func(f file.File) { d.configure(ctx, f) }
+}
+
+func (d *Daemon) configure(ctx context.Context, f file.File) {
+	d.Log.Info().Uint64("version", f.Version).Msg("configuration in force")
+	d.share()
+	d.shards.Configure(ctx, f)
+	d.placer.Tell(ctx, nil, sched.Configure{File: f})
+	d.update(ctx, func(m *beat.Member) { m.Config = f.Version })
+	select {
+	case <-d.ready:
+	default:
+		close(d.ready)
+	}
+}
+
+// share gives this daemon its part of the calls that the store takes.
+func (d *Daemon) share() {
+	n := 0
+	for _, m := range d.gossip.Members() {
+		if m.State != beat.Down {
+			n++
+		}
+	}
+	n = max(n, 1)
+	sys := d.keeper.Current().System
+	// Owners write and read more than others, so a share is twice the mean.
+	d.meter.Allow(2*sys.StoreReads/float64(n), 2*sys.StoreWrites/float64(n))
+}
+
+func (d *Daemon) assembleShards(ctx context.Context) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	var mu sync.Mutex
+	draw := func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Uint64()
+	}
+	tries := send.Send{Engine: d.Engine, Tool: d.Tool, First: func(request, upstream string) {
+		d.placer.Tell(ctx, nil, sched.First{ID: request, Upstream: upstream})
+	}}
+	d.shards = shards.Shards{
+		Name:     d.self.Name,
+		Store:    &d.meter,
+		Rand:     draw,
+		Go:       d.run,
+		Log:      d.Log,
+		Members:  d.gossip.Members,
+		StoreAge: d.gossip.StoreAge,
+		Alone:    d.gossip.Alone,
+		Attempt:  tries.Attempt,
+		Place:    func(h *host.Host, m sched.Message) { d.placer.Tell(ctx, h, m) },
+		Ended:    d.ended,
+		Owned:    func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
+		Offer:    d.offer,
+	}
+	d.shards.Init()
+	d.placer = placer.Placer{
+		Seed:    draw(),
+		Engine:  d.Engine,
+		VMs:     d.VMs,
+		Go:      d.run,
+		Log:     d.Log,
+		Fence:   d.fence,
+		Forward: d.forward,
+		Live:    d.live,
+	}
+	d.placer.Init()
+}
--- a/internal/node/host/look.go
+++ b/internal/node/host/look.go
@@ -136,3 +136,15 @@
 	h, err := strconv.ParseUint(head, 16, 64)
 	return h, err == nil
 }
+
+// Live reports whether the program is open, as far as can be told.
+func (h *Host) Live(program string) bool {
+	ch := make(chan bool, 1)
+	h.post(look{f: func() { ch <- h.machine.Live(program) }})
+	select {
+	case live := <-ch:
+		return live
+	case <-h.done:
+		return true
+	}
+}
--- a/internal/node/shards/local.go
+++ b/internal/node/shards/local.go
@@ -68,3 +68,15 @@
 	}
 	return w.Request(ctx, account, request)
 }
+
+// Live returns those of the programs that are open here. Programs of shards
+// that are not owned here count as open: their owner must say otherwise.
+func (s *Shards) Live(programs []string) []string {
+	var out []string
+	for _, p := range programs {
+		if w := s.find(p); w == nil || w.Live(p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/internal/shard/owner/refs.go
+++ b/internal/shard/owner/refs.go
@@ -43,3 +43,9 @@
 	_, ok := o.Fold.Programs[r.prog.id].Intents[r.call.Number]
 	return ok
 }
+
+// Live reports whether the program is open.
+func (o *Owner) Live(program string) bool {
+	p := o.progs[program]
+	return p != nil && p.closed == ""
+}
