link: carry calls, pieces and packets between daemons over json-rpc

Cause: daemons other than a program's owner must reach the owner's runner, and connections can go silent without an end. Change: an authenticated connection with calls, streamed pieces under a window for each call, cancellation, packets, a method table and heartbeats only while something is awaited.

--- /dev/null
+++ b/internal/peer/link/answer.go
@@ -0,0 +1,150 @@
+package link
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/slaterock/slaterock/internal/prog/runner"
+)
+
+// answer collects what comes back for one call that was made: pieces for its
+// sink, then the outcome. What waits here is bounded by the window that the
+// other side keeps to.
+type answer struct {
+	mu     sync.Mutex
+	pieces []piece
+	signal chan struct{} // holds one signal that pieces came
+	done   chan error    // the outcome
+	sent   bool          // the write began; guarded by the session's mu
+}
+
+func newAnswer() *answer {
+	return &answer{signal: make(chan struct{}, 1), done: make(chan error, 1)}
+}
+
+func (a *answer) put(p piece) {
+	a.mu.Lock()
+	a.pieces = append(a.pieces, p)
+	a.mu.Unlock()
+	select {
+	case a.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (a *answer) take() []piece {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	all := a.pieces
+	a.pieces = nil
+	return all
+}
+
+// exchange makes one call over the session and waits for its outcome.
+func (s *session) exchange(ctx context.Context, method string, params any, sink runner.Sink, out any) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	a := newAnswer()
+	id := s.open(a)
+	s.awaiting.Add(1)
+	defer s.awaiting.Add(-1)
+	s.expect()
+	// The write may wait for other writes on this connection; ctx must not.
+	err := s.link.spawn(func(context.Context) {
+		a.done <- s.roundTrip(ctx, id, method, params, out)
+	})
+	if err != nil {
+		s.forget(id)
+		return &Error{Peer: s.peer, Cause: err}
+	}
+	return s.collect(ctx, id, a, sink)
+}
+
+func (s *session) open(a *answer) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	s.answers[s.next] = a
+	return s.next
+}
+
+// forget ends the routing of pieces and reports whether the write had begun.
+func (s *session) forget(id uint64) (sent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.answers[id]
+	delete(s.answers, id)
+	return a != nil && a.sent
+}
+
+// roundTrip sends the request and waits for the outcome. Once sent, the end of
+// ctx is passed on, after the request and never before it.
+func (s *session) roundTrip(ctx context.Context, id uint64, method string, params, out any) error {
+	w, err := s.rpc.DispatchCall(ctx, method, params, jsonrpc2.PickID(jsonrpc2.ID{Num: id}))
+	if err == nil {
+		err = w.Wait(ctx, out)
+	}
+	sent := s.forget(id)
+	var refused *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &refused) && refused.Code == codeOverloaded:
+		return s.broken(false, err)
+	case errors.As(err, &refused):
+		return &Refused{Method: method, Message: refused.Message}
+	case ctx.Err() != nil:
+		s.must(outgoing{method: methodCancel, params: cancel{ID: id}})
+		return ctx.Err()
+	}
+	return s.broken(sent && !errors.Is(err, errTooLarge), err)
+}
+
+func (s *session) broken(sent bool, err error) error {
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		err = s.reason()
+	}
+	return &Error{Peer: s.peer, Sent: sent, Cause: err}
+}
+
+// collect hands pieces to the sink until the outcome is there.
+func (s *session) collect(ctx context.Context, id uint64, a *answer, sink runner.Sink) error {
+	for {
+		select {
+		case <-a.signal:
+			if err := s.pass(id, a, sink); err != nil {
+				return err
+			}
+		case err := <-a.done:
+			if err != nil {
+				return err
+			}
+			// The reader put all pieces before it saw the outcome.
+			return s.pass(id, a, sink)
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), s.peer)
+		}
+	}
+}
+
+// pass gives what came to the sink and lets the other side send as much again.
+func (s *session) pass(id uint64, a *answer, sink runner.Sink) error {
+	n := 0
+	for _, p := range a.take() {
+		text := string(unpack(p.Data, p.Text))
+		n += len(text) + pieceCost
+		if sink == nil {
+			continue
+		}
+		if err := sink(text); err != nil {
+			return err
+		}
+	}
+	if n > 0 {
+		s.must(outgoing{method: methodCredit, params: credit{ID: id, Bytes: n}})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/link/memory_test.go
@@ -0,0 +1,211 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/runner"
+)
+
+type (
+	// memory is a network of pipes with faults to switch on.
+	memory struct {
+		mu        sync.Mutex
+		listeners map[string]*listener
+		conns     []*faulty
+		dials     int
+	}
+
+	listener struct {
+		ctx   context.Context
+		stop  context.CancelFunc
+		conns chan net.Conn
+	}
+
+	// faulty is a connection that can go silent: what is written is swallowed
+	// and nothing more is read, without an error.
+	faulty struct {
+		net.Conn
+		silent chan struct{}
+		closed chan struct{}
+		once   sync.Once
+	}
+
+	// scripted is a runner whose calls do what a test says.
+	scripted struct {
+		call func(ctx context.Context, c call.Call, sink runner.Sink) result.Result
+	}
+)
+
+func (m *memory) listen(address string) net.Listener {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := &listener{conns: make(chan net.Conn)}
+	l.ctx, l.stop = context.WithCancel(context.Background())
+	if m.listeners == nil {
+		m.listeners = map[string]*listener{}
+	}
+	m.listeners[address] = l
+	return l
+}
+
+func (m *memory) dial(ctx context.Context, address string) (net.Conn, error) {
+	m.mu.Lock()
+	l := m.listeners[address]
+	m.dials++
+	m.mu.Unlock()
+	if l == nil || l.ctx.Err() != nil {
+		return nil, errors.New("connection refused")
+	}
+	a, b := net.Pipe()
+	f := &faulty{Conn: a, silent: make(chan struct{}), closed: make(chan struct{})}
+	select {
+	case l.conns <- b:
+	case <-l.ctx.Done():
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conns = append(m.conns, f)
+	return f, nil
+}
+
+// silence makes all connections that are open now go silent.
+func (m *memory) silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range m.conns {
+		close(f.silent)
+	}
+	m.conns = nil
+}
+
+func (f *faulty) isSilent() bool {
+	select {
+	case <-f.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *faulty) Read(p []byte) (int, error) {
+	n, err := f.Conn.Read(p)
+	if !f.isSilent() {
+		return n, err
+	}
+	<-f.closed
+	return 0, io.ErrClosedPipe
+}
+
+func (f *faulty) Write(p []byte) (int, error) {
+	if f.isSilent() {
+		return len(p), nil
+	}
+	return f.Conn.Write(p)
+}
+
+func (f *faulty) Close() error {
+	f.once.Do(func() { close(f.closed) })
+	return f.Conn.Close()
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.ctx.Done():
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.stop()
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s scripted) Open(context.Context, call.Open) result.Result {
+	return result.Result{Code: result.CodeOK, Ran: result.Yes}
+}
+
+func (s scripted) Call(ctx context.Context, c call.Call, sink runner.Sink) result.Result {
+	return s.call(ctx, c, sink)
+}
+
+func (s scripted) End(_ context.Context, e call.End) result.Result {
+	return result.Result{Code: result.CodeOK, Message: string(e.Kind)}
+}
+
+func (s scripted) History(_ context.Context, account, program string) (hist.History, result.Result) {
+	return hist.History{Account: account, Program: program}, result.Result{Code: result.CodeOK}
+}
+
+func (s scripted) Request(_ context.Context, _, request string) (hist.History, result.Result) {
+	if request == "" {
+		return hist.History{}, result.Refuse(result.CodeNotFound, "no such request")
+	}
+	return hist.History{Calls: []hist.Call{{Request: request}}}, result.Result{Code: result.CodeOK}
+}
+
+// pair is two linked daemons, a and b, until the test ends.
+type pair struct {
+	memory memory
+	a, b   Link
+	ctx    context.Context
+	stop   context.CancelFunc
+	stopB  context.CancelFunc
+	counts tally.TestScope
+	work   sync.WaitGroup
+}
+
+func newPair(t *testing.T, run runner.Runner) *pair {
+	t.Helper()
+	p := &pair{counts: tally.NewTestScope("", nil)}
+	p.ctx, p.stop = context.WithCancel(t.Context())
+	var ctxB context.Context
+	ctxB, p.stopB = context.WithCancel(p.ctx)
+	p.a = Link{Address: "a", Key: []byte("key"), Dial: p.memory.dial, Scope: p.counts}
+	p.b = Link{Address: "b", Key: []byte("key"), Dial: p.memory.dial, Scope: p.counts, Runner: run}
+	p.serve(p.ctx, &p.a, "a")
+	p.serve(ctxB, &p.b, "b")
+	return p
+}
+
+func (p *pair) serve(ctx context.Context, l *Link, address string) {
+	ln := p.memory.listen(address)
+	_ = l.Start(ctx)
+	p.work.Go(func() { _ = l.Serve(ctx, ln) })
+}
+
+// end ends all work and returns when none is left.
+func (p *pair) end() {
+	p.stop()
+	p.work.Wait()
+}
+
+func (p *pair) count(name string) int64 {
+	c := p.counts.Snapshot().Counters()[name+"+"]
+	if c == nil {
+		return 0
+	}
+	return c.Value()
+}
+
+// elapse lets d pass on the test's own clock.
+func elapse(d time.Duration) {
+	<-time.After(d)
+}
--- /dev/null
+++ b/internal/peer/link/peer.go
@@ -0,0 +1,257 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/peer/beat"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/runner"
+)
+
+const (
+	backOffFirst = 50 * time.Millisecond
+	backOffMax   = 2 * time.Second
+	retryAfter   = time.Second // told to callers whose owner was not reached
+)
+
+// Peer is the way to one other daemon. It is a runner.Runner that runs there;
+// a failure of the link is told as a result. Try tells it as an *Error.
+type Peer struct {
+	link    *Link
+	address string
+
+	mu      sync.Mutex
+	session *session
+	dialing chan struct{} // closed when the dial under way ends
+	wait    time.Duration // back-off after the last failure
+	next    time.Time     // no dial before
+	failure error
+}
+
+var _ runner.Runner = (*Peer)(nil)
+
+// Open opens a program there.
+func (p *Peer) Open(ctx context.Context, o call.Open) result.Result {
+	return p.ask(ctx, methodOpen, request{Open: &o})
+}
+
+// Call runs a call there. A failure of the link after the request was sent
+// gives outcome_unknown, although repeating the call would join it: see Try.
+func (p *Peer) Call(ctx context.Context, c call.Call, sink runner.Sink) result.Result {
+	r, err := p.Try(ctx, c, sink)
+	if err != nil {
+		return failed(err)
+	}
+	return r
+}
+
+// Try is like Call, but gives a failure of the link as an *Error. The owner
+// joins calls by their number, so the same call may then be tried again,
+// through the same or a new owner, whether or not it was sent; text given to
+// sink comes again then, from the start.
+func (p *Peer) Try(ctx context.Context, c call.Call, sink runner.Sink) (result.Result, error) {
+	var out response
+	err := p.exchange(ctx, methodCall, packCall(c), sink, &out)
+	if err != nil {
+		return result.Result{}, err
+	}
+	return out.result(), nil
+}
+
+// End ends a program there.
+func (p *Peer) End(ctx context.Context, e call.End) result.Result {
+	return p.ask(ctx, methodEnd, request{End: &e})
+}
+
+// History returns a program's history from there.
+func (p *Peer) History(ctx context.Context, account, program string) (hist.History, result.Result) {
+	return p.query(ctx, methodHistory, query{Account: account, Name: program})
+}
+
+// Request returns what became of one request from there.
+func (p *Peer) Request(ctx context.Context, account, name string) (hist.History, result.Result) {
+	return p.query(ctx, methodRequest, query{Account: account, Name: name})
+}
+
+// Invoke calls a method that the peer offers by Handle. The error is a
+// *Refused if the method itself failed, an *Error if the link did.
+func (p *Peer) Invoke(ctx context.Context, name string, params, out any) (err error) {
+	defer func() { err = errors.Wrapf(err, "invoke %s", name) }()
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	// The answer may still come in when ctx has ended and out is the caller's
+	// own again.
+	var raw json.RawMessage
+	r := request{invoke: invocation{Name: name, Params: data}}
+	if err = p.exchange(ctx, methodInvoke, r, nil, &raw); err != nil || out == nil {
+		return err
+	}
+	return json.Unmarshal(raw, out)
+}
+
+// Send sends a packet if that can be done without waiting; else it is lost, or
+// sent after a dial.
+func (p *Peer) Send(packet beat.Packet) {
+	p.mu.Lock()
+	s := p.live()
+	p.mu.Unlock()
+	if s != nil {
+		s.packet(packet)
+		return
+	}
+	_ = p.link.spawn(func(ctx context.Context) {
+		if s, err := p.connect(ctx); err == nil {
+			s.packet(packet)
+		}
+	})
+}
+
+func (p *Peer) ask(ctx context.Context, method string, r request) result.Result {
+	var out response
+	if err := p.exchange(ctx, method, r, nil, &out); err != nil {
+		return failed(err)
+	}
+	return out.result()
+}
+
+func (p *Peer) query(ctx context.Context, method string, q query) (hist.History, result.Result) {
+	var out response
+	if err := p.exchange(ctx, method, request{Query: &q}, nil, &out); err != nil {
+		return hist.History{}, failed(err)
+	}
+	if out.History == nil {
+		return hist.History{}, out.result()
+	}
+	return *out.History, out.result()
+}
+
+// failed tells a failure of the link as an outcome. Nothing but a request
+// that certainly was not sent may be told as not run.
+func failed(err error) result.Result {
+	var e *Error
+	switch {
+	case errors.As(err, &e) && !e.Sent:
+		return result.Refuse(result.CodeNotOwner, "%v", err).WithRetryAfter(retryAfter)
+	case errors.Is(err, context.DeadlineExceeded):
+		return result.Failed(result.CodeTimeout, result.Unknown, "%v", err)
+	case errors.Is(err, context.Canceled):
+		return result.Failed(result.CodeCancelled, result.Unknown, "%v", err)
+	}
+	return result.Failed(result.CodeUnknown, result.Unknown, "%v", err).WithRetryAfter(retryAfter)
+}
+
+func (p *Peer) exchange(ctx context.Context, method string, r request, sink runner.Sink, out any) error {
+	s, err := p.connect(ctx)
+	if err != nil {
+		return &Error{Peer: p.address, Cause: err}
+	}
+	if method == methodInvoke {
+		return s.exchange(ctx, method, r.invoke, sink, out)
+	}
+	return s.exchange(ctx, method, r, sink, out)
+}
+
+// live returns the session if it can be used.
+func (p *Peer) live() *session {
+	if p.session == nil || p.session.ended() {
+		return nil
+	}
+	return p.session
+}
+
+// adopt takes a connection that the other side opened.
+func (p *Peer) adopt(s *session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wait = 0
+	p.next = time.Time{}
+	if p.live() == nil {
+		p.session = s
+	}
+}
+
+// connect returns a live session. Callers that come meanwhile share one dial.
+func (p *Peer) connect(ctx context.Context) (*session, error) {
+	for {
+		p.mu.Lock()
+		if s := p.live(); s != nil {
+			p.mu.Unlock()
+			return s, nil
+		}
+		dialing := p.dialing
+		if dialing == nil {
+			var err error
+			if dialing, err = p.startDial(); err != nil {
+				p.mu.Unlock()
+				return nil, err
+			}
+		}
+		p.mu.Unlock()
+		select {
+		case <-dialing:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// startDial dials in the background, unless the last failure is too recent:
+// then callers get that failure at once, so that they can go elsewhere.
+func (p *Peer) startDial() (chan struct{}, error) {
+	if time.Now().Before(p.next) {
+		return nil, errors.Wrap(p.failure, "not dialled again yet")
+	}
+	done := make(chan struct{})
+	err := p.link.spawn(func(ctx context.Context) {
+		s, err := p.dial(ctx)
+		p.dialled(s, err)
+		close(done)
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.dialing = done
+	return done, nil
+}
+
+func (p *Peer) dialled(s *session, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing = nil
+	if err == nil {
+		p.session = s
+		p.wait = 0
+		p.next = time.Time{}
+		return
+	}
+	p.failure = err
+	p.wait = min(max(2*p.wait, backOffFirst), backOffMax)
+	// The jitter keeps daemons apart that lost the same peer together.
+	p.next = time.Now().Add(p.wait/2 + rand.N(p.wait/2))
+}
+
+func (p *Peer) dial(ctx context.Context) (*session, error) {
+	limited, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	conn, err := p.link.Dial(limited, p.address)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{link: p.link, peer: p.address, stream: newStream(conn), dialled: true}
+	if _, err := s.stream.prove(limited, p.link.Key, p.link.Address, dialling); err != nil {
+		p.link.countHandshake(err)
+		_ = conn.Close()
+		return nil, err
+	}
+	return s, s.run(ctx)
+}
--- /dev/null
+++ b/internal/peer/link/prove.go
@@ -0,0 +1,108 @@
+package link
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	dialling  role = "dialling"
+	accepting role = "accepting"
+
+	nonceSize     = 16
+	handshakeTime = 2 * time.Second
+)
+
+type (
+	role string
+
+	// hello opens the handshake in both directions.
+	hello struct {
+		Nonce   []byte `json:"nonce"`
+		Address string `json:"address"`
+		Proof   []byte `json:"proof,omitempty"` // of the accepting side, at once
+	}
+
+	proof struct {
+		Proof []byte `json:"proof"`
+	}
+)
+
+// prove shows the peer that this side holds the key, and the reverse, and
+// returns the peer's address. Each side signs both nonces, both addresses and
+// its own role, so that no answer can be replayed or turned round. The
+// accepting side proves itself first: a daemon that dialled a wrong address
+// sends no proof there. Nothing else is read before both have proved
+// themselves.
+func (s *stream) prove(ctx context.Context, key []byte, address string, as role) (peer string, err error) {
+	defer func() { err = errors.Wrap(err, "handshake") }()
+	defer s.guard(ctx)()
+	if err = s.conn.SetReadDeadline(time.Now().Add(handshakeTime)); err != nil {
+		return "", err
+	}
+	own := hello{Nonce: make([]byte, nonceSize), Address: address}
+	_, _ = rand.Read(own.Nonce) // never fails
+	if as == dialling {
+		peer, err = s.proveDialling(key, own)
+	} else {
+		peer, err = s.proveAccepting(key, own)
+	}
+	if err != nil {
+		return "", err
+	}
+	s.limit = maxMessage
+	return peer, s.conn.SetReadDeadline(time.Time{})
+}
+
+func (s *stream) proveDialling(key []byte, own hello) (string, error) {
+	if err := s.WriteObject(own); err != nil {
+		return "", err
+	}
+	var theirs hello
+	if err := s.ReadObject(&theirs); err != nil {
+		return "", err
+	}
+	if !hmac.Equal(theirs.Proof, sign(key, accepting, own, theirs)) {
+		return "", ErrKey
+	}
+	return theirs.Address, s.WriteObject(proof{Proof: sign(key, dialling, own, theirs)})
+}
+
+func (s *stream) proveAccepting(key []byte, own hello) (string, error) {
+	var theirs hello
+	if err := s.ReadObject(&theirs); err != nil {
+		return "", err
+	}
+	own.Proof = sign(key, accepting, theirs, own)
+	if err := s.WriteObject(own); err != nil {
+		return "", err
+	}
+	var p proof
+	if err := s.ReadObject(&p); err != nil {
+		return "", err
+	}
+	if !hmac.Equal(p.Proof, sign(key, dialling, theirs, own)) {
+		return "", ErrKey
+	}
+	return theirs.Address, nil
+}
+
+// sign returns the proof of the side in the given role. Lengths are signed
+// too, so that no two sets of fields give the same bytes.
+func sign(key []byte, as role, dialled, accepted hello) []byte {
+	mac := hmac.New(sha256.New, key)
+	for _, field := range [][]byte{
+		[]byte(as),
+		dialled.Nonce, accepted.Nonce,
+		[]byte(dialled.Address), []byte(accepted.Address),
+	} {
+		mac.Write([]byte{byte(len(field) >> 8), byte(len(field))})
+		mac.Write(field)
+	}
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/internal/peer/link/serve.go
@@ -0,0 +1,183 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	window    = 64 << 10 // bytes of one answer under way to a sink
+	pieceCost = 64       // counted for each piece besides its text
+)
+
+// serve is one call that is served.
+type serve struct {
+	session *session
+	id      uint64
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+
+	mu    sync.Mutex
+	room  int
+	grown chan struct{} // holds one signal that room grew
+}
+
+// serve answers a request on a pool; a full pool refuses it at once.
+func (s *session) serve(r *jsonrpc2.Request, params json.RawMessage) {
+	var q request
+	var err error
+	pool := s.link.others
+	switch r.Method {
+	case methodOpen, methodCall, methodEnd, methodHistory, methodRequest:
+		err = json.Unmarshal(params, &q)
+		pool = s.link.calls
+	case methodInvoke:
+		err = json.Unmarshal(params, &q.invoke)
+	}
+	if err != nil {
+		s.fail(r, jsonrpc2.CodeInvalidParams, err)
+		return
+	}
+	v := s.begin(r.ID.Num)
+	err = s.link.submit(pool, func() {
+		defer s.finish(v)
+		s.answer(v, r, q)
+	})
+	if err != nil {
+		s.finish(v)
+		s.refuse(r, err)
+	}
+}
+
+func (s *session) refuse(r *jsonrpc2.Request, err error) {
+	s.link.Scope.Counter("link_refused").Inc(1)
+	s.fail(r, codeOverloaded, err)
+}
+
+func (s *session) begin(id uint64) *serve {
+	v := &serve{session: s, id: id, room: window, grown: make(chan struct{}, 1)}
+	v.ctx, v.cancel = context.WithCancelCause(s.link.ctx)
+	s.serving.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served[id] = v
+	if s.ended() {
+		v.cancel(ErrLost)
+	}
+	return v
+}
+
+func (s *session) finish(v *serve) {
+	v.cancel(nil)
+	s.serving.Add(-1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.served, v.id)
+}
+
+func (s *session) answer(v *serve, r *jsonrpc2.Request, q request) {
+	out, err := v.run(r.Method, q)
+	if err != nil {
+		s.fail(r, codeFailed, err)
+		return
+	}
+	_ = s.rpc.Reply(v.ctx, r.ID, out)
+}
+
+// fail answers with an error. The reader calls it too, which must not block:
+// two readers that wait for each other to read would stop both directions.
+func (s *session) fail(r *jsonrpc2.Request, code int64, err error) {
+	if r.Notif {
+		return
+	}
+	reply := &jsonrpc2.Response{ID: r.ID, Error: &jsonrpc2.Error{Code: code, Message: err.Error()}}
+	s.must(outgoing{reply: reply})
+}
+
+func (v *serve) run(method string, q request) (any, error) {
+	if method == methodInvoke {
+		return v.invoke(q.invoke)
+	}
+	run := v.session.link.Runner
+	if run == nil {
+		return packResult(result.Refuse(result.CodeNotOwner, "this daemon serves no programs")), nil
+	}
+	switch {
+	case method == methodOpen && q.Open != nil:
+		return packResult(run.Open(v.ctx, *q.Open)), nil
+	case method == methodCall && q.Call != nil:
+		return packResult(run.Call(v.ctx, q.call(), v.sink)), nil
+	case method == methodEnd && q.End != nil:
+		return packResult(run.End(v.ctx, *q.End)), nil
+	case method == methodHistory && q.Query != nil:
+		h, res := run.History(v.ctx, q.Query.Account, q.Query.Name)
+		out := packResult(res)
+		out.History = &h
+		return out, nil
+	case method == methodRequest && q.Query != nil:
+		h, res := run.Request(v.ctx, q.Query.Account, q.Query.Name)
+		out := packResult(res)
+		out.History = &h
+		return out, nil
+	}
+	return nil, errors.Newf("no method %s", method)
+}
+
+func (v *serve) invoke(i invocation) (any, error) {
+	h := v.session.link.handlers[i.Name]
+	if h == nil {
+		return nil, errors.Newf("no method %s", i.Name)
+	}
+	return h(v.ctx, i.Params)
+}
+
+// sink sends a piece of the answer. It waits while the caller's side has not
+// taken what was sent before: without this bound a slow caller would fill this
+// daemon's or the relay's memory, or stop all other answers on the connection.
+func (v *serve) sink(text string) error {
+	if err := v.take(len(text) + pieceCost); err != nil {
+		return err
+	}
+	p := piece{ID: v.id}
+	p.Data, p.Text = pack([]byte(text))
+	err := v.session.rpc.Notify(v.ctx, methodPiece, p)
+	if err != nil {
+		return ErrLost
+	}
+	return nil
+}
+
+// take waits until there is room for any bytes at all, so that a piece larger
+// than the window passes too.
+func (v *serve) take(n int) error {
+	for {
+		v.mu.Lock()
+		if v.room > 0 {
+			v.room -= n
+			v.mu.Unlock()
+			return context.Cause(v.ctx)
+		}
+		v.mu.Unlock()
+		select {
+		case <-v.grown:
+		case <-v.ctx.Done():
+			return context.Cause(v.ctx)
+		}
+	}
+}
+
+func (v *serve) grant(n int) {
+	v.mu.Lock()
+	v.room += n
+	v.mu.Unlock()
+	select {
+	case v.grown <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/peer/link/session.go
@@ -0,0 +1,335 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/slaterock/slaterock/internal/peer/beat"
+)
+
+const (
+	// A side that waits for an answer asks for a sign of life after this long
+	// and gives up after the other: with scanEvery that is within 3 s.
+	askAfter  = time.Second
+	deadAfter = 2500 * time.Millisecond
+	// A side that only serves loses no more than wasted work when it notices
+	// late, so it spends fewer bytes.
+	serverAskAfter  = 5 * time.Second
+	serverDeadAfter = 10 * time.Second
+
+	outbox     = 1024 // small messages waiting for a connection
+	packetRoom = 256  // of them, how many may wait before packets are dropped
+
+	methodPing   = "link.ping"
+	methodPong   = "link.pong"
+	methodPacket = "link.packet"
+	methodPiece  = "link.piece"
+	methodCredit = "link.credit"
+	methodCancel = "link.cancel"
+)
+
+type (
+	// session is one authenticated connection. Both sides may call over it.
+	session struct {
+		link   *Link
+		peer   string
+		stream *stream
+		rpc    *jsonrpc2.Conn
+		out    chan outgoing
+		ready  chan struct{} // closed once rpc is set, which reads before that
+
+		asked    atomic.Int64 // Unix time of the first send since something was heard
+		pinged   atomic.Int64
+		used     atomic.Int64
+		awaiting atomic.Int64 // calls made that wait for an answer
+		serving  atomic.Int64 // calls served
+		dialled  bool
+
+		mu      sync.Mutex
+		next    uint64
+		answers map[uint64]*answer // of calls made
+		served  map[uint64]*serve  // of calls served
+		cause   error              // why the session ended
+	}
+
+	// outgoing is a notification, or a response if reply is set.
+	outgoing struct {
+		method string
+		params any
+		reply  *jsonrpc2.Response
+	}
+
+	// A message about a call names it by the id of its JSON-RPC request.
+	//
+	// piece is a part of a streamed answer. Text that is not UTF-8 would be
+	// altered as a JSON string and goes as Data.
+	piece struct {
+		ID   uint64 `json:"id"`
+		Text string `json:"text,omitempty"`
+		Data []byte `json:"data,omitempty"`
+	}
+
+	// credit lets the server send so many more bytes of an answer.
+	credit struct {
+		ID    uint64 `json:"id"`
+		Bytes int    `json:"bytes"`
+	}
+
+	cancel struct {
+		ID uint64 `json:"id"`
+	}
+
+	silent struct{}
+)
+
+// Printf drops the library's log lines: what ends a session is counted.
+func (silent) Printf(string, ...any) {}
+
+// run starts the session; it ends with ctx or its connection.
+func (s *session) run(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		_ = s.stream.Close()
+		return err
+	}
+	s.out = make(chan outgoing, outbox)
+	s.answers = map[uint64]*answer{}
+	s.served = map[uint64]*serve{}
+	s.used.Store(time.Now().UnixNano())
+	s.ready = make(chan struct{})
+	defer close(s.ready)
+	s.rpc = jsonrpc2.NewConn(ctx, s.stream, s, jsonrpc2.SetLogger(silent{}), jsonrpc2.OnSend(s.sending))
+	s.link.add(s)
+	s.link.work.Go(func() { s.send(ctx) })
+	return nil
+}
+
+// send writes what must not block its sender, and cleans up at the end.
+func (s *session) send(ctx context.Context) {
+	gone := s.rpc.DisconnectNotify()
+	for {
+		select {
+		case m := <-s.out:
+			s.write(ctx, m)
+		case <-gone:
+			s.end()
+			return
+		}
+	}
+}
+
+func (s *session) write(ctx context.Context, m outgoing) {
+	if m.reply != nil {
+		_ = s.rpc.SendResponse(ctx, m.reply)
+		return
+	}
+	_ = s.rpc.Notify(ctx, m.method, m.params)
+}
+
+func (s *session) end() {
+	s.link.remove(s)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.served {
+		v.cancel(ErrLost)
+	}
+}
+
+// close ends the session for a reason that its calls are told.
+func (s *session) close(cause error) {
+	s.mu.Lock()
+	if s.cause == nil {
+		s.cause = cause
+	}
+	s.mu.Unlock()
+	// The connection goes first: closing the RPC connection waits for nothing,
+	// but a writer that is stuck in the connection would stay there.
+	_ = s.stream.Close()
+	_ = s.rpc.Close()
+}
+
+func (s *session) ended() bool {
+	select {
+	case <-s.rpc.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+// reason returns why the session ended.
+func (s *session) reason() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cause != nil {
+		return s.cause
+	}
+	return ErrLost
+}
+
+// expect notes that an answer is due from now on.
+func (s *session) expect() {
+	now := time.Now().UnixNano()
+	s.used.Store(now)
+	if asked := s.asked.Load(); asked <= s.stream.heard.Load() {
+		s.asked.CompareAndSwap(asked, now)
+	}
+}
+
+// sending notes that the write of a call begins: from then on the peer may
+// have it. The library's own errors don't tell this.
+func (s *session) sending(r *jsonrpc2.Request, _ *jsonrpc2.Response) {
+	if r == nil || r.Notif {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.answers[r.ID.Num]; a != nil {
+		a.sent = true
+	}
+}
+
+// post queues a small message without blocking.
+func (s *session) post(m outgoing) bool {
+	select {
+	case s.out <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// must queues a message that may not be lost. Where it doesn't fit, the
+// connection has taken nothing for long, and is given up.
+func (s *session) must(m outgoing) {
+	if !s.post(m) {
+		s.close(ErrSilent)
+	}
+}
+
+func (s *session) packet(p beat.Packet) {
+	if len(s.out) >= packetRoom {
+		s.link.Scope.Counter("link_packets_dropped").Inc(1)
+		return
+	}
+	s.expect()
+	s.post(outgoing{method: methodPacket, params: p})
+}
+
+// check asks for a sign of life where one is due, gives up a silent session
+// and closes an idle one.
+func (s *session) check(now time.Time) {
+	heard, asked := s.stream.heard.Load(), s.asked.Load()
+	quiet := now.Sub(time.Unix(0, max(heard, asked)))
+	switch {
+	case s.awaiting.Load() > 0 || asked > heard:
+		s.checkQuiet(now, quiet, askAfter, deadAfter)
+	case s.serving.Load() > 0:
+		s.checkQuiet(now, quiet, serverAskAfter, serverDeadAfter)
+	default:
+		s.checkIdle(now)
+	}
+}
+
+func (s *session) checkQuiet(now time.Time, quiet, ask, dead time.Duration) {
+	if quiet >= dead {
+		s.link.Scope.Counter("link_silent").Inc(1)
+		s.close(ErrSilent)
+		return
+	}
+	if quiet >= ask && now.Sub(time.Unix(0, s.pinged.Load())) >= ask {
+		s.pinged.Store(now.UnixNano())
+		s.post(outgoing{method: methodPing})
+	}
+}
+
+// checkIdle closes an unused session. The side that dialled does so first, so
+// that rarely a call meets the close under way.
+func (s *session) checkIdle(now time.Time) {
+	limit := s.link.Idle
+	if !s.dialled {
+		limit *= 2
+	}
+	last := max(s.used.Load(), s.stream.heard.Load())
+	if now.Sub(time.Unix(0, last)) >= limit {
+		s.close(errIdle)
+	}
+}
+
+// Handle takes the peer's messages in their order; it must not block, since
+// signs of life come the same way.
+func (s *session) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	<-s.ready
+	var params json.RawMessage
+	if r.Params != nil {
+		params = *r.Params
+	}
+	switch r.Method {
+	case methodPing:
+		s.post(outgoing{method: methodPong})
+	case methodPong:
+	case methodPacket:
+		s.takePacket(params)
+	case methodPiece:
+		s.takePiece(params)
+	case methodCredit:
+		s.takeCredit(params)
+	case methodCancel:
+		s.takeCancel(params)
+	default:
+		s.serve(r, params)
+	}
+}
+
+func (s *session) takePacket(params json.RawMessage) {
+	var p beat.Packet
+	if json.Unmarshal(params, &p) != nil || s.link.OnPacket == nil {
+		s.link.Scope.Counter("link_packets_dropped").Inc(1)
+		return
+	}
+	s.used.Store(time.Now().UnixNano())
+	s.link.OnPacket(p)
+}
+
+func (s *session) takePiece(params json.RawMessage) {
+	var p piece
+	if json.Unmarshal(params, &p) != nil {
+		return
+	}
+	s.mu.Lock()
+	a := s.answers[p.ID]
+	s.mu.Unlock()
+	if a != nil {
+		a.put(p)
+	}
+}
+
+func (s *session) takeCredit(params json.RawMessage) {
+	var c credit
+	if json.Unmarshal(params, &c) != nil {
+		return
+	}
+	s.mu.Lock()
+	v := s.served[c.ID]
+	s.mu.Unlock()
+	if v != nil {
+		v.grant(c.Bytes)
+	}
+}
+
+func (s *session) takeCancel(params json.RawMessage) {
+	var c cancel
+	if json.Unmarshal(params, &c) != nil {
+		return
+	}
+	s.mu.Lock()
+	v := s.served[c.ID]
+	s.mu.Unlock()
+	if v != nil {
+		v.cancel(ErrCancelled)
+	}
+}
