beat: keep the membership by probes, suspicion and gossip

Cause: each daemon needs a picture of all others without a full mesh. Change: the machine behind the messages (random probes, indirect probes, refutable claims, news of bounded size and count, comparison of digests, configuration head and store age), its shell in gossip, fault tables on a virtual clock; packets travel as CBOR inside the JSON-RPC notification. Figures: TestDeath, TestPartition and the others print the times they measured.

--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -7,6 +7,14 @@
 // one other, and news travels with probes and their answers, each item a
 // bounded number of times. Nothing here decides ownership; that is settled in
 // the store. A wrong picture costs a relayed request or a slow takeover.
+//
+// Of each daemon a Beat keeps its own words, which only it can change, and
+// apart from them what others claim of it. A claim starts a suspicion; the
+// daemon refutes it with a higher Serial, or is down when the time for that,
+// which grows with the logarithm of the fleet, is over. A packet to a daemon
+// that is claimed to be gone always says so, so that it can refute.
+//
+// The zero Beat works once it has been told its Self.
 package beat
 
 import (
@@ -70,14 +78,42 @@
 	// known to the sender last reached the store; negative is never. Ack is
 	// the round that is answered, 0 in a probe. Full asks for, or is, the
 	// whole picture.
+	//
+	// Round 0 asks for no answer. Ask names a peer address that the receiver is
+	// to probe for the sender, and For, in the answer, the one that answered
+	// such a probe. Head is what the sender has in force, so that it can be
+	// fetched there. Digest, unless 0, sums up the sender's picture: a receiver
+	// whose own differs answers with all of it.
 	Packet struct {
-		From  string        `json:"from"` // peer address
-		Round uint64        `json:"round"`
-		Ack   uint64        `json:"ack,omitempty"`
-		Full  bool          `json:"full,omitempty"`
-		Age   time.Duration `json:"age"`
-		Head  uint64        `json:"head"` // newest configuration version known
-		News  []Member      `json:"news,omitempty"`
+		From   string        `json:"from"` // peer address
+		Round  uint64        `json:"round"`
+		Ack    uint64        `json:"ack,omitempty"`
+		Full   bool          `json:"full,omitempty"`
+		Ask    string        `json:"ask,omitempty"`
+		For    string        `json:"for,omitempty"`
+		Digest uint64        `json:"digest,omitempty"`
+		Age    time.Duration `json:"age"`
+		Head   uint64        `json:"head"` // configuration version
+		News   []Member      `json:"news,omitempty"`
+		Claims []Claim       `json:"claims,omitempty"`
+		Marks  []Mark        `json:"marks,omitempty"`
+	}
+
+	// Claim is what others say of a daemon: Suspect or Down.
+	Claim struct {
+		Name        string `json:"name"`
+		Incarnation uint64 `json:"incarnation"`
+		Serial      uint64 `json:"serial"`
+		State       State  `json:"state"`
+	}
+
+	// Mark is the configuration that a daemon has in force. It only rises, so
+	// it travels without a Serial: all daemons change it together, and their
+	// whole entries would take many times the bytes.
+	Mark struct {
+		Name        string `json:"name"`
+		Incarnation uint64 `json:"incarnation"`
+		Config      uint64 `json:"config"`
 	}
 
 	// Effect is what Beat wants done.
--- /dev/null
+++ b/internal/peer/beat/fault_test.go
@@ -0,0 +1,330 @@
+package beat
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// outside returns the state that each of the others gives to a daemon.
+func (f *fleet) outside(i int) (states []State) {
+	for k, n := range f.nodes {
+		if k == i || n.dead {
+			continue
+		}
+		for _, m := range n.beat.Members() {
+			if m.Name == f.nodes[i].member.Name {
+				states = append(states, m.State)
+			}
+		}
+	}
+	return states
+}
+
+func all(states []State, s State) bool {
+	for _, each := range states {
+		if each != s {
+			return false
+		}
+	}
+	return len(states) > 0
+}
+
+// Packets get lost on busy days. If that made daemons take each other for
+// dead, owners would be asked to give up shards that they serve well.
+func TestLoss(t *testing.T) {
+	tests := map[string]struct {
+		n    int
+		loss float64
+	}{
+		"4 daemons, 1%":  {4, 0.01},
+		"4 daemons, 5%":  {4, 0.05},
+		"20 daemons, 1%": {20, 0.01},
+		"20 daemons, 5%": {20, 0.05},
+		"80 daemons, 5%": {80, 0.05},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := settled(t, test.n, 3)
+			f.loss = test.loss
+			f.run(5 * time.Minute)
+			is.Equal(f.falseDown, 0)
+			f.loss = 0
+			f.until(time.Minute, f.agree)
+			is.True(f.agree())
+		})
+	}
+}
+
+// A switch passes packets one way only. The two ends can't hear each other,
+// but both live and everybody else hears them.
+func TestOneWayCut(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8, 4)
+	f.cut = func(from, to *node) bool { return from == f.nodes[2] && to == f.nodes[5] }
+	f.run(5 * time.Minute)
+	is.Equal(f.falseDown, 0)
+}
+
+// A daemon can send but hears nothing. It must be held for down, since no
+// answer could reach it, and must not talk the others into suspecting each
+// other.
+func TestDeaf(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8, 5)
+	f.cut = func(_, to *node) bool { return to == f.nodes[3] }
+	f.ignored = f.nodes[3]
+	f.run(5 * time.Minute)
+	is.True(all(f.outside(3), Down))
+	for i := range f.nodes {
+		if i != 3 {
+			is.True(!f.knowsDown(f.nodes[i].member.Name))
+		}
+	}
+	is.Equal(f.falseDown, 7) // of the deaf one only, once by each
+	f.cut = nil
+	took := f.until(time.Minute, f.agree)
+	is.True(f.agree())
+	t.Logf("all agree %v after it hears again", took)
+}
+
+// Two regions lose each other for minutes and each takes the other for down.
+// When they meet again, neither may talk the other into holding its own
+// neighbours for down, and all must be found again without anybody's help.
+func TestPartition(t *testing.T) {
+	for _, n := range []int{4, 8, 20, 80} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			f := settled(t, n, 6)
+			side := map[*node]bool{}
+			for i, node := range f.nodes {
+				side[node] = i < n/2
+			}
+			f.cut = func(from, to *node) bool { return side[from] != side[to] }
+			f.run(4 * time.Minute)
+			for _, m := range f.nodes[0].beat.Members() {
+				is.Equal(m.State == Down, !side[f.byPeer[m.Peer]])
+			}
+			f.configure(f.nodes[n-1], 2) // applied on one side
+			f.run(20 * time.Second)
+			f.cut = nil
+			f.falseDown = 0
+			took := f.until(2*time.Minute, f.agree)
+			is.True(f.agree())
+			is.Equal(f.falseDown, 0)
+			t.Logf("all agree %v after the regions meet", took)
+		})
+	}
+}
+
+// A process is paused for a minute and finds itself declared down. It must not
+// hold the others for dead because it did not hear them, and must be taken
+// back.
+func TestPause(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 20, 7)
+	f.nodes[4].paused = true
+	f.run(time.Minute)
+	is.True(all(f.outside(4), Down))
+	f.falseDown = 0
+	f.suspected = 0
+	f.wake(f.nodes[4])
+	took := f.until(time.Minute, f.agree)
+	is.True(f.agree())
+	is.Equal(f.falseDown, 0)
+	is.Equal(f.suspected, 0)
+	t.Logf("all agree %v after it wakes", took)
+}
+
+// A daemon restarts within seconds, before anybody missed it. Its old words
+// must not hold: it owns nothing any more.
+func TestRestart(t *testing.T) {
+	tests := map[string]time.Duration{
+		"at once":       0,
+		"after a while": time.Minute,
+	}
+	for name, pause := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := settled(t, 20, 8)
+			f.nodes[5].dead = true
+			f.run(pause)
+			n := f.start(5, 1)
+			n.member.Shards = nil
+			f.step(n, Self{Member: n.member, Seeds: n.beat.seeds})
+			took := f.until(time.Minute, f.agree)
+			is.True(f.agree())
+			for _, m := range f.nodes[9].beat.Members() {
+				if m.Name == n.member.Name {
+					is.Equal(len(m.Shards), 0)
+				}
+			}
+			t.Logf("all know of the restart after %v", took)
+		})
+	}
+}
+
+// A VM comes back with a clock that is behind. The others hold its words for
+// old ones, and would go on sending callers to what it was before.
+func TestRestartWithSlowClock(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8, 9)
+	old := f.nodes[5].member
+	f.nodes[5].dead = true
+	f.run(time.Minute)
+	n := f.start(5, 1)
+	n.beat = Beat{}
+	n.member.Incarnation = old.Incarnation - uint64(time.Hour)
+	n.member.Shards = nil
+	f.step(n, Self{Member: n.member, Seeds: []string{address(0, 7401)}})
+	f.until(time.Minute, f.agree)
+	is.True(f.agree())
+}
+
+// A VM is replaced and the new one gets its address, but another name. The new
+// one answers for the old one, which would otherwise never be missed.
+func TestReplacedAtSameAddress(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8, 10)
+	old := f.nodes[5].member.Name
+	f.nodes[5].dead = true
+	n := &node{member: f.nodes[5].member, held: map[string]State{}}
+	n.member.Name = "vm900"
+	n.member.Incarnation = uint64(f.now.UnixNano())
+	f.nodes = append(f.nodes, n)
+	f.byPeer[n.member.Peer] = n
+	f.step(n, Self{Member: n.member, Seeds: []string{address(0, 7401)}})
+	f.after(0, n, Tick{})
+	took := f.until(time.Minute, func() bool { return f.knowsDown(old) && f.agree() })
+	is.True(f.knowsDown(old))
+	is.True(f.agree())
+	is.True(took < 15*time.Second)
+}
+
+// Ten VMs are replaced by one rollout, or a rack of sixteen loses its switch.
+// All others must notice, and hold nobody else for down.
+func TestManyAtOnce(t *testing.T) {
+	tests := map[string]struct{ from, count int }{
+		"10 replaced":     {30, 10},
+		"a rack of 16":    {40, 16},
+		"with both seeds": {0, 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := settled(t, 80, 11)
+			for i := range test.count {
+				f.nodes[test.from+i].dead = true
+			}
+			gone := func() bool {
+				for i := range test.count {
+					if !f.knowsDown(f.nodes[test.from+i].member.Name) {
+						return false
+					}
+				}
+				return true
+			}
+			took := f.until(2*time.Minute, gone)
+			is.True(gone())
+			is.Equal(f.falseDown, 0)
+			t.Logf("all know that %d are gone after %v", test.count, took)
+			for i := range test.count {
+				f.start(test.from+i, 1)
+			}
+			took = f.until(2*time.Minute, f.agree)
+			is.True(f.agree())
+			t.Logf("all know of the %d new ones after %v", test.count, took)
+		})
+	}
+}
+
+// The store is out of reach for some. An owner stops when it learns that
+// others still reach it, so how old their last success is must spread.
+func TestStoreAge(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 20, 12)
+	is.Equal(f.nodes[3].beat.StoreAge(f.now), time.Duration(-1))
+	f.step(f.nodes[7], Reached{At: f.now})
+	at := f.now
+	f.run(15 * time.Second)
+	for _, n := range f.nodes {
+		age := n.beat.StoreAge(f.now)
+		is.True(age > 14*time.Second) // never newer than it was, but for the way
+		is.True(age <= f.now.Sub(at))
+	}
+	is.True(!f.nodes[3].beat.Alone(f.now))
+	f.cut = func(_, to *node) bool { return to == f.nodes[3] }
+	f.run(10 * time.Second)
+	is.True(f.nodes[3].beat.Alone(f.now))
+}
+
+// Whatever faults come together, once they are over all daemons must agree,
+// without a restart.
+func TestAnyFaults(t *testing.T) {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		t.Fatal(err)
+	}
+	if err := flag.Set("rapid.checks", "30"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rapid.IntRange(3, 12).Draw(rt, "daemons"), rapid.Uint64().Draw(rt, "seed"))
+		f.measure = true
+		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
+			f.fault(rt)
+			f.run(time.Duration(rapid.IntRange(1, 90).Draw(rt, "seconds")) * time.Second)
+		}
+		f.mend()
+		f.until(3*time.Minute, f.agree)
+		if !f.agree() {
+			rt.Fatal("the daemons do not agree")
+		}
+		if f.largest > 4096 {
+			rt.Fatalf("a packet of %d bytes", f.largest)
+		}
+	})
+}
+
+func (f *fleet) fault(rt *rapid.T) {
+	i := rapid.IntRange(0, len(f.nodes)-1).Draw(rt, "daemon")
+	n := f.nodes[i]
+	switch rapid.SampledFrom([]string{"kill", "restart", "pause", "wake", "loss", "split", "mend", "configure"}).Draw(rt, "fault") {
+	case "kill":
+		n.dead = true
+	case "restart":
+		f.start(i, 1)
+	case "pause":
+		n.paused = true
+	case "wake":
+		f.wake(n)
+	case "loss":
+		f.loss = 0.3
+	case "split":
+		k := rapid.IntRange(1, len(f.nodes)-1).Draw(rt, "side")
+		side := map[*node]bool{}
+		for _, m := range f.nodes[:k] {
+			side[m] = true
+		}
+		f.cut = func(from, to *node) bool { return side[from] != side[to] }
+	case "mend":
+		f.mend()
+	case "configure":
+		if !n.dead && !n.paused {
+			f.configure(n, n.member.Config+1)
+		}
+	}
+}
+
+func (f *fleet) mend() {
+	f.loss, f.cut = 0, nil
+	for _, n := range f.nodes {
+		if n.paused {
+			f.wake(n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/beat/fleet_test.go
@@ -0,0 +1,325 @@
+package beat
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const methodPacket = "link.packet"
+
+type (
+	// fleet is many Beats on a virtual clock before a network that loses
+	// packets. Everything in it follows from its seed.
+	fleet struct {
+		now     time.Time
+		rng     *rand.Rand
+		loss    float64
+		cut     func(from, to *node) bool
+		nodes   []*node
+		byPeer  map[string]*node
+		queue   events
+		serial  int
+		measure bool
+		ignored *node // whose own picture isn't counted
+		// Totals.
+		bytes, packets       int64
+		steps                time.Duration // real time, of the machine under test
+		suspected, falseDown int
+		largest              int
+	}
+
+	node struct {
+		beat     Beat
+		member   Member
+		dead     bool
+		paused   bool
+		outgoing int64    // bytes
+		waiting  []Packet // while paused
+		held     map[string]State
+	}
+
+	event struct {
+		at     time.Time
+		serial int
+		node   *node
+		m      Message
+	}
+
+	events []event
+)
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].serial < e[j].serial
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// newFleet returns n daemons that have all just started; the first two are the
+// seeds of all others.
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{
+		now:    time.Unix(1_800_000_000, 0),
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		byPeer: map[string]*node{},
+	}
+	for i := range n {
+		f.start(i, 1)
+	}
+	return f
+}
+
+func address(i, port int) string { return fmt.Sprintf("10.0.%d.%d:%d", i/200, i%200+1, port) }
+
+// start starts daemon i; the incarnation rises with each start.
+func (f *fleet) start(i int, config uint64) *node {
+	n := &node{held: map[string]State{}, member: Member{
+		Name: fmt.Sprintf("vm%03d", i), Address: address(i, 7400), Peer: address(i, 7401),
+		FailureDomain: fmt.Sprintf("domain%d", i%10), State: Alive, Config: config,
+		Incarnation: uint64(f.now.UnixNano()) + uint64(i),
+	}}
+	if i%5 == 0 {
+		n.member.Shards = []Shard{{Shard: i / 5, Epoch: 3}}
+	}
+	if i < len(f.nodes) {
+		f.nodes[i].dead = true
+		f.nodes[i] = n
+	} else {
+		f.nodes = append(f.nodes, n)
+	}
+	f.byPeer[n.member.Peer] = n
+	f.step(n, Self{Member: n.member, Seeds: []string{address(0, 7401), address(1, 7401)}})
+	f.after(time.Duration(f.rng.Int64N(int64(Interval))), n, Tick{})
+	return n
+}
+
+func (f *fleet) after(d time.Duration, n *node, m Message) {
+	f.serial++
+	heap.Push(&f.queue, event{at: f.now.Add(d), serial: f.serial, node: n, m: m})
+}
+
+func (f *fleet) step(n *node, m Message) {
+	start := time.Now()
+	out := n.beat.Step(f.now, m)
+	f.steps += time.Since(start)
+	for _, e := range out {
+		switch e := e.(type) {
+		case Send:
+			f.send(n, e)
+		case Changed:
+			f.count(n, e.Member)
+		case Newer:
+			f.fetch(n, e)
+		}
+	}
+}
+
+// count counts what is wrongly held of live daemons.
+func (f *fleet) count(by *node, m Member) {
+	n := f.byPeer[m.Peer]
+	before := by.held[m.Name]
+	by.held[m.Name] = m.State
+	if by == f.ignored || before == m.State {
+		return
+	}
+	if n.dead || n.member.Name != m.Name || n.member.Incarnation > m.Incarnation {
+		return
+	}
+	switch m.State {
+	case Suspect:
+		f.suspected++
+	case Down:
+		f.falseDown++
+	}
+}
+
+// fetch takes a newer configuration from its holder after a round trip.
+func (f *fleet) fetch(n *node, e Newer) {
+	holder := f.byPeer[e.From]
+	if holder.dead || f.lost(n, holder) {
+		return
+	}
+	f.after(10*time.Millisecond, n, configured{e.Version})
+}
+
+type configured struct{ version uint64 }
+
+func (configured) message() {}
+
+func (f *fleet) configure(n *node, version uint64) {
+	n.member.Config = max(n.member.Config, version)
+	f.step(n, Self{Member: n.member, Seeds: n.beat.seeds})
+}
+
+func (f *fleet) lost(from, to *node) bool {
+	return f.rng.Float64() < f.loss || (f.cut != nil && f.cut(from, to))
+}
+
+func (f *fleet) send(n *node, s Send) {
+	if f.measure {
+		size := wireSize(s.Packet)
+		f.bytes += int64(size)
+		f.packets++
+		f.largest = max(f.largest, size)
+		n.outgoing += int64(size)
+	}
+	to := f.byPeer[s.To]
+	if to == nil || f.lost(n, to) {
+		return
+	}
+	f.after(time.Millisecond+time.Duration(f.rng.Int64N(int64(4*time.Millisecond))), to, s.Packet)
+}
+
+// wireSize returns the bytes of a packet as link frames it: a JSON-RPC
+// notification behind its length.
+func wireSize(p Packet) int {
+	data, err := p.MarshalBinary()
+	if err != nil {
+		panic(err)
+	}
+	r := jsonrpc2.Request{Method: methodPacket, Notif: true}
+	if err := r.SetParams(data); err != nil {
+		panic(err)
+	}
+	frame, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return len(frame) + 2
+}
+
+// run lets d pass.
+func (f *fleet) run(d time.Duration) {
+	f.until(d, func() bool { return false })
+}
+
+// until lets time pass until done, at most d, and returns how long it took.
+func (f *fleet) until(d time.Duration, done func() bool) time.Duration {
+	start, end := f.now, f.now.Add(d)
+	check := f.now
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		f.deliver(e)
+		if !f.now.Before(check) {
+			if done() {
+				return f.now.Sub(start)
+			}
+			check = f.now.Add(50 * time.Millisecond)
+		}
+	}
+	f.now = end
+	return d
+}
+
+func (f *fleet) deliver(e event) {
+	if e.node.dead {
+		return
+	}
+	switch m := e.m.(type) {
+	case Tick:
+		f.after(Interval, e.node, m)
+		if !e.node.paused {
+			f.step(e.node, m)
+		}
+	case configured:
+		f.configure(e.node, m.version)
+	case Packet:
+		if e.node.paused {
+			e.node.waiting = append(e.node.waiting, m)
+			return
+		}
+		f.step(e.node, m)
+	}
+}
+
+// wake ends a pause: what came meanwhile is read at once.
+func (f *fleet) wake(n *node) {
+	n.paused = false
+	for _, p := range n.waiting {
+		f.step(n, p)
+	}
+	n.waiting = nil
+}
+
+// agree reports whether each live daemon holds exactly the live ones for
+// alive, with their present incarnations and configurations.
+func (f *fleet) agree() bool {
+	alive := 0
+	for _, n := range f.nodes {
+		if !n.dead {
+			alive++
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.dead && !n.paused && !f.sees(n, alive) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) sees(n *node, alive int) bool {
+	count := 0
+	for _, m := range n.beat.Members() {
+		if m.State == Down {
+			continue
+		}
+		count++
+		of := f.byPeer[m.Peer]
+		if m.State != Alive || of.dead || of.beat.self.Incarnation != m.Incarnation || of.member.Config != m.Config {
+			return false
+		}
+	}
+	return count == alive
+}
+
+// knows reports whether all live daemons hold one for down.
+func (f *fleet) knowsDown(name string) bool {
+	for _, n := range f.nodes {
+		if n.dead {
+			continue
+		}
+		for _, m := range n.beat.Members() {
+			if m.Name == name && m.State != Down {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (f *fleet) configuredAt(version uint64) bool {
+	for _, n := range f.nodes {
+		if !n.dead && n.member.Config < version {
+			return false
+		}
+	}
+	return true
+}
+
+// settled returns a fleet whose daemons all know each other.
+func settled(t *testing.T, n int, seed uint64) *fleet {
+	t.Helper()
+	is := is.New(t)
+	f := newFleet(n, seed)
+	took := f.until(2*time.Minute, f.agree)
+	is.True(f.agree()) // all know all
+	t.Logf("%d daemons that start at once know each other after %v", n, took)
+	return f
+}
--- a/internal/peer/link/serve.go
+++ b/internal/peer/link/serve.go
@@ -83,6 +83,11 @@
 
 func (s *session) answer(v *serve, r *jsonrpc2.Request, q request) {
 	out, err := v.run(r.Method, q)
+	if cause := context.Cause(v.ctx); cause != nil && !errors.Is(cause, ErrCancelled) {
+		// This daemon ends or the connection did. What a runner returns then is
+		// no outcome, and a caller that took it for one would not come back.
+		return
+	}
 	if err != nil {
 		s.fail(r, codeFailed, err)
 		return
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -216,8 +216,13 @@
 		s.link.Scope.Counter("link_packets_dropped").Inc(1)
 		return
 	}
+	data, err := p.MarshalBinary()
+	if err != nil {
+		s.link.Scope.Counter("link_packets_dropped").Inc(1)
+		return
+	}
 	s.expect()
-	s.post(outgoing{method: methodPacket, params: p})
+	s.post(outgoing{method: methodPacket, params: data})
 }
 
 // check asks for a sign of life where one is due, gives up a silent session
@@ -286,8 +291,13 @@
 }
 
 func (s *session) takePacket(params json.RawMessage) {
+	var data []byte
 	var p beat.Packet
-	if json.Unmarshal(params, &p) != nil || s.link.OnPacket == nil {
+	err := json.Unmarshal(params, &data)
+	if err == nil {
+		err = p.UnmarshalBinary(data)
+	}
+	if err != nil || s.link.OnPacket == nil {
 		s.link.Scope.Counter("link_packets_dropped").Inc(1)
 		return
 	}
