trial: run one agent program from end to end

Cause: the parts had never been run together. Change: daemon connects the parts; trial starts three daemons before stand-ins and checks one program's answers against its history and the upstreams.

--- /dev/null
+++ b/cmd/slaterock/dev.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"os"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/slaterock/slaterock/internal/node/trial"
+)
+
+func devCommand() *cobra.Command {
+	var t trial.Trial
+	var once, verbose bool
+	c := &cobra.Command{
+		Use:   "dev",
+		Short: "Run three daemons on loopback before stand-ins",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			level := zerolog.WarnLevel
+			if verbose {
+				level = zerolog.DebugLevel
+			}
+			t.Log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr}).Level(level).With().Timestamp().Logger()
+			t.AnyPorts = t.AnyPorts || once
+			return t.Dev(c.Context(), c.OutOrStdout(), once)
+		},
+	}
+	c.Flags().BoolVar(&once, "once", false, "run one program, print its history and exit")
+	c.Flags().BoolVar(&verbose, "verbose", false, "log everything")
+	c.Flags().BoolVar(&t.AnyPorts, "any-ports", false, "listen on ports that the system chooses")
+	c.Flags().Float64Var(&t.Speed, "speed", 1, "speed of the stand-in engines")
+	return c
+}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,9 @@
+// Package examples holds configurations to start from.
+package examples
+
+import _ "embed"
+
+// Dev is the configuration that `slaterock dev` applies.
+//
+//go:embed dev.ini
+var Dev string
--- /dev/null
+++ b/internal/node/daemon/connect.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/conf/apply"
+	"github.com/slaterock/slaterock/internal/edge/locate"
+	"github.com/slaterock/slaterock/internal/plat/chat"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/kvnet"
+	"github.com/slaterock/slaterock/internal/plat/line"
+	"github.com/slaterock/slaterock/internal/plat/plain"
+	"github.com/slaterock/slaterock/internal/plat/tool"
+	"github.com/slaterock/slaterock/internal/plat/vmnet"
+)
+
+// Connect sets the clients of the platform and the upstreams to those that the
+// settings name.
+func (d *Daemon) Connect() {
+	s := d.Settings
+	d.Store = &kvnet.Client{Line: line.Line{Address: s.Platform.Store}, Name: s.Daemon.Name}
+	if s.Platform.VMList != "" {
+		d.VMs = &vmnet.Client{Line: line.Line{Address: s.Platform.VMList}}
+	}
+	d.Engine = func(address string) engine.Engine {
+		first := d.keeper.Current().Limits.UpstreamTimeout
+		return &chat.Client{Line: line.Line{Address: address, First: first}}
+	}
+	d.Tool = func(address string) tool.Tool {
+		return &plain.Client{Line: line.Line{Address: address}}
+	}
+}
+
+// Peer is where other daemons reach this one.
+func (d *Daemon) Peer() string { return d.self.Peer }
+
+// Apply puts a first configuration in force.
+func (d *Daemon) Apply(ctx context.Context, text []byte) error {
+	_, err := d.keeper.Apply(ctx, apply.Request{Name: "configuration", Text: text, Base: apply.Newest, By: operatorName})
+	return errors.Wrap(err, "daemon: apply")
+}
+
+// Settled reports whether a configuration is in force here and each shard is
+// known to have an owner.
+func (d *Daemon) Settled() bool {
+	n := d.shardCount()
+	members := d.gossip.Members()
+	for shard := range n {
+		if _, ok := locate.Owner(members, shard); !ok {
+			return false
+		}
+	}
+	return n > 0
+}
--- /dev/null
+++ b/internal/node/trial/once.go
@@ -0,0 +1,101 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/edge/client"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+)
+
+const (
+	onceProgram = "pickup-1"
+	onceTokens  = 64
+)
+
+// once runs one agent program: a model call, a receipt that may be issued once,
+// and a model call that has the receipt. Each call goes to another daemon, as a
+// caller's would whose addresses changed.
+func (t *Trial) once(ctx context.Context, w io.Writer) (err error) {
+	defer func() { err = errors.Wrap(err, "run one program") }()
+	if err = t.Client(0).Open(ctx, call.Open{Program: onceProgram, Agent: "pickup"}); err != nil {
+		return err
+	}
+	talk := []client.Message{{Role: "user", Content: "Arrange the pickup of two drums at the hotel's kitchen."}}
+	first, err := t.Client(0).Chat(ctx, onceProgram, 0, onceTokens, talk, nil)
+	if err != nil {
+		return err
+	}
+	receipt, err := t.Client(1).Service(ctx, onceProgram, 1, "receipts/issue", []byte(`{"drums":2,"kg":310}`))
+	if err != nil {
+		return err
+	}
+	again, err := t.Client(2).Service(ctx, onceProgram, 1, "receipts/issue", []byte(`{"drums":2,"kg":310}`))
+	if err != nil {
+		return err
+	}
+	talk = append(talk,
+		client.Message{Role: "assistant", Content: first.Text},
+		client.Message{Role: "tool", Content: receipt.Text})
+	last, err := t.Client(2).Chat(ctx, onceProgram, 2, onceTokens, talk, nil)
+	if err != nil {
+		return err
+	}
+	if err = t.Client(1).End(ctx, onceProgram, call.Finish); err != nil {
+		return err
+	}
+	h, err := t.Client(2).History(ctx, onceProgram)
+	if err != nil {
+		return err
+	}
+	table(w, h)
+	return t.check(h, first, receipt, again, last)
+}
+
+// check compares what the caller saw, what the upstreams saw and what the
+// history says.
+func (t *Trial) check(h hist.History, first, receipt, again, last client.Answer) error {
+	var broken []string
+	note := func(bad bool, format string, args ...any) {
+		if bad {
+			broken = append(broken, fmt.Sprintf(format, args...))
+		}
+	}
+	note(receipt.Text != again.Text, "a repeated call got another answer")
+	note(len(t.Site.Ledger.Calls()) != 1, "the receipt ran %d times", len(t.Site.Ledger.Calls()))
+	note(len(h.Calls) != 3, "the history has %d calls, not 3", len(h.Calls))
+	note(h.Ended != string(call.Finish), "the program ended as %q", h.Ended)
+	note(h.Spent > h.Budget, "spent %d of %d tokens", h.Spent, h.Budget)
+	for i, a := range []client.Answer{first, receipt, last} {
+		if i < len(h.Calls) {
+			note(string(h.Calls[i].Result.Body) != a.Text, "call %d: the history's answer is not the caller's", i)
+			note(h.Calls[i].Number != i, "call %d stands at place %d", h.Calls[i].Number, i)
+		}
+	}
+	if len(broken) > 0 {
+		return errors.Newf("broken promises: %s", strings.Join(broken, "; "))
+	}
+	return nil
+}
+
+func table(w io.Writer, h hist.History) {
+	fmt.Fprintf(w, "program %s of %s: %s, %d of %d tokens\n", h.Program, h.Account, h.Ended, h.Spent, h.Budget)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "call\tkind\tupstream\tattempts\toutcome\ttokens\ttime")
+	for _, c := range h.Calls {
+		upstream := ""
+		if n := len(c.Tries); n > 0 {
+			upstream = c.Tries[n-1].Upstream
+		}
+		tokens := c.Result.Prompt + c.Result.Output
+		fmt.Fprintf(tw, "%d\t%s\t%s\t%d\t%s\t%d\t%s\n", c.Number, c.Kind, upstream, len(c.Tries), c.Result.Code, tokens, c.End.Sub(c.Start).Round(time.Millisecond))
+	}
+	_ = tw.Flush()
+}
