plat: test each interface in memory and over the network

The stand-ins and clients had one test of their good case. Every interface now has one table of contract cases that runs against the stand-in directly and against its client and server, in a synctest bubble over an in-memory network (package pipe), so that silence, delay and refusal take no time and end the same way every time.

The tests found that a read deadline while a header is read comes back as the library's own timeout, which was not taken for silence; that is mended. An engine that goes on past max_tokens is now cut off at the limit.

--- a/internal/fake/host/host.go
+++ b/internal/fake/host/host.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 
@@ -36,11 +37,6 @@
 		mute  []*conn // closed at this end only
 	}
 
-	listener struct {
-		net.Listener
-		host *Host
-	}
-
 	conn struct {
 		net.Conn
 		host   *Host
@@ -51,6 +47,14 @@
 	}
 )
 
+// init starts the library's clock for date headers, a goroutine that never
+// ends. The library starts it with its first error response; if that happened
+// inside a synctest bubble the bubble could not end.
+func init() {
+	var r fasthttp.Response
+	_, _ = r.WriteTo(io.Discard)
+}
+
 // Break ends the exchange without an answer.
 func Break(w *fasthttp.RequestCtx) {
 	w.HijackSetNoResponse(true)
@@ -63,11 +67,22 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.done = make(chan struct{})
 	h.conns = map[*conn]struct{}{}
-	h.server = fasthttp.Server{Handler: h.serve, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody}
-	go func() {
-		defer close(h.done)
-		_ = h.server.Serve(listener{Listener: ln, host: h})
-	}()
+	h.server = fasthttp.Server{Handler: h.serve, NoDefaultServerHeader: true, NoDefaultDate: true, MaxRequestBodySize: maxBody}
+	go h.accept()
+}
+
+// accept serves each connection on a goroutine of its own. The library's pool
+// of workers is not used because it outlives the server by its idle time,
+// which a synctest bubble does not allow.
+func (h *Host) accept() {
+	defer close(h.done)
+	for {
+		c, err := h.ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() { _ = h.server.ServeConn(h.track(c)) }()
+	}
 }
 
 // Address returns the IP number and port.
@@ -77,8 +92,8 @@
 func (h *Host) Close() {
 	h.cancel()
 	_ = h.ln.Close()
-	h.Cut()
 	<-h.done
+	h.Cut()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, c := range h.mute {
@@ -126,17 +141,12 @@
 	return out
 }
 
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, host: l.host, silent: make(chan struct{}), closed: make(chan struct{})}
-	l.host.mu.Lock()
-	defer l.host.mu.Unlock()
-	l.host.conns[c] = struct{}{}
-	return c, nil
+func (h *Host) track(raw net.Conn) *conn {
+	c := &conn{Conn: raw, host: h, silent: make(chan struct{}), closed: make(chan struct{})}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conns[c] = struct{}{}
+	return c
 }
 
 func (c *conn) Read(p []byte) (int, error) {
--- /dev/null
+++ b/internal/fake/keyval/keyval_test.go
@@ -0,0 +1,57 @@
+package keyval
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+// The contract is tested in package kvnet; here are the faults that only the
+// stand-in has.
+
+// A test that moves the time by hand waits for a watch of a leased key: the
+// watch ends when the test says that the lease is over.
+func TestLapseByHand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now := time.Time{}
+		s := Store{Now: func() time.Time { return now }}
+		l, err := s.Grant(t.Context(), time.Second)
+		is.NoErr(err)
+		r, err := s.Put(t.Context(), "k", nil, 0, l)
+		is.NoErr(err)
+		end := make(chan error)
+		go func() {
+			_, err := s.Watch(t.Context(), "k", r)
+			end <- err
+		}()
+		synctest.Wait()
+		now = now.Add(time.Second)
+		s.Lapse()
+		is.True(errors.Is(<-end, store.ErrNotFound))
+	})
+}
+
+// One client is cut off while another works: faults belong to one view.
+func TestFaultsOfOneClient(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	a, b := s.Client("a"), s.Client("b")
+	a.Script(Writes, map[int]Fault{2: Down})
+	_, err := a.Put(t.Context(), "1", nil, 0, 0)
+	is.NoErr(err)
+	_, err = a.Get(t.Context(), "1")
+	is.NoErr(err)
+	_, err = a.Put(t.Context(), "2", nil, 0, 0)
+	is.True(errors.Is(err, store.ErrUnavailable))
+	_, err = b.Put(t.Context(), "2", nil, 0, 0)
+	is.NoErr(err)
+	_, err = a.Put(t.Context(), "3", nil, 0, 0)
+	is.NoErr(err)
+	is.True(s.Client("a") == a)
+}
--- a/internal/plat/chat/chat.go
+++ b/internal/plat/chat/chat.go
@@ -10,10 +10,8 @@
 package chat
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -44,8 +42,8 @@
 	// HeaderTrace is the W3C trace context.
 	HeaderTrace = "Traceparent"
 
-	maxEvent  = 1 << 20 // bytes of one server-sent event
-	finishCut = "cancelled"
+	finishCut    = "cancelled"
+	finishLength = "length"
 )
 
 type (
@@ -92,14 +90,6 @@
 	}
 )
 
-var (
-	prefixData = []byte("data:")
-	done       = []byte("[DONE]")
-
-	// ErrCut reports an answer that ended before its end was told.
-	ErrCut = errors.New("chat: answer was cut off")
-)
-
 // Chat implements engine.Engine.
 func (c *Client) Chat(ctx context.Context, r engine.Request, sink func(engine.Delta) error) (u engine.Usage, err error) {
 	body, err := withFields(r)
@@ -126,66 +116,12 @@
 	if status := a.Header.StatusCode(); status != http.StatusOK {
 		return u, refused(a, status)
 	}
-	u, err = receive(a, r.MaxTokens, sink)
+	in := reader{answer: a, limit: r.MaxTokens, sink: sink}
+	err = in.run()
 	if ctx.Err() != nil {
-		u.Finish = finishCut
-	}
-	return u, err
-}
-
-// receive reads the events up to the end mark. An answer without one was cut
-// off, however whole it looks: the caller of this package must not take it for
-// the engine's whole answer.
-func receive(a *line.Answer, limit int, sink func(engine.Delta) error) (u engine.Usage, err error) {
-	s := bufio.NewScanner(a.Body)
-	s.Buffer(nil, maxEvent)
-	for s.Scan() {
-		data, ok := bytes.CutPrefix(s.Bytes(), prefixData)
-		if !ok {
-			continue
-		}
-		data = bytes.TrimSpace(data)
-		if bytes.Equal(data, done) {
-			return u, nil
-		}
-		if err := take(data, &u, limit, sink); err != nil {
-			return u, &engine.Error{Sent: true, Status: http.StatusOK, Err: err}
-		}
-	}
-	err = s.Err()
-	if err == nil {
-		err = ErrCut
-	}
-	return u, &engine.Error{Sent: true, Status: http.StatusOK, Err: a.Cause(err)}
-}
-
-func take(data []byte, u *engine.Usage, limit int, sink func(engine.Delta) error) error {
-	var c Chunk
-	if err := json.Unmarshal(data, &c); err != nil {
-		return fmt.Errorf("chat: event is not JSON: %w", err)
-	}
-	if c.Usage != nil {
-		u.Prompt, u.Cached, u.Output = c.Usage.Prompt, c.Usage.Details.Cached, c.Usage.Completion
-	}
-	if len(c.Choices) == 0 {
-		return nil
-	}
-	choice := c.Choices[0]
-	if choice.Finish != nil {
-		u.Finish = *choice.Finish
-	}
-	if choice.Delta.Content == "" {
-		return nil
-	}
-	tokens := choice.Delta.Tokens
-	if tokens == 0 {
-		tokens = engine.Tokens(len(choice.Delta.Content))
-	}
-	u.Output += tokens
-	if limit > 0 && choice.Delta.Tokens > 0 && u.Output > limit {
-		return fmt.Errorf("chat: engine sent %d tokens, limit %d", u.Output, limit)
+		in.usage.Finish = finishCut
 	}
-	return sink(engine.Delta{Text: choice.Delta.Content, Tokens: tokens})
+	return in.usage, err
 }
 
 // refused reads the body of an answer that is no stream.
--- /dev/null
+++ b/internal/plat/chat/chat_test.go
@@ -0,0 +1,282 @@
+package chat_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/fake/host"
+	"github.com/slaterock/slaterock/internal/fake/model"
+	"github.com/slaterock/slaterock/internal/fake/pipe"
+	"github.com/slaterock/slaterock/internal/plat/chat"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/line"
+)
+
+const address = "engine"
+
+type (
+	// form is one form of an engine.
+	form struct {
+		*is.I
+		engine.Engine
+		ctx  context.Context //nolint:containedctx // the test's
+		fake *model.Engine
+		host *host.Host // nil in memory
+	}
+
+	// answer is what a request brought.
+	answer struct {
+		text  string
+		usage engine.Usage
+		err   error
+		at    []time.Duration // of the pieces, since the request
+	}
+)
+
+func inMemory(t *testing.T, run func(f form)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &model.Engine{Name: "e1"}
+		run(form{I: is.New(t), Engine: e, ctx: t.Context(), fake: e})
+	})
+}
+
+func overNetwork(t *testing.T, run func(f form)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &model.Engine{Name: "e1"}
+		var n pipe.Net
+		h := model.Serve(n.Listen(address), e)
+		defer h.Close()
+		c := &chat.Client{Line: line.Line{Address: address, Connect: n.Connect}}
+		run(form{I: is.New(t), Engine: c, ctx: t.Context(), fake: e, host: h})
+	})
+}
+
+func (f form) ask(ctx context.Context, r engine.Request) (a answer) {
+	start := time.Now()
+	a.usage, a.err = f.Chat(ctx, r, func(d engine.Delta) error {
+		a.text += d.Text
+		a.at = append(a.at, time.Since(start))
+		return nil
+	})
+	return a
+}
+
+func (f form) within(d time.Duration, r engine.Request) answer {
+	ctx, cancel := context.WithTimeout(f.ctx, d)
+	defer cancel()
+	return f.ask(ctx, r)
+}
+
+// sent checks that the request failed with the status after it was sent.
+func (f form) sent(err error, status int) {
+	var e *engine.Error
+	f.True(errors.As(err, &e))
+	f.True(e.Sent)
+	f.Equal(e.Status, status)
+}
+
+func (f form) idle() {
+	synctest.Wait()
+	l, err := f.Load(f.ctx)
+	f.NoErr(err)
+	f.Equal(l.Running, 0)
+}
+
+func request(id, program string, messages ...string) engine.Request {
+	var m []string
+	for _, text := range messages {
+		m = append(m, fmt.Sprintf(`{"role": "user", "content": %q}`, text))
+	}
+	return engine.Request{ID: id, Program: program, Body: []byte(`{"messages": [` + strings.Join(m, ", ") + `]}`)}
+}
+
+var contract = map[string]func(f form){
+	"whole answer to its own request": func(f form) {
+		r := request("r1", "p", "hello")
+		a := f.ask(f.ctx, r)
+		f.NoErr(a.err)
+		f.Equal(a.usage.Finish, "stop")
+		f.Equal(a.text, model.Answer("e1", r, a.usage.Output))
+	},
+	"what is asked arrives": func(f form) {
+		r := request("r1", "p", "hello")
+		r.Model, r.Priority, r.MaxTokens, r.TraceParent = "m", 7, 9, "00-1-2-01"
+		a := f.ask(f.ctx, r)
+		f.NoErr(a.err)
+		f.Equal(a.usage.Finish, "length")
+		f.Equal(a.usage.Output, 9)
+		d := f.fake.Dispatches()[0]
+		d.At = time.Time{}
+		f.Equal(d, model.Dispatch{
+			Request: "r1", Program: "p", Model: "m", Priority: 7, MaxTokens: 9, TraceParent: "00-1-2-01",
+			Prompt: a.usage.Prompt, Ended: "length",
+		})
+	},
+	"pieces come as they are made": func(f form) {
+		f.fake.Output = 12
+		a := f.ask(f.ctx, request("r1", "p", strings.Repeat("x", 32_000)))
+		f.NoErr(a.err)
+		prefill := time.Duration(a.usage.Prompt) * time.Second / 8000
+		f.Equal(a.at, []time.Duration{prefill + 80*time.Millisecond, prefill + 160*time.Millisecond, prefill + 240*time.Millisecond})
+	},
+	"a longer prompt finds its beginning cached": func(f form) {
+		f.NoErr(f.ask(f.ctx, request("r1", "p", "one", "two")).err)
+		a := f.ask(f.ctx, request("r2", "p", "one", "two", "three"))
+		f.NoErr(a.err)
+		f.Equal(a.usage.Cached, 2*9)
+		f.Equal(a.usage.Prompt, 3*9)
+		events, err := f.Events(f.ctx, 1)
+		f.NoErr(err)
+		f.Equal(len(events), 1)
+		f.Equal(events[0].Seq, uint64(2))
+		f.Equal(events[0].Stored, []uint64{engine.Blocks(request("", "", "one", "two", "three").Body)[2].Hash})
+	},
+	"release frees a program's memory": func(f form) {
+		f.NoErr(f.ask(f.ctx, request("r1", "p", "one")).err)
+		f.NoErr(f.ask(f.ctx, request("r2", "q", "two")).err)
+		held, err := f.Held(f.ctx)
+		f.NoErr(err)
+		f.Equal(held, []string{"p", "q"})
+		f.NoErr(f.Order(f.ctx, engine.Order{Kind: engine.OrderRelease, Program: "p", Fence: 1}))
+		held, err = f.Held(f.ctx)
+		f.NoErr(err)
+		f.Equal(held, []string{"q"})
+		f.Equal(f.fake.HeldTokens("p"), 0)
+	},
+	"export brings a prefix to another engine": func(f form) {
+		other := &model.Engine{Name: "e2"}
+		f.fake.Peer = func(string) *model.Engine { return other }
+		f.NoErr(f.ask(f.ctx, request("r1", "p", "one", "two")).err)
+		f.NoErr(f.Order(f.ctx, engine.Order{Kind: engine.OrderExport, Program: "p", Target: "e2"}))
+		u, err := other.Chat(f.ctx, request("r2", "p", "one", "two"), func(engine.Delta) error { return nil })
+		f.NoErr(err)
+		f.Equal(u.Cached, u.Prompt)
+	},
+	"load tells of leaving, late": func(f form) {
+		f.fake.LoadLag = 2 * time.Second
+		f.fake.Leave(true)
+		l, err := f.Load(f.ctx)
+		f.NoErr(err)
+		f.True(!l.Leaving)
+		pass(2 * time.Second)
+		l, err = f.Load(f.ctx)
+		f.NoErr(err)
+		f.True(l.Leaving)
+	},
+	"load a model by order": func(f form) {
+		f.fake.Models = []string{"m"}
+		r := request("r1", "p", "one")
+		r.Model = "n"
+		f.sent(f.ask(f.ctx, r).err, 404)
+		f.NoErr(f.Order(f.ctx, engine.Order{Kind: engine.OrderLoad, Target: "n"}))
+		f.NoErr(f.ask(f.ctx, r).err)
+	},
+}
+
+var failures = map[string]func(f form){
+	// An order from a former owner arrives after the new owner's. An engine
+	// that checks refuses it, so nothing of the new owner's work is undone.
+	"old fencing number refused": func(f form) {
+		f.NoErr(f.Order(f.ctx, engine.Order{Kind: engine.OrderRole, Target: "decode", Fence: 2}))
+		f.sent(f.Order(f.ctx, engine.Order{Kind: engine.OrderRole, Target: "prefill", Fence: 1}), 409)
+		f.Equal(f.fake.Role(), "decode")
+	},
+	// The same at an engine that does not check: the late order wins.
+	"old fencing number ignored": func(f form) {
+		f.fake.IgnoreFence = true
+		f.NoErr(f.Order(f.ctx, engine.Order{Kind: engine.OrderRole, Target: "decode", Fence: 2}))
+		f.NoErr(f.Order(f.ctx, engine.Order{Kind: engine.OrderRole, Target: "prefill", Fence: 1}))
+		f.Equal(f.fake.Role(), "prefill")
+	},
+	// The engine is too busy to take the request and says so.
+	"busy": func(f form) {
+		f.fake.Set(model.Busy, 0)
+		f.sent(f.ask(f.ctx, request("r1", "p", "one")).err, 503)
+	},
+	// The engine's process dies in the middle of an answer. What came is the
+	// beginning of the answer, and nobody takes it for the whole; where the
+	// engine resumes, the rest follows without a gap or a repeat.
+	"dies mid-stream and resumes": func(f form) {
+		f.fake.Script(map[int]model.Fault{1: model.Die})
+		r := request("r1", "p", "one")
+		a := f.ask(f.ctx, r)
+		f.True(a.err != nil)
+		var e *engine.Error
+		f.True(errors.As(a.err, &e))
+		f.True(e.Sent)
+		f.True(len(a.at) > 0)
+		r.Resume = len(a.at)
+		b := f.ask(f.ctx, r)
+		f.NoErr(b.err)
+		f.Equal(a.text+b.text, model.Answer("e1", r, b.usage.Output))
+	},
+	// The engine takes the request and never answers. The caller's deadline
+	// ends the wait.
+	"hangs": func(f form) {
+		f.fake.Set(model.Hang, 0)
+		start := time.Now()
+		a := f.within(5*time.Second, request("r1", "p", "one"))
+		f.True(errors.Is(a.err, context.DeadlineExceeded))
+		f.Equal(time.Since(start), 5*time.Second)
+	},
+	// The first piece comes late, but it comes, and the answer is whole.
+	"late": func(f form) {
+		f.fake.Set(model.Late, 20*time.Second)
+		r := request("r1", "p", "one")
+		a := f.ask(f.ctx, r)
+		f.NoErr(a.err)
+		f.True(a.at[0] > 20*time.Second)
+		f.Equal(a.text, model.Answer("e1", r, a.usage.Output))
+	},
+	// A caller cancels in the middle of its answer. The engine stops and its
+	// place in the batch is free again.
+	"cancelled": func(f form) {
+		f.fake.Output = 1000
+		a := f.within(time.Second, request("r1", "p", "one"))
+		f.True(errors.Is(a.err, context.DeadlineExceeded))
+		f.Equal(a.usage.Finish, "cancelled")
+		pass(time.Second)
+		f.idle()
+	},
+	// Whoever takes the pieces has gone. The engine is not left generating.
+	"sink fails": func(f form) {
+		f.fake.Output = 1000
+		gone := errors.New("caller is gone")
+		_, err := f.Chat(f.ctx, request("r1", "p", "one"), func(engine.Delta) error { return gone })
+		f.True(errors.Is(err, gone))
+		pass(time.Second)
+		f.idle()
+	},
+	// Cache events get lost. A reader sees the gap in the numbers.
+	"cache events with gaps": func(f form) {
+		f.fake.EventGap = 2
+		for i := range 4 {
+			f.NoErr(f.ask(f.ctx, request("r", "p", fmt.Sprint(i))).err)
+		}
+		events, err := f.Events(f.ctx, 0)
+		f.NoErr(err)
+		f.Equal([]uint64{events[0].Seq, events[1].Seq}, []uint64{1, 3})
+	},
+}
+
+func TestEngine(t *testing.T) {
+	forms := map[string]func(*testing.T, func(form)){"in memory": inMemory, "network": overNetwork}
+	for name, run := range forms {
+		for tt, f := range contract {
+			t.Run(name+"/"+tt, func(t *testing.T) { run(t, f) })
+		}
+		for tt, f := range failures {
+			t.Run(name+"/"+tt, func(t *testing.T) { run(t, f) })
+		}
+	}
+}
+
+// pass lets the bubble's time pass.
+func pass(d time.Duration) { <-time.After(d) }
--- /dev/null
+++ b/internal/plat/chat/network_test.go
@@ -0,0 +1,131 @@
+package chat_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/fake/host"
+	"github.com/slaterock/slaterock/internal/fake/model"
+	"github.com/slaterock/slaterock/internal/fake/pipe"
+	"github.com/slaterock/slaterock/internal/plat/chat"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/line"
+)
+
+func TestNetwork(t *testing.T) {
+	tests := map[string]func(f form){
+		// Nobody listens at the engine's address. No byte left, so the
+		// request may go to another engine without any doubt.
+		"connection refused": func(f form) {
+			f.host.Close()
+			var e *engine.Error
+			f.True(errors.As(f.ask(f.ctx, request("r1", "p", "one")).err, &e))
+			f.True(!e.Sent)
+		},
+		// The engine takes the request and its connection brings nothing.
+		// The wait for the first piece is bounded.
+		"silent before the first piece": func(f form) {
+			f.fake.Set(model.Hang, 0)
+			start := time.Now()
+			a := f.ask(f.ctx, request("r1", "p", "one"))
+			f.True(errors.Is(a.err, line.ErrSilent))
+			f.Equal(time.Since(start), 30*time.Second)
+		},
+		// A connection goes silent in the middle of an answer, and nobody
+		// closes it. The pause is noticed, and the next request has a new
+		// connection, which works.
+		"connection goes silent mid-stream": func(f form) {
+			f.fake.Output = 40
+			time.AfterFunc(500*time.Millisecond, f.host.Silence)
+			r := request("r1", "p", "one")
+			a := f.ask(f.ctx, r)
+			f.True(errors.Is(a.err, line.ErrSilent))
+			f.True(len(a.at) > 0)
+			f.NoErr(f.ask(f.ctx, r).err)
+		},
+		// The engine stalls in the middle of an answer with its connection
+		// open. The pause between pieces is bounded too.
+		"engine stalls mid-stream": func(f form) {
+			f.fake.Set(model.Silent, 0)
+			a := f.ask(f.ctx, request("r1", "p", "one"))
+			f.True(errors.Is(a.err, line.ErrSilent))
+			pass(time.Second)
+			f.idle()
+		},
+		// All connections break at once, as when a machine fails.
+		"connections cut mid-stream": func(f form) {
+			f.fake.Output = 40
+			time.AfterFunc(500*time.Millisecond, f.host.Cut)
+			a := f.ask(f.ctx, request("r1", "p", "one"))
+			f.True(a.err != nil)
+			f.True(!errors.Is(a.err, line.ErrSilent))
+			f.True(len(a.at) > 0)
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { overNetwork(t, tt) })
+	}
+}
+
+// events serves a fixed body as an answer and returns what the client makes of
+// it.
+func events(t *testing.T, body string, limit int) (a answer) {
+	synctest.Test(t, func(t *testing.T) {
+		var n pipe.Net
+		h := host.Host{Handler: func(_ context.Context, w *fasthttp.RequestCtx) {
+			w.SetContentType("text/event-stream")
+			w.SetBodyStream(strings.NewReader(body), -1)
+		}}
+		h.Start(n.Listen(address))
+		defer h.Close()
+		c := &chat.Client{Line: line.Line{Address: address, Connect: n.Connect}}
+		r := request("r1", "p", "one")
+		r.MaxTokens = limit
+		a.usage, a.err = c.Chat(t.Context(), r, func(d engine.Delta) error {
+			a.text += d.Text
+			return nil
+		})
+	})
+	return a
+}
+
+func TestEvents(t *testing.T) {
+	const piece = `data: {"choices":[{"delta":{"content":"ab"}}]}` + "\n\n"
+	const end = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+	const usage = `data: {"choices":[],"usage":{"prompt_tokens":5,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":3}}}` + "\n\n"
+	const mark = "data: [DONE]\n\n"
+	whole := engine.Usage{Prompt: 5, Cached: 3, Output: 2, Finish: "stop"}
+	tests := map[string]struct {
+		body  string
+		limit int
+		text  string
+		usage engine.Usage
+		err   error
+	}{
+		"usage in a last chunk of its own": {piece + piece + end + usage + mark, 0, "abab", whole, nil},
+		"comments and other fields":        {": ping\n\nevent: x\nid: 4\n" + piece + end + usage + mark, 0, "ab", whole, nil},
+		"no space and carriage returns":    {strings.ReplaceAll(strings.ReplaceAll(piece+end+usage+mark, "data: ", "data:"), "\n", "\r\n"), 0, "ab", whole, nil},
+		// The engine's process ends cleanly but too early: the answer looks
+		// whole at the level of HTTP. Without the end mark it is not.
+		"end mark missing": {piece + piece, 0, "abab", engine.Usage{Output: 2}, chat.ErrCut},
+		// The engine ignores max_tokens. The answer ends at the limit, so
+		// that the program's budget holds.
+		"more than the limit": {piece + piece + piece + end + mark, 2, "abab", engine.Usage{Output: 2, Finish: "length"}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := events(t, tt.body, tt.limit)
+			is.True(errors.Is(a.err, tt.err))
+			is.Equal(a.text, tt.text)
+			is.Equal(a.usage, tt.usage)
+		})
+	}
+}
--- a/internal/plat/kvnet/kvnet.go
+++ b/internal/plat/kvnet/kvnet.go
@@ -3,8 +3,8 @@
 //
 // A call that could not connect certainly had no effect. A write whose answer
 // does not come may have taken effect, and the caller is told ErrUnknown. A
-// read is simply repeated on a new connection while its context lasts, so that
-// a connection that went silent costs one Try.
+// read is repeated on a new connection, so that one that went silent costs a Try
+// and no answer.
 package kvnet
 
 import (
@@ -49,6 +49,7 @@
 const (
 	defaultTry   = time.Second
 	defaultWatch = 20 * time.Second
+	maxTries     = 3 // of a read
 	maxAnswer    = 2 * store.MaxValue
 )
 
@@ -157,15 +158,12 @@
 }
 
 func (c *Client) read(ctx context.Context, op Op, r Call) (a Answer, err error) {
-	for ctx.Err() == nil {
+	for range maxTries {
 		a, err = c.call(ctx, op, r, c.try())
 		if !errors.Is(err, line.ErrSilent) {
 			break
 		}
 	}
-	if err == nil {
-		err = ctx.Err()
-	}
 	if err != nil {
 		return Answer{}, errors.Join(store.ErrUnavailable, err)
 	}
--- /dev/null
+++ b/internal/plat/kvnet/kvnet_test.go
@@ -0,0 +1,344 @@
+package kvnet_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/fake/host"
+	"github.com/slaterock/slaterock/internal/fake/keyval"
+	"github.com/slaterock/slaterock/internal/fake/pipe"
+	"github.com/slaterock/slaterock/internal/plat/kvnet"
+	"github.com/slaterock/slaterock/internal/plat/line"
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+const address = "store"
+
+type (
+	// bench is one form of the service before one client of it.
+	bench struct {
+		*is.I
+		store.Store
+		ctx  context.Context //nolint:containedctx // the test's
+		view *keyval.View
+		fake *keyval.Store
+		host *host.Host // nil in memory
+	}
+)
+
+// inMemory and overNetwork run a test in a bubble, where time passes only when
+// everybody waits.
+func inMemory(t *testing.T, run func(b bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		var s keyval.Store
+		v := s.Client("a")
+		run(bench{I: is.New(t), Store: v, ctx: t.Context(), view: v, fake: &s})
+	})
+}
+
+func overNetwork(t *testing.T, run func(b bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		var s keyval.Store
+		var n pipe.Net
+		h := keyval.Serve(n.Listen(address), &s)
+		defer h.Close()
+		c := &kvnet.Client{Line: line.Line{Address: address, Connect: n.Connect}, Name: "a"}
+		run(bench{I: is.New(t), Store: c, ctx: t.Context(), view: s.Client("a"), fake: &s, host: h})
+	})
+}
+
+func (b bench) put(key, data string, rev store.Rev) store.Rev {
+	r, err := b.Put(b.ctx, key, []byte(data), rev, 0)
+	b.NoErr(err)
+	return r
+}
+
+func (b bench) conflict(err error, rev store.Rev) {
+	var c *store.ConflictError
+	b.True(errors.As(err, &c))
+	b.Equal(c.Rev, rev)
+}
+
+func (b bench) leased(key string, ttl time.Duration) store.Lease {
+	l, err := b.Grant(b.ctx, ttl)
+	b.NoErr(err)
+	_, err = b.Put(b.ctx, key, []byte("x"), 0, l)
+	b.NoErr(err)
+	return l
+}
+
+// pass lets the bubble's time pass.
+func pass(d time.Duration) { <-time.After(d) }
+
+// watching starts a watch and returns its end once it waits.
+func (b bench) watching(key string, rev store.Rev) <-chan error {
+	end := make(chan error, 1)
+	go func() {
+		e, err := b.Watch(b.ctx, key, rev)
+		if err == nil && e.Rev <= rev {
+			err = errors.New("watch returned an old revision")
+		}
+		end <- err
+	}()
+	synctest.Wait()
+	return end
+}
+
+var contract = map[string]func(b bench){
+	"create only if absent": func(b bench) {
+		r := b.put("k", "1", 0)
+		_, err := b.Put(b.ctx, "k", []byte("2"), 0, 0)
+		b.conflict(err, r)
+		e, err := b.Get(b.ctx, "k")
+		b.NoErr(err)
+		b.Equal(e, store.Entry{Key: "k", Data: []byte("1"), Rev: r})
+	},
+	"replace only the revision read": func(b bench) {
+		r1 := b.put("k", "1", 0)
+		r2 := b.put("k", "2", r1)
+		_, err := b.Put(b.ctx, "k", []byte("3"), r1, 0)
+		b.conflict(err, r2)
+		b.conflict(b.Delete(b.ctx, "k", r1), r2)
+	},
+	"revisions rise over a deletion": func(b bench) {
+		r1 := b.put("k", "1", 0)
+		b.NoErr(b.Delete(b.ctx, "k", r1))
+		_, err := b.Get(b.ctx, "k")
+		b.True(errors.Is(err, store.ErrNotFound))
+		b.True(errors.Is(b.Delete(b.ctx, "k", r1), store.ErrNotFound))
+		b.True(b.put("k", "2", 0) > r1)
+	},
+	"list in order": func(b bench) {
+		for _, k := range []string{"a/2", "a/1", "b/1", "a/3"} {
+			b.put(k, "x", 0)
+		}
+		keys, err := b.List(b.ctx, "a/", "a/1", 1)
+		b.NoErr(err)
+		b.Equal(keys, []string{"a/2"})
+	},
+	"value too large": func(b bench) {
+		_, err := b.Put(b.ctx, "k", make([]byte, store.MaxValue+1), 0, 0)
+		b.True(errors.Is(err, store.ErrTooLarge))
+		_, err = b.Put(b.ctx, "k", make([]byte, store.MaxValue), 0, 0)
+		b.NoErr(err)
+	},
+	"a lease lapses with its keys": func(b bench) {
+		l := b.leased("k", 3*time.Second)
+		pass(2 * time.Second)
+		b.NoErr(b.Renew(b.ctx, l))
+		pass(2 * time.Second)
+		_, err := b.Get(b.ctx, "k")
+		b.NoErr(err)
+		pass(time.Second)
+		_, err = b.Get(b.ctx, "k")
+		b.True(errors.Is(err, store.ErrNotFound))
+		b.True(errors.Is(b.Renew(b.ctx, l), store.ErrLapsed))
+		_, err = b.Put(b.ctx, "k", nil, 0, l)
+		b.True(errors.Is(err, store.ErrLapsed))
+	},
+	"a lease is revoked with its keys": func(b bench) {
+		l := b.leased("k", time.Hour)
+		b.NoErr(b.Revoke(b.ctx, l))
+		_, err := b.Get(b.ctx, "k")
+		b.True(errors.Is(err, store.ErrNotFound))
+	},
+	"watch returns what is newer": func(b bench) {
+		r := b.put("k", "1", 0)
+		e, err := b.Watch(b.ctx, "k", 0)
+		b.NoErr(err)
+		b.Equal(e.Rev, r)
+	},
+	"watch wakes on a change": func(b bench) {
+		r := b.put("k", "1", 0)
+		end := b.watching("k", r)
+		b.put("k", "2", r)
+		b.NoErr(<-end)
+	},
+	"watch wakes on creation": func(b bench) {
+		end := b.watching("k", 0)
+		b.put("k", "1", 0)
+		b.NoErr(<-end)
+	},
+	"watch wakes on deletion": func(b bench) {
+		r := b.put("k", "1", 0)
+		end := b.watching("k", r)
+		b.NoErr(b.Delete(b.ctx, "k", r))
+		b.True(errors.Is(<-end, store.ErrNotFound))
+	},
+	"watch of what is deleted already": func(b bench) {
+		r := b.put("k", "1", 0)
+		b.NoErr(b.Delete(b.ctx, "k", r))
+		_, err := b.Watch(b.ctx, "k", r)
+		b.True(errors.Is(err, store.ErrNotFound))
+	},
+	"watch wakes on a lapse": func(b bench) {
+		b.leased("k", 40*time.Second)
+		e, err := b.Get(b.ctx, "k")
+		b.NoErr(err)
+		start := time.Now()
+		b.True(errors.Is(<-b.watching("k", e.Rev), store.ErrNotFound))
+		b.Equal(time.Since(start), 40*time.Second)
+	},
+	"watch ends with its context": func(b bench) {
+		ctx, cancel := context.WithTimeout(b.ctx, time.Minute)
+		defer cancel()
+		_, err := b.Watch(ctx, "k", 0)
+		b.True(errors.Is(err, context.DeadlineExceeded))
+	},
+}
+
+var failures = map[string]func(b bench){
+	// The service takes a write and its answer is lost on the way. The writer
+	// must not be told success or failure; what it finds is its own value.
+	"acknowledgement lost": func(b bench) {
+		b.view.Script(keyval.Writes, map[int]keyval.Fault{1: keyval.LoseAck})
+		_, err := b.Put(b.ctx, "k", []byte("1"), 0, 0)
+		b.True(errors.Is(err, store.ErrUnknown))
+		e, err := b.Get(b.ctx, "k")
+		b.NoErr(err)
+		b.Equal(string(e.Data), "1")
+	},
+	// The write itself is lost. To the writer it looks the same as a lost
+	// acknowledgement, and only reading back tells.
+	"write lost": func(b bench) {
+		b.view.Script(keyval.Writes, map[int]keyval.Fault{1: keyval.LoseWrite})
+		_, err := b.Put(b.ctx, "k", []byte("1"), 0, 0)
+		b.True(errors.Is(err, store.ErrUnknown))
+		_, err = b.Get(b.ctx, "k")
+		b.True(errors.Is(err, store.ErrNotFound))
+	},
+	// The acknowledgement of a renewal is lost: the holder can't tell whether
+	// its lease runs on, but it does.
+	"renewal's acknowledgement lost": func(b bench) {
+		l := b.leased("k", 3*time.Second)
+		pass(2 * time.Second)
+		b.view.Script(keyval.Writes, map[int]keyval.Fault{1: keyval.LoseAck})
+		b.True(errors.Is(b.Renew(b.ctx, l), store.ErrUnknown))
+		pass(2 * time.Second)
+		b.NoErr(b.Renew(b.ctx, l))
+	},
+	// The service is down. Every call says at once that it had no effect,
+	// waiting watches end, and afterwards everything is as it was.
+	"outage": func(b bench) {
+		r := b.put("k", "1", 0)
+		end := b.watching("k", r)
+		b.view.Set(keyval.Down)
+		b.True(errors.Is(<-end, store.ErrUnavailable))
+		_, err := b.Put(b.ctx, "k", []byte("2"), r, 0)
+		b.True(errors.Is(err, store.ErrUnavailable))
+		_, err = b.Get(b.ctx, "k")
+		b.True(errors.Is(err, store.ErrUnavailable))
+		_, err = b.Watch(b.ctx, "k", r)
+		b.True(errors.Is(err, store.ErrUnavailable))
+		b.view.Set(keyval.None)
+		e, err := b.Get(b.ctx, "k")
+		b.NoErr(err)
+		b.Equal(e.Rev, r)
+	},
+	// The service is slower than the caller can wait. The call ends at the
+	// caller's deadline, and a write's outcome is unknown.
+	"slower than the deadline": func(b bench) {
+		b.view.Slow(time.Minute)
+		ctx, cancel := context.WithTimeout(b.ctx, 500*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := b.Put(ctx, "k", []byte("1"), 0, 0)
+		b.True(errors.Is(err, store.ErrUnknown))
+		b.True(errors.Is(err, context.DeadlineExceeded))
+		b.Equal(time.Since(start), 500*time.Millisecond)
+		_, err = b.Get(ctx, "k")
+		b.True(errors.Is(err, store.ErrUnavailable))
+	},
+	// The connection gives no answer at all. Nobody waits past the deadline.
+	"no answer": func(b bench) {
+		b.view.Set(keyval.Silent)
+		ctx, cancel := context.WithTimeout(b.ctx, 500*time.Millisecond)
+		defer cancel()
+		_, err := b.Put(ctx, "k", []byte("1"), 0, 0)
+		b.True(errors.Is(err, store.ErrUnknown))
+		b.view.Set(keyval.None)
+		_, err = b.Get(b.ctx, "k")
+		b.NoErr(err)
+	},
+}
+
+func TestStore(t *testing.T) {
+	forms := map[string]func(*testing.T, func(bench)){"in memory": inMemory, "network": overNetwork}
+	for form, run := range forms {
+		for name, tt := range contract {
+			t.Run(form+"/"+name, func(t *testing.T) { run(t, tt) })
+		}
+		for name, tt := range failures {
+			t.Run(form+"/"+name, func(t *testing.T) { run(t, tt) })
+		}
+	}
+}
+
+func TestNetwork(t *testing.T) {
+	tests := map[string]func(b bench){
+		// Nobody listens at the service's address. No byte left, so a write
+		// certainly had no effect and its caller may say so.
+		"connection refused": func(b bench) {
+			b.host.Close()
+			_, err := b.Put(b.ctx, "k", nil, 0, 0)
+			b.True(errors.Is(err, store.ErrUnavailable))
+			b.True(!errors.Is(err, store.ErrUnknown))
+		},
+		// Something between the two ends forgets a connection while a read
+		// waits on it. The read is made again on a new one and succeeds.
+		"connection goes silent under a read": func(b bench) {
+			b.put("k", "1", 0)
+			b.view.Slow(100 * time.Millisecond)
+			start := time.Now()
+			time.AfterFunc(50*time.Millisecond, b.host.Silence)
+			e, err := b.Get(b.ctx, "k")
+			b.NoErr(err)
+			b.Equal(string(e.Data), "1")
+			b.Equal(time.Since(start), 1100*time.Millisecond)
+		},
+		// The same under a write: it took effect, but the writer is told
+		// after one try that nobody knows.
+		"connection goes silent under a write": func(b bench) {
+			b.view.Slow(100 * time.Millisecond)
+			time.AfterFunc(50*time.Millisecond, b.host.Silence)
+			_, err := b.Put(b.ctx, "k", []byte("1"), 0, 0)
+			b.True(errors.Is(err, store.ErrUnknown))
+			_, err = b.Get(b.ctx, "k")
+			b.NoErr(err)
+		},
+		// A watch's connection goes silent and the change is never told on
+		// it. The watch asks again when the service's hold should be over, so
+		// the change is seen late but not never.
+		"connection goes silent under a watch": func(b bench) {
+			start := time.Now()
+			end := b.watching("k", 0)
+			b.host.Silence()
+			b.put("k", "1", 0)
+			b.NoErr(<-end)
+			b.Equal(time.Since(start), 21*time.Second)
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { overNetwork(t, tt) })
+	}
+}
+
+func TestCounts(t *testing.T) {
+	inMemory(t, func(b bench) {
+		r := b.put("k", "1", 0)
+		_, err := b.Get(b.ctx, "k")
+		b.NoErr(err)
+		_, err = b.List(b.ctx, "", "", 0)
+		b.NoErr(err)
+		_, err = b.Watch(b.ctx, "k", 0)
+		b.NoErr(err)
+		b.view.Set(keyval.Down)
+		b.True(b.Delete(b.ctx, "k", r) != nil)
+		b.Equal(b.fake.Counts(), keyval.Counts{Reads: 2, Writes: 1, Watches: 1})
+	})
+}
--- a/internal/plat/line/line.go
+++ b/internal/plat/line/line.go
@@ -34,8 +34,8 @@
 	Line struct {
 		Address string        // IP number and port
 		Dial    time.Duration // to connect
-		First   time.Duration // from the request to the answer's first byte
-		Between time.Duration // between the pieces of an answer
+		First   time.Duration // to the answer's first byte; of Open, to Flow
+		Between time.Duration // between the pieces of an answer after that
 		MaxBody int           // bytes of an answer that is read whole
 
 		// Connect replaces the dialling, for tests.
@@ -54,18 +54,18 @@
 		Header *fasthttp.ResponseHeader
 		Body   io.Reader
 
-		resp *fasthttp.Response
-		conn *conn
-		stop func() bool
-		ctx  context.Context //nolint:containedctx // its end is the cause of the body's errors
+		conn    *conn
+		between time.Duration
+		stop    func() bool
+		ctx     context.Context //nolint:containedctx // its end is the cause of the body's errors
 	}
 
 	// conn gives every read a deadline of its own and counts what was written.
 	conn struct {
 		net.Conn
-		wait    time.Duration
-		between time.Duration
-		sent    atomic.Bool
+		wait time.Duration
+		next time.Duration // replaces wait after the first byte; 0 keeps it
+		sent atomic.Bool
 	}
 )
 
@@ -86,6 +86,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	defer stop()
+	c.next = pick(l.Between, defaultBetween)
 	if err := resp.ReadLimitBody(bufio.NewReader(c), pick(l.MaxBody, defaultMaxBody)); err != nil {
 		return &Error{Sent: true, Err: cause(ctx, err)}
 	}
@@ -106,9 +107,17 @@
 		_ = c.Close()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
-	return &Answer{Header: &resp.Header, Body: resp.BodyStream(), resp: resp, conn: c, stop: stop, ctx: ctx}, nil
+	return &Answer{
+		Header: &resp.Header, Body: resp.BodyStream(),
+		conn: c, between: pick(l.Between, defaultBetween), stop: stop, ctx: ctx,
+	}, nil
 }
 
+// Flow tells that the first piece of the answer is there. Servers send their
+// header at once and may take long to the first piece; only from then on does
+// a pause mean that the connection is silent.
+func (a *Answer) Flow() { a.conn.wait = a.between }
+
 // Cause returns what really ended the body: the context, silence, or err.
 func (a *Answer) Cause(err error) error { return cause(a.ctx, err) }
 
@@ -123,7 +132,7 @@
 	if err != nil {
 		return nil, nil, &Error{Err: cause(ctx, err)}
 	}
-	c = &conn{Conn: raw, wait: pick(l.First, defaultFirst), between: pick(l.Between, defaultBetween)}
+	c = &conn{Conn: raw, wait: pick(l.First, defaultFirst)}
 	stop = context.AfterFunc(ctx, func() { _ = raw.Close() })
 	req.SetConnectionClose()
 	if len(req.Header.Host()) == 0 {
@@ -160,8 +169,8 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.wait = c.between
+	if n > 0 && c.next > 0 {
+		c.wait = c.next
 	}
 	return n, err
 }
@@ -179,7 +188,7 @@
 		return ctx.Err()
 	}
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
 		return errors.Join(ErrSilent, err)
 	}
 	return err
