--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -83,8 +83,6 @@
 	look struct{ f func() }
 )
 
-var errGone = errors.New("host: the shard is not here any more")
-
 var _ runner.Runner = (*Host)(nil)
 
 // Start begins to own the shard. The host ends with ctx.
--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -187,7 +187,7 @@
 	s.Owned(s.List())
 	go func() {
 		<-m.w.Done()
-		s.post(ctx, endedMessage{shard: m.shard, w: m.w})
+		s.post(ctx, endedMessage(m))
 	}()
 }
 
--- a/internal/node/trial/once.go
+++ b/internal/node/trial/once.go
@@ -86,16 +86,16 @@
 }
 
 func table(w io.Writer, h hist.History) {
-	fmt.Fprintf(w, "program %s of %s: %s, %d of %d tokens\n", h.Program, h.Account, h.Ended, h.Spent, h.Budget)
+	_, _ = fmt.Fprintf(w, "program %s of %s: %s, %d of %d tokens\n", h.Program, h.Account, h.Ended, h.Spent, h.Budget)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "call\tkind\tupstream\tattempts\toutcome\ttokens\ttime")
+	_, _ = fmt.Fprintln(tw, "call\tkind\tupstream\tattempts\toutcome\ttokens\ttime")
 	for _, c := range h.Calls {
 		upstream := ""
 		if n := len(c.Tries); n > 0 {
 			upstream = c.Tries[n-1].Upstream
 		}
 		tokens := c.Result.Prompt + c.Result.Output
-		fmt.Fprintf(tw, "%d\t%s\t%s\t%d\t%s\t%d\t%s\n", c.Number, c.Kind, upstream, len(c.Tries), c.Result.Code, tokens, c.End.Sub(c.Start).Round(time.Millisecond))
+		_, _ = fmt.Fprintf(tw, "%d\t%s\t%s\t%d\t%s\t%d\t%s\n", c.Number, c.Kind, upstream, len(c.Tries), c.Result.Code, tokens, c.End.Sub(c.Start).Round(time.Millisecond))
 	}
 	_ = tw.Flush()
 }
--- a/internal/node/trial/trial.go
+++ b/internal/node/trial/trial.go
@@ -195,6 +195,6 @@
 	if once {
 		return t.once(ctx, w)
 	}
-	fmt.Fprintf(w, "ready http://%s\n", t.Address())
+	_, _ = fmt.Fprintf(w, "ready http://%s\n", t.Address())
 	return t.Wait(ctx)
 }
--- a/internal/peer/beat/fleet_test.go
+++ b/internal/peer/beat/fleet_test.go
@@ -304,15 +304,6 @@
 	return true
 }
 
-func (f *fleet) configuredAt(version uint64) bool {
-	for _, n := range f.nodes {
-		if !n.dead && n.member.Config < version {
-			return false
-		}
-	}
-	return true
-}
-
 // settled returns a fleet whose daemons all know each other.
 func settled(t *testing.T, n int, seed uint64) *fleet {
 	t.Helper()
--- a/internal/shard/lease/lease.go
+++ b/internal/shard/lease/lease.go
@@ -29,12 +29,11 @@
 		TTL  time.Duration
 		Rand func() uint64 // for jitter; nil is none
 
-		id      store.Lease
-		until   time.Time
-		busy    bool
-		sentAt  time.Time
-		next    time.Time
-		closing bool
+		id     store.Lease
+		until  time.Time
+		busy   bool
+		sentAt time.Time
+		next   time.Time
 	}
 
 	// Message is what Lease reacts to.
--- a/internal/shard/owner/try.go
+++ b/internal/shard/owner/try.go
@@ -54,8 +54,7 @@
 // assigned dispatches an attempt to the upstream that placement chose.
 func (o *Owner) assigned(now time.Time, a sched.Assign) {
 	r := o.runs[a.ID]
-	unwanted := r == nil || r.phase != waitPlace && !(a.Hedge && r.phase == waitAnswer)
-	if unwanted || a.Hedge && !o.idempotent(r) {
+	if r == nil || !o.wants(r, a.Hedge) {
 		o.emit(Place{Message: sched.Done{ID: a.ID, Upstream: a.Upstream, Outcome: sched.Withdrawn}})
 		return
 	}
@@ -80,6 +79,15 @@
 	})
 }
 
+// wants reports whether the call is to have an attempt: its first, or one
+// beside another where running it twice does no harm.
+func (o *Owner) wants(r *run, hedge bool) bool {
+	if hedge {
+		return r.phase == waitAnswer && o.idempotent(r)
+	}
+	return r.phase == waitPlace
+}
+
 // refused ends a call that placement did not take. A call that was tried before
 // keeps what its attempts tell: it may have run.
 func (o *Owner) refused(now time.Time, m sched.Refuse) {
