--- /dev/null
+++ b/internal/obs/logs/logs.go
@@ -0,0 +1,105 @@
+// Package logs writes what a daemon does, one JSON object a line, or in a form
+// that is easy to read where the output is a terminal.
+//
+// Each request leaves one line at its end, with what a support engineer
+// searches for. Keys, bodies and answers are never logged: a Request has no
+// field that could hold them. The zero value logs nothing.
+package logs
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mattn/go-isatty"
+	"github.com/rs/zerolog"
+
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	// JSON writes one object a line.
+	JSON = "json"
+	// Console writes lines for people.
+	Console = "console"
+	// Auto is Console on a terminal and JSON elsewhere.
+	Auto = ""
+)
+
+type (
+	// Logs writes lines.
+	Logs struct{ log zerolog.Logger }
+
+	// Request is the end of one request, as it is logged.
+	Request struct {
+		ID       string
+		Hop      string // which part of the system tells it
+		Account  string
+		Program  string
+		Call     int
+		Kind     call.Kind
+		Code     result.Code
+		Ran      result.Ran
+		Status   int
+		Upstream string // empty where it is not known
+		Prompt   int    // tokens, as the two below
+		Cached   int
+		Output   int
+		Duration time.Duration
+	}
+)
+
+// Open returns Logs that write to w. Level is debug, info, warn or error,
+// empty for info; format is JSON, Console or Auto.
+func Open(w io.Writer, level, format string) (l Logs, err error) {
+	defer func() { err = errors.Wrap(err, "open log") }()
+	lowest := zerolog.InfoLevel
+	if level != "" {
+		if lowest, err = zerolog.ParseLevel(level); err != nil {
+			return Logs{}, err
+		}
+	}
+	if format == Console || format == Auto && terminal(w) {
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly, NoColor: !terminal(w)}
+	}
+	return Logs{log: zerolog.New(zerolog.SyncWriter(w)).Level(lowest).With().Timestamp().Logger()}, nil
+}
+
+// WithDaemon returns Logs whose lines name the daemon.
+func (l Logs) WithDaemon(name string) Logs {
+	return Logs{log: l.log.With().Str("daemon", name).Logger()}
+}
+
+// Logger returns the logger for lines other than those of requests.
+func (l Logs) Logger() zerolog.Logger { return l.log }
+
+// Request writes the line of one request. What nobody can tell is a warning,
+// because someone may have to look into it.
+func (l Logs) Request(r Request) {
+	e := l.log.Info()
+	if r.Ran == result.Unknown {
+		e = l.log.Warn()
+	}
+	e = e.Str("request", r.ID).Str("hop", r.Hop).Str("code", string(r.Code)).Str("ran", string(r.Ran))
+	e = e.Int("status", r.Status).Dur("duration_ms", r.Duration)
+	if r.Account != "" {
+		e = e.Str("account", r.Account)
+	}
+	if r.Program != "" {
+		e = e.Str("program", r.Program).Int("call", r.Call).Str("kind", string(r.Kind))
+	}
+	if r.Upstream != "" {
+		e = e.Str("upstream", r.Upstream)
+	}
+	if r.Prompt+r.Output > 0 {
+		e = e.Int("prompt_tokens", r.Prompt).Int("cached_tokens", r.Cached).Int("output_tokens", r.Output)
+	}
+	e.Msg("request")
+}
+
+func terminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	return ok && isatty.IsTerminal(f.Fd())
+}
--- /dev/null
+++ b/internal/obs/metric/metric.go
@@ -0,0 +1,95 @@
+// Package metric counts and times what a daemon does.
+//
+// Parts of the daemon take a tally.Scope and write to it; Metric gathers all
+// of it for Prometheus to scrape. Each daemon has its own, so that several can
+// run in one process. Tags must have few values: those of accounts or programs
+// would let callers grow a daemon's memory without bound.
+package metric
+
+import (
+	"io"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	tally "github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+const (
+	prefix = "slaterock"
+	// reportEvery is how old a scraped number may be.
+	reportEvery = time.Second
+)
+
+// Metric is one daemon's metrics. The zero value counts nothing.
+type Metric struct {
+	scope  tally.Scope
+	closer io.Closer
+	serve  fasthttp.RequestHandler
+}
+
+// New returns metrics that are gathered until Close.
+func New() *Metric {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer:              registry,
+		DefaultTimerType:        promreporter.HistogramTimerType,
+		DefaultHistogramBuckets: seconds(),
+		// A name used with two sets of tags loses the second set. That must
+		// not end a daemon; the missing series shows on the dashboard.
+		OnRegisterError: func(error) {},
+	})
+	m := &Metric{serve: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler())}
+	m.scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		SanitizeOptions:        sanitize(),
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return m
+}
+
+// Scope returns where to count. It may be kept.
+func (m *Metric) Scope() tally.Scope {
+	if m == nil || m.scope == nil {
+		return tally.NoopScope
+	}
+	return m.scope
+}
+
+// Serve answers a scrape.
+func (m *Metric) Serve(ctx *fasthttp.RequestCtx) {
+	if m == nil || m.serve == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	m.serve(ctx)
+}
+
+// Close reports what was counted last and stops gathering.
+func (m *Metric) Close() error {
+	if m == nil || m.closer == nil {
+		return nil
+	}
+	return m.closer.Close()
+}
+
+// seconds are the bounds of timers' buckets: from a hop within a VM to a long
+// model call, with those of the first token (0.45) and between tokens (0.05).
+func seconds() []float64 {
+	return []float64{0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.45, 1, 2.5, 5, 10, 30, 60, 300}
+}
+
+func sanitize() *tally.SanitizeOptions {
+	o := promreporter.DefaultSanitizerOpts
+	o.ValueCharacters.Characters = []rune{'_', '-', '.', ':', '/'}
+	return &o
+}
--- /dev/null
+++ b/internal/obs/metric/metric_test.go
@@ -0,0 +1,59 @@
+package metric
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+func scrape(m *Metric) (status int, body string) {
+	var ctx fasthttp.RequestCtx
+	ctx.Init(&fasthttp.Request{}, nil, nil)
+	m.Serve(&ctx)
+	return ctx.Response.StatusCode(), string(ctx.Response.Body())
+}
+
+func TestScrape(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	other := New() // two daemons of one process
+	m.Scope().Tagged(map[string]string{"upstream": "10.0.0.1:80"}).Counter("requests").Inc(3)
+	m.Scope().Timer("first_token").Record(400 * time.Millisecond)
+	is.NoErr(m.Close()) // reports at once
+	is.NoErr(other.Close())
+	status, body := scrape(m)
+	is.Equal(status, 200)
+	is.True(strings.Contains(body, `slaterock_requests{upstream="10.0.0.1:80"} 3`))
+	is.True(strings.Contains(body, `slaterock_first_token_bucket{le="0.45"} 1`))
+	is.True(strings.Contains(body, `slaterock_first_token_bucket{le="0.25"} 0`))
+	is.True(strings.Contains(body, "go_goroutines"))
+	_, body = scrape(other)
+	is.True(!strings.Contains(body, "slaterock_requests"))
+}
+
+// A newcomer counts the same name with other tags. Losing that series is bad
+// enough; it must not take the daemon down.
+func TestClashOfTags(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Scope().Counter("requests").Inc(1)
+	m.Scope().Tagged(map[string]string{"a": "b"}).Counter("requests").Inc(1)
+	is.NoErr(m.Close())
+	_, body := scrape(m)
+	is.True(strings.Contains(body, "slaterock_requests 1"))
+}
+
+func TestZeroCountsNothing(t *testing.T) {
+	is := is.New(t)
+	var m Metric
+	m.Scope().Counter("requests").Inc(1)
+	is.NoErr(m.Close())
+	status, _ := scrape(&m)
+	is.Equal(status, 404)
+	var none *Metric
+	none.Scope().Counter("requests").Inc(1)
+	is.NoErr(none.Close())
+}
