owner: play random histories with faults, and mend what they found

Cause: three faults showed in random histories of one shard. An owner that had been paused went on with old news of an outage, and one that reached the store again took that for an outage of all. Change: a recovered intent counts as the program's last call until its outcome is committed; a tried call is unknown; news of an outage holds for a second and an outage means that nobody, this daemon included, reached the store since the lease ended.

--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -29,10 +29,8 @@
 	// graceTime is how long a taker waits before its first dispatch, so that a
 	// former owner that can't reach the store hears that others can.
 	graceTime = 3 * time.Second
-	// outageSlack is how much later than this daemon others may have reached
-	// the store while an outage still counts as one for all. It is above the
-	// time between two renewals and below the time to live of a lease.
-	outageSlack = 3 * time.Second
+	// newsTime is how long the news of an outage holds.
+	newsTime = time.Second
 )
 
 type (
@@ -254,7 +252,10 @@
 // tellLease tells all hosts until when they may dispatch.
 func (s *Shards) tellLease() {
 	now := time.Now()
-	held := owner.Lease{Until: s.lease.Until(), Outage: s.outage(now)}
+	held := owner.Lease{Until: s.lease.Until()}
+	if s.outage(now) {
+		held.Outage = now.Add(newsTime)
+	}
 	for _, w := range s.hosts {
 		if w.suspended {
 			w.Tell(owner.Lease{})
@@ -264,12 +265,15 @@
 	}
 }
 
-// outage reports whether nobody can reach the store, as far as is known. A
-// daemon that hears no peer must assume that the others can.
+// outage reports whether nobody is known to have reached the store since the
+// lease ended, so that nobody can have taken a shard. This daemon counts too: if
+// it reaches the store itself, its lease tells how things stand. A daemon that
+// hears no peer must assume that the others reach the store.
 func (s *Shards) outage(now time.Time) bool {
-	if s.Alone() || s.reached.IsZero() {
+	until := s.lease.Until()
+	if s.Alone() || s.reached.After(until) {
 		return false
 	}
 	age := s.StoreAge()
-	return age < 0 || age >= now.Sub(s.reached)-outageSlack
+	return age < 0 || age > now.Sub(until)
 }
--- /dev/null
+++ b/internal/shard/owner/caller_test.go
@@ -0,0 +1,194 @@
+package owner_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+)
+
+const (
+	callerCalls = 8
+	callerTries = 60
+)
+
+type (
+	// caller runs one program: it opens it, makes its calls in order, repeats
+	// what it has no outcome of, and finishes it.
+	caller struct {
+		w       *world
+		program string
+		opened  bool
+		number  int
+		tries   int
+		over    bool
+		answers map[int]string
+		asked   int // requests made
+	}
+
+	// waiting is one request of a caller.
+	waiting struct {
+		c       *caller
+		number  int
+		request string
+		done    bool
+	}
+)
+
+func newCaller(w *world, program string) *caller {
+	return &caller{w: w, program: program, answers: map[int]string{}}
+}
+
+func (w *world) ticket(f func(string, result.Result)) owner.Ticket {
+	w.tickets[owner.Ticket(len(w.tickets)+1)] = f
+	return owner.Ticket(len(w.tickets))
+}
+
+// reply carries an outcome to its caller.
+func (w *world) reply(t owner.Ticket, request string, r result.Result) {
+	f := w.tickets[t]
+	w.tickets[t] = nil
+	if f == nil {
+		return
+	}
+	w.stats.replies++
+	w.note("reply %s: %s ran %s: %s %s", request, r.Code, r.Ran, r.Message, r.Body)
+	if r.Ran == result.No && request != "" {
+		if w.execs[request] > 0 {
+			w.breaks("%s was said not to have run, but it did: %s %s", request, r.Code, r.Message)
+		}
+		w.refused[request] = string(r.Code) + " " + r.Message
+	}
+	w.after(w.span(0, 20*time.Millisecond), func() { f(request, r) })
+}
+
+// target is the daemon that the caller asks: mostly the owner, sometimes one
+// that isn't.
+func (c *caller) target() *node {
+	if c.w.choose(10) > 0 {
+		for _, n := range c.w.nodes {
+			if n.own != nil {
+				return n
+			}
+		}
+	}
+	return c.w.nodes[c.w.choose(len(c.w.nodes))]
+}
+
+func (c *caller) next() {
+	switch {
+	case c.over:
+	case !c.opened:
+		c.ask(-1, func(t owner.Ticket, _ string) owner.Message {
+			return owner.Open{Ticket: t, Open: call.Open{Account: "acct", Program: c.program}}
+		})
+	case c.number < callerCalls:
+		c.call(c.number)
+		if c.w.fault(100) {
+			c.call(c.number) // a caller that repeats while the first is on its way
+		}
+	default:
+		c.ask(callerCalls, func(t owner.Ticket, _ string) owner.Message {
+			return owner.End{Ticket: t, End: call.End{Account: "acct", Program: c.program, Kind: call.Finish}}
+		})
+	}
+}
+
+// kind is fixed by the number, so that a repeat asks the same.
+func (c *caller) call(number int) {
+	req := call.Call{Account: "acct", Program: c.program, Number: number, Kind: call.Model}
+	switch number % 4 {
+	case 1, 3:
+		req.Kind, req.Service, req.Method, req.Path = call.Service, "receipt", "POST", "/issue"
+	case 2:
+		if c.program == "p0" {
+			req.Kind, req.Service, req.Method, req.Path = call.Service, "lookup", "GET", "/"
+		}
+	}
+	req.Body = mustJSON(map[string]any{"messages": []string{fmt.Sprint(c.program, number)}})
+	c.ask(number, func(t owner.Ticket, request string) owner.Message {
+		req.Request = request
+		return owner.Call{Ticket: t, Call: req}
+	})
+}
+
+// ask sends a request and gives it up after a while.
+func (c *caller) ask(number int, m func(owner.Ticket, string) owner.Message) {
+	w := c.w
+	c.asked++
+	a := &waiting{c: c, number: number, request: fmt.Sprintf("%s-%d-%d", c.program, number, c.asked)}
+	t := w.ticket(func(_ string, r result.Result) { a.end(r) })
+	n := c.target()
+	w.after(w.span(0, 20*time.Millisecond), func() {
+		if !n.up || n.own == nil {
+			a.end(result.Refuse(result.CodeNotOwner, "not here"))
+			return
+		}
+		own := n.own
+		w.note("%s asks %s", a.request, n.name)
+		n.later(0, func() { n.tell(own, m(t, a.request)) })
+	})
+	w.after(w.span(time.Second, 25*time.Second), func() {
+		if a.done {
+			return
+		}
+		n.later(0, func() { n.step(owner.Leave{Ticket: t}) })
+		a.end(result.Failed(result.CodeTimeout, result.Unknown, "the caller gave up"))
+	})
+}
+
+// end takes in an outcome. Only the newest question of the caller moves it on.
+func (a *waiting) end(r result.Result) {
+	c := a.c
+	if a.done {
+		return
+	}
+	a.done = true
+	if r.OK() && a.number >= 0 && a.number < callerCalls {
+		c.see(a.number, string(r.Body))
+	}
+	if c.over || a.number >= 0 && a.number != c.number {
+		return
+	}
+	settled := r.OK() || r.Code == result.CodeUnknown
+	switch {
+	case a.number < 0 && r.OK():
+		c.opened, c.tries = true, 0
+	case a.number == callerCalls && r.OK():
+		c.over = true
+		return
+	case a.number >= 0 && settled:
+		c.number++
+		c.tries = 0
+	case r.Code == result.CodeBudget || r.Code == result.CodeEnded:
+		c.number, c.tries = callerCalls, 0
+		if r.Code == result.CodeEnded {
+			c.over = true
+			return
+		}
+	default:
+		if c.w.now.Sub(c.w.start) > faultTime+time.Minute {
+			c.tries++ // before that, refusals are what a caller must expect
+		}
+		if c.tries > callerTries {
+			c.w.breaks("%s can't get on with call %d: %s %s", c.program, c.number, r.Code, r.Message)
+			c.over = true
+			return
+		}
+	}
+	c.w.after(r.RetryAfter+c.w.span(10*time.Millisecond, 2*time.Second), c.next)
+}
+
+// see notes an answer; a repeat must get the same one, and each its own.
+func (c *caller) see(number int, body string) {
+	if old, ok := c.answers[number]; ok && old != body {
+		c.w.breaks("%s got two answers to call %d: %q, then %q", c.program, number, old, body)
+	}
+	want := fmt.Sprintf("%s %d ", c.program, number)
+	if len(body) < len(want) || body[:len(want)] != want {
+		c.w.breaks("%s got another's answer to call %d: %q", c.program, number, body)
+	}
+	c.answers[number] = body
+}
--- a/internal/shard/owner/owner.go
+++ b/internal/shard/owner/owner.go
@@ -41,11 +41,12 @@
 	// Configure puts a configuration in force.
 	Configure struct{ File file.File }
 
-	// Lease says until when no other daemon can own the shard. Outage tells
-	// that nobody can reach the store, so that nobody can take it after that.
+	// Lease says until when no other daemon can own the shard. Outage is
+	// until when it may be taken for certain that nobody can reach the store,
+	// so that nobody can take the shard after Until.
 	Lease struct {
 		Until  time.Time
-		Outage bool
+		Outage time.Time
 	}
 
 	// Open asks for a program.
@@ -296,9 +297,10 @@
 // MayDispatch reports whether an attempt may be sent now. An owner whose lease
 // is over can't know whether another has the shard; sending then could let two
 // owners run one program's calls at once. It may go on only while nobody can
-// reach the store, for then nobody can have taken the shard.
+// reach the store, for then nobody can have taken the shard. What it heard of
+// an outage must be fresh: a process that was paused would act on old news.
 func (o *Owner) MayDispatch(now time.Time) bool {
-	return now.Before(o.lease.Until) || o.lease.Outage
+	return now.Before(o.lease.Until) || now.Before(o.lease.Outage)
 }
 
 func (o *Owner) init(now time.Time) {
--- a/internal/shard/owner/program.go
+++ b/internal/shard/owner/program.go
@@ -79,16 +79,25 @@
 	}
 	slices.SortFunc(open, func(a, b hist.Call) int { return cmp.Compare(a.Number, b.Number) })
 	for _, c := range open {
-		c.End = now
-		c.Result = result.Failed(result.CodeUnknown, result.Unknown,
-			"the daemon that had accepted the call was lost before its outcome was recorded; it is not run again")
-		head := c.Number >= p.order.Next
-		o.add(record.Ended{Program: id, Call: c, Final: true, Head: head})
-		p.order.Next = max(p.order.Next, c.Number+1)
-		p.turns++
+		o.unknown(now, p, c)
 	}
 }
 
+// unknown ends a call whose intent has no outcome. Until that is committed it
+// counts as the program's last call, so that a repeat waits and doesn't run it.
+func (o *Owner) unknown(now time.Time, p *program, c hist.Call) {
+	c.End = now
+	c.Result = result.Failed(result.CodeUnknown, result.Unknown,
+		"the daemon that had accepted the call was lost before its outcome was recorded; it is not run again")
+	r := &run{prog: p, phase: waitCommit, digest: c.Digest, result: c.Result, final: true, start: c.Start}
+	r.call = call.Call{Request: c.Request, Account: p.open.Account, Program: p.id, Number: c.Number, Kind: c.Kind}
+	r.seq = o.add(record.Ended{Program: p.id, Call: c, Final: true, Head: true})
+	o.runs[c.Request] = r
+	p.last = r
+	p.order.Next = max(p.order.Next, c.Number+1)
+	p.turns++
+}
+
 // put adds a program to those under way.
 func (o *Owner) put(open call.Open, priority int, opened time.Time) *program {
 	p := &program{id: open.Program, open: open, priority: priority, opened: opened, active: opened}
--- a/internal/shard/owner/tick.go
+++ b/internal/shard/owner/tick.go
@@ -44,8 +44,8 @@
 	return result.Refuse(result.CodeNotOwner, "the program is moving to another daemon").WithRetryAfter(0)
 }
 
-func (o *Owner) unsure() result.Result {
-	return result.Refuse(result.CodeNotOwner, "this daemon can't be sure that it still owns the program").WithRetryAfter(retryAfter)
+func (o *Owner) unsure(r *run) result.Result {
+	return result.Failed(result.CodeNotOwner, r.ran(), "this daemon can't be sure that it still owns the program").WithRetryAfter(retryAfter)
 }
 
 func (o *Owner) tick(now time.Time) {
--- a/internal/shard/owner/try.go
+++ b/internal/shard/owner/try.go
@@ -60,7 +60,7 @@
 	}
 	if !o.MayDispatch(now) {
 		o.emit(Place{Message: sched.Done{ID: a.ID, Upstream: a.Upstream, Outcome: sched.Unsent}})
-		o.finish(now, r, o.unsure())
+		o.finish(now, r, o.unsure(r))
 		return
 	}
 	r.phase = waitAnswer
