--- a/internal/conf/check/text.go
+++ b/internal/conf/check/text.go
@@ -24,6 +24,8 @@
 	"gopkg.in/ini.v1"
 )
 
+const maxMessage = 400 // bytes; a value or a list of names may be long
+
 type (
 	// Text is one INI text while it is checked.
 	Text struct {
@@ -91,5 +93,9 @@
 }
 
 func (t *Text) add(line int, section, key, format string, args ...any) {
-	t.errs = append(t.errs, Error{File: t.name, Line: line, Section: section, Key: key, Message: fmt.Sprintf(format, args...)})
+	message := fmt.Sprintf(format, args...)
+	if len(message) > maxMessage {
+		message = strings.ToValidUTF8(message[:maxMessage], "") + " ..."
+	}
+	t.errs = append(t.errs, Error{File: t.name, Line: line, Section: section, Key: key, Message: message})
 }
--- a/internal/conf/file/parse.go
+++ b/internal/conf/file/parse.go
@@ -170,7 +170,8 @@
 	}
 	hash := s.String("key_hash", "")
 	if s.Has("key_hash") && !validHash(hash) {
-		s.Fail("key_hash", "%q is not a key's hash; want a salt of 4 to 64 letters and digits, ':' and 64 hexadecimal digits", hash)
+		// The value is not repeated: it may be the key itself, and messages end up in logs.
+		s.Fail("key_hash", "this is not a key's hash; want a salt of 4 to 64 letters and digits, ':' and 64 hexadecimal digits in lower case")
 	}
 	return Account{
 		KeyHash:         hash,
--- a/internal/conf/watch/keeper.go
+++ b/internal/conf/watch/keeper.go
@@ -18,6 +18,7 @@
 const (
 	tickEvery   = 100 * time.Millisecond
 	callTimeout = 2 * time.Second
+	readTimeout = time.Second // of the head; a poller must notice a silent connection in time
 	mailbox     = 256
 )
 
@@ -164,8 +165,6 @@
 	k.once.Do(func() {
 		k.inbox = make(chan Message, mailbox)
 		k.ready = make(chan struct{})
-		k.files = map[uint64]file.File{}
-		k.chunks = map[string][]byte{}
 	})
 }
 
@@ -210,7 +209,7 @@
 }
 
 func (k *Keeper) read(ctx context.Context) Message {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return stored(k.Store.Get(ctx, head.Key))
 }
--- a/internal/conf/watch/load.go
+++ b/internal/conf/watch/load.go
@@ -99,9 +99,7 @@
 	if _, err := c.Unpack(); err != nil {
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.chunks[c.Digest] = c.Packed
+	k.stage([]chunk.Chunk{c})
 }
 
 func (k *Keeper) join(h head.Head) (text []byte, err error) {
@@ -127,6 +125,9 @@
 func (k *Keeper) keep(h head.Head, f file.File) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.files == nil {
+		k.files = map[uint64]file.File{}
+	}
 	k.files[h.Version] = f
 	if k.held() <= maxHeld {
 		return
@@ -149,10 +150,13 @@
 	return bytes
 }
 
-// stage holds chunks that are about to be applied.
+// stage holds chunks that were checked, or are about to be applied.
 func (k *Keeper) stage(chunks []chunk.Chunk) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.chunks == nil {
+		k.chunks = map[string][]byte{}
+	}
 	for _, c := range chunks {
 		k.chunks[c.Digest] = c.Packed
 	}
--- a/internal/conf/watch/step.go
+++ b/internal/conf/watch/step.go
@@ -19,13 +19,14 @@
 		self    Member
 		seeds   []string
 		members []Member
+		duty    duty
 		jitter  *rand.Rand
 
-		force   head.Head // in force
-		next    head.Head // newest head known, its text not loaded yet
-		unfit   uint64    // version of a text that this daemon can't read
-		wanted  uint64    // highest version that anybody told of
-		fromNet bool      // next came from a peer
+		force  head.Head // in force
+		next   head.Head // newest head known, its text not loaded yet
+		unfit  uint64    // version of a text that this daemon can't read
+		wanted uint64    // highest version that anybody told of
+		holder string    // the peer that next came from, empty if the store
 
 		storeBusy  bool
 		storeTried bool // one call has ended
@@ -33,6 +34,7 @@
 		quiet      bool // the last watch ended without a change
 		rev        store.Rev
 		storeFails int
+		useless    int // watches in a row that ended at once with nothing new
 		nextStore  time.Time
 
 		asking   map[string]bool
@@ -60,7 +62,7 @@
 		w.storeHead(now, m)
 	case StoreQuiet:
 		w.storeDone(now)
-		w.quiet = true
+		w.quiet, w.useless = true, 0
 	case StoreFailed:
 		w.storeFailed(now)
 	case Answered:
@@ -91,9 +93,10 @@
 // setMembers calls the store soon where a daemon that watched it went and this
 // one steps in.
 func (w *Watch) setMembers(now time.Time, m Members) {
-	before := w.watches()
+	before := w.duty
 	w.members = slices.Clone(m.List)
-	if w.jitter != nil && !before && w.watches() {
+	w.duty = dutyOf(w.self, w.members)
+	if w.jitter != nil && w.duty < before {
 		w.readSoon(now)
 	}
 }
@@ -117,11 +120,11 @@
 
 // consider takes a head that is newer than any known. An older one is a stale
 // read, or a peer that is behind; taking it would turn a change back.
-func (w *Watch) consider(now time.Time, h head.Head, fromNet bool) {
+func (w *Watch) consider(now time.Time, h head.Head, holder string) {
 	if h.Version <= w.newest() {
 		return
 	}
-	w.next, w.fromNet = h, fromNet
+	w.next, w.holder = h, holder
 	w.loadFail, w.nextLoad = 0, now
 	for peer, v := range w.told {
 		if v <= h.Version {
@@ -133,22 +136,22 @@
 func (w *Watch) storeDone(now time.Time) {
 	w.storeBusy, w.storeTried, w.quiet = false, true, false
 	w.storeFails = 0
-	w.nextStore = now.Add(minGap)
-	if !w.watches() {
-		w.nextStore = now.Add(w.spread(ReadEvery))
-	}
+	w.nextStore = now.Add(w.gap())
 }
 
 func (w *Watch) storeHead(now time.Time, m StoreHead) {
 	if w.waiting && m.Rev <= w.rev {
 		// A watch that answers with nothing new, because the head is gone or
 		// the answer stale, would be asked again at once, and again.
-		w.storeFailed(now)
+		w.storeBusy = false
+		w.nextStore = now.Add(w.backOff(w.useless))
+		w.useless++
 		return
 	}
+	w.useless = 0
 	w.storeDone(now)
 	w.rev = max(w.rev, m.Rev)
-	w.consider(now, m.Head, false)
+	w.consider(now, m.Head, "")
 }
 
 func (w *Watch) storeFailed(now time.Time) {
@@ -161,7 +164,7 @@
 	delete(w.asking, m.Peer)
 	w.answers++
 	delete(w.told, m.Peer)
-	w.consider(now, m.Head, true)
+	w.consider(now, m.Head, m.Peer)
 }
 
 func (w *Watch) askFailed(now time.Time, m AskFailed) {
@@ -214,106 +217,19 @@
 		return nil
 	}
 	w.storeBusy = true
-	w.waiting = w.watches() && w.storeTried && !w.quiet && w.storeFails == 0
+	w.waiting = w.duty == watching && w.storeTried && !w.quiet && w.storeFails == 0
 	if !w.waiting {
 		return []Effect{Read{}}
 	}
 	return []Effect{Wait{Rev: w.rev, For: w.spread(WatchWait)}}
 }
 
-// watches reports whether this daemon is one of those that watch the store:
-// those whose names hash lowest among the living. Daemons that see each other
-// agree on them without a word, and when one goes another steps in.
-func (w *Watch) watches() bool {
-	mine, lower := xxhash.Sum64String(w.self.Name), 0
-	for _, m := range w.members {
-		if m.Name != w.self.Name && xxhash.Sum64String(m.Name) < mine {
-			lower++
-		}
-	}
-	return lower < Watchers
-}
-
-// askPeers asks those that know more, and at the start a few in any case.
-func (w *Watch) askPeers(now time.Time) (effects []Effect) {
-	if now.Before(w.nextAsk) {
-		return nil
-	}
-	for _, peer := range w.sources(now) {
-		if len(w.asking) >= maxAsk {
-			break
-		}
-		if !w.asking[peer] {
-			w.asking[peer] = true
-			w.asked[peer] = true
-			effects = append(effects, Ask{Peer: peer})
-		}
-	}
-	return effects
-}
-
-// sources returns the peers to ask now.
-func (w *Watch) sources(now time.Time) (list []string) {
-	for peer, v := range w.told {
-		if v > w.newest() {
-			list = append(list, peer)
-		}
-	}
-	slices.Sort(list) // a map's order would make replays differ
-	switch {
-	case w.force.Version == 0:
-		list = append(list, w.firstRound(now)...)
-	case len(list) == 0 && len(w.asking) == 0 && w.wanted > w.newest():
-		// Those that told of it did not have it or are gone.
-		w.nextAsk = now.Add(w.spread(askRetry))
-		list = firstOf(w.peers(), 1)
-	}
-	return list
-}
-
-// firstRound returns the peers to ask at the start. A round ends when enough
-// have answered, or the most that one round asks were asked and none is under
-// way. Without any head by then there is another.
-func (w *Watch) firstRound(now time.Time) (list []string) {
-	if w.round && w.newest() > 0 {
-		return nil
-	}
-	if w.round {
-		w.round, w.answers = false, 0
-		clear(w.asked)
-	}
-	for _, peer := range w.peers() {
-		if !w.asked[peer] && len(w.asked)+len(list) < maxRound {
-			list = append(list, peer)
-		}
-	}
-	if w.answers >= maxAsk || len(list) == 0 && len(w.asking) == 0 {
-		w.round = true
-		w.nextAsk = now.Add(w.spread(askRetry))
-		return nil
-	}
-	return list
-}
-
-// peers returns every known peer's address but the daemon's own, shuffled.
-func (w *Watch) peers() (list []string) {
-	list = slices.Clone(w.seeds)
-	for _, m := range w.members {
-		list = append(list, m.Peer)
-	}
-	slices.Sort(list)
-	list = slices.Compact(list)
-	list = slices.DeleteFunc(list, func(p string) bool { return p == "" || p == w.self.Peer })
-	w.jitter.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list
-}
-
 func (w *Watch) load(now time.Time) []Effect {
 	if w.loading || w.next.Version <= w.force.Version || now.Before(w.nextLoad) || !w.mayForce() {
 		return nil
 	}
 	w.loading = true
-	return []Effect{Load{Head: w.next, Peers: w.holders(), StoreFirst: !w.fromNet}}
+	return []Effect{Load{Head: w.next, Peers: w.holders(), StoreFirst: w.holder == ""}}
 }
 
 // mayForce holds a first version back until the store was tried and peers were
@@ -322,13 +238,13 @@
 	return w.force.Version > 0 || w.storeTried && w.round
 }
 
-// holders returns the peers to fetch the next text from: the one that applied
-// it, then a few others.
-func (w *Watch) holders() []string {
-	list := firstOf(w.peers(), maxAsk)
-	if s := w.next.Source; s != "" && s != w.self.Peer {
-		list = slices.DeleteFunc(list, func(p string) bool { return p == s })
-		list = slices.Insert(list, 0, s)
+// holders returns the peers to fetch the next text from: the one that has it
+// in force, the one that applied it, then a few others.
+func (w *Watch) holders() (list []string) {
+	for _, peer := range append([]string{w.holder, w.next.Source}, firstOf(w.peers(), maxAsk)...) {
+		if peer != "" && peer != w.self.Peer && !slices.Contains(list, peer) {
+			list = append(list, peer)
+		}
 	}
 	return list
 }
@@ -345,5 +261,3 @@
 func (w *Watch) spread(d time.Duration) time.Duration {
 	return d - d/5 + time.Duration(w.jitter.Int64N(int64(cmp.Or(2*d/5, 1))))
 }
-
-func firstOf(list []string, n int) []string { return list[:min(len(list), n)] }
--- /dev/null
+++ b/internal/conf/watch/step_test.go
@@ -0,0 +1,277 @@
+package watch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/conf/head"
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func version(v uint64) head.Head {
+	return head.Head{Version: v, Digest: fmt.Sprint("digest", v), Source: "source:1"}
+}
+
+func members(n int) (list []Member) {
+	for i := range n {
+		list = append(list, Member{Name: fmt.Sprint("d", i), Peer: fmt.Sprint("p", i)})
+	}
+	return list
+}
+
+// steps feeds messages one second apart and returns the effects of the last.
+func steps(w *Watch, messages ...Message) (effects []Effect) {
+	now := epoch
+	for _, m := range messages {
+		effects = w.Step(now, m)
+		now = now.Add(time.Second)
+	}
+	return effects
+}
+
+func loads(effects []Effect) (versions []uint64) {
+	for _, e := range effects {
+		if l, ok := e.(Load); ok {
+			versions = append(versions, l.Head.Version)
+		}
+	}
+	return versions
+}
+
+func TestStep(t *testing.T) {
+	begin := Start{Self: Member{Name: "me", Peer: "me:1"}, Seeds: []string{"me:1", "a:1", "b:1", "c:1", "d:1"}, Seed: 1}
+	round := []Message{begin, Answered{Peer: "a:1"}, Answered{Peer: "b:1"}, Answered{Peer: "c:1"}}
+	runs3 := []Message{begin, Answered{Peer: "a:1"}, Answered{Peer: "b:1"}, Answered{Peer: "c:1"}, StoreHead{version(3), 30}, Loaded{version(3)}}
+	tests := map[string]struct {
+		before []Message
+		last   Message
+		load   []uint64 // versions that are loaded then
+		force  uint64   // in force then
+	}{
+		// A first answer may be stale. What is put in force at once would be
+		// behind what the daemon ran before it was restarted.
+		"one peer is not enough":           {[]Message{begin, StoreFailed{}}, Answered{"a:1", version(2)}, nil, 0},
+		"store alone is not enough":        {[]Message{begin}, StoreHead{version(2), 20}, nil, 0},
+		"peers alone are not enough":       {round[:3], Answered{"c:1", version(2)}, nil, 0},
+		"store after peers":                {round, StoreHead{version(2), 20}, []uint64{2}, 0},
+		"highest answer counts":            {[]Message{begin, StoreFailed{}, Answered{"a:1", version(2)}, Answered{"b:1", version(5)}}, Answered{"c:1", version(4)}, []uint64{5}, 0},
+		"stale store behind peers":         {[]Message{begin, Answered{"a:1", version(5)}, Answered{"b:1", version(5)}, Answered{"c:1", version(5)}}, StoreHead{version(4), 40}, []uint64{5}, 0},
+		"loaded comes in force":            {append(round, StoreHead{version(2), 20}), Loaded{version(2)}, nil, 2},
+		"newer from the store":             {runs3, StoreHead{version(4), 40}, []uint64{4}, 3},
+		"newer from a peer":                {runs3, Answered{"a:1", version(4)}, []uint64{4}, 3},
+		"versions skipped":                 {runs3, StoreHead{version(9), 90}, []uint64{9}, 3},
+		"older from the store":             {runs3, StoreHead{version(2), 20}, nil, 3},
+		"older from a peer":                {runs3, Answered{"a:1", version(2)}, nil, 3},
+		"same version again":               {runs3, StoreHead{version(3), 30}, nil, 3},
+		"store is empty":                   {runs3, StoreHead{}, nil, 3},
+		"late load of an older text":       {append(runs3, Adopt{version(5)}), Loaded{version(4)}, nil, 5},
+		"adopted":                          {runs3, Adopt{version(4)}, nil, 4},
+		"load failed waits":                {append(runs3, StoreHead{version(4), 40}), LoadFailed{Head: version(4)}, nil, 3},
+		"load failed is tried again":       {append(runs3, StoreHead{version(4), 40}, LoadFailed{Head: version(4)}), Tick{}, []uint64{4}, 3},
+		"unfit is not tried again":         {append(runs3, StoreHead{version(4), 40}, LoadFailed{Head: version(4), Unfit: true}), Tick{}, nil, 3},
+		"unfit again from a peer":          {append(runs3, StoreHead{version(4), 40}, LoadFailed{Head: version(4), Unfit: true}), Answered{"a:1", version(4)}, nil, 3},
+		"newer than unfit":                 {append(runs3, StoreHead{version(4), 40}, LoadFailed{Head: version(4), Unfit: true}), Answered{"a:1", version(5)}, []uint64{5}, 3},
+		"newer while an older one loads":   {append(runs3, StoreHead{version(4), 40}), Answered{"a:1", version(5)}, nil, 3},
+		"newer after the older one loaded": {append(runs3, StoreHead{version(4), 40}, Answered{"a:1", version(5)}), Loaded{version(4)}, []uint64{5}, 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var w Watch
+			got := steps(&w, append(append([]Message{}, tt.before...), tt.last)...)
+			is.Equal(loads(got), tt.load)
+			is.Equal(w.Version(), tt.force)
+		})
+	}
+}
+
+// A daemon is the first to come back after all of them were stopped at once.
+// It must not wait for peers that are not there.
+func TestPeersDownStoreUp(t *testing.T) {
+	is := is.New(t)
+	var w Watch
+	now, loaded := epoch, false
+	effects := w.Step(now, Start{Self: Member{Name: "me"}, Seeds: []string{"a:1", "b:1", "c:1", "d:1"}})
+	for now.Sub(epoch) < 10*time.Second {
+		var next []Effect
+		for _, e := range effects {
+			switch e := e.(type) {
+			case Read:
+				next = append(next, w.Step(now, StoreHead{version(2), 20})...)
+			case Ask:
+				next = append(next, w.Step(now, AskFailed{e.Peer})...)
+			case Load:
+				loaded = true
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+		effects = append(next, w.Step(now, Tick{})...)
+	}
+	is.True(loaded)
+}
+
+// The store fails right after it accepted a version, and the head is all that
+// got out. The daemon that applied it is asked first: it may be the only one
+// that has the text.
+func TestLoadAsksApplierFirst(t *testing.T) {
+	is := is.New(t)
+	var w Watch
+	steps(&w, Start{Self: Member{Name: "me", Peer: "me:1"}}, Members{members(40)}, StoreHead{Rev: 1})
+	effects := w.Step(epoch.Add(time.Minute), Adopt{version(1)})
+	is.Equal(effects[0], Force{version(1)})
+	effects = w.Step(epoch.Add(time.Minute), StoreHead{version(2), 20})
+	l, ok := effects[len(effects)-1].(Load)
+	is.True(ok && l.StoreFirst)
+	is.Equal(l.Peers[0], "source:1")
+	is.Equal(len(l.Peers), 1+maxAsk)
+}
+
+// Each daemon's view of who is alive decides alone who follows the store. If
+// all did, their calls would eat the store's rates; if none did, a change
+// would wait for the next read of anybody.
+func TestDuties(t *testing.T) {
+	tests := map[string]struct{ daemons, polling, watching, resting int }{
+		"one":        {1, 1, 0, 0},
+		"today":      {8, 2, 6, 0},
+		"the target": {320, 2, 6, 312},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			count := map[duty]int{}
+			for _, m := range members(tt.daemons) {
+				var w Watch
+				steps(&w, Start{Self: m}, Members{members(tt.daemons)})
+				count[w.duty]++
+			}
+			is.Equal(count[polling], tt.polling)
+			is.Equal(count[watching], tt.watching)
+			is.Equal(count[resting], tt.resting)
+		})
+	}
+}
+
+// The daemons that follow the store go with their rack. Others must step in
+// soon, and not at their next read minutes later.
+func TestDutyPassesOn(t *testing.T) {
+	is := is.New(t)
+	all := members(320)
+	stepsIn := 0
+	for _, m := range all {
+		var w Watch
+		steps(&w, Start{Self: m}, StoreHead{Rev: 1}, Members{all})
+		if w.duty != resting {
+			continue
+		}
+		now := epoch.Add(time.Hour)
+		w.Step(now, StoreHead{Rev: 2}) // the next read is minutes away
+		w.Step(now, Members{without(all, &w)})
+		if w.duty == resting {
+			continue
+		}
+		stepsIn++
+		effects := w.Step(now.Add(2*soonRead), Tick{})
+		is.True(len(effects) > 0)
+	}
+	is.True(stepsIn >= Pollers+Watchers)
+}
+
+// without returns the members but for those that follow the store.
+func without(all []Member, w *Watch) (rest []Member) {
+	for _, m := range all {
+		if dutyOf(m, all) == resting || m.Name == w.self.Name {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
+
+// A watch that answers at once with nothing new, from a replica that lags or
+// a store that lost the key, must not be asked in a circle.
+func TestHasteIsBounded(t *testing.T) {
+	tests := map[string]StoreHead{
+		"stale":    {version(1), 10},
+		"key gone": {},
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var w Watch
+			now, calls := epoch, 0
+			w.Step(now, Start{Self: Member{Name: "d0"}})
+			w.Step(now, Members{members(8)})
+			w.Step(now, StoreHead{version(1), store.Rev(10)})
+			for range 600 { // a minute
+				now = now.Add(100 * time.Millisecond)
+				for _, e := range w.Step(now, Tick{}) {
+					switch e.(type) {
+					case Read, Wait:
+						calls++
+						w.Step(now, answer)
+					}
+				}
+			}
+			is.True(calls > 0)
+			is.True(calls <= 60) // one a second
+		})
+	}
+}
+
+// Calls of all daemons at the store while nothing changes. The store counts
+// each, a waiting watch too, and its rates grow more slowly than the fleet.
+func TestIdleCalls(t *testing.T) {
+	tests := map[string]struct{ daemons, most int }{
+		"one":        {1, 60},
+		"today":      {8, 120},
+		"the target": {320, 200},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			calls := 0
+			for i, m := range members(tt.daemons) {
+				calls += idleCalls(m, members(tt.daemons), uint64(i))
+			}
+			perMinute := calls / int(idleTime.Minutes())
+			t.Logf("%d daemons: %d calls a minute", tt.daemons, perMinute)
+			is.True(perMinute > 0 && perMinute <= tt.most)
+		})
+	}
+}
+
+const idleTime = 30 * time.Minute
+
+// idleCalls lets one daemon run without a change and counts its calls.
+func idleCalls(self Member, all []Member, seed uint64) (calls int) {
+	var w Watch
+	var quiet time.Time // when the watch under way ends; zero if there is none
+	w.Step(epoch, Start{Self: self, Seed: seed})
+	w.Step(epoch, Members{all})
+	w.Step(epoch, StoreHead{version(1), 10})
+	for now := epoch; now.Before(epoch.Add(idleTime)); now = now.Add(100 * time.Millisecond) {
+		var m Message = Tick{}
+		if !quiet.IsZero() && !now.Before(quiet) {
+			m, quiet = StoreQuiet{}, time.Time{}
+		}
+		for _, e := range w.Step(now, m) {
+			switch e := e.(type) {
+			case Read:
+				calls++
+				w.Step(now, StoreHead{version(1), 10})
+			case Wait:
+				calls++
+				quiet = now.Add(e.For)
+			case Ask:
+				w.Step(now, Answered{Peer: e.Peer, Head: version(1)})
+			case Load:
+				w.Step(now, Loaded{e.Head})
+			}
+		}
+	}
+	return calls
+}
--- a/internal/conf/watch/watch.go
+++ b/internal/conf/watch/watch.go
@@ -2,9 +2,9 @@
 //
 // Watch is a state machine: Step takes the time and one message and returns
 // the effects to carry out. Versions only rise. News comes from three sides: a
-// few daemons hold a long watch on the store, peers tell with their heartbeats
-// which version they know, and every daemon reads the head now and then in
-// case both were silent. A text is fetched from the store or from any peer
+// few daemons follow the store closely, by a long watch or by polling; peers
+// tell with their heartbeats which version they know; and every daemon reads
+// the head now and then in case both were silent. A text is fetched from the store or from any peer
 // that has it and counts only if it matches its head's digest, so that what
 // was accepted spreads while the store is down.
 //
@@ -23,15 +23,24 @@
 )
 
 const (
-	// Watchers is how many daemons hold a watch on the store: enough that one
-	// is left when a failure domain goes and others are replaced, and few
-	// enough that their calls stay a small share of the store's.
-	Watchers = 8
-
-	// WatchWait is the longest that one watch waits. A silent connection
-	// looks like a quiet one, so each quiet watch is followed by a read.
+	// Pollers is how many daemons read the head every PollEvery. A watch
+	// whose connection went silent looks like a quiet one, and what makes one
+	// silent may hit all of them at once; a read that gets no answer is found
+	// out within its timeout.
+	Pollers = 2
+	// Watchers is how many daemons hold a watch on the store beside them:
+	// enough that one is left when a failure domain goes and others are
+	// replaced, and few enough that their calls stay a small share of the
+	// store's.
+	Watchers = 6
+
+	// PollEvery is the time between two reads of a poller.
+	PollEvery = 1500 * time.Millisecond
+
+	// WatchWait is how long one watch waits. Each quiet one is followed by a
+	// read.
 	WatchWait = 30 * time.Second
-	// ReadEvery is how often a daemon that holds no watch reads the head.
+	// ReadEvery is the time between two reads of all other daemons.
 	ReadEvery = 5 * time.Minute
 
 	firstRetry = 250 * time.Millisecond
