--- a/internal/peer/beat/fleet_test.go
+++ b/internal/peer/beat/fleet_test.go
@@ -314,3 +314,13 @@
 	t.Logf("%d daemons that start at once know each other after %v", n, took)
 	return f
 }
+
+// configuredAt reports whether all live daemons have at least that version.
+func (f *fleet) configuredAt(version uint64) bool {
+	for _, n := range f.nodes {
+		if !n.dead && n.member.Config < version {
+			return false
+		}
+	}
+	return true
+}
