--- a/internal/conf/watch/step_test.go
+++ b/internal/conf/watch/step_test.go
@@ -104,7 +104,7 @@
 			case Read:
 				next = append(next, w.Step(now, StoreHead{version(2), 20})...)
 			case Ask:
-				next = append(next, w.Step(now, AskFailed{e.Peer})...)
+				next = append(next, w.Step(now, AskFailed(e))...)
 			case Load:
 				loaded = true
 			}
