serve: run a daemon as a process, and survive its kill

Cause: the daemons had only run in one process. Change: serve and fake as commands; a test starts a stand-in platform and three daemons as processes and kills the owner of a program in the middle of a stream. Conclusion: the program went on to a true outcome; its receipt was issued once.

--- a/cmd/slaterock/main.go
+++ b/cmd/slaterock/main.go
@@ -28,6 +28,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(devCommand())
+	c.AddCommand(serveCommand(), devCommand(), fakeCommand())
 	return c
 }
--- /dev/null
+++ b/cmd/slaterock/process_test.go
@@ -0,0 +1,247 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/examples"
+	"github.com/slaterock/slaterock/internal/conf/apply"
+	"github.com/slaterock/slaterock/internal/edge/client"
+	"github.com/slaterock/slaterock/internal/edge/locate"
+	"github.com/slaterock/slaterock/internal/plat/kvnet"
+	"github.com/slaterock/slaterock/internal/plat/line"
+	"github.com/slaterock/slaterock/internal/prog/call"
+)
+
+const (
+	asMain  = "SLATEROCK_TEST_MAIN"
+	testKey = "dev.secret"
+	daemons = 3
+)
+
+type (
+	// system is a stand-in platform and daemons, each a process of its own.
+	system struct {
+		t       *testing.T
+		ctx     context.Context
+		parts   map[string]string
+		callers []string
+		peers   []string
+		procs   []*exec.Cmd
+	}
+)
+
+// TestMain lets the test binary stand in for the command.
+func TestMain(m *testing.M) {
+	if os.Getenv(asMain) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), 2*time.Minute)
+	t.Cleanup(stop)
+	s := &system{t: t, ctx: ctx, parts: map[string]string{}}
+	s.fake()
+	for range daemons {
+		s.callers = append(s.callers, freeAddress(t))
+		s.peers = append(s.peers, freeAddress(t))
+	}
+	for i := range daemons {
+		s.procs = append(s.procs, s.serve(i))
+	}
+	s.apply()
+	s.await("the daemons are ready", func() bool {
+		for i := range daemons {
+			if s.client(i).JSON(s.ctx, "GET", "/readyz", nil, nil) != nil {
+				return false
+			}
+		}
+		return true
+	})
+	return s
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs the command as a process that ends with the test.
+func (s *system) start(stdout io.Writer, args ...string) *exec.Cmd {
+	cmd := exec.CommandContext(s.ctx, os.Args[0], args...)
+	cmd.Env = append(os.Environ(), asMain+"=1")
+	cmd.Stdout = stdout
+	cmd.Stderr = s.log(args)
+	is.New(s.t).NoErr(cmd.Start())
+	s.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd
+}
+
+func (s *system) log(args []string) io.Writer {
+	name := filepath.Base(args[len(args)-1])
+	f, err := os.Create(filepath.Join(s.t.TempDir(), name+".log"))
+	is.New(s.t).NoErr(err)
+	s.t.Cleanup(func() {
+		defer func() { _ = f.Close() }()
+		if s.t.Failed() {
+			b, _ := os.ReadFile(f.Name())
+			s.t.Logf("%s:\n%s", name, b)
+		}
+	})
+	return f
+}
+
+func (s *system) fake() {
+	r, w := io.Pipe()
+	s.start(w, "fake", "--speed=4")
+	lines := bufio.NewScanner(r)
+	for lines.Scan() && lines.Text() != "ready" {
+		name, address, _ := strings.Cut(lines.Text(), " ")
+		s.parts[name] = address
+	}
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+}
+
+func (s *system) serve(i int) *exec.Cmd {
+	text := fmt.Sprintf(`[daemon]
+name = d%d
+failure_domain = fd%d
+listen = %s
+operator_key = %s
+
+[platform]
+store = %s
+vmlist = %s
+
+[peers]
+listen = %s
+seeds = %s
+peer_key = a-key-for-this-test-alone
+`, i, i, s.callers[i], testKey, s.parts["store"], s.parts["vms"], s.peers[i], strings.Join(s.peers, ", "))
+	path := filepath.Join(s.t.TempDir(), fmt.Sprintf("d%d.ini", i))
+	is.New(s.t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return s.start(io.Discard, "serve", "--settings", path)
+}
+
+func (s *system) apply() {
+	text := examples.Dev
+	for part, address := range map[string]string{"e1": "127.0.0.1:7421", "e2": "127.0.0.1:7422", "ledger": "127.0.0.1:7431"} {
+		text = strings.ReplaceAll(text, address, s.parts[part])
+	}
+	path := filepath.Join(s.t.TempDir(), "system.ini")
+	is.New(s.t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	st := &kvnet.Client{Line: line.Line{Address: s.parts["store"]}, Name: "operator"}
+	is.New(s.t).NoErr(apply.File(s.ctx, io.Discard, st, path, apply.Request{Base: apply.Newest, By: "test"}))
+}
+
+func (s *system) client(i int) client.Client {
+	return client.Client{Address: s.callers[i], Key: testKey}
+}
+
+// await polls until ok, as other processes can't be driven by a clock of ours.
+func (s *system) await(what string, ok func() bool) {
+	s.t.Helper()
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for !ok() {
+		select {
+		case <-s.ctx.Done():
+			s.t.Fatalf("gave up waiting until %s", what)
+		case <-tick.C:
+		}
+	}
+}
+
+// owner finds which daemon owns the program's shard.
+func (s *system) owner(program string) (owner int) {
+	owner = -1
+	s.await("the program's shard has an owner", func() bool {
+		var a locate.Answer
+		for i := range daemons {
+			if s.client(i).JSON(s.ctx, "GET", "/v1/entries?program="+program, nil, &a) == nil {
+				break
+			}
+		}
+		for i, address := range s.callers {
+			if len(a.Entries) > 0 && a.Entries[0].Owner && a.Entries[0].Address == address {
+				owner = i
+			}
+		}
+		return owner >= 0
+	})
+	return owner
+}
+
+// The daemon that runs a program is killed while an answer is on its way. The
+// caller, connected to another daemon, must get that call's whole answer and
+// go on; the receipt that was issued before must not be issued again, and the
+// history must tell of every call.
+func TestOwnerKilledInTheMiddleOfAProgram(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t)
+	const program = "pickup-7"
+	owner := s.owner(program)
+	entry := (owner + 1) % daemons
+	is.NoErr(s.client(entry).Open(s.ctx, call.Open{Program: program}))
+	talk := []client.Message{{Role: "user", Content: "Arrange a pickup at the kitchen."}}
+	first, err := s.client(entry).Chat(s.ctx, program, 0, 64, talk, nil)
+	is.NoErr(err)
+	receipt, err := s.client(entry).Service(s.ctx, program, 1, "receipts/issue", []byte(`{"kg":120}`))
+	is.NoErr(err)
+	talk = append(talk, client.Message{Role: "assistant", Content: first.Text}, client.Message{Role: "tool", Content: receipt.Text})
+
+	killed := false
+	answer, err := s.client(entry).Chat(s.ctx, program, 2, 512, talk, func(string) {
+		if !killed {
+			killed = true
+			is.NoErr(s.procs[owner].Process.Kill())
+		}
+	})
+	is.True(killed)
+	s.await("the call that was cut has a whole answer", func() bool {
+		if err != nil || !answer.Whole {
+			answer, err = s.client(entry).Chat(s.ctx, program, 2, 512, talk, nil)
+		}
+		return err == nil && answer.Whole
+	})
+	again, err := s.client(entry).Service(s.ctx, program, 1, "receipts/issue", []byte(`{"kg":120}`))
+	is.NoErr(err)
+	is.Equal(again.Text, receipt.Text) // a repeat is answered from the journal
+	second, err := s.client(entry).Service(s.ctx, program, 3, "receipts/issue", []byte(`{"kg":80}`))
+	is.NoErr(err)
+	is.True(strings.Contains(receipt.Text, `"receipt":1,`))
+	is.True(strings.Contains(second.Text, `"receipt":2,`)) // none was issued in between
+	is.NoErr(s.client(entry).End(s.ctx, program, call.Finish))
+
+	h, err := s.client((owner+2)%daemons).History(s.ctx, program)
+	is.NoErr(err)
+	is.Equal(h.Ended, string(call.Finish))
+	answers := map[int]string{}
+	for _, c := range h.Calls {
+		if c.Result.OK() {
+			answers[c.Number] = string(c.Result.Body)
+		}
+	}
+	is.Equal(answers, map[int]string{0: first.Text, 1: receipt.Text, 2: answer.Text, 3: second.Text})
+}
