owner: hand a shard over without waiting for or cutting its calls

Cause: a planned handover had to wait until all of a shard's calls had ended; under load that is never, and one long stream blocked every program of the shard. Weighed: refusing new calls until the last one ends (blocks), cutting streams (breaks a promise), moving the attempts' results to the next owner (chosen). Change: the draining owner records which attempts are under way and what they hold; its daemon goes on with them and reports text and end to the next owner, which lets callers rejoin. A report that stops for 10 s ends the call honestly.

--- a/cmd/slaterock/process_test.go
+++ b/cmd/slaterock/process_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -193,6 +194,40 @@
 	return owner
 }
 
+// A daemon is told to stop while it streams an answer to a caller that is
+// connected to another daemon. The caller must not notice: the answer goes on
+// to its end, the next call is taken by the new owner, and the daemon exits
+// without an error.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t)
+	const program = "pickup-8"
+	owner := s.owner(program)
+	entry := (owner + 1) % daemons
+	is.NoErr(s.client(entry).Open(s.ctx, call.Open{Program: program}))
+	talk := []client.Message{{Role: "user", Content: "Tell me all about the route."}}
+	asked := false
+	answer, err := s.client(entry).Chat(s.ctx, program, 0, 1024, talk, func(string) {
+		if !asked {
+			asked = true
+			is.NoErr(s.procs[owner].Process.Signal(syscall.SIGTERM))
+		}
+	})
+	is.NoErr(err)
+	is.True(asked)
+	is.True(answer.Whole)
+	receipt, err := s.client(entry).Service(s.ctx, program, 1, "receipts/issue", []byte(`{"kg":5}`))
+	is.NoErr(err)
+	is.NoErr(s.procs[owner].Wait()) // it exits by itself, with status 0
+	h, err := s.client(entry).History(s.ctx, program)
+	is.NoErr(err)
+	is.Equal(len(h.Calls), 2)
+	is.Equal(string(h.Calls[0].Result.Body), answer.Text)
+	is.Equal(len(h.Calls[0].Tries), 1)           // the answer is the first attempt's
+	is.Equal(h.Calls[0].Epoch, h.Calls[1].Epoch) // and the new owner recorded it
+	is.Equal(string(h.Calls[1].Result.Body), receipt.Text)
+}
+
 // The daemon that runs a program is killed while an answer is on its way. The
 // caller, connected to another daemon, must get that call's whole answer and
 // go on; the receipt that was issued before must not be issued again, and the
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -274,6 +274,7 @@
 		Ended:    d.ended,
 		Owned:    func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
 		Offer:    d.offer,
+		Tell:     d.report,
 	}
 	d.shards.Init()
 	d.placer = placer.Placer{
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -9,6 +9,7 @@
 	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/edge/locate"
 	"github.com/slaterock/slaterock/internal/edge/relay"
+	"github.com/slaterock/slaterock/internal/node/host"
 	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/plat/engine"
@@ -20,6 +21,7 @@
 	methodOffer  = "shard.offer"
 	methodOrder  = "engine.order"
 	methodLive   = "programs.live"
+	methodReport = "attempt.report"
 )
 
 type (
@@ -58,6 +60,9 @@
 	handle(&d.link, methodOrder, func(ctx context.Context, o order) (any, error) {
 		return nil, d.give(ctx, o.Upstream, o.Order)
 	})
+	handle(&d.link, methodReport, func(ctx context.Context, r host.Report) (any, error) {
+		return d.shards.Report(ctx, r)
+	})
 	handle(&d.link, methodLive, func(_ context.Context, l liveness) (any, error) {
 		return liveness{Programs: d.shards.Live(l.Programs)}, nil
 	})
@@ -90,6 +95,19 @@
 	return d.link.Peer(to.Peer).Invoke(ctx, methodOffer, offer{Shard: shard}, nil)
 }
 
+// report tells a shard's present owner of an attempt that goes on here.
+func (d *Daemon) report(ctx context.Context, r host.Report) (a host.Receipt, err error) {
+	m, ok := locate.Owner(d.gossip.Members(), r.Shard)
+	if !ok {
+		return a, errNoOwner
+	}
+	if m.Name == d.self.Name {
+		return d.shards.Report(ctx, r)
+	}
+	err = d.link.Peer(m.Peer).Invoke(ctx, methodReport, r, &a)
+	return a, err
+}
+
 // fence returns the number for orders to an engine, if this daemon gives them:
 // the epoch of the shard that the engine's name falls into.
 func (d *Daemon) fence(upstream string) (uint64, bool) {
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// Extend appends what is new of a text that begins at byte at of the answer, and
+// returns how many bytes the feed has. Text behind a gap is left out.
+func (f *Feed) Extend(at int, text string) int {
+	f.mu.Lock()
+	have := f.text.Len()
+	f.mu.Unlock()
+	if at <= have && at+len(text) > have {
+		f.Add(text[have-at:])
+		return at + len(text)
+	}
+	return have
+}
+
 // Text returns the whole text so far.
 func (f *Feed) Text() string {
 	f.mu.Lock()
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -65,10 +65,12 @@
 		drained  chan struct{}
 		cancel   context.CancelFunc
 		ctx      context.Context //nolint:containedctx // ends all work of the host
+		life     context.Context //nolint:containedctx // ends all attempts
+		tailing  bool
 		mu       sync.Mutex
 		tickets  map[owner.Ticket]*ticket
 		next     owner.Ticket
-		attempts map[string]map[string]context.CancelFunc // request, upstream
+		attempts map[string]map[string]*Tail // request, upstream
 		feeds    map[string]*feed.Feed
 		savedAt  uint64
 		saving   bool
@@ -87,12 +89,13 @@
 
 // Start begins to own the shard. The host ends with ctx.
 func (h *Host) Start(ctx context.Context) {
+	h.life = ctx
 	h.ctx, h.cancel = context.WithCancel(ctx)
 	h.mail = make(chan any, mailbox)
 	h.done = make(chan struct{})
 	h.drained = make(chan struct{})
 	h.tickets = map[owner.Ticket]*ticket{}
-	h.attempts = map[string]map[string]context.CancelFunc{}
+	h.attempts = map[string]map[string]*Tail{}
 	h.feeds = map[string]*feed.Feed{}
 	h.savedAt = h.Taken.Snap.Head.Upto
 	h.machine = owner.Owner{Fold: h.Taken.Fold, Hold: h.Hold}
@@ -135,6 +138,7 @@
 
 func (h *Host) run() {
 	defer close(h.done)
+	defer h.stopAttempts()
 	defer h.cancel()
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
@@ -174,8 +178,8 @@
 	case owner.Dispatch:
 		h.dispatch(e)
 	case owner.Stop:
-		if stop := h.attempts[e.Request][e.Upstream]; stop != nil {
-			stop()
+		if a := h.attempts[e.Request][e.Upstream]; a != nil {
+			a.Cancel()
 		}
 	case owner.Join:
 		if t := h.ticket(e.Ticket); t != nil {
@@ -196,6 +200,7 @@
 		h.fenced = true
 		h.cancel()
 	case owner.Drained:
+		h.tailing = true
 		close(h.drained)
 	}
 }
@@ -210,20 +215,24 @@
 }
 
 func (h *Host) dispatch(d owner.Dispatch) {
-	ctx, stop := context.WithCancel(h.ctx)
+	ctx, stop := context.WithCancel(h.life)
 	if h.attempts[d.Request] == nil {
-		h.attempts[d.Request] = map[string]context.CancelFunc{}
+		h.attempts[d.Request] = map[string]*Tail{}
 	}
-	h.attempts[d.Request][d.Upstream] = stop
-	f := h.feed(d.Request)
+	a := &Tail{Request: d.Request, Upstream: d.Upstream, Feed: h.feed(d.Request), Cancel: stop, Done: make(chan owner.Tried, 1)}
+	h.attempts[d.Request][d.Upstream] = a
 	h.Go(func() {
-		t := h.Attempt(ctx, d, f)
+		t := h.Attempt(ctx, d, a.Feed)
 		stop()
+		a.Done <- t
 		h.post(look{f: func() { h.tried(t) }})
 	})
 }
 
 func (h *Host) tried(t owner.Tried) {
+	if h.tailing {
+		return // the next owner is told
+	}
 	delete(h.attempts[t.Request], t.Upstream)
 	if len(h.attempts[t.Request]) == 0 {
 		delete(h.attempts, t.Request)
--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -236,7 +236,8 @@
 	s.tellLease()
 }
 
-// give ends ownership once all calls have ended, and offers the shard.
+// give ends ownership, offers the shard, and goes on with the attempts under
+// way for the next owner.
 func (s *Shards) give(ctx context.Context, g assign.Give) {
 	w := s.hosts[g.Shard]
 	if w == nil || w.giving {
@@ -251,7 +252,12 @@
 			return
 		}
 		w.Stop()
+		tails := w.Tails()
+		s.tails.Add(int64(len(tails)))
 		s.release(ctx, g, w.key)
+		for _, t := range tails {
+			s.Go(func() { s.follow(ctx, g.Shard, t) })
+		}
 	})
 }
 
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -51,12 +52,16 @@
 		Ended    func(l owner.Log)
 		Owned    func(s []beat.Shard)
 		Offer    func(ctx context.Context, to beat.Member, shard int) error
+		// Tell reports an attempt to whoever owns its shard now.
+		Tell func(ctx context.Context, r host.Report) (host.Receipt, error)
 
 		mail    chan message
 		lease   lease.Lease
 		assign  assign.Assign
 		reached time.Time // when this daemon last reached the store
 
+		tails atomic.Int64 // attempts that go on for later owners
+
 		mu    sync.RWMutex
 		cfg   file.File
 		hosts map[int]*ward
@@ -121,13 +126,14 @@
 	s.post(ctx, assignMessage{assign.Offered{Shard: shard}})
 }
 
-// Drain hands all shards over and returns when none is left.
+// Drain hands all shards over and returns when none is left and no attempt is
+// under way here.
 func (s *Shards) Drain(ctx context.Context) error {
 	s.post(ctx, assignMessage{assign.Drain{}})
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
-		if len(s.List()) == 0 {
+		if len(s.List()) == 0 && s.tails.Load() == 0 {
 			return nil
 		}
 		select {
--- /dev/null
+++ b/internal/node/shards/tail.go
@@ -0,0 +1,63 @@
+package shards
+
+import (
+	"context"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/node/host"
+	"github.com/slaterock/slaterock/internal/place/sched"
+)
+
+const (
+	reportEvery = 100 * time.Millisecond
+	reportTime  = 2 * time.Second
+)
+
+// Report takes in what a shard's former owner tells of an attempt.
+func (s *Shards) Report(ctx context.Context, r host.Report) (host.Receipt, error) {
+	w := s.host(r.Shard)
+	if w == nil {
+		return host.Receipt{}, host.ErrNotOwner
+	}
+	return w.Report(ctx, r)
+}
+
+// follow reports an attempt to the shard's present owner until it has ended and
+// that is known there. The shard may move again meanwhile.
+func (s *Shards) follow(ctx context.Context, shard int, t *host.Tail) {
+	defer s.tails.Add(-1)
+	defer t.Cancel()
+	r := host.Report{Shard: shard, Request: t.Request}
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	done := t.Done
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-done:
+			s.Place(nil, sched.Done{ID: t.Request, Upstream: t.Upstream, Outcome: e.Outcome, Usage: e.Usage})
+			r.Ended, done = &e, nil
+		case <-tick.C:
+		}
+		if !s.tell(ctx, &r, t) {
+			return
+		}
+	}
+}
+
+// tell makes one report; false tells that no more are needed.
+func (s *Shards) tell(ctx context.Context, r *host.Report, t *host.Tail) bool {
+	call, stop := context.WithTimeout(ctx, reportTime)
+	defer stop()
+	r.Text, _ = t.Feed.After(r.At)
+	a, err := s.Tell(call, *r)
+	switch {
+	case err != nil:
+		return true // the next owner is not known yet, or moves again
+	case !a.Known:
+		return false
+	}
+	r.At = a.Have
+	return r.Ended == nil
+}
--- a/internal/prog/record/codec.go
+++ b/internal/prog/record/codec.go
@@ -71,6 +71,7 @@
 	kindReserved = "reserved"
 	kindIntent   = "intent"
 	kindEnded    = "ended"
+	kindMoved    = "moved"
 	kindClosed   = "closed"
 	kindPiece    = "piece"
 )
@@ -218,6 +219,8 @@
 		return kindIntent
 	case Ended:
 		return kindEnded
+	case Moved:
+		return kindMoved
 	case Closed:
 		return kindClosed
 	}
@@ -236,6 +239,8 @@
 		return decode[Intent](u.Body)
 	case kindEnded:
 		return decode[Ended](u.Body)
+	case kindMoved:
+		return decode[Moved](u.Body)
 	case kindClosed:
 		return decode[Closed](u.Body)
 	}
--- a/internal/prog/record/record.go
+++ b/internal/prog/record/record.go
@@ -63,6 +63,16 @@
 		Head    bool      `json:"head"`  // it was the program's next call: the one after it may run
 	}
 
+	// Moved tells of a call whose attempt was under way when its owner handed
+	// the shard over. The former owner's daemon goes on with the attempt and
+	// tells the new owner how it ends. Hold is what the call may still cost.
+	Moved struct {
+		Program string    `json:"program"`
+		Call    hist.Call `json:"call"`
+		Service string    `json:"service,omitempty"`
+		Hold    int64     `json:"hold"`
+	}
+
 	// Closed ends a program.
 	Closed struct {
 		Program string    `json:"program"`
@@ -86,5 +96,8 @@
 // Subject is the calling program.
 func (r Ended) Subject() string { return r.Program }
 
+// Subject is the calling program.
+func (r Moved) Subject() string { return r.Program }
+
 // Subject is the program that ended.
 func (r Closed) Subject() string { return r.Program }
--- a/internal/prog/state/state.go
+++ b/internal/prog/state/state.go
@@ -43,6 +43,7 @@
 		Final    bool              `json:"final"` // a repeat of Last doesn't run
 		Dropped  bool              `json:"dropped"`
 		Intents  map[int]hist.Call `json:"intents,omitempty"` // by call number; no outcome yet
+		Moved    *record.Moved     `json:"moved,omitempty"`   // its attempt was under way at a handover
 		Tokens   Size              `json:"size"`
 		Entries  []uint64          `json:"entries,omitempty"`  // journal entries
 		Segments []uint64          `json:"segments,omitempty"` // compacted journal
@@ -124,7 +125,12 @@
 		}
 		p.Intents[r.Call.Number] = r.Call
 		p.Active = r.Call.Start
+	case record.Moved:
+		p.Moved = &r
 	case record.Ended:
+		if p.Moved != nil && p.Moved.Call.Request == r.Call.Request {
+			p.Moved = nil
+		}
 		p.ended(r)
 		if root := f.Programs[call.Root(r.Program)]; root != nil {
 			root.Spent += r.Tokens
@@ -173,5 +179,5 @@
 // Settled reports whether the program has ended with all its records in
 // entries up to upto.
 func (p *Program) Settled(upto uint64) bool {
-	return p.Closed != "" && len(p.Intents) == 0 && p.Entries[len(p.Entries)-1] <= upto
+	return p.Closed != "" && len(p.Intents) == 0 && p.Moved == nil && p.Entries[len(p.Entries)-1] <= upto
 }
--- a/internal/shard/owner/call.go
+++ b/internal/shard/owner/call.go
@@ -52,6 +52,10 @@
 		alone    time.Time // since when no caller waits
 		pieces   int
 		seq      uint64 // the record that the phase waits for
+		target   string // of a moved call, whose body is not here
+		asked    string
+		size     int
+		moved    bool // its attempt is under way at the former owner's daemon
 		result   result.Result
 		final    bool
 	}
@@ -323,19 +327,24 @@
 
 // history is the call as the journal tells it.
 func (o *Owner) history(r *run) hist.Call {
-	target := r.call.Model
+	target, asked, size := r.call.Model, "", len(r.call.Body)
 	if r.call.Kind == call.Service {
 		target = r.call.Service + r.call.Path
 	}
+	if r.moved {
+		target, asked, size = r.target, r.asked, r.size
+	} else {
+		asked = added(r.call, r.shared)
+	}
 	return hist.Call{
 		Request: r.call.Request,
 		Number:  r.call.Number,
 		Kind:    r.call.Kind,
 		Target:  target,
 		Digest:  r.digest,
-		Size:    len(r.call.Body),
+		Size:    size,
 		Shared:  r.shared,
-		Asked:   added(r.call, r.shared),
+		Asked:   asked,
 		Tries:   append([]hist.Try(nil), r.tries...),
 		Result:  r.result,
 		Before:  r.before,
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -160,7 +160,7 @@
 func (o *Owner) stop(r *run) {
 	for _, u := range r.live {
 		o.emit(Stop{Request: r.call.Request, Upstream: u})
-		o.emit(Place{Message: sched.Done{ID: r.call.Request, Upstream: u, Outcome: sched.Withdrawn}})
+		o.place(r, sched.Done{ID: r.call.Request, Upstream: u, Outcome: sched.Withdrawn})
 	}
 	r.live = nil
 }
--- a/internal/shard/owner/history_test.go
+++ b/internal/shard/owner/history_test.go
@@ -34,13 +34,14 @@
 		}
 	}
 	t.Logf("%d histories: %+v", *histories, sum)
-	if sum.takeovers <= *histories || sum.fenced == 0 || sum.lost == 0 || sum.crashes == 0 || sum.saves == 0 {
+	if sum.takeovers <= *histories || sum.fenced == 0 || sum.handovers == 0 || sum.lost == 0 || sum.crashes == 0 || sum.saves == 0 {
 		t.Errorf("the histories lack the faults that they are for: %+v", sum)
 	}
 }
 
 func (s *stats) add(o stats) {
 	s.takeovers += o.takeovers
+	s.handovers += o.handovers
 	s.fenced += o.fenced
 	s.crashes += o.crashes
 	s.lost += o.lost
--- /dev/null
+++ b/internal/shard/owner/move.go
@@ -0,0 +1,139 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/record"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	// tailTime is how long an attempt that the former owner's daemon goes on
+	// with may give no sign.
+	tailTime = 10 * time.Second
+	// rejoinTime is how long a moved call's callers may take to find the new
+	// owner.
+	rejoinTime = 20 * time.Second
+)
+
+// drain gives the shard up. Waiting until all calls have ended would block
+// every program of the shard for as long as the longest stream lasts; cutting
+// them would break the promise of a planned stop.
+func (o *Owner) drain(now time.Time) {
+	if o.draining {
+		return
+	}
+	o.draining = true
+	for _, r := range o.byRequest() {
+		switch r.phase {
+		case waitAnswer:
+			o.add(record.Moved{Program: r.prog.id, Call: o.history(r), Service: r.call.Service, Hold: r.hold})
+		case waitCommit:
+		case waitIntent, waitBudget, waitOrder, waitHold, waitPlace:
+			o.turnAway(now, r)
+		}
+	}
+	o.settle()
+	for id := range o.progs {
+		o.emit(Place{Message: sched.Forget{Program: id}})
+	}
+}
+
+// byRequest returns all runs, in the order of their requests so that a replay
+// takes them alike.
+func (o *Owner) byRequest() []*run {
+	rs := make([]*run, 0, len(o.runs))
+	for _, r := range o.runs {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b *run) int {
+		if a.call.Request < b.call.Request {
+			return -1
+		}
+		return 1
+	})
+	return rs
+}
+
+// turnAway ends a call that was not sent. Its callers repeat it at the next
+// owner, so without an intent the history has no need of it.
+func (o *Owner) turnAway(now time.Time, r *run) {
+	if r.phase == waitIntent || r.sent() || !o.idempotent(r) {
+		o.abandon(now, r, result.CodeNotOwner, "the program is moving to another daemon")
+		return
+	}
+	if r.phase == waitPlace {
+		o.emit(Place{Message: sched.Withdraw{ID: r.call.Request}})
+	}
+	r.result = o.moving()
+	o.answer(r)
+	delete(o.runs, r.call.Request)
+	root := r.prog.root
+	root.budget = root.budget.WithSettled(r.hold, 0)
+}
+
+// settle gives back what is reserved and neither spent nor held: the next owner
+// would have to count it as spent.
+func (o *Owner) settle() {
+	for id, p := range o.progs {
+		b := p.budget
+		total := b.Spent + b.Held
+		if p.root != p || p.closed != "" || b.Reserved <= total {
+			continue
+		}
+		p.budget = b.WithReserved(total).WithAsked(total)
+		o.add(record.Reserved{Program: id, Total: total})
+	}
+}
+
+// adoptRun goes on with a call whose attempt is under way at the former owner's
+// daemon. What it holds is not spent yet.
+func (o *Owner) adoptRun(now time.Time, p *program, m record.Moved) {
+	c := m.Call
+	r := &run{prog: p, phase: waitAnswer, digest: c.Digest, shared: c.Shared, hold: m.Hold, tries: c.Tries, moved: true}
+	r.call = call.Call{Request: c.Request, Account: p.open.Account, Program: p.id, Number: c.Number, Kind: c.Kind, Service: m.Service}
+	r.start, r.before = c.Start, c.Before
+	r.target, r.asked, r.size = c.Target, c.Asked, c.Size
+	r.deadline = now.Add(tailTime)
+	r.alone = now.Add(rejoinTime - aloneTime)
+	for _, t := range c.Tries {
+		if t.Ended == "" {
+			r.live = append(r.live, t.Upstream)
+		}
+	}
+	root := p.root
+	root.budget.Spent -= m.Hold
+	root.budget = root.budget.WithHold(m.Hold)
+	o.runs[c.Request] = r
+	p.current = r
+	p.order = p.order.WithStarted(c.Number)
+}
+
+func (o *Owner) tail(now time.Time, request string) {
+	if r := o.runs[request]; r != nil && r.moved && r.phase == waitAnswer {
+		r.deadline = now.Add(tailTime)
+	}
+}
+
+// orphaned ends a moved call of which nothing is heard: the daemon that had its
+// attempt is gone, so nobody will tell how it ended.
+func (o *Owner) orphaned(now time.Time, r *run) {
+	r.cost += r.hold
+	for i := range r.tries {
+		if r.tries[i].Ended == "" {
+			r.tries[i].End, r.tries[i].Ended = now, "the daemon that had the attempt is gone"
+		}
+	}
+	r.live = nil
+	o.finish(now, r, o.failure(r, "the daemon that had the attempt is gone"))
+}
+
+// Knows reports whether the request is still under way. A daemon that goes on
+// with an attempt for an earlier epoch stops when nobody waits for it.
+func (o *Owner) Knows(request string) bool {
+	r := o.runs[request]
+	return r != nil && r.phase == waitAnswer
+}
--- a/internal/shard/owner/owner.go
+++ b/internal/shard/owner/owner.go
@@ -79,15 +79,15 @@
 	// Tried tells how an attempt ended. Pieces is how many pieces of its
 	// answer callers have been given.
 	Tried struct {
-		Request     string
-		Upstream    string
-		Outcome     sched.Outcome
-		Status      int
-		ContentType string
-		Body        []byte
-		Usage       engine.Usage
-		Pieces      int
-		Why         string
+		Request     string        `json:"request"`
+		Upstream    string        `json:"upstream"`
+		Outcome     sched.Outcome `json:"outcome"`
+		Status      int           `json:"status"`
+		ContentType string        `json:"content_type"`
+		Body        []byte        `json:"body"`
+		Usage       engine.Usage  `json:"usage"`
+		Pieces      int           `json:"pieces"`
+		Why         string        `json:"why"`
 	}
 
 	// Journal is the store's answer to a Write or a Read.
@@ -108,10 +108,16 @@
 	// Pace sets the least time between two journal writes.
 	Pace struct{ Interval time.Duration }
 
-	// Drain asks for no further calls; the owner says Drained when all has
-	// ended and is committed.
+	// Drain asks to give the shard up; the owner says Drained when the next
+	// owner can have it. Calls that are not sent yet are refused as not run,
+	// for their callers to repeat at the next owner. Attempts under way are
+	// not waited for: the next owner is told of them and goes on with them.
 	Drain struct{}
 
+	// Tail tells that the daemon that owned the shard before is still busy
+	// with an attempt that it started.
+	Tail struct{ Request string }
+
 	// Tick lets time pass; one is due every 20 ms or so.
 	Tick struct{}
 
@@ -203,7 +209,6 @@
 		effs       []Effect
 		accounts   map[string]*usage
 		stalledNow bool
-		settled    bool
 	}
 
 	waiter struct {
@@ -232,6 +237,7 @@
 func (Verify) message()    {}
 func (Pace) message()      {}
 func (Drain) message()     {}
+func (Tail) message()      {}
 func (Tick) message()      {}
 
 func (Write) effect()    {}
@@ -251,6 +257,9 @@
 // must be carried out.
 func (o *Owner) Step(now time.Time, m Message) []Effect {
 	o.init(now)
+	if o.drained {
+		return nil // the shard may be another's by now
+	}
 	switch m := m.(type) {
 	case Configure:
 		o.cfg = m.File
@@ -279,7 +288,9 @@
 	case Pace:
 		o.Chain.Interval = m.Interval
 	case Drain:
-		o.draining = true
+		o.drain(now)
+	case Tail:
+		o.tail(now, m.Request)
 	case Tick:
 		o.tick(now)
 	}
@@ -333,14 +344,7 @@
 }
 
 func (o *Owner) checkDrained() {
-	if !o.draining || o.drained || len(o.runs) > 0 {
-		return
-	}
-	if !o.settled {
-		o.settled = true
-		o.settle()
-	}
-	if !o.Chain.Idle() {
+	if !o.draining || o.drained || !o.Chain.Idle() {
 		return
 	}
 	o.drained = true
--- a/internal/shard/owner/program.go
+++ b/internal/shard/owner/program.go
@@ -58,11 +58,11 @@
 	}
 	slices.Sort(ids) // parents sort before their sub-agents
 	for _, id := range ids {
-		o.adoptProgram(now, id, o.Fold.Programs[id])
+		o.adoptProgram(now, o.Fold.Programs[id])
 	}
 }
 
-func (o *Owner) adoptProgram(now time.Time, id string, d *state.Program) {
+func (o *Owner) adoptProgram(now time.Time, d *state.Program) {
 	p := o.put(d.Open, d.Priority, d.Opened)
 	p.active, p.turns, p.closed, p.size = d.Active, d.Turns, d.Closed, d.Tokens
 	p.order = order.Order{Next: d.Next}
@@ -73,13 +73,18 @@
 	if p.closed != "" {
 		o.accounts[p.open.Account].open--
 	}
+	if m := d.Moved; m != nil {
+		o.adoptRun(now, p, *m)
+	}
 	open := make([]hist.Call, 0, len(d.Intents))
 	for _, c := range d.Intents {
 		open = append(open, c)
 	}
 	slices.SortFunc(open, func(a, b hist.Call) int { return cmp.Compare(a.Number, b.Number) })
 	for _, c := range open {
-		o.unknown(now, p, c)
+		if d.Moved == nil || d.Moved.Call.Request != c.Request {
+			o.unknown(now, p, c)
+		}
 	}
 }
 
--- a/internal/shard/owner/tick.go
+++ b/internal/shard/owner/tick.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/slaterock/slaterock/internal/prog/call"
-	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
 )
 
@@ -41,7 +40,11 @@
 }
 
 func (o *Owner) moving() result.Result {
-	return result.Refuse(result.CodeNotOwner, "the program is moving to another daemon").WithRetryAfter(0)
+	r := result.Refuse(result.CodeNotOwner, "the program is moving to another daemon")
+	if o.stalled() {
+		r = r.WithRetryAfter(retryAfter)
+	}
+	return r
 }
 
 func (o *Owner) unsure(r *run) result.Result {
@@ -88,6 +91,10 @@
 	if o.runs[r.call.Request] != r {
 		return
 	}
+	if r.moved && !now.Before(r.deadline) {
+		o.orphaned(now, r)
+		return
+	}
 	if len(r.tickets) == 0 {
 		o.abandon(now, r, result.CodeCancelled, "the caller is gone")
 		return
@@ -173,16 +180,3 @@
 	}
 	return b
 }
-
-// settle gives back what is reserved and not spent, before a planned handover:
-// the next owner would have to count it as spent.
-func (o *Owner) settle() {
-	for id, p := range o.progs {
-		b := p.budget
-		if p.root != p || p.closed != "" || b.Reserved <= b.Spent {
-			continue
-		}
-		p.budget = b.WithReserved(b.Spent).WithAsked(b.Spent)
-		o.add(record.Reserved{Program: id, Total: b.Spent})
-	}
-}
--- a/internal/shard/owner/try.go
+++ b/internal/shard/owner/try.go
@@ -102,6 +102,13 @@
 	o.finish(now, r, result.Refuse(m.Code, "%s", m.Message).WithRetryAfter(m.RetryAfter))
 }
 
+// place tells placement of a request, if it was placed in this epoch.
+func (o *Owner) place(r *run, m sched.Message) {
+	if !r.moved {
+		o.emit(Place{Message: m})
+	}
+}
+
 // sent reports whether an attempt may have reached an upstream.
 func (r *run) sent() bool {
 	return slices.ContainsFunc(r.tries, func(t hist.Try) bool {
@@ -115,7 +122,8 @@
 		return
 	}
 	r.pieces = max(r.pieces, m.Pieces)
-	o.emit(Place{Message: sched.Done{ID: m.Request, Upstream: m.Upstream, Outcome: m.Outcome, Usage: m.Usage}})
+	r.deadline = time.Time{}
+	o.place(r, sched.Done{ID: m.Request, Upstream: m.Upstream, Outcome: m.Outcome, Usage: m.Usage})
 	if r.phase != waitAnswer {
 		return
 	}
@@ -198,7 +206,7 @@
 	}
 	safe := m.Outcome == sched.Unsent || o.idempotent(r) && r.pieces == 0
 	r.retries++
-	if !safe || r.retries >= o.tries(r) || len(r.tickets) == 0 && o.idempotent(r) {
+	if r.moved || !safe || r.retries >= o.tries(r) || len(r.tickets) == 0 && o.idempotent(r) {
 		o.finish(now, r, o.failure(r, m.Why))
 		return
 	}
--- a/internal/shard/owner/world_test.go
+++ b/internal/shard/owner/world_test.go
@@ -47,6 +47,7 @@
 		nodes   []*node
 		callers []*caller
 		cfg     file.File
+		clean   bool      // the shard's key was given up
 		down    time.Time // the store answers nobody until then
 		execs   map[string]int
 		effects map[string]int    // executions of a call that isn't idempotent, by program and number
@@ -59,7 +60,7 @@
 		stats   stats
 	}
 
-	stats struct{ takeovers, fenced, crashes, lost, saves, replies int }
+	stats struct{ takeovers, handovers, fenced, crashes, lost, saves, replies int }
 
 	event struct {
 		at  time.Time
@@ -85,11 +86,7 @@
 		suspended bool
 		asked     map[string]bool
 		attempts  map[string]bool
-	}
-
-	reply struct {
-		request string
-		res     result.Result
+		given     map[*owner.Owner]bool // handed over
 	}
 )
 
@@ -133,7 +130,7 @@
 		},
 	}
 	for i := range worldNodes {
-		w.nodes = append(w.nodes, &node{w: w, name: string(rune('a' + i)), up: true})
+		w.nodes = append(w.nodes, &node{w: w, name: string(rune('a' + i)), up: true, attempts: map[string]bool{}, given: map[*owner.Owner]bool{}})
 	}
 	for i := range 3 {
 		w.callers = append(w.callers, newCaller(w, fmt.Sprintf("p%d", i)))
@@ -209,6 +206,8 @@
 	case 3:
 		n.alone = w.now.Add(w.span(time.Second, 20*time.Second))
 		n.cut = n.alone
+	case 5, 6:
+		n.step(owner.Drain{})
 	case 4:
 		w.down = w.now.Add(w.span(time.Second, 40*time.Second))
 	}
@@ -220,6 +219,7 @@
 	n.w.note("%s crashes", n.name)
 	n.life++
 	n.up, n.own, n.snap = false, nil, nil
+	n.attempts, n.given = map[string]bool{}, map[*owner.Owner]bool{}
 	n.lease = lease.Lease{}
 	n.w.after(n.w.span(time.Second, 10*time.Second), func() {
 		n.up = true
@@ -396,13 +396,29 @@
 	n.history = append(n.history, w.now)
 	n.suspended = false
 	n.snap = t.Snap
-	n.asked, n.attempts = map[string]bool{}, map[string]bool{}
-	n.own = &owner.Owner{Fold: t.Fold, Hold: w.now.Add(graceTime)}
+	n.asked = map[string]bool{}
+	n.own = &owner.Owner{Fold: t.Fold}
+	if !w.clean {
+		n.own.Hold = w.now.Add(graceTime)
+	}
+	w.clean = false
 	n.own.Chain = chain.Chain{Shard: 0, Epoch: t.Epoch, Owner: n.name, Next: t.Next, Rand: n.rand, Interval: 20 * time.Millisecond}
 	n.step(owner.Configure{File: w.cfg})
 	n.step(owner.Lease{Until: n.until()})
 }
 
+// release gives the shard's key up, so that the next owner need not wait.
+func (n *node) release() {
+	n.storeCall(func() error {
+		e, err := n.w.st.Get(context.Background(), shardKey)
+		if err != nil || string(e.Data) != n.name {
+			return err
+		}
+		n.w.clean = true
+		return n.w.st.Delete(context.Background(), shardKey, e.Rev)
+	}, func(error) {})
+}
+
 func (n *node) rand() uint64 { return uint64(n.w.choose(1<<30)) + 1 }
 
 func (n *node) step(m owner.Message) {
@@ -443,6 +459,11 @@
 		w.reply(e.Ticket, c.Request, c.Result)
 	case owner.Saving:
 		n.save()
+	case owner.Drained:
+		w.stats.handovers++
+		w.note("%s has handed over", n.name)
+		n.given[own], n.own = true, nil
+		n.release()
 	case owner.Verified:
 		n.suspended = false
 	case owner.Fenced:
@@ -539,12 +560,18 @@
 	w := n.w
 	key := d.Request + d.Upstream
 	n.attempts[key] = true
+	n.later(time.Second, func() { n.follow(own, d.Request, key) })
 	tried := owner.Tried{Request: d.Request, Upstream: d.Upstream, Status: 200, Why: "broken"}
 	done := func(t owner.Tried) {
 		n.later(w.span(1, 200*time.Millisecond), func() {
 			if !n.attempts[key] && t.Outcome != sched.Succeeded {
 				t.Outcome = sched.Withdrawn
 			}
+			delete(n.attempts, key)
+			if n.given[own] {
+				n.report(t.Request, &t)
+				return
+			}
 			n.tell(own, t)
 		})
 	}
@@ -564,6 +591,42 @@
 	})
 }
 
+// follow tells the shard's present owner of an attempt that this node started
+// before it handed the shard over.
+func (n *node) follow(own *owner.Owner, request, key string) {
+	if !n.attempts[key] {
+		return
+	}
+	if n.given[own] && !n.report(request, nil) {
+		delete(n.attempts, key)
+		return
+	}
+	n.later(time.Second, func() { n.follow(own, request, key) })
+}
+
+// report reports an attempt until that has arrived; false if nobody waits for
+// it any more.
+func (n *node) report(request string, ended *owner.Tried) bool {
+	w := n.w
+	for _, m := range w.nodes {
+		if m.own == nil || m.suspended || w.now.Before(m.paused) || w.now.Before(n.alone) || w.now.Before(m.alone) {
+			continue
+		}
+		if !m.own.Knows(request) {
+			return false
+		}
+		m.step(owner.Tail{Request: request})
+		if ended != nil {
+			m.step(*ended)
+		}
+		return true
+	}
+	if ended != nil {
+		n.later(time.Second, func() { n.report(request, ended) })
+	}
+	return true
+}
+
 // execute is the upstream's side.
 func (w *world) execute(d owner.Dispatch, t *owner.Tried) {
 	w.execs[d.Request]++
