server: tell of each request, bound writes, answer operators

Cause: what became of a request must be found in logs, traces and metrics, and operators who race must see both versions. Change: one log line, one span and metrics for each request; the operators' paths carry what internal/conf/apply reports; bounds of the daemon's settings beside those of the configuration. Tests of graceful stop, overdue stop, draining, silent callers, and that no key, question or answer is told.

--- a/internal/edge/server/answer.go
+++ b/internal/edge/server/answer.go
@@ -36,6 +36,7 @@
 	if r.RetryAfter > 0 {
 		x.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
+	x.outcome = r
 	x.raw(status, jsonType, encodeError(r))
 }
 
--- a/internal/edge/server/call.go
+++ b/internal/edge/server/call.go
@@ -47,6 +47,7 @@
 
 // chat runs a chat completion.
 func (s *Server) chat(x *exchange) {
+	x.told.path = pathChat
 	c, problem := x.call(call.Model)
 	if problem != "" {
 		x.badRequest("%s", problem)
@@ -70,6 +71,7 @@
 	}
 	answer := chat.Answer{ID: c.Request, Model: req.Model, Created: x.start.Unix(), Usage: req.Usage}
 	if req.Stream {
+		x.told.path = pathStream
 		s.stream(x, f, answer)
 		return
 	}
@@ -78,6 +80,7 @@
 		x.refuse(r)
 		return
 	}
+	x.outcome = r
 	x.raw(fasthttp.StatusOK, jsonType, answer.Whole(r))
 }
 
@@ -85,6 +88,7 @@
 // because without them a repeat could not be told from a new call, and a call
 // that may not be repeated would run twice.
 func (s *Server) service(x *exchange) {
+	x.told.path = pathService
 	c, problem := x.call(call.Service)
 	if problem == "" && c.Program == "" {
 		problem = "a call to a service needs the header " + HeaderProgram
@@ -109,6 +113,7 @@
 		x.refuse(r)
 		return
 	}
+	x.outcome = r
 	x.raw(orDefault(r.Status, fasthttp.StatusOK), r.ContentType, r.Body)
 }
 
@@ -122,7 +127,6 @@
 		Method:      string(x.Method()),
 		ContentType: string(x.Request.Header.ContentType()),
 		Body:        append([]byte(nil), x.Request.Body()...),
-		TraceParent: string(x.Request.Header.Peek(headerTrace)),
 	}
 	number := string(x.Request.Header.Peek(HeaderCall))
 	if c.Program == "" && number == "" {
@@ -146,7 +150,9 @@
 func (s *Server) begin(x *exchange, c *call.Call) {
 	x.name(c.Program, c.Number)
 	x.Response.Header.Set(HeaderProgram, c.Program)
+	x.told.Kind, x.told.Program, x.told.Call = c.Kind, c.Program, c.Number
 	c.Request = x.id.String()
+	c.TraceParent = x.told.span.Parent()
 }
 
 // launch starts the call, or reports that too many are under way.
@@ -157,6 +163,8 @@
 	s.calls.Add(1)
 	err := s.pool.Submit(func() {
 		defer s.calls.Done()
+		defer s.busier(-1)
+		s.busier(1)
 		s.run(f, c, once)
 	})
 	if err != nil {
@@ -168,7 +176,7 @@
 
 // tune puts the configured bound on calls in force.
 func (s *Server) tune() {
-	if n := orDefault(s.config().Limits.MaxCalls, DefaultMaxCalls); n != s.pool.Cap() {
+	if n := lower(s.config().Limits.MaxCalls, s.MaxCalls, DefaultMaxCalls); n != s.pool.Cap() {
 		s.pool.Tune(n)
 	}
 }
@@ -246,6 +254,12 @@
 	return result.Failed(result.CodeUnknown, result.Unknown, "the daemon stopped; repeat the call with the same number")
 }
 
+// callerGone is logged for a stream that its caller left. What becomes of the
+// call is in the history.
+func callerGone() result.Result {
+	return result.Failed(result.CodeCancelled, result.Unknown, "the caller is gone")
+}
+
 func (x *exchange) busy() {
 	r := result.Refuse(result.CodeOverloaded, "this daemon has as many calls under way as %s allows", maxCallsKey)
 	x.refuse(r.WithRetryAfter(retryBusy))
--- a/internal/edge/server/route.go
+++ b/internal/edge/server/route.go
@@ -36,6 +36,9 @@
 	account  string
 	operator bool
 	start    time.Time
+	told     *told
+	outcome  result.Result // zero is a success with nothing to tell
+	detached bool          // the answer goes on after the handler has returned
 }
 
 // viewer is the account whose programs the caller may read; empty is all.
@@ -55,11 +58,15 @@
 	if s.probe(x) {
 		return
 	}
-	if !s.authenticate(x) {
+	x.told = s.tell(x)
+	if s.authenticate(x) {
+		s.route(x)
+	} else {
 		x.refuse(result.Refuse(result.CodeUnauthorized, "the Bearer key is missing or not known"))
-		return
 	}
-	s.route(x)
+	if !x.detached {
+		x.told.end(x.outcome, x.Response.StatusCode())
+	}
 }
 
 // probe answers what needs no key.
@@ -81,7 +88,7 @@
 	switch {
 	case x.is("POST", "/v1/chat/completions"):
 		s.chat(x)
-	case strings.HasPrefix(x.path, pathServices):
+	case strings.HasPrefix(x.path, pathServices) && callMethod(string(x.Method())):
 		s.service(x)
 	case x.is("POST", pathPrograms):
 		s.open(x)
@@ -103,6 +110,7 @@
 	}
 	var ok bool
 	x.account, x.operator, ok = s.Account(key)
+	x.told.Account = x.account
 	return ok
 }
 
@@ -149,10 +157,22 @@
 	return x.path == path && string(x.Method()) == method
 }
 
+// callMethod reports whether a service can be called with the method.
+func callMethod(m string) bool {
+	switch m {
+	case "GET", "POST", "PUT", "PATCH", "DELETE":
+		return true
+	}
+	return false
+}
+
 // name gives the request its name, which the answer carries from now on.
 func (x *exchange) name(program string, number int) {
 	x.id = reqid.New(program, number)
 	x.Response.Header.Set(HeaderRequest, x.id.String())
+	if x.told != nil {
+		x.told.ID = x.id.String()
+	}
 }
 
 // unescape decodes a part of the path; a program's id may hold slashes, which
--- a/internal/edge/server/server.go
+++ b/internal/edge/server/server.go
@@ -21,10 +21,13 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
+	tally "github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/edge/locate"
+	"github.com/slaterock/slaterock/internal/obs/logs"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/prog/runner"
 )
 
@@ -55,12 +58,21 @@
 		Ready   func() error
 		Metrics fasthttp.RequestHandler
 
+		// What is told of requests; each may be left out.
+		Logs  logs.Logs
+		Trace *trace.Trace
+		Scope tally.Scope
+
 		// Operators' part. Status returns what is encoded as JSON.
 		Status func(ctx context.Context) any
 		Drain  func()
 		Text   func() (text []byte, version uint64)
 		Apply  func(ctx context.Context, text []byte, from uint64) Applied
 
+		// Bounds of this daemon; the lower of these and of the configuration's
+		// holds for bodies and calls.
+		MaxBody     int // bytes
+		MaxCalls    int // under way
 		MaxHeader   int // bytes
 		MaxConns    int
 		ReadTimeout time.Duration // for a whole request
@@ -75,21 +87,10 @@
 		base     context.Context //nolint:containedctx // ends with the server, not with a call
 		stop     context.CancelFunc
 		draining atomic.Bool
+		underWay atomic.Int64
+		meters   meters
 		ticker   func(time.Duration) (<-chan time.Time, func()) // replaced in tests
 	}
-
-	// Applied is the outcome of applying a configuration. Of a conflict,
-	// Version and Text are what is in force, and Base and BaseText what the
-	// operator started from. Problems name file, line and key.
-	Applied struct {
-		Version  uint64   `json:"version"`
-		Conflict bool     `json:"conflict,omitempty"`
-		Text     string   `json:"text,omitempty"`
-		Base     uint64   `json:"base,omitempty"`
-		BaseText string   `json:"base_text,omitempty"`
-		Problems []string `json:"problems,omitempty"`
-		Message  string   `json:"message,omitempty"` // why it failed otherwise
-	}
 )
 
 // Serve answers requests on the listener until Shutdown. It may be called for
@@ -140,6 +141,7 @@
 func (s *Server) setup() {
 	s.base, s.stop = context.WithCancel(context.Background())
 	s.pool = newPool(DefaultMaxCalls)
+	s.meters = newMeters(s.Scope)
 	if s.ticker == nil {
 		s.ticker = tick
 	}
@@ -163,7 +165,7 @@
 // limitBody takes the bound of a request's body from the configuration in
 // force, so that a new bound holds for the next request.
 func (s *Server) limitBody(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{MaxRequestBodySize: s.config().Limits.MaxBody}
+	return fasthttp.RequestConfig{MaxRequestBodySize: lower(s.config().Limits.MaxBody, s.MaxBody, DefaultMaxBody)}
 }
 
 func (s *Server) config() file.File {
@@ -190,6 +192,14 @@
 	return t.C, t.Stop
 }
 
+// lower returns the lower of two bounds, of which 0 is none.
+func lower(a, b, other int) int {
+	if a > 0 && b > 0 {
+		return min(a, b)
+	}
+	return orDefault(max(a, b), other)
+}
+
 func orDefault[T int | time.Duration](v, other T) T {
 	if v <= 0 {
 		return other
--- a/internal/edge/server/site_test.go
+++ b/internal/edge/server/site_test.go
@@ -45,6 +45,13 @@
 		client *http.Client
 		fake   *fake
 		beats  chan time.Time
+		closed chan struct{} // the listener is
+	}
+
+	// door is a listener that tells when it is closed.
+	door struct {
+		*fasthttputil.InmemoryListener
+		closed chan struct{}
 	}
 )
 
@@ -86,12 +93,22 @@
 	return "", false, false
 }
 
+func (d door) Close() error {
+	close(d.closed)
+	return d.InmemoryListener.Close()
+}
+
 // start runs a server on a listener in memory.
 func start(t *testing.T, limits file.Limits) *site {
+	t.Helper()
+	return startWith(t, limits, func(*Server) {})
+}
+
+func startWith(t *testing.T, limits file.Limits, change func(*Server)) *site {
 	t.Helper()
 	t.Parallel() // the library takes a tenth of a second to shut down
 	f := &fake{opens: make(chan call.Open, 1), ends: make(chan call.End, 1), viewer: make(chan string, 1)}
-	st := &site{t: t, fake: f, beats: make(chan time.Time)}
+	st := &site{t: t, fake: f, beats: make(chan time.Time), closed: make(chan struct{})}
 	st.Server = &Server{
 		Runner:  f,
 		Account: accounts,
@@ -101,7 +118,8 @@
 		},
 		ticker: func(time.Duration) (<-chan time.Time, func()) { return st.beats, func() {} },
 	}
-	ln := fasthttputil.NewInmemoryListener()
+	change(st.Server)
+	ln := door{InmemoryListener: fasthttputil.NewInmemoryListener(), closed: st.closed}
 	served := make(chan error, 1)
 	go func() { served <- st.Serve(ln) }()
 	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return ln.Dial() }}
--- a/internal/edge/server/stream.go
+++ b/internal/edge/server/stream.go
@@ -28,6 +28,7 @@
 	answer chat.Answer
 	text   strings.Builder
 	opened bool
+	told   *told
 }
 
 // stream answers with server-sent events. A call that fails before its first
@@ -46,11 +47,13 @@
 	x.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 	x.Response.Header.Set(headerBuffer, "no")
 	x.Response.ImmediateHeaderFlush = true
+	x.detached = true
+	told := x.told
 	x.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer f.cancel() // also when the caller is gone: a write failed
 		defer stop()
-		st := stream{w: w, f: f, answer: answer}
-		st.run(first, beats)
+		st := stream{w: w, f: f, answer: answer, told: told}
+		told.end(st.run(first, beats), fasthttp.StatusOK)
 	})
 }
 
@@ -66,20 +69,20 @@
 	}
 }
 
-func (st *stream) run(e event, beats <-chan time.Time) {
+// run returns the outcome as the caller was told it.
+func (st *stream) run(e event, beats <-chan time.Time) result.Result {
 	for {
 		var err error
 		switch e := e.(type) {
 		case piece:
 			err = st.piece(e.text)
 		case ended:
-			st.end(e.result)
-			return
+			return st.end(e.result)
 		default:
 			err = st.write(streamBeat)
 		}
 		if err != nil {
-			return
+			return callerGone()
 		}
 		e = st.f.next(beats)
 	}
@@ -96,18 +99,19 @@
 // end finishes the stream. What was sent must be a beginning of the recorded
 // answer: if an answer were put together from two attempts, the caller would
 // have text that is in no history, so it is told of an error instead.
-func (st *stream) end(r result.Result) {
+func (st *stream) end(r result.Result) result.Result {
 	if !r.OK() {
-		_ = st.fail(r)
-		return
+		return st.fail(r)
 	}
 	rest, ok := strings.CutPrefix(string(r.Body), st.text.String())
 	if !ok {
-		_ = st.fail(result.Failed(result.CodeUpstreamFailed, result.Yes,
+		return st.fail(result.Failed(result.CodeUpstreamFailed, result.Yes,
 			"the recorded answer differs from what was sent; repeat the call with the same number"))
-		return
 	}
-	_ = st.finish(rest, r)
+	if err := st.finish(rest, r); err != nil {
+		return callerGone()
+	}
+	return r
 }
 
 func (st *stream) finish(rest string, r result.Result) error {
@@ -130,8 +134,11 @@
 	return st.write(streamDone)
 }
 
-func (st *stream) fail(r result.Result) error {
-	return st.write(streamError + dataPrefix + string(encodeError(r)) + eventEnd)
+func (st *stream) fail(r result.Result) result.Result {
+	if err := st.write(streamError + dataPrefix + string(encodeError(r)) + eventEnd); err != nil {
+		return callerGone()
+	}
+	return r
 }
 
 func (st *stream) open() error {
@@ -139,6 +146,7 @@
 		return nil
 	}
 	st.opened = true
+	st.told.first()
 	return st.data(st.answer.Role())
 }
 
