conf: measure large configurations, and cut them into fewer pieces

Cause: with pieces of 35 KB the head of 35,000 accounts lists 154 of them, and two daemons read the head every 1.5 s.

--- a/internal/conf/check/text.go
+++ b/internal/conf/check/text.go
@@ -40,6 +40,7 @@
 func Read(name string, text []byte) *Text {
 	t := &Text{name: name, byName: map[string]*Section{}}
 	s := scanner{text: t}
+	s.clean.Grow(len(text))
 	s.scan(text)
 	values, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation:       true, // a path may end in a backslash
--- a/internal/conf/chunk/chunk.go
+++ b/internal/conf/chunk/chunk.go
@@ -4,8 +4,8 @@
 // Split cuts before section headers that the content picks, not at fixed
 // offsets: a line that is added to one section leaves the pieces behind it as
 // they were, so that a daemon fetches the piece that changed and no other. A
-// piece's name is the SHA-256 of its plain text. Pack compresses one for
-// storage, Unpack checks it against its name.
+// piece's name is the first half of the SHA-256 of its plain text. Pack
+// compresses one for storage, Unpack checks it against its name.
 package chunk
 
 import (
@@ -23,12 +23,17 @@
 	// little to text that does not shrink; the store's bound is 1 MB.
 	MaxSize = 512 << 10
 
-	minSize = 16 << 10
-	cutMask = 1<<7 - 1 // one header in 128 is a cut
+	// A piece of a configuration with many accounts is about 100 KB. Smaller
+	// ones would make the head longer, which is read again and again; larger
+	// ones would make each change dearer.
+	minSize = 32 << 10
+	cutMask = 1<<9 - 1 // one header in 512 is a cut
+
+	nameLen = 32 // hexadecimal digits: 128 bits
 )
 
 type (
-	// Chunk is one piece: its digest in hexadecimal and its packed bytes.
+	// Chunk is one piece: its name, in hexadecimal, and its packed bytes.
 	Chunk struct {
 		Digest string `json:"digest"`
 		Packed []byte `json:"packed"`
@@ -44,6 +49,10 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// Name returns a piece's name: half of its digest, which is enough to tell
+// pieces apart, since the whole text is checked against its whole digest.
+func Name(piece []byte) string { return Digest(piece)[:nameLen] }
+
 // Split cuts the text. The pieces together are the text, and each is at most
 // MaxSize bytes.
 func Split(text []byte) (pieces [][]byte) {
@@ -77,7 +86,7 @@
 	if err != nil {
 		return Chunk{}, err
 	}
-	return Chunk{Digest: Digest(piece), Packed: enc.EncodeAll(piece, nil)}, nil
+	return Chunk{Digest: Name(piece), Packed: enc.EncodeAll(piece, nil)}, nil
 }
 
 // Unpack returns the piece's text, or ErrDigest if it is another's.
@@ -92,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if Digest(piece) != c.Digest {
+	if Name(piece) != c.Digest {
 		return nil, ErrDigest
 	}
 	return piece, nil
--- /dev/null
+++ b/internal/conf/watch/bench_test.go
@@ -0,0 +1,102 @@
+package watch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/slaterock/slaterock/internal/conf/apply"
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/fake/keyval"
+)
+
+// large is a configuration of 35,000 accounts.
+func large(b *testing.B) []byte {
+	var s strings.Builder
+	s.Write(text(b, "large"))
+	for i := range 35_000 {
+		name := fmt.Sprintf("client-%05d", i)
+		fmt.Fprintf(&s, "\n[account.%s]\nkey_hash = %s\nmax_programs = 50\ntokens_per_minute = 20000\n", name, file.HashKey(fmt.Sprint("salt", i), name+".secret"))
+	}
+	return []byte(s.String())
+}
+
+// changed alters one account.
+func changed(text []byte, n int) []byte {
+	old := []byte("tokens_per_minute = 20000\n\n[account.client-20000]")
+	return bytes.Replace(text, old, fmt.Appendf(nil, "tokens_per_minute = %d\n\n[account.client-20000]", 20_001+n), 1)
+}
+
+// BenchmarkFirst is the first apply of a large configuration to an empty store.
+func BenchmarkFirst(b *testing.B) {
+	data := large(b)
+	calls := keyval.Counts{}
+	for b.Loop() {
+		var s keyval.Store
+		if _, err := apply.Run(b.Context(), &s, apply.Request{Name: "large.ini", Text: data}); err != nil {
+			b.Fatal(err)
+		}
+		calls = s.Counts()
+	}
+	b.ReportMetric(float64(calls.Writes), "writes/op")
+	b.ReportMetric(float64(calls.Reads), "reads/op")
+}
+
+// BenchmarkChange changes one account of a large configuration through one
+// daemon, until another one, which hears of it from the first, has it in force.
+func BenchmarkChange(b *testing.B) {
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	var s keyval.Store
+	keepers := map[string]*Keeper{}
+	inForce := make(chan uint64, 8)
+	fetched := 0
+	for _, name := range []string{"a", "b"} {
+		k := &Keeper{Self: Member{Name: name, Peer: name}, Store: s.Client(name)}
+		k.Fetch = func(_ context.Context, peer string, q Question) (Answer, error) {
+			a := keepers[peer].Answer(q)
+			for _, c := range a.Chunks {
+				fetched += len(c.Packed)
+			}
+			return a, nil
+		}
+		keepers[name] = k
+	}
+	keepers["a"].OnChange = func(f file.File) { keepers["b"].Newer(f.Version, "a") }
+	keepers["b"].OnChange = func(f file.File) { inForce <- f.Version }
+	for _, k := range keepers {
+		go func() { _ = k.Serve(ctx) }()
+	}
+	data := large(b)
+	change(b, keepers["a"], inForce, data)
+	before, n := s.Counts(), 0
+	fetched = 0
+	for b.Loop() {
+		n++
+		change(b, keepers["a"], inForce, changed(data, n))
+	}
+	after := s.Counts()
+	b.ReportMetric(float64(after.Writes-before.Writes)/float64(n), "writes/op")
+	b.ReportMetric(float64(after.Reads+after.Watches-before.Reads-before.Watches)/float64(n), "reads/op")
+	b.ReportMetric(float64(fetched)/float64(n)/1e3, "kB_from_peer/op")
+	value, err := keepers["a"].Head().Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(value))/1e3, "kB_head")
+	b.ReportMetric(float64(len(keepers["a"].Head().Chunks)), "chunks")
+}
+
+func change(b *testing.B, k *Keeper, inForce <-chan uint64, text []byte) {
+	out, err := k.Apply(b.Context(), apply.Request{Name: "large.ini", Text: text, Base: apply.Newest})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for v := range inForce {
+		if v == out.Head.Version {
+			return
+		}
+	}
+}
