--- a/internal/conf/watch/keeper.go
+++ b/internal/conf/watch/keeper.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// Patience is how long an operator who applies waits for a store that
+	// does not answer.
+	Patience = 30 * time.Second
+
 	tickEvery   = 100 * time.Millisecond
 	callTimeout = 2 * time.Second
 	readTimeout = time.Second // of the head; a poller must notice a silent connection in time
@@ -103,6 +107,13 @@
 	return k.file
 }
 
+// Text returns the text in force as it was applied, and its version.
+func (k *Keeper) Text() (text []byte, version uint64, err error) {
+	h := k.Head()
+	text, err = k.join(h)
+	return text, h.Version, err
+}
+
 // Head returns the head in force, zero if none is.
 func (k *Keeper) Head() head.Head {
 	k.mu.Lock()
@@ -136,7 +147,8 @@
 	return a
 }
 
-// Apply puts a text in force for an operator; see apply.Run for its errors.
+// Apply puts a text in force for an operator; see apply.Run for its errors. It
+// tries for Patience at most.
 // Peers can fetch its chunks from here before the store has accepted it: if
 // the store fails right after it did, they know the head and find the text.
 func (k *Keeper) Apply(ctx context.Context, r apply.Request) (apply.Outcome, error) {
@@ -147,6 +159,8 @@
 		return apply.Outcome{}, err
 	}
 	k.stage(p.Chunks())
+	ctx, cancel := context.WithTimeout(ctx, Patience)
+	defer cancel()
 	out, err := p.Run(ctx, k.Store)
 	if err != nil {
 		return out, err
--- a/internal/conf/watch/keeper_test.go
+++ b/internal/conf/watch/keeper_test.go
@@ -55,6 +55,10 @@
 				is.NoErr(f.agree(tt.want))
 				for _, d := range f.daemons {
 					is.True(d.Current().System.Name != "other") // which nobody applied
+					held, version, err := d.Text()
+					is.NoErr(err)
+					is.Equal(version, tt.want)
+					is.Equal(chunk.Digest(held), d.Head().Digest)
 				}
 			})
 		})
--- a/internal/conf/watch/load.go
+++ b/internal/conf/watch/load.go
@@ -104,7 +104,7 @@
 
 func (k *Keeper) join(h head.Head) (text []byte, err error) {
 	defer func() { err = errors.Wrapf(err, "configuration version %d", h.Version) }()
-	if len(k.missing(h)) > 0 {
+	if h.Version == 0 || len(k.missing(h)) > 0 {
 		return nil, errMissing
 	}
 	pieces := make([][]byte, len(h.Chunks))
