conf: describe the configuration, and keep versions above what daemons run

Cause: a store that is restored from an older copy would give an accepted text a version that daemons have behind them, and it would come in force nowhere; an apply that takes any version ended in a conflict when it lost a race. Change: a daemon passes on the version that it runs, and the text gets a higher one; an apply that lost a race starts again where its base still holds.

--- a/internal/conf/apply/apply.go
+++ b/internal/conf/apply/apply.go
@@ -55,10 +55,11 @@
 	// Message is what Apply reacts to.
 	Message interface{ message() }
 
-	// Start begins. Base is the version that the operator read, Nonce a word
-	// that no other apply has.
+	// Start begins. Base is the version that the operator read, Floor one that
+	// some daemon runs, Nonce a word that no other apply has.
 	Start struct {
 		Base   uint64
+		Floor  uint64
 		Digest string
 		Size   int
 		Chunks []chunk.Chunk
--- a/internal/conf/apply/run.go
+++ b/internal/conf/apply/run.go
@@ -22,12 +22,14 @@
 type (
 	// Request is a text to put in force. Name is its file's, for messages.
 	// Base is the version that the operator read, 0 if none was in force,
-	// Newest for any. Source is the peer address of the daemon that applies
+	// Newest for any. Floor is the version that the daemon runs which applies
+	// it, 0 if none does; the text gets a higher one. Source is the peer address of the daemon that applies
 	// it, empty if none does.
 	Request struct {
 		Name   string
 		Text   []byte
 		Base   uint64
+		Floor  uint64
 		By     string
 		Source string
 	}
@@ -90,6 +92,7 @@
 	r := runner{store: s}
 	f := r.run(ctx, Start{
 		Base:   p.request.Base,
+		Floor:  p.request.Floor,
 		Digest: chunk.Digest(p.request.Text),
 		Size:   len(p.request.Text),
 		Chunks: p.chunks,
--- a/internal/conf/apply/step.go
+++ b/internal/conf/apply/step.go
@@ -45,10 +45,10 @@
 
 func (a *Apply) headRead(now time.Time, m HeadRead) []Effect {
 	if a.state == resolving {
-		return a.resolve(m)
+		return a.resolve(now, m)
 	}
 	a.base, a.rev = m.Head, m.Rev
-	if m.Head.Version > 0 && m.Head.Digest == a.start.Digest {
+	if m.Head.Version > 0 && m.Head.Digest == a.start.Digest && !a.behind() {
 		return a.finish(Finish{Head: m.Head, Unchanged: true})
 	}
 	if err := a.admit(); err != nil {
@@ -63,15 +63,21 @@
 		By:     a.start.By,
 		At:     now.UTC(),
 		Source: a.start.Source,
-	}.After(a.base)
+	}.After(a.base, a.start.Floor)
 	a.queue = a.missing()
 	a.state = listing
 	return []Effect{ListChunks{}}
 }
 
+// behind reports whether the store knows less than a daemon runs, because it
+// was restored from an older copy. Versions that repeated those that daemons
+// have seen would be accepted and come in force nowhere.
+func (a *Apply) behind() bool { return a.base.Version < a.start.Floor }
+
 // admit reports why the text can't follow the version in force.
 func (a *Apply) admit() error {
-	if a.start.Base != Newest && a.start.Base != a.base.Version {
+	fits := a.start.Base == a.base.Version || a.behind() && a.start.Base == a.start.Floor
+	if a.start.Base != Newest && !fits {
 		return conflict(a.start.Base, a.base)
 	}
 	if a.base.Version > 0 && a.base.Shards != a.start.Shards {
@@ -160,7 +166,7 @@
 	return []Effect{ReadHead{}}
 }
 
-func (a *Apply) resolve(m HeadRead) []Effect {
+func (a *Apply) resolve(now time.Time, m HeadRead) []Effect {
 	if m.Rev == a.rev {
 		return a.swap() // not taken so far; the same write again can't be taken twice
 	}
@@ -169,11 +175,20 @@
 	case took:
 		return a.accepted(m.Head)
 	case known || !a.unknown:
-		return a.finish(Finish{Err: conflict(a.base.Version, m.Head)})
+		return a.restart(now, m)
 	}
 	return a.finish(Finish{Err: &UnknownError{Version: a.next.Version, Nonce: a.next.Nonce}})
 }
 
+// restart begins again from the head that was found in place of this applier's
+// own. It ends at once in a conflict, unless the operator takes any version, or
+// the first read was of a replica that lagged.
+func (a *Apply) restart(now time.Time, m HeadRead) []Effect {
+	start := a.start
+	*a = Apply{start: start, state: reading, wait: firstWait}
+	return a.headRead(now, m)
+}
+
 // accepted ends with the head as it is now, which is a later one if others
 // applied theirs on top.
 func (a *Apply) accepted(now head.Head) []Effect {
--- a/internal/conf/file/parse_test.go
+++ b/internal/conf/file/parse_test.go
@@ -208,3 +208,24 @@
 		})
 	}
 }
+
+// The operators' page lists each section's keys. A key that is missing there
+// is one that nobody finds.
+func TestPageNamesAllKeys(t *testing.T) {
+	page := string(read(t, "../../../docs/operate/configuration.md"))
+	for _, section := range []string{"system", "limits", "account.NAME", "agent.NAME", "model.NAME", "service.NAME", "group.NAME", "upstream.NAME"} {
+		t.Run(section, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("x.ini", []byte("["+section+"]\nzz = 1\n"))
+			_, list, ok := strings.Cut(err.Error(), "zz: the key is unknown; want one of ")
+			is.True(ok)
+			list, _, _ = strings.Cut(list, "\n")
+			_, part, ok := strings.Cut(page, "\n## ["+section+"]\n")
+			is.True(ok)
+			part, _, _ = strings.Cut(part, "\n## ")
+			for key := range strings.SplitSeq(list, ", ") {
+				is.True(strings.Contains(part, "\n| `"+key+"` | ")) // has its row
+			}
+		})
+	}
+}
--- a/internal/conf/head/head.go
+++ b/internal/conf/head/head.go
@@ -65,9 +65,10 @@
 // Encode writes the head for the store.
 func (h Head) Encode() ([]byte, error) { return json.Marshal(h) }
 
-// After returns h as the version that follows prev.
-func (h Head) After(prev Head) Head {
-	h.Version = prev.Version + 1
+// After returns h as the version that follows prev, and floor where that is
+// higher.
+func (h Head) After(prev Head, floor uint64) Head {
+	h.Version = max(prev.Version, floor) + 1
 	h.Kept = nil
 	if prev.Version == 0 {
 		return h
--- a/internal/conf/watch/keeper.go
+++ b/internal/conf/watch/keeper.go
@@ -153,7 +153,7 @@
 // the store fails right after it did, they know the head and find the text.
 func (k *Keeper) Apply(ctx context.Context, r apply.Request) (apply.Outcome, error) {
 	k.init()
-	r.Source = k.Self.Peer
+	r.Source, r.Floor = k.Self.Peer, k.Head().Version
 	p, err := apply.Prepare(r)
 	if err != nil {
 		return apply.Outcome{}, err
