gener: measure goodput over three minutes again

The test is as strict as before; the traces are three minutes long again, so that the later half is steady.

--- a/internal/play/gener/gener.go
+++ b/internal/play/gener/gener.go
@@ -94,7 +94,7 @@
 // Press returns the trace of the goodput measurement: the same short programs
 // at so many times the rate that the engines can serve.
 func Press(times float64, seed uint64) trace.Trace {
-	return Scenario{"press", func(g *builder) { g.press(times, 120) }}.Build(seed)
+	return Scenario{"press", func(g *builder) { g.press(times, 180) }}.Build(seed)
 }
 
 // invariants states what must hold whatever happens.
