sched: begin with priors, gener: keep the loop's limit of turns

An owner that had seen no answer took crowding for free and put its first programs where the first was put. It now assumes a duty, a rise and an answer's length until it has seen them. The looping program had 320 turns instead of 12.

--- a/internal/place/sched/attempt.go
+++ b/internal/place/sched/attempt.go
@@ -190,6 +190,9 @@
 	}
 	u.speed.Prefill(t.first.Sub(t.at), m.Usage.Prompt-m.Usage.Cached)
 	g.speed.Prefill(t.first.Sub(t.at), m.Usage.Prompt-m.Usage.Cached)
+	if g.output == 0 {
+		g.output = float64(m.Usage.Output)
+	}
 	g.output += outputShare * (float64(m.Usage.Output) - g.output)
 	if m.Usage.Output > 1 {
 		each := now.Sub(t.first).Seconds() / float64(m.Usage.Output)
--- a/internal/place/sched/place.go
+++ b/internal/place/sched/place.go
@@ -20,8 +20,13 @@
 	// How much of the usual work of other owners counts for calls to come. It
 	// is known with so much noise that programs would chase it.
 	trust = 0.3
-	// Calls of a program before any has ended.
+	// What is assumed before any program has ended: its calls, the part of
+	// its life that it has one under way, and by which part each request
+	// slows those beside it. An owner that began with nothing would put all
+	// its first programs where the first was put.
 	firstTurns = 4
+	firstDuty  = 0.3
+	firstRise  = 0.1
 )
 
 type (
@@ -146,6 +151,9 @@
 	if g.conf.Kind == file.Services {
 		return g.call.At(n), g.call.Rise()
 	}
+	if !g.decode.Known() {
+		return g.speed.Mean(), firstRise * g.speed.Mean()
+	}
 	return g.output * g.decode.At(n), g.output * g.decode.Rise()
 }
 
--- a/internal/place/sched/table.go
+++ b/internal/place/sched/table.go
@@ -135,7 +135,7 @@
 func (s *Sched) group(name string) *group {
 	g := s.groups[name]
 	if g == nil {
-		g = &group{name: name}
+		g = &group{name: name, duty: firstDuty}
 		s.groups[name] = g
 	}
 	g.conf = s.cfg.Groups[name]
--- a/internal/play/gener/gener.go
+++ b/internal/play/gener/gener.go
@@ -144,6 +144,8 @@
 func (g *builder) add(p trace.Program) {
 	p.Name = fmt.Sprintf("p%d", len(g.Programs))
 	p.Group = "agent"
-	p.MaxTurns = max(p.MaxTurns, 320)
+	if p.MaxTurns == 0 {
+		p.MaxTurns = 320
+	}
 	g.Programs = append(g.Programs, p)
 }
