limit: tell a crowded service from unequal calls by probing

Latency was compared with the shortest that was seen, so that a service whose calls differ in work was taken for crowded; comparing with the usual latency alone takes a crowd for usual. The limit is now halved for a moment now and then: if answers come clearly faster, the upstream was saturated.

Figures: go test ./internal/place/sched -run LimitOfUnequalCalls: fails before, passes after.

--- a/internal/place/limit/limit.go
+++ b/internal/place/limit/limit.go
@@ -1,21 +1,30 @@
 // Package limit finds how much work one owner may have in flight at one
 // upstream, from the latency that it measures there.
 //
-// Each answer is compared with the latency that the upstream shows when it is
-// not crowded. While answers come about as fast, the limit grows by a little
-// more than its square root for each round of answers; when they come slower
-// it shrinks in proportion. Several owners that share an upstream thus settle
-// on shares of it without talking to each other.
+// Each answer is compared with the latency that is usual for such a request.
+// While answers come about as fast, the limit grows slowly; when they come
+// much slower it shrinks in proportion. What is usual may itself have been
+// measured in a crowd, so now and then the limit is halved for a moment. If
+// answers come clearly faster then, the upstream was saturated and the half
+// stays; otherwise the limit is put back. Several owners that share an upstream
+// thus settle on shares of it without talking to each other.
 package limit
 
-import "math"
-
 const (
 	initial   = 8
 	smallest  = 1
 	tolerance = 2.0 // slower than this by comparison means crowded
 	smoothing = 0.2
 	lowest    = 0.5 // the most that one round takes away
+	growth    = 0.5 // for each round of answers
+
+	// Answers between two probes, and in one, for each unit of the limit.
+	probeEvery = 12
+	probeFor   = 4
+	minEvery   = 40
+	minFor     = 16
+	// A probe's answers faster than this by comparison mean saturation.
+	faster = 0.75
 )
 
 type (
@@ -25,14 +34,29 @@
 
 		limit float64
 		ratio float64 // smoothed measured latency over expected
+		count int     // answers since the last probe, or in it
+		probe probe
+	}
+
+	probe struct {
+		on     bool
+		before float64 // ratio when it began
+		sum    float64
+		n      int
 	}
 )
 
 // Value returns how many requests may be in flight, at least one.
-func (l *Limit) Value() int { return int(l.value()) }
+func (l *Limit) Value() int {
+	v := l.value()
+	if l.probe.on {
+		v /= 2
+	}
+	return int(max(v, smallest))
+}
 
-// Observe takes one answer's latency and the latency expected of an uncrowded
-// upstream, in the same unit, and the requests in flight when it came.
+// Observe takes one answer's latency and the latency expected of such a
+// request, in the same unit, and the requests in flight when it came.
 func (l *Limit) Observe(measured, expected float64, inflight int) {
 	if expected <= 0 || measured < 0 {
 		return
@@ -42,15 +66,42 @@
 	}
 	// One request that was held up by another's long prompt says little; ten
 	// do. The cap keeps a single stray answer from shutting the upstream.
-	l.ratio += smoothing * (min(measured/expected, 4*tolerance) - l.ratio)
+	now := min(measured/expected, 4*tolerance)
+	l.ratio += smoothing * (now - l.ratio)
+	l.count++
+	if l.probe.on {
+		l.probing(now)
+		return
+	}
 	v := l.value()
-	gradient := min(1, max(lowest, tolerance/l.ratio))
-	if gradient == 1 && float64(inflight) < v/2 {
-		return // the limit was not what held the work back
+	full := float64(inflight) >= v/2
+	switch {
+	case l.ratio > tolerance:
+		l.limit = l.clamp(v - (1-max(lowest, tolerance/l.ratio))*v/max(v, 1))
+	case full: // otherwise the limit was not what held the work back
+		l.limit = l.clamp(v + growth/v)
+	}
+	if full && v >= 2 && l.count >= max(minEvery, int(probeEvery*v)) {
+		l.probe, l.count = probe{on: true, before: l.ratio}, 0
 	}
-	next := v*gradient + math.Sqrt(v)*boolFactor(gradient == 1)
-	v += (next - v) / max(1, v)
-	l.limit = l.clamp(v)
+}
+
+// probing takes an answer while the limit is halved. The first ones were still
+// sent before.
+func (l *Limit) probing(ratio float64) {
+	v := int(l.value())
+	if l.count <= v {
+		return
+	}
+	l.probe.sum += ratio
+	l.probe.n++
+	if l.probe.n < max(minFor, probeFor*v) {
+		return
+	}
+	if l.probe.sum/float64(l.probe.n) < faster*l.probe.before {
+		l.limit = l.clamp(l.value() / 2)
+	}
+	l.probe, l.count = probe{}, 0
 }
 
 // Drop takes half of the limit away after a failure.
@@ -69,10 +120,3 @@
 	}
 	return max(v, smallest)
 }
-
-func boolFactor(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/place/sched/attempt.go
+++ b/internal/place/sched/attempt.go
@@ -5,6 +5,7 @@
 
 	"github.com/slaterock/slaterock/internal/place/hedge"
 	"github.com/slaterock/slaterock/internal/place/retry"
+	"github.com/slaterock/slaterock/internal/place/speed"
 )
 
 type (
@@ -19,6 +20,12 @@
 		tries   [2]try // the second is a hedge
 	}
 
+	// service is what was learnt of one service, wherever it ran.
+	service struct {
+		hedge hedge.Hedge
+		speed speed.Speed
+	}
+
 	try struct {
 		up       int
 		at       time.Time
@@ -180,8 +187,10 @@
 	if r.ask.Service != "" {
 		u.speed.Pace(took.Seconds(), g.call.At(t.beside))
 		g.call.Observe(t.beside, took.Seconds())
-		u.limit.Observe(took.Seconds(), u.speed.Best(), u.load.Inflight()+1)
-		s.service(r.ask.Service).Observe(now, took)
+		sv := s.service(r.ask.Service)
+		sv.speed.Call(now, took)
+		sv.hedge.Observe(now, took)
+		u.limit.Observe(took.Seconds(), sv.speed.Usual(), u.load.Inflight()+1)
 		return
 	}
 	s.index.Found(t.up, r.ask.Blocks, m.Usage.Cached)
@@ -204,13 +213,13 @@
 
 const outputShare = 0.05
 
-func (s *Sched) service(name string) *hedge.Hedge {
-	h := s.services[name]
-	if h == nil {
-		h = &hedge.Hedge{}
-		s.services[name] = h
+func (s *Sched) service(name string) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{}
+		s.services[name] = v
 	}
-	return h
+	return v
 }
 
 // hedge starts a second attempt of idempotent service calls that have taken
@@ -222,7 +231,7 @@
 		if !r.used || !t.active || r.tries[1].active || !r.ask.Idempotent || !s.cfg.Services[r.ask.Service].Hedge {
 			continue
 		}
-		after, ok := s.service(r.ask.Service).After()
+		after, ok := s.service(r.ask.Service).hedge.After()
 		if !ok || now.Sub(t.at) <= after || !t.first.IsZero() {
 			continue
 		}
--- a/internal/place/sched/bench_test.go
+++ b/internal/place/sched/bench_test.go
@@ -73,3 +73,23 @@
 		s.Step(now, Tick{})
 	}
 }
+
+// BenchmarkPress asks for 35,000 accounts in turn while all is full, so that
+// each request is queued in the place of another or refused.
+func BenchmarkPress(b *testing.B) {
+	s, _ := large()
+	f := fleet(4)
+	g := f.Groups["engines"]
+	g.QueueLimit, g.QueueWait = 1000, time.Hour
+	f.Groups["engines"] = g
+	s.Step(epoch, Configure{File: f})
+	asks := make([]Ask, 35_000)
+	for i := range asks {
+		asks[i] = ask(fmt.Sprint("press", i))
+		asks[i].Account = fmt.Sprint("account", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s.Step(epoch, asks[i%len(asks)])
+	}
+}
--- a/internal/place/sched/fair_test.go
+++ b/internal/place/sched/fair_test.go
@@ -145,3 +145,61 @@
 	is.NoErr(err)
 	is.Equal(assigned(s.Step(epoch, Done{ID: id, Upstream: up}), "waits"), up)
 }
+
+// Calls of one service differ by ten times in the work they ask for. If the
+// shortest were taken for what all should take, the limit would shrink while
+// the service is idle, and callers would be refused for nothing. A crowded
+// service, where all take longer, must still be noticed.
+func TestLimitOfUnequalCalls(t *testing.T) {
+	tests := map[string]struct {
+		slots     int // of each of two tools
+		low, high int // where the limits must end
+	}{
+		"idle":    {1000, 8, 1000},
+		"crowded": {3, 1, 12},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s Sched
+			f := fleet(0)
+			f.Groups["tools"] = file.Group{Kind: file.Services, QueueLimit: 1000, QueueWait: time.Hour}
+			s.Step(epoch, Configure{File: f})
+			rng := rand.New(rand.NewPCG(1, 1))
+			type run struct {
+				id, up string
+				end    time.Time
+			}
+			var running []run
+			now, n := epoch, 0
+			for range 6000 {
+				now = now.Add(10 * time.Millisecond)
+				var out []Effect
+				for len(s.byID) < 30 {
+					n++
+					out = append(out, s.Step(now, toolAsk(fmt.Sprint(n)))...)
+				}
+				var still []run
+				for _, r := range running {
+					if r.end.After(now) {
+						still = append(still, r)
+						continue
+					}
+					out = append(out, s.Step(now, Done{ID: r.id, Upstream: r.up})...)
+				}
+				running = still
+				for _, e := range out {
+					if a, ok := e.(Assign); ok {
+						beside := s.ups[s.byName[a.Upstream]].load.Inflight()
+						took := (20 + 180*rng.Float64()) * max(1, float64(beside)/float64(tt.slots))
+						running = append(running, run{a.ID, a.Upstream, now.Add(time.Duration(took * float64(time.Millisecond)))})
+					}
+				}
+			}
+			for _, u := range s.ups {
+				is.True(u.limit.Value() >= tt.low)
+				is.True(u.limit.Value() <= tt.high)
+			}
+		})
+	}
+}
--- a/internal/place/sched/machine.go
+++ b/internal/place/sched/machine.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
-	"github.com/slaterock/slaterock/internal/place/hedge"
 	"github.com/slaterock/slaterock/internal/place/prefix"
 	"github.com/slaterock/slaterock/internal/place/retry"
 	"github.com/slaterock/slaterock/internal/place/score"
@@ -32,7 +31,7 @@
 		accounts map[string]int // requests in the system
 		failed   map[string]failure
 		pruned   time.Time
-		services map[string]*hedge.Hedge
+		services map[string]*service
 		retries  retry.Budget
 		hedges   retry.Budget
 		index    prefix.Index
@@ -97,7 +96,7 @@
 	s.byID = map[string]int32{}
 	s.accounts = map[string]int{}
 	s.failed = map[string]failure{}
-	s.services = map[string]*hedge.Hedge{}
+	s.services = map[string]*service{}
 	s.sweep.Start = s.Seed
 }
 
--- a/internal/place/speed/speed.go
+++ b/internal/place/speed/speed.go
@@ -13,6 +13,10 @@
 	down = 0.2
 	up   = 0.01
 	mean = 0.1
+	slow = 0.005
+	// Calls of one service differ; their mean is taken for no more than so
+	// many times the low end.
+	mostUsual = 4
 	// Shorter prompts measure the fixed cost of a request, not the prefill.
 	minPrefill = 256
 	maxPace    = 10 // so that one stray time does not count for ever
@@ -29,7 +33,9 @@
 		prefill float64 // per token
 		call    float64 // mean time of one request, from dispatch to end
 		best    float64 // low end of the time of one request
+		usual   float64 // mean over a long time
 		pace    float64 // multiple of the time that its group takes
+		calls   int
 		seen    time.Time
 	}
 )
@@ -60,6 +66,8 @@
 	x := took.Seconds()
 	s.seen = now
 	s.best = low(s.best, x)
+	s.calls++
+	s.usual += max(slow, 1/float64(s.calls)) * (x - s.usual)
 	if s.call == 0 {
 		s.call = x
 		return
@@ -121,8 +129,11 @@
 	return s.call
 }
 
-// Best returns the low end of the seconds of one request, 0 if none ended.
-func (s *Speed) Best() float64 { return s.best }
+// Usual returns the seconds of one request over a long time, which the work
+// of a moment hardly changes. It is bounded by a multiple of the low end, so
+// that a service that was crowded all along is not taken for slow. 0 is
+// unknown.
+func (s *Speed) Usual() float64 { return min(s.usual, mostUsual*s.best) }
 
 func low(est, x float64) float64 {
 	switch {
