owner: prove the store's outage, calls and sub-agents by tables

Cause: the rows of the outage table were not tested one by one; an owner took the store for down for one more tick after it had answered. Change: tables by name; a commit ends the outage at once.

--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -212,6 +212,7 @@
 	o.queue = append([]pending(nil), o.queue[n:]...)
 	o.bySeq = max(o.bySeq, c.Seq)
 	o.Fold.Upto = c.Number
+	o.stalledNow = false
 	o.release()
 	if o.verifySeq != 0 && c.Seq >= o.verifySeq {
 		o.verifySeq = 0
--- /dev/null
+++ b/internal/shard/owner/outage_test.go
@@ -0,0 +1,388 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/shard/chain"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+)
+
+// desk drives one owner by hand: placement answers at once, attempts and the
+// store only when told to.
+type desk struct {
+	own     owner.Owner
+	now     time.Time
+	down    bool // the store gives no answer
+	held    []chain.Effect
+	replies map[owner.Ticket]result.Result
+	sent    []owner.Dispatch
+	places  []sched.Message
+	ticket  owner.Ticket
+}
+
+func newDesk() *desk {
+	d := &desk{now: time.Unix(1_800_000_000, 0), replies: map[owner.Ticket]result.Result{}}
+	seed := uint64(0)
+	d.own.Chain = chain.Chain{Epoch: 1, Next: 1, Rand: func() uint64 { seed++; return seed }}
+	d.step(owner.Configure{File: file.File{
+		Limits: file.Limits{BudgetBlock: 300, GapWait: time.Second},
+		Agents: map[string]file.Agent{"a": {Model: "m", Budget: 1000, MaxTurns: 5, IdleLimit: time.Minute, MaxDuration: time.Hour}},
+		Models: map[string]file.Model{"m": {Group: "g", MaxTokens: 40}},
+		Services: map[string]file.Service{
+			"receipt": {Group: "s"},
+			"lookup":  {Group: "s", Idempotent: true, MaxTries: 2},
+		},
+	}})
+	d.step(owner.Lease{Until: d.now.Add(time.Hour)})
+	return d
+}
+
+func (d *desk) step(m owner.Message) {
+	for _, e := range d.own.Step(d.now, m) {
+		switch e := e.(type) {
+		case owner.Write:
+			d.held = append(d.held, e.Effect)
+			d.store()
+		case owner.Place:
+			d.places = append(d.places, e.Message)
+			if a, ok := e.Message.(sched.Ask); ok {
+				d.step(owner.Assigned{Assign: sched.Assign{ID: a.ID, Upstream: fmt.Sprint("u", len(a.Avoid))}})
+			}
+		case owner.Dispatch:
+			d.sent = append(d.sent, e)
+		case owner.Reply:
+			d.replies[e.Ticket] = e.Result
+		}
+	}
+}
+
+// store answers what waits, unless the store is down.
+func (d *desk) store() {
+	for !d.down && len(d.held) > 0 {
+		e := d.held[0]
+		d.held = d.held[1:]
+		if c, ok := e.(chain.Create); ok {
+			d.step(owner.Journal{Message: chain.Wrote{Number: c.Number, Outcome: chain.Created}})
+		}
+	}
+}
+
+func (d *desk) pass(t time.Duration) {
+	for end := d.now.Add(t); d.now.Before(end); {
+		d.now = d.now.Add(50 * time.Millisecond)
+		d.step(owner.Tick{})
+	}
+}
+
+func (d *desk) open(program string) owner.Ticket {
+	d.ticket++
+	d.step(owner.Open{Ticket: d.ticket, Open: call.Open{Account: "x", Program: program, Agent: "a"}})
+	return d.ticket
+}
+
+func (d *desk) call(program string, number int, service string, body string) owner.Ticket {
+	d.ticket++
+	c := call.Call{Request: fmt.Sprintf("%s-%d-%d", program, number, d.ticket), Account: "x", Program: program, Number: number, Kind: call.Model, Body: []byte(body)}
+	if service != "" {
+		c.Kind, c.Service = call.Service, service
+	}
+	d.step(owner.Call{Ticket: d.ticket, Call: c})
+	return d.ticket
+}
+
+// answer ends the newest attempt.
+func (d *desk) answer(outcome sched.Outcome) {
+	s := d.sent[len(d.sent)-1]
+	d.step(owner.Tried{Request: s.Request, Upstream: s.Upstream, Outcome: outcome, Status: 200, Body: []byte("done"), Why: "broken", Usage: usageOf(outcome)})
+}
+
+func usageOf(o sched.Outcome) engine.Usage {
+	if o != sched.Succeeded {
+		return engine.Usage{}
+	}
+	return engine.Usage{Prompt: 10, Output: 10, Finish: "stop"}
+}
+
+// The platform's store stops answering for minutes. What a caller may notice is
+// a refusal that is true and prompt, or an answer that is held back until it is
+// recorded; never a call that ran behind a refusal, or one that just hangs.
+func TestStoreOutage(t *testing.T) {
+	long := fmt.Sprintf("%0400d", 1) // costs more than the block reserved ahead
+	tests := map[string]struct {
+		ask    func(d *desk) owner.Ticket
+		sent   bool
+		code   result.Code // within two seconds of asking; empty is none yet
+		ran    result.Ran
+		later  result.Code // 15 s after asking
+		healed result.Code // of a repeat when the store is back
+	}{
+		"model call within what is reserved": {
+			func(d *desk) owner.Ticket { return d.call("p", 0, "", "hello") },
+			true, "", "", result.CodeStoreDown, result.CodeOK,
+		},
+		"model call beyond what is reserved": {
+			func(d *desk) owner.Ticket { return d.call("p", 0, "", long) },
+			false, result.CodeStoreDown, result.No, result.CodeStoreDown, result.CodeOK,
+		},
+		"idempotent service call": {
+			func(d *desk) owner.Ticket { return d.call("p", 0, "lookup", "x") },
+			true, "", "", result.CodeStoreDown, result.CodeOK,
+		},
+		"call that isn't idempotent": {
+			func(d *desk) owner.Ticket { return d.call("p", 0, "receipt", "x") },
+			false, result.CodeStoreDown, result.No, result.CodeStoreDown, result.CodeOK,
+		},
+		"new program": {
+			func(d *desk) owner.Ticket { return d.open("q") },
+			false, result.CodeStoreDown, result.No, result.CodeStoreDown, result.CodeOK,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk()
+			d.open("p")
+			d.open("other")
+			d.down = true
+			d.step(owner.End{Ticket: 99, End: call.End{Account: "x", Program: "other"}}) // something to write
+			d.pass(3 * time.Second)
+			ticket := tt.ask(d)
+			is.Equal(len(d.sent) > 0, tt.sent)
+			if tt.sent {
+				d.answer(sched.Succeeded)
+			}
+			d.pass(2 * time.Second)
+			is.Equal(d.replies[ticket].Code, tt.code)
+			if tt.code != "" {
+				is.Equal(d.replies[ticket].Ran, tt.ran)
+				is.True(d.replies[ticket].RetryAfter > 0)
+			}
+			d.pass(13 * time.Second)
+			is.Equal(d.replies[ticket].Code, tt.later)
+			d.down = false
+			d.store()
+			sent := len(d.sent)
+			again := tt.ask(d)
+			if len(d.sent) > sent {
+				is.True(!tt.sent) // what ran before doesn't run again
+				d.answer(sched.Succeeded)
+			}
+			is.Equal(d.replies[again].Code, tt.healed)
+		})
+	}
+}
+
+// The store stops answering right when an intent is written. The caller is told
+// within seconds that the call did not run, and it must not run when the store
+// comes back and the intent turns out to be in the journal.
+func TestIntentInFlightWhenTheStoreStops(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	d.open("p")
+	d.down = true
+	ticket := d.call("p", 0, "receipt", "x")
+	d.pass(11 * time.Second)
+	is.Equal(d.replies[ticket].Code, result.CodeStoreDown)
+	is.Equal(d.replies[ticket].Ran, result.No)
+	d.down = false
+	d.store()
+	d.pass(time.Second)
+	is.Equal(len(d.sent), 0)
+	again := d.call("p", 0, "receipt", "x")
+	is.Equal(len(d.sent), 1) // a repeat runs, once
+	d.answer(sched.Succeeded)
+	is.Equal(d.replies[again].Code, result.CodeOK)
+}
+
+// The lease is over and the daemon was not able to renew it. Another daemon may
+// own the program by now, so nothing may be sent, unless nobody can reach the
+// store.
+func TestDispatchNeedsTheLease(t *testing.T) {
+	tests := map[string]struct {
+		lease func(now time.Time) owner.Lease
+		sent  bool
+	}{
+		"held":                 {func(now time.Time) owner.Lease { return owner.Lease{Until: now.Add(time.Second)} }, true},
+		"over":                 {func(now time.Time) owner.Lease { return owner.Lease{Until: now} }, false},
+		"over, outage for all": {func(now time.Time) owner.Lease { return owner.Lease{Until: now, Outage: now.Add(time.Second)} }, true},
+		"over, old news":       {func(now time.Time) owner.Lease { return owner.Lease{Until: now, Outage: now} }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk()
+			d.open("p")
+			d.step(tt.lease(d.now))
+			ticket := d.call("p", 0, "", "hello")
+			is.Equal(len(d.sent) == 1, tt.sent)
+			if !tt.sent {
+				is.Equal(d.replies[ticket].Code, result.CodeNotOwner)
+				is.Equal(d.replies[ticket].Ran, result.No)
+			}
+		})
+	}
+}
+
+// Callers and upstreams misbehave: calls come early, twice, late or with
+// another body, upstreams fail before or after they got the request. What a
+// user must see is written beside each case.
+func TestCalls(t *testing.T) {
+	tests := map[string]struct {
+		run   func(d *desk) owner.Ticket
+		code  result.Code
+		ran   result.Ran
+		sends int
+	}{
+		"in order": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "", "a")
+			d.answer(sched.Succeeded)
+			return t
+		}, result.CodeOK, result.Yes, 1},
+		"early, the one before comes": {func(d *desk) owner.Ticket {
+			t := d.call("p", 1, "", "b")
+			d.call("p", 0, "", "a")
+			d.answer(sched.Succeeded)
+			d.answer(sched.Succeeded)
+			return t
+		}, result.CodeOK, result.Yes, 2},
+		"early, the one before never comes": {func(d *desk) owner.Ticket {
+			t := d.call("p", 1, "", "b")
+			d.pass(2 * time.Second)
+			return t
+		}, result.CodeOrder, result.No, 0},
+		"far too early": {func(d *desk) owner.Ticket { return d.call("p", 99, "", "b") }, result.CodeOrder, result.No, 0},
+		"repeat while under way joins": {func(d *desk) owner.Ticket {
+			d.call("p", 0, "receipt", "a")
+			t := d.call("p", 0, "receipt", "a")
+			d.answer(sched.Succeeded)
+			return t
+		}, result.CodeOK, result.Yes, 1},
+		"repeat after the end": {func(d *desk) owner.Ticket {
+			d.call("p", 0, "receipt", "a")
+			d.answer(sched.Succeeded)
+			return d.call("p", 0, "receipt", "a")
+		}, result.CodeOK, result.Yes, 1},
+		"repeat with another body": {func(d *desk) owner.Ticket {
+			d.call("p", 0, "receipt", "a")
+			d.answer(sched.Succeeded)
+			return d.call("p", 0, "receipt", "changed")
+		}, result.CodeConflict, result.No, 1},
+		"not sent, then sent elsewhere": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "receipt", "a")
+			d.answer(sched.Unsent)
+			d.answer(sched.Succeeded)
+			return t
+		}, result.CodeOK, result.Yes, 2},
+		"never sent": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "receipt", "a")
+			for range 3 {
+				d.answer(sched.Unsent)
+			}
+			return t
+		}, result.CodeUpstreamFailed, result.No, 3},
+		"receipt broke off": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "receipt", "a")
+			d.answer(sched.Failed)
+			return t
+		}, result.CodeUnknown, result.Unknown, 1},
+		"repeat of a receipt that broke off": {func(d *desk) owner.Ticket {
+			d.call("p", 0, "receipt", "a")
+			d.answer(sched.Failed)
+			return d.call("p", 0, "receipt", "a")
+		}, result.CodeUnknown, result.Unknown, 1},
+		"lookup broke off and is repeated": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "lookup", "a")
+			d.answer(sched.Failed)
+			d.answer(sched.Succeeded)
+			return t
+		}, result.CodeOK, result.Yes, 2},
+		"lookup broke off each time": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "lookup", "a")
+			d.answer(sched.Failed)
+			d.answer(sched.Failed)
+			return t
+		}, result.CodeUpstreamFailed, result.Unknown, 2},
+		"loops beyond its turns": {func(d *desk) owner.Ticket {
+			for n := range 5 {
+				d.call("p", n, "lookup", "a")
+				d.answer(sched.Succeeded)
+			}
+			return d.call("p", 5, "lookup", "a")
+		}, result.CodeTurns, result.No, 5},
+		"loops beyond its tokens": {func(d *desk) owner.Ticket {
+			return d.call("p", 0, "", fmt.Sprintf("%01000d", 1))
+		}, result.CodeBudget, result.No, 0},
+		"after its end": {func(d *desk) owner.Ticket {
+			d.step(owner.End{Ticket: 99, End: call.End{Account: "x", Program: "p", Kind: call.Finish}})
+			return d.call("p", 0, "", "a")
+		}, result.CodeEnded, result.No, 0},
+		"idle for too long": {func(d *desk) owner.Ticket {
+			d.pass(62 * time.Second)
+			return d.call("p", 0, "", "a")
+		}, result.CodeEnded, result.No, 0},
+		"another account's program": {func(d *desk) owner.Ticket {
+			d.ticket++
+			d.step(owner.Call{Ticket: d.ticket, Call: call.Call{Request: "z", Account: "y", Program: "p"}})
+			return d.ticket
+		}, result.CodeNotFound, result.No, 0},
+		"cancelled while an answer is on its way": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "", "a")
+			d.step(owner.End{Ticket: 99, End: call.End{Account: "x", Program: "p", Kind: call.Cancel}})
+			return t
+		}, result.CodeCancelled, result.Unknown, 1},
+		"cancelled while a receipt is on its way": {func(d *desk) owner.Ticket {
+			t := d.call("p", 0, "receipt", "a")
+			d.step(owner.End{Ticket: 99, End: call.End{Account: "x", Program: "p", Kind: call.Cancel}})
+			d.answer(sched.Succeeded)
+			return t
+		}, result.CodeOK, result.Yes, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk()
+			d.open("p")
+			ticket := tt.run(d)
+			d.pass(50 * time.Millisecond)
+			is.Equal(d.replies[ticket].Code, tt.code)
+			is.Equal(d.replies[ticket].Ran, tt.ran)
+			is.Equal(len(d.sent), tt.sends)
+		})
+	}
+}
+
+// A sub-agent spends from its parent's budget. Together they must not pass it,
+// and an end of the parent must end the sub-agent and release its memory.
+func TestSubAgents(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	d.open("p")
+	d.ticket++
+	d.step(owner.Open{Ticket: d.ticket, Open: call.Open{Account: "x", Program: "p/c", Parent: "p"}})
+	is.Equal(d.replies[d.ticket].Code, result.CodeOK)
+	body := fmt.Sprintf("%0500d", 1)
+	d.call("p", 0, "", body)
+	over := d.call("p/c", 0, "", body) // 540 + 540 of 1000
+	is.Equal(d.replies[over].Code, result.CodeBudget)
+	d.answer(sched.Succeeded) // it cost 20
+	fits := d.call("p/c", 0, "", body)
+	is.Equal(len(d.sent), 2)
+	d.step(owner.End{Ticket: 99, End: call.End{Account: "x", Program: "p", Kind: call.Finish}})
+	is.Equal(d.replies[fits].Code, result.CodeCancelled)
+	released := map[string]bool{}
+	for _, m := range d.places {
+		if e, ok := m.(sched.Ended); ok {
+			released[e.Program] = true
+		}
+	}
+	is.Equal(released, map[string]bool{"p": true, "p/c": true})
+}
