--- /dev/null
+++ b/internal/play/replay/run.go
@@ -0,0 +1,141 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/play/trace"
+)
+
+type (
+	// Args are those of the command that replays traces.
+	Args struct {
+		Paths  []string
+		Policy string // replay under this one too and print the difference
+		Seeds  int    // with Table: how many
+		Table  bool   // print all policies side by side, in Markdown
+		Gate   Gate
+	}
+)
+
+// ErrBroken reports stated outcomes that were not met.
+var ErrBroken = errors.New("stated outcomes are broken")
+
+// printer keeps the first error of writing.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+// Run replays the traces and prints each broken outcome with its line, or the
+// comparison that the arguments ask for. The error is ErrBroken if one broke.
+func Run(w io.Writer, a Args) (err error) {
+	defer func() { err = errors.Wrap(err, "replay") }()
+	p := &printer{w: w}
+	if a.Table {
+		return p.table(a)
+	}
+	broken := 0
+	for _, path := range a.Paths {
+		n, err := p.replay(path, a)
+		if err != nil {
+			return err
+		}
+		broken += n
+	}
+	p.printf("%d traces, %d broken outcomes\n", len(a.Paths), broken)
+	if p.err == nil && broken > 0 {
+		return ErrBroken
+	}
+	return p.err
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format, args...)
+	}
+}
+
+func (p *printer) replay(path string, a Args) (broken int, err error) {
+	t, err := load(path)
+	if err != nil {
+		return 0, err
+	}
+	r, err := Replay(t, Options{Gate: a.Gate})
+	if err != nil {
+		return 0, err
+	}
+	p.printf("%s: %d of %d programs completed, p50 %s p95 %s p99 %s, wasted %d of %d prefilled tokens\n",
+		path, r.Completed, r.Programs, round(r.P50), round(r.P95), round(r.P99), r.Wasted, r.Prefilled)
+	for _, b := range r.Broken {
+		p.printf("%s:%d: %s\n", path, b.Line, b.Text)
+	}
+	if a.Policy != "" {
+		other, err := Replay(t, Options{Policy: a.Policy, Gate: a.Gate})
+		if err != nil {
+			return 0, err
+		}
+		p.difference(r, other)
+	}
+	return len(r.Broken), nil
+}
+
+func load(path string) (t trace.Trace, err error) {
+	defer func() { err = errors.Wrap(err, path) }()
+	f, err := os.Open(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return t, err
+	}
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
+	return trace.Read(f)
+}
+
+func (p *printer) difference(a, b Report) {
+	p.printf("%16s %18s %18s %12s\n", "", a.Policy, b.Policy, "difference")
+	for _, m := range []string{"completed", "refused", "gave_up", "p50_ms", "p95_ms", "p99_ms", "wasted_tokens", "dispatched", "retries"} {
+		x, _ := a.measure(m)
+		y, _ := b.measure(m)
+		p.printf("%16s %18.0f %18.0f %+12.0f\n", m, x, y, y-x)
+	}
+}
+
+// table prints, for each trace and policy, the means over the seeds.
+func (p *printer) table(a Args) error {
+	p.printf("| trace | policy | completed %% | p50 s | p95 s | p99 s | wasted tokens |\n|---|---|---:|---:|---:|---:|---:|\n")
+	for _, path := range a.Paths {
+		t, err := load(path)
+		if err != nil {
+			return err
+		}
+		for _, policy := range Policies() {
+			if err = p.row(t, policy, a); err != nil {
+				return err
+			}
+		}
+	}
+	return p.err
+}
+
+func (p *printer) row(t trace.Trace, policy string, a Args) error {
+	var completed, p50, p95, p99, wasted float64
+	n := float64(max(a.Seeds, 1))
+	for seed := range uint64(n) {
+		r, err := Replay(t, Options{Policy: policy, Seed: seed + 1, Gate: a.Gate})
+		if err != nil {
+			return err
+		}
+		completed += 100 * float64(r.Completed) / float64(max(r.Programs, 1)) / n
+		p50 += r.P50.Seconds() / n
+		p95 += r.P95.Seconds() / n
+		p99 += r.P99.Seconds() / n
+		wasted += float64(r.Wasted) / n
+	}
+	p.printf("| %s | %s | %.1f | %.2f | %.2f | %.2f | %.0f |\n", t.Header.Name, policy, completed, p50, p95, p99, wasted)
+	return p.err
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
