--- a/internal/shard/owner/call.go
+++ b/internal/shard/owner/call.go
@@ -317,7 +317,7 @@
 // its intent first.
 func (o *Owner) ready(now time.Time, r *run) {
 	if o.idempotent(r) {
-		o.ask(now, r, false)
+		o.ask(now, r)
 		return
 	}
 	r.phase = waitIntent
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -131,7 +131,7 @@
 			return
 		}
 		o.stop(r)
-		r.cost += r.hold
+		r.cost = r.hold // covers this attempt and those before
 		for i := range r.tries {
 			if r.tries[i].Ended == "" {
 				r.tries[i].End, r.tries[i].Ended = now, endedWithdrawn
@@ -251,7 +251,7 @@
 		r.phase = waitOrder
 		o.ready(now, r)
 	case waitIntent:
-		o.ask(now, r, false)
+		o.ask(now, r)
 	case waitCommit:
 		o.answer(r)
 		delete(o.runs, r.call.Request)
--- a/internal/shard/owner/move.go
+++ b/internal/shard/owner/move.go
@@ -121,7 +121,7 @@
 // orphaned ends a moved call of which nothing is heard: the daemon that had its
 // attempt is gone, so nobody will tell how it ended.
 func (o *Owner) orphaned(now time.Time, r *run) {
-	r.cost += r.hold
+	r.cost = r.hold // covers this attempt and those before
 	for i := range r.tries {
 		if r.tries[i].Ended == "" {
 			r.tries[i].End, r.tries[i].Ended = now, "the daemon that had the attempt is gone"
--- a/internal/shard/owner/outage_test.go
+++ b/internal/shard/owner/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/shard/chain"
 	"github.com/slaterock/slaterock/internal/shard/owner"
@@ -22,6 +23,8 @@
 	own     owner.Owner
 	now     time.Time
 	down    bool // the store gives no answer
+	full    bool // placement gives no answer
+	journal []record.Entry
 	held    []chain.Effect
 	replies map[owner.Ticket]result.Result
 	sent    []owner.Dispatch
@@ -33,7 +36,13 @@
 	d := &desk{now: time.Unix(1_800_000_000, 0), replies: map[owner.Ticket]result.Result{}}
 	seed := uint64(0)
 	d.own.Chain = chain.Chain{Epoch: 1, Next: 1, Rand: func() uint64 { seed++; return seed }}
-	d.step(owner.Configure{File: file.File{
+	d.step(owner.Configure{File: d.config()})
+	d.step(owner.Lease{Until: d.now.Add(time.Hour)})
+	return d
+}
+
+func (*desk) config() file.File {
+	return file.File{
 		Limits: file.Limits{BudgetBlock: 300, GapWait: time.Second},
 		Agents: map[string]file.Agent{"a": {Model: "m", Budget: 1000, MaxTurns: 5, IdleLimit: time.Minute, MaxDuration: time.Hour}},
 		Models: map[string]file.Model{"m": {Group: "g", MaxTokens: 40}},
@@ -41,9 +50,7 @@
 			"receipt": {Group: "s"},
 			"lookup":  {Group: "s", Idempotent: true, MaxTries: 2},
 		},
-	}})
-	d.step(owner.Lease{Until: d.now.Add(time.Hour)})
-	return d
+	}
 }
 
 func (d *desk) step(m owner.Message) {
@@ -54,7 +61,7 @@
 			d.store()
 		case owner.Place:
 			d.places = append(d.places, e.Message)
-			if a, ok := e.Message.(sched.Ask); ok {
+			if a, ok := e.Message.(sched.Ask); ok && !d.full {
 				d.step(owner.Assigned{Assign: sched.Assign{ID: a.ID, Upstream: fmt.Sprint("u", len(a.Avoid))}})
 			}
 		case owner.Dispatch:
@@ -71,6 +78,11 @@
 		e := d.held[0]
 		d.held = d.held[1:]
 		if c, ok := e.(chain.Create); ok {
+			e, err := record.Decode(c.Data)
+			if err != nil {
+				panic(err)
+			}
+			d.journal = append(d.journal, e)
 			d.step(owner.Journal{Message: chain.Wrote{Number: c.Number, Outcome: chain.Created}})
 		}
 	}
--- a/internal/shard/owner/tick.go
+++ b/internal/shard/owner/tick.go
@@ -109,7 +109,7 @@
 	case waitBudget, waitIntent:
 		o.abandon(now, r, result.CodeStoreDown, "the platform's store does not answer; nothing was run")
 	case waitHold:
-		o.ask(now, r, false)
+		o.ask(now, r)
 	case waitPlace, waitAnswer, waitCommit:
 	}
 }
--- a/internal/shard/owner/try.go
+++ b/internal/shard/owner/try.go
@@ -19,7 +19,7 @@
 
 // ask queues the call for an upstream. For a while after a takeover it only
 // waits: the former owner may not have noticed yet that its lease is over.
-func (o *Owner) ask(now time.Time, r *run, retry bool) {
+func (o *Owner) ask(now time.Time, r *run) {
 	if now.Before(o.Hold) {
 		r.phase, r.deadline = waitHold, o.Hold
 		return
@@ -38,7 +38,7 @@
 		Attained:   p.root.attained,
 		Avoid:      slices.Clone(r.failed),
 		Idempotent: o.idempotent(r),
-		Retry:      retry,
+		Retry:      r.retries > 0,
 	}
 	if r.call.Kind == call.Service {
 		a.Service, a.Group = r.call.Service, o.cfg.Services[r.call.Service].Group
@@ -177,7 +177,7 @@
 	case m.Usage.Prompt+m.Usage.Output > 0:
 		r.cost += int64(m.Usage.Prompt + m.Usage.Output)
 	default:
-		r.cost += r.hold
+		r.cost = r.hold // covers this attempt and those before
 	}
 }
 
@@ -210,24 +210,31 @@
 		o.finish(now, r, o.failure(r, m.Why))
 		return
 	}
-	if r.cost > 0 && !o.rehold(r) {
+	if !o.rehold(now, r) {
 		o.finish(now, r, o.failure(r, m.Why+"; the budget allows no further attempt"))
 		return
 	}
-	o.ask(now, r, true)
+	if r.phase != waitBudget {
+		o.ask(now, r)
+	}
 }
 
 // rehold holds the cost of a further attempt beside what the failed ones cost.
-func (o *Owner) rehold(r *run) bool {
+// If the journal has not reserved that much yet, the call waits for it.
+func (o *Owner) rehold(now time.Time, r *run) bool {
 	root := r.prog.root
-	one := r.prompt + int64(r.max)
-	more := r.cost + one - r.hold
-	if more <= 0 {
+	more := r.cost + r.prompt + int64(r.max) - r.hold
+	if r.cost == 0 || more <= 0 {
 		return true
 	}
-	if root.budget.Free() < more || !root.budget.Fits(more) {
+	if root.budget.Free() < more {
 		return false
 	}
+	if !root.budget.Fits(more) {
+		r.seq = o.ahead(root, more)
+		r.phase = waitBudget
+		r.deadline = now.Add(commitWait)
+	}
 	root.budget = root.budget.WithHold(more)
 	r.hold += more
 	return true
--- a/internal/shard/owner/world_test.go
+++ b/internal/shard/owner/world_test.go
@@ -26,7 +26,7 @@
 const (
 	worldNodes  = 3
 	worldTick   = 100 * time.Millisecond
-	worldBudget = 6000
+	worldBudget = 300
 	shardKey    = "shard/0000"
 	graceTime   = 3 * time.Second
 	newsTime    = time.Second
@@ -121,7 +121,7 @@
 	w.st = &keyval.Store{Now: func() time.Time { return w.now }}
 	w.cfg = file.File{
 		System: file.System{Shards: 1},
-		Limits: file.Limits{GapWait: 2 * time.Second, BudgetBlock: 500},
+		Limits: file.Limits{GapWait: 2 * time.Second, BudgetBlock: 80},
 		Agents: map[string]file.Agent{"pickup": {Model: "m", Budget: worldBudget, MaxTurns: 100}},
 		Models: map[string]file.Model{"m": {Group: "g", MaxTokens: 60}},
 		Services: map[string]file.Service{
