daemon: log, count and trace each hop

Cause: the daemon told nothing of what it did but its own lines. Change: logs, metrics and traces are opened from the settings; spans for relay, owner, each attempt and the commit; gauges for daemons, shards and the store.

--- a/cmd/slaterock/dev.go
+++ b/cmd/slaterock/dev.go
@@ -3,10 +3,10 @@
 import (
 	"os"
 
-	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"github.com/slaterock/slaterock/internal/node/trial"
+	"github.com/slaterock/slaterock/internal/obs/logs"
 )
 
 func devCommand() *cobra.Command {
@@ -17,11 +17,14 @@
 		Short: "Run three daemons on loopback before stand-ins",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			level := zerolog.WarnLevel
+			level := "warn"
 			if verbose {
-				level = zerolog.DebugLevel
+				level = "debug"
+			}
+			var err error
+			if t.Logs, err = logs.Open(os.Stderr, level, logs.Auto); err != nil {
+				return err
 			}
-			t.Log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr}).Level(level).With().Timestamp().Logger()
 			t.AnyPorts = t.AnyPorts || once
 			return t.Dev(c.Context(), c.OutOrStdout(), once)
 		},
--- a/cmd/slaterock/serve.go
+++ b/cmd/slaterock/serve.go
@@ -5,15 +5,21 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"github.com/slaterock/slaterock/internal/node/daemon"
 	"github.com/slaterock/slaterock/internal/node/setup"
+	"github.com/slaterock/slaterock/internal/obs/logs"
+	"github.com/slaterock/slaterock/internal/obs/metric"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 )
 
+// closeTime bounds the export of the last spans.
+const closeTime = 3 * time.Second
+
 func serveCommand() *cobra.Command {
 	var path string
 	c := &cobra.Command{
@@ -40,13 +46,52 @@
 	return c
 }
 
+// observe opens the log, the metrics and the trace that the settings ask for.
+// What it returns closes them.
+func observe(ctx context.Context, d *daemon.Daemon) (closing func(), err error) {
+	s := d.Settings.Observe
+	if d.Logs, err = logs.Open(os.Stderr, s.LogLevel, s.LogFormat); err != nil {
+		return nil, err
+	}
+	d.Logs = d.Logs.WithDaemon(d.Settings.Daemon.Name)
+	d.Metric = metric.New()
+	t := trace.Settings{Daemon: d.Settings.Daemon.Name, Endpoint: s.TraceEndpoint}
+	var f *os.File
+	if s.TraceFile != "" {
+		f, err = os.OpenFile(s.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "trace file")
+		}
+		t.File = f
+	}
+	log := d.Logs.Logger()
+	t.Fault = func(err error) { log.Warn().Err(err).Msg("spans were lost") }
+	if d.Trace, err = trace.Open(ctx, t); err != nil {
+		return nil, err
+	}
+	return func() {
+		last, stop := context.WithTimeout(context.Background(), closeTime)
+		defer stop()
+		_ = d.Trace.Close(last)
+		_ = d.Metric.Close()
+		if f != nil {
+			_ = f.Close()
+		}
+	}, nil
+}
+
 // serve runs the daemon. It takes the signals itself: the first one drains, and
 // only the second ends the context.
 func serve(s setup.Settings) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	d := &daemon.Daemon{Settings: s, Log: zerolog.New(os.Stderr).With().Timestamp().Str("daemon", s.Daemon.Name).Logger()}
+	d := &daemon.Daemon{Settings: s}
 	d.Connect()
+	closing, err := observe(ctx, d)
+	if err != nil {
+		return err
+	}
+	defer closing()
 	if err := d.Init(ctx); err != nil {
 		return err
 	}
--- a/internal/edge/server/told.go
+++ b/internal/edge/server/told.go
@@ -72,6 +72,7 @@
 	}
 	t.Code, t.Ran, t.Status = r.Code, r.Ran, status
 	t.Prompt, t.Cached, t.Output = r.Prompt, r.Cached, r.Output
+	t.Upstream = r.Upstream
 	t.Duration = time.Since(t.start)
 	t.span.Set(
 		attribute.String("request", t.ID),
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/conf/watch"
@@ -25,6 +26,9 @@
 	"github.com/slaterock/slaterock/internal/node/send"
 	"github.com/slaterock/slaterock/internal/node/setup"
 	"github.com/slaterock/slaterock/internal/node/shards"
+	"github.com/slaterock/slaterock/internal/obs/logs"
+	"github.com/slaterock/slaterock/internal/obs/metric"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/peer/gossip"
 	"github.com/slaterock/slaterock/internal/peer/link"
@@ -50,11 +54,15 @@
 		VMs      vmlist.List // nil without a list
 		Engine   func(address string) engine.Engine
 		Tool     func(address string) tool.Tool
-		Log      zerolog.Logger
+		Logs     logs.Logs
+		Trace    *trace.Trace
+		Metric   *metric.Metric
 		// Listen and Peers replace listening on the addresses of the settings.
 		Listen, Peers net.Listener
 		Leave         time.Duration // how long a draining daemon goes on serving; zero is six seconds
 
+		log    zerolog.Logger
+		scope  tally.Scope
 		pool   *ants.Pool
 		meter  meter.Meter
 		keeper watch.Keeper
@@ -94,6 +102,8 @@
 	if d.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true)); err != nil {
 		return err
 	}
+	d.log = d.Logs.Logger()
+	d.scope = d.Metric.Scope().SubScope("owner")
 	d.drain = make(chan struct{})
 	d.ready = make(chan struct{})
 	d.self = beat.Member{
@@ -134,6 +144,7 @@
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
+	work.Go(func() { d.measure(ctx) })
 	work.Go(func() { d.placer.Serve(ctx) })
 	work.Go(func() { d.gossip.Run(ctx, beat.Self{Member: d.self, Seeds: d.Settings.Peers.Seeds}) })
 	work.Go(func() { d.failed(stop, d.link.Serve(ctx, d.Peers)) })
@@ -153,7 +164,7 @@
 
 func (d *Daemon) failed(stop func(), err error) {
 	if err != nil {
-		d.Log.Error().Err(err).Msg("daemon stops")
+		d.log.Error().Err(err).Msg("daemon stops")
 		stop()
 	}
 }
@@ -162,7 +173,7 @@
 // shards are handed over when their calls have ended, and what callers still
 // send is relayed until their answers from locate have run out.
 func (d *Daemon) leave(ctx context.Context) error {
-	d.Log.Info().Msg("draining")
+	d.log.Info().Msg("draining")
 	d.server.StartDraining()
 	d.update(ctx, func(m *beat.Member) { m.State = beat.Draining })
 	ctx, stop := context.WithTimeout(ctx, drainTimeout)
@@ -180,7 +191,7 @@
 	case <-ctx.Done():
 	}
 	err := d.server.Shutdown(ctx)
-	d.Log.Info().Msg("drained")
+	d.log.Info().Msg("drained")
 	return errors.Wrap(err, "finish requests")
 }
 
@@ -223,7 +234,7 @@
 }
 
 func (d *Daemon) configure(ctx context.Context, f file.File) {
-	d.Log.Info().Uint64("version", f.Version).Msg("configuration in force")
+	d.log.Info().Uint64("version", f.Version).Msg("configuration in force")
 	d.share()
 	d.shards.Configure(ctx, f)
 	d.placer.Tell(ctx, nil, sched.Configure{File: f})
@@ -257,7 +268,7 @@
 		defer mu.Unlock()
 		return random.Uint64()
 	}
-	tries := send.Send{Engine: d.Engine, Tool: d.Tool, First: func(request, upstream string) {
+	tries := send.Send{Trace: d.Trace, Engine: d.Engine, Tool: d.Tool, First: func(request, upstream string) {
 		d.placer.Tell(ctx, nil, sched.First{ID: request, Upstream: upstream})
 	}}
 	d.shards = shards.Shards{
@@ -265,11 +276,12 @@
 		Store:    &d.meter,
 		Rand:     draw,
 		Go:       d.run,
-		Log:      d.Log,
+		Log:      d.log,
 		Members:  d.gossip.Members,
 		StoreAge: d.gossip.StoreAge,
 		Alone:    d.gossip.Alone,
 		Attempt:  tries.Attempt,
+		Trace:    d.Trace,
 		Place:    func(h *host.Host, m sched.Message) { d.placer.Tell(ctx, h, m) },
 		Ended:    d.ended,
 		Owned:    func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
@@ -282,7 +294,7 @@
 		Engine:  d.Engine,
 		VMs:     d.VMs,
 		Go:      d.run,
-		Log:     d.Log,
+		Log:     d.log,
 		Fence:   d.fence,
 		Forward: d.forward,
 		Live:    d.live,
--- a/internal/node/daemon/edge.go
+++ b/internal/node/daemon/edge.go
@@ -52,6 +52,12 @@
 			return locate.Entries(d.gossip.Members(), program, d.shardCount())
 		},
 		Ready:       d.isReady,
+		Logs:        d.Logs,
+		Trace:       d.Trace,
+		Scope:       d.Metric.Scope(),
+		Metrics:     d.Metric.Serve,
+		MaxBody:     b.BodyBytes,
+		MaxCalls:    b.Calls,
 		Status:      func(context.Context) any { return d.Status() },
 		Drain:       d.Drain,
 		Apply:       d.apply,
@@ -108,20 +114,15 @@
 	return server.Applied{Message: err.Error()}
 }
 
-// ended writes the one line that each request leaves in the log.
+// ended notes how a call ended at its owner. The line that tells support
+// engineers of it is written where the caller was met.
 func (d *Daemon) ended(l owner.Log) {
 	c := l.Call
-	e := d.Log.Info()
-	if !c.Result.OK() {
-		e = d.Log.Warn()
-	}
-	upstream := ""
-	if n := len(c.Tries); n > 0 {
-		upstream = c.Tries[n-1].Upstream
-	}
-	e.Str("request", c.Request).Str("account", l.Account).Str("program", l.Program).Int("call", c.Number).
-		Str("kind", string(c.Kind)).Str("target", c.Target).Str("code", string(c.Result.Code)).
-		Str("ran", string(c.Result.Ran)).Int("attempts", len(c.Tries)).Str("upstream", upstream).
-		Int("prompt_tokens", c.Result.Prompt).Int("cached_tokens", c.Result.Cached).
-		Int("output_tokens", c.Result.Output).Dur("took", c.End.Sub(c.Start)).Msg("request ended")
+	scope := d.scope.Tagged(map[string]string{"kind": string(c.Kind), "code": string(c.Result.Code)})
+	scope.Counter("calls_ended").Inc(1)
+	scope.Timer("call_time").Record(c.End.Sub(c.Start))
+	d.scope.Counter("prompt_tokens").Inc(int64(c.Result.Prompt))
+	d.scope.Counter("cached_tokens").Inc(int64(c.Result.Cached))
+	d.scope.Counter("output_tokens").Inc(int64(c.Result.Output))
+	d.scope.Counter("attempts").Inc(int64(len(c.Tries)))
 }
--- /dev/null
+++ b/internal/node/daemon/gauge.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/peer/beat"
+)
+
+const measureEvery = time.Second
+
+// measure keeps the gauges that tell how this daemon and the system stand.
+func (d *Daemon) measure(ctx context.Context) {
+	t := time.NewTicker(measureEvery)
+	defer t.Stop()
+	scope := d.Metric.Scope().SubScope("node")
+	last := d.meter.Counts()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		states := map[beat.State]int{}
+		for _, m := range d.gossip.Members() {
+			states[m.State]++
+		}
+		for _, s := range []beat.State{beat.Alive, beat.Draining, beat.Suspect, beat.Down} {
+			scope.Tagged(map[string]string{"state": string(s)}).Gauge("daemons").Update(float64(states[s]))
+		}
+		scope.Gauge("shards_owned").Update(float64(len(d.shards.List())))
+		scope.Gauge("config_version").Update(float64(d.keeper.Current().Version))
+		scope.Gauge("store_age_seconds").Update(d.gossip.StoreAge().Seconds())
+		now := d.meter.Counts()
+		scope.Counter("store_reads").Inc(int64(now.Reads - last.Reads))
+		scope.Counter("store_writes").Inc(int64(now.Writes - last.Writes))
+		scope.Counter("store_watches").Inc(int64(now.Watches - last.Watches))
+		scope.Counter("store_failures").Inc(int64(now.Failed - last.Failed))
+		last = now
+	}
+}
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -5,14 +5,19 @@
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/edge/locate"
 	"github.com/slaterock/slaterock/internal/edge/relay"
 	"github.com/slaterock/slaterock/internal/node/host"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/runner"
 )
 
 // The methods that daemons offer each other beside relayed calls and packets.
@@ -164,4 +169,20 @@
 	return out, nil
 }
 
-func (d *Daemon) peer(address string) relay.Remote { return d.link.Peer(address) }
+// hop is the way to another daemon's Runner, with a span for each relayed call.
+type hop struct {
+	relay.Remote
+	trace   *trace.Trace
+	address string
+}
+
+func (h hop) Try(ctx context.Context, c call.Call, sink runner.Sink) (r result.Result, err error) {
+	ctx, span := h.trace.Start(ctx, trace.Relay, c.TraceParent, attribute.String("request", c.Request), attribute.String("peer", h.address))
+	c.TraceParent = span.Parent()
+	defer func() { span.End(err) }()
+	return h.Remote.Try(ctx, c, sink)
+}
+
+func (d *Daemon) peer(address string) relay.Remote {
+	return hop{Remote: d.link.Peer(address), trace: d.Trace, address: address}
+}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/slaterock/slaterock/internal/node/feed"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/prog/call"
@@ -55,7 +57,8 @@
 		Attempt Attempt
 		Place   func(h *Host, m sched.Message)
 		Log     func(l owner.Log)
-		Proved  func(h *Host)  // a Verify was answered
+		Proved  func(h *Host) // a Verify was answered
+		Trace   *trace.Trace
 		Go      func(f func()) // runs f on the daemon's pool, or at once elsewhere
 		Rand    func() uint64
 
@@ -72,6 +75,8 @@
 		next     owner.Ticket
 		attempts map[string]map[string]*Tail // request, upstream
 		feeds    map[string]*feed.Feed
+		parents  map[string]string     // traceparent by request, until its outcome is known
+		commits  map[string]trace.Span // outcomes on their way to the journal
 		savedAt  uint64
 		saving   bool
 		fenced   bool
@@ -97,6 +102,8 @@
 	h.tickets = map[owner.Ticket]*ticket{}
 	h.attempts = map[string]map[string]*Tail{}
 	h.feeds = map[string]*feed.Feed{}
+	h.parents = map[string]string{}
+	h.commits = map[string]trace.Span{}
 	h.savedAt = h.Taken.Snap.Head.Upto
 	h.machine = owner.Owner{Fold: h.Taken.Fold, Hold: h.Hold}
 	h.machine.Chain = chain.Chain{Shard: h.Shard, Epoch: h.Taken.Epoch, Owner: h.Name, Next: h.Taken.Next, Rand: h.Rand}
@@ -157,6 +164,9 @@
 func (h *Host) handle(m any) {
 	switch m := m.(type) {
 	case owner.Message:
+		if c, ok := m.(owner.Call); ok && c.Call.TraceParent != "" {
+			h.parents[c.Call.Request] = c.Call.TraceParent
+		}
 		h.step(m)
 	case look:
 		m.f()
@@ -186,11 +196,13 @@
 			t.feed <- h.feed(e.Request)
 		}
 	case owner.Reply:
+		h.recorded(e.Request)
 		h.reply(e.Ticket, e.Result)
 	case owner.Recall:
 		h.Go(func() { h.recall(e) })
 	case owner.Log:
 		delete(h.feeds, e.Call.Request)
+		h.recording(e.Call.Request)
 		h.Log(e)
 	case owner.Saving:
 		h.save()
@@ -205,6 +217,22 @@
 	}
 }
 
+// recording begins the hop in which a request's outcome goes to the store.
+func (h *Host) recording(request string) {
+	if parent, ok := h.parents[request]; ok {
+		delete(h.parents, request)
+		_, h.commits[request] = h.Trace.Start(h.ctx, trace.Store, parent, attribute.String("request", request))
+	}
+}
+
+func (h *Host) recorded(request string) {
+	if span, ok := h.commits[request]; ok {
+		delete(h.commits, request)
+		span.End(nil)
+	}
+	delete(h.parents, request)
+}
+
 func (h *Host) feed(request string) *feed.Feed {
 	f := h.feeds[request]
 	if f == nil {
@@ -349,7 +377,10 @@
 }
 
 // Call implements runner.Runner.
-func (h *Host) Call(ctx context.Context, c call.Call, sink runner.Sink) result.Result {
+func (h *Host) Call(ctx context.Context, c call.Call, sink runner.Sink) (r result.Result) {
+	ctx, span := h.Trace.Start(ctx, trace.Owner, c.TraceParent, attribute.String("request", c.Request))
+	c.TraceParent = span.Parent()
+	defer func() { span.Result(r) }()
 	return h.ask(ctx, sink, func(t owner.Ticket) owner.Message { return owner.Call{Ticket: t, Call: c} })
 }
 
--- a/internal/node/send/send.go
+++ b/internal/node/send/send.go
@@ -10,8 +10,10 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/slaterock/slaterock/internal/node/feed"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/plat/tool"
@@ -28,13 +30,24 @@
 		Engine func(address string) engine.Engine
 		Tool   func(address string) tool.Tool
 		First  func(request, upstream string) // the first piece came
+		Trace  *trace.Trace
 	}
 )
 
 var errOverrun = errors.New("send: the engine generated more than it was asked for")
 
 // Attempt implements host.Attempt.
-func (s Send) Attempt(ctx context.Context, d owner.Dispatch, f *feed.Feed) owner.Tried {
+func (s Send) Attempt(ctx context.Context, d owner.Dispatch, f *feed.Feed) (t owner.Tried) {
+	ctx, span := s.Trace.Start(ctx, trace.Upstream, d.Call.TraceParent,
+		attribute.String("request", d.Request), attribute.String("upstream", d.Upstream), attribute.Int("attempt", d.Try))
+	d.Call.TraceParent = span.Parent()
+	defer func() {
+		var err error
+		if t.Outcome != sched.Succeeded {
+			err = errors.New(t.Why)
+		}
+		span.End(err)
+	}()
 	if d.Call.Kind == call.Model {
 		return s.model(ctx, d, f)
 	}
--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -124,6 +124,7 @@
 		Name:    s.Name,
 		Store:   s.Store,
 		Attempt: s.Attempt,
+		Trace:   s.Trace,
 		Place:   s.Place,
 		Log:     s.Ended,
 		Go:      s.Go,
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -16,6 +16,7 @@
 
 	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/node/host"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/store"
@@ -48,6 +49,7 @@
 		StoreAge func() time.Duration
 		Alone    func() bool
 		Attempt  host.Attempt
+		Trace    *trace.Trace
 		Place    func(h *host.Host, m sched.Message)
 		Ended    func(l owner.Log)
 		Owned    func(s []beat.Shard)
--- a/internal/node/trial/trial.go
+++ b/internal/node/trial/trial.go
@@ -14,13 +14,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"github.com/slaterock/slaterock/examples"
 	"github.com/slaterock/slaterock/internal/edge/client"
 	"github.com/slaterock/slaterock/internal/fake/site"
 	"github.com/slaterock/slaterock/internal/node/daemon"
 	"github.com/slaterock/slaterock/internal/node/setup"
+	"github.com/slaterock/slaterock/internal/obs/logs"
+	"github.com/slaterock/slaterock/internal/obs/metric"
 )
 
 const (
@@ -41,7 +42,7 @@
 	Trial struct {
 		AnyPorts bool // listen on ports that the system chooses
 		Speed    float64
-		Log      zerolog.Logger
+		Logs     logs.Logs
 		Site     site.Site
 
 		daemons []*daemon.Daemon
@@ -87,7 +88,8 @@
 func (t *Trial) startDaemon(ctx context.Context, i int) error {
 	d := &daemon.Daemon{Settings: t.settings(i)}
 	d.Connect()
-	d.Log = t.Log.With().Str("daemon", d.Settings.Daemon.Name).Logger()
+	d.Logs = t.Logs.WithDaemon(d.Settings.Daemon.Name)
+	d.Metric = metric.New()
 	if err := d.Init(ctx); err != nil {
 		return err
 	}
@@ -106,7 +108,6 @@
 		Name:          string(rune('a' + i)),
 		FailureDomain: string(rune('a' + i)),
 		Listen:        t.address(firstPort + i),
-		OperatorKey:   Key,
 	}
 	s.Peers = setup.Peers{Listen: t.address(firstPeer + i), Key: peerKey}
 	if i > 0 {
--- a/internal/prog/result/result.go
+++ b/internal/prog/result/result.go
@@ -58,7 +58,8 @@
 		Status      int           `json:"status"` // HTTP status for the caller
 		RetryAfter  time.Duration `json:"retry_after,omitempty"`
 		ContentType string        `json:"content_type,omitempty"`
-		Body        []byte        `json:"body,omitempty"` // the whole answer: a service's body, or a model's text
+		Body        []byte        `json:"body,omitempty"`     // the whole answer: a service's body, or a model's text
+		Upstream    string        `json:"upstream,omitempty"` // of the last attempt
 		Finish      string        `json:"finish,omitempty"`
 		Prompt      int           `json:"prompt_tokens,omitempty"`
 		Cached      int           `json:"cached_tokens,omitempty"`
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -18,6 +18,9 @@
 func (o *Owner) finish(now time.Time, r *run, res result.Result) {
 	p := r.prog
 	head := p.current == r
+	if n := len(r.tries); n > 0 {
+		res.Upstream = r.tries[n-1].Upstream
+	}
 	r.result = res
 	r.final = res.OK() || !o.idempotent(r) && res.Ran != result.No
 	root := p.root
