slaterock: commands for operators and support engineers

Cause: a support engineer asked about one request, and an operator who applies a file, need commands; an operator who races must see both versions.

--- /dev/null
+++ b/cmd/slaterock/apply.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+var errNoFile = errors.New("apply: name one FILE, or --show")
+
+func applyCommand() *cobra.Command {
+	var from string
+	var show bool
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Put a configuration in force as a whole",
+		Long: "Put a configuration in force as a whole, as the version after the one that it was\n" +
+			"made from. If another version is in force by then, nothing is applied and both are\n" +
+			"named. The first configuration of a system, and a text that is in force already,\n" +
+			"need no --from. --show writes the text in force.",
+	}
+	c.Flags().StringVar(&from, "from", "0", "the version that the file was made from, or newest")
+	c.Flags().BoolVar(&show, "show", false, "write the configuration in force and its version")
+	ask := askFlags(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if show {
+			return ask().Show(c.Context())
+		}
+		return ask().Apply(c.Context(), args[0], from)
+	}
+	c.Args = func(c *cobra.Command, args []string) error {
+		if show == (len(args) == 1) || len(args) > 1 {
+			return errNoFile
+		}
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/slaterock/drain.go
@@ -0,0 +1,14 @@
+package main
+
+import "github.com/spf13/cobra"
+
+func drainCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "drain",
+		Short: "Shut the daemon at --address down without cutting a request",
+		Args:  cobra.NoArgs,
+	}
+	ask := askFlags(c)
+	c.RunE = func(c *cobra.Command, _ []string) error { return ask().Drain(c.Context()) }
+	return c
+}
--- a/cmd/slaterock/main.go
+++ b/cmd/slaterock/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,14 +12,40 @@
 	"github.com/spf13/cobra"
 )
 
+// The exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := root().ExecuteContext(ctx)
+	code := run(ctx, root(), os.Stderr)
 	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "slaterock:", err)
-		os.Exit(1)
+	os.Exit(code)
+}
+
+// run runs the command line and returns the exit code. An error that comes
+// before any command has begun is one of usage.
+func run(ctx context.Context, c *cobra.Command, stderr io.Writer) int {
+	began := false
+	for _, sub := range c.Commands() {
+		do := sub.RunE
+		sub.RunE = func(c *cobra.Command, args []string) error {
+			began = true
+			return do(c, args)
+		}
+	}
+	err := c.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "slaterock:", err)
+	if !began {
+		return exitUsage
 	}
+	return exitFailed
 }
 
 func root() *cobra.Command {
@@ -29,5 +56,7 @@
 		SilenceErrors: true,
 	}
 	c.AddCommand(serveCommand(), devCommand(), fakeCommand())
+	c.AddCommand(checkCommand(), applyCommand())
+	c.AddCommand(statusCommand(), historyCommand(), requestCommand(), drainCommand())
 	return c
 }
--- a/internal/edge/client/client.go
+++ b/internal/edge/client/client.go
@@ -113,6 +113,17 @@
 	return json.Unmarshal(resp.Body(), out)
 }
 
+// Send makes an exchange with any body and returns the response's, whatever
+// its status is.
+func (c Client) Send(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error) {
+	defer func() { err = errors.Wrapf(err, "%s %s", method, path) }()
+	resp, err := c.exchange(ctx, c.request(method, path, body))
+	if resp == nil {
+		return 0, nil, err
+	}
+	return resp.StatusCode(), resp.Body(), nil
+}
+
 // Open opens a program.
 func (c Client) Open(ctx context.Context, o call.Open) error {
 	return c.JSON(ctx, fasthttp.MethodPost, "/v1/programs", o, nil)
--- /dev/null
+++ b/internal/edge/report/report.go
@@ -0,0 +1,189 @@
+// Package report lays out what the system knows as text for people: the
+// history of a program, what became of one request, and the state of the
+// daemons.
+//
+// Each function writes one value; where it came from is its caller's business.
+// The first error of the writer is returned.
+package report
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	underWay = "under way"
+	none     = "-"
+	clock    = "2006-01-02 15:04:05.000"
+)
+
+// Report writes to Out and keeps its first error.
+type Report struct {
+	Out io.Writer
+	Err error
+}
+
+// History writes a program's history, one line for each call.
+func (r *Report) History(h hist.History) {
+	r.printf("program %s of %s: %s, %d of %d tokens\n", h.Program, h.Account, ended(h), h.Spent, h.Budget)
+	t := r.table("call", "kind", "target", "upstream", "attempts", "outcome", "ran", "tokens", "cached", "time")
+	for _, c := range h.Calls {
+		t.row(c.Number, c.Kind, c.Target, upstream(c), len(c.Tries), outcome(c), ran(c),
+			c.Result.Prompt+c.Result.Output, c.Result.Cached, took(c.Start, c.End))
+	}
+	t.flush()
+}
+
+// Request writes what became of the one call that h holds.
+func (r *Report) Request(h hist.History) {
+	for _, c := range h.Calls {
+		r.call(h, c)
+	}
+}
+
+func (r *Report) call(h hist.History, c hist.Call) {
+	t := r.table()
+	t.row("request", c.Request)
+	t.row("account", h.Account)
+	t.row("program", program(h))
+	t.row("call", c.Number)
+	t.row("asked", fmt.Sprintf("%s %s, sha256 %s", c.Kind, c.Target, c.Digest))
+	t.row("outcome", sentence(c))
+	t.row("ran", ran(c))
+	t.row("tokens", fmt.Sprintf("%d prompt (%d cached), %d output", c.Result.Prompt, c.Result.Cached, c.Result.Output))
+	t.row("budget", fmt.Sprintf("%d tokens before, %d after", c.Before, c.After))
+	t.row("configuration", fmt.Sprintf("version %d", c.Config))
+	t.row("owner's epoch", c.Epoch)
+	t.row("started", c.Start.UTC().Format(clock))
+	t.row("took", took(c.Start, c.End))
+	t.flush()
+	r.attempts(c)
+	r.text("asked", c.Asked)
+	r.text("answer", string(c.Result.Body))
+}
+
+func (r *Report) attempts(c hist.Call) {
+	if len(c.Tries) == 0 {
+		r.printf("\nno attempt was made at any upstream\n")
+		return
+	}
+	r.printf("\n")
+	t := r.table("attempt", "upstream", "started", "took", "ended")
+	for i, a := range c.Tries {
+		t.row(i+1, a.Upstream, a.Start.UTC().Format(clock), took(a.Start, a.End), or(a.Ended, underWay))
+	}
+	t.flush()
+}
+
+// text writes a block of text, indented so that its lines can't be taken for
+// those of the report.
+func (r *Report) text(title, s string) {
+	if s == "" {
+		return
+	}
+	r.printf("\n%s:\n", title)
+	for line := range strings.Lines(s) {
+		r.printf("    %s\n", strings.TrimRight(printable(line), "\n"))
+	}
+}
+
+func (r *Report) printf(format string, args ...any) {
+	if r.Err == nil {
+		_, r.Err = fmt.Fprintf(r.Out, format, args...)
+	}
+}
+
+// table is a block of aligned columns.
+type table struct {
+	r *Report
+	w *tabwriter.Writer
+}
+
+func (r *Report) table(titles ...any) table {
+	t := table{r: r, w: tabwriter.NewWriter(r.Out, 0, 0, 2, ' ', 0)}
+	if len(titles) > 0 {
+		t.row(titles...)
+	}
+	return t
+}
+
+func (t table) row(cells ...any) {
+	texts := make([]string, len(cells))
+	for i, c := range cells {
+		texts[i] = printable(fmt.Sprint(c))
+	}
+	if t.r.Err == nil {
+		_, t.r.Err = fmt.Fprintln(t.w, strings.Join(texts, "\t"))
+	}
+}
+
+func (t table) flush() {
+	if t.r.Err == nil {
+		t.r.Err = t.w.Flush()
+	}
+}
+
+// printable keeps what callers wrote from moving the reader's cursor or
+// breaking the table.
+func printable(s string) string {
+	return strings.Map(func(c rune) rune {
+		if c < ' ' || c == 0x7f {
+			return ' '
+		}
+		return c
+	}, s)
+}
+
+func program(h hist.History) string {
+	s := h.Program
+	if h.Agent != "" {
+		s += ", agent " + h.Agent
+	}
+	return s + ", " + ended(h)
+}
+
+func ended(h hist.History) string { return or(h.Ended, "open") }
+
+func upstream(c hist.Call) string {
+	if len(c.Tries) == 0 {
+		return none
+	}
+	return c.Tries[len(c.Tries)-1].Upstream
+}
+
+func outcome(c hist.Call) string { return or(string(c.Result.Code), underWay) }
+
+func ran(c hist.Call) string { return or(string(c.Result.Ran), none) }
+
+// sentence tells an outcome with the words that a caller may be given.
+func sentence(c hist.Call) string {
+	s := outcome(c)
+	if c.Result.Message != "" {
+		s += ": " + c.Result.Message
+	}
+	if c.Result.Code == result.CodeOK && c.Kind == call.Service {
+		s += fmt.Sprintf(", status %d", c.Result.Status)
+	}
+	return s
+}
+
+func took(start, end time.Time) string {
+	if end.IsZero() {
+		return underWay
+	}
+	return end.Sub(start).Round(time.Millisecond).String()
+}
+
+func or(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
--- /dev/null
+++ b/internal/edge/report/status.go
@@ -0,0 +1,73 @@
+package report
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/edge/locate"
+	"github.com/slaterock/slaterock/internal/peer/beat"
+	"github.com/slaterock/slaterock/internal/plat/meter"
+)
+
+// Status is what one daemon knows of the system.
+type Status struct {
+	Daemon  string        `json:"daemon"`
+	Version uint64        `json:"config_version"`
+	Shards  int           `json:"shards"`
+	Members []beat.Member `json:"members"`
+	Store   meter.Counts  `json:"store"`
+	Age     time.Duration `json:"store_age"` // since anybody reached the store, negative is never
+}
+
+// Status writes the daemons, who owns which shard, and what needs a look.
+func (r *Report) Status(s Status) {
+	r.printf("as seen by %s: configuration version %d, %d shards, store reached %s\n", s.Daemon, s.Version, s.Shards, age(s.Age))
+	r.printf("store calls of this daemon: %d reads, %d writes, %d watches, %d failed, %s waited\n\n",
+		s.Store.Reads, s.Store.Writes, s.Store.Watches, s.Store.Failed, s.Store.Waited.Round(time.Millisecond))
+	members := slices.SortedFunc(slices.Values(s.Members), func(a, b beat.Member) int { return strings.Compare(a.Name, b.Name) })
+	t := r.table("daemon", "state", "failure domain", "address", "configuration", "shards (epoch)")
+	for _, m := range members {
+		t.row(m.Name, m.State, m.FailureDomain, m.Address, fmt.Sprintf("version %d", m.Config), owned(m))
+	}
+	t.flush()
+	r.warnings(s, members)
+}
+
+// warnings names what an operator would otherwise have to find by comparing
+// rows: shards without an owner, and daemons that run another configuration.
+func (r *Report) warnings(s Status, members []beat.Member) {
+	for shard := range s.Shards {
+		if _, found := locate.Owner(members, shard); !found {
+			r.printf("shard %d has no owner: its programs wait\n", shard)
+		}
+	}
+	newest := s.Version
+	for _, m := range members {
+		newest = max(newest, m.Config)
+	}
+	for _, m := range members {
+		if m.Config < newest && m.State == beat.Alive {
+			r.printf("%s runs configuration version %d, behind version %d\n", m.Name, m.Config, newest)
+		}
+	}
+}
+
+func owned(m beat.Member) string {
+	if len(m.Shards) == 0 {
+		return none
+	}
+	parts := make([]string, len(m.Shards))
+	for i, s := range m.Shards {
+		parts[i] = fmt.Sprintf("%d (%d)", s.Shard, s.Epoch)
+	}
+	return strings.Join(parts, ", ")
+}
+
+func age(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return d.Round(10*time.Millisecond).String() + " ago"
+}
--- a/internal/edge/server/apply.go
+++ b/internal/edge/server/apply.go
@@ -9,11 +9,12 @@
 
 	"github.com/slaterock/slaterock/internal/conf/apply"
 	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/prog/result"
 )
 
-// fromNewest applies whatever version is in force.
-const fromNewest = "newest"
+// FromNewest as the base of a text applies it whatever version is in force.
+const FromNewest = "newest"
 
 type (
 	// Applied is the outcome of applying a configuration. Version is in force
@@ -61,13 +62,45 @@
 	return Applied{Base: base, Message: err.Error(), Ran: result.No}
 }
 
+// TextOf returns the text and version in force, as a daemon gives them to its
+// peers: a watch.Keeper's Answer, which holds some of the chunks at a time.
+// Nothing is returned before a configuration is in force.
+func TextOf(answer func(watch.Question) watch.Answer) (text []byte, version uint64) {
+	h := answer(watch.Question{}).Head
+	pieces := map[string][]byte{}
+	for missing := h.Chunks; len(missing) > 0; missing = without(missing, pieces) {
+		before := len(pieces)
+		for _, c := range answer(watch.Question{Chunks: missing}).Chunks {
+			if piece, err := c.Unpack(); err == nil {
+				pieces[c.Digest] = piece
+			}
+		}
+		if len(pieces) == before {
+			return nil, 0 // replaced meanwhile, or not to be read
+		}
+	}
+	for _, digest := range h.Chunks {
+		text = append(text, pieces[digest]...)
+	}
+	return text, h.Version
+}
+
+func without(digests []string, have map[string][]byte) (rest []string) {
+	for _, d := range digests {
+		if _, found := have[d]; !found {
+			rest = append(rest, d)
+		}
+	}
+	return rest
+}
+
 // apply puts the body in force as the next configuration. The operator names
 // the version that the text was made from, so that nobody undoes another's
 // change unseen.
 func (s *Server) apply(x *exchange) {
 	from, ok := base(string(x.QueryArgs().Peek("from")))
 	if !ok {
-		x.badRequest("the query parameter from must be the version that this text was made from, or %s", fromNewest)
+		x.badRequest("the query parameter from must be the version that this text was made from, or %s", FromNewest)
 		return
 	}
 	a := s.Apply(s.base, append([]byte(nil), x.Request.Body()...), from)
@@ -87,7 +120,7 @@
 }
 
 func base(s string) (version uint64, ok bool) {
-	if s == fromNewest {
+	if s == FromNewest {
 		return apply.Newest, true
 	}
 	version, err := strconv.ParseUint(s, 10, 64)
