--- a/internal/place/sched/machine.go
+++ b/internal/place/sched/machine.go
@@ -24,6 +24,7 @@
 		rng      *rand.Rand
 		ups      []*upstream
 		byName   map[string]int
+		engines  []int // those of ups that are swept
 		groups   map[string]*group
 		requests []request
 		free     []int32
@@ -36,7 +37,10 @@
 		hedges   retry.Budget
 		index    prefix.Index
 		sweep    sweep.Sweep
-		out      []Effect
+		// freed is where an attempt has just ended. In a large and full group
+		// a small sample would seldom meet the few upstreams with room.
+		freed int
+		out   []Effect
 	}
 
 	// failure is how the last attempt of a request ended.
@@ -87,7 +91,7 @@
 		return
 	}
 	s.rng = rand.New(rand.NewPCG(s.Seed, 1))
-	s.start = now
+	s.start, s.freed = now, none
 	s.byName = map[string]int{}
 	s.groups = map[string]*group{}
 	s.byID = map[string]int32{}
@@ -107,8 +111,8 @@
 		s.dispatch(now, g)
 	}
 	s.hedge(now)
-	if i, ok := s.sweep.Due(now, len(s.ups)); ok && s.ups[i].engine() {
-		s.emit(List{Upstream: s.ups[i].name})
+	if i, ok := s.sweep.Due(now, len(s.engines)); ok {
+		s.emit(List{Upstream: s.ups[s.engines[i]].name})
 	}
 	s.prune(now)
 }
