--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -18,6 +18,9 @@
 func (o *Owner) finish(now time.Time, r *run, res result.Result) {
 	p := r.prog
 	head := p.current == r
+	if n := len(r.tries); n > 0 {
+		res.Upstream = r.tries[n-1].Upstream
+	}
 	r.result = res
 	r.final = res.OK() || !o.idempotent(r) && res.Ran != result.No
 	root := p.root
@@ -131,7 +134,7 @@
 			return
 		}
 		o.stop(r)
-		r.cost += r.hold
+		r.cost = r.hold // covers this attempt and those before
 		for i := range r.tries {
 			if r.tries[i].Ended == "" {
 				r.tries[i].End, r.tries[i].Ended = now, endedWithdrawn
@@ -212,6 +215,7 @@
 	o.queue = append([]pending(nil), o.queue[n:]...)
 	o.bySeq = max(o.bySeq, c.Seq)
 	o.Fold.Upto = c.Number
+	o.stalledNow = false
 	o.release()
 	if o.verifySeq != 0 && c.Seq >= o.verifySeq {
 		o.verifySeq = 0
@@ -250,7 +254,7 @@
 		r.phase = waitOrder
 		o.ready(now, r)
 	case waitIntent:
-		o.ask(now, r, false)
+		o.ask(now, r)
 	case waitCommit:
 		o.answer(r)
 		delete(o.runs, r.call.Request)
