--- a/internal/peer/link/wire.go
+++ b/internal/peer/link/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+
 	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/result"
