--- a/internal/peer/beat/bench_test.go
+++ b/internal/peer/beat/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -62,6 +63,7 @@
 				b.ReportMetric(bytes, "bytes/s")
 				b.ReportMetric(core*100, "%core")
 				b.ReportMetric(float64(f.largest), "largest")
+				b.ReportMetric(2*float64(f.packets)/float64(n)/quiet.Seconds(), "packets/s")
 			}
 		})
 	}
@@ -155,3 +157,27 @@
 		})
 	}
 }
+
+// BenchmarkMemory measures what one daemon's machine holds.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				before := held()
+				f := fresh(b, n, 26)
+				f.queue = nil
+				b.ReportMetric(float64(held()-before)/float64(n)/1000, "KB/daemon")
+				if len(f.nodes) != n {
+					b.Fatal("daemons are missing")
+				}
+			}
+		})
+	}
+}
+
+func held() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
