load: put agent programs on a running system and check each answer

Cause: throughput, program latency and wasted cache must be measured from the callers' side, and a mixed or lost answer shows to no single caller. Change: an open loop of programs drawn from a seed (turns, pauses, services, sub-agents, shared contexts), a check of every answer against its request, of receipts and of some histories, quantiles from HDR histograms, pairs of prompts through the system and straight to an engine; the edge's client now returns the usage that a stream ends with.

--- a/internal/edge/client/client.go
+++ b/internal/edge/client/client.go
@@ -47,6 +47,9 @@
 		Text    string
 		Whole   bool // the end was sent
 		Pieces  int
+		Prompt  int // tokens, of a model's answer
+		Cached  int // of the prompt
+		Output  int
 	}
 
 	// StatusError is a response that is no success.
@@ -60,12 +63,24 @@
 		Stream   bool      `json:"stream,omitempty"`
 		Max      int       `json:"max_tokens,omitempty"`
 		Messages []Message `json:"messages"`
+		Options  struct {
+			Usage bool `json:"include_usage"`
+		} `json:"stream_options"`
 	}
 
 	chatChunk struct {
 		Choices []struct {
 			Delta Message `json:"delta"`
 		} `json:"choices"`
+		Usage *chatUsage `json:"usage"`
+	}
+
+	chatUsage struct {
+		Prompt  int `json:"prompt_tokens"`
+		Output  int `json:"completion_tokens"`
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
 	}
 )
 
@@ -154,7 +169,9 @@
 // nil.
 func (c Client) Chat(ctx context.Context, program string, number, maxTokens int, ms []Message, each func(string)) (a Answer, err error) {
 	defer func() { err = errors.Wrapf(err, "call %d of %s", number, program) }()
-	body, err := json.Marshal(chatBody{Stream: true, Max: maxTokens, Messages: ms})
+	in := chatBody{Stream: true, Max: maxTokens, Messages: ms}
+	in.Options.Usage = true
+	body, err := json.Marshal(in)
 	if err != nil {
 		return a, err
 	}
@@ -199,6 +216,9 @@
 		if err := json.Unmarshal(data, &ch); err != nil {
 			return a, err
 		}
+		if u := ch.Usage; u != nil {
+			a.Prompt, a.Output, a.Cached = u.Prompt, u.Output, u.Details.Cached
+		}
 		for _, x := range ch.Choices {
 			if x.Delta.Content == "" {
 				continue
--- /dev/null
+++ b/internal/play/load/direct.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/edge/client"
+	"github.com/slaterock/slaterock/internal/plat/chat"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/line"
+)
+
+const directPrefix = "direct-"
+
+// stopwatch notes when the pieces of one answer came.
+type stopwatch struct {
+	start time.Time
+	first time.Duration // to the first piece
+	last  time.Time
+	gaps  []time.Duration
+}
+
+func (w *stopwatch) piece(string) {
+	now := time.Now()
+	if w.last.IsZero() {
+		w.first = now.Sub(w.start)
+	} else {
+		w.gaps = append(w.gaps, now.Sub(w.last))
+	}
+	w.last = now
+}
+
+// pairs reports whether the program's first prompt is also measured directly.
+// What it takes at an engine is what the system can't better; the difference
+// is what the system adds.
+func (d *drive) pairs(p plan) bool {
+	return d.load.Engine != "" && p.Parent == "" && hash(p.Name)%directOneIn == 0
+}
+
+// fresh returns a context that no engine has cached: prompts of a pair must
+// both be computed whole, or one would make the other cheaper.
+func fresh(name string, size int) string {
+	return words(rand.New(rand.NewPCG(hash(name), 2)), size/bytesPerToken)
+}
+
+// direct sends a prompt of the same size straight to an engine.
+func (d *drive) direct(ctx context.Context, p plan, s step) {
+	name := directPrefix + p.Name
+	body, err := json.Marshal(struct {
+		Messages []client.Message `json:"messages"`
+	}{[]client.Message{
+		{Role: "system", Content: fresh(name, len(p.Context))},
+		{Role: "user", Content: marker(p.Name, 0) + s.Text},
+	}})
+	if err != nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	c := chat.Client{Line: line.Line{Address: d.load.Engine}}
+	watch := stopwatch{start: time.Now()}
+	_, err = c.Chat(ctx, engine.Request{ID: name, Program: name, Body: body, MaxTokens: s.Output}, func(engine.Delta) error {
+		watch.piece("")
+		return nil
+	})
+	if err == nil {
+		d.load.tally.direct(watch)
+	}
+}
