blobs: keep bulk text in the data folders of two failure domains

Folder is one VM's folder: a blob appears whole or not at all, is checked on every read, and is dropped only when it is old and the order's epoch is the shard's newest.

--- /dev/null
+++ b/internal/shard/blobs/audit_test.go
@@ -0,0 +1,126 @@
+package blobs
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// audited lets ticks pass until the holder's list is asked for.
+func (b *bench) audited(name string) {
+	b.Helper()
+	for range 10 {
+		b.now = b.now.Add(Interval)
+		for _, e := range b.step(Tick{}) {
+			l, ok := e.(List)
+			if ok && l.To == name {
+				return
+			}
+			if ok {
+				b.step(Listed{From: l.To, Digests: b.h.at(l.To), Last: true})
+			}
+		}
+	}
+	b.Fail()
+}
+
+func TestAudit(t *testing.T) {
+	all := []Digest{Sum([]byte("3")), Sum([]byte("4")), Sum([]byte("5")), Sum([]byte("6"))}
+	slices.SortFunc(all, compare)
+	tests := map[string]func(b *bench){
+		"nothing to do": func(b *bench) {
+			b.audited("a1")
+			b.want(Listed{From: "a1", Digests: all, Last: true})
+			b.Equal(len(b.pass(time.Minute)), 0)
+		},
+		// A VM was replaced so fast that nobody saw it down, and its folder
+		// is empty. Its list shows it, and all its blobs are copied again.
+		"a VM is back without its blobs": func(b *bench) {
+			b.audited("a1")
+			b.want(Listed{From: "a1", Last: true})
+			out := b.pass(Interval)
+			b.Equal(len(out), len(all))
+			for _, e := range out {
+				b.Equal(e.(Copy).From, "t1")
+			}
+		},
+		// A daemon died between storing a blob and writing down that it did.
+		// The list shows what nobody needs, and it is dropped.
+		"a blob without reference": func(b *bench) {
+			b.audited("a1")
+			with := append(slices.Clone(all), one)
+			slices.SortFunc(with, compare)
+			b.want(Listed{From: "a1", Digests: with, Last: true}, Drop{To: "a1", Digests: []Digest{one}})
+		},
+		// The list is long and comes in pages; one blob of the second page is
+		// missing.
+		"pages": func(b *bench) {
+			b.audited("a1")
+			b.want(Listed{From: "a1", Digests: all[:2]}, List{To: "a1", After: all[1]})
+			b.want(Listed{From: "a1", After: all[1], Digests: all[3:], Last: true})
+			out := b.pass(Interval)
+			b.Equal(len(out), 1)
+			b.Equal(out[0].(Copy).Digest, all[2])
+		},
+		// A page comes twice, because its first answer was slow. The second
+		// one is not compared with what the next page should have.
+		"a page comes twice": func(b *bench) {
+			b.audited("a1")
+			b.want(Listed{From: "a1", Digests: all[:2]}, List{To: "a1", After: all[1]})
+			b.want(Listed{From: "a1", Digests: all[:2]})
+			b.want(Listed{From: "a1", After: all[1], Digests: all[2:], Last: true})
+			b.Equal(len(b.pass(Interval)), 0)
+		},
+		// A blob is stored while the list is on its way. It is not on the
+		// list, and that means nothing.
+		"stored meanwhile": func(b *bench) {
+			b.audited("a1")
+			b.stored(one)
+			b.want(Listed{From: "a1", Digests: all, Last: true})
+			b.Equal(len(b.pass(Interval)), 0)
+		},
+		// A new owner does not know its journal yet. Nothing is compared, and
+		// so nothing dropped, before it does.
+		"not before the journal is known": func(b *bench) {
+			b.h.ready = false
+			b.Equal(len(b.step(Tick{})), 0)
+		},
+		// The holder does not answer. Others are audited all the same.
+		"no answer": func(b *bench) {
+			b.audited("a1")
+			b.now = b.now.Add(auditTimeout)
+			b.audited("t1")
+		},
+		// A VM was away for so long that its blobs were copied elsewhere. It
+		// is back, and what it holds is not needed.
+		"back after the repair": func(b *bench) {
+			b.step(down(a1))
+			for _, e := range b.pass(grace) {
+				b.step(Copied{Digest: e.(Copy).Digest, To: e.(Copy).To})
+			}
+			b.step(Member{Member: a1})
+			b.h.due("a1")
+			b.audited("a1")
+			b.want(Listed{From: "a1", Digests: all, Last: true}, Drop{To: "a1", Digests: all})
+		},
+		"every hour": func(b *bench) {
+			for _, name := range []string{"a1", "t1", "u1"} {
+				b.audited(name)
+				b.step(Listed{From: name, Digests: b.h.at(name), Last: true})
+			}
+			b.pass(auditEvery - time.Minute)
+			b.Equal(b.h.audit, (*audit)(nil))
+			b.now = b.now.Add(time.Minute)
+			b.audited("a1")
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, a1, t1, u1)
+			for _, d := range all {
+				b.step(Known{Digest: d, Size: 10, Holders: []string{"a1", "t1"}})
+			}
+			run(b)
+		})
+	}
+}
--- /dev/null
+++ b/internal/shard/blobs/bench_test.go
@@ -0,0 +1,58 @@
+package blobs
+
+import (
+	"encoding/binary"
+	"runtime"
+	"testing"
+	"time"
+)
+
+const many = 100_000
+
+// crowd returns a machine that knows many blobs on three holders.
+func crowd() (*Holders, time.Time) {
+	var h Holders
+	now := time.Unix(0, 0)
+	for _, m := range []Member{{a1}, {t1}, {u1}} {
+		h.Step(now, m)
+	}
+	pairs := [][]string{{"a1", "t1"}, {"t1", "u1"}, {"u1", "a1"}}
+	for i := range many {
+		h.Step(now, Known{Digest: Sum(binary.AppendVarint(nil, int64(i))), Size: 20_000, Holders: pairs[i%3]})
+	}
+	h.Step(now, Ready{})
+	return &h, now
+}
+
+// BenchmarkMemory measures the memory of one known blob.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		h, _ := crowd()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/many, "B/blob")
+		runtime.KeepAlive(h)
+	}
+}
+
+// BenchmarkTick measures a round in which nothing happens.
+func BenchmarkTick(b *testing.B) {
+	h, now := crowd()
+	for b.Loop() {
+		h.Step(now, Tick{})
+	}
+}
+
+// BenchmarkLost measures the round in which a holder is found lost.
+func BenchmarkLost(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		h, now := crowd()
+		h.Step(now, down(a1))
+		b.StartTimer()
+		h.Step(now.Add(grace), Tick{})
+	}
+}
--- /dev/null
+++ b/internal/shard/blobs/folder_test.go
@@ -0,0 +1,250 @@
+package blobs
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type rig struct {
+	*is.I
+	*Folder
+	now *time.Time
+}
+
+func newRig(t *testing.T) rig {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	r := rig{I: is.New(t), now: &now}
+	r.Folder = &Folder{Dir: t.TempDir(), Now: func() time.Time { return now }}
+	return r
+}
+
+// restart returns the folder as a new process finds it.
+func (r rig) restart() rig {
+	r.Folder = &Folder{Dir: r.Dir, Now: r.Now, Capacity: r.Capacity}
+	return r
+}
+
+func (r rig) put(text string) Digest {
+	d, err := r.Put(1, []byte(text))
+	r.NoErr(err)
+	return d
+}
+
+func (r rig) has(d Digest, text string) {
+	data, err := r.Get(1, d)
+	r.NoErr(err)
+	r.Equal(string(data), text)
+}
+
+func (r rig) lacks(d Digest) {
+	_, err := r.Get(1, d)
+	r.True(errors.Is(err, ErrNotFound))
+}
+
+func (r rig) holds(want int64) {
+	used, err := r.Used()
+	r.NoErr(err)
+	r.Equal(used, want)
+}
+
+func (r rig) spoil(d Digest, text string) {
+	r.NoErr(os.WriteFile(r.path(1, d), []byte(text), fileMode))
+}
+
+func TestFolder(t *testing.T) {
+	tests := map[string]func(r rig){
+		"what is stored is read, also after a restart": func(r rig) {
+			d := r.put("text")
+			r.has(d, "text")
+			r.restart().has(d, "text")
+			r.restart().holds(4)
+		},
+		"shards are apart": func(r rig) {
+			d := r.put("text")
+			_, err := r.Get(2, d)
+			r.True(errors.Is(err, ErrNotFound))
+		},
+		"the same text twice counts once": func(r rig) {
+			r.put("text")
+			r.put("text")
+			r.holds(4)
+		},
+		"the same text by many at once counts once": func(r rig) {
+			var all sync.WaitGroup
+			for range 16 {
+				all.Go(func() { r.put("text") })
+			}
+			all.Wait()
+			r.holds(4)
+			r.restart().holds(4)
+		},
+		"list in pages": func(r rig) {
+			want := map[Digest]bool{}
+			for _, c := range strings.Split("abcdefgh", "") {
+				want[r.put(c)] = true
+			}
+			var after Digest
+			for range 3 {
+				page, err := r.List(1, after, 3)
+				r.NoErr(err)
+				for _, d := range page {
+					r.True(d.String() > after.String())
+					r.True(want[d])
+					delete(want, d)
+					after = d
+				}
+			}
+			r.Equal(len(want), 0)
+		},
+		// A disk returns other bytes than were written. The reader gets an
+		// error and never the wrong text, and the spoilt copy makes room for
+		// a good one.
+		"spoilt on the disk": func(r rig) {
+			d := r.put("text")
+			r.spoil(d, "TEXT")
+			_, err := r.Get(1, d)
+			var corrupt *CorruptError
+			r.True(errors.As(err, &corrupt))
+			r.Equal(corrupt.Digest, d)
+			r.lacks(d)
+			r.holds(0)
+			r.Equal(r.put("text"), d)
+			r.has(d, "text")
+		},
+		// The copy is spoilt and nobody has read it yet when the same text is
+		// stored again. Taking it for stored would lose the text.
+		"spoilt, then stored again": func(r rig) {
+			d := r.put("text")
+			r.spoil(d, "TEXT")
+			r.put("text")
+			r.has(d, "text")
+			r.holds(4)
+		},
+		// The machine fails while a blob is written. The half that is there
+		// is no blob, and the next start removes it.
+		"crash in the middle of a write": func(r rig) {
+			d := Sum([]byte("text"))
+			dir := filepath.Dir(r.path(1, d))
+			r.NoErr(os.MkdirAll(dir, dirMode))
+			r.NoErr(os.WriteFile(filepath.Join(dir, tempPrefix+"1"), []byte("te"), fileMode))
+			r.lacks(d)
+			left, err := os.ReadDir(dir)
+			r.NoErr(err)
+			r.Equal(len(left), 0)
+			r.holds(0)
+		},
+		// The disk is small. What does not fit is refused, so that its owner
+		// puts it elsewhere, and what is there stays.
+		"full": func(r rig) {
+			r.Capacity = 6
+			d := r.put("text")
+			_, err := r.Put(1, []byte("more"))
+			r.True(errors.Is(err, ErrFull))
+			r.has(d, "text")
+			r.put("2b")
+		},
+		"too large": func(r rig) {
+			r.MaxSize = 3
+			_, err := r.Put(1, []byte("text"))
+			r.True(errors.Is(err, ErrTooLarge))
+		},
+		"old ones are dropped, young ones stay": func(r rig) {
+			old := r.put("old")
+			*r.now = r.now.Add(defaultMinAge)
+			young := r.put("young")
+			n, err := r.Drop(1, 1, []Digest{old, young, Sum(nil)})
+			r.NoErr(err)
+			r.Equal(n, 1)
+			r.lacks(old)
+			r.has(young, "young")
+			r.holds(5)
+		},
+		// A blob that nobody needs is about to be dropped when the same text
+		// is stored again. The second user must find it later.
+		"stored again before it is dropped": func(r rig) {
+			d := r.put("text")
+			*r.now = r.now.Add(defaultMinAge)
+			r.put("text")
+			n, err := r.Drop(1, 1, []Digest{d})
+			r.NoErr(err)
+			r.Equal(n, 0)
+			r.has(d, "text")
+		},
+		// A daemon that lost its shard without noticing drops what it does
+		// not know. The new owner's text must stay, also if the folder's own
+		// process was started again in between.
+		"dropped by a former owner": func(r rig) {
+			d := r.put("text")
+			*r.now = r.now.Add(defaultMinAge)
+			_, err := r.Drop(1, 5, nil)
+			r.NoErr(err)
+			_, err = r.Drop(1, 4, []Digest{d})
+			r.True(errors.Is(err, ErrFenced))
+			r = r.restart()
+			_, err = r.Drop(1, 4, []Digest{d})
+			r.True(errors.Is(err, ErrFenced))
+			r.has(d, "text")
+			_, err = r.Drop(2, 4, nil)
+			r.NoErr(err)
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { tt(newRig(t)) })
+	}
+}
+
+func TestParse(t *testing.T) {
+	d := Sum([]byte("text"))
+	tests := map[string]struct {
+		text string
+		ok   bool
+	}{
+		"own form":  {d.String(), true},
+		"too short": {d.String()[2:], false},
+		"not hex":   {strings.Repeat("x", 64), false},
+		"a path":    {"../" + d.String()[3:], false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := Parse(tt.text)
+			is.Equal(err == nil, tt.ok)
+			is.Equal(got == d, tt.ok)
+		})
+	}
+}
+
+// BenchmarkPut measures storing 64 KB with all that makes it last.
+func BenchmarkPut(b *testing.B) {
+	f := &Folder{Dir: b.TempDir()}
+	data := make([]byte, 64<<10)
+	n := 0
+	for b.Loop() {
+		n++
+		data[0], data[1], data[2] = byte(n), byte(n>>8), byte(n>>16)
+		if _, err := f.Put(1, data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkGet measures reading 64 KB with the check of its digest.
+func BenchmarkGet(b *testing.B) {
+	f := &Folder{Dir: b.TempDir()}
+	d, err := f.Put(1, make([]byte, 64<<10))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := f.Get(1, d); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
