--- a/internal/conf/check/text.go
+++ b/internal/conf/check/text.go
@@ -24,6 +24,8 @@
 	"gopkg.in/ini.v1"
 )
 
+const maxMessage = 400 // bytes; a value or a list of names may be long
+
 type (
 	// Text is one INI text while it is checked.
 	Text struct {
@@ -38,6 +40,7 @@
 func Read(name string, text []byte) *Text {
 	t := &Text{name: name, byName: map[string]*Section{}}
 	s := scanner{text: t}
+	s.clean.Grow(len(text))
 	s.scan(text)
 	values, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreContinuation:       true, // a path may end in a backslash
@@ -91,5 +94,9 @@
 }
 
 func (t *Text) add(line int, section, key, format string, args ...any) {
-	t.errs = append(t.errs, Error{File: t.name, Line: line, Section: section, Key: key, Message: fmt.Sprintf(format, args...)})
+	message := fmt.Sprintf(format, args...)
+	if len(message) > maxMessage {
+		message = strings.ToValidUTF8(message[:maxMessage], "") + " ..."
+	}
+	t.errs = append(t.errs, Error{File: t.name, Line: line, Section: section, Key: key, Message: message})
 }
