--- /dev/null
+++ b/cmd/slaterock/exit_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/examples"
+)
+
+func TestExitCodes(t *testing.T) {
+	good, faulty := filepath.Join(t.TempDir(), "good.ini"), filepath.Join(t.TempDir(), "faulty.ini")
+	is := is.New(t)
+	is.NoErr(os.WriteFile(good, []byte(examples.Dev), 0o600))
+	is.NoErr(os.WriteFile(faulty, []byte("[system]\nshards = many\n"), 0o600))
+	const nobody = "--address=127.0.0.1:1"
+	tests := map[string]struct {
+		args []string
+		code int
+	}{
+		"help":             {[]string{"--help"}, exitOK},
+		"good file":        {[]string{"check", good}, exitOK},
+		"faulty file":      {[]string{"check", faulty}, exitFailed},
+		"missing file":     {[]string{"check", good + "x"}, exitFailed},
+		"nobody answers":   {[]string{"status", nobody}, exitFailed},
+		"apply, nobody":    {[]string{"apply", good, nobody}, exitFailed},
+		"no command":       {[]string{"bogus"}, exitUsage},
+		"no argument":      {[]string{"history", nobody}, exitUsage},
+		"two arguments":    {[]string{"request", "a", "b"}, exitUsage},
+		"unknown flag":     {[]string{"status", "--bogus"}, exitUsage},
+		"apply nothing":    {[]string{"apply"}, exitUsage},
+		"apply and show":   {[]string{"apply", good, "--show"}, exitUsage},
+		"missing settings": {[]string{"serve"}, exitUsage},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := root()
+			c.SetArgs(tt.args)
+			c.SetOut(io.Discard)
+			is.Equal(run(t.Context(), c, io.Discard), tt.code)
+		})
+	}
+}
--- a/internal/edge/report/report.go
+++ b/internal/edge/report/report.go
@@ -90,7 +90,7 @@
 	}
 	r.printf("\n%s:\n", title)
 	for line := range strings.Lines(s) {
-		r.printf("    %s\n", strings.TrimRight(printable(line), "\n"))
+		r.printf("    %s\n", printable(strings.TrimRight(line, "\r\n")))
 	}
 }
 
