watch: play messages in any order

Cause: the fault table gives each daemon its messages in a likely order only. Change: a random test of the machine alone, with late and repeated messages.

--- a/internal/conf/watch/random_test.go
+++ b/internal/conf/watch/random_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/slaterock/slaterock/internal/conf/apply"
 	"github.com/slaterock/slaterock/internal/fake/keyval"
+	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
 // inBubble hides from rapid that it runs in a test with a deadline of the real
@@ -97,3 +98,63 @@
 	}
 	return out.Head.Version
 }
+
+// Messages come in any order, late, twice, and from peers that tell of what
+// they don't have. The version in force only rises, one call to the store and
+// one load are under way at a time, and few peers are asked at once.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var w Watch
+		now := epoch
+		calls, loads, asks := 0, 0, map[string]int{}
+		messages := []Message{Start{Self: Member{Name: "d3", Peer: "p3"}, Seeds: []string{"p0", "p1", "p2", "p3"}}}
+		for range rapid.IntRange(10, 200).Draw(r, "steps") {
+			m := messages[0]
+			messages = messages[1:]
+			before := w.Version()
+			switch m := m.(type) {
+			case StoreHead, StoreQuiet, StoreFailed:
+				calls--
+			case Loaded, LoadFailed:
+				loads--
+			case Answered:
+				asks[m.Peer]--
+			case AskFailed:
+				asks[m.Peer]--
+			}
+			for _, e := range w.Step(now, m) {
+				switch e := e.(type) {
+				case Read, Wait:
+					calls++
+					messages = append(messages, rapid.SampledFrom([]Message{StoreFailed{}, StoreQuiet{}, StoreHead{}, anyHead(r)}).Draw(r, "store"))
+				case Load:
+					loads++
+					messages = append(messages, rapid.SampledFrom([]Message{Loaded{e.Head}, LoadFailed{Head: e.Head}, LoadFailed{Head: e.Head, Unfit: true}}).Draw(r, "load"))
+				case Ask:
+					asks[e.Peer]++
+					messages = append(messages, rapid.SampledFrom([]Message{AskFailed(e), Answered{e.Peer, anyHead(r).Head}}).Draw(r, "peer"))
+				case Force:
+					if e.Head.Version <= before || e.Head.Version != w.Version() {
+						r.Fatalf("version %d was put in force after %d", e.Head.Version, before)
+					}
+				}
+			}
+			under := 0
+			for _, n := range asks {
+				under += n
+			}
+			if w.Version() < before || calls > 1 || loads > 1 || under > maxAsk || asks["p3"] > 0 {
+				r.Fatalf("version %d after %d, %d calls, %d loads, asks %v", w.Version(), before, calls, loads, asks)
+			}
+			messages = append(messages, rapid.SampledFrom([]Message{Tick{}, Tick{}, Members{members(6)}, Newer{uint64(rapid.IntRange(0, 9).Draw(r, "told")), "p1"}, Adopt{anyHead(r).Head}}).Draw(r, "other"))
+			i := rapid.IntRange(0, len(messages)-1).Draw(r, "order")
+			messages[0], messages[i] = messages[i], messages[0]
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(r, "later")) * time.Millisecond)
+		}
+	})
+}
+
+func anyHead(r *rapid.T) StoreHead {
+	v := rapid.IntRange(1, 8).Draw(r, "version")
+	return StoreHead{version(uint64(v)), store.Rev(10 * v)}
+}
