retry: take a declared share of 0 for none

A share of 0 was taken for unset and paid for a tenth, so that an operator who turned hedging or retries off still had them.

--- a/internal/place/retry/retry.go
+++ b/internal/place/retry/retry.go
@@ -22,7 +22,7 @@
 	// Budget holds the tokens that pay for further attempts. The zero value
 	// holds a few and earns a tenth.
 	Budget struct {
-		Share float64 // earned by each first attempt; 0 means a tenth
+		Share float64 // earned by each first attempt; 0 means a tenth, less pays for nothing
 
 		spent  float64 // below floorTokens
 		tokens float64
@@ -32,7 +32,7 @@
 // Earn notes a first attempt.
 func (b *Budget) Earn() {
 	share := b.Share
-	if share <= 0 {
+	if share == 0 {
 		share = defaultShare
 	}
 	if b.spent > 0 {
@@ -44,6 +44,9 @@
 
 // Spend takes one token and reports whether there was one.
 func (b *Budget) Spend() bool {
+	if b.Share < 0 {
+		return false
+	}
 	if b.tokens >= 1 {
 		b.tokens--
 		return true
--- a/internal/place/retry/retry_test.go
+++ b/internal/place/retry/retry_test.go
@@ -17,6 +17,7 @@
 		"a tenth":       {0.1, 500, 50 + floorTokens},
 		"default":       {0, 500, 50 + floorTokens},
 		"a fifth":       {0.2, 200, 40 + floorTokens},
+		"none":          {-1, 500, 0},
 		"never hoarded": {0.5, 10_000, maxTokens + floorTokens},
 	}
 	for name, tt := range tests {
--- a/internal/place/sched/sched_test.go
+++ b/internal/place/sched/sched_test.go
@@ -19,6 +19,7 @@
 // fleet is a configuration with n engines e0, e1 ... and two tools t0, t1.
 func fleet(n int) file.File {
 	f := file.File{
+		Limits: file.Limits{RetryShare: 0.1, HedgeShare: 0.1},
 		Groups: map[string]file.Group{
 			"engines": {Kind: file.Engines, QueueLimit: 4, QueueWait: 10 * time.Second, MaxInflight: 2},
 			"tools":   {Kind: file.Services, MaxInflight: 100},
@@ -201,6 +202,30 @@
 	is.True(spent >= 95 && spent <= 110)
 }
 
+// An operator declares a share of 0 to have no further attempts at all. Taken
+// for an unset value it would allow a tenth.
+func TestShareOfZeroIsNone(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	f := fleet(1)
+	f.Limits = file.Limits{}
+	s.Step(epoch, Configure{File: f})
+	now := epoch
+	for i := range 30 {
+		a := toolAsk(fmt.Sprint(i))
+		up := assigned(s.Step(now, a), a.ID)
+		now = now.Add(time.Second)
+		s.Step(now, Done{ID: a.ID, Upstream: up})
+	}
+	s.Step(now, toolAsk("slow"))
+	is.Equal(assigned(s.Step(now.Add(time.Minute), Tick{}), "slow"), "")
+	a := toolAsk("again")
+	a.Retry = true
+	r, ok := refused(s.Step(now, a), a.ID)
+	is.True(ok)
+	is.Equal(r.Code, result.CodeUpstreamFailed)
+}
+
 // One tool crashes and refuses every connection. Until its breaker opens each
 // request that meets it is delayed by a failed attempt.
 func TestBreakerKeepsWorkAway(t *testing.T) {
--- a/internal/place/sched/table.go
+++ b/internal/place/sched/table.go
@@ -88,7 +88,7 @@
 func (s *Sched) configure(now time.Time, f file.File) {
 	s.cfg = f
 	s.weights = score.Weights{Latency: f.System.LatencyWeight, Cache: f.System.CacheWeight}
-	s.retries.Share, s.hedges.Share = f.Limits.RetryShare, f.Limits.HedgeShare
+	s.retries.Share, s.hedges.Share = share(f.Limits.RetryShare), share(f.Limits.HedgeShare)
 	for _, g := range s.groups {
 		g.ups = g.ups[:0]
 	}
@@ -113,6 +113,15 @@
 	}
 }
 
+// share turns a declared share of 0, which is none, into the one that pays for
+// nothing.
+func share(v float64) float64 {
+	if v == 0 {
+		return -1
+	}
+	return v
+}
+
 func (s *Sched) register(name string, conf file.Upstream) {
 	i, ok := s.byName[name]
 	if !ok {
