check: read some sections at a time

Cause: a daemon may spend 128 MB on control, and reading 35,000 accounts at once took 79 MB beside the text (a trial with the collector running all the time). Change: the INI library gets 256 sections at a time. A daemon that finds no configuration anywhere asks in rounds up to 5 s apart instead of 0.5 s, and holds at most 8 MB of packed chunks.

--- a/internal/conf/check/scan.go
+++ b/internal/conf/check/scan.go
@@ -4,27 +4,33 @@
 	"bytes"
 	"regexp"
 	"unicode/utf8"
+
+	"gopkg.in/ini.v1"
 )
 
 const (
 	byteOrderMark = "\xef\xbb\xbf"
 	maxLine       = 64 << 10 // bytes
+	maxBatch      = 256      // sections read at a time
 )
 
 type (
-	// keyLine is where a key stands.
-	keyLine struct {
-		key  string
-		line int
+	// pair is a key, its line and its value.
+	pair struct {
+		key, value string
+		line       int
 	}
 
 	// scanner finds the lines of sections and keys. It reads no values. What
 	// the INI library would read in some other way than an operator expects
 	// (a duplicate, a quoted block over several lines) is reported here and
-	// left out of the text that the library gets.
+	// left out of the text that the library gets. That happens some sections
+	// at a time: the library needs many times the memory of what it reads.
 	scanner struct {
 		text    *Text
 		clean   bytes.Buffer
+		batch   []*Section // whose lines are in clean
+		keys    map[string]string
 		section *Section
 		skip    bool // within a section that was refused
 		line    int
@@ -43,6 +49,7 @@
 		s.line++
 		s.one(bytes.TrimSpace(raw))
 	}
+	s.flush()
 }
 
 func (s *scanner) one(line []byte) {
@@ -75,8 +82,12 @@
 		s.text.add(s.line, string(name), "", "the section stands twice, first on line %d; want it once", first.Line)
 		return
 	}
+	if len(s.batch) == maxBatch {
+		s.flush()
+	}
 	s.skip = false
 	s.section = s.text.open(string(name), s.line)
+	s.batch = append(s.batch, s.section)
 	s.clean.WriteString("[" + string(name) + "]\n")
 }
 
@@ -102,11 +113,44 @@
 		s.fail(string(key), "the key stands twice, first on line %d; want it once", first)
 		return
 	}
-	s.section.keys = append(s.section.keys, keyLine{string(key), s.line})
+	s.section.pairs = append(s.section.pairs, pair{key: s.intern(key), line: s.line})
 	s.clean.Write(line)
 	s.clean.WriteByte('\n')
 }
 
+// flush reads the values of the sections scanned since the last time.
+func (s *scanner) flush() {
+	values, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:       true, // a path may end in a backslash
+		SpaceBeforeInlineComment: true, // an address or a hash may hold # and ;
+		KeyValueDelimiters:       "=",
+		ChildSectionDelimiter:    "\x00", // a section inherits nothing from another
+	}, s.clean.Bytes())
+	for _, sec := range s.batch {
+		if err != nil {
+			sec.Refuse("the section can't be read: %v", err)
+			continue
+		}
+		for i := range sec.pairs {
+			sec.pairs[i].value = values.Section(sec.Name).Key(sec.pairs[i].key).Value()
+		}
+	}
+	s.batch = s.batch[:0]
+	s.clean.Reset()
+}
+
+// intern returns the key as a string that all sections share.
+func (s *scanner) intern(key []byte) string {
+	if known, ok := s.keys[string(key)]; ok {
+		return known
+	}
+	if s.keys == nil {
+		s.keys = map[string]string{}
+	}
+	s.keys[string(key)] = string(key)
+	return s.keys[string(key)]
+}
+
 func (s *scanner) fail(key, format string, args ...any) {
 	name := ""
 	if s.section != nil {
--- a/internal/conf/check/section.go
+++ b/internal/conf/check/section.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"gopkg.in/ini.v1"
 )
 
 type (
@@ -19,8 +17,7 @@
 		Line              int
 
 		text    *Text
-		values  *ini.Section
-		keys    []keyLine
+		pairs   []pair
 		asked   []string
 		refused bool
 	}
@@ -214,16 +211,18 @@
 
 func (s *Section) value(key string) (string, bool) {
 	s.asked = append(s.asked, key)
-	if s.line(key) == 0 || s.values == nil {
-		return "", false
+	for _, p := range s.pairs {
+		if p.key == key {
+			return p.value, true
+		}
 	}
-	return s.values.Key(key).Value(), true
+	return "", false
 }
 
 func (s *Section) line(key string) int {
-	for _, k := range s.keys {
-		if k.key == key {
-			return k.line
+	for _, p := range s.pairs {
+		if p.key == key {
+			return p.line
 		}
 	}
 	return 0
@@ -235,9 +234,9 @@
 	if s.refused {
 		return
 	}
-	for _, k := range s.keys {
-		if !slices.Contains(s.asked, k.key) {
-			s.Fail(k.key, "the key is unknown; want one of %s", strings.Join(s.asked, ", "))
+	for _, p := range s.pairs {
+		if !slices.Contains(s.asked, p.key) {
+			s.Fail(p.key, "the key is unknown; want one of %s", strings.Join(s.asked, ", "))
 		}
 	}
 }
--- a/internal/conf/check/text.go
+++ b/internal/conf/check/text.go
@@ -20,8 +20,6 @@
 import (
 	"fmt"
 	"strings"
-
-	"gopkg.in/ini.v1"
 )
 
 const maxMessage = 400 // bytes; a value or a list of names may be long
@@ -40,22 +38,7 @@
 func Read(name string, text []byte) *Text {
 	t := &Text{name: name, byName: map[string]*Section{}}
 	s := scanner{text: t}
-	s.clean.Grow(len(text))
 	s.scan(text)
-	values, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreContinuation:       true, // a path may end in a backslash
-		SpaceBeforeInlineComment: true, // an address or a hash may hold # and ;
-		KeyValueDelimiters:       "=",
-		ChildSectionDelimiter:    "\x00", // a section inherits nothing from another
-	}, s.clean.Bytes())
-	if err != nil {
-		t.add(1, "", "", "the text can't be read: %v", err)
-		return t
-	}
-	values.BlockMode = false // nothing is written from here on
-	for _, sec := range t.sections {
-		sec.values = values.Section(sec.Name)
-	}
 	return t
 }
 
--- a/internal/conf/file/bench_test.go
+++ b/internal/conf/file/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
+	"time"
 )
 
 const accounts = 35_000 // at the size that is wanted
@@ -64,3 +66,36 @@
 		})
 	}
 }
+
+// BenchmarkPeak is the memory in use while a large text is read, as it is with
+// a collector that runs all the time; the text itself is not counted.
+func BenchmarkPeak(b *testing.B) {
+	defer debug.SetGCPercent(debug.SetGCPercent(5))
+	text := large(b)
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	before, peak := m.HeapAlloc, uint64(0)
+	done := make(chan error)
+	for b.Loop() {
+		go func() {
+			_, err := Parse("large.ini", text)
+			done <- err
+		}()
+		tick := time.NewTicker(time.Millisecond)
+		for reading := true; reading; {
+			select {
+			case err := <-done:
+				if err != nil {
+					b.Fatal(err)
+				}
+				reading = false
+			case <-tick.C:
+				runtime.ReadMemStats(&m)
+				peak = max(peak, m.HeapAlloc)
+			}
+		}
+		tick.Stop()
+	}
+	b.ReportMetric(float64(peak-before)/1e6, "MB_peak")
+}
--- a/internal/conf/watch/ask.go
+++ b/internal/conf/watch/ask.go
@@ -50,6 +50,9 @@
 		return nil
 	}
 	if w.round {
+		if now.Before(w.nextRound) {
+			return nil
+		}
 		w.round, w.answers = false, 0
 		clear(w.asked)
 	}
@@ -60,7 +63,8 @@
 	}
 	if w.answers >= maxAsk || len(list) == 0 && len(w.asking) == 0 {
 		w.round = true
-		w.nextAsk = now.Add(w.spread(askRetry))
+		w.nextRound = now.Add(min(w.backOff(w.rounds), maxRoundWait))
+		w.rounds++
 		return nil
 	}
 	return list
--- a/internal/conf/watch/bench_test.go
+++ b/internal/conf/watch/bench_test.go
@@ -86,6 +86,7 @@
 		b.Fatal(err)
 	}
 	b.ReportMetric(float64(len(value))/1e3, "kB_head")
+	b.ReportMetric(float64(keepers["b"].held())/1e6, "MB_packed")
 	b.ReportMetric(float64(len(keepers["a"].Head().Chunks)), "chunks")
 }
 
--- a/internal/conf/watch/load.go
+++ b/internal/conf/watch/load.go
@@ -13,7 +13,7 @@
 
 const (
 	maxAnswer = 512 << 10 // bytes of chunks in one answer to a peer
-	maxHeld   = 16 << 20  // bytes of chunks kept beside those in force
+	maxHeld   = 8 << 20   // bytes of packed chunks above which those not needed go
 )
 
 var errMissing = errors.New("watch: some chunks are nowhere to be had")
--- a/internal/conf/watch/step.go
+++ b/internal/conf/watch/step.go
@@ -37,15 +37,17 @@
 		useless    int // watches in a row that ended at once with nothing new
 		nextStore  time.Time
 
-		asking   map[string]bool
-		asked    map[string]bool   // in this round
-		answers  int               // in this round
-		round    bool              // a round of questions has ended
-		told     map[string]uint64 // what peers said that they know
-		nextAsk  time.Time
-		loading  bool
-		loadFail int
-		nextLoad time.Time
+		asking    map[string]bool
+		asked     map[string]bool // in this round
+		answers   int             // in this round
+		round     bool            // a round of questions has ended
+		rounds    int             // of questions that have ended
+		nextRound time.Time
+		told      map[string]uint64 // what peers said that they know
+		nextAsk   time.Time
+		loading   bool
+		loadFail  int
+		nextLoad  time.Time
 	}
 )
 
--- a/internal/conf/watch/watch.go
+++ b/internal/conf/watch/watch.go
@@ -43,13 +43,14 @@
 	// ReadEvery is the time between two reads of all other daemons.
 	ReadEvery = 5 * time.Minute
 
-	firstRetry = 250 * time.Millisecond
-	maxRetry   = 15 * time.Second
-	maxAsk     = 3 // peers asked at a time
-	maxRound   = 6 // peers asked in one round at the start
-	askRetry   = 500 * time.Millisecond
-	soonRead   = time.Second
-	minGap     = 200 * time.Millisecond // between calls to the store
+	firstRetry   = 250 * time.Millisecond
+	maxRetry     = 15 * time.Second
+	maxAsk       = 3               // peers asked at a time
+	maxRound     = 6               // peers asked in one round at the start
+	maxRoundWait = 5 * time.Second // between two rounds that found nothing
+	askRetry     = 500 * time.Millisecond
+	soonRead     = time.Second
+	minGap       = 200 * time.Millisecond // between calls to the store
 )
 
 type (
