watch: follow each effect in the test of hasty watches

Cause: the test dropped the effects that followed an answer, so that a watch repeated at once went unnoticed: with the wait taken out it still passed. Change: the effects are played to their end. Figures: go test -run Haste ./internal/conf/watch passes; with the wait between useless watches taken out of a copy it fails. Conclusion: the test can fail for what it is there for.

--- a/internal/conf/watch/step_test.go
+++ b/internal/conf/watch/step_test.go
@@ -208,11 +208,11 @@
 			w.Step(now, StoreHead{version(1), store.Rev(10)})
 			for range 600 { // a minute
 				now = now.Add(100 * time.Millisecond)
-				for _, e := range w.Step(now, Tick{}) {
-					switch e.(type) {
+				for effects := w.Step(now, Tick{}); len(effects) > 0 && calls <= 1000; effects = effects[1:] {
+					switch effects[0].(type) {
 					case Read, Wait:
 						calls++
-						w.Step(now, answer)
+						effects = append(effects, w.Step(now, answer)...)
 					}
 				}
 			}
