--- a/internal/conf/watch/fleet_test.go
+++ b/internal/conf/watch/fleet_test.go
@@ -139,6 +139,7 @@
 		Self:     Member{Name: name, Peer: name},
 		Seeds:    []string{"d0", "d1", "d2"},
 		Store:    d.link,
+		Seed:     1, // the name goes into the jitter as well
 		Fetch:    func(_ context.Context, peer string, q Question) (Answer, error) { return f.fetch(d, peer, q) },
 		OnChange: func(c file.File) { f.locked(func() { d.forced = append(d.forced, c.Version) }) },
 		OnFault:  func(head.Head, error) { f.locked(func() { d.faults++ }) },
--- a/internal/conf/watch/keeper.go
+++ b/internal/conf/watch/keeper.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -55,6 +56,8 @@
 		// OnChange is told each version that comes in force, in order, from
 		// one goroutine. The next one waits until it returns.
 		OnChange func(f file.File)
+		// Seed makes the jitter; 0 draws one.
+		Seed uint64
 		// OnFault is told why a head was not taken. It may be nil.
 		OnFault func(h head.Head, err error)
 
@@ -77,7 +80,7 @@
 	k.init()
 	defer k.tasks.Wait()
 	var w Watch
-	k.do(ctx, w.Step(time.Now(), Start{Self: k.Self, Seeds: k.Seeds, Seed: rand.Uint64()}))
+	k.do(ctx, w.Step(time.Now(), Start{Self: k.Self, Seeds: k.Seeds, Seed: cmp.Or(k.Seed, rand.Uint64())}))
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
--- a/internal/conf/watch/step_test.go
+++ b/internal/conf/watch/step_test.go
@@ -253,6 +253,7 @@
 	w.Step(epoch, Start{Self: self, Seed: seed})
 	w.Step(epoch, Members{all})
 	w.Step(epoch, StoreHead{version(1), 10})
+	w.Step(epoch, Adopt{version(1)})
 	for now := epoch; now.Before(epoch.Add(idleTime)); now = now.Add(100 * time.Millisecond) {
 		var m Message = Tick{}
 		if !quiet.IsZero() && !now.Before(quiet) {
