--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -161,8 +161,12 @@
 	})
 }
 
-// list compares what an engine holds with what some owner still knows.
+// list compares what an engine holds with what some owner still knows. Only the
+// daemon that gives the engine its orders does so.
 func (p *Placer) list(ctx context.Context, upstream string) {
+	if _, here := p.Fence(upstream); !here {
+		return
+	}
 	address := p.cfg.Upstreams[upstream].Address
 	p.Go(func() {
 		poll, stop := context.WithTimeout(ctx, orderTimeout)
--- a/internal/node/trial/once.go
+++ b/internal/node/trial/once.go
@@ -18,6 +18,7 @@
 const (
 	onceProgram = "pickup-1"
 	onceTokens  = 64
+	releaseTime = 10 * time.Second
 )
 
 // once runs one agent program: a model call, a receipt that may be issued once,
@@ -56,9 +57,35 @@
 		return err
 	}
 	table(w, h)
+	if err = t.released(ctx); err != nil {
+		return err
+	}
 	return t.check(h, first, receipt, again, last)
 }
 
+// released waits until the engines hold nothing for the program that ended.
+func (t *Trial) released(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, releaseTime)
+	defer stop()
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		first, err := t.Site.E1.Held(ctx)
+		if err != nil {
+			return err
+		}
+		second, err := t.Site.E2.Held(ctx)
+		if err != nil || len(first)+len(second) == 0 {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("the engines still hold memory for the program that ended")
+		case <-tick.C:
+		}
+	}
+}
+
 // check compares what the caller saw, what the upstreams saw and what the
 // history says.
 func (t *Trial) check(h hist.History, first, receipt, again, last client.Answer) error {
