load: wait as long as the system says, and run shelves with their own agent

Cause: a faster load also shortened the wait that a refusal asks for, so callers came back early and were counted as given up; programs with a long context ran out of the budget of the development configuration's only agent.

--- a/internal/play/load/drive.go
+++ b/internal/play/load/drive.go
@@ -15,7 +15,6 @@
 
 const (
 	maxTries     = 8
-	retryDefault = time.Second
 	callTimeout  = 5 * time.Minute
 	compareOneIn = 10 // programs whose history is read at their end
 	directOneIn  = 3  // programs whose first prompt also goes to an engine
@@ -180,7 +179,7 @@
 				return err
 			}
 		}
-		if err := sleep(ctx, d.load.scaled(r.wait())); err != nil {
+		if err := sleep(ctx, r.wait(d.load.Wait)); err != nil {
 			return err
 		}
 	}
--- a/internal/play/load/load.go
+++ b/internal/play/load/load.go
@@ -30,6 +30,7 @@
 const (
 	defaultRate     = 2 // programs a second
 	defaultDuration = 30 * time.Second
+	defaultWait     = time.Second
 	maxPrograms     = 1 << 17 // under way at a time
 	progressEvery   = time.Second
 	drainTime       = 10 * time.Minute
@@ -50,8 +51,9 @@
 	Duration time.Duration
 	Speed    float64 // divides pauses and the time between arrivals; 0 is 1
 	Seed     uint64
-	Tag      string    // makes program ids unique between runs
-	Progress io.Writer // gets a line each second, if set
+	Wait     time.Duration // before another try, where the system names no time
+	Tag      string        // makes program ids unique between runs
+	Progress io.Writer     // gets a line each second, if set
 
 	check check
 	tally tally
@@ -98,6 +100,9 @@
 	if l.Speed <= 0 {
 		l.Speed = 1
 	}
+	if l.Wait <= 0 {
+		l.Wait = defaultWait
+	}
 	if l.Shape.Name == "" {
 		l.Shape = Pickup()
 	}
--- a/internal/play/load/load_test.go
+++ b/internal/play/load/load_test.go
@@ -75,7 +75,7 @@
 		return result.Refuse(result.CodeNotFound, "no program %s", c.Program)
 	}
 	for _, kept := range h.Calls {
-		if kept.Number == c.Number {
+		if kept.Number == c.Number && kept.Result.Ran != result.No {
 			return kept.Result
 		}
 	}
@@ -91,9 +91,7 @@
 	if s.alter != nil {
 		r = s.alter(s, c, r)
 	}
-	if r.Ran != result.No {
-		h.Calls = append(h.Calls, hist.Call{Number: c.Number, Result: r})
-	}
+	h.Calls = append(h.Calls, hist.Call{Number: c.Number, Result: r})
 	if c.Kind == call.Model {
 		s.last = r
 	}
@@ -148,7 +146,7 @@
 	t.Helper()
 	l := Load{
 		Entry: []string{s.address}, Key: key, Rate: 4, Duration: 10 * time.Second,
-		Speed: fast, Seed: 7, Tag: "t",
+		Speed: fast, Seed: 7, Tag: "t", Wait: time.Millisecond,
 	}
 	return l.Run(t.Context())
 }
@@ -255,7 +253,7 @@
 				s.receipts--
 			}
 			s.refused++
-			return result.Refuse(result.CodeOverloaded, "busy").WithRetryAfter(time.Second)
+			return result.Refuse(result.CodeOverloaded, "busy").WithRetryAfter(time.Millisecond)
 		}
 		return r
 	}}
--- a/internal/play/load/refuse.go
+++ b/internal/play/load/refuse.go
@@ -55,9 +55,11 @@
 	return r.code == codeBroken || r.after > 0
 }
 
-func (r *refusal) wait() time.Duration {
+// wait is how long to wait before that, as the system said or else the other
+// time.
+func (r *refusal) wait(other time.Duration) time.Duration {
 	if r == nil || r.after == 0 {
-		return retryDefault
+		return other
 	}
 	return r.after
 }
--- a/internal/play/load/shape.go
+++ b/internal/play/load/shape.go
@@ -76,7 +76,7 @@
 // programs of a store share, more sub-agents, shorter pauses.
 func Shelf() Shape {
 	return Shape{
-		Name: "shelf", Agent: "pickup", Context: 3000, Stores: 12,
+		Name: "shelf", Agent: "layout", Context: 3000, Stores: 12,
 		Turns: Span{6, 24}, Prompt: Span{40, 300}, Output: Span{30, 120}, Pause: Span{200, 2000},
 		Service: []string{"weights/log", "receipts/issue"}, Services: 0.25,
 		Subs: 0.2, SubTurns: Span{2, 5},
