--- a/internal/plat/kvnet/kvnet.go
+++ b/internal/plat/kvnet/kvnet.go
@@ -133,7 +133,7 @@
 		case errors.Is(err, line.ErrSilent), err == nil && a.Code == CodeAgain:
 			continue
 		case err != nil:
-			return store.Entry{}, errors.Join(store.ErrUnavailable, err)
+			return store.Entry{}, because(store.ErrUnavailable, err)
 		}
 		return a.Entry, a.err(key)
 	}
@@ -165,7 +165,7 @@
 		}
 	}
 	if err != nil {
-		return Answer{}, errors.Join(store.ErrUnavailable, err)
+		return Answer{}, because(store.ErrUnavailable, err)
 	}
 	return a, a.err(r.Key)
 }
@@ -175,9 +175,9 @@
 	var e *line.Error
 	switch {
 	case errors.As(err, &e) && !e.Sent:
-		return Answer{}, errors.Join(store.ErrUnavailable, err)
+		return Answer{}, because(store.ErrUnavailable, err)
 	case err != nil:
-		return Answer{}, errors.Join(store.ErrUnknown, err)
+		return Answer{}, because(store.ErrUnknown, err)
 	}
 	return a, a.err(r.Key)
 }
@@ -226,9 +226,11 @@
 	case CodeUnavailable:
 		return store.ErrUnavailable
 	}
-	return errors.Join(store.ErrUnknown, fmt.Errorf("kvnet: code %q", a.Code))
+	return fmt.Errorf("%w: code %q", store.ErrUnknown, a.Code)
 }
 
+func because(end, cause error) error { return fmt.Errorf("%w: %w", end, cause) }
+
 func pick(v, otherwise time.Duration) time.Duration {
 	if v <= 0 {
 		return otherwise
--- a/internal/plat/line/line.go
+++ b/internal/plat/line/line.go
@@ -13,6 +13,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -189,7 +190,7 @@
 	}
 	var timeout net.Error
 	if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
-		return errors.Join(ErrSilent, err)
+		return fmt.Errorf("%w (%w)", ErrSilent, err)
 	}
 	return err
 }
