--- a/internal/edge/chat/chat.go
+++ b/internal/edge/chat/chat.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +19,7 @@
 	objectWhole = "chat.completion"
 	objectChunk = "chat.completion.chunk"
 	assistant   = "assistant"
+	chunkAfter  = `},"finish_reason":null}]}`
 )
 
 type (
@@ -36,6 +38,8 @@
 		Model   string
 		Created int64 // seconds since 1970
 		Usage   bool  // a stream ends with Total
+
+		before []byte // what stands before the piece in each chunk of text
 	}
 
 	wireRequest struct {
@@ -122,9 +126,24 @@
 	return a.chunk(wireChoice{Delta: &wireMessage{Role: assistant, Content: &empty}})
 }
 
-// Text returns a chunk with a piece of the answer.
-func (a Answer) Text(piece string) []byte {
-	return a.chunk(wireChoice{Delta: &wireMessage{Content: &piece}})
+// Text appends a chunk with a piece of the answer to b. It is called for every
+// piece of every stream, so it does not go through the types: only the piece is
+// encoded, the rest is the same for each.
+func (a *Answer) Text(b []byte, piece string) []byte {
+	if a.before == nil {
+		a.frame()
+	}
+	quoted, _ := json.Marshal(piece) // a string always can be
+	b = append(b, a.before...)
+	b = append(b, quoted...)
+	return append(b, chunkAfter...)
+}
+
+func (a *Answer) frame() {
+	id, _ := json.Marshal("chatcmpl-" + a.ID)
+	model, _ := json.Marshal(a.Model)
+	a.before = fmt.Appendf(nil, `{"id":%s,"object":"%s","created":%d,"model":%s,"choices":[{"index":0,"delta":{"content":`,
+		id, objectChunk, a.Created, model)
 }
 
 // Finish returns the chunk that tells why the answer ended.
--- a/internal/edge/chat/chat_test.go
+++ b/internal/edge/chat/chat_test.go
@@ -50,7 +50,7 @@
 			is := is.New(t)
 			a := Answer{ID: "r-1", Model: "m", Created: 7}
 			r := result.Result{Body: []byte(text), Finish: "stop", Prompt: 4, Cached: 3, Output: 2}
-			for _, chunk := range [][]byte{a.Role(), a.Text(text), a.Finish(r), a.Total(r), a.Whole(r)} {
+			for _, chunk := range [][]byte{a.Role(), a.Text(nil, text), a.Finish(r), a.Total(r), a.Whole(r)} {
 				var back map[string]any
 				is.NoErr(json.Unmarshal(chunk, &back))
 				is.Equal(back["id"], "chatcmpl-r-1")
@@ -61,3 +61,13 @@
 		})
 	}
 }
+
+// Text is put together by hand for speed. It must not differ from what the types
+// would give.
+func TestTextIsAsTheTypesEncodeIt(t *testing.T) {
+	is := is.New(t)
+	a := Answer{ID: `r"1`, Model: "m<1>", Created: 7}
+	for _, text := range []string{"jambo", `"`, "\n", "<b>&", "\xff", ""} {
+		is.Equal(string(a.Text([]byte("data: "), text)), "data: "+string(a.chunk(wireChoice{Delta: &wireMessage{Content: &text}})))
+	}
+}
--- a/internal/edge/server/stream.go
+++ b/internal/edge/server/stream.go
@@ -28,6 +28,7 @@
 	answer chat.Answer
 	text   strings.Builder
 	opened bool
+	line   []byte // reused for each piece
 	told   *told
 }
 
@@ -57,6 +58,16 @@
 	})
 }
 
+// ready returns an event that waits already, or nil.
+func (f *flight) ready() event {
+	select {
+	case e := <-f.events:
+		return e
+	default:
+		return nil
+	}
+}
+
 // next returns the next event, or nil when a heartbeat is due first.
 func (f *flight) next(beats <-chan time.Time) event {
 	select {
@@ -79,11 +90,17 @@
 		case ended:
 			return st.end(e.result)
 		default:
-			err = st.write(streamBeat)
+			err = st.write([]byte(streamBeat))
 		}
 		if err != nil {
 			return callerGone()
 		}
+		if e = st.f.ready(); e != nil {
+			continue // goes out with the piece before it
+		}
+		if err := st.w.Flush(); err != nil {
+			return callerGone()
+		}
 		e = st.f.next(beats)
 	}
 }
@@ -93,7 +110,10 @@
 		return err
 	}
 	st.text.WriteString(text)
-	return st.data(st.answer.Text(text))
+	st.line = append(st.line[:0], dataPrefix...)
+	st.line = st.answer.Text(st.line, text)
+	st.line = append(st.line, eventEnd...)
+	return st.write(st.line)
 }
 
 // end finishes the stream. What was sent must be a beginning of the recorded
@@ -131,11 +151,11 @@
 			return err
 		}
 	}
-	return st.write(streamDone)
+	return st.last(streamDone)
 }
 
 func (st *stream) fail(r result.Result) result.Result {
-	if err := st.write(streamError + dataPrefix + string(encodeError(r)) + eventEnd); err != nil {
+	if err := st.last(streamError + dataPrefix + string(encodeError(r)) + eventEnd); err != nil {
 		return callerGone()
 	}
 	return r
@@ -151,11 +171,18 @@
 }
 
 func (st *stream) data(chunk []byte) error {
-	return st.write(dataPrefix + string(chunk) + eventEnd)
+	return st.write([]byte(dataPrefix + string(chunk) + eventEnd))
+}
+
+// write leaves what it writes to be flushed when nothing more is ready.
+func (st *stream) write(b []byte) error {
+	_, err := st.w.Write(b)
+	return err
 }
 
-func (st *stream) write(s string) error {
-	if _, err := st.w.WriteString(s); err != nil {
+// last writes the end of the stream.
+func (st *stream) last(s string) error {
+	if err := st.write([]byte(s)); err != nil {
 		return err
 	}
 	return st.w.Flush()
