--- a/cmd/slaterock/exit_test.go
+++ b/cmd/slaterock/exit_test.go
@@ -33,6 +33,7 @@
 		"unknown flag":     {[]string{"status", "--bogus"}, exitUsage},
 		"apply nothing":    {[]string{"apply"}, exitUsage},
 		"apply and show":   {[]string{"apply", good, "--show"}, exitUsage},
+		"unknown shape":    {[]string{"load", "--shape=bogus"}, exitFailed},
 		"no trace":         {[]string{"replay"}, exitUsage},
 		"missing trace":    {[]string{"replay", good + "x"}, exitFailed},
 		"missing settings": {[]string{"serve"}, exitUsage},
--- a/cmd/slaterock/main.go
+++ b/cmd/slaterock/main.go
@@ -56,7 +56,7 @@
 		SilenceErrors: true,
 	}
 	c.AddCommand(serveCommand(), devCommand(), fakeCommand())
-	c.AddCommand(checkCommand(), applyCommand(), replayCommand())
+	c.AddCommand(checkCommand(), applyCommand(), replayCommand(), loadCommand())
 	c.AddCommand(statusCommand(), historyCommand(), requestCommand(), drainCommand())
 	return c
 }
