sched: test what mutants showed untested, remember an unsafe failure

Faults put into a copy on purpose survived: the upstream that just failed tried again, a forgotten program released, a wait without end, a model's upstreams not looked at, a replaced process that kept its state. A refused unsafe retry was also forgotten, so that asking once more would have been taken for a first attempt.

--- a/internal/place/sched/admit.go
+++ b/internal/place/sched/admit.go
@@ -64,8 +64,7 @@
 		}
 		return true
 	}
-	delete(s.failed, a.ID)
-	return false
+	return false // the failure stays known: asking again must not help
 }
 
 // reachable reports whether any upstream could take the request, now or later
--- /dev/null
+++ b/internal/place/sched/memory_test.go
@@ -0,0 +1,60 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+func TestMemoryIsReleased(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(2)})
+	a := ask("1")
+	a.Blocks = prompt(1, 2)
+	up := assigned(s.Step(epoch, a), "1")
+	is.Equal(s.Step(epoch, Ended{Program: a.Program}), []Effect{Release{Upstream: up, Program: a.Program}})
+	// The stream went on for a moment and left memory after the release.
+	is.Equal(s.Step(epoch, Done{ID: "1", Upstream: up, Outcome: Withdrawn}), []Effect{Release{Upstream: up, Program: a.Program}})
+}
+
+// A shard moved to another daemon while one of its calls is still answered
+// here. A release when that ends would take the cache from the new owner.
+func TestForgottenIsNotReleased(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(1)})
+	a := ask("1")
+	a.Blocks = prompt(1, 2)
+	up := assigned(s.Step(epoch, a), "1")
+	is.Equal(len(s.Step(epoch, Forget{Program: a.Program})), 0)
+	is.Equal(len(s.Step(epoch, Done{ID: "1", Upstream: up})), 0)
+}
+
+func TestLeavingExportsWhatIsNeeded(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(2)})
+	a := ask("1")
+	a.Blocks = prompt(1, 2)
+	up := assigned(s.Step(epoch, a), "1")
+	s.Step(epoch, Done{ID: "1", Upstream: up})
+	got := s.Step(epoch, Load{Upstream: up, Report: engine.Load{Seq: 1, Leaving: true}})
+	is.Equal(len(got), 1)
+	is.Equal(got[0].(Export).Program, a.Program)
+	is.True(got[0].(Export).To != up)
+}
+
+// A daemon died before it released what its programs held. The sweep finds
+// them with nobody to answer for them, twice, and has them released.
+func TestSweepReleasesWhatNobodyOwns(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	s.Step(epoch, Configure{File: fleet(1)})
+	is.Equal(s.Step(epoch, Tick{}), []Effect{List{Upstream: "e0"}})
+	h := Held{Upstream: "e0", Programs: []string{"dead", "alive"}, Live: []string{"alive"}}
+	is.Equal(len(s.Step(epoch, h)), 0)
+	is.Equal(s.Step(epoch, h), []Effect{Release{Upstream: "e0", Program: "dead"}})
+}
--- a/internal/place/sched/sched_test.go
+++ b/internal/place/sched/sched_test.go
@@ -163,16 +163,40 @@
 			a.Retry = true
 			got := s.Step(epoch, a)
 			if r, ok := refused(got, "1"); ok {
+				is.Equal(r.Code, tt.want)
+				r, ok = refused(s.Step(epoch, a), "1") // insisting does not help
+				is.True(ok)
 				is.Equal(r.Code, tt.want)
 				return
 			}
 			is.Equal(tt.want, result.Code(""))
-			second := assigned(append(got, s.Step(epoch.Add(time.Second), Tick{})...), "1")
-			is.True(second != "" && second != first) // never where it just failed
+			is.Equal(assigned(got, "1"), "") // backs off first
+			is.True(assigned(s.Step(epoch.Add(time.Second), Tick{}), "1") != "")
 		})
 	}
 }
 
+// A receipt printer's worker refuses a connection. Sent there again, the
+// request fails again and its user waits for nothing.
+func TestNotWhereItJustFailed(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	f := fleet(1)
+	f.Limits.RetryShare = 1
+	s.Step(epoch, Configure{File: f})
+	now := epoch
+	for i := range 50 {
+		a := toolAsk(fmt.Sprint(i))
+		first := assigned(s.Step(now, a), a.ID)
+		s.Step(now, Done{ID: a.ID, Upstream: first, Outcome: Unsent})
+		out := s.Step(now, a) // its caller forgot Retry and Avoid
+		second := assigned(append(out, s.Step(now.Add(time.Second), Tick{})...), a.ID)
+		now = now.Add(time.Minute / 2)
+		is.True(second != "" && second != first)
+		s.Step(now, Done{ID: a.ID, Upstream: second})
+	}
+}
+
 // Every upstream of a group fails at once, and every request asks for another
 // attempt. Without a budget the load doubles in the moment it can be borne
 // least; with it the retries stay a share of the traffic.
@@ -299,40 +323,59 @@
 	is.Equal(assigned(s.Step(now.Add(300*time.Millisecond), Tick{}), "slow"), "") // one hedge only
 }
 
-func TestMemoryIsReleased(t *testing.T) {
+// All upstreams hang, and what waits was promised a turn that does not come.
+// Its callers hear so, and that it did not run, while they still listen.
+func TestWaitingEnds(t *testing.T) {
 	is := is.New(t)
 	var s Sched
-	s.Step(epoch, Configure{File: fleet(2)})
-	a := ask("1")
-	a.Blocks = prompt(1, 2)
-	up := assigned(s.Step(epoch, a), "1")
-	is.Equal(s.Step(epoch, Ended{Program: a.Program}), []Effect{Release{Upstream: up, Program: a.Program}})
-	// The stream went on for a moment and left memory after the release.
-	is.Equal(s.Step(epoch, Done{ID: "1", Upstream: up, Outcome: Withdrawn}), []Effect{Release{Upstream: up, Program: a.Program}})
+	s.Step(epoch, Configure{File: fleet(1)})
+	for i := range 3 {
+		s.Step(epoch, ask(fmt.Sprint(i)))
+	}
+	is.Equal(len(s.byID), 3)
+	_, ok := refused(s.Step(epoch.Add(20*time.Second), Tick{}), "2")
+	is.True(!ok)
+	r, ok := refused(s.Step(epoch.Add(21*time.Second), Tick{}), "2")
+	is.True(ok)
+	is.Equal(r.Code, result.CodeOverloaded)
+	is.True(r.RetryAfter > 0)
 }
 
-func TestLeavingExportsWhatIsNeeded(t *testing.T) {
+func TestOnlyWhereTheModelIs(t *testing.T) {
 	is := is.New(t)
 	var s Sched
-	s.Step(epoch, Configure{File: fleet(2)})
-	a := ask("1")
-	a.Blocks = prompt(1, 2)
-	up := assigned(s.Step(epoch, a), "1")
-	s.Step(epoch, Done{ID: "1", Upstream: up})
-	got := s.Step(epoch, Load{Upstream: up, Report: engine.Load{Seq: 1, Leaving: true}})
-	is.Equal(len(got), 1)
-	is.Equal(got[0].(Export).Program, a.Program)
-	is.True(got[0].(Export).To != up)
+	f := fleet(3)
+	u := f.Upstreams["e1"]
+	u.Models = []string{"large"}
+	f.Upstreams["e1"] = u
+	s.Step(epoch, Configure{File: f})
+	for i := range 30 {
+		a := ask(fmt.Sprint(i))
+		up := assigned(s.Step(epoch, a), a.ID)
+		is.True(up != "" && up != "e1")
+		s.Step(epoch, Done{ID: a.ID, Upstream: up})
+	}
 }
 
-// A daemon died before it released what its programs held. The sweep finds
-// them with nobody to answer for them, twice, and has them released.
-func TestSweepReleasesWhatNobodyOwns(t *testing.T) {
+// An upstream is replaced by another process under the same name. What was
+// learnt of the old one, here that it fails, must not keep work from the new.
+func TestReplacedUpstreamBeginsAnew(t *testing.T) {
 	is := is.New(t)
 	var s Sched
-	s.Step(epoch, Configure{File: fleet(1)})
-	is.Equal(s.Step(epoch, Tick{}), []Effect{List{Upstream: "e0"}})
-	h := Held{Upstream: "e0", Programs: []string{"dead", "alive"}, Live: []string{"alive"}}
-	is.Equal(len(s.Step(epoch, h)), 0)
-	is.Equal(s.Step(epoch, h), []Effect{Release{Upstream: "e0", Program: "dead"}})
+	f := fleet(1)
+	s.Step(epoch, Configure{File: f})
+	for i := range brkr.Threshold {
+		a := ask(fmt.Sprint(i))
+		s.Step(epoch, a)
+		s.Step(epoch, Done{ID: a.ID, Upstream: "e0", Outcome: Unsent})
+	}
+	r, ok := refused(s.Step(epoch, ask("no")), "no")
+	is.True(ok)
+	is.Equal(r.Code, result.CodeNoUpstream)
+	is.True(r.RetryAfter > 0) // when the breaker lets a probe through
+	u := f.Upstreams["e0"]
+	u.Address = "127.0.0.1:99"
+	f.Upstreams["e0"] = u
+	s.Step(epoch, Configure{File: f})
+	is.Equal(assigned(s.Step(epoch, ask("yes")), "yes"), "e0")
 }
