sched: test the bound over all owners and hedges of calls that answer

Two more faults put into a copy had survived: max_inflight counting only own work, and a second attempt beside a call that already answers.

--- a/internal/place/sched/fair_test.go
+++ b/internal/place/sched/fair_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/plat/engine"
 )
 
 // press keeps a group of four slots busy for ten minutes. In each tick every
@@ -203,3 +204,22 @@
 		})
 	}
 }
+
+// Other daemons have an upstream as full as it may be. Counting only its own
+// work, each of many daemons would send as much as all may together.
+func TestBoundCountsWorkOfOthers(t *testing.T) {
+	is := is.New(t)
+	var s Sched
+	f := fleet(1)
+	g := f.Groups["engines"]
+	g.MaxInflight = 6
+	f.Groups["engines"] = g
+	s.Step(epoch, Configure{File: f})
+	now := epoch
+	for i := range 200 {
+		now = now.Add(time.Second)
+		s.Step(now, Load{Upstream: "e0", Report: engine.Load{Seq: uint64(i + 1), At: now, Running: 6}})
+	}
+	is.Equal(assigned(s.Step(now, ask("1")), "1"), "e0")
+	is.Equal(assigned(s.Step(now, ask("2")), "2"), "")
+}
--- a/internal/place/sched/sched_test.go
+++ b/internal/place/sched/sched_test.go
@@ -314,6 +314,7 @@
 		now = now.Add(100 * time.Millisecond)
 		s.Step(now, Done{ID: a.ID, Upstream: up})
 	}
+	s.Step(now, First{ID: "begun", Upstream: assigned(s.Step(now, toolAsk("begun")), "begun")})
 	up := assigned(s.Step(now, toolAsk("slow")), "slow")
 	is.Equal(assigned(s.Step(now.Add(90*time.Millisecond), Tick{}), "slow"), "")
 	got := s.Step(now.Add(200*time.Millisecond), Tick{})
