plat: test what faults put in on purpose showed untested

Faults were put into a copy of the clients and of blobs, one at a time. Six of them survived: a request that broke off while it was sent counted as not sent, the pause between pieces was bounded like the first wait (in line and in chat), the caller's max_completion_tokens was passed on, a store waited for ever when a holder left between its two copies (the property test finds that only with some seeds), and a blob on its way was adopted from a list.

--- a/internal/plat/chat/network_test.go
+++ b/internal/plat/chat/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
@@ -54,8 +55,10 @@
 		// open. The pause between pieces is bounded too.
 		"engine stalls mid-stream": func(f form) {
 			f.fake.Set(model.Silent, 0)
+			start := time.Now()
 			a := f.ask(f.ctx, request("r1", "p", "one"))
 			f.True(errors.Is(a.err, line.ErrSilent))
+			f.Equal(time.Since(start)-a.at[len(a.at)-1], 10*time.Second)
 			pass(time.Second)
 			f.idle()
 		},
@@ -129,3 +132,28 @@
 		})
 	}
 }
+
+// A caller limits its answer by the protocol's newer field. Passed on beside
+// our own limit it would win at some engines, and the answer would cost more
+// than the program's budget has.
+func TestOneLimitArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n pipe.Net
+		var got map[string]json.RawMessage
+		h := host.Host{Handler: func(_ context.Context, w *fasthttp.RequestCtx) {
+			is.NoErr(json.Unmarshal(w.PostBody(), &got))
+			w.SetBodyString("data: [DONE]\n\n")
+		}}
+		h.Start(n.Listen(address))
+		defer h.Close()
+		c := &chat.Client{Line: line.Line{Address: address, Connect: n.Connect}}
+		r := engine.Request{MaxTokens: 7, Body: []byte(`{"messages":[],"max_tokens":900,"max_completion_tokens":900,"seed":5}`)}
+		_, err := c.Chat(t.Context(), r, func(engine.Delta) error { return nil })
+		is.NoErr(err)
+		is.Equal(string(got["max_tokens"]), "7")
+		is.Equal(string(got["seed"]), "5")
+		_, other := got["max_completion_tokens"]
+		is.True(!other)
+	})
+}
--- a/internal/plat/line/line_test.go
+++ b/internal/plat/line/line_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -38,6 +42,72 @@
 	is.Equal(len(resp.Body()), 1000)
 }
 
+// served runs one exchange against a peer that plays its part by hand.
+func served(t *testing.T, peer func(net.Conn)) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		l := line.Line{Address: "peer", Connect: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go peer(far)
+			return near, nil
+		}}
+		var req fasthttp.Request
+		var resp fasthttp.Response
+		req.SetBodyString(strings.Repeat("x", 100_000))
+		start := time.Now()
+		err = l.Do(t.Context(), &req, &resp)
+		if errors.Is(err, line.ErrSilent) {
+			err = silent{error: err, after: time.Since(start)}
+		}
+	})
+	return err
+}
+
+// silent tells when an exchange was given up.
+type silent struct {
+	error
+	after time.Duration
+}
+
+func (s silent) Unwrap() error { return s.error }
+
+func TestFailures(t *testing.T) {
+	tests := map[string]struct {
+		peer  func(net.Conn)
+		after time.Duration
+	}{
+		// The connection breaks in the middle of the request. What arrived may
+		// have been enough to act on, so nobody may say that it did not run.
+		"breaks while it is sent": {func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 10))
+			_ = c.Close()
+		}, 0},
+		"breaks before an answer": {func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 100_000))
+			_ = c.Close()
+		}, 0},
+		// The other end accepts the connection and reads nothing.
+		"is not read": {func(net.Conn) {}, 30 * time.Second},
+		// The answer begins and stops in the middle. The pause between two
+		// pieces is bounded more tightly than the wait for the first.
+		"stops in the middle of the answer": {func(c net.Conn) {
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		}, 10 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := served(t, tt.peer)
+			var failed *line.Error
+			is.True(errors.As(err, &failed))
+			is.True(failed.Sent)
+			var s silent
+			is.Equal(errors.As(err, &s), tt.after > 0)
+			is.Equal(s.after, tt.after)
+		})
+	}
+}
+
 // BenchmarkExchange measures an exchange with a connection of its own over
 // loopback, client and server together.
 func BenchmarkExchange(b *testing.B) {
--- a/internal/shard/blobs/audit_test.go
+++ b/internal/shard/blobs/audit_test.go
@@ -79,6 +79,20 @@
 			b.want(Listed{From: "a1", Digests: all, Last: true})
 			b.Equal(len(b.pass(Interval)), 0)
 		},
+		// A blob is on the holder's disk and on its list before its owner hears
+		// that it is stored. It is neither dropped nor taken for kept: its
+		// other copy is still on the way.
+		"stored meanwhile and on the list": func(b *bench) {
+			b.audited("a1")
+			d, at := one, ""
+			for i := byte(0); at != "a1"; i++ {
+				d = Sum([]byte{i})
+				at = b.step(Store{Digest: d, Size: 10})[0].(Copy).To
+			}
+			with := append(slices.Clone(all), d)
+			slices.SortFunc(with, compare)
+			b.want(Listed{From: "a1", Digests: with, Last: true})
+		},
 		// A new owner does not know its journal yet. Nothing is compared, and
 		// so nothing dropped, before it does.
 		"not before the journal is known": func(b *bench) {
--- a/internal/shard/blobs/holders_test.go
+++ b/internal/shard/blobs/holders_test.go
@@ -150,6 +150,19 @@
 			b.Equal(b.pass(storeTimeout), []Effect{Inline{Digest: one}})
 			b.want(Copied{Digest: one, To: next[0].(Copy).To})
 		}},
+		// The VM with the first copy is going to be replaced before the second
+		// copy is there. The text needs a third place, or its program waits
+		// for an answer that never comes.
+		"the first holder leaves before the second copy": {[]beat.Member{a1, t1, u1}, func(b *bench) {
+			out := b.step(Store{Digest: one, Size: 10})
+			first, second := out[0].(Copy).To, out[1].(Copy).To
+			b.want(Copied{Digest: one, To: first})
+			b.want(Leaving{Name: first})
+			next := b.step(Copied{Digest: one, To: second})
+			b.Equal(len(next), 1)
+			third := next[0].(Copy).To
+			b.want(Copied{Digest: one, To: third}, Kept{Digest: one, Holders: []string{second, third}})
+		}},
 		"a leaving VM gets nothing new": {[]beat.Member{a1, t1, u1}, func(b *bench) {
 			b.want(Leaving{Name: "u1"})
 			for i := range 32 {
