placer: notice an engine that starts anew, and keep a hedge's asker

Cause: an engine that restarts counts its events from one; they stayed unseen until they passed the old number. The first Done of a request forgot whom to tell, also when a hedge of it was under way. Change: the newest event is forgotten when load reports start anew; requests are forgotten with their last attempt.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -48,7 +48,9 @@
 		cfg    file.File
 		mail   chan letter
 		askers map[string]Asker
+		live   map[string]int    // attempts under way by request; a hedge is a second one
 		seen   map[string]uint64 // newest cache event by upstream
+		loads  map[string]uint64 // newest load report by upstream
 		poll   map[string]bool   // upstreams with a poll under way
 		polled time.Time
 	}
@@ -64,7 +66,9 @@
 func (p *Placer) Init() {
 	p.mail = make(chan letter, mailbox)
 	p.askers = map[string]Asker{}
+	p.live = map[string]int{}
 	p.seen = map[string]uint64{}
+	p.loads = map[string]uint64{}
 	p.poll = map[string]bool{}
 	p.sched.Seed = p.Seed
 }
@@ -110,7 +114,11 @@
 	case sched.Withdraw:
 		delete(p.askers, m.ID)
 	case sched.Done:
-		delete(p.askers, m.ID)
+		p.live[m.ID]--
+		if p.live[m.ID] <= 0 {
+			delete(p.live, m.ID)
+			delete(p.askers, m.ID)
+		}
 	}
 	for _, e := range p.sched.Step(time.Now(), m) {
 		p.carry(ctx, e)
@@ -121,6 +129,7 @@
 	switch e := e.(type) {
 	case sched.Assign:
 		if a := p.askers[e.ID]; a != nil {
+			p.live[e.ID]++
 			a.Answer(e)
 		}
 	case sched.Refuse:
@@ -222,6 +231,12 @@
 		p.do(ctx, func() {
 			p.poll[name] = false
 			if lerr == nil {
+				if load.Seq < p.loads[name] {
+					// The engine started anew and counts from one again; its
+					// events would stay unseen until they pass the old number.
+					p.seen[name] = 0
+				}
+				p.loads[name] = load.Seq
 				p.step(ctx, nil, sched.Load{Upstream: name, Report: load})
 			}
 			if eerr == nil && len(events) > 0 {
