--- /dev/null
+++ b/internal/play/sizes/journal_test.go
@@ -0,0 +1,120 @@
+package sizes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/shard/chain"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+)
+
+const (
+	journalPrograms = 4200 // about 270,000 over 64 shards
+	callsPerCommit  = 80   // about 12,000 a second over 64 shards and 2.3 commits
+)
+
+// journal counts what an owner writes. A commit takes what waited for it.
+type journal struct {
+	rng    *rand.Rand
+	own    owner.Owner
+	now    time.Time
+	ticket owner.Ticket
+	nonce  uint64
+	wrote  []owner.Write
+	bytes  int
+	writes int
+}
+
+func newJournal() *journal {
+	j := &journal{rng: rand.New(rand.NewPCG(1, 1)), now: time.Unix(1_800_000_000, 0)}
+	j.own.Chain = chain.Chain{Epoch: 1, Next: 1, Rand: func() uint64 { j.nonce++; return j.nonce }}
+	j.step(owner.Configure{File: file.File{
+		Limits: file.Limits{BudgetBlock: 1 << 16, JournalBuffer: 1 << 30},
+		Agents: map[string]file.Agent{"a": {Model: "m", Budget: 1 << 40}},
+		Models: map[string]file.Model{"m": {Group: "g", MaxTokens: 100}},
+	}})
+	j.step(owner.Lease{Until: j.now.Add(time.Hour)})
+	return j
+}
+
+func (j *journal) step(m owner.Message) {
+	for _, e := range j.own.Step(j.now, m) {
+		if w, ok := e.(owner.Write); ok {
+			j.wrote = append(j.wrote, w)
+		}
+	}
+}
+
+// commit answers the writes until none is left.
+func (j *journal) commit() {
+	for len(j.wrote) > 0 {
+		c := j.wrote[0].Effect.(chain.Create)
+		j.wrote = j.wrote[1:]
+		j.bytes += len(c.Data)
+		j.writes++
+		j.step(owner.Journal{Message: chain.Wrote{Number: c.Number, Outcome: chain.Created}})
+	}
+}
+
+func (j *journal) call(program string, number int, body, answer []byte) {
+	j.ticket++
+	id := fmt.Sprintf("%016x-%d-%012x", j.rng.Uint64(), number, j.rng.Uint64()>>16)
+	j.step(owner.Call{Ticket: j.ticket, Call: call.Call{
+		Request: id, Account: "client-12345", Program: program, Number: number,
+		Kind: call.Model, Model: "m", Body: body, MaxTokens: 100,
+	}})
+	j.step(owner.Assigned{Assign: sched.Assign{ID: id, Upstream: "agent-11"}})
+	j.step(owner.Tried{
+		Request: id, Upstream: "agent-11", Outcome: sched.Succeeded, Status: 200, Body: answer,
+		Usage: engine.Usage{Prompt: 2000, Output: 100, Finish: "stop"},
+	})
+}
+
+// text is of random words, which compress no better than a language does.
+func (j *journal) text(size int) []byte {
+	var b []byte
+	for len(b) < size {
+		for range 2 + j.rng.IntN(8) {
+			b = append(b, byte('a'+j.rng.IntN(26)))
+		}
+		b = append(b, ' ')
+	}
+	return b[:size]
+}
+
+// BenchmarkJournal measures the bytes that a call adds to the journal, with a
+// message and an answer of a few hundred bytes, at the commits and programs of
+// one shard of the target.
+func BenchmarkJournal(b *testing.B) {
+	for _, size := range []int{0, 400} {
+		b.Run(fmt.Sprint(2*size), func(b *testing.B) { benchmarkJournal(b, size) })
+	}
+}
+
+func benchmarkJournal(b *testing.B, size int) {
+	j := newJournal()
+	for i := range journalPrograms {
+		j.ticket++
+		j.step(owner.Open{Ticket: j.ticket, Open: call.Open{Account: "client-12345", Program: fmt.Sprint("program-", i), Agent: "a"}})
+	}
+	j.commit()
+	j.bytes, j.writes = 0, 0
+	calls := 0
+	for b.Loop() {
+		for range callsPerCommit {
+			i := calls % journalPrograms
+			body := fmt.Appendf(nil, `{"messages":[{"role":"user","content":%q}]}`, j.text(size))
+			j.call(fmt.Sprint("program-", i), calls/journalPrograms, body, j.text(size))
+			calls++
+		}
+		j.commit()
+	}
+	b.ReportMetric(float64(j.bytes)/float64(calls), "bytes/call")
+	b.ReportMetric(float64(calls)/float64(j.writes), "calls/commit")
+}
