bulk: run the blobs of one shard in its owner

blobs.Holders says where copies go; nothing carried that out. Bulk does: it stores a text in two folders or tells that it must go inline, reads it back from one holder after the other, has lost and spoilt copies made again, and ends the reference of a caller that left too early. Kept carries the blob's size, so that a changed reference is complete.

--- a/internal/shard/blobs/copies.go
+++ b/internal/shard/blobs/copies.go
@@ -30,7 +30,7 @@
 	b, w := h.blobs[s.Digest], h.work[s.Digest]
 	if b != nil && len(h.sound(b)) >= wanted {
 		b.refs++
-		return []Effect{Kept{Digest: s.Digest, Holders: slices.Clone(b.copies)}}
+		return []Effect{Kept{Digest: s.Digest, Size: b.size, Holders: slices.Clone(b.copies)}}
 	}
 	if b == nil {
 		b = &blob{size: s.Size}
@@ -101,7 +101,7 @@
 		b.copies = sound
 	}
 	h.weaken(d)
-	return []Effect{Kept{Digest: d, Holders: slices.Clone(b.copies)}}
+	return []Effect{Kept{Digest: d, Size: b.size, Holders: slices.Clone(b.copies)}}
 }
 
 // fail gives up a copy: a text goes elsewhere at once, a repair waits for its
--- a/internal/shard/blobs/holders.go
+++ b/internal/shard/blobs/holders.go
@@ -166,6 +166,7 @@
 	// be told of the new holders.
 	Kept struct {
 		Digest  Digest
+		Size    int
 		Holders []string
 	}
 
--- a/internal/shard/blobs/holders_test.go
+++ b/internal/shard/blobs/holders_test.go
@@ -90,7 +90,7 @@
 			b.Equal(len(out), 2)
 			first, second := out[0].(Copy).To, out[1].(Copy).To
 			b.want(Copied{Digest: one, To: first})
-			b.want(Copied{Digest: one, To: second}, Kept{Digest: one, Holders: []string{first, second}})
+			b.want(Copied{Digest: one, To: second}, Kept{Digest: one, Size: 10, Holders: []string{first, second}})
 		}},
 		"two failure domains": {[]beat.Member{a1, a2, t1}, func(b *bench) {
 			for i := range 32 {
@@ -131,7 +131,7 @@
 			third := next[0].(Copy).To
 			b.True(third != refused && third != other)
 			b.want(Copied{Digest: one, To: third})
-			b.want(Copied{Digest: one, To: other}, Kept{Digest: one, Holders: []string{third, other}})
+			b.want(Copied{Digest: one, To: other}, Kept{Digest: one, Size: 10, Holders: []string{third, other}})
 		}},
 		"all but one refuse": {[]beat.Member{a1, t1}, func(b *bench) {
 			out := b.step(Store{Digest: one, Size: 10})
@@ -161,7 +161,7 @@
 			next := b.step(Copied{Digest: one, To: second})
 			b.Equal(len(next), 1)
 			third := next[0].(Copy).To
-			b.want(Copied{Digest: one, To: third}, Kept{Digest: one, Holders: []string{second, third}})
+			b.want(Copied{Digest: one, To: third}, Kept{Digest: one, Size: 10, Holders: []string{second, third}})
 		}},
 		"a leaving VM gets nothing new": {[]beat.Member{a1, t1, u1}, func(b *bench) {
 			b.want(Leaving{Name: "u1"})
@@ -188,7 +188,7 @@
 			b.step(ab)
 			b.step(down(a1))
 			b.Equal(b.pass(grace), []Effect{again})
-			b.want(Copied{Digest: one, To: "u1"}, Kept{Digest: one, Holders: []string{"t1", "u1"}})
+			b.want(Copied{Digest: one, To: "u1"}, Kept{Digest: one, Size: 10, Holders: []string{"t1", "u1"}})
 			b.Equal(len(b.pass(time.Minute)), 0)
 		},
 		// A VM restarts. Its disk is still there, and nothing is copied.
--- /dev/null
+++ b/internal/shard/bulk/bulk.go
@@ -0,0 +1,192 @@
+// Package bulk runs the blobs of one shard in its owner: it carries out what
+// blobs.Holders wants, over whatever reaches the folders of other daemons.
+//
+// Store returns a Ref for the journal, or tells that the text must go into the
+// journal itself. Read brings a Ref's text back. Members, references and their
+// ends are told with Tell, in the order in which the owner learns them.
+package bulk
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/shard/blobs"
+)
+
+const (
+	callTimeout = 30 * time.Second
+	pageSize    = 1000 // digests of one page of a holder's list
+)
+
+type (
+	// Peers reaches the folders of daemons, which it knows by name, its own
+	// one too. Get returns blobs.ErrNotFound or a *blobs.CorruptError where
+	// the holder says so; other errors tell nothing about the blob.
+	Peers interface {
+		Put(ctx context.Context, to string, shard int, data []byte) error
+		// Copy has the daemon to fetch the blob from another and store it.
+		Copy(ctx context.Context, to, from string, shard int, d blobs.Digest) error
+		Get(ctx context.Context, from string, shard int, d blobs.Digest) ([]byte, error)
+		List(ctx context.Context, from string, shard int, after blobs.Digest, limit int) ([]blobs.Digest, error)
+		Drop(ctx context.Context, to string, shard int, epoch uint64, d []blobs.Digest) error
+	}
+
+	// Ref is what the journal keeps of a text.
+	Ref struct {
+		Digest  blobs.Digest `json:"digest"`
+		Size    int          `json:"size"`
+		Holders []string     `json:"holders"`
+	}
+
+	// Bulk is the shell of one shard's blobs.
+	Bulk struct {
+		Peers Peers
+		Shard int
+		Epoch uint64
+		// Changed takes a Ref whose holders are others now. It is called in
+		// order and must neither block nor call Bulk.
+		Changed func(Ref)
+		// Go runs f beside the caller and must not block; nil starts a
+		// goroutine.
+		Go func(f func())
+
+		mu     sync.Mutex
+		ctx    context.Context //nolint:containedctx // Run's, for calls that Tell starts
+		h      blobs.Holders
+		texts  map[blobs.Digest][]byte
+		asking map[blobs.Digest][]*asker
+	}
+
+	// asker waits for the end of a Store.
+	asker struct {
+		end  chan end
+		left bool
+	}
+
+	end struct {
+		ref  Ref
+		kept bool
+	}
+)
+
+// ErrUnreadable reports a text that no holder has now.
+var ErrUnreadable = errors.New("bulk: no holder can be read")
+
+// Run lets time pass for the machine until ctx ends, which also ends the calls
+// under way. It is started before the first Store: calls that began without it
+// end only with their own limits.
+func (b *Bulk) Run(ctx context.Context) {
+	b.mu.Lock()
+	b.prepare()
+	b.ctx = ctx
+	b.mu.Unlock()
+	t := time.NewTicker(blobs.Interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			b.Tell(blobs.Tick{})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Tell passes a message on to the machine.
+func (b *Bulk) Tell(m blobs.Message) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.step(m)
+}
+
+// Store keeps the text in two folders. Kept is false if it must go into the
+// journal itself. Where ctx ends first it is not kept, and a place that is
+// found later is given up again.
+func (b *Bulk) Store(ctx context.Context, text []byte) (ref Ref, kept bool) {
+	a := &asker{end: make(chan end, 1)}
+	b.ask(a, text)
+	select {
+	case e := <-a.end:
+		return e.ref, e.kept
+	case <-ctx.Done():
+		b.leave(a)
+		return Ref{}, false
+	}
+}
+
+// Read brings the text, from one holder after the other. A holder that does not
+// have it, or has it spoilt, gets no further reader, and a copy is made
+// elsewhere.
+func (b *Bulk) Read(ctx context.Context, d blobs.Digest) (text []byte, err error) {
+	defer func() { err = errors.Wrap(err, "read bulk text") }()
+	var tried []string
+	for ctx.Err() == nil {
+		from, ok := b.source(d, tried)
+		if !ok {
+			return nil, ErrUnreadable
+		}
+		text, err := b.Peers.Get(ctx, from, b.Shard, d)
+		if err == nil && blobs.Sum(text) == d {
+			return text, nil
+		}
+		if gone(err) {
+			b.Tell(blobs.Gone{Digest: d, From: from})
+		}
+		tried = append(tried, from)
+	}
+	return nil, ctx.Err()
+}
+
+func (b *Bulk) source(d blobs.Digest, tried []string) (from string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f, ok := b.h.Step(time.Now(), blobs.Read{Digest: d, Tried: tried})[0].(blobs.Fetch)
+	return f.From, ok
+}
+
+func (b *Bulk) ask(a *asker, text []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.prepare()
+	d := blobs.Sum(text)
+	b.texts[d] = text
+	b.asking[d] = append(b.asking[d], a)
+	b.step(blobs.Store{Digest: d, Size: len(text)})
+}
+
+// leave gives up waiting. Its reference, if there is one by now or later, must
+// end, or the blob would be kept for nobody and for ever.
+func (b *Bulk) leave(a *asker) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.left = true
+	select {
+	case e := <-a.end:
+		b.drop(e)
+	default:
+	}
+}
+
+func (b *Bulk) drop(e end) {
+	if e.kept {
+		b.step(blobs.Release{Digest: e.ref.Digest})
+	}
+}
+
+func (b *Bulk) prepare() {
+	if b.ctx == nil {
+		b.texts = map[blobs.Digest][]byte{}
+		b.asking = map[blobs.Digest][]*asker{}
+		b.ctx = context.Background()
+	}
+}
+
+// gone tells an answer that the blob is not there from no answer, and from none
+// at all: a wrong text counts as the former.
+func gone(err error) bool {
+	var corrupt *blobs.CorruptError
+	return err == nil || errors.Is(err, blobs.ErrNotFound) || errors.As(err, &corrupt)
+}
