--- a/internal/node/host/look.go
+++ b/internal/node/host/look.go
@@ -65,7 +65,7 @@
 		}
 		refs.Programs = g.Programs
 	}
-	hs, err := past.Past{Store: h.Store, Shard: h.Shard}.Family(ctx, refs.Programs)
+	hs, err := past.Past{Store: h.Store, Shard: h.Shard}.Family(ctx, refs.Programs, refs.Pending)
 	if err != nil {
 		return hist.History{}, unread(err)
 	}
--- a/internal/shard/boot/boot_test.go
+++ b/internal/shard/boot/boot_test.go
@@ -183,7 +183,7 @@
 	is.True(ok)
 	g, err := fold.Find(ctx, st, 2, at, state.Hash("gone"))
 	is.NoErr(err)
-	hs, err := past.Past{Store: st, Shard: 2}.Family(ctx, g.Programs)
+	hs, err := past.Past{Store: st, Shard: 2}.Family(ctx, g.Programs, nil)
 	is.NoErr(err)
 	is.Equal(len(hs), 2)
 	is.Equal(hs[0].Program, "gone")
--- a/internal/shard/owner/call.go
+++ b/internal/shard/owner/call.go
@@ -289,7 +289,7 @@
 		}
 		r.seq = o.ahead(root, r.hold)
 		r.phase = waitBudget
-		r.deadline = now.Add(commitWait)
+		r.deadline = now.Add(journalWait)
 	}
 	root.budget = root.budget.WithHold(r.hold)
 	return result.Result{}
@@ -321,7 +321,7 @@
 		return
 	}
 	r.phase = waitIntent
-	r.deadline = now.Add(commitWait)
+	r.deadline = now.Add(journalWait)
 	r.seq = o.add(record.Intent{Program: r.prog.id, Call: o.history(r)})
 }
 
--- a/internal/shard/owner/move_test.go
+++ b/internal/shard/owner/move_test.go
@@ -32,6 +32,17 @@
 	return next
 }
 
+// records are all that the journal has.
+func (d *desk) records(is *is.I) (all []record.Record) {
+	var j record.Joiner
+	for _, e := range d.journal {
+		rs, err := j.Records(e)
+		is.NoErr(err)
+		all = append(all, rs...)
+	}
+	return all
+}
+
 // A daemon hands its shard over while an attempt is under way and other calls
 // wait. Callers would notice a call that is cut, run twice, or left without any
 // answer; the operators would notice tokens that nobody spent but no program
--- a/internal/shard/owner/outage_test.go
+++ b/internal/shard/owner/outage_test.go
@@ -13,8 +13,10 @@
 	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/prog/state"
 	"github.com/slaterock/slaterock/internal/shard/chain"
 	"github.com/slaterock/slaterock/internal/shard/owner"
+	"github.com/slaterock/slaterock/internal/shard/past"
 )
 
 // desk drives one owner by hand: placement answers at once, attempts and the
@@ -193,6 +195,27 @@
 	}
 }
 
+// A caller is refused and asks at once what became of its request. The record
+// is still on its way to the journal, and must be told all the same.
+func TestHistoryOfAMomentAgo(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	d.open("p")
+	d.call("p", 0, "receipt", "a")
+	d.down = true
+	for range 3 {
+		d.answer(sched.Unsent)
+	}
+	refs, ok := d.own.Refs(state.Hash("p"))
+	is.True(ok)
+	hs, err := past.Past{}.Family(t.Context(), nil, append(d.records(is), refs.Pending...))
+	is.NoErr(err)
+	is.Equal(len(hs[0].Calls), 1)
+	is.Equal(len(hs[0].Calls[0].Tries), 3)
+	is.Equal(hs[0].Calls[0].Result.Ran, result.No)
+	is.Equal(len(refs.Live["p"]), 0)
+}
+
 // The store stops answering right when an intent is written. The caller is told
 // within seconds that the call did not run, and it must not run when the store
 // comes back and the intent turns out to be in the journal.
@@ -202,7 +225,7 @@
 	d.open("p")
 	d.down = true
 	ticket := d.call("p", 0, "receipt", "x")
-	d.pass(11 * time.Second)
+	d.pass(3100 * time.Millisecond)
 	is.Equal(d.replies[ticket].Code, result.CodeStoreDown)
 	is.Equal(d.replies[ticket].Ran, result.No)
 	d.down = false
--- a/internal/shard/owner/refs.go
+++ b/internal/shard/owner/refs.go
@@ -2,15 +2,19 @@
 
 import (
 	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/state"
 )
 
 type (
 	// Refs tells where the records of a family of programs are. Programs is
 	// nil if the family has ended and left memory; then the index value at
-	// position At knows it. Live has the calls under way.
+	// position At knows it. Pending are records that the journal does not have
+	// yet; a caller that was refused a moment ago may ask for its history. Live
+	// has the calls under way that no record tells of.
 	Refs struct {
 		Programs map[string][]uint64
+		Pending  []record.Record
 		Live     map[string][]hist.Call
 		At       uint32
 	}
@@ -24,12 +28,17 @@
 			r.Programs[id] = append([]uint64(nil), d.Entries...)
 		}
 	}
-	if len(r.Programs) == 0 {
+	for _, p := range o.queue {
+		if s := p.rec.Subject(); s != "" && state.Hash(s) == hash {
+			r.Pending = append(r.Pending, p.rec)
+		}
+	}
+	if len(r.Programs)+len(r.Pending) == 0 {
 		at, ok := o.Fold.Gone[hash]
 		return Refs{At: at}, ok
 	}
 	for _, run := range o.runs {
-		if _, ok := r.Programs[run.prog.id]; ok && !o.intended(run) {
+		if state.Hash(run.prog.id) == hash && run.phase != waitCommit && !o.intended(run) {
 			h := o.history(run)
 			h.Result.Code = ""
 			r.Live[run.prog.id] = append(r.Live[run.prog.id], h)
@@ -40,8 +49,12 @@
 
 // intended reports whether the journal tells of the call already.
 func (o *Owner) intended(r *run) bool {
-	_, ok := o.Fold.Programs[r.prog.id].Intents[r.call.Number]
-	return ok
+	if d := o.Fold.Programs[r.prog.id]; d != nil {
+		if _, ok := d.Intents[r.call.Number]; ok {
+			return true
+		}
+	}
+	return r.phase == waitIntent
 }
 
 // Live reports whether the program is open.
--- a/internal/shard/owner/tick.go
+++ b/internal/shard/owner/tick.go
@@ -16,6 +16,10 @@
 	// stallTime is how long an entry may wait for the store before the store
 	// counts as down.
 	stallTime = 2 * time.Second
+	// journalWait is how long a call waits for its intent or its reservation.
+	// Nothing was sent yet, so its caller can be refused as soon as the store
+	// is taken for down.
+	journalWait = stallTime + time.Second
 	// aloneTime is how long an idempotent call goes on without a caller.
 	aloneTime = 2 * time.Second
 
--- a/internal/shard/owner/try.go
+++ b/internal/shard/owner/try.go
@@ -233,7 +233,7 @@
 	if !root.budget.Fits(more) {
 		r.seq = o.ahead(root, more)
 		r.phase = waitBudget
-		r.deadline = now.Add(commitWait)
+		r.deadline = now.Add(journalWait)
 	}
 	root.budget = root.budget.WithHold(more)
 	r.hold += more
--- a/internal/shard/past/past.go
+++ b/internal/shard/past/past.go
@@ -26,8 +26,8 @@
 )
 
 // Family reads the histories of the programs whose journal entries are given,
-// by program id.
-func (p Past) Family(ctx context.Context, programs map[string][]uint64) (hs []hist.History, err error) {
+// by program id. Pending are further records, newer than all entries.
+func (p Past) Family(ctx context.Context, programs map[string][]uint64, pending []record.Record) (hs []hist.History, err error) {
 	defer func() { err = errors.Wrapf(err, "past: shard %d", p.Shard) }()
 	var numbers []uint64
 	for _, ns := range programs {
@@ -46,6 +46,9 @@
 			}
 		}
 	}
+	for _, r := range pending {
+		tell(by, r)
+	}
 	for _, h := range by {
 		hs = append(hs, *h)
 	}
