--- a/internal/edge/server/answer.go
+++ b/internal/edge/server/answer.go
@@ -75,6 +75,9 @@
 
 // refuseMalformed answers what could not be read as a request; nothing ran.
 func refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.linger = true
+	}
 	x := &exchange{RequestCtx: ctx, start: time.Now()}
 	x.Response.Header.Set(HeaderRequest, reqid.New("", 0).String())
 	r := result.Refuse(result.CodeBadRequest, "the request can't be read")
--- a/internal/edge/server/stop_test.go
+++ b/internal/edge/server/stop_test.go
@@ -86,7 +86,7 @@
 		near, far := net.Pipe()
 		defer func() { _ = far.Close() }()
 		began := time.Now()
-		_, err := conn{Conn: near, timeout: DefaultSendTimeout}.Write([]byte("karibu"))
+		_, err := (&conn{Conn: near, timeout: DefaultSendTimeout}).Write([]byte("karibu"))
 		is.True(errors.Is(err, os.ErrDeadlineExceeded))
 		is.Equal(time.Since(began), DefaultSendTimeout)
 	})
