--- a/cmd/slaterock/process_test.go
+++ b/cmd/slaterock/process_test.go
@@ -24,6 +24,8 @@
 	"github.com/slaterock/slaterock/internal/edge/locate"
 	"github.com/slaterock/slaterock/internal/plat/kvnet"
 	"github.com/slaterock/slaterock/internal/plat/line"
+	"github.com/slaterock/slaterock/internal/play/replay"
+	"github.com/slaterock/slaterock/internal/play/trace"
 	"github.com/slaterock/slaterock/internal/prog/call"
 )
 
@@ -42,6 +44,7 @@
 		callers []string
 		peers   []string
 		procs   []*exec.Cmd
+		records [daemons]string
 	}
 )
 
@@ -144,7 +147,8 @@
 `, i, i, s.callers[i], testKey, s.parts["store"], s.parts["vms"], s.peers[i], strings.Join(s.peers, ", "))
 	path := filepath.Join(s.t.TempDir(), fmt.Sprintf("d%d.ini", i))
 	is.New(s.t).NoErr(os.WriteFile(path, []byte(text), 0o600))
-	return s.start(io.Discard, "serve", "--settings", path)
+	s.records[i] = filepath.Join(s.t.TempDir(), "record.jsonl")
+	return s.start(io.Discard, "serve", "--record", s.records[i], "--settings", path)
 }
 
 func (s *system) apply() {
@@ -253,6 +257,7 @@
 	for i := range daemons {
 		is.NoErr(s.procs[i].Process.Signal(syscall.SIGTERM))
 		is.NoErr(s.procs[i].Wait())
+		s.replays(i)
 		s.procs[i] = s.serve(i)
 		s.await("the new daemon is ready", func() bool {
 			return s.client(i).JSON(s.ctx, "GET", "/readyz", nil, nil) == nil
@@ -278,6 +283,22 @@
 	is.True(strings.Contains(<-last, want))
 }
 
+// replays runs what a daemon recorded through the decision code again.
+func (s *system) replays(i int) {
+	is := is.New(s.t)
+	f, err := os.Open(s.records[i])
+	is.NoErr(err)
+	defer func() { _ = f.Close() }()
+	t, err := trace.Read(f)
+	is.NoErr(err)
+	r, err := replay.Replay(t, replay.Options{Seed: 1})
+	is.NoErr(err)
+	for _, b := range r.Broken {
+		s.t.Errorf("broken in the replay: %+v", b)
+	}
+	s.t.Logf("the record of daemon %d has %d programs, %d of them complete in its replay", i, len(t.Programs), r.Completed)
+}
+
 // program runs three calls, each at an entry that a live daemon names.
 func (s *system) program(id string, receipts chan<- string) error {
 	if err := s.entry(id).Open(s.ctx, call.Open{Program: id}); err != nil {
--- a/cmd/slaterock/serve.go
+++ b/cmd/slaterock/serve.go
@@ -15,13 +15,14 @@
 	"github.com/slaterock/slaterock/internal/obs/logs"
 	"github.com/slaterock/slaterock/internal/obs/metric"
 	"github.com/slaterock/slaterock/internal/obs/trace"
+	"github.com/slaterock/slaterock/internal/play/tape"
 )
 
 // closeTime bounds the export of the last spans.
 const closeTime = 3 * time.Second
 
 func serveCommand() *cobra.Command {
-	var path string
+	var path, record string
 	c := &cobra.Command{
 		Use:   "serve --settings FILE",
 		Short: "Run one daemon",
@@ -38,10 +39,14 @@
 			if err != nil {
 				return err
 			}
+			if record != "" {
+				s.Observe.RecordFile = record
+			}
 			return serve(s)
 		},
 	}
 	c.Flags().StringVar(&path, "settings", "", "the daemon's settings file")
+	c.Flags().StringVar(&record, "record", "", "write what programs do to this file, for replay")
 	_ = c.MarkFlagRequired("settings")
 	return c
 }
@@ -64,6 +69,13 @@
 		}
 		t.File = f
 	}
+	var record *os.File
+	if s.RecordFile != "" {
+		if record, err = os.OpenFile(s.RecordFile, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600); err != nil {
+			return nil, errors.Wrap(err, "record file")
+		}
+		d.Tape = &tape.Tape{W: record, Name: d.Settings.Daemon.Name}
+	}
 	log := d.Logs.Logger()
 	t.Fault = func(err error) { log.Warn().Err(err).Msg("spans were lost") }
 	if d.Trace, err = trace.Open(ctx, t); err != nil {
@@ -74,6 +86,11 @@
 		defer stop()
 		_ = d.Trace.Close(last)
 		_ = d.Metric.Close()
+		if record != nil {
+			if err := errors.CombineErrors(d.Tape.Close(), record.Close()); err != nil {
+				log.Warn().Err(err).Msg("the record is not whole")
+			}
+		}
 		if f != nil {
 			_ = f.Close()
 		}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/plat/tool"
 	"github.com/slaterock/slaterock/internal/plat/vmlist"
+	"github.com/slaterock/slaterock/internal/play/tape"
 )
 
 const (
@@ -57,6 +58,7 @@
 		Logs     logs.Logs
 		Trace    *trace.Trace
 		Metric   *metric.Metric
+		Tape     *tape.Tape // records what programs do; nil records nothing
 		// Listen and Peers replace listening on the addresses of the settings.
 		Listen, Peers net.Listener
 		Leave         time.Duration // how long a draining daemon goes on serving; zero is six seconds
@@ -236,6 +238,7 @@
 func (d *Daemon) configure(ctx context.Context, f file.File) {
 	d.log.Info().Uint64("version", f.Version).Msg("configuration in force")
 	d.share()
+	d.Tape.Configure(f)
 	d.shards.Configure(ctx, f)
 	d.placer.Tell(ctx, nil, sched.Configure{File: f})
 	d.update(ctx, func(m *beat.Member) { m.Config = f.Version })
@@ -260,6 +263,13 @@
 	d.meter.Allow(2*sys.StoreReads/float64(n), 2*sys.StoreWrites/float64(n))
 }
 
+func (d *Daemon) place(ctx context.Context, h *host.Host, m sched.Message) {
+	if e, ok := m.(sched.Ended); ok {
+		d.Tape.End(e.Program)
+	}
+	d.placer.Tell(ctx, h, m)
+}
+
 func (d *Daemon) assembleShards(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	var mu sync.Mutex
@@ -282,7 +292,7 @@
 		Alone:    d.gossip.Alone,
 		Attempt:  tries.Attempt,
 		Trace:    d.Trace,
-		Place:    func(h *host.Host, m sched.Message) { d.placer.Tell(ctx, h, m) },
+		Place:    func(h *host.Host, m sched.Message) { d.place(ctx, h, m) },
 		Ended:    d.ended,
 		Owned:    func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
 		Offer:    d.offer,
@@ -298,6 +308,7 @@
 		Fence:   d.fence,
 		Forward: d.forward,
 		Live:    d.live,
+		Loaded:  d.Tape.Load,
 	}
 	d.placer.Init()
 }
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -43,6 +43,7 @@
 		Fence   func(upstream string) (uint64, bool) // the epoch for orders; false if another daemon gives them
 		Forward func(ctx context.Context, upstream string, o engine.Order) error
 		Live    func(ctx context.Context, programs []string) ([]string, error)
+		Loaded  func(upstream string, l engine.Load) // told each load report; may be nil
 
 		sched  sched.Sched
 		cfg    file.File
@@ -237,6 +238,9 @@
 					p.seen[name] = 0
 				}
 				p.loads[name] = load.Seq
+				if p.Loaded != nil {
+					p.Loaded(name, load)
+				}
 				p.step(ctx, nil, sched.Load{Upstream: name, Report: load})
 			}
 			if eerr == nil && len(events) > 0 {
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -84,7 +84,7 @@
 		TraceFile     string // spans as JSON lines; empty: none
 		LogLevel      string // debug, info, warn or error
 		LogFormat     string // json or console
-		RecordFile    string // what the daemon decided, for replay; empty: none
+		RecordFile    string // what programs did, for replay; empty: none
 	}
 
 	// Error is one fault of a settings file.
--- /dev/null
+++ b/internal/play/tape/tape.go
@@ -0,0 +1,257 @@
+// Package tape records what a daemon's programs did as a trace that can be
+// replayed.
+//
+// A program is written when it ends: when it arrived, its calls with the tokens
+// that each added, and its pauses. What upstreams do to a replay must be known
+// as well, so Tape learns from each attempt how fast its upstream prefills and
+// generates, and writes that when it is closed. Texts, keys and answers are not
+// recorded.
+package tape
+
+import (
+	"cmp"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/play/trace"
+	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+const (
+	reportTime  = 500 * time.Millisecond // between load reports, as the daemon asks
+	maxPrograms = 1 << 16                // remembered at a time; others are not recorded
+)
+
+type (
+	// Tape writes one daemon's trace. Its fields are set before the first
+	// call; all methods are safe for concurrent use. A nil Tape records
+	// nothing.
+	Tape struct {
+		W    io.Writer
+		Name string
+		Now  func() time.Time // nil is time.Now
+
+		mu       sync.Mutex
+		start    time.Time
+		cfg      file.File
+		programs map[string]*program
+		seen     map[string]*learnt
+		err      error
+	}
+
+	program struct {
+		trace.Program
+		size int       // tokens of the conversation so far
+		last time.Time // when the newest call ended
+	}
+)
+
+// Configure notes the configuration in force. The first one begins the trace.
+func (t *Tape) Configure(f file.File) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cfg = f
+	if t.programs != nil {
+		return
+	}
+	t.programs, t.seen = map[string]*program{}, map[string]*learnt{}
+	t.start = t.now()
+	h := trace.Header{
+		Version:       1,
+		Name:          t.Name,
+		Owners:        1,
+		LatencyWeight: f.System.LatencyWeight,
+		CacheWeight:   f.System.CacheWeight,
+		RetryShare:    f.Limits.RetryShare,
+		HedgeShare:    f.Limits.HedgeShare,
+		TimeoutMS:     f.Limits.UpstreamTimeout.Milliseconds(),
+		Returns:       1,
+		Recorded:      t.start.UTC().Format(time.RFC3339),
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.Groups)) {
+		g := f.Groups[name]
+		if g.Kind == file.Engines {
+			h.QueueLimit, h.QueueWaitMS, h.MaxInflight = g.QueueLimit, g.QueueWait.Milliseconds(), g.MaxInflight
+			break
+		}
+	}
+	t.append(h)
+	for _, name := range slices.Sorted(maps.Keys(f.Services)) {
+		s := f.Services[name]
+		t.append(trace.Service{Name: name, Group: s.Group, Idempotent: s.Idempotent, Hedge: s.Hedge, TimeoutMS: s.Timeout.Milliseconds()})
+	}
+}
+
+func (t *Tape) now() time.Time {
+	if t.Now != nil {
+		return t.Now()
+	}
+	return time.Now()
+}
+
+func (t *Tape) append(l trace.Line) {
+	if t.err == nil {
+		t.err = trace.Append(t.W, l)
+	}
+}
+
+// Load notes an engine's load report.
+func (t *Tape) Load(upstream string, l engine.Load) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.seen != nil {
+		t.learn(upstream).cache = l.Total
+	}
+}
+
+func (t *Tape) learn(upstream string) *learnt {
+	u := t.seen[upstream]
+	if u == nil {
+		u = &learnt{}
+		t.seen[upstream] = u
+	}
+	return u
+}
+
+// Call notes a call that ended.
+func (t *Tape) Call(account, id string, c hist.Call) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.programs == nil {
+		return
+	}
+	for i, a := range c.Tries {
+		last := i == len(c.Tries)-1 && c.Result.OK()
+		t.learn(a.Upstream).attempt(a, c, last)
+	}
+	p := t.programs[id]
+	if p == nil {
+		if len(t.programs) >= maxPrograms || c.Number != 0 {
+			return // what came before is not known, so a replay would mislead
+		}
+		p = &program{}
+		p.Name, p.Account, p.Budget = id, account, c.Before
+		p.AtMS = c.Start.Sub(t.start).Milliseconds()
+		t.programs[id] = p
+	}
+	if c.Result.Ran != result.No {
+		p.add(c, t.cfg)
+	}
+}
+
+// add appends the call, and the pause before it to the one before.
+func (p *program) add(c hist.Call, cfg file.File) {
+	if n := len(p.Calls); n > 0 {
+		p.Calls[n-1].PauseMS = max(0, c.Start.Sub(p.last).Milliseconds())
+	}
+	p.last = c.End
+	out := trace.Call{}
+	if c.Kind == call.Service {
+		out.Service = serviceOf(c.Target)
+		out.WorkMS = work(c)
+	} else {
+		p.Group = cfg.Models[c.Target].Group
+		out.Prompt, out.Output = max(1, c.Result.Prompt-p.size), max(1, c.Result.Output)
+		p.size = c.Result.Prompt + c.Result.Output
+	}
+	p.Calls = append(p.Calls, out)
+}
+
+// serviceOf is the service in a target such as receipts/issue.
+func serviceOf(target string) string {
+	for i, r := range target {
+		if r == '/' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+func work(c hist.Call) int64 {
+	if n := len(c.Tries); n > 0 {
+		return c.Tries[n-1].End.Sub(c.Tries[n-1].Start).Milliseconds()
+	}
+	return 0
+}
+
+// End writes a program that ended.
+func (t *Tape) End(id string) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.programs[id]
+	delete(t.programs, id)
+	if p == nil || len(p.Calls) == 0 {
+		return
+	}
+	if p.Group == "" {
+		p.Group = t.anyEngines()
+	}
+	t.append(p.Program)
+}
+
+func (t *Tape) anyEngines() string {
+	for _, name := range slices.Sorted(maps.Keys(t.cfg.Groups)) {
+		if t.cfg.Groups[name].Kind == file.Engines {
+			return name
+		}
+	}
+	return ""
+}
+
+// Close writes the upstreams and the outcomes that must hold whatever policy
+// the trace is replayed under. It returns the first error of all writes.
+func (t *Tape) Close() (err error) {
+	if t == nil {
+		return nil
+	}
+	defer func() { err = errors.Wrap(err, "tape") }()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.programs == nil {
+		return nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.cfg.Upstreams)) {
+		t.append(t.upstream(name))
+	}
+	none := 0.0
+	for _, m := range []string{"repeated", "out_of_order", "over_budget", "held_programs", "false_refusals"} {
+		t.append(trace.Expect{Measure: m, AtMost: &none})
+	}
+	return t.err
+}
+
+func (t *Tape) upstream(name string) trace.Upstream {
+	u := t.cfg.Upstreams[name]
+	g := t.cfg.Groups[u.Group]
+	l := t.learn(name)
+	out := trace.Upstream{Name: name, Group: u.Group, FailureDomain: u.FailureDomain, Slots: cmp.Or(l.most, g.MaxInflight, 1)}
+	if g.Kind == file.Services {
+		out.Service = true
+		return out
+	}
+	out.PrefillPerS, out.DecodeMS = l.speeds()
+	out.CacheTokens = cmp.Or(l.cache, 1)
+	out.ReportMS, out.LagMS = reportTime.Milliseconds(), reportTime.Milliseconds()
+	return out
+}
