load: fail when no program finished

Cause: a run against a system that serves nothing ended with 0 faults and exit code 0, as if all had been checked. Change: such a run ends with an error; its test now expects that error.

--- a/cmd/slaterock/load.go
+++ b/cmd/slaterock/load.go
@@ -19,7 +19,8 @@
 		Short: "Put a load of agent programs on a running system and check each answer",
 		Long: "Put a load on a running system: programs arrive at a fixed rate, whatever becomes of\n" +
 			"those before them, and each answer and history is checked. The report has the\n" +
-			"latency of whole programs and the wasted cache tokens. It fails if a promise broke.",
+			"latency of whole programs and the wasted cache tokens. It fails if a promise broke\n" +
+			"or no program finished.",
 		Args: cobra.NoArgs,
 	}
 	f := c.Flags()
@@ -45,7 +46,7 @@
 			l.Progress = c.ErrOrStderr()
 		}
 		r, err := l.Run(c.Context())
-		if err != nil && !errors.Is(err, load.ErrBroken) {
+		if err != nil && !errors.Is(err, load.ErrBroken) && !errors.Is(err, load.ErrNothing) {
 			return err
 		}
 		if json {
--- a/internal/play/load/load.go
+++ b/internal/play/load/load.go
@@ -37,8 +37,12 @@
 	tagBase         = 36
 )
 
-// ErrBroken tells that an answer was mixed, lost or given twice.
-var ErrBroken = errors.New("the system broke a promise")
+var (
+	// ErrBroken tells that an answer was mixed, lost or given twice.
+	ErrBroken = errors.New("the system broke a promise")
+	// ErrNothing tells that no program finished, so that nothing was checked.
+	ErrNothing = errors.New("no program finished")
+)
 
 // Load is one run. Entry and Key must be set; the zero value of every other
 // field is ready for use.
@@ -61,7 +65,7 @@
 }
 
 // Run runs the load until all its programs ended, and reports. The error is
-// ErrBroken if a check failed.
+// ErrBroken if a check failed, and ErrNothing if there was nothing to check.
 func (l *Load) Run(ctx context.Context) (r Report, err error) {
 	defer func() { err = errors.Wrap(err, "load") }()
 	if len(l.Entry) == 0 {
@@ -87,6 +91,9 @@
 	if r.Faults > 0 {
 		return r, ErrBroken
 	}
+	if r.Finished == 0 {
+		return r, ErrNothing
+	}
 	return r, nil
 }
 
--- a/internal/play/load/load_test.go
+++ b/internal/play/load/load_test.go
@@ -267,14 +267,15 @@
 	is.Equal(r.Repeats, s.refused)
 }
 
-// Nobody answers at the address; the programs fail, which is no broken promise.
+// Nobody answers at the address. No promise is broken, but a run that checked
+// nothing must not pass for one that found no fault.
 func TestNobodyThere(t *testing.T) {
 	is := is.New(t)
 	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(ln.Close())
 	r, err := runOn(t, &system{address: ln.Addr().String()})
-	is.NoErr(err)
+	is.True(errors.Is(err, ErrNothing))
 	is.Equal(r.Failed, r.Started)
 	is.True(r.Refusals[codeBroken] > 0)
 	_, err = (&Load{}).Run(t.Context())
