--- a/internal/conf/watch/step_test.go
+++ b/internal/conf/watch/step_test.go
@@ -208,11 +208,11 @@
 			w.Step(now, StoreHead{version(1), store.Rev(10)})
 			for range 600 { // a minute
 				now = now.Add(100 * time.Millisecond)
-				for _, e := range w.Step(now, Tick{}) {
-					switch e.(type) {
+				for effects := w.Step(now, Tick{}); len(effects) > 0 && calls <= 1000; effects = effects[1:] {
+					switch effects[0].(type) {
 					case Read, Wait:
 						calls++
-						w.Step(now, answer)
+						effects = append(effects, w.Step(now, answer)...)
 					}
 				}
 			}
@@ -253,6 +253,7 @@
 	w.Step(epoch, Start{Self: self, Seed: seed})
 	w.Step(epoch, Members{all})
 	w.Step(epoch, StoreHead{version(1), 10})
+	w.Step(epoch, Adopt{version(1)})
 	for now := epoch; now.Before(epoch.Add(idleTime)); now = now.Add(100 * time.Millisecond) {
 		var m Message = Tick{}
 		if !quiet.IsZero() && !now.Before(quiet) {
