stock: have engines load the models that they are declared to serve

Cause: models and the weight store stood in the configuration and nothing read them; an engine that ignores fencing numbers could get orders from two daemons. Change: loads are asked of the weight store and ordered one at a time by the daemon that gives the engine its orders; after a takeover an engine without fencing gets no order until the former owner's have run out.

--- a/internal/node/daemon/connect.go
+++ b/internal/node/daemon/connect.go
@@ -14,6 +14,7 @@
 	"github.com/slaterock/slaterock/internal/plat/plain"
 	"github.com/slaterock/slaterock/internal/plat/tool"
 	"github.com/slaterock/slaterock/internal/plat/vmnet"
+	"github.com/slaterock/slaterock/internal/plat/wtnet"
 )
 
 // Connect sets the clients of the platform and the upstreams to those that the
@@ -24,6 +25,9 @@
 	if s.Platform.VMList != "" {
 		d.VMs = &vmnet.Client{Line: line.Line{Address: s.Platform.VMList}}
 	}
+	if s.Platform.Weights != "" {
+		d.Weights = &wtnet.Client{Line: line.Line{Address: s.Platform.Weights}}
+	}
 	d.Engine = func(address string) engine.Engine {
 		first := d.keeper.Current().Limits.UpstreamTimeout
 		return &chat.Client{Line: line.Line{Address: address, First: first}}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/plat/tool"
 	"github.com/slaterock/slaterock/internal/plat/vmlist"
+	"github.com/slaterock/slaterock/internal/plat/weight"
 	"github.com/slaterock/slaterock/internal/play/tape"
 )
 
@@ -52,7 +53,8 @@
 	Daemon struct {
 		Settings setup.Settings
 		Store    store.Store
-		VMs      vmlist.List // nil without a list
+		VMs      vmlist.List    // nil without a list
+		Weights  weight.Weights // nil if loads are not spaced
 		Engine   func(address string) engine.Engine
 		Tool     func(address string) tool.Tool
 		Logs     logs.Logs
@@ -308,6 +310,7 @@
 		Seed:    draw(),
 		Engine:  d.Engine,
 		VMs:     d.VMs,
+		Weights: d.Weights,
 		Go:      d.run,
 		Log:     d.log,
 		Fence:   d.fence,
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -11,6 +12,7 @@
 	"github.com/slaterock/slaterock/internal/edge/locate"
 	"github.com/slaterock/slaterock/internal/edge/relay"
 	"github.com/slaterock/slaterock/internal/node/host"
+	"github.com/slaterock/slaterock/internal/node/placer"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/peer/link"
@@ -114,9 +116,15 @@
 }
 
 // fence returns the number for orders to an engine, if this daemon gives them:
-// the epoch of the shard that the engine's name falls into.
+// the epoch of the shard that the engine's name falls into. An engine that
+// doesn't check the number gets none until the orders that a former owner may
+// have sent have run out; it would take them in any sequence.
 func (d *Daemon) fence(upstream string) (uint64, bool) {
-	return d.shards.Epoch(locate.Shard(upstream, d.shardCount()))
+	epoch, since, here := d.shards.Epoch(locate.Shard(upstream, d.shardCount()))
+	if !d.keeper.Current().Upstreams[upstream].Fencing && epoch > 1 && time.Since(since) < placer.OrderTimeout {
+		here = false
+	}
+	return epoch, here
 }
 
 func (d *Daemon) shardCount() int { return d.keeper.Current().System.Shards }
--- /dev/null
+++ b/internal/node/placer/load.go
@@ -0,0 +1,79 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/stock"
+	"github.com/slaterock/slaterock/internal/plat/engine"
+)
+
+const (
+	admitTimeout = 5 * time.Second
+	loadTimeout  = 10 * time.Minute
+)
+
+// declare tells which models engines are to have loaded. Engines that name none
+// serve all that their group does and are not ordered.
+func (p *Placer) declare(ctx context.Context, f file.File) {
+	models := map[string][]string{}
+	for name, u := range f.Upstreams {
+		if f.Groups[u.Group].Kind == file.Engines && len(u.Models) > 0 {
+			models[name] = u.Models
+		}
+	}
+	p.stockStep(ctx, stock.Declare{Models: models})
+}
+
+func (p *Placer) stockStep(ctx context.Context, m stock.Message) {
+	for _, e := range p.stock.Step(time.Now(), m) {
+		switch e := e.(type) {
+		case stock.Admit:
+			p.Go(func() { p.admit(ctx, e) })
+		case stock.Load:
+			p.Go(func() { p.load(ctx, e) })
+		}
+	}
+}
+
+func (p *Placer) admit(ctx context.Context, e stock.Admit) {
+	m := stock.Admitted{Upstream: e.Upstream}
+	if p.Weights != nil {
+		call, stop := context.WithTimeout(ctx, admitTimeout)
+		defer stop()
+		m.Wait, m.Err = p.Weights.Admit(call, e.Model)
+	}
+	p.do(ctx, func() { p.stockStep(ctx, m) })
+}
+
+func (p *Placer) load(ctx context.Context, e stock.Load) {
+	call, stop := context.WithTimeout(ctx, loadTimeout)
+	defer stop()
+	m := stock.Loaded{Upstream: e.Upstream, Model: e.Model}
+	fence, here := p.Fence(e.Upstream)
+	if !here {
+		m.Err = errElsewhere
+	} else {
+		address := p.address(ctx, e.Upstream)
+		m.Err = p.Engine(address).Order(call, engine.Order{Kind: engine.OrderLoad, Target: e.Model, Fence: fence})
+	}
+	p.do(ctx, func() {
+		if m.Err != nil {
+			p.Log.Warn().Err(m.Err).Str("upstream", e.Upstream).Str("model", e.Model).Msg("model not loaded")
+		}
+		p.stockStep(ctx, m)
+	})
+}
+
+// address asks the placer's own goroutine where the upstream is now.
+func (p *Placer) address(ctx context.Context, upstream string) string {
+	ch := make(chan string, 1)
+	p.do(ctx, func() { ch <- p.cfg.Upstreams[upstream].Address })
+	select {
+	case a := <-ch:
+		return a
+	case <-ctx.Done():
+		return ""
+	}
+}
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -10,20 +10,25 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/place/stock"
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/plat/vmlist"
+	"github.com/slaterock/slaterock/internal/plat/weight"
 )
 
 const (
-	mailbox      = 4096
-	tickEvery    = 50 * time.Millisecond
-	pollEvery    = 500 * time.Millisecond
-	pollTimeout  = 2 * time.Second
-	orderTimeout = 5 * time.Second
+	// OrderTimeout is how long an order to an engine may take.
+	OrderTimeout = 5 * time.Second
+
+	mailbox     = 4096
+	tickEvery   = 50 * time.Millisecond
+	pollEvery   = 500 * time.Millisecond
+	pollTimeout = 2 * time.Second
 )
 
 type (
@@ -37,7 +42,8 @@
 	Placer struct {
 		Seed    uint64
 		Engine  func(address string) engine.Engine
-		VMs     vmlist.List // nil if the platform has none
+		VMs     vmlist.List    // nil if the platform has none
+		Weights weight.Weights // nil if loads are not spaced
 		Go      func(f func())
 		Log     zerolog.Logger
 		Fence   func(upstream string) (uint64, bool) // the epoch for orders; false if another daemon gives them
@@ -46,6 +52,7 @@
 		Loaded  func(upstream string, l engine.Load) // told each load report; may be nil
 
 		sched  sched.Sched
+		stock  stock.Stock
 		cfg    file.File
 		mail   chan letter
 		askers map[string]Asker
@@ -63,6 +70,8 @@
 	}
 )
 
+var errElsewhere = errors.New("placer: another daemon gives the engine its orders")
+
 // Init makes the placer ready to be told messages.
 func (p *Placer) Init() {
 	p.mail = make(chan letter, mailbox)
@@ -101,6 +110,7 @@
 			if now.Sub(p.polled) >= pollEvery {
 				p.polled = now
 				p.pollAll(ctx)
+				p.stockUp(ctx)
 			}
 		}
 	}
@@ -110,6 +120,7 @@
 	switch m := m.(type) {
 	case sched.Configure:
 		p.cfg = m.File
+		p.declare(ctx, m.File)
 	case sched.Ask:
 		p.askers[m.ID] = from
 	case sched.Withdraw:
@@ -155,7 +166,7 @@
 	address := p.cfg.Upstreams[upstream].Address
 	fence, here := p.Fence(upstream)
 	p.Go(func() {
-		ctx, stop := context.WithTimeout(ctx, orderTimeout)
+		ctx, stop := context.WithTimeout(ctx, OrderTimeout)
 		defer stop()
 		var err error
 		if here {
@@ -179,7 +190,7 @@
 	}
 	address := p.cfg.Upstreams[upstream].Address
 	p.Go(func() {
-		poll, stop := context.WithTimeout(ctx, orderTimeout)
+		poll, stop := context.WithTimeout(ctx, OrderTimeout)
 		defer stop()
 		held, err := p.Engine(address).Held(poll)
 		if err != nil {
@@ -236,6 +247,7 @@
 					// The engine started anew and counts from one again; its
 					// events would stay unseen until they pass the old number.
 					p.seen[name] = 0
+					p.stockStep(ctx, stock.Restarted{Upstream: name})
 				}
 				p.loads[name] = load.Seq
 				if p.Loaded != nil {
@@ -251,6 +263,17 @@
 	})
 }
 
+// stockUp tells which engines get their orders here, and lets loads begin.
+func (p *Placer) stockUp(ctx context.Context) {
+	for name, u := range p.cfg.Upstreams {
+		if len(u.Models) > 0 {
+			_, here := p.Fence(name)
+			p.stockStep(ctx, stock.Here{Upstream: name, OK: here})
+		}
+	}
+	p.stockStep(ctx, stock.Tick{})
+}
+
 func (p *Placer) do(ctx context.Context, f func()) {
 	select {
 	case p.mail <- letter{f: f}:
--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -135,7 +135,7 @@
 		h.Hold = time.Now().Add(graceTime)
 	}
 	h.Start(life)
-	return &ward{Host: h, key: c}, nil
+	return &ward{Host: h, key: c, since: time.Now()}, nil
 }
 
 // claim writes the shard's key under the lease.
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -76,6 +76,7 @@
 	ward struct {
 		*host.Host
 		key       claimed
+		since     time.Time
 		suspended bool // its lease lapsed and ownership is not proved yet
 		giving    bool
 	}
@@ -160,13 +161,13 @@
 	return out
 }
 
-// Epoch returns the epoch in which a shard is owned here.
-func (s *Shards) Epoch(shard int) (uint64, bool) {
+// Epoch returns the epoch in which a shard is owned here, and since when.
+func (s *Shards) Epoch(shard int) (epoch uint64, since time.Time, ok bool) {
 	w := s.host(shard)
 	if w == nil {
-		return 0, false
+		return 0, since, false
 	}
-	return w.Epoch(), true
+	return w.Epoch(), w.since, true
 }
 
 func (s *Shards) host(shard int) *ward {
--- a/internal/node/trial/once.go
+++ b/internal/node/trial/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/edge/client"
+	"github.com/slaterock/slaterock/internal/fake/model"
+	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/hist"
 )
@@ -97,6 +100,7 @@
 	}
 	note(receipt.Text != again.Text, "a repeated call got another answer")
 	note(len(t.Site.Ledger.Calls()) != 1, "the receipt ran %d times", len(t.Site.Ledger.Calls()))
+	note(!t.loaded(), "the engine was not ordered to load its model")
 	note(len(h.Calls) != 3, "the history has %d calls, not 3", len(h.Calls))
 	note(h.Ended != string(call.Finish), "the program ended as %q", h.Ended)
 	note(h.Spent > h.Budget, "spent %d of %d tokens", h.Spent, h.Budget)
@@ -112,6 +116,13 @@
 	return nil
 }
 
+// loaded reports whether the first engine took the order to load its model.
+func (t *Trial) loaded() bool {
+	return slices.ContainsFunc(t.Site.E1.Orders(), func(o model.Taken) bool {
+		return o.Kind == engine.OrderLoad && o.Target == "chat" && !o.Refused
+	})
+}
+
 func table(w io.Writer, h hist.History) {
 	_, _ = fmt.Fprintf(w, "program %s of %s: %s, %d of %d tokens\n", h.Program, h.Account, h.Ended, h.Spent, h.Budget)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
