assign: hold a lease only where it is of use

Working out who should own a shard was repeated for every shard at every tick. Change: a daemon takes a lease when it owns, should own or may have to take a shard, and revokes one that nothing hangs on; the plan is made when the daemons change.

--- a/internal/edge/locate/locate.go
+++ b/internal/edge/locate/locate.go
@@ -87,17 +87,28 @@
 // in order, each to its best daemon with room, so that no daemon of n gets
 // more than ceil(shards/n)+1.
 func Preferred(members []beat.Member, shard, shards int) (beat.Member, bool) {
+	plan := Plan(members, shard+1, shards)
+	if len(plan) == 0 {
+		return beat.Member{}, false
+	}
+	return plan[shard], true
+}
+
+// Plan returns the daemons that should own the first n of the shards, or none
+// if no daemon is alive.
+func Plan(members []beat.Member, n, shards int) []beat.Member {
 	live := alive(members)
 	if len(live) == 0 {
-		return beat.Member{}, false
+		return nil
 	}
 	room := (shards+len(live)-1)/len(live) + 1
-	best := 0
-	for n := 0; n <= shard; n++ {
-		best = heaviest(live, mix(uint64(n)), room)
+	plan := make([]beat.Member, n)
+	for shard := range plan {
+		best := heaviest(live, mix(uint64(shard)), room)
 		live[best].taken++
+		plan[shard] = live[best].Member
 	}
-	return live[best].Member, true
+	return plan
 }
 
 // Entries returns the addresses that a caller of the program should use: the
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -268,12 +268,32 @@
 }
 
 func (s *Shards) tick(ctx context.Context) {
-	s.stepLease(ctx, lease.Tick{})
 	s.stepAssign(ctx, assign.View{Members: s.Members()})
+	if s.lease.ID() != 0 || s.assign.Wants(time.Now()) {
+		s.stepLease(ctx, lease.Tick{})
+	}
+	s.lapse(ctx)
 	s.stepAssign(ctx, assign.Tick{})
 	s.tellLease()
 }
 
+// lapse gives up a lease that nothing hangs on any more.
+func (s *Shards) lapse(ctx context.Context) {
+	id := s.lease.ID()
+	if id == 0 || len(s.hosts) > 0 || s.assign.Wants(time.Now()) {
+		return
+	}
+	s.stepLease(ctx, lease.Drop{})
+	s.stepAssign(ctx, assign.Leased{})
+	s.Go(func() {
+		call, stop := context.WithTimeout(ctx, leaseTimeout)
+		defer stop()
+		if err := s.Store.Revoke(call, id); err != nil {
+			s.Log.Debug().Err(err).Msg("lease not revoked; it lapses")
+		}
+	})
+}
+
 // tellLease tells all hosts until when they may dispatch.
 func (s *Shards) tellLease() {
 	now := time.Now()
--- a/internal/shard/assign/assign.go
+++ b/internal/shard/assign/assign.go
@@ -11,6 +11,8 @@
 package assign
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/edge/locate"
@@ -33,6 +35,8 @@
 		Shards int
 
 		members  []beat.Member
+		plan     []beat.Member // who should own each shard
+		planned  string        // the daemons that the plan was made for
 		owned    map[int]bool
 		claiming map[int]bool
 		giving   map[int]bool
@@ -102,7 +106,7 @@
 	a.init()
 	switch m := m.(type) {
 	case View:
-		a.members = m.Members
+		a.view(m.Members)
 	case Leased:
 		a.leased = m.OK
 	case Claimed:
@@ -143,6 +147,50 @@
 	a.moved = map[int]time.Time{}
 }
 
+// view takes a new picture in. Working the plan out costs a hash for each shard
+// and daemon, so it is done only when a daemon came, left or changed its state.
+func (a *Assign) view(members []beat.Member) {
+	a.members = members
+	var b strings.Builder
+	for _, m := range members {
+		if m.State == beat.Alive {
+			b.WriteString(m.Name)
+			b.WriteByte(0)
+		}
+	}
+	key := strconv.Itoa(a.Shards) + "/" + b.String()
+	if key != a.planned {
+		a.planned, a.plan = key, locate.Plan(members, a.Shards, a.Shards)
+	}
+}
+
+// preferred is the daemon that should own the shard.
+func (a *Assign) preferred(shard int) (beat.Member, bool) {
+	if shard >= len(a.plan) {
+		return beat.Member{}, false
+	}
+	return a.plan[shard], true
+}
+
+// Wants reports whether the daemon has a use for a lease: it owns shards, should
+// own some, or may have to take one that nobody claims. A lease that is only
+// held costs the store three writes in its time to live, from each daemon.
+func (a *Assign) Wants(now time.Time) bool {
+	if len(a.owned) > 0 || len(a.claiming) > 0 {
+		return true
+	}
+	for s := range a.Shards {
+		to, ok := a.preferred(s)
+		if ok && to.Name == a.Self {
+			return true
+		}
+		if since, orphan := a.orphan[s]; orphan && now.Sub(since) >= othersTime {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Assign) jitter(d time.Duration) time.Duration {
 	return time.Duration(a.Rand() % uint64(d))
 }
@@ -161,7 +209,7 @@
 				a.giving[s] = true
 				effs = append(effs, Give{Shard: s, To: to})
 			}
-		case a.leased && !a.draining && len(a.claiming) < maxClaims && a.wants(now, s):
+		case !a.draining && a.wants(now, s) && a.leased && len(a.claiming) < maxClaims:
 			effs = append(effs, a.claim(s))
 		}
 	}
@@ -170,7 +218,7 @@
 
 // successor tells whether an owned shard should go to another daemon.
 func (a *Assign) successor(now time.Time, shard int) (beat.Member, bool) {
-	to, ok := locate.Preferred(a.members, shard, a.Shards)
+	to, ok := a.preferred(shard)
 	if a.draining {
 		if to.Name == a.Self {
 			to = beat.Member{}
@@ -205,7 +253,7 @@
 	if now.Before(a.notYet[shard]) {
 		return false
 	}
-	to, ok := locate.Preferred(a.members, shard, a.Shards)
+	to, ok := a.preferred(shard)
 	if ok && to.Name == a.Self {
 		return true
 	}
--- a/internal/shard/lease/lease.go
+++ b/internal/shard/lease/lease.go
@@ -51,6 +51,9 @@
 		Err    error
 	}
 
+	// Drop forgets the lease: nothing hangs on it any more.
+	Drop struct{}
+
 	// Tick lets time pass.
 	Tick struct{}
 
@@ -72,6 +75,7 @@
 
 func (Granted) message() {}
 func (Renewed) message() {}
+func (Drop) message()    {}
 func (Tick) message()    {}
 
 func (Grant) effect() {}
@@ -89,6 +93,9 @@
 // Step applies one message.
 func (l *Lease) Step(now time.Time, m Message) []Effect {
 	switch m := m.(type) {
+	case Drop:
+		l.id, l.until, l.next = 0, time.Time{}, now
+		return nil
 	case Granted:
 		l.busy = false
 		if m.Err != nil {
@@ -100,6 +107,9 @@
 		return []Effect{Got{ID: m.ID}}
 	case Renewed:
 		l.busy = false
+		if l.id == 0 {
+			return nil // it was dropped meanwhile
+		}
 		if m.Lapsed {
 			lost := Lost{ID: l.id}
 			l.id, l.until, l.next = 0, time.Time{}, now
