server: test that a body outlives its caller

Change: a test in which the caller leaves and 20 other requests come before the call looks at its body again.

--- a/internal/edge/server/server_test.go
+++ b/internal/edge/server/server_test.go
@@ -119,6 +119,41 @@
 	}
 }
 
+// A caller hangs up and its connection's memory serves others while the call's
+// end is being recorded. A body that still lay there would put one caller's
+// question into another's history.
+func TestBodyOutlivesItsCaller(t *testing.T) {
+	is := is.New(t)
+	st := start(t, file.Limits{})
+	gone, proceed, kept := make(chan struct{}), make(chan struct{}), make(chan string, 1)
+	st.fake.call = func(ctx context.Context, c call.Call, sink runner.Sink) result.Result {
+		if c.Program != "p" {
+			return answers("karibu")(ctx, c, sink)
+		}
+		is.NoErr(sink("kari"))
+		<-ctx.Done()
+		close(gone)
+		<-proceed
+		kept <- string(c.Body)
+		return result.Failed(result.CodeCancelled, result.Yes, "caller gone")
+	}
+	res := st.do("POST", "/v1/chat/completions", tenant, streamBody, numbered("p", "0"))
+	is.NoErr(res.Body.Close())
+	other := strings.ReplaceAll(streamBody, "hi", "yo")
+	for beating := true; beating; {
+		select {
+		case st.beats <- time.Time{}: // heartbeats go out until one can't be written
+		case <-gone:
+			beating = false
+		}
+	}
+	for range 20 {
+		st.send("POST", "/v1/chat/completions", tenant, other, numbered("q", "0"))
+	}
+	close(proceed)
+	is.Equal(<-kept, streamBody)
+}
+
 // A call waits long for its turn. Without signs of life something between the
 // two ends may drop the connection.
 func TestHeartbeatWhileWaiting(t *testing.T) {
