--- a/cmd/slaterock/process_test.go
+++ b/cmd/slaterock/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -35,6 +34,9 @@
 	asMain  = "SLATEROCK_TEST_MAIN"
 	testKey = "dev.secret"
 	daemons = 3
+
+	callerPort = 7400
+	peerPort   = 7410
 )
 
 type (
@@ -65,9 +67,9 @@
 	t.Cleanup(stop)
 	s := &system{t: t, ctx: ctx, parts: map[string]string{}}
 	s.fake()
-	for range daemons {
-		s.callers = append(s.callers, freeAddress(t))
-		s.peers = append(s.peers, freeAddress(t))
+	for i := range daemons {
+		s.callers = append(s.callers, address(i, callerPort))
+		s.peers = append(s.peers, address(i, peerPort))
 	}
 	for i := range daemons {
 		s.procs = append(s.procs, s.serve(i))
@@ -84,12 +86,11 @@
 	return s
 }
 
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// address gives each daemon of each test process a loopback address of its own,
+// so that tests that run at the same time never meet at a port.
+func address(i, port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>8&0x7f, pid&0xff, 1+i, port)
 }
 
 // start runs the command as a process that ends with the test.
--- a/internal/edge/server/call.go
+++ b/internal/edge/server/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/edge/chat"
 	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/result"
@@ -58,6 +59,9 @@
 		x.badRequest("%v", err)
 		return
 	}
+	if req.Model == "" {
+		req.Model = onlyModel(s.config())
+	}
 	c.Model, c.MaxTokens = req.Model, req.MaxTokens
 	once := c.Program == ""
 	if once {
@@ -284,3 +288,15 @@
 	_, _ = rand.Read(b[:]) // never fails, by its contract
 	return oncePrefix + hex.EncodeToString(b[:])
 }
+
+// onlyModel is the one model that is declared, so that an answer can name it
+// where its request did not; empty if there are several.
+func onlyModel(f file.File) string {
+	if len(f.Models) != 1 {
+		return ""
+	}
+	for name := range f.Models {
+		return name
+	}
+	return ""
+}
--- a/internal/node/daemon/edge.go
+++ b/internal/node/daemon/edge.go
@@ -61,6 +61,7 @@
 		Status:      func(context.Context) any { return d.Status() },
 		Drain:       d.Drain,
 		Apply:       d.apply,
+		Text:        func() ([]byte, uint64) { return server.TextOf(d.keeper.Answer) },
 		MaxHeader:   b.HeaderBytes,
 		MaxConns:    b.Connections,
 		ReadTimeout: t.Read,
@@ -104,14 +105,7 @@
 
 func (d *Daemon) apply(ctx context.Context, text []byte, from uint64) server.Applied {
 	out, err := d.keeper.Apply(ctx, apply.Request{Name: "configuration", Text: text, Base: from, By: operatorName})
-	if err == nil {
-		return server.Applied{Version: out.Head.Version}
-	}
-	var c *apply.ConflictError
-	if errors.As(err, &c) {
-		return server.Applied{Conflict: true, Version: c.Found, Base: c.Base, Message: err.Error()}
-	}
-	return server.Applied{Message: err.Error()}
+	return server.Told(from, out, err)
 }
 
 // ended notes how a call ended at its owner. The line that tells support
--- a/internal/node/host/look.go
+++ b/internal/node/host/look.go
@@ -114,17 +114,45 @@
 	return hs[i], true
 }
 
-// only returns the program that has the request, with that call alone.
+// only returns the program that has the request, with that call alone. A repeat
+// of a call has a name of its own that no record has; its call's number leads to
+// the call that it repeated, if just one program of the family has that number.
 func only(hs []hist.History, request string) (hist.History, bool) {
+	if p, n := having(hs, func(c hist.Call) bool { return c.Request == request }); n > 0 {
+		return p, true
+	}
+	number, ok := requestNumber(request)
+	if !ok {
+		return hist.History{}, false
+	}
+	p, n := having(hs, func(c hist.Call) bool { return c.Number == number && c.Result.Ran != result.No })
+	return p, n == 1
+}
+
+// having returns the last program that has such a call, with the last such call
+// alone, and how many programs have one.
+func having(hs []hist.History, is func(hist.Call) bool) (found hist.History, n int) {
 	for _, p := range hs {
-		for _, c := range p.Calls {
-			if c.Request == request {
-				p.Calls = []hist.Call{c}
-				return p, true
+		for i := len(p.Calls) - 1; i >= 0; i-- {
+			if is(p.Calls[i]) {
+				p.Calls = []hist.Call{p.Calls[i]}
+				found = p
+				n++
+				break
 			}
 		}
 	}
-	return hist.History{}, false
+	return found, n
+}
+
+// requestNumber is the call's number in a request id.
+func requestNumber(request string) (int, bool) {
+	parts := strings.Split(request, "-")
+	if len(parts) != 3 {
+		return 0, false
+	}
+	n, err := strconv.Atoi(parts[1])
+	return n, err == nil
 }
 
 // requestHash is the root's hash that a request id begins with.
--- /dev/null
+++ b/internal/node/host/look_test.go
@@ -0,0 +1,46 @@
+package host
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/prog/hist"
+	"github.com/slaterock/slaterock/internal/prog/result"
+)
+
+// A support engineer has the name that a response carried. It may be a repeat's,
+// which joined a call or was answered from the journal and has no record of its
+// own.
+func TestOnly(t *testing.T) {
+	call := func(request string, number int, ran result.Ran) hist.Call {
+		return hist.Call{Request: request, Number: number, Result: result.Result{Ran: ran}}
+	}
+	family := []hist.History{
+		{Program: "p", Calls: []hist.Call{call("00-0-a", 0, result.No), call("00-0-b", 0, result.Yes), call("00-1-c", 1, result.Yes)}},
+		{Program: "p/x", Calls: []hist.Call{call("00-1-d", 1, result.Yes)}},
+	}
+	tests := map[string]struct {
+		request, program, found string
+	}{
+		"recorded":                  {"00-0-b", "p", "00-0-b"},
+		"a refusal":                 {"00-0-a", "p", "00-0-a"},
+		"a sub-agent's":             {"00-1-d", "p/x", "00-1-d"},
+		"a repeat":                  {"00-0-z", "p", "00-0-b"},
+		"a repeat of one of two":    {"00-1-z", "", ""},
+		"a number that nobody used": {"00-7-z", "", ""},
+		"no name of ours":           {"00", "", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h, ok := only(family, tt.request)
+			is.Equal(ok, tt.found != "")
+			if ok {
+				is.Equal(h.Program, tt.program)
+				is.Equal(len(h.Calls), 1)
+				is.Equal(h.Calls[0].Request, tt.found)
+			}
+		})
+	}
+}
--- a/internal/node/trial/once.go
+++ b/internal/node/trial/once.go
@@ -6,12 +6,12 @@
 	"io"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/edge/client"
+	"github.com/slaterock/slaterock/internal/edge/report"
 	"github.com/slaterock/slaterock/internal/fake/model"
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/prog/call"
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	table(w, h)
+	(&report.Report{Out: w}).History(h)
 	if err = t.released(ctx); err != nil {
 		return err
 	}
@@ -122,18 +122,3 @@
 		return o.Kind == engine.OrderLoad && o.Target == "chat" && !o.Refused
 	})
 }
-
-func table(w io.Writer, h hist.History) {
-	_, _ = fmt.Fprintf(w, "program %s of %s: %s, %d of %d tokens\n", h.Program, h.Account, h.Ended, h.Spent, h.Budget)
-	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "call\tkind\tupstream\tattempts\toutcome\ttokens\ttime")
-	for _, c := range h.Calls {
-		upstream := ""
-		if n := len(c.Tries); n > 0 {
-			upstream = c.Tries[n-1].Upstream
-		}
-		tokens := c.Result.Prompt + c.Result.Output
-		_, _ = fmt.Fprintf(tw, "%d\t%s\t%s\t%d\t%s\t%d\t%s\n", c.Number, c.Kind, upstream, len(c.Tries), c.Result.Code, tokens, c.End.Sub(c.Start).Round(time.Millisecond))
-	}
-	_ = tw.Flush()
-}
