quota: hold an account's limits over all daemons

Cause: max_programs was checked by each shard for itself, so an account could have as many times its limit as there are shards; tokens_per_minute was checked nowhere.

Change: prog/quota keeps an account's grants at its home, the owner of the shard that the account's name falls into, and what a daemon may spend in blocks. node/guard adds clock, lock and messages (quota.take); node/shards asks it before it opens a program or lets a model call in.

Conclusion: with one home the limit of tokens holds in each minute; each further home that grants within the minute can add the limit once.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/edge/relay"
 	"github.com/slaterock/slaterock/internal/edge/server"
+	"github.com/slaterock/slaterock/internal/node/guard"
 	"github.com/slaterock/slaterock/internal/node/host"
 	"github.com/slaterock/slaterock/internal/node/placer"
 	"github.com/slaterock/slaterock/internal/node/send"
@@ -69,6 +70,7 @@
 		gossip gossip.Gossip
 		link   link.Link
 		shards shards.Shards
+		guard  guard.Guard
 		placer placer.Placer
 		server server.Server
 		relay  relay.Relay
@@ -150,6 +152,7 @@
 	work.Go(func() { d.failed(stop, d.link.Serve(ctx, d.Peers)) })
 	work.Go(func() { _ = d.keeper.Serve(ctx) })
 	work.Go(func() { d.shards.Serve(ctx) })
+	work.Go(func() { d.guard.Serve(ctx) })
 	work.Go(func() { d.failed(stop, d.server.Serve(d.Listen)) })
 	select {
 	case <-ctx.Done():
@@ -221,6 +224,7 @@
 		})
 	}
 	d.assemblePeers(ctx)
+	d.assembleGuard()
 	d.assembleShards(ctx)
 	d.assembleEdge(ctx)
 	d.keeper.Self = watch.Member{Name: d.self.Name, Peer: d.self.Peer}
@@ -286,6 +290,7 @@
 		Ended:    d.ended,
 		Owned:    func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
 		Offer:    d.offer,
+		Guard:    &d.guard,
 		Tell:     d.report,
 	}
 	d.shards.Init()
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -16,6 +17,7 @@
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/quota"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/prog/runner"
 )
@@ -27,6 +29,7 @@
 	methodOrder  = "engine.order"
 	methodLive   = "programs.live"
 	methodReport = "attempt.report"
+	methodQuota  = "quota.take"
 )
 
 type (
@@ -68,11 +71,26 @@
 	handle(&d.link, methodReport, func(ctx context.Context, r host.Report) (any, error) {
 		return d.shards.Report(ctx, r)
 	})
+	handle(&d.link, methodQuota, func(_ context.Context, a quota.Ask) (any, error) {
+		return d.guard.Answer(a), nil
+	})
 	handle(&d.link, methodLive, func(_ context.Context, l liveness) (any, error) {
 		return liveness{Programs: d.shards.Live(l.Programs)}, nil
 	})
 }
 
+func (d *Daemon) assembleGuard() {
+	d.guard.Self = d.self.Name
+	d.guard.Members = d.gossip.Members
+	d.guard.Config = d.keeper.Current
+	d.guard.Live = d.shards.Has
+	d.guard.Send = func(ctx context.Context, peer string, a quota.Ask) (r quota.Answer, err error) {
+		err = d.link.Peer(peer).Invoke(ctx, methodQuota, a, &r)
+		return r, err
+	}
+	d.guard.Init(time.Now())
+}
+
 // handle offers a method with typed parameters.
 func handle[P any](l *link.Link, name string, f func(ctx context.Context, p P) (any, error)) {
 	l.Handle(name, func(ctx context.Context, params json.RawMessage) (any, error) {
--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -134,8 +134,9 @@
 	if !c.clean && taken.Epoch > 1 {
 		h.Hold = time.Now().Add(graceTime)
 	}
+	w := &ward{Host: h, key: c, open: open(taken.Fold)}
 	h.Start(life)
-	return &ward{Host: h, key: c}, nil
+	return w, nil
 }
 
 // claim writes the shard's key under the lease.
@@ -183,6 +184,8 @@
 	s.Log.Info().Int("shard", m.shard).Uint64("epoch", m.w.Epoch()).Int("entries_read", m.w.Taken.Read).Bool("clean", m.w.key.clean).Msg("shard taken")
 	m.w.Tell(owner.Configure{File: cfg})
 	m.w.Tell(pace(cfg))
+	s.adopt(m.w.open)
+	m.w.open = nil
 	s.stepAssign(ctx, assign.Claimed{Shard: m.shard, OK: true})
 	s.tellLease()
 	s.Owned(s.List())
--- a/internal/node/shards/local.go
+++ b/internal/node/shards/local.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 
+	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/edge/locate"
 	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/prog/runner"
+	"github.com/slaterock/slaterock/internal/prog/state"
 )
 
 var _ runner.Runner = (*Shards)(nil)
@@ -22,28 +24,61 @@
 	return result.Refuse(result.CodeNotOwner, "the program belongs to another daemon")
 }
 
+// limits returns what Guard holds the account to.
+func (s *Shards) limits(account string) file.Account {
+	if s.Guard == nil {
+		return file.Account{}
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.cfg.Accounts[account]
+}
+
 // Open implements runner.Runner.
 func (s *Shards) Open(ctx context.Context, o call.Open) result.Result {
-	if w := s.find(o.Program); w != nil {
+	w := s.find(o.Program)
+	switch {
+	case w == nil:
+		return notHere()
+	case s.limits(o.Account).MaxPrograms <= 0:
 		return w.Open(ctx, o)
 	}
-	return notHere()
+	if r := s.Guard.Open(ctx, o); r.Code != "" {
+		return r
+	}
+	r := w.Open(ctx, o)
+	s.Guard.Opened(o, r)
+	return r
 }
 
 // Call implements runner.Runner.
 func (s *Shards) Call(ctx context.Context, c call.Call, sink runner.Sink) result.Result {
-	if w := s.find(c.Program); w != nil {
+	w := s.find(c.Program)
+	switch {
+	case w == nil:
+		return notHere()
+	case c.Kind != call.Model || s.limits(c.Account).TokensPerMinute <= 0:
 		return w.Call(ctx, c, sink)
 	}
-	return notHere()
+	if r := s.Guard.Call(ctx, c); r.Code != "" {
+		return r
+	}
+	r := w.Call(ctx, c, sink)
+	s.Guard.Called(c, r)
+	return r
 }
 
 // End implements runner.Runner.
 func (s *Shards) End(ctx context.Context, e call.End) result.Result {
-	if w := s.find(e.Program); w != nil {
-		return w.End(ctx, e)
+	w := s.find(e.Program)
+	if w == nil {
+		return notHere()
+	}
+	r := w.End(ctx, e)
+	if r.OK() && s.Guard != nil {
+		s.Guard.Closed(e.Program)
 	}
-	return notHere()
+	return r
 }
 
 // History implements runner.Runner.
@@ -80,3 +115,50 @@
 	}
 	return out
 }
+
+// Has reports whether the program is owned here and open.
+func (s *Shards) Has(program string) bool {
+	w := s.find(program)
+	return w != nil && w.Live(program)
+}
+
+// adopted is a program that was open when its shard was taken.
+type adopted struct {
+	account, program string
+	next             int // calls below it were let in before and won't run again
+}
+
+// open lists the open programs of a shard. The shard's host changes them once
+// it runs, so this comes before.
+func open(f state.Fold) []adopted {
+	var out []adopted
+	for id, p := range f.Programs {
+		if p.Closed == "" {
+			out = append(out, adopted{account: p.Open.Account, program: id, next: settled(p)})
+		}
+	}
+	return out
+}
+
+// settled is the number below which no call of the program is to be charged.
+// The newest one that ended runs again if its outcome was not final; one that
+// goes on over a handover was charged before it.
+func settled(p *state.Program) int {
+	switch {
+	case p.Moved != nil:
+		return p.Moved.Call.Number + 1
+	case p.Next > 0 && !p.Final:
+		return p.Next - 1
+	}
+	return p.Next
+}
+
+// adopt counts the programs of a shard that was taken.
+func (s *Shards) adopt(list []adopted) {
+	for _, a := range list {
+		acct := s.limits(a.account)
+		if acct.MaxPrograms > 0 || acct.TokensPerMinute > 0 {
+			s.Guard.Adopt(a.account, a.program, a.next)
+		}
+	}
+}
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/node/guard"
 	"github.com/slaterock/slaterock/internal/node/host"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/beat"
@@ -54,6 +55,7 @@
 		Ended    func(l owner.Log)
 		Owned    func(s []beat.Shard)
 		Offer    func(ctx context.Context, to beat.Member, shard int) error
+		Guard    *guard.Guard // nil: accounts have no limits
 		// Tell reports an attempt to whoever owns its shard now.
 		Tell func(ctx context.Context, r host.Report) (host.Receipt, error)
 
@@ -73,7 +75,8 @@
 	ward struct {
 		*host.Host
 		key       claimed
-		suspended bool // its lease lapsed and ownership is not proved yet
+		open      []adopted // programs, until they are counted
+		suspended bool      // its lease lapsed and ownership is not proved yet
 		giving    bool
 	}
 
--- /dev/null
+++ b/internal/prog/quota/quota_test.go
@@ -0,0 +1,394 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var limit = Limit{Tokens: 6400, Programs: 4}
+
+type (
+	// fleet is some daemons and the homes that an account had.
+	fleet struct {
+		now    time.Time
+		homes  []*Home
+		home   int
+		locals []*Local
+		skew   []time.Duration
+		spent  []charge
+		opened int
+	}
+
+	charge struct {
+		at     time.Time
+		tokens int64
+	}
+)
+
+func newFleet(daemons int) *fleet {
+	f := &fleet{now: time.Unix(1_800_000_000, 0), homes: []*Home{{}}}
+	for i := range daemons {
+		f.locals = append(f.locals, &Local{Daemon: string(rune('a' + i))})
+		f.skew = append(f.skew, time.Duration(i)*371*time.Millisecond)
+	}
+	return f
+}
+
+// clock is the time as a daemon sees it.
+func (f *fleet) clock(i int) time.Time { return f.now.Add(f.skew[i]) }
+
+func (f *fleet) wait(d time.Duration) { f.now = f.now.Add(d) }
+
+func (f *fleet) moveHome() {
+	f.homes = append(f.homes, &Home{})
+	f.home = len(f.homes) - 1
+}
+
+func (f *fleet) restart(i int) { f.locals[i] = &Local{Daemon: f.locals[i].Daemon, Serial: 1 << 30} }
+
+// call lets a daemon admit a call, and reports whether it may.
+func (f *fleet) call(i int, cost int64) bool {
+	if f.locals[i].Spend(f.clock(i), "acct", cost) {
+		return f.count(cost)
+	}
+	sent := f.clock(i)
+	ask := f.locals[i].Ask(sent, "acct", cost)
+	a := f.homes[f.home].Ask(f.now, ask, limit)
+	return f.take(i, sent, ask, a)
+}
+
+func (f *fleet) take(i int, sent time.Time, ask Ask, a Answer) bool {
+	if !f.locals[i].Take(f.clock(i), sent, ask, a) {
+		return false
+	}
+	return f.count(ask.Tokens)
+}
+
+func (f *fleet) count(cost int64) bool {
+	f.spent = append(f.spent, charge{f.now, cost})
+	return true
+}
+
+// exhaust has a daemon make calls until one is refused.
+func (f *fleet) exhaust(i int, cost int64) {
+	for f.call(i, cost) {
+	}
+}
+
+// most is the highest sum of tokens in any minute.
+func (f *fleet) most() int64 {
+	most, sum, first := int64(0), int64(0), 0
+	for _, c := range f.spent {
+		sum += c.tokens
+		for c.at.Sub(f.spent[first].at) >= Period {
+			sum -= f.spent[first].tokens
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// A limit that each daemon counted for itself would let an account use as many
+// times its limit as there are daemons; one that forgot too late would refuse
+// callers who are within it.
+func TestTokens(t *testing.T) {
+	cases := map[string]struct {
+		run   func(f *fleet)
+		most  int64 // the highest sum in a minute that is allowed
+		least int64 // what must have been let in
+	}{
+		"one daemon uses all": {
+			run:  func(f *fleet) { f.exhaust(0, 100) },
+			most: 6400, least: 6300,
+		},
+		"two daemons race for the last tokens": {
+			run: func(f *fleet) {
+				f.exhaust(0, 5900)
+				sent := f.now
+				one, two := f.locals[1].Ask(f.clock(1), "acct", 400), f.locals[2].Ask(f.clock(2), "acct", 400)
+				a, b := f.homes[0].Ask(f.now, one, limit), f.homes[0].Ask(f.now, two, limit)
+				f.take(1, sent.Add(f.skew[1]), one, a)
+				f.take(2, sent.Add(f.skew[2]), two, b)
+			},
+			most: 6400, least: 6300,
+		},
+		"slow callers get all": {
+			run: func(f *fleet) {
+				for n := range 64 {
+					f.call(n%3, 100)
+					f.wait(900 * time.Millisecond)
+				}
+			},
+			most: 6400, least: 6400,
+		},
+		"the minute rolls": {
+			run: func(f *fleet) {
+				for range 240 {
+					f.exhaust(0, 100)
+					f.exhaust(1, 100)
+					f.wait(time.Second)
+				}
+			},
+			most: 6400, least: 4*6400 - 600,
+		},
+		"an answer is lost": {
+			run: func(f *fleet) {
+				f.homes[0].Ask(f.now, f.locals[0].Ask(f.clock(0), "acct", 3200), limit)
+				f.exhaust(1, 100)
+				f.exhaust(2, 10)
+			},
+			most: 3200, least: 2900,
+		},
+		"an answer is late": {
+			run: func(f *fleet) {
+				sent := f.clock(0)
+				ask := f.locals[0].Ask(sent, "acct", 3200)
+				a := f.homes[0].Ask(f.now, ask, limit)
+				f.wait(BlockLife)
+				f.take(0, sent, ask, a)
+			},
+			most: 0, least: 0,
+		},
+		"an asker dies with a block": {
+			run: func(f *fleet) {
+				f.call(0, 100)
+				f.restart(0)
+				f.exhaust(0, 100)
+			},
+			most: 6400, least: 6100,
+		},
+		"the home dies and its askers tell the next": {
+			run: func(f *fleet) {
+				f.exhaust(0, 100)
+				f.moveHome()
+				f.exhaust(0, 100)
+				f.exhaust(1, 100)
+			},
+			most: 6400, least: 6300,
+		},
+		"the home dies and those who know are silent": {
+			run: func(f *fleet) {
+				f.exhaust(0, 100)
+				f.moveHome()
+				f.exhaust(1, 100)
+			},
+			most: 2 * 6400, least: 2 * 6300,
+		},
+		"the home moves and comes back": {
+			run: func(f *fleet) {
+				f.exhaust(0, 100)
+				f.moveHome()
+				f.call(1, 100)
+				f.home = 0
+				f.exhaust(2, 100)
+			},
+			most: 2 * 6400, least: 6400,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3)
+			c.run(f)
+			total := int64(0)
+			for _, s := range f.spent {
+				total += s.tokens
+			}
+			is.True(f.most() <= c.most)
+			is.True(total >= c.least)
+		})
+	}
+}
+
+// A caller that is refused comes back when it was told to. Were the hint too
+// early, it would be refused again and again; were it missing where the call
+// can never fit, it would come back for ever.
+func TestRetryIsHonest(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.exhaust(0, 100)
+	a := f.homes[0].Ask(f.now, f.locals[0].Ask(f.clock(0), "acct", 1000), limit)
+	is.True(!a.OK)
+	is.True(a.Retry > Period && a.Retry <= grantKeep+time.Second)
+	f.wait(a.Retry - time.Second)
+	is.True(!f.call(0, 1000))
+	f.wait(time.Second)
+	is.True(f.call(0, 1000))
+	never := f.homes[0].Ask(f.now, f.locals[0].Ask(f.clock(0), "acct", limit.Tokens+1), limit)
+	is.Equal(never, Answer{})
+}
+
+// While an account is over its limit its callers go on asking. If each of them
+// cost a message, a home would be busiest with those who get nothing.
+func TestDenied(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	l := f.locals[0]
+	l.Deny(f.now, "acct", 100, 20*time.Second)
+	is.Equal(l.Denied(f.now, "acct", 100), 20*time.Second)
+	is.Equal(l.Denied(f.now, "acct", 99), time.Duration(0)) // a smaller call may fit
+	f.wait(denyFor)
+	is.Equal(l.Denied(f.now, "acct", 100), time.Duration(0)) // time to ask again
+}
+
+func (f *fleet) open(i int, name string) bool {
+	ask, fresh := f.locals[i].Opening(f.clock(i), "acct", name)
+	if !fresh {
+		return true
+	}
+	if f.homes[f.home].Ask(f.now, ask, limit).OK {
+		f.locals[i].Opened(name)
+		f.opened++
+		return true
+	}
+	f.locals[i].Closed(name)
+	return false
+}
+
+func (f *fleet) report(i int) {
+	for _, a := range f.locals[i].Reports(f.clock(i)) {
+		f.homes[f.home].Ask(f.now, a, limit)
+	}
+}
+
+// An account may have four programs open. If daemons counted apart it would get
+// four at each; if ends were not told, none after a while.
+func TestPrograms(t *testing.T) {
+	cases := map[string]struct {
+		run    func(f *fleet)
+		opened int
+	}{
+		"four over all daemons": {
+			run: func(f *fleet) {
+				for _, n := range []string{"p", "q", "r", "s", "t", "u"} {
+					f.open(int(n[0])%3, n)
+				}
+			},
+			opened: 4,
+		},
+		"a repeat costs nothing": {
+			run: func(f *fleet) {
+				for range 9 {
+					f.open(0, "p")
+				}
+			},
+			opened: 1,
+		},
+		"an end makes room": {
+			run: func(f *fleet) {
+				for _, n := range []string{"p", "q", "r", "s"} {
+					f.open(0, n)
+				}
+				f.locals[0].Closed("p")
+				f.report(0)
+				f.open(1, "t")
+				f.open(2, "u")
+			},
+			opened: 5,
+		},
+		"a report is overtaken by an opening": {
+			run: func(f *fleet) {
+				f.open(0, "p")
+				old := f.locals[0].Reports(f.clock(0))
+				f.open(0, "q")
+				f.homes[0].Ask(f.now, old[0], limit)
+				f.open(1, "r")
+				f.open(1, "s")
+				f.open(2, "t")
+			},
+			opened: 4,
+		},
+		"an asker dies": {
+			run: func(f *fleet) {
+				for _, n := range []string{"p", "q", "r", "s"} {
+					f.open(0, n)
+				}
+				f.wait(openKeep)
+				f.open(1, "t") // still counted
+				f.wait(time.Second)
+				f.open(1, "u")
+			},
+			opened: 5,
+		},
+		"the home moves and hears the reports": {
+			run: func(f *fleet) {
+				f.open(0, "p")
+				f.open(1, "q")
+				f.open(1, "r")
+				f.moveHome()
+				f.report(0)
+				f.report(1)
+				f.open(2, "s")
+				f.open(2, "t")
+			},
+			opened: 4,
+		},
+		"the home moves before anybody reports": {
+			run: func(f *fleet) {
+				for _, n := range []string{"p", "q", "r", "s"} {
+					f.open(0, n)
+				}
+				f.moveHome()
+				for _, n := range []string{"a", "b", "c", "d", "e"} {
+					f.open(1, n)
+				}
+			},
+			opened: 8,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3)
+			c.run(f)
+			is.Equal(f.opened, c.opened)
+		})
+	}
+}
+
+// A caller repeats a call whose answer it lost. If each repeat were charged, a
+// bad line would use up an account.
+func TestChargedOnce(t *testing.T) {
+	is := is.New(t)
+	l := &Local{Daemon: "a"}
+	l.Charge("acct", "p", 0)
+	is.True(!l.Charged("acct", "p", 0)) // a program that is not counted
+	l.Adopt("acct", "p", 3)
+	is.True(l.Charged("acct", "p", 2))
+	is.True(!l.Charged("acct", "p", 3))
+	l.Charge("acct", "p", 5)
+	is.True(l.Charged("acct", "p", 5))
+	is.True(!l.Charged("acct", "p", 4)) // skipped numbers are not free
+	is.True(!l.Charged("acct", "p", 3))
+	l.Charge("acct", "p", 4)
+	is.True(l.Charged("acct", "p", 4))
+	l.Uncharge("p", 4)
+	is.True(!l.Charged("acct", "p", 4))
+	is.True(!l.Charged("other", "p", 5)) // another account's program
+	l.Charge("acct", "p", 500)
+	is.True(!l.Charged("acct", "p", 5)) // too old to be known
+}
+
+// Tens of thousands of accounts come and go. What is kept of those that are
+// idle would grow for as long as a daemon lives.
+func TestIdleAccountsAreFreed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.call(0, 100)
+	f.open(1, "p")
+	f.wait(grantKeep + 2*time.Second)
+	f.report(1)
+	f.homes[0].Trim(f.now)
+	is.Equal(f.homes[0].Len(), 1) // a program is open
+	f.locals[1].Closed("p")
+	f.report(0)
+	f.report(1)
+	f.wait(openKeep + time.Second)
+	f.homes[0].Trim(f.now)
+	is.Equal(f.homes[0].Len(), 0)
+	is.Equal(len(f.locals[0].accounts), 0)
+	is.Equal(len(f.locals[1].accounts), 0)
+}
--- /dev/null
+++ b/internal/prog/quota/random_test.go
@@ -0,0 +1,162 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// message is an ask under way to the home, or its answer under way back.
+type message struct {
+	from     int
+	sent     time.Time
+	ask      Ask
+	answer   Answer
+	answered bool
+}
+
+// Messages cross and get lost, clocks differ, daemons die and come back without
+// memory, and homes move. Whatever happens, no minute may see more than the
+// limit for each home that granted within it; if no home moved, that is the
+// limit itself.
+func TestAnyOrder(t *testing.T) {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		t.Fatal(err)
+	}
+	if err := flag.Set("rapid.checks", "300"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 6).Draw(rt, "daemons"))
+		moves := rapid.IntRange(0, 2).Draw(rt, "moves")
+		var under []message
+		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
+			i := rapid.IntRange(0, len(f.locals)-1).Draw(rt, "daemon")
+			switch rapid.SampledFrom([]string{"call", "call", "call", "carry", "carry", "carry", "lose", "wait", "tick", "restart", "move"}).Draw(rt, "step") {
+			case "call":
+				under = append(under, f.ask(i, int64(rapid.IntRange(1, 2000).Draw(rt, "cost")))...)
+			case "carry":
+				under = f.carry(under, rapid.IntRange(0, 50).Draw(rt, "message"))
+			case "lose":
+				if len(under) > 0 {
+					under = under[1:]
+				}
+			case "wait":
+				f.wait(time.Duration(rapid.IntRange(1, 8000).Draw(rt, "ms")) * time.Millisecond)
+			case "tick":
+				f.report(i)
+				f.homes[f.home].Trim(f.now)
+			case "restart":
+				if rapid.IntRange(0, 9).Draw(rt, "seldom") == 0 {
+					f.restart(i)
+				}
+			case "move":
+				if len(f.homes) <= moves {
+					f.moveHome()
+				}
+			}
+		}
+		if most := f.most(); most > limit.Tokens*int64(len(f.homes)) {
+			rt.Fatalf("%d tokens in a minute after %d homes", most, len(f.homes))
+		}
+	})
+}
+
+// ask admits a call out of the block, or puts an ask on its way.
+func (f *fleet) ask(i int, cost int64) []message {
+	now := f.clock(i)
+	if f.locals[i].Spend(now, "acct", cost) {
+		f.count(cost)
+		return nil
+	}
+	return []message{{from: i, sent: now, ask: f.locals[i].Ask(now, "acct", cost)}}
+}
+
+// carry brings one message to its end, in any order.
+func (f *fleet) carry(under []message, at int) []message {
+	if len(under) == 0 {
+		return under
+	}
+	at %= len(under)
+	l := under[at]
+	rest := append(append([]message(nil), under[:at]...), under[at+1:]...)
+	if !l.answered {
+		l.answer, l.answered = f.homes[f.home].Ask(f.now, l.ask, limit), true
+		return append(rest, l)
+	}
+	f.take(l.from, l.sent, l.ask, l.answer)
+	return rest
+}
+
+// Daemons that always ask the same home must get nearly the whole limit minute
+// after minute: were the home to take an asker's report of its own grants for
+// news, it would count them twice, and the account would get half.
+func TestLimitIsReached(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5)
+	for range 600 * 4 {
+		for i := range f.locals {
+			f.exhaust(i, 37)
+		}
+		f.wait(250 * time.Millisecond)
+	}
+	total := int64(0)
+	for _, c := range f.spent {
+		total += c.tokens
+	}
+	is.True(f.most() <= limit.Tokens)
+	is.True(total >= 10*limit.Tokens*85/100)
+	t.Logf("%d of %d tokens in ten minutes", total, 10*limit.Tokens)
+}
+
+func BenchmarkSpend(b *testing.B) {
+	now := time.Unix(1_800_000_000, 0)
+	l := Local{Daemon: "a"}
+	l.Take(now, now, Ask{Account: "acct"}, Answer{OK: true, Tokens: 1 << 60})
+	b.ReportAllocs()
+	for b.Loop() {
+		if !l.Spend(now, "acct", 100) {
+			b.Fatal("refused")
+		}
+	}
+}
+
+func BenchmarkAsk(b *testing.B) {
+	now := time.Unix(1_800_000_000, 0)
+	h := Home{}
+	a := Ask{Account: "acct", Daemon: "a", Tokens: 100}
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Serial++
+		now = now.Add(time.Millisecond)
+		h.Ask(now, a, Limit{Tokens: 1 << 60})
+	}
+}
+
+// BenchmarkMemory measures the bytes of one account at its home, with one
+// daemon that asked in each of ten seconds of a minute.
+func BenchmarkMemory(b *testing.B) {
+	const accounts = 10_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		h := Home{}
+		now := time.Unix(1_800_000_000, 0)
+		for range 10 {
+			for i := range accounts {
+				h.Ask(now, Ask{Account: fmt.Sprint("acct-", i), Daemon: "a", Tokens: 1}, limit)
+			}
+			now = now.Add(6 * time.Second)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/accounts, "B/account")
+		runtime.KeepAlive(&h)
+	}
+}
