--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/edge/relay"
 	"github.com/slaterock/slaterock/internal/edge/server"
+	"github.com/slaterock/slaterock/internal/node/guard"
 	"github.com/slaterock/slaterock/internal/node/host"
 	"github.com/slaterock/slaterock/internal/node/placer"
 	"github.com/slaterock/slaterock/internal/node/send"
@@ -73,6 +74,7 @@
 		gossip gossip.Gossip
 		link   link.Link
 		shards shards.Shards
+		guard  guard.Guard
 		placer placer.Placer
 		server server.Server
 		relay  relay.Relay
@@ -154,6 +156,7 @@
 	work.Go(func() { d.failed(stop, d.link.Serve(ctx, d.Peers)) })
 	work.Go(func() { _ = d.keeper.Serve(ctx) })
 	work.Go(func() { d.shards.Serve(ctx) })
+	work.Go(func() { d.guard.Serve(ctx) })
 	work.Go(func() { d.failed(stop, d.server.Serve(d.Listen)) })
 	select {
 	case <-ctx.Done():
@@ -229,6 +232,7 @@
 		})
 	}
 	d.assemblePeers(ctx)
+	d.assembleGuard()
 	d.assembleShards(ctx)
 	d.assembleEdge(ctx)
 	d.keeper.Self = watch.Member{Name: d.self.Name, Peer: d.self.Peer}
@@ -304,6 +308,7 @@
 		Owned:       func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
 		Offer:       d.offer,
 		Tell:        d.report,
+		Guard:       &d.guard,
 	}
 	d.shards.Init()
 	d.placer = placer.Placer{
--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -134,8 +134,9 @@
 	if !c.clean && taken.Epoch > 1 {
 		h.Hold = time.Now().Add(graceTime)
 	}
+	w := &ward{Host: h, key: c, since: time.Now(), open: open(taken.Fold)}
 	h.Start(life)
-	return &ward{Host: h, key: c, since: time.Now()}, nil
+	return w, nil
 }
 
 // claim writes the shard's key under the lease.
@@ -181,6 +182,8 @@
 	s.mu.Unlock()
 	s.Log.Info().Int("shard", m.shard).Uint64("epoch", m.w.Epoch()).Int("entries_read", m.w.Taken.Read).Bool("clean", m.w.key.clean).Msg("shard taken")
 	s.tellConfig()
+	s.adopt(m.w.open)
+	m.w.open = nil
 	s.stepAssign(ctx, assign.Claimed{Shard: m.shard, OK: true})
 	s.tellLease()
 	s.Owned(s.List())
