--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,6 +162,7 @@
 	for n, w := range s.hosts {
 		out = append(out, beat.Shard{Shard: n, Epoch: w.Epoch()})
 	}
+	slices.SortFunc(out, func(a, b beat.Shard) int { return a.Shard - b.Shard })
 	return out
 }
 
