--- a/internal/conf/file/parse.go
+++ b/internal/conf/file/parse.go
@@ -177,7 +177,7 @@
 		KeyHash:         hash,
 		Operator:        s.Bool("operator", false),
 		MaxPrograms:     int(s.Int("max_programs", 1_000, 1, maxCount)),
-		TokensPerMinute: s.Int("tokens_per_minute", 1_000_000, 1, 1_000_000_000_000),
+		TokensPerMinute: s.Int("tokens_per_minute", 0, 0, 1_000_000_000_000),
 	}
 }
 
