owner: keep long texts in data folders

A call that ends with texts above the bound waits in a phase of its own until they are in two folders, then its record names them.

--- a/internal/edge/report/report.go
+++ b/internal/edge/report/report.go
@@ -67,6 +67,7 @@
 	r.attempts(c)
 	r.text("asked", c.Asked)
 	r.text("answer", string(c.Result.Body))
+	r.text("note", c.Note)
 }
 
 func (r *Report) attempts(c hist.Call) {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/plat/tool"
 	"github.com/slaterock/slaterock/internal/plat/vmlist"
+	"github.com/slaterock/slaterock/internal/shard/shelf"
 )
 
 const (
@@ -69,6 +70,7 @@
 		gossip gossip.Gossip
 		link   link.Link
 		shards shards.Shards
+		shelf  shelf.Shelf
 		placer placer.Placer
 		server server.Server
 		relay  relay.Relay
@@ -221,6 +223,7 @@
 		})
 	}
 	d.assemblePeers(ctx)
+	d.assembleFolder()
 	d.assembleShards(ctx)
 	d.assembleEdge(ctx)
 	d.keeper.Self = watch.Member{Name: d.self.Name, Peer: d.self.Peer}
@@ -285,6 +288,8 @@
 		Place:    func(h *host.Host, m sched.Message) { d.placer.Tell(ctx, h, m) },
 		Ended:    d.ended,
 		Owned:    func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
+		Peers:    &d.shelf,
+		Domain:   d.self.FailureDomain,
 		Offer:    d.offer,
 		Tell:     d.report,
 	}
--- /dev/null
+++ b/internal/node/daemon/folder.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/shard/blobs"
+	"github.com/slaterock/slaterock/internal/shard/shelf"
+)
+
+var errNoPeer = errors.New("daemon: no such daemon is known")
+
+// assembleFolder offers this daemon's data folder to the others, if it has one,
+// and reaches theirs.
+func (d *Daemon) assembleFolder() {
+	d.shelf = shelf.Shelf{Name: d.self.Name, Invoke: d.invoke}
+	if dir := d.Settings.Daemon.DataFolder; dir != "" {
+		d.shelf.Folder = &blobs.Folder{Dir: dir}
+	}
+	d.link.Handle(shelf.Method, d.shelf.Serve)
+}
+
+// invoke calls a method at the daemon of that name.
+func (d *Daemon) invoke(ctx context.Context, to, method string, params, out any) error {
+	for _, m := range d.gossip.Members() {
+		if m.Name == to {
+			return d.link.Peer(m.Peer).Invoke(ctx, method, params, out)
+		}
+	}
+	return errNoPeer
+}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -18,6 +18,7 @@
 
 	"github.com/slaterock/slaterock/internal/node/feed"
 	"github.com/slaterock/slaterock/internal/obs/trace"
+	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/prog/call"
@@ -27,6 +28,7 @@
 	"github.com/slaterock/slaterock/internal/prog/runner"
 	"github.com/slaterock/slaterock/internal/prog/state"
 	"github.com/slaterock/slaterock/internal/shard/boot"
+	"github.com/slaterock/slaterock/internal/shard/bulk"
 	"github.com/slaterock/slaterock/internal/shard/chain"
 	"github.com/slaterock/slaterock/internal/shard/owner"
 )
@@ -61,6 +63,10 @@
 		Trace   *trace.Trace
 		Go      func(f func()) // runs f on the daemon's pool, or at once elsewhere
 		Rand    func() uint64
+		// Peers reaches the data folders; Domain is the daemon's own failure
+		// domain.
+		Peers  bulk.Peers
+		Domain string
 
 		machine  owner.Owner
 		mail     chan any
@@ -80,6 +86,10 @@
 		savedAt  uint64
 		saving   bool
 		fenced   bool
+		bulk     *bulk.Bulk             // nil while no data folder is known
+		folders  map[string]beat.Member // daemons with a data folder
+		movedMu  sync.Mutex
+		moved    []hist.Blob // with new holders, for the journal
 	}
 
 	ticket struct {
@@ -107,6 +117,12 @@
 	h.savedAt = h.Taken.Snap.Head.Upto
 	h.machine = owner.Owner{Fold: h.Taken.Fold, Hold: h.Hold}
 	h.machine.Chain = chain.Chain{Shard: h.Shard, Epoch: h.Taken.Epoch, Owner: h.Name, Next: h.Taken.Next, Rand: h.Rand}
+	if len(h.machine.Fold.Older)+len(h.machine.Fold.Texts) > 0 {
+		h.mu.Lock()
+		h.startBulk()
+		h.mu.Unlock()
+	}
+	h.machine.Fold.Older, h.Taken.Fold.Older = nil, nil // bulk knows them now
 	go h.run()
 }
 
@@ -156,6 +172,7 @@
 		case m := <-h.mail:
 			h.handle(m)
 		case <-t.C:
+			h.tellMoved()
 			h.step(owner.Tick{})
 		}
 	}
@@ -198,6 +215,10 @@
 	case owner.Reply:
 		h.recorded(e.Request)
 		h.reply(e.Ticket, e.Result)
+	case owner.Keep:
+		h.Go(func() { h.keep(e) })
+	case owner.Unkeep:
+		h.unkeep(e.Blob)
 	case owner.Recall:
 		h.Go(func() { h.recall(e) })
 	case owner.Log:
--- a/internal/node/host/look.go
+++ b/internal/node/host/look.go
@@ -13,7 +13,6 @@
 	"github.com/slaterock/slaterock/internal/prog/runner"
 	"github.com/slaterock/slaterock/internal/shard/fold"
 	"github.com/slaterock/slaterock/internal/shard/owner"
-	"github.com/slaterock/slaterock/internal/shard/past"
 )
 
 type (
@@ -41,7 +40,7 @@
 func (h *Host) recall(e owner.Recall) {
 	ctx, stop := context.WithTimeout(h.ctx, storeTimeout)
 	defer stop()
-	c, ok, err := past.Past{Store: h.Store, Shard: h.Shard}.Call(ctx, e.Program, e.Number, e.Entries)
+	c, ok, err := h.journal().Call(ctx, e.Program, e.Number, e.Entries)
 	switch {
 	case err != nil:
 		h.reply(e.Ticket, result.Refuse(result.CodeStoreDown, "the recorded outcome can't be read now").WithRetryAfter(storeTimeout))
@@ -65,7 +64,7 @@
 		}
 		refs.Programs = g.Programs
 	}
-	hs, err := past.Past{Store: h.Store, Shard: h.Shard}.Family(ctx, refs.Programs)
+	hs, err := h.journal().Family(ctx, refs.Programs)
 	if err != nil {
 		return hist.History{}, unread(err)
 	}
@@ -76,6 +75,9 @@
 	if !ok || account != "" && p.Account != account {
 		return hist.History{}, notFound()
 	}
+	read, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	h.journal().Fill(read, &p)
 	return p, result.Result{Code: result.CodeOK, Ran: result.Yes, Status: 200}
 }
 
--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -129,6 +129,8 @@
 		Log:     s.Ended,
 		Go:      s.Go,
 		Rand:    s.Rand,
+		Peers:   s.Peers,
+		Domain:  s.Domain,
 		Proved:  func(h *host.Host) { s.Go(func() { s.post(life, provedMessage{h}) }) },
 	}
 	if !c.clean && taken.Epoch > 1 {
@@ -183,6 +185,7 @@
 	s.Log.Info().Int("shard", m.shard).Uint64("epoch", m.w.Epoch()).Int("entries_read", m.w.Taken.Read).Bool("clean", m.w.key.clean).Msg("shard taken")
 	m.w.Tell(owner.Configure{File: cfg})
 	m.w.Tell(pace(cfg))
+	m.w.Folders(s.folders)
 	s.stepAssign(ctx, assign.Claimed{Shard: m.shard, OK: true})
 	s.tellLease()
 	s.Owned(s.List())
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -21,6 +21,7 @@
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/shard/assign"
+	"github.com/slaterock/slaterock/internal/shard/bulk"
 	"github.com/slaterock/slaterock/internal/shard/lease"
 	"github.com/slaterock/slaterock/internal/shard/owner"
 )
@@ -53,7 +54,10 @@
 		Place    func(h *host.Host, m sched.Message)
 		Ended    func(l owner.Log)
 		Owned    func(s []beat.Shard)
-		Offer    func(ctx context.Context, to beat.Member, shard int) error
+		// Peers reaches data folders; Domain is this daemon's failure domain.
+		Peers  bulk.Peers
+		Domain string
+		Offer  func(ctx context.Context, to beat.Member, shard int) error
 		// Tell reports an attempt to whoever owns its shard now.
 		Tell func(ctx context.Context, r host.Report) (host.Receipt, error)
 
@@ -67,6 +71,8 @@
 		mu    sync.RWMutex
 		cfg   file.File
 		hosts map[int]*ward
+
+		folders []beat.Member // with a data folder, as the hosts were told
 	}
 
 	// ward is one shard owned here.
@@ -252,7 +258,9 @@
 
 func (s *Shards) tick(ctx context.Context) {
 	s.stepLease(ctx, lease.Tick{})
-	s.stepAssign(ctx, assign.View{Members: s.Members()})
+	members := s.Members()
+	s.stepAssign(ctx, assign.View{Members: members})
+	s.tellFolders(members)
 	s.stepAssign(ctx, assign.Tick{})
 	s.tellLease()
 }
--- a/internal/prog/hist/hist.go
+++ b/internal/prog/hist/hist.go
@@ -29,22 +29,36 @@
 	// Call is one call of the program with its outcome. A call under way has
 	// a result without code.
 	Call struct {
-		Request string        `json:"request"`
-		Number  int           `json:"call"`
-		Kind    call.Kind     `json:"kind"`
-		Target  string        `json:"target"`           // model, or service and path
-		Digest  string        `json:"digest"`           // SHA-256 of the request's body, hex
-		Size    int           `json:"size"`             // of the request's body, bytes
-		Shared  int           `json:"shared,omitempty"` // leading messages as in the program's model call before; Asked has the rest
-		Asked   string        `json:"asked,omitempty"`
-		Tries   []Try         `json:"attempts"`
-		Result  result.Result `json:"result"`
-		Before  int64         `json:"budget_before"`
-		After   int64         `json:"budget_after"`
-		Config  uint64        `json:"config_version"`
-		Epoch   uint64        `json:"epoch"`
-		Start   time.Time     `json:"start"`
-		End     time.Time     `json:"end,omitzero"`
+		Request string    `json:"request"`
+		Number  int       `json:"call"`
+		Kind    call.Kind `json:"kind"`
+		Target  string    `json:"target"`           // model, or service and path
+		Digest  string    `json:"digest"`           // SHA-256 of the request's body, hex
+		Size    int       `json:"size"`             // of the request's body, bytes
+		Shared  int       `json:"shared,omitempty"` // leading messages as in the program's model call before; Asked has the rest
+		Asked   string    `json:"asked,omitempty"`
+		// AskedIn and AnswerIn say where Asked and the result's body are if
+		// they were too long for the journal; the journal has them empty then.
+		AskedIn  *Blob `json:"asked_in,omitempty"`
+		AnswerIn *Blob `json:"answer_in,omitempty"`
+		// Note tells a reader that a text can't be read now, and why.
+		Note string `json:"note,omitempty"`
+
+		Tries  []Try         `json:"attempts"`
+		Result result.Result `json:"result"`
+		Before int64         `json:"budget_before"`
+		After  int64         `json:"budget_after"`
+		Config uint64        `json:"config_version"`
+		Epoch  uint64        `json:"epoch"`
+		Start  time.Time     `json:"start"`
+		End    time.Time     `json:"end,omitzero"`
+	}
+
+	// Blob is a text that is kept in data folders.
+	Blob struct {
+		Digest  string   `json:"digest"` // SHA-256 of the text, hex
+		Size    int      `json:"size"`   // bytes
+		Holders []string `json:"holders"`
 	}
 
 	// Try is one attempt at one upstream.
--- a/internal/prog/record/codec.go
+++ b/internal/prog/record/codec.go
@@ -73,6 +73,7 @@
 	kindEnded    = "ended"
 	kindMoved    = "moved"
 	kindClosed   = "closed"
+	kindHolders  = "holders"
 	kindPiece    = "piece"
 )
 
@@ -223,6 +224,8 @@
 		return kindMoved
 	case Closed:
 		return kindClosed
+	case Holders:
+		return kindHolders
 	}
 	return ""
 }
@@ -243,6 +246,8 @@
 		return decode[Moved](u.Body)
 	case kindClosed:
 		return decode[Closed](u.Body)
+	case kindHolders:
+		return decode[Holders](u.Body)
 	}
 	return nil, &CorruptError{Reason: fmt.Sprintf("unknown kind %q", u.Kind)}
 }
--- a/internal/prog/record/codec_test.go
+++ b/internal/prog/record/codec_test.go
@@ -19,7 +19,13 @@
 	c := hist.Call{Request: "r", Number: 2, Kind: call.Service, Target: "receipts/issue", Digest: "d", Size: 9, Asked: "kg", Start: at, End: at}
 	c.Tries = []hist.Try{{Upstream: "ledger", Start: at, End: at, Ended: "ok"}}
 	c.Result = result.Result{Code: result.CodeOK, Ran: result.Yes, Status: 200, Body: []byte("receipt")}
+	kept := c
+	kept.Asked, kept.Result.Body = "", nil
+	kept.AskedIn = &hist.Blob{Digest: "d1", Size: 9000, Holders: []string{"a", "b"}}
+	kept.AnswerIn = &hist.Blob{Digest: "d2", Size: 7000, Holders: []string{"b", "c"}}
 	return map[string]record.Record{
+		"kept":     record.Ended{Program: "p", Call: kept, Tokens: 4, Final: true, Head: true},
+		"holders":  record.Holders{Blob: *kept.AskedIn},
 		"took":     record.Took{Epoch: 3, Owner: "a", At: at},
 		"opened":   record.Opened{Open: call.Open{Account: "x", Program: "p"}, Budget: 10, Reserved: 5, At: at},
 		"reserved": record.Reserved{Program: "p", Total: 7},
--- a/internal/prog/record/record.go
+++ b/internal/prog/record/record.go
@@ -73,6 +73,12 @@
 		Hold    int64     `json:"hold"`
 	}
 
+	// Holders tells where a text is that the journal refers to already: a
+	// holder was lost and the text was copied to another.
+	Holders struct {
+		Blob hist.Blob `json:"blob"`
+	}
+
 	// Closed ends a program.
 	Closed struct {
 		Program string    `json:"program"`
@@ -99,5 +105,8 @@
 // Subject is the calling program.
 func (r Moved) Subject() string { return r.Program }
 
+// Subject is empty: programs of the shard with the same text share a blob.
+func (Holders) Subject() string { return "" }
+
 // Subject is the program that ended.
 func (r Closed) Subject() string { return r.Program }
--- a/internal/prog/state/state.go
+++ b/internal/prog/state/state.go
@@ -57,6 +57,13 @@
 		Bytes  int `json:"bytes"` // of the request's body
 	}
 
+	// Text is a text in data folders. Entry is the journal entry that told of
+	// it last.
+	Text struct {
+		Blob  hist.Blob
+		Entry uint64
+	}
+
 	// Fold is the durable state of a shard up to and with entry Upto.
 	Fold struct {
 		Upto     uint64              `json:"upto"`
@@ -64,6 +71,14 @@
 		Owner    string              `json:"owner"`
 		Programs map[string]*Program `json:"programs"`
 
+		// Texts has the texts in data folders that records after the newest
+		// snapshot refer to, by digest, and Older those that the snapshot
+		// named when it was loaded. Older serves a takeover alone: whoever
+		// looks after the texts takes them from it, and an owner that goes on
+		// without it holds no list that grows with the history.
+		Texts map[string]Text      `json:"-"`
+		Older map[string]hist.Blob `json:"-"`
+
 		// Gone has the hash of each root program that ended and left memory
 		// with all its sub-agents, and the position of the index value that
 		// knows the family's journal entries.
@@ -86,6 +101,9 @@
 	case record.Took:
 		f.Epoch, f.Owner = r.Epoch, r.Owner
 		return nil
+	case record.Holders:
+		f.refer(n, &r.Blob)
+		return nil
 	case record.Opened:
 		f.open(r)
 	}
@@ -131,6 +149,8 @@
 		if p.Moved != nil && p.Moved.Call.Request == r.Call.Request {
 			p.Moved = nil
 		}
+		f.refer(p.Entries[len(p.Entries)-1], r.Call.AskedIn)
+		f.refer(p.Entries[len(p.Entries)-1], r.Call.AnswerIn)
 		p.ended(r)
 		if root := f.Programs[call.Root(r.Program)]; root != nil {
 			root.Spent += r.Tokens
@@ -141,6 +161,35 @@
 	}
 }
 
+// refer notes that entry n refers to a text, or has new holders of it.
+func (f *Fold) refer(n uint64, b *hist.Blob) {
+	if b == nil {
+		return
+	}
+	if f.Texts == nil {
+		f.Texts = map[string]Text{}
+	}
+	f.Texts[b.Digest] = Text{Blob: *b, Entry: n}
+}
+
+// Named forgets the texts that a snapshot up to entry upto names.
+func (f *Fold) Named(upto uint64) {
+	maps.DeleteFunc(f.Texts, func(_ string, t Text) bool { return t.Entry <= upto })
+}
+
+// Known calls each for every text that the journal refers to, each text once.
+// It is complete only before Older is let go.
+func (f *Fold) Known(each func(b hist.Blob)) {
+	for digest, b := range f.Older {
+		if _, newer := f.Texts[digest]; !newer {
+			each(b)
+		}
+	}
+	for _, t := range f.Texts {
+		each(t.Blob)
+	}
+}
+
 func (p *Program) ended(r record.Ended) {
 	c := r.Call
 	delete(p.Intents, c.Number)
@@ -153,8 +202,8 @@
 	}
 	p.Next = c.Number + 1
 	p.Last, p.Final, p.Dropped = c, r.Final, false
-	p.Last.Asked = ""
-	if len(c.Result.Body) > KeepBody {
+	p.Last.Asked, p.Last.AskedIn = "", nil
+	if len(c.Result.Body) > KeepBody || c.AnswerIn != nil {
 		p.Last.Result.Body, p.Dropped = nil, true
 	}
 	if c.Kind == call.Model && c.Result.OK() {
@@ -172,7 +221,8 @@
 		q.Intents = maps.Clone(p.Intents)
 		c.Programs[id] = &q
 	}
-	c.Gone = nil
+	c.Texts = maps.Clone(f.Texts)
+	c.Older, c.Gone = nil, nil
 	return c
 }
 
--- a/internal/shard/bulk/bulk.go
+++ b/internal/shard/bulk/bulk.go
@@ -18,6 +18,9 @@
 
 const (
 	callTimeout = 30 * time.Second
+	// readTimeout is how long one holder may take to answer a reader. One that
+	// hangs must not use up the reader's time, as the other may have the text.
+	readTimeout = 2 * time.Second
 	pageSize    = 1000 // digests of one page of a holder's list
 )
 
@@ -128,7 +131,7 @@
 		if !ok {
 			return nil, ErrUnreadable
 		}
-		text, err := b.Peers.Get(ctx, from, b.Shard, d)
+		text, err := b.get(ctx, from, d)
 		if err == nil && blobs.Sum(text) == d {
 			return text, nil
 		}
@@ -140,6 +143,12 @@
 	return nil, ctx.Err()
 }
 
+func (b *Bulk) get(ctx context.Context, from string, d blobs.Digest) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return b.Peers.Get(ctx, from, b.Shard, d)
+}
+
 func (b *Bulk) source(d blobs.Digest, tried []string) (from string, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/shard/fold/fold.go
+++ b/internal/shard/fold/fold.go
@@ -38,8 +38,9 @@
 		Upto  uint64   `json:"upto"` // the newest journal entry in the snapshot
 		Epoch uint64   `json:"epoch"`
 		Owner string   `json:"owner"`
-		Parts []string `json:"parts"` // keys of the programs
-		Index []string `json:"index"` // keys of the families that ended
+		Parts []string `json:"parts"`           // keys of the programs
+		Index []string `json:"index"`           // keys of the families that ended
+		Texts []string `json:"texts,omitempty"` // keys of the texts in data folders
 	}
 
 	// Gone is a family that ended.
@@ -56,7 +57,8 @@
 		Head  Head
 		Rev   store.Rev // of the head as last read or written, 0 if there is none
 
-		old []string // keys that the head has stopped naming
+		old  []string // keys that the head has stopped naming
+		anew bool     // the next snapshot names all texts again
 	}
 
 	part struct {
@@ -85,9 +87,13 @@
 	if h.Index, at, err = s.writeIndex(ctx, f.Upto, gone); err != nil {
 		return nil, err
 	}
+	if h.Texts, err = s.writeTexts(ctx, f); err != nil {
+		return nil, err
+	}
 	if err = s.swap(ctx, h); err != nil {
 		return nil, err
 	}
+	s.anew = false
 	s.sweep(ctx)
 	return at, nil
 }
@@ -249,8 +255,9 @@
 	if err != nil {
 		return err
 	}
-	for _, k := range append(slices.Clone(s.Head.Parts), s.Head.Index...) {
-		if !slices.Contains(h.Parts, k) && !slices.Contains(h.Index, k) {
+	named := slices.Concat(h.Parts, h.Index, h.Texts)
+	for _, k := range slices.Concat(s.Head.Parts, s.Head.Index, s.Head.Texts) {
+		if !slices.Contains(named, k) {
 			s.old = append(s.old, k)
 		}
 	}
@@ -314,7 +321,7 @@
 			f.Gone[g.Hash] = uint32(i)
 		}
 	}
-	return f, nil
+	return f, s.loadTexts(ctx, &f)
 }
 
 // Find reads the family with the given hash from the index value at a
--- a/internal/shard/owner/call.go
+++ b/internal/shard/owner/call.go
@@ -20,6 +20,7 @@
 	waitHold                // for a former owner's time to be over
 	waitPlace               // for an upstream
 	waitAnswer              // an attempt is under way
+	waitKeep                // for its texts to be in data folders
 	waitCommit              // for its outcome to be committed
 
 	maxEarly  = 16
@@ -58,6 +59,8 @@
 		moved    bool // its attempt is under way at the former owner's daemon
 		result   result.Result
 		final    bool
+		told     *hist.Call // its outcome, while its texts are being kept
+		keep     uint64     // the Keep that waitKeep waits for
 	}
 )
 
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -6,6 +6,7 @@
 
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/prog/state"
@@ -17,7 +18,6 @@
 // complete is in the history.
 func (o *Owner) finish(now time.Time, r *run, res result.Result) {
 	p := r.prog
-	head := p.current == r
 	if n := len(r.tries); n > 0 {
 		res.Upstream = r.tries[n-1].Upstream
 	}
@@ -32,11 +32,21 @@
 		h.Asked = ""
 	}
 	o.remember(r, res)
+	if o.keep(now, r, h) {
+		return
+	}
+	o.record(now, r, h)
+}
+
+// record writes the outcome down and lets the program's next call run.
+func (o *Owner) record(now time.Time, r *run, h hist.Call) {
+	p, res := r.prog, r.result
+	head := p.current == r
 	r.seq = o.add(record.Ended{Program: p.id, Call: h, Tokens: r.cost, Final: r.final, Head: head})
 	r.phase = waitCommit
 	r.deadline = now.Add(commitWait)
 	o.emit(Log{Account: p.open.Account, Program: p.id, Call: h})
-	o.reserveAhead(root, r)
+	o.reserveAhead(p.root, r)
 	if res.Ran == result.No {
 		o.answer(r)
 		delete(o.runs, r.call.Request)
@@ -161,6 +171,9 @@
 		if r.phase == waitIntent && o.Chain.Drop(r.seq) {
 			o.queue = slices.DeleteFunc(o.queue, func(p pending) bool { return p.seq == r.seq })
 		}
+	case waitKeep:
+		o.inline(now, r)
+		return
 	case waitCommit:
 		return
 	case waitOrder, waitHold:
@@ -274,7 +287,7 @@
 		if r.prog.last == r {
 			r.prog.last = nil
 		}
-	case waitOrder, waitHold, waitPlace, waitAnswer:
+	case waitOrder, waitHold, waitPlace, waitAnswer, waitKeep:
 	}
 }
 
@@ -291,6 +304,7 @@
 
 // saved forgets families that have ended and stand in the snapshot's index.
 func (o *Owner) saved(m Saved) {
+	o.Fold.Named(m.Upto)
 	if o.Fold.Gone == nil {
 		o.Fold.Gone = map[uint64]uint32{}
 	}
--- a/internal/shard/owner/history_test.go
+++ b/internal/shard/owner/history_test.go
@@ -34,7 +34,8 @@
 		}
 	}
 	t.Logf("%d histories: %+v", *histories, sum)
-	if sum.takeovers <= *histories || sum.fenced == 0 || sum.handovers == 0 || sum.lost == 0 || sum.crashes == 0 || sum.saves == 0 {
+	if sum.takeovers <= *histories || sum.fenced == 0 || sum.handovers == 0 || sum.lost == 0 || sum.crashes == 0 || sum.saves == 0 ||
+		sum.kept == 0 || sum.late == 0 || sum.recalled == 0 {
 		t.Errorf("the histories lack the faults that they are for: %+v", sum)
 	}
 }
@@ -47,4 +48,7 @@
 	s.lost += o.lost
 	s.saves += o.saves
 	s.replies += o.replies
+	s.kept += o.kept
+	s.late += o.late
+	s.recalled += o.recalled
 }
--- a/internal/shard/owner/move.go
+++ b/internal/shard/owner/move.go
@@ -31,6 +31,8 @@
 		switch r.phase {
 		case waitAnswer:
 			o.add(record.Moved{Program: r.prog.id, Call: o.history(r), Service: r.call.Service, Hold: r.hold})
+		case waitKeep:
+			o.inline(now, r)
 		case waitCommit:
 		case waitIntent, waitBudget, waitOrder, waitHold, waitPlace:
 			o.turnAway(now, r)
--- a/internal/shard/owner/owner.go
+++ b/internal/shard/owner/owner.go
@@ -90,6 +90,21 @@
 		Why         string        `json:"why"`
 	}
 
+	// Keeping tells whether there are data folders in two failure domains, so
+	// that a long text need not go into the journal.
+	Keeping struct{ On bool }
+
+	// Kept answers a Keep: where the texts are. A nil one goes into the
+	// journal itself.
+	Kept struct {
+		ID            uint64
+		Request       string
+		Asked, Answer *hist.Blob
+	}
+
+	// Held tells that a text that the journal refers to has other holders now.
+	Held struct{ Blob hist.Blob }
+
 	// Journal is the store's answer to a Write or a Read.
 	Journal struct{ Message chain.Message }
 
@@ -159,6 +174,17 @@
 		Result  result.Result
 	}
 
+	// Keep has the texts of a call that ended put into data folders; nil is
+	// none. It ends with Kept, within KeepWait.
+	Keep struct {
+		ID            uint64
+		Request       string
+		Asked, Answer []byte
+	}
+
+	// Unkeep gives a text up that was kept too late to be referred to.
+	Unkeep struct{ Blob hist.Blob }
+
 	// Recall ends a waiting caller's request with an outcome that has left
 	// memory and stands in one of the journal's entries.
 	Recall struct {
@@ -209,6 +235,8 @@
 		effs       []Effect
 		accounts   map[string]*usage
 		stalledNow bool
+		keeping    bool
+		keeps      uint64 // number of the newest Keep
 	}
 
 	waiter struct {
@@ -232,6 +260,9 @@
 func (Assigned) message()  {}
 func (Refused) message()   {}
 func (Tried) message()     {}
+func (Keeping) message()   {}
+func (Kept) message()      {}
+func (Held) message()      {}
 func (Journal) message()   {}
 func (Saved) message()     {}
 func (Verify) message()    {}
@@ -246,6 +277,8 @@
 func (Stop) effect()     {}
 func (Join) effect()     {}
 func (Reply) effect()    {}
+func (Keep) effect()     {}
+func (Unkeep) effect()   {}
 func (Recall) effect()   {}
 func (Log) effect()      {}
 func (Saving) effect()   {}
@@ -279,6 +312,12 @@
 		o.refused(now, m.Refuse)
 	case Tried:
 		o.tried(now, m)
+	case Keeping:
+		o.keeping = m.On
+	case Kept:
+		o.kept(now, m)
+	case Held:
+		o.add(record.Holders{Blob: m.Blob})
 	case Journal:
 		o.journal(now, m.Message)
 	case Saved:
--- a/internal/shard/owner/tick.go
+++ b/internal/shard/owner/tick.go
@@ -70,7 +70,7 @@
 	for _, r := range o.runs {
 		late := !r.deadline.IsZero() && !now.Before(r.deadline)
 		lonely := !r.alone.IsZero() && now.Sub(r.alone) >= aloneTime && o.idempotent(r)
-		if late || lonely && r.phase != waitCommit {
+		if late || lonely && r.phase != waitCommit && r.phase != waitKeep {
 			rs = append(rs, r)
 		}
 	}
@@ -91,6 +91,10 @@
 	if o.runs[r.call.Request] != r {
 		return
 	}
+	if r.phase == waitKeep {
+		o.inline(now, r)
+		return
+	}
 	if r.moved && !now.Before(r.deadline) {
 		o.orphaned(now, r)
 		return
@@ -110,7 +114,7 @@
 		o.abandon(now, r, result.CodeStoreDown, "the platform's store does not answer; nothing was run")
 	case waitHold:
 		o.ask(now, r)
-	case waitPlace, waitAnswer, waitCommit:
+	case waitPlace, waitAnswer, waitKeep, waitCommit:
 	}
 }
 
--- a/internal/shard/owner/world_test.go
+++ b/internal/shard/owner/world_test.go
@@ -13,9 +13,9 @@
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
-	"github.com/slaterock/slaterock/internal/shard/boot"
 	"github.com/slaterock/slaterock/internal/shard/chain"
 	"github.com/slaterock/slaterock/internal/shard/fold"
 	"github.com/slaterock/slaterock/internal/shard/lease"
@@ -58,9 +58,11 @@
 		trace   []string
 		tickets map[owner.Ticket]func(string, result.Result)
 		stats   stats
+		texts   map[string]string // what the data folders have, by digest
+		newest  *owner.Owner
 	}
 
-	stats struct{ takeovers, handovers, fenced, crashes, lost, saves, replies int }
+	stats struct{ takeovers, handovers, fenced, crashes, lost, saves, replies, kept, late, recalled int }
 
 	event struct {
 		at  time.Time
@@ -87,6 +89,7 @@
 		asked     map[string]bool
 		attempts  map[string]bool
 		given     map[*owner.Owner]bool // handed over
+		refs      map[string]int        // to texts in the folders, by digest, as the owner counts them
 	}
 )
 
@@ -116,12 +119,13 @@
 		spent:   map[string]int64{},
 		refused: map[string]string{},
 		tickets: map[owner.Ticket]func(string, result.Result){},
+		texts:   map[string]string{},
 	}
 	w.start = w.now
 	w.st = &keyval.Store{Now: func() time.Time { return w.now }}
 	w.cfg = file.File{
 		System: file.System{Shards: 1},
-		Limits: file.Limits{GapWait: 2 * time.Second, BudgetBlock: 80},
+		Limits: file.Limits{GapWait: 2 * time.Second, BudgetBlock: 80, InlineText: 13},
 		Agents: map[string]file.Agent{"pickup": {Model: "m", Budget: worldBudget, MaxTurns: 100}},
 		Models: map[string]file.Model{"m": {Group: "g", MaxTokens: 60}},
 		Services: map[string]file.Service{
@@ -383,8 +387,7 @@
 	if w.fault(300) {
 		v.Script(keyval.Writes, map[int]keyval.Fault{1: keyval.LoseAck, 2: keyval.LoseWrite})
 	}
-	b := boot.Boot{Store: v, Shard: 0, Owner: n.name, Rand: n.rand, Now: func() time.Time { return w.now }}
-	t, err := b.Take(ctx)
+	t, err := n.boot(v).Take(ctx)
 	v.Script(keyval.Writes, nil)
 	if err != nil {
 		w.note("%s can't take over: %v", n.name, err)
@@ -398,6 +401,7 @@
 	n.snap = t.Snap
 	n.asked = map[string]bool{}
 	n.own = &owner.Owner{Fold: t.Fold}
+	n.adopt()
 	if !w.clean {
 		n.own.Hold = w.now.Add(graceTime)
 	}
@@ -405,6 +409,7 @@
 	n.own.Chain = chain.Chain{Shard: 0, Epoch: t.Epoch, Owner: n.name, Next: t.Next, Rand: n.rand, Interval: 20 * time.Millisecond}
 	n.step(owner.Configure{File: w.cfg})
 	n.step(owner.Lease{Until: n.until()})
+	n.step(owner.Keeping{On: w.folders()})
 }
 
 // release gives the shard's key up, so that the next owner need not wait.
@@ -450,9 +455,18 @@
 		delete(n.attempts, e.Request+e.Upstream)
 	case owner.Reply:
 		w.reply(e.Ticket, e.Request, e.Result)
+	case owner.Keep:
+		n.keep(own, e)
+	case owner.Unkeep:
+		n.unkeep(own, e.Blob)
 	case owner.Recall:
-		c, ok, err := past.Past{Store: w.st, Shard: 0}.Call(context.Background(), e.Program, e.Number, e.Entries)
-		if err != nil || !ok {
+		c, ok, err := past.Past{Store: w.st, Shard: 0, Text: w.text}.Call(context.Background(), e.Program, e.Number, e.Entries)
+		if err != nil {
+			w.reply(e.Ticket, "", result.Refuse(result.CodeStoreDown, "can't be read").WithRetryAfter(time.Second))
+			return
+		}
+		w.stats.recalled++
+		if !ok {
 			w.reply(e.Ticket, "", result.Refuse(result.CodeOrder, "gone"))
 			return
 		}
@@ -661,6 +675,8 @@
 // judge compares what callers saw with what the journal says.
 func (w *world) judge() {
 	recorded := map[string]string{}
+	heads := map[string]int{}
+	refs := map[string]hist.Blob{}
 	var j record.Joiner
 	epoch := uint64(0)
 	for n := uint64(1); ; n++ {
@@ -682,11 +698,26 @@
 			w.breaks("journal entry %d: %v", n, err)
 		}
 		for _, r := range rs {
-			if r, ok := r.(record.Ended); ok && r.Call.Result.OK() {
-				recorded[fmt.Sprintf("%s %d %s", r.Program, r.Call.Number, r.Call.Result.Body)] = r.Call.Request
+			if r, ok := r.(record.Holders); ok {
+				refs[r.Blob.Digest] = r.Blob
+			}
+			r, ok := r.(record.Ended)
+			if !ok {
+				continue
+			}
+			if r.Head && r.Call.Number < heads[r.Program] {
+				w.breaks("the journal has call %d of %s after call %d", r.Call.Number, r.Program, heads[r.Program])
+			}
+			if r.Head {
+				heads[r.Program] = r.Call.Number
+			}
+			c := w.resolve(refs, r)
+			if c.Result.OK() {
+				recorded[fmt.Sprintf("%s %d %s", r.Program, c.Number, c.Result.Body)] = c.Request
 			}
 		}
 	}
+	w.compare(refs)
 	for _, c := range w.callers {
 		if !c.over {
 			w.breaks("%s never got the outcome of call %d", c.program, c.number)
--- a/internal/shard/past/past.go
+++ b/internal/shard/past/past.go
@@ -2,12 +2,15 @@
 //
 // A program's state lists the journal entries that hold its records. Past reads
 // those entries and tells them as a history; texts that a model call shares
-// with the one before it stay out, as they stand in the earlier call.
+// with the one before it stay out, as they stand in the earlier call. Texts
+// that are in data folders are read from there.
 package past
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,9 +25,17 @@
 	Past struct {
 		Store store.Store
 		Shard int
+		// Text reads a text from the data folders; nil if they can't be
+		// reached.
+		Text func(ctx context.Context, b hist.Blob) ([]byte, error)
 	}
 )
 
+// readers is how many texts of a history are read at a time.
+const readers = 8
+
+var errNoFolders = errors.New("no data folder is known")
+
 // Family reads the histories of the programs whose journal entries are given,
 // by program id.
 func (p Past) Family(ctx context.Context, programs map[string][]uint64) (hs []hist.History, err error) {
@@ -58,8 +69,60 @@
 	return hs, nil
 }
 
-// Call reads the newest outcome of one call; false if there is none that a
-// repeat may be answered with.
+// Fill reads the texts of the history's calls that are in data folders. A call
+// whose text can't be read now gets a note: that is still all that is known of
+// the call, and a support engineer must not take it for an empty answer.
+func (p Past) Fill(ctx context.Context, h *hist.History) {
+	var work sync.WaitGroup
+	slots := make(chan struct{}, readers)
+	h.Calls = slices.Clone(h.Calls)
+	for i := range h.Calls {
+		c := &h.Calls[i]
+		if c.AskedIn == nil && c.AnswerIn == nil {
+			continue
+		}
+		slots <- struct{}{}
+		work.Go(func() {
+			p.fill(ctx, c)
+			<-slots
+		})
+	}
+	work.Wait()
+}
+
+func (p Past) fill(ctx context.Context, c *hist.Call) {
+	if c.AskedIn != nil {
+		text, err := p.text(ctx, *c.AskedIn)
+		c.Asked = string(text)
+		note(c, "question", *c.AskedIn, err)
+	}
+	if c.AnswerIn != nil {
+		text, err := p.text(ctx, *c.AnswerIn)
+		c.Result.Body = text
+		note(c, "answer", *c.AnswerIn, err)
+	}
+}
+
+func note(c *hist.Call, what string, b hist.Blob, err error) {
+	if err == nil {
+		return
+	}
+	if c.Note != "" {
+		c.Note += "; "
+	}
+	c.Note += fmt.Sprintf("the %s (%d bytes, SHA-256 %s) can't be read now", what, b.Size, b.Digest)
+}
+
+func (p Past) text(ctx context.Context, b hist.Blob) ([]byte, error) {
+	if p.Text == nil {
+		return nil, errNoFolders
+	}
+	return p.Text(ctx, b)
+}
+
+// Call reads the newest outcome of one call, with its answer; false if there is
+// none that a repeat may be answered with. An answer that can't be read now is
+// an error.
 func (p Past) Call(ctx context.Context, program string, number int, entries []uint64) (c hist.Call, ok bool, err error) {
 	defer func() { err = errors.Wrapf(err, "past: call %d of %s", number, program) }()
 	for _, n := range slices.Backward(entries) {
@@ -69,13 +132,21 @@
 		}
 		for _, r := range slices.Backward(rs) {
 			if e, is := r.(record.Ended); is && e.Program == program && e.Call.Number == number {
-				return e.Call, e.Final, nil
+				return p.answered(ctx, e)
 			}
 		}
 	}
 	return c, false, nil
 }
 
+func (p Past) answered(ctx context.Context, e record.Ended) (c hist.Call, ok bool, err error) {
+	c = e.Call
+	if c.AnswerIn != nil {
+		c.Result.Body, err = p.text(ctx, *c.AnswerIn)
+	}
+	return c, e.Final, err
+}
+
 // entry reads the records that an entry completes. A large record begins in an
 // earlier entry, so those before it are read as far as needed.
 func (p Past) entry(ctx context.Context, n uint64) ([]record.Record, error) {
