--- a/cmd/slaterock/process_test.go
+++ b/cmd/slaterock/process_test.go
@@ -40,6 +40,8 @@
 		callers []string
 		peers   []string
 		procs   []*exec.Cmd
+		folders []string // data folders of the first daemons
+		extra   string   // appended to the configuration
 	}
 )
 
@@ -53,10 +55,17 @@
 }
 
 func newSystem(t *testing.T) *system {
+	t.Helper()
+	return startSystem(t, "")
+}
+
+// startSystem starts a system with more lines of configuration; the first
+// daemons get a data folder each.
+func startSystem(t *testing.T, extra string, folders ...string) *system {
 	t.Helper()
 	ctx, stop := context.WithTimeout(t.Context(), 2*time.Minute)
 	t.Cleanup(stop)
-	s := &system{t: t, ctx: ctx, parts: map[string]string{}}
+	s := &system{t: t, ctx: ctx, parts: map[string]string{}, folders: folders, extra: extra}
 	s.fake()
 	for range daemons {
 		s.callers = append(s.callers, freeAddress(t))
@@ -125,8 +134,13 @@
 }
 
 func (s *system) serve(i int) *exec.Cmd {
+	folder := ""
+	if i < len(s.folders) {
+		folder = s.folders[i]
+	}
 	text := fmt.Sprintf(`[daemon]
 name = d%d
+data_folder = %s
 failure_domain = fd%d
 listen = %s
 operator_key = %s
@@ -139,14 +153,14 @@
 listen = %s
 seeds = %s
 peer_key = a-key-for-this-test-alone
-`, i, i, s.callers[i], testKey, s.parts["store"], s.parts["vms"], s.peers[i], strings.Join(s.peers, ", "))
+`, i, folder, i, s.callers[i], testKey, s.parts["store"], s.parts["vms"], s.peers[i], strings.Join(s.peers, ", "))
 	path := filepath.Join(s.t.TempDir(), fmt.Sprintf("d%d.ini", i))
 	is.New(s.t).NoErr(os.WriteFile(path, []byte(text), 0o600))
 	return s.start(io.Discard, "serve", "--settings", path)
 }
 
 func (s *system) apply() {
-	text := examples.Dev
+	text := examples.Dev + s.extra
 	for part, address := range map[string]string{"e1": "127.0.0.1:7421", "e2": "127.0.0.1:7422", "ledger": "127.0.0.1:7431"} {
 		text = strings.ReplaceAll(text, address, s.parts[part])
 	}
--- a/internal/shard/bulk/bulk_test.go
+++ b/internal/shard/bulk/bulk_test.go
@@ -236,6 +236,21 @@
 			r.lose(ref.Holders[1])
 			r.reads(r.new[0], "text")
 		}},
+		// A holder hangs and nobody has noticed yet. A reader gets the text
+		// from the other one before its own time is up.
+		"a holder hangs while it is read": {three, func(r *rig) {
+			ref := r.store("text")
+			for _, name := range ref.Holders {
+				r.hang(name)
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(r.ctx, 5*time.Second)
+				got, err := r.Read(ctx, ref.Digest)
+				cancel()
+				r.NoErr(err)
+				r.Equal(string(got), "text")
+				r.True(time.Since(start) <= 2*time.Second)
+			}
+		}},
 		"all holders are lost": {three, func(r *rig) {
 			ref := r.store("text")
 			r.lose(ref.Holders[0])
--- a/internal/shard/owner/outage_test.go
+++ b/internal/shard/owner/outage_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/place/sched"
-	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/shard/chain"
@@ -30,6 +30,9 @@
 	sent    []owner.Dispatch
 	places  []sched.Message
 	ticket  owner.Ticket
+	keeps   []owner.Keep
+	unkept  []hist.Blob
+	recalls []owner.Recall
 }
 
 func newDesk() *desk {
@@ -68,6 +71,8 @@
 			d.sent = append(d.sent, e)
 		case owner.Reply:
 			d.replies[e.Ticket] = e.Result
+		default:
+			d.note(e)
 		}
 	}
 }
@@ -117,13 +122,6 @@
 	d.step(owner.Tried{Request: s.Request, Upstream: s.Upstream, Outcome: outcome, Status: 200, Body: []byte("done"), Why: "broken", Usage: usageOf(outcome)})
 }
 
-func usageOf(o sched.Outcome) engine.Usage {
-	if o != sched.Succeeded {
-		return engine.Usage{}
-	}
-	return engine.Usage{Prompt: 10, Output: 10, Finish: "stop"}
-}
-
 // The platform's store stops answering for minutes. What a caller may notice is
 // a refusal that is true and prompt, or an answer that is held back until it is
 // recorded; never a call that ran behind a refusal, or one that just hangs.
