--- a/internal/shard/owner/keep_test.go
+++ b/internal/shard/owner/keep_test.go
@@ -167,7 +167,7 @@
 			}
 			next := d.successor(is)
 			again := next.call("p", 0, "", "question")
-			is.Equal(len(next.sent), 0) // a repeat never runs again
+			is.Equal(len(next.sent), 0)        // a repeat never runs again
 			recalled := len(next.recalls) == 1 // call 1 is the newest by now
 			is.True(recalled || string(next.replies[again].Body) == "done")
 			known := 0
