--- a/internal/node/host/look.go
+++ b/internal/node/host/look.go
@@ -64,7 +64,7 @@
 		}
 		refs.Programs = g.Programs
 	}
-	hs, err := h.journal().Family(ctx, refs.Programs)
+	hs, err := h.journal().Family(ctx, refs.Programs, refs.Pending)
 	if err != nil {
 		return hist.History{}, unread(err)
 	}
