--- a/internal/shard/fold/texts.go
+++ b/internal/shard/fold/texts.go
@@ -42,7 +42,7 @@
 		}
 		keys = keys[:n-1]
 	}
-	left := append(ts.Texts, sorted(f.Texts)...)
+	left := slices.Concat(ts.Texts, sorted(f.Texts))
 	const most = MaxPart / bytesPerText
 	for len(left) > 0 {
 		n := min(most, len(left))
