--- a/internal/shard/owner/keep_test.go
+++ b/internal/shard/owner/keep_test.go
@@ -202,6 +202,21 @@
 	is.Equal(len(d.sent), 1)
 }
 
+// The caller has been gone for a while when the answer comes. Its texts are kept
+// like any other's: a journal that got them whenever callers are impatient would
+// be full when the system is slow.
+func TestKeepForNobody(t *testing.T) {
+	is := is.New(t)
+	d := keeping()
+	d.step(owner.Leave{Ticket: d.call("p", 0, "", "question")})
+	d.pass(1900 * time.Millisecond)
+	d.answer(sched.Succeeded)
+	d.pass(time.Second)
+	d.kept(true, true)
+	is.Equal(len(d.unkept), 0)
+	is.True(d.told(is)[0].(record.Ended).Call.AnswerIn != nil)
+}
+
 // The owner is lost before the outcome is recorded. Nothing refers to the
 // texts, and the call is as if it had not ended.
 func TestOwnerLostWhileKeeping(t *testing.T) {
