--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/edge/relay"
 	"github.com/slaterock/slaterock/internal/edge/server"
+	"github.com/slaterock/slaterock/internal/node/guard"
 	"github.com/slaterock/slaterock/internal/node/host"
 	"github.com/slaterock/slaterock/internal/node/placer"
 	"github.com/slaterock/slaterock/internal/node/send"
@@ -38,6 +39,7 @@
 	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/plat/tool"
 	"github.com/slaterock/slaterock/internal/plat/vmlist"
+	"github.com/slaterock/slaterock/internal/plat/weight"
 	"github.com/slaterock/slaterock/internal/play/tape"
 	"github.com/slaterock/slaterock/internal/shard/shelf"
 )
@@ -53,7 +55,8 @@
 	Daemon struct {
 		Settings setup.Settings
 		Store    store.Store
-		VMs      vmlist.List // nil without a list
+		VMs      vmlist.List    // nil without a list
+		Weights  weight.Weights // nil if loads are not spaced
 		Engine   func(address string) engine.Engine
 		Tool     func(address string) tool.Tool
 		Logs     logs.Logs
@@ -73,6 +76,7 @@
 		link   link.Link
 		shards shards.Shards
 		shelf  shelf.Shelf
+		guard  guard.Guard
 		placer placer.Placer
 		server server.Server
 		relay  relay.Relay
@@ -154,6 +158,7 @@
 	work.Go(func() { d.failed(stop, d.link.Serve(ctx, d.Peers)) })
 	work.Go(func() { _ = d.keeper.Serve(ctx) })
 	work.Go(func() { d.shards.Serve(ctx) })
+	work.Go(func() { d.guard.Serve(ctx) })
 	work.Go(func() { d.failed(stop, d.server.Serve(d.Listen)) })
 	select {
 	case <-ctx.Done():
@@ -230,6 +235,7 @@
 	}
 	d.assemblePeers(ctx)
 	d.assembleFolder()
+	d.assembleGuard()
 	d.assembleShards(ctx)
 	d.assembleEdge(ctx)
 	d.keeper.Self = watch.Member{Name: d.self.Name, Peer: d.self.Peer}
@@ -307,12 +313,14 @@
 		Domain:      d.self.FailureDomain,
 		Offer:       d.offer,
 		Tell:        d.report,
+		Guard:       &d.guard,
 	}
 	d.shards.Init()
 	d.placer = placer.Placer{
 		Seed:    draw(),
 		Engine:  d.Engine,
 		VMs:     d.VMs,
+		Weights: d.Weights,
 		Go:      d.run,
 		Log:     d.log,
 		Fence:   d.fence,
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -11,11 +12,13 @@
 	"github.com/slaterock/slaterock/internal/edge/locate"
 	"github.com/slaterock/slaterock/internal/edge/relay"
 	"github.com/slaterock/slaterock/internal/node/host"
+	"github.com/slaterock/slaterock/internal/node/placer"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/quota"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/prog/runner"
 )
@@ -27,6 +30,7 @@
 	methodOrder  = "engine.order"
 	methodLive   = "programs.live"
 	methodReport = "attempt.report"
+	methodQuota  = "quota.take"
 )
 
 type (
@@ -68,11 +72,26 @@
 	handle(&d.link, methodReport, func(ctx context.Context, r host.Report) (any, error) {
 		return d.shards.Report(ctx, r)
 	})
+	handle(&d.link, methodQuota, func(_ context.Context, a quota.Ask) (any, error) {
+		return d.guard.Answer(a), nil
+	})
 	handle(&d.link, methodLive, func(_ context.Context, l liveness) (any, error) {
 		return liveness{Programs: d.shards.Live(l.Programs)}, nil
 	})
 }
 
+func (d *Daemon) assembleGuard() {
+	d.guard.Self = d.self.Name
+	d.guard.Members = d.gossip.Members
+	d.guard.Config = d.keeper.Current
+	d.guard.Live = d.shards.Has
+	d.guard.Send = func(ctx context.Context, peer string, a quota.Ask) (r quota.Answer, err error) {
+		err = d.link.Peer(peer).Invoke(ctx, methodQuota, a, &r)
+		return r, err
+	}
+	d.guard.Init(time.Now())
+}
+
 // handle offers a method with typed parameters.
 func handle[P any](l *link.Link, name string, f func(ctx context.Context, p P) (any, error)) {
 	l.Handle(name, func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -114,9 +133,15 @@
 }
 
 // fence returns the number for orders to an engine, if this daemon gives them:
-// the epoch of the shard that the engine's name falls into.
+// the epoch of the shard that the engine's name falls into. An engine that
+// doesn't check the number gets none until the orders that a former owner may
+// have sent have run out; it would take them in any sequence.
 func (d *Daemon) fence(upstream string) (uint64, bool) {
-	return d.shards.Epoch(locate.Shard(upstream, d.shardCount()))
+	epoch, since, here := d.shards.Epoch(locate.Shard(upstream, d.shardCount()))
+	if !d.keeper.Current().Upstreams[upstream].Fencing && epoch > 1 && time.Since(since) < placer.OrderTimeout {
+		here = false
+	}
+	return epoch, here
 }
 
 func (d *Daemon) shardCount() int { return d.keeper.Current().System.Shards }
