--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -134,7 +134,7 @@
 	if !c.clean && taken.Epoch > 1 {
 		h.Hold = time.Now().Add(graceTime)
 	}
-	w := &ward{Host: h, key: c, open: open(taken.Fold)}
+	w := &ward{Host: h, key: c, since: time.Now(), open: open(taken.Fold)}
 	h.Start(life)
 	return w, nil
 }
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -78,6 +78,7 @@
 	ward struct {
 		*host.Host
 		key       claimed
+		since     time.Time
 		open      []adopted // programs, until they are counted
 		suspended bool      // its lease lapsed and ownership is not proved yet
 		giving    bool
@@ -163,13 +164,13 @@
 	return out
 }
 
-// Epoch returns the epoch in which a shard is owned here.
-func (s *Shards) Epoch(shard int) (uint64, bool) {
+// Epoch returns the epoch in which a shard is owned here, and since when.
+func (s *Shards) Epoch(shard int) (epoch uint64, since time.Time, ok bool) {
 	w := s.host(shard)
 	if w == nil {
-		return 0, false
+		return 0, since, false
 	}
-	return w.Epoch(), true
+	return w.Epoch(), w.since, true
 }
 
 func (s *Shards) host(shard int) *ward {
@@ -270,12 +271,32 @@
 }
 
 func (s *Shards) tick(ctx context.Context) {
-	s.stepLease(ctx, lease.Tick{})
 	s.stepAssign(ctx, assign.View{Members: s.Members()})
+	if s.lease.ID() != 0 || s.assign.Wants(time.Now()) {
+		s.stepLease(ctx, lease.Tick{})
+	}
+	s.lapse(ctx)
 	s.stepAssign(ctx, assign.Tick{})
 	s.tellLease()
 }
 
+// lapse gives up a lease that nothing hangs on any more.
+func (s *Shards) lapse(ctx context.Context) {
+	id := s.lease.ID()
+	if id == 0 || len(s.hosts) > 0 || s.assign.Wants(time.Now()) {
+		return
+	}
+	s.stepLease(ctx, lease.Drop{})
+	s.stepAssign(ctx, assign.Leased{})
+	s.Go(func() {
+		call, stop := context.WithTimeout(ctx, leaseTimeout)
+		defer stop()
+		if err := s.Store.Revoke(call, id); err != nil {
+			s.Log.Debug().Err(err).Msg("lease not revoked; it lapses")
+		}
+	})
+}
+
 // tellLease tells all hosts until when they may dispatch.
 func (s *Shards) tellLease() {
 	now := time.Now()
