--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -41,6 +41,7 @@
 	"github.com/slaterock/slaterock/internal/plat/vmlist"
 	"github.com/slaterock/slaterock/internal/plat/weight"
 	"github.com/slaterock/slaterock/internal/play/tape"
+	"github.com/slaterock/slaterock/internal/shard/shelf"
 )
 
 const (
@@ -74,6 +75,7 @@
 		gossip gossip.Gossip
 		link   link.Link
 		shards shards.Shards
+		shelf  shelf.Shelf
 		guard  guard.Guard
 		placer placer.Placer
 		server server.Server
@@ -232,6 +234,7 @@
 		})
 	}
 	d.assemblePeers(ctx)
+	d.assembleFolder()
 	d.assembleGuard()
 	d.assembleShards(ctx)
 	d.assembleEdge(ctx)
@@ -306,6 +309,8 @@
 		Place:       func(h *host.Host, m sched.Message) { d.place(ctx, h, m) },
 		Ended:       d.ended,
 		Owned:       func(s []beat.Shard) { d.update(ctx, func(m *beat.Member) { m.Shards = s }) },
+		Peers:       &d.shelf,
+		Domain:      d.self.FailureDomain,
 		Offer:       d.offer,
 		Tell:        d.report,
 		Guard:       &d.guard,
--- a/internal/shard/owner/refs.go
+++ b/internal/shard/owner/refs.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/record"
+	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/prog/state"
 )
 
@@ -40,7 +41,7 @@
 	for _, run := range o.runs {
 		if state.Hash(run.prog.id) == hash && run.phase != waitCommit && !o.intended(run) {
 			h := o.history(run)
-			h.Result.Code = ""
+			h.Result = result.Result{} // one that waits for its texts to be kept is not recorded yet
 			r.Live[run.prog.id] = append(r.Live[run.prog.id], h)
 		}
 	}
