soak: play random histories as a command

Cause: the harness of the random histories stood in test files and could only be run through the test runner, on one core. Change: it is a package of its own, split by duty, with a hidden command; the test runs the same seeds and checks.

--- /dev/null
+++ b/cmd/slaterock/soak.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/slaterock/slaterock/internal/play/soak"
+)
+
+// soakCommand is for development: the owner's machines under random faults.
+func soakCommand() *cobra.Command {
+	s := soak.Soak{}
+	c := &cobra.Command{
+		Use:    "soak",
+		Short:  "Play random histories with faults and check every promise",
+		Hidden: true,
+		Args:   cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s.Out = c.OutOrStdout()
+			sum, err := s.Run()
+			_, _ = fmt.Fprintf(c.OutOrStdout(), "%d histories from seed %d: %+v\n", s.Histories, s.First, sum)
+			return err
+		},
+	}
+	c.Flags().IntVar(&s.First, "first", 0, "seed of the first history")
+	c.Flags().IntVar(&s.Histories, "histories", 1000, "histories to play")
+	c.Flags().IntVar(&s.Workers, "workers", 1, "histories played at a time")
+	c.Flags().IntVar(&s.Traced, "traced", 60, "lines to show of a history that broke a promise")
+	return c
+}
--- a/internal/shard/owner/caller_test.go
+++ b/internal/play/soak/caller.go
@@ -1,4 +1,4 @@
-package owner_test
+package soak
 
 import (
 	"fmt"
@@ -53,7 +53,7 @@
 	if f == nil {
 		return
 	}
-	w.stats.replies++
+	w.stats.Replies++
 	w.note("reply %s: %s ran %s: %s %s", request, r.Code, r.Ran, r.Message, r.Body)
 	if r.Ran == result.No && request != "" {
 		if w.execs[request] > 0 {
--- /dev/null
+++ b/internal/play/soak/drive.go
@@ -0,0 +1,214 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/plat/store"
+	"github.com/slaterock/slaterock/internal/prog/record"
+	"github.com/slaterock/slaterock/internal/prog/result"
+	"github.com/slaterock/slaterock/internal/shard/chain"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+	"github.com/slaterock/slaterock/internal/shard/past"
+)
+
+func (n *node) carry(own *owner.Owner, e owner.Effect) {
+	w := n.w
+	switch e := e.(type) {
+	case owner.Write:
+		n.write(own, e.Effect)
+	case owner.Place:
+		n.place(own, e.Message)
+	case owner.Dispatch:
+		n.dispatch(own, e)
+	case owner.Stop:
+		delete(n.attempts, e.Request+e.Upstream)
+	case owner.Reply:
+		w.reply(e.Ticket, e.Request, e.Result)
+	case owner.Keep:
+		n.keep(own, e)
+	case owner.Unkeep:
+		n.unkeep(own, e.Blob)
+	case owner.Recall:
+		c, ok, err := past.Past{Store: w.st, Shard: 0, Text: w.text}.Call(context.Background(), e.Program, e.Number, e.Entries)
+		if err != nil {
+			w.reply(e.Ticket, "", result.Refuse(result.CodeStoreDown, "can't be read").WithRetryAfter(time.Second))
+			return
+		}
+		w.stats.Recalled++
+		if !ok {
+			w.reply(e.Ticket, "", result.Refuse(result.CodeOrder, "gone"))
+			return
+		}
+		w.reply(e.Ticket, c.Request, c.Result)
+	case owner.Saving:
+		n.save()
+	case owner.Drained:
+		w.stats.Handovers++
+		w.note("%s has handed over", n.name)
+		n.given[own], n.own = true, nil
+		n.release()
+	case owner.Verified:
+		n.suspended = false
+	case owner.Fenced:
+		w.stats.Fenced++
+		w.note("%s is fenced", n.name)
+		n.own = nil
+	}
+}
+
+func (n *node) save() {
+	w := n.w
+	if w.choose(20) > 0 || !n.reaches() {
+		return
+	}
+	f := n.own.Snapshot()
+	gone, err := n.snap.Save(context.Background(), f)
+	if err == nil {
+		w.stats.Saves++
+		n.later(w.span(0, 100*time.Millisecond), func() { n.step(owner.Saved{Upto: f.Upto, Gone: gone}) })
+	}
+}
+
+func (n *node) write(own *owner.Owner, e chain.Effect) {
+	ctx := context.Background()
+	switch e := e.(type) {
+	case chain.Create:
+		n.storeCall(func() error {
+			_, err := n.w.st.Put(ctx, e.Key, e.Data, 0, 0)
+			return err
+		}, func(err error) {
+			n.tell(own, owner.Journal{Message: chain.Wrote{Number: e.Number, Outcome: outcome(err)}})
+		})
+	case chain.Read:
+		var v store.Entry
+		n.storeCall(func() (err error) {
+			v, err = n.w.st.Get(ctx, e.Key)
+			return err
+		}, func(err error) { n.tell(own, owner.Journal{Message: readBack(e.Number, v, err)}) })
+	}
+}
+
+func outcome(err error) chain.Outcome {
+	switch err.(type) { //nolint:errorlint // the fake returns it bare
+	case nil:
+		return chain.Created
+	case *store.ConflictError:
+		return chain.Exists
+	}
+	if err == store.ErrUnavailable { //nolint:errorlint // the store's own value
+		return chain.Unavailable
+	}
+	return chain.Lost
+}
+
+func readBack(number uint64, v store.Entry, err error) chain.Message {
+	switch {
+	case err == store.ErrNotFound: //nolint:errorlint // the store's own value
+		return chain.Absent{Number: number}
+	case err != nil:
+		return chain.Unread{Number: number}
+	}
+	e, err := record.Decode(v.Data)
+	if err != nil {
+		return chain.Unread{Number: number}
+	}
+	return chain.Found{Entry: e}
+}
+
+func (n *node) place(own *owner.Owner, m sched.Message) {
+	w := n.w
+	switch m := m.(type) {
+	case sched.Withdraw:
+		delete(n.asked, m.ID)
+	case sched.Ask:
+		n.asked[m.ID] = true
+		n.later(w.span(0, 300*time.Millisecond), func() {
+			if !n.asked[m.ID] {
+				return
+			}
+			delete(n.asked, m.ID)
+			if w.fault(50) {
+				n.tell(own, owner.Refused{Refuse: sched.Refuse{ID: m.ID, Code: result.CodeOverloaded}})
+				return
+			}
+			up := fmt.Sprintf("u%d", len(m.Avoid))
+			n.tell(own, owner.Assigned{Assign: sched.Assign{ID: m.ID, Upstream: up}})
+		})
+	}
+}
+
+// dispatch sends an attempt. What is on its way arrives even if the sender
+// dies.
+func (n *node) dispatch(own *owner.Owner, d owner.Dispatch) {
+	w := n.w
+	key := d.Request + d.Upstream
+	n.attempts[key] = true
+	n.later(time.Second, func() { n.follow(own, d.Request, key) })
+	tried := owner.Tried{Request: d.Request, Upstream: d.Upstream, Status: 200, Why: "broken"}
+	done := func(t owner.Tried) {
+		n.later(w.span(1, 200*time.Millisecond), func() {
+			if !n.attempts[key] && t.Outcome != sched.Succeeded {
+				t.Outcome = sched.Withdrawn
+			}
+			delete(n.attempts, key)
+			if n.given[own] {
+				n.report(t.Request, &t)
+				return
+			}
+			n.tell(own, t)
+		})
+	}
+	if w.fault(60) {
+		tried.Outcome = sched.Unsent
+		done(tried)
+		return
+	}
+	w.after(w.span(1, 30*time.Millisecond), func() {
+		w.execute(d, &tried)
+		w.after(w.span(10*time.Millisecond, 3*time.Second), func() {
+			if w.fault(60) {
+				tried = owner.Tried{Request: d.Request, Upstream: d.Upstream, Outcome: sched.Failed, Why: "broken"}
+			}
+			done(tried)
+		})
+	})
+}
+
+// follow tells the shard's present owner of an attempt that this node started
+// before it handed the shard over.
+func (n *node) follow(own *owner.Owner, request, key string) {
+	if !n.attempts[key] {
+		return
+	}
+	if n.given[own] && !n.report(request, nil) {
+		delete(n.attempts, key)
+		return
+	}
+	n.later(time.Second, func() { n.follow(own, request, key) })
+}
+
+// report reports an attempt until that has arrived; false if nobody waits for
+// it any more.
+func (n *node) report(request string, ended *owner.Tried) bool {
+	w := n.w
+	for _, m := range w.nodes {
+		if m.own == nil || m.suspended || w.now.Before(m.paused) || w.now.Before(n.alone) || w.now.Before(m.alone) {
+			continue
+		}
+		if !m.own.Knows(request) {
+			return false
+		}
+		m.step(owner.Tail{Request: request})
+		if ended != nil {
+			m.step(*ended)
+		}
+		return true
+	}
+	if ended != nil {
+		n.later(time.Second, func() { n.report(request, ended) })
+	}
+	return true
+}
--- /dev/null
+++ b/internal/play/soak/node.go
@@ -0,0 +1,236 @@
+package soak
+
+import (
+	"context"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/fake/keyval"
+	"github.com/slaterock/slaterock/internal/plat/store"
+	"github.com/slaterock/slaterock/internal/shard/chain"
+	"github.com/slaterock/slaterock/internal/shard/lease"
+	"github.com/slaterock/slaterock/internal/shard/owner"
+)
+
+func (n *node) crash() {
+	n.w.stats.Crashes++
+	n.w.note("%s crashes", n.name)
+	n.life++
+	n.up, n.own, n.snap = false, nil, nil
+	n.attempts, n.given = map[string]bool{}, map[*owner.Owner]bool{}
+	n.lease = lease.Lease{}
+	n.w.after(n.w.span(time.Second, 10*time.Second), func() {
+		n.up = true
+		n.tick()
+	})
+}
+
+// later runs do on the node, unless it crashes before; a paused node runs it
+// when it wakes.
+func (n *node) later(d time.Duration, do func()) {
+	life := n.life
+	var try func()
+	try = func() {
+		switch {
+		case n.life != life || !n.up:
+		case n.w.now.Before(n.paused):
+			n.w.after(n.paused.Sub(n.w.now), try)
+		default:
+			do()
+		}
+	}
+	n.w.after(d, try)
+}
+
+func (n *node) tick() {
+	n.later(worldTick, n.tick)
+	n.stepLease(lease.Tick{})
+	if n.own == nil {
+		n.claim()
+		return
+	}
+	held := owner.Lease{Until: n.until()}
+	if !n.suspended && n.outage() {
+		held.Outage = n.w.now.Add(newsTime)
+	}
+	n.step(held)
+	n.step(owner.Tick{})
+}
+
+func (n *node) until() time.Time {
+	if n.suspended {
+		return time.Time{}
+	}
+	return n.lease.Until()
+}
+
+// outage is what shards.Shards works out from heartbeats: nobody has reached
+// the store since this node's lease ended. News of others takes a second, and a node that
+// has just woken has heard nobody lately.
+func (n *node) outage() bool {
+	w := n.w
+	if n.reached.After(n.lease.Until()) || w.now.Before(n.alone) || w.now.Before(n.paused.Add(newsTime)) {
+		return false
+	}
+	for _, m := range w.nodes {
+		if m != n && m.up && m.known().After(n.lease.Until()) {
+			return false
+		}
+	}
+	return true
+}
+
+// known is when the node last reached the store as others know it by now.
+func (n *node) known() time.Time {
+	at := time.Time{}
+	for _, t := range n.history {
+		if n.w.now.Sub(t) >= newsTime {
+			at = t
+		}
+	}
+	return at
+}
+
+func (n *node) reaches() bool { return !n.w.now.Before(n.cut) && !n.w.now.Before(n.w.down) }
+
+// storeCall lets a call travel to the store and back. done gets what the node
+// learns: the call's own error, or that it was not taken, or that nobody knows.
+func (n *node) storeCall(do func() error, done func(err error)) {
+	w := n.w
+	w.after(w.span(1, 20*time.Millisecond), func() {
+		switch {
+		case !n.reaches() && w.choose(2) == 0:
+			n.later(w.span(0, time.Second), func() { done(store.ErrUnavailable) })
+			return
+		case !n.reaches() || w.fault(15):
+			// The call may get there after its sender has given up on it.
+			if w.choose(2) == 0 {
+				w.after(w.span(0, 20*time.Second), func() { _ = do() })
+			}
+			n.later(2*time.Second, func() { done(store.ErrUnknown) })
+			return
+		}
+		err := do()
+		sent := w.now
+		if w.fault(30) {
+			w.stats.Lost++
+			n.later(2*time.Second, func() { done(store.ErrUnknown) })
+			return
+		}
+		n.later(w.span(1, 20*time.Millisecond), func() {
+			n.reached = sent
+			n.history = append(n.history, sent)
+			done(err)
+		})
+	})
+}
+
+func (n *node) stepLease(m lease.Message) {
+	for _, e := range n.lease.Step(n.w.now, m) {
+		switch e := e.(type) {
+		case lease.Grant:
+			var id store.Lease
+			n.storeCall(func() (err error) {
+				id, err = n.w.st.Grant(context.Background(), e.TTL)
+				return err
+			}, func(err error) { n.stepLease(lease.Granted{ID: id, Err: err}) })
+		case lease.Renew:
+			n.storeCall(func() error { return n.w.st.Renew(context.Background(), e.ID) },
+				func(err error) { n.stepLease(lease.Renewed{Lapsed: err == store.ErrLapsed, Err: err}) }) //nolint:errorlint // the store's own value
+		case lease.Got:
+			if n.own != nil && n.suspended {
+				n.rekey(e.ID)
+			}
+		case lease.Lost:
+			n.suspended = n.own != nil
+		}
+	}
+}
+
+func (n *node) rekey(id store.Lease) {
+	life := n.own
+	n.storeCall(func() error {
+		_, err := n.w.st.Put(context.Background(), shardKey, []byte(n.name), 0, id)
+		return err
+	}, func(err error) {
+		switch {
+		case n.own != life:
+		case err != nil:
+			n.own = nil
+		default:
+			n.step(owner.Verify{})
+		}
+	})
+}
+
+// claim takes the shard over if nobody holds its key.
+func (n *node) claim() {
+	w := n.w
+	if n.lease.ID() == 0 || !n.reaches() || w.choose(3) > 0 {
+		return
+	}
+	ctx := context.Background()
+	if e, err := w.st.Get(ctx, shardKey); err == nil && string(e.Data) != n.name {
+		return
+	} else if err != nil {
+		if _, err := w.st.Put(ctx, shardKey, []byte(n.name), 0, n.lease.ID()); err != nil {
+			return
+		}
+	}
+	v := w.st.Client(n.name)
+	if w.fault(300) {
+		v.Script(keyval.Writes, map[int]keyval.Fault{1: keyval.LoseAck, 2: keyval.LoseWrite})
+	}
+	t, err := n.boot(v).Take(ctx)
+	v.Script(keyval.Writes, nil)
+	if err != nil {
+		w.note("%s can't take over: %v", n.name, err)
+		return
+	}
+	w.stats.Takeovers++
+	w.note("%s takes over, epoch %d, entry %d", n.name, t.Epoch, t.Next)
+	n.reached = w.now
+	n.history = append(n.history, w.now)
+	n.suspended = false
+	n.snap = t.Snap
+	n.asked = map[string]bool{}
+	n.own = &owner.Owner{Fold: t.Fold}
+	n.adopt()
+	if !w.clean {
+		n.own.Hold = w.now.Add(graceTime)
+	}
+	w.clean = false
+	n.own.Chain = chain.Chain{Shard: 0, Epoch: t.Epoch, Owner: n.name, Next: t.Next, Rand: n.rand, Interval: 20 * time.Millisecond}
+	n.step(owner.Configure{File: w.cfg})
+	n.step(owner.Lease{Until: n.until()})
+	n.step(owner.Keeping{On: w.folders()})
+}
+
+// release gives the shard's key up, so that the next owner need not wait.
+func (n *node) release() {
+	n.storeCall(func() error {
+		e, err := n.w.st.Get(context.Background(), shardKey)
+		if err != nil || string(e.Data) != n.name {
+			return err
+		}
+		n.w.clean = true
+		return n.w.st.Delete(context.Background(), shardKey, e.Rev)
+	}, func(error) {})
+}
+
+func (n *node) rand() uint64 { return uint64(n.w.choose(1<<30)) + 1 }
+
+func (n *node) step(m owner.Message) {
+	if n.own == nil {
+		return
+	}
+	for _, e := range n.own.Step(n.w.now, m) {
+		n.carry(n.own, e)
+	}
+}
+
+// tell gives the owner a message, if it still is the owner that asked.
+func (n *node) tell(own *owner.Owner, m owner.Message) {
+	if n.own == own {
+		n.step(m)
+	}
+}
--- a/internal/shard/owner/texts_test.go
+++ b/internal/play/soak/texts.go
@@ -1,4 +1,4 @@
-package owner_test
+package soak
 
 import (
 	"context"
@@ -70,7 +70,7 @@
 	b := hist.Blob{Digest: blobs.Sum(text).String(), Size: len(text), Holders: []string{"x", "y"}}
 	w.texts[b.Digest] = string(text)
 	n.refs[b.Digest]++
-	w.stats.kept++
+	w.stats.Kept++
 	if w.fault(100) {
 		own, moved := n.own, b
 		moved.Holders = []string{"x", fmt.Sprint("z", w.choose(10))}
@@ -87,7 +87,7 @@
 }
 
 func (n *node) unkeep(own *owner.Owner, b hist.Blob) {
-	n.w.stats.late++
+	n.w.stats.Late++
 	if n.w.newest != own {
 		return
 	}
