--- /dev/null
+++ b/cmd/slaterock/rolling_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/edge/client"
+	"github.com/slaterock/slaterock/internal/edge/locate"
+	"github.com/slaterock/slaterock/internal/play/replay"
+	"github.com/slaterock/slaterock/internal/play/trace"
+	"github.com/slaterock/slaterock/internal/prog/call"
+)
+
+// All daemons are replaced one after the other while programs run. Callers ask
+// now and then which addresses to use, as the interface says, and must not
+// notice: no call fails, and each receipt is issued once.
+func TestRollingReplacement(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t)
+	var stop atomic.Bool
+	var work sync.WaitGroup
+	receipts := make(chan string, 1000)
+	failures := make(chan error, 100)
+	for n := range 6 {
+		work.Go(func() {
+			for i := 0; !stop.Load(); i++ {
+				if err := s.program(fmt.Sprintf("pickup-%d-%d", n, i), receipts); err != nil {
+					failures <- err
+					return
+				}
+			}
+		})
+	}
+	for i := range daemons {
+		is.NoErr(s.procs[i].Process.Signal(syscall.SIGTERM))
+		is.NoErr(s.procs[i].Wait())
+		s.replays(i)
+		s.procs[i] = s.serve(i)
+		s.await("the new daemon is ready", func() bool {
+			return s.client(i).JSON(s.ctx, "GET", "/readyz", nil, nil) == nil
+		})
+	}
+	stop.Store(true)
+	work.Wait()
+	close(failures)
+	for err := range failures {
+		t.Error(err)
+	}
+	close(receipts)
+	seen := map[string]bool{}
+	for r := range receipts {
+		is.True(!seen[r]) // no receipt twice
+		seen[r] = true
+	}
+	t.Logf("%d receipts while all daemons were replaced", len(seen))
+	is.True(len(seen) > 6)
+	last := make(chan string, 1)
+	is.NoErr(s.program("pickup-last", last))
+	want := fmt.Sprintf(`"receipt":%d,`, len(seen)+1) // the service counts what it issued
+	is.True(strings.Contains(<-last, want))
+}
+
+// replays runs what a daemon recorded through the decision code again.
+func (s *system) replays(i int) {
+	is := is.New(s.t)
+	f, err := os.Open(s.records[i])
+	is.NoErr(err)
+	defer func() { _ = f.Close() }()
+	t, err := trace.Read(f)
+	is.NoErr(err)
+	r, err := replay.Replay(t, replay.Options{Seed: 1})
+	is.NoErr(err)
+	for _, b := range r.Broken {
+		s.t.Errorf("broken in the replay: %+v", b)
+	}
+	s.t.Logf("the record of daemon %d has %d programs, %d of them complete in its replay", i, len(t.Programs), r.Completed)
+}
+
+// program runs three calls, each at an entry that a live daemon names.
+func (s *system) program(id string, receipts chan<- string) error {
+	if err := s.entry(id).Open(s.ctx, call.Open{Program: id}); err != nil {
+		return err
+	}
+	talk := []client.Message{{Role: "user", Content: "Which kitchen is next?"}}
+	a, err := s.entry(id).Chat(s.ctx, id, 0, 128, talk, nil)
+	if err != nil {
+		return err
+	}
+	if !a.Whole {
+		return fmt.Errorf("%s: the answer is not whole", id)
+	}
+	r, err := s.entry(id).Service(s.ctx, id, 1, "receipts/issue", []byte(`{"kg":1}`))
+	if err != nil {
+		return err
+	}
+	receipts <- r.Text
+	return s.entry(id).End(s.ctx, id, call.Finish)
+}
+
+// entry is the best address for the program that any daemon names.
+func (s *system) entry(program string) client.Client {
+	for i := range daemons {
+		var a locate.Answer
+		if s.client(i).JSON(s.ctx, "GET", "/v1/entries?program="+program, nil, &a) == nil && len(a.Entries) > 0 {
+			return client.Client{Address: a.Entries[0].Address, Key: testKey}
+		}
+	}
+	return s.client(0)
+}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,12 +20,10 @@
 	"github.com/slaterock/slaterock/internal/peer/beat"
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/store"
-	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/prog/runner"
-	"github.com/slaterock/slaterock/internal/prog/state"
 	"github.com/slaterock/slaterock/internal/shard/boot"
 	"github.com/slaterock/slaterock/internal/shard/bulk"
 	"github.com/slaterock/slaterock/internal/shard/chain"
@@ -354,142 +351,3 @@
 		h.step(owner.Saved{Upto: upto, Gone: gone})
 	}
 }
-
-func (h *Host) ticket(t owner.Ticket) *ticket {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.tickets[t]
-}
-
-func (h *Host) reply(t owner.Ticket, r result.Result) {
-	h.mu.Lock()
-	w := h.tickets[t]
-	delete(h.tickets, t)
-	h.mu.Unlock()
-	if w != nil {
-		w.reply <- r
-	}
-}
-
-func (h *Host) enter() (owner.Ticket, *ticket) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.next++
-	t := &ticket{reply: make(chan result.Result, 1), feed: make(chan *feed.Feed, 4)}
-	h.tickets[h.next] = t
-	return h.next, t
-}
-
-func (h *Host) leave(t owner.Ticket) {
-	h.mu.Lock()
-	delete(h.tickets, t)
-	h.mu.Unlock()
-	h.post(owner.Leave{Ticket: t})
-}
-
-// Open implements runner.Runner.
-func (h *Host) Open(ctx context.Context, o call.Open) result.Result {
-	return h.ask(ctx, nil, func(t owner.Ticket) owner.Message { return owner.Open{Ticket: t, Open: o} })
-}
-
-// End implements runner.Runner.
-func (h *Host) End(ctx context.Context, e call.End) result.Result {
-	return h.ask(ctx, nil, func(t owner.Ticket) owner.Message { return owner.End{Ticket: t, End: e} })
-}
-
-// Call implements runner.Runner.
-func (h *Host) Call(ctx context.Context, c call.Call, sink runner.Sink) (r result.Result) {
-	ctx, span := h.Trace.Start(ctx, trace.Owner, c.TraceParent, attribute.String("request", c.Request))
-	c.TraceParent = span.Parent()
-	defer func() { span.Result(r) }()
-	return h.ask(ctx, sink, func(t owner.Ticket) owner.Message { return owner.Call{Ticket: t, Call: c} })
-}
-
-// ask gives the machine a request and waits for its reply.
-func (h *Host) ask(ctx context.Context, sink runner.Sink, m func(owner.Ticket) owner.Message) result.Result {
-	id, t := h.enter()
-	if !h.post(m(id)) {
-		h.leave(id)
-		return gone()
-	}
-	var follow follower
-	follow.sink = sink
-	for {
-		select {
-		case r := <-t.reply:
-			return r
-		case f := <-t.feed:
-			follow.feed, follow.at = f, 0
-			if !follow.deliver() {
-				h.leave(id)
-				return left()
-			}
-		case <-follow.more:
-			if !follow.deliver() {
-				h.leave(id)
-				return left()
-			}
-		case <-ctx.Done():
-			h.leave(id)
-			return left()
-		case <-h.done:
-			return h.last(t)
-		}
-	}
-}
-
-// last returns a reply that was given just before the host ended.
-func (h *Host) last(t *ticket) result.Result {
-	select {
-	case r := <-t.reply:
-		return r
-	default:
-		return gone()
-	}
-}
-
-// gone tells the daemon that met the caller to look for the new owner, which
-// joins or repeats the call by its number.
-func gone() result.Result {
-	return result.Failed(result.CodeNotOwner, result.Unknown, "the program has moved to another daemon")
-}
-
-func left() result.Result {
-	return result.Failed(result.CodeCancelled, result.Unknown, "the caller is gone")
-}
-
-// History implements runner.Runner.
-func (h *Host) History(ctx context.Context, account, program string) (hist.History, result.Result) {
-	return h.past(ctx, account, state.Hash(program), func(hs []hist.History) (hist.History, bool) {
-		i := slices.IndexFunc(hs, func(p hist.History) bool { return p.Program == program })
-		return pick(hs, i)
-	})
-}
-
-// Request implements runner.Runner.
-func (h *Host) Request(ctx context.Context, account, request string) (hist.History, result.Result) {
-	hash, ok := requestHash(request)
-	if !ok {
-		return hist.History{}, notFound()
-	}
-	return h.past(ctx, account, hash, func(hs []hist.History) (hist.History, bool) { return only(hs, request) })
-}
-
-// Answer implements placer.Asker. It never waits: placement serves all shards,
-// and a host that waits for placement must not be waited for by it.
-func (h *Host) Answer(e sched.Effect) {
-	var m owner.Message
-	switch e := e.(type) {
-	case sched.Assign:
-		m = owner.Assigned{Assign: e}
-	case sched.Refuse:
-		m = owner.Refused{Refuse: e}
-	default:
-		return
-	}
-	select {
-	case h.mail <- m:
-	default:
-		h.Go(func() { h.post(m) })
-	}
-}
