limit: grow fast while the engine itself says that nothing waits

Cause: in a minute of load on slaterock dev the first token's p95 was 4.0 s; one owner's limit began at 8 for each engine and grew by half a request a round, before engines that reported room. Weighed: starting at the configured bound (eight owners would start with eight times it), doubling until crowded (ended above 12 where 3 fit, taken back before). Change: a load report without waiting requests lets the limit grow by a half before the next one.

--- a/internal/place/limit/limit.go
+++ b/internal/place/limit/limit.go
@@ -17,6 +17,7 @@
 	smoothing = 0.2
 	lowest    = 0.5 // the most that one round takes away
 	growth    = 0.5 // for each round of answers
+	roomier   = 1.5
 
 	// Answers between two probes, and in one, for each unit of the limit.
 	probeEvery = 12
@@ -36,6 +37,7 @@
 		ratio float64 // smoothed measured latency over expected
 		count int     // answers since the last probe, or in it
 		probe probe
+		room  float64 // up to which it grows fast
 	}
 
 	probe struct {
@@ -78,6 +80,8 @@
 	switch {
 	case l.ratio > tolerance:
 		l.limit = l.clamp(v - (1-max(lowest, tolerance/l.ratio))*v/max(v, 1))
+	case full && v < l.room:
+		l.limit = l.clamp(v + 1)
 	case full: // otherwise the limit was not what held the work back
 		l.limit = l.clamp(v + growth/v)
 	}
@@ -86,6 +90,18 @@
 	}
 }
 
+// Room takes a load report that says whether anything waits at the upstream. If
+// nothing does, the limit may grow by a half before the next report; growing
+// slowly before an engine that itself says that it has room would keep requests
+// waiting here for nothing. Several owners may take the same room; the next
+// report then tells.
+func (l *Limit) Room(waiting int) {
+	l.room = 0
+	if waiting == 0 {
+		l.room = roomier * l.value()
+	}
+}
+
 // probing takes an answer while the limit is halved. The first ones were still
 // sent before.
 func (l *Limit) probing(ratio float64) {
--- a/internal/place/sched/table.go
+++ b/internal/place/sched/table.go
@@ -186,6 +186,7 @@
 		return
 	}
 	u := s.ups[i]
+	u.limit.Room(m.Report.Waiting)
 	if u.load.Report(now, m.Report) {
 		s.leave(now, i, u)
 	}
