owner: keep the cost of failed attempts over a handover

An attempt had failed, the next one was under way at a handover, and the record for the next owner left out what the first may have cost. Change: the record has the cost; the harness claims and releases by the key's revision, as node/shards does.

--- a/internal/play/soak/node.go
+++ b/internal/play/soak/node.go
@@ -15,7 +15,7 @@
 	n.w.stats.Crashes++
 	n.w.note("%s crashes", n.name)
 	n.life++
-	n.up, n.own, n.snap = false, nil, nil
+	n.up, n.own, n.snap, n.key = false, nil, nil, 0
 	n.attempts, n.given = map[string]bool{}, map[*owner.Owner]bool{}
 	n.lease = lease.Lease{}
 	n.w.after(n.w.span(time.Second, 10*time.Second), func() {
@@ -148,8 +148,8 @@
 
 func (n *node) rekey(id store.Lease) {
 	life := n.own
-	n.storeCall(func() error {
-		_, err := n.w.st.Put(context.Background(), shardKey, []byte(n.name), 0, id)
+	n.storeCall(func() (err error) {
+		n.key, err = n.w.st.Put(context.Background(), shardKey, []byte(n.name), 0, id)
 		return err
 	}, func(err error) {
 		switch {
@@ -169,10 +169,10 @@
 		return
 	}
 	ctx := context.Background()
-	if e, err := w.st.Get(ctx, shardKey); err == nil && string(e.Data) != n.name {
-		return
+	if e, err := w.st.Get(ctx, shardKey); err == nil && e.Rev != n.key {
+		return // another's, or this node's own of an earlier life or ownership
 	} else if err != nil {
-		if _, err := w.st.Put(ctx, shardKey, []byte(n.name), 0, n.lease.ID()); err != nil {
+		if n.key, err = w.st.Put(ctx, shardKey, []byte(n.name), 0, n.lease.ID()); err != nil {
 			return
 		}
 	}
@@ -207,13 +207,12 @@
 
 // release gives the shard's key up, so that the next owner need not wait.
 func (n *node) release() {
+	key := n.key
+	n.key = 0
 	n.storeCall(func() error {
-		e, err := n.w.st.Get(context.Background(), shardKey)
-		if err != nil || string(e.Data) != n.name {
-			return err
-		}
-		n.w.clean = true
-		return n.w.st.Delete(context.Background(), shardKey, e.Rev)
+		err := n.w.st.Delete(context.Background(), shardKey, key)
+		n.w.clean = n.w.clean || err == nil
+		return err
 	}, func(error) {})
 }
 
--- a/internal/play/soak/world.go
+++ b/internal/play/soak/world.go
@@ -7,6 +7,7 @@
 
 	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/fake/keyval"
+	"github.com/slaterock/slaterock/internal/plat/store"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/shard/fold"
 	"github.com/slaterock/slaterock/internal/shard/lease"
@@ -73,6 +74,7 @@
 		lease     lease.Lease
 		own       *owner.Owner
 		snap      *fold.Snap
+		key       store.Rev // of the shard's key as this node wrote it
 		suspended bool
 		asked     map[string]bool
 		attempts  map[string]bool
--- a/internal/prog/record/codec_test.go
+++ b/internal/prog/record/codec_test.go
@@ -31,7 +31,7 @@
 		"reserved": record.Reserved{Program: "p", Total: 7},
 		"intent":   record.Intent{Program: "p", Call: c},
 		"ended":    record.Ended{Program: "p", Call: c, Tokens: 4, Final: true, Head: true},
-		"moved":    record.Moved{Program: "p", Call: c, Service: "receipts", Hold: 3},
+		"moved":    record.Moved{Program: "p", Call: c, Service: "receipts", Hold: 3, Cost: 1},
 		"closed":   record.Closed{Program: "p", Code: "finished", At: at},
 	}
 }
--- a/internal/prog/record/record.go
+++ b/internal/prog/record/record.go
@@ -65,12 +65,14 @@
 
 	// Moved tells of a call whose attempt was under way when its owner handed
 	// the shard over. The former owner's daemon goes on with the attempt and
-	// tells the new owner how it ends. Hold is what the call may still cost.
+	// tells the new owner how it ends. Hold is what the call may cost in all,
+	// Cost what its attempts that failed before may have cost of that.
 	Moved struct {
 		Program string    `json:"program"`
 		Call    hist.Call `json:"call"`
 		Service string    `json:"service,omitempty"`
 		Hold    int64     `json:"hold"`
+		Cost    int64     `json:"cost,omitempty"`
 	}
 
 	// Holders tells where a text is that the journal refers to already: a
--- a/internal/shard/owner/move.go
+++ b/internal/shard/owner/move.go
@@ -30,7 +30,7 @@
 	for _, r := range o.byRequest() {
 		switch r.phase {
 		case waitAnswer:
-			o.add(record.Moved{Program: r.prog.id, Call: o.history(r), Service: r.call.Service, Hold: r.hold})
+			o.add(record.Moved{Program: r.prog.id, Call: o.history(r), Service: r.call.Service, Hold: r.hold, Cost: r.cost})
 		case waitKeep:
 			o.inline(now, r)
 		case waitCommit:
@@ -95,7 +95,7 @@
 // daemon. What it holds is not spent yet.
 func (o *Owner) adoptRun(now time.Time, p *program, m record.Moved) {
 	c := m.Call
-	r := &run{prog: p, phase: waitAnswer, digest: c.Digest, shared: c.Shared, hold: m.Hold, tries: c.Tries, moved: true}
+	r := &run{prog: p, phase: waitAnswer, digest: c.Digest, shared: c.Shared, hold: m.Hold, cost: m.Cost, tries: c.Tries, moved: true}
 	r.call = call.Call{Request: c.Request, Account: p.open.Account, Program: p.id, Number: c.Number, Kind: c.Kind, Service: m.Service}
 	r.start, r.before = c.Start, c.Before
 	r.target, r.asked, r.size = c.Target, c.Asked, c.Size
--- a/internal/shard/owner/move_test.go
+++ b/internal/shard/owner/move_test.go
@@ -136,6 +136,27 @@
 	}
 }
 
+// An attempt has failed and the next one is under way when the shard is handed
+// over. What the first may have cost must not be forgotten on the way; the
+// program would pass its budget.
+func TestHandoverKeepsTheCostOfFailedAttempts(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	d.open("p")
+	d.call("p", 0, "", string(make([]byte, 300)))
+	d.answer(sched.Failed) // 340 of 1000 may be gone
+	is.Equal(len(d.sent), 2)
+	d.step(owner.Drain{})
+	next := d.successor(is)
+	again := d.sent[1]
+	next.step(owner.Tried{Request: again.Request, Upstream: again.Upstream, Outcome: sched.Succeeded, Status: 200, Body: []byte("done"), Usage: usageOf(sched.Succeeded)})
+	over := next.call("p", 1, "", string(make([]byte, 700))) // 640 are left
+	is.Equal(next.replies[over].Code, result.CodeBudget)
+	fits := next.call("p", 1, "", string(make([]byte, 500)))
+	is.Equal(next.replies[fits].Code, result.Code(""))
+	is.Equal(len(next.sent), 1)
+}
+
 // An engine breaks off without saying what it generated. What it may have
 // generated counts, or a program on a bad day would pass its budget.
 func TestFailedAttemptsCost(t *testing.T) {
