shards: take a shard back whose key this process left behind

Change: a claim names its process; a key of this process that no host stands for is replaced by compare-and-swap.

--- a/internal/node/shards/claim.go
+++ b/internal/node/shards/claim.go
@@ -27,6 +27,7 @@
 	// owner lives; Released tells that the owner gave the shard up cleanly.
 	claim struct {
 		Owner    string `json:"owner"`
+		Session  uint64 `json:"session"` // of the process
 		Nonce    uint64 `json:"nonce"`
 		Released bool   `json:"released,omitempty"`
 	}
@@ -143,7 +144,7 @@
 
 // claim writes the shard's key under the lease.
 func (s *Shards) claim(ctx context.Context, shard int, id store.Lease) (claimed, error) {
-	mine := claim{Owner: s.Name, Nonce: s.Rand()}
+	mine := claim{Owner: s.Name, Session: s.session, Nonce: s.Rand()}
 	rev, err := s.Store.Put(ctx, key(shard), encode(mine), 0, id)
 	if err == nil {
 		return claimed{rev: rev}, nil
@@ -163,11 +164,14 @@
 	switch {
 	case held == mine:
 		return claimed{rev: e.Rev}, nil
-	case !held.Released:
+	case !held.Released && held.Session != s.session:
 		return claimed{}, errHeld
 	}
+	// A key of this process that no host stands for is from a claim that landed
+	// after it was given up, or a release that got lost. It hangs on a lease
+	// that is renewed, so without this nobody could ever take the shard.
 	rev, err = s.Store.Put(ctx, key(shard), encode(mine), e.Rev, id)
-	return claimed{rev: rev, clean: true}, err
+	return claimed{rev: rev, clean: held.Released}, err
 }
 
 func encode(c claim) []byte {
--- a/internal/node/shards/shards.go
+++ b/internal/node/shards/shards.go
@@ -70,6 +70,7 @@
 		mail    chan message
 		lease   lease.Lease
 		assign  assign.Assign
+		session uint64    // tells this process's claims from those of an earlier one
 		reached time.Time // when this daemon last reached the store
 
 		tails atomic.Int64 // attempts that go on for later owners
@@ -127,6 +128,7 @@
 func (s *Shards) Init() {
 	s.mail = make(chan message, mailbox)
 	s.hosts = map[int]*ward{}
+	s.session = s.Rand()
 	s.lease.Rand = s.Rand
 	s.assign.Self, s.assign.Rand = s.Name, s.Rand
 }
--- a/internal/play/soak/node.go
+++ b/internal/play/soak/node.go
@@ -15,7 +15,7 @@
 	n.w.stats.Crashes++
 	n.w.note("%s crashes", n.name)
 	n.life++
-	n.up, n.own, n.snap, n.key = false, nil, nil, 0
+	n.up, n.own, n.snap, n.mine = false, nil, nil, map[store.Rev]bool{}
 	n.attempts, n.given = map[string]bool{}, map[*owner.Owner]bool{}
 	n.lease = lease.Lease{}
 	n.w.after(n.w.span(time.Second, 10*time.Second), func() {
@@ -147,10 +147,9 @@
 }
 
 func (n *node) rekey(id store.Lease) {
-	life := n.own
+	life, started := n.own, n.life
 	n.storeCall(func() (err error) {
-		n.key, err = n.w.st.Put(context.Background(), shardKey, []byte(n.name), 0, id)
-		return err
+		return n.putKey(started, id, 0)
 	}, func(err error) {
 		switch {
 		case n.own != life:
@@ -162,6 +161,17 @@
 	})
 }
 
+// putKey puts the shard's key under the lease, if it is at the revision. It may
+// land after the node has given up on it.
+func (n *node) putKey(life int, id store.Lease, at store.Rev) error {
+	rev, err := n.w.st.Put(context.Background(), shardKey, []byte(n.name), at, id)
+	if err == nil && n.life == life {
+		n.key = rev
+		n.mine[rev] = true
+	}
+	return err
+}
+
 // claim takes the shard over if nobody holds its key.
 func (n *node) claim() {
 	w := n.w
@@ -169,12 +179,9 @@
 		return
 	}
 	ctx := context.Background()
-	if e, err := w.st.Get(ctx, shardKey); err == nil && e.Rev != n.key {
-		return // another's, or this node's own of an earlier life or ownership
-	} else if err != nil {
-		if n.key, err = w.st.Put(ctx, shardKey, []byte(n.name), 0, n.lease.ID()); err != nil {
-			return
-		}
+	e, err := w.st.Get(ctx, shardKey)
+	if err == nil && !n.mine[e.Rev] || n.putKey(n.life, n.lease.ID(), e.Rev) != nil {
+		return // another's, or this node's own of an earlier life
 	}
 	v := w.st.Client(n.name)
 	if w.fault(300) {
@@ -208,7 +215,6 @@
 // release gives the shard's key up, so that the next owner need not wait.
 func (n *node) release() {
 	key := n.key
-	n.key = 0
 	n.storeCall(func() error {
 		err := n.w.st.Delete(context.Background(), shardKey, key)
 		n.w.clean = n.w.clean || err == nil
--- a/internal/play/soak/world.go
+++ b/internal/play/soak/world.go
@@ -74,7 +74,8 @@
 		lease     lease.Lease
 		own       *owner.Owner
 		snap      *fold.Snap
-		key       store.Rev // of the shard's key as this node wrote it
+		key       store.Rev          // of the shard's key as this node wrote it last
+		mine      map[store.Rev]bool // revisions of the key that this life wrote
 		suspended bool
 		asked     map[string]bool
 		attempts  map[string]bool
@@ -128,7 +129,7 @@
 		},
 	}
 	for i := range worldNodes {
-		w.nodes = append(w.nodes, &node{w: w, name: string(rune('a' + i)), up: true, attempts: map[string]bool{}, given: map[*owner.Owner]bool{}})
+		w.nodes = append(w.nodes, &node{w: w, name: string(rune('a' + i)), up: true, attempts: map[string]bool{}, given: map[*owner.Owner]bool{}, mine: map[store.Rev]bool{}})
 	}
 	for i := range 3 {
 		w.callers = append(w.callers, newCaller(w, fmt.Sprintf("p%d", i)))
