--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -270,7 +271,9 @@
 			rs = append(rs, r)
 		}
 	}
-	slices.SortFunc(rs, func(a, b *run) int { return int(int64(a.seq) - int64(b.seq)) })
+	slices.SortFunc(rs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.seq, b.seq), cmp.Compare(a.call.Request, b.call.Request))
+	})
 	return rs
 }
 
--- a/internal/shard/owner/move.go
+++ b/internal/shard/owner/move.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -39,7 +40,7 @@
 		}
 	}
 	o.settle()
-	for id := range o.progs {
+	for _, id := range o.ids() {
 		o.emit(Place{Message: sched.Forget{Program: id}})
 	}
 }
@@ -60,6 +61,9 @@
 	return rs
 }
 
+// ids returns the programs' ids, sorted so that a replay writes the same journal.
+func (o *Owner) ids() []string { return slices.Sorted(maps.Keys(o.progs)) }
+
 // turnAway ends a call that was not sent. Its callers repeat it at the next
 // owner, so without an intent the history has no need of it.
 func (o *Owner) turnAway(now time.Time, r *run) {
@@ -80,7 +84,8 @@
 // settle gives back what is reserved and neither spent nor held: the next owner
 // would have to count it as spent.
 func (o *Owner) settle() {
-	for id, p := range o.progs {
+	for _, id := range o.ids() {
+		p := o.progs[id]
 		b := p.budget
 		total := b.Spent + b.Held
 		if p.root != p || p.closed != "" || b.Reserved <= total {
