send: go on with an answer whose connection broke

Cause: engines can resume a stream; an answer that broke after its first piece failed all the same. Change: the same engine is asked to go on after the last piece, twice at most. The client takes an answer for resumed only if its first event has the next number. A resumption that can't connect never counts as not sent.

--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -129,7 +129,7 @@
 			return u, cancelled(err)
 		}
 		u.Output += tokens
-		if err := sink(engine.Delta{Text: text, Tokens: tokens}); err != nil {
+		if err := sink(engine.Delta{Text: text, Tokens: tokens, ID: i + 1}); err != nil {
 			u.Finish = finishCancelled
 			return u, cancelled(err)
 		}
--- a/internal/node/send/send.go
+++ b/internal/node/send/send.go
@@ -21,7 +21,10 @@
 	"github.com/slaterock/slaterock/internal/shard/owner"
 )
 
-const contentText = "text/plain; charset=utf-8"
+const (
+	contentText = "text/plain; charset=utf-8"
+	maxResumes  = 2 // of one broken answer
+)
 
 type (
 	// Send makes attempts. The funcs give the client of the upstream at an
@@ -56,9 +59,9 @@
 
 func (s Send) model(ctx context.Context, d owner.Dispatch, f *feed.Feed) owner.Tried {
 	t := owner.Tried{Request: d.Request, Upstream: d.Upstream, ContentType: contentText, Status: http.StatusOK}
-	tokens := 0
+	tokens, last := 0, 0
 	first := true
-	u, err := s.Engine(d.Address).Chat(ctx, engine.Request{
+	r := engine.Request{
 		ID:          d.Request,
 		Program:     d.Call.Program,
 		Model:       d.Call.Model,
@@ -66,11 +69,13 @@
 		Priority:    d.Priority,
 		MaxTokens:   d.MaxTokens,
 		TraceParent: d.Call.TraceParent,
-	}, func(p engine.Delta) error {
+	}
+	sink := func(p engine.Delta) error {
 		if first {
 			first = false
 			s.First(d.Request, d.Upstream)
 		}
+		last = p.ID
 		// An engine that ignores its bound would spend beyond the program's
 		// budget; the stream is cut here and the answer ends by length.
 		if tokens+p.Tokens > d.MaxTokens {
@@ -79,14 +84,25 @@
 		tokens += p.Tokens
 		f.Add(p.Text)
 		return nil
-	})
+	}
+	u, err := s.Engine(d.Address).Chat(ctx, r, sink)
+	for range maxResumes {
+		if err == nil || ctx.Err() != nil || last == 0 || errors.Is(err, errOverrun) {
+			break
+		}
+		// The connection broke, not the engine: callers have seen a part of
+		// the answer, so only the engine that gave it can go on with it.
+		r.Resume = last
+		u, err = s.Engine(d.Address).Chat(ctx, r, sink)
+	}
 	t.Usage, t.Pieces = u, f.Pieces()
 	if errors.Is(err, errOverrun) {
 		t.Usage.Finish, t.Usage.Output, err = "length", d.MaxTokens, nil
 	}
 	if err != nil {
+		// What a resumption didn't reach was sent before.
 		var e *engine.Error
-		t.Outcome, t.Why = s.failed(ctx, err, errors.As(err, &e) && !e.Sent)
+		t.Outcome, t.Why = s.failed(ctx, err, errors.As(err, &e) && !e.Sent && t.Pieces == 0)
 		return t
 	}
 	t.Outcome = sched.Succeeded
--- a/internal/plat/chat/chat.go
+++ b/internal/plat/chat/chat.go
@@ -116,7 +116,7 @@
 	if status := a.Header.StatusCode(); status != http.StatusOK {
 		return u, refused(a, status)
 	}
-	in := reader{answer: a, limit: r.MaxTokens, sink: sink}
+	in := reader{answer: a, limit: r.MaxTokens, after: r.Resume, sink: sink}
 	err = in.run()
 	if ctx.Err() != nil {
 		in.usage.Finish = finishCut
--- a/internal/plat/chat/network_test.go
+++ b/internal/plat/chat/network_test.go
@@ -79,7 +79,7 @@
 
 // events serves a fixed body as an answer and returns what the client makes of
 // it.
-func events(t *testing.T, body string, limit int) (a answer) {
+func events(t *testing.T, body string, limit, resume int) (a answer) {
 	synctest.Test(t, func(t *testing.T) {
 		var n pipe.Net
 		h := host.Host{Handler: func(_ context.Context, w *fasthttp.RequestCtx) {
@@ -90,7 +90,7 @@
 		defer h.Close()
 		c := &chat.Client{Line: line.Line{Address: address, Connect: n.Connect}}
 		r := request("r1", "p", "one")
-		r.MaxTokens = limit
+		r.MaxTokens, r.Resume = limit, resume
 		a.usage, a.err = c.Chat(t.Context(), r, func(d engine.Delta) error {
 			a.text += d.Text
 			return nil
@@ -106,26 +106,32 @@
 	const mark = "data: [DONE]\n\n"
 	whole := engine.Usage{Prompt: 5, Cached: 3, Output: 2, Finish: "stop"}
 	tests := map[string]struct {
-		body  string
-		limit int
-		text  string
-		usage engine.Usage
-		err   error
+		body   string
+		limit  int
+		text   string
+		usage  engine.Usage
+		err    error
+		resume int
 	}{
-		"usage in a last chunk of its own": {piece + piece + end + usage + mark, 0, "abab", whole, nil},
-		"comments and other fields":        {": ping\n\nevent: x\nid: 4\n" + piece + end + usage + mark, 0, "ab", whole, nil},
-		"no space and carriage returns":    {strings.ReplaceAll(strings.ReplaceAll(piece+end+usage+mark, "data: ", "data:"), "\n", "\r\n"), 0, "ab", whole, nil},
+		"usage in a last chunk of its own": {piece + piece + end + usage + mark, 0, "abab", whole, nil, 0},
+		"comments and other fields":        {": ping\n\nevent: x\nid: 4\n" + piece + end + usage + mark, 0, "ab", whole, nil, 0},
+		"no space and carriage returns":    {strings.ReplaceAll(strings.ReplaceAll(piece+end+usage+mark, "data: ", "data:"), "\n", "\r\n"), 0, "ab", whole, nil, 0},
 		// The engine's process ends cleanly but too early: the answer looks
 		// whole at the level of HTTP. Without the end mark it is not.
-		"end mark missing": {piece + piece, 0, "abab", engine.Usage{Output: 2}, chat.ErrCut},
+		"end mark missing": {piece + piece, 0, "abab", engine.Usage{Output: 2}, chat.ErrCut, 0},
 		// The engine ignores max_tokens. The answer ends at the limit, so
 		// that the program's budget holds.
-		"more than the limit": {piece + piece + piece + end + mark, 2, "abab", engine.Usage{Output: 2, Finish: "length"}, nil},
+		"more than the limit":     {piece + piece + piece + end + mark, 2, "abab", engine.Usage{Output: 2, Finish: "length"}, nil, 0},
+		"goes on after what came": {"id: 4\n" + piece + end + usage + mark, 0, "ab", whole, nil, 3},
+		// The engine takes the request for a new one. Its pieces would stand
+		// behind those that the caller has of the first answer.
+		"begins anew":      {"id: 1\n" + piece + end + usage + mark, 0, "", engine.Usage{}, chat.ErrNotResumed, 3},
+		"counts no pieces": {piece + end + usage + mark, 0, "", engine.Usage{}, chat.ErrNotResumed, 3},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a := events(t, tt.body, tt.limit)
+			a := events(t, tt.body, tt.limit, tt.resume)
 			is.True(errors.Is(a.err, tt.err))
 			is.Equal(a.text, tt.text)
 			is.Equal(a.usage, tt.usage)
--- a/internal/plat/chat/reader.go
+++ b/internal/plat/chat/reader.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 
 	"github.com/slaterock/slaterock/internal/plat/engine"
 	"github.com/slaterock/slaterock/internal/plat/line"
@@ -19,6 +20,8 @@
 	reader struct {
 		answer *line.Answer
 		limit  int // tokens
+		after  int // ID of the piece that a resumed answer goes on after
+		id     int // of the newest event, 0 without one
 		sink   func(engine.Delta) error
 		usage  engine.Usage
 		least  int // tokens that certainly came
@@ -27,11 +30,16 @@
 
 var (
 	prefixData = []byte("data:")
+	prefixID   = []byte("id:")
 	done       = []byte("[DONE]")
 
 	// ErrCut reports an answer that ended before its end was told.
 	ErrCut = errors.New("chat: answer was cut off")
 
+	// ErrNotResumed reports an engine that began an answer anew instead of going
+	// on with it. Taking its pieces would give the caller two beginnings.
+	ErrNotResumed = errors.New("chat: engine did not resume the answer")
+
 	errEnough = errors.New("chat: engine went on past the limit")
 )
 
@@ -41,6 +49,10 @@
 	s := bufio.NewScanner(r.answer.Body)
 	s.Buffer(nil, maxEvent)
 	for s.Scan() {
+		if id, ok := bytes.CutPrefix(s.Bytes(), prefixID); ok {
+			r.id, _ = strconv.Atoi(string(bytes.TrimSpace(id)))
+			continue
+		}
 		data, ok := bytes.CutPrefix(s.Bytes(), prefixData)
 		if !ok {
 			continue
@@ -90,6 +102,10 @@
 	if m.Content == "" {
 		return nil
 	}
+	if r.after > 0 && r.id != r.after+1 {
+		return ErrNotResumed
+	}
+	r.after = 0
 	r.answer.Flow()
 	r.least += max(m.Tokens, 1)
 	if r.limit > 0 && r.least > r.limit {
@@ -100,5 +116,5 @@
 		tokens = engine.Tokens(len(m.Content))
 	}
 	r.usage.Output += tokens
-	return r.sink(engine.Delta{Text: m.Content, Tokens: tokens})
+	return r.sink(engine.Delta{Text: m.Content, Tokens: tokens, ID: r.id})
 }
--- a/internal/plat/engine/engine.go
+++ b/internal/plat/engine/engine.go
@@ -51,13 +51,16 @@
 		Priority    int    // higher runs first
 		MaxTokens   int    // the engine generates no more than this
 		TraceParent string
-		Resume      int // pieces already received, where the engine resumes
+		Resume      int // ID of the last piece received, to go on after it
 	}
 
 	// Delta is one piece of an answer.
+	// ID is its number in the answer, from 1 on; 0 where the engine gives none
+	// and an answer can't be resumed.
 	Delta struct {
 		Text   string
 		Tokens int
+		ID     int
 	}
 
 	// Usage is what one completion took, in tokens.
