--- a/cmd/slaterock/process_test.go
+++ b/cmd/slaterock/process_test.go
@@ -219,21 +219,40 @@
 // to its end, the next call is taken by the new owner, and the daemon exits
 // without an error.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	tests := map[string][]int{ // the daemons that are stopped at once
+		"one": {1},
+		"two": {1, 2},
+	}
+	for name, stopped := range tests {
+		t.Run(name, func(t *testing.T) { plannedStop(t, stopped) })
+	}
+}
+
+func plannedStop(t *testing.T, stopped []int) {
 	is := is.New(t)
 	s := newSystem(t)
-	owner := s.owner("pickup-0")
-	entry := (owner + 1) % daemons
+	const entry = 0
 	var once sync.Once
 	var work sync.WaitGroup
 	for n := range 24 { // a third of them are the stopped daemon's, more or less
 		work.Go(func() {
 			s.stream(fmt.Sprintf("pickup-%d", n), entry, func() {
-				once.Do(func() { is.NoErr(s.procs[owner].Process.Signal(syscall.SIGTERM)) })
+				once.Do(func() { s.terminate(stopped) })
 			})
 		})
 	}
 	work.Wait()
-	is.NoErr(s.procs[owner].Wait()) // it exits by itself, with status 0
+	for _, i := range stopped {
+		is.NoErr(s.procs[i].Wait()) // it exits by itself, with status 0
+	}
+}
+
+func (s *system) terminate(stopped []int) {
+	for _, i := range stopped {
+		if err := s.procs[i].Process.Signal(syscall.SIGTERM); err != nil {
+			s.t.Error(err)
+		}
+	}
 }
 
 // stream runs a program of a streamed call and a receipt, and compares what its
--- a/cmd/slaterock/rolling_test.go
+++ b/cmd/slaterock/rolling_test.go
@@ -16,6 +16,7 @@
 	"github.com/slaterock/slaterock/internal/play/replay"
 	"github.com/slaterock/slaterock/internal/play/trace"
 	"github.com/slaterock/slaterock/internal/prog/call"
+	"github.com/slaterock/slaterock/internal/prog/hist"
 )
 
 // All daemons are replaced one after the other while programs run. Callers ask
@@ -49,6 +50,14 @@
 	}
 	stop.Store(true)
 	work.Wait()
+	for i := range daemons { // all of them are new, and any can tell
+		h, err := s.client(i).History(s.ctx, "pickup-0-0")
+		is.NoErr(err)
+		is.Equal(h.Ended, string(call.Finish))
+		var one hist.History
+		is.NoErr(s.client(i).JSON(s.ctx, "GET", "/v1/requests/"+h.Calls[0].Request, nil, &one))
+		is.Equal(one.Calls, h.Calls[:1])
+	}
 	close(failures)
 	for err := range failures {
 		t.Error(err)
--- a/internal/shard/chain/chain.go
+++ b/internal/shard/chain/chain.go
@@ -23,7 +23,9 @@
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
+)
 
+const (
 	// Created is a creation that succeeded.
 	Created Outcome = iota
 	// Exists is a creation refused because the entry exists.
