server: bound a configuration apart from callers' bodies

Cause: a configuration with 35,000 accounts has 5.2 MB and was refused by the bound of callers' bodies, 4 MB. Change: an operator's configuration may have 64 MB; others' keys keep their bound.

--- a/internal/edge/server/operate.go
+++ b/internal/edge/server/operate.go
@@ -16,10 +16,10 @@
 		x.json(fasthttp.StatusAccepted, struct {
 			Draining bool `json:"draining"`
 		}{true})
-	case x.is("GET", "/v1/config") && s.Text != nil:
+	case x.is("GET", pathConfig) && s.Text != nil:
 		text, version := s.Text()
 		x.json(fasthttp.StatusOK, running{Version: version, Text: string(text)})
-	case x.is("POST", "/v1/config") && s.Apply != nil:
+	case x.is("POST", pathConfig) && s.Apply != nil:
 		s.apply(x)
 	default:
 		x.notFound()
--- a/internal/edge/server/operate_test.go
+++ b/internal/edge/server/operate_test.go
@@ -82,6 +82,33 @@
 	}
 }
 
+// A system with many accounts has a configuration larger than any caller's body
+// may be. Its operator must get it applied, and nobody else may send as much.
+func TestLargeConfiguration(t *testing.T) {
+	tests := map[string]struct {
+		key    string
+		status int
+	}{
+		"operator":  {operator, 200},
+		"account":   {tenant, 413},
+		"nobody":    {"", 413},
+		"wrong key": {"nope", 413},
+	}
+	text := strings.Repeat("# a line of a configuration\n", 1000)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			st := startWith(t, file.Limits{MaxBody: 1000}, func(s *Server) {
+				s.Apply = func(_ context.Context, got []byte, from uint64) Applied {
+					is.Equal(string(got), text)
+					return Told(from, apply.Outcome{Head: head.Head{Version: 5}}, nil)
+				}
+			})
+			is.Equal(st.send("POST", "/v1/config?from=4", tt.key, text, nil).status, tt.status)
+		})
+	}
+}
+
 func TestOperatorPaths(t *testing.T) {
 	drained := make(chan struct{}, 1)
 	change := func(s *Server) {
--- a/internal/edge/server/route.go
+++ b/internal/edge/server/route.go
@@ -22,6 +22,7 @@
 	jsonType     = "application/json"
 	textType     = "text/plain; charset=utf-8"
 
+	pathConfig   = "/v1/config"
 	pathPrograms = "/v1/programs"
 	pathServices = "/v1/services/"
 	pathRequests = "/v1/requests/"
@@ -104,16 +105,21 @@
 }
 
 func (s *Server) authenticate(x *exchange) bool {
-	key, found := strings.CutPrefix(string(x.Request.Header.Peek(fasthttp.HeaderAuthorization)), bearerPrefix)
-	if !found || key == "" || s.Account == nil {
-		return false
-	}
 	var ok bool
-	x.account, x.operator, ok = s.Account(key)
+	x.account, x.operator, ok = s.whose(&x.Request.Header)
 	x.told.Account = x.account
 	return ok
 }
 
+// whose returns the account that the request's key belongs to.
+func (s *Server) whose(h *fasthttp.RequestHeader) (account string, operator, ok bool) {
+	key, found := strings.CutPrefix(string(h.Peek(fasthttp.HeaderAuthorization)), bearerPrefix)
+	if !found || key == "" || s.Account == nil {
+		return "", false, false
+	}
+	return s.Account(key)
+}
+
 func (s *Server) ready(x *exchange) {
 	switch {
 	case s.draining.Load():
--- a/internal/edge/server/server.go
+++ b/internal/edge/server/server.go
@@ -13,6 +13,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -42,6 +43,9 @@
 	DefaultIdleTimeout = 75 * time.Second
 	DefaultHeartbeat   = 5 * time.Second
 
+	// maxConfig bounds a configuration, in bytes.
+	maxConfig = 64 << 20
+
 	// endTimeout bounds the end of a program that was opened for one call.
 	endTimeout = 10 * time.Second
 )
@@ -163,8 +167,15 @@
 }
 
 // limitBody takes the bound of a request's body from the configuration in
-// force, so that a new bound holds for the next request.
-func (s *Server) limitBody(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+// force, so that a new bound holds for the next request. An operator's
+// configuration has a bound of its own: that of callers' bodies would keep a
+// system with many accounts from being configured.
+func (s *Server) limitBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if bytes.HasPrefix(h.RequestURI(), []byte(pathConfig)) {
+		if _, operator, ok := s.whose(h); ok && operator {
+			return fasthttp.RequestConfig{MaxRequestBodySize: maxConfig}
+		}
+	}
 	return fasthttp.RequestConfig{MaxRequestBodySize: lower(s.config().Limits.MaxBody, s.MaxBody, DefaultMaxBody)}
 }
 
