--- a/internal/shard/boot/boot_test.go
+++ b/internal/shard/boot/boot_test.go
@@ -32,7 +32,7 @@
 }
 
 // write appends an entry as the owner of an epoch would.
-func write(t *testing.T, st store.Store, n, epoch uint64, rs ...record.Record) {
+func write(t testing.TB, st store.Store, n, epoch uint64, rs ...record.Record) {
 	t.Helper()
 	is := is.New(t)
 	e := record.Entry{Shard: 2, Number: n, Epoch: epoch, Nonce: n * 1000}
