--- a/internal/shard/boot/boot.go
+++ b/internal/shard/boot/boot.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,10 @@
 	"github.com/slaterock/slaterock/internal/shard/fold"
 )
 
-const maxRounds = 64
+const (
+	maxRounds = 64
+	readAhead = 16
+)
 
 type (
 	// Boot takes over one shard for one daemon.
@@ -39,6 +43,11 @@
 		Read  int    // journal entries read
 		Snap  *fold.Snap
 	}
+
+	reading struct {
+		entry record.Entry
+		err   error
+	}
 )
 
 var errRaced = errors.New("boot: other daemons keep writing to the journal")
@@ -68,31 +77,54 @@
 // follow reads the journal up to its end.
 func (b Boot) follow(ctx context.Context, t *Taken, j *record.Joiner) error {
 	for {
-		e, err := b.read(ctx, t.Next)
-		if errors.Is(err, store.ErrNotFound) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if e.Number != t.Next || e.Shard != b.Shard {
-			return &record.CorruptError{Reason: "the entry belongs elsewhere"}
-		}
-		rs, err := j.Records(e)
-		if err != nil {
-			return err
-		}
-		for _, r := range rs {
-			if err := t.Fold.Apply(e.Number, r); err != nil {
+		for _, r := range b.ahead(ctx, t.Next) {
+			if errors.Is(r.err, store.ErrNotFound) {
+				return nil
+			}
+			if r.err != nil {
+				return r.err
+			}
+			if err := b.apply(t, j, r.entry); err != nil {
 				return err
 			}
 		}
-		t.Fold.Upto = e.Number
-		t.Next++
-		t.Read++
 	}
 }
 
+// ahead reads several entries from n on at a time. One after the other they
+// would cost a way to the store and back each, while the shard's programs wait.
+// Entries behind the first that is absent are not used: they were written since
+// it was looked for.
+func (b Boot) ahead(ctx context.Context, n uint64) []reading {
+	rs := make([]reading, readAhead)
+	var work sync.WaitGroup
+	for i := range rs {
+		work.Go(func() { rs[i].entry, rs[i].err = b.read(ctx, n+uint64(i)) })
+	}
+	work.Wait()
+	return rs
+}
+
+// apply adds what an entry holds.
+func (b Boot) apply(t *Taken, j *record.Joiner, e record.Entry) error {
+	if e.Number != t.Next || e.Shard != b.Shard {
+		return &record.CorruptError{Reason: "the entry belongs elsewhere"}
+	}
+	rs, err := j.Records(e)
+	if err != nil {
+		return err
+	}
+	for _, r := range rs {
+		if err := t.Fold.Apply(e.Number, r); err != nil {
+			return err
+		}
+	}
+	t.Fold.Upto = e.Number
+	t.Next++
+	t.Read++
+	return nil
+}
+
 func (b Boot) read(ctx context.Context, n uint64) (record.Entry, error) {
 	v, err := b.Store.Get(ctx, chain.Key(b.Shard, n))
 	if err != nil {
