place, link, owner: one piece of code where logic stood twice

Cause: a read of the whole change found a hand-made search of a list twice beside slices.Contains, the look-up of a served call twice, and the order of calls by their requests three times. Change: slices.Contains, servedCall and byName; behaviour stays as it is.

--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -344,23 +344,24 @@
 	if json.Unmarshal(params, &c) != nil {
 		return
 	}
-	s.mu.Lock()
-	v := s.served[c.ID]
-	s.mu.Unlock()
-	if v != nil {
+	if v := s.servedCall(c.ID); v != nil {
 		v.grant(c.Bytes)
 	}
 }
 
+// servedCall is the call of that number which is served here, nil if it has ended.
+func (s *session) servedCall(id uint64) *serve {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served[id]
+}
+
 func (s *session) takeCancel(params json.RawMessage) {
 	var c cancel
 	if json.Unmarshal(params, &c) != nil {
 		return
 	}
-	s.mu.Lock()
-	v := s.served[c.ID]
-	s.mu.Unlock()
-	if v != nil {
+	if v := s.servedCall(c.ID); v != nil {
 		v.cancel(ErrCancelled)
 	}
 }
--- a/internal/place/sched/attempt.go
+++ b/internal/place/sched/attempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/place/hedge"
@@ -36,7 +37,9 @@
 	}
 )
 
-func (r *request) avoids(name string) bool { return name == r.last || contains(r.ask.Avoid, name) }
+func (r *request) avoids(name string) bool {
+	return name == r.last || slices.Contains(r.ask.Avoid, name)
+}
 
 func (r *request) start(t try) {
 	if r.tries[0].active {
--- a/internal/place/sched/table.go
+++ b/internal/place/sched/table.go
@@ -62,7 +62,7 @@
 func (u *upstream) usable(now time.Time) bool { return !u.leaving() && u.brk.Allow(now) }
 
 func (u *upstream) serves(model string) bool {
-	return model == "" || len(u.conf.Models) == 0 || contains(u.conf.Models, model)
+	return model == "" || len(u.conf.Models) == 0 || slices.Contains(u.conf.Models, model)
 }
 
 // room reports whether one more request may be sent. The configured bound
@@ -211,15 +211,6 @@
 	}
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // ended notes how many calls a program made in all.
 func (g *group) ended(calls float64) {
 	if g.turns == 0 {
--- a/internal/place/sweep/sweep.go
+++ b/internal/place/sweep/sweep.go
@@ -7,7 +7,10 @@
 // more daemons there are, at a constant cost to each.
 package sweep
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// Every is the time between two readings.
@@ -58,7 +61,7 @@
 	for _, p := range held {
 		switch {
 		case alive[p]:
-		case contains(before, p):
+		case slices.Contains(before, p):
 			release = append(release, p)
 		default:
 			now = append(now, p)
@@ -67,12 +70,3 @@
 	s.upstream, s.suspects = upstream, now
 	return release
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -272,7 +272,7 @@
 		}
 	}
 	slices.SortFunc(rs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.seq, b.seq), cmp.Compare(a.call.Request, b.call.Request))
+		return cmp.Or(cmp.Compare(a.seq, b.seq), byName(a, b))
 	})
 	return rs
 }
--- a/internal/shard/owner/move.go
+++ b/internal/shard/owner/move.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -52,15 +53,13 @@
 	for _, r := range o.runs {
 		rs = append(rs, r)
 	}
-	slices.SortFunc(rs, func(a, b *run) int {
-		if a.call.Request < b.call.Request {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(rs, byName)
 	return rs
 }
 
+// byName orders runs by their requests.
+func byName(a, b *run) int { return cmp.Compare(a.call.Request, b.call.Request) }
+
 // ids returns the programs' ids, sorted so that a replay writes the same journal.
 func (o *Owner) ids() []string { return slices.Sorted(maps.Keys(o.progs)) }
 
--- a/internal/shard/owner/tick.go
+++ b/internal/shard/owner/tick.go
@@ -78,12 +78,7 @@
 			rs = append(rs, r)
 		}
 	}
-	slices.SortFunc(rs, func(a, b *run) int {
-		if a.call.Request < b.call.Request {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(rs, byName)
 	return rs
 }
 
