--- /dev/null
+++ b/cmd/slaterock/front.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/slaterock/slaterock/internal/node/frontd"
+	"github.com/slaterock/slaterock/internal/node/keeper"
+	"github.com/slaterock/slaterock/internal/obs/flow"
+	"github.com/slaterock/slaterock/internal/obs/metric"
+	"github.com/slaterock/slaterock/platform"
+)
+
+// metricsPort is where /metrics is served on the VMs of the users' platform,
+// whose settings leave it to us.
+const metricsPort = 9464
+
+func frontCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "front",
+		Short: "Serve callers on a VM of the users' platform",
+		Long: "Serve callers, the directory and the readiness check on a VM of the users' platform.\n" +
+			"The settings file is the one that " + platform.SettingsVariable + " names. SIGTERM drains,\n" +
+			"SIGHUP reads the settings again.",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return onPlatform(runFront) },
+	}
+}
+
+func storageCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "storage",
+		Short: "Keep durable records on a VM of the users' platform",
+		Long: "Keep the durable records of turns and budgets on a VM with a disk. The settings file is\n" +
+			"the one that " + platform.SettingsVariable + " names. SIGTERM ends it after what was taken is\n" +
+			"on disk, SIGHUP reads the settings again.",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return onPlatform(runStorage) },
+	}
+}
+
+// process is one process on the platform.
+type process struct {
+	settings platform.Settings
+	store    *platform.Store
+	log      zerolog.Logger
+	metric   *metric.Metric
+	stop     chan struct{} // closed at SIGTERM
+}
+
+// onPlatform runs one process with its log, metrics and signals.
+func onPlatform(run func(context.Context, *process) error) (err error) {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	log, closing := flow.Open(os.Stdout, s.Node)
+	defer closing()
+	p := &process{settings: s, store: platform.Open(s.Store.Address), log: log, metric: metric.New(), stop: make(chan struct{})}
+	log.Info().Interface("settings", s).Msg("start")
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go p.watchSignals(ctx)
+	srv := &http.Server{Addr: fmt.Sprintf("%s:%d", s.IP, metricsPort), Handler: p.metric.Handler(), ReadHeaderTimeout: time.Second}
+	go func() {
+		if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			log.Warn().Err(err).Msg("metrics are not served")
+		}
+	}()
+	err = run(ctx, p)
+	_ = srv.Close() // nobody waits for a last scrape
+	log.Info().Err(err).Int64("store_calls", p.store.Calls()).Msg("stop")
+	return err
+}
+
+// watchSignals drains at SIGTERM and reads the settings again at SIGHUP. What
+// a process is built on (addresses, folders) stays as it was at its start.
+func (p *process) watchSignals(ctx context.Context) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	stopped := false
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				_, err := platform.ReadSettings()
+				p.log.Info().Err(err).Msg("reload: settings read again")
+				continue
+			}
+			p.log.Info().Str("signal", sig.String()).Msg("stopping")
+			if !stopped {
+				stopped = true
+				close(p.stop)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *process) peerAddress() string {
+	return fmt.Sprintf("%s:%d", p.settings.IP, p.settings.PeerPorts[0])
+}
+
+func runFront(ctx context.Context, p *process) error {
+	s := p.settings
+	d := &frontd.Daemon{
+		Settings: frontd.Settings{
+			Node: s.Node, Domain: s.Domain, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
+			Peer: p.peerAddress(), Grace: s.Grace, AnswerTTL: s.AnswerTTL,
+		},
+		Store: p.store, Source: platform.Source{Store: p.store}, Dialect: platform.Dialect{}, Names: platform.Names{},
+		Log: p.log, Scope: p.metric.Scope(),
+	}
+	return d.Run(ctx, p.stop)
+}
+
+func runStorage(ctx context.Context, p *process) error {
+	s := p.settings
+	if s.DataDir == "" {
+		return errors.New("settings: data-dir is missing")
+	}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	go func() {
+		<-p.stop
+		end()
+	}()
+	k := &keeper.Keeper{
+		Settings: keeper.Settings{
+			Node: s.Node, Domain: s.Domain, Address: p.peerAddress(), Dir: s.DataDir,
+			Capacity: int64(s.DiskMB) << 20, Losses: s.Losses,
+		},
+		Store: p.store, Operator: platform.Source{Store: p.store}, Log: p.log, Scope: p.metric.Scope(),
+	}
+	return k.Run(ctx)
+}
--- a/cmd/slaterock/main.go
+++ b/cmd/slaterock/main.go
@@ -55,6 +55,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	c.AddCommand(frontCommand(), storageCommand())
 	c.AddCommand(serveCommand(), devCommand(), fakeCommand(), soakCommand())
 	c.AddCommand(checkCommand(), applyCommand(), replayCommand(), loadCommand())
 	c.AddCommand(statusCommand(), historyCommand(), requestCommand(), drainCommand())
--- /dev/null
+++ b/internal/conf/route/route.go
@@ -0,0 +1,147 @@
+// Package route holds the routing table of one configuration version: which
+// requests go to which service, and on what terms.
+//
+// A Table is immutable. Match finds the route of a request by host and longest
+// path prefix.
+package route
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+const (
+	// Safe requests are idempotent: they may run more than once.
+	Safe Kind = iota
+	// Unsafe requests are not idempotent: each attempt runs at most once.
+	Unsafe
+	// Stream requests are answered by server-sent events. They are not
+	// idempotent, but some may be resumed after an event.
+	Stream
+)
+
+type (
+	// Kind tells what may be repeated.
+	Kind uint8
+
+	// Table is the configuration in one version.
+	Table struct {
+		Version  int64 // the operator's; only rises
+		Revision uint64
+		Services map[string]Service
+		Limits   Limits
+
+		hosts map[string][]Route // longest prefix first
+		count int
+	}
+
+	// Route tells where requests of one host and path prefix go.
+	Route struct {
+		Name     string
+		Host     string
+		Prefix   string // begins and ends with a slash
+		Kind     Kind
+		Backends []Backend     // at least one
+		Timeout  time.Duration // longest time that a request is kept waiting; 0 is none
+		Target   time.Duration // response time for the full benefit
+		EventGap time.Duration // longest pause between events of a punctual stream
+		Attempts int           // upstreams that may run one attempt, at least 1
+		Priority int           // 0 is the most urgent
+		Affinity bool          // requests about one object run faster together
+		Resume   bool          // a stream may go on at another upstream
+		Turns    bool          // requests are turns of a program with a token budget
+		Keep     bool          // the system keeps what turns said
+		KeepFor  time.Duration // how long, and how long budgets are remembered
+	}
+
+	// Backend is a service with its share of a route's requests.
+	Backend struct {
+		Service string
+		Weight  int
+	}
+
+	// Service is a group of equal upstreams.
+	Service struct {
+		Name        string
+		HealthPath  string
+		MaxConns    int // that one upstream takes from all callers
+		Batch       int // requests that one upstream runs at a time; 0 if not told
+		Memory      int // tokens of KV cache of one upstream; 0 for plain services
+		EventTokens int // tokens that each event of a stream counts for
+	}
+
+	// Limits bound what a caller may send.
+	Limits struct {
+		HeaderBytes int
+		BodyBytes   int64
+		HeaderTime  time.Duration
+		IdleTime    time.Duration
+	}
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Unsafe:
+		return "unsafe"
+	case Stream:
+		return "stream"
+	default:
+		return "unknown"
+	}
+}
+
+// New returns a table of the routes.
+func New(version int64, routes []Route, services []Service, limits Limits) *Table {
+	t := &Table{Version: version, Limits: limits, Services: map[string]Service{}, hosts: map[string][]Route{}, count: len(routes)}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, rs := range t.hosts {
+		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
+	}
+	return t
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return t.count }
+
+// Match returns the route with the longest prefix that begins the path. The
+// host may carry a port, which is ignored.
+func (t *Table) Match(host, path string) (Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Choose returns the service that serves a request, by the shares of the
+// backends. Requests with equal keys go to the same service as long as the
+// backends stay as they are; hash is drawn from the key.
+func (r Route) Choose(hash uint64) string {
+	total := 0
+	for _, b := range r.Backends {
+		total += max(b.Weight, 0)
+	}
+	if total == 0 {
+		return r.Backends[0].Service
+	}
+	n := int(hash % uint64(total))
+	for _, b := range r.Backends {
+		if n -= max(b.Weight, 0); n < 0 {
+			return b.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
--- /dev/null
+++ b/internal/disk/holder/holder.go
@@ -0,0 +1,312 @@
+// Package holder keeps durable records on one VM's disk for the daemons that
+// serve callers: it appends what they write, answers what they read, and lets
+// another holder copy everything.
+//
+// A holder decides nothing about budgets or turns. It acknowledges a record once
+// it is synced, and tells what it knows. What it refuses are requests made under
+// a roster older than the newest it has heard of: they may come from a daemon
+// that doesn't know that another disk has taken a place.
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/disk/book"
+	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/disk/seglog"
+	"github.com/slaterock/slaterock/internal/peer/link"
+)
+
+const (
+	// pageSize bounds one answer of a pull, in bytes. It takes 20 ms on the
+	// slowest link, so requests that share it are hardly delayed.
+	pageSize = 256 << 10
+	// lateCopy is the age beyond its keeping time after which a segment's last
+	// live records are copied forward, so that the segment can be dropped.
+	lateCopy = 10 * time.Second
+	// fullShare is the part of the disk that records may fill.
+	fullShare = 0.85
+)
+
+// Holder keeps records. Set the exported fields, then call Open.
+type Holder struct {
+	Dir      string
+	Capacity int64 // bytes of the disk; 0 is unbounded
+	Now      func() time.Time
+
+	log  seglog.Log
+	life string
+
+	mu      sync.Mutex
+	book    book.Book
+	known   uint64 // newest roster's version heard of
+	roster  roster.Roster
+	longest time.Duration // that any record is to be kept
+	frozen  bool          // no new records, because this VM is to be emptied
+}
+
+// Open reads the records. Blank tells that the disk was empty.
+func (h *Holder) Open() (blank bool, err error) {
+	defer func() { err = errors.Wrap(err, "open holder") }()
+	if h.Now == nil {
+		h.Now = time.Now
+	}
+	if h.life, blank, err = identify(h.Dir); err != nil {
+		return false, err
+	}
+	h.log.Dir = h.Dir
+	now := h.Now()
+	var torn error
+	err = h.log.Open(func(pos seglog.Pos, data []byte) {
+		r, err := book.Decode(data)
+		if err != nil {
+			torn = errors.CombineErrors(torn, err)
+			return
+		}
+		h.apply(r, pos, now)
+	})
+	return blank, errors.CombineErrors(err, torn)
+}
+
+// Life names the disk.
+func (h *Holder) Life() string { return h.life }
+
+// Close ends the holder after what waits was written.
+func (h *Holder) Close() error { return h.log.Close() }
+
+// Register offers the holder's methods over the link.
+func (h *Holder) Register(l *link.Link) {
+	l.Handle(MethodWrite, serve(h.Write))
+	l.Handle(MethodRead, serve(h.Read))
+	l.Handle(MethodPull, serve(h.Pull))
+	l.Handle(MethodFill, serve(h.takeFill))
+}
+
+func serve[Ask, Reply any](do func(context.Context, Ask) (Reply, error)) link.Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var a Ask
+		if err := unpack(params, &a); err != nil {
+			return nil, err
+		}
+		r, err := do(ctx, a)
+		if err != nil {
+			return nil, err
+		}
+		data, err := pack(r)
+		return link.Raw(data), err
+	}
+}
+
+// Learn takes a roster that this daemon has read.
+func (h *Holder) Learn(r roster.Roster) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r.Version > h.roster.Version {
+		h.roster = r
+	}
+	h.fence(r.Version)
+}
+
+// fence refuses older rosters from now on, also after a restart.
+func (h *Holder) fence(version uint64) {
+	if version <= h.known {
+		return
+	}
+	h.known = version
+	data, err := book.Record{Fence: version}.Encode()
+	if err == nil {
+		h.log.Append(data, func(seglog.Pos, error) {})
+	}
+}
+
+// admit checks whom a request means.
+func (h *Holder) admit(s Stamp) Refusal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.Life != "" && s.Life != h.life {
+		return h.refuse(CodeOther)
+	}
+	if s.Version < h.known {
+		return h.refuse(CodeStale)
+	}
+	h.fence(s.Version)
+	return Refusal{}
+}
+
+func (h *Holder) refuse(code string) Refusal {
+	r := Refusal{Code: code, Version: h.known}
+	if h.roster.Version > 0 {
+		r.Roster, _ = h.roster.Encode() // plain fields always encode
+	}
+	return r
+}
+
+// Write makes a record durable and tells what is known of its program.
+func (h *Holder) Write(ctx context.Context, a WriteAsk) (WriteReply, error) {
+	if r := h.admit(a.Stamp); r.Code != "" {
+		return WriteReply{Refusal: r}, nil
+	}
+	if h.isFrozen() {
+		return WriteReply{Refusal: Refusal{Code: CodeFull}}, nil
+	}
+	if h.Capacity > 0 && float64(h.log.Bytes()) > fullShare*float64(h.Capacity) {
+		return WriteReply{Refusal: Refusal{Code: CodeFull}}, nil
+	}
+	if err := h.store(ctx, a.Record); err != nil {
+		return WriteReply{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return WriteReply{Shares: h.book.Shares(a.Record.Program)}, nil
+}
+
+// Freeze refuses new records, or takes them again. Records are then
+// acknowledged by the other holders alone.
+func (h *Holder) Freeze(on bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.frozen = on
+}
+
+func (h *Holder) isFrozen() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.frozen
+}
+
+// store appends a record and waits until it is durable.
+func (h *Holder) store(ctx context.Context, r book.Record) error {
+	data, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	h.book.Note(r, h.Now())
+	h.mu.Unlock()
+	done := make(chan error, 1)
+	h.log.Append(data, func(pos seglog.Pos, err error) {
+		if err == nil {
+			h.mu.Lock()
+			h.apply(r, pos, h.Now())
+			h.mu.Unlock()
+		}
+		done <- err
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// apply takes a durable record; h.mu is held, or nobody else knows h yet.
+func (h *Holder) apply(r book.Record, pos seglog.Pos, now time.Time) {
+	h.known = max(h.known, r.Fence)
+	h.longest = max(h.longest, time.Duration(r.Keep)*time.Millisecond)
+	h.book.Apply(r, pos, now)
+}
+
+// Read returns a turn with its chain.
+func (h *Holder) Read(_ context.Context, a ReadAsk) (ReadReply, error) {
+	if r := h.admit(a.Stamp); r.Code != "" {
+		return ReadReply{Refusal: r}, nil
+	}
+	h.mu.Lock()
+	places, found := h.book.Chain(a.Turn)
+	h.mu.Unlock()
+	if !found {
+		return ReadReply{}, nil
+	}
+	chain := make([]book.Turn, 0, len(places))
+	for _, pos := range places {
+		data, err := h.log.Read(pos)
+		if err != nil {
+			return ReadReply{}, err
+		}
+		r, err := book.Decode(data)
+		if err != nil || r.Turn == nil {
+			return ReadReply{}, errors.CombineErrors(errors.New("no turn there"), err)
+		}
+		chain = append(chain, *r.Turn)
+	}
+	return ReadReply{Found: true, Chain: chain}, nil
+}
+
+// Pull returns records from a position on. The first ask waits until all that
+// was taken under older rosters is committed: an acknowledgement of such a record
+// may still go out, so the puller must see it.
+func (h *Holder) Pull(ctx context.Context, a PullAsk) (PullReply, error) {
+	if r := h.admit(a.Stamp); r.Code != "" {
+		return PullReply{Refusal: r}, nil
+	}
+	if a.First {
+		if err := h.barrier(ctx, a.Stamp.Version); err != nil {
+			return PullReply{}, err
+		}
+	}
+	recs, _, after, err := h.log.Scan(a.From, pageSize)
+	if err != nil {
+		return PullReply{}, err
+	}
+	return PullReply{Records: recs, After: after}, nil
+}
+
+// barrier returns once everything appended before is committed, with the fence.
+func (h *Holder) barrier(ctx context.Context, version uint64) error {
+	return h.store(ctx, book.Record{Fence: version})
+}
+
+func (h *Holder) takeFill(ctx context.Context, a FillAsk) (FillReply, error) {
+	if r := h.admit(a.Stamp); r.Code != "" {
+		return FillReply{Refusal: r}, nil
+	}
+	return FillReply{}, h.Fill(ctx, a.Records)
+}
+
+// Fill makes a record that was copied from another holder durable.
+func (h *Holder) Fill(ctx context.Context, records [][]byte) error {
+	var last error
+	wait := make(chan error, len(records))
+	for _, data := range records {
+		r, err := book.Decode(data)
+		if err != nil {
+			return err
+		}
+		r.Fence = 0 // the other holder's own
+		if r.Program == "" && r.Turn == nil {
+			wait <- nil
+			continue
+		}
+		h.log.Append(data, func(pos seglog.Pos, err error) {
+			if err == nil {
+				h.mu.Lock()
+				h.apply(r, pos, h.Now())
+				h.mu.Unlock()
+			}
+			wait <- err
+		})
+	}
+	for range records {
+		select {
+		case err := <-wait:
+			last = errors.CombineErrors(last, err)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return last
+}
+
+// Stats returns the number of programs and turns, and the bytes on disk.
+func (h *Holder) Stats() (programs, turns int, bytes int64) {
+	h.mu.Lock()
+	programs, turns = h.book.Len()
+	h.mu.Unlock()
+	return programs, turns, h.log.Bytes()
+}
--- /dev/null
+++ b/internal/disk/holder/wire.go
@@ -0,0 +1,98 @@
+package holder
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/slaterock/slaterock/internal/disk/book"
+	"github.com/slaterock/slaterock/internal/disk/seglog"
+)
+
+// The methods that a holder offers to other daemons.
+const (
+	MethodWrite = "disk.write"
+	MethodRead  = "disk.read"
+	MethodPull  = "disk.pull"
+	MethodFill  = "disk.fill"
+)
+
+type (
+	// Stamp names the place that is meant, as a daemon knows it.
+	Stamp struct {
+		Version uint64 `cbor:"1,keyasint,omitempty"` // of the roster
+		Life    string `cbor:"2,keyasint,omitempty"` // of the disk; empty where any will do
+	}
+
+	// WriteAsk asks for a record to be made durable.
+	WriteAsk struct {
+		Stamp  Stamp       `cbor:"1,keyasint"`
+		Record book.Record `cbor:"2,keyasint"`
+	}
+
+	// WriteReply tells what the program's attempts take of its budget, this
+	// record included.
+	WriteReply struct {
+		Refusal Refusal      `cbor:"1,keyasint"`
+		Shares  []book.Share `cbor:"2,keyasint,omitempty"`
+	}
+
+	// ReadAsk asks for a turn with its chain.
+	ReadAsk struct {
+		Stamp Stamp  `cbor:"1,keyasint"`
+		Turn  string `cbor:"2,keyasint"`
+	}
+
+	// ReadReply has the chain, the oldest turn first.
+	ReadReply struct {
+		Refusal Refusal     `cbor:"1,keyasint"`
+		Found   bool        `cbor:"2,keyasint,omitempty"`
+		Chain   []book.Turn `cbor:"3,keyasint,omitempty"`
+	}
+
+	// PullAsk asks for records from a position on. The first ask of a pull
+	// fences older rosters.
+	PullAsk struct {
+		Stamp Stamp      `cbor:"1,keyasint"`
+		From  seglog.Pos `cbor:"2,keyasint"`
+		First bool       `cbor:"3,keyasint,omitempty"`
+	}
+
+	// PullReply has records; none at the end.
+	PullReply struct {
+		Refusal Refusal    `cbor:"1,keyasint"`
+		Records [][]byte   `cbor:"2,keyasint,omitempty"`
+		After   seglog.Pos `cbor:"3,keyasint"`
+	}
+
+	// FillAsk hands over records of a holder that is to be emptied.
+	FillAsk struct {
+		Stamp   Stamp    `cbor:"1,keyasint"`
+		Records [][]byte `cbor:"2,keyasint"`
+	}
+
+	// FillReply tells that they are durable.
+	FillReply struct {
+		Refusal Refusal `cbor:"1,keyasint"`
+	}
+
+	// Refusal tells that nothing was done, and why. The zero value is none.
+	Refusal struct {
+		Code    string `cbor:"1,keyasint,omitempty"`
+		Version uint64 `cbor:"2,keyasint,omitempty"` // of the newest roster known here
+		Roster  []byte `cbor:"3,keyasint,omitempty"` // it, if it is known
+	}
+)
+
+// The codes of refusals.
+const (
+	CodeStale = "stale" // the asker's roster is older than the one known here
+	CodeOther = "other" // another disk is meant
+	CodeFull  = "full"  // the disk has no room
+)
+
+func pack(v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	return data, errors.Wrap(err, "encode")
+}
+
+func unpack(data []byte, v any) error { return errors.Wrap(cbor.Unmarshal(data, v), "decode") }
--- /dev/null
+++ b/internal/disk/seglog/seglog.go
@@ -0,0 +1,395 @@
+// Package seglog is an append-only log in segment files on one VM's disk.
+//
+// Records that wait while the disk syncs are written and synced together, so
+// that the disk bounds the latency of a record but not their number. Each
+// record carries a checksum. After a loss of power the tail of a file that was
+// not synced may be there, missing or torn; reading stops at the first record
+// that is not whole, which is sound because nothing after it was ever
+// acknowledged. A new segment is begun at each start, so that nothing is ever
+// written behind a torn tail.
+package seglog
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// DefaultSegment is the size in bytes after which a new segment is begun.
+	// Retention drops whole segments, so it bounds what is kept too long.
+	DefaultSegment = 8 << 20
+	// MaxRecord bounds a record in bytes: a caller's body is at most a few MB.
+	MaxRecord = 16 << 20
+
+	headSize = 8 // length and checksum
+	suffix   = ".seg"
+	dirMode  = 0o700
+	fileMode = 0o600
+)
+
+type (
+	// Log is the log in Dir. Set the fields, then call Open.
+	Log struct {
+		Dir     string
+		Segment int64 // bytes; 0 is DefaultSegment
+
+		mu      sync.Mutex
+		cond    *sync.Cond
+		pending []entry
+		file    *os.File
+		number  uint64
+		size    int64
+		files   map[uint64]*segment
+		closed  bool
+		done    chan struct{}
+		slowest time.Duration
+	}
+
+	// Pos says where a record lies.
+	Pos struct {
+		Segment uint64
+		Offset  int64
+		Size    int // of the record itself
+	}
+
+	// Done is told where a record lies once it is durable, or why it is not.
+	Done func(Pos, error)
+
+	entry struct {
+		data []byte
+		done Done
+	}
+
+	segment struct {
+		file *os.File
+		size int64
+		last time.Time // of the last write
+	}
+)
+
+var (
+	// ErrClosed reports an append to a closed log.
+	ErrClosed = errors.New("seglog: closed")
+
+	table = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// Open reads all records that are whole, in their order, and begins a segment.
+func (l *Log) Open(visit func(Pos, []byte)) (err error) {
+	defer func() { err = errors.Wrapf(err, "open log %s", l.Dir) }()
+	if l.Segment == 0 {
+		l.Segment = DefaultSegment
+	}
+	l.cond = sync.NewCond(&l.mu)
+	l.files = map[uint64]*segment{}
+	l.done = make(chan struct{})
+	if err = os.MkdirAll(l.Dir, dirMode); err != nil {
+		return err
+	}
+	numbers, err := l.numbers()
+	if err != nil {
+		return err
+	}
+	for _, n := range numbers {
+		if err = l.load(n, visit); err != nil {
+			return err
+		}
+		l.number = n
+	}
+	if err = l.begin(); err != nil {
+		return err
+	}
+	go l.run()
+	return nil
+}
+
+func (l *Log) numbers() (list []uint64, err error) {
+	names, err := os.ReadDir(l.Dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range names {
+		n, err := strconv.ParseUint(strings.TrimSuffix(d.Name(), suffix), 10, 64)
+		if err == nil && strings.HasSuffix(d.Name(), suffix) {
+			list = append(list, n)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list, nil
+}
+
+func (l *Log) name(n uint64) string {
+	return filepath.Join(l.Dir, strconv.FormatUint(n, 10)+suffix)
+}
+
+func (l *Log) load(n uint64, visit func(Pos, []byte)) error {
+	f, err := os.Open(l.name(n))
+	if err != nil {
+		return err
+	}
+	data, err := io.ReadAll(f)
+	if err != nil {
+		return errors.CombineErrors(err, f.Close())
+	}
+	var offset int64
+	for {
+		rec := next(data[offset:])
+		if rec == nil {
+			break
+		}
+		visit(Pos{Segment: n, Offset: offset, Size: len(rec)}, rec)
+		offset += headSize + int64(len(rec))
+	}
+	l.files[n] = &segment{file: f, size: offset, last: time.Now()}
+	return nil
+}
+
+// next returns the record that begins data, nil if it is not whole.
+func next(data []byte) []byte {
+	if len(data) < headSize {
+		return nil
+	}
+	size := binary.LittleEndian.Uint32(data)
+	if size == 0 || size > MaxRecord || int(size) > len(data)-headSize {
+		return nil
+	}
+	rec := data[headSize : headSize+int(size)]
+	if crc32.Checksum(rec, table) != binary.LittleEndian.Uint32(data[4:]) {
+		return nil
+	}
+	return rec
+}
+
+// begin starts a new segment. Its name becomes durable with its first sync; the
+// folder is synced too, for file systems where it does not.
+func (l *Log) begin() error {
+	l.number++
+	f, err := os.OpenFile(l.name(l.number), os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+	if err != nil {
+		return err
+	}
+	l.file, l.size = f, 0
+	l.files[l.number] = &segment{file: f, last: time.Now()}
+	return syncDir(l.Dir)
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir) //nolint:gosec // the settings name the folder
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(d.Sync(), d.Close())
+}
+
+// Append queues a record; done is called from the log's own goroutine.
+func (l *Log) Append(data []byte, done Done) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(data) > MaxRecord || len(data) == 0 {
+		go done(Pos{}, errors.CombineErrors(ErrClosed, nil))
+		return
+	}
+	l.pending = append(l.pending, entry{data: data, done: done})
+	l.cond.Signal()
+}
+
+// run writes what waits, group after group.
+func (l *Log) run() {
+	defer close(l.done)
+	for {
+		l.mu.Lock()
+		for len(l.pending) == 0 && !l.closed {
+			l.cond.Wait()
+		}
+		group := l.pending
+		l.pending = nil
+		l.mu.Unlock()
+		if len(group) == 0 {
+			return
+		}
+		began := time.Now()
+		places, err := l.commit(group)
+		l.mu.Lock()
+		l.slowest = max(l.slowest, time.Since(began))
+		l.mu.Unlock()
+		for i, e := range group {
+			e.done(places[i], err)
+		}
+	}
+}
+
+// commit writes and syncs a group. After a failure nothing is known of the
+// segment's tail, so the next group goes to a new one.
+func (l *Log) commit(group []entry) (places []Pos, err error) {
+	places = make([]Pos, len(group))
+	l.mu.Lock()
+	file, number, size := l.file, l.number, l.size
+	l.mu.Unlock()
+	var buf []byte
+	offset := size
+	for i, e := range group {
+		places[i] = Pos{Segment: number, Offset: offset, Size: len(e.data)}
+		buf = binary.LittleEndian.AppendUint32(buf, uint32(len(e.data)))
+		buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(e.data, table))
+		buf = append(buf, e.data...)
+		offset += headSize + int64(len(e.data))
+	}
+	_, err = file.WriteAt(buf, size)
+	if err == nil {
+		err = file.Sync()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.size = offset
+	s := l.files[number]
+	s.size, s.last = offset, time.Now()
+	if err != nil || offset >= l.Segment {
+		err = errors.CombineErrors(err, l.begin())
+	}
+	return places, errors.Wrap(err, "commit")
+}
+
+// Read returns a record.
+func (l *Log) Read(p Pos) (rec []byte, err error) {
+	defer func() { err = errors.Wrapf(err, "read %d at %d", p.Segment, p.Offset) }()
+	l.mu.Lock()
+	s := l.files[p.Segment]
+	l.mu.Unlock()
+	if s == nil {
+		return nil, os.ErrNotExist
+	}
+	data := make([]byte, headSize+p.Size)
+	if _, err = s.file.ReadAt(data, p.Offset); err != nil {
+		return nil, err
+	}
+	if rec = next(data); rec == nil {
+		return nil, errors.New("record is spoilt")
+	}
+	return rec, nil
+}
+
+// Segments returns the numbers of the segments that are complete, with the time
+// of their last write, in order.
+func (l *Log) Segments() (numbers []uint64, last []time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := range l.files {
+		if n != l.number {
+			numbers = append(numbers, n)
+		}
+	}
+	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	for _, n := range numbers {
+		last = append(last, l.files[n].last)
+	}
+	return numbers, last
+}
+
+// Drop removes a complete segment.
+func (l *Log) Drop(n uint64) (err error) {
+	defer func() { err = errors.Wrapf(err, "drop segment %d", n) }()
+	l.mu.Lock()
+	s := l.files[n]
+	if s == nil || n == l.number {
+		l.mu.Unlock()
+		return errors.New("no complete segment")
+	}
+	delete(l.files, n)
+	l.mu.Unlock()
+	return errors.CombineErrors(s.file.Close(), os.Remove(l.name(n)))
+}
+
+// Bytes returns the size of all segments.
+func (l *Log) Bytes() (n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.files {
+		n += s.size
+	}
+	return n
+}
+
+// Close ends the log after what waits was written.
+func (l *Log) Close() (err error) {
+	l.mu.Lock()
+	l.closed = true
+	l.cond.Signal()
+	l.mu.Unlock()
+	<-l.done
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.files {
+		err = errors.CombineErrors(err, s.file.Close())
+	}
+	return err
+}
+
+// Scan returns records from the position on, about limit bytes of them, and the
+// position after them. It returns no records at the end of what is committed.
+func (l *Log) Scan(from Pos, limit int) (recs [][]byte, places []Pos, after Pos, err error) {
+	defer func() { err = errors.Wrapf(err, "scan from %d at %d", from.Segment, from.Offset) }()
+	after = from
+	for size := 0; size < limit; {
+		s, n, more := l.segmentAt(after)
+		if s == nil {
+			return recs, places, after, nil
+		}
+		if n != after.Segment {
+			after = Pos{Segment: n}
+		}
+		if after.Offset >= s.size {
+			if !more {
+				return recs, places, after, nil
+			}
+			after = Pos{Segment: n + 1}
+			continue
+		}
+		data := make([]byte, min(s.size-after.Offset, int64(max(limit, MaxRecord/16))))
+		if _, err = s.file.ReadAt(data, after.Offset); err != nil {
+			return nil, nil, from, err
+		}
+		rec := next(data)
+		if rec == nil {
+			data = make([]byte, s.size-after.Offset) // a record larger than the page
+			if _, err = s.file.ReadAt(data, after.Offset); err != nil {
+				return nil, nil, from, err
+			}
+			if rec = next(data); rec == nil {
+				return nil, nil, from, errors.New("record is spoilt")
+			}
+		}
+		for rec != nil && size < limit {
+			recs = append(recs, rec)
+			places = append(places, Pos{Segment: n, Offset: after.Offset, Size: len(rec)})
+			size += len(rec)
+			after.Offset += headSize + int64(len(rec))
+			data = data[headSize+len(rec):]
+			rec = next(data)
+		}
+	}
+	return recs, places, after, nil
+}
+
+// segmentAt returns a copy of the first segment from the position on, and
+// whether there are later ones.
+func (l *Log) segmentAt(p Pos) (s *segment, number uint64, more bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := max(p.Segment, 1); n <= l.number; n++ {
+		if found := l.files[n]; found != nil {
+			c := *found
+			return &c, n, n < l.number
+		}
+	}
+	return nil, 0, false
+}
--- /dev/null
+++ b/internal/front/ask/ask.go
@@ -0,0 +1,51 @@
+// Package ask describes one attempt of a caller's request, as the daemon that
+// took it knows it, and what it tells the upstream beside the request itself.
+package ask
+
+import "time"
+
+type (
+	// Attempt is what the caller said of one attempt of a request. Each
+	// attempt has an id of its own. Fields that the caller left out are zero.
+	Attempt struct {
+		ID        string
+		Wait      time.Duration // how long the caller waits for the answer
+		Program   string
+		Session   string        // one line of turns of the program
+		Finish    time.Duration // in which the whole program should end
+		Budget    int           // tokens that the program's turns may generate; valid with HasBudget
+		HasBudget bool
+		Model     string
+		Prompt    int    // tokens of the prompt
+		Output    int    // most tokens that the turn generates
+		Hint      int    // the caller's guess of the tokens that it generates
+		Prefix    []Part // the prompt's parts in order
+		Previous  string // attempt id of the turn that this one continues
+		LastEvent string // id of the last event that the caller has
+		Affinity  string // names the object that the request is about
+	}
+
+	// Part is a part of a prompt that requests may share.
+	Part struct {
+		ID     string
+		Tokens int
+	}
+
+	// Order is what the system tells the upstream of one dispatch.
+	Order struct {
+		Instance  string        // the only upstream that may run the request
+		Left      time.Duration // that the caller still waits
+		Priority  int           // 0 is the most urgent of 0 to 9; valid with HasPriority
+		LastEvent string        // go on after this event
+		Ranked    bool          // Priority is set
+	}
+
+	// Verdict is what an upstream's answer says beside its status.
+	Verdict struct {
+		Request  string        // the attempt that it answers
+		NotRun   bool          // the upstream did not run the request and never will
+		Signed   bool          // it carries the upstream's signature
+		Leaving  bool          // the upstream closes the connection after this answer
+		IdleTime time.Duration // after which the upstream closes an idle connection; 0 if not told
+	}
+)
--- /dev/null
+++ b/internal/front/entry/reply.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// retryStart is told by a daemon that knows no configuration yet: it has
+	// one within a second, and other daemons have one already.
+	retryStart = 300 * time.Millisecond
+	// retryFull is told when all upstreams shed: places free within about
+	// one plain call's time.
+	retryFull = 150 * time.Millisecond
+	// retryRecords is told when too few holders of records answer, which is
+	// over when a killed one is back or its place was taken.
+	retryRecords = 400 * time.Millisecond
+)
+
+// failure is the body of an answer of our own.
+type failure struct {
+	Error struct {
+		Code       string  `json:"code"`
+		Message    string  `json:"message"`
+		Ran        ran     `json:"ran"`
+		RetryAfter float64 `json:"retry_after,omitempty"` // seconds
+	} `json:"error"`
+}
+
+// refuse answers for good: coming back does not help.
+func (q *request) refuse(status int, code string, err error) {
+	q.answer(status, code, 0, err)
+}
+
+// unavailable tells that the request has not run, and when to come back.
+func (q *request) unavailable(code string, after time.Duration, err error) {
+	q.e.Dialect.RetryAfter(q.w.Header(), after)
+	q.answer(http.StatusServiceUnavailable, code, after, err)
+}
+
+// unknown tells that the request may have run.
+func (q *request) unknown(status int, code string, err error) {
+	q.story.ran = ranUnknown
+	q.answer(status, code, 0, err)
+}
+
+func (q *request) answer(status int, code string, after time.Duration, err error) {
+	q.story.status, q.story.code, q.story.err = status, code, err
+	var f failure
+	f.Error.Code, f.Error.Message, f.Error.Ran = code, http.StatusText(status), q.story.ran
+	f.Error.RetryAfter = after.Seconds()
+	text, _ := json.Marshal(f) // plain fields always encode
+	h := q.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	q.w.WriteHeader(status)
+	_, _ = q.w.Write(text) // a caller that left doesn't hear it
+}
+
+// giveUp ends a request whose time is over, or whose caller has left.
+func (q *request) giveUp(err error) {
+	if q.r.Context().Err() != nil {
+		q.story.code, q.story.err = "caller_left", err
+		return
+	}
+	if q.story.ran == ranNo {
+		q.unavailable("timeout_not_run", retryFull, err)
+		return
+	}
+	q.unknown(http.StatusGatewayTimeout, "timeout", err)
+}
--- /dev/null
+++ b/internal/front/event/event.go
@@ -0,0 +1,91 @@
+// Package event cuts a stream of server-sent events into whole events.
+//
+// An upstream may break off in the middle of an event. What is passed on to a
+// caller must end at an event's end, so that a stream which goes on elsewhere
+// joins without a seam. Reader therefore returns nothing but whole events.
+package event
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxSize bounds one event in bytes. Upstreams send a few hundred; more than
+// this is a broken upstream, which must not fill the daemon's memory.
+const MaxSize = 1 << 20
+
+type (
+	// Reader reads events. Set R before use.
+	Reader struct {
+		R   *bufio.Reader
+		raw []byte
+	}
+
+	// Event is one event. Its slices are valid until the next one is read.
+	Event struct {
+		Raw  []byte // as received, with the empty line that ends it
+		ID   string
+		Data []byte // of all data lines, joined by line feeds
+	}
+)
+
+// ErrTorn reports a stream that ended in the middle of an event.
+var ErrTorn = errors.New("event: stream ends in the middle of an event")
+
+// Next returns the next event, or io.EOF at the stream's end.
+func (r *Reader) Next() (e Event, err error) {
+	r.raw = r.raw[:0]
+	for {
+		line, err := r.R.ReadSlice('\n')
+		r.raw = append(r.raw, line...)
+		if len(r.raw) > MaxSize {
+			return Event{}, errors.Newf("event: more than %d bytes", MaxSize)
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(r.raw) > 0:
+			return Event{}, ErrTorn
+		case err != nil:
+			return Event{}, err
+		}
+		if ended(r.raw) {
+			return parse(r.raw), nil
+		}
+	}
+}
+
+// ended tells whether the bytes end with an empty line. Empty lines before an
+// event's first field belong to it.
+func ended(raw []byte) bool {
+	if !bytes.HasSuffix(raw, []byte("\n\n")) && !bytes.HasSuffix(raw, []byte("\n\r\n")) {
+		return false
+	}
+	return len(bytes.Trim(raw, "\r\n")) > 0
+}
+
+func parse(raw []byte) Event {
+	e := Event{Raw: raw}
+	many := false
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			e.ID = string(value)
+		case "data":
+			if many {
+				e.Data = append(append([]byte(nil), e.Data...), '\n')
+				e.Data = append(e.Data, value...)
+				continue
+			}
+			e.Data = value
+			many = true
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/front/upconn/conn.go
@@ -0,0 +1,171 @@
+package upconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	readBuffer = 4 << 10
+	// inlineBody is the largest body that is written before the answer is read.
+	// It fits a connection's window, so the write can't block on an upstream
+	// that answers before it reads.
+	inlineBody = 8 << 10
+)
+
+type (
+	// Conn is one connection to an upstream. It carries one request at a time.
+	Conn struct {
+		Reused bool // it has carried a request before
+
+		net       net.Conn
+		br        *bufio.Reader
+		address   string
+		owner     string // the upstream's id
+		idleUntil time.Time
+		sent      atomic.Bool
+		writing   chan error // the result of a write under way
+	}
+
+	// Request is what is sent.
+	Request struct {
+		Method string
+		Target string // path and query, as the caller sent them
+		Host   string
+		Header http.Header
+		Body   []byte
+	}
+)
+
+// Send writes the request. Sent tells after an error whether any of it may have
+// reached the upstream.
+func (c *Conn) Send(r Request) error {
+	var b bytes.Buffer
+	b.Grow(1024 + len(r.Body))
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	if err := r.Header.Write(&b); err != nil {
+		return err
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	c.writing = nil
+	if len(r.Body) <= inlineBody {
+		return c.write(b.Bytes())
+	}
+	done := make(chan error, 1)
+	c.writing = done
+	c.sent.Store(true) // the write may have begun by the time anybody asks
+	go func() { done <- c.write(b.Bytes()) }()
+	return nil
+}
+
+func (c *Conn) write(p []byte) error {
+	n, err := c.net.Write(p)
+	if n > 0 {
+		c.sent.Store(true)
+	}
+	return err
+}
+
+// Sent tells whether any byte of the request has left.
+func (c *Conn) Sent() bool { return c.sent.Load() }
+
+// Receive reads the answer's head. The body is read through the answer.
+func (c *Conn) Receive(method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+	}
+}
+
+// Break makes reads and writes under way fail at once.
+func (c *Conn) Break() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
+
+// Deadline bounds reads and writes from now on.
+func (c *Conn) Deadline(t time.Time) error { return c.net.SetDeadline(t) }
+
+// Close closes the connection.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// written tells whether the whole request has been written.
+func (c *Conn) written() bool {
+	if c.writing == nil {
+		return true
+	}
+	select {
+	case err := <-c.writing:
+		c.writing = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// quiet tells whether an idle connection is open and nothing has come over it.
+// Bytes that nobody asked for would be taken for the next request's answer.
+func (c *Conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var p [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && alive
+}
+
+// connect dials an upstream. A connection through which nothing passes any more
+// without an end is noticed by TCP itself: by probes where nothing is sent, by
+// the time-out of unacknowledged bytes where something is.
+func connect(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTime,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			ctrl := raw.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime/time.Millisecond))
+			})
+			return errors.CombineErrors(ctrl, err)
+		},
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// ReadAll reads a whole body of at most limit bytes.
+func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errors.Newf("answer is longer than %d bytes", limit)
+	}
+	return body, err
+}
--- /dev/null
+++ b/internal/node/frontd/frontd.go
@@ -0,0 +1,316 @@
+// Package frontd runs a VM that serves callers: their requests, the directory
+// that tells them where to connect, and the readiness check.
+package frontd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/entry"
+	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/loads"
+	"github.com/slaterock/slaterock/internal/front/pick"
+	"github.com/slaterock/slaterock/internal/front/upconn"
+	"github.com/slaterock/slaterock/internal/node/listed"
+	"github.com/slaterock/slaterock/internal/node/scout"
+	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+const (
+	// headerTime, idleTime and headerBytes hold until a configuration says
+	// otherwise.
+	headerTime  = 3 * time.Second
+	idleTime    = 15 * time.Second
+	headerBytes = 16 << 10
+	// keepServing is how long after SIGTERM callers are still taken: the
+	// directory's answers that name this VM are kept for three times their
+	// time at most.
+	keepServing = 2500 * time.Millisecond
+	// graceLeft is kept of the time between SIGTERM and SIGKILL.
+	graceLeft = 700 * time.Millisecond
+	sweepEach = time.Second
+)
+
+type (
+	// Settings are what the daemon needs to know of its VM.
+	Settings struct {
+		Node      string
+		Domain    string
+		Callers   string // addresses to listen at
+		Ready     string
+		Directory string
+		Peer      string // for other daemons
+		Grace     time.Duration
+		AnswerTTL time.Duration // longest that callers keep a directory's answer
+	}
+
+	// Names are the wire's names for the directory and the readiness check.
+	Names interface {
+		Directory(entries []fleet.Entry, ttl time.Duration) any
+		DirectoryPath() string
+		ReadyPath() string
+	}
+
+	// Daemon runs the VM. Set the exported fields, then call Run.
+	Daemon struct {
+		Settings Settings
+		Store    store.Shared
+		Source   Source
+		Dialect  entry.Dialect
+		Names    Names
+		Log      zerolog.Logger
+		Scope    tally.Scope
+
+		fleet   fleet.Fleet
+		picker  pick.Picker
+		pool    upconn.Pool
+		link    link.Link
+		scout   scout.Scout
+		listed  listed.Listed
+		entry   entry.Entry
+		leaving atomic.Bool
+		reads   reads
+	}
+)
+
+// Run serves until stop ends, then lets what is under way finish. The context
+// ends all work at once.
+func (d *Daemon) Run(ctx context.Context, stop <-chan struct{}) (err error) {
+	defer func() { err = errors.Wrap(err, "run front") }()
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	if err = d.start(ctx); err != nil {
+		return err
+	}
+	checks, err := d.serveChecks(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = checks.Close() }()
+	d.await(ctx)
+	callers, err := d.serveCallers()
+	if err != nil {
+		return err
+	}
+	listing := make(chan struct{})
+	go func() {
+		defer close(listing)
+		d.listed.Run(ctx)
+	}()
+	select {
+	case <-stop:
+	case <-ctx.Done():
+	}
+	d.drain(ctx, callers)
+	end()
+	<-listing
+	return nil
+}
+
+func (d *Daemon) start(ctx context.Context) error {
+	d.scout.Store = d.Store
+	d.picker.Domain = d.Settings.Domain
+	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
+	if err := d.link.Start(ctx); err != nil {
+		return err
+	}
+	d.listed = listed.Listed{Store: d.Store, Key: scout.FrontPrefix + d.Settings.Node, Data: d.value, OnEnd: d.tellListed}
+	d.listed.Init()
+	d.entry = entry.Entry{
+		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope,
+		Refresh: d.refreshConfig, Stop: ctx,
+		Records: &quorum.Client{
+			Peer:   func(address string) quorum.Invoker { return d.link.Peer(address) },
+			Roster: d.scout.Roster, Learn: d.scout.Learn, Refresh: d.scout.Fresh, Domain: d.Settings.Domain,
+		},
+	}
+	conn, err := net.ListenPacket("udp", d.Settings.Peer)
+	if err != nil {
+		return err
+	}
+	l := &loads.Loads{Node: d.Settings.Node, Conn: conn, Own: d.picker.Own, Heard: d.picker.Heard, Peers: d.peers}
+	go func() {
+		if err := l.Run(ctx); err != nil {
+			d.Log.Error().Err(err).Msg("loads are not exchanged any more")
+		}
+	}()
+	d.read(ctx)
+	go d.sweep(ctx)
+	return nil
+}
+
+// await waits until a configuration is known, for a while: a daemon that has
+// none answers 503, and its limits on callers are the usual ones.
+func (d *Daemon) await(ctx context.Context) {
+	const longest, step = time.Second, 20 * time.Millisecond
+	for range longest / step {
+		if d.fleet.View().Table != nil || !pause(ctx, step) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) value() []byte {
+	return scout.FrontValue(fleet.Entry{
+		Address: d.Settings.Callers, Peer: d.Settings.Peer, Domain: d.Settings.Domain, Leaving: d.leaving.Load(),
+	})
+}
+
+func (d *Daemon) tellListed(err error) {
+	if err != nil {
+		d.Log.Warn().Err(err).Str("dependency", "store").Msg("lost: the daemon's key may lapse")
+		return
+	}
+	d.Log.Info().Str("dependency", "store").Msg("regained: the daemon's key stands")
+}
+
+// peers returns the other daemons that serve callers.
+func (d *Daemon) peers() (list []string) {
+	for _, e := range d.fleet.View().Entries {
+		if e.Node != d.Settings.Node {
+			list = append(list, e.Peer)
+		}
+	}
+	return list
+}
+
+func (d *Daemon) ready() bool { return !d.leaving.Load() && d.fleet.View().Table != nil }
+
+func (d *Daemon) serveChecks(ctx context.Context) (srv *http.Server, err error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+d.Names.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET "+d.Names.DirectoryPath(), d.resolve)
+	srv = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: silent()}
+	for _, address := range []string{d.Settings.Ready, d.Settings.Directory} {
+		if address == "" {
+			continue
+		}
+		ln, err := listen(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		go d.serve(srv, ln, address)
+	}
+	return srv, nil
+}
+
+func (d *Daemon) serve(srv *http.Server, ln net.Listener, address string) {
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		d.Log.Error().Err(err).Str("address", address).Msg("not served any more")
+	}
+}
+
+func (d *Daemon) serveCallers() (srv *http.Server, err error) {
+	srv = &http.Server{
+		Handler: &d.entry, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes, ErrorLog: silent(),
+	}
+	if t := d.fleet.View().Table; t != nil {
+		srv.ReadHeaderTimeout = positive(t.Limits.HeaderTime, headerTime)
+		srv.IdleTimeout = positive(t.Limits.IdleTime, idleTime)
+		srv.MaxHeaderBytes = positive(t.Limits.HeaderBytes, headerBytes)
+	}
+	ln, err := listen(context.Background(), d.Settings.Callers)
+	if err != nil {
+		return nil, err
+	}
+	go d.serve(srv, ln, d.Settings.Callers)
+	return srv, nil
+}
+
+func positive[T int | time.Duration](v, otherwise T) T {
+	if v > 0 {
+		return v
+	}
+	return otherwise
+}
+
+// listen notices connections through which nothing passes any more.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	c := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+	return c.Listen(ctx, "tcp", address)
+}
+
+// resolve tells a caller where to connect.
+func (d *Daemon) resolve(w http.ResponseWriter, _ *http.Request) {
+	var list []fleet.Entry
+	self := fleet.Entry{Node: d.Settings.Node, Address: d.Settings.Callers, Domain: d.Settings.Domain}
+	if d.ready() {
+		list = append(list, self)
+	}
+	for _, e := range d.fleet.View().Entries {
+		if e.Node != self.Node && !e.Leaving {
+			list = append(list, e)
+		}
+	}
+	if len(list) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	text, err := json.Marshal(d.Names.Directory(list, min(directoryTTL, positive(d.Settings.AnswerTTL, directoryTTL))))
+	if err != nil {
+		d.Log.Error().Err(err).Msg("directory's answer not encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	_, _ = w.Write(text) // a caller that left asks another daemon
+}
+
+// directoryTTL is how long callers keep an answer. Some keep it three times as
+// long; with this they leave a VM within three seconds after it began to stop.
+const directoryTTL = time.Second
+
+// drain stops serving without cutting a request. Callers are sent elsewhere at
+// once, those that still come are served, and connections close with an answer.
+func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
+	d.leaving.Store(true)
+	d.entry.Leave()
+	d.listed.Wake()
+	d.Log.Info().Int64("active", d.entry.Active()).Msg("draining")
+	pause(ctx, keepServing)
+	rest := max(d.Settings.Grace-keepServing-graceLeft, 0)
+	limited, stop := context.WithTimeout(ctx, rest)
+	defer stop()
+	err := callers.Shutdown(limited)
+	d.Log.Info().Err(err).Int64("active", d.entry.Active()).Msg("drained")
+}
+
+func (d *Daemon) sweep(ctx context.Context) {
+	for pause(ctx, sweepEach) {
+		d.pool.Sweep(time.Now())
+		known := map[string]bool{}
+		for _, list := range d.fleet.View().Services {
+			for _, u := range list {
+				known[u.ID] = true
+			}
+		}
+		d.picker.Forget(func(id string) bool { return known[id] })
+		d.Scope.Gauge("active").Update(float64(d.entry.Active()))
+		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/node/keeper/keeper.go
@@ -0,0 +1,371 @@
+// Package keeper runs a VM that holds durable records: it serves the daemons
+// that take callers, keeps the VM listed, and sees to it that the roster's places
+// are filled.
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/slaterock/slaterock/internal/disk/holder"
+	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/node/listed"
+	"github.com/slaterock/slaterock/internal/node/scout"
+	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+const (
+	// lookEvery is the pause between looks at the store. A place that lost its
+	// VM must be filled within about four seconds of the new VM's start.
+	lookEvery = 400 * time.Millisecond
+	// settle is how long after the store's return no place counts as missing:
+	// daemons write their keys again within about two seconds.
+	settle = 2500 * time.Millisecond
+	// alone is how long a VM that is to be emptied waits for another to take
+	// its place before it hands its records to those that remain.
+	alone = 2 * time.Second
+)
+
+type (
+	// Settings are what the keeper needs to know of its VM.
+	Settings struct {
+		Node     string
+		Domain   string
+		Address  string // for other daemons
+		Dir      string
+		Capacity int64 // bytes of the disk
+		Losses   int   // VMs with a disk that may be lost at once
+	}
+
+	// Operator tells which VMs are to be emptied, and is told of it.
+	Operator interface {
+		Retiring(ctx context.Context) (map[string]bool, error)
+		Retired(ctx context.Context, node string, complete bool) error
+	}
+
+	// Keeper runs the VM. Set the exported fields, then call Run.
+	Keeper struct {
+		Settings Settings
+		Store    store.Shared
+		Operator Operator
+		Log      zerolog.Logger
+		Scope    tally.Scope
+
+		holder   holder.Holder
+		link     link.Link
+		scout    scout.Scout
+		listed   listed.Listed
+		started  time.Time
+		away     bool      // the store doesn't answer
+		returned time.Time // when it came back
+		missing  map[string]time.Time
+		joining  bool
+		joined   chan error
+		retiring atomic.Bool
+		since    time.Time // of retiring
+		told     string    // what the operator was told last
+	}
+)
+
+// Run serves until ctx ends.
+func (k *Keeper) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "run keeper") }()
+	k.started = time.Now()
+	k.joined = make(chan error, 1)
+	k.holder.Dir, k.holder.Capacity = k.Settings.Dir, k.Settings.Capacity
+	blank, err := k.holder.Open()
+	if err != nil {
+		return err
+	}
+	programs, turns, bytes := k.holder.Stats()
+	k.Log.Info().Str("life", k.holder.Life()).Bool("blank", blank).Int("programs", programs).Int("turns", turns).
+		Int64("bytes", bytes).Dur("took_ms", time.Since(k.started)).Msg("records opened")
+	ln, err := net.Listen("tcp", k.Settings.Address)
+	if err != nil {
+		return err
+	}
+	k.link.Address, k.link.Scope = k.Settings.Address, k.Scope
+	k.holder.Register(&k.link)
+	k.scout.Store = k.Store
+	k.listed = listed.Listed{Store: k.Store, Key: scout.DiskPrefix + k.Settings.Node, Data: k.value, OnEnd: k.tellListed}
+	k.listed.Init()
+	listing := make(chan struct{})
+	go func() {
+		defer close(listing)
+		k.listed.Run(ctx)
+	}()
+	go k.look(ctx)
+	go k.trim(ctx)
+	err = k.link.Serve(ctx, ln)
+	<-listing
+	return errors.CombineErrors(err, k.holder.Close())
+}
+
+func (k *Keeper) self() roster.Member {
+	return roster.Member{
+		Node: k.Settings.Node, Address: k.Settings.Address, Domain: k.Settings.Domain, Life: k.holder.Life(), Retiring: k.retiring.Load(),
+	}
+}
+
+func (k *Keeper) value() []byte {
+	data, _ := json.Marshal(k.self()) // strings always encode
+	return data
+}
+
+func (k *Keeper) tellListed(err error) {
+	if err != nil {
+		k.Log.Warn().Err(err).Str("dependency", "store").Msg("lost: the daemon's key may lapse")
+		return
+	}
+	k.Log.Info().Str("dependency", "store").Msg("regained: the daemon's key stands")
+}
+
+func (k *Keeper) trim(ctx context.Context) {
+	for every(ctx, holder.TrimEvery) {
+		if err := k.holder.Trim(ctx); err != nil && ctx.Err() == nil {
+			k.Log.Warn().Err(err).Msg("old records were not dropped")
+		}
+		programs, turns, bytes := k.holder.Stats()
+		k.Scope.Gauge("records_programs").Update(float64(programs))
+		k.Scope.Gauge("records_turns").Update(float64(turns))
+		k.Scope.Gauge("records_bytes").Update(float64(bytes))
+	}
+}
+
+func every(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// look keeps the roster's places filled.
+func (k *Keeper) look(ctx context.Context) {
+	for {
+		k.step(ctx)
+		if !every(ctx, lookEvery) {
+			return
+		}
+	}
+}
+
+func (k *Keeper) step(ctx context.Context) {
+	if err := k.scout.Scan(ctx, true); err != nil {
+		if !k.away {
+			k.away = true
+			k.Log.Warn().Err(err).Str("dependency", "store").Msg("lost")
+		}
+		return
+	}
+	if k.away {
+		k.away = false
+		k.returned = time.Now()
+		k.Log.Info().Str("dependency", "store").Msg("regained")
+	}
+	s := k.scout.State()
+	k.noteMissing(s)
+	if s.Roster.Version > 0 {
+		k.holder.Learn(s.Roster)
+	}
+	k.askOperator(ctx, s)
+	select {
+	case err := <-k.joined:
+		k.joining = false
+		k.endJoin(ctx, err)
+	default:
+	}
+	place, in := s.Roster.Find(k.holder.Life())
+	switch {
+	case s.Roster.Version == 0:
+		k.found(ctx)
+	case in && place.Joining:
+		k.startJoin(ctx, s.Roster)
+	case in && place.Address != k.Settings.Address:
+		k.change(ctx, func(s scout.State) (roster.Roster, bool) { return s.Roster.WithAddress(k.self()), true }, "moved")
+	case !in:
+		k.claim(ctx, s)
+	}
+}
+
+// noteMissing notes since when nodes with a place have not been listed. After an
+// outage all keys may have lapsed, of daemons that live.
+func (k *Keeper) noteMissing(s scout.State) {
+	now := time.Now()
+	if now.Sub(k.returned) < settle {
+		k.missing = nil
+		return
+	}
+	listed := map[string]bool{}
+	for _, m := range s.Members {
+		listed[m.Node] = true
+	}
+	next := map[string]time.Time{}
+	for _, p := range s.Roster.Places {
+		if listed[p.Node] {
+			continue
+		}
+		next[p.Node] = now
+		if since, known := k.missing[p.Node]; known {
+			next[p.Node] = since
+		}
+	}
+	k.missing = next
+}
+
+// found writes the first roster once all VMs with a disk are there, or have had
+// time to come.
+func (k *Keeper) found(ctx context.Context) {
+	s := k.scout.State()
+	waited := time.Since(k.started) >= roster.Gather
+	if len(s.Members) < roster.Full(k.Settings.Losses) && !waited {
+		return
+	}
+	k.change(ctx, func(s scout.State) (roster.Roster, bool) {
+		if s.Roster.Version != 0 {
+			return roster.Roster{}, false
+		}
+		return roster.First(s.Members, k.Settings.Losses)
+	}, "founded")
+}
+
+func (k *Keeper) claim(ctx context.Context, s scout.State) {
+	now := time.Now()
+	if _, ok := s.Roster.Claim(now, k.self(), s.Members, k.missing); !ok {
+		return
+	}
+	k.change(ctx, func(s scout.State) (roster.Roster, bool) {
+		k.noteMissing(s)
+		return s.Roster.Claim(now, k.self(), s.Members, k.missing)
+	}, "place claimed")
+}
+
+// change writes the next roster if the store still has the one that it follows.
+// What was read may be old, so it reads again before it decides.
+func (k *Keeper) change(ctx context.Context, next func(scout.State) (roster.Roster, bool), what string) {
+	if err := k.scout.Scan(ctx, false); err != nil {
+		return // the next look tells
+	}
+	s := k.scout.State()
+	r, ok := next(s)
+	if !ok {
+		return
+	}
+	data, err := r.Encode()
+	if err != nil {
+		k.Log.Error().Err(err).Msg("roster not written")
+		return
+	}
+	_, err = k.Store.Put(ctx, scout.RosterKey, data, s.Revision, 0)
+	k.Log.Info().Err(err).Uint64("from", s.Roster.Version).Uint64("to", r.Version).RawJSON("roster", data).Msg("roster: " + what)
+	if err == nil {
+		k.scout.Learn(data)
+		k.holder.Learn(r)
+	}
+}
+
+func (k *Keeper) startJoin(ctx context.Context, r roster.Roster) {
+	if k.joining {
+		return
+	}
+	k.joining = true
+	k.Log.Info().Uint64("roster", r.Version).Msg("copying records from the other places")
+	go func() { k.joined <- k.holder.Join(ctx, r, k.peers()) }()
+}
+
+func (k *Keeper) peers() holder.Peers {
+	return func(address string) holder.Invoker { return k.link.Peer(address) }
+}
+
+func (k *Keeper) endJoin(ctx context.Context, err error) {
+	programs, turns, bytes := k.holder.Stats()
+	k.Log.Info().Err(err).Int("programs", programs).Int("turns", turns).Int64("bytes", bytes).Msg("records copied")
+	if err != nil {
+		return
+	}
+	life := k.holder.Life()
+	k.change(ctx, func(s scout.State) (roster.Roster, bool) {
+		p, in := s.Roster.Find(life)
+		return s.Roster.WithJoined(life), in && p.Joining
+	}, "joined")
+}
+
+// askOperator looks whether this VM is to be emptied, and answers when it is.
+func (k *Keeper) askOperator(ctx context.Context, s scout.State) {
+	nodes, err := k.Operator.Retiring(ctx)
+	if err != nil {
+		return // asked again at the next look; the scan before tells of outages
+	}
+	if asked := nodes[k.Settings.Node]; asked != k.retiring.Load() {
+		k.retiring.Store(asked)
+		k.since = time.Now()
+		k.holder.Freeze(false)
+		k.Log.Info().Bool("retiring", k.retiring.Load()).Msg("the operator asks to empty this VM")
+		k.listed.Wake()
+	}
+	if !k.retiring.Load() {
+		return
+	}
+	_, in := s.Roster.Find(k.holder.Life())
+	if in && time.Since(k.since) > alone && !spare(s) {
+		k.leave(ctx)
+	}
+	complete := !in && s.Roster.Version > 0 && !joining(s.Roster)
+	state := map[bool]string{true: "complete", false: "running"}[complete]
+	if k.told == state {
+		return
+	}
+	err = k.Operator.Retired(ctx, k.Settings.Node, complete)
+	k.Log.Info().Err(err).Str("state", state).Msg("the operator is told")
+	if err == nil {
+		k.told = state
+	}
+}
+
+// spare tells whether a VM without a place could take this one's.
+func spare(s scout.State) bool {
+	for _, m := range s.Members {
+		if _, in := s.Roster.Find(m.Life); !in && !m.Retiring {
+			return true
+		}
+	}
+	return joining(s.Roster)
+}
+
+func joining(r roster.Roster) bool {
+	for _, p := range r.Places {
+		if p.Joining {
+			return true
+		}
+	}
+	return false
+}
+
+// leave gives the place up where nobody can take it: the others get all records
+// first, so that each of them holds everything.
+func (k *Keeper) leave(ctx context.Context) {
+	r := k.scout.Roster()
+	if len(r.Places) <= r.Writes() {
+		return // fewer places could not bear a loss any more
+	}
+	k.holder.Freeze(true)
+	if err := k.holder.HandOver(ctx, r, k.peers()); err != nil {
+		k.holder.Freeze(false)
+		k.Log.Warn().Err(err).Msg("records were not handed over")
+		return
+	}
+	life := k.holder.Life()
+	k.change(ctx, func(s scout.State) (roster.Roster, bool) {
+		_, in := s.Roster.Find(life)
+		return s.Roster.Without(life), in && s.Roster.Version == r.Version
+	}, "place given up")
+}
--- a/internal/obs/metric/metric.go
+++ b/internal/obs/metric/metric.go
@@ -8,6 +8,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,6 +30,7 @@
 	scope  tally.Scope
 	closer io.Closer
 	serve  fasthttp.RequestHandler
+	plain  http.Handler
 }
 
 // New returns metrics that are gathered until Close.
@@ -46,7 +48,8 @@
 		// not end a daemon; the missing series shows on the dashboard.
 		OnRegisterError: func(error) {},
 	})
-	m := &Metric{serve: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler())}
+	plain := reporter.HTTPHandler()
+	m := &Metric{serve: fasthttpadaptor.NewFastHTTPHandler(plain), plain: plain}
 	m.scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
@@ -74,6 +77,9 @@
 	m.serve(ctx)
 }
 
+// Handler answers a scrape where the daemon serves with net/http.
+func (m *Metric) Handler() http.Handler { return m.plain }
+
 // Close reports what was counted last and stops gathering.
 func (m *Metric) Close() error {
 	if m == nil || m.closer == nil {
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -49,6 +49,21 @@
 		Revoke(ctx context.Context, lease Lease) error
 	}
 
+	// Shared is what daemons use to agree on few small values and to find
+	// each other.
+	Shared interface {
+		Get(ctx context.Context, key string) (Entry, error)
+		// Scan reads all keys with the prefix, and the store's revision. A
+		// stale read costs little and may be seconds old.
+		Scan(ctx context.Context, prefix string, stale bool) ([]Entry, Rev, error)
+		Put(ctx context.Context, key string, data []byte, rev Rev, lease Lease) (Rev, error)
+		// Set writes data whatever the key holds.
+		Set(ctx context.Context, key string, data []byte, lease Lease) (Rev, error)
+		Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+		Renew(ctx context.Context, lease Lease) error
+		Revoke(ctx context.Context, lease Lease) error
+	}
+
 	// Rev is a key's revision. Revisions of one store only rise.
 	Rev uint64
 
@@ -79,6 +94,8 @@
 	ErrUnavailable = errors.New("store: unavailable")
 	// ErrUnknown reports a write that may or may not have taken effect.
 	ErrUnknown = errors.New("store: outcome unknown")
+	// ErrGone reports history that the service no longer has.
+	ErrGone = errors.New("store: history is gone")
 	// ErrTooLarge reports a value above MaxValue.
 	ErrTooLarge = errors.New("store: value too large")
 )
