fleet, rumor: one daemon reads the store for all, peers pass news on

Change: the daemon whose knowledge is oldest reads everything in one call; datagrams say how new each daemon's knowledge is, and what is newer is asked for. Reading a chain asks other places for what one lacks.

--- a/internal/conf/route/route.go
+++ b/internal/conf/route/route.go
@@ -29,6 +29,7 @@
 	Table struct {
 		Version  int64 // the operator's; only rises
 		Revision uint64
+		Text     []byte // as the operator wrote it
 		Services map[string]Service
 		Limits   Limits
 
--- a/internal/disk/book/book.go
+++ b/internal/disk/book/book.go
@@ -147,22 +147,19 @@
 	return list
 }
 
-// Chain returns where the turn and those before it lie, the oldest first. It is
-// false if any of them isn't known.
-func (b *Book) Chain(id string) ([]seglog.Pos, bool) {
-	var list []seglog.Pos
-	for id != "" {
+// Chain returns where the turn and those before it lie, the newest first, as far
+// as they are known here. Next is the first that isn't, empty if all are: a
+// replica that was away may have a turn but lack one that it continues.
+func (b *Book) Chain(id string) (list []seglog.Pos, next string) {
+	for id != "" && len(list) < MaxChain {
 		t := b.turns[id]
-		if t == nil || len(list) == MaxChain {
-			return nil, false
+		if t == nil {
+			return list, id
 		}
 		list = append(list, t.pos)
 		id = t.previous
 	}
-	for i, j := 0, len(list)-1; i < j; i, j = i+1, j-1 {
-		list[i], list[j] = list[j], list[i]
-	}
-	return list, true
+	return list, id
 }
 
 // Expire forgets what need not be remembered any more.
--- a/internal/disk/holder/holder.go
+++ b/internal/disk/holder/holder.go
@@ -218,11 +218,8 @@
 		return ReadReply{Refusal: r}, nil
 	}
 	h.mu.Lock()
-	places, found := h.book.Chain(a.Turn)
+	places, next := h.book.Chain(a.Turn)
 	h.mu.Unlock()
-	if !found {
-		return ReadReply{}, nil
-	}
 	chain := make([]book.Turn, 0, len(places))
 	for _, pos := range places {
 		data, err := h.log.Read(pos)
@@ -235,7 +232,7 @@
 		}
 		chain = append(chain, *r.Turn)
 	}
-	return ReadReply{Found: true, Chain: chain}, nil
+	return ReadReply{Chain: chain, Next: next}, nil
 }
 
 // Pull returns records from a position on. The first ask waits until all that
--- a/internal/disk/holder/wire.go
+++ b/internal/disk/holder/wire.go
@@ -42,11 +42,12 @@
 		Turn  string `cbor:"2,keyasint"`
 	}
 
-	// ReadReply has the chain, the oldest turn first.
+	// ReadReply has the turn and those before it, the newest first, as far as
+	// the holder has them. Next is the first that it lacks, empty if it has all.
 	ReadReply struct {
 		Refusal Refusal     `cbor:"1,keyasint"`
-		Found   bool        `cbor:"2,keyasint,omitempty"`
 		Chain   []book.Turn `cbor:"3,keyasint,omitempty"`
+		Next    string      `cbor:"4,keyasint,omitempty"`
 	}
 
 	// PullAsk asks for records from a position on. The first ask of a pull
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -9,7 +9,7 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -162,14 +162,36 @@
 }
 
 // Read returns a turn with its chain, the oldest first. The error is ErrNoTurn
-// only if that is certain.
+// only if it is certain that the turn does not exist.
+//
+// A place may hold a turn and lack one before it that was written while the place
+// was away. So what a place lacks is asked of the others, turn by turn; only the
+// places' answers about one and the same turn can add up to a certain no.
 func (c *Client) Read(ctx context.Context, turn string) (chain []book.Turn, err error) {
 	defer func() { err = errors.Wrapf(err, "read turn %s", turn) }()
+	for next := turn; next != ""; {
+		var part []book.Turn
+		part, next, err = c.readPart(ctx, next)
+		switch {
+		case errors.Is(err, ErrNoTurn) && len(chain) > 0:
+			return nil, errors.Wrapf(ErrUnsure, "a turn before it is missing: %s", next)
+		case err != nil:
+			return nil, err
+		}
+		chain = append(chain, part...)
+	}
+	slices.Reverse(chain)
+	return chain, nil
+}
+
+// readPart returns the turn and those before it, the newest first, as far as one
+// place has them, and the first that it lacks.
+func (c *Client) readPart(ctx context.Context, turn string) (part []book.Turn, next string, err error) {
 	for {
 		var stale bool
-		chain, stale, err = c.read(ctx, turn)
+		part, next, stale, err = c.tryRead(ctx, turn)
 		if err == nil || errors.Is(err, ErrNoTurn) || ctx.Err() != nil {
-			return chain, err
+			return part, next, err
 		}
 		if stale {
 			c.Refresh(ctx)
@@ -177,66 +199,69 @@
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
-			return nil, err
+			return nil, turn, err
 		}
 	}
 }
 
-func (c *Client) read(ctx context.Context, turn string) (chain []book.Turn, stale bool, err error) {
+func (c *Client) tryRead(ctx context.Context, turn string) (part []book.Turn, next string, stale bool, err error) {
 	r := c.Roster()
 	places := c.nearest(r)
 	if len(places) == 0 {
-		return nil, true, ErrUnsure
+		return nil, turn, true, ErrUnsure
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	replies := make(chan reply, len(places))
-	var once sync.WaitGroup
-	next := 0
-	ask := func() {
-		if next == len(places) {
-			return
-		}
-		p := places[next]
-		next++
-		once.Go(func() {
-			limited, stop := context.WithTimeout(ctx, placeTime)
-			defer stop()
-			out := reply{place: p}
-			a := holder.ReadAsk{Stamp: holder.Stamp{Version: r.Version, Life: p.Life}, Turn: turn}
-			out.err = c.ask(limited, p, holder.MethodRead, a, &out.read)
-			replies <- out
-		})
-	}
+	ask := c.asker(ctx, r.Version, turn, places, replies)
 	ask()
 	hedge := time.NewTicker(hedgeAfter)
 	defer hedge.Stop()
-	without, heard := 0, 0
-	for heard < len(places) {
+	without := 0
+	for heard := 0; heard < len(places); {
 		select {
 		case got := <-replies:
 			heard++
+			ask()
 			if !c.accepted(got.err, got.read.Refusal, &stale) {
-				ask()
 				continue
 			}
-			if got.read.Found {
-				return got.read.Chain, false, nil
+			if len(got.read.Chain) > 0 {
+				return got.read.Chain, got.read.Next, false, nil
 			}
 			if !got.place.Joining {
 				without++
 			}
 			if without >= r.Reads() {
-				return nil, false, ErrNoTurn
+				return nil, turn, false, ErrNoTurn
 			}
-			ask()
 		case <-hedge.C:
 			ask()
 		case <-ctx.Done():
-			return nil, stale, errors.CombineErrors(ErrUnsure, ctx.Err())
+			return nil, turn, stale, errors.CombineErrors(ErrUnsure, ctx.Err())
+		}
+	}
+	return nil, turn, stale, ErrUnsure
+}
+
+// asker returns a function that asks the next place.
+func (c *Client) asker(ctx context.Context, version uint64, turn string, places []roster.Place, replies chan<- reply) func() {
+	next := 0
+	return func() {
+		if next == len(places) {
+			return
 		}
+		p := places[next]
+		next++
+		go func() {
+			limited, stop := context.WithTimeout(ctx, placeTime)
+			defer stop()
+			out := reply{place: p}
+			a := holder.ReadAsk{Stamp: holder.Stamp{Version: version, Life: p.Life}, Turn: turn}
+			out.err = c.ask(limited, p, holder.MethodRead, a, &out.read)
+			replies <- out
+		}()
 	}
-	return nil, stale, ErrUnsure
 }
 
 // nearest returns the places in the order in which a read asks them: those in
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -258,8 +258,8 @@
 }
 
 func (q *request) newsAge() int64 {
-	if q.view == nil || q.view.Heard.IsZero() {
+	if q.view == nil || q.view.Confirmed.IsZero() {
 		return -1
 	}
-	return q.began.Sub(q.view.Heard).Milliseconds()
+	return q.began.Sub(q.view.Confirmed).Milliseconds()
 }
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -1,9 +1,10 @@
 // Package fleet is what one daemon knows of the system: the configuration in
 // force, the upstreams, and the daemons that take callers.
 //
-// News comes from reads that may be seconds old and may overtake each other, so
-// nothing is taken from a revision older than the one known: what has been seen
-// never reverts. While the store is away the last knowledge stays in force.
+// Knowledge is read from the store by whichever daemon's is the oldest, and told
+// to the others. It may arrive twice or out of order, so nothing is taken from a
+// revision older than the one known: what has been seen never reverts. While the
+// store is away the last knowledge stays in force.
 package fleet
 
 import (
@@ -12,6 +13,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/slaterock/slaterock/internal/conf/route"
 )
 
@@ -27,19 +31,19 @@
 		mu        sync.Mutex
 		view      atomic.Pointer[View]
 		upstreams map[string]Upstream
-		upRev     uint64
-		entryRev  uint64
 		down      bool
 		returned  time.Time // when the store came back last
-		heard     time.Time // last list of upstreams
 	}
 
 	// View is what is known at one moment. It is immutable.
 	View struct {
-		Table    *route.Table // nil while none is known
-		Services map[string][]Upstream
-		Entries  []Entry
-		Heard    time.Time // when the upstreams were last listed
+		Revision  uint64       // of the store, at the last reading
+		Confirmed time.Time    // when that reading was made, as far as is known
+		Table     *route.Table // nil while none is known
+		Services  map[string][]Upstream
+		Upstreams []Upstream // by id
+		Entries   []Entry    // by node
+		Hash      uint64     // of what matters of all this
 	}
 
 	// Change is what news changed, for the log.
@@ -65,45 +69,77 @@
 	defer f.mu.Unlock()
 	v := *f.View()
 	switch n := n.(type) {
-	case Config:
-		if v.Table != nil && n.Table.Version <= v.Table.Version {
-			return nil
-		}
-		v.Table = n.Table
-		changes = append(changes, Change{What: "config"})
-	case Upstreams:
-		changes = f.list(now, n)
-		v.Services = f.services()
-		v.Heard = f.heard
-	case Entries:
-		if n.Revision < f.entryRev {
-			return nil
-		}
-		f.entryRev = n.Revision
-		v.Entries = n.List
 	case Outage:
 		if !f.down {
 			f.down = true
 			changes = append(changes, Change{What: "outage"})
 		}
+		return changes
+	case Confirmed:
+		if n.Revision < v.Revision {
+			return nil
+		}
+		v.confirm(n.Revision, now.Add(-n.Age))
+	case Told:
+		if n.Revision < v.Revision {
+			return nil
+		}
+		changes = f.take(&v, n.Reading, false)
+		v.confirm(n.Revision, now.Add(-n.Age))
+	case Reading:
+		changes = f.regain(now)
+		if n.Revision < v.Revision {
+			return changes
+		}
+		returning := !f.returned.IsZero() && now.Sub(f.returned) < ReturnGrace
+		changes = append(changes, f.take(&v, n, returning)...)
+		v.confirm(n.Revision, now)
 	}
 	f.view.Store(&v)
 	return changes
 }
 
-func (f *Fleet) list(now time.Time, n Upstreams) (changes []Change) {
-	if f.down {
-		f.down = false
-		f.returned = now
-		changes = append(changes, Change{What: "regained"})
+func (v *View) confirm(revision uint64, at time.Time) {
+	v.Revision = revision
+	if at.After(v.Confirmed) {
+		v.Confirmed = at
 	}
-	if n.Revision < f.upRev {
-		return changes
+}
+
+func (f *Fleet) regain(now time.Time) []Change {
+	if !f.down {
+		return nil
+	}
+	f.down = false
+	f.returned = now
+	return []Change{{What: "regained"}}
+}
+
+// take replaces what is known. Keep has upstreams stay that are not listed.
+func (f *Fleet) take(v *View, n Reading, keep bool) (changes []Change) {
+	if n.Table != nil && (v.Table == nil || n.Table.Version > v.Table.Version) {
+		v.Table = n.Table
+		changes = append(changes, Change{What: "config"})
+	}
+	changes = append(changes, f.list(n.Upstreams, keep)...)
+	v.Entries = append([]Entry(nil), n.Entries...)
+	sort.Slice(v.Entries, func(i, j int) bool { return v.Entries[i].Node < v.Entries[j].Node })
+	v.Services = map[string][]Upstream{}
+	v.Upstreams = nil
+	for _, u := range f.upstreams {
+		v.Upstreams = append(v.Upstreams, u)
 	}
-	f.upRev = n.Revision
-	f.heard = now
-	next := make(map[string]Upstream, len(n.List))
-	for _, u := range n.List {
+	sort.Slice(v.Upstreams, func(i, j int) bool { return v.Upstreams[i].ID < v.Upstreams[j].ID })
+	for _, u := range v.Upstreams {
+		v.Services[u.Service] = append(v.Services[u.Service], u)
+	}
+	v.Hash = v.hash()
+	return changes
+}
+
+func (f *Fleet) list(list []Upstream, keep bool) (changes []Change) {
+	next := make(map[string]Upstream, len(list))
+	for _, u := range list {
 		old, known := f.upstreams[u.ID]
 		switch {
 		case !known:
@@ -113,12 +149,11 @@
 		}
 		next[u.ID] = u
 	}
-	returning := !f.returned.IsZero() && now.Sub(f.returned) < ReturnGrace
 	for id, u := range f.upstreams {
 		if _, listed := next[id]; listed {
 			continue
 		}
-		if returning && !u.Leaving {
+		if keep && !u.Leaving {
 			next[id] = u
 			continue
 		}
@@ -128,15 +163,26 @@
 	return changes
 }
 
-func (f *Fleet) services() map[string][]Upstream {
-	out := map[string][]Upstream{}
-	for _, u := range f.upstreams {
-		out[u.Service] = append(out[u.Service], u)
+// hash tells whether two daemons know the same. What changes with every report of
+// an upstream and decides nothing is left out.
+func (v *View) hash() uint64 {
+	type known struct {
+		Version   int64
+		Upstreams []Upstream
+		Entries   []Entry
+	}
+	k := known{Entries: v.Entries, Upstreams: append([]Upstream(nil), v.Upstreams...)}
+	if v.Table != nil {
+		k.Version = v.Table.Version
+	}
+	for i := range k.Upstreams {
+		k.Upstreams[i].Serial, k.Upstreams[i].Cold = 0, 0
 	}
-	for _, list := range out {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	data, err := cbor.Marshal(k)
+	if err != nil {
+		return 0 // never equals another's, so that the whole is asked for
 	}
-	return out
+	return xxhash.Sum64(data)
 }
 
 func (u Upstream) state() string {
--- a/internal/front/fleet/types.go
+++ b/internal/front/fleet/types.go
@@ -33,26 +33,31 @@
 	// News is something that a daemon learns of the system.
 	News interface{ news() }
 
-	// Config is the operator's configuration.
-	Config struct{ Table *route.Table }
+	// Reading is what the store holds at a revision, read as it is now.
+	Reading struct {
+		Revision  uint64
+		Table     *route.Table // nil if there is none yet, or none that can be read
+		Upstreams []Upstream
+		Entries   []Entry
+	}
 
-	// Upstreams is the list of all upstreams at a revision of the store.
-	Upstreams struct {
-		Revision uint64
-		List     []Upstream
+	// Told is what another daemon knows. Its upstreams are taken as they are.
+	Told struct {
+		Reading
+		Age time.Duration // since the other daemon's knowledge was confirmed
 	}
 
-	// Entries is the list of all daemons that take callers.
-	Entries struct {
+	// Confirmed tells that another daemon knows the same, by a newer reading.
+	Confirmed struct {
 		Revision uint64
-		List     []Entry
+		Age      time.Duration
 	}
 
 	// Outage tells that the store did not answer or turned this daemon away.
 	Outage struct{}
 )
 
-func (Config) news()    {}
-func (Upstreams) news() {}
-func (Entries) news()   {}
+func (Reading) news()   {}
+func (Told) news()      {}
+func (Confirmed) news() {}
 func (Outage) news()    {}
--- /dev/null
+++ b/internal/front/rumor/rumor.go
@@ -0,0 +1,148 @@
+// Package rumor tells the daemons that serve callers of each other: what each has
+// under way at every upstream, and how new its knowledge of the system is.
+//
+// Upstreams report their load late and each report is a call to them. A
+// datagram of a few hundred bytes to each other daemon costs less and is newer.
+// Datagrams may be lost or overtake each other; each carries the whole state, so
+// the next one makes up for it.
+package rumor
+
+import (
+	"context"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// base is the pause between datagrams to the same daemon: half of the time
+	// of a short plain call.
+	base = 60 * time.Millisecond
+	// perPeer stretches the pause with the number of daemons, which bounds the
+	// datagrams that each sends and takes to about 140 a second.
+	perPeer = 7 * time.Millisecond
+	// Silent is how long a daemon may send nothing before it counts as gone:
+	// several datagrams in a row are hardly ever lost.
+	Silent = 900 * time.Millisecond
+	// maxPacket fits a link's frame.
+	maxPacket = 1400
+)
+
+type (
+	// Rumor sends and takes datagrams. Set the exported fields, then call Run.
+	Rumor struct {
+		Conn  net.PacketConn
+		Own   func() Word                 // what is said
+		Heard func(now time.Time, w Word) // takes what another says
+		Peers func() []string             // addresses of the others
+
+		mu    sync.Mutex
+		words map[string]heard // newest of each daemon
+	}
+
+	// Word is what one daemon says.
+	Word struct {
+		Node     string         `cbor:"1,keyasint"`
+		Sent     int64          `cbor:"2,keyasint"` // Unix nanoseconds of the sender; orders its words
+		Load     map[string]int `cbor:"3,keyasint"` // under way there, by upstream
+		Leaving  bool           `cbor:"4,keyasint,omitempty"`
+		Revision uint64         `cbor:"5,keyasint"` // of the store, as it knows it
+		Hash     uint64         `cbor:"6,keyasint"` // of its knowledge
+		Age      int64          `cbor:"7,keyasint"` // milliseconds since that was confirmed
+	}
+
+	heard struct {
+		Word
+		at time.Time
+	}
+)
+
+// Run sends and takes until ctx ends, and closes the socket.
+func (l *Rumor) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "exchange rumors") }()
+	stop := context.AfterFunc(ctx, func() { _ = l.Conn.Close() })
+	defer stop()
+	go l.send(ctx)
+	var buf [maxPacket]byte
+	for {
+		n, _, err := l.Conn.ReadFrom(buf[:])
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		var w Word
+		if cbor.Unmarshal(buf[:n], &w) != nil || w.Node == "" {
+			continue // not one of ours, or spoilt: the next one makes up for it
+		}
+		if now := time.Now(); l.newer(now, w) {
+			l.Heard(now, w)
+		}
+	}
+}
+
+// newer notes a word unless a later one of that daemon has come before. A daemon
+// that started again may have a clock that was set back.
+func (l *Rumor) newer(now time.Time, w Word) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.words == nil {
+		l.words = map[string]heard{}
+	}
+	old, known := l.words[w.Node]
+	if known && w.Sent <= old.Sent && now.Sub(old.at) < Silent {
+		return false
+	}
+	l.words[w.Node] = heard{Word: w, at: now}
+	return true
+}
+
+// Live returns the daemons heard of lately, in order, and those of them that
+// are leaving.
+func (l *Rumor) Live(now time.Time) (nodes []string, leaving map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leaving = map[string]bool{}
+	for name, h := range l.words {
+		if now.Sub(h.at) > Silent {
+			continue
+		}
+		nodes = append(nodes, name)
+		leaving[name] = h.Leaving
+	}
+	sort.Strings(nodes)
+	return nodes, leaving
+}
+
+func (l *Rumor) send(ctx context.Context) {
+	for {
+		peers := l.Peers()
+		select {
+		case <-time.After(max(base, time.Duration(len(peers))*perPeer)):
+		case <-ctx.Done():
+			return
+		}
+		l.tell(peers)
+	}
+}
+
+func (l *Rumor) tell(peers []string) {
+	w := l.Own()
+	w.Sent = time.Now().UnixNano()
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		return
+	}
+	for _, address := range peers {
+		to, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			continue
+		}
+		_, _ = l.Conn.WriteTo(data, to) // lost datagrams are made up for by the next
+	}
+}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,8 +19,8 @@
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/entry"
 	"github.com/slaterock/slaterock/internal/front/fleet"
-	"github.com/slaterock/slaterock/internal/front/loads"
 	"github.com/slaterock/slaterock/internal/front/pick"
+	"github.com/slaterock/slaterock/internal/front/rumor"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/node/listed"
 	"github.com/slaterock/slaterock/internal/node/scout"
@@ -77,6 +78,7 @@
 		pool    upconn.Pool
 		link    link.Link
 		scout   scout.Scout
+		rumor   rumor.Rumor
 		listed  listed.Listed
 		entry   entry.Entry
 		leaving atomic.Bool
@@ -122,6 +124,7 @@
 	d.scout.Store = d.Store
 	d.picker.Domain = d.Settings.Domain
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
+	d.link.Handle(methodKnown, d.tellKnown)
 	if err := d.link.Start(ctx); err != nil {
 		return err
 	}
@@ -139,13 +142,22 @@
 	if err != nil {
 		return err
 	}
-	l := &loads.Loads{Node: d.Settings.Node, Conn: conn, Own: d.picker.Own, Heard: d.picker.Heard, Peers: d.peers}
+	d.rumor.Conn, d.rumor.Own, d.rumor.Heard, d.rumor.Peers = conn, d.word, d.heard, d.peers
 	go func() {
-		if err := l.Run(ctx); err != nil {
-			d.Log.Error().Err(err).Msg("loads are not exchanged any more")
+		if err := d.rumor.Run(ctx); err != nil {
+			d.Log.Error().Err(err).Msg("nothing is heard of other daemons any more")
 		}
 	}()
-	d.read(ctx)
+	ln, err := listen(ctx, d.Settings.Peer)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := d.link.Serve(ctx, ln); err != nil {
+			d.Log.Error().Err(err).Msg("other daemons are not served any more")
+		}
+	}()
+	go d.read(ctx)
 	go d.sweep(ctx)
 	return nil
 }
@@ -252,10 +264,16 @@
 	if d.ready() {
 		list = append(list, self)
 	}
-	for _, e := range d.fleet.View().Entries {
-		if e.Node != self.Node && !e.Leaving {
-			list = append(list, e)
+	live, leaving := d.rumor.Live(time.Now())
+	entries := d.fleet.View().Entries
+	// A daemon that hears few of the others is itself cut off, and can't tell
+	// which of them are gone.
+	trusted := 2*len(live) >= len(entries)-1
+	for _, e := range entries {
+		if e.Node == self.Node || e.Leaving || leaving[e.Node] || trusted && !slices.Contains(live, e.Node) {
+			continue
 		}
+		list = append(list, e)
 	}
 	if len(list) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -2,67 +2,110 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/rumor"
+	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
 const (
-	// newsEvery is the pause between reads of the configuration and of the
-	// upstreams. A leaving upstream may get requests for two seconds, and stale
-	// reads are mostly well under a second behind.
-	newsEvery = 450 * time.Millisecond
-	// peersEvery is the same for the other daemons.
-	peersEvery = 900 * time.Millisecond
-	// freshPause is the shortest pause between reads of the configuration that
-	// are not stale; requests without a route ask for them.
+	// readEvery is the age at which knowledge is read anew, by one daemon for
+	// all. A leaving upstream may get requests for two seconds, which must
+	// hold the age, the call and two exchanges between daemons. Each call a
+	// second costs as much as 0.1 VMs.
+	readEvery = 500 * time.Millisecond
+	// readRank is added for each daemon that comes before this one, so that the
+	// next one reads only if the first did not.
+	readRank = 130 * time.Millisecond
+	readLook = 40 * time.Millisecond
+	// backOff bounds the pause after failed reads; others may reach the store.
+	backOffLeast = 300 * time.Millisecond
+	backOffMost  = 1500 * time.Millisecond
+	// oldAge is the age from which a request without a route has everything
+	// read anew before its caller is told that there is none. An added route
+	// must be served within two seconds.
+	oldAge = time.Second
+	// freshPause is the shortest pause between reads that requests ask for.
 	freshPause = 250 * time.Millisecond
+	// askTime bounds what is asked of another daemon.
+	askTime = 700 * time.Millisecond
+
+	methodKnown = "fleet.known"
 )
 
 type (
 	// Source reads what the operator and the upstreams write.
 	Source interface {
-		Config(ctx context.Context, stale bool) (*route.Table, error)
-		// Upstreams returns an error for each entry that names none, too.
-		Upstreams(ctx context.Context, stale bool) (fleet.Upstreams, []error, error)
+		// Read also returns keys that are the system's own, and an error for
+		// each entry that can't be used.
+		Read(ctx context.Context) (fleet.Reading, []store.Entry, []error, error)
+		// Decode reads a configuration that another daemon has passed on.
+		Decode(text []byte, revision uint64) (*route.Table, error)
 	}
 
 	// reads is what is kept between reads.
 	reads struct {
 		mu    sync.Mutex
-		fresh time.Time // of the last configuration read that was not stale
+		asked time.Time // last read for a request's sake
 		bad   map[string]bool
+		busy  map[string]bool // daemons that are being asked
+	}
+
+	// known is what a daemon tells another.
+	known struct {
+		Revision  uint64           `cbor:"1,keyasint"`
+		Age       int64            `cbor:"2,keyasint"` // milliseconds
+		Config    []byte           `cbor:"3,keyasint"`
+		ConfigRev uint64           `cbor:"4,keyasint"`
+		Upstreams []fleet.Upstream `cbor:"5,keyasint"`
+		Entries   []fleet.Entry    `cbor:"6,keyasint"`
+		Roster    []byte           `cbor:"7,keyasint"`
 	}
 )
 
-// read keeps the daemon's knowledge new until ctx ends.
+// read keeps knowledge new until ctx ends.
 func (d *Daemon) read(ctx context.Context) {
-	go d.loop(ctx, newsEvery, d.readUpstreams)
-	go d.loop(ctx, newsEvery, d.readConfig)
-	go d.loop(ctx, peersEvery, d.readPeers)
-}
-
-// loop reads at once, and then with pauses that differ from daemon to daemon, so
-// that their calls don't meet at the store. The first reads are not stale.
-func (d *Daemon) loop(ctx context.Context, each time.Duration, read func(ctx context.Context, stale bool) error) {
-	stale := false
+	wait := time.Duration(0)
 	for {
-		if read(ctx, stale) == nil {
-			stale = true
+		if time.Since(d.fleet.View().Confirmed) < readEvery+time.Duration(d.rank())*readRank {
+			wait = 0
+		} else if err := d.readStore(ctx); err != nil {
+			wait = min(max(2*wait, backOffLeast), backOffMost)
+		} else {
+			wait = 0
 		}
-		if !pause(ctx, each*3/4+rand.N(each/2)) {
+		if !pause(ctx, readLook+wait/2+rand.N(wait/2+1)) {
 			return
 		}
 	}
 }
 
-func (d *Daemon) readUpstreams(ctx context.Context, stale bool) error {
-	n, bad, err := d.Source.Upstreams(ctx, stale)
+// rank is how many live daemons come before this one.
+func (d *Daemon) rank() int {
+	live, _ := d.rumor.Live(time.Now())
+	n := 0
+	for _, name := range live {
+		if name < d.Settings.Node {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Daemon) readStore(ctx context.Context) error {
+	n, others, bad, err := d.Source.Read(ctx)
 	if err != nil {
 		d.learn(fleet.Outage{}, err)
 		return err
@@ -70,11 +113,15 @@
 	for _, e := range bad {
 		d.tellBad(e)
 	}
+	if err = d.scout.Take(others, store.Rev(n.Revision)); err != nil {
+		d.tellBad(err)
+	}
+	n.Entries = d.scout.State().Entries
 	d.learn(n, nil)
 	return nil
 }
 
-// tellBad logs an entry that names no upstream, once for each fault.
+// tellBad logs an entry that can't be used, once for each fault.
 func (d *Daemon) tellBad(err error) {
 	d.reads.mu.Lock()
 	defer d.reads.mu.Unlock()
@@ -83,42 +130,120 @@
 	}
 	if text := err.Error(); !d.reads.bad[text] {
 		d.reads.bad[text] = true
-		d.Log.Warn().Err(err).Msg("entry names no upstream")
+		d.Log.Warn().Err(err).Msg("entry can't be used")
 	}
 }
 
-func (d *Daemon) readConfig(ctx context.Context, stale bool) error {
-	t, err := d.Source.Config(ctx, stale)
-	if err != nil {
-		return err // reading the upstreams tells of outages
-	}
-	d.learn(fleet.Config{Table: t}, nil)
-	return nil
-}
-
-// refreshConfig reads the configuration as it is now, unless that was done a
-// moment ago.
+// refreshConfig reads everything for a request without a route, if what is known
+// is old and that was not tried a moment ago.
 func (d *Daemon) refreshConfig(ctx context.Context) {
+	if time.Since(d.fleet.View().Confirmed) < oldAge {
+		return
+	}
 	d.reads.mu.Lock()
-	soon := time.Since(d.reads.fresh) < freshPause
+	soon := time.Since(d.reads.asked) < freshPause
 	if !soon {
-		d.reads.fresh = time.Now()
+		d.reads.asked = time.Now()
 	}
 	d.reads.mu.Unlock()
 	if !soon {
-		_ = d.readConfig(ctx, false) // the request goes on with what is known
+		_ = d.readStore(ctx) // the request goes on with what is known
 	}
 }
 
-func (d *Daemon) readPeers(ctx context.Context, stale bool) error {
-	if err := d.scout.Scan(ctx, stale); err != nil {
-		return err
+// word is what this daemon says to the others.
+func (d *Daemon) word() rumor.Word {
+	v := d.fleet.View()
+	return rumor.Word{
+		Node: d.Settings.Node, Load: d.picker.Own(), Leaving: d.leaving.Load(),
+		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(),
+	}
+}
+
+// heard takes what another daemon says. If it knows something newer, that is
+// asked for.
+func (d *Daemon) heard(now time.Time, w rumor.Word) {
+	d.picker.Heard(now, w.Node, w.Load)
+	v := d.fleet.View()
+	if w.Revision <= v.Revision {
+		return
+	}
+	if w.Hash == v.Hash {
+		d.learn(fleet.Confirmed{Revision: w.Revision, Age: time.Duration(w.Age) * time.Millisecond}, nil)
+		return
+	}
+	d.reads.mu.Lock()
+	defer d.reads.mu.Unlock()
+	if d.reads.busy == nil {
+		d.reads.busy = map[string]bool{}
 	}
-	s := d.scout.State()
-	d.learn(fleet.Entries{Revision: uint64(s.Revision), List: s.Entries}, nil)
+	if d.reads.busy[w.Node] {
+		return
+	}
+	for _, e := range v.Entries {
+		if e.Node == w.Node {
+			d.reads.busy[w.Node] = true
+			go d.askPeer(e)
+			return
+		}
+	}
+}
+
+func (d *Daemon) askPeer(e fleet.Entry) {
+	ctx, stop := context.WithTimeout(d.entry.Stop, askTime)
+	defer stop()
+	var raw link.Raw
+	err := d.link.Peer(e.Peer).Invoke(ctx, methodKnown, struct{}{}, &raw)
+	d.reads.mu.Lock()
+	delete(d.reads.busy, e.Node)
+	d.reads.mu.Unlock()
+	if err == nil {
+		err = d.takeKnown(raw)
+	}
+	if err != nil && d.entry.Stop.Err() == nil {
+		d.Log.Warn().Err(err).Str("peer", e.Node).Msg("newer knowledge not got from a daemon")
+	}
+}
+
+func (d *Daemon) takeKnown(raw []byte) error {
+	var k known
+	if err := cbor.Unmarshal(raw, &k); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	t := fleet.Told{Age: time.Duration(k.Age) * time.Millisecond}
+	t.Revision, t.Upstreams, t.Entries = k.Revision, k.Upstreams, k.Entries
+	if len(k.Config) > 0 {
+		var err error
+		if t.Table, err = d.Source.Decode(k.Config, k.ConfigRev); err != nil {
+			return err
+		}
+	}
+	if len(k.Roster) > 0 {
+		d.scout.Learn(k.Roster)
+	}
+	d.learn(t, nil)
 	return nil
 }
 
+// tellKnown answers another daemon.
+func (d *Daemon) tellKnown(context.Context, json.RawMessage) (any, error) {
+	v := d.fleet.View()
+	k := known{
+		Revision: v.Revision, Age: time.Since(v.Confirmed).Milliseconds(), Upstreams: slices.Clone(v.Upstreams), Entries: v.Entries,
+	}
+	if v.Table != nil {
+		k.Config, k.ConfigRev = v.Table.Text, v.Table.Revision
+	}
+	if r := d.scout.Roster(); r.Version > 0 {
+		var err error
+		if k.Roster, err = r.Encode(); err != nil {
+			return nil, err
+		}
+	}
+	data, err := cbor.Marshal(k)
+	return link.Raw(data), err
+}
+
 // learn takes news and logs what changed.
 func (d *Daemon) learn(n fleet.News, cause error) {
 	for _, c := range d.fleet.Take(time.Now(), n) {
@@ -130,20 +255,24 @@
 			line = line.Str("dependency", "store")
 		case "config":
 			t := d.fleet.View().Table
-			line = line.Int64("version", t.Version).Uint64("revision", t.Revision).Int("routes", t.Len())
+			line = line.Int64("version", t.Version).Uint64("config_revision", t.Revision).Int("routes", t.Len())
 		default:
 			line = line.Str("upstream", c.ID).Str("from", c.From).Str("to", c.To)
 		}
-		line.Msg("learnt: " + c.What)
-		if c.To == "gone" {
-			d.dropGone(c.ID)
-		}
+		line.Str("by", source(n)).Uint64("revision", d.fleet.View().Revision).Msg("learnt: " + c.What)
 	}
 }
 
-// dropGone closes connections to upstreams that ended; their addresses may go
-// to others.
-func (d *Daemon) dropGone(string) { d.pool.Sweep(time.Now()) }
+func source(n fleet.News) string {
+	switch n.(type) {
+	case fleet.Reading:
+		return "store"
+	case fleet.Told, fleet.Confirmed:
+		return "peer"
+	default:
+		return ""
+	}
+}
 
 // silent drops the HTTP server's own log lines: a caller that breaks off is no
 // event of the daemon's.
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -26,6 +26,11 @@
 	// lookEvery is the pause between looks at the store. A place that lost its
 	// VM must be filled within about four seconds of the new VM's start.
 	lookEvery = 400 * time.Millisecond
+	// askEvery is the pause between looks at what the operator wants, and
+	// freshEvery that of a VM without a place between reads that are not
+	// stale, which cost ten times as much.
+	askEvery   = 1200 * time.Millisecond
+	freshEvery = 900 * time.Millisecond
 	// settle is how long after the store's return no place counts as missing:
 	// daemons write their keys again within about two seconds.
 	settle = 2500 * time.Millisecond
@@ -64,6 +69,8 @@
 		scout    scout.Scout
 		listed   listed.Listed
 		started  time.Time
+		askedAt  time.Time // what the operator wants
+		freshAt  time.Time // last read that was not stale
 		away     bool      // the store doesn't answer
 		returned time.Time // when it came back
 		missing  map[string]time.Time
@@ -160,7 +167,14 @@
 }
 
 func (k *Keeper) step(ctx context.Context) {
-	if err := k.scout.Scan(ctx, true); err != nil {
+	// A VM without a place looks for one that is free, and stale reads may be
+	// seconds behind; those with a place have time.
+	_, placed := k.scout.Roster().Find(k.holder.Life())
+	stale := placed || time.Since(k.freshAt) < freshEvery
+	if !stale {
+		k.freshAt = time.Now()
+	}
+	if err := k.scout.Scan(ctx, stale); err != nil {
 		if !k.away {
 			k.away = true
 			k.Log.Warn().Err(err).Str("dependency", "store").Msg("lost")
@@ -301,6 +315,10 @@
 
 // askOperator looks whether this VM is to be emptied, and answers when it is.
 func (k *Keeper) askOperator(ctx context.Context, s scout.State) {
+	if time.Since(k.askedAt) < askEvery {
+		return
+	}
+	k.askedAt = time.Now()
 	nodes, err := k.Operator.Retiring(ctx)
 	if err != nil {
 		return // asked again at the next look; the scan before tells of outages
--- a/internal/node/listed/listed.go
+++ b/internal/node/listed/listed.go
@@ -22,8 +22,8 @@
 	// TTL is the lease's. A daemon that died is missed after this long, and
 	// calls for renewal cost a tenth of a read.
 	TTL = 2 * time.Second
-	// Renew is the pause between renewals; two may fail before the key lapses.
-	Renew = 600 * time.Millisecond
+	// Renew is the pause between renewals; one may fail before the key lapses.
+	Renew = 750 * time.Millisecond
 	// backOff bounds the pause after failures, so that an outage isn't
 	// followed by a storm of calls.
 	backOff = 1200 * time.Millisecond
@@ -74,7 +74,7 @@
 			wait = min(2*wait, backOff)
 		}
 		select {
-		case <-time.After(wait/2 + rand.N(wait/2)):
+		case <-time.After(wait*4/5 + rand.N(wait/5)):
 		case <-l.wake:
 		case <-ctx.Done():
 			l.remove()
--- a/internal/node/scout/scout.go
+++ b/internal/node/scout/scout.go
@@ -97,6 +97,12 @@
 	if err != nil {
 		return err
 	}
+	return s.Take(list, rev)
+}
+
+// Take learns all keys of the system as they were at a revision. Keys of others
+// are passed over.
+func (s *Scout) Take(list []store.Entry, rev store.Rev) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if rev < s.read {
@@ -105,7 +111,7 @@
 	s.read = rev
 	next := State{Roster: s.state.Roster, Revision: s.state.Revision}
 	for _, e := range list {
-		if err = next.take(e); err != nil {
+		if err := next.take(e); err != nil {
 			return errors.Wrapf(err, "key %s", e.Key)
 		}
 	}
