platform, disk, front: tests for what callers, upstreams and disks may do

Unit tests that run without a network: histories of records over lost disks, stale rosters and lost answers; what callers are told of refusals, lost and foreign answers; entries that can't be read.

--- /dev/null
+++ b/internal/disk/book/book_test.go
@@ -0,0 +1,123 @@
+package book
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/disk/seglog"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func reserve(program, attempt string, most int) Record {
+	return Record{Program: program, Attempt: attempt, Reserved: true, Most: most, Keep: 60_000}
+}
+
+func settle(program, attempt string, spent int) Record {
+	return Record{Program: program, Attempt: attempt, Settled: true, Spent: spent, Keep: 60_000}
+}
+
+func turnOf(attempt, previous string) Record {
+	return Record{Attempt: attempt, Keep: 60_000, Turn: &Turn{Previous: previous}}
+}
+
+func at(n int64) seglog.Pos { return seglog.Pos{Segment: 1, Offset: n} }
+
+func TestRecordRoundTrip(t *testing.T) {
+	is := is.New(t)
+	r := settle("p", "a", 30)
+	r.Turn = &Turn{Previous: "b", Input: []byte{0, 255}, Output: []byte("x\n"), Upstream: "i", Tokens: 30}
+	data, err := r.Encode()
+	is.NoErr(err)
+	back, err := Decode(data)
+	is.NoErr(err)
+	is.Equal(back, r)
+	_, err = Decode([]byte("spoilt"))
+	is.True(err != nil)
+}
+
+// Replicas get records in different orders, some twice. If they ended in
+// different states, a program could spend beyond its budget after one was lost.
+func TestOrderDoesNotMatter(t *testing.T) {
+	records := []Record{
+		reserve("p", "a", 100), settle("p", "a", 30), reserve("p", "b", 100), reserve("p", "c", 50), settle("p", "c", 0), settle("p", "a", 30),
+	}
+	want := "[{a 30 true} {b 100 false} {c 0 true}]"
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		var b Book
+		for _, i := range rnd.Perm(len(records)) {
+			b.Apply(records[i], at(1), start)
+		}
+		list := b.Shares("p")
+		sort.Slice(list, func(i, j int) bool { return list[i].Attempt < list[j].Attempt })
+		is.New(t).Equal(fmt.Sprint(list), want)
+	}
+}
+
+func TestFits(t *testing.T) {
+	cases := map[string]struct {
+		shares []Share
+		budget int
+		want   bool
+	}{
+		"none":         {nil, 0, true},
+		"exactly":      {[]Share{{Attempt: "a", Tokens: 60, Settled: true}, {Attempt: "b", Tokens: 40}}, 100, true},
+		"one too many": {[]Share{{Attempt: "a", Tokens: 61, Settled: true}, {Attempt: "b", Tokens: 40}}, 100, false},
+		"at its most":  {[]Share{{Attempt: "a", Tokens: 80}, {Attempt: "b", Tokens: 40}}, 100, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(Fits(c.shares, c.budget), c.want) })
+	}
+}
+
+func TestChain(t *testing.T) {
+	is := is.New(t)
+	var b Book
+	b.Apply(turnOf("1", ""), at(1), start)
+	b.Apply(turnOf("3", "2"), at(3), start)
+	list, next := b.Chain("3")
+	is.Equal(list, []seglog.Pos{at(3)})
+	is.Equal(next, "2") // lacks it, and doesn't claim that the chain ends there
+	b.Apply(turnOf("2", "1"), at(2), start)
+	list, next = b.Chain("3")
+	is.Equal(list, []seglog.Pos{at(3), at(2), at(1)})
+	is.Equal(next, "")
+	list, next = b.Chain("4")
+	is.Equal(len(list), 0)
+	is.Equal(next, "4")
+}
+
+// A program pauses for long between its turns. As long as its last turn is kept,
+// so must be all before it, or the caller is told that the conversation is gone.
+func TestChainLivesAsLongAsItsLastTurn(t *testing.T) {
+	is := is.New(t)
+	var b Book
+	b.Apply(turnOf("1", ""), at(1), start)
+	later := start.Add(50 * time.Second)
+	b.Apply(turnOf("2", "1"), at(2), later)
+	b.Expire(start.Add(60*time.Second + Slack + time.Second))
+	_, next := b.Chain("2")
+	is.Equal(next, "")
+	b.Expire(later.Add(60*time.Second + Slack + time.Second))
+	_, turns := b.Len()
+	is.Equal(turns, 0)
+}
+
+// All records are read again after a restart. None may live longer for it, or a
+// VM that restarts often would fill its disk.
+func TestExpiryCountsFromTheRecordsTime(t *testing.T) {
+	is := is.New(t)
+	var b Book
+	r := reserve("p", "a", 1)
+	r.At = start.UnixMilli()
+	b.Apply(r, at(1), start.Add(time.Minute))
+	b.Expire(start.Add(time.Minute + Slack + time.Second))
+	programs, _ := b.Len()
+	is.Equal(programs, 0)
+}
--- a/internal/disk/holder/holder.go
+++ b/internal/disk/holder/holder.go
@@ -81,10 +81,27 @@
 
 // Register offers the holder's methods over the link.
 func (h *Holder) Register(l *link.Link) {
-	l.Handle(MethodWrite, serve(h.Write))
-	l.Handle(MethodRead, serve(h.Read))
-	l.Handle(MethodPull, serve(h.Pull))
-	l.Handle(MethodFill, serve(h.takeFill))
+	for name, do := range h.methods() {
+		l.Handle(name, do)
+	}
+}
+
+// Serve answers one call of another daemon.
+func (h *Holder) Serve(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	do := h.methods()[method]
+	if do == nil {
+		return nil, errors.Newf("no method %s", method)
+	}
+	return do(ctx, params)
+}
+
+func (h *Holder) methods() map[string]link.Handler {
+	return map[string]link.Handler{
+		MethodWrite: serve(h.Write),
+		MethodRead:  serve(h.Read),
+		MethodPull:  serve(h.Pull),
+		MethodFill:  serve(h.takeFill),
+	}
 }
 
 func serve[Ask, Reply any](do func(context.Context, Ask) (Reply, error)) link.Handler {
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -140,6 +140,9 @@
 	if ctx.Err() != nil {
 		return errors.CombineErrors(ctx.Err(), err)
 	}
+	if !time.Now().Before(q.deadline) {
+		return errors.CombineErrors(context.DeadlineExceeded, err) // the connection's own deadline came first
+	}
 	q.e.Picker.Failed(time.Now(), s.up.ID)
 	return &lost{up: s.up, reused: s.conn.Reused, err: err}
 }
--- /dev/null
+++ b/internal/front/fleet/fleet_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/conf/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func reading(rev uint64, version int64, ups ...string) Reading {
+	r := Reading{Revision: rev}
+	if version > 0 {
+		r.Table = route.New(version, nil, nil, route.Limits{})
+	}
+	for _, u := range ups {
+		id, leaving := strings.CutSuffix(u, "!")
+		r.Upstreams = append(r.Upstreams, Upstream{ID: id, Service: "s", Leaving: leaving})
+	}
+	return r
+}
+
+func ids(v *View) (s string) {
+	for _, u := range v.Services["s"] {
+		s += u.ID
+		if u.Leaving {
+			s += "!"
+		}
+	}
+	return s
+}
+
+// News overtakes news: a slow answer of the store, or a daemon that was cut off,
+// tells what was true before. What callers have seen in force must not revert.
+func TestNothingReverts(t *testing.T) {
+	cases := map[string]News{
+		"an older reading":               reading(5, 3, "a", "b"),
+		"an older reading from a peer":   Told{Reading: reading(5, 3, "a", "b")},
+		"an older confirmation":          Confirmed{Revision: 5, Age: -time.Hour},
+		"a newer reading with no config": Told{Reading: reading(10, 0, "a!")},
+		"an older config, newer reading": reading(10, 3, "a!"),
+	}
+	for name, n := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f Fleet
+			f.Take(start, reading(9, 4, "a!"))
+			f.Take(start.Add(time.Second), n)
+			v := f.View()
+			is.Equal(v.Table.Version, int64(4))
+			is.Equal(ids(v), "a!")
+			is.True(v.Revision >= 9)
+			is.True(!v.Confirmed.After(start.Add(time.Second)))
+		})
+	}
+}
+
+// The store was away and all entries lapsed. For about two seconds it lists few
+// upstreams although all of them live. Callers must not be told that there are
+// none; but one that left before, or stays missing, must go.
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Take(start, reading(1, 1, "a", "b", "c!"))
+	f.Take(start, Outage{})
+	back := start.Add(10 * time.Second)
+	is.Equal(f.Take(back, reading(2, 1, "a"))[0].What, "regained")
+	is.Equal(ids(f.View()), "ab") // c was leaving
+	f.Take(back.Add(ReturnGrace-1), reading(3, 1, "a"))
+	is.Equal(ids(f.View()), "ab")
+	f.Take(back.Add(ReturnGrace), reading(4, 1, "a"))
+	is.Equal(ids(f.View()), "a")
+	f.Take(back.Add(time.Minute), reading(5, 1)) // in calm times at once
+	is.Equal(ids(f.View()), "")
+}
+
+// A daemon that the store turns away hears from others that nothing has changed.
+// Its knowledge is as new as theirs.
+func TestConfirmed(t *testing.T) {
+	is := is.New(t)
+	var f, g Fleet
+	f.Take(start, reading(1, 1, "a", "b"))
+	g.Take(start, reading(1, 1, "b", "a"))
+	is.Equal(f.View().Hash, g.View().Hash) // whatever the order
+	f.Take(start.Add(5*time.Second), Confirmed{Revision: 7, Age: time.Second})
+	is.Equal(f.View().Confirmed, start.Add(4*time.Second))
+	is.Equal(f.View().Revision, uint64(7))
+	g.Take(start, reading(2, 1, "b!", "a"))
+	is.True(f.View().Hash != g.View().Hash)
+}
+
+func TestChanges(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Take(start, reading(1, 1, "a"))
+	is.Equal(len(f.Take(start, reading(2, 1, "a"))), 0)
+	again := reading(3, 2, "a!", "b")
+	again.Upstreams[1].Born = 5
+	is.Equal(fmt.Sprint(f.Take(start, again)), "[{config   } {upstream a ready leaving} {upstream b  ready}]")
+	again = reading(4, 2, "b")
+	again.Upstreams[0].Born = 9 // started again under its id
+	is.Equal(fmt.Sprint(f.Take(start, again)), "[{upstream b ready ready} {upstream a leaving gone}]")
+	is.Equal(len(f.Take(start, Outage{})), 1)
+	is.Equal(len(f.Take(start, Outage{})), 0) // told once
+}
