entry: a stream that broke off goes on at the upstream that ran it

Change: where the route allows one upstream, the resumed run goes there and waits for room; to another only if the first is gone.

--- a/internal/front/entry/entry_test.go
+++ b/internal/front/entry/entry_test.go
@@ -197,6 +197,36 @@
 	}
 }
 
+// A stream breaks off and goes on. The route lets one upstream run it, so it must
+// go on where it ran, though that one has just failed; only if that one is gone may
+// another run it.
+func TestResumeStaysWhereItRan(t *testing.T) {
+	cases := map[string]struct {
+		second string // answer of the first upstream to the second send
+		gone   bool
+		sends  [2]int
+	}{
+		"at once":          {chunked + event2 + end, false, [2]int{2, 0}},
+		"when it has room": {full, false, [2]int{3, 0}},
+		"elsewhere":        {"", true, [2]int{1, 1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld([]string{chunked + event1 + "CLOSE", c.second, chunked + event2 + end}, []string{chunked + event2 + end})
+				w.occupy("up2", 2)
+				w.ups["up1"].once = c.gone
+				rec, cut := w.ask(t.Context(), "/resume/", map[string]string{"Program": "x"}, "in")
+				is.True(!cut)
+				is.Equal(rec.Body.String(), text12)
+				is.Equal([2]int{len(w.ups["up1"].requests()), len(w.ups["up2"].requests())}, c.sends)
+				w.close()
+			})
+		})
+	}
+}
+
 // A turn continues others. The upstream must get everything said before, in
 // order, and the next turn must find this one.
 func TestKeptTurns(t *testing.T) {
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -17,6 +17,11 @@
 	// maxRefusals bounds how many upstreams are asked that refuse without
 	// running the request. Each costs a round trip of the caller's time.
 	maxRefusals = 5
+	// fullPause is kept before the one upstream that may run a request is asked
+	// again: about the time in which one of its places frees.
+	fullPause = 60 * time.Millisecond
+	// causeFull is the cause of a refusal that is over soon.
+	causeFull = "full"
 	// maxAnswer bounds the body of a plain answer, in bytes.
 	maxAnswer = 16 << 20
 )
@@ -82,6 +87,12 @@
 		}
 		last = err
 		q.story.refusals += up.ID + ":" + no.cause + " "
+		if c.Only != "" {
+			if no.cause != causeFull || !rest(ctx, fullPause) {
+				return nil, last
+			}
+			continue
+		}
 		if c.Exclude == nil {
 			c.Exclude = map[string]bool{}
 		}
@@ -90,6 +101,15 @@
 	return nil, last
 }
 
+func rest(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // send sends the request to one upstream and waits for its answer's head.
 func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, o ask.Order) (*sent, error) {
 	q.story.sends++
@@ -149,7 +169,7 @@
 
 // notRun ends a send that the upstream refused without running it.
 func (q *request) notRun(s *sent) error {
-	cause := "full"
+	cause := causeFull
 	if s.resp.StatusCode == http.StatusMisdirectedRequest {
 		cause = "other_instance"
 		q.e.Picker.Failed(time.Now(), s.up.ID)
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -166,6 +166,10 @@
 	o := ask.Order{Priority: min(t.route.Priority, 9), Ranked: true, LastEvent: t.last}
 	for range maxResumes {
 		s, err := t.dispatch(ctx, c, body, o)
+		if c.Only != "" && err != nil && t.goneFrom(c.Only, err) {
+			c.Only = ""
+			s, err = t.dispatch(ctx, c, body, o)
+		}
 		if err != nil {
 			return err
 		}
@@ -174,15 +178,35 @@
 		if err == nil || ctx.Err() != nil || !t.route.Resume {
 			return err
 		}
-		// Going on at the same upstream keeps what it has in memory; others may
-		// run it only if the route allows more than one.
+		// Going on at the same upstream uses what it has in memory. Others may
+		// run it too only if the route allows that, or this one is gone.
 		o.LastEvent = t.last
 		c.Prefer = s.up.ID
+		if t.route.Attempts == 1 {
+			c.Only = s.up.ID
+		}
 		t.story.refusals += s.up.ID + ":resumed "
 	}
 	return errors.New("the stream broke off too often")
 }
 
+// goneFrom tells whether an upstream can't run the stream any more.
+func (t *turn) goneFrom(id string, err error) bool {
+	var no *refused
+	if errors.As(err, &no) {
+		return no.cause != causeFull
+	}
+	if !errors.Is(err, errNoUpstream) {
+		return false
+	}
+	for _, u := range t.e.Fleet.View().Services[t.service.Name] {
+		if u.ID == id {
+			return false
+		}
+	}
+	return true
+}
+
 // pass passes an answer on. A status that is no success has no events.
 func (t *turn) pass(ctx context.Context, s *sent) error {
 	if s.resp.StatusCode != http.StatusOK {
--- a/internal/front/entry/world_test.go
+++ b/internal/front/entry/world_test.go
@@ -33,6 +33,7 @@
 		answers []string // raw bytes; "ID" stands for the attempt's id
 		got     []got
 		refuse  bool // connections
+		once    bool // after one connection, refuse
 	}
 
 	got struct {
@@ -184,6 +185,7 @@
 		if u.refuse {
 			return nil, errors.New("refused")
 		}
+		u.refuse = u.once
 		near, far := net.Pipe()
 		w.clients.Go(func() { u.serve(far) })
 		return near, nil
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -64,6 +64,7 @@
 		List    []fleet.Upstream // of the service
 		Key     string           // what should stay together; empty for plain calls
 		Prefer  string           // id of the upstream that ran the program's turn before
+		Only    string           // id of the one that may run it; empty for any
 		Exclude map[string]bool  // ids that have refused or failed this attempt
 	}
 )
@@ -92,7 +93,10 @@
 func (p *Picker) usable(now time.Time, c Case) []fleet.Upstream {
 	var good, poor []fleet.Upstream
 	for _, u := range c.List {
-		if u.Leaving || c.Exclude[u.ID] {
+		if c.Only == u.ID {
+			return []fleet.Upstream{u}
+		}
+		if c.Only != "" || u.Leaving || c.Exclude[u.ID] {
 			continue
 		}
 		if s := p.known[u.ID]; s != nil && now.Before(s.avoid) {
