quorum: write to f+1 places with a hedge, not to all

Cause: with two losses to bear every record went to five disks; at 610 turns a second that is half of the holders' processor, and joining disks took 5 to 8 s. Change: a program's records go to f+1 places that all daemons prefer, to others when one fails or is slow. A VM that claims a place starts to copy at once.

soak: the real programs as processes, harmed from outside Stand-ins of the platform's store and of upstreams, a fault proxy, signals, torn writes and lost disks; checks what callers and upstreams see.

--- a/cmd/slaterock/soak.go
+++ b/cmd/slaterock/soak.go
@@ -27,5 +27,6 @@
 	c.Flags().IntVar(&s.Histories, "histories", 1000, "histories to play")
 	c.Flags().IntVar(&s.Workers, "workers", 1, "histories played at a time")
 	c.Flags().IntVar(&s.Traced, "traced", 60, "lines to show of a history that broke a promise")
+	c.AddCommand(stormCommand())
 	return c
 }
--- /dev/null
+++ b/cmd/slaterock/storm.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/slaterock/slaterock/internal/play/storm"
+)
+
+// stormCommand is for development: the real programs under faults.
+func stormCommand() *cobra.Command {
+	var s storm.Storm
+	var seeds int
+	var dir string
+	c := &cobra.Command{
+		Use:   "processes",
+		Short: "Run the real programs as processes, harm them, and check every promise",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) (err error) {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			failed := 0
+			for seed := s.Seed; seed < s.Seed+uint64(seeds); seed++ { //nolint:gosec // a count
+				one := storm.Storm{
+					Command: []string{self}, Seed: seed, For: s.For, Fronts: s.Fronts, Disks: s.Disks, Upstreams: s.Upstreams, Callers: s.Callers,
+					Dir: filepath.Join(dir, fmt.Sprint(seed)), Out: io.Discard,
+				}
+				if err = os.MkdirAll(one.Dir, 0o700); err != nil {
+					return err
+				}
+				out, err := os.Create(filepath.Join(one.Dir, "faults.log"))
+				if err != nil {
+					return err
+				}
+				one.Out = out
+				sum, err := one.Run(c.Context())
+				_ = out.Close() // what it says is for people only
+				_, _ = fmt.Fprintf(c.OutOrStdout(), "seed %d: %+v %v\n", seed, sum, err)
+				if err != nil {
+					failed++
+				}
+			}
+			if failed > 0 {
+				return errors.Newf("%d of %d seeds broke a promise; their logs are in %s", failed, seeds, dir)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.Uint64Var(&s.Seed, "first", 1, "first seed")
+	f.IntVar(&seeds, "seeds", 1, "seeds to play")
+	f.DurationVar(&s.For, "for", 15*time.Second, "time with faults")
+	f.IntVar(&s.Fronts, "fronts", 4, "processes that serve callers")
+	f.IntVar(&s.Disks, "disks", 4, "processes that keep records")
+	f.IntVar(&s.Upstreams, "upstreams", 8, "upstreams")
+	f.IntVar(&s.Callers, "callers", 24, "callers at a time")
+	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "slaterock-soak"), "folder for settings, disks and logs")
+	return c
+}
--- a/internal/disk/book/record.go
+++ b/internal/disk/book/record.go
@@ -45,6 +45,15 @@
 	return data, errors.Wrap(err, "encode record")
 }
 
+// Key is what should lie on the same disks: the program, or the attempt of a turn
+// that names none.
+func (r Record) Key() string {
+	if r.Program != "" {
+		return r.Program
+	}
+	return r.Attempt
+}
+
 // WithoutText returns the record without what was said in its turn.
 func (r Record) WithoutText() Record {
 	if r.Turn != nil {
--- a/internal/disk/holder/holder.go
+++ b/internal/disk/holder/holder.go
@@ -26,6 +26,9 @@
 	// pageSize bounds one answer of a pull, in bytes. It takes 20 ms on the
 	// slowest link, so requests that share it are hardly delayed.
 	pageSize = 256 << 10
+	// lightPage is how much of the log is looked through for one answer without
+	// texts, in bytes, which is a fiftieth of that.
+	lightPage = 1 << 20
 	// lateCopy is the age beyond its keeping time after which a segment's last
 	// live records are copied forward, so that the segment can be dropped.
 	lateCopy = 10 * time.Second
@@ -270,7 +273,7 @@
 		reply.End = h.log.End()
 	}
 	var recs [][]byte
-	recs, reply.Places, reply.After, err = h.log.Scan(a.From, pageSize)
+	recs, reply.Places, reply.After, err = h.log.Scan(a.From, lightPage)
 	if err != nil {
 		return PullReply{}, err
 	}
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -1,17 +1,19 @@
 // Package quorum reads and writes durable records at the holders, for a daemon
 // that serves callers.
 //
-// A write goes to all places of the roster and is acknowledged once f+1 have
-// synced it, so the slowest disk delays nobody. A read asks the nearest place
-// first. That a turn does not exist is certain only after so many places have
+// A write goes to f+1 places of the roster, and to others as soon as one fails or
+// is slow, so that a slow disk delays nobody for long; it is acknowledged once f+1
+// have synced it. A read asks the nearest of these places first. That a turn does not exist is certain only after so many places have
 // said so that they would include one with every acknowledged write.
 package quorum
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -25,6 +27,9 @@
 	// placeTime bounds one request to one place. Slow disks take 150 ms, and
 	// hang for seconds; a write that comes late is still of use.
 	placeTime = 2500 * time.Millisecond
+	// hedgeWrite is when a write that is not durable also goes to the next
+	// place: on the slowest disks a sync takes 5 ms and may wait for another.
+	hedgeWrite = 20 * time.Millisecond
 	// hedgeAfter is when a read that has no answer also goes to the next
 	// place: a healthy one answers in 2 ms.
 	hedgeAfter = 25 * time.Millisecond
@@ -93,25 +98,28 @@
 	if len(r.Places) < r.Writes() || len(r.Places) == 0 {
 		return res, true, ErrUnsure
 	}
-	replies := make(chan reply, len(r.Places))
-	for _, p := range r.Places {
-		go func() {
-			// It goes on after the caller has what it needs: each place that
-			// has the record is one more disk that may outlive the others.
-			limited, stop := context.WithTimeout(context.WithoutCancel(ctx), placeTime)
-			defer stop()
-			a := holder.WriteAsk{Stamp: holder.Stamp{Version: r.Version, Life: p.Life}, Record: rec}
-			out := reply{place: p}
-			out.err = c.ask(limited, p, holder.MethodWrite, a, &out.write)
-			replies <- out
-		}()
+	places := preferred(r, rec.Key())
+	replies := make(chan reply, len(places))
+	next := 0
+	ask := func() {
+		if next < len(places) {
+			go c.writeTo(ctx, r.Version, places[next], rec, replies)
+			next++
+		}
+	}
+	for range r.Writes() {
+		ask()
 	}
+	hedge := time.NewTicker(hedgeWrite)
+	defer hedge.Stop()
 	shares := map[string]book.Share{}
 	durable, answered := 0, 0
-	for range r.Places {
+	for heard := 0; heard < len(places); {
 		select {
 		case got := <-replies:
+			heard++
 			if !c.accepted(got.err, got.write.Refusal, &stale) {
+				ask()
 				continue
 			}
 			durable++
@@ -121,19 +129,52 @@
 			for _, s := range got.write.Shares {
 				shares[s.Attempt] = book.Join(shares[s.Attempt], s)
 			}
+		case <-hedge.C:
+			ask()
 		case <-ctx.Done():
 			return res, stale, errors.CombineErrors(ErrUnsure, ctx.Err())
 		}
-		if durable >= r.Writes() && (answered >= r.Reads() || !rec.Reserved) {
-			for _, s := range shares {
-				res.Shares = append(res.Shares, s)
-			}
-			return res, false, nil
+		if durable < r.Writes() || rec.Reserved && answered < r.Reads() {
+			continue
+		}
+		for _, s := range shares {
+			res.Shares = append(res.Shares, s)
 		}
+		return res, false, nil
 	}
 	return res, stale, ErrUnsure
 }
 
+// writeTo writes to one place. It goes on after the caller has what it needs: a
+// place that has the record is one more disk that may outlive the others.
+func (c *Client) writeTo(ctx context.Context, version uint64, p roster.Place, rec book.Record, replies chan<- reply) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), placeTime)
+	defer stop()
+	a := holder.WriteAsk{Stamp: holder.Stamp{Version: version, Life: p.Life}, Record: rec}
+	out := reply{place: p}
+	out.err = c.ask(ctx, p, holder.MethodWrite, a, &out.write)
+	replies <- out
+}
+
+// preferred returns the places in the order in which a program's records go to
+// them. Writing to f+1 of the 2f+1 places takes a third to two fifths off the
+// holders' work and off the bytes between failure domains; that all daemons
+// prefer the same ones keeps a program's turns together, so that the first place
+// that is asked has the whole chain.
+func preferred(r roster.Roster, key string) []roster.Place {
+	list := slices.Clone(r.Places)
+	slices.SortStableFunc(list, func(a, b roster.Place) int {
+		if a.Joining != b.Joining {
+			if a.Joining {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(xxhash.Sum64String(key+a.Node), xxhash.Sum64String(key+b.Node))
+	})
+	return list
+}
+
 // accepted tells whether a place did what it was asked.
 func (c *Client) accepted(err error, refusal holder.Refusal, stale *bool) bool {
 	if err != nil {
@@ -167,11 +208,11 @@
 // A place may hold a turn and lack one before it that was written while the place
 // was away. So what a place lacks is asked of the others, turn by turn; only the
 // places' answers about one and the same turn can add up to a certain no.
-func (c *Client) Read(ctx context.Context, turn string) (chain []book.Turn, err error) {
+func (c *Client) Read(ctx context.Context, program, turn string) (chain []book.Turn, err error) {
 	defer func() { err = errors.Wrapf(err, "read turn %s", turn) }()
 	for next := turn; next != ""; {
 		var part []book.Turn
-		part, next, err = c.readPart(ctx, next)
+		part, next, err = c.readPart(ctx, program, next)
 		switch {
 		case errors.Is(err, ErrNoTurn) && len(chain) > 0:
 			return nil, errors.Wrapf(ErrUnsure, "a turn before it is missing: %s", next)
@@ -186,10 +227,10 @@
 
 // readPart returns the turn and those before it, the newest first, as far as one
 // place has them, and the first that it lacks.
-func (c *Client) readPart(ctx context.Context, turn string) (part []book.Turn, next string, err error) {
+func (c *Client) readPart(ctx context.Context, program, turn string) (part []book.Turn, next string, err error) {
 	for {
 		var stale bool
-		part, next, stale, err = c.tryRead(ctx, turn)
+		part, next, stale, err = c.tryRead(ctx, program, turn)
 		if err == nil || errors.Is(err, ErrNoTurn) || ctx.Err() != nil {
 			return part, next, err
 		}
@@ -204,9 +245,9 @@
 	}
 }
 
-func (c *Client) tryRead(ctx context.Context, turn string) (part []book.Turn, next string, stale bool, err error) {
+func (c *Client) tryRead(ctx context.Context, program, turn string) (part []book.Turn, next string, stale bool, err error) {
 	r := c.Roster()
-	places := c.nearest(r)
+	places := c.nearest(r, program)
 	if len(places) == 0 {
 		return nil, turn, true, ErrUnsure
 	}
@@ -264,19 +305,25 @@
 	}
 }
 
-// nearest returns the places in the order in which a read asks them: those in
-// the own failure domain first, those that are joining last.
-func (c *Client) nearest(r roster.Roster) []roster.Place {
-	var own, other, joining []roster.Place
-	for _, p := range r.Places {
-		switch {
-		case p.Joining:
-			joining = append(joining, p)
-		case p.Domain == c.Domain:
-			own = append(own, p)
-		default:
-			other = append(other, p)
-		}
+// nearest returns the places in the order in which a read asks them: those that
+// the program's records go to first, and of these the one in the own failure
+// domain first.
+func (c *Client) nearest(r roster.Roster, key string) []roster.Place {
+	list := preferred(r, key)
+	first := list[:min(r.Writes(), len(list))]
+	slices.SortStableFunc(first, func(a, b roster.Place) int {
+		return cmp.Compare(c.distance(a), c.distance(b))
+	})
+	return list
+}
+
+func (c *Client) distance(p roster.Place) int {
+	switch {
+	case p.Joining:
+		return 2
+	case p.Domain != c.Domain:
+		return 1
+	default:
+		return 0
 	}
-	return append(append(own, other...), joining...)
 }
--- /dev/null
+++ b/internal/fake/depot/depot.go
@@ -0,0 +1,267 @@
+// Package depot stands in for the metadata store of the users' platform: keys
+// with revisions, transactions and leases over HTTP, in memory, with faults to
+// switch on.
+package depot
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	pageItems = 500
+	// Fine does what is asked.
+	Fine Fault = iota
+	// Busy refuses every call.
+	Busy
+	// Lossy does some writes without answering.
+	Lossy
+	// Slow answers late.
+	Slow
+)
+
+type (
+	// Fault is what is wrong with the store.
+	Fault int
+
+	// Depot is the store. The zero value is empty.
+	Depot struct {
+		mu     sync.Mutex
+		rev    uint64
+		items  map[string]Item
+		leases map[uint64]lease
+		next   uint64
+		fault  Fault
+	}
+
+	// Item is a key as the wire has it.
+	Item struct {
+		Key     string `json:"key"`
+		Value   []byte `json:"value"`
+		Rev     uint64 `json:"revision"`
+		Made    uint64 `json:"create-revision"`
+		Lease   uint64 `json:"lease"`
+		Current uint64 `json:"current-rev,omitempty"`
+	}
+
+	lease struct {
+		ttl  time.Duration
+		ends time.Time
+	}
+
+	txn struct {
+		Expect []struct {
+			Key string `json:"key"`
+			Rev uint64 `json:"revision"`
+		} `json:"expect-rev"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease uint64 `json:"lease"`
+		} `json:"puts"`
+		Delete []string `json:"delete"`
+	}
+)
+
+// Set switches a fault on, or off with Fine.
+func (d *Depot) Set(f Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = f
+}
+
+// Put writes a key as the operator or an upstream does.
+func (d *Depot) Put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // only plain values are put
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.put(key, data, 0)
+}
+
+// Remove deletes a key.
+func (d *Depot) Remove(key string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rev++
+	delete(d.items, key)
+}
+
+// Get returns a key's value.
+func (d *Depot) Get(key string) ([]byte, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lapse()
+	it, ok := d.items[key]
+	return it.Value, ok
+}
+
+func (d *Depot) put(key string, data []byte, l uint64) {
+	if d.items == nil {
+		d.items = map[string]Item{}
+	}
+	d.rev++
+	made := d.rev
+	if old, ok := d.items[key]; ok {
+		made = old.Made
+	}
+	d.items[key] = Item{Key: key, Value: data, Rev: d.rev, Made: made, Lease: l}
+}
+
+// lapse drops leases that are over, with their keys.
+func (d *Depot) lapse() {
+	for id, l := range d.leases {
+		if time.Now().After(l.ends) {
+			d.end(id)
+		}
+	}
+}
+
+func (d *Depot) end(id uint64) {
+	delete(d.leases, id)
+	for key, it := range d.items {
+		if it.Lease == id {
+			d.rev++
+			delete(d.items, key)
+		}
+	}
+}
+
+// ServeHTTP answers one call.
+func (d *Depot) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	fault := d.fault
+	d.mu.Unlock()
+	switch {
+	case fault == Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case fault == Slow:
+		time.Sleep(300 * time.Millisecond)
+	}
+	status, answer := d.call(r)
+	if fault == Lossy && r.Method == http.MethodPost && rand.IntN(3) == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer) // the caller may have left
+}
+
+func (d *Depot) call(r *http.Request) (status int, answer any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lapse()
+	q := r.URL.Query()
+	switch path := r.URL.Path; {
+	case path == "/-/kv-key":
+		it, ok := d.items[q.Get("key")]
+		if !ok {
+			return http.StatusNotFound, nil
+		}
+		it.Current = d.rev
+		return http.StatusOK, it
+	case path == "/-/kv-range":
+		return d.scan(q.Get("path-prefix"), q.Get("after"))
+	case path == "/-/kv-txn":
+		var t txn
+		if json.NewDecoder(r.Body).Decode(&t) != nil {
+			return http.StatusBadRequest, nil
+		}
+		return d.transact(t)
+	case path == "/-/kv-lease":
+		var ask struct {
+			TTL float64 `json:"ttl-ms"`
+		}
+		if json.NewDecoder(r.Body).Decode(&ask) != nil {
+			return http.StatusBadRequest, nil
+		}
+		return d.grant(time.Duration(ask.TTL) * time.Millisecond)
+	case strings.HasPrefix(path, "/-/kv-keep/"):
+		return d.keep(number(path))
+	case strings.HasPrefix(path, "/-/kv-lease-end/"):
+		d.end(number(path))
+		return http.StatusOK, nil
+	default:
+		return http.StatusNotFound, nil
+	}
+}
+
+func number(path string) uint64 {
+	n, _ := strconv.ParseUint(path[strings.LastIndexByte(path, '/')+1:], 10, 64) // 0 names no lease
+	return n
+}
+
+func (d *Depot) scan(prefix, after string) (int, any) {
+	var answer struct {
+		Items     []Item `json:"items"`
+		Truncated bool   `json:"truncated"`
+		Current   uint64 `json:"current-rev"`
+	}
+	answer.Items, answer.Current = []Item{}, d.rev
+	for key, it := range d.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			answer.Items = append(answer.Items, it)
+		}
+	}
+	sort.Slice(answer.Items, func(i, j int) bool { return answer.Items[i].Key < answer.Items[j].Key })
+	if answer.Truncated = len(answer.Items) > pageItems; answer.Truncated {
+		answer.Items = answer.Items[:pageItems]
+	}
+	return http.StatusOK, answer
+}
+
+func (d *Depot) transact(t txn) (int, any) {
+	var conflicts struct {
+		Items []Item `json:"items"`
+	}
+	for _, e := range t.Expect {
+		if it := d.items[e.Key]; it.Rev != e.Rev {
+			it.Key = e.Key
+			conflicts.Items = append(conflicts.Items, it)
+		}
+	}
+	if len(conflicts.Items) > 0 {
+		return http.StatusPreconditionFailed, conflicts
+	}
+	for _, p := range t.Puts {
+		if _, ok := d.leases[p.Lease]; !ok && p.Lease != 0 {
+			return http.StatusNotFound, nil
+		}
+	}
+	for _, p := range t.Puts {
+		d.put(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range t.Delete {
+		d.rev++
+		delete(d.items, key)
+	}
+	return http.StatusOK, map[string]uint64{"revision": d.rev}
+}
+
+func (d *Depot) grant(ttl time.Duration) (int, any) {
+	if d.leases == nil {
+		d.leases = map[uint64]lease{}
+	}
+	d.next++
+	d.leases[d.next] = lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	return http.StatusOK, map[string]any{"lease": d.next, "ttl-ms": ttl.Milliseconds()}
+}
+
+func (d *Depot) keep(id uint64) (int, any) {
+	l, ok := d.leases[id]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	l.ends = time.Now().Add(l.ttl)
+	d.leases[id] = l
+	return http.StatusOK, map[string]any{"ttl-ms": l.ttl.Milliseconds()}
+}
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -50,7 +50,7 @@
 	// Records reads and writes what must last.
 	Records interface {
 		Write(context.Context, book.Record) (quorum.Result, error)
-		Read(ctx context.Context, turn string) ([]book.Turn, error)
+		Read(ctx context.Context, program, turn string) ([]book.Turn, error)
 	}
 
 	// Entry serves callers. Set the exported fields before use.
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -87,7 +87,7 @@
 	if !t.route.Keep || t.Previous == "" {
 		return nil
 	}
-	turns, err := t.e.Records.Read(ctx, t.Previous)
+	turns, err := t.e.Records.Read(ctx, t.Program, t.Previous)
 	if err != nil {
 		return err
 	}
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -198,6 +198,7 @@
 	case err := <-k.joined:
 		k.joining = false
 		k.endJoin(ctx, err)
+		s = k.scout.State()
 	default:
 	}
 	place, in := s.Roster.Find(k.holder.Life())
@@ -210,8 +211,8 @@
 		k.startJoin(ctx, s.Roster)
 	case in && place.Address != k.Settings.Address:
 		k.change(ctx, func(s scout.State) (roster.Roster, bool) { return s.Roster.WithAddress(k.self()), true }, "moved")
-	case !in:
-		k.claim(ctx, s)
+	case !in && k.claim(ctx, s):
+		k.startJoin(ctx, k.scout.Roster())
 	}
 }
 
@@ -256,12 +257,13 @@
 	}, "founded")
 }
 
-func (k *Keeper) claim(ctx context.Context, s scout.State) {
+// claim takes a place if there is one to take.
+func (k *Keeper) claim(ctx context.Context, s scout.State) bool {
 	now := time.Now()
 	if _, ok := s.Roster.Claim(now, k.self(), s.Members, k.missing); !ok {
-		return
+		return false
 	}
-	k.change(ctx, func(s scout.State) (roster.Roster, bool) {
+	return k.change(ctx, func(s scout.State) (roster.Roster, bool) {
 		k.noteMissing(s)
 		return s.Roster.Claim(now, k.self(), s.Members, k.missing)
 	}, "place claimed")
@@ -269,19 +271,19 @@
 
 // change writes the next roster if the store still has the one that it follows.
 // What was read may be old, so it reads again before it decides.
-func (k *Keeper) change(ctx context.Context, next func(scout.State) (roster.Roster, bool), what string) {
+func (k *Keeper) change(ctx context.Context, next func(scout.State) (roster.Roster, bool), what string) bool {
 	if err := k.scout.Scan(ctx, false); err != nil {
-		return // the next look tells
+		return false // the next look tells
 	}
 	s := k.scout.State()
 	r, ok := next(s)
 	if !ok {
-		return
+		return false
 	}
 	data, err := r.Encode()
 	if err != nil {
 		k.Log.Error().Err(err).Msg("roster not written")
-		return
+		return false
 	}
 	_, err = k.Store.Put(ctx, scout.RosterKey, data, s.Revision, 0)
 	k.Log.Info().Err(err).Uint64("from", s.Roster.Version).Uint64("to", r.Version).RawJSON("roster", data).Msg("roster: " + what)
@@ -289,6 +291,7 @@
 		k.scout.Learn(data)
 		k.holder.Learn(r)
 	}
+	return err == nil
 }
 
 func (k *Keeper) startJoin(ctx context.Context, r roster.Roster) {
--- /dev/null
+++ b/internal/play/storm/build.go
@@ -0,0 +1,146 @@
+package storm
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/fake/upstrm"
+)
+
+// build starts the stand-ins and the processes.
+func (s *Storm) build(ctx context.Context) error {
+	store, err := serve(ctx, &s.depot, "127.0.0.1")
+	if err != nil {
+		return err
+	}
+	s.depot.Put("op/config", configuration())
+	if err = s.buildUpstreams(ctx); err != nil {
+		return err
+	}
+	for i := range s.Fronts {
+		c, err := s.child(ctx, store, "front", i, fmt.Sprintf("127.0.1.%d", i+1))
+		if err != nil {
+			return err
+		}
+		p := &Proxy{Target: fmt.Sprintf("127.0.1.%d:%d", i+1, listPort)}
+		if err = p.Start(ctx, "127.0.0.1"); err != nil {
+			return err
+		}
+		s.callers = append(s.callers, p)
+		s.directories = append(s.directories, fmt.Sprintf("127.0.1.%d:%d", i+1, listPort+2))
+		s.fronts = append(s.fronts, c)
+	}
+	for i := range s.Disks {
+		c, err := s.child(ctx, store, "storage", i, fmt.Sprintf("127.0.2.%d", i+1))
+		if err != nil {
+			return err
+		}
+		s.disks = append(s.disks, c)
+	}
+	for _, c := range append(append([]*child(nil), s.disks...), s.fronts...) {
+		if err = c.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// buildUpstreams starts upstreams, each behind a proxy, whose entries are
+// written again and again as upstreams do.
+func (s *Storm) buildUpstreams(ctx context.Context) error {
+	for i := range s.Upstreams {
+		service := []string{"model", "plain"}[i%2]
+		u := &upstrm.Upstream{ID: fmt.Sprintf("i-%d", i), Ledger: &s.ledger, Batch: 16, Pause: 8 * time.Millisecond}
+		address, err := serve(ctx, u, "127.0.0.1")
+		if err != nil {
+			return err
+		}
+		p := &Proxy{Target: address}
+		if err = p.Start(ctx, "127.0.0.1"); err != nil {
+			return err
+		}
+		s.ups, s.upProxies = append(s.ups, u), append(s.upProxies, p)
+		s.entries.Store(u.ID, map[string]any{
+			"service": service, "address": p.Address, "zone": fmt.Sprintf("z%d", i%3), "version": "v1", "max-batch": u.Batch,
+			"state": "ready", "cold-remaining-ms": 0, "born": time.Now().UnixMilli(),
+		})
+	}
+	go func() {
+		for ctx.Err() == nil {
+			s.entries.Range(func(id, entry any) bool {
+				s.depot.Put("servers/"+id.(string), entry)
+				return true
+			})
+			pause(ctx, entryEvery)
+		}
+	}()
+	return nil
+}
+
+func (s *Storm) child(ctx context.Context, store, role string, i int, ip string) (*child, error) {
+	p := &Proxy{Target: store}
+	if err := p.Start(ctx, "127.0.0.1"); err != nil {
+		return nil, err
+	}
+	s.stores = append(s.stores, p)
+	name := fmt.Sprintf("%s-%d", role, i)
+	c := &child{name: name, role: role, command: s.Command, settings: s.file(name + ".yaml")}
+	listen, dir := "{}", "null"
+	if role == "front" {
+		listen = fmt.Sprintf("{front: %q, ready: %q, directory: %q}", fmt.Sprintf("%s:%d", ip, listPort), fmt.Sprintf("%s:%d", ip, listPort+1), fmt.Sprintf("%s:%d", ip, listPort+2))
+	} else {
+		c.dir = s.file(name)
+		dir = fmt.Sprintf("%q", c.dir)
+	}
+	text := fmt.Sprintf(`node-name: %q
+machine-class: %q
+ip: %q
+zone: "z%d"
+region: "r"
+listen: %s
+port-range: [%d, %d]
+bootstrap: true
+loss-counts: %v
+limits: {cpu-share: 1, cores: 1, memory-mb: 200, disk-mb: 300}
+data-dir: %s
+heartbeat-ms: 1000
+fault-tolerance: {machines: 1, zones: 0, regions: 0}
+bounds: {drain-ms: 2000, grace-s: 8, ttl_max_s: 5}
+platform: {address: %q, writes-per-s: 400, reads-per-s: 2000, value-bytes: 1048576, ttl-min-ms: 1000}
+`, name, role, ip, i%3, listen, peerPort, peerPort+15, role == "storage", dir, p.Address)
+	if err := os.WriteFile(c.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	var err error
+	c.log, err = os.Create(s.file(name + ".log"))
+	return c, err
+}
+
+// configuration is the operator's.
+func configuration() map[string]any {
+	route := func(path, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": path, "host": host, "path-prefix": "/" + path + "/", "kind": kind, "service": service,
+			"timeout-ms": attemptTime.Milliseconds(), "target-latency-ms": 250, "max-attempts": 2,
+		}
+		for key, value := range more {
+			r[key] = value
+		}
+		return r
+	}
+	return map[string]any{
+		"version": 3,
+		"routes": []any{
+			route("turn", "streaming", "model", map[string]any{"max-attempts": 1, "retain": true, "retention-s": 60.0}),
+			route("safe", "safe", "plain", nil),
+			route("unsafe", "unsafe", "plain", nil),
+		},
+		"services": []any{
+			map[string]any{"name": "model", "health-path": "/health", "max-conns": 200, "runtime": map[string]any{"max-batch": 16, "tokens-per-event": perEvent}},
+			map[string]any{"name": "plain", "health-path": "/health", "max-conns": 200},
+		},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	}
+}
--- /dev/null
+++ b/internal/play/storm/caller.go
@@ -0,0 +1,202 @@
+package storm
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/fake/upstrm"
+)
+
+const (
+	attemptTime = 4 * time.Second
+	budget      = 300
+	turnMost    = 30 // tokens
+	turnEvents  = 10
+	perEvent    = 3
+)
+
+type (
+	// caller runs programs one after the other: kept turns, each of which
+	// continues the last, and calls between them.
+	caller struct {
+		s      *Storm
+		rnd    *rand.Rand
+		id     int
+		client *http.Client
+		front  int
+	}
+
+	// verdicts is what all callers have seen.
+	verdicts struct {
+		mu       sync.Mutex
+		attempts map[string]seen
+		broken   []string
+		whole    int
+		refused  int
+		other    int
+	}
+
+	// seen is what became of one attempt.
+	seen struct {
+		status int // 0 without an answer
+		idem   bool
+	}
+)
+
+func (v *verdicts) note(id string, s seen, whole bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.attempts[id] = s
+	switch {
+	case whole:
+		v.whole++
+	case s.status == http.StatusServiceUnavailable || s.status == http.StatusPaymentRequired:
+		v.refused++
+	default:
+		v.other++
+	}
+}
+
+func (v *verdicts) breach(format string, args ...any) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.broken = append(v.broken, fmt.Sprintf(format, args...))
+}
+
+func (c *caller) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c.program(ctx, fmt.Sprintf("p%d-%d", c.id, n))
+	}
+}
+
+// program runs turns until its budget is spent or it has had enough.
+func (c *caller) program(ctx context.Context, name string) {
+	previous, said, spent := "", []byte(nil), 0
+	for turn := range 3 + c.rnd.IntN(12) {
+		for try := 0; ; try++ {
+			id := fmt.Sprintf("%s-t%d-%d", name, turn, try)
+			input := []byte(fmt.Sprintf("input of %s;", id))
+			status, tokens, output, whole := c.turn(ctx, name, id, previous, said, input)
+			spent += tokens
+			if spent > budget+turnMost {
+				c.s.seen.breach("%s: %d tokens handed out, budget %d", name, spent, budget)
+			}
+			if status == http.StatusNotFound && previous != "" {
+				c.s.seen.breach("%s: no such turn as %s, which was answered whole", id, previous)
+			}
+			if whole {
+				previous = id
+				said = append(append(append([]byte(nil), said...), input...), output...)
+				break
+			}
+			if status == http.StatusPaymentRequired || try == 4 || ctx.Err() != nil {
+				return
+			}
+			pause(ctx, 150*time.Millisecond)
+		}
+		c.call(ctx, fmt.Sprintf("%s-c%d", name, turn), c.rnd.IntN(2) == 0)
+	}
+}
+
+// turn sends one turn and checks its stream.
+func (c *caller) turn(ctx context.Context, program, id, previous string, said, input []byte) (status, tokens int, output []byte, whole bool) {
+	h := http.Header{}
+	h.Set("Program-Id", program)
+	h.Set("Token-Budget", fmt.Sprint(budget))
+	h.Set("Token-Usage", fmt.Sprintf("100,%d", turnMost))
+	h.Set(upstrm.ExpectBody, upstrm.Digest(append(append([]byte(nil), said...), input...)))
+	if previous != "" {
+		h.Set("Previous-Turn", previous)
+	}
+	status, body, err := c.send(ctx, http.MethodPost, fmt.Sprintf("/turn/x?events=%d", turnEvents), id, h, input)
+	events := strings.Count(string(body), "\n\n")
+	whole = status == http.StatusOK && err == nil
+	want := ""
+	for i := 1; i <= turnEvents; i++ {
+		want += upstrm.Event(id, i)
+		output = append(append(output, upstrm.Data(id, i)...), '\n')
+	}
+	if status == http.StatusOK {
+		tokens = events * perEvent
+		if whole && string(body) != want || !strings.HasPrefix(want, string(body)) {
+			c.s.seen.breach("%s: a stream that is not the upstream's (whole %v): %.120q", id, whole, body)
+		}
+	}
+	c.s.seen.note(id, seen{status: status}, whole)
+	return status, tokens, output, whole
+}
+
+// call sends a call to a plain service.
+func (c *caller) call(ctx context.Context, id string, safe bool) {
+	path := map[bool]string{true: "/safe/x", false: "/unsafe/x"}[safe]
+	status, body, err := c.send(ctx, http.MethodPost, path, id, http.Header{}, []byte("call"))
+	whole := status == http.StatusOK && err == nil
+	if whole && string(body) != "answer to "+id {
+		c.s.seen.breach("%s: got %.100q", id, body)
+	}
+	c.s.seen.note(id, seen{status: status, idem: safe}, whole)
+}
+
+// send sends one attempt over a kept connection, which it uses until the daemon
+// is gone.
+func (c *caller) send(ctx context.Context, method, path, id string, h http.Header, body []byte) (status int, answer []byte, err error) {
+	ctx, stop := context.WithTimeout(ctx, attemptTime)
+	defer stop()
+	if c.front < 0 || c.rnd.IntN(20) == 0 {
+		c.choose(ctx)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.s.callers[max(c.front, 0)].Address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	r.GetBody = nil // the library must not send it again
+	r.Header = h
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(attemptTime.Milliseconds()))
+	r.Host = host
+	resp, err := c.client.Do(r)
+	if err != nil {
+		c.front = -1
+		c.client.CloseIdleConnections()
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, err
+}
+
+// choose asks the directory of some daemon where to connect.
+func (c *caller) choose(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	c.front = c.rnd.IntN(len(c.s.callers))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.s.directories[c.rnd.IntN(len(c.s.directories))]+"/-/resolve?name="+host, nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&a) != nil || len(a.Addresses) == 0 {
+		return
+	}
+	want := a.Addresses[c.rnd.IntN(len(a.Addresses))]
+	for i, p := range c.s.callers {
+		if p.Target == want {
+			c.front = i
+		}
+	}
+}
--- /dev/null
+++ b/internal/play/storm/proxy.go
@@ -0,0 +1,131 @@
+package storm
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// Pass lets everything through.
+	Pass Harm = iota
+	// Delay holds every piece up.
+	Delay
+	// Mute takes bytes and passes none on, without an end.
+	Mute
+	// OneWay passes only what the dialling side sends.
+	OneWay
+)
+
+// delay is what Delay adds to each piece.
+const delay = 80 * time.Millisecond
+
+type (
+	// Harm is what a proxy does to connections.
+	Harm int32
+
+	// Proxy is a loopback address before another, with faults to switch on.
+	Proxy struct {
+		Address string
+		Target  string
+
+		harm  atomic.Int32
+		mu    sync.Mutex
+		conns map[net.Conn]struct{}
+	}
+)
+
+// Start listens until ctx ends.
+func (p *Proxy) Start(ctx context.Context, ip string) error {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return err
+	}
+	p.Address = ln.Addr().String()
+	p.conns = map[net.Conn]struct{}{}
+	context.AfterFunc(ctx, func() {
+		_ = ln.Close()
+		p.Reset()
+	})
+	go func() {
+		for {
+			near, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go p.carry(near)
+		}
+	}()
+	return nil
+}
+
+// Set switches a fault on, or off with Pass.
+func (p *Proxy) Set(h Harm) { p.harm.Store(int32(h)) }
+
+// Reset resets all connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // so that the close resets
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Proxy) track(c net.Conn, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on {
+		p.conns[c] = struct{}{}
+		return
+	}
+	delete(p.conns, c)
+}
+
+func (p *Proxy) carry(near net.Conn) {
+	defer func() { _ = near.Close() }()
+	far, err := net.DialTimeout("tcp", p.Target, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	for _, c := range []net.Conn{near, far} {
+		p.track(c, true)
+		defer p.track(c, false)
+	}
+	done := make(chan struct{}, 2)
+	go p.copy(far, near, false, done)
+	go p.copy(near, far, true, done)
+	<-done
+}
+
+// copy carries one direction; back is from the target.
+func (p *Proxy) copy(to, from net.Conn, back bool, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		switch h := Harm(p.harm.Load()); {
+		case h == Delay:
+			time.Sleep(delay)
+		case h == Mute, h == OneWay && back:
+			n = 0 // lost for good, as behind a firewall that forgot the connection
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+				_ = tcp.CloseWrite()
+			}
+			return
+		}
+	}
+}
