pick: cost in milliseconds, in place of hashes and shares (trial)

Cause: turns of programs whose prompts callers send whole moved when their hashed upstream was loaded, and nothing told where the prompt was cached; bursts queued. Change: the records tell where a session last ran; the upstream with the lowest expected cost is taken; open connections and the own failure domain are worth some milliseconds.

--- a/internal/disk/book/book.go
+++ b/internal/disk/book/book.go
@@ -91,7 +91,7 @@
 
 func (r Record) share() Share {
 	if r.Settled {
-		return Share{Attempt: r.Attempt, Tokens: r.Spent, Settled: true}
+		return Share{Attempt: r.Attempt, Tokens: r.Spent, Settled: true, Upstream: r.Upstream, Session: r.Session, At: r.At}
 	}
 	return Share{Attempt: r.Attempt, Tokens: r.Most}
 }
@@ -124,6 +124,20 @@
 	return sum <= budget
 }
 
+// LastRan returns the upstream that last ran a turn of the session, else one of
+// the whole program: a sub-agent's prompt begins with its parent's.
+func LastRan(shares []Share, session string) (upstream string) {
+	newest, own := int64(-1), false
+	for _, s := range shares {
+		mine := s.Session == session
+		if s.Upstream == "" || own && !mine || own == mine && s.At <= newest {
+			continue
+		}
+		upstream, newest, own = s.Upstream, s.At, mine
+	}
+	return upstream
+}
+
 // expires counts from the record's own time: after a restart all records are
 // read again, and none must live longer for it.
 func (r Record) expires(now time.Time) time.Time {
--- a/internal/disk/book/record.go
+++ b/internal/disk/book/record.go
@@ -20,6 +20,8 @@
 		At       int64  `cbor:"8,keyasint,omitempty"`  // Unix milliseconds
 		Keep     int64  `cbor:"9,keyasint,omitempty"`  // milliseconds for which it must be remembered
 		Fence    uint64 `cbor:"10,keyasint,omitempty"` // requests of older rosters are refused from here on
+		Upstream string `cbor:"11,keyasint,omitempty"` // that ran the attempt; set with Settled
+		Session  string `cbor:"12,keyasint,omitempty"` // the line of turns that it belongs to
 	}
 
 	// Turn is what a turn adds to its chain. Its id is the attempt's.
@@ -31,11 +33,14 @@
 		Tokens   int    `cbor:"5,keyasint,omitempty"` // that it generated
 	}
 
-	// Share is what one attempt takes of its program's budget.
+	// Share is what one attempt takes of its program's budget, and where it ran.
 	Share struct {
-		Attempt string `cbor:"1,keyasint,omitempty"`
-		Tokens  int    `cbor:"2,keyasint,omitempty"`
-		Settled bool   `cbor:"3,keyasint,omitempty"`
+		Attempt  string `cbor:"1,keyasint,omitempty"`
+		Tokens   int    `cbor:"2,keyasint,omitempty"`
+		Settled  bool   `cbor:"3,keyasint,omitempty"`
+		Upstream string `cbor:"4,keyasint,omitempty"`
+		Session  string `cbor:"5,keyasint,omitempty"`
+		At       int64  `cbor:"6,keyasint,omitempty"` // Unix milliseconds
 	}
 )
 
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -60,6 +60,7 @@
 		Fleet   *fleet.Fleet
 		Pool    *upconn.Pool
 		Picker  *pick.Picker
+		Usual   pick.Usual
 		Log     zerolog.Logger
 		Scope   tally.Scope
 		// Refresh reads the configuration as it is now, at most now and then.
--- a/internal/front/entry/plain.go
+++ b/internal/front/entry/plain.go
@@ -62,6 +62,8 @@
 	}
 	s.keep(q.e.Pool)
 	q.story.first = time.Since(q.began)
+	pace := q.e.Usual.Pace(q.route.Name, time.Since(s.began).Seconds())
+	q.e.Picker.Took(time.Now(), s.up.ID, pace, s.resp.StatusCode >= http.StatusInternalServerError)
 	q.give(s, body)
 	return nil
 }
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -33,6 +33,7 @@
 		conn    *upconn.Conn
 		resp    *http.Response
 		verdict ask.Verdict
+		began   time.Time
 		stop    func() bool // ends the watch over the caller's context
 	}
 
@@ -120,7 +121,7 @@
 		}
 		return nil, &refused{up: up, cause: "unreachable", err: err}
 	}
-	s := &sent{up: up, conn: conn}
+	s := &sent{up: up, conn: conn, began: time.Now()}
 	if err = conn.Deadline(q.deadline); err != nil {
 		conn.Close()
 		return nil, &refused{up: up, cause: "closed", err: err}
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -30,7 +31,8 @@
 type turn struct {
 	*request
 	chain    []byte // input for the upstream before the caller's own
-	prefer   string
+	prefer   string // id of the upstream that ran the turn before
+	ranAt    string // id of the upstream that last ran one of the program's
 	reserved bool
 	output   []byte // data of the events so far, if it is kept
 	last     string // id of the last event passed on
@@ -130,6 +132,7 @@
 		t.unavailable("records_away", retryRecords, err)
 		return false
 	}
+	t.ranAt = book.LastRan(res.Shares, t.Session)
 	if !book.Fits(res.Shares, t.Budget) {
 		t.settle()
 		t.refuse(http.StatusPaymentRequired, "budget_spent", nil)
@@ -146,6 +149,9 @@
 	t.reserved = false
 	rec := t.record()
 	rec.Settled, rec.Spent = true, t.story.tokens
+	if t.story.events > 0 {
+		rec.Upstream, rec.Session = t.story.upstream, t.Session
+	}
 	go func() {
 		ctx, stop := context.WithTimeout(t.e.Stop, settleTime)
 		defer stop()
@@ -162,7 +168,7 @@
 	if len(t.chain) > 0 {
 		body = append(t.chain, t.body...)
 	}
-	c := pick.Case{Key: t.key(), Prefer: t.prefer, Exclude: map[string]bool{}}
+	c := pick.Case{Key: t.key(), Prefer: cmp.Or(t.prefer, t.ranAt), Tokens: t.Prompt, Exclude: map[string]bool{}}
 	o := ask.Order{Priority: min(t.route.Priority, 9), Ranked: true, LastEvent: t.last}
 	for range maxResumes {
 		s, err := t.dispatch(ctx, c, body, o)
@@ -228,6 +234,7 @@
 	for {
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) {
+			t.learn(s, false)
 			return t.end(ctx, s)
 		}
 		if err == nil {
@@ -271,6 +278,17 @@
 	return t.flush()
 }
 
+// learn tells the picker how the upstream did: by the time of an event, which
+// hardly depends on what is asked.
+func (t *turn) learn(s *sent, failed bool) {
+	pace := 0.0
+	if n := t.story.events - 1; n > 2 {
+		each := (time.Since(t.began) - t.story.first) / time.Duration(n)
+		pace = t.e.Usual.Pace(t.route.Name, each.Seconds())
+	}
+	t.e.Picker.Took(time.Now(), s.up.ID, pace, failed)
+}
+
 // end records a whole stream. A turn that is kept must be durable before its
 // caller can take the answer for whole, since the next turn will name it.
 func (t *turn) end(ctx context.Context, s *sent) error {
@@ -281,6 +299,7 @@
 	}
 	rec := t.record()
 	rec.Settled, rec.Spent = t.reserved, t.story.tokens
+	rec.Upstream, rec.Session = s.up.ID, t.Session
 	rec.Turn = &book.Turn{Previous: t.Previous, Input: t.body, Output: t.output, Upstream: s.up.ID, Tokens: t.story.tokens}
 	if _, err := t.e.Records.Write(ctx, rec); err != nil {
 		return errors.Wrap(err, "the turn was not recorded")
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -4,11 +4,12 @@
 // say they have, and how upstreams have done lately. Choosing is a pure function
 // of that and of the request; nothing is asked for on the way.
 //
-// Calls to plain services go where the fewest are under way for the places that
-// there are. Turns of a program stay where the program ran before, because there
-// its prompt is cached; a program without a past goes where a hash of its id
-// points, so that all daemons agree without talk. Either moves on when its
-// upstream has clearly more to do than the others.
+// Each upstream has a cost in milliseconds of the caller's time: waiting for a
+// place, reading again what another upstream has cached, what slowness and
+// failures of late let expect; a little is added for what costs the operator
+// (a new connection, bytes between failure domains). The lowest cost wins. So a
+// program stays where its prompt is cached until that upstream is nearly full,
+// and calls keep to connections that are open until others are clearly idler.
 package pick
 
 import (
@@ -22,10 +23,6 @@
 )
 
 const (
-	// spill is how far beyond the mean load an upstream may be before programs
-	// that would stay there go elsewhere: a share of the mean, and requests.
-	spillShare = 1.3
-	spillMore  = 2.0
 	// fullFor is how long an upstream that shed a request is passed over, if
 	// another one can be had: about the time in which one of its places frees.
 	fullFor = 80 * time.Millisecond
@@ -33,15 +30,47 @@
 	failedFor = 600 * time.Millisecond
 	// peerAge is how long what another daemon said of its requests counts.
 	peerAge = 1500 * time.Millisecond
-	// otherDomain is what a place in another failure domain costs, in shares of
-	// a batch: bytes between domains are paid for.
-	otherDomain = 0.04
+
+	// The costs, in milliseconds. They answer bursts of twice the usual load on
+	// engines of 12 to 64 places and services of 6; a turn takes 100 to 400 ms,
+	// a call 40 to 160 ms.
+
+	// crowd is what a full batch adds, rising with the square of the load: an
+	// engine's steps get slower and prompts are read between them.
+	crowd = 18.0
+	// queued is the wait for each batch that is before a request.
+	queued = 200.0
+	// prefill is how many tokens of a prompt are read in a millisecond, the
+	// least of the engines in use.
+	prefill = 42.0
+	// otherDomain stands for bytes between failure domains: 10 KB of a turn cost
+	// about as much as a hundredth of a program's benefit.
+	otherDomain = 4.0
+	// newConn stands for a new connection and the millisecond that it takes.
+	newConn = 7.0
+	// noise keeps daemons that know the same from all choosing the same.
+	noise = 1.5
+	// failing is what an upstream costs that fails every request.
+	failing = 600.0
+	// slowFrom is from which multiple of the usual time an upstream counts as
+	// slow, and slow what each multiple beyond costs. Work differs by a factor of
+	// three from call to call, so less says nothing.
+	slowFrom = 1.8
+	slow     = 60.0
+	// weigh is the weight of one outcome in the average of the last, and
+	// forget the time after which half of the average counts no more, so that
+	// an upstream that has recovered is tried again.
+	weigh  = 0.25
+	forget = 3 * time.Second
 )
 
 type (
 	// Picker keeps what is under way. The zero value is ready.
 	Picker struct {
 		Domain string // own failure domain
+		// Idle tells whether a connection to the address is open and unused;
+		// nil for no.
+		Idle func(address string) bool
 
 		mu    sync.Mutex
 		known map[string]*state
@@ -52,6 +81,9 @@
 		own    int       // requests of this daemon under way there
 		others int       // of other daemons, as they said
 		avoid  time.Time // not before, if there is another
+		fails  float64   // share of the last requests that failed
+		pace   float64   // how many times as long as usual the last took; 0 is unknown
+		at     time.Time // of the last outcome
 	}
 
 	peer struct {
@@ -63,7 +95,8 @@
 	Case struct {
 		List    []fleet.Upstream // of the service
 		Key     string           // what should stay together; empty for plain calls
-		Prefer  string           // id of the upstream that ran the program's turn before
+		Prefer  string           // id of the upstream that has the prompt cached
+		Tokens  int              // of the prompt, which others would have to read
 		Only    string           // id of the one that may run it; empty for any
 		Exclude map[string]bool  // ids that have refused or failed this attempt
 	}
@@ -74,93 +107,63 @@
 func (p *Picker) Choose(now time.Time, c Case) (fleet.Upstream, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.usable(now, c)
-	if len(list) == 0 {
-		return fleet.Upstream{}, false
-	}
-	var best fleet.Upstream
-	if c.Key == "" {
-		best = p.least(list)
-	} else {
-		best = p.stay(list, c)
-	}
-	p.state(best.ID).own++
-	return best, true
-}
-
-// usable leaves out upstreams that take no new work, and those to be avoided
-// unless there are no others.
-func (p *Picker) usable(now time.Time, c Case) []fleet.Upstream {
-	var good, poor []fleet.Upstream
-	for _, u := range c.List {
-		if c.Only == u.ID {
-			return []fleet.Upstream{u}
-		}
-		if c.Only != "" || u.Leaving || c.Exclude[u.ID] {
+	best, lowest := -1, math.Inf(1)
+	for i := range c.List {
+		u := &c.List[i]
+		if c.Only != "" && u.ID != c.Only || c.Only == "" && (u.Leaving || c.Exclude[u.ID]) {
 			continue
 		}
-		if s := p.known[u.ID]; s != nil && now.Before(s.avoid) {
-			poor = append(poor, u)
-			continue
+		if cost := p.cost(now, u, c); cost < lowest {
+			best, lowest = i, cost
 		}
-		good = append(good, u)
 	}
-	if len(good) == 0 {
-		return poor
+	if best < 0 {
+		return fleet.Upstream{}, false
 	}
-	return good
+	p.state(c.List[best].ID).own++
+	return c.List[best], true
 }
 
-// load is what is under way at an upstream, in shares of its batch.
-func (p *Picker) load(u fleet.Upstream) float64 {
+// avoided is added for an upstream that is to be passed over while there are
+// others: more than all other costs together.
+const avoided = 1e6
+
+func (p *Picker) cost(now time.Time, u *fleet.Upstream, c Case) float64 {
+	cost := noise * jitter()
+	if u.Domain != p.Domain {
+		cost += otherDomain
+	}
+	if p.Idle == nil || !p.Idle(u.Address) {
+		cost += newConn
+	}
+	if c.Prefer != "" && u.ID != c.Prefer {
+		cost += float64(c.Tokens) / prefill
+	}
+	if c.Prefer == "" && c.Key != "" {
+		cost += noise * 2 * weight(c.Key, u.ID)
+	}
 	s := p.known[u.ID]
 	if s == nil {
-		return 0
+		return cost
 	}
-	return float64(s.own+s.others) / float64(max(u.Batch, 1))
-}
-
-func (p *Picker) least(list []fleet.Upstream) (best fleet.Upstream) {
-	lowest := math.Inf(1)
-	for _, u := range list {
-		cost := p.load(u)
-		if u.Domain != p.Domain {
-			cost += otherDomain
-		}
-		cost += 0.01 * jitter() // daemons that know the same don't all choose the same
-		if cost < lowest {
-			best, lowest = u, cost
-		}
+	batch := float64(max(u.Batch, 1))
+	under := float64(s.own + s.others)
+	share := min(under/batch, 1)
+	cost += crowd*share*share + queued*max(under-batch+1, 0)/batch
+	cost += s.outcomes(now)
+	if now.Before(s.avoid) {
+		cost += avoided
 	}
-	return best
+	return cost
 }
 
-// stay returns the preferred upstream, or the first in the order of the key's
-// hash, that has not clearly more to do than the others.
-func (p *Picker) stay(list []fleet.Upstream, c Case) fleet.Upstream {
-	total := 0.0
-	for _, u := range list {
-		total += p.load(u) * float64(u.Batch)
-	}
-	mean := total / float64(len(list))
-	limit := mean*spillShare + spillMore
-	var best fleet.Upstream
-	top := -1.0
-	for _, u := range list {
-		if p.load(u)*float64(u.Batch) > limit {
-			continue
-		}
-		if u.ID == c.Prefer {
-			return u
-		}
-		if w := weight(c.Key, u.ID); w > top {
-			best, top = u, w
-		}
-	}
-	if top < 0 {
-		return p.least(list)
+// outcomes is what the last outcomes let expect. They fade with time.
+func (s *state) outcomes(now time.Time) float64 {
+	if s.at.IsZero() {
+		return 0
 	}
-	return best
+	fade := math.Exp2(-float64(now.Sub(s.at)) / float64(forget))
+	return fade * (failing*s.fails + slow*max(s.pace-slowFrom, 0))
 }
 
 // weight orders upstreams by a key, differently for each key, and so that one
@@ -199,7 +202,35 @@
 func (p *Picker) Full(now time.Time, id string) { p.avoid(now.Add(fullFor), id) }
 
 // Failed notes that an upstream could not be reached or broke off.
-func (p *Picker) Failed(now time.Time, id string) { p.avoid(now.Add(failedFor), id) }
+func (p *Picker) Failed(now time.Time, id string) {
+	p.avoid(now.Add(failedFor), id)
+	p.Took(now, id, 0, true)
+}
+
+// Took notes an outcome: how many times as long as usual the upstream took, 0 if
+// that says nothing, and whether it failed.
+func (p *Picker) Took(now time.Time, id string, pace float64, failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(id)
+	fade := math.Exp2(-float64(now.Sub(s.at)) / float64(forget))
+	if s.at.IsZero() {
+		fade = 0
+	}
+	s.at = now
+	s.fails *= fade * (1 - weigh)
+	if failed {
+		s.fails += weigh
+	}
+	if pace <= 0 {
+		return
+	}
+	if s.pace == 0 {
+		s.pace = 1
+	}
+	s.pace = 1 + (s.pace-1)*fade
+	s.pace += weigh * (min(pace, 10) - s.pace)
+}
 
 func (p *Picker) avoid(until time.Time, id string) {
 	p.mu.Lock()
@@ -229,33 +260,31 @@
 	if p.peers == nil {
 		p.peers = map[string]peer{}
 	}
+	for id, n := range p.peers[from].load {
+		p.state(id).others -= n
+	}
+	for id, n := range load {
+		p.state(id).others += n
+	}
 	p.peers[from] = peer{at: now, load: load}
-	p.sum(now)
 }
 
-// sum adds up what others have under way, without those not heard of for long.
-func (p *Picker) sum(now time.Time) {
-	for _, s := range p.known {
-		s.others = 0
-	}
+// Forget drops what is known of daemons that have been silent for long, and of
+// upstreams that are not listed any more and have nothing under way.
+func (p *Picker) Forget(now time.Time, listed func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for name, other := range p.peers {
-		if now.Sub(other.at) > peerAge {
-			delete(p.peers, name)
+		if now.Sub(other.at) <= peerAge {
 			continue
 		}
 		for id, n := range other.load {
-			p.state(id).others += n
+			p.state(id).others -= n
 		}
+		delete(p.peers, name)
 	}
-}
-
-// Forget drops what is known of upstreams that are not listed any more and have
-// nothing under way.
-func (p *Picker) Forget(listed func(id string) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for id, s := range p.known {
-		if s.own == 0 && !listed(id) {
+		if s.own == 0 && s.others == 0 && !listed(id) {
 			delete(p.known, id)
 		}
 	}
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -106,6 +106,13 @@
 	return c
 }
 
+// Idle tells whether a connection to the address is kept unused.
+func (p *Pool) Idle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // Sweep closes idle connections whose time is over. It is called every second or so.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -122,7 +122,7 @@
 
 func (d *Daemon) start(ctx context.Context) error {
 	d.scout.Store = d.Store
-	d.picker.Domain = d.Settings.Domain
+	d.picker.Domain, d.picker.Idle = d.Settings.Domain, d.pool.Idle
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
 	d.link.Handle(methodKnown, d.tellKnown)
 	if err := d.link.Start(ctx); err != nil {
@@ -318,7 +318,7 @@
 				known[u.ID] = true
 			}
 		}
-		d.picker.Forget(func(id string) bool { return known[id] })
+		d.picker.Forget(time.Now(), func(id string) bool { return known[id] })
 		d.Scope.Gauge("active").Update(float64(d.entry.Active()))
 		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
 	}
--- a/internal/play/storm/child.go
+++ b/internal/play/storm/child.go
@@ -20,16 +20,16 @@
 	log      *os.File
 	command  []string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan struct{}
-	stopped bool
+	life sync.Mutex // held from an end to the start that follows
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 func (c *child) start() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped = false
 	cmd := exec.Command(c.command[0], append(append([]string(nil), c.command[1:]...), c.role)...) //nolint:gosec // our own program
 	cmd.Env = append(os.Environ(), "SLATEROCK_CONFIG="+c.settings)
 	cmd.Stdout, cmd.Stderr = c.log, c.log
--- a/internal/play/storm/storm.go
+++ b/internal/play/storm/storm.go
@@ -223,6 +223,10 @@
 
 func (s *Storm) again(c *child, sig syscall.Signal) func() {
 	return func() {
+		// Two faults may meet at one process. Both ending and starting it would
+		// leave a process that nobody knows of.
+		c.life.Lock()
+		defer c.life.Unlock()
 		c.end(sig, termGrace)
 		if c.dir != "" {
 			c.tear()
@@ -234,6 +238,8 @@
 }
 
 func (s *Storm) wipe(ctx context.Context, c *child) {
+	c.life.Lock()
+	defer c.life.Unlock()
 	c.end(syscall.SIGKILL, termGrace)
 	if err := os.RemoveAll(c.dir); err != nil {
 		s.seen.breach("%s: %v", c.name, err)
