pick: each request under way at an engine costs 10 ms, whatever its batch

Cause: engines read prompts between the steps of all others, so that a place in a batch of 64 is not free.

--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -35,9 +35,14 @@
 	// engines of 12 to 64 places and services of 6; a turn takes 100 to 400 ms,
 	// a call 40 to 160 ms.
 
-	// crowd is what a full batch adds, rising with the square of the load: an
-	// engine's steps get slower and prompts are read between them.
-	crowd = 18.0
+	// crowd is what a full batch adds at a plain service, rising with the square
+	// of the load: what is known of others' calls is up to 0.1 s old, and a call
+	// that finds no place waits.
+	crowd = 30.0
+	// beside is what each request under way at an engine adds, whatever its
+	// batch: prompts are read between the steps of all others, 25 to 80 ms for
+	// each turn, and a turn meets several.
+	beside = 10.0
 	// queued is the wait for each batch that is before a request.
 	queued = 200.0
 	// prefill is how many tokens of a prompt are read in a millisecond, the
@@ -47,7 +52,7 @@
 	// about as much as a hundredth of a program's benefit.
 	otherDomain = 4.0
 	// newConn stands for a new connection and the millisecond that it takes.
-	newConn = 7.0
+	newConn = 5.0
 	// noise keeps daemons that know the same from all choosing the same.
 	noise = 1.5
 	// failing is what an upstream costs that fails every request.
@@ -148,8 +153,13 @@
 	}
 	batch := float64(max(u.Batch, 1))
 	under := float64(s.own + s.others)
-	share := min(under/batch, 1)
-	cost += crowd*share*share + queued*max(under-batch+1, 0)/batch
+	if c.Key != "" {
+		cost += beside * under
+	} else {
+		share := min(under/batch, 1)
+		cost += crowd * share * share
+	}
+	cost += queued * max(under-batch+1, 0) / batch
 	cost += s.outcomes(now)
 	if now.Before(s.avoid) {
 		cost += avoided
