--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -119,6 +119,11 @@
 		case got := <-replies:
 			heard++
 			if !c.accepted(got.err, got.write.Refusal, &stale) {
+				// Under a newer roster other places count, so nothing is gained
+				// by waiting for those of this one, which may be gone.
+				if stale {
+					return res, stale, ErrUnsure
+				}
 				ask()
 				continue
 			}
@@ -265,6 +270,9 @@
 			heard++
 			ask()
 			if !c.accepted(got.err, got.read.Refusal, &stale) {
+				if stale {
+					return nil, turn, stale, ErrUnsure // as for writes
+				}
 				continue
 			}
 			if len(got.read.Chain) > 0 {
--- a/internal/disk/quorum/quorum_test.go
+++ b/internal/disk/quorum/quorum_test.go
@@ -127,6 +127,28 @@
 	is.Equal(inputs(chain), "3")
 }
 
+// A VM with a disk is gone without a word and another has taken its place. A daemon
+// that has not heard of it asks the old places; two say so at once. If it waited
+// for the third, callers' turns would stand still for seconds.
+func TestNewRosterIsTakenAtOnce(t *testing.T) { synctest.Test(t, testNewRosterIsTakenAtOnce) }
+
+func testNewRosterIsTakenAtOnce(t *testing.T) {
+	is := is.New(t)
+	for _, program := range []string{"p", "q", "r", "s"} { // whichever places they prefer
+		w := newWorld(t, 3, 1)
+		c := w.client()
+		write(t, c, turn(program, ""))
+		w.set(w.hangs, "n1", true)
+		is.NoErr(w.replace(0, w.add()))
+		began := time.Now()
+		write(t, c, reserve(program, "1", 10))
+		_, err := c.Read(context.Background(), program, program)
+		is.NoErr(err)
+		is.True(time.Since(began) < 200*time.Millisecond)
+		time.Sleep(placeTime) // until what still waits for n1 has ended
+	}
+}
+
 // Two of a program's sub-agents ask at the same time, through two daemons. Each
 // must see what the other takes, or both are let in where the budget bears one.
 func TestConcurrentReservationsSeeEachOther(t *testing.T) {
--- a/internal/disk/quorum/world_test.go
+++ b/internal/disk/quorum/world_test.go
@@ -25,13 +25,14 @@
 	holders map[string]*holder.Holder // by address
 	down    map[string]bool
 	deaf    map[string]bool // does what it is asked, but its answer is lost
+	hangs   map[string]bool // says nothing, as behind a cut link
 	roster  roster.Roster   // as the store has it
 	next    int
 	carried int // bytes of copies between holders
 }
 
 func newWorld(t *testing.T, n, losses int) *world {
-	w := &world{t: t, holders: map[string]*holder.Holder{}, down: map[string]bool{}, deaf: map[string]bool{}}
+	w := &world{t: t, holders: map[string]*holder.Holder{}, down: map[string]bool{}, deaf: map[string]bool{}, hangs: map[string]bool{}}
 	var members []roster.Member
 	for range n {
 		members = append(members, w.add())
@@ -113,8 +114,12 @@
 
 func (p way) Invoke(ctx context.Context, method string, params, out any) error {
 	p.w.mu.Lock()
-	h, down, deaf := p.w.holders[p.address], p.w.down[p.address], p.w.deaf[p.address]
+	h, down, deaf, hangs := p.w.holders[p.address], p.w.down[p.address], p.w.deaf[p.address], p.w.hangs[p.address]
 	p.w.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if h == nil || down {
 		return errDown
 	}
