--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -125,8 +126,15 @@
 	return d.Run(ctx, p.stop)
 }
 
+// diskProcs is how many threads a VM with a disk may run at a time. One of them
+// waits for the disk most of the time; with a single one, as VMs with one core
+// get by default, nothing else runs during a sync, and a record that takes six
+// steps through the process waits for six syncs.
+const diskProcs = 4
+
 func runStorage(ctx context.Context, p *process) error {
 	s := p.settings
+	runtime.GOMAXPROCS(max(diskProcs, runtime.GOMAXPROCS(0)))
 	if s.DataDir == "" {
 		return errors.New("settings: data-dir is missing")
 	}
