--- a/cmd/slaterock/storm.go
+++ b/cmd/slaterock/storm.go
@@ -28,9 +28,9 @@
 				return err
 			}
 			failed := 0
-			for seed := s.Seed; seed < s.Seed+uint64(seeds); seed++ { //nolint:gosec // a count
+			for seed := s.Seed; seed < s.Seed+uint64(seeds); seed++ {
 				one := storm.Storm{
-					Command: []string{self}, Seed: seed, For: s.For, Fronts: s.Fronts, Disks: s.Disks, Upstreams: s.Upstreams, Callers: s.Callers,
+					Command: []string{self}, Seed: seed, Calm: s.Calm, For: s.For, Fronts: s.Fronts, Disks: s.Disks, Upstreams: s.Upstreams, Callers: s.Callers,
 					Dir: filepath.Join(dir, fmt.Sprint(seed)), Out: io.Discard,
 				}
 				if err = os.MkdirAll(one.Dir, 0o700); err != nil {
@@ -57,6 +57,7 @@
 	f := c.Flags()
 	f.Uint64Var(&s.Seed, "first", 1, "first seed")
 	f.IntVar(&seeds, "seeds", 1, "seeds to play")
+	f.BoolVar(&s.Calm, "calm", false, "play no faults")
 	f.DurationVar(&s.For, "for", 15*time.Second, "time with faults")
 	f.IntVar(&s.Fronts, "fronts", 4, "processes that serve callers")
 	f.IntVar(&s.Disks, "disks", 4, "processes that keep records")
--- a/internal/disk/quorum/quorum_test.go
+++ b/internal/disk/quorum/quorum_test.go
@@ -170,7 +170,7 @@
 		}()
 	}
 	first, second := <-fits, <-fits
-	is.New(t).True(!(first && second))
+	is.New(t).True(!first || !second)
 }
 
 // A VM with a new disk copies from several others, which hold nearly the same. If
--- a/internal/fake/depot/depot.go
+++ b/internal/fake/depot/depot.go
@@ -140,11 +140,11 @@
 	d.mu.Lock()
 	fault := d.fault
 	d.mu.Unlock()
-	switch {
-	case fault == Busy:
+	switch fault {
+	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case fault == Slow:
+	case Slow:
 		time.Sleep(300 * time.Millisecond)
 	}
 	status, answer := d.call(r)
--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -114,7 +114,8 @@
 		if broken {
 			w.Header().Set("Content-Length", "100")
 		}
-		_, _ = io.WriteString(w, "answer to "+id)
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = io.WriteString(w, "answer to "+id) //nolint:gosec // plain text for a stand-in's caller
 		return
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 is the start
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -65,7 +65,7 @@
 // dispatch sends the request to upstreams until one takes it. After *refused or
 // errNoUpstream the request has not run; after *lost it may have.
 func (q *request) dispatch(ctx context.Context, c pick.Case, body []byte, o ask.Order) (*sent, error) {
-	var last error = errNoUpstream
+	last := errNoUpstream
 	for range maxRefusals {
 		// The caller's own context is asked too: some runs go on when their
 		// caller leaves, but none may begin then.
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -166,7 +167,7 @@
 func (t *turn) run(ctx context.Context) error {
 	body := t.body
 	if len(t.chain) > 0 {
-		body = append(t.chain, t.body...)
+		body = slices.Concat(t.chain, t.body)
 	}
 	c := pick.Case{Key: t.key(), Prefer: cmp.Or(t.prefer, t.ranAt), Tokens: t.Prompt, Exclude: map[string]bool{}}
 	o := ask.Order{Priority: min(t.route.Priority, 9), Ranked: true, LastEvent: t.last}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -138,7 +138,8 @@
 			Roster: d.scout.Roster, Learn: d.scout.Learn, Refresh: d.scout.Fresh, Domain: d.Settings.Domain,
 		},
 	}
-	conn, err := net.ListenPacket("udp", d.Settings.Peer)
+	var lc net.ListenConfig
+	conn, err := lc.ListenPacket(ctx, "udp", d.Settings.Peer)
 	if err != nil {
 		return err
 	}
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -97,7 +97,8 @@
 	programs, turns, bytes := k.holder.Stats()
 	k.Log.Info().Str("life", k.holder.Life()).Bool("blank", blank).Int("programs", programs).Int("turns", turns).
 		Int64("bytes", bytes).Dur("took_ms", time.Since(k.started)).Msg("records opened")
-	ln, err := net.Listen("tcp", k.Settings.Address)
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", k.Settings.Address)
 	if err != nil {
 		return err
 	}
--- a/internal/play/storm/build.go
+++ b/internal/play/storm/build.go
@@ -11,7 +11,7 @@
 
 // build starts the stand-ins and the processes.
 func (s *Storm) build(ctx context.Context) error {
-	store, err := serve(ctx, &s.depot, "127.0.0.1")
+	store, err := serve(ctx, &s.depot, anyPort)
 	if err != nil {
 		return err
 	}
@@ -53,7 +53,7 @@
 	for i := range s.Upstreams {
 		service := []string{"model", "plain"}[i%2]
 		u := &upstrm.Upstream{ID: fmt.Sprintf("i-%d", i), Ledger: &s.ledger, Batch: 16, Pause: 8 * time.Millisecond}
-		address, err := serve(ctx, u, "127.0.0.1")
+		address, err := serve(ctx, u, anyPort)
 		if err != nil {
 			return err
 		}
--- a/internal/play/storm/caller.go
+++ b/internal/play/storm/caller.go
@@ -21,6 +21,7 @@
 	turnMost    = 30 // tokens
 	turnEvents  = 10
 	perEvent    = 3
+	maxOthers   = 20
 )
 
 type (
@@ -42,29 +43,44 @@
 		whole    int
 		refused  int
 		other    int
+		others   []string // the first of them, for whoever traces a run
 	}
 
 	// seen is what became of one attempt.
 	seen struct {
 		status int // 0 without an answer
 		idem   bool
+		err    error
 	}
 )
 
-func (v *verdicts) note(id string, s seen, whole bool) {
+// note notes an attempt. One that the caller itself ended at the end of the run
+// says nothing of the system.
+func (v *verdicts) note(ctx context.Context, id string, s seen, whole bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.attempts[id] = s
 	switch {
 	case whole:
 		v.whole++
+	case ctx.Err() != nil:
 	case s.status == http.StatusServiceUnavailable || s.status == http.StatusPaymentRequired:
 		v.refused++
 	default:
 		v.other++
+		if len(v.others) < maxOthers {
+			v.others = append(v.others, fmt.Sprintf("%s: status %d, %v", id, s.status, s.err))
+		}
 	}
 }
 
+// begin forgets what was counted while the processes started.
+func (v *verdicts) begin() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.whole, v.refused, v.other, v.others = 0, 0, 0, nil
+}
+
 func (v *verdicts) breach(format string, args ...any) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -130,7 +146,7 @@
 			c.s.seen.breach("%s: a stream that is not the upstream's (whole %v): %.120q", id, whole, body)
 		}
 	}
-	c.s.seen.note(id, seen{status: status}, whole)
+	c.s.seen.note(ctx, id, seen{status: status, err: err}, whole)
 	return status, tokens, output, whole
 }
 
@@ -142,7 +158,7 @@
 	if whole && string(body) != "answer to "+id {
 		c.s.seen.breach("%s: got %.100q", id, body)
 	}
-	c.s.seen.note(id, seen{status: status, idem: safe}, whole)
+	c.s.seen.note(ctx, id, seen{status: status, idem: safe, err: err}, whole)
 }
 
 // send sends one attempt over a kept connection, which it uses until the daemon
--- a/internal/play/storm/child.go
+++ b/internal/play/storm/child.go
@@ -30,7 +30,7 @@
 func (c *child) start() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cmd := exec.Command(c.command[0], append(append([]string(nil), c.command[1:]...), c.role)...) //nolint:gosec // our own program
+	cmd := exec.Command(c.command[0], append(append([]string(nil), c.command[1:]...), c.role)...) //nolint:gosec,noctx // our own program; it is ended by signals
 	cmd.Env = append(os.Environ(), "SLATEROCK_CONFIG="+c.settings)
 	cmd.Stdout, cmd.Stderr = c.log, c.log
 	if err := cmd.Start(); err != nil {
@@ -82,7 +82,7 @@
 			newest, number = name, n
 		}
 	}
-	f, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0)
+	f, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0) //nolint:gosec // a file of our own child
 	if err != nil {
 		return
 	}
--- a/internal/play/storm/proxy.go
+++ b/internal/play/storm/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -40,7 +41,8 @@
 
 // Start listens until ctx ends.
 func (p *Proxy) Start(ctx context.Context, ip string) error {
-	ln, err := net.Listen("tcp", ip+":0")
+	var c net.ListenConfig
+	ln, err := c.Listen(ctx, "tcp", ip+":0")
 	if err != nil {
 		return err
 	}
@@ -56,7 +58,7 @@
 			if err != nil {
 				return
 			}
-			go p.carry(near)
+			go p.carry(ctx, near)
 		}
 	}()
 	return nil
@@ -87,9 +89,10 @@
 	delete(p.conns, c)
 }
 
-func (p *Proxy) carry(near net.Conn) {
+func (p *Proxy) carry(ctx context.Context, near net.Conn) {
 	defer func() { _ = near.Close() }()
-	far, err := net.DialTimeout("tcp", p.Target, time.Second)
+	d := net.Dialer{Timeout: time.Second}
+	far, err := d.DialContext(ctx, "tcp", p.Target)
 	if err != nil {
 		return
 	}
@@ -122,7 +125,7 @@
 			}
 		}
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 				_ = tcp.CloseWrite()
 			}
 			return
--- a/internal/play/storm/storm.go
+++ b/internal/play/storm/storm.go
@@ -28,6 +28,8 @@
 
 const (
 	host      = "shop.example"
+	onlyOne   = "127.0.1.1:7399" // held by the run
+	anyPort   = "127.0.0.1:0"
 	listPort  = 7300 // of callers; ready and directory follow
 	peerPort  = 7380
 	startTime = 20 * time.Second
@@ -82,6 +84,10 @@
 	s.seen.attempts = map[string]seen{}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	// Two runs at a time would share addresses, and see each other's processes.
+	if _, err = serve(ctx, http.NotFoundHandler(), onlyOne); err != nil {
+		return sum, errors.Wrap(err, "another run is under way")
+	}
 	if err = s.build(ctx); err != nil {
 		return sum, err
 	}
@@ -89,6 +95,7 @@
 	if err = s.await(ctx, startTime); err != nil {
 		return sum, errors.Wrap(err, "start")
 	}
+	s.seen.begin()
 	var work sync.WaitGroup
 	calling, hangUp := context.WithCancel(ctx)
 	for i := range s.Callers {
@@ -102,6 +109,7 @@
 	hangUp()
 	work.Wait()
 	s.judge()
+	_, _ = fmt.Fprintf(s.Out, "neither whole nor refused: %s\n", strings.Join(s.seen.others, "\n"))
 	sum.Whole, sum.Refused, sum.Other = s.seen.whole, s.seen.refused, s.seen.other
 	if sum.Whole == 0 {
 		s.seen.breach("nothing was answered whole")
@@ -287,8 +295,9 @@
 	}
 }
 
-func serve(ctx context.Context, h http.Handler, ip string) (address string, err error) {
-	ln, err := net.Listen("tcp", ip+":0")
+func serve(ctx context.Context, h http.Handler, on string) (address string, err error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", on)
 	if err != nil {
 		return "", err
 	}
