rumor, entry: silence grows with the system; spans for each hop

Cause: at 78 daemons the pause between datagrams is 0.55 s, so that one lost datagram made a live daemon count as gone. Loads are bounded to fit a frame.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -18,6 +18,7 @@
 	"github.com/slaterock/slaterock/internal/node/keeper"
 	"github.com/slaterock/slaterock/internal/obs/flow"
 	"github.com/slaterock/slaterock/internal/obs/metric"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/platform"
 )
 
@@ -25,6 +26,9 @@
 // whose settings leave it to us.
 const metricsPort = 9464
 
+// traceVariable may name the address of a collector of spans.
+const traceVariable = "SLATEROCK_TRACE_ENDPOINT"
+
 func frontCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "front",
@@ -115,13 +119,24 @@
 
 func runFront(ctx context.Context, p *process) error {
 	s := p.settings
+	t, err := trace.Open(ctx, trace.Settings{Daemon: s.Node, Endpoint: os.Getenv(traceVariable), Fault: func(err error) {
+		p.log.Warn().Err(err).Msg("spans were lost")
+	}})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		last, stop := context.WithTimeout(context.Background(), closeTime)
+		defer stop()
+		_ = t.Close(last) // spans that can't be sent any more are lost
+	}()
 	d := &frontd.Daemon{
 		Settings: frontd.Settings{
 			Node: s.Node, Domain: s.Domain, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
 			Peer: p.peerAddress(), Grace: s.Grace, AnswerTTL: s.AnswerTTL,
 		},
 		Store: p.store, Source: platform.Source{Store: p.store}, Dialect: platform.Dialect{}, Names: platform.Names{},
-		Log: p.log, Scope: p.metric.Scope(),
+		Log: p.log, Scope: p.metric.Scope(), Trace: t,
 	}
 	return d.Run(ctx, p.stop)
 }
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/book"
@@ -25,6 +26,7 @@
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 )
 
 const (
@@ -63,6 +65,7 @@
 		Usual   pick.Usual
 		Log     zerolog.Logger
 		Scope   tally.Scope
+		Trace   *trace.Trace
 		// Refresh reads the configuration as it is now, at most now and then.
 		Refresh func(context.Context)
 		// Stop ends work that outlives its request.
@@ -125,9 +128,10 @@
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{e: e, w: w, r: r, began: time.Now()}
+	ctx, span := e.Trace.Start(r.Context(), trace.Edge, "")
+	q := &request{e: e, w: w, r: r.WithContext(ctx), began: time.Now()}
 	q.story.ran = ranNo
-	defer q.tell()
+	defer q.tell(span)
 	if q.admit() {
 		q.serve()
 	}
@@ -225,8 +229,10 @@
 }
 
 // tell writes the request's line and counts it.
-func (q *request) tell() {
+func (q *request) tell(span trace.Span) {
 	s := &q.story
+	span.Set(attribute.String("request", q.ID), attribute.String("outcome", s.outcome()))
+	span.End(s.err)
 	took := time.Since(q.began)
 	tags := map[string]string{"kind": q.route.Kind.String(), "outcome": s.outcome()}
 	scope := q.e.Scope.Tagged(tags)
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/slaterock/slaterock/internal/front/ask"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 )
 
 const (
@@ -112,8 +114,10 @@
 }
 
 // send sends the request to one upstream and waits for its answer's head.
-func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, o ask.Order) (*sent, error) {
+func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, o ask.Order) (s *sent, err error) {
 	q.story.sends++
+	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
+	defer func() { span.End(err) }()
 	conn, err := q.e.Pool.Take(ctx, up.ID, up.Address)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -121,7 +125,7 @@
 		}
 		return nil, &refused{up: up, cause: "unreachable", err: err}
 	}
-	s := &sent{up: up, conn: conn, began: time.Now()}
+	s = &sent{up: up, conn: conn, began: time.Now()}
 	if err = conn.Deadline(q.deadline); err != nil {
 		conn.Close()
 		return nil, &refused{up: up, cause: "closed", err: err}
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -17,6 +17,7 @@
 	"github.com/slaterock/slaterock/internal/front/event"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 )
 
 const (
@@ -64,6 +65,8 @@
 // prepare reads the chain that a turn continues, and has the program's budget
 // bear the turn, before anything runs.
 func (t *turn) prepare(ctx context.Context) bool {
+	ctx, span := t.e.Trace.Start(ctx, trace.Records, "")
+	defer func() { span.End(nil) }()
 	chain := make(chan error, 1)
 	go func() { chain <- t.readChain(ctx) }()
 	if !t.reserve(ctx) {
--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -9,7 +9,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -25,11 +27,15 @@
 	// perPeer stretches the pause with the number of daemons, which bounds the
 	// datagrams that each sends and takes to about 140 a second.
 	perPeer = 7 * time.Millisecond
-	// Silent is how long a daemon may send nothing before it counts as gone:
-	// several datagrams in a row are hardly ever lost.
-	Silent = 900 * time.Millisecond
-	// maxPacket fits a link's frame.
-	maxPacket = 1400
+	// Silent is the least time for which a daemon may send nothing before it
+	// counts as gone, and silentPauses the same in pauses between datagrams: so
+	// many in a row are hardly ever lost.
+	Silent       = 900 * time.Millisecond
+	silentPauses = 3
+	// maxLoads bounds the upstreams in one datagram, so that it fits a link's
+	// frame: those with the most under way. The largest VM has some 40.
+	maxLoads  = 60
+	maxPacket = 4096
 )
 
 type (
@@ -42,6 +48,7 @@
 
 		mu    sync.Mutex
 		words map[string]heard // newest of each daemon
+		pause time.Duration    // between own datagrams
 	}
 
 	// Word is what one daemon says.
@@ -95,7 +102,7 @@
 		l.words = map[string]heard{}
 	}
 	old, known := l.words[w.Node]
-	if known && w.Sent <= old.Sent && now.Sub(old.at) < Silent {
+	if known && w.Sent <= old.Sent && now.Sub(old.at) < l.silent() {
 		return false
 	}
 	l.words[w.Node] = heard{Word: w, at: now}
@@ -109,7 +116,7 @@
 	defer l.mu.Unlock()
 	leaving = map[string]bool{}
 	for name, h := range l.words {
-		if now.Sub(h.at) > Silent {
+		if now.Sub(h.at) > l.silent() {
 			continue
 		}
 		nodes = append(nodes, name)
@@ -119,11 +126,19 @@
 	return nodes, leaving
 }
 
+// silent is how long a daemon may send nothing. Others pause about as long as
+// this one, since they know the same daemons.
+func (l *Rumor) silent() time.Duration { return max(Silent, silentPauses*l.pause) }
+
 func (l *Rumor) send(ctx context.Context) {
 	for {
 		peers := l.Peers()
+		wait := max(base, time.Duration(len(peers))*perPeer)
+		l.mu.Lock()
+		l.pause = wait
+		l.mu.Unlock()
 		select {
-		case <-time.After(max(base, time.Duration(len(peers))*perPeer)):
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return
 		}
@@ -134,6 +149,7 @@
 func (l *Rumor) tell(peers []string) {
 	w := l.Own()
 	w.Sent = time.Now().UnixNano()
+	w.Load = busiest(w.Load)
 	data, err := cbor.Marshal(w)
 	if err != nil {
 		return
@@ -146,3 +162,16 @@
 		_, _ = l.Conn.WriteTo(data, to) // lost datagrams are made up for by the next
 	}
 }
+
+// busiest returns the loads that fit a datagram.
+func busiest(load map[string]int) map[string]int {
+	if len(load) <= maxLoads {
+		return load
+	}
+	ids := slices.SortedFunc(maps.Keys(load), func(a, b string) int { return load[b] - load[a] })
+	out := make(map[string]int, maxLoads)
+	for _, id := range ids[:maxLoads] {
+		out[id] = load[id]
+	}
+	return out
+}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -24,6 +24,7 @@
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/node/listed"
 	"github.com/slaterock/slaterock/internal/node/scout"
+	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
@@ -72,6 +73,7 @@
 		Names    Names
 		Log      zerolog.Logger
 		Scope    tally.Scope
+		Trace    *trace.Trace
 
 		fleet   fleet.Fleet
 		picker  pick.Picker
@@ -131,7 +133,7 @@
 	d.listed = listed.Listed{Store: d.Store, Key: scout.FrontPrefix + d.Settings.Node, Data: d.value, OnEnd: d.tellListed}
 	d.listed.Init()
 	d.entry = entry.Entry{
-		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope,
+		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
 		Refresh: d.refreshConfig, Stop: ctx,
 		Records: &quorum.Client{
 			Peer:   func(address string) quorum.Invoker { return d.link.Peer(address) },
--- a/internal/obs/trace/trace.go
+++ b/internal/obs/trace/trace.go
@@ -33,6 +33,7 @@
 	Owner    Hop = "owner"    // at the owner, waiting included
 	Upstream Hop = "upstream" // one attempt at one upstream
 	Store    Hop = "store"    // one call to the platform's store
+	Records  Hop = "records"  // durable records read and written before a turn runs
 )
 
 const (
