frontd: tell daemons that the store turns away, and send callers there

Cause (found in the incidents of both sites): daemons that the store turned away lost their keys, so the others no longer told them anything: they learnt a configuration of 7 s at 11 s, when the store was back. Change: datagrams carry the sender's addresses; whoever is heard is told, and named by the directory.

--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -32,6 +32,8 @@
 	// many in a row are hardly ever lost.
 	Silent       = 900 * time.Millisecond
 	silentPauses = 3
+	// forget is when a silent daemon's last word is dropped.
+	forget = time.Minute
 	// maxLoads bounds the upstreams in one datagram, so that it fits a link's
 	// frame: those with the most under way. The largest VM has some 40.
 	maxLoads  = 60
@@ -60,6 +62,8 @@
 		Revision uint64         `cbor:"5,keyasint"` // of the store, as it knows it
 		Hash     uint64         `cbor:"6,keyasint"` // of its knowledge
 		Age      int64          `cbor:"7,keyasint"` // milliseconds since that was confirmed
+		Peer     string         `cbor:"8,keyasint"` // its address for other daemons
+		Callers  string         `cbor:"9,keyasint"` // and for callers
 	}
 
 	heard struct {
@@ -87,15 +91,15 @@
 		if cbor.Unmarshal(buf[:n], &w) != nil || w.Node == "" {
 			continue // not one of ours, or spoilt: the next one makes up for it
 		}
-		if now := time.Now(); l.newer(now, w) {
+		if now := time.Now(); l.Note(now, w) {
 			l.Heard(now, w)
 		}
 	}
 }
 
-// newer notes a word unless a later one of that daemon has come before. A daemon
+// Note takes a word, and is false if a later one of that daemon has come before. A daemon
 // that started again may have a clock that was set back.
-func (l *Rumor) newer(now time.Time, w Word) bool {
+func (l *Rumor) Note(now time.Time, w Word) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.words == nil {
@@ -109,21 +113,21 @@
 	return true
 }
 
-// Live returns the daemons heard of lately, in order, and those of them that
-// are leaving.
-func (l *Rumor) Live(now time.Time) (nodes []string, leaving map[string]bool) {
+// Live returns the last word of each daemon that was heard of lately, in the order
+// of their names.
+func (l *Rumor) Live(now time.Time) (words []Word) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	leaving = map[string]bool{}
 	for name, h := range l.words {
-		if now.Sub(h.at) > l.silent() {
-			continue
+		switch age := now.Sub(h.at); {
+		case age <= l.silent():
+			words = append(words, h.Word)
+		case age > forget:
+			delete(l.words, name)
 		}
-		nodes = append(nodes, name)
-		leaving[name] = h.Leaving
 	}
-	sort.Strings(nodes)
-	return nodes, leaving
+	sort.Slice(words, func(i, j int) bool { return words[i].Node < words[j].Node })
+	return words
 }
 
 // silent is how long a daemon may send nothing. Others pause about as long as
--- a/internal/front/rumor/rumor_test.go
+++ b/internal/front/rumor/rumor_test.go
@@ -14,26 +14,28 @@
 // Datagrams overtake each other, and a daemon starts again with a clock that was
 // set back. An old word must not undo a newer one, but the restarted daemon must
 // be heard.
-func TestNewer(t *testing.T) {
+func TestNote(t *testing.T) {
 	is := is.New(t)
 	var r Rumor
-	is.True(r.newer(now, Word{Node: "a", Sent: 100}))
-	is.True(!r.newer(now, Word{Node: "a", Sent: 99}))
-	is.True(!r.newer(now, Word{Node: "a", Sent: 100}))
-	is.True(r.newer(now, Word{Node: "b", Sent: 1}))
-	is.True(r.newer(now.Add(Silent), Word{Node: "a", Sent: 5}))
+	is.True(r.Note(now, Word{Node: "a", Sent: 100}))
+	is.True(!r.Note(now, Word{Node: "a", Sent: 99}))
+	is.True(!r.Note(now, Word{Node: "a", Sent: 100}))
+	is.True(r.Note(now, Word{Node: "b", Sent: 1}))
+	is.True(r.Note(now.Add(Silent), Word{Node: "a", Sent: 5}))
 }
 
 func TestLive(t *testing.T) {
 	is := is.New(t)
 	var r Rumor
-	r.newer(now, Word{Node: "b", Sent: 1, Leaving: true})
-	r.newer(now.Add(time.Millisecond), Word{Node: "a", Sent: 1})
-	live, leaving := r.Live(now.Add(Silent))
-	is.Equal(live, []string{"a", "b"})
-	is.Equal(leaving, map[string]bool{"a": false, "b": true})
-	live, _ = r.Live(now.Add(Silent + time.Millisecond))
-	is.Equal(live, []string{"a"})
+	r.Note(now, Word{Node: "b", Sent: 1, Leaving: true})
+	r.Note(now.Add(time.Millisecond), Word{Node: "a", Sent: 1})
+	live := r.Live(now.Add(Silent))
+	is.Equal(len(live), 2)
+	is.Equal(live[0].Node, "a")
+	is.True(live[1].Leaving)
+	live = r.Live(now.Add(Silent + time.Millisecond))
+	is.Equal(len(live), 1)
+	is.Equal(live[0].Node, "a")
 }
 
 // A system has many daemons, so each speaks rarely. None of them may count as gone
@@ -42,9 +44,8 @@
 	is := is.New(t)
 	var r Rumor
 	r.pause = 600 * time.Millisecond
-	r.newer(now, Word{Node: "a", Sent: 1})
-	live, _ := r.Live(now.Add(1700 * time.Millisecond))
-	is.Equal(live, []string{"a"})
+	r.Note(now, Word{Node: "a", Sent: 1})
+	is.Equal(len(r.Live(now.Add(1700*time.Millisecond))), 1)
 }
 
 func TestBusiest(t *testing.T) {
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -190,12 +190,26 @@
 	d.Log.Info().Str("dependency", "store").Msg("regained: the daemon's key stands")
 }
 
-// peers returns the other daemons that serve callers.
-func (d *Daemon) peers() (list []string) {
-	for _, e := range d.fleet.View().Entries {
-		if e.Node != d.Settings.Node {
-			list = append(list, e.Peer)
+// others returns the other daemons that serve callers: those listed in the store,
+// and those heard of. A daemon that the store turns away loses its key there while
+// it lives on what the others tell, so they must go on telling it.
+func (d *Daemon) others() []fleet.Entry {
+	heard := d.rumor.Live(time.Now())
+	list := slices.Clone(d.fleet.View().Entries)
+	for _, w := range heard {
+		i := slices.IndexFunc(list, func(e fleet.Entry) bool { return e.Node == w.Node })
+		if i < 0 {
+			list = append(list, fleet.Entry{Node: w.Node, Address: w.Callers, Peer: w.Peer, Leaving: w.Leaving})
+			continue
 		}
+		list[i].Leaving = w.Leaving
+	}
+	return slices.DeleteFunc(list, func(e fleet.Entry) bool { return e.Node == d.Settings.Node })
+}
+
+func (d *Daemon) peers() (list []string) {
+	for _, e := range d.others() {
+		list = append(list, e.Peer)
 	}
 	return list
 }
@@ -267,16 +281,18 @@
 	if d.ready() {
 		list = append(list, self)
 	}
-	live, leaving := d.rumor.Live(time.Now())
-	entries := d.fleet.View().Entries
+	live := map[string]bool{}
+	for _, w := range d.rumor.Live(time.Now()) {
+		live[w.Node] = true
+	}
+	others := d.others()
 	// A daemon that hears few of the others is itself cut off, and can't tell
 	// which of them are gone.
-	trusted := 2*len(live) >= len(entries)-1
-	for _, e := range entries {
-		if e.Node == self.Node || e.Leaving || leaving[e.Node] || trusted && !slices.Contains(live, e.Node) {
-			continue
+	trusted := 2*len(live) >= len(others)
+	for _, e := range others {
+		if !e.Leaving && (live[e.Node] || !trusted) {
+			list = append(list, e)
 		}
-		list = append(list, e)
 	}
 	if len(list) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/internal/node/frontd/frontd_test.go
@@ -0,0 +1,90 @@
+package frontd
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/slaterock/slaterock/internal/conf/route"
+	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/rumor"
+)
+
+// names has names of its own for the directory's answer.
+type names struct{}
+
+func (names) Directory(list []fleet.Entry, _ time.Duration) any {
+	var out []string
+	for _, e := range list {
+		out = append(out, e.Address)
+	}
+	return out
+}
+func (names) DirectoryPath() string { return "/directory" }
+func (names) ReadyPath() string     { return "/ready" }
+
+func newDaemon(listed ...string) *Daemon {
+	d := &Daemon{Settings: Settings{Node: "self", Callers: "self"}, Names: names{}, Log: zerolog.Nop()}
+	r := fleet.Reading{Revision: 1, Table: route.New(1, nil, nil, route.Limits{})}
+	for _, name := range append(listed, "self") {
+		r.Entries = append(r.Entries, fleet.Entry{Node: name, Address: name, Peer: name + ":peer"})
+	}
+	d.fleet.Take(time.Now(), r)
+	return d
+}
+
+func hear(d *Daemon, node string, leaving bool) {
+	d.rumor.Note(time.Now(), rumor.Word{Node: node, Sent: time.Now().UnixNano(), Peer: node + ":peer", Callers: node, Leaving: leaving})
+}
+
+// The store turns a daemon away and takes its key. It lives on what the others
+// tell, so they must go on telling it: otherwise it serves with an old
+// configuration, and keeps sending to upstreams that leave.
+func TestDaemonWithoutAKeyIsTold(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon("a")
+	hear(d, "b", false)
+	is.Equal(d.peers(), []string{"a:peer", "b:peer"})
+}
+
+// Daemons are killed, stop, or lose their keys. The directory must send callers
+// neither to one that is gone nor to one that is leaving.
+func TestDirectory(t *testing.T) {
+	cases := map[string]struct {
+		listed  []string
+		heard   map[string]bool // leaving
+		leaving bool
+		want    []string
+	}{
+		"all are heard":            {[]string{"a", "b"}, map[string]bool{"a": false, "b": false}, false, []string{"self", "a", "b"}},
+		"one is silent":            {[]string{"a", "b"}, map[string]bool{"b": false}, false, []string{"self", "b"}},
+		"one is leaving":           {[]string{"a", "b"}, map[string]bool{"a": true, "b": false}, false, []string{"self", "b"}},
+		"one has lost its key":     {[]string{"a"}, map[string]bool{"a": false, "c": false}, false, []string{"self", "a", "c"}},
+		"nobody is heard":          {[]string{"a", "b"}, nil, false, []string{"self", "a", "b"}},
+		"this daemon leaves":       {[]string{"a"}, map[string]bool{"a": false}, true, []string{"a"}},
+		"this daemon leaves alone": {nil, nil, true, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDaemon(c.listed...)
+			for node, leaving := range c.heard {
+				hear(d, node, leaving)
+			}
+			d.leaving.Store(c.leaving)
+			rec := httptest.NewRecorder()
+			d.resolve(rec, httptest.NewRequestWithContext(t.Context(), "GET", "/directory", nil))
+			if c.want == nil {
+				is.Equal(rec.Code, 503)
+				return
+			}
+			var got []string
+			is.NoErr(json.Unmarshal(rec.Body.Bytes(), &got))
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -94,10 +94,9 @@
 
 // rank is how many live daemons come before this one.
 func (d *Daemon) rank() int {
-	live, _ := d.rumor.Live(time.Now())
 	n := 0
-	for _, name := range live {
-		if name < d.Settings.Node {
+	for _, w := range d.rumor.Live(time.Now()) {
+		if w.Node < d.Settings.Node {
 			n++
 		}
 	}
@@ -157,6 +156,7 @@
 	return rumor.Word{
 		Node: d.Settings.Node, Load: d.picker.Own(), Leaving: d.leaving.Load(),
 		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(),
+		Peer: d.Settings.Peer, Callers: d.Settings.Callers,
 	}
 }
 
@@ -180,16 +180,11 @@
 	if d.reads.busy[w.Node] {
 		return
 	}
-	for _, e := range v.Entries {
-		if e.Node == w.Node {
-			d.reads.busy[w.Node] = true
-			go d.askPeer(e)
-			return
-		}
-	}
+	d.reads.busy[w.Node] = true
+	go d.askPeer(w)
 }
 
-func (d *Daemon) askPeer(e fleet.Entry) {
+func (d *Daemon) askPeer(e rumor.Word) {
 	ctx, stop := context.WithTimeout(d.entry.Stop, askTime)
 	defer stop()
 	var raw link.Raw
