--- /dev/null
+++ b/internal/front/entry/smuggle_test.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pipeListener gives a server one end of pipes.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, errors.New("closed")
+	}
+}
+
+func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A caller sends bytes that two readers of HTTP would cut into requests at
+// different places. An upstream must never run a request that no caller sent as
+// such, nor get a body that is longer or shorter than the one that was sent.
+func TestSmuggling(t *testing.T) {
+	const inner = "POST /unsafe/inner HTTP/1.1\r\nHost: h\r\nId: inner\r\nContent-Length: 0\r\n\r\n"
+	cases := map[string]struct {
+		head, body string
+		status     string // of the first answer
+		got        string // body at the upstream; "-" where nothing may arrive
+	}{
+		"plain":                        {"Content-Length: 4\r\n", "body", "200", "body"},
+		"chunked":                      {"Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", "200", "body"},
+		"two lengths":                  {"Content-Length: 4\r\nContent-Length: 5\r\n", "body" + inner, "400", "-"},
+		"a negative length":            {"Content-Length: -1\r\n", inner, "400", "-"},
+		"a length with a plus":         {"Content-Length: +4\r\n", "body", "400", "-"},
+		"a list of lengths":            {"Content-Length: 4, 4\r\n", "body", "400", "-"},
+		"an unknown transfer encoding": {"Transfer-Encoding: xchunked\r\n", "4\r\nbody\r\n0\r\n\r\n", "501", "-"},
+		"two transfer encodings":       {"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "4\r\nbody\r\n0\r\n\r\n", "501", "-"},
+		"a space before the colon":     {"Content-Length : 4\r\n", "body", "400", "-"},
+		"a folded header is one value": {"X: a\r\n Content-Length: 4\r\n", "body", "200", ""},
+		"a spoilt chunk size":          {"Transfer-Encoding: chunked\r\n", "4x\r\nbody\r\n0\r\n\r\n", "400", "-"},
+		"a huge chunk size":            {"Transfer-Encoding: chunked\r\n", "fffffffffffffffff\r\nbody\r\n0\r\n\r\n", "400", "-"},
+		"a chunk without its end":      {"Transfer-Encoding: chunked\r\n", "4\r\nbodyXX0\r\n\r\n", "400", "-"},
+		"a request inside the body":    {fmt.Sprintf("Content-Length: %d\r\n", len(inner)), inner, "200", inner},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld([]string{ok})
+				l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+				srv := &http.Server{Handler: w.e, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second}
+				go func() { _ = srv.Serve(l) }()
+				near, far := net.Pipe()
+				l.conns <- far
+				go func() {
+					_, _ = io.WriteString(near, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n"+c.head+"\r\n"+c.body)
+				}()
+				resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+				is.NoErr(err)
+				is.True(strings.HasPrefix(resp.Status, c.status))
+				time.Sleep(2 * time.Second)
+				reqs := w.ups["up1"].requests()
+				if c.got == "-" {
+					is.Equal(len(reqs), 0)
+				} else {
+					is.Equal(len(reqs), 1)
+					is.Equal(reqs[0].body, c.got)
+				}
+				_ = near.Close()
+				close(l.done)
+				is.NoErr(srv.Shutdown(context.Background()))
+				w.close()
+			})
+		})
+	}
+}
