pick: go by others' loads only as far as they are fresh; fewer store calls

Change: the older the loads, the less they count, and the more each daemon and program prefers upstreams of its own.

--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -183,7 +183,7 @@
 	if len(r.Places) < Full(r.Losses) {
 		return r.with(len(r.Places), self), true
 	}
-	if !first(self, members, r) {
+	if !r.Next(self, members) {
 		return Roster{}, false
 	}
 	retiring := map[string]bool{}
@@ -212,9 +212,9 @@
 	return false
 }
 
-// first tells whether self is the first of the members without a place, so that
+// Next tells whether self is the first of the members without a place, so that
 // one of them claims and the others don't conflict with it.
-func first(self Member, members []Member, r Roster) bool {
+func (r Roster) Next(self Member, members []Member) bool {
 	for _, m := range members {
 		if _, in := r.Find(m.Life); in || m.Retiring {
 			continue
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -13,6 +13,7 @@
 package pick
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -53,8 +54,14 @@
 	otherDomain = 4.0
 	// newConn stands for a new connection and the millisecond that it takes.
 	newConn = 5.0
-	// noise keeps daemons that know the same from all choosing the same.
-	noise = 1.5
+	// noise keeps daemons that know the same from all choosing the same, and
+	// apart is the most that a daemon or a program adds to an upstream of its
+	// own accord where little is known of the others. What they said last is up to
+	// a pause old; beyond fresh, more calls have come and gone since than are
+	// under way, and those who went by it would all meet at one upstream.
+	noise = 3.0
+	apart = 40.0
+	fresh = 80 * time.Millisecond
 	// failing is what an upstream costs that fails every request.
 	failing = 600.0
 	// slowFrom is from which multiple of the usual time an upstream counts as
@@ -72,7 +79,11 @@
 type (
 	// Picker keeps what is under way. The zero value is ready.
 	Picker struct {
+		Name   string // of this daemon
 		Domain string // own failure domain
+		// Pause is how long other daemons wait between telling their loads;
+		// nil for no time.
+		Pause func() time.Duration
 		// Idle tells whether a connection to the address is open and unused;
 		// nil for no.
 		Idle func(address string) bool
@@ -112,13 +123,14 @@
 func (p *Picker) Choose(now time.Time, c Case) (fleet.Upstream, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	trust := p.trust()
 	best, lowest := -1, math.Inf(1)
 	for i := range c.List {
 		u := &c.List[i]
 		if c.Only != "" && u.ID != c.Only || c.Only == "" && (u.Leaving || c.Exclude[u.ID]) {
 			continue
 		}
-		if cost := p.cost(now, u, c); cost < lowest {
+		if cost := p.cost(now, u, c, trust); cost < lowest {
 			best, lowest = i, cost
 		}
 	}
@@ -133,8 +145,16 @@
 // others: more than all other costs together.
 const avoided = 1e6
 
-func (p *Picker) cost(now time.Time, u *fleet.Upstream, c Case) float64 {
-	cost := noise * jitter()
+// trust is how much of what others have said counts, from 0 to 1.
+func (p *Picker) trust() float64 {
+	if p.Pause == nil {
+		return 1
+	}
+	return min(1, float64(fresh)/float64(max(p.Pause(), 1)))
+}
+
+func (p *Picker) cost(now time.Time, u *fleet.Upstream, c Case, trust float64) float64 {
+	cost := noise / 2 * jitter()
 	if u.Domain != p.Domain {
 		cost += otherDomain
 	}
@@ -144,15 +164,15 @@
 	if c.Prefer != "" && u.ID != c.Prefer {
 		cost += float64(c.Tokens) / prefill
 	}
-	if c.Prefer == "" && c.Key != "" {
-		cost += noise * 2 * weight(c.Key, u.ID)
+	if c.Prefer == "" {
+		cost += (noise + apart*(1-trust)) * weight(cmp.Or(c.Key, p.Name), u.ID)
 	}
 	s := p.known[u.ID]
 	if s == nil {
 		return cost
 	}
 	batch := float64(max(u.Batch, 1))
-	under := float64(s.own + s.others)
+	under := float64(s.own) + trust*float64(s.others)
 	if c.Key != "" {
 		cost += beside * under
 	} else {
--- a/internal/front/pick/pick_test.go
+++ b/internal/front/pick/pick_test.go
@@ -126,6 +126,30 @@
 	is.Equal(count, map[string]int{"u0": 4, "u1": 4, "u2": 4, "u3": 4})
 }
 
+// Many daemons tell their loads rarely. If each went by what it heard last, all of
+// them would send to the upstream that was idle then, and callers would queue
+// there. They must spread by themselves.
+func TestManyDaemonsDoNotMeet(t *testing.T) {
+	is := is.New(t)
+	list := ups(20)
+	count := map[string]int{}
+	for i := range 60 {
+		p := &Picker{Name: fmt.Sprint("daemon", i), Domain: "x", Pause: func() time.Duration { return 600 * time.Millisecond }}
+		busy := map[string]int{}
+		for _, u := range list[1:] {
+			busy[u.ID] = 3 // all but one looked busy a moment ago
+		}
+		p.Heard(now, "others", busy)
+		count[choose(p, Case{List: list})]++
+	}
+	for id, n := range count {
+		if n > 12 {
+			t.Errorf("%s gets %d of 60", id, n)
+		}
+	}
+	is.True(len(count) > 10)
+}
+
 func TestForget(t *testing.T) {
 	is := is.New(t)
 	p := &Picker{}
--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -134,6 +134,13 @@
 // this one, since they know the same daemons.
 func (l *Rumor) silent() time.Duration { return max(Silent, silentPauses*l.pause) }
 
+// Pause is how long this daemon waits between datagrams, as all do.
+func (l *Rumor) Pause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pause
+}
+
 func (l *Rumor) send(ctx context.Context) {
 	for {
 		peers := l.Peers()
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -42,6 +42,10 @@
 	// graceLeft is kept of the time between SIGTERM and SIGKILL.
 	graceLeft = 700 * time.Millisecond
 	sweepEach = time.Second
+	// keyTTL is the lease's of this daemon's key. Others notice by datagrams
+	// that it is gone, so the key may outlive it, and a fleet of 78 renews 20
+	// times a second less than with the two seconds of VMs with a disk.
+	keyTTL = 9 * time.Second
 )
 
 type (
@@ -102,16 +106,17 @@
 		return err
 	}
 	defer func() { _ = checks.Close() }()
-	d.await(ctx)
-	callers, err := d.serveCallers()
-	if err != nil {
-		return err
-	}
 	listing := make(chan struct{})
 	go func() {
 		defer close(listing)
 		d.listed.Run(ctx)
 	}()
+	d.await(ctx)
+	callers, err := d.serveCallers()
+	if err != nil {
+		return err
+	}
+	d.listed.Wake() // it takes callers now
 	select {
 	case <-stop:
 	case <-ctx.Done():
@@ -124,13 +129,14 @@
 
 func (d *Daemon) start(ctx context.Context) error {
 	d.scout.Store = d.Store
-	d.picker.Domain, d.picker.Idle = d.Settings.Domain, d.pool.Idle
+	d.picker.Name, d.picker.Domain = d.Settings.Node, d.Settings.Domain
+	d.picker.Idle, d.picker.Pause = d.pool.Idle, d.rumor.Pause
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
 	d.link.Handle(methodKnown, d.tellKnown)
 	if err := d.link.Start(ctx); err != nil {
 		return err
 	}
-	d.listed = listed.Listed{Store: d.Store, Key: scout.FrontPrefix + d.Settings.Node, Data: d.value, OnEnd: d.tellListed}
+	d.listed = listed.Listed{Store: d.Store, Key: scout.FrontPrefix + d.Settings.Node, Data: d.value, OnEnd: d.tellListed, TTL: keyTTL}
 	d.listed.Init()
 	d.entry = entry.Entry{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
@@ -178,7 +184,7 @@
 
 func (d *Daemon) value() []byte {
 	return scout.FrontValue(fleet.Entry{
-		Address: d.Settings.Callers, Peer: d.Settings.Peer, Domain: d.Settings.Domain, Leaving: d.leaving.Load(),
+		Address: d.Settings.Callers, Peer: d.Settings.Peer, Domain: d.Settings.Domain, Leaving: !d.ready(),
 	})
 }
 
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -154,7 +154,7 @@
 func (d *Daemon) word() rumor.Word {
 	v := d.fleet.View()
 	return rumor.Word{
-		Node: d.Settings.Node, Load: d.picker.Own(), Leaving: d.leaving.Load(),
+		Node: d.Settings.Node, Load: d.picker.Own(), Leaving: !d.ready(),
 		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(),
 		Peer: d.Settings.Peer, Callers: d.Settings.Callers,
 	}
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -170,10 +170,11 @@
 }
 
 func (k *Keeper) step(ctx context.Context) {
-	// A VM without a place looks for one that is free, and stale reads may be
-	// seconds behind; those with a place have time.
-	_, placed := k.scout.Roster().Find(k.holder.Life())
-	stale := placed || time.Since(k.freshAt) < freshEvery
+	// The VM that would take the next place looks for one that is free, and stale
+	// reads may be seconds behind; the others have time.
+	known := k.scout.State()
+	_, placed := known.Roster.Find(k.holder.Life())
+	stale := placed || time.Since(k.freshAt) < freshEvery || !known.Roster.Next(k.self(), known.Members)
 	if !stale {
 		k.freshAt = time.Now()
 	}
--- a/internal/node/listed/listed.go
+++ b/internal/node/listed/listed.go
@@ -19,11 +19,14 @@
 )
 
 const (
-	// TTL is the lease's. A daemon that died is missed after this long, and
-	// calls for renewal cost a tenth of a read.
+	// TTL is the lease's if none is set: a VM with a disk that died is missed
+	// after this long. Renewals cost a tenth of a read.
 	TTL = 2 * time.Second
-	// Renew is the pause between renewals; one may fail before the key lapses.
-	Renew = 750 * time.Millisecond
+	// renewals is how many fit into a lease, so that one may fail before the
+	// key lapses.
+	renewals = 2.7
+	// endTime bounds the last call of a daemon that stops.
+	endTime = 700 * time.Millisecond
 	// backOff bounds the pause after failures, so that an outage isn't
 	// followed by a storm of calls.
 	backOff = 1200 * time.Millisecond
@@ -35,6 +38,7 @@
 	Key   string
 	Data  func() []byte // the value; written again when it changes
 	OnEnd func(error)   // told when the key may have lapsed, and nil when it stands again
+	TTL   time.Duration // 0 is the constant TTL
 
 	lease   store.Lease
 	written []byte
@@ -47,6 +51,9 @@
 	if l.wake == nil {
 		l.wake = make(chan struct{}, 1)
 	}
+	if l.TTL == 0 {
+		l.TTL = TTL
+	}
 }
 
 // Wake has the value looked at again now.
@@ -60,7 +67,8 @@
 // Run keeps the key until ctx ends, and removes it then.
 func (l *Listed) Run(ctx context.Context) {
 	l.Init()
-	wait := Renew
+	renew := time.Duration(float64(l.TTL) / renewals)
+	wait := renew
 	for {
 		err := l.step(ctx)
 		if ctx.Err() != nil {
@@ -69,7 +77,7 @@
 		}
 		l.tell(err)
 		if err == nil {
-			wait = Renew
+			wait = renew
 		} else {
 			wait = min(2*wait, backOff)
 		}
@@ -110,7 +118,7 @@
 	lease := l.lease
 	if lease == 0 {
 		var err error
-		if lease, err = l.Store.Grant(ctx, TTL); err != nil {
+		if lease, err = l.Store.Grant(ctx, l.TTL); err != nil {
 			return err
 		}
 	}
@@ -127,7 +135,7 @@
 	if l.lease == 0 {
 		return
 	}
-	ctx, stop := context.WithTimeout(context.Background(), Renew)
+	ctx, stop := context.WithTimeout(context.Background(), endTime)
 	defer stop()
 	_ = l.Store.Revoke(ctx, l.lease) // it lapses by itself otherwise
 }
