--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -59,11 +59,12 @@
 		Sent     int64          `cbor:"2,keyasint"` // Unix nanoseconds of the sender; orders its words
 		Load     map[string]int `cbor:"3,keyasint"` // under way there, by upstream
 		Leaving  bool           `cbor:"4,keyasint,omitempty"`
-		Revision uint64         `cbor:"5,keyasint"` // of the store, as it knows it
-		Hash     uint64         `cbor:"6,keyasint"` // of its knowledge
-		Age      int64          `cbor:"7,keyasint"` // milliseconds since that was confirmed
-		Peer     string         `cbor:"8,keyasint"` // its address for other daemons
-		Callers  string         `cbor:"9,keyasint"` // and for callers
+		Revision uint64         `cbor:"5,keyasint"`            // of the store, as it knows it
+		Hash     uint64         `cbor:"6,keyasint"`            // of its knowledge
+		Age      int64          `cbor:"7,keyasint"`            // milliseconds since that was confirmed
+		Peer     string         `cbor:"8,keyasint"`            // its address for other daemons
+		Callers  string         `cbor:"9,keyasint"`            // and for callers
+		Unwell   bool           `cbor:"10,keyasint,omitempty"` // it can't reach what it needs to serve
 	}
 
 	heard struct {
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -20,6 +20,7 @@
 	"github.com/slaterock/slaterock/internal/front/entry"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
+	"github.com/slaterock/slaterock/internal/front/pulse"
 	"github.com/slaterock/slaterock/internal/front/rumor"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/node/listed"
@@ -42,6 +43,9 @@
 	// graceLeft is kept of the time between SIGTERM and SIGKILL.
 	graceLeft = 700 * time.Millisecond
 	sweepEach = time.Second
+	// probeEach is the pause between looks at whether the holders of records can
+	// be reached.
+	probeEach = 200 * time.Millisecond
 	// keyTTL is the lease's of this daemon's key. Others notice by datagrams
 	// that it is gone, so the key may outlive it, and a fleet of 78 renews 20
 	// times a second less than with the two seconds of VMs with a disk.
@@ -85,6 +89,7 @@
 		link    link.Link
 		scout   scout.Scout
 		rumor   rumor.Rumor
+		pulse   pulse.Pulse
 		listed  listed.Listed
 		entry   entry.Entry
 		leaving atomic.Bool
@@ -141,10 +146,11 @@
 	d.entry = entry.Entry{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
 		Refresh: d.refreshConfig, Stop: ctx,
-		Records: &quorum.Client{
-			Peer:   func(address string) quorum.Invoker { return d.link.Peer(address) },
-			Roster: d.scout.Roster, Learn: d.scout.Learn, Refresh: d.scout.Fresh, Domain: d.Settings.Domain,
-		},
+		Records: &d.pulse,
+	}
+	d.pulse.Records = &quorum.Client{
+		Peer:   func(address string) quorum.Invoker { return d.link.Peer(address) },
+		Roster: d.scout.Roster, Learn: d.scout.Learn, Refresh: d.scout.Fresh, Domain: d.Settings.Domain,
 	}
 	var lc net.ListenConfig
 	conn, err := lc.ListenPacket(ctx, "udp", d.Settings.Peer)
@@ -168,6 +174,7 @@
 	}()
 	go d.read(ctx)
 	go d.sweep(ctx)
+	go d.probe(ctx)
 	return nil
 }
 
@@ -282,14 +289,36 @@
 
 // resolve tells a caller where to connect.
 func (d *Daemon) resolve(w http.ResponseWriter, _ *http.Request) {
-	var list []fleet.Entry
-	self := fleet.Entry{Node: d.Settings.Node, Address: d.Settings.Callers, Domain: d.Settings.Domain}
-	if d.ready() {
-		list = append(list, self)
+	list := d.named()
+	if len(list) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	text, err := json.Marshal(d.Names.Directory(list, min(directoryTTL, positive(d.Settings.AnswerTTL, directoryTTL))))
+	if err != nil {
+		d.Log.Error().Err(err).Msg("directory's answer not encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	_, _ = w.Write(text) // a caller that left asks another daemon
+}
+
+// named returns the daemons that callers are sent to: those that are not leaving
+// and can serve, or all that are not leaving if none can.
+func (d *Daemon) named() (well []fleet.Entry) {
+	now := time.Now()
+	self := fleet.Entry{Node: d.Settings.Node, Address: d.Settings.Callers, Domain: d.Settings.Domain}
+	unwell := map[string]bool{self.Node: d.pulse.Down(now)}
 	live := map[string]bool{}
-	for _, w := range d.rumor.Live(time.Now()) {
+	for _, w := range d.rumor.Live(now) {
 		live[w.Node] = true
+		unwell[w.Node] = w.Unwell
+	}
+	var all []fleet.Entry
+	if d.ready() {
+		all = append(all, self)
 	}
 	others := d.others()
 	// A daemon that hears few of the others is itself cut off, and can't tell
@@ -297,22 +326,18 @@
 	trusted := 2*len(live) >= len(others)
 	for _, e := range others {
 		if !e.Leaving && (live[e.Node] || !trusted) {
-			list = append(list, e)
+			all = append(all, e)
 		}
 	}
-	if len(list) == 0 {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	for _, e := range all {
+		if !unwell[e.Node] {
+			well = append(well, e)
+		}
 	}
-	text, err := json.Marshal(d.Names.Directory(list, min(directoryTTL, positive(d.Settings.AnswerTTL, directoryTTL))))
-	if err != nil {
-		d.Log.Error().Err(err).Msg("directory's answer not encoded")
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+	if len(well) == 0 {
+		return all
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
-	_, _ = w.Write(text) // a caller that left asks another daemon
+	return well
 }
 
 // directoryTTL is how long callers keep an answer. Some keep it three times as
@@ -334,6 +359,18 @@
 	d.Log.Info().Err(err).Int64("active", d.entry.Active()).Msg("drained")
 }
 
+// probe notices when the holders of records are reached again, and logs both.
+func (d *Daemon) probe(ctx context.Context) {
+	down := false
+	for pause(ctx, probeEach) {
+		d.pulse.Probe(ctx)
+		if now := d.pulse.Down(time.Now()); now != down {
+			down = now
+			d.Log.Warn().Str("dependency", "records").Uint64("roster", d.scout.Roster().Version).Msg(map[bool]string{true: "lost", false: "regained"}[down])
+		}
+	}
+}
+
 func (d *Daemon) sweep(ctx context.Context) {
 	for pause(ctx, sweepEach) {
 		d.pool.Sweep(time.Now())
--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -38,7 +38,9 @@
 }
 
 func hear(d *Daemon, node string, leaving bool) {
-	d.rumor.Note(time.Now(), rumor.Word{Node: node, Sent: time.Now().UnixNano(), Peer: node + ":peer", Callers: node, Leaving: leaving})
+	d.rumor.Note(time.Now(), rumor.Word{
+		Node: node, Sent: time.Now().UnixNano(), Peer: node + ":peer", Callers: node, Leaving: leaving, Unwell: node == "unwell",
+	})
 }
 
 // The store turns a daemon away and takes its key. It lives on what the others
@@ -60,13 +62,15 @@
 		leaving bool
 		want    []string
 	}{
-		"all are heard":            {[]string{"a", "b"}, map[string]bool{"a": false, "b": false}, false, []string{"self", "a", "b"}},
-		"one is silent":            {[]string{"a", "b"}, map[string]bool{"b": false}, false, []string{"self", "b"}},
-		"one is leaving":           {[]string{"a", "b"}, map[string]bool{"a": true, "b": false}, false, []string{"self", "b"}},
-		"one has lost its key":     {[]string{"a"}, map[string]bool{"a": false, "c": false}, false, []string{"self", "a", "c"}},
-		"nobody is heard":          {[]string{"a", "b"}, nil, false, []string{"self", "a", "b"}},
-		"this daemon leaves":       {[]string{"a"}, map[string]bool{"a": false}, true, []string{"a"}},
-		"this daemon leaves alone": {nil, nil, true, nil},
+		"all are heard":               {[]string{"a", "b"}, map[string]bool{"a": false, "b": false}, false, []string{"self", "a", "b"}},
+		"one is silent":               {[]string{"a", "b"}, map[string]bool{"b": false}, false, []string{"self", "b"}},
+		"one is leaving":              {[]string{"a", "b"}, map[string]bool{"a": true, "b": false}, false, []string{"self", "b"}},
+		"one has lost its key":        {[]string{"a"}, map[string]bool{"a": false, "c": false}, false, []string{"self", "a", "c"}},
+		"nobody is heard":             {[]string{"a", "b"}, nil, false, []string{"self", "a", "b"}},
+		"one can't reach the records": {[]string{"a", "unwell"}, map[string]bool{"a": false, "unwell": false}, false, []string{"self", "a"}},
+		"none other is well":          {[]string{"unwell"}, map[string]bool{"unwell": false}, true, []string{"unwell"}},
+		"this daemon leaves":          {[]string{"a"}, map[string]bool{"a": false}, true, []string{"a"}},
+		"this daemon leaves alone":    {nil, nil, true, nil},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -156,7 +156,7 @@
 	return rumor.Word{
 		Node: d.Settings.Node, Load: d.picker.Own(), Leaving: !d.ready(),
 		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(),
-		Peer: d.Settings.Peer, Callers: d.Settings.Callers,
+		Peer: d.Settings.Peer, Callers: d.Settings.Callers, Unwell: d.pulse.Down(time.Now()),
 	}
 }
 
