--- a/internal/disk/seglog/seglog.go
+++ b/internal/disk/seglog/seglog.go
@@ -52,7 +52,6 @@
 		files   map[uint64]*segment
 		closed  bool
 		done    chan struct{}
-		slowest time.Duration
 	}
 
 	// Pos says where a record lies.
@@ -196,13 +195,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || len(data) > MaxRecord || len(data) == 0 {
-		go done(Pos{}, errors.CombineErrors(ErrClosed, nil))
+		go done(Pos{}, l.refusal(data))
 		return
 	}
 	l.pending = append(l.pending, entry{data: data, done: done})
 	l.cond.Signal()
 }
 
+// refusal tells why a record isn't taken.
+func (l *Log) refusal(data []byte) error {
+	if l.closed {
+		return ErrClosed
+	}
+	return errors.Newf("seglog: a record of %d bytes", len(data))
+}
+
 // run writes what waits, group after group.
 func (l *Log) run() {
 	defer close(l.done)
@@ -217,11 +224,7 @@
 		if len(group) == 0 {
 			return
 		}
-		began := time.Now()
 		places, err := l.commit(group)
-		l.mu.Lock()
-		l.slowest = max(l.slowest, time.Since(began))
-		l.mu.Unlock()
 		for i, e := range group {
 			e.done(places[i], err)
 		}
--- a/internal/front/ask/ask.go
+++ b/internal/front/ask/ask.go
@@ -11,26 +11,16 @@
 		ID        string
 		Wait      time.Duration // how long the caller waits for the answer
 		Program   string
-		Session   string        // one line of turns of the program
-		Finish    time.Duration // in which the whole program should end
-		Budget    int           // tokens that the program's turns may generate; valid with HasBudget
+		Session   string // one line of turns of the program
+		Budget    int    // tokens that the program's turns may generate; valid with HasBudget
 		HasBudget bool
-		Model     string
 		Prompt    int    // tokens of the prompt
 		Output    int    // most tokens that the turn generates
-		Hint      int    // the caller's guess of the tokens that it generates
-		Prefix    []Part // the prompt's parts in order
 		Previous  string // attempt id of the turn that this one continues
 		LastEvent string // id of the last event that the caller has
 		Affinity  string // names the object that the request is about
 	}
 
-	// Part is a part of a prompt that requests may share.
-	Part struct {
-		ID     string
-		Tokens int
-	}
-
 	// Order is what the system tells the upstream of one dispatch.
 	Order struct {
 		Instance  string        // the only upstream that may run the request
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -46,7 +46,6 @@
 		Return(http.Header) http.Header
 		Verdict(status int, h http.Header) ask.Verdict
 		RetryAfter(http.Header, time.Duration)
-		Unsigned(http.Header)
 	}
 
 	// Records reads and writes what must last.
--- a/internal/front/entry/entry_test.go
+++ b/internal/front/entry/entry_test.go
@@ -110,7 +110,6 @@
 		is.Equal(rec.Code, 200) // nothing was sent to the first
 		w.ups["up2"].refuse = true
 		w.close()
-		w.e.Pool.Drop("up2")
 		rec, _ = w.ask(t.Context(), "/unsafe/x", nil, "")
 		is.Equal(rec.Code, 503)
 		is.True(strings.Contains(rec.Body.String(), `"ran":"no"`))
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -138,7 +138,7 @@
 	})
 	if err == nil {
 		q.story.upstream = up.ID
-		s.resp, err = conn.Receive(q.r.Method)
+		s.resp, err = conn.Receive(q.r.Method) //nolint:bodyclose // ends with its connection: drop or keep
 	}
 	if err != nil {
 		s.drop()
--- a/internal/front/entry/smuggle_test.go
+++ b/internal/front/entry/smuggle_test.go
@@ -74,6 +74,7 @@
 				}()
 				resp, err := http.ReadResponse(bufio.NewReader(near), nil)
 				is.NoErr(err)
+				defer func() { _ = resp.Body.Close() }()
 				is.True(strings.HasPrefix(resp.Status, c.status))
 				time.Sleep(2 * time.Second)
 				reqs := w.ups["up1"].requests()
--- a/internal/front/entry/world_test.go
+++ b/internal/front/entry/world_test.go
@@ -89,7 +89,6 @@
 }
 
 func (dialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Again", d.String()) }
-func (dialect) Unsigned(http.Header)                      {}
 
 func (r *records) Write(_ context.Context, rec book.Record) (res quorum.Result, err error) {
 	r.mu.Lock()
@@ -209,8 +208,8 @@
 	rec = httptest.NewRecorder()
 	defer func() {
 		if p := recover(); p != nil {
-			cut = p == http.ErrAbortHandler
-			if !cut {
+			err, _ := p.(error)
+			if cut = errors.Is(err, http.ErrAbortHandler); !cut {
 				panic(p)
 			}
 		}
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -134,17 +134,6 @@
 	}
 }
 
-// Drop closes all idle connections to an address, whose upstream has ended.
-func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.Close()
-	}
-}
-
 // Opened returns how many connections were opened.
 func (p *Pool) Opened() int64 {
 	p.mu.Lock()
