--- a/internal/play/storm/storm.go
+++ b/internal/play/storm/storm.go
@@ -85,9 +85,12 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	// Two runs at a time would share addresses, and see each other's processes.
-	if _, err = serve(ctx, http.NotFoundHandler(), onlyOne); err != nil {
+	var lc net.ListenConfig
+	lock, err := lc.Listen(ctx, "tcp", onlyOne)
+	if err != nil {
 		return sum, errors.Wrap(err, "another run is under way")
 	}
+	defer func() { _ = lock.Close() }()
 	if err = s.build(ctx); err != nil {
 		return sum, err
 	}
