--- a/cmd/slaterock/storm.go
+++ b/cmd/slaterock/storm.go
@@ -33,6 +33,11 @@
 					Command: []string{self}, Seed: seed, Calm: s.Calm, For: s.For, Fronts: s.Fronts, Disks: s.Disks, Upstreams: s.Upstreams, Callers: s.Callers,
 					Dir: filepath.Join(dir, fmt.Sprint(seed)), Out: io.Discard,
 				}
+				// Attempts have the same ids in each run of a seed, so the disks of
+				// an earlier one would answer for this one's.
+				if err = os.RemoveAll(one.Dir); err != nil {
+					return err
+				}
 				if err = os.MkdirAll(one.Dir, 0o700); err != nil {
 					return err
 				}
