--- /dev/null
+++ b/internal/disk/seglog/scan.go
@@ -0,0 +1,122 @@
+package seglog
+
+import (
+	"os"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Segments returns the numbers of the segments that are complete, with the time
+// of their last write, in order.
+func (l *Log) Segments() (numbers []uint64, last []time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := range l.files {
+		if n != l.number {
+			numbers = append(numbers, n)
+		}
+	}
+	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	for _, n := range numbers {
+		last = append(last, l.files[n].last)
+	}
+	return numbers, last
+}
+
+// Drop removes a complete segment.
+func (l *Log) Drop(n uint64) (err error) {
+	defer func() { err = errors.Wrapf(err, "drop segment %d", n) }()
+	l.mu.Lock()
+	s := l.files[n]
+	if s == nil || n == l.number {
+		l.mu.Unlock()
+		return errors.New("no complete segment")
+	}
+	delete(l.files, n)
+	l.mu.Unlock()
+	return errors.CombineErrors(s.file.Close(), os.Remove(l.name(n)))
+}
+
+// End returns the position after the last committed record.
+func (l *Log) End() Pos {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Pos{Segment: l.number, Offset: l.size}
+}
+
+// Before tells whether p comes before q in the log.
+func (p Pos) Before(q Pos) bool {
+	return p.Segment < q.Segment || p.Segment == q.Segment && p.Offset < q.Offset
+}
+
+// Bytes returns the size of all segments.
+func (l *Log) Bytes() (n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.files {
+		n += s.size
+	}
+	return n
+}
+
+// Scan returns records from the position on, about limit bytes of them, and the
+// position after them. It returns no records at the end of what is committed.
+func (l *Log) Scan(from Pos, limit int) (recs [][]byte, places []Pos, after Pos, err error) {
+	defer func() { err = errors.Wrapf(err, "scan from %d at %d", from.Segment, from.Offset) }()
+	after = from
+	for size := 0; size < limit; {
+		s, n, more := l.segmentAt(after)
+		if s == nil {
+			return recs, places, after, nil
+		}
+		if n != after.Segment {
+			after = Pos{Segment: n}
+		}
+		if after.Offset >= s.size {
+			if !more {
+				return recs, places, after, nil
+			}
+			after = Pos{Segment: n + 1}
+			continue
+		}
+		data := make([]byte, min(s.size-after.Offset, int64(max(limit, MaxRecord/16))))
+		if _, err = s.file.ReadAt(data, after.Offset); err != nil {
+			return nil, nil, from, err
+		}
+		rec := next(data)
+		if rec == nil {
+			data = make([]byte, s.size-after.Offset) // a record larger than the page
+			if _, err = s.file.ReadAt(data, after.Offset); err != nil {
+				return nil, nil, from, err
+			}
+			if rec = next(data); rec == nil {
+				return nil, nil, from, errors.New("record is spoilt")
+			}
+		}
+		for rec != nil && size < limit {
+			recs = append(recs, rec)
+			places = append(places, Pos{Segment: n, Offset: after.Offset, Size: len(rec)})
+			size += len(rec)
+			after.Offset += headSize + int64(len(rec))
+			data = data[headSize+len(rec):]
+			rec = next(data)
+		}
+	}
+	return recs, places, after, nil
+}
+
+// segmentAt returns a copy of the first segment from the position on, and
+// whether there are later ones.
+func (l *Log) segmentAt(p Pos) (s *segment, number uint64, more bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := max(p.Segment, 1); n <= l.number; n++ {
+		if found := l.files[n]; found != nil {
+			c := *found
+			return &c, n, n < l.number
+		}
+	}
+	return nil, 0, false
+}
--- a/internal/front/ask/ask.go
+++ b/internal/front/asked/asked.go
@@ -1,6 +1,6 @@
-// Package ask describes one attempt of a caller's request, as the daemon that
+// Package asked describes one attempt of a caller's request, as the daemon that
 // took it knows it, and what it tells the upstream beside the request itself.
-package ask
+package asked
 
 import "time"
 
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -22,7 +22,7 @@
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/book"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
-	"github.com/slaterock/slaterock/internal/front/ask"
+	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -41,10 +41,10 @@
 type (
 	// Dialect translates the headers of callers and upstreams.
 	Dialect interface {
-		Decode(http.Header) (ask.Attempt, error)
-		Forward(http.Header, ask.Order) http.Header
+		Decode(http.Header) (asked.Attempt, error)
+		Forward(http.Header, asked.Order) http.Header
 		Return(http.Header) http.Header
-		Verdict(status int, h http.Header) ask.Verdict
+		Verdict(status int, h http.Header) asked.Verdict
 		RetryAfter(http.Header, time.Duration)
 	}
 
@@ -76,7 +76,7 @@
 
 	// request is one attempt on its way.
 	request struct {
-		ask.Attempt
+		asked.Attempt
 		e        *Entry
 		w        http.ResponseWriter
 		r        *http.Request
--- a/internal/front/entry/plain.go
+++ b/internal/front/entry/plain.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/conf/route"
-	"github.com/slaterock/slaterock/internal/front/ask"
+	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 )
@@ -27,7 +27,7 @@
 	}
 	exclude := map[string]bool{}
 	for {
-		s, err := q.dispatch(ctx, pick.Case{Exclude: exclude}, q.body, ask.Order{})
+		s, err := q.dispatch(ctx, pick.Case{Exclude: exclude}, q.body, asked.Order{})
 		if err == nil {
 			if err = q.finish(ctx, s); err == nil {
 				return
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/slaterock/slaterock/internal/front/ask"
+	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -34,7 +34,7 @@
 		up      fleet.Upstream
 		conn    *upconn.Conn
 		resp    *http.Response
-		verdict ask.Verdict
+		verdict asked.Verdict
 		began   time.Time
 		stop    func() bool // ends the watch over the caller's context
 	}
@@ -66,7 +66,7 @@
 
 // dispatch sends the request to upstreams until one takes it. After *refused or
 // errNoUpstream the request has not run; after *lost it may have.
-func (q *request) dispatch(ctx context.Context, c pick.Case, body []byte, o ask.Order) (*sent, error) {
+func (q *request) dispatch(ctx context.Context, c pick.Case, body []byte, o asked.Order) (*sent, error) {
 	last := errNoUpstream
 	for range maxRefusals {
 		// The caller's own context is asked too: some runs go on when their
@@ -114,7 +114,7 @@
 }
 
 // send sends the request to one upstream and waits for its answer's head.
-func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, o ask.Order) (s *sent, err error) {
+func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, o asked.Order) (s *sent, err error) {
 	q.story.sends++
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -13,7 +13,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/book"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
-	"github.com/slaterock/slaterock/internal/front/ask"
+	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/event"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -173,7 +173,7 @@
 		body = slices.Concat(t.chain, t.body)
 	}
 	c := pick.Case{Key: t.key(), Prefer: cmp.Or(t.prefer, t.ranAt), Tokens: t.Prompt, Exclude: map[string]bool{}}
-	o := ask.Order{Priority: min(t.route.Priority, 9), Ranked: true, LastEvent: t.last}
+	o := asked.Order{Priority: min(t.route.Priority, 9), Ranked: true, LastEvent: t.last}
 	for range maxResumes {
 		s, err := t.dispatch(ctx, c, body, o)
 		if c.Only != "" && err != nil && t.goneFrom(c.Only, err) {
--- a/internal/front/entry/world_test.go
+++ b/internal/front/entry/world_test.go
@@ -19,7 +19,7 @@
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/book"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
-	"github.com/slaterock/slaterock/internal/front/ask"
+	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -61,8 +61,8 @@
 	}
 )
 
-func (dialect) Decode(h http.Header) (a ask.Attempt, err error) {
-	a = ask.Attempt{ID: h.Get("Id"), Program: h.Get("Program"), Previous: h.Get("Previous"), LastEvent: h.Get("Last"), Output: 30}
+func (dialect) Decode(h http.Header) (a asked.Attempt, err error) {
+	a = asked.Attempt{ID: h.Get("Id"), Program: h.Get("Program"), Previous: h.Get("Previous"), LastEvent: h.Get("Last"), Output: 30}
 	if a.ID == "" {
 		return a, errors.New("no id")
 	}
@@ -74,7 +74,7 @@
 	return a, err
 }
 
-func (dialect) Forward(h http.Header, o ask.Order) http.Header {
+func (dialect) Forward(h http.Header, o asked.Order) http.Header {
 	out := http.Header{"Id": h["Id"], "Instance": {o.Instance}, "Left": {fmt.Sprint(o.Left.Milliseconds())}}
 	if o.LastEvent != "" {
 		out.Set("Last", o.LastEvent)
@@ -84,8 +84,8 @@
 
 func (dialect) Return(h http.Header) http.Header { return h.Clone() }
 
-func (dialect) Verdict(status int, h http.Header) ask.Verdict {
-	return ask.Verdict{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == 421, IdleTime: time.Minute}
+func (dialect) Verdict(status int, h http.Header) asked.Verdict {
+	return asked.Verdict{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == 421, IdleTime: time.Minute}
 }
 
 func (dialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Again", d.String()) }
