--- /dev/null
+++ b/internal/node/keeper/keeper_test.go
@@ -0,0 +1,243 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	tally "github.com/uber-go/tally/v4"
+
+	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/node/scout"
+	"github.com/slaterock/slaterock/internal/plat/store"
+)
+
+// shelf is a store in memory, without leases.
+type shelf struct {
+	store.Shared
+	mu    sync.Mutex
+	down  bool
+	rev   store.Rev
+	items map[string]store.Entry
+}
+
+func (s *shelf) Scan(_ context.Context, prefix string, _ bool) (list []store.Entry, rev store.Rev, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, store.ErrUnavailable
+	}
+	for key, e := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
+	}
+	return list, s.rev, nil
+}
+
+func (s *shelf) Put(_ context.Context, key string, data []byte, rev store.Rev, _ store.Lease) (store.Rev, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.items[key].Rev != rev {
+		return 0, &store.ConflictError{Key: key, Rev: s.items[key].Rev}
+	}
+	s.put(key, data)
+	return s.rev, nil
+}
+
+func (s *shelf) put(key string, data []byte) {
+	s.rev++
+	s.items[key] = store.Entry{Key: key, Data: data, Rev: s.rev}
+}
+
+// list writes a VM's key, or removes it.
+func (s *shelf) list(m roster.Member, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !on {
+		s.rev++
+		delete(s.items, scout.DiskPrefix+m.Node)
+		return
+	}
+	data, _ := json.Marshal(m)
+	s.put(scout.DiskPrefix+m.Node, data)
+}
+
+// operator wants VMs emptied.
+type operator struct {
+	want map[string]bool
+	told []bool // whether complete
+}
+
+func (o *operator) Retiring(context.Context) (map[string]bool, error) { return o.want, nil }
+
+func (o *operator) Retired(_ context.Context, _ string, complete bool) error {
+	o.told = append(o.told, complete)
+	return nil
+}
+
+type world struct {
+	t  *testing.T
+	s  *shelf
+	op *operator
+	k  *Keeper
+}
+
+// newWorld starts a VM "d" beside a, b and c. It takes no calls of others.
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, s: &shelf{items: map[string]store.Entry{}}, op: &operator{want: map[string]bool{}}}
+	w.k = &Keeper{
+		Settings: Settings{Node: "d", Address: "d:1", Domain: "w", Losses: 1},
+		Store:    w.s, Operator: w.op, Log: zerolog.Nop(), Scope: tally.NoopScope,
+	}
+	w.k.started = time.Now()
+	w.k.joined = make(chan error, 1)
+	w.k.holder.Dir = t.TempDir()
+	_, err := w.k.holder.Open()
+	is.New(t).NoErr(err)
+	w.k.caughtUp = true
+	w.k.scout.Store = w.s
+	w.k.listed.Init()
+	is.New(t).NoErr(w.k.link.Start(t.Context()))
+	t.Cleanup(func() { _ = w.k.holder.Close() })
+	return w
+}
+
+func others() []roster.Member {
+	return []roster.Member{{Node: "a", Domain: "x", Life: "1"}, {Node: "b", Domain: "y", Life: "2"}, {Node: "c", Domain: "z", Life: "3"}}
+}
+
+// run lets the VM look for a while.
+func (w *world) run(d time.Duration) {
+	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(lookEvery) {
+		w.k.step(w.t.Context())
+	}
+}
+
+func (w *world) nodes() (s string) {
+	data := w.s.items[scout.RosterKey].Data
+	if data == nil {
+		return ""
+	}
+	r, err := roster.Decode(data)
+	is.New(w.t).NoErr(err)
+	for _, p := range r.Places {
+		s += p.Node
+	}
+	return s
+}
+
+// started has a, b and c hold the records, and d beside them.
+func (w *world) started() {
+	for _, m := range others() {
+		w.s.list(m, true)
+	}
+	r, _ := roster.First(others(), 1)
+	data, _ := r.Encode()
+	w.s.put(scout.RosterKey, data)
+	w.s.list(w.k.self(), true)
+	w.run(3 * time.Second)
+	is.New(w.t).Equal(w.nodes(), "abc")
+}
+
+func TestFirstRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.s.list(w.k.self(), true)
+		w.s.list(others()[0], true)
+		w.run(time.Second)
+		is.Equal(w.nodes(), "") // one more may come
+		w.run(roster.Gather)
+		is.Equal(w.nodes(), "ad") // it didn't
+	})
+}
+
+// A VM with a disk is gone for good. Another must take its place within seconds, or
+// the next loss takes records with it.
+func TestPlaceOfAVMThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.started()
+		w.s.list(others()[1], false)
+		w.run(roster.TakeOver)
+		is.Equal(w.nodes(), "abc")
+		w.run(2 * lookEvery)
+		is.Equal(w.nodes(), "adc")
+	})
+}
+
+// A killed process is back within two seconds. Taking its place would copy all
+// records for nothing.
+func TestPlaceOfAVMThatComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.started()
+		w.s.list(others()[1], false)
+		w.run(roster.TakeOver - lookEvery)
+		w.s.list(others()[1], true)
+		w.run(5 * time.Second)
+		is.New(t).Equal(w.nodes(), "abc")
+	})
+}
+
+// The store was away and all keys lapsed, of VMs that live. None of their places
+// may be taken while they write their keys again.
+func TestKeysThatLapsedInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.started()
+		w.s.down = true
+		w.run(5 * time.Second)
+		for _, m := range others() {
+			w.s.list(m, false)
+		}
+		w.s.down = false
+		w.run(2 * time.Second)
+		for _, m := range others() {
+			w.s.list(m, true)
+		}
+		w.run(5 * time.Second)
+		is.New(t).Equal(w.nodes(), "abc")
+	})
+}
+
+// The operator wants a VM emptied. "Complete" has its disk thrown away at once, so
+// it must not be said while the VM has a place, or while another is still copying.
+func TestRetire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.started()
+		r, _ := roster.First(others(), 1)
+		r.Version = 5
+		r.Places[2] = roster.Place{Node: "d", Address: "d:1", Domain: "w", Life: w.k.holder.Life()}
+		set := func() {
+			data, _ := r.Encode()
+			w.s.put(scout.RosterKey, data)
+		}
+		set()
+		spare := others()[2]
+		w.s.list(spare, true)
+		w.op.want["d"] = true
+		w.run(3 * time.Second)
+		is.Equal(w.op.told, []bool{false}) // c may take the place
+		r = r.WithJoined("")
+		r.Places[2] = roster.Place{Node: "c", Life: "3", Joining: true}
+		set()
+		w.run(3 * time.Second)
+		is.Equal(w.op.told, []bool{false})
+		r = r.WithJoined("3")
+		set()
+		w.run(3 * time.Second)
+		is.Equal(w.op.told, []bool{false, true})
+	})
+}
