keeper: a VM that was put in another's place takes it after 0.8 s

A holder that only catches up after a restart tried again every 0.4 s while another disk was joining.

--- a/internal/disk/holder/copy.go
+++ b/internal/disk/holder/copy.go
@@ -57,6 +57,11 @@
 			return h.barrier(ctx, r.Version)
 		}
 	}
+	if self, _ := r.Find(h.life); !self.Joining {
+		// This holder has all that it acknowledged. What it missed only makes
+		// one more copy, so it takes what there is.
+		return nil
+	}
 	return errors.Wrapf(ErrTooFew, "%d of %d (%v)", whole, r.Reads(), err)
 }
 
--- a/internal/disk/quorum/quorum_test.go
+++ b/internal/disk/quorum/quorum_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/disk/book"
+	"github.com/slaterock/slaterock/internal/disk/holder"
 )
 
 func soon(t *testing.T) context.Context {
@@ -149,6 +150,29 @@
 	}
 }
 
+// A process that was away catches up while another disk is joining, so that fewer
+// places can be read than a new disk needs. Trying again and again would cost the
+// others their time; a disk that is new must not be content with it.
+func TestCatchUpTakesWhatThereIs(t *testing.T) { synctest.Test(t, testCatchUpTakesWhatThereIs) }
+
+func testCatchUpTakesWhatThereIs(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 1)
+	c := w.client()
+	w.set(w.down, "n1", true)
+	write(t, c, turn("1", ""))
+	w.set(w.down, "n1", false)
+	r := w.current()
+	r.Places[2].Joining = true
+	peers := func(a string) holder.Invoker { return way{w, a} }
+	is.NoErr(w.holders["n1"].Join(t.Context(), r, peers))
+	_, turns, _ := w.holders["n1"].Stats()
+	is.Equal(turns, 1)
+	is.True(w.holders["n3"].Join(t.Context(), r, peers) == nil) // two others are whole
+	r.Places[1].Joining = true
+	is.True(w.holders["n3"].Join(t.Context(), r, peers) != nil)
+}
+
 // Two of a program's sub-agents ask at the same time, through two daemons. Each
 // must see what the other takes, or both are let in where the budget bears one.
 func TestConcurrentReservationsSeeEachOther(t *testing.T) {
--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -29,6 +29,10 @@
 	// before another VM takes the place. Killed processes are back within two
 	// seconds with their records; moving a place costs a copy of all records.
 	TakeOver = 2500 * time.Millisecond
+	// TakeOverNew is the same for a VM that has just started with an empty disk:
+	// most likely it was put there in place of the one that is missing, and
+	// until it has the records one more loss could not be borne.
+	TakeOverNew = 800 * time.Millisecond
 	// Gather is how long the first VMs wait for the others at the first start.
 	// All start within 0.3 s of each other, and some are slow to start.
 	Gather = 2500 * time.Millisecond
@@ -168,10 +172,10 @@
 
 // Claim returns the next version, in which self takes a place, if there is one
 // to take: its own with a former life, one that is free, one whose VM is to be
-// emptied, or one whose VM has been missing for long. Missing tells since when a
-// node has not been listed. While another place is joining, none is taken that
+// emptied, or one whose VM has been missing for that long. Missing tells since when
+// a node has not been listed. While another place is joining, none is taken that
 // holds records: two at once could leave too few that hold them all.
-func (r Roster) Claim(now time.Time, self Member, members []Member, missing map[string]time.Time) (Roster, bool) {
+func (r Roster) Claim(now time.Time, self Member, members []Member, missing map[string]time.Time, long time.Duration) (Roster, bool) {
 	if _, in := r.Find(self.Life); in || self.Retiring {
 		return Roster{}, false
 	}
@@ -192,7 +196,7 @@
 	}
 	for i, p := range r.Places {
 		since, gone := missing[p.Node]
-		if gone && now.Sub(since) >= TakeOver || retiring[p.Life] {
+		if gone && now.Sub(since) >= long || retiring[p.Life] {
 			if r.joining(i) {
 				return Roster{}, false
 			}
--- a/internal/disk/roster/roster_test.go
+++ b/internal/disk/roster/roster_test.go
@@ -101,7 +101,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			next, ok := c.r.Claim(now, c.self, append(c.others, c.self), c.missing)
+			next, ok := c.r.Claim(now, c.self, append(c.others, c.self), c.missing, TakeOver)
 			is.Equal(ok, c.want != "")
 			if ok {
 				is.Equal(places(next), c.want)
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -37,6 +37,9 @@
 	// alone is how long a VM that is to be emptied waits for another to take
 	// its place before it hands its records to those that remain.
 	alone = 2 * time.Second
+	// newFor is how long a VM with an empty disk counts as new: longer than its
+	// predecessor's key lives.
+	newFor = 8 * time.Second
 )
 
 type (
@@ -69,6 +72,7 @@
 		scout    scout.Scout
 		listed   listed.Listed
 		started  time.Time
+		blank    bool      // the disk was empty at the start
 		askedAt  time.Time // what the operator wants
 		freshAt  time.Time // last read that was not stale
 		away     bool      // the store doesn't answer
@@ -93,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	k.caughtUp = blank // as the first of all, or else it joins
+	k.blank, k.caughtUp = blank, blank // as the first of all, or else it joins
 	programs, turns, bytes := k.holder.Stats()
 	k.Log.Info().Str("life", k.holder.Life()).Bool("blank", blank).Int("programs", programs).Int("turns", turns).
 		Int64("bytes", bytes).Dur("took_ms", time.Since(k.started)).Msg("records opened")
@@ -174,7 +178,7 @@
 	// reads may be seconds behind; the others have time.
 	known := k.scout.State()
 	_, placed := known.Roster.Find(k.holder.Life())
-	stale := placed || time.Since(k.freshAt) < freshEvery || !known.Roster.Next(k.self(), known.Members)
+	stale := placed || !k.isNew() && time.Since(k.freshAt) < freshEvery || !known.Roster.Next(k.self(), known.Members)
 	if !stale {
 		k.freshAt = time.Now()
 	}
@@ -259,15 +263,26 @@
 	}, "founded")
 }
 
+// long is how long a VM must be missing before its place is taken.
+func (k *Keeper) long() time.Duration {
+	if k.isNew() {
+		return roster.TakeOverNew
+	}
+	return roster.TakeOver
+}
+
+// isNew tells whether this VM has just started with an empty disk.
+func (k *Keeper) isNew() bool { return k.blank && time.Since(k.started) < newFor }
+
 // claim takes a place if there is one to take.
 func (k *Keeper) claim(ctx context.Context, s scout.State) bool {
 	now := time.Now()
-	if _, ok := s.Roster.Claim(now, k.self(), s.Members, k.missing); !ok {
+	if _, ok := s.Roster.Claim(now, k.self(), s.Members, k.missing, k.long()); !ok {
 		return false
 	}
 	return k.change(ctx, func(s scout.State) (roster.Roster, bool) {
 		k.noteMissing(s)
-		return s.Roster.Claim(now, k.self(), s.Members, k.missing)
+		return s.Roster.Claim(now, k.self(), s.Members, k.missing, k.long())
 	}, "place claimed")
 }
 
--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -175,6 +175,22 @@
 	})
 }
 
+// A VM was put there in place of one that is gone. It must not wait as long as one
+// that has stood by: until it has the records, one more loss can't be borne.
+func TestPlaceForANewVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.started()
+		w.k.blank, w.k.started = true, time.Now()
+		w.s.list(others()[1], false)
+		w.run(roster.TakeOverNew - lookEvery)
+		is.Equal(w.nodes(), "abc")
+		w.run(2 * lookEvery)
+		is.Equal(w.nodes(), "adc")
+	})
+}
+
 // A killed process is back within two seconds. Taking its place would copy all
 // records for nothing.
 func TestPlaceOfAVMThatComesBack(t *testing.T) {
