--- a/internal/play/storm/caller.go
+++ b/internal/play/storm/caller.go
@@ -22,6 +22,9 @@
 	turnEvents  = 10
 	perEvent    = 3
 	maxOthers   = 20
+
+	keepPath   = "/turn/"
+	resumePath = "/resume/"
 )
 
 type (
@@ -97,11 +100,13 @@
 func (c *caller) program(ctx context.Context, name string) {
 	previous, said, spent := "", []byte(nil), 0
 	for turn := range 3 + c.rnd.IntN(12) {
+		helped := c.help(ctx, name, turn)
 		for try := 0; ; try++ {
 			id := fmt.Sprintf("%s-t%d-%d", name, turn, try)
 			input := []byte(fmt.Sprintf("input of %s;", id))
-			status, tokens, output, whole := c.turn(ctx, name, id, previous, said, input)
+			status, tokens, output, whole := c.turn(ctx, keepPath, name, id, previous, said, input)
 			spent += tokens
+			spent += helped()
 			if spent > budget+turnMost {
 				c.s.seen.breach("%s: %d tokens handed out, budget %d", name, spent, budget)
 			}
@@ -122,8 +127,25 @@
 	}
 }
 
+// help starts a sub-agent beside some of the program's turns. It spends from the
+// same budget, on a route whose streams may be resumed. What is returned waits
+// for it and tells its tokens, once.
+func (c *caller) help(ctx context.Context, program string, turn int) (spent func() int) {
+	if c.rnd.IntN(4) > 0 {
+		return func() int { return 0 }
+	}
+	sub := &caller{s: c.s, rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 1)), id: c.id, front: -1, client: c.client}
+	done := make(chan int, 1)
+	go func() {
+		_, tokens, _, _ := sub.turn(ctx, resumePath, program, fmt.Sprintf("%s-h%d", program, turn), "", nil, []byte("help"))
+		done <- tokens
+		close(done)
+	}()
+	return func() int { return <-done }
+}
+
 // turn sends one turn and checks its stream.
-func (c *caller) turn(ctx context.Context, program, id, previous string, said, input []byte) (status, tokens int, output []byte, whole bool) {
+func (c *caller) turn(ctx context.Context, path, program, id, previous string, said, input []byte) (status, tokens int, output []byte, whole bool) {
 	h := http.Header{}
 	h.Set("Program-Id", program)
 	h.Set("Token-Budget", fmt.Sprint(budget))
@@ -132,7 +154,7 @@
 	if previous != "" {
 		h.Set("Previous-Turn", previous)
 	}
-	status, body, err := c.send(ctx, http.MethodPost, fmt.Sprintf("/turn/x?events=%d", turnEvents), id, h, input)
+	status, body, err := c.send(ctx, http.MethodPost, fmt.Sprintf("%sx?events=%d", path, turnEvents), id, h, input)
 	events := strings.Count(string(body), "\n\n")
 	whole = status == http.StatusOK && err == nil
 	want := ""
@@ -146,7 +168,7 @@
 			c.s.seen.breach("%s: a stream that is not the upstream's (whole %v): %.120q", id, whole, body)
 		}
 	}
-	c.s.seen.note(ctx, id, seen{status: status, err: err}, whole)
+	c.s.seen.note(ctx, id, seen{status: status, idem: path == resumePath, err: err}, whole)
 	return status, tokens, output, whole
 }
 
--- a/internal/play/storm/storm.go
+++ b/internal/play/storm/storm.go
@@ -268,7 +268,7 @@
 		for n := 0; ; n++ {
 			c := &caller{s: s, rnd: rand.New(rand.NewPCG(1, 1)), front: i, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 			id := fmt.Sprintf("await-%d-%d-%d", until.UnixNano(), i, n)
-			if _, _, _, whole := c.turn(ctx, id, id, "", nil, []byte("x")); whole {
+			if _, _, _, whole := c.turn(ctx, keepPath, id, id, "", nil, []byte("x")); whole {
 				break
 			}
 			if time.Now().After(until) || ctx.Err() != nil {
