disk/memo: the VMs with a disk keep what fronts know, for a start without the store

Cause: fronts have no disk. When all of them start anew while the platform's store is away, none has a configuration or knows an upstream, and none can tell another. Ruled out: the records, which were open 0.1 s after the start; other daemons, which are found through the store only.

Change: fronts send each state that they read to the places of the roster, at most once a second. Fronts without a configuration ask the addresses under `seeds`, where the VMs with a disk now listen. Connections between VMs are dialled for 0.3 s at a time, since an opening packet to a VM without power is lost and repeated after a second only.

TestServedWithoutTheStore fails without the question at the start; the soak now also restarts everything while the store is away.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -133,7 +133,7 @@
 	d := &frontd.Daemon{
 		Settings: frontd.Settings{
 			Node: s.Node, Domain: s.Domain, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
-			Peer: p.peerAddress(), Grace: s.Grace, AnswerTTL: s.AnswerTTL,
+			Peer: p.peerAddress(), Seeds: s.Seeds, Grace: s.Grace, AnswerTTL: s.AnswerTTL,
 		},
 		Store: p.store, Source: platform.Source{Store: p.store}, Dialect: platform.Dialect{}, Names: platform.Names{},
 		Log: p.log, Scope: p.metric.Scope(), Trace: t,
@@ -161,7 +161,7 @@
 	}()
 	k := &keeper.Keeper{
 		Settings: keeper.Settings{
-			Node: s.Node, Domain: s.Domain, Address: p.peerAddress(), Dir: s.DataDir,
+			Node: s.Node, Domain: s.Domain, Address: p.peerAddress(), Control: s.Control, Dir: s.DataDir,
 			Capacity: int64(s.DiskMB) << 20, Losses: s.Losses,
 		},
 		Store: p.store, Operator: platform.Source{Store: p.store}, Log: p.log, Scope: p.metric.Scope(),
--- a/cmd/slaterock/storm_test.go
+++ b/cmd/slaterock/storm_test.go
@@ -11,6 +11,26 @@
 	"github.com/slaterock/slaterock/internal/play/storm"
 )
 
+// All processes are killed at once and start again while the platform's store is
+// away. Daemons that serve callers have no disk, so only the VMs with one can tell
+// them the configuration and the upstreams. Callers would be refused until the
+// store's return, for as long as that takes.
+func TestServedWithoutTheStore(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	t.Setenv(asMain, "1")
+	var faults bytes.Buffer
+	s := &storm.Storm{
+		Seed: 5, Dark: true, For: 2 * time.Second, Fronts: 2, Disks: 3, Upstreams: 4, Callers: 6,
+		Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: &faults,
+	}
+	sum, err := s.Run(t.Context())
+	t.Logf("%+v\n%s", sum, faults.String())
+	is.NoErr(err)
+}
+
 // The real programs run as processes of their own before stand-ins of the users'
 // platform. Callers run programs of kept turns and calls, with budgets, while
 // nothing is wrong, and while processes are killed, stopped and paused, disks are
--- a/internal/disk/holder/life.go
+++ b/internal/disk/holder/life.go
@@ -8,13 +8,14 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/disk/synced"
 )
 
 const (
 	lifeFile = "life"
 	lifeSize = 8
 	dirMode  = 0o700
-	fileMode = 0o600
 )
 
 // identify returns the disk's life, and whether the disk was empty. The life is
@@ -37,22 +38,5 @@
 	var nonce [lifeSize]byte
 	_, _ = rand.Read(nonce[:]) // never fails
 	life = hex.EncodeToString(nonce[:])
-	return life, true, writeDurable(dir, name, life)
-}
-
-func writeDurable(dir, name, text string) (err error) {
-	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode) //nolint:gosec // as above
-	if err != nil {
-		return err
-	}
-	_, err = f.WriteString(text + "\n")
-	err = errors.CombineErrors(err, f.Sync())
-	if err = errors.CombineErrors(err, f.Close()); err != nil {
-		return err
-	}
-	d, err := os.Open(dir) //nolint:gosec // as above
-	if err != nil {
-		return err
-	}
-	return errors.CombineErrors(d.Sync(), d.Close())
+	return life, true, synced.Write(name, []byte(life+"\n"))
 }
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -43,6 +43,13 @@
 	// graceLeft is kept of the time between SIGTERM and SIGKILL.
 	graceLeft = 700 * time.Millisecond
 	sweepEach = time.Second
+	// dialTime is how long another VM has to open a connection, and dialPause the
+	// longest pause before it is tried again. A VM without power says nothing, and
+	// the kernel would repeat a lost opening packet after a second only: callers
+	// wait while the records are there. Exchanges take 2 ms on the sites, 60 ms
+	// between far regions.
+	dialTime  = 300 * time.Millisecond
+	dialPause = 300 * time.Millisecond
 	// probeEach is the pause between looks at whether the holders of records can
 	// be reached.
 	probeEach = 200 * time.Millisecond
@@ -60,7 +67,8 @@
 		Callers   string // addresses to listen at
 		Ready     string
 		Directory string
-		Peer      string // for other daemons
+		Peer      string   // for other daemons
+		Seeds     []string // addresses of VMs with a disk; some may be down or gone
 		Grace     time.Duration
 		AnswerTTL time.Duration // longest that callers keep a directory's answer
 	}
@@ -94,6 +102,7 @@
 		entry   entry.Entry
 		leaving atomic.Bool
 		reads   reads
+		kept    kept
 	}
 )
 
@@ -137,6 +146,7 @@
 	d.picker.Name, d.picker.Domain = d.Settings.Node, d.Settings.Domain
 	d.picker.Idle, d.picker.Pause = d.pool.Idle, d.rumor.Pause
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
+	d.link.DialTime, d.link.BackOff = dialTime, dialPause
 	d.link.Handle(methodKnown, d.tellKnown)
 	if err := d.link.Start(ctx); err != nil {
 		return err
@@ -173,6 +183,7 @@
 		}
 	}()
 	go d.read(ctx)
+	d.recall(ctx)
 	go d.sweep(ctx)
 	go d.probe(ctx)
 	return nil
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -117,6 +117,7 @@
 	}
 	n.Entries = d.scout.State().Entries
 	d.learn(n, nil)
+	d.keep(ctx)
 	return nil
 }
 
@@ -193,19 +194,20 @@
 	delete(d.reads.busy, e.Node)
 	d.reads.mu.Unlock()
 	if err == nil {
-		err = d.takeKnown(raw)
+		err = d.takeKnown(raw, 0)
 	}
 	if err != nil && d.entry.Stop.Err() == nil {
 		d.Log.Warn().Err(err).Str("peer", e.Node).Msg("newer knowledge not got from a daemon")
 	}
 }
 
-func (d *Daemon) takeKnown(raw []byte) error {
+// takeKnown learns what another daemon knew, some time ago.
+func (d *Daemon) takeKnown(raw []byte, ago time.Duration) error {
 	var k known
 	if err := cbor.Unmarshal(raw, &k); err != nil {
 		return errors.Wrap(err, "decode")
 	}
-	t := fleet.Told{Age: time.Duration(k.Age) * time.Millisecond}
+	t := fleet.Told{Age: time.Duration(k.Age)*time.Millisecond + ago}
 	t.Revision, t.Upstreams, t.Entries = k.Revision, k.Upstreams, k.Entries
 	if len(k.Config) > 0 {
 		var err error
@@ -222,6 +224,11 @@
 
 // tellKnown answers another daemon.
 func (d *Daemon) tellKnown(context.Context, json.RawMessage) (any, error) {
+	data, err := d.encodeKnown()
+	return link.Raw(data), err
+}
+
+func (d *Daemon) encodeKnown() ([]byte, error) {
 	v := d.fleet.View()
 	k := known{
 		Revision: v.Revision, Age: time.Since(v.Confirmed).Milliseconds(), Upstreams: slices.Clone(v.Upstreams), Entries: v.Entries,
@@ -235,8 +242,7 @@
 			return nil, err
 		}
 	}
-	data, err := cbor.Marshal(k)
-	return link.Raw(data), err
+	return cbor.Marshal(k)
 }
 
 // learn takes news and logs what changed.
--- /dev/null
+++ b/internal/node/frontd/recall.go
@@ -0,0 +1,158 @@
+package frontd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/slaterock/slaterock/internal/disk/memo"
+	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/peer/link"
+)
+
+// A daemon that serves callers has no disk. It has the VMs with a disk keep what
+// it read, and asks them if the store gives it nothing at its start. Without
+// this, nobody is served from the moment at which all daemons stop while the
+// store is away until the store's return.
+
+const (
+	// keepPause is the shortest pause between two values that a VM with a disk
+	// is sent, some 30 kB each, while upstreams come and go all the time.
+	keepPause = time.Second
+	// recallWait is how long the store has to answer at the start, and the pause
+	// between questions to a VM with a disk. The store takes some 10 ms where it
+	// is well.
+	recallWait = 100 * time.Millisecond
+)
+
+type (
+	// kept is which knowledge each VM with a disk was sent last.
+	kept struct {
+		mu  sync.Mutex
+		of  map[string]sent // by the VM's address
+		now bool            // it is being sent
+	}
+
+	// sent tells two states of knowledge apart.
+	sent struct {
+		hash   uint64 // of the fleet
+		roster uint64 // its version
+		at     time.Time
+	}
+)
+
+// keep sends what is known to the VMs with a disk that hold something else.
+func (d *Daemon) keep(ctx context.Context) {
+	r := d.scout.Roster()
+	next := sent{hash: d.fleet.View().Hash, roster: r.Version, at: time.Now()}
+	stale := d.kept.begin(r.Places, next)
+	if len(stale) == 0 {
+		return
+	}
+	go func() {
+		defer d.kept.end()
+		d.sendMemo(ctx, stale, next)
+	}()
+}
+
+// begin returns the addresses of the places that are to be sent the next state.
+// End must be called if there are any.
+func (k *kept) begin(places []roster.Place, next sent) (stale []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.now {
+		return nil
+	}
+	for _, p := range places {
+		was := k.of[p.Address]
+		same := was.hash == next.hash && was.roster == next.roster
+		if !same && next.at.Sub(was.at) >= keepPause {
+			stale = append(stale, p.Address)
+		}
+	}
+	k.now = len(stale) > 0
+	return stale
+}
+
+func (k *kept) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.now = false
+}
+
+func (d *Daemon) sendMemo(ctx context.Context, addresses []string, next sent) {
+	data, err := d.encodeKnown()
+	if err != nil {
+		d.Log.Error().Err(err).Msg("knowledge not encoded")
+		return
+	}
+	note, err := cbor.Marshal(memo.Note{Revision: d.fleet.View().Revision, Data: data})
+	if err != nil {
+		d.Log.Error().Err(err).Msg("knowledge not encoded")
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, askTime)
+	defer stop()
+	var work sync.WaitGroup
+	for _, address := range addresses {
+		work.Go(func() {
+			err := d.link.Peer(address).Invoke(ctx, memo.MethodKeep, link.Raw(note), nil)
+			d.kept.note(address, next, err == nil)
+			if err != nil && ctx.Err() == nil {
+				d.Log.Warn().Err(err).Str("peer", address).Msg("knowledge not kept on a disk")
+			}
+		})
+	}
+	work.Wait()
+}
+
+// note remembers what a VM was sent. One that did not confirm is sent the next
+// state after the pause, whatever it is.
+func (k *kept) note(address string, s sent, confirmed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.of == nil {
+		k.of = map[string]sent{}
+	}
+	if !confirmed {
+		s = sent{at: s.at}
+	}
+	k.of[address] = s
+}
+
+// recall asks the VMs with a disk for the last knowledge, until there is some.
+// They may start later than this daemon, each at a time of its own.
+func (d *Daemon) recall(ctx context.Context) {
+	for _, address := range d.Settings.Seeds {
+		go func() {
+			var err error
+			for pause(ctx, recallWait) && d.fleet.View().Table == nil {
+				err = d.recallFrom(ctx, address)
+			}
+			if err != nil && ctx.Err() == nil {
+				d.Log.Warn().Err(err).Str("peer", address).Msg("last knowledge not got from a disk")
+			}
+		}()
+	}
+}
+
+func (d *Daemon) recallFrom(ctx context.Context, address string) (err error) {
+	ctx, stop := context.WithTimeout(ctx, askTime)
+	defer stop()
+	var raw link.Raw
+	if err = d.link.Peer(address).Invoke(ctx, memo.MethodLast, struct{}{}, &raw); err != nil {
+		return err
+	}
+	var n memo.Note
+	if err = cbor.Unmarshal(raw, &n); err != nil {
+		return errors.Wrap(err, "decode note")
+	}
+	if len(n.Data) == 0 {
+		return errors.New("nothing was kept there")
+	}
+	d.Log.Info().Str("peer", address).Uint64("revision", n.Revision).Int64("age_ms", n.Age).Msg("last knowledge recalled from a disk")
+	return d.takeKnown(n.Data, time.Duration(n.Age)*time.Millisecond)
+}
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/slaterock/slaterock/internal/disk/holder"
+	"github.com/slaterock/slaterock/internal/disk/memo"
 	"github.com/slaterock/slaterock/internal/disk/roster"
 	"github.com/slaterock/slaterock/internal/node/listed"
 	"github.com/slaterock/slaterock/internal/node/scout"
@@ -48,6 +49,7 @@
 		Node     string
 		Domain   string
 		Address  string // for other daemons
+		Control  string // a second address for them, where those find it that know nothing yet
 		Dir      string
 		Capacity int64 // bytes of the disk
 		Losses   int   // VMs with a disk that may be lost at once
@@ -68,6 +70,7 @@
 		Scope    tally.Scope
 
 		holder   holder.Holder
+		memo     memo.Memo
 		link     link.Link
 		scout    scout.Scout
 		listed   listed.Listed
@@ -108,6 +111,8 @@
 	}
 	k.link.Address, k.link.Scope = k.Settings.Address, k.Scope
 	k.holder.Register(&k.link)
+	k.memo.Dir = k.Settings.Dir
+	k.memo.Register(&k.link)
 	k.scout.Store = k.Store
 	k.listed = listed.Listed{Store: k.Store, Key: scout.DiskPrefix + k.Settings.Node, Data: k.value, OnEnd: k.tellListed}
 	k.listed.Init()
@@ -118,11 +123,28 @@
 	}()
 	go k.look(ctx)
 	go k.trim(ctx)
+	go k.serveControl(ctx)
 	err = k.link.Serve(ctx, ln)
 	<-listing
 	return errors.CombineErrors(err, k.holder.Close())
 }
 
+// serveControl takes daemons that know nothing but the addresses in their
+// settings.
+func (k *Keeper) serveControl(ctx context.Context) {
+	if k.Settings.Control == "" {
+		return
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", k.Settings.Control)
+	if err == nil {
+		err = k.link.Serve(ctx, ln)
+	}
+	if err != nil && ctx.Err() == nil {
+		k.Log.Error().Err(err).Str("address", k.Settings.Control).Msg("not served any more")
+	}
+}
+
 func (k *Keeper) self() roster.Member {
 	return roster.Member{
 		Node: k.Settings.Node, Address: k.Settings.Address, Domain: k.Settings.Domain, Life: k.holder.Life(), Retiring: k.retiring.Load(),
--- a/internal/peer/link/life_test.go
+++ b/internal/peer/link/life_test.go
@@ -81,6 +81,28 @@
 	})
 }
 
+// A VM is without power for some seconds. Daemons that depend on it must reach it
+// soon after its return; with the usual pause their callers would wait for up to
+// two seconds although it is there.
+func TestShortBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t, scripted{call: twenty})
+		defer p.end()
+		p.a.BackOff = 300 * time.Millisecond
+		p.stopB()
+		synctest.Wait()
+		for range 10 * 100 {
+			is.True(!p.a.Peer("b").Call(t.Context(), call.Call{}, nil).OK())
+			elapse(10 * time.Millisecond)
+		}
+		b := Link{Address: "b", Key: []byte("key"), Dial: p.memory.dial, Runner: scripted{call: twenty}}
+		p.serve(p.ctx, &b, "b")
+		elapse(p.a.BackOff)
+		is.True(p.a.Peer("b").Call(t.Context(), call.Call{}, nil).OK())
+	})
+}
+
 // The caller's side is gone without a word while its call waits for an engine.
 // The owner must not work for it for ever.
 func TestCallerGoesSilent(t *testing.T) {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -59,6 +59,8 @@
 		Dial     Dialer
 		Workers  int
 		Idle     time.Duration
+		DialTime time.Duration // until a connection must be open
+		BackOff  time.Duration // longest pause between dials
 		Scope    tally.Scope
 
 		handlers map[string]Handler
@@ -112,11 +114,17 @@
 	if l.Idle == 0 {
 		l.Idle = DefaultIdle
 	}
+	if l.DialTime == 0 {
+		l.DialTime = dialTimeout
+	}
+	if l.BackOff == 0 {
+		l.BackOff = backOffMax
+	}
 	if l.Scope == nil {
 		l.Scope = tally.NoopScope
 	}
 	if l.Dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout}
+		d := &net.Dialer{Timeout: l.DialTime}
 		l.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		}
--- a/internal/peer/link/peer.go
+++ b/internal/peer/link/peer.go
@@ -243,7 +243,7 @@
 		return
 	}
 	p.failure = err
-	p.wait = min(max(2*p.wait, backOffFirst), backOffMax)
+	p.wait = min(max(2*p.wait, backOffFirst), p.link.BackOff)
 	// The jitter keeps daemons apart that lost the same peer together.
 	p.next = time.Now().Add(p.wait/2 + rand.N(p.wait/2))
 }
--- a/internal/play/storm/build.go
+++ b/internal/play/storm/build.go
@@ -87,12 +87,13 @@
 	s.stores = append(s.stores, p)
 	name := fmt.Sprintf("%s-%d", role, i)
 	c := &child{name: name, role: role, command: s.Command, settings: s.file(name + ".yaml")}
-	listen, dir := "{}", "null"
+	listen, dir := "", "null"
 	if role == "front" {
 		listen = fmt.Sprintf("{front: %q, ready: %q, directory: %q}", fmt.Sprintf("%s:%d", ip, listPort), fmt.Sprintf("%s:%d", ip, listPort+1), fmt.Sprintf("%s:%d", ip, listPort+2))
 	} else {
 		c.dir = s.file(name)
 		dir = fmt.Sprintf("%q", c.dir)
+		listen = fmt.Sprintf("{control: %q}", fmt.Sprintf("%s:%d", ip, listPort+3))
 	}
 	text := fmt.Sprintf(`node-name: %q
 machine-class: %q
@@ -101,6 +102,7 @@
 region: "r"
 listen: %s
 port-range: [%d, %d]
+seeds: ["127.0.2.1:%d", "127.0.2.2:%d", "127.0.2.3:%d"]
 bootstrap: true
 loss-counts: %v
 limits: {cpu-share: 1, cores: 1, memory-mb: 200, disk-mb: 300}
@@ -109,7 +111,7 @@
 fault-tolerance: {machines: 1, zones: 0, regions: 0}
 bounds: {drain-ms: 2000, grace-s: 8, ttl_max_s: 5}
 platform: {address: %q, writes-per-s: 400, reads-per-s: 2000, value-bytes: 1048576, ttl-min-ms: 1000}
-`, name, role, ip, i%3, listen, peerPort, peerPort+15, role == "storage", dir, p.Address)
+`, name, role, ip, i%3, listen, peerPort, peerPort+15, listPort+3, listPort+3, listPort+3, role == "storage", dir, p.Address)
 	if err := os.WriteFile(c.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/internal/play/storm/storm.go
+++ b/internal/play/storm/storm.go
@@ -36,8 +36,12 @@
 	// recoverTime is how long after the last fault every promise of service
 	// must hold again.
 	recoverTime = 15 * time.Second
-	termGrace   = 9 * time.Second
-	entryEvery  = 700 * time.Millisecond
+	// darkTime is how long after the start of all processes they must serve
+	// without the store.
+	darkTime   = 5 * time.Second
+	darkOdds   = 13 // one fault in so many
+	termGrace  = 9 * time.Second
+	entryEvery = 700 * time.Millisecond
 )
 
 type (
@@ -51,10 +55,12 @@
 		Upstreams int
 		Callers   int
 		Calm      bool // no faults
+		Dark      bool // one fault only: everything starts anew while the store is away
 		Dir       string
 		Out       io.Writer
 
 		rnd         *rand.Rand
+		dark        *rand.Rand // drawn apart, so that the other faults of a seed stay what they were
 		depot       depot.Depot
 		ledger      upstrm.Ledger
 		ups         []*upstrm.Upstream
@@ -80,7 +86,7 @@
 // Run plays the run. The error lists broken promises.
 func (s *Storm) Run(ctx context.Context) (sum Summary, err error) {
 	defer func() { err = errors.Wrapf(err, "seed %d", s.Seed) }()
-	s.rnd = rand.New(rand.NewPCG(s.Seed, 1))
+	s.rnd, s.dark = rand.New(rand.NewPCG(s.Seed, 1)), rand.New(rand.NewPCG(s.Seed, 2))
 	s.seen.attempts = map[string]seen{}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -149,6 +155,15 @@
 		pause(ctx, s.For)
 		return 0
 	}
+	if s.Dark {
+		pause(ctx, s.For)
+		s.blackout(ctx, func() {
+			if err := s.await(ctx, darkTime); err != nil {
+				s.seen.breach("no service while the store was away: %v", err)
+			}
+		})
+		return 1
+	}
 	until := time.Now().Add(s.For)
 	var under sync.WaitGroup
 	var disk sync.Mutex // as many VMs with a disk as may be lost at once
@@ -171,6 +186,9 @@
 		return func() { p.Set(h); pause(ctx, last); p.Set(Pass); p.Reset() }, fmt.Sprintf("%s: harm %d for %v", name, h, last)
 	}
 	f, d := s.fronts[s.rnd.IntN(len(s.fronts))], s.disks[s.rnd.IntN(len(s.disks))]
+	if s.dark.IntN(darkOdds) == 0 {
+		return s.alone(disk, func() { s.blackout(ctx, func() { pause(ctx, last) }) }), fmt.Sprintf("all processes are killed while the store is away, for %v", last)
+	}
 	switch s.rnd.IntN(12) {
 	case 0:
 		return s.again(f, syscall.SIGKILL), f.name + " is killed"
@@ -248,6 +266,20 @@
 	}
 }
 
+// blackout kills all processes and starts them while the store refuses every
+// call, which it does until then has returned.
+func (s *Storm) blackout(ctx context.Context, then func()) {
+	s.depot.Set(depot.Busy)
+	defer s.depot.Set(depot.Fine)
+	pause(ctx, 300*time.Millisecond)
+	var work sync.WaitGroup
+	for _, c := range append(append([]*child(nil), s.fronts...), s.disks...) {
+		work.Go(s.again(c, syscall.SIGKILL))
+	}
+	work.Wait()
+	then()
+}
+
 func (s *Storm) wipe(ctx context.Context, c *child) {
 	c.life.Lock()
 	defer c.life.Unlock()
