watch: cut the old daemons off before their successors start in a test

The test replaced the daemons one by one and meant them to know nothing. The first successor could ask a daemon that had not been replaced yet, or that was stopped but still answered in the test's network, and got the version from it.

The check is as strict as before.

Conclusion: the test was wrong, not the code.

--- a/internal/conf/watch/keeper_test.go
+++ b/internal/conf/watch/keeper_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -304,11 +303,14 @@
 	})
 }
 
+// emptyPeers starts all daemons anew. Those that ran before are cut off first: the
+// first to start would get the version from one that is yet to be stopped.
 func emptyPeers(t *testing.T, f *fleet) {
-	for i := range 3 {
-		name := fmt.Sprint("d", i)
+	cutAll(f)
+	for _, name := range []string{"d0", "d1", "d2"} {
 		f.daemons[name].stop()
 		f.add(t.Context(), name)
+		synctest.Wait()
 	}
 }
 
