quorum: ask a further place after the usual time, not after 20 ms

A burst of 2.3 times the usual load makes every answer of the holders slower than 20 ms, so each write goes to all five places in place of three, and the burst's end no longer lets them catch up. Ruled out: the knowledge kept on disks (it came up with and without), the lost disk (its place was taken late because the VMs had no processor time left), the processor's charge alone (with all holders 1.5 times slower nothing tips over).

Change: a further place is asked after three times what most places usually take, 20 ms at least. One slow disk is passed by as before; where all are slow nothing is added.

The five places carry all the load of eleven VMs; more groups of places would raise what a burst may be.

--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -2,9 +2,10 @@
 // that serves callers.
 //
 // A write goes to f+1 places of the roster, and to others as soon as one fails or
-// is slow, so that a slow disk delays nobody for long; it is acknowledged once f+1
-// have synced it. A read asks the nearest of these places first. That a turn does not exist is certain only after so many places have
-// said so that they would include one with every acknowledged write.
+// is slower than most, so that a slow disk delays nobody for long; it is
+// acknowledged once f+1 have synced it. A read asks the nearest of these places
+// first. That a turn does not exist is certain only after so many places have said
+// so that they would include one with every acknowledged write.
 package quorum
 
 import (
@@ -27,12 +28,12 @@
 	// placeTime bounds one request to one place. Slow disks take 150 ms, and
 	// hang for seconds; a write that comes late is still of use.
 	placeTime = 2500 * time.Millisecond
-	// hedgeWrite is when a write that is not durable also goes to the next
-	// place: on the slowest disks a sync takes 5 ms and may wait for another.
+	// hedgeWrite is the least time after which a write that is not durable also
+	// goes to the next place: on the slowest disks a sync takes 5 ms and may wait
+	// for another.
 	hedgeWrite = 20 * time.Millisecond
-	// hedgeAfter is when a read that has no answer also goes to the next
-	// place: a healthy one answers in 2 ms.
-	hedgeAfter = 25 * time.Millisecond
+	// hedgeRead is the same of a read: a healthy place answers in 2 ms.
+	hedgeRead = 25 * time.Millisecond
 	// pause is kept between tries, so that a roster that just changed is learnt.
 	pause = 40 * time.Millisecond
 )
@@ -57,6 +58,9 @@
 		Learn   func(data []byte)         // takes a roster that a holder told
 		Refresh func(ctx context.Context) // reads the roster from the store, at most now and then
 		Domain  string                    // own failure domain
+
+		writes paces
+		reads  paces
 	}
 
 	// Result is what a write has learnt.
@@ -110,7 +114,7 @@
 	for range r.Writes() {
 		ask()
 	}
-	hedge := time.NewTicker(hedgeWrite)
+	hedge := time.NewTicker(c.writes.hedge(places, hedgeWrite))
 	defer hedge.Stop()
 	shares := map[string]book.Share{}
 	durable, answered := 0, 0
@@ -157,7 +161,9 @@
 	defer stop()
 	a := holder.WriteAsk{Stamp: holder.Stamp{Version: version, Life: p.Life}, Record: rec}
 	out := reply{place: p}
+	began := time.Now()
 	out.err = c.ask(ctx, p, holder.MethodWrite, a, &out.write)
+	c.writes.note(p, time.Since(began), out.err)
 	replies <- out
 }
 
@@ -261,7 +267,7 @@
 	replies := make(chan reply, len(places))
 	ask := c.asker(ctx, r.Version, turn, places, replies)
 	ask()
-	hedge := time.NewTicker(hedgeAfter)
+	hedge := time.NewTicker(c.reads.hedge(places, hedgeRead))
 	defer hedge.Stop()
 	without := 0
 	for heard := 0; heard < len(places); {
@@ -307,7 +313,9 @@
 			defer stop()
 			out := reply{place: p}
 			a := holder.ReadAsk{Stamp: holder.Stamp{Version: version, Life: p.Life}, Turn: turn}
+			began := time.Now()
 			out.err = c.ask(limited, p, holder.MethodRead, a, &out.read)
+			c.reads.note(p, time.Since(began), out.err)
 			replies <- out
 		}()
 	}
