frontd: a later reading of the same revision counts

Each front read the store on its own, every 0.5 s to 1.4 s by its rank: 43 to 89 calls a process in 35 s. Words of others were taken only if their revision was newer, and a store in which nothing changes keeps its revision. Ruled out: renewals (11 a process in that time) and the VMs with a disk.

Change: the same revision with the same knowledge confirms it at the time of the other's reading. A daemon that has read tells so at once, so that the next in rank does not read before the word's turn.

--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// Tell says everything now, without waiting for the next turn.
+func (l *Rumor) Tell() { l.tell(l.Peers()) }
+
 func (l *Rumor) tell(peers []string) {
 	w := l.Own()
 	w.Sent = time.Now().UnixNano()
--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -27,13 +27,16 @@
 func (names) DirectoryPath() string { return "/directory" }
 func (names) ReadyPath() string     { return "/ready" }
 
-func newDaemon(listed ...string) *Daemon {
+func newDaemon(listed ...string) *Daemon { return newDaemonAt(time.Now(), listed...) }
+
+// newDaemonAt returns a daemon that read the store at the time.
+func newDaemonAt(at time.Time, listed ...string) *Daemon {
 	d := &Daemon{Settings: Settings{Node: "self", Callers: "self"}, Names: names{}, Log: zerolog.Nop()}
-	r := fleet.Reading{Revision: 1, Table: route.New(1, nil, nil, route.Limits{})}
+	r := fleet.Reading{Revision: 7, Table: route.New(1, nil, nil, route.Limits{})}
 	for _, name := range append(listed, "self") {
 		r.Entries = append(r.Entries, fleet.Entry{Node: name, Address: name, Peer: name + ":peer"})
 	}
-	d.fleet.Take(time.Now(), r)
+	d.fleet.Take(at, r)
 	return d
 }
 
@@ -53,6 +56,41 @@
 	is.Equal(d.peers(), []string{"a:peer", "b:peer"})
 }
 
+// Nothing changes in the store for a while. One daemon reads it again and again and
+// tells so. If the others did not take that as news, each would read too, and every
+// read is paid for.
+func TestSameKnowledgeByALaterReading(t *testing.T) {
+	const old = 5 * time.Second
+	cases := map[string]struct {
+		revision uint64 // against this daemon's
+		same     bool   // what it knows
+		age      time.Duration
+		want     time.Duration
+	}{
+		"a later reading of the same":     {0, true, 100 * time.Millisecond, 100 * time.Millisecond},
+		"an earlier reading of the same":  {0, true, 9 * time.Second, old},
+		"the same, known to be newer":     {1, true, 100 * time.Millisecond, 100 * time.Millisecond},
+		"something else, read just now":   {0, false, 0, old},
+		"what was before, read just now":  {^uint64(0), true, 0, old},
+		"what was before, something else": {^uint64(0), false, 0, old},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			d := newDaemonAt(now.Add(-old), "a")
+			v := d.fleet.View()
+			w := rumor.Word{Node: "a", Revision: v.Revision + c.revision, Hash: v.Hash, Age: c.age.Milliseconds()}
+			if !c.same {
+				w.Hash++
+			}
+			d.heard(now, w)
+			age := now.Sub(d.fleet.View().Confirmed)
+			is.True(age >= c.want-time.Second && age <= c.want+time.Second)
+		})
+	}
+}
+
 // Daemons are killed, stop, or lose their keys. The directory must send callers
 // neither to one that is gone nor to one that is leaving.
 func TestDirectory(t *testing.T) {
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -117,6 +117,7 @@
 	}
 	n.Entries = d.scout.State().Entries
 	d.learn(n, nil)
+	d.rumor.Tell() // at once, so that the next in rank need not read
 	d.keep(ctx)
 	return nil
 }
@@ -162,11 +163,14 @@
 }
 
 // heard takes what another daemon says. If it knows something newer, that is
-// asked for.
+// asked for. If it knows the same by a later reading, this one need not read: a
+// store that does not change keeps its revision, and daemons that went by newer
+// revisions only read 10 times a second in all where 2 are enough (eight daemons,
+// a quiet day).
 func (d *Daemon) heard(now time.Time, w rumor.Word) {
 	d.picker.Heard(now, w.Node, w.Load)
 	v := d.fleet.View()
-	if w.Revision <= v.Revision {
+	if w.Revision < v.Revision || w.Revision == v.Revision && w.Hash != v.Hash {
 		return
 	}
 	if w.Hash == v.Hash {
