quorum: pass by a place that refuses for a reason of its own

A VM came back with an empty disk at 2.55 s and claimed its place at 4.05 s. In between it refuses what is meant for the disk before it, and the front took every refusal for news of another roster: it gave the write up, read the same roster again, and so on until its patience ended. The two other places would have taken the write. The same held for a full disk and for one that is frozen to be emptied, there for as long as that lasts. Ruled out: the other two places, which answered at once.

Change: a refusal ends a write or read only if it comes with a newer roster than the one it was made under; otherwise the next place is asked.

TestPlaceThatRefusesIsPassedBy fails without the change. 1,500 random histories pass.

--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -124,8 +124,10 @@
 			heard++
 			if !c.accepted(got.err, got.write.Refusal, &stale) {
 				// Under a newer roster other places count, so nothing is gained
-				// by waiting for those of this one, which may be gone.
-				if stale {
+				// by waiting for those of this one, which may be gone. A place
+				// that refuses for a reason of its own (another disk is there
+				// now, or it is full) is passed by.
+				if got.write.Refusal.Version > r.Version {
 					return res, stale, ErrUnsure
 				}
 				ask()
@@ -276,7 +278,7 @@
 			heard++
 			ask()
 			if !c.accepted(got.err, got.read.Refusal, &stale) {
-				if stale {
+				if got.read.Refusal.Version > r.Version {
 					return nil, turn, stale, ErrUnsure // as for writes
 				}
 				continue
--- a/internal/disk/quorum/retire_test.go
+++ b/internal/disk/quorum/retire_test.go
@@ -168,3 +168,42 @@
 		is.Equal(inputs(chain), id)
 	}
 }
+
+// One place of three refuses for a reason of its own: its VM came back with an empty
+// disk and has not claimed the place yet, or its disk is full or frozen. The other
+// two are enough. If a daemon gave up at the refusal, the callers whose programs
+// prefer that place would be told to come back until the roster changes.
+func TestPlaceThatRefusesIsPassedBy(t *testing.T) { synctest.Test(t, testPlaceThatRefusesIsPassedBy) }
+
+func testPlaceThatRefusesIsPassedBy(t *testing.T) {
+	cases := map[string]func(w *world){
+		"an empty disk": func(w *world) {
+			m := w.add()
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.holders["n1"] = w.holders[m.Address]
+		},
+		"a frozen disk": func(w *world) { w.holders["n1"].Freeze(true) },
+		"a full disk":   func(w *world) { w.holders["n1"].Capacity = 1 },
+	}
+	for name, change := range cases {
+		t.Log(name)
+		is := is.New(t)
+		w := newWorld(t, 3, 1)
+		c := w.client()
+		for i := range 8 { // some prefer the place, some don't
+			write(t, c, reserve(fmt.Sprint(i), fmt.Sprint("r", i), 1))
+			write(t, c, turn(fmt.Sprint(i), ""))
+		}
+		change(w)
+		for i := range 8 {
+			program := fmt.Sprint(i)
+			_, err := c.Write(soon(t), reserve(program, fmt.Sprint("s", i), 1))
+			is.NoErr(err)
+			_, err = c.Write(soon(t), turn(fmt.Sprint("next", i), program))
+			is.NoErr(err)
+			_, err = c.Read(soon(t), program, fmt.Sprint("next", i))
+			is.NoErr(err)
+		}
+	}
+}
