synced: one way to make a folder's names durable

seglog, blobs and synced each opened the folder, synced it and closed it. Now the first two call synced.Dir. Nothing else changes: the checks of the three packages pass as they were.

--- a/internal/disk/seglog/seglog.go
+++ b/internal/disk/seglog/seglog.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/disk/synced"
 )
 
 const (
@@ -179,15 +181,7 @@
 	}
 	l.file, l.size = f, 0
 	l.files[l.number] = &segment{file: f, last: time.Now()}
-	return syncDir(l.Dir)
-}
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir) //nolint:gosec // the settings name the folder
-	if err != nil {
-		return err
-	}
-	return errors.CombineErrors(d.Sync(), d.Close())
+	return synced.Dir(l.Dir)
 }
 
 // Append queues a record; done is called from the log's own goroutine.
--- a/internal/disk/synced/synced.go
+++ b/internal/disk/synced/synced.go
@@ -1,4 +1,4 @@
-// Package synced writes small files that survive a loss of power.
+// Package synced makes small files and the names of files survive a loss of power.
 package synced
 
 import (
@@ -23,7 +23,13 @@
 	if err = errors.CombineErrors(err, f.Close()); err != nil {
 		return err
 	}
-	d, err := os.Open(filepath.Dir(name))
+	return Dir(filepath.Dir(name))
+}
+
+// Dir makes the names in a folder durable. Without it a file's bytes survive a
+// loss of power, and its creation, renaming or removal may not.
+func Dir(name string) error {
+	d, err := os.Open(name) //nolint:gosec // the settings name the folder
 	if err != nil {
 		return err
 	}
--- a/internal/shard/blobs/folder.go
+++ b/internal/shard/blobs/folder.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/disk/synced"
 )
 
 const (
@@ -245,7 +247,7 @@
 		_ = os.Remove(temp)
 		return err
 	}
-	return syncDir(filepath.Dir(path))
+	return synced.Dir(filepath.Dir(path))
 }
 
 func fill(t *os.File, data []byte) error {
@@ -259,16 +261,6 @@
 	return errors.CombineErrors(err, t.Close())
 }
 
-// syncDir makes a rename last: without it the file's bytes survive a power
-// failure and its name does not.
-func syncDir(dir string) error {
-	d, err := os.Open(dir) //nolint:gosec // below the data folder
-	if err != nil {
-		return err
-	}
-	return errors.CombineErrors(d.Sync(), d.Close())
-}
-
 func (f *Folder) path(shard int, d Digest) string {
 	name := d.String()
 	return filepath.Join(f.shardDir(shard), name[:2], name)
