pause: one wait that ends with its context

The same select over a timer and a context stood in frontd, keeper, entry, storm, upstrm, holder, rumor, placer and twice in quorum, as four functions with different names and six times in place. They call pause.For now. quorum's two loops of tries share the step between tries, and storm joins its lists of processes with slices.Concat in place of three nested appends.

--- a/internal/disk/holder/copy.go
+++ b/internal/disk/holder/copy.go
@@ -10,6 +10,7 @@
 	"github.com/slaterock/slaterock/internal/disk/roster"
 	"github.com/slaterock/slaterock/internal/disk/seglog"
 	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 const (
@@ -127,9 +128,7 @@
 		if err = call(ctx, peer, MethodPull, a, &reply); err == nil {
 			break
 		}
-		select {
-		case <-time.After(pagePause):
-		case <-ctx.Done():
+		if !pause.For(ctx, pagePause) {
 			return reply, errors.CombineErrors(ctx.Err(), err)
 		}
 	}
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -21,6 +21,7 @@
 	"github.com/slaterock/slaterock/internal/disk/holder"
 	"github.com/slaterock/slaterock/internal/disk/roster"
 	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 const (
@@ -33,8 +34,8 @@
 	hedgeWrite = 20 * time.Millisecond
 	// hedgeRead is the same of a read: a healthy place answers in 2 ms.
 	hedgeRead = 25 * time.Millisecond
-	// pause is kept between tries, so that a roster that just changed is learnt.
-	pause = 40 * time.Millisecond
+	// tryPause is kept between tries, so that a roster that just changed is learnt.
+	tryPause = 40 * time.Millisecond
 )
 
 var (
@@ -80,17 +81,21 @@
 		if res, stale, err = c.write(ctx, rec); err == nil || ctx.Err() != nil {
 			return res, err
 		}
-		if stale {
-			c.Refresh(ctx)
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if !c.again(ctx, stale) {
 			return res, err
 		}
 	}
 }
 
+// again waits before the next try, and has a roster that may be old read anew. It
+// is false if ctx has ended.
+func (c *Client) again(ctx context.Context, stale bool) bool {
+	if stale {
+		c.Refresh(ctx)
+	}
+	return pause.For(ctx, tryPause)
+}
+
 func (c *Client) write(ctx context.Context, rec book.Record) (res Result, stale bool, err error) {
 	r := c.Roster()
 	if len(r.Places) < r.Writes() || len(r.Places) == 0 {
@@ -229,12 +234,7 @@
 		if err == nil || errors.Is(err, ErrNoTurn) || ctx.Err() != nil {
 			return part, next, err
 		}
-		if stale {
-			c.Refresh(ctx)
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if !c.again(ctx, stale) {
 			return nil, turn, err
 		}
 	}
--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 // ExpectBody is a header of the stand-in's own: the digest of the body that must
@@ -133,14 +135,7 @@
 	}
 }
 
-func (u *Upstream) rest(r *http.Request) bool {
-	select {
-	case <-time.After(u.Pause):
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
+func (u *Upstream) rest(r *http.Request) bool { return pause.For(r.Context(), u.Pause) }
 
 // Event is the text of one event.
 func Event(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, Data(id, i)) }
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -13,6 +13,7 @@
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/obs/trace"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 const (
@@ -91,7 +92,7 @@
 		last = err
 		q.story.refusals += up.ID + ":" + no.cause + " "
 		if c.Only != "" {
-			if no.cause != causeFull || !rest(ctx, fullPause) {
+			if no.cause != causeFull || !pause.For(ctx, fullPause) {
 				return nil, last
 			}
 			continue
@@ -104,15 +105,6 @@
 	return nil, last
 }
 
-func rest(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send sends the request to one upstream and waits for its answer's head.
 func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, o asked.Order) (s *sent, err error) {
 	q.story.sends++
--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -18,6 +18,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 const (
@@ -149,9 +151,7 @@
 		l.mu.Lock()
 		l.pause = wait
 		l.mu.Unlock()
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		if !pause.For(ctx, wait) {
 			return
 		}
 		l.tell(peers)
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -25,6 +25,7 @@
 	"github.com/slaterock/slaterock/internal/node/scout"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
@@ -192,7 +193,7 @@
 func (d *Daemon) await(ctx context.Context) {
 	const longest, step = time.Second, 20 * time.Millisecond
 	for range longest / step {
-		if d.fleet.View().Table != nil || !pause(ctx, step) {
+		if d.fleet.View().Table != nil || !pause.For(ctx, step) {
 			return
 		}
 	}
@@ -303,7 +304,7 @@
 	d.entry.Leave()
 	d.listed.Wake()
 	d.Log.Info().Int64("active", d.entry.Active()).Msg("draining")
-	pause(ctx, keepServing)
+	pause.For(ctx, keepServing)
 	rest := max(d.Settings.Grace-keepServing-graceLeft, 0)
 	limited, stop := context.WithTimeout(ctx, rest)
 	defer stop()
@@ -314,7 +315,7 @@
 // probe notices when the holders of records are reached again, and logs both.
 func (d *Daemon) probe(ctx context.Context) {
 	down := false
-	for pause(ctx, probeEach) {
+	for pause.For(ctx, probeEach) {
 		d.pulse.Probe(ctx)
 		if now := d.pulse.Down(time.Now()); now != down {
 			down = now
@@ -324,7 +325,7 @@
 }
 
 func (d *Daemon) sweep(ctx context.Context) {
-	for pause(ctx, sweepEach) {
+	for pause.For(ctx, sweepEach) {
 		d.pool.Sweep(time.Now())
 		known := map[string]bool{}
 		for _, list := range d.fleet.View().Services {
@@ -337,12 +338,3 @@
 		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -10,6 +10,7 @@
 
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
@@ -64,7 +65,7 @@
 		} else {
 			wait = 0
 		}
-		if !pause(ctx, readLook+wait/2+rand.N(wait/2+1)) {
+		if !pause.For(ctx, readLook+wait/2+rand.N(wait/2+1)) {
 			return
 		}
 	}
--- a/internal/node/frontd/recall.go
+++ b/internal/node/frontd/recall.go
@@ -11,6 +11,7 @@
 	"github.com/slaterock/slaterock/internal/disk/memo"
 	"github.com/slaterock/slaterock/internal/disk/roster"
 	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 // A daemon that serves callers has no disk. It has the VMs with a disk keep what
@@ -69,11 +70,11 @@
 	if k.now {
 		return nil
 	}
-	pause := max(keepPause, time.Duration(k.size)*time.Second/keepRate)
+	least := max(keepPause, time.Duration(k.size)*time.Second/keepRate)
 	for _, p := range places {
 		was := k.of[p.Address]
 		same := was.hash == next.hash && was.roster == next.roster
-		if !same && next.at.Sub(was.at) >= pause {
+		if !same && next.at.Sub(was.at) >= least {
 			stale = append(stale, p.Address)
 		}
 	}
@@ -135,7 +136,7 @@
 	for _, address := range d.Settings.Seeds {
 		go func() {
 			var err error
-			for pause(ctx, recallWait) && d.fleet.View().Table == nil {
+			for pause.For(ctx, recallWait) && d.fleet.View().Table == nil {
 				err = d.recallFrom(ctx, address)
 			}
 			if err != nil && ctx.Err() == nil {
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -20,6 +20,7 @@
 	"github.com/slaterock/slaterock/internal/node/listed"
 	"github.com/slaterock/slaterock/internal/node/scout"
 	"github.com/slaterock/slaterock/internal/peer/link"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
@@ -165,7 +166,7 @@
 }
 
 func (k *Keeper) trim(ctx context.Context) {
-	for every(ctx, holder.TrimEvery) {
+	for pause.For(ctx, holder.TrimEvery) {
 		if err := k.holder.Trim(ctx); err != nil && ctx.Err() == nil {
 			k.Log.Warn().Err(err).Msg("old records were not dropped")
 		}
@@ -176,20 +177,11 @@
 	}
 }
 
-func every(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // look keeps the roster's places filled.
 func (k *Keeper) look(ctx context.Context) {
 	for {
 		k.step(ctx)
-		if !every(ctx, lookEvery) {
+		if !pause.For(ctx, lookEvery) {
 			return
 		}
 	}
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/place/stock"
 	"github.com/slaterock/slaterock/internal/plat/engine"
@@ -231,9 +232,7 @@
 func (p *Placer) pollOne(ctx context.Context, name, address string, after uint64) {
 	p.Go(func() {
 		jitter := time.Duration(rand.Int64N(int64(pollEvery / 4)))
-		select {
-		case <-time.After(jitter): // many daemons poll one engine
-		case <-ctx.Done():
+		if !pause.For(ctx, jitter) { // many daemons poll one engine
 			return
 		}
 		poll, stop := context.WithTimeout(ctx, pollTimeout)
--- a/internal/play/storm/build.go
+++ b/internal/play/storm/build.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/fake/upstrm"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 // build starts the stand-ins and the processes.
@@ -39,7 +41,7 @@
 		}
 		s.disks = append(s.disks, c)
 	}
-	for _, c := range append(append([]*child(nil), s.disks...), s.fronts...) {
+	for _, c := range slices.Concat(s.disks, s.fronts) {
 		if err = c.start(); err != nil {
 			return err
 		}
@@ -73,7 +75,7 @@
 				s.depot.Put("servers/"+id.(string), entry)
 				return true
 			})
-			pause(ctx, entryEvery)
+			pause.For(ctx, entryEvery)
 		}
 	}()
 	return nil
--- a/internal/play/storm/caller.go
+++ b/internal/play/storm/caller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/slaterock/slaterock/internal/fake/upstrm"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 const (
@@ -121,7 +122,7 @@
 			if status == http.StatusPaymentRequired || try == 4 || ctx.Err() != nil {
 				return
 			}
-			pause(ctx, 150*time.Millisecond)
+			pause.For(ctx, 150*time.Millisecond)
 		}
 		c.call(ctx, fmt.Sprintf("%s-c%d", name, turn), c.rnd.IntN(2) == 0)
 	}
--- a/internal/play/storm/storm.go
+++ b/internal/play/storm/storm.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,6 +25,7 @@
 	"github.com/slaterock/slaterock/internal/fake/depot"
 	"github.com/slaterock/slaterock/internal/fake/upstrm"
 	"github.com/slaterock/slaterock/internal/node/scout"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 const (
@@ -152,11 +154,11 @@
 // and ends them all.
 func (s *Storm) harm(ctx context.Context) (faults int) {
 	if s.Calm {
-		pause(ctx, s.For)
+		pause.For(ctx, s.For)
 		return 0
 	}
 	if s.Dark {
-		pause(ctx, s.For)
+		pause.For(ctx, s.For)
 		s.blackout(ctx, func() {
 			if err := s.await(ctx, darkTime); err != nil {
 				s.seen.breach("no service while the store was away: %v", err)
@@ -172,7 +174,7 @@
 		do, what := s.draw(ctx, &disk)
 		_, _ = fmt.Fprintf(s.Out, "%s %s\n", time.Now().Format("15:04:05.000"), what)
 		under.Go(do)
-		pause(ctx, time.Duration(200+s.rnd.IntN(1500))*time.Millisecond)
+		pause.For(ctx, time.Duration(200+s.rnd.IntN(1500))*time.Millisecond)
 	}
 	under.Wait()
 	return faults
@@ -183,11 +185,11 @@
 	last := time.Duration(500+s.rnd.IntN(3500)) * time.Millisecond
 	proxy := func(name string, p *Proxy) (func(), string) {
 		h := []Harm{Delay, Mute, OneWay}[s.rnd.IntN(3)]
-		return func() { p.Set(h); pause(ctx, last); p.Set(Pass); p.Reset() }, fmt.Sprintf("%s: harm %d for %v", name, h, last)
+		return func() { p.Set(h); pause.For(ctx, last); p.Set(Pass); p.Reset() }, fmt.Sprintf("%s: harm %d for %v", name, h, last)
 	}
 	f, d := s.fronts[s.rnd.IntN(len(s.fronts))], s.disks[s.rnd.IntN(len(s.disks))]
 	if s.dark.IntN(darkOdds) == 0 {
-		return s.alone(disk, func() { s.blackout(ctx, func() { pause(ctx, last) }) }), fmt.Sprintf("all processes are killed while the store is away, for %v", last)
+		return s.alone(disk, func() { s.blackout(ctx, func() { pause.For(ctx, last) }) }), fmt.Sprintf("all processes are killed while the store is away, for %v", last)
 	}
 	switch s.rnd.IntN(12) {
 	case 0:
@@ -195,16 +197,16 @@
 	case 1, 2:
 		return s.again(f, syscall.SIGTERM), f.name + " is stopped"
 	case 3:
-		return func() { f.signal(syscall.SIGSTOP); pause(ctx, last); f.signal(syscall.SIGCONT) }, fmt.Sprintf("%s stands still for %v", f.name, last)
+		return func() { f.signal(syscall.SIGSTOP); pause.For(ctx, last); f.signal(syscall.SIGCONT) }, fmt.Sprintf("%s stands still for %v", f.name, last)
 	case 4:
 		return s.alone(disk, func() { s.again(d, syscall.SIGKILL)() }), d.name + " is killed, its last write torn"
 	case 5:
-		return s.alone(disk, func() { d.signal(syscall.SIGSTOP); pause(ctx, last); d.signal(syscall.SIGCONT) }), fmt.Sprintf("%s stands still for %v", d.name, last)
+		return s.alone(disk, func() { d.signal(syscall.SIGSTOP); pause.For(ctx, last); d.signal(syscall.SIGCONT) }), fmt.Sprintf("%s stands still for %v", d.name, last)
 	case 6:
 		return s.alone(disk, func() { s.wipe(ctx, d) }), d.name + " loses its disk"
 	case 7:
 		fault := []depot.Fault{depot.Busy, depot.Lossy, depot.Slow}[s.rnd.IntN(3)]
-		return func() { s.depot.Set(fault); pause(ctx, last); s.depot.Set(depot.Fine) }, fmt.Sprintf("store: fault %d for %v", fault, last)
+		return func() { s.depot.Set(fault); pause.For(ctx, last); s.depot.Set(depot.Fine) }, fmt.Sprintf("store: fault %d for %v", fault, last)
 	case 8:
 		return proxy("store of a process", s.stores[s.rnd.IntN(len(s.stores))])
 	case 9:
@@ -213,7 +215,7 @@
 		return proxy("callers", s.callers[s.rnd.IntN(len(s.callers))])
 	default:
 		u := s.ups[s.rnd.IntN(len(s.ups))]
-		return func() { u.Break.Store(4); u.Lose.Store(7); pause(ctx, last); u.Break.Store(0); u.Lose.Store(0) }, u.ID + " breaks off and loses answers"
+		return func() { u.Break.Store(4); u.Lose.Store(7); pause.For(ctx, last); u.Break.Store(0); u.Lose.Store(0) }, u.ID + " breaks off and loses answers"
 	}
 }
 
@@ -271,9 +273,9 @@
 func (s *Storm) blackout(ctx context.Context, then func()) {
 	s.depot.Set(depot.Busy)
 	defer s.depot.Set(depot.Fine)
-	pause(ctx, 300*time.Millisecond)
+	pause.For(ctx, 300*time.Millisecond)
 	var work sync.WaitGroup
-	for _, c := range append(append([]*child(nil), s.fronts...), s.disks...) {
+	for _, c := range slices.Concat(s.fronts, s.disks) {
 		work.Go(s.again(c, syscall.SIGKILL))
 	}
 	work.Wait()
@@ -287,7 +289,7 @@
 	if err := os.RemoveAll(c.dir); err != nil {
 		s.seen.breach("%s: %v", c.name, err)
 	}
-	pause(ctx, 300*time.Millisecond)
+	pause.For(ctx, 300*time.Millisecond)
 	if err := c.start(); err != nil {
 		s.seen.breach("%s did not start again: %v", c.name, err)
 	}
@@ -306,7 +308,7 @@
 			if time.Now().After(until) || ctx.Err() != nil {
 				return errors.Newf("%s does not serve", s.fronts[i].name)
 			}
-			pause(ctx, 100*time.Millisecond)
+			pause.For(ctx, 100*time.Millisecond)
 		}
 	}
 	return nil
@@ -314,7 +316,7 @@
 
 func (s *Storm) endAll() {
 	var work sync.WaitGroup
-	for _, c := range append(append([]*child(nil), s.fronts...), s.disks...) {
+	for _, c := range slices.Concat(s.fronts, s.disks) {
 		work.Go(func() {
 			c.end(syscall.SIGKILL, time.Second)
 			_ = c.log.Close()
@@ -323,13 +325,6 @@
 	work.Wait()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func serve(ctx context.Context, h http.Handler, on string) (address string, err error) {
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", on)
