gate: new programs wait for room, or come back later

Cause: nothing held back.

Change: the first turn of a program waits while more than 0.72 of the engines' places are taken, by this and the other daemons. The time in which the program should be finished is decoded; when its first attempt came is known from the records. Turns of programs that have begun never wait. What a turn waited is in its line (queued_ms, finish_ms).

--- a/internal/disk/book/book.go
+++ b/internal/disk/book/book.go
@@ -138,6 +138,28 @@
 	return upstream
 }
 
+// Begun tells whether any other attempt of the program than this one has run, or
+// may be running.
+func Begun(shares []Share, attempt string) bool {
+	for _, s := range shares {
+		if s.Attempt != attempt && (s.Tokens > 0 || s.Upstream != "") {
+			return true
+		}
+	}
+	return false
+}
+
+// Since returns when the first attempt of a program came, now if none is known.
+func Since(shares []Share, now time.Time) time.Time {
+	first := now
+	for _, s := range shares {
+		if at := time.UnixMilli(s.At); s.At > 0 && at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
 // expires counts from the record's own time: after a restart all records are
 // read again, and none must live longer for it.
 func (r Record) expires(now time.Time) time.Time {
--- /dev/null
+++ b/internal/front/admit/admit_test.go
@@ -0,0 +1,53 @@
+package admit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/place/gate"
+)
+
+func busy(string) gate.Load { return gate.Load{Under: 90, Places: 100} }
+func idle(string) gate.Load { return gate.Load{Under: 10, Places: 100} }
+
+// Engines are busy when a program comes. Its caller waits only as long as the
+// program can still be in time, is let through the moment there is room, and is
+// forgotten when it leaves.
+func TestWait(t *testing.T) {
+	cases := map[string]struct {
+		then  func(q *Queue, leave context.CancelFunc) // after 100 ms
+		after time.Duration
+		check func(err error) bool
+	}{
+		"room":    {func(q *Queue, _ context.CancelFunc) { q.Change(idle) }, 100 * time.Millisecond, func(err error) bool { return err == nil }},
+		"leaves":  {func(_ *Queue, leave context.CancelFunc) { leave() }, 100 * time.Millisecond, func(err error) bool { return errors.Is(err, context.Canceled) }},
+		"no room": {func(q *Queue, _ context.CancelFunc) { q.Change(busy) }, 300 * time.Millisecond, refusedWithTime},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var q Queue
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				began := time.Now()
+				timer := time.AfterFunc(100*time.Millisecond, func() { c.then(&q, leave) })
+				defer timer.Stop()
+				err := q.Wait(ctx, "engines", began.Add(300*time.Millisecond), busy("engines"))
+				is.True(c.check(err))
+				is.Equal(time.Since(began), c.after)
+				is.Equal(q.Len(), 0)
+			})
+		})
+	}
+}
+
+func refusedWithTime(err error) bool {
+	var no *Refused
+	return errors.As(err, &no) && no.After > 0
+}
--- a/internal/front/asked/asked.go
+++ b/internal/front/asked/asked.go
@@ -14,10 +14,12 @@
 		Session   string // one line of turns of the program
 		Budget    int    // tokens that the program's turns may generate; valid with HasBudget
 		HasBudget bool
-		Prompt    int    // tokens of the prompt
-		Output    int    // most tokens that the turn generates
-		Previous  string // attempt id of the turn that this one continues
-		LastEvent string // id of the last event that the caller has
+		Prompt    int           // tokens of the prompt
+		Output    int           // most tokens that the turn generates
+		Previous  string        // attempt id of the turn that this one continues
+		LastEvent string        // id of the last event that the caller has
+		Finish    time.Duration // until the program should be finished, counted from this attempt; below 0 if it is late; valid with HasFinish
+		HasFinish bool
 		Affinity  string // names the object that the request is about
 	}
 
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/book"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/admit"
 	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -62,6 +63,7 @@
 		Pool    *upconn.Pool
 		Picker  *pick.Picker
 		Usual   pick.Usual
+		Queue   admit.Queue
 		Log     zerolog.Logger
 		Scope   tally.Scope
 		Trace   *trace.Trace
@@ -101,6 +103,7 @@
 		refusals string // of upstreams, in order
 		err      error
 		recorded time.Duration // until the reservation was durable
+		queued   time.Duration // waited for room at the engines
 		first    time.Duration // until the first byte of the answer
 	}
 
@@ -245,7 +248,7 @@
 		Int64("config", q.version()).Int64("news_age_ms", q.newsAge()).Str("upstream", s.upstream).Int("sends", s.sends).
 		Str("refusals", s.refusals).Int("status", s.status).Str("outcome", s.outcome()).Str("ran", string(s.ran)).
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.Wait.Milliseconds()).
-		Int64("recorded_ms", s.recorded.Milliseconds()).Int64("first_ms", s.first.Milliseconds()).
+		Int64("recorded_ms", s.recorded.Milliseconds()).Int64("queued_ms", s.queued.Milliseconds()).Int64("finish_ms", q.Finish.Milliseconds()).Int64("first_ms", s.first.Milliseconds()).
 		Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err).Msg("request")
 }
 
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -84,7 +84,7 @@
 		if err == nil {
 			return s, nil
 		}
-		q.e.Picker.Done(up.ID)
+		q.e.done(up.ID)
 		var no *refused
 		if !errors.As(err, &no) {
 			return nil, err
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -36,16 +36,18 @@
 	prefer   string // id of the upstream that ran the turn before
 	ranAt    string // id of the upstream that last ran one of the program's
 	reserved bool
-	output   []byte // data of the events so far, if it is kept
-	last     string // id of the last event passed on
-	started  bool   // the head has been passed on
+	begun    bool      // something of the program has run, or may have
+	since    time.Time // when the first attempt of the program came
+	output   []byte    // data of the events so far, if it is kept
+	last     string    // id of the last event passed on
+	started  bool      // the head has been passed on
 	flush    func() error
 }
 
 // stream serves a request that is answered by events.
 func (q *request) stream(ctx context.Context) {
 	t := &turn{request: q, last: q.LastEvent, flush: http.NewResponseController(q.w).Flush}
-	if !t.prepare(ctx) {
+	if !t.prepare(ctx) || !t.admitted(ctx) {
 		return
 	}
 	err := t.run(ctx)
@@ -113,7 +115,7 @@
 
 func (t *turn) record() book.Record {
 	return book.Record{
-		Program: t.Program, Attempt: t.ID, At: time.Now().UnixMilli(), Keep: t.route.KeepFor.Milliseconds(),
+		Program: t.Program, Attempt: t.ID, At: t.began.UnixMilli(), Keep: t.route.KeepFor.Milliseconds(),
 	}
 }
 
@@ -136,6 +138,8 @@
 		t.unavailable("records_away", retryRecords, err)
 		return false
 	}
+	t.begun = t.Previous != "" || book.Begun(res.Shares, t.ID)
+	t.since = book.Since(res.Shares, t.began)
 	t.ranAt = book.LastRan(res.Shares, t.Session)
 	if !book.Fits(res.Shares, t.Budget) {
 		t.settle()
@@ -184,7 +188,7 @@
 			return err
 		}
 		err = t.pass(ctx, s)
-		t.e.Picker.Done(s.up.ID)
+		t.e.done(s.up.ID)
 		if err == nil || ctx.Err() != nil || !t.route.Resume {
 			return err
 		}
--- a/internal/front/entry/world_test.go
+++ b/internal/front/entry/world_test.go
@@ -70,6 +70,10 @@
 		a.HasBudget = true
 		_, err = fmt.Sscan(b, &a.Budget)
 	}
+	if f := h.Get("Finish"); f != "" {
+		a.HasFinish = true
+		a.Finish, err = time.ParseDuration(f)
+	}
 	a.Wait = 2 * time.Second
 	return a, err
 }
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/place/gate"
 )
 
 const (
@@ -219,6 +220,24 @@
 	return s
 }
 
+// Load returns what is under way at the upstreams that take work, how many
+// requests they run at a time, and how many daemons share them.
+func (p *Picker) Load(list []fleet.Upstream) (l gate.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.Fronts = 1 + len(p.peers)
+	for i := range list {
+		if list[i].Leaving {
+			continue
+		}
+		l.Places += list[i].Batch
+		if s := p.known[list[i].ID]; s != nil {
+			l.Under += s.own + s.others
+		}
+	}
+	return l
+}
+
 // Done ends a request.
 func (p *Picker) Done(id string) {
 	p.mu.Lock()
--- a/internal/node/frontd/known.go
+++ b/internal/node/frontd/known.go
@@ -55,6 +55,7 @@
 // a quiet day).
 func (d *Daemon) heard(now time.Time, w rumor.Word) {
 	d.picker.Heard(now, w.Node, w.Load)
+	d.entry.Heard()
 	v := d.fleet.View()
 	if w.Revision < v.Revision || w.Revision == v.Revision && w.Hash != v.Hash {
 		return
--- /dev/null
+++ b/internal/place/gate/gate.go
@@ -0,0 +1,154 @@
+// Package gate decides which programs wait or come back later while engines are
+// busy.
+//
+// An engine makes each event more slowly the more turns it runs. Programs are
+// given some multiple of the time that they need on idle engines, so beyond some
+// number of turns all of them are late, and beyond the places of a batch turns
+// only wait. The gate keeps the turns under way near that number by letting new
+// programs wait while they can still be in time, and refusing them after that: what
+// has begun is finished in time, and who has to come later is told so before
+// anything ran. A burst of 1.5 to 3.5 times the usual programs for six seconds on
+// eight engines gained 0.18 of a day's worth by it, 0.71 in place of 0.54 (paired
+// plays, four seeds), half of that from those that are late being refused at once.
+//
+// It is a state machine without clock, lock or network: events go in, operations
+// come out.
+package gate
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// share is the share of all places up to which programs begin that can be in time, and
+	// lateShare for those that can't, which take what the others leave. On engines
+	// of 16 places an event takes 26 ms alone, 39 ms beside 9 others, 43 ms beside 11
+	// and 55 ms in a full batch, while programs are given 1.6 times their time on
+	// idle engines: beyond three quarters hardly any is in time.
+	share     = 0.72
+	lateShare = 0.6
+	// After is when the caller of a late program may come back: bursts last for
+	// seconds, and callers come back once for each refusal, after at most a third of
+	// the time that they wait for a turn (four seconds and more).
+	After = 1300 * time.Millisecond
+)
+
+type (
+	// Load is what the engines of a service have to do.
+	Load struct {
+		Under  int // turns under way, of all daemons
+		Places int // turns that the engines run at a time
+		Fronts int // daemons that share the places, this one included
+	}
+
+	// Event is something that the gate is told.
+	Event interface{ event() }
+
+	// Arrive asks for a program to begin. Until is the latest time at which it can
+	// begin and be in time; it may have passed.
+	Arrive struct {
+		Ticket uint64
+		Until  time.Time
+		Load   Load
+	}
+
+	// Change tells that turns have ended or that other daemons were heard.
+	Change struct{ Load Load }
+
+	// Leave tells that a program's caller has left.
+	Leave struct{ Ticket uint64 }
+
+	// Op is something that is to be done with a program.
+	Op interface{ op() }
+
+	// Admit lets a program begin.
+	Admit struct{ Ticket uint64 }
+
+	// Refuse tells a program's caller to come back.
+	Refuse struct {
+		Ticket uint64
+		After  time.Duration
+	}
+
+	// Gate keeps the programs that wait. The zero value is ready.
+	Gate struct {
+		waiting []waiter // in the order of their arrival
+	}
+
+	waiter struct {
+		ticket uint64
+		until  time.Time
+	}
+)
+
+func (Arrive) event() {}
+func (Change) event() {}
+func (Leave) event()  {}
+func (Admit) op()     {}
+func (Refuse) op()    {}
+
+// Step takes an event and returns what is to be done.
+func (g *Gate) Step(now time.Time, e Event) (ops []Op) {
+	switch e := e.(type) {
+	case Arrive:
+		return g.arrive(now, e)
+	case Change:
+		return g.release(g.expire(now, nil), e.Load)
+	case Leave:
+		g.waiting = slices.DeleteFunc(g.waiting, func(w waiter) bool { return w.ticket == e.Ticket })
+	}
+	return nil
+}
+
+// Len returns how many programs wait.
+func (g *Gate) Len() int { return len(g.waiting) }
+
+// arrive lets a late program begin or refuses it at once: it loses nothing by
+// coming back later, and in the queue it would only stand in the way.
+func (g *Gate) arrive(now time.Time, e Arrive) []Op {
+	if !now.Before(e.Until) {
+		if len(g.waiting) == 0 && e.Load.room(lateShare) > 0 {
+			return []Op{Admit{Ticket: e.Ticket}}
+		}
+		return []Op{Refuse{Ticket: e.Ticket, After: After}}
+	}
+	g.waiting = append(g.waiting, waiter{ticket: e.Ticket, until: e.Until})
+	return g.release(g.expire(now, nil), e.Load)
+}
+
+// release lets programs begin while there is room, the newest first: it has most
+// of its time left, while one that has waited long is late even if it begins now.
+// Each daemon takes its part of the room, since all see the same.
+func (g *Gate) release(ops []Op, l Load) []Op {
+	for range min(l.part(), len(g.waiting)) {
+		last := len(g.waiting) - 1
+		ops = append(ops, Admit{Ticket: g.waiting[last].ticket})
+		g.waiting = g.waiting[:last]
+	}
+	return ops
+}
+
+// expire refuses the programs that can't be in time any more.
+func (g *Gate) expire(now time.Time, ops []Op) []Op {
+	g.waiting = slices.DeleteFunc(g.waiting, func(w waiter) bool {
+		if now.Before(w.until) {
+			return false
+		}
+		ops = append(ops, Refuse{Ticket: w.ticket, After: After})
+		return true
+	})
+	return ops
+}
+
+// room is how many turns are missing to a share of the places.
+func (l Load) room(share float64) int { return int(share*float64(l.Places)) - l.Under }
+
+// part is how many programs this daemon may begin.
+func (l Load) part() int {
+	n := l.room(share)
+	if n <= 0 {
+		return 0
+	}
+	return max(1, n/max(l.Fronts, 1))
+}
