--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/obs/trace"
+	"github.com/slaterock/slaterock/internal/place/gate"
 )
 
 const (
@@ -103,7 +104,9 @@
 		refusals string // of upstreams, in order
 		err      error
 		recorded time.Duration // until the reservation was durable
-		queued   time.Duration // waited for room at the engines
+		queue    string        // why the attempt waited or was refused; empty if it had not to
+		queued   time.Duration // how long it waited for that
+		load     gate.Load     // of the engines when it came to wait
 		first    time.Duration // until the first byte of the answer
 	}
 
@@ -248,8 +251,13 @@
 		Int64("config", q.version()).Int64("news_age_ms", q.newsAge()).Str("upstream", s.upstream).Int("sends", s.sends).
 		Str("refusals", s.refusals).Int("status", s.status).Str("outcome", s.outcome()).Str("ran", string(s.ran)).
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.Wait.Milliseconds()).
-		Int64("recorded_ms", s.recorded.Milliseconds()).Int64("queued_ms", s.queued.Milliseconds()).Int64("finish_ms", q.Finish.Milliseconds()).Int64("first_ms", s.first.Milliseconds()).
-		Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err).Msg("request")
+		Int64("recorded_ms", s.recorded.Milliseconds()).Int64("finish_ms", q.Finish.Milliseconds()).Int64("first_ms", s.first.Milliseconds()).
+		Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
+	if s.queue != "" {
+		line.Str("queue", s.queue).Int64("queued_ms", s.queued.Milliseconds()).Int("engines_under_way", s.load.Under).
+			Int("engines_places", s.load.Places).Int("daemons", s.load.Fronts)
+	}
+	line.Msg("request")
 }
 
 func (s *story) outcome() string {
--- a/internal/front/entry/wait.go
+++ b/internal/front/entry/wait.go
@@ -17,6 +17,12 @@
 	// longest is how long a first turn waits at most: callers leave a stream that
 	// is silent for two seconds.
 	longest = 1500 * time.Millisecond
+	// noticed is from when a wait is told in the log.
+	noticed = time.Millisecond
+	// queueNew and queueLate tell in the log why an attempt waited or was refused:
+	// too many turns under way for one more program, or for one that is late.
+	queueNew  = "new_program"
+	queueLate = "late_program"
 )
 
 // admitted waits until the engines have room for one more program. It is false if
@@ -32,8 +38,18 @@
 	if latest := began.Add(longest); until.After(latest) {
 		until = latest
 	}
-	err := t.e.Queue.Wait(ctx, t.service.Name, until, t.e.load(t.service.Name))
-	t.story.queued = time.Since(began)
+	s := &t.story
+	s.load = t.e.load(t.service.Name)
+	err := t.e.Queue.Wait(ctx, t.service.Name, until, s.load)
+	s.queued = time.Since(began)
+	t.e.Scope.Timer("queue_time").Record(s.queued)
+	if err == nil && s.queued < noticed {
+		return true
+	}
+	s.queue = queueNew
+	if !began.Before(until) {
+		s.queue = queueLate
+	}
 	if err == nil {
 		return true
 	}
--- a/internal/place/gate/gate.go
+++ b/internal/place/gate/gate.go
@@ -73,7 +73,8 @@
 
 	// Gate keeps the programs that wait. The zero value is ready.
 	Gate struct {
-		waiting []waiter // in the order of their arrival
+		waiting []waiter  // in the order of their arrival
+		soonest time.Time // no wait ends before
 	}
 
 	waiter struct {
@@ -96,7 +97,9 @@
 	case Change:
 		return g.release(g.expire(now, nil), e.Load)
 	case Leave:
-		g.waiting = slices.DeleteFunc(g.waiting, func(w waiter) bool { return w.ticket == e.Ticket })
+		if i := slices.IndexFunc(g.waiting, func(w waiter) bool { return w.ticket == e.Ticket }); i >= 0 {
+			g.waiting = slices.Delete(g.waiting, i, i+1)
+		}
 	}
 	return nil
 }
@@ -113,6 +116,9 @@
 		}
 		return []Op{Refuse{Ticket: e.Ticket, After: After}}
 	}
+	if len(g.waiting) == 0 || e.Until.Before(g.soonest) {
+		g.soonest = e.Until
+	}
 	g.waiting = append(g.waiting, waiter{ticket: e.Ticket, until: e.Until})
 	return g.release(g.expire(now, nil), e.Load)
 }
@@ -131,8 +137,15 @@
 
 // expire refuses the programs that can't be in time any more.
 func (g *Gate) expire(now time.Time, ops []Op) []Op {
+	if now.Before(g.soonest) {
+		return ops
+	}
+	g.soonest = time.Time{}
 	g.waiting = slices.DeleteFunc(g.waiting, func(w waiter) bool {
 		if now.Before(w.until) {
+			if g.soonest.IsZero() || w.until.Before(g.soonest) {
+				g.soonest = w.until
+			}
 			return false
 		}
 		ops = append(ops, Refuse{Ticket: w.ticket, After: After})
