--- a/internal/front/admit/admit.go
+++ b/internal/front/admit/admit.go
@@ -1,4 +1,5 @@
-// Package admit has turns wait at a gate until they are let through.
+// Package admit has new programs wait at a gate, one for each service, until the
+// engines have room for them.
 package admit
 
 import (
@@ -9,36 +10,42 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/place/gate"
+	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 type (
-	// Queue holds the turns of one daemon that wait. The zero value is ready.
+	// Queue holds what waits at one daemon. The zero value is ready.
 	Queue struct {
-		mu    sync.Mutex
-		gates map[string]*gate.Gate // by service
-		wait  map[uint64]chan gate.Op
-		last  uint64
+		mu       sync.Mutex
+		services map[string]*service
+		wait     map[uint64]chan gate.Op
+		last     uint64 // ticket
 	}
 
-	// Refused tells that a turn was not let through, and when to come back.
+	service struct {
+		gate gate.Gate
+		pace pace.Pace
+	}
+
+	// Refused tells that a program may not begin, and when to come back.
 	Refused struct{ After time.Duration }
 )
 
 func (e *Refused) Error() string { return "too many turns under way" }
 
-// Wait returns when the turn is let through. The error is *Refused, or that of
-// the context.
-func (q *Queue) Wait(ctx context.Context, service string, until time.Time, load gate.Load) (err error) {
+// Wait returns when a program may begin, which until is the latest time for. The
+// error is *Refused, or that of the context.
+func (q *Queue) Wait(ctx context.Context, name string, until time.Time, load gate.Load) (err error) {
 	defer func() { err = errors.Wrap(err, "wait for a place") }()
 	done := make(chan gate.Op, 1)
 	q.mu.Lock()
 	q.last++
 	ticket := q.last
 	if q.wait == nil {
-		q.wait, q.gates = map[uint64]chan gate.Op{}, map[string]*gate.Gate{}
+		q.wait = map[uint64]chan gate.Op{}
 	}
 	q.wait[ticket] = done
-	q.step(service, gate.Arrive{Ticket: ticket, Until: until, Load: load})
+	q.step(name, gate.Arrive{Ticket: ticket, Until: until, Load: load})
 	q.mu.Unlock()
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
@@ -48,12 +55,12 @@
 			return outcome(op)
 		case <-timer.C:
 			q.mu.Lock()
-			q.step(service, gate.Change{Load: gate.Load{}})
+			q.step(name, gate.Change{}) // ends the waits that are over
 			q.mu.Unlock()
 		case <-ctx.Done():
 			q.mu.Lock()
 			delete(q.wait, ticket)
-			q.step(service, gate.Leave{Ticket: ticket})
+			q.step(name, gate.Leave{Ticket: ticket})
 			q.mu.Unlock()
 			return ctx.Err()
 		}
@@ -70,31 +77,67 @@
 }
 
 // Change tells the gates that there may be room; load is asked for the services
-// at which turns wait.
-func (q *Queue) Change(load func(service string) gate.Load) {
+// at which programs wait.
+func (q *Queue) Change(load func(name string) gate.Load) {
+	for _, name := range q.waited() {
+		l := load(name)
+		q.mu.Lock()
+		q.step(name, gate.Change{Load: l})
+		q.mu.Unlock()
+	}
+}
+
+// waited returns the services at which programs wait.
+func (q *Queue) waited() (names []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for service, g := range q.gates {
-		if g.Len() > 0 {
-			q.step(service, gate.Change{Load: load(service)})
+	for name, s := range q.services {
+		if s.gate.Len() > 0 {
+			names = append(names, name)
 		}
 	}
+	return names
+}
+
+// Observe learns from a whole stream how long an event takes beside so many turns.
+func (q *Queue) Observe(name string, turns float64, event time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.service(name).pace.Observe(turns, event.Seconds())
+}
+
+// Share returns up to which share of its places an engine of the service should be
+// filled that runs so many turns at a time.
+func (q *Queue) Share(name string) func(places int) float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.service(name).pace
+	return p.Share
 }
 
-// Len returns how many turns wait.
+// Len returns how many programs wait.
 func (q *Queue) Len() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return len(q.wait)
 }
 
-func (q *Queue) step(service string, e gate.Event) {
-	g := q.gates[service]
-	if g == nil {
-		g = &gate.Gate{}
-		q.gates[service] = g
+// service returns what is kept of a service; q.mu is held.
+func (q *Queue) service(name string) *service {
+	if q.services == nil {
+		q.services = map[string]*service{}
+	}
+	s := q.services[name]
+	if s == nil {
+		s = &service{}
+		q.services[name] = s
 	}
-	for _, op := range g.Step(time.Now(), e) {
+	return s
+}
+
+// step takes an event to a gate and does what follows; q.mu is held.
+func (q *Queue) step(name string, e gate.Event) {
+	for _, op := range q.service(name).gate.Step(time.Now(), e) {
 		q.tell(op)
 	}
 }
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +29,6 @@
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/place/gate"
-	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 const (
@@ -75,9 +73,6 @@
 		// Stop ends work that outlives its request.
 		Stop context.Context //nolint:containedctx // the daemon's own end
 
-		paceMu sync.Mutex
-		paces  map[string]*pace.Pace // by service
-
 		leaving atomic.Bool
 		active  atomic.Int64
 	}
@@ -256,8 +251,8 @@
 		Int64("config", q.version()).Int64("news_age_ms", q.newsAge()).Str("upstream", s.upstream).Int("sends", s.sends).
 		Str("refusals", s.refusals).Int("status", s.status).Str("outcome", s.outcome()).Str("ran", string(s.ran)).
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.Wait.Milliseconds()).
-		Int64("recorded_ms", s.recorded.Milliseconds()).Int64("finish_ms", q.Finish.Milliseconds()).Int64("first_ms", s.first.Milliseconds()).
-		Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
+		Int64("finish_ms", q.Finish.Milliseconds()).Int64("recorded_ms", s.recorded.Milliseconds()).
+		Int64("first_ms", s.first.Milliseconds()).Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
 	if s.queue != "" {
 		line.Str("queue", s.queue).Int64("queued_ms", s.queued.Milliseconds()).Int("engines_under_way", s.load.Under).
 			Int("engines_room", s.load.Room).Int("daemons", s.load.Fronts)
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -287,15 +287,14 @@
 	return t.flush()
 }
 
-// learn tells the picker how the upstream did: by the time of an event, which
-// hardly depends on what is asked.
-// Turns is how many were under way there meanwhile.
+// learn tells how the upstream did: by the time of an event, which hardly depends on
+// what is asked. Turns is how many were under way there meanwhile.
 func (t *turn) learn(s *sent, turns float64) {
 	pace := 0.0
 	if n := t.story.events - 1; n > 2 {
 		each := (time.Since(t.began) - t.story.first) / time.Duration(n)
 		pace = t.e.Usual.Pace(t.route.Name, each.Seconds())
-		t.e.observe(t.service.Name, turns, each)
+		t.e.Queue.Observe(t.service.Name, turns, each)
 	}
 	t.e.Picker.Took(time.Now(), s.up.ID, pace, false)
 }
--- a/internal/front/entry/wait.go
+++ b/internal/front/entry/wait.go
@@ -8,7 +8,6 @@
 
 	"github.com/slaterock/slaterock/internal/front/admit"
 	"github.com/slaterock/slaterock/internal/place/gate"
-	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 const (
@@ -66,28 +65,7 @@
 
 // load is what the engines of a service have to do.
 func (e *Entry) load(service string) gate.Load {
-	e.paceMu.Lock()
-	defer e.paceMu.Unlock()
-	share := e.pace(service).Share
-	return e.Picker.Load(e.Fleet.View().Services[service], share)
-}
-
-// observe learns from a whole stream how long events take beside other turns.
-func (e *Entry) observe(service string, turns float64, each time.Duration) {
-	e.paceMu.Lock()
-	defer e.paceMu.Unlock()
-	e.pace(service).Observe(turns, each.Seconds())
-}
-
-// pace is what was learnt of a service's engines; paceMu is held.
-func (e *Entry) pace(service string) *pace.Pace {
-	if e.paces == nil {
-		e.paces = map[string]*pace.Pace{}
-	}
-	if e.paces[service] == nil {
-		e.paces[service] = &pace.Pace{}
-	}
-	return e.paces[service]
+	return e.Picker.Load(e.Fleet.View().Services[service], e.Queue.Share(service))
 }
 
 // done ends a request at an upstream, which may make room for one that waits.
--- /dev/null
+++ b/internal/front/pick/bench_test.go
@@ -0,0 +1,19 @@
+package pick
+
+import "testing"
+
+// BenchmarkLoad is what is under way at 1,100 upstreams, as a new program asks for it:
+// 19 us and no allocation, beside other load.
+func BenchmarkLoad(b *testing.B) {
+	list := ups(1100)
+	load := map[string]int{}
+	for i := range list {
+		load[list[i].ID] = 1 + i%8
+	}
+	p := &Picker{Domain: "x"}
+	p.Heard(now, "n", load)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Load(list, func(int) float64 { return 1 })
+	}
+}
