--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -164,9 +164,11 @@
 	if p.Idle == nil || !p.Idle(u.Address) {
 		cost += newConn
 	}
+	reading := 0.0
 	if c.Prefer != "" && u.ID != c.Prefer {
-		cost += float64(c.Tokens) / prefill
+		reading = float64(c.Tokens) / prefill
 	}
+	cost += reading
 	if c.Prefer == "" {
 		cost += (noise + apart*(1-trust)) * weight(cmp.Or(c.Key, p.Name), u.ID)
 	}
@@ -174,9 +176,7 @@
 	if s == nil {
 		return cost
 	}
-	if c.Prefer != "" && u.ID != c.Prefer {
-		cost += float64(c.Tokens) / prefill * float64(s.own+s.others)
-	}
+	cost += reading * float64(s.own+s.others)
 	batch := float64(max(u.Batch, 1))
 	under := float64(s.own) + trust*float64(s.others)
 	if c.Key != "" {
