mesh: fronts know each other through hubs

Cause: each front told each other one directly, with a pause of 7 ms for each: 1.2 s at 171 fronts, 2.2 s at 320. Loads were forgotten after 1.5 s, a dead front stayed in the directory for 3.6 s, and the datagrams were a third of all bytes between failure domains.

Change: beyond 24 fronts some of each failure domain are hubs; the others report to one, hubs share the sums of their groups and answer each report with a digest.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -132,7 +132,7 @@
 	}()
 	d := &frontd.Daemon{
 		Settings: frontd.Settings{
-			Node: s.Node, Domain: s.Domain, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
+			Node: s.Node, Domain: s.Domain, Cores: s.Cores, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
 			Peer: p.peerAddress(), Seeds: s.Seeds, Grace: s.Grace, AnswerTTL: s.AnswerTTL,
 		},
 		Store: p.store, Source: platform.Source{Store: p.store}, Dialect: platform.Dialect{}, Names: platform.Names{},
--- a/internal/front/fleet/types.go
+++ b/internal/front/fleet/types.go
@@ -27,6 +27,7 @@
 		Address string // for callers
 		Peer    string // for other daemons
 		Domain  string
+		Cores   float64 // of its processor
 		Leaving bool
 	}
 
--- /dev/null
+++ b/internal/front/mesh/elect.go
@@ -0,0 +1,193 @@
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// together tells whether all fronts tell each other.
+func (m *Mesh) together() bool { return len(m.peers) < Together }
+
+// elect works out who is a hub. The first in order of each failure domain are
+// told as hubs even while nothing is heard of them, or two halves that were cut
+// apart would never hear of each other again; those that stand in for them act.
+func (m *Mesh) elect(now time.Time) {
+	m.prune(now)
+	alive := m.alive(now)
+	m.hubs, m.targets, m.hub = nil, nil, false
+	all := make([]Peer, 0, len(m.peers)+1)
+	for _, p := range m.peers {
+		all = append(all, p.Peer)
+	}
+	all = append(all, m.Self)
+	slices.SortFunc(all, inOrder)
+	if m.together() {
+		m.hubs = all
+	} else {
+		m.hubs = m.first(all, func(p Peer) bool { return !m.down(now, p, alive) })
+		m.targets = m.first(all, func(Peer) bool { return true })
+	}
+	for _, p := range m.hubs {
+		if !slices.Contains(m.targets, p) {
+			m.targets = append(m.targets, p)
+		}
+	}
+	m.hub = slices.Contains(m.hubs, m.Self) || len(m.reports) > 0
+	m.addStandIns(now)
+	m.targets = slices.DeleteFunc(m.targets, func(p Peer) bool { return p.Node == m.Self.Node })
+	slices.SortFunc(m.hubs, func(a, b Peer) int { return cmp.Compare(IDOf(a.Node), IDOf(b.Node)) })
+}
+
+// addStandIns has those told that act as hubs in the eyes of others. Fronts that lost
+// their hubs at different moments come to different ones; each of these tells at least
+// the first in order, who tell the rest of it.
+func (m *Mesh) addStandIns(now time.Time) {
+	more := map[ID]bool{}
+	for id, s := range m.shares {
+		if now.Sub(s.at) > m.silent() {
+			continue
+		}
+		more[id] = true
+		for _, id := range s.Hubs {
+			more[id] = true
+		}
+	}
+	for _, p := range m.targets {
+		delete(more, IDOf(p.Node))
+	}
+	for id := range more {
+		if p, listed := m.peers[id]; listed {
+			m.targets = append(m.targets, p.Peer)
+		}
+	}
+}
+
+// standIns are the hubs heard that not every hub knows of.
+func (m *Mesh) standIns() (ids []ID) {
+	for id := range m.shares {
+		if !slices.ContainsFunc(m.hubs, func(p Peer) bool { return IDOf(p.Node) == id }) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// inOrder has the VMs with the most processor first: hubs take ten times as many
+// datagrams as others.
+func inOrder(a, b Peer) int {
+	return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(b.Cores, a.Cores), cmp.Compare(IDOf(a.Node), IDOf(b.Node)))
+}
+
+// first returns so many of each failure domain as its size asks for.
+func (m *Mesh) first(all []Peer, fit func(Peer) bool) (out []Peer) {
+	size := map[string]int{}
+	for _, p := range all {
+		size[p.Domain]++
+	}
+	taken := map[string]int{}
+	for _, p := range all {
+		if taken[p.Domain] < max(hubsLeast, (size[p.Domain]+groupMost-1)/groupMost) && fit(p) {
+			taken[p.Domain]++
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// down tells whether another front stands in for this one as a hub. Alive are the
+// fronts of which this one has heard itself.
+func (m *Mesh) down(now time.Time, p Peer, alive map[ID]Mark) bool {
+	if p.Node == m.Self.Node {
+		return false
+	}
+	id := IDOf(p.Node)
+	if _, avoid := m.avoid[id]; avoid {
+		return true
+	}
+	if now.Sub(m.peers[id].since) < settle {
+		return false
+	}
+	if m.told(now) {
+		return m.digest.missing[id]
+	}
+	_, is := alive[id]
+	return m.hub && !is
+}
+
+// told tells whether what is known comes from a hub. One that has just become a hub
+// itself goes by that until the others have told it of theirs.
+func (m *Mesh) told(now time.Time) bool {
+	longest := m.silent()
+	if m.hub {
+		longest = 2 * reportPause
+	}
+	return !m.digest.at.IsZero() && now.Sub(m.digest.at) <= longest
+}
+
+// choose returns the hub that this front reports to: one of its failure domain
+// if there is any, each front another one.
+func (m *Mesh) choose(now time.Time) (hub Peer, ok bool) {
+	best := uint64(0)
+	near := slices.ContainsFunc(m.hubs, func(p Peer) bool { return p.Domain == m.Self.Domain })
+	for _, p := range m.hubs {
+		if near && p.Domain != m.Self.Domain {
+			continue
+		}
+		if w := xxhash.Sum64String(m.Self.Node + "\x00" + p.Node); !ok || w > best {
+			hub, best, ok = p, w, true
+		}
+	}
+	return hub, ok
+}
+
+// prune drops what is too old to count.
+func (m *Mesh) prune(now time.Time) {
+	for id, r := range m.reports {
+		if now.Sub(r.at) > followAge {
+			delete(m.reports, id)
+		}
+	}
+	for id, s := range m.shares {
+		if now.Sub(s.at) > m.silent() {
+			delete(m.shares, id)
+		}
+	}
+	for id, a := range m.avoid {
+		missing := m.told(now) && m.digest.missing[id]
+		if !now.Before(a.until) || a.gone && !missing && m.told(now) {
+			delete(m.avoid, id)
+			continue
+		}
+		a.gone = a.gone || missing
+		m.avoid[id] = a
+	}
+	for id, since := range m.asked {
+		if now.Sub(since) > patience {
+			delete(m.asked, id)
+			m.avoid[id] = avoided{until: now.Add(avoidFor)}
+		}
+	}
+}
+
+// Rank is how many fronts come before this one in the order in which they look at
+// the store: hubs first, since all others hear from them.
+func (m *Mesh) Rank(now time.Time) int {
+	self := IDOf(m.Self.Node)
+	if i := slices.IndexFunc(m.hubs, func(p Peer) bool { return p.Node == m.Self.Node }); i >= 0 {
+		alive := m.alive(now)
+		return len(slices.DeleteFunc(slices.Clone(m.hubs[:i]), func(p Peer) bool {
+			_, is := alive[IDOf(p.Node)]
+			return !is
+		}))
+	}
+	n := len(m.hubs)
+	for id := range m.peers {
+		if id < self {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/front/mesh/mesh.go
@@ -0,0 +1,273 @@
+// Package mesh decides what the daemons that serve callers tell each other, and
+// what follows from what they hear: who is alive, and what all of them together
+// have under way at each upstream.
+//
+// A few fronts tell each other everything directly. With hundreds that would be
+// tens of thousands of datagrams a second, or news that is seconds old. So beyond
+// Together, some fronts of each failure domain are hubs: every other front reports
+// to one hub, hubs share the sums of their groups with each other, and answer each
+// report with a digest of the whole. What a front has under way reaches all others
+// in three datagrams, and a front takes as many whatever their number.
+//
+// Nobody appoints hubs. Each front works the same order out of the list of fronts,
+// and whoever gets a report is a hub for its sender, so fronts whose lists differ
+// still understand each other.
+//
+// Mesh is a state machine without clock, lock or network: events go in, datagrams
+// that are to be sent come out.
+package mesh
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Together is the largest number of fronts that all tell each other: at 7 ms
+	// for each their words are then 0.17 s old at most, as old as through hubs.
+	Together = 24
+	// groupMost is how many fronts share a hub. A hub takes 160 reports a second
+	// from them, fewer datagrams than from the other hubs.
+	groupMost = 16
+	// hubsLeast is the least number of hubs in a failure domain, so that the
+	// others have one nearby when one dies.
+	hubsLeast = 2
+	// base is the pause between datagrams to the same front: half of the time of
+	// a short plain call.
+	base = 60 * time.Millisecond
+	// perPeer stretches the pause with the number of fronts that are told, which
+	// bounds the datagrams that each sends and takes to about 140 a second.
+	// perHub is the same between hubs, 250 a second: hubs are few, and the VMs with
+	// the most processor.
+	perPeer = 7 * time.Millisecond
+	perHub  = 4 * time.Millisecond
+	// reportPause is the pause between reports to a hub. Two reports and the hubs'
+	// pause in between are the age of what is known through hubs: 0.3 s at most
+	// with 24 hubs, half of it on the average.
+	reportPause = 100 * time.Millisecond
+	// Silent is the least time for which a front may say nothing before it counts
+	// as gone, and silentPauses the same in pauses: so many datagrams in a row are
+	// hardly ever lost. Through hubs it is silentHub, in which the fronts of a hub
+	// that died have found another one.
+	Silent       = 900 * time.Millisecond
+	silentPauses = 3
+	silentHub    = time.Second
+	// followAge is for how long a report counts: five are hardly ever lost.
+	followAge = 500 * time.Millisecond
+	// patience is how long a hub may leave reports without an answer, and
+	// avoidFor how long it is left alone then.
+	patience = 500 * time.Millisecond
+	avoidFor = 10 * time.Second
+	// settle is how long a front that has just become known may say nothing
+	// before another one takes its part as a hub.
+	settle = time.Second
+	// maxLoads bounds the upstreams in one datagram, so that it stays below its
+	// largest size: those with the most under way.
+	maxLoads = 500
+)
+
+// ID is the short form of a name. Datagrams have four bytes in place of some
+// twenty; among a thousand names two are the same once in 8,000 fleets, and then
+// the load of one upstream is counted for another.
+type ID uint32
+
+// IDOf returns the short form of the name of a front or an upstream.
+func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) } //nolint:gosec // the low half is what is wanted
+
+type (
+	// Peer is a front as the store lists it.
+	Peer struct {
+		Node    string
+		Address string // for other daemons
+		Domain  string // failure domain
+		Cores   float64
+	}
+
+	// Event is something that the machine is told.
+	Event interface{ event() }
+
+	// Listed tells which other fronts there are.
+	Listed struct{ Peers []Peer }
+
+	// Heard is a datagram that came. A damaged one is not an event.
+	Heard struct{ Message Message }
+
+	// Tick is due every Pause. It may also come earlier, to tell something now.
+	Tick struct {
+		State State
+		Load  map[ID]int // own requests under way, by upstream
+	}
+
+	// Send is a datagram that is to be sent.
+	Send struct {
+		To      string
+		Message Message
+	}
+
+	// Mesh is one front's part. Set Self, then call Step.
+	Mesh struct {
+		Self Peer
+
+		own     Tick
+		peers   map[ID]peer
+		reports map[ID]report // of the fronts that follow this one
+		shares  map[ID]share  // of other hubs
+		digest  digest
+		avoid   map[ID]avoided   // hubs that gave no answer
+		asked   map[ID]time.Time // hubs that have not answered since
+		hub     bool
+		hubs    []Peer // of all failure domains, in the order of their IDs; those that act
+		targets []Peer // that are told as a hub
+	}
+
+	peer struct {
+		Peer
+		since time.Time // known since then
+	}
+
+	report struct {
+		Report
+		at time.Time
+	}
+
+	avoided struct {
+		until time.Time
+		gone  bool // others have missed it since, too
+	}
+
+	share struct {
+		Share
+		at time.Time
+	}
+
+	digest struct {
+		Digest
+		at      time.Time
+		missing map[ID]bool
+	}
+)
+
+func (Listed) event() {}
+func (Heard) event()  {}
+func (Tick) event()   {}
+
+// Step takes an event and returns what is to be sent.
+func (m *Mesh) Step(now time.Time, e Event) []Send {
+	m.init()
+	switch e := e.(type) {
+	case Listed:
+		m.list(now, e.Peers)
+	case Tick:
+		m.own = e
+		m.elect(now)
+		if m.hub {
+			return m.tellHubs(now)
+		}
+		return m.tellHub(now)
+	case Heard:
+		return m.hear(now, e.Message)
+	}
+	return nil
+}
+
+func (m *Mesh) init() {
+	if m.peers != nil {
+		return
+	}
+	m.peers = map[ID]peer{}
+	m.reports = map[ID]report{}
+	m.shares = map[ID]share{}
+	m.avoid = map[ID]avoided{}
+	m.asked = map[ID]time.Time{}
+	m.hub = true // until there are others to choose from
+}
+
+func (m *Mesh) list(now time.Time, peers []Peer) {
+	next := make(map[ID]peer, len(peers))
+	for _, p := range peers {
+		if p.Node == m.Self.Node {
+			continue
+		}
+		id := IDOf(p.Node)
+		since := now
+		if old, known := m.peers[id]; known && old.Address == p.Address {
+			since = old.since
+		}
+		next[id] = peer{Peer: p, since: since}
+	}
+	m.peers = next
+}
+
+func (m *Mesh) hear(now time.Time, msg Message) []Send {
+	id := IDOf(msg.state().Node)
+	if msg.state().Node == m.Self.Node {
+		return nil
+	}
+	switch msg := msg.(type) {
+	case Report:
+		old, known := m.reports[id]
+		if known && stale(now, msg.State, old.State, old.at) {
+			return nil
+		}
+		m.reports[id] = report{Report: msg, at: now}
+		sends := []Send{{To: msg.State.Peer, Message: m.digestFor(now, id)}}
+		if !known || mark(old.State) != mark(msg.State) {
+			sends = append(sends, m.tellHubs(now)...) // callers are sent elsewhere at once
+		}
+		return sends
+	case Share:
+		if old, known := m.shares[id]; known && stale(now, msg.State, old.State, old.at) {
+			return nil
+		}
+		m.shares[id] = share{Share: msg, at: now}
+	case Digest:
+		delete(m.asked, id)
+		if msg.State.Node == m.digest.State.Node && stale(now, msg.State, m.digest.State, m.digest.at) {
+			return nil
+		}
+		m.digest = digest{Digest: msg, at: now, missing: map[ID]bool{}}
+		for _, id := range msg.Missing {
+			m.digest.missing[id] = true
+		}
+	}
+	return nil
+}
+
+// stale tells whether a front said this before what it has said already. One that
+// started again may have a clock that was set back.
+func stale(now time.Time, s, old State, at time.Time) bool {
+	return s.Sent <= old.Sent && now.Sub(at) < Silent
+}
+
+// Pause is the time between ticks.
+func (m *Mesh) Pause() time.Duration {
+	if !m.hub {
+		return reportPause
+	}
+	return m.hubPause()
+}
+
+func (m *Mesh) hubPause() time.Duration {
+	each := perHub
+	if m.together() {
+		each = perPeer
+	}
+	return max(base, time.Duration(len(m.targets))*each)
+}
+
+// Age is how old what is known of other fronts may be.
+func (m *Mesh) Age() time.Duration {
+	if len(m.peers) < Together {
+		return m.Pause()
+	}
+	return 2*reportPause + m.hubPause()
+}
+
+func (m *Mesh) silent() time.Duration {
+	least := Silent
+	if !m.together() {
+		least = silentHub
+	}
+	return max(least, silentPauses*m.Pause())
+}
--- /dev/null
+++ b/internal/front/mesh/picture.go
@@ -0,0 +1,172 @@
+package mesh
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+type (
+	// Picture is what is known of the other fronts at one moment.
+	Picture struct {
+		Alive    map[ID]Mark
+		Unlisted []State    // of those heard of that are not listed, by name
+		Load     map[ID]int // what all of them have under way, by upstream
+		Fronts   int        // that are alive, this one included
+	}
+)
+
+// Picture returns what is known now.
+func (m *Mesh) Picture(now time.Time) (p Picture) {
+	m.init()
+	if m.told(now) {
+		return m.toldPicture()
+	}
+	p.Alive = m.alive(now)
+	p.Load = m.sum(now, 0)
+	p.Fronts = len(p.Alive) + 1
+	for id, s := range m.shares {
+		if _, listed := m.peers[id]; !listed && now.Sub(s.at) <= m.silent() {
+			p.Unlisted = append(p.Unlisted, s.State)
+		}
+	}
+	for id, r := range m.reports {
+		if _, listed := m.peers[id]; !listed && now.Sub(r.at) <= followAge {
+			p.Unlisted = append(p.Unlisted, r.State)
+		}
+	}
+	slices.SortFunc(p.Unlisted, func(a, b State) int { return cmp.Compare(a.Node, b.Node) })
+	return p
+}
+
+func (m *Mesh) toldPicture() (p Picture) {
+	p.Alive = make(map[ID]Mark, len(m.peers))
+	for id := range m.peers {
+		if !m.digest.missing[id] {
+			p.Alive[id] = 0
+		}
+	}
+	for _, id := range m.digest.Leaving {
+		p.Alive[id] |= Leaving
+	}
+	for _, id := range m.digest.Unwell {
+		p.Alive[id] |= Unwell
+	}
+	p.Load = m.digest.Load
+	p.Fronts = m.digest.Fronts
+	return p
+}
+
+// alive returns the other fronts of which something was heard lately, from
+// themselves or through their hubs.
+func (m *Mesh) alive(now time.Time) map[ID]Mark {
+	out := make(map[ID]Mark, len(m.peers))
+	for id, s := range m.shares {
+		if now.Sub(s.at) > m.silent() {
+			continue
+		}
+		maps.Copy(out, s.Group)
+		out[id] = mark(s.State)
+	}
+	for id, r := range m.reports {
+		if now.Sub(r.at) <= followAge {
+			out[id] = mark(r.State)
+		}
+	}
+	delete(out, IDOf(m.Self.Node))
+	return out
+}
+
+// sum returns what other fronts have under way, but for one.
+func (m *Mesh) sum(now time.Time, but ID) map[ID]int {
+	out := map[ID]int{}
+	for _, s := range m.shares {
+		if now.Sub(s.at) <= m.silent() {
+			add(out, s.Load)
+		}
+	}
+	m.addGroup(now, out, but)
+	return out
+}
+
+func (m *Mesh) addGroup(now time.Time, sum map[ID]int, but ID) {
+	for id, r := range m.reports {
+		if id != but && now.Sub(r.at) <= followAge {
+			add(sum, r.Load)
+		}
+	}
+}
+
+func add(sum, load map[ID]int) {
+	for id, n := range load {
+		sum[id] += n
+	}
+}
+
+// tellHubs shares this front's group with the other hubs.
+func (m *Mesh) tellHubs(now time.Time) (sends []Send) {
+	s := Share{State: m.own.State, Load: maps.Clone(m.own.Load), Group: map[ID]Mark{}, Hubs: m.standIns()}
+	if s.Load == nil {
+		s.Load = map[ID]int{}
+	}
+	m.addGroup(now, s.Load, 0)
+	for id, r := range m.reports {
+		if now.Sub(r.at) <= followAge {
+			s.Group[id] = mark(r.State)
+		}
+	}
+	s.State.Sent = now.UnixNano()
+	for _, p := range m.targets {
+		sends = append(sends, Send{To: p.Address, Message: s})
+	}
+	for id, o := range m.shares {
+		if _, listed := m.peers[id]; !listed {
+			sends = append(sends, Send{To: o.State.Peer, Message: s})
+		}
+	}
+	return sends
+}
+
+// tellHub reports to this front's hub.
+func (m *Mesh) tellHub(now time.Time) []Send {
+	hub, ok := m.choose(now)
+	if !ok {
+		return nil
+	}
+	id := IDOf(hub.Node)
+	if _, waiting := m.asked[id]; !waiting {
+		m.asked[id] = now
+	}
+	r := Report{State: m.own.State, Load: m.own.Load}
+	r.State.Sent = now.UnixNano()
+	return []Send{{To: hub.Address, Message: r}}
+}
+
+// digestFor returns what a front that reported is told.
+func (m *Mesh) digestFor(now time.Time, to ID) Digest {
+	alive := m.alive(now)
+	d := Digest{State: m.own.State, Load: m.sum(now, to), Fronts: len(alive) + 1}
+	add(d.Load, m.own.Load)
+	d.State.Sent = now.UnixNano()
+	for id := range m.peers {
+		if _, is := alive[id]; !is {
+			d.Missing = append(d.Missing, id)
+		}
+	}
+	for id, mark := range alive {
+		if mark&Leaving != 0 {
+			d.Leaving = append(d.Leaving, id)
+		}
+		if mark&Unwell != 0 {
+			d.Unwell = append(d.Unwell, id)
+		}
+	}
+	if m.own.State.Leaving {
+		d.Leaving = append(d.Leaving, IDOf(m.Self.Node))
+	}
+	if m.own.State.Unwell {
+		d.Unwell = append(d.Unwell, IDOf(m.Self.Node))
+	}
+	return d
+}
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -30,8 +30,6 @@
 	fullFor = 80 * time.Millisecond
 	// failedFor is the same for one that could not be reached or broke off.
 	failedFor = 600 * time.Millisecond
-	// peerAge is how long what another daemon said of its requests counts.
-	peerAge = 1500 * time.Millisecond
 
 	// The costs, in milliseconds. They answer bursts of twice the usual load on
 	// engines of 12 to 64 places and services of 6; a turn takes 100 to 400 ms,
@@ -84,16 +82,16 @@
 	Picker struct {
 		Name   string // of this daemon
 		Domain string // own failure domain
-		// Pause is how long other daemons wait between telling their loads;
-		// nil for no time.
-		Pause func() time.Duration
+		// Age is how old what other daemons tell of their loads may be; nil for
+		// no time.
+		Age func() time.Duration
 		// Idle tells whether a connection to the address is open and unused;
 		// nil for no.
 		Idle func(address string) bool
 
-		mu    sync.Mutex
-		known map[string]*state
-		peers map[string]peer
+		mu     sync.Mutex
+		known  map[string]*state
+		fronts int // other daemons that are alive
 	}
 
 	state struct {
@@ -105,11 +103,6 @@
 		at     time.Time // of the last outcome
 	}
 
-	peer struct {
-		at   time.Time
-		load map[string]int
-	}
-
 	// Case is one request.
 	Case struct {
 		List    []fleet.Upstream // of the service
@@ -150,10 +143,10 @@
 
 // trust is how much of what others have said counts, from 0 to 1.
 func (p *Picker) trust() float64 {
-	if p.Pause == nil {
+	if p.Age == nil {
 		return 1
 	}
-	return min(1, float64(fresh)/float64(max(p.Pause(), 1)))
+	return min(1, float64(fresh)/float64(max(p.Age(), 1)))
 }
 
 func (p *Picker) cost(now time.Time, u *fleet.Upstream, c Case, trust float64) float64 {
@@ -241,9 +234,9 @@
 func (p *Picker) Load(list []fleet.Upstream, share func(places int) float64) (l gate.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.Fronts = 1 + len(p.peers)
-	if p.Pause != nil {
-		l.News = p.Pause()
+	l.Fronts = 1 + p.fronts
+	if p.Age != nil {
+		l.News = p.Age()
 	}
 	room := 0.0
 	for i := range list {
@@ -323,36 +316,25 @@
 	return out
 }
 
-// Heard takes what another daemon has under way.
-func (p *Picker) Heard(now time.Time, from string, load map[string]int) {
+// Heard takes what all other daemons together have under way, in place of what they
+// had, and how many they are.
+func (p *Picker) Heard(load map[string]int, fronts int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.peers == nil {
-		p.peers = map[string]peer{}
-	}
-	for id, n := range p.peers[from].load {
-		p.state(id).others -= n
+	p.fronts = fronts
+	for id, s := range p.known {
+		s.others = load[id]
 	}
 	for id, n := range load {
-		p.state(id).others += n
+		p.state(id).others = n
 	}
-	p.peers[from] = peer{at: now, load: load}
 }
 
-// Forget drops what is known of daemons that have been silent for long, and of
-// upstreams that are not listed any more and have nothing under way.
-func (p *Picker) Forget(now time.Time, listed func(id string) bool) {
+// Forget drops what is known of upstreams that are not listed any more and have
+// nothing under way.
+func (p *Picker) Forget(listed func(id string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name, other := range p.peers {
-		if now.Sub(other.at) <= peerAge {
-			continue
-		}
-		for id, n := range other.load {
-			p.state(id).others -= n
-		}
-		delete(p.peers, name)
-	}
 	for id, s := range p.known {
 		if s.own == 0 && s.others == 0 && !listed(id) {
 			delete(p.known, id)
--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -1,77 +1,43 @@
-// Package rumor tells the daemons that serve callers of each other: what each has
-// under way at every upstream, and how new its knowledge of the system is.
+// Package rumor carries what the daemons that serve callers tell each other, as
+// package mesh decides, in datagrams.
 //
-// Upstreams report their load late and each report is a call to them. A
-// datagram of a few hundred bytes to each other daemon costs less and is newer.
-// Datagrams may be lost or overtake each other; each carries the whole state, so
-// the next one makes up for it.
+// Upstreams report their load late and each report is a call to them. A datagram
+// of a few hundred bytes costs less and is newer. Datagrams may be lost or overtake
+// each other; each carries the whole state, so the next one makes up for it.
 package rumor
 
 import (
 	"context"
-	"maps"
 	"net"
-	"slices"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
+	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
-const (
-	// base is the pause between datagrams to the same daemon: half of the time
-	// of a short plain call.
-	base = 60 * time.Millisecond
-	// perPeer stretches the pause with the number of daemons, which bounds the
-	// datagrams that each sends and takes to about 140 a second.
-	perPeer = 7 * time.Millisecond
-	// Silent is the least time for which a daemon may send nothing before it
-	// counts as gone, and silentPauses the same in pauses between datagrams: so
-	// many in a row are hardly ever lost.
-	Silent       = 900 * time.Millisecond
-	silentPauses = 3
-	// forget is when a silent daemon's last word is dropped.
-	forget = time.Minute
-	// maxLoads bounds the upstreams in one datagram, so that it fits a link's
-	// frame: those with the most under way. The largest VM has some 40.
-	maxLoads  = 60
-	maxPacket = 4096
-)
+// pictureAge is for how long a picture is used again: each answer of the directory
+// needs one, and it changes a few times a second.
+const pictureAge = 20 * time.Millisecond
 
 type (
 	// Rumor sends and takes datagrams. Set the exported fields, then call Run.
 	Rumor struct {
 		Conn  net.PacketConn
-		Own   func() Word                 // what is said
-		Heard func(now time.Time, w Word) // takes what another says
-		Peers func() []string             // addresses of the others
-
-		mu    sync.Mutex
-		words map[string]heard // newest of each daemon
-		pause time.Duration    // between own datagrams
-	}
-
-	// Word is what one daemon says.
-	Word struct {
-		Node     string         `cbor:"1,keyasint"`
-		Sent     int64          `cbor:"2,keyasint"` // Unix nanoseconds of the sender; orders its words
-		Load     map[string]int `cbor:"3,keyasint"` // under way there, by upstream
-		Leaving  bool           `cbor:"4,keyasint,omitempty"`
-		Revision uint64         `cbor:"5,keyasint"`            // of the store, as it knows it
-		Hash     uint64         `cbor:"6,keyasint"`            // of its knowledge
-		Age      int64          `cbor:"7,keyasint"`            // milliseconds since that was confirmed
-		Peer     string         `cbor:"8,keyasint"`            // its address for other daemons
-		Callers  string         `cbor:"9,keyasint"`            // and for callers
-		Unwell   bool           `cbor:"10,keyasint,omitempty"` // it can't reach what it needs to serve
-	}
-
-	heard struct {
-		Word
-		at time.Time
+		Self  mesh.Peer
+		Own   func() (mesh.State, map[mesh.ID]int) // what is told
+		Peers func() []mesh.Peer                   // the others, as the store lists them
+		// Heard takes what another daemon tells of itself, and Changed is called
+		// after each datagram and each turn with what is known of all others.
+		Heard   func(now time.Time, s mesh.State)
+		Changed func(mesh.Picture)
+
+		mu      sync.Mutex
+		mesh    mesh.Mesh
+		picture mesh.Picture
+		at      time.Time // of the picture
 	}
 )
 
@@ -80,8 +46,8 @@
 	defer func() { err = errors.Wrap(err, "exchange rumors") }()
 	stop := context.AfterFunc(ctx, func() { _ = l.Conn.Close() })
 	defer stop()
-	go l.send(ctx)
-	var buf [maxPacket]byte
+	go l.tick(ctx)
+	var buf [mesh.MaxPacket]byte
 	for {
 		n, _, err := l.Conn.ReadFrom(buf[:])
 		if ctx.Err() != nil {
@@ -90,103 +56,100 @@
 		if err != nil {
 			return err
 		}
-		var w Word
-		if cbor.Unmarshal(buf[:n], &w) != nil || w.Node == "" {
+		msg, err := mesh.Decode(buf[:n])
+		if err != nil {
 			continue // not one of ours, or spoilt: the next one makes up for it
 		}
-		if now := time.Now(); l.Note(now, w) {
-			l.Heard(now, w)
-		}
+		l.Take(time.Now(), msg)
 	}
 }
 
-// Note takes a word, and is false if a later one of that daemon has come before. A daemon
-// that started again may have a clock that was set back.
-func (l *Rumor) Note(now time.Time, w Word) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.words == nil {
-		l.words = map[string]heard{}
+// Take learns from a message and answers it.
+func (l *Rumor) Take(now time.Time, msg mesh.Message) {
+	l.step(now, mesh.Heard{Message: msg})
+	if l.Heard != nil {
+		l.Heard(now, mesh.StateOf(msg))
 	}
-	old, known := l.words[w.Node]
-	if known && w.Sent <= old.Sent && now.Sub(old.at) < l.silent() {
-		return false
-	}
-	l.words[w.Node] = heard{Word: w, at: now}
-	return true
+	l.change(now)
 }
 
-// Live returns the last word of each daemon that was heard of lately, in the order
-// of their names.
-func (l *Rumor) Live(now time.Time) (words []Word) {
+// Picture returns what is known of the others.
+func (l *Rumor) Picture(now time.Time) mesh.Picture {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, h := range l.words {
-		switch age := now.Sub(h.at); {
-		case age <= l.silent():
-			words = append(words, h.Word)
-		case age > forget:
-			delete(l.words, name)
-		}
+	if age := now.Sub(l.at); age < 0 || age > pictureAge {
+		l.picture, l.at = l.mesh.Picture(now), now
 	}
-	sort.Slice(words, func(i, j int) bool { return words[i].Node < words[j].Node })
-	return words
+	return l.picture
 }
 
-// silent is how long a daemon may send nothing. Others pause about as long as
-// this one, since they know the same daemons.
-func (l *Rumor) silent() time.Duration { return max(Silent, silentPauses*l.pause) }
+// Rank is how many live daemons look at the store before this one.
+func (l *Rumor) Rank(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mesh.Rank(now)
+}
 
-// Pause is how long this daemon waits between datagrams, as all do.
-func (l *Rumor) Pause() time.Duration {
+// Age is how old what is known of others may be.
+func (l *Rumor) Age() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.pause
+	return l.mesh.Age()
+}
+
+// Tell says everything now, without waiting for the next turn.
+func (l *Rumor) Tell() {
+	now := time.Now()
+	state, load := l.Own()
+	l.step(now, mesh.Listed{Peers: l.Peers()})
+	l.step(now, mesh.Tick{State: state, Load: load})
+	l.change(now)
 }
 
-func (l *Rumor) send(ctx context.Context) {
+func (l *Rumor) tick(ctx context.Context) {
 	for {
-		peers := l.Peers()
-		wait := max(base, time.Duration(len(peers))*perPeer)
 		l.mu.Lock()
-		l.pause = wait
+		wait := l.mesh.Pause()
 		l.mu.Unlock()
 		if !pause.For(ctx, wait) {
 			return
 		}
-		l.tell(peers)
+		l.Tell()
 	}
 }
 
-// Tell says everything now, without waiting for the next turn.
-func (l *Rumor) Tell() { l.tell(l.Peers()) }
-
-func (l *Rumor) tell(peers []string) {
-	w := l.Own()
-	w.Sent = time.Now().UnixNano()
-	w.Load = busiest(w.Load)
-	data, err := cbor.Marshal(w)
-	if err != nil {
-		return
+func (l *Rumor) change(now time.Time) {
+	if l.Changed != nil {
+		l.Changed(l.Picture(now))
 	}
-	for _, address := range peers {
-		to, err := net.ResolveUDPAddr("udp", address)
+}
+
+func (l *Rumor) step(now time.Time, e mesh.Event) {
+	l.mu.Lock()
+	l.mesh.Self = l.Self
+	sends := l.mesh.Step(now, e)
+	l.mu.Unlock()
+	var last mesh.Message
+	var data []byte
+	for i, s := range sends {
+		to, err := net.ResolveUDPAddr("udp", s.To)
 		if err != nil {
-			continue
+			continue // a damaged entry; others tell of this daemon
+		}
+		if i == 0 || !same(last, s.Message) {
+			if data, err = mesh.Encode(s.Message); err != nil {
+				return
+			}
+			last = s.Message
 		}
 		_, _ = l.Conn.WriteTo(data, to) // lost datagrams are made up for by the next
 	}
 }
 
-// busiest returns the loads that fit a datagram.
-func busiest(load map[string]int) map[string]int {
-	if len(load) <= maxLoads {
-		return load
-	}
-	ids := slices.SortedFunc(maps.Keys(load), func(a, b string) int { return load[b] - load[a] })
-	out := make(map[string]int, maxLoads)
-	for _, id := range ids[:maxLoads] {
-		out[id] = load[id]
-	}
-	return out
+// same tells whether two messages of one step are the same share, which is encoded
+// once for all hubs.
+func same(a, b mesh.Message) bool {
+	s, is := a.(mesh.Share)
+	o, too := b.(mesh.Share)
+	return is && too && s.State.Sent == o.State.Sent
 }
--- a/internal/node/frontd/directory.go
+++ b/internal/node/frontd/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/mesh"
 )
 
 // directoryTTL is how long callers keep an answer. Some keep it three times as
@@ -35,28 +36,30 @@
 // and can serve, or all that are not leaving if none can.
 func (d *Daemon) named() (well []fleet.Entry) {
 	now := time.Now()
-	self := fleet.Entry{Node: d.Settings.Node, Address: d.Settings.Callers, Domain: d.Settings.Domain}
-	unwell := map[string]bool{self.Node: d.pulse.Down(now)}
-	live := map[string]bool{}
-	for _, w := range d.rumor.Live(now) {
-		live[w.Node] = true
-		unwell[w.Node] = w.Unwell
+	p := d.rumor.Picture(now)
+	self := fleet.Entry{
+		Node: d.Settings.Node, Address: d.Settings.Callers, Domain: d.Settings.Domain, Cores: d.Settings.Cores,
 	}
 	var all []fleet.Entry
 	if d.ready() {
 		all = append(all, self)
 	}
-	others := d.others()
+	others := d.others(p)
 	// A daemon that hears few of the others is itself cut off, and can't tell
 	// which of them are gone.
-	trusted := 2*len(live) >= len(others)
+	trusted := 2*(p.Fronts-1) >= len(others)
 	for _, e := range others {
-		if !e.Leaving && (live[e.Node] || !trusted) {
+		_, alive := p.Alive[mesh.IDOf(e.Node)]
+		if !e.Leaving && (alive || !trusted) {
 			all = append(all, e)
 		}
 	}
 	for _, e := range all {
-		if !unwell[e.Node] {
+		unwell := p.Alive[mesh.IDOf(e.Node)]&mesh.Unwell != 0
+		if e.Node == self.Node {
+			unwell = d.pulse.Down(now)
+		}
+		if !unwell {
 			well = append(well, e)
 		}
 	}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -17,6 +17,7 @@
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/entry"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/pulse"
 	"github.com/slaterock/slaterock/internal/front/rumor"
@@ -63,7 +64,8 @@
 	Settings struct {
 		Node      string
 		Domain    string
-		Callers   string // addresses to listen at
+		Cores     float64 // of the processor
+		Callers   string  // addresses to listen at
 		Ready     string
 		Directory string
 		Peer      string   // for other daemons
@@ -102,6 +104,7 @@
 		leaving atomic.Bool
 		reads   reads
 		kept    kept
+		names   atomic.Pointer[upstreamNames]
 	}
 )
 
@@ -143,7 +146,7 @@
 func (d *Daemon) start(ctx context.Context) error {
 	d.scout.Store = d.Store
 	d.picker.Name, d.picker.Domain = d.Settings.Node, d.Settings.Domain
-	d.picker.Idle, d.picker.Pause = d.pool.Idle, d.rumor.Pause
+	d.picker.Idle, d.picker.Age = d.pool.Idle, d.rumor.Age
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
 	d.link.DialTime, d.link.BackOff = dialTime, dialPause
 	d.link.Handle(methodKnown, link.Answer(d.tellKnown))
@@ -166,7 +169,9 @@
 	if err != nil {
 		return err
 	}
-	d.rumor.Conn, d.rumor.Own, d.rumor.Heard, d.rumor.Peers = conn, d.word, d.heard, d.peers
+	d.rumor.Conn, d.rumor.Own, d.rumor.Peers = conn, d.told, d.peers
+	d.rumor.Self = mesh.Peer{Node: d.Settings.Node, Address: d.Settings.Peer, Domain: d.Settings.Domain, Cores: d.Settings.Cores}
+	d.rumor.Heard, d.rumor.Changed = d.heard, d.changed
 	go func() {
 		if err := d.rumor.Run(ctx); err != nil {
 			d.Log.Error().Err(err).Msg("nothing is heard of other daemons any more")
@@ -201,7 +206,7 @@
 
 func (d *Daemon) value() []byte {
 	return scout.FrontValue(fleet.Entry{
-		Address: d.Settings.Callers, Peer: d.Settings.Peer, Domain: d.Settings.Domain, Leaving: !d.ready(),
+		Address: d.Settings.Callers, Peer: d.Settings.Peer, Domain: d.Settings.Domain, Cores: d.Settings.Cores, Leaving: !d.ready(),
 	})
 }
 
@@ -214,25 +219,23 @@
 }
 
 // others returns the other daemons that serve callers: those listed in the store,
-// and those heard of. A daemon that the store turns away loses its key there while
-// it lives on what the others tell, so they must go on telling it.
-func (d *Daemon) others() []fleet.Entry {
-	heard := d.rumor.Live(time.Now())
+// and those heard of. A daemon that the store turns away may have no key there.
+func (d *Daemon) others(p mesh.Picture) []fleet.Entry {
 	list := slices.Clone(d.fleet.View().Entries)
-	for _, w := range heard {
-		i := slices.IndexFunc(list, func(e fleet.Entry) bool { return e.Node == w.Node })
-		if i < 0 {
-			list = append(list, fleet.Entry{Node: w.Node, Address: w.Callers, Peer: w.Peer, Leaving: w.Leaving})
-			continue
-		}
-		list[i].Leaving = w.Leaving
+	for i := range list {
+		list[i].Leaving = list[i].Leaving || p.Alive[mesh.IDOf(list[i].Node)]&mesh.Leaving != 0
+	}
+	for _, s := range p.Unlisted {
+		list = append(list, fleet.Entry{Node: s.Node, Address: s.Callers, Peer: s.Peer, Leaving: s.Leaving})
 	}
 	return slices.DeleteFunc(list, func(e fleet.Entry) bool { return e.Node == d.Settings.Node })
 }
 
-func (d *Daemon) peers() (list []string) {
-	for _, e := range d.others() {
-		list = append(list, e.Peer)
+func (d *Daemon) peers() (list []mesh.Peer) {
+	for _, e := range d.fleet.View().Entries {
+		if e.Node != d.Settings.Node {
+			list = append(list, mesh.Peer{Node: e.Node, Address: e.Peer, Domain: e.Domain, Cores: e.Cores})
+		}
 	}
 	return list
 }
@@ -302,6 +305,7 @@
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.leaving.Store(true)
 	d.entry.Leave()
+	d.rumor.Tell()
 	d.listed.Wake()
 	d.Log.Info().Int64("active", d.entry.Active()).Msg("draining")
 	pause.For(ctx, keepServing)
@@ -333,7 +337,7 @@
 				known[u.ID] = true
 			}
 		}
-		d.picker.Forget(time.Now(), func(id string) bool { return known[id] })
+		d.picker.Forget(func(id string) bool { return known[id] })
 		d.Scope.Gauge("queued").Update(float64(d.entry.Queue.Len()))
 		d.Scope.Gauge("active").Update(float64(d.entry.Active()))
 		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
--- a/internal/node/frontd/known.go
+++ b/internal/node/frontd/known.go
@@ -5,13 +5,16 @@
 	"time"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
-	"github.com/slaterock/slaterock/internal/front/rumor"
+	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/peer/link"
 )
 
 const (
 	// askTime bounds what is asked of another daemon.
 	askTime = 700 * time.Millisecond
+	// asksMost is how many daemons are asked at a time for the same news: a
+	// second one in case the first is about to stop.
+	asksMost = 2
 
 	methodKnown = "fleet.known"
 )
@@ -36,32 +39,76 @@
 		Hash    uint64 `cbor:"1,keyasint"` // of its state
 		Version int64  `cbor:"2,keyasint"` // of its configuration
 	}
+
+	// upstreamNames has the ids of upstreams by their short forms.
+	upstreamNames struct {
+		hash uint64 // of the knowledge that they are from
+		of   map[mesh.ID]string
+	}
 )
 
-// word is what this daemon says to the others.
-func (d *Daemon) word() rumor.Word {
+// told is what this daemon tells the others.
+func (d *Daemon) told() (mesh.State, map[mesh.ID]int) {
 	v := d.fleet.View()
-	return rumor.Word{
-		Node: d.Settings.Node, Load: d.picker.Own(), Leaving: !d.ready(),
-		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(),
-		Peer: d.Settings.Peer, Callers: d.Settings.Callers, Unwell: d.pulse.Down(time.Now()),
+	load := map[mesh.ID]int{}
+	for id, n := range d.picker.Own() {
+		load[mesh.IDOf(id)] = n
 	}
+	return mesh.State{
+		Node: d.Settings.Node, Peer: d.Settings.Peer, Callers: d.Settings.Callers,
+		Leaving: !d.ready(), Unwell: d.pulse.Down(time.Now()),
+		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(),
+	}, load
 }
 
-// heard takes what another daemon says. If it knows something newer, that is
-// asked for. If it knows the same by a later reading, this one need not read: a
-// store that does not change keeps its revision, and daemons that went by newer
-// revisions only read 10 times a second in all where 2 are enough (eight daemons,
-// a quiet day).
-func (d *Daemon) heard(now time.Time, w rumor.Word) {
-	d.picker.Heard(now, w.Node, w.Load)
+// changed takes what all other daemons have under way.
+func (d *Daemon) changed(p mesh.Picture) {
+	d.picker.Heard(d.upstreamNames().loads(p.Load), p.Fronts-1)
 	d.entry.Heard()
+}
+
+// upstreamNames returns the ids of the upstreams that are known now.
+func (d *Daemon) upstreamNames() *upstreamNames {
+	v := d.fleet.View()
+	if n := d.names.Load(); n != nil && n.hash == v.Hash {
+		return n
+	}
+	n := &upstreamNames{hash: v.Hash, of: make(map[mesh.ID]string, len(v.Upstreams))}
+	for _, u := range v.Upstreams {
+		n.of[mesh.IDOf(u.ID)] = u.ID
+	}
+	d.names.Store(n)
+	return n
+}
+
+// loads has upstreams by their ids. One that this daemon doesn't know yet gets
+// nothing from it either.
+func (n *upstreamNames) loads(short map[mesh.ID]int) map[string]int {
+	out := make(map[string]int, len(short))
+	for id, load := range short {
+		if name, known := n.of[id]; known {
+			out[name] = load
+		}
+	}
+	return out
+}
+
+// heard takes what another daemon tells of its knowledge. If it knows something
+// newer, that is asked for. If it knows the same by a later reading, this one need
+// not read: a store that does not change keeps its revision, and daemons that went
+// by newer revisions only read 10 times a second in all where 2 are enough (eight
+// daemons, a quiet day).
+//
+// Hundreds of daemons may tell of something newer at once. One or two are asked, so
+// that a start of all doesn't fill memory and links with answers that say the same; if
+// none answers, the next one heard is asked.
+func (d *Daemon) heard(_ time.Time, s mesh.State) {
 	v := d.fleet.View()
-	if w.Revision < v.Revision || w.Revision == v.Revision && w.Hash != v.Hash {
+	if s.Revision < v.Revision || s.Revision == v.Revision && s.Hash != v.Hash {
 		return
 	}
-	if w.Hash == v.Hash {
-		d.learn(fleet.Confirmed{Revision: w.Revision, Age: time.Duration(w.Age) * time.Millisecond}, nil)
+	if s.Hash == v.Hash {
+		d.learn(fleet.Confirmed{Revision: s.Revision, Age: time.Duration(s.Age) * time.Millisecond}, nil)
 		return
 	}
 	d.reads.mu.Lock()
@@ -69,14 +116,14 @@
 	if d.reads.busy == nil {
 		d.reads.busy = map[string]bool{}
 	}
-	if d.reads.busy[w.Node] {
+	if d.reads.busy[s.Node] || len(d.reads.busy) >= asksMost {
 		return
 	}
-	d.reads.busy[w.Node] = true
-	go d.askPeer(w)
+	d.reads.busy[s.Node] = true
+	go d.askPeer(s)
 }
 
-func (d *Daemon) askPeer(e rumor.Word) {
+func (d *Daemon) askPeer(e mesh.State) {
 	ctx, stop := context.WithTimeout(d.entry.Stop, askTime)
 	defer stop()
 	var k known
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -58,7 +58,7 @@
 func (d *Daemon) read(ctx context.Context) {
 	wait := time.Duration(0)
 	for {
-		if time.Since(d.fleet.View().Confirmed) < readEvery+time.Duration(d.rank())*readRank {
+		if time.Since(d.fleet.View().Confirmed) < readEvery+time.Duration(d.rumor.Rank(time.Now()))*readRank {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
 			wait = min(max(2*wait, backOffLeast), backOffMost)
@@ -71,17 +71,6 @@
 	}
 }
 
-// rank is how many live daemons come before this one.
-func (d *Daemon) rank() int {
-	n := 0
-	for _, w := range d.rumor.Live(time.Now()) {
-		if w.Node < d.Settings.Node {
-			n++
-		}
-	}
-	return n
-}
-
 func (d *Daemon) readStore(ctx context.Context) error {
 	n, others, bad, err := d.Source.Read(ctx)
 	if err != nil {
--- a/internal/node/scout/scout.go
+++ b/internal/node/scout/scout.go
@@ -53,16 +53,17 @@
 
 	// frontValue is the value of a daemon that takes callers.
 	frontValue struct {
-		Address string `json:"address"`
-		Peer    string `json:"peer"`
-		Domain  string `json:"domain"`
-		Leaving bool   `json:"leaving,omitempty"`
+		Address string  `json:"address"`
+		Peer    string  `json:"peer"`
+		Domain  string  `json:"domain"`
+		Cores   float64 `json:"cores,omitempty"`
+		Leaving bool    `json:"leaving,omitempty"`
 	}
 )
 
 // FrontValue encodes a daemon that takes callers.
 func FrontValue(e fleet.Entry) []byte {
-	data, _ := json.Marshal(frontValue{Address: e.Address, Peer: e.Peer, Domain: e.Domain, Leaving: e.Leaving}) // strings always encode
+	data, _ := json.Marshal(frontValue{Address: e.Address, Peer: e.Peer, Domain: e.Domain, Cores: e.Cores, Leaving: e.Leaving}) // strings always encode
 	return data
 }
 
@@ -141,7 +142,7 @@
 			return err
 		}
 		s.Entries = append(s.Entries, fleet.Entry{
-			Node: strings.TrimPrefix(e.Key, FrontPrefix), Address: v.Address, Peer: v.Peer, Domain: v.Domain, Leaving: v.Leaving,
+			Node: strings.TrimPrefix(e.Key, FrontPrefix), Address: v.Address, Peer: v.Peer, Domain: v.Domain, Cores: v.Cores, Leaving: v.Leaving,
 		})
 	}
 	return nil
