mesh, directory: daemons named by load, hubs stay few, a start asks the store for less

In the simulation a woken hub that heard of nobody made hubs of 300 of 320 fronts.

Change: keys are posted after the first reading; daemons that know of no others read again at a random time, and hubs greet silent fronts, so that the first to read tells the rest. Who hears of fewer than half of the fronts takes nobody for gone; a front that was frozen forgets what it heard.

--- a/internal/front/mesh/elect.go
+++ b/internal/front/mesh/elect.go
@@ -46,7 +46,9 @@
 		if now.Sub(s.at) > m.silent() {
 			continue
 		}
-		more[id] = true
+		if len(s.Group) > 0 {
+			more[id] = true
+		}
 		for _, id := range s.Hubs {
 			more[id] = true
 		}
@@ -63,8 +65,8 @@
 
 // standIns are the hubs heard that not every hub knows of.
 func (m *Mesh) standIns() (ids []ID) {
-	for id := range m.shares {
-		if !slices.ContainsFunc(m.hubs, func(p peer) bool { return p.id == id }) {
+	for id, s := range m.shares {
+		if len(s.Group) > 0 && !slices.ContainsFunc(m.hubs, func(p peer) bool { return p.id == id }) {
 			ids = append(ids, id)
 		}
 	}
@@ -95,6 +97,10 @@
 
 // down tells whether another front stands in for this one as a hub. Alive are the
 // fronts of which this one has heard itself.
+//
+// Who hears of fewer than half of the others, a hub that has just started or woken,
+// can't tell who is gone. If it told its followers that all others are, each of them
+// would become a hub, and all would tell each other directly again.
 func (m *Mesh) down(now time.Time, p peer, alive map[ID]Mark) bool {
 	if m.isSelf(p) {
 		return false
@@ -106,10 +112,10 @@
 		return false
 	}
 	if m.told(now) {
-		return m.digest.missing[p.id]
+		return 2*m.digest.Fronts > len(m.order) && m.digest.missing[p.id]
 	}
 	_, is := alive[p.id]
-	return m.hub && !is
+	return m.hub && 2*len(alive) > len(m.peers) && !is
 }
 
 // told tells whether what is known comes from a hub. One that has just become a hub
@@ -122,16 +128,16 @@
 	return !m.digest.at.IsZero() && now.Sub(m.digest.at) <= longest
 }
 
-// choose returns the hub that this front reports to: one of its failure domain
-// if there is any, each front another one.
-func (m *Mesh) choose() (hub peer, ok bool) {
+// choose returns the hub that a front reports to: one of its failure domain if
+// there is any, each front another one.
+func (m *Mesh) choose(front Peer) (hub peer, ok bool) {
 	best := uint64(0)
-	near := slices.ContainsFunc(m.hubs, func(p peer) bool { return p.Domain == m.Self.Domain })
+	near := slices.ContainsFunc(m.hubs, func(p peer) bool { return p.Domain == front.Domain })
 	for _, p := range m.hubs {
-		if near && p.Domain != m.Self.Domain {
+		if near && p.Domain != front.Domain {
 			continue
 		}
-		if w := xxhash.Sum64String(m.Self.Node + "\x00" + p.Node); !ok || w > best {
+		if w := xxhash.Sum64String(front.Node + "\x00" + p.Node); !ok || w > best {
 			hub, best, ok = p, w, true
 		}
 	}
--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -64,6 +64,13 @@
 	// settle is how long a front that has just become known may say nothing
 	// before another one takes its part as a hub.
 	settle = time.Second
+	// stall is the time between two ticks after which this front was frozen: several
+	// times the longest pause. Slow VMs tick late by some 0.1 s.
+	stall = time.Second
+	// greetPause is the pause between digests to a front of which nothing is heard.
+	// One that knows of no other yet learns by them whom to ask, so hundreds that
+	// start together need not read the store until each has found all others.
+	greetPause = 500 * time.Millisecond
 	// maxLoads bounds the upstreams in one datagram, so that it stays below its
 	// largest size: those with the most under way.
 	maxLoads = 500
@@ -120,6 +127,8 @@
 		digest  digest
 		avoid   map[ID]avoided   // hubs that gave no answer
 		asked   map[ID]time.Time // hubs that have not answered since
+		greeted time.Time        // when silent fronts were told last
+		ticked  time.Time
 		hub     bool
 		hubs    []peer // of all failure domains, in the order of their IDs; those that act
 		targets []peer // that are told as a hub
@@ -165,9 +174,10 @@
 		m.list(now, e.Peers)
 	case Tick:
 		m.own = e
+		m.wake(now)
 		m.elect(now)
 		if m.hub {
-			return m.tellHubs(now)
+			return append(m.tellHubs(now), m.greet(now)...)
 		}
 		return m.tellHub(now)
 	case Heard:
@@ -189,6 +199,29 @@
 	m.list(time.Time{}, nil)
 }
 
+// wake forgets what others said if this front has been frozen. Datagrams that waited
+// for it come as if they were new: it would count what others had under way seconds
+// ago, and take hubs for dead that were only frozen with it.
+func (m *Mesh) wake(now time.Time) {
+	last := m.ticked
+	m.ticked = now
+	if last.IsZero() || now.Sub(last) <= stall {
+		return
+	}
+	clear(m.reports)
+	clear(m.shares)
+	clear(m.avoid)
+	clear(m.asked)
+	m.digest = digest{}
+	for id, p := range m.peers {
+		p.since = now
+		m.peers[id] = p
+	}
+	for i := range m.order {
+		m.order[i].since = now
+	}
+}
+
 func (m *Mesh) list(now time.Time, peers []Peer) {
 	if m.order != nil && slices.Equal(m.listed, peers) {
 		return
--- /dev/null
+++ b/internal/front/mesh/mesh_test.go
@@ -0,0 +1,173 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func state(node string, sent int64) State {
+	return State{Node: node, Peer: node + ":peer", Callers: node, Sent: sent}
+}
+
+// Datagrams overtake each other, and a daemon starts again with a clock that was set
+// back. What is old must not undo what is newer, but the restarted daemon must be
+// heard.
+func TestOldNews(t *testing.T) {
+	up := IDOf("upstream")
+	cases := map[string]struct {
+		sent  int64
+		after time.Duration
+		want  int
+	}{
+		"newer":                      {101, time.Millisecond, 2},
+		"older":                      {99, time.Millisecond, 1},
+		"the same again":             {100, time.Millisecond, 1},
+		"a clock that was set back":  {5, Silent, 2},
+		"an older one, much delayed": {99, Silent - 1, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := Mesh{Self: Peer{Node: "self"}}
+			m.Step(start, Heard{Message: Share{State: state("a", 100), Load: map[ID]int{up: 1}}})
+			m.Step(start.Add(c.after), Heard{Message: Share{State: state("a", c.sent), Load: map[ID]int{up: 2}}})
+			is.Equal(m.Picture(start.Add(c.after)).Load[up], c.want)
+		})
+	}
+}
+
+func TestPicture(t *testing.T) {
+	is := is.New(t)
+	m := Mesh{Self: Peer{Node: "self"}}
+	m.Step(start, Listed{Peers: []Peer{{Node: "a"}, {Node: "b"}, {Node: "c"}, {Node: "self"}}})
+	m.Step(start, Heard{Message: Share{State: State{Node: "b", Sent: 1, Leaving: true}}})
+	m.Step(start.Add(time.Millisecond), Heard{Message: Share{State: State{Node: "a", Sent: 1}, Group: map[ID]Mark{IDOf("c"): Unwell}}})
+	m.Step(start, Heard{Message: Share{State: state("unlisted", 1)}})
+	p := m.Picture(start.Add(Silent))
+	is.Equal(p.Fronts, 5)
+	is.Equal(p.Alive[IDOf("b")], Leaving)
+	is.Equal(p.Alive[IDOf("c")], Unwell)
+	is.Equal(p.Unlisted, []State{state("unlisted", 1)})
+	p = m.Picture(start.Add(Silent + time.Millisecond))
+	is.Equal(p.Fronts, 3) // a, and c through it
+	is.Equal(len(p.Unlisted), 0)
+}
+
+// many returns fronts of six failure domains.
+func many(n int) (peers []Peer) {
+	for i := range n {
+		name := fmt.Sprint("front-", i)
+		peers = append(peers, Peer{Node: name, Address: name, Domain: fmt.Sprint("domain-", i%6)})
+	}
+	return peers
+}
+
+// Hundreds of fronts start together and know nobody. The first that has read of the
+// others must not be the only one that knows for long: each that reads by itself
+// costs a call to the store, and until it knows the others it sees engines idle that
+// are not.
+func TestSilentFrontsAreTold(t *testing.T) {
+	is := is.New(t)
+	peers := many(171)
+	digests, shares := map[string]int{}, map[string]int{}
+	for _, p := range peers {
+		m := Mesh{Self: p}
+		m.Step(start, Listed{Peers: peers})
+		sends := m.Step(start, Tick{State: state(p.Node, 1)})
+		sends = append(sends, m.Step(start.Add(greetPause-1), Tick{State: state(p.Node, 2)})...) // not again so soon
+		for _, s := range sends {
+			switch s.Message.(type) {
+			case Digest:
+				digests[s.To]++
+				m.Step(start, Heard{Message: Report{State: state(s.To, 1)}})
+			case Share:
+				shares[s.To]++
+			}
+		}
+		for _, s := range m.Step(start.Add(greetPause), Tick{State: state(p.Node, 3)}) {
+			if _, is := s.Message.(Digest); is && len(m.reports) > 0 {
+				t.Errorf("%s is told although it reports", s.To)
+			}
+		}
+	}
+	for _, p := range peers {
+		is.True(digests[p.Node] == 1 || shares[p.Node] > 0) // hubs hear of each other anyway
+	}
+}
+
+// A datagram must hold the loads of all upstreams with the most under way, whatever
+// their number.
+func TestLargestDatagram(t *testing.T) {
+	is := is.New(t)
+	load := map[ID]int{}
+	for i := range 1100 {
+		load[IDOf(fmt.Sprint("upstream-", i))] = i
+	}
+	d := Digest{State: state("front-somewhere-12", 1<<60), Load: load, Fronts: 320}
+	for _, p := range many(320) {
+		d.Missing = append(d.Missing, IDOf(p.Node))
+	}
+	data, err := Encode(d)
+	is.NoErr(err)
+	is.True(len(data) <= MaxPacket)
+	msg, err := Decode(data)
+	is.NoErr(err)
+	got := msg.(Digest) //nolint:forcetypeassert // as it was sent
+	is.Equal(len(got.Load), maxLoads)
+	is.Equal(got.Load[IDOf("upstream-1099")], 1099)
+	is.Equal(got.Missing, d.Missing)
+}
+
+// Datagrams come from anywhere and may be damaged. None may stop a daemon.
+func FuzzDecode(f *testing.F) {
+	for _, msg := range []Message{
+		Report{State: state("a", 1), Load: map[ID]int{1: 2}},
+		Share{State: state("a", 1), Group: map[ID]Mark{3: Leaving}, Hubs: []ID{4}},
+		Digest{State: state("a", 1), Missing: []ID{5}},
+	} {
+		data, err := Encode(msg)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{0xa1, 0x01, 0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}) // a map that claims to be huge
+	f.Fuzz(func(t *testing.T, data []byte) {
+		msg, err := Decode(data)
+		if err != nil {
+			return
+		}
+		m := Mesh{Self: Peer{Node: "self"}}
+		m.Step(start, Heard{Message: msg})
+		m.Picture(start)
+	})
+}
+
+// A front froze and wakes, with datagrams that waited for it. What they tell is seconds
+// old, so engines that were idle then get its requests.
+func TestWokenFrontForgets(t *testing.T) {
+	up := IDOf("upstream")
+	cases := map[string]struct {
+		frozen time.Duration
+		want   int
+	}{
+		"a late tick": {stall, 3},
+		"a freeze":    {stall + time.Millisecond, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := Mesh{Self: Peer{Node: "self"}}
+			m.Step(start, Tick{State: state("self", 1)})
+			now := start.Add(c.frozen)
+			m.Step(now, Heard{Message: Share{State: state("a", 1), Load: map[ID]int{up: 3}}})
+			m.Step(now, Tick{State: state("self", 2)})
+			is.Equal(m.Picture(now).Load[up], c.want)
+		})
+	}
+}
--- a/internal/front/mesh/picture.go
+++ b/internal/front/mesh/picture.go
@@ -130,7 +130,7 @@
 
 // tellHub reports to this front's hub.
 func (m *Mesh) tellHub(now time.Time) []Send {
-	hub, ok := m.choose()
+	hub, ok := m.choose(m.Self)
 	if !ok {
 		return nil
 	}
@@ -142,6 +142,24 @@
 	return []Send{{To: hub.Address, Message: r}}
 }
 
+// greet tells the silent fronts that would report to this one.
+func (m *Mesh) greet(now time.Time) (sends []Send) {
+	if m.together() || now.Sub(m.greeted) < greetPause {
+		return nil
+	}
+	m.greeted = now
+	alive := m.alive(now)
+	for id, p := range m.peers {
+		if _, is := alive[id]; is {
+			continue
+		}
+		if hub, ok := m.choose(p.Peer); ok && m.isSelf(hub) {
+			sends = append(sends, Send{To: p.Address, Message: m.digestFor(now, id)})
+		}
+	}
+	return sends
+}
+
 // digestFor returns what a front that reported is told.
 func (m *Mesh) digestFor(now time.Time, to ID) Digest {
 	alive := m.alive(now)
--- a/internal/front/mesh/sim_test.go
+++ b/internal/front/mesh/sim_test.go
@@ -30,6 +30,7 @@
 		bytes  map[int]int
 		worst  int  // bytes of the largest datagram
 		weigh  bool // datagrams
+		cut    bool // the first half hears nothing of the second, nor the other way round
 	}
 
 	front struct {
@@ -139,6 +140,10 @@
 func (w *world) send(sends []Send) {
 	for _, s := range sends {
 		to := w.at[s.To]
+		from := w.at[StateOf(s.Message).Peer]
+		if w.cut && (2*from < len(w.fronts)) != (2*to < len(w.fronts)) {
+			continue
+		}
 		if w.weigh {
 			data, err := Encode(s.Message)
 			if err != nil {
@@ -270,3 +275,41 @@
 		})
 	}
 }
+
+// Fronts lose most of what they know, all at once: they start, the VMs that are hubs
+// freeze and wake, the network falls into halves. If each then took itself for a hub,
+// hundreds would tell hundreds, and the datagrams would bury what callers ask.
+func TestHubsStayFew(t *testing.T) {
+	const n = 171
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(n, seed)
+			most := 0
+			count := func() {
+				hubs := 0
+				for _, f := range w.fronts {
+					if f.hub {
+						hubs++
+					}
+				}
+				most = max(most, hubs)
+			}
+			w.run(w.now.Add(time.Second), nil)
+			w.run(w.now.Add(time.Second), count)
+			w.freeze(true)
+			w.run(w.now.Add(2500*time.Millisecond), count)
+			w.freeze(false)
+			w.run(w.now.Add(1500*time.Millisecond), count)
+			w.cut = true
+			w.run(w.now.Add(3*time.Second), count)
+			w.cut = false
+			w.run(w.now.Add(time.Second), count)
+			t.Logf("%d hubs at most, of %d fronts", most, n)
+			is.True(most <= n/3)
+			l := looker{since: map[[2]int]time.Time{}}
+			w.run(w.now.Add(time.Second), func() { l.look(w, []int{1, n - 1}, true) })
+			is.True(l.longest <= round) // the halves know each other again
+		})
+	}
+}
--- a/internal/node/frontd/directory.go
+++ b/internal/node/frontd/directory.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
@@ -16,10 +17,42 @@
 // long; with this they leave a VM within three seconds after it began to stop.
 const directoryTTL = time.Second
 
-// namedMost is how many daemons callers are sent to: as many as an answer holds.
-// Each keeps its own connections to upstreams, and what few daemons have under way
-// is known better than what many have.
-const namedMost = 64
+const (
+	// namedMost is how many daemons callers are sent to at most: as many as an
+	// answer holds.
+	namedMost = 64
+	// namedLeast is how many are named however little is asked: the loss of one
+	// then breaks off a twenty-fourth of what is under way.
+	namedLeast = 24
+	// underEach is how many requests one daemon should have under way. They take
+	// some 0.2 s and 0.6 ms of processor each, so it is an eighth of a VM with a
+	// fifth of a core: enough is left for a burst until more are named.
+	underEach = 8
+	// narrowAfter is how long fewer daemons must be enough before fewer are named:
+	// callers open new connections when the answer changes.
+	narrowAfter = 10 * time.Second
+)
+
+// breadth is to how many daemons callers are sent: few while little is asked, more
+// as it grows. Each daemon opens connections of its own to the upstreams that it uses;
+// 171 daemons before 96 upstreams opened 5,100 on a quiet day with 64 of them named,
+// 3,250 with 32. The zero value is ready.
+type breadth struct {
+	mu sync.Mutex
+	n  int
+	at time.Time // when so many were needed last
+}
+
+// wide returns how many daemons to name while so many requests are under way.
+func (b *breadth) wide(now time.Time, under int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	need := min(max((under+underEach-1)/underEach, namedLeast), namedMost)
+	if need >= b.n || now.Sub(b.at) > narrowAfter {
+		b.n, b.at = need, now
+	}
+	return b.n
+}
 
 // resolve tells a caller where to connect.
 func (d *Daemon) resolve(w http.ResponseWriter, _ *http.Request) {
@@ -71,7 +104,18 @@
 	if len(well) == 0 {
 		well = all
 	}
-	return foremost(well, namedMost)
+	return foremost(well, d.breadth.wide(now, underWay(p, d.picker.Own())))
+}
+
+// underWay is how many requests all daemons have under way.
+func underWay(p mesh.Picture, own map[string]int) (n int) {
+	for _, load := range p.Load {
+		n += load
+	}
+	for _, load := range own {
+		n += load
+	}
+	return n
 }
 
 // foremost returns so many daemons at most, those with the most processor first.
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -101,6 +101,7 @@
 		reads   reads
 		absent  absent
 		asks    asks
+		breadth breadth
 		kept    kept
 		names   atomic.Pointer[upstreamNames]
 	}
@@ -120,14 +121,14 @@
 		return err
 	}
 	defer func() { _ = checks.Close() }()
-	d.await(ctx)
+	posting, unpost := context.WithCancel(ctx)
+	defer unpost()
+	go d.post(posting)
+	d.await(ctx, func(v *fleet.View) bool { return v.Table != nil })
 	callers, err := d.serveCallers()
 	if err != nil {
 		return err
 	}
-	posting, unpost := context.WithCancel(ctx)
-	defer unpost()
-	go d.posted.Run(posting)
 	select {
 	case <-stop:
 	case <-ctx.Done():
@@ -189,17 +190,24 @@
 	return nil
 }
 
-// await waits until a configuration is known, for a while: a daemon that has
-// none answers 503, and its limits on callers are the usual ones.
-func (d *Daemon) await(ctx context.Context) {
+// await waits until something is known, for a while: a daemon that has no
+// configuration answers 503, and its limits on callers are the usual ones.
+func (d *Daemon) await(ctx context.Context, known func(*fleet.View) bool) {
 	const longest, step = time.Second, 20 * time.Millisecond
 	for range longest / step {
-		if d.fleet.View().Table != nil || !pause.For(ctx, step) {
+		if known(d.fleet.View()) || !pause.For(ctx, step) {
 			return
 		}
 	}
 }
 
+// post has this daemon listed in the store, unless the first reading shows that it
+// still is. Others can't tell it anything before.
+func (d *Daemon) post(ctx context.Context) {
+	d.await(ctx, func(v *fleet.View) bool { return !v.Confirmed.IsZero() })
+	d.posted.Run(ctx)
+}
+
 // self is this daemon as it is listed in the store.
 func (d *Daemon) self() fleet.Entry {
 	return fleet.Entry{
--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -206,3 +206,31 @@
 	is.True(a.begin("front-99"))
 	is.True(!a.begin("front-100"))
 }
+
+// Callers are spread over more daemons than they need, and each of those opens its own
+// connections to all upstreams. In a burst more daemons must be named at once, and not
+// be dropped again in each short pause: callers would open all connections anew.
+func TestBreadth(t *testing.T) {
+	type look struct {
+		after time.Duration
+		under int
+		want  int
+	}
+	cases := map[string][]look{
+		"little is asked":         {{0, 0, namedLeast}, {time.Second, 190, namedLeast}},
+		"a burst":                 {{0, 190, namedLeast}, {time.Second, 400, 50}, {2 * time.Second, 5000, namedMost}},
+		"a pause in a burst":      {{0, 400, 50}, {narrowAfter, 100, 50}},
+		"after a burst":           {{0, 400, 50}, {narrowAfter + time.Second, 100, namedLeast}},
+		"a burst that goes on":    {{0, 400, 50}, {9 * time.Second, 400, 50}, {12 * time.Second, 100, 50}},
+		"the target's usual load": {{0, 2400, namedMost}},
+	}
+	for name, looks := range cases {
+		t.Run(name, func(t *testing.T) {
+			var b breadth
+			start := time.Unix(1000, 0)
+			for _, l := range looks {
+				is.New(t).Equal(b.wide(start.Add(l.after), l.under), l.want)
+			}
+		})
+	}
+}
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -10,6 +10,7 @@
 
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
@@ -24,6 +25,12 @@
 	// next one reads only if the first did not.
 	readRank = 130 * time.Millisecond
 	readLook = 40 * time.Millisecond
+	// loneMost spreads the second readings of daemons that know of no others yet, in
+	// the first startTime of their lives. Of 171 that start together each read four
+	// times until all were listed, half of what a quiet day asks of the store;
+	// the first to read again tells the others.
+	loneMost  = 2 * time.Second
+	startTime = 5 * time.Second
 	// backOff bounds the pause after failed reads; others may reach the store.
 	backOffLeast = 300 * time.Millisecond
 	backOffMost  = 1500 * time.Millisecond
@@ -56,8 +63,9 @@
 // read keeps knowledge new until ctx ends.
 func (d *Daemon) read(ctx context.Context) {
 	wait := time.Duration(0)
+	began, lone := time.Now(), rand.N(loneMost)
 	for {
-		if time.Since(d.fleet.View().Confirmed) < readEvery+time.Duration(d.rumor.Rank(time.Now()))*readRank {
+		if v := d.fleet.View(); time.Since(v.Confirmed) < d.readAge(v, time.Since(began), lone) {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
 			wait = min(max(2*wait, backOffLeast), backOffMost)
@@ -70,6 +78,14 @@
 	}
 }
 
+// readAge is the age at which this daemon reads what it knows anew.
+func (d *Daemon) readAge(v *fleet.View, lived, lone time.Duration) time.Duration {
+	if lived < startTime && len(d.others(mesh.Picture{})) == 0 && v.Table == nil {
+		return readEvery + lone
+	}
+	return readEvery + time.Duration(d.rumor.Rank(time.Now()))*readRank
+}
+
 func (d *Daemon) readStore(ctx context.Context) error {
 	n, others, bad, err := d.Source.Read(ctx)
 	if err != nil {
