fleet, awake: an outage is one for all, a daemon that slept listens first

The store turned 60 fronts away and served the rest. front-ilala-3 and front-mikocheni-1 were the next to read when it took them back (11.57 and 12.30 s); each took entries that were missing for some that had lapsed in an outage, kept them for 2.3 s, and told all others. Upstreams removed at 10.68 s were dropped at 15.2 s, 4.5 s later.

Change: only a time without news from anybody counts as an outage. A daemon that did not run for a while (freeze, suspension) hears the others before it reads, and a jump in what they confirm is then no outage; a reading is as old as its question. Test first: TestTurnedAwayAlone failed before.

--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -38,6 +38,7 @@
 		upstreams map[string]Upstream
 		past      []*View // former states, the newest last
 		down      bool
+		slept     bool      // and has heard nothing since
 		returned  time.Time // when the store came back last
 	}
 
@@ -81,25 +82,28 @@
 			changes = append(changes, Change{What: "outage"})
 		}
 		return changes
+	case Slept:
+		f.slept = true
+		v.Confirmed = v.Confirmed.Add(-n.For)
 	case Confirmed:
 		if n.Revision < v.Revision {
 			return nil
 		}
-		f.mind(now, now.Add(-n.Age), v.Confirmed)
+		f.mind(now, now.Add(-n.Age), v.Confirmed, true)
 		v.confirm(n.Revision, now.Add(-n.Age))
 	case Told:
 		if n.Revision < v.Revision {
 			return nil
 		}
-		f.mind(now, now.Add(-n.Age), v.Confirmed)
+		f.mind(now, now.Add(-n.Age), v.Confirmed, true)
 		changes = f.take(&v, n.Reading, false)
 		v.confirm(n.Revision, now.Add(-n.Age))
 	case Reading:
-		changes = f.regain(now)
+		changes = f.regain()
 		if n.Revision < v.Revision {
 			return changes
 		}
-		f.mind(now, now, v.Confirmed)
+		f.mind(now, now, v.Confirmed, false)
 		returning := !f.returned.IsZero() && now.Sub(f.returned) < ReturnGrace
 		changes = append(changes, f.take(&v, n, returning)...)
 		v.confirm(n.Revision, now)
@@ -118,21 +122,31 @@
 	}
 }
 
-// mind notes the end of an outage that this daemon didn't see. Of hundreds only the
-// first few ask the store while it is away; one further back that reads when it is
-// there again would take the first short list for the truth, and tell all others.
-func (f *Fleet) mind(now, confirmed, last time.Time) {
+// mind notes the end of an outage: nobody had news of the store for some time. Of
+// hundreds only the first few ask the store while it is away; one further back that
+// reads when it is there again would take the first short list for the truth, and
+// tell all others.
+//
+// A daemon that slept had no news either. If it then hears from others, the store was
+// there for them, so entries that are missing are of upstreams that left.
+func (f *Fleet) mind(now, confirmed, last time.Time, told bool) {
+	slept := f.slept
+	f.slept = false
+	if told && slept {
+		return
+	}
 	if !last.IsZero() && confirmed.Sub(last) > gap {
 		f.returned = now
 	}
 }
 
-func (f *Fleet) regain(now time.Time) []Change {
+// regain notes that this daemon reaches the store again. Whether the store was away for
+// others, too, mind tells: it may have turned this one away and served the rest.
+func (f *Fleet) regain() []Change {
 	if !f.down {
 		return nil
 	}
 	f.down = false
-	f.returned = now
 	return []Change{{What: "regained"}}
 }
 
--- a/internal/front/fleet/fleet_test.go
+++ b/internal/front/fleet/fleet_test.go
@@ -120,6 +120,61 @@
 	}
 }
 
+// A VM is suspended for four seconds and its clock stands still. The daemon would take
+// what it knows for new, and add to no other's knowledge.
+func TestSlept(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Take(start, reading(1, 1, "a"))
+	f.Take(start, Slept{For: 4 * time.Second})
+	is.Equal(f.View().Confirmed, start.Add(-4*time.Second))
+	f.Take(start, Confirmed{Revision: 1, Age: time.Second})
+	is.Equal(f.View().Confirmed, start.Add(-time.Second))
+}
+
+// A VM freezes, and an upstream leaves meanwhile. The daemon wakes, hears from others and
+// is the next to read: it must not keep the upstream as one whose entry lapsed, and tell
+// the others that it is there. One that hears from nobody can't know.
+func TestWokenDaemonReads(t *testing.T) {
+	cases := map[string]struct {
+		first News // after it woke, if any
+		want  string
+	}{
+		"told of the same":     {Confirmed{Revision: 1}, "a"},
+		"told of more":         {Told{Reading: reading(2, 1, "a", "b")}, "a"},
+		"nobody tells of news": {nil, "ab"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var f Fleet
+			f.Take(start, reading(1, 1, "a", "b"))
+			woke := start.Add(4 * time.Second)
+			f.Take(woke, Slept{})
+			if c.first != nil {
+				f.Take(woke, c.first)
+			}
+			f.Take(woke.Add(time.Second), reading(3, 1, "a"))
+			is.New(t).Equal(ids(f.View()), c.want)
+		})
+	}
+}
+
+// The store turns this daemon away for a while and serves the others, who tell it that
+// nothing has changed. An upstream leaves, and its entry is removed. The daemon then
+// reads again: it must not take the missing entry for one that lapsed in an outage, or
+// all daemons send requests to an upstream that is gone.
+func TestTurnedAwayAlone(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Take(start, reading(1, 1, "a", "b"))
+	f.Take(start.Add(time.Second), Outage{})
+	for i := range 5 {
+		f.Take(start.Add(time.Duration(i+1)*time.Second), Confirmed{Revision: 1, Age: 700 * time.Millisecond})
+	}
+	is.Equal(f.Take(start.Add(6*time.Second), reading(2, 1, "a"))[0].What, "regained")
+	is.Equal(ids(f.View()), "a")
+}
+
 // A daemon that the store turns away hears from others that nothing has changed.
 // Its knowledge is as new as theirs.
 func TestConfirmed(t *testing.T) {
--- a/internal/front/fleet/types.go
+++ b/internal/front/fleet/types.go
@@ -54,6 +54,10 @@
 		Age      time.Duration
 	}
 
+	// Slept tells that this daemon did not run for a while. What is known is older than
+	// it seems by as much as its steady clock stood still.
+	Slept struct{ For time.Duration }
+
 	// Outage tells that the store did not answer or turned this daemon away.
 	Outage struct{}
 )
@@ -61,4 +65,5 @@
 func (Reading) news()   {}
 func (Told) news()      {}
 func (Confirmed) news() {}
+func (Slept) news()     {}
 func (Outage) news()    {}
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -11,6 +11,7 @@
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/mesh"
+	"github.com/slaterock/slaterock/internal/peer/awake"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
@@ -38,6 +39,11 @@
 	// read anew before its caller is told that there is none. An added route
 	// must be served within two seconds.
 	oldAge = time.Second
+	// hearFirst is how long a daemon that didn't run for a while listens to the others
+	// before it reads: a report and its answer. What it knows is old. If it read at
+	// once it would take upstreams that left meanwhile for some whose entries lapsed
+	// in an outage, keep them, and tell all others to.
+	hearFirst = 300 * time.Millisecond
 	// freshPause is the shortest pause between reads that requests ask for.
 	freshPause = 250 * time.Millisecond
 )
@@ -64,17 +70,28 @@
 func (d *Daemon) read(ctx context.Context) {
 	wait := time.Duration(0)
 	began, lone := time.Now(), rand.N(loneMost)
+	var ran awake.Awake
+	var listen time.Time // no reading before then
 	for {
-		if v := d.fleet.View(); time.Since(v.Confirmed) < d.readAge(v, time.Since(began), lone) {
+		v := d.fleet.View()
+		if now := time.Now(); now.Before(listen) || now.Sub(v.Confirmed) < d.readAge(v, now.Sub(began), lone) {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
 			wait = min(max(2*wait, backOffLeast), backOffMost)
 		} else {
 			wait = 0
 		}
-		if !pause.For(ctx, readLook+wait/2+rand.N(wait/2+1)) {
+		due := readLook + wait/2 + rand.N(wait/2+1)
+		ran = awake.Awake{}
+		ran.Look(time.Now(), due)
+		if !pause.For(ctx, due) {
 			return
 		}
+		if away, stood := ran.Look(time.Now(), due); away > 0 {
+			d.Log.Warn().Dur("away_ms", away).Dur("clock_stood_ms", stood).Msg("this process did not run for a while")
+			d.learn(fleet.Slept{For: stood}, nil)
+			listen = time.Now().Add(hearFirst)
+		}
 	}
 }
 
@@ -87,6 +104,7 @@
 }
 
 func (d *Daemon) readStore(ctx context.Context) error {
+	asked := time.Now() // the answer tells how things were then, or later
 	n, others, bad, err := d.Source.Read(ctx)
 	if err != nil {
 		d.learn(fleet.Outage{}, err)
@@ -99,7 +117,7 @@
 		d.tellBad(err)
 	}
 	n.Entries = d.scout.State().Entries
-	d.learn(n, nil)
+	d.learnAt(asked, n, nil)
 	d.rumor.Tell() // at once, so that the next in rank need not read
 	d.keep(ctx)
 	d.removeGone(ctx)
@@ -137,8 +155,10 @@
 }
 
 // learn takes news and logs what changed.
-func (d *Daemon) learn(n fleet.News, cause error) {
-	for _, c := range d.fleet.Take(time.Now(), n) {
+func (d *Daemon) learn(n fleet.News, cause error) { d.learnAt(time.Now(), n, cause) }
+
+func (d *Daemon) learnAt(now time.Time, n fleet.News, cause error) {
+	for _, c := range d.fleet.Take(now, n) {
 		line := d.Log.Info()
 		switch c.What {
 		case "outage":
