--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -31,11 +31,6 @@
 )
 
 const (
-	// headerTime, idleTime and headerBytes hold until a configuration says
-	// otherwise.
-	headerTime  = 3 * time.Second
-	idleTime    = 15 * time.Second
-	headerBytes = 16 << 10
 	// keepServing is how long after SIGTERM callers are still taken: the
 	// directory's answers that name this VM are kept for three times their
 	// time at most.
@@ -201,32 +196,6 @@
 	}
 }
 
-// post has this daemon listed in the store, unless the first reading shows that it
-// still is. Others can't tell it anything before.
-func (d *Daemon) post(ctx context.Context) {
-	d.await(ctx, func(v *fleet.View) bool { return !v.Confirmed.IsZero() })
-	d.posted.Run(ctx)
-}
-
-// self is this daemon as it is listed in the store.
-func (d *Daemon) self() fleet.Entry {
-	return fleet.Entry{
-		Node: d.Settings.Node, Address: d.Settings.Callers, Peer: d.Settings.Peer,
-		Domain: d.Settings.Domain, Cores: d.Settings.Cores,
-	}
-}
-
-// stands tells whether the store lists this daemon as it is.
-func (d *Daemon) stands() bool { return slices.Contains(d.fleet.View().Entries, d.self()) }
-
-func (d *Daemon) tellPosted(err error) {
-	if err != nil {
-		d.Log.Warn().Err(err).Str("dependency", "store").Msg("lost: the daemon's key is not written")
-		return
-	}
-	d.Log.Info().Str("dependency", "store").Msg("the daemon's key is written")
-}
-
 // others returns the other daemons that serve callers: those listed in the store,
 // and those heard of. A daemon that the store turns away may have no key there.
 func (d *Daemon) others(p mesh.Picture) []fleet.Entry {
@@ -251,64 +220,6 @@
 
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.fleet.View().Table != nil }
 
-func (d *Daemon) serveChecks(ctx context.Context) (srv *http.Server, err error) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+d.Names.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
-		if !d.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	mux.HandleFunc("GET "+d.Names.DirectoryPath(), d.resolve)
-	srv = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: silent()}
-	for _, address := range []string{d.Settings.Ready, d.Settings.Directory} {
-		if address == "" {
-			continue
-		}
-		ln, err := listen(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		go d.serve(srv, ln, address)
-	}
-	return srv, nil
-}
-
-func (d *Daemon) serve(srv *http.Server, ln net.Listener, address string) {
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		d.Log.Error().Err(err).Str("address", address).Msg("not served any more")
-	}
-}
-
-func (d *Daemon) serveCallers() (srv *http.Server, err error) {
-	srv = &http.Server{
-		Handler: &d.entry, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes, ErrorLog: silent(),
-	}
-	if t := d.fleet.View().Table; t != nil {
-		srv.ReadHeaderTimeout = positive(t.Limits.HeaderTime, headerTime)
-		srv.IdleTimeout = positive(t.Limits.IdleTime, idleTime)
-		srv.MaxHeaderBytes = positive(t.Limits.HeaderBytes, headerBytes)
-	}
-	ln, err := listen(context.Background(), d.Settings.Callers)
-	if err != nil {
-		return nil, err
-	}
-	go d.serve(srv, ln, d.Settings.Callers)
-	return srv, nil
-}
-
-func positive[T int | time.Duration](v, otherwise T) T {
-	if v > 0 {
-		return v
-	}
-	return otherwise
-}
-
-// listen notices connections through which nothing passes any more.
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
-	return c.Listen(ctx, "tcp", address)
-}
-
 // drain stops serving without cutting a request. Callers are sent elsewhere at
 // once, those that still come are served, and connections close with an answer.
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
@@ -325,13 +236,6 @@
 	d.Log.Info().Err(err).Int64("active", d.entry.Active()).Msg("drained")
 }
 
-// unpost removes this daemon's key.
-func (d *Daemon) unpost(ctx context.Context) {
-	if err := d.posted.Remove(ctx); err != nil && ctx.Err() == nil {
-		d.Log.Warn().Err(err).Str("dependency", "store").Msg("the daemon's key is left to the others")
-	}
-}
-
 // probe notices when the holders of records are reached again, and logs both.
 func (d *Daemon) probe(ctx context.Context) {
 	down := false
--- /dev/null
+++ b/internal/node/frontd/serve.go
@@ -0,0 +1,76 @@
+package frontd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// headerTime, idleTime and headerBytes hold until a configuration says
+	// otherwise.
+	headerTime  = 3 * time.Second
+	idleTime    = 15 * time.Second
+	headerBytes = 16 << 10
+)
+
+func (d *Daemon) serveChecks(ctx context.Context) (srv *http.Server, err error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+d.Names.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET "+d.Names.DirectoryPath(), d.resolve)
+	srv = &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: silent()}
+	for _, address := range []string{d.Settings.Ready, d.Settings.Directory} {
+		if address == "" {
+			continue
+		}
+		ln, err := listen(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		go d.serve(srv, ln, address)
+	}
+	return srv, nil
+}
+
+func (d *Daemon) serve(srv *http.Server, ln net.Listener, address string) {
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		d.Log.Error().Err(err).Str("address", address).Msg("not served any more")
+	}
+}
+
+func (d *Daemon) serveCallers() (srv *http.Server, err error) {
+	srv = &http.Server{
+		Handler: &d.entry, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes, ErrorLog: silent(),
+	}
+	if t := d.fleet.View().Table; t != nil {
+		srv.ReadHeaderTimeout = positive(t.Limits.HeaderTime, headerTime)
+		srv.IdleTimeout = positive(t.Limits.IdleTime, idleTime)
+		srv.MaxHeaderBytes = positive(t.Limits.HeaderBytes, headerBytes)
+	}
+	ln, err := listen(context.Background(), d.Settings.Callers)
+	if err != nil {
+		return nil, err
+	}
+	go d.serve(srv, ln, d.Settings.Callers)
+	return srv, nil
+}
+
+func positive[T int | time.Duration](v, otherwise T) T {
+	if v > 0 {
+		return v
+	}
+	return otherwise
+}
+
+// listen notices connections through which nothing passes any more.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	c := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+	return c.Listen(ctx, "tcp", address)
+}
