--- a/internal/front/mesh/elect.go
+++ b/internal/front/mesh/elect.go
@@ -18,12 +18,11 @@
 // apart would never hear of each other again; those that stand in for them act.
 func (m *Mesh) elect(now time.Time) {
 	m.prune(now)
-	alive := m.alive(now)
 	m.hubs, m.targets, m.hub = nil, nil, false
 	if m.together() {
 		m.hubs = slices.Clone(m.order)
 	} else {
-		m.hubs = m.first(func(p peer) bool { return !m.down(now, p, alive) })
+		m.hubs = m.first(func(p peer) bool { return !m.down(now, p) })
 		m.targets = m.first(func(peer) bool { return true })
 	}
 	for _, p := range m.hubs {
@@ -97,27 +96,19 @@
 	return out
 }
 
-// down tells whether another front stands in for this one as a hub. Alive are the
-// fronts of which this one has heard itself.
-//
-// Who hears of few others, a hub that has just started or woken, can't tell who is gone.
-// If its followers took all others for gone, each of them would become a hub, and all
-// would tell each other directly again.
-func (m *Mesh) down(now time.Time, p peer, alive map[ID]Mark) bool {
+// down tells whether another front stands in for this one as a hub. That is for its
+// followers to say, who hear of all fronts: they report to the next in order, and
+// whoever gets a report is a hub. A hub that has just started or woken hears of nobody; if
+// it took all others for gone, and each of them did, all would tell each other directly
+// again.
+func (m *Mesh) down(now time.Time, p peer) bool {
 	if m.isSelf(p) {
 		return false
 	}
 	if _, avoid := m.avoid[p.id]; avoid {
 		return true
 	}
-	if now.Sub(p.since) < settle {
-		return false
-	}
-	if m.told(now) {
-		return m.digest.missing[p.id]
-	}
-	_, is := alive[p.id]
-	return m.hub && fewest*len(alive) > len(m.peers) && !is
+	return now.Sub(p.since) >= settle && m.told(now) && m.digest.missing[p.id]
 }
 
 // told tells whether what is known comes from a hub. One that has just become a hub
--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -74,8 +74,8 @@
 	// stall is the time between two ticks after which this front was frozen: several
 	// times the longest pause. Slow VMs tick late by some 0.1 s.
 	stall = time.Second
-	// fewest is the part of all fronts, a quarter, of which one must hear to take
-	// others for gone. Half are not heard of when the hubs of half of the failure
+	// fewest is the part of all fronts, a quarter, of which a hub must hear for its
+	// digest to count. Half are not heard of when the hubs of half of the failure
 	// domains freeze together, and others must stand in for them.
 	fewest = 4
 	// greetPause is the pause between digests to a front of which nothing is heard.
