entry: an engine that answers a turn with an error counts as failing

Plain calls tell the choice of upstreams of such answers; streams didn't. An engine that fails at once has nothing under way, so the better the load of all fronts is known, the more turns it gets, and a program goes on where it failed.

Test first: TestEngineThatFailsAtOnce.

--- a/internal/front/entry/entry_test.go
+++ b/internal/front/entry/entry_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// An engine answers every turn with an error, at once. It never has anything under way,
+// so it looks like the idlest of all and gets ever more turns: programs fail one after
+// the other beside engines that are well.
+func TestEngineThatFailsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld([]string{own500}, []string{whole})
+		w.occupy("up2", 2) // so that up1 is asked first
+		h := map[string]string{"Program": "p", "Budget": "1000"}
+		rec, _ := w.ask(t.Context(), "/keep/", h, "in")
+		is.Equal(rec.Code, 500) // as the engine said
+		for range 3 {
+			rec, _ = w.ask(t.Context(), "/keep/", h, "in")
+			is.Equal(rec.Code, 200)
+		}
+		is.Equal(len(w.ups["up1"].requests()), 1)
+		w.close()
+	})
+}
+
 // occupy makes an upstream look busier.
 func (w *world) occupy(id string, n int) {
 	w.e.Picker.Heard(map[string]int{id: n * 4}, 1)
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -230,6 +230,9 @@
 			return t.lose(ctx, s, errors.CombineErrors(errors.Newf("status %d", s.resp.StatusCode), err))
 		}
 		s.keep(t.e.Pool)
+		if s.resp.StatusCode >= http.StatusInternalServerError {
+			t.e.Picker.Failed(time.Now(), s.up.ID) // or else it looks idle, and gets all turns
+		}
 		t.settle()
 		t.give(s, body)
 		return nil
