--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -71,8 +71,8 @@
 	// settle is how long a front that has just become known may say nothing
 	// before another one takes its part as a hub.
 	settle = time.Second
-	// stall is the time between two ticks after which this front was frozen: several
-	// times the longest pause. Slow VMs tick late by some 0.1 s.
+	// stall is the time between two ticks after which this front counts as frozen:
+	// several times the longest pause.
 	stall = time.Second
 	// fewest is the part of all fronts, a quarter, of which a hub must hear for its
 	// digest to count. Half are not heard of when the hubs of half of the failure
