mesh: what still counts is decided in one place

Whether a share or a report is too old stood in ten places, the time since which a front is known in two, and a hub's own marks beside those of the others.

--- a/internal/front/mesh/elect.go
+++ b/internal/front/mesh/elect.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,10 +42,7 @@
 // the first in order, who tell the rest of it.
 func (m *Mesh) addStandIns(now time.Time) {
 	more := map[ID]bool{}
-	for id, s := range m.shares {
-		if now.Sub(s.at) > m.silent() {
-			continue
-		}
+	for id, s := range m.hubsHeard(now) {
 		if len(s.Group) > 0 {
 			more[id] = true
 		}
@@ -108,7 +106,7 @@
 	if _, avoid := m.avoid[p.id]; avoid {
 		return true
 	}
-	return now.Sub(p.since) >= settle && m.told(now) && m.digest.missing[p.id]
+	return now.Sub(p.since) >= settle && now.Sub(m.woke) >= settle && m.told(now) && m.digest.missing[p.id]
 }
 
 // told tells whether what is known comes from a hub. One that has just become a hub
@@ -154,16 +152,8 @@
 
 // prune drops what is too old to count.
 func (m *Mesh) prune(now time.Time) {
-	for id, r := range m.reports {
-		if now.Sub(r.at) > followAge {
-			delete(m.reports, id)
-		}
-	}
-	for id, s := range m.shares {
-		if now.Sub(s.at) > m.silent() {
-			delete(m.shares, id)
-		}
-	}
+	m.reports = maps.Collect(m.followers(now))
+	m.shares = maps.Collect(m.hubsHeard(now))
 	for id, a := range m.avoid {
 		missing := m.told(now) && m.digest.missing[id]
 		if !now.Before(a.until) || a.gone && !missing && m.told(now) {
--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -140,6 +140,7 @@
 		asked   map[ID]time.Time // hubs that have not answered since
 		greeted time.Time        // when silent fronts were told last
 		ticked  time.Time
+		woke    time.Time // from a freeze
 		hub     bool
 		hubs    []peer // of all failure domains, in the order of their IDs; those that act
 		targets []peer // that are told as a hub
@@ -224,13 +225,7 @@
 	clear(m.avoid)
 	clear(m.asked)
 	m.digest = digest{}
-	for id, p := range m.peers {
-		p.since = now
-		m.peers[id] = p
-	}
-	for i := range m.order {
-		m.order[i].since = now
-	}
+	m.woke = now
 }
 
 func (m *Mesh) list(now time.Time, peers []Peer) {
@@ -320,7 +315,7 @@
 
 // Age is how old what is known of other fronts may be.
 func (m *Mesh) Age() time.Duration {
-	if len(m.peers) < Together {
+	if m.together() {
 		return m.Pause()
 	}
 	return 2*reportPause + m.hubPause()
--- a/internal/front/mesh/picture.go
+++ b/internal/front/mesh/picture.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -26,13 +27,13 @@
 	p.Alive = m.alive(now)
 	p.Load = m.sum(now, 0)
 	p.Fronts = len(p.Alive) + 1
-	for id, s := range m.shares {
-		if _, listed := m.peers[id]; !listed && now.Sub(s.at) <= m.silent() {
+	for id, s := range m.hubsHeard(now) {
+		if _, listed := m.peers[id]; !listed {
 			p.Unlisted = append(p.Unlisted, s.State)
 		}
 	}
-	for id, r := range m.reports {
-		if _, listed := m.peers[id]; !listed && now.Sub(r.at) <= followAge {
+	for id, r := range m.followers(now) {
+		if _, listed := m.peers[id]; !listed {
 			p.Unlisted = append(p.Unlisted, r.State)
 		}
 	}
@@ -62,17 +63,12 @@
 // themselves or through their hubs.
 func (m *Mesh) alive(now time.Time) map[ID]Mark {
 	out := make(map[ID]Mark, len(m.peers))
-	for id, s := range m.shares {
-		if now.Sub(s.at) > m.silent() {
-			continue
-		}
+	for id, s := range m.hubsHeard(now) {
 		maps.Copy(out, s.Group)
 		out[id] = mark(s.State)
 	}
-	for id, r := range m.reports {
-		if now.Sub(r.at) <= followAge {
-			out[id] = mark(r.State)
-		}
+	for id, r := range m.followers(now) {
+		out[id] = mark(r.State)
 	}
 	delete(out, IDOf(m.Self.Node))
 	return out
@@ -81,23 +77,42 @@
 // sum returns what other fronts have under way, but for one.
 func (m *Mesh) sum(now time.Time, but ID) map[ID]int {
 	out := map[ID]int{}
-	for _, s := range m.shares {
-		if now.Sub(s.at) <= m.silent() {
-			add(out, s.Load)
-		}
+	for _, s := range m.hubsHeard(now) {
+		add(out, s.Load)
 	}
 	m.addGroup(now, out, but)
 	return out
 }
 
 func (m *Mesh) addGroup(now time.Time, sum map[ID]int, but ID) {
-	for id, r := range m.reports {
-		if id != but && now.Sub(r.at) <= followAge {
+	for id, r := range m.followers(now) {
+		if id != but {
 			add(sum, r.Load)
 		}
 	}
 }
 
+// hubsHeard are the shares that count now.
+func (m *Mesh) hubsHeard(now time.Time) iter.Seq2[ID, share] {
+	longest := m.silent()
+	return fresh(m.shares, func(s share) bool { return now.Sub(s.at) <= longest })
+}
+
+// followers are the reports that count now.
+func (m *Mesh) followers(now time.Time) iter.Seq2[ID, report] {
+	return fresh(m.reports, func(r report) bool { return now.Sub(r.at) <= followAge })
+}
+
+func fresh[T any](all map[ID]T, counts func(T) bool) iter.Seq2[ID, T] {
+	return func(yield func(ID, T) bool) {
+		for id, v := range all {
+			if counts(v) && !yield(id, v) {
+				return
+			}
+		}
+	}
+}
+
 func add(sum, load map[ID]int) {
 	for id, n := range load {
 		sum[id] += n
@@ -111,10 +126,8 @@
 		s.Load = map[ID]int{}
 	}
 	m.addGroup(now, s.Load, 0)
-	for id, r := range m.reports {
-		if now.Sub(r.at) <= followAge {
-			s.Group[id] = mark(r.State)
-		}
+	for id, r := range m.followers(now) {
+		s.Group[id] = mark(r.State)
 	}
 	s.State.Sent = now.UnixNano()
 	for _, p := range m.targets {
@@ -177,6 +190,7 @@
 			d.Missing = append(d.Missing, id)
 		}
 	}
+	alive[IDOf(m.Self.Node)] = mark(m.own.State)
 	for id, mark := range alive {
 		if mark&Leaving != 0 {
 			d.Leaving = append(d.Leaving, id)
@@ -185,11 +199,5 @@
 			d.Unwell = append(d.Unwell, id)
 		}
 	}
-	if m.own.State.Leaving {
-		d.Leaving = append(d.Leaving, IDOf(m.Self.Node))
-	}
-	if m.own.State.Unwell {
-		d.Unwell = append(d.Unwell, IDOf(m.Self.Node))
-	}
 	return d
 }
