listed, scout, fleet, entry, frontd: what the change made dead, and steps that stood twice

A lease time that only fronts set; a mark in fronts' keys that none writes any more; an outage and a confirmation that are always noted together; a call beside its twin; a reset that changed nothing. Behaviour is as it was.

--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -89,24 +89,21 @@
 		if n.Revision < v.Revision {
 			return nil
 		}
-		f.mind(now, now.Add(-n.Age), v.Confirmed, true)
-		v.confirm(n.Revision, now.Add(-n.Age))
+		f.confirm(&v, n.Revision, now, n.Age, true)
 	case Told:
 		if n.Revision < v.Revision {
 			return nil
 		}
-		f.mind(now, now.Add(-n.Age), v.Confirmed, true)
+		f.confirm(&v, n.Revision, now, n.Age, true)
 		changes = f.take(&v, n.Reading, false)
-		v.confirm(n.Revision, now.Add(-n.Age))
 	case Reading:
 		changes = f.regain()
 		if n.Revision < v.Revision {
 			return changes
 		}
-		f.mind(now, now, v.Confirmed, false)
+		f.confirm(&v, n.Revision, now, 0, false)
 		returning := !f.returned.IsZero() && now.Sub(f.returned) < ReturnGrace
 		changes = append(changes, f.take(&v, n, returning)...)
-		v.confirm(n.Revision, now)
 	}
 	if old := f.View(); old.Hash != v.Hash {
 		f.keep(old)
@@ -115,7 +112,10 @@
 	return changes
 }
 
-func (v *View) confirm(revision uint64, at time.Time) {
+// confirm takes a state for the store's, as it was that long ago.
+func (f *Fleet) confirm(v *View, revision uint64, now time.Time, age time.Duration, told bool) {
+	at := now.Add(-age)
+	f.mind(now, at, v.Confirmed, told)
 	v.Revision = revision
 	if at.After(v.Confirmed) {
 		v.Confirmed = at
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -82,7 +82,6 @@
 			wait = 0
 		}
 		due := readLook + wait/2 + rand.N(wait/2+1)
-		ran = awake.Awake{}
 		ran.Look(time.Now(), due)
 		if !pause.For(ctx, due) {
 			return
--- a/internal/node/listed/listed.go
+++ b/internal/node/listed/listed.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// TTL is the lease's if none is set: a VM with a disk that died is missed
+	// TTL is the lease's: a VM with a disk that died is missed
 	// after this long. Renewals cost a tenth of a read.
 	TTL = 2 * time.Second
 	// renewals is how many fit into a lease, so that one may fail before the
@@ -38,7 +38,6 @@
 	Key   string
 	Data  func() []byte // the value; written again when it changes
 	OnEnd func(error)   // told when the key may have lapsed, and nil when it stands again
-	TTL   time.Duration // 0 is the constant TTL
 
 	lease   store.Lease
 	written []byte
@@ -51,9 +50,6 @@
 	if l.wake == nil {
 		l.wake = make(chan struct{}, 1)
 	}
-	if l.TTL == 0 {
-		l.TTL = TTL
-	}
 }
 
 // Wake has the value looked at again now.
@@ -67,7 +63,7 @@
 // Run keeps the key until ctx ends, and removes it then.
 func (l *Listed) Run(ctx context.Context) {
 	l.Init()
-	renew := time.Duration(float64(l.TTL) / renewals)
+	renew := time.Duration(TTL.Seconds() / renewals * float64(time.Second))
 	wait := renew
 	for {
 		err := l.step(ctx)
@@ -118,7 +114,7 @@
 	lease := l.lease
 	if lease == 0 {
 		var err error
-		if lease, err = l.Store.Grant(ctx, l.TTL); err != nil {
+		if lease, err = l.Store.Grant(ctx, TTL); err != nil {
 			return err
 		}
 	}
--- a/internal/node/scout/scout.go
+++ b/internal/node/scout/scout.go
@@ -57,13 +57,12 @@
 		Peer    string  `json:"peer"`
 		Domain  string  `json:"domain"`
 		Cores   float64 `json:"cores,omitempty"`
-		Leaving bool    `json:"leaving,omitempty"`
 	}
 )
 
 // FrontValue encodes a daemon that takes callers.
 func FrontValue(e fleet.Entry) []byte {
-	data, _ := json.Marshal(frontValue{Address: e.Address, Peer: e.Peer, Domain: e.Domain, Cores: e.Cores, Leaving: e.Leaving}) // strings always encode
+	data, _ := json.Marshal(frontValue{Address: e.Address, Peer: e.Peer, Domain: e.Domain, Cores: e.Cores}) // strings always encode
 	return data
 }
 
@@ -142,7 +141,7 @@
 			return err
 		}
 		s.Entries = append(s.Entries, fleet.Entry{
-			Node: strings.TrimPrefix(e.Key, FrontPrefix), Address: v.Address, Peer: v.Peer, Domain: v.Domain, Cores: v.Cores, Leaving: v.Leaving,
+			Node: strings.TrimPrefix(e.Key, FrontPrefix), Address: v.Address, Peer: v.Peer, Domain: v.Domain, Cores: v.Cores,
 		})
 	}
 	return nil
