mesh, frontd: one rule for who is cut off

The directory trusts a daemon that hears half of the others; who removes the keys of lost ones asked for one less, so of four others one was enough to remove three keys. Test first: 'cut off but for one' failed.

--- a/internal/front/mesh/picture.go
+++ b/internal/front/mesh/picture.go
@@ -18,6 +18,10 @@
 	}
 )
 
+// Trusted tells whether at least half of so many others are heard of. Who hears fewer
+// is cut off itself, and can't tell which of them are gone.
+func (p Picture) Trusted(others int) bool { return 2*(p.Fronts-1) >= others }
+
 // Picture returns what is known now.
 func (m *Mesh) Picture(now time.Time) (p Picture) {
 	m.init()
--- a/internal/node/frontd/absent.go
+++ b/internal/node/frontd/absent.go
@@ -22,15 +22,14 @@
 // absent keeps since when listed daemons have been silent. The zero value is ready.
 type absent struct{ since map[string]time.Time }
 
-// note returns a daemon that has been silent for long, if there is one. Who hears
-// fewer than half of the others is cut off itself.
-func (a *absent) note(now time.Time, entries []fleet.Entry, p mesh.Picture) (node string, found bool) {
-	if 2*p.Fronts < len(entries) {
+// note returns a daemon that has been silent for long, if there is one.
+func (a *absent) note(now time.Time, others []fleet.Entry, p mesh.Picture) (node string, found bool) {
+	if !p.Trusted(len(others)) {
 		a.since = nil
 		return "", false
 	}
 	next := map[string]time.Time{}
-	for _, e := range entries {
+	for _, e := range others {
 		if _, alive := p.Alive[mesh.IDOf(e.Node)]; alive {
 			continue
 		}
--- a/internal/node/frontd/absent_test.go
+++ b/internal/node/frontd/absent_test.go
@@ -24,6 +24,7 @@
 		"one was away":          {[2][]string{{"a", "b", "d"}, {"a", "b", "c", "d"}}, ""},
 		"one is lost, one away": {[2][]string{{"a", "b"}, {"a", "b", "d"}}, "c"},
 		"cut off":               {[2][]string{nil, nil}, ""},
+		"cut off but for one":   {[2][]string{{"a"}, {"a"}}, ""},
 		"was cut off":           {[2][]string{nil, {"a", "b", "d"}}, ""},
 	}
 	for name, c := range cases {
--- a/internal/node/frontd/directory.go
+++ b/internal/node/frontd/directory.go
@@ -83,9 +83,7 @@
 		all = append(all, self)
 	}
 	others := d.others(p)
-	// A daemon that hears few of the others is itself cut off, and can't tell
-	// which of them are gone.
-	trusted := 2*(p.Fronts-1) >= len(others)
+	trusted := p.Trusted(len(others))
 	for _, e := range others {
 		_, alive := p.Alive[mesh.IDOf(e.Node)]
 		if !e.Leaving && (alive || !trusted) {
