fleet: test of the order of events that let a leaving upstream get requests for 2.3 s

On each daemon counted the store's return from its own first reading. One whose last try hung and then backed off read up to three seconds after the others, and took entries that were missing for lapsed ones for another 2.3 s.

--- a/internal/front/fleet/fleet_test.go
+++ b/internal/front/fleet/fleet_test.go
@@ -204,3 +204,27 @@
 	is.Equal(len(f.Take(start, Outage{})), 1)
 	is.Equal(len(f.Take(start, Outage{})), 0) // told once
 }
+
+// An upstream had said that it leaves, and got new requests for 2.3 s more, 0.3 s longer
+// than agreed. The store had been away until three seconds before. One daemon's last try
+// hung until then; the others had told it everything meanwhile. When its turn to read
+// came it counted the return from its own first reading, took the entry that was missing
+// for one that had lapsed, and told all others that the upstream is there.
+//
+// Evidence: this order of events fails on the code that the report is of, and every other
+// reader drops the upstream at its next reading; the last request came 2.313 s after the
+// entry went, as long as entries that are missing are kept.
+func TestLastToReadAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Take(start, reading(1, 1, "a", "b"))
+	f.Take(start.Add(time.Second), Outage{})
+	back := start.Add(10 * time.Second)
+	f.Take(back, Told{Reading: reading(2, 1, "a", "b")})
+	for i := range 5 {
+		f.Take(back.Add(time.Duration(i)*500*time.Millisecond), Confirmed{Revision: uint64(3 + i)})
+	}
+	f.Take(back.Add(2800*time.Millisecond), reading(9, 1, "a", "b"))
+	f.Take(back.Add(3300*time.Millisecond), reading(10, 1, "a")) // b left 0.2 s ago
+	is.Equal(ids(f.View()), "a")
+}
