fleet, frontd, entry: tell when the store is taken for returned, and which upstreams are kept without an entry

Lines of requests fill what is kept of a process's output, and no metric told what a front believes.

Nothing decides by it.

Measured: TestKeptUpstreamsAreTold.

--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -98,6 +98,7 @@
 		code     string // empty for a whole answer
 		ran      ran
 		upstream string
+		missing  bool // the store did not list that upstream
 		sends    int
 		events   int
 		tokens   int
@@ -253,6 +254,9 @@
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.Wait.Milliseconds()).
 		Int64("finish_ms", q.Finish.Milliseconds()).Int64("recorded_ms", s.recorded.Milliseconds()).
 		Int64("first_ms", s.first.Milliseconds()).Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
+	if s.missing {
+		line.Bool("upstream_missing", true)
+	}
 	if s.queue != "" {
 		line.Str("queue", s.queue).Int64("queued_ms", s.queued.Milliseconds()).Int("engines_under_way", s.load.Under).
 			Int("engines_room", s.load.Room).Int("daemons", s.load.Fronts)
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -75,11 +75,13 @@
 		if err := errors.CombineErrors(ctx.Err(), q.r.Context().Err()); err != nil {
 			return nil, err
 		}
-		c.List = q.e.Fleet.View().Services[q.service.Name]
+		known := q.e.Fleet.View()
+		c.List = known.Services[q.service.Name]
 		up, ok := q.e.Picker.Choose(time.Now(), c)
 		if !ok {
 			return nil, last
 		}
+		q.story.missing = known.Missing(up.ID)
 		s, err := q.send(ctx, up, body, o)
 		if err == nil {
 			return s, nil
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -8,6 +8,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -49,19 +50,23 @@
 		Table     *route.Table // nil while none is known
 		Services  map[string][]Upstream
 		Upstreams []Upstream // by id
+		Lapsed    []Upstream // by id: those kept although the store doesn't list them
 		Entries   []Entry    // by node
 		Hash      uint64     // of what matters of all this
 	}
 
 	// Change is what news changed, for the log.
 	Change struct {
-		What string // config, upstream, outage, regained
+		What string // config, upstream, outage, regained, return
 		ID   string
-		From string
+		From string // its former state; of a return, for how long there was no news
 		To   string
 	}
 )
 
+// stateMissing is an upstream's state in a Change while it is kept without an entry.
+const stateMissing = "missing"
+
 // View returns what is known now.
 func (f *Fleet) View() *View {
 	if v := f.view.Load(); v != nil {
@@ -70,6 +75,11 @@
 	return &View{}
 }
 
+// Missing tells whether an upstream is kept although the store doesn't list it.
+func (v *View) Missing(id string) bool {
+	return slices.ContainsFunc(v.Lapsed, func(u Upstream) bool { return u.ID == id })
+}
+
 // Take learns the news and returns what it changed.
 func (f *Fleet) Take(now time.Time, n News) (changes []Change) {
 	f.mu.Lock()
@@ -89,19 +99,19 @@
 		if n.Revision < v.Revision {
 			return nil
 		}
-		f.confirm(&v, n.Revision, now, n.Age, true)
+		changes = f.confirm(&v, n.Revision, now, n.Age, true)
 	case Told:
 		if n.Revision < v.Revision {
 			return nil
 		}
-		f.confirm(&v, n.Revision, now, n.Age, true)
-		changes = f.take(&v, n.Reading, false)
+		changes = f.confirm(&v, n.Revision, now, n.Age, true)
+		changes = append(changes, f.take(&v, n.Reading, false)...)
 	case Reading:
 		changes = f.regain()
 		if n.Revision < v.Revision {
 			return changes
 		}
-		f.confirm(&v, n.Revision, now, 0, false)
+		changes = append(changes, f.confirm(&v, n.Revision, now, 0, false)...)
 		returning := !f.returned.IsZero() && now.Sub(f.returned) < ReturnGrace
 		changes = append(changes, f.take(&v, n, returning)...)
 	}
@@ -113,13 +123,14 @@
 }
 
 // confirm takes a state for the store's, as it was that long ago.
-func (f *Fleet) confirm(v *View, revision uint64, now time.Time, age time.Duration, told bool) {
+func (f *Fleet) confirm(v *View, revision uint64, now time.Time, age time.Duration, told bool) (changes []Change) {
 	at := now.Add(-age)
-	f.mind(now, at, v.Confirmed, told)
+	changes = f.mind(now, at, v.Confirmed, told)
 	v.Revision = revision
 	if at.After(v.Confirmed) {
 		v.Confirmed = at
 	}
+	return changes
 }
 
 // mind notes the end of an outage: nobody had news of the store for some time. Of
@@ -129,15 +140,15 @@
 //
 // A daemon that slept had no news either. If it then hears from others, the store was
 // there for them, so entries that are missing are of upstreams that left.
-func (f *Fleet) mind(now, confirmed, last time.Time, told bool) {
+func (f *Fleet) mind(now, confirmed, last time.Time, told bool) []Change {
 	slept := f.slept
 	f.slept = false
-	if told && slept {
-		return
-	}
-	if !last.IsZero() && confirmed.Sub(last) > gap {
-		f.returned = now
+	away := confirmed.Sub(last)
+	if told && slept || last.IsZero() || away <= gap {
+		return nil
 	}
+	f.returned = now
+	return []Change{{What: "return", From: away.String()}}
 }
 
 // regain notes that this daemon reaches the store again. Whether the store was away for
@@ -156,7 +167,7 @@
 		v.Table = n.Table
 		changes = append(changes, Change{What: "config"})
 	}
-	changes = append(changes, f.list(n.Upstreams, keep)...)
+	changes = append(changes, f.list(v, n.Upstreams, keep)...)
 	v.Entries = append([]Entry(nil), n.Entries...)
 	sort.Slice(v.Entries, func(i, j int) bool { return v.Entries[i].Node < v.Entries[j].Node })
 	v.Services = map[string][]Upstream{}
@@ -172,27 +183,39 @@
 	return changes
 }
 
-func (f *Fleet) list(list []Upstream, keep bool) (changes []Change) {
+func (f *Fleet) list(v *View, list []Upstream, keep bool) (changes []Change) {
 	next := make(map[string]Upstream, len(list))
+	was := *v
+	v.Lapsed = nil
 	for _, u := range list {
 		old, known := f.upstreams[u.ID]
 		switch {
 		case !known:
 			changes = append(changes, Change{What: "upstream", ID: u.ID, To: u.state()})
+		case was.Missing(u.ID):
+			changes = append(changes, Change{What: "upstream", ID: u.ID, From: stateMissing, To: u.state()})
 		case old.Born != u.Born || old.Leaving != u.Leaving || old.Address != u.Address:
 			changes = append(changes, Change{What: "upstream", ID: u.ID, From: old.state(), To: u.state()})
 		}
 		next[u.ID] = u
 	}
-	for id, u := range f.upstreams {
-		if _, listed := next[id]; listed {
+	for _, u := range was.Upstreams {
+		if _, listed := next[u.ID]; listed {
 			continue
 		}
+		from := u.state()
+		if was.Missing(u.ID) {
+			from = stateMissing
+		}
 		if keep && !u.Leaving {
-			next[id] = u
+			next[u.ID] = u
+			v.Lapsed = append(v.Lapsed, u)
+			if from != stateMissing {
+				changes = append(changes, Change{What: "upstream", ID: u.ID, From: from, To: stateMissing})
+			}
 			continue
 		}
-		changes = append(changes, Change{What: "upstream", ID: id, From: u.state(), To: "gone"})
+		changes = append(changes, Change{What: "upstream", ID: u.ID, From: from, To: "gone"})
 	}
 	f.upstreams = next
 	return changes
--- a/internal/front/fleet/fleet_test.go
+++ b/internal/front/fleet/fleet_test.go
@@ -228,3 +228,20 @@
 	f.Take(back.Add(3300*time.Millisecond), reading(10, 1, "a")) // b left 0.2 s ago
 	is.Equal(ids(f.View()), "a")
 }
+
+// A support engineer asks why a request went to an upstream that the store did not list.
+// The log must tell when the daemon took the store for returned, after how long, and
+// which upstreams it kept without an entry.
+func TestKeptUpstreamsAreTold(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Take(start, reading(1, 1, "a", "b", "c"))
+	f.Take(start, Outage{})
+	back := start.Add(10 * time.Second)
+	is.Equal(fmt.Sprint(f.Take(back, reading(2, 1, "a"))), "[{regained   } {return  10s } {upstream b ready missing} {upstream c ready missing}]")
+	is.True(f.View().Missing("b") && !f.View().Missing("a"))
+	is.Equal(len(f.Take(back.Add(time.Second), reading(2, 1, "a"))), 0)
+	is.Equal(fmt.Sprint(f.Take(back.Add(time.Second), reading(3, 1, "a", "b"))), "[{upstream b missing ready}]")
+	is.Equal(fmt.Sprint(f.Take(back.Add(ReturnGrace), reading(3, 1, "a", "b"))), "[{upstream c missing gone}]")
+	is.Equal(len(f.View().Lapsed), 0)
+}
--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
@@ -48,7 +49,7 @@
 
 // newDaemonAt returns a daemon that read the store at the time.
 func newDaemonAt(at time.Time, listed ...string) *Daemon {
-	d := &Daemon{Settings: Settings{Node: "self", Callers: "self"}, Names: names{}, Log: zerolog.Nop()}
+	d := &Daemon{Settings: Settings{Node: "self", Callers: "self"}, Names: names{}, Log: zerolog.Nop(), Scope: tally.NoopScope}
 	r := fleet.Reading{Revision: 7, Table: route.New(1, nil, nil, route.Limits{})}
 	for _, name := range append(listed, "self") {
 		r.Entries = append(r.Entries, fleet.Entry{Node: name, Address: name, Peer: addresses[name]})
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -164,6 +164,9 @@
 			line = d.Log.Warn().Err(cause).Str("dependency", "store")
 		case "regained":
 			line = line.Str("dependency", "store")
+		case "return":
+			d.Scope.Counter("store_returns").Inc(1)
+			line = line.Str("dependency", "store").Str("away", c.From)
 		case "config":
 			t := d.fleet.View().Table
 			line = line.Int64("version", t.Version).Uint64("config_revision", t.Revision).Int("routes", t.Len())
@@ -188,3 +191,22 @@
 // silent drops the HTTP server's own log lines: a caller that breaks off is no
 // event of the daemon's.
 func silent() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// gaugeKnowledge shows what is believed, for when the lines that tell how it came to be
+// believed are not kept any more.
+func (d *Daemon) gaugeKnowledge(now time.Time) {
+	v := d.fleet.View()
+	if v.Confirmed.IsZero() {
+		return
+	}
+	leaving := 0
+	for _, u := range v.Upstreams {
+		if u.Leaving {
+			leaving++
+		}
+	}
+	d.Scope.Gauge("news_age_seconds").Update(now.Sub(v.Confirmed).Seconds())
+	d.Scope.Gauge("upstreams_listed").Update(float64(len(v.Upstreams) - len(v.Lapsed)))
+	d.Scope.Gauge("upstreams_leaving").Update(float64(leaving))
+	d.Scope.Gauge("upstreams_missing").Update(float64(len(v.Lapsed)))
+}
