--- /dev/null
+++ b/internal/front/fleet/crowd_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// beat is the pause between readings of the daemon that reads for all.
+const beat = 500 * time.Millisecond
+
+// tell has one daemon tell another what it knows, as daemons do: one that knows the same
+// has it confirmed, one that knows less gets everything, one that knows more doesn't listen.
+func tell(now time.Time, from, to *Fleet) {
+	v, w := from.View(), to.View()
+	age := now.Sub(v.Confirmed)
+	switch {
+	case v.Revision < w.Revision, v.Revision == w.Revision && v.Hash != w.Hash:
+	case v.Hash == w.Hash:
+		to.Take(now, Confirmed{Revision: v.Revision, Age: age})
+	default:
+		to.Take(now, Told{Reading: Reading{Revision: v.Revision, Upstreams: v.Upstreams, Entries: v.Entries}, Age: age})
+	}
+}
+
+// severed plays five seconds in which one daemon is cut off and the other reads on. The
+// first is then told what has happened, and an upstream goes a moment later.
+func severed(cutOff, other *Fleet) (gone time.Time) {
+	cutOff.Take(start, reading(1, 1, "a", "b"))
+	other.Take(start, reading(1, 1, "a", "b"))
+	back := start.Add(5 * time.Second)
+	for at := start; at.Before(back); at = at.Add(beat) {
+		other.Take(at, reading(1, 1, "a", "b"))
+	}
+	tell(back, other, cutOff)
+	return back.Add(100 * time.Millisecond)
+}
+
+// An upstream had said that it leaves, and daemons that were well all the while sent it
+// requests for 2.3 s more. The daemon that reads for all had been cut off for five
+// seconds. It reads again, and the others have what it knows: the upstream whose entry
+// went a moment ago is there for all of them.
+func TestDaemonThatWasCutOffMisleadsNobody(t *testing.T) {
+	is := is.New(t)
+	var cutOff, other Fleet
+	gone := severed(&cutOff, &other)
+	cutOff.Take(gone.Add(beat), reading(2, 1, "a"))
+	tell(gone.Add(beat), &cutOff, &other)
+	is.Equal(ids(other.View()), "a")
+}
+
+// The same daemon itself. The others have told it that the store was there all the time.
+func TestDaemonThatWasCutOffBelievesOthers(t *testing.T) {
+	is := is.New(t)
+	var cutOff, other Fleet
+	gone := severed(&cutOff, &other)
+	cutOff.Take(gone.Add(beat), reading(2, 1, "a"))
+	is.Equal(ids(cutOff.View()), "a")
+}
+
+// The store was away. An upstream left meanwhile, and its entry stays missing. The daemon
+// that reads drops it in time, but the store has not changed since, so the others don't
+// listen to one that tells something else of the same revision: each goes on sending to
+// the upstream until its own turn to read comes, up to 22 s later among 171.
+func TestMissingUpstreamIsDroppedByAll(t *testing.T) {
+	is := is.New(t)
+	var reader, other Fleet
+	reader.Take(start, reading(1, 1, "a", "b"))
+	other.Take(start, reading(1, 1, "a", "b"))
+	back := start.Add(10 * time.Second)
+	for at := back; at.Before(back.Add(ReturnGrace + beat)); at = at.Add(beat) {
+		reader.Take(at, reading(2, 1, "a"))
+		tell(at, &reader, &other)
+		is.Equal(ids(other.View()) == "ab", at.Before(back.Add(ReturnGrace))) // kept in vain no longer than by the reader
+	}
+	is.Equal(ids(reader.View()), "a")
+}
