frontd: a daemon that knows nothing yet tells nothing

What happens: after a start of all daemons, each keeps upstreams that leave within its first two seconds as if their entries had lapsed.

Cause: daemons that have read nothing have the same state, the empty one, so each took the others' words for a confirmation, of 292 years ago. The first reading then came after a gap and counted as the end of an outage.

Change: words of a daemon without knowledge are passed over.

Measured: TestDaemonThatKnowsNothingTellsNothing fails without the check (its first assertion) and passes with it.

--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// All daemons start at once and hear of each other before the first has read the store.
+// Two that know nothing know the same; took they that for news of the store, of centuries
+// ago, the first reading would look like the end of an outage, and each would keep
+// upstreams that leave in the next two seconds.
+func TestDaemonThatKnowsNothingTellsNothing(t *testing.T) {
+	is := is.New(t)
+	d := &Daemon{Settings: Settings{Node: "self"}, Names: names{}, Log: zerolog.Nop(), Scope: tally.NoopScope}
+	other := &Daemon{Settings: Settings{Node: "a"}}
+	state, _ := other.told()
+	d.heard(time.Now(), state)
+	is.True(d.fleet.View().Confirmed.IsZero())
+	d.learn(fleet.Reading{Revision: 1, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}}, nil)
+	d.learn(fleet.Reading{Revision: 2}, nil)
+	is.Equal(len(d.fleet.View().Services["s"]), 0)
+}
+
 // Daemons are killed, stop, or lose their keys. The directory must send callers
 // neither to one that is gone nor to one that is leaving.
 func TestDirectory(t *testing.T) {
--- a/internal/node/frontd/known.go
+++ b/internal/node/frontd/known.go
@@ -111,6 +111,9 @@
 // that a start of all doesn't fill memory and links with answers that say the same; if
 // none answers, the next one heard is asked.
 func (d *Daemon) heard(_ time.Time, s mesh.State) {
+	if s.Revision == 0 {
+		return // it has just started and knows nothing
+	}
 	v := d.fleet.View()
 	if s.Revision < v.Revision || s.Revision == v.Revision && s.Hash != v.Hash {
 		return
