spell, fleet, mesh: whether the store was away is for all daemons to say

What callers and operators saw: a daemon that had been cut off for some seconds sent requests to upstreams that had left, for 2.3 s after it was back.

Cause: a daemon took two seconds without news of its own for an outage of the store. Its own network, or its VM, may as well have stood still. The others told it that they had news, in every datagram, but not for how long without a gap, so one that had been back just as long said the same.

Change: a spell is a time in which somebody had news of the store without a gap. Each datagram carries how long its sender's spell is; spells that meet are one; an outage is what lies between two that don't meet. It counts whatever the revision: one that is behind has had news too. The special case of a daemon that slept goes, since the others' spells tell it the same.

Why it holds: a guess ends with the first datagram of any daemon that had news meanwhile, 60 to 200 ms after the network is back, and where none had, the store was away for all of them.

Tests: TestDaemonThatWasCutOffBelievesOthers failed before; TestWith, TestDaemonThatWasCutOffReadsFirst, TestOthersTellThatTheStoreWasThere are new. TestWokenDaemonReads was written for a rule that went by the order of messages; its daemons now say for how long they had news, with the same outcomes, and two cases more: one that is behind, and others that had no news either.

--- a/internal/front/fleet/crowd_test.go
+++ b/internal/front/fleet/crowd_test.go
@@ -15,6 +15,7 @@
 func tell(now time.Time, from, to *Fleet) {
 	v, w := from.View(), to.View()
 	age := now.Sub(v.Confirmed)
+	to.Take(now, Heard{Age: age, Steady: v.Steady()})
 	switch {
 	case v.Revision < w.Revision, v.Revision == w.Revision && v.Hash != w.Hash:
 	case v.Hash == w.Hash:
@@ -56,8 +57,13 @@
 	is.Equal(ids(other.View()), "a")
 }
 
-// The daemon that was cut off itself. The others have told it that the store was there all
-// the time.
+// A daemon that had been cut off for five seconds sent requests to upstreams that had left,
+// for 2.3 s after it was back: those that left meanwhile, and those that left then. It
+// had no news of its own and took that for an outage of the store, although every other
+// daemon told it of news that it had had all the while.
+//
+// Evidence: in a recorded day the daemon logged no outage of its own before, and the other
+// five were confirmed every half second; the test gave the same upstream before.
 func TestDaemonThatWasCutOffBelievesOthers(t *testing.T) {
 	cases := map[string]struct{ told, read Reading }{
 		"an upstream left as it was back":       {reading(1, 1, "a", "b"), reading(2, 1, "a")},
@@ -94,3 +100,21 @@
 	}
 	is.Equal(ids(reader.View()), "a")
 }
+
+// The daemon that was cut off reads the store before it hears from the others. It can't
+// know, and keeps what is missing until one of them tells.
+func TestDaemonThatWasCutOffReadsFirst(t *testing.T) {
+	is := is.New(t)
+	var cutOff, other Fleet
+	cutOff.Take(start, reading(1, 1, "a", "b"))
+	back := start.Add(5 * time.Second)
+	for at := start; at.Before(back); at = at.Add(beat) {
+		other.Take(at, reading(2, 1, "a"))
+	}
+	cutOff.Take(back, reading(3, 1, "a"))
+	is.Equal(ids(cutOff.View()), "ab")
+	tell(back, &other, &cutOff) // of a lower revision
+	is.Equal(ids(cutOff.View()), "a")
+	tell(back, &cutOff, &other)
+	is.Equal(ids(other.View()), "a")
+}
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/slaterock/slaterock/internal/front/spell"
 )
 
 // ReturnGrace is how long an upstream whose entry is missing is kept after the
@@ -19,20 +21,15 @@
 // leave callers without any upstream after each outage.
 const ReturnGrace = 2300 * time.Millisecond
 
-// gap is the time without news of the store that counts as an outage, although
-// this daemon may not have asked it meanwhile. Entries lapse after three reports
-// that did not come, 3.6 s and more; while all is well news is half a second old.
-const gap = 2 * time.Second
-
 type (
 	// Fleet gathers news. The zero value knows nothing.
 	Fleet struct {
 		mu       sync.Mutex
 		view     atomic.Pointer[View]
-		past     []*View // former states, the newest last
-		down     bool
-		slept    bool      // and has heard nothing since
-		returned time.Time // when the store came back last
+		past     []*View     // former states, the newest last
+		down     bool        // the store does not answer this daemon
+		spell    spell.Spell // in which somebody had news
+		returned bool        // the store was away before that
 	}
 
 	// Change is what news changed, for the log.
@@ -65,28 +62,32 @@
 		}
 		return changes
 	case Slept:
-		f.slept = true
 		v.Confirmed = v.Confirmed.Add(-n.For)
+		f.spell = f.spell.Earlier(n.For)
+	case Heard:
+		to := now.Add(-n.Age)
+		changes = f.mind(spell.Spell{From: to.Add(-n.Steady), To: to})
 	case Confirmed:
 		if n.Revision < v.Revision {
 			return nil
 		}
-		changes = f.confirm(&v, n.Revision, now, n.Age, true)
-		changes = append(changes, f.expire(&v, now)...)
+		changes = f.confirm(&v, n.Revision, now.Add(-n.Age))
 	case Told:
 		if n.Revision < v.Revision {
 			return nil
 		}
-		changes = f.confirm(&v, n.Revision, now, n.Age, true)
+		changes = f.confirm(&v, n.Revision, now.Add(-n.Age))
 		changes = append(changes, v.take(n.Reading, f.returning(now))...)
 	case Reading:
 		changes = f.regain()
 		if n.Revision < v.Revision {
 			return changes
 		}
-		changes = append(changes, f.confirm(&v, n.Revision, now, 0, false)...)
+		changes = append(changes, f.confirm(&v, n.Revision, now)...)
 		changes = append(changes, v.take(n, f.returning(now))...)
 	}
+	changes = append(changes, f.expire(&v, now)...)
+	v.Since = f.spell.From
 	if old := f.View(); old.Hash != v.Hash {
 		f.keep(old)
 	}
@@ -94,32 +95,24 @@
 	return changes
 }
 
-// confirm takes a state for the store's, as it was that long ago.
-func (f *Fleet) confirm(v *View, revision uint64, now time.Time, age time.Duration, told bool) (changes []Change) {
-	at := now.Add(-age)
-	changes = f.mind(now, at, v.Confirmed, told)
+// confirm takes a state for the store's, as it was then.
+func (f *Fleet) confirm(v *View, revision uint64, at time.Time) []Change {
 	v.Revision = revision
 	if at.After(v.Confirmed) {
 		v.Confirmed = at
 	}
-	return changes
+	return f.mind(spell.At(at))
 }
 
-// mind notes the end of an outage: nobody had news of the store for some time. Of
-// hundreds only the first few ask the store while it is away; one further back that
-// reads when it is there again would take the first short list for the truth, and
-// tell all others.
-//
-// A daemon that slept had no news either. If it then hears from others, the store was
-// there for them, so entries that are missing are of upstreams that left.
-func (f *Fleet) mind(now, confirmed, last time.Time, told bool) []Change {
-	slept := f.slept
-	f.slept = false
-	away := confirmed.Sub(last)
-	if told && slept || last.IsZero() || away <= gap {
+// mind notes when somebody had news of the store, and the end of an outage. Of hundreds
+// only the first few ask the store while it is away; one further back that reads when it
+// is there again would take the first short list for the truth.
+func (f *Fleet) mind(s spell.Spell) []Change {
+	var away time.Duration
+	if f.spell, away = f.spell.With(s); away == 0 {
 		return nil
 	}
-	f.returned = now
+	f.returned = true
 	return []Change{{What: "return", From: away.String()}}
 }
 
@@ -135,7 +128,7 @@
 
 // returning tells whether entries that lapsed in an outage may still be missing.
 func (f *Fleet) returning(now time.Time) bool {
-	return !f.returned.IsZero() && now.Sub(f.returned) < ReturnGrace
+	return f.returned && now.Sub(f.spell.From) < ReturnGrace
 }
 
 // expire drops the upstreams whose entries have had their time to come back.
--- a/internal/front/fleet/fleet_test.go
+++ b/internal/front/fleet/fleet_test.go
@@ -136,13 +136,16 @@
 // is the next to read: it must not keep the upstream as one whose entry lapsed, and tell
 // the others that it is there. One that hears from nobody can't know.
 func TestWokenDaemonReads(t *testing.T) {
+	heard := Heard{Steady: 4 * time.Second}
 	cases := map[string]struct {
-		first News // after it woke, if any
+		first []News // after it woke
 		want  string
 	}{
-		"told of the same":     {Confirmed{Revision: 1}, "a"},
-		"told of more":         {Told{Reading: reading(2, 1, "a", "b")}, "a"},
-		"nobody tells of news": {nil, "ab"},
+		"told of the same":              {[]News{heard, Confirmed{Revision: 1}}, "a"},
+		"told of more":                  {[]News{heard, Told{Reading: reading(2, 1, "a", "b")}}, "a"},
+		"told by one that is behind":    {[]News{heard}, "a"},
+		"nobody tells of news":          {nil, "ab"},
+		"others were without news, too": {[]News{Heard{}, Confirmed{Revision: 1}}, "ab"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -150,8 +153,8 @@
 			f.Take(start, reading(1, 1, "a", "b"))
 			woke := start.Add(4 * time.Second)
 			f.Take(woke, Slept{})
-			if c.first != nil {
-				f.Take(woke, c.first)
+			for _, n := range c.first {
+				f.Take(woke, n)
 			}
 			f.Take(woke.Add(time.Second), reading(3, 1, "a"))
 			is.New(t).Equal(ids(f.View()), c.want)
--- a/internal/front/fleet/types.go
+++ b/internal/front/fleet/types.go
@@ -54,6 +54,10 @@
 		Age      time.Duration
 	}
 
+	// Heard tells that another daemon had news of the store without a gap for so long, up
+	// to that long ago. Whether it knows the same doesn't matter.
+	Heard struct{ Age, Steady time.Duration }
+
 	// Slept tells that this daemon did not run for a while. What is known is older than
 	// it seems by as much as its steady clock stood still.
 	Slept struct{ For time.Duration }
@@ -65,5 +69,6 @@
 func (Reading) news()   {}
 func (Told) news()      {}
 func (Confirmed) news() {}
+func (Heard) news()     {}
 func (Slept) news()     {}
 func (Outage) news()    {}
--- a/internal/front/fleet/view.go
+++ b/internal/front/fleet/view.go
@@ -29,6 +29,7 @@
 type View struct {
 	Revision  uint64       // of the store, at the last reading
 	Confirmed time.Time    // when that reading was made, as far as is known
+	Since     time.Time    // somebody has had news of the store without a gap since then
 	Table     *route.Table // nil while none is known
 	Services  map[string][]Upstream
 	Upstreams []Upstream // by id, as the store listed them
@@ -37,6 +38,9 @@
 	Hash      uint64     // of what matters of all that was listed
 }
 
+// Steady is for how long there was news without a gap, up to when this was confirmed.
+func (v *View) Steady() time.Duration { return max(v.Confirmed.Sub(v.Since), 0) }
+
 // Missing tells whether an upstream is kept although the store doesn't list it.
 func (v *View) Missing(id string) bool {
 	_, missing := find(v.Lapsed, id)
--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -26,6 +26,7 @@
 		Revision uint64 `cbor:"7,keyasint"`           // of the store, as it knows it
 		Hash     uint64 `cbor:"8,keyasint"`           // of its knowledge
 		Age      int64  `cbor:"9,keyasint"`           // milliseconds since that was confirmed
+		Steady   int64  `cbor:"10,keyasint"`          // milliseconds without a gap in the store's news before that
 	}
 
 	// Report is what a front tells its hub.
--- /dev/null
+++ b/internal/front/spell/spell_test.go
@@ -0,0 +1,42 @@
+package spell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func at(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+
+func span(from, to float64) Spell { return Spell{From: at(from), To: at(to)} }
+
+// A daemon that takes its own deafness for an outage keeps upstreams that left; one that
+// takes an outage for its own deafness drops upstreams that live.
+func TestWith(t *testing.T) {
+	cases := map[string]struct {
+		own, told, want Spell
+		away            time.Duration
+	}{
+		"the first news":                       {Spell{}, span(5, 5), span(5, 5), 0},
+		"news in time":                         {span(0, 5), span(5.5, 5.5), span(0, 5.5), 0},
+		"just in time":                         {span(0, 5), span(7, 7), span(0, 7), 0},
+		"after an outage":                      {span(0, 5), span(15, 15), span(15, 15), 10 * time.Second},
+		"told by one that was never without":   {span(0, 5), span(0, 15), span(0, 15), 0},
+		"told so after an own reading":         {span(15, 15), span(0, 14.9), span(0, 15), 0},
+		"told by one that is back as well":     {span(15, 15), span(14.8, 15.2), span(14.8, 15.2), 0},
+		"told by one that has heard nothing":   {span(15, 15), span(0, 5), span(15, 15), 0},
+		"told by one that has just started":    {span(0, 15), span(14.9, 14.9), span(0, 15), 0},
+		"told of the other side of the outage": {span(0, 5), span(14, 15), span(14, 15), 9 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			joined, away := c.own.With(c.told)
+			is.Equal(joined, c.want)
+			is.Equal(away, c.away)
+		})
+	}
+	is.New(t).Equal(Spell{}.Earlier(time.Second), Spell{})
+	is.New(t).Equal(span(3, 9).Earlier(2*time.Second), span(1, 7))
+}
--- a/internal/node/frontd/known.go
+++ b/internal/node/frontd/known.go
@@ -65,7 +65,7 @@
 	return mesh.State{
 		Node: d.Settings.Node, Peer: d.Settings.Peer, Callers: d.Settings.Callers,
 		Leaving: !d.ready(), Unwell: d.pulse.Down(time.Now()),
-		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(),
+		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(), Steady: v.Steady().Milliseconds(),
 	}, load
 }
 
@@ -115,11 +115,13 @@
 		return // it has just started and knows nothing
 	}
 	v := d.fleet.View()
+	age := time.Duration(s.Age) * time.Millisecond
+	d.learn(fleet.Heard{Age: age, Steady: time.Duration(s.Steady) * time.Millisecond}, nil)
 	if s.Revision < v.Revision || s.Revision == v.Revision && s.Hash != v.Hash {
 		return
 	}
 	if s.Hash == v.Hash {
-		d.learn(fleet.Confirmed{Revision: s.Revision, Age: time.Duration(s.Age) * time.Millisecond}, nil)
+		d.learn(fleet.Confirmed{Revision: s.Revision, Age: age}, nil)
 		return
 	}
 	if d.asks.begin(s.Node) {
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -42,7 +42,7 @@
 	// hearFirst is how long a daemon that didn't run for a while listens to the others
 	// before it reads: a report and its answer. What it knows is old. If it read at
 	// once it would take upstreams that left meanwhile for some whose entries lapsed
-	// in an outage, keep them, and tell all others to.
+	// in an outage, until another one tells that the store was there.
 	hearFirst = 300 * time.Millisecond
 	// freshPause is the shortest pause between reads that requests ask for.
 	freshPause = 250 * time.Millisecond
@@ -181,7 +181,7 @@
 	switch n.(type) {
 	case fleet.Reading:
 		return "store"
-	case fleet.Told, fleet.Confirmed:
+	case fleet.Told, fleet.Confirmed, fleet.Heard:
 		return "peer"
 	default:
 		return ""
