frontd: silence between two looks is nobody's silence

What happens: the key of a daemon that is just starting again is removed, as if it had been silent for half a minute. It writes it again, and the others pass it over until then.

Cause: only the daemon that reads for all looks who is silent, and it kept since when across the time in which another one read. One that was missed at the end of one turn and at the beginning of the next counted as silent in between.

Change: looks more than two seconds apart begin anew.

Measured: TestSilenceBetweenLooksDoesNotCount failed before and passes.

--- a/internal/node/frontd/absent.go
+++ b/internal/node/frontd/absent.go
@@ -19,11 +19,22 @@
 // VMs take to start again, or are cut off as a rule.
 const goneFor = 30 * time.Second
 
+// looksApart is the longest pause between two looks after which silence is one: daemons
+// start again within two seconds. Only the one that reads for all looks, twice a second.
+const looksApart = 2 * time.Second
+
 // absent keeps since when listed daemons have been silent. The zero value is ready.
-type absent struct{ since map[string]time.Time }
+type absent struct {
+	since  map[string]time.Time
+	looked time.Time
+}
 
 // note returns a daemon that has been silent for long, if there is one.
 func (a *absent) note(now time.Time, others []fleet.Entry, p mesh.Picture) (node string, found bool) {
+	if now.Sub(a.looked) > looksApart {
+		a.since = nil
+	}
+	a.looked = now
 	if !p.Trusted(len(others)) {
 		a.since = nil
 		return "", false
--- a/internal/node/frontd/absent_test.go
+++ b/internal/node/frontd/absent_test.go
@@ -46,3 +46,29 @@
 		})
 	}
 }
+
+// A daemon reads for all for a while and misses another that starts again. Later it reads
+// for all once more, just as that other one starts again: it was never silent for long,
+// and its key must stay.
+func TestSilenceBetweenLooksDoesNotCount(t *testing.T) {
+	cases := map[string]struct {
+		between time.Duration // looks
+		gone    bool
+	}{
+		"it looked all the time":            {time.Second, true},
+		"it did not look for half a minute": {goneFor, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var a absent
+			listed := []fleet.Entry{{Node: "a"}, {Node: "b"}}
+			p := mesh.Picture{Alive: map[mesh.ID]mesh.Mark{mesh.IDOf("a"): 0}, Fronts: 2}
+			now := time.Unix(1000, 0)
+			found := false
+			for at := time.Duration(0); at <= goneFor; at += c.between {
+				_, found = a.note(now.Add(at), listed, p)
+			}
+			is.New(t).Equal(found, c.gone)
+		})
+	}
+}
