frontd: a caller that leaves is no outage of the store

What happens: the log tells of a lost store when a caller without a route leaves while everything is read anew for it.

Cause: the reading ends with the request's context, and any end counted as the store's silence.

Change: a reading that ended because nobody wanted it any more tells nothing.

--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -106,7 +106,9 @@
 	asked := time.Now() // the answer tells how things were then, or later
 	n, others, bad, err := d.Source.Read(ctx)
 	if err != nil {
-		d.learn(fleet.Outage{}, err)
+		if ctx.Err() == nil { // or a caller left who wanted it read
+			d.learn(fleet.Outage{}, err)
+		}
 		return err
 	}
 	for _, e := range bad {
