keeper, holder: a VM that answers keeps its place

What happens: after an outage of the store in which all keys lapsed, a VM with an empty disk that starts then takes the place of one that lives and serves. All records are copied, and until that is done one more loss is not borne.

Cause: who holds no place goes by the store's list of VMs with a disk. It passes over the time after an outage, but only one that it has seen itself; one that has just started, or that looked too rarely, has seen none. The same for VMs that the store turned away.

Change: before a place is claimed the VM that is missing is asked itself; one that answers with the disk that holds the records is not missing.

--- a/internal/disk/holder/holder.go
+++ b/internal/disk/holder/holder.go
@@ -104,6 +104,7 @@
 		MethodRead:  link.Answer(h.Read),
 		MethodPull:  link.Answer(h.Pull),
 		MethodFill:  link.Answer(h.takeFill),
+		MethodLife:  link.Answer(func(context.Context, struct{}) (string, error) { return h.life, nil }),
 	}
 }
 
--- a/internal/disk/holder/wire.go
+++ b/internal/disk/holder/wire.go
@@ -11,6 +11,7 @@
 	MethodRead  = "disk.read"
 	MethodPull  = "disk.pull"
 	MethodFill  = "disk.fill"
+	MethodLife  = "disk.life" // answered with the life of the disk, as a string
 )
 
 type (
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -92,6 +92,7 @@
 		joining  bool
 		caughtUp bool // what was written while this process was away is here
 		joined   chan error
+		reach    holder.Peers // the other VMs with a disk; nil for those of the link
 		retiring atomic.Bool
 		since    time.Time // of retiring
 		told     string    // what the operator was told last
@@ -254,31 +255,6 @@
 	}
 }
 
-// noteMissing notes since when nodes with a place have not been listed. After an
-// outage all keys may have lapsed, of daemons that live.
-func (k *Keeper) noteMissing(s scout.State) {
-	now := time.Now()
-	if now.Sub(k.returned) < settle {
-		k.missing = nil
-		return
-	}
-	listed := map[string]bool{}
-	for _, m := range s.Members {
-		listed[m.Node] = true
-	}
-	next := map[string]time.Time{}
-	for _, p := range s.Roster.Places {
-		if listed[p.Node] {
-			continue
-		}
-		next[p.Node] = now
-		if since, known := k.missing[p.Node]; known {
-			next[p.Node] = since
-		}
-	}
-	k.missing = next
-}
-
 // found writes the first roster once all VMs with a disk are there, or have had
 // time to come.
 func (k *Keeper) found(ctx context.Context) {
@@ -295,29 +271,6 @@
 	}, "founded")
 }
 
-// long is how long a VM must be missing before its place is taken.
-func (k *Keeper) long() time.Duration {
-	if k.isNew() {
-		return roster.TakeOverNew
-	}
-	return roster.TakeOver
-}
-
-// isNew tells whether this VM has just started with an empty disk.
-func (k *Keeper) isNew() bool { return k.blank && time.Since(k.started) < newFor }
-
-// claim takes a place if there is one to take.
-func (k *Keeper) claim(ctx context.Context, s scout.State) bool {
-	now := time.Now()
-	if _, ok := s.Roster.Claim(now, k.self(), s.Members, k.missing, k.long()); !ok {
-		return false
-	}
-	return k.change(ctx, func(s scout.State) (roster.Roster, bool) {
-		k.noteMissing(s)
-		return s.Roster.Claim(now, k.self(), s.Members, k.missing, k.long())
-	}, "place claimed")
-}
-
 // change writes the next roster if the store still has the one that it follows.
 // What was read may be old, so it reads again before it decides.
 func (k *Keeper) change(ctx context.Context, next func(scout.State) (roster.Roster, bool), what string) bool {
@@ -353,6 +306,9 @@
 }
 
 func (k *Keeper) peers() holder.Peers {
+	if k.reach != nil {
+		return k.reach
+	}
 	return func(address string) link.Invoker { return k.link.Peer(address) }
 }
 
--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -9,12 +9,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	tally "github.com/uber-go/tally/v4"
 
 	"github.com/slaterock/slaterock/internal/disk/roster"
 	"github.com/slaterock/slaterock/internal/node/scout"
+	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
@@ -83,11 +85,25 @@
 }
 
 type world struct {
-	t   *testing.T
-	s   *shelf
-	op  *operator
-	k   *Keeper
-	due time.Time // of the next look
+	t     *testing.T
+	s     *shelf
+	op    *operator
+	k     *Keeper
+	due   time.Time       // of the next look
+	lives map[string]life // of the VMs that answer, by address
+}
+
+// life is the disk of a VM that answers; the empty one doesn't.
+type life string
+
+func (l life) Invoke(_ context.Context, _ string, _, out any) error {
+	raw, ok := out.(*link.Raw)
+	if l == "" || !ok {
+		return link.ErrSilent
+	}
+	data, err := cbor.Marshal(string(l))
+	*raw = data
+	return err
 }
 
 // newWorld starts a VM "d" beside a, b and c. It takes no calls of others.
@@ -105,6 +121,7 @@
 	is.New(t).NoErr(err)
 	w.k.caughtUp = true
 	w.k.scout.Store = w.s
+	w.k.reach = func(address string) link.Invoker { return w.lives[address] }
 	w.k.listed.Init()
 	is.New(t).NoErr(w.k.link.Start(t.Context()))
 	t.Cleanup(func() { _ = w.k.holder.Close() })
@@ -112,7 +129,10 @@
 }
 
 func others() []roster.Member {
-	return []roster.Member{{Node: "a", Domain: "x", Life: "1"}, {Node: "b", Domain: "y", Life: "2"}, {Node: "c", Domain: "z", Life: "3"}}
+	return []roster.Member{
+		{Node: "a", Address: "a:1", Domain: "x", Life: "1"}, {Node: "b", Address: "b:1", Domain: "y", Life: "2"},
+		{Node: "c", Address: "c:1", Domain: "z", Life: "3"},
+	}
 }
 
 // run lets the VM look for a while.
@@ -291,6 +311,37 @@
 	})
 }
 
+// A VM with an empty disk starts just after an outage in which all keys lapsed, or while the
+// store turns others away. It has seen no outage, and would take the place of a VM that
+// lives; one that is gone, or has lost its disk, must be replaced all the same.
+func TestPlaceOfAVMThatIsNotListed(t *testing.T) {
+	cases := map[string]struct {
+		lives map[string]life
+		want  string
+	}{
+		"all live":          {map[string]life{"a:1": "1", "b:1": "2", "c:1": "3"}, "abc"},
+		"one is gone":       {map[string]life{"a:1": "1", "c:1": "3"}, "adc"},
+		"one lost its disk": {map[string]life{"a:1": "1", "b:1": "9", "c:1": "3"}, "adc"},
+		"nothing is heard":  {nil, "dbc"},
+		"two are gone":      {map[string]life{"a:1": "1"}, "adc"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.started()
+				w.lives = c.lives
+				w.k.blank, w.k.started = true, time.Now()
+				for _, m := range others() {
+					w.s.list(m, false)
+				}
+				w.run(2500 * time.Millisecond)
+				is.New(t).Equal(w.nodes(), c.want)
+			})
+		})
+	}
+}
+
 // The operator wants a VM emptied. "Complete" has its disk thrown away at once, so
 // it must not be said while the VM has a place, or while another is still copying.
 func TestRetire(t *testing.T) {
