--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -133,24 +133,30 @@
 }
 
 // A daemon was cut off for five seconds. What the others put into their datagrams must
-// tell it that the store was there, or it keeps upstreams that left.
+// tell it that the store was there, or it keeps upstreams that left. That one has not
+// heard of the newest revision yet doesn't matter.
 func TestOthersTellThatTheStoreWasThere(t *testing.T) {
-	is := is.New(t)
-	now := time.Now()
-	other := newDaemonAt(now.Add(-5 * time.Second))
-	for age := 4 * time.Second; age > 0; age -= time.Second {
-		other.fleet.Take(now, fleet.Confirmed{Revision: 7, Age: age})
+	cases := map[string]uint64{"it knows the same": 7, "it is behind": 9}
+	for name, revision := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			other := newDaemonAt(now.Add(-5 * time.Second))
+			for age := 4 * time.Second; age > 0; age -= time.Second {
+				other.fleet.Take(now, fleet.Confirmed{Revision: 7, Age: age})
+			}
+			d := newDaemonAt(now.Add(-5 * time.Second))
+			d.fleet.Take(now.Add(-5*time.Second), fleet.Reading{Revision: revision, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}})
+			state, _ := other.told()
+			data, err := mesh.Encode(mesh.Share{State: state})
+			is.NoErr(err)
+			msg, err := mesh.Decode(data)
+			is.NoErr(err)
+			d.heard(now, mesh.StateOf(msg))
+			d.fleet.Take(now, fleet.Reading{Revision: revision + 1})
+			is.Equal(len(d.fleet.View().Services["s"]), 0)
+		})
 	}
-	d := newDaemonAt(now.Add(-5 * time.Second))
-	d.fleet.Take(now.Add(-5*time.Second), fleet.Reading{Revision: 7, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}})
-	state, _ := other.told()
-	data, err := mesh.Encode(mesh.Share{State: state})
-	is.NoErr(err)
-	msg, err := mesh.Decode(data)
-	is.NoErr(err)
-	d.heard(now, mesh.StateOf(msg))
-	d.fleet.Take(now, fleet.Reading{Revision: 8})
-	is.Equal(len(d.fleet.View().Services["s"]), 0)
 }
 
 // Daemons are killed, stop, or lose their keys. The directory must send callers
--- a/internal/node/frontd/recall.go
+++ b/internal/node/frontd/recall.go
@@ -90,13 +90,11 @@
 
 // sendMemo sends what is known and returns its size in bytes.
 func (d *Daemon) sendMemo(ctx context.Context, addresses []string, next sent) (size int) {
-	k, err := d.tellKnown(ctx, have{})
+	k, err := d.lasting(ctx)
 	if err != nil {
 		d.Log.Error().Err(err).Msg("knowledge not encoded")
 		return 0
 	}
-	// A daemon that recalls this knows nothing else while the store is away.
-	k.Upstreams = d.fleet.View().All()
 	data, err := cbor.Marshal(k)
 	if err != nil {
 		d.Log.Error().Err(err).Msg("knowledge not encoded")
@@ -118,6 +116,14 @@
 	return len(data)
 }
 
+// lasting is what is kept on disks. A daemon that recalls it knows nothing else while the
+// store is away, so it has the upstreams that are missing, too.
+func (d *Daemon) lasting(ctx context.Context) (k known, err error) {
+	k, err = d.tellKnown(ctx, have{})
+	k.Upstreams = d.fleet.View().All()
+	return k, err
+}
+
 // note remembers what a VM was sent. One that did not confirm is sent the next
 // state after the pause, whatever it is.
 func (k *kept) note(address string, s sent, confirmed bool) {
--- a/internal/node/frontd/recall_test.go
+++ b/internal/node/frontd/recall_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
 // Upstreams come and go all the time, and a disk is replaced by an empty one. Each
@@ -42,3 +43,20 @@
 		})
 	}
 }
+
+// The store is back after an outage, and the first reading lists few upstreams although all
+// live. It is away again at once, and all daemons start anew: what they recall from the
+// disks must have all upstreams, or callers find none until the store's return.
+func TestKnowledgeOnDisksHasMissingUpstreams(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d := newDaemonAt(now.Add(-10 * time.Second))
+	d.fleet.Take(now.Add(-10*time.Second), fleet.Reading{Revision: 8, Upstreams: []fleet.Upstream{{ID: "a"}, {ID: "b"}}})
+	d.fleet.Take(now, fleet.Reading{Revision: 9, Upstreams: []fleet.Upstream{{ID: "a"}}})
+	k, err := d.lasting(t.Context())
+	is.NoErr(err)
+	is.Equal(k.Upstreams, []fleet.Upstream{{ID: "a"}, {ID: "b"}})
+	k, err = d.tellKnown(t.Context(), have{})
+	is.NoErr(err)
+	is.Equal(k.Upstreams, []fleet.Upstream{{ID: "a"}}) // other daemons are told what was listed
+}
