server: a stop that comes before it serves ends it

Cause: the HTTP library closes the listeners that it knows when it shuts down. The daemon's goroutine that serves may come a moment later, and is then served for ever.

Change: the server keeps its listeners, closes them itself, and serves none after its end.

Measured: TestStopBeforeServe failed before and passes.

--- a/internal/edge/server/server.go
+++ b/internal/edge/server/server.go
@@ -86,6 +86,7 @@
 
 		once     sync.Once
 		http     fasthttp.Server
+		ports    ports
 		pool     *ants.Pool
 		calls    sync.WaitGroup  // under way in the pool
 		base     context.Context //nolint:containedctx // ends with the server, not with a call
@@ -102,7 +103,11 @@
 func (s *Server) Serve(ln net.Listener) (err error) {
 	defer func() { err = errors.Wrap(err, "serve callers") }()
 	s.once.Do(s.setup)
-	return s.http.Serve(listener{Listener: ln, timeout: orDefault(s.SendTimeout, DefaultSendTimeout)})
+	l := &port{Listener: ln}
+	if !s.ports.open(l) {
+		return l.Close()
+	}
+	return s.http.Serve(listener{Listener: l, timeout: orDefault(s.SendTimeout, DefaultSendTimeout)})
 }
 
 // StartDraining makes callers leave: each answer from now on closes its
@@ -120,6 +125,9 @@
 	s.StartDraining()
 	defer s.pool.Release()
 	defer s.stop()
+	if err := s.ports.close(); err != nil {
+		return err
+	}
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		return err
 	}
--- a/internal/edge/server/stop_test.go
+++ b/internal/edge/server/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/fake/pipe"
 	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/prog/runner"
@@ -91,3 +92,26 @@
 		is.Equal(time.Since(began), DefaultSendTimeout)
 	})
 }
+
+// A daemon is stopped while it starts: it is told to stop before it serves. It served
+// callers for ever then, and whoever waited for its end waited for ever.
+func TestStopBeforeServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n pipe.Net
+		ln := n.Listen("a:1")
+		var s Server
+		is.NoErr(s.Shutdown(t.Context()))
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(ln) }()
+		select {
+		case err := <-served:
+			is.NoErr(err)
+		case <-time.After(time.Minute):
+			t.Error("it serves on")
+			is.NoErr(ln.Close())
+		}
+		_, err := n.Connect(t.Context(), "a:1")
+		is.True(err != nil) // nobody is left waiting at a door behind which nobody is
+	})
+}
