daemon: a configuration is applied once the daemon is put together

Cause: the daemon is put together in Run, on a goroutine of its own; Apply and Settled were called as soon as that goroutine was started. Where it got the processor late there was no store to write to.

Change: Apply waits for it, and a daemon that isn't put together isn't settled.

Measured: TestApplyBeforeRun panicked before and passes.

--- a/internal/node/daemon/connect.go
+++ b/internal/node/daemon/connect.go
@@ -40,15 +40,26 @@
 // Peer is where other daemons reach this one.
 func (d *Daemon) Peer() string { return d.self.Peer }
 
-// Apply puts a first configuration in force.
-func (d *Daemon) Apply(ctx context.Context, text []byte) error {
-	_, err := d.keeper.Apply(ctx, apply.Request{Name: "configuration", Text: text, Base: apply.Newest, By: operatorName})
-	return errors.Wrap(err, "daemon: apply")
+// Apply puts a first configuration in force. It waits for Run, whose parts it needs.
+func (d *Daemon) Apply(ctx context.Context, text []byte) (err error) {
+	defer func() { err = errors.Wrap(err, "daemon: apply") }()
+	select {
+	case <-d.whole:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	_, err = d.keeper.Apply(ctx, apply.Request{Name: "configuration", Text: text, Base: apply.Newest, By: operatorName})
+	return err
 }
 
 // Settled reports whether a configuration is in force here and each shard is
 // known to have an owner.
 func (d *Daemon) Settled() bool {
+	select {
+	case <-d.whole:
+	default:
+		return false
+	}
 	n := d.shardCount()
 	members := d.gossip.Members()
 	for shard := range n {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -85,6 +85,7 @@
 		drain  chan struct{}
 		once   sync.Once
 		ready  chan struct{}
+		whole  chan struct{} // closed once the parts know each other
 	}
 )
 
@@ -114,6 +115,7 @@
 	d.scope = d.Metric.Scope().SubScope("owner")
 	d.drain = make(chan struct{})
 	d.ready = make(chan struct{})
+	d.whole = make(chan struct{})
 	d.self = beat.Member{
 		Name:          d.Settings.Daemon.Name,
 		Address:       either(d.Settings.Daemon.Advertise, d.Listen.Addr().String()),
@@ -149,6 +151,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer d.pool.Release()
 	d.assemble(ctx)
+	close(d.whole)
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
--- /dev/null
+++ b/internal/node/daemon/daemon_test.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/examples"
+	"github.com/slaterock/slaterock/internal/fake/pipe"
+)
+
+// A daemon's goroutine gets the processor late, and the first configuration is applied
+// before the daemon runs. It ended the whole process, by a store that was not there yet.
+func TestApplyBeforeRun(t *testing.T) {
+	is := is.New(t)
+	var n pipe.Net
+	d := &Daemon{Listen: n.Listen("a:1"), Peers: n.Listen("a:2")}
+	is.NoErr(d.Init(t.Context()))
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	is.True(errors.Is(d.Apply(ctx, []byte(examples.Dev)), context.Canceled))
+	is.True(!d.Settled())
+}
