state, owner, sched: a program's memory is freed wherever it ran, whoever owned it then

Cause: a shard changed hands between the calls of the program, as shards do when daemons start. The scheduler of the next owner knows the engines that it chose itself, so those that ran the earlier calls were told nothing. Logs of a failed run: shard 1 left by a and taken by c after the second call, no order to e1 afterwards.

Tests: TestMemoryIsReleasedAfterAHandover, TestMemoryOfAFormerOwnerIsReleased.

--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -130,7 +130,8 @@
 
 func others() []roster.Member {
 	return []roster.Member{
-		{Node: "a", Address: "a:1", Domain: "x", Life: "1"}, {Node: "b", Address: "b:1", Domain: "y", Life: "2"},
+		{Node: "a", Address: "a:1", Domain: "x", Life: "1"},
+		{Node: "b", Address: "b:1", Domain: "y", Life: "2"},
 		{Node: "c", Address: "c:1", Domain: "z", Life: "3"},
 	}
 }
--- a/internal/place/sched/machine.go
+++ b/internal/place/sched/machine.go
@@ -73,7 +73,7 @@
 	case VMs:
 		s.vms(now, m)
 	case Ended:
-		s.ended(m.Program)
+		s.ended(m)
 	case Forget:
 		s.forget(m.Program)
 	case Held:
--- a/internal/place/sched/memory.go
+++ b/internal/place/sched/memory.go
@@ -17,16 +17,23 @@
 	}
 }
 
-// ended releases the program's memory wherever it was placed.
-func (s *Sched) ended(program string) {
-	if e, ok := s.index.Home(program); ok && s.ups[e].group != nil {
+// ended releases the program's memory wherever it was placed, here or by an owner before
+// this one, whose placements are not known here.
+func (s *Sched) ended(m Ended) {
+	if e, ok := s.index.Home(m.Program); ok && s.ups[e].group != nil {
 		g := s.ups[e].group
-		g.ended(float64(s.index.Calls(program)))
+		g.ended(float64(s.index.Calls(m.Program)))
 	}
-	for _, e := range s.index.Holders(program) {
-		s.emit(Release{Upstream: s.ups[e].name, Program: program})
+	holders := slices.Clone(s.index.Holders(m.Program))
+	for _, name := range m.Engines {
+		if e, ok := s.byName[name]; ok && !slices.Contains(holders, e) {
+			holders = append(holders, e)
+		}
 	}
-	s.index.End(program)
+	for _, e := range holders {
+		s.emit(Release{Upstream: s.ups[e].name, Program: m.Program})
+	}
+	s.index.End(m.Program)
 }
 
 // forget drops a program that another daemon owns now. Its attempts that are
--- a/internal/place/sched/memory_test.go
+++ b/internal/place/sched/memory_test.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -20,6 +22,36 @@
 	is.Equal(s.Step(epoch, Done{ID: "1", Upstream: up, Outcome: Withdrawn}), []Effect{Release{Upstream: up, Program: a.Program}})
 }
 
+// Some of a program's calls ran while another daemon owned it. Each engine that may hold
+// memory for it must free that once, whoever chose it.
+func TestMemoryOfAFormerOwnerIsReleased(t *testing.T) {
+	cases := map[string]struct {
+		placed  bool // a call here
+		engines []string
+		want    []Effect
+	}{
+		"all before":       {false, []string{"e0", "e1"}, []Effect{Release{"e0", "p"}, Release{"e1", "p"}}},
+		"some here":        {true, []string{"e0", "e1"}, []Effect{Release{"e0", "p"}, Release{"e1", "p"}}},
+		"one that is gone": {false, []string{"e7", "e1"}, []Effect{Release{"e1", "p"}}},
+		"no call at all":   {false, nil, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s Sched
+			s.Step(epoch, Configure{File: fleet(2)})
+			if c.placed {
+				a := ask("1")
+				a.Program, a.Blocks = "p", prompt(1, 2)
+				assigned(s.Step(epoch, a), "1")
+			}
+			got := s.Step(epoch, Ended{Program: "p", Engines: c.engines})
+			slices.SortFunc(got, func(a, b Effect) int { return cmp.Compare(a.(Release).Upstream, b.(Release).Upstream) })
+			is.Equal(got, c.want)
+		})
+	}
+}
+
 // A shard moved to another daemon while one of its calls is still answered
 // here. A release when that ends would take the cache from the new owner.
 func TestForgottenIsNotReleased(t *testing.T) {
--- a/internal/place/sched/sched.go
+++ b/internal/place/sched/sched.go
@@ -87,8 +87,12 @@
 	// VMs is a reading of the platform's list.
 	VMs struct{ List []vmlist.VM }
 
-	// Ended tells that a program is over and its memory not needed.
-	Ended struct{ Program string }
+	// Ended tells that a program is over and its memory not needed. Engines ran its
+	// calls, as the journal has them; some while another daemon owned the program.
+	Ended struct {
+		Program string
+		Engines []string
+	}
 
 	// Forget tells that another daemon owns the program now: nothing is
 	// released, as the program goes on.
--- a/internal/prog/state/state.go
+++ b/internal/prog/state/state.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,7 @@
 		Intents  map[int]hist.Call `json:"intents,omitempty"` // by call number; no outcome yet
 		Moved    *record.Moved     `json:"moved,omitempty"`   // its attempt was under way at a handover
 		Tokens   Size              `json:"size"`
+		Engines  []string          `json:"engines,omitempty"`  // that ran its model calls, and may hold memory for it
 		Entries  []uint64          `json:"entries,omitempty"`  // journal entries
 		Segments []uint64          `json:"segments,omitempty"` // compacted journal
 		Closed   string            `json:"closed,omitempty"`
@@ -194,6 +196,7 @@
 	c := r.Call
 	delete(p.Intents, c.Number)
 	p.Active = c.End
+	p.ran(c)
 	if !r.Head {
 		return
 	}
@@ -211,6 +214,19 @@
 	}
 }
 
+// ran notes which engines ran a call. Whoever owns the program when it ends has them free
+// its memory, whichever daemon chose them.
+func (p *Program) ran(c hist.Call) {
+	if c.Kind != call.Model {
+		return
+	}
+	for _, t := range c.Tries {
+		if t.Upstream != "" && !slices.Contains(p.Engines, t.Upstream) {
+			p.Engines = append(p.Engines, t.Upstream)
+		}
+	}
+}
+
 // Clone returns a copy that shares nothing with f that either changes later.
 func (f *Fold) Clone() Fold {
 	c := *f
@@ -218,6 +234,7 @@
 	for id, p := range f.Programs {
 		q := *p
 		q.Entries = append([]uint64(nil), p.Entries...)
+		q.Engines = slices.Clone(p.Engines)
 		q.Intents = maps.Clone(p.Intents)
 		c.Programs[id] = &q
 	}
--- a/internal/shard/owner/commit.go
+++ b/internal/shard/owner/commit.go
@@ -143,10 +143,18 @@
 		o.abandon(now, r, result.CodeCancelled, "the program has ended: "+code)
 	}
 	seq := o.add(record.Closed{Program: p.id, Code: code, At: now})
-	o.emit(Place{Message: sched.Ended{Program: p.id}})
+	o.emit(Place{Message: sched.Ended{Program: p.id, Engines: o.engines(p.id)}})
 	return seq
 }
 
+// engines returns those that ran the program's calls, as far as the journal has them.
+func (o *Owner) engines(program string) []string {
+	if d := o.Fold.Programs[program]; d != nil {
+		return slices.Clone(d.Engines)
+	}
+	return nil
+}
+
 func (o *Owner) refuse(now time.Time, r *run, res result.Result) { o.finish(now, r, res) }
 
 // abandon gives up a call under way. A non-idempotent call that was sent goes
--- a/internal/shard/owner/move_test.go
+++ b/internal/shard/owner/move_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/place/sched"
+	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/prog/record"
 	"github.com/slaterock/slaterock/internal/prog/result"
 	"github.com/slaterock/slaterock/internal/shard/owner"
@@ -184,3 +185,17 @@
 	d.pass(200 * time.Millisecond)
 	is.Equal(len(d.sent), 1)
 }
+
+// A shard changes hands between the calls of a program, as it does when daemons start or
+// are replaced. The next owner chose none of the engines that ran them; if it didn't have
+// them free the program's memory, it would be held until a sweep comes by.
+func TestMemoryIsReleasedAfterAHandover(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	d.open("p")
+	d.call("p", 0, "", "a question")
+	d.answer(sched.Succeeded)
+	next := d.successor(is)
+	next.step(owner.End{Ticket: 99, End: call.End{Account: "x", Program: "p", Kind: call.Finish}})
+	is.Equal(next.places[len(next.places)-1], sched.Ended{Program: "p", Engines: []string{"u0"}})
+}
