placer: a release that was not taken is given again

Cause: all orders to an engine go through one daemon.

Change: a release is given four times, two seconds apart: it is idempotent, and its program has ended for good. Orders have a file of their own.

Tests: TestReleaseIsGivenAgain; its second case fails with one try.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	// OrderTimeout is how long an order to an engine may take.
-	OrderTimeout = 5 * time.Second
-
 	mailbox     = 4096
 	tickEvery   = 50 * time.Millisecond
 	pollEvery   = 500 * time.Millisecond
@@ -160,29 +157,6 @@
 	}
 }
 
-// order gives an order to an engine, or has it given by the daemon that all
-// orders to that engine go through: an engine that ignores fencing numbers
-// would otherwise take orders from two owners in any sequence.
-func (p *Placer) order(ctx context.Context, upstream string, o engine.Order) {
-	address := p.cfg.Upstreams[upstream].Address
-	fence, here := p.Fence(upstream)
-	p.Go(func() {
-		ctx, stop := context.WithTimeout(ctx, OrderTimeout)
-		defer stop()
-		var err error
-		if here {
-			o.Fence = fence
-			err = p.Engine(address).Order(ctx, o)
-		} else {
-			err = p.Forward(ctx, upstream, o)
-		}
-		if err != nil {
-			// What an order didn't free is found by the next sweep.
-			p.Log.Debug().Err(err).Str("upstream", upstream).Str("order", string(o.Kind)).Msg("order failed")
-		}
-	})
-}
-
 // list compares what an engine holds with what some owner still knows. Only the
 // daemon that gives the engine its orders does so.
 func (p *Placer) list(ctx context.Context, upstream string) {
