accnt, platform: accounts of callers, known by digests of their keys

The operator's configuration may have accounts with keys, a priority and a limit. They were not read: a caller's key went on to upstreams, and no account's name did.

--- a/internal/conf/route/route.go
+++ b/internal/conf/route/route.go
@@ -9,6 +9,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/slaterock/slaterock/internal/conf/accnt"
 )
 
 const (
@@ -29,9 +31,10 @@
 	Table struct {
 		Version  int64 // the operator's; only rises
 		Revision uint64
-		Text     []byte // as the operator wrote it
+		Text     []byte // as the operator wrote it, but for digests in place of keys
 		Services map[string]Service
 		Limits   Limits
+		Accounts *accnt.Accounts // nil where callers need no key
 
 		hosts map[string][]Route // longest prefix first
 		count int
@@ -54,6 +57,7 @@
 		Turns    bool          // requests are turns of a program with a token budget
 		Keep     bool          // the system keeps what turns said
 		KeepFor  time.Duration // how long, and how long budgets are remembered
+		Open     bool          // callers need no key
 	}
 
 	// Backend is a service with its share of a route's requests.
--- a/internal/front/asked/asked.go
+++ b/internal/front/asked/asked.go
@@ -2,7 +2,11 @@
 // took it knows it, and what it tells the upstream beside the request itself.
 package asked
 
-import "time"
+import (
+	"time"
+
+	"github.com/slaterock/slaterock/internal/conf/accnt"
+)
 
 type (
 	// Attempt is what the caller said of one attempt of a request. Each
@@ -20,7 +24,9 @@
 		LastEvent string        // id of the last event that the caller has
 		Finish    time.Duration // until the program should be finished, counted from this attempt; below 0 if it is late; valid with HasFinish
 		HasFinish bool
-		Affinity  string // names the object that the request is about
+		Affinity  string       // names the object that the request is about
+		Key       accnt.Digest // of the caller's key; valid with HasKey
+		HasKey    bool         // the caller named one key
 	}
 
 	// Order is what the system tells the upstream of one dispatch.
@@ -30,6 +36,7 @@
 		Priority  int           // 0 is the most urgent of 0 to 9; valid with HasPriority
 		LastEvent string        // go on after this event
 		Ranked    bool          // Priority is set
+		Account   string        // of the caller; empty if it needs none
 	}
 
 	// Verdict is what an upstream's answer says beside its status.
