ration, allow: fronts keep an account's limit together, without asking anybody

Each front reckons the level of one token bucket by what it let in and what the others say that they let in lately. What they have not said yet is bounded by each front's part of the level; groups that are cut apart have a part of the limit each; who starts or wakes begins with an empty bucket.

--- /dev/null
+++ b/internal/front/ration/window.go
@@ -0,0 +1,37 @@
+package ration
+
+import "time"
+
+const (
+	// slots divide a Period.
+	slots = 10
+	slot  = Period / slots
+)
+
+// window counts what happened during the last Period.
+type window struct {
+	counts [slots]int
+	slot   int64 // of the newest
+}
+
+func (w *window) add(now time.Time, n int) {
+	w.turn(now)
+	w.counts[w.slot%slots] += n
+}
+
+func (w *window) sum(now time.Time) (sum int) {
+	w.turn(now)
+	for _, n := range w.counts {
+		sum += n
+	}
+	return max(sum, 0)
+}
+
+// turn empties the slots that lie a Period back.
+func (w *window) turn(now time.Time) {
+	next := now.UnixNano() / int64(slot)
+	for i := max(w.slot+1, next-slots+1); i <= next; i++ {
+		w.counts[i%slots] = 0
+	}
+	w.slot = max(w.slot, next)
+}
--- /dev/null
+++ b/internal/front/ration/world_test.go
@@ -0,0 +1,243 @@
+package ration
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	reportEach = 100 * time.Millisecond // between reports of a front
+	hubTime    = 70 * time.Millisecond  // until a report is in what another front is told
+	lost       = 0.05                   // of reports and of answers
+	length     = 10                     // requests of a program
+	pause      = 120 * time.Millisecond // between two of them
+	tries      = 3                      // of a request
+)
+
+var tolerance = Tolerance{Window: 5 * time.Second, Over: 0.1, Slack: 20}
+
+type (
+	// world plays fronts that let programs of accounts in, on a virtual clock.
+	world struct {
+		now    time.Time
+		rng    *rand.Rand
+		fronts []*front
+		limits map[string]Limit
+		queue  events
+		sent   map[string][]time.Time // requests let in, by account
+		told   map[string]*score
+		asks   map[string]float64 // programs a second, by account
+		calls  bool               // all requests say that they belong to a program that has begun
+		sums   map[int]Heard      // by side
+		summed time.Time
+	}
+
+	front struct {
+		Ration
+		up       bool
+		side     int // fronts of another side are not heard
+		reported []said
+	}
+
+	said struct {
+		at   time.Time
+		used map[string]int
+	}
+
+	// score is what callers of an account got.
+	score struct {
+		programs int
+		whole    int // that ended with all their requests answered
+		refused  int // that were not begun
+		broken   int // that were begun and then refused
+		turned   int // requests that were refused and came back
+	}
+
+	event struct {
+		at time.Time
+		do func()
+	}
+
+	events []event
+)
+
+func (q events) Len() int           { return len(q) }
+func (q events) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q events) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)        { *q = append(*q, x.(event)) } //nolint:forcetypeassert // heap.Push is given nothing else
+func (q *events) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// newWorld has fronts that have run for a while, and accounts that ask for so many
+// programs a second.
+func newWorld(seed uint64, fronts int, limits map[string]Limit) *world {
+	w := &world{
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 7)), limits: limits,
+		sent: map[string][]time.Time{}, told: map[string]*score{}, asks: map[string]float64{},
+	}
+	for range fronts {
+		w.fronts = append(w.fronts, nil)
+	}
+	for i := range fronts {
+		w.start(i)
+		w.after(w.jitter(reportEach), func() { w.report(i) })
+	}
+	for name := range limits {
+		w.told[name] = &score{}
+	}
+	for _, name := range w.names() {
+		w.after(w.jitter(pause), func() { w.arrive(name) })
+	}
+	return w
+}
+
+func (w *world) names() (list []string) {
+	for name := range w.limits {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// start begins a front's life: it knows nothing.
+func (w *world) start(i int) {
+	f := &front{up: true}
+	f.Tolerance, f.Draw = tolerance, w.rng.Float64
+	f.Limit(w.now, w.limits)
+	w.fronts[i] = f
+}
+
+func (w *world) after(d time.Duration, do func()) { heap.Push(&w.queue, event{w.now.Add(d), do}) }
+
+func (w *world) jitter(d time.Duration) time.Duration {
+	return time.Duration(w.rng.Float64() * float64(d))
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event) //nolint:forcetypeassert // as pushed
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// report has a front say what it let in and hear what the others said.
+func (w *world) report(i int) {
+	w.after(reportEach, func() { w.report(i) })
+	f := w.fronts[i]
+	if !f.up {
+		return
+	}
+	if w.rng.Float64() >= lost {
+		f.reported = append(f.reported, said{w.now, f.Used(w.now)})
+	}
+	if w.rng.Float64() >= lost {
+		f.Hear(w.now, w.heard(f))
+	}
+}
+
+// heard is what the hubs tell a front: what those of its side have reported to them.
+func (w *world) heard(f *front) Heard {
+	all := w.sum(f.side)
+	h := Heard{Used: map[string]int{}, All: len(w.fronts), Fronts: all.Fronts}
+	own := f.said(w.now)
+	for name, n := range all.Used {
+		h.Used[name] = max(n-own[name], 0)
+	}
+	return h
+}
+
+// sum adds up what the fronts of a side have reported, a few times a second.
+func (w *world) sum(side int) Heard {
+	if w.now.Sub(w.summed) > hubTime/3 {
+		w.sums, w.summed = map[int]Heard{}, w.now
+	}
+	if h, done := w.sums[side]; done {
+		return h
+	}
+	h := Heard{Used: map[string]int{}}
+	for _, f := range w.fronts {
+		if !f.up || f.side != side {
+			continue
+		}
+		h.Fronts++
+		for name, n := range f.said(w.now) {
+			h.Used[name] += n
+		}
+	}
+	w.sums[side] = h
+	return h
+}
+
+// said is the last report that has reached the hubs.
+func (f *front) said(now time.Time) map[string]int {
+	for i := len(f.reported) - 1; i >= 0; i-- {
+		if now.Sub(f.reported[i].at) >= hubTime {
+			f.reported = f.reported[i:]
+			return f.reported[0].used
+		}
+	}
+	return nil
+}
+
+// arrive begins a program of an account.
+func (w *world) arrive(name string) {
+	rate := w.asks[name]
+	if rate <= 0 {
+		w.after(pause, func() { w.arrive(name) })
+		return
+	}
+	w.after(time.Duration(w.rng.ExpFloat64()/rate*float64(time.Second)), func() { w.arrive(name) })
+	w.told[name].programs++
+	w.ask(name, 0, 0)
+}
+
+// ask has a program send one of its requests to any front that is up.
+func (w *world) ask(name string, number, try int) {
+	s := w.told[name]
+	f := w.fronts[w.rng.IntN(len(w.fronts))]
+	if !f.up {
+		w.after(20*time.Millisecond, func() { w.ask(name, number, try) })
+		return
+	}
+	v := f.Take(w.now, name, w.calls || number > 0)
+	switch {
+	case v.OK:
+		w.sent[name] = append(w.sent[name], w.now)
+		if number+1 == length {
+			s.whole++
+			return
+		}
+		w.after(pause/2+w.jitter(pause), func() { w.ask(name, number+1, 0) })
+	case try+1 < tries:
+		s.turned++
+		w.after(v.After, func() { w.ask(name, number, try+1) })
+	case number == 0:
+		s.refused++
+	default:
+		s.broken++
+	}
+}
+
+// most is the largest number of requests of an account that were let in within a
+// window, as a part of what the operator tolerates.
+func (w *world) most(name string) float64 {
+	l := w.limits[name]
+	bound := (l.Rate*tolerance.Window.Seconds()+l.Burst)*(1+tolerance.Over) + tolerance.Slack
+	sent, first, worst := w.sent[name], 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[first]) > tolerance.Window {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	return float64(worst) / bound
+}
