entry, frontd, mesh: callers need a key, and are held to their account's limit

A request without a known key was run. It is answered 401 now, after the configuration was read anew if what is known is a second old; a key that is taken away meanwhile ends what has not been sent. Turns and budgets are recorded under the account, so another's turn is one that does not exist; those from before there were accounts stay readable. What each front let in goes with the datagrams between fronts.

--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -19,10 +19,12 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/slaterock/slaterock/internal/conf/accnt"
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/book"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/admit"
+	"github.com/slaterock/slaterock/internal/front/allow"
 	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -65,6 +67,7 @@
 		Picker  *pick.Picker
 		Usual   pick.Usual
 		Queue   admit.Queue
+		Allow   *allow.Allow
 		Log     zerolog.Logger
 		Scope   tally.Scope
 		Trace   *trace.Trace
@@ -86,6 +89,8 @@
 		view     *fleet.View
 		route    route.Route
 		service  route.Service
+		account  accnt.Account // of the caller; without a name if it needs none
+		taken    bool          // of the account's limit, and not yet sent
 		body     []byte
 		began    time.Time
 		deadline time.Time
@@ -138,6 +143,7 @@
 	q := &request{e: e, w: w, r: r.WithContext(ctx), began: time.Now()}
 	q.story.ran = ranNo
 	defer q.tell(span)
+	defer q.giveBack()
 	if q.admit() {
 		q.serve()
 	}
@@ -151,7 +157,7 @@
 		q.refuse(http.StatusBadRequest, "bad_request", err)
 		return false
 	}
-	if !q.findRoute() {
+	if !q.findRoute() || !q.identify() {
 		return false
 	}
 	wait := q.Wait
@@ -248,7 +254,7 @@
 	if s.ran == ranUnknown {
 		line = q.e.Log.Warn()
 	}
-	line.Str("request", q.ID).Str("program", q.Program).Str("route", q.route.Name).Str("kind", q.route.Kind.String()).
+	line.Str("request", q.ID).Str("program", q.Program).Str("account", q.account.Name).Str("route", q.route.Name).Str("kind", q.route.Kind.String()).
 		Int64("config", q.version()).Int64("news_age_ms", q.newsAge()).Str("upstream", s.upstream).Int("sends", s.sends).
 		Str("refusals", s.refusals).Int("status", s.status).Str("outcome", s.outcome()).Str("ran", string(s.ran)).
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.Wait.Milliseconds()).
--- a/internal/front/entry/plain.go
+++ b/internal/front/entry/plain.go
@@ -25,6 +25,9 @@
 		ctx, stop = context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 		defer stop()
 	}
+	if !q.take(true) {
+		return
+	}
 	exclude := map[string]bool{}
 	for {
 		s, err := q.dispatch(ctx, pick.Case{Exclude: exclude}, q.body, asked.Order{})
@@ -107,6 +110,8 @@
 	var no *refused
 	var l *lost
 	switch {
+	case errors.Is(err, errNoAccount) && q.story.ran == ranNo:
+		q.refuse(http.StatusUnauthorized, "unknown_key", err)
 	case errors.As(err, &no) && q.story.ran == ranNo:
 		q.unavailable("upstreams_"+no.cause, retryFull, err)
 	case errors.Is(err, errNoUpstream) && q.story.ran == ranNo:
--- a/internal/front/entry/reply.go
+++ b/internal/front/entry/reply.go
@@ -40,6 +40,13 @@
 	q.answer(http.StatusServiceUnavailable, code, after, err)
 }
 
+// overLimit tells that the request has not run since its account asks too much, and
+// when there will be room.
+func (q *request) overLimit(after time.Duration) {
+	q.e.Dialect.RetryAfter(q.w.Header(), after)
+	q.answer(http.StatusTooManyRequests, "over_limit", after, nil)
+}
+
 // unknown tells that the request may have run.
 func (q *request) unknown(status int, code string, err error) {
 	q.story.ran = ranUnknown
--- a/internal/front/entry/send.go
+++ b/internal/front/entry/send.go
@@ -75,6 +75,9 @@
 		if err := errors.CombineErrors(ctx.Err(), q.r.Context().Err()); err != nil {
 			return nil, err
 		}
+		if err := q.still(); err != nil {
+			return nil, err
+		}
 		known := q.e.Fleet.View()
 		c.List = known.Services[q.service.Name]
 		up, ok := q.e.Picker.Choose(time.Now(), c)
@@ -125,7 +128,8 @@
 		return nil, &refused{up: up, cause: "closed", err: err}
 	}
 	s.stop = context.AfterFunc(ctx, conn.Break)
-	o.Instance = up.ID
+	o.Instance, o.Account = up.ID, q.account.Name
+	q.use()
 	o.Left = time.Until(q.deadline)
 	err = conn.Send(upconn.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: q.e.Dialect.Forward(q.r.Header, o), Body: body,
@@ -137,12 +141,14 @@
 	if err != nil {
 		s.drop()
 		if !conn.Sent() {
+			q.unuse()
 			return nil, &refused{up: up, cause: "closed", err: err}
 		}
 		return nil, q.lose(ctx, s, err)
 	}
 	s.verdict = q.e.Dialect.Verdict(s.resp.StatusCode, s.resp.Header)
 	if s.verdict.NotRun {
+		q.unuse()
 		return nil, q.notRun(s)
 	}
 	if s.verdict.Request != q.ID {
--- a/internal/front/entry/stream.go
+++ b/internal/front/entry/stream.go
@@ -33,6 +33,7 @@
 type turn struct {
 	*request
 	chain    []byte // input for the upstream before the caller's own
+	previous string // turn that this one continues, as the records know it
 	prefer   string // id of the upstream that ran the turn before
 	ranAt    string // id of the upstream that last ran one of the program's
 	reserved bool
@@ -47,7 +48,7 @@
 // stream serves a request that is answered by events.
 func (q *request) stream(ctx context.Context) {
 	t := &turn{request: q, last: q.LastEvent, flush: http.NewResponseController(q.w).Flush}
-	if !t.prepare(ctx) || !t.admitted(ctx) {
+	if t.full() || !t.prepare(ctx) || !t.allowed() || !t.admitted(ctx) {
 		return
 	}
 	err := t.run(ctx)
@@ -64,6 +65,16 @@
 	q.fail(err)
 }
 
+// allowed asks for the turn's place within its account's limit. A new program leaves
+// room to those that have begun.
+func (t *turn) allowed() bool {
+	if t.take(t.begun || !t.reserved) {
+		return true
+	}
+	t.settle()
+	return false
+}
+
 // prepare reads the chain that a turn continues, and has the program's budget
 // bear the turn, before anything runs.
 func (t *turn) prepare(ctx context.Context) bool {
@@ -95,7 +106,12 @@
 	if !t.route.Keep || t.Previous == "" {
 		return nil
 	}
-	turns, err := t.e.Records.Read(ctx, t.Program, t.Previous)
+	t.previous = t.own(t.Previous)
+	turns, err := t.e.Records.Read(ctx, t.own(t.Program), t.previous)
+	if errors.Is(err, quorum.ErrNoTurn) && t.previous != t.Previous {
+		t.previous = t.Previous // from before there were accounts
+		turns, err = t.e.Records.Read(ctx, t.Program, t.previous)
+	}
 	if err != nil {
 		return err
 	}
@@ -115,7 +131,7 @@
 
 func (t *turn) record() book.Record {
 	return book.Record{
-		Program: t.Program, Attempt: t.ID, At: t.began.UnixMilli(), Keep: t.route.KeepFor.Milliseconds(),
+		Program: t.own(t.Program), Attempt: t.own(t.ID), At: t.began.UnixMilli(), Keep: t.route.KeepFor.Milliseconds(),
 	}
 }
 
@@ -138,7 +154,7 @@
 		t.unavailable("records_away", retryRecords, err)
 		return false
 	}
-	t.begun = t.Previous != "" || book.Begun(res.Shares, t.ID)
+	t.begun = t.Previous != "" || book.Begun(res.Shares, rec.Attempt)
 	t.since = book.Since(res.Shares, t.began)
 	t.ranAt = book.LastRan(res.Shares, t.Session)
 	if !book.Fits(res.Shares, t.Budget) {
@@ -164,12 +180,20 @@
 		ctx, stop := context.WithTimeout(t.e.Stop, settleTime)
 		defer stop()
 		if _, err := t.e.Records.Write(ctx, rec); err != nil {
-			t.e.Log.Warn().Err(err).Str("request", rec.Attempt).Str("program", rec.Program).Int("tokens", rec.Spent).
+			t.e.Log.Warn().Err(err).Str("request", t.ID).Str("program", t.Program).Int("tokens", rec.Spent).
 				Msg("what the turn spent was not recorded; its most counts")
 		}
 	}()
 }
 
+// priority is the account's, or else the route's.
+func (t *turn) priority() int {
+	if t.account.Ranked {
+		return t.account.Priority
+	}
+	return t.route.Priority
+}
+
 // run sends the turn and passes the events on, resuming where that is allowed.
 func (t *turn) run(ctx context.Context) error {
 	body := t.body
@@ -177,7 +201,7 @@
 		body = slices.Concat(t.chain, t.body)
 	}
 	c := pick.Case{Key: t.key(), Prefer: cmp.Or(t.prefer, t.ranAt), Tokens: t.Prompt, Exclude: map[string]bool{}}
-	o := asked.Order{Priority: min(t.route.Priority, 9), Ranked: true, LastEvent: t.last}
+	o := asked.Order{Priority: min(t.priority(), 9), Ranked: true, LastEvent: t.last}
 	for range maxResumes {
 		s, err := t.dispatch(ctx, c, body, o)
 		if c.Only != "" && err != nil && t.goneFrom(c.Only, err) {
@@ -313,7 +337,7 @@
 	rec := t.record()
 	rec.Settled, rec.Spent = t.reserved, t.story.tokens
 	rec.Upstream, rec.Session = s.up.ID, t.Session
-	rec.Turn = &book.Turn{Previous: t.Previous, Input: t.body, Output: t.output, Upstream: s.up.ID, Tokens: t.story.tokens}
+	rec.Turn = &book.Turn{Previous: t.previous, Input: t.body, Output: t.output, Upstream: s.up.ID, Tokens: t.story.tokens}
 	if _, err := t.e.Records.Write(ctx, rec); err != nil {
 		return errors.Wrap(err, "the turn was not recorded")
 	}
--- a/internal/front/entry/world_test.go
+++ b/internal/front/entry/world_test.go
@@ -16,9 +16,11 @@
 	"github.com/rs/zerolog"
 	tally "github.com/uber-go/tally/v4"
 
+	"github.com/slaterock/slaterock/internal/conf/accnt"
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/book"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/allow"
 	"github.com/slaterock/slaterock/internal/front/asked"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -61,8 +63,20 @@
 	}
 )
 
+// routes are what the world serves.
+var routes = []route.Route{
+	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, Attempts: 2, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Attempts: 2, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "short", Host: "h", Prefix: "/short/", Kind: route.Unsafe, Attempts: 1, Timeout: time.Second, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Attempts: 1, Turns: true, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "resume", Host: "h", Prefix: "/resume/", Kind: route.Stream, Attempts: 1, Turns: true, Resume: true, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "keep", Host: "h", Prefix: "/keep/", Kind: route.Stream, Attempts: 1, Turns: true, Keep: true, KeepFor: time.Minute, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "open", Host: "h", Prefix: "/open/", Kind: route.Safe, Attempts: 1, Open: true, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "nowhere", Host: "h", Prefix: "/nowhere/", Kind: route.Safe, Attempts: 1, Backends: []route.Backend{{Service: "none"}}},
+}
+
 func (dialect) Decode(h http.Header) (a asked.Attempt, err error) {
-	a = asked.Attempt{ID: h.Get("Id"), Program: h.Get("Program"), Previous: h.Get("Previous"), LastEvent: h.Get("Last"), Output: 30}
+	a = asked.Attempt{Key: accnt.DigestOf(h.Get("Key")), HasKey: h.Get("Key") != "", ID: h.Get("Id"), Program: h.Get("Program"), Previous: h.Get("Previous"), LastEvent: h.Get("Last"), Output: 30}
 	if a.ID == "" {
 		return a, errors.New("no id")
 	}
@@ -83,6 +97,12 @@
 	if o.LastEvent != "" {
 		out.Set("Last", o.LastEvent)
 	}
+	if o.Account != "" {
+		out.Set("Account", o.Account)
+	}
+	if o.Ranked {
+		out.Set("Rank", fmt.Sprint(o.Priority))
+	}
 	return out
 }
 
@@ -168,15 +188,7 @@
 func newWorld(answers ...[]string) *world {
 	w := &world{rec: &records{shares: map[string]book.Share{}, turns: map[string]book.Turn{}}, ups: map[string]*upstream{}}
 	var f fleet.Fleet
-	reading := fleet.Reading{Revision: 1, Table: route.New(1, []route.Route{
-		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, Attempts: 2, Backends: []route.Backend{{Service: "s"}}},
-		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Attempts: 2, Backends: []route.Backend{{Service: "s"}}},
-		{Name: "short", Host: "h", Prefix: "/short/", Kind: route.Unsafe, Attempts: 1, Timeout: time.Second, Backends: []route.Backend{{Service: "s"}}},
-		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Attempts: 1, Turns: true, Backends: []route.Backend{{Service: "s"}}},
-		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: route.Stream, Attempts: 1, Turns: true, Resume: true, Backends: []route.Backend{{Service: "s"}}},
-		{Name: "keep", Host: "h", Prefix: "/keep/", Kind: route.Stream, Attempts: 1, Turns: true, Keep: true, KeepFor: time.Minute, Backends: []route.Backend{{Service: "s"}}},
-		{Name: "nowhere", Host: "h", Prefix: "/nowhere/", Kind: route.Safe, Attempts: 1, Backends: []route.Backend{{Service: "none"}}},
-	}, []route.Service{{Name: "s", EventTokens: 3}}, route.Limits{BodyBytes: 100})}
+	reading := fleet.Reading{Revision: 1, Table: route.New(1, routes, []route.Service{{Name: "s", EventTokens: 3}}, route.Limits{BodyBytes: 100})}
 	for i, list := range answers {
 		address := fmt.Sprintf("up%d", i+1)
 		w.ups[address] = &upstream{answers: list}
@@ -195,7 +207,7 @@
 	}}
 	w.e = &Entry{
 		Dialect: dialect{}, Records: w.rec, Fleet: &f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
-		Refresh: func(context.Context) {}, Stop: context.Background(),
+		Refresh: func(context.Context) {}, Stop: context.Background(), Allow: &allow.Allow{},
 	}
 	return w
 }
--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -83,7 +83,7 @@
 	// start together need not read the store until each has found all others.
 	greetPause = 500 * time.Millisecond
 	// maxLoads bounds the upstreams in one datagram, so that it stays below its
-	// largest size: those with the most under way.
+	// largest size: those with the most under way. So it does for accounts.
 	maxLoads = 500
 )
 
@@ -117,6 +117,7 @@
 	Tick struct {
 		State State
 		Load  map[ID]int // own requests under way, by upstream
+		Used  map[ID]int // own requests let in lately, by account
 	}
 
 	// Send is a datagram that is to be sent.
--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -33,6 +33,7 @@
 	Report struct {
 		State State      `cbor:"1,keyasint"`
 		Load  map[ID]int `cbor:"2,keyasint,omitempty"` // its own
+		Used  map[ID]int `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Share is what a hub tells the others.
@@ -41,6 +42,7 @@
 		Load  map[ID]int  `cbor:"2,keyasint,omitempty"` // its own and its group's
 		Group map[ID]Mark `cbor:"3,keyasint,omitempty"` // the fronts that report to it
 		Hubs  []ID        `cbor:"4,keyasint,omitempty"` // that stand in for others, as far as it hears of them
+		Used  map[ID]int  `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Digest is what a hub answers to a report.
@@ -51,6 +53,7 @@
 		Missing []ID       `cbor:"4,keyasint,omitempty"` // listed, but nothing is heard of them
 		Leaving []ID       `cbor:"5,keyasint,omitempty"`
 		Unwell  []ID       `cbor:"6,keyasint,omitempty"`
+		Used    map[ID]int `cbor:"7,keyasint,omitempty"` // as Load
 	}
 
 	// Mark is what matters to callers of a front that is alive.
@@ -89,13 +92,13 @@
 	var p packet
 	switch msg := msg.(type) {
 	case Report:
-		msg.Load = busiest(msg.Load)
+		msg.Load, msg.Used = busiest(msg.Load), busiest(msg.Used)
 		p.Report = &msg
 	case Share:
-		msg.Load = busiest(msg.Load)
+		msg.Load, msg.Used = busiest(msg.Load), busiest(msg.Used)
 		p.Share = &msg
 	case Digest:
-		msg.Load = busiest(msg.Load)
+		msg.Load, msg.Used = busiest(msg.Load), busiest(msg.Used)
 		p.Digest = &msg
 	}
 	data, err = cbor.Marshal(p)
--- a/internal/front/mesh/picture.go
+++ b/internal/front/mesh/picture.go
@@ -9,11 +9,15 @@
 )
 
 type (
+	// sums are what several fronts have under way and let in together.
+	sums struct{ load, used map[ID]int }
+
 	// Picture is what is known of the other fronts at one moment.
 	Picture struct {
 		Alive    map[ID]Mark
 		Unlisted []State    // of those heard of that are not listed, by name
 		Load     map[ID]int // what all of them have under way, by upstream
+		Used     map[ID]int // what all of them let in lately, by account
 		Fronts   int        // that are alive, this one included
 	}
 )
@@ -29,7 +33,8 @@
 		return m.toldPicture()
 	}
 	p.Alive = m.alive(now)
-	p.Load = m.sum(now, 0)
+	all := m.sum(now, 0)
+	p.Load, p.Used = all.load, all.used
 	p.Fronts = len(p.Alive) + 1
 	for id, s := range m.hubsHeard(now) {
 		if _, listed := m.peers[id]; !listed {
@@ -58,7 +63,7 @@
 	for _, id := range m.digest.Unwell {
 		p.Alive[id] |= Unwell
 	}
-	p.Load = m.digest.Load
+	p.Load, p.Used = m.digest.Load, m.digest.Used
 	p.Fronts = m.digest.Fronts
 	return p
 }
@@ -78,20 +83,20 @@
 	return out
 }
 
-// sum returns what other fronts have under way, but for one.
-func (m *Mesh) sum(now time.Time, but ID) map[ID]int {
-	out := map[ID]int{}
+// sum returns what other fronts have under way and let in, but for one.
+func (m *Mesh) sum(now time.Time, but ID) sums {
+	out := newSums()
 	for _, s := range m.hubsHeard(now) {
-		add(out, s.Load)
+		out.add(s.Load, s.Used)
 	}
 	m.addGroup(now, out, but)
 	return out
 }
 
-func (m *Mesh) addGroup(now time.Time, sum map[ID]int, but ID) {
+func (m *Mesh) addGroup(now time.Time, sum sums, but ID) {
 	for id, r := range m.followers(now) {
 		if id != but {
-			add(sum, r.Load)
+			sum.add(r.Load, r.Used)
 		}
 	}
 }
@@ -117,19 +122,23 @@
 	}
 }
 
-func add(sum, load map[ID]int) {
+func newSums() sums { return sums{load: map[ID]int{}, used: map[ID]int{}} }
+
+func (s sums) add(load, used map[ID]int) {
 	for id, n := range load {
-		sum[id] += n
+		s.load[id] += n
+	}
+	for id, n := range used {
+		s.used[id] += n
 	}
 }
 
 // tellHubs shares this front's group with the other hubs.
 func (m *Mesh) tellHubs(now time.Time) (sends []Send) {
-	s := Share{State: m.own.State, Load: maps.Clone(m.own.Load), Group: map[ID]Mark{}, Hubs: m.standIns()}
-	if s.Load == nil {
-		s.Load = map[ID]int{}
-	}
-	m.addGroup(now, s.Load, 0)
+	all := newSums()
+	all.add(m.own.Load, m.own.Used)
+	m.addGroup(now, all, 0)
+	s := Share{State: m.own.State, Load: all.load, Used: all.used, Group: map[ID]Mark{}, Hubs: m.standIns()}
 	for id, r := range m.followers(now) {
 		s.Group[id] = mark(r.State)
 	}
@@ -154,7 +163,7 @@
 	} else if len(list) > 0 {
 		maps.DeleteFunc(m.asked, func(id ID, _ time.Time) bool { return id != list[0].id }) // another one answered first
 	}
-	r := Report{State: m.own.State, Load: m.own.Load}
+	r := Report{State: m.own.State, Load: m.own.Load, Used: m.own.Used}
 	r.State.Sent = now.UnixNano()
 	for _, hub := range list[:min(most, len(list))] {
 		if _, waiting := m.asked[hub.id]; !waiting {
@@ -186,8 +195,9 @@
 // digestFor returns what a front that reported is told.
 func (m *Mesh) digestFor(now time.Time, to ID) Digest {
 	alive := m.alive(now)
-	d := Digest{State: m.own.State, Load: m.sum(now, to), Fronts: len(alive) + 1}
-	add(d.Load, m.own.Load)
+	all := m.sum(now, to)
+	all.add(m.own.Load, m.own.Used)
+	d := Digest{State: m.own.State, Load: all.load, Used: all.used, Fronts: len(alive) + 1}
 	d.State.Sent = now.UnixNano()
 	for id := range m.peers {
 		if _, is := alive[id]; !is {
--- a/internal/front/rumor/rumor.go
+++ b/internal/front/rumor/rumor.go
@@ -27,8 +27,8 @@
 	Rumor struct {
 		Conn  net.PacketConn
 		Self  mesh.Peer
-		Own   func() (mesh.State, map[mesh.ID]int) // what is told
-		Peers func() []mesh.Peer                   // the others, as the store lists them
+		Own   func() mesh.Tick   // what is told
+		Peers func() []mesh.Peer // the others, as the store lists them
 		// Heard takes what another daemon tells of itself, and Changed is called
 		// after each datagram and each turn with what is known of all others.
 		Heard   func(now time.Time, s mesh.State)
@@ -100,9 +100,9 @@
 // Tell says everything now, without waiting for the next turn.
 func (l *Rumor) Tell() {
 	now := time.Now()
-	state, load := l.Own()
+	own := l.Own()
 	l.step(now, mesh.Listed{Peers: l.Peers()})
-	l.step(now, mesh.Tick{State: state, Load: load})
+	l.step(now, own)
 	l.change(now)
 }
 
--- a/internal/front/rumor/rumor_test.go
+++ b/internal/front/rumor/rumor_test.go
@@ -41,8 +41,8 @@
 func newRumor(name string, conn net.PacketConn, heard *atomic.Int64, others ...mesh.Peer) *Rumor {
 	return &Rumor{
 		Conn: conn, Self: mesh.Peer{Node: name, Address: "127.0.0.1:1"},
-		Own: func() (mesh.State, map[mesh.ID]int) {
-			return mesh.State{Node: name, Peer: "127.0.0.1:1"}, map[mesh.ID]int{mesh.IDOf("upstream"): 3}
+		Own: func() mesh.Tick {
+			return mesh.Tick{State: mesh.State{Node: name, Peer: "127.0.0.1:1"}, Load: map[mesh.ID]int{mesh.IDOf("upstream"): 3}}
 		},
 		Peers: func() []mesh.Peer { return others },
 		Heard: func(time.Time, mesh.State) { heard.Add(1) },
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -15,11 +15,13 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/allow"
 	"github.com/slaterock/slaterock/internal/front/entry"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/pulse"
+	"github.com/slaterock/slaterock/internal/front/ration"
 	"github.com/slaterock/slaterock/internal/front/rumor"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/node/posted"
@@ -62,7 +64,8 @@
 		Peer      string   // for other daemons
 		Seeds     []string // addresses of VMs with a disk; some may be down or gone
 		Grace     time.Duration
-		AnswerTTL time.Duration // longest that callers keep a directory's answer
+		AnswerTTL time.Duration    // longest that callers keep a directory's answer
+		Tolerance ration.Tolerance // of the limits of accounts
 	}
 
 	// Names are the wire's names for the directory and the readiness check.
@@ -98,6 +101,8 @@
 		asks    asks
 		breadth breadth
 		kept    kept
+		allow   allow.Allow
+		present present
 		names   atomic.Pointer[upstreamNames]
 	}
 )
@@ -136,6 +141,7 @@
 func (d *Daemon) start(ctx context.Context) error {
 	d.scout.Store = d.Store
 	d.picker.Name, d.picker.Domain = d.Settings.Node, d.Settings.Domain
+	d.allow.Tolerance = d.Settings.Tolerance
 	d.picker.Idle, d.picker.Age = d.pool.Idle, d.rumor.Age
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
 	d.link.DialTime, d.link.BackOff = dialTime, dialPause
@@ -149,7 +155,7 @@
 	}
 	d.entry = entry.Entry{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
-		Refresh: d.refreshConfig, Stop: ctx,
+		Refresh: d.refreshConfig, Stop: ctx, Allow: &d.allow,
 		Records: &d.pulse,
 	}
 	d.pulse.Records = &quorum.Client{
--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -124,7 +124,7 @@
 	is := is.New(t)
 	d := &Daemon{Settings: Settings{Node: "self"}, Names: names{}, Log: zerolog.Nop(), Scope: tally.NoopScope}
 	other := &Daemon{Settings: Settings{Node: "a"}}
-	state, _ := other.told()
+	state := other.told().State
 	d.heard(time.Now(), state)
 	is.True(d.fleet.View().Confirmed.IsZero())
 	d.learn(fleet.Reading{Revision: 1, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}}, nil)
@@ -147,7 +147,7 @@
 			}
 			d := newDaemonAt(now.Add(-5 * time.Second))
 			d.fleet.Take(now.Add(-5*time.Second), fleet.Reading{Revision: revision, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}})
-			state, _ := other.told()
+			state := other.told().State
 			data, err := mesh.Encode(mesh.Share{State: state})
 			is.NoErr(err)
 			msg, err := mesh.Decode(data)
--- a/internal/node/frontd/known.go
+++ b/internal/node/frontd/known.go
@@ -56,21 +56,27 @@
 )
 
 // told is what this daemon tells the others.
-func (d *Daemon) told() (mesh.State, map[mesh.ID]int) {
+func (d *Daemon) told() mesh.Tick {
 	v := d.fleet.View()
-	load := map[mesh.ID]int{}
-	for id, n := range d.picker.Own() {
-		load[mesh.IDOf(id)] = n
-	}
-	return mesh.State{
+	return mesh.Tick{Load: short(d.picker.Own()), Used: short(d.allow.Used(time.Now())), State: mesh.State{
 		Node: d.Settings.Node, Peer: d.Settings.Peer, Callers: d.Settings.Callers,
 		Leaving: !d.ready(), Unwell: d.pulse.Down(time.Now()),
 		Revision: v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(), Steady: v.Steady().Milliseconds(),
-	}, load
+	}}
+}
+
+// short has short forms in place of names.
+func short(counts map[string]int) map[mesh.ID]int {
+	out := make(map[mesh.ID]int, len(counts))
+	for name, n := range counts {
+		out[mesh.IDOf(name)] = n
+	}
+	return out
 }
 
-// changed takes what all other daemons have under way.
+// changed takes what all other daemons have under way and let in.
 func (d *Daemon) changed(p mesh.Picture) {
+	d.hearUse(p)
 	d.picker.Heard(d.upstreamNames().loads(p.Load), p.Fronts-1)
 	d.entry.Heard()
 }
