--- a/internal/front/ration/window.go
+++ b/internal/front/ration/window.go
@@ -10,6 +10,7 @@
 
 // window counts what happened during the last Period.
 type window struct {
+	start  time.Time // of the first slot; steps of the time of day don't matter so
 	counts [slots]int
 	slot   int64 // of the newest
 }
@@ -29,7 +30,10 @@
 
 // turn empties the slots that lie a Period back.
 func (w *window) turn(now time.Time) {
-	next := now.UnixNano() / int64(slot)
+	if w.start.IsZero() {
+		w.start = now
+	}
+	next := int64(now.Sub(w.start) / slot)
 	for i := max(w.slot+1, next-slots+1); i <= next; i++ {
 		w.counts[i%slots] = 0
 	}
