--- a/internal/front/allow/allow.go
+++ b/internal/front/allow/allow.go
@@ -9,11 +9,13 @@
 
 	"github.com/slaterock/slaterock/internal/conf/accnt"
 	"github.com/slaterock/slaterock/internal/front/ration"
+	"github.com/slaterock/slaterock/internal/obs/label"
 )
 
 // Allow lets requests in. Set Tolerance before use; without accounts it lets all in.
 type Allow struct {
 	Tolerance ration.Tolerance
+	Label     label.Label // of accounts in metrics
 
 	mu       sync.Mutex
 	ration   ration.Ration
--- a/internal/front/entry/entry.go
+++ b/internal/front/entry/entry.go
@@ -250,6 +250,10 @@
 	scope := q.e.Scope.Tagged(tags)
 	scope.Counter("requests").Inc(1)
 	scope.Timer("request_time").Record(took)
+	if q.account.Name != "" {
+		tags = map[string]string{"account": q.e.Allow.Label.Of(q.account.Name), "outcome": s.outcome()}
+		q.e.Scope.Tagged(tags).Counter("account_requests").Inc(1)
+	}
 	line := q.e.Log.Info()
 	if s.ran == ranUnknown {
 		line = q.e.Log.Warn()
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -265,6 +265,7 @@
 		}
 		d.picker.Forget(func(id string) bool { return known[id] })
 		d.gaugeKnowledge(time.Now())
+		d.gaugeLimits(time.Now())
 		d.Scope.Gauge("queued").Update(float64(d.entry.Queue.Len()))
 		d.Scope.Gauge("active").Update(float64(d.entry.Active()))
 		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
--- a/internal/node/frontd/limits.go
+++ b/internal/node/frontd/limits.go
@@ -7,6 +7,7 @@
 	"github.com/slaterock/slaterock/internal/conf/accnt"
 	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/front/ration"
+	"github.com/slaterock/slaterock/internal/obs/label"
 )
 
 const (
@@ -85,6 +86,15 @@
 	return h
 }
 
+// gaugeLimits shows how much each account has left of its limit.
+func (d *Daemon) gaugeLimits(now time.Time) {
+	for name, left := range d.allow.Left(now) {
+		if l := d.allow.Label.Of(name); l != label.Others {
+			d.Scope.Tagged(map[string]string{"account": l}).Gauge("account_limit_left").Update(left)
+		}
+	}
+}
+
 // byName has the names of accounts in place of their short forms.
 func (p *present) byName(accounts *accnt.Accounts, used map[mesh.ID]int) map[string]int {
 	p.mu.Lock()
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -112,6 +112,7 @@
 		}
 		return err
 	}
+	d.Scope.Gauge("entries_unusable").Update(float64(len(bad)))
 	for _, e := range bad {
 		d.tellBad(e)
 	}
@@ -211,5 +212,8 @@
 	d.Scope.Gauge("news_age_seconds").Update(now.Sub(v.Confirmed).Seconds())
 	d.Scope.Gauge("upstreams_listed").Update(float64(len(v.Upstreams)))
 	d.Scope.Gauge("upstreams_leaving").Update(float64(leaving))
+	if v.Table != nil {
+		d.Scope.Gauge("config_version").Update(float64(v.Table.Version))
+	}
 	d.Scope.Gauge("upstreams_missing").Update(float64(len(v.Lapsed)))
 }
