--- a/internal/node/frontd/limits.go
+++ b/internal/node/frontd/limits.go
@@ -36,7 +36,7 @@
 func (d *Daemon) hearUse(p mesh.Picture) {
 	now := time.Now()
 	v := d.fleet.View()
-	if v.Table == nil || !d.present.due(now) {
+	if v.Table == nil || v.Table.Accounts == nil || !d.present.due(now) {
 		return
 	}
 	nodes := []string{d.Settings.Node}
