--- a/internal/front/ration/ration_test.go
+++ b/internal/front/ration/ration_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,6 +82,27 @@
 	}
 }
 
+// No order in which accounts flood and fronts die, freeze and are cut apart may let more in
+// than is tolerated.
+func TestLimitHoldsInAnyOrder(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(seed, 20, limits)
+			names := slices.Sorted(maps.Keys(harms))
+			for range 5 {
+				w.demand(5 * w.rng.Float64())
+				w.run(w.jitter(2 * settled))
+				harms[names[w.rng.IntN(len(names))]](w)
+				w.run(flooded)
+			}
+			for _, name := range []string{"small", "middle", "large"} {
+				is.True(w.most(name) <= 1)
+			}
+		})
+	}
+}
+
 // Who asks less than the limit is not refused, whatever front it comes to and whatever
 // other accounts ask.
 func TestBelowTheLimit(t *testing.T) {
