ration: fronts that are all alone don't each have room for one request

Found by reading: each of 62 fronts that hear nobody had a bucket of at least one request. An account of 10 requests a second that comes to all of them at once, after some seconds without a request, was let in 112 times in a window where 86 are tolerated. Where that could be, a front that is alone lets such an account in no more; groups of a third of the fronts still do.

--- a/internal/front/ration/ration.go
+++ b/internal/front/ration/ration.go
@@ -135,7 +135,7 @@
 	}
 	level, free := a.level, calmBegun
 	if !begun {
-		level -= reserve * (r.most(a.limit, r.part) - 1)
+		level -= reserve * max(r.most(a.limit, r.part)-1, 0)
 		free = calm
 	}
 	if level < 1 || !r.fits(now, name, a, level, free) {
@@ -189,6 +189,7 @@
 	if r.began.IsZero() {
 		r.began = now
 	}
+	r.heard.All = h.All
 	for name, a := range r.accounts {
 		r.refill(now, name, a)
 		switch {
@@ -278,14 +279,16 @@
 // rate is what this front and those that it hears may let in a second.
 func (r *Ration) rate(l Limit) float64 { return l.Rate * r.part }
 
-// most is the largest level for a part of the limit.
+// most is the largest level for a part of the limit. A front that is alone has room for one
+// request at least, unless all that could be alone at the same time would let too many in.
 func (r *Ration) most(l Limit, part float64) float64 {
 	t := r.Tolerance
-	lent := useOver * (t.Over*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack)
-	if part <= 0 {
-		return 0
+	tolerated := t.Over*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
+	most := (l.Burst + useOver*tolerated) * part
+	if part > 0 && float64(r.heard.All) <= l.Burst+(1-useOver)*tolerated {
+		return max(most, 1)
 	}
-	return max((l.Burst+lent)*part, 1)
+	return most
 }
 
 func (r *Ration) others(name string) float64 { return float64(r.heard.Used[name]) }
--- a/internal/front/ration/ration_test.go
+++ b/internal/front/ration/ration_test.go
@@ -48,6 +48,12 @@
 			w.after(flooded/3, func() { w.fronts[i].up = true })
 		}
 	},
+	"all are cut off": func(w *world) {
+		for i := range w.fronts {
+			w.fronts[i].side = i
+			w.after(flooded, func() { w.fronts[i].side = 0 })
+		}
+	},
 	"the limit falls": func(w *world) {
 		next := map[string]Limit{"small": {5, 5}, "middle": {20, 20}, "large": {100, 100}, "none": {}}
 		for i := range w.fronts {
@@ -185,6 +191,7 @@
 	}{
 		"one of one":       {Heard{Fronts: 1, All: 1}, 10*10 + 10 + 20, true},
 		"one of ten":       {Heard{Fronts: 1, All: 10}, 10 + 1 + 2, true},
+		"one of hundreds":  {Heard{Fronts: 1, All: 320}, 0, true},
 		"none of ten":      {Heard{Fronts: 0, All: 10}, 0, false},
 		"nothing is heard": {Heard{}, 0, false},
 	}
