--- a/internal/front/entry/account_test.go
+++ b/internal/front/entry/account_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/slaterock/slaterock/internal/conf/accnt"
 	"github.com/slaterock/slaterock/internal/conf/route"
@@ -15,7 +17,7 @@
 )
 
 func accounts(cafe ...string) *accnt.Accounts {
-	list := []accnt.Account{{Name: "cafe", Rate: 1, Burst: 3, Ranked: true, Priority: 4}, {Name: "bar", Keys: []accnt.Digest{accnt.DigestOf("kb")}}}
+	list := []accnt.Account{{Name: "cafe", Rate: 1, Burst: 3, Ranked: true, Priority: 4}, {Name: "bar", Keys: []accnt.Digest{accnt.DigestOf("secret-b")}}}
 	for _, key := range cafe {
 		list[0].Keys = append(list[0].Keys, accnt.DigestOf(key))
 	}
@@ -36,7 +38,7 @@
 
 // begin has accounts and a front that has run long enough to have all of their limits.
 func (w *world) begin() {
-	w.configure(2, accounts("ka"))
+	w.configure(2, accounts("secret-a"))
 	w.hear(10)
 }
 
@@ -54,14 +56,14 @@
 		status    int
 		account   string // that the upstream is told
 	}{
-		"known":                       {"/safe/", "ka", 200, "cafe"},
-		"another account's":           {"/safe/", "kb", 200, "bar"},
-		"unknown":                     {"/safe/", "kc", 401, ""},
+		"known":                       {"/safe/", "secret-a", 200, "cafe"},
+		"another account's":           {"/safe/", "secret-b", 200, "bar"},
+		"unknown":                     {"/safe/", "secret-c", 401, ""},
 		"none":                        {"/safe/", "", 401, ""},
 		"none, on an open route":      {"/open/", "", 200, ""},
-		"unknown, on an open route":   {"/open/", "kc", 200, ""},
+		"unknown, on an open route":   {"/open/", "secret-c", 200, ""},
 		"none, and no route":          {"/other/", "", 404, ""},
-		"unknown, for what never ran": {"/keep/", "kc", 401, ""},
+		"unknown, for what never ran": {"/keep/", "secret-c", 401, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -70,7 +72,11 @@
 				w := newWorld([]string{ok})
 				defer w.close()
 				w.begin()
+				var log strings.Builder
+				w.e.Log = zerolog.New(&log)
 				rec, _ := w.ask(t.Context(), c.path, map[string]string{"Key": c.key, "Account": "forged"}, "")
+				is.True(strings.Contains(log.String(), `"request":"r1"`))
+				is.True(c.key == "" || !strings.Contains(log.String()+rec.Body.String(), c.key))
 				is.Equal(rec.Code, c.status)
 				got := w.ups["up1"].requests()
 				is.Equal(len(got) == 1, c.status == 200)
@@ -98,7 +104,7 @@
 			w.e.Heard()
 		})
 		defer timer.Stop()
-		rec, _ := w.ask(t.Context(), "/keep/", map[string]string{"Key": "ka", "Program": "p", "Budget": "100", "Finish": "1s"}, "in")
+		rec, _ := w.ask(t.Context(), "/keep/", map[string]string{"Key": "secret-a", "Program": "p", "Budget": "100", "Finish": "1s"}, "in")
 		is.Equal(rec.Code, 401)
 		is.Equal(len(w.ups["up1"].requests()), 0)
 	})
@@ -111,8 +117,8 @@
 		key    string
 		status int
 	}{
-		"its own":           {"ka", 200},
-		"another account's": {"kb", 404},
+		"its own":           {"secret-a", 200},
+		"another account's": {"secret-b", 404},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -121,7 +127,7 @@
 				w := newWorld([]string{whole})
 				defer w.close()
 				w.begin()
-				rec, _ := w.ask(t.Context(), "/keep/", map[string]string{"Id": "r0", "Key": "ka"}, "first")
+				rec, _ := w.ask(t.Context(), "/keep/", map[string]string{"Id": "r0", "Key": "secret-a"}, "first")
 				is.Equal(rec.Code, 200)
 				rec, _ = w.ask(t.Context(), "/keep/", map[string]string{"Key": c.key, "Previous": "r0"}, "next")
 				is.Equal(rec.Code, c.status)
@@ -145,9 +151,9 @@
 		defer w.close()
 		w.rec.turns["r0"] = book.Turn{Input: []byte("old")}
 		w.begin()
-		rec, _ := w.ask(t.Context(), "/keep/", map[string]string{"Key": "ka", "Previous": "r0"}, "in")
+		rec, _ := w.ask(t.Context(), "/keep/", map[string]string{"Key": "secret-a", "Previous": "r0"}, "in")
 		is.Equal(rec.Code, 200)
-		rec, _ = w.ask(t.Context(), "/keep/", map[string]string{"Id": "r2", "Key": "ka", "Previous": "r1"}, "in")
+		rec, _ = w.ask(t.Context(), "/keep/", map[string]string{"Id": "r2", "Key": "secret-a", "Previous": "r1"}, "in")
 		is.Equal(rec.Code, 200)
 		is.Equal(w.ups["up1"].requests()[1].body, "oldina\nb\nin")
 	})
@@ -163,7 +169,7 @@
 		w.begin()
 		served, refused := 0, 0
 		for range 20 {
-			rec, _ := w.ask(t.Context(), "/safe/", map[string]string{"Key": "ka"}, "")
+			rec, _ := w.ask(t.Context(), "/safe/", map[string]string{"Key": "secret-a"}, "")
 			switch rec.Code {
 			case 200:
 				served++
@@ -171,14 +177,14 @@
 				refused++
 				is.True(rec.Header().Get("Again") != "")
 			}
-			rec, _ = w.ask(t.Context(), "/safe/", map[string]string{"Key": "kb"}, "")
+			rec, _ = w.ask(t.Context(), "/safe/", map[string]string{"Key": "secret-b"}, "")
 			is.Equal(rec.Code, 200)
 		}
 		is.True(served >= 1 && served <= 3) // the burst
 		is.Equal(served+refused, 20)
 		is.Equal(len(w.ups["up1"].requests()), served+20) // what was refused has not run
 		w.hear(4)
-		rec, _ := w.ask(t.Context(), "/safe/", map[string]string{"Key": "ka"}, "")
+		rec, _ := w.ask(t.Context(), "/safe/", map[string]string{"Key": "secret-a"}, "")
 		is.Equal(rec.Code, 200)
 	})
 }
@@ -191,7 +197,7 @@
 		defer w.close()
 		w.begin()
 		for range 10 {
-			rec, _ := w.ask(t.Context(), "/safe/", map[string]string{"Key": "ka"}, "")
+			rec, _ := w.ask(t.Context(), "/safe/", map[string]string{"Key": "secret-a"}, "")
 			is.Equal(rec.Code, 503)
 		}
 		is.Equal(len(w.e.Allow.Used(time.Now())), 0)
