--- a/internal/front/ration/world_test.go
+++ b/internal/play/flood/flood.go
@@ -1,41 +1,49 @@
-package ration
+// Package flood plays accounts whose programs ask for more than their limits, at many
+// fronts on a virtual clock: what is let in, and what callers get. It answers whether
+// package ration keeps limits while fronts die, freeze and are cut apart.
+package flood
 
 import (
 	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/slaterock/slaterock/internal/front/ration"
 )
 
 const (
 	reportEach = 100 * time.Millisecond // between reports of a front
 	hubTime    = 70 * time.Millisecond  // until a report is in what another front is told
 	lost       = 0.05                   // of reports and of answers
-	length     = 10                     // requests of a program
-	pause      = 120 * time.Millisecond // between two of them
-	tries      = 3                      // of a request
+	// Length is how many requests a program has.
+	Length = 10
+	pause  = 120 * time.Millisecond // between two of them
+	tries  = 3                      // of a request
 )
 
-var tolerance = Tolerance{Window: 5 * time.Second, Over: 0.1, Slack: 20}
+// Tolerance is how far above a limit all fronts together may be.
+var Tolerance = ration.Tolerance{Window: 5 * time.Second, Over: 0.1, Slack: 20}
 
 type (
-	// world plays fronts that let programs of accounts in, on a virtual clock.
-	world struct {
+	// World plays fronts that let programs of accounts in.
+	World struct {
+		Calls bool // all requests say that they belong to a program that has begun
+
 		now    time.Time
 		rng    *rand.Rand
 		fronts []*front
-		limits map[string]Limit
+		limits map[string]ration.Limit
 		queue  events
 		sent   map[string][]time.Time // requests let in, by account
-		told   map[string]*score
-		asks   map[string]float64 // programs a second, by account
-		calls  bool               // all requests say that they belong to a program that has begun
-		sums   map[int]Heard      // by side
+		told   map[string]*Score
+		asks   map[string]float64   // programs a second, by account
+		sums   map[int]ration.Heard // by side
 		summed time.Time
 	}
 
 	front struct {
-		Ration
+		ration.Ration
 		up       bool
 		side     int // fronts of another side are not heard
 		reported []said
@@ -46,13 +54,13 @@
 		used map[string]int
 	}
 
-	// score is what callers of an account got.
-	score struct {
-		programs int
-		whole    int // that ended with all their requests answered
-		refused  int // that were not begun
-		broken   int // that were begun and then refused
-		turned   int // requests that were refused and came back
+	// Score is what callers of an account got.
+	Score struct {
+		Programs int
+		Whole    int // that ended with all their requests answered
+		Refused  int // that were not begun
+		Broken   int // that were begun and then refused
+		Turned   int // requests that were refused and came back
 	}
 
 	event struct {
@@ -74,12 +82,12 @@
 	return e
 }
 
-// newWorld has fronts that have run for a while, and accounts that ask for so many
-// programs a second.
-func newWorld(seed uint64, fronts int, limits map[string]Limit) *world {
-	w := &world{
+// New returns a world of fronts that have just started, and accounts that ask for nothing
+// yet.
+func New(seed uint64, fronts int, limits map[string]ration.Limit) *World {
+	w := &World{
 		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 7)), limits: limits,
-		sent: map[string][]time.Time{}, told: map[string]*score{}, asks: map[string]float64{},
+		sent: map[string][]time.Time{}, told: map[string]*Score{}, asks: map[string]float64{},
 	}
 	for range fronts {
 		w.fronts = append(w.fronts, nil)
@@ -89,7 +97,7 @@
 		w.after(w.jitter(reportEach), func() { w.report(i) })
 	}
 	for name := range limits {
-		w.told[name] = &score{}
+		w.told[name] = &Score{}
 	}
 	for _, name := range w.names() {
 		w.after(w.jitter(pause), func() { w.arrive(name) })
@@ -97,7 +105,7 @@
 	return w
 }
 
-func (w *world) names() (list []string) {
+func (w *World) names() (list []string) {
 	for name := range w.limits {
 		list = append(list, name)
 	}
@@ -106,20 +114,21 @@
 }
 
 // start begins a front's life: it knows nothing.
-func (w *world) start(i int) {
+func (w *World) start(i int) {
 	f := &front{up: true}
-	f.Tolerance, f.Draw = tolerance, w.rng.Float64
+	f.Tolerance, f.Draw = Tolerance, w.rng.Float64
 	f.Limit(w.now, w.limits)
 	w.fronts[i] = f
 }
 
-func (w *world) after(d time.Duration, do func()) { heap.Push(&w.queue, event{w.now.Add(d), do}) }
+func (w *World) after(d time.Duration, do func()) { heap.Push(&w.queue, event{w.now.Add(d), do}) }
 
-func (w *world) jitter(d time.Duration) time.Duration {
+func (w *World) jitter(d time.Duration) time.Duration {
 	return time.Duration(w.rng.Float64() * float64(d))
 }
 
-func (w *world) run(d time.Duration) {
+// Run plays for a time.
+func (w *World) Run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
 		e := heap.Pop(&w.queue).(event) //nolint:forcetypeassert // as pushed
@@ -130,7 +139,7 @@
 }
 
 // report has a front say what it let in and hear what the others said.
-func (w *world) report(i int) {
+func (w *World) report(i int) {
 	w.after(reportEach, func() { w.report(i) })
 	f := w.fronts[i]
 	if !f.up {
@@ -145,9 +154,9 @@
 }
 
 // heard is what the hubs tell a front: what those of its side have reported to them.
-func (w *world) heard(f *front) Heard {
+func (w *World) heard(f *front) ration.Heard {
 	all := w.sum(f.side)
-	h := Heard{Used: map[string]int{}, All: len(w.fronts), Fronts: all.Fronts}
+	h := ration.Heard{Used: map[string]int{}, All: len(w.fronts), Fronts: all.Fronts}
 	own := f.said(w.now)
 	for name, n := range all.Used {
 		h.Used[name] = max(n-own[name], 0)
@@ -156,14 +165,14 @@
 }
 
 // sum adds up what the fronts of a side have reported, a few times a second.
-func (w *world) sum(side int) Heard {
+func (w *World) sum(side int) ration.Heard {
 	if w.now.Sub(w.summed) > hubTime/3 {
-		w.sums, w.summed = map[int]Heard{}, w.now
+		w.sums, w.summed = map[int]ration.Heard{}, w.now
 	}
 	if h, done := w.sums[side]; done {
 		return h
 	}
-	h := Heard{Used: map[string]int{}}
+	h := ration.Heard{Used: map[string]int{}}
 	for _, f := range w.fronts {
 		if !f.up || f.side != side {
 			continue
@@ -189,52 +198,52 @@
 }
 
 // arrive begins a program of an account.
-func (w *world) arrive(name string) {
+func (w *World) arrive(name string) {
 	rate := w.asks[name]
 	if rate <= 0 {
 		w.after(pause, func() { w.arrive(name) })
 		return
 	}
 	w.after(time.Duration(w.rng.ExpFloat64()/rate*float64(time.Second)), func() { w.arrive(name) })
-	w.told[name].programs++
+	w.told[name].Programs++
 	w.ask(name, 0, 0)
 }
 
 // ask has a program send one of its requests to any front that is up.
-func (w *world) ask(name string, number, try int) {
+func (w *World) ask(name string, number, try int) {
 	s := w.told[name]
 	f := w.fronts[w.rng.IntN(len(w.fronts))]
 	if !f.up {
 		w.after(20*time.Millisecond, func() { w.ask(name, number, try) })
 		return
 	}
-	v := f.Take(w.now, name, w.calls || number > 0)
+	v := f.Take(w.now, name, w.Calls || number > 0)
 	switch {
 	case v.OK:
 		w.sent[name] = append(w.sent[name], w.now)
-		if number+1 == length {
-			s.whole++
+		if number+1 == Length {
+			s.Whole++
 			return
 		}
 		w.after(pause/2+w.jitter(pause), func() { w.ask(name, number+1, 0) })
 	case try+1 < tries:
-		s.turned++
+		s.Turned++
 		w.after(v.After, func() { w.ask(name, number, try+1) })
 	case number == 0:
-		s.refused++
+		s.Refused++
 	default:
-		s.broken++
+		s.Broken++
 	}
 }
 
-// most is the largest number of requests of an account that were let in within a
+// Most is the largest number of requests of an account that were let in within a
 // window, as a part of what the operator tolerates.
-func (w *world) most(name string) float64 {
+func (w *World) Most(name string) float64 {
 	l := w.limits[name]
-	bound := (l.Rate*tolerance.Window.Seconds()+l.Burst)*(1+tolerance.Over) + tolerance.Slack
+	bound := (l.Rate*Tolerance.Window.Seconds()+l.Burst)*(1+Tolerance.Over) + Tolerance.Slack
 	sent, first, worst := w.sent[name], 0, 0
 	for i, at := range sent {
-		for at.Sub(sent[first]) > tolerance.Window {
+		for at.Sub(sent[first]) > Tolerance.Window {
 			first++
 		}
 		worst = max(worst, i-first+1)
