--- a/internal/node/frontd/known.go
+++ b/internal/node/frontd/known.go
@@ -74,10 +74,22 @@
 	return out
 }
 
+// named has names in place of their short forms. What this daemon doesn't know yet is
+// left out: it gets nothing from it either.
+func named(counts map[mesh.ID]int, names map[mesh.ID]string) map[string]int {
+	out := make(map[string]int, len(counts))
+	for id, n := range counts {
+		if name, known := names[id]; known {
+			out[name] = n
+		}
+	}
+	return out
+}
+
 // changed takes what all other daemons have under way and let in.
 func (d *Daemon) changed(p mesh.Picture) {
 	d.hearUse(p)
-	d.picker.Heard(d.upstreamNames().loads(p.Load), p.Fronts-1)
+	d.picker.Heard(named(p.Load, d.upstreamNames().of), p.Fronts-1)
 	d.entry.Heard()
 }
 
@@ -95,18 +107,6 @@
 	return n
 }
 
-// loads has upstreams by their ids. One that this daemon doesn't know yet gets
-// nothing from it either.
-func (n *upstreamNames) loads(short map[mesh.ID]int) map[string]int {
-	out := make(map[string]int, len(short))
-	for id, load := range short {
-		if name, known := n.of[id]; known {
-			out[name] = load
-		}
-	}
-	return out
-}
-
 // heard takes what another daemon tells of its knowledge. If it knows something
 // newer, that is asked for. If it knows the same by a later reading, this one need
 // not read: a store that does not change keeps its revision, and daemons that went
--- a/internal/node/frontd/limits.go
+++ b/internal/node/frontd/limits.go
@@ -105,11 +105,5 @@
 			p.names[mesh.IDOf(a.Name)] = a.Name
 		}
 	}
-	out := make(map[string]int, len(used))
-	for id, n := range used {
-		if name, known := p.names[id]; known {
-			out[name] = n
-		}
-	}
-	return out
+	return named(used, p.names)
 }
