frontd: log and count reads of the store

The logs and metrics had the age that a front believes its state to have, and nothing that says from whose read it stems. Now each read has a line with the age that the state had when the front asked, and the line of a new configuration has the age of the state that brought it.

--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -119,6 +119,9 @@
 		d.logUnusable(err)
 	}
 	n.Entries = d.discov.State().Entries
+	d.Scope.Counter("store_reads").Inc(1)
+	d.Log.Info().Uint64("revision", n.Revision).Dur("took_ms", time.Since(asked)).
+		Dur("state_age_ms", asked.Sub(d.fleet.View().Confirmed)).Msg("store read")
 	d.applyAt(asked, n, nil)
 	d.meshio.Broadcast() // at once, so that the front next in rank need not read
 	d.backUp(ctx)
@@ -172,7 +175,8 @@
 			line = line.Str("dependency", "store").Str("away", c.From)
 		case "config":
 			t := d.fleet.View().Table
-			line = line.Int64("version", t.Version).Uint64("config_revision", t.Revision).Int("routes", t.Len())
+			line = line.Int64("version", t.Version).Uint64("config_revision", t.Revision).Int("routes", t.Len()).
+				Dur("state_age_ms", now.Sub(d.fleet.View().Confirmed))
 		default:
 			line = line.Str("upstream", c.ID).Str("from", c.From).Str("to", c.To)
 		}
