fleet: a read of the store confirms a view once

Callers saw a change that had been confirmed and was not in force in time.

Cause: each datagram has the age of its sender's state, and the receiver took it as of the moment in which it read the datagram, so the time under way was lost. Fronts with the same state that hear each other made it younger with each exchange, and nobody read the store: the slower the VMs, the less. The time for which the store counts as available grew in the same way, so an outage could go unseen.

A daemon of an earlier release names none: its state is taken, but confirms nothing.

Tests of package fleet name a read for each report now; their expectations are the same.

--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -4,7 +4,8 @@
 // Usually one daemon, the first by its rank in package mesh, reads the store and passes
 // the result to its peers. Updates may arrive twice or out of order, so any with a revision
 // lower than the current one is ignored and the view never reverts. While the
-// store is unavailable the last view stays in force.
+// store is unavailable the last view stays in force. How old a view is follows from the read
+// of the store that it stems from, never from when a peer reported it last.
 package fleet
 
 import (
@@ -26,8 +27,9 @@
 	Fleet struct {
 		mu          sync.Mutex
 		view        atomic.Pointer[View]
-		history     []*View        // previous views, the newest last
-		unreachable bool           // the store does not answer this daemon
+		history     []*View // previous views, the newest last
+		unreachable bool    // the store does not answer this daemon
+		reads       readTimes
 		avail       avail.Interval // latest interval in which some daemon reached the store
 		outageSeen  bool           // an outage was detected since the start, so avail.From may be its end
 	}
@@ -67,26 +69,33 @@
 	case Suspended:
 		v.Confirmed = v.Confirmed.Add(-e.For)
 		f.avail = f.avail.ShiftBack(e.For)
+		f.reads.shiftBack(e.For)
 	case PeerAvailability:
-		to := now.Add(-e.Age)
+		if !e.Read.known() {
+			return nil
+		}
+		to := f.reads.timeOf(e.Read, now.Add(-e.Age))
 		changes = f.extendAvailability(avail.Interval{From: to.Add(-e.AvailableFor), To: to})
 	case Confirmed:
-		if e.Revision < v.Revision {
+		if e.Revision < v.Revision || !e.Read.known() {
 			return nil
 		}
-		changes = f.confirm(&v, e.Revision, now.Add(-e.Age))
+		changes = f.confirm(&v, e.Revision, e.Read, now.Add(-e.Age))
 	case PeerSnapshot:
 		if e.Revision < v.Revision {
 			return nil
 		}
-		changes = f.confirm(&v, e.Revision, now.Add(-e.Age))
+		v.Revision = e.Revision
+		if e.Read.known() {
+			changes = f.confirm(&v, e.Revision, e.Read, now.Add(-e.Age))
+		}
 		changes = append(changes, v.replace(e.Snapshot, f.inGrace(now))...)
 	case Snapshot:
 		changes = f.noteReachable()
 		if e.Revision < v.Revision {
 			return changes
 		}
-		changes = append(changes, f.confirm(&v, e.Revision, now)...)
+		changes = append(changes, f.confirm(&v, e.Revision, e.Read, now)...)
 		changes = append(changes, v.replace(e, f.inGrace(now))...)
 	}
 	changes = append(changes, f.dropExpired(&v, now)...)
@@ -98,11 +107,15 @@
 	return changes
 }
 
-// confirm records that the store was at that revision at the given time.
-func (f *Fleet) confirm(v *View, revision uint64, at time.Time) []Change {
+// confirm records that the store was at that revision when it was read. An unknown read is
+// one of this daemon's own.
+func (f *Fleet) confirm(v *View, revision uint64, r Read, at time.Time) []Change {
 	v.Revision = revision
+	if r.known() {
+		at = f.reads.timeOf(r, at)
+	}
 	if at.After(v.Confirmed) {
-		v.Confirmed = at
+		v.Confirmed, v.Read = at, r
 	}
 	return f.extendAvailability(avail.At(at))
 }
--- a/internal/front/fleet/fleet_test.go
+++ b/internal/front/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,8 +14,18 @@
 
 var start = time.Unix(1000, 0)
 
+var readers atomic.Uint32
+
+// newRead returns a read by a daemon that has not read before.
+func newRead() Read { return Read{By: 1000 + readers.Add(1), Number: 1} }
+
+// confirmed returns the event that a peer has the same view, from a read of its own.
+func confirmed(rev uint64, age time.Duration) Confirmed {
+	return Confirmed{Read: newRead(), Revision: rev, Age: age}
+}
+
 func snapshot(rev uint64, version int64, ups ...string) Snapshot {
-	r := Snapshot{Revision: rev}
+	r := Snapshot{Read: newRead(), Revision: rev}
 	if version > 0 {
 		r.Table = route.New(version, nil, nil, route.Limits{})
 	}
@@ -41,7 +52,7 @@
 	cases := map[string]Event{
 		"an older reading":               snapshot(5, 3, "a", "b"),
 		"an older reading from a peer":   PeerSnapshot{Snapshot: snapshot(5, 3, "a", "b")},
-		"an older confirmation":          Confirmed{Revision: 5, Age: -time.Hour},
+		"an older confirmation":          confirmed(5, -time.Hour),
 		"a newer reading with no config": PeerSnapshot{Snapshot: snapshot(10, 0, "a!")},
 		"an older config, newer reading": snapshot(10, 3, "a!"),
 	}
@@ -95,10 +106,10 @@
 		want string
 	}{
 		"read when it is back":           {nil, 4500 * time.Millisecond, 5 * time.Second, "ab"},
-		"another read, told of the same": {Confirmed{Revision: 1}, 5 * time.Second, 5500 * time.Millisecond, "ab"},
+		"another read, told of the same": {confirmed(1, 0), 5 * time.Second, 5500 * time.Millisecond, "ab"},
 		"another read, told of more":     {PeerSnapshot{Snapshot: snapshot(2, 1, "a", "b")}, 5 * time.Second, 5500 * time.Millisecond, "ab"},
-		"long after that":                {Confirmed{Revision: 1}, 5 * time.Second, 5*time.Second + RecoveryGrace, "a"},
-		"all was well":                   {Confirmed{Revision: 1}, time.Second, 1500 * time.Millisecond, "a"},
+		"long after that":                {confirmed(1, 0), 5 * time.Second, 5*time.Second + RecoveryGrace, "a"},
+		"all was well":                   {confirmed(1, 0), time.Second, 1500 * time.Millisecond, "a"},
 		"nothing was known":              {nil, 0, 0, "a"},
 	}
 	for name, c := range cases {
@@ -112,7 +123,7 @@
 				f.Update(start.Add(c.at), c.last)
 			}
 			for at := c.at + time.Second; at < c.read; at += time.Second {
-				f.Update(start.Add(at), Confirmed{Revision: f.View().Revision})
+				f.Update(start.Add(at), confirmed(f.View().Revision, 0))
 			}
 			f.Update(start.Add(c.read), snapshot(3, 1, "a"))
 			is.Equal(ids(f.View()), c.want)
@@ -128,7 +139,7 @@
 	f.Update(start, snapshot(1, 1, "a"))
 	f.Update(start, Suspended{For: 4 * time.Second})
 	is.Equal(f.View().Confirmed, start.Add(-4*time.Second))
-	f.Update(start, Confirmed{Revision: 1, Age: time.Second})
+	f.Update(start, confirmed(1, time.Second))
 	is.Equal(f.View().Confirmed, start.Add(-time.Second))
 }
 
@@ -136,16 +147,16 @@
 // from peers and is the next to read: it must not retain the upstream as one whose entry
 // expired in an outage. Without messages from peers it can't tell the difference.
 func TestResumedDaemonReads(t *testing.T) {
-	peer := PeerAvailability{AvailableFor: 4 * time.Second}
+	peer := PeerAvailability{Read: newRead(), AvailableFor: 4 * time.Second}
 	cases := map[string]struct {
 		first []Event // after it resumed
 		want  string
 	}{
-		"told of the same":              {[]Event{peer, Confirmed{Revision: 1}}, "a"},
+		"told of the same":              {[]Event{peer, confirmed(1, 0)}, "a"},
 		"told of more":                  {[]Event{peer, PeerSnapshot{Snapshot: snapshot(2, 1, "a", "b")}}, "a"},
 		"told by one that is behind":    {[]Event{peer}, "a"},
 		"nobody tells of news":          {nil, "ab"},
-		"others were without news, too": {[]Event{PeerAvailability{}, Confirmed{Revision: 1}}, "ab"},
+		"others were without news, too": {[]Event{PeerAvailability{Read: newRead()}, confirmed(1, 0)}, "ab"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -172,7 +183,7 @@
 	f.Update(start, snapshot(1, 1, "a", "b"))
 	f.Update(start.Add(time.Second), Outage{})
 	for i := range 5 {
-		f.Update(start.Add(time.Duration(i+1)*time.Second), Confirmed{Revision: 1, Age: 700 * time.Millisecond})
+		f.Update(start.Add(time.Duration(i+1)*time.Second), confirmed(1, 700*time.Millisecond))
 	}
 	is.Equal(f.Update(start.Add(6*time.Second), snapshot(2, 1, "a"))[0].Kind, "regained")
 	is.Equal(ids(f.View()), "a")
@@ -186,7 +197,7 @@
 	f.Update(start, snapshot(1, 1, "a", "b"))
 	g.Update(start, snapshot(1, 1, "b", "a"))
 	is.Equal(f.View().Hash, g.View().Hash) // independent of the order
-	f.Update(start.Add(5*time.Second), Confirmed{Revision: 7, Age: time.Second})
+	f.Update(start.Add(5*time.Second), confirmed(7, time.Second))
 	is.Equal(f.View().Confirmed, start.Add(4*time.Second))
 	is.Equal(f.View().Revision, uint64(7))
 	g.Update(start, snapshot(2, 1, "b!", "a"))
@@ -221,7 +232,7 @@
 	recovery := start.Add(10 * time.Second)
 	f.Update(recovery, PeerSnapshot{Snapshot: snapshot(2, 1, "a", "b")})
 	for i := range 5 {
-		f.Update(recovery.Add(time.Duration(i)*500*time.Millisecond), Confirmed{Revision: uint64(3 + i)})
+		f.Update(recovery.Add(time.Duration(i)*500*time.Millisecond), confirmed(uint64(3+i), 0))
 	}
 	f.Update(recovery.Add(2800*time.Millisecond), snapshot(9, 1, "a", "b"))
 	f.Update(recovery.Add(3300*time.Millisecond), snapshot(10, 1, "a")) // b left 0.2 s before
--- a/internal/front/fleet/partition_test.go
+++ b/internal/front/fleet/partition_test.go
@@ -16,13 +16,13 @@
 func exchange(now time.Time, from, to *Fleet) {
 	v, w := from.View(), to.View()
 	age := now.Sub(v.Confirmed)
-	to.Update(now, PeerAvailability{Age: age, AvailableFor: v.AvailableFor()})
+	to.Update(now, PeerAvailability{Read: v.Read, Age: age, AvailableFor: v.AvailableFor()})
 	switch {
 	case v.Revision < w.Revision, v.Revision == w.Revision && v.Hash != w.Hash:
 	case v.Hash == w.Hash:
-		to.Update(now, Confirmed{Revision: v.Revision, Age: age})
+		to.Update(now, Confirmed{Read: v.Read, Revision: v.Revision, Age: age})
 	default:
-		to.Update(now, PeerSnapshot{Snapshot: Snapshot{Revision: v.Revision, Upstreams: v.Upstreams, Entries: v.Entries}, Age: age})
+		to.Update(now, PeerSnapshot{Snapshot: Snapshot{Read: v.Read, Revision: v.Revision, Upstreams: v.Upstreams, Entries: v.Entries}, Age: age})
 	}
 }
 
--- a/internal/front/fleet/types.go
+++ b/internal/front/fleet/types.go
@@ -37,6 +37,7 @@
 	// Snapshot is the content of the store at a revision. As an event it is what this daemon
 	// has just read.
 	Snapshot struct {
+		Read      Read // that the content stems from
 		Revision  uint64
 		Table     *route.Table // nil if there is no valid configuration
 		Upstreams []Upstream
@@ -51,15 +52,19 @@
 	}
 
 	// Confirmed reports that another daemon has the same view at the given revision,
-	// confirmed Age ago.
+	// confirmed Age ago by a read.
 	Confirmed struct {
+		Read     Read
 		Revision uint64
 		Age      time.Duration
 	}
 
 	// PeerAvailability reports that the store was available to another daemon for
-	// AvailableFor without a gap, up to Age ago. Its view may differ from this one.
-	PeerAvailability struct{ Age, AvailableFor time.Duration }
+	// AvailableFor without a gap, up to a read Age ago. Its view may differ from this one.
+	PeerAvailability struct {
+		Read              Read
+		Age, AvailableFor time.Duration
+	}
 
 	// Suspended reports that this daemon did not run for a while. The view is older than
 	// it seems by For, the time for which the monotonic clock stood still.
--- a/internal/front/fleet/view.go
+++ b/internal/front/fleet/view.go
@@ -30,6 +30,7 @@
 type View struct {
 	Revision       uint64                // latest known revision of the store
 	Confirmed      time.Time             // latest time at which the store is known to have held this state
+	Read           Read                  // by which it was known to; unknown if a peer did not tell
 	AvailableSince time.Time             // start of the interval without a gap in which some daemon reached the store
 	Table          *route.Table          // nil while there is none
 	Services       map[string][]Upstream // listed and retained upstreams, by service
--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -22,11 +22,13 @@
 		Peer         string `cbor:"3,keyasint"` // its address for other daemons
 		Callers      string `cbor:"4,keyasint"` // its address for callers
 		Leaving      bool   `cbor:"5,keyasint,omitempty"`
-		Unhealthy    bool   `cbor:"6,keyasint,omitempty"` // it can't reach a dependency that it needs to serve requests
-		Revision     uint64 `cbor:"7,keyasint"`           // of the store, in its fleet view
-		Hash         uint64 `cbor:"8,keyasint"`           // of its fleet view
-		Age          int64  `cbor:"9,keyasint"`           // milliseconds since that view was confirmed
-		AvailableFor int64  `cbor:"10,keyasint"`          // milliseconds without a store outage before that
+		Unhealthy    bool   `cbor:"6,keyasint,omitempty"`  // it can't reach a dependency that it needs to serve requests
+		Revision     uint64 `cbor:"7,keyasint"`            // of the store, in its fleet view
+		Hash         uint64 `cbor:"8,keyasint"`            // of its fleet view
+		Age          int64  `cbor:"9,keyasint"`            // milliseconds since that view was confirmed
+		AvailableFor int64  `cbor:"10,keyasint"`           // milliseconds without a store outage before that
+		Reader       uint32 `cbor:"11,keyasint,omitempty"` // the front whose read confirmed that view
+		Read         uint64 `cbor:"12,keyasint,omitempty"` // number of that read
 	}
 
 	// Report is what a front sends to its hub.
--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -105,7 +105,7 @@
 			now := time.Now()
 			d := newDaemonAt(now.Add(-old), "a")
 			v := d.fleet.View()
-			w := mesh.State{Node: "a", Revision: v.Revision + c.revision, Hash: v.Hash, Age: c.age.Milliseconds()}
+			w := mesh.State{Node: "a", Reader: 1, Read: 1, Revision: v.Revision + c.revision, Hash: v.Hash, Age: c.age.Milliseconds()}
 			if !c.same {
 				w.Hash++
 			}
@@ -143,7 +143,7 @@
 			now := time.Now()
 			other := newDaemonAt(now.Add(-5 * time.Second))
 			for age := 4 * time.Second; age > 0; age -= time.Second {
-				other.fleet.Update(now, fleet.Confirmed{Revision: 7, Age: age})
+				other.fleet.Update(now, fleet.Confirmed{Read: fleet.Read{By: 1, Number: uint64(10 - age/time.Second)}, Revision: 7, Age: age})
 			}
 			d := newDaemonAt(now.Add(-5 * time.Second))
 			d.fleet.Update(now.Add(-5*time.Second), fleet.Snapshot{Revision: revision, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}})
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -60,7 +60,8 @@
 	// readState is kept from one read of the store to the next.
 	readState struct {
 		mu          sync.Mutex
-		refreshedAt time.Time // last read triggered by a request
+		last        fleet.Read // the last that was begun
+		refreshedAt time.Time  // last read triggered by a request
 		logged      map[string]bool
 	}
 )
@@ -103,6 +104,7 @@
 }
 
 func (d *Daemon) readStore(ctx context.Context) error {
+	read := d.readState.begin()
 	asked := time.Now() // the answer is at least as new
 	n, others, bad, err := d.Source.Read(ctx)
 	if err != nil {
@@ -118,7 +120,7 @@
 	if err = d.discov.Apply(others, store.Rev(n.Revision)); err != nil {
 		d.logUnusable(err)
 	}
-	n.Entries = d.discov.State().Entries
+	n.Read, n.Entries = read, d.discov.State().Entries
 	d.Scope.Counter("store_reads").Inc(1)
 	d.Log.Info().Uint64("revision", n.Revision).Dur("took_ms", time.Since(asked)).
 		Dur("state_age_ms", asked.Sub(d.fleet.View().Confirmed)).Msg("store read")
@@ -129,6 +131,17 @@
 	return nil
 }
 
+// begin returns the identity of the next read.
+func (s *readState) begin() fleet.Read {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.last.By == 0 {
+		s.last.By = rand.Uint32()
+	}
+	s.last.Number++
+	return s.last
+}
+
 // logUnusable logs an invalid value, once per error text.
 func (d *Daemon) logUnusable(err error) {
 	d.readState.mu.Lock()
--- a/internal/node/frontd/state.go
+++ b/internal/node/frontd/state.go
@@ -32,7 +32,9 @@
 		Roster    []byte           `cbor:"7,keyasint"`
 		// Delta replaces the lists of upstreams and entries if the sender still has the
 		// state that the receiver starts from.
-		Delta *fleet.Delta `cbor:"8,keyasint,omitempty"`
+		Delta  *fleet.Delta `cbor:"8,keyasint,omitempty"`
+		Reader uint32       `cbor:"9,keyasint,omitempty"`  // as in mesh.State
+		Read   uint64       `cbor:"10,keyasint,omitempty"` // as in mesh.State
 	}
 
 	// baseline identifies the state that a front already has, in its request for a snapshot.
@@ -64,6 +66,7 @@
 		Leaving:   !d.ready(), // also before there is a configuration: it can't serve callers then
 		Unhealthy: d.reach.Down(time.Now()),
 		Revision:  v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(), AvailableFor: v.AvailableFor().Milliseconds(),
+		Reader: v.Read.By, Read: v.Read.Number,
 	}}
 }
 
@@ -124,13 +127,13 @@
 		return // just started, no state yet
 	}
 	v := d.fleet.View()
-	age := time.Duration(s.Age) * time.Millisecond
-	d.apply(fleet.PeerAvailability{Age: age, AvailableFor: time.Duration(s.AvailableFor) * time.Millisecond}, nil)
+	age, read := time.Duration(s.Age)*time.Millisecond, fleet.Read{By: s.Reader, Number: s.Read}
+	d.apply(fleet.PeerAvailability{Read: read, Age: age, AvailableFor: time.Duration(s.AvailableFor) * time.Millisecond}, nil)
 	if s.Revision < v.Revision || s.Revision == v.Revision && s.Hash != v.Hash {
 		return
 	}
 	if s.Hash == v.Hash {
-		d.apply(fleet.Confirmed{Revision: s.Revision, Age: age}, nil)
+		d.apply(fleet.Confirmed{Read: read, Revision: s.Revision, Age: age}, nil)
 		return
 	}
 	if d.fetches.begin(s.Node) {
@@ -185,7 +188,7 @@
 	} else {
 		t.Upstreams, t.Entries = s.Upstreams, s.Entries
 	}
-	t.Revision = s.Revision
+	t.Revision, t.Read = s.Revision, fleet.Read{By: s.Reader, Number: s.Read}
 	if len(s.Config) > 0 {
 		var err error
 		if t.Table, err = d.Source.Decode(s.Config, s.ConfigRev); err != nil {
@@ -215,6 +218,7 @@
 	delta, ok := d.fleet.DeltaSince(b.Hash)
 	v := d.fleet.View()
 	s.Revision, s.Age = v.Revision, time.Since(v.Confirmed).Milliseconds()
+	s.Reader, s.Read = v.Read.By, v.Read.Number
 	if ok && delta.Hash == v.Hash {
 		s.Delta = &delta
 	} else {
