frontd: a front reads the store in time whatever its rank

Callers saw a change that had been confirmed and was not in force in time at a front that reaches the store.

Cause: a front read at 0.5 s plus 0.13 s for each front before it in the order, whether those reach the store or are heard: after 10.5 s for the last of 78. One that hears nobody, or only fronts that the store turns away, waited for readers that there are not.

Now every front reads when its state is 1.2 to 1.5 s old, and after 0.8 to 1.1 s if it hears less than half of the others. The longest pause after a failed read is 1.2 s in place of 1.5 s, so that a silent call and the pause after it end within the 3 s after which a front counts as well; who has read out of turn while it hears the others waits up to 2.5 s, so that not all call a store that is away.

--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -24,8 +24,15 @@
 	readInterval = 500 * time.Millisecond
 	// rankDelay is added for each front that ranks before this one, so that the next one
 	// reads only if the first did not.
-	rankDelay     = 130 * time.Millisecond
-	checkInterval = 40 * time.Millisecond
+	rankDelay = 130 * time.Millisecond
+	// maxReadAge is the age at which a front reads whatever its rank: those that rank before
+	// it may all be cut off from the store. A front that hears less than half of the others
+	// can't be told by those that read, and does so at maxReadAgeAlone. Each front adds a
+	// random part of readAgeSpread, so that the first one can tell the rest.
+	maxReadAge      = 1200 * time.Millisecond
+	maxReadAgeAlone = 800 * time.Millisecond
+	readAgeSpread   = 300 * time.Millisecond
+	checkInterval   = 40 * time.Millisecond
 	// maxStartJitter spreads the second reads of fronts that know neither a configuration nor
 	// other fronts, during the first startupTime after their start. The first to read again
 	// sends the state to the others. Without it each of 171 fronts that start together reads
@@ -33,9 +40,12 @@
 	maxStartJitter = 2 * time.Second
 	startupTime    = 5 * time.Second
 	// minBackoff and maxBackoff bound the backoff after failed reads, of which at least half is
-	// waited, at random. Meanwhile other fronts may reach the store.
-	minBackoff = 300 * time.Millisecond
-	maxBackoff = 1500 * time.Millisecond
+	// waited, at random. Meanwhile other fronts may reach the store. A front that hears the
+	// others and has read without its turn waits for lateBackoff, so that hundreds of fronts
+	// don't all call a store that is away.
+	minBackoff  = 300 * time.Millisecond
+	maxBackoff  = 1200 * time.Millisecond
+	lateBackoff = 2500 * time.Millisecond
 	// staleAge is the age from which a request that matches no route triggers a read before
 	// its caller gets an error. An added route must be served within two seconds.
 	staleAge = time.Second
@@ -57,6 +67,13 @@
 		Decode(text []byte, revision uint64) (*route.Table, error)
 	}
 
+	// readTurn is a front's place in the order in which fronts read the store for all.
+	readTurn struct {
+		rank   int           // number of fronts before it
+		alone  bool          // it hears less than half of the others
+		spread time.Duration // its own part of readAgeSpread
+	}
+
 	// readState is kept from one read of the store to the next.
 	readState struct {
 		mu          sync.Mutex
@@ -70,14 +87,17 @@
 func (d *Daemon) readLoop(ctx context.Context) {
 	wait := time.Duration(0)
 	began, jitter := time.Now(), rand.N(maxStartJitter)
+	spread := rand.N(readAgeSpread)
 	var ran stall.Detector
 	var resumeAt time.Time // no read before then
 	for {
 		v := d.fleet.View()
-		if now := time.Now(); now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter) {
+		now := time.Now()
+		turn := d.readTurn(now, spread)
+		if now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter, turn) {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
-			wait = min(max(2*wait, minBackoff), maxBackoff)
+			wait = turn.backoff(wait)
 		} else {
 			wait = 0
 		}
@@ -96,11 +116,45 @@
 }
 
 // maxAge is the age of the state at which this front reads the store.
-func (d *Daemon) maxAge(v *fleet.View, uptime, jitter time.Duration) time.Duration {
+func (d *Daemon) maxAge(v *fleet.View, uptime, jitter time.Duration, turn readTurn) time.Duration {
 	if uptime < startupTime && len(d.others(mesh.Summary{})) == 0 && v.Table == nil {
 		return readInterval + jitter
 	}
-	return readInterval + time.Duration(d.meshio.Rank(time.Now()))*rankDelay
+	return turn.maxAge()
+}
+
+// readTurn returns this front's present place in the order of reads.
+func (d *Daemon) readTurn(now time.Time, spread time.Duration) readTurn {
+	return readTurn{
+		rank: d.meshio.Rank(now), spread: spread,
+		alone: !d.meshio.Summary(now).ReachesHalf(len(d.peers())),
+	}
+}
+
+// maxAge is the age of the state at which the front reads.
+func (t readTurn) maxAge() time.Duration {
+	return min(t.inOrder(), t.latest())
+}
+
+// inOrder is the age at which it is the front's turn, if those before it do not read.
+func (t readTurn) inOrder() time.Duration {
+	return readInterval + time.Duration(t.rank)*rankDelay
+}
+
+// latest is the age at which the front reads whatever its rank.
+func (t readTurn) latest() time.Duration {
+	if t.alone {
+		return maxReadAgeAlone + t.spread
+	}
+	return maxReadAge + t.spread
+}
+
+// backoff returns the backoff after a failed read that followed the given one.
+func (t readTurn) backoff(last time.Duration) time.Duration {
+	if !t.alone && t.inOrder() > t.latest() {
+		return lateBackoff
+	}
+	return min(max(2*last, minBackoff), maxBackoff)
 }
 
 func (d *Daemon) readStore(ctx context.Context) error {
