mesh: messages between two ticks tell the present age of the state

A hub answers reports with its state as of its last tick, up to a quarter of a second old, and with the age that the state had then. Its group took the state for that much newer than it is.

TestAnswerTellsPresentAge failed before (100 ms told, 150 ms true).

--- a/internal/front/mesh/mesh_test.go
+++ b/internal/front/mesh/mesh_test.go
@@ -185,3 +185,20 @@
 	is.Equal(sends[0].Message.(Digest).Load[up], 111) //nolint:forcetypeassert // a report is answered by it
 	is.Equal(m.Summary(start).Load[up], 1110)
 }
+
+// A hub answers a report between two ticks; with the age as of the last tick its group would take its state for newer than it is.
+func TestAnswerTellsPresentAge(t *testing.T) {
+	is := is.New(t)
+	peers := many(171)
+	m := Mesh{Self: peers[0]}
+	m.Step(start, PeerList{Peers: peers})
+	own := state(peers[0].Node, 0)
+	own.Age = 100
+	m.Step(start, Tick{State: own})
+	const later = 50 * time.Millisecond
+	sends := m.Step(start.Add(later), Received{Message: Report{State: state(peers[6].Node, 1)}})
+	is.True(len(sends) > 1) // a digest for the front, and shares for other hubs since it is new
+	for _, s := range sends {
+		is.Equal(s.Message.state().Age, own.Age+later.Milliseconds())
+	}
+}
--- a/internal/front/mesh/summary.go
+++ b/internal/front/mesh/summary.go
@@ -135,17 +135,24 @@
 	}
 }
 
+// ownState returns this front's state, as of its last tick, for a message that is sent now.
+func (m *Mesh) ownState(now time.Time) State {
+	s := m.own.State
+	s.Sent = now.UnixNano()
+	s.Age += now.Sub(m.lastTick).Milliseconds()
+	return s
+}
+
 // shareWithHubs returns the share of this front and its group, addressed to the targets
 // and to hubs that are not listed.
 func (m *Mesh) shareWithHubs(now time.Time) (sends []Send) {
 	all := newTotals()
 	all.add(m.own.Load, m.own.Used)
 	m.addGroup(now, all, 0)
-	s := Share{State: m.own.State, Load: all.load, Used: all.used, Group: map[ID]Status{}, Hubs: m.unexpectedHubs()}
+	s := Share{State: m.ownState(now), Load: all.load, Used: all.used, Group: map[ID]Status{}, Hubs: m.unexpectedHubs()}
 	for id, r := range m.liveReports(now) {
 		s.Group[id] = status(r.State)
 	}
-	s.State.Sent = now.UnixNano()
 	for _, p := range m.targets {
 		sends = append(sends, Send{To: p.Address, Message: s})
 	}
@@ -167,8 +174,7 @@
 	} else if len(list) > 0 {
 		maps.DeleteFunc(m.awaiting, func(id ID, _ time.Time) bool { return id != list[0].id }) // probed hubs that need not answer any more
 	}
-	r := Report{State: m.own.State, Load: m.own.Load, Used: m.own.Used}
-	r.State.Sent = now.UnixNano()
+	r := Report{State: m.ownState(now), Load: m.own.Load, Used: m.own.Used}
 	for _, hub := range list[:min(most, len(list))] {
 		if _, waiting := m.awaiting[hub.id]; !waiting {
 			m.awaiting[hub.id] = now
@@ -201,8 +207,7 @@
 	alive := m.alive(now)
 	all := m.total(now, to)
 	all.add(m.own.Load, m.own.Used)
-	d := Digest{State: m.own.State, Load: all.load, Used: all.used, Fronts: len(alive) + 1}
-	d.State.Sent = now.UnixNano()
+	d := Digest{State: m.ownState(now), Load: all.load, Used: all.used, Fronts: len(alive) + 1}
 	for id := range m.peers {
 		if _, ok := alive[id]; !ok {
 			d.Missing = append(d.Missing, id)
