frontd: requests without a route share the read that is under way

Callers of a route that had just been added got 404 from a front whose state was a second old, although another request had already made it read the store: only the first waited for the read, those within 0.25 s were answered from the old state. The read also ended with the caller that had caused it. Now all wait for it, for 0.5 s at most, and it goes on without its caller. Whether the state is recent then is returned.

TestRequestsShareOneRead failed before: version 1 for the second request, 2 wanted.

--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -208,7 +208,7 @@
 	}}
 	env.e = &Endpoint{
 		Dialect: fakeDialect{}, Records: env.rec, Fleet: &f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
-		Refresh: func(context.Context) {}, Stop: context.Background(), Limiter: &limits.Limiter{},
+		Refresh: func(context.Context) bool { return true }, Stop: context.Background(), Limiter: &limits.Limiter{},
 	}
 	return env
 }
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -77,8 +77,9 @@
 		Scope    tally.Scope
 		Trace    *trace.Trace
 		// Refresh reads the configuration from the store again, unless the present one
-		// or the last attempt to read it is recent.
-		Refresh func(context.Context)
+		// or the last attempt to read it is recent. It reports whether the configuration
+		// is then recent enough to refuse a request for good.
+		Refresh func(context.Context) (current bool)
 		// Stop is done when the daemon stops; it bounds work that outlives its request.
 		Stop context.Context //nolint:containedctx // lifetime of the daemon
 
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -54,8 +54,10 @@
 	// gap without state would look like an outage of the store, and it would keep upstreams
 	// that left meanwhile, until another front reports that the store was available.
 	resumeDelay = 300 * time.Millisecond
-	// minRefreshInterval is the shortest interval between reads triggered by requests.
+	// minRefreshInterval is the shortest interval between reads triggered by requests, and
+	// refreshTimeout the longest time that a request waits for one.
 	minRefreshInterval = 250 * time.Millisecond
+	refreshTimeout     = 500 * time.Millisecond
 )
 
 type (
@@ -77,8 +79,10 @@
 	// readState is kept from one read of the store to the next.
 	readState struct {
 		mu          sync.Mutex
-		last        fleet.Read // the last that was begun
-		refreshedAt time.Time  // last read triggered by a request
+		last        fleet.Read    // the last that was begun
+		refreshedAt time.Time     // last read triggered by a request
+		refreshed   chan struct{} // closed when that read has ended
+		refreshing  bool          // it has not ended
 		logged      map[string]bool
 	}
 )
@@ -209,21 +213,47 @@
 	}
 }
 
-// refreshConfig reads the store for a request that matches no route, if the state is older
-// than staleAge and the last such read is at least minRefreshInterval ago.
-func (d *Daemon) refreshConfig(ctx context.Context) {
-	if time.Since(d.fleet.View().Confirmed) < staleAge {
-		return
+// refreshConfig reads the store for a request that matches no route or no key, if the state is
+// older than staleAge and the last such read is at least minRefreshInterval ago. It waits for
+// the read, also for one that another request has begun, and reports whether the state is then
+// recent enough to refuse the request for good.
+func (d *Daemon) refreshConfig(ctx context.Context) (current bool) {
+	arrived := time.Now()
+	if d.stateAge() < staleAge {
+		return true
 	}
-	d.readState.mu.Lock()
-	soon := time.Since(d.readState.refreshedAt) < minRefreshInterval
-	if !soon {
-		d.readState.refreshedAt = time.Now()
+	ctx, stop := context.WithTimeout(ctx, refreshTimeout)
+	defer stop()
+	select {
+	case <-d.readState.refresh(func() { _ = d.readStore(context.WithoutCancel(ctx)) }): // on failure the state stays old
+	case <-ctx.Done():
+	}
+	return d.stateAge() < staleAge || !d.fleet.View().Confirmed.Before(arrived)
+}
+
+func (d *Daemon) stateAge() time.Duration { return time.Since(d.fleet.View().Confirmed) }
+
+// refresh starts a read, unless one is under way or the last began less than
+// minRefreshInterval ago. The channel is closed when the read has ended.
+func (s *readState) refresh(read func()) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refreshed != nil && time.Since(s.refreshedAt) < minRefreshInterval {
+		return s.refreshed
 	}
-	d.readState.mu.Unlock()
-	if !soon {
-		_ = d.readStore(ctx) // on failure the request goes on with the present state
+	if s.refreshing {
+		return s.refreshed
 	}
+	done := make(chan struct{})
+	s.refreshed, s.refreshedAt, s.refreshing = done, time.Now(), true
+	go func() {
+		read()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refreshing = false
+		close(done)
+	}()
+	return done
 }
 
 // apply applies an update to the fleet's state and logs the changes.
