proxy: a missing route or key is final only in a current configuration

A front that could not read the store answered 404 for a route, or 401 for a key, that a newer configuration may have. Callers don't come back after either.

--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -21,12 +21,12 @@
 	if q.authenticated(q.view.Table) {
 		return true
 	}
-	q.e.Refresh(q.r.Context())
+	current := q.e.Refresh(q.r.Context())
 	q.view = q.e.Fleet.View()
 	if q.authenticated(q.view.Table) {
 		return true
 	}
-	q.replyError(http.StatusUnauthorized, "unknown_key", nil)
+	q.replyMissing(current, http.StatusUnauthorized, "unknown_key")
 	return false
 }
 
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -161,10 +161,10 @@
 	}
 	var found bool
 	if q.route, found = q.view.Table.Match(q.r.Host, q.r.URL.Path); !found {
-		q.e.Refresh(q.r.Context())
+		current := q.e.Refresh(q.r.Context())
 		q.view = q.e.Fleet.View()
 		if q.route, found = q.view.Table.Match(q.r.Host, q.r.URL.Path); !found {
-			q.replyError(http.StatusNotFound, "no_route", nil)
+			q.replyMissing(current, http.StatusNotFound, "no_route")
 			return false
 		}
 	}
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -339,3 +339,31 @@
 		env.close()
 	})
 }
+
+// A daemon that can't read the store does not know the newest routes and keys; a caller that is told 404 or 401 for good does not come back.
+func TestMissingInAnOldConfiguration(t *testing.T) {
+	cases := map[string]struct {
+		path, key string
+		current   bool
+		status    int
+	}{
+		"no route, current": {"/other/", "secret-a", true, 404},
+		"no route, old":     {"/other/", "secret-a", false, 503},
+		"no key, current":   {"/safe/", "secret-c", true, 401},
+		"no key, old":       {"/safe/", "secret-c", false, 503},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{ok})
+				defer env.close()
+				env.startWithAccounts()
+				env.e.Refresh = func(context.Context) bool { return c.current }
+				rec, _ := env.do(t.Context(), c.path, map[string]string{"Key": c.key}, "")
+				is.Equal(rec.Code, c.status)
+				is.Equal(rec.Header().Get("Again") != "", !c.current)
+			})
+		})
+	}
+}
--- a/internal/front/proxy/reply.go
+++ b/internal/front/proxy/reply.go
@@ -13,6 +13,9 @@
 	// retryNoConfig is for a daemon that has no configuration yet: it gets one within
 	// a second, and other daemons have one already.
 	retryNoConfig = 300 * time.Millisecond
+	// retryOldConfig is for a daemon whose configuration may lack what the request needs:
+	// another daemon may have it.
+	retryOldConfig = 300 * time.Millisecond
 	// retryBusy is for upstreams that all refuse requests: they have capacity again
 	// after about the duration of one buffered request.
 	retryBusy = 150 * time.Millisecond
@@ -36,6 +39,16 @@
 	q.reply(status, code, 0, err)
 }
 
+// replyMissing refuses a request whose route or key the configuration lacks: for good, with
+// the status, if the configuration is current, and otherwise with a Retry-After time.
+func (q *request) replyMissing(current bool, status int, code string) {
+	if current {
+		q.replyError(status, code, nil)
+		return
+	}
+	q.replyUnavailable("old_configuration", retryOldConfig, nil)
+}
+
 // replyUnavailable refuses a request that has not run, with a Retry-After time.
 func (q *request) replyUnavailable(code string, after time.Duration, err error) {
 	q.e.Dialect.RetryAfter(q.w.Header(), after)
