proxy: a request whose key is new takes the route of the same version

A request with a key that the front does not know makes it read the newest configuration. The account was then taken from that version, the route and its service from the one before: the request was run by a service that the route had left. Now both come from the version that was read.

TestNewKeyGoesToNewRoute failed before: the former service ran the request once, 0 wanted.

--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -21,12 +21,13 @@
 	if q.authenticated(q.view.Table) {
 		return true
 	}
-	current := q.e.Refresh(q.r.Context())
-	q.view = q.e.Fleet.View()
+	if !q.refresh() {
+		return false
+	}
 	if q.authenticated(q.view.Table) {
 		return true
 	}
-	q.replyMissing(current, http.StatusUnauthorized, "unknown_key")
+	q.replyMissing(http.StatusUnauthorized, "unknown_key")
 	return false
 }
 
--- a/internal/front/proxy/account_test.go
+++ b/internal/front/proxy/account_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -204,3 +205,26 @@
 		is.Equal(len(env.e.Limiter.Used(time.Now())), 0)
 	})
 }
+
+// A key that is new makes the front read a newer version; the request must then take that version's route too, not be run by the service that the route left.
+func TestNewKeyGoesToNewRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{ok}, []string{ok})
+		defer env.close()
+		env.startWithAccounts()
+		env.e.Refresh = func(context.Context) bool {
+			moved := []route.Route{{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, Attempts: 1, Backends: []route.Backend{{Service: "moved"}}}}
+			table := route.New(3, moved, []route.Service{{Name: "moved"}}, route.Limits{})
+			table.Accounts = accounts("secret-a", "secret-new")
+			env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: 3, Table: table, Upstreams: []fleet.Upstream{
+				{ID: "up1", Service: "s", Address: "up1", Batch: 4}, {ID: "up2", Service: "moved", Address: "up2", Batch: 4},
+			}})
+			return true
+		}
+		rec, _ := env.do(t.Context(), "/safe/", map[string]string{"Key": "secret-new"}, "")
+		is.Equal(rec.Code, 200)
+		is.Equal(len(env.upstreams["up1"].requests()), 0)
+		is.Equal(len(env.upstreams["up2"].requests()), 1)
+	})
+}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -94,6 +94,7 @@
 		w        http.ResponseWriter
 		r        *http.Request
 		view     *fleet.View
+		current  bool // view was recent enough, after a refresh, to refuse the request for good
 		route    route.Route
 		service  route.Service
 		account  accnt.Account // of the caller; zero if it has none
@@ -159,17 +160,30 @@
 		q.replyUnavailable("no_configuration", retryNoConfig, nil)
 		return false
 	}
-	var found bool
-	if q.route, found = q.view.Table.Match(q.r.Host, q.r.URL.Path); !found {
-		current := q.e.Refresh(q.r.Context())
-		q.view = q.e.Fleet.View()
-		if q.route, found = q.view.Table.Match(q.r.Host, q.r.URL.Path); !found {
-			q.replyMissing(current, http.StatusNotFound, "no_route")
-			return false
-		}
-	}
-	q.service = q.view.Table.Services[q.route.Choose(xxhash.Sum64String(q.affinityKey()))]
-	return true
+	if q.match() {
+		return true
+	}
+	return q.refresh()
+}
+
+// match finds the request's route and service in q.view, and reports whether there are any.
+func (q *request) match() (found bool) {
+	if q.route, found = q.view.Table.Match(q.r.Host, q.r.URL.Path); found {
+		q.service = q.view.Table.Services[q.route.Choose(xxhash.Sum64String(q.affinityKey()))]
+	}
+	return found
+}
+
+// refresh reads the newest configuration and finds the route in it, so that the request is
+// judged by one version. It returns false if there is none and an error response was sent.
+func (q *request) refresh() bool {
+	q.current = q.e.Refresh(q.r.Context())
+	q.view = q.e.Fleet.View()
+	if q.match() {
+		return true
+	}
+	q.replyMissing(http.StatusNotFound, "no_route")
+	return false
 }
 
 // affinityKey returns the key whose requests should go to the same upstream: the whole
--- a/internal/front/proxy/reply.go
+++ b/internal/front/proxy/reply.go
@@ -41,8 +41,8 @@
 
 // replyMissing refuses a request whose route or key the configuration lacks: for good, with
 // the status, if the configuration is current, and otherwise with a Retry-After time.
-func (q *request) replyMissing(current bool, status int, code string) {
-	if current {
+func (q *request) replyMissing(status int, code string) {
+	if q.current {
 		q.replyError(status, code, nil)
 		return
 	}
