frontd: the idle time of callers' connections follows the configuration

A front took the idle time from the configuration that it had when it began to serve. After a change callers kept connections for as long as the new version allows and found them closed after the old time. The HTTP server's own timeout can't change while it serves, so a timer for each idle connection replaces it; it reads the time when it ends.

--- a/internal/node/frontd/serve.go
+++ b/internal/node/frontd/serve.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// headerTimeout, idleTimeout and maxHeaderBytes apply where the configuration at the
-	// start sets no limit of its own.
+	// headerTimeout, idleTimeout and maxHeaderBytes apply where the configuration sets no
+	// limit of its own.
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	maxHeaderBytes = 16 << 10
@@ -46,14 +46,7 @@
 }
 
 func (d *Daemon) serveCallers() (srv *http.Server, err error) {
-	srv = &http.Server{
-		Handler: &d.proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
-	}
-	if t := d.fleet.View().Table; t != nil {
-		srv.ReadHeaderTimeout = positive(t.Limits.HeaderTime, headerTimeout)
-		srv.IdleTimeout = positive(t.Limits.IdleTime, idleTimeout)
-		srv.MaxHeaderBytes = positive(t.Limits.HeaderBytes, maxHeaderBytes)
-	}
+	srv = d.callersServer()
 	ln, err := listen(context.Background(), d.Settings.Callers)
 	if err != nil {
 		return nil, err
@@ -62,6 +55,29 @@
 	return srv, nil
 }
 
+// callersServer returns the server for callers' requests. Its limits on headers are those of
+// the configuration at the start.
+func (d *Daemon) callersServer() *http.Server {
+	idle := idleConns{Timeout: d.callerIdleTime}
+	srv := &http.Server{
+		Handler: &d.proxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
+		ConnState: idle.track,
+	}
+	if t := d.fleet.View().Table; t != nil {
+		srv.ReadHeaderTimeout = positive(t.Limits.HeaderTime, headerTimeout)
+		srv.MaxHeaderBytes = positive(t.Limits.HeaderBytes, maxHeaderBytes)
+	}
+	return srv
+}
+
+// callerIdleTime is how long a caller's connection may be idle now.
+func (d *Daemon) callerIdleTime() time.Duration {
+	if t := d.fleet.View().Table; t != nil {
+		return positive(t.Limits.IdleTime, idleTimeout)
+	}
+	return idleTimeout
+}
+
 func positive[T int | time.Duration](v, otherwise T) T {
 	if v > 0 {
 		return v
