recsrv: a joining replica waits for sources that do not answer yet

One empty disk had begun to copy 0.3 s before a source had opened its records; it copied from the two others for 23 s, then had too few sources and began anew, while three replicas of a quarter of a core served callers and five copies. Now the source that failed is tried again, every 0.3 s and for 10 s without progress; the copy begins anew only if a source refuses it or there is a newer roster.

TestJoinWaitsForASourceThatStarts failed before: copied from 1 replicas, need 2.

--- a/internal/disk/quorum/cluster_test.go
+++ b/internal/disk/quorum/cluster_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/disk/index"
@@ -30,6 +31,7 @@
 	roster      roster.Roster   // as in the store
 	next        int
 	bytesPulled int // by servers from each other
+	firstPulls  int // copies that were begun at a source that answered
 }
 
 func newCluster(t *testing.T, n, losses int) *cluster {
@@ -133,6 +135,10 @@
 	if method == recsrv.MethodPull {
 		c.cl.mu.Lock()
 		c.cl.bytesPulled += len(reply.(link.Raw))
+		var req recsrv.PullRequest
+		if err := cbor.Unmarshal(params.(link.Raw), &req); err == nil && req.First {
+			c.cl.firstPulls++
+		}
 		c.cl.mu.Unlock()
 	}
 	return nil
--- a/internal/disk/quorum/quorum_test.go
+++ b/internal/disk/quorum/quorum_test.go
@@ -333,3 +333,21 @@
 		is.Equal(known[attempt], maxTokens) // every acknowledged reservation is seen
 	}
 }
+
+// After a loss of power a VM with an empty disk begins to copy before one of its sources has opened its records; if it copied from the others and then began anew, the few disks that are left would send all records twice.
+func TestJoinWaitsForASourceThatStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 3, 1)
+		c := cl.client()
+		for i := range 40 {
+			write(t, c, turn(fmt.Sprint(i), ""))
+		}
+		cl.set(cl.down, "n2", true)
+		time.AfterFunc(3*time.Second, func() { cl.set(cl.down, "n2", false) })
+		is.NoErr(cl.replace(0, cl.add()))
+		_, turns, _ := cl.servers["n4"].Stats()
+		is.Equal(turns, 40)
+		is.Equal(cl.firstPulls, 2) // each source is scanned once
+	})
+}
--- a/internal/disk/recsrv/copy.go
+++ b/internal/disk/recsrv/copy.go
@@ -19,13 +19,32 @@
 	pageTimeout    = 2 * time.Second
 	pageAttempts   = 3
 	pageRetryPause = 100 * time.Millisecond
+	// sourceWait is how long a joining replica waits for sources that do not answer, since
+	// it last copied from one: longer than VMs take to restart. It tries them again after
+	// each sourceRetryPause.
+	sourceWait       = 10 * time.Second
+	sourceRetryPause = 300 * time.Millisecond
 )
 
+// copying is the progress of one copy.
+type copying struct {
+	roster  roster.Roster
+	peers   Peers
+	sources []roster.Replica // not copied from yet
+	copied  int              // number of sources copied from
+	refused bool             // a source refused the roster or its disk
+}
+
 // Peers returns the connection to the daemon at an address.
 type Peers func(address string) link.Invoker
 
-// ErrTooFewSources reports that too few other replicas could be copied from.
-var ErrTooFewSources = errors.New("too few replicas to copy from")
+var (
+	// ErrTooFewSources reports that too few other replicas could be copied from.
+	ErrTooFewSources = errors.New("too few replicas to copy from")
+
+	// errRefused reports a source that refuses the roster or the disk of a request.
+	errRefused = errors.New("pull refused")
+)
 
 // CatchUp copies the records of a read quorum of other replicas, so that every
 // acknowledged record is among them. It is used when this replica is joining the roster,
@@ -34,29 +53,70 @@
 // The replicas have nearly the same records. Each is therefore first asked for its records
 // without the turns' input and output, which is a fiftieth of the bytes, and only missing
 // records are fetched in full.
+//
+// A joining replica waits for sources that do not answer yet: a copy that starts over asks
+// all of them again.
 func (s *Server) CatchUp(ctx context.Context, r roster.Roster, peers Peers) (err error) {
 	defer func() { err = errors.Wrap(err, "catch up") }()
-	copied := 0
-	for _, p := range r.Replicas {
-		if p.DiskID == s.diskID || p.Joining {
-			continue
-		}
-		copyErr := s.copyFrom(ctx, r.Version, p, peers(p.Address))
-		if copyErr == nil {
-			copied++
-		}
-		err = errors.CombineErrors(err, copyErr)
-		if copied >= r.ReadQuorum() {
+	self, _ := r.Find(s.diskID)
+	c := copying{roster: r, peers: peers, sources: s.sources(r)}
+	for progress := time.Now(); ; {
+		before := c.copied
+		if err = s.copyFromEach(ctx, &c); c.copied >= r.ReadQuorum() {
 			// Records that were indexed already may not have been synced yet.
 			return s.barrier(ctx, r.Version)
 		}
+		if !self.Joining {
+			// This replica has all records that it acknowledged. Those that it missed
+			// are only additional copies, so the ones available are enough.
+			return nil
+		}
+		if c.copied > before {
+			progress = time.Now()
+		}
+		hopeless := c.refused || s.isStale(r) || c.copied+len(c.sources) < r.ReadQuorum()
+		if hopeless || time.Since(progress) >= sourceWait || !pause.For(ctx, sourceRetryPause) {
+			return errors.Wrapf(ErrTooFewSources, "copied from %d replicas, need %d (%v)", c.copied, r.ReadQuorum(), err)
+		}
 	}
-	if self, _ := r.Find(s.diskID); !self.Joining {
-		// This replica has all records that it acknowledged. Those that it missed
-		// are only additional copies, so the ones available are enough.
-		return nil
+}
+
+// isStale reports whether this server has seen a newer roster.
+func (s *Server) isStale(r roster.Roster) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.minVersion > r.Version
+}
+
+// sources returns the replicas that this one may copy from.
+func (s *Server) sources(r roster.Roster) (list []roster.Replica) {
+	for _, p := range r.Replicas {
+		if p.DiskID != s.diskID && !p.Joining {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// copyFromEach copies from the remaining sources until there are enough, and leaves those that
+// failed.
+func (s *Server) copyFromEach(ctx context.Context, c *copying) (err error) {
+	var failed []roster.Replica
+	for _, p := range c.sources {
+		if c.copied >= c.roster.ReadQuorum() {
+			break
+		}
+		copyErr := s.copyFrom(ctx, c.roster.Version, p, c.peers(p.Address))
+		if copyErr != nil {
+			failed = append(failed, p)
+			c.refused = c.refused || errors.Is(copyErr, errRefused)
+			err = errors.CombineErrors(err, copyErr)
+			continue
+		}
+		c.copied++
 	}
-	return errors.Wrapf(ErrTooFewSources, "copied from %d replicas, need %d (%v)", copied, r.ReadQuorum(), err)
+	c.sources = failed
+	return err
 }
 
 func (s *Server) copyFrom(ctx context.Context, version uint64, p roster.Replica, peer link.Invoker) (err error) {
@@ -134,7 +194,7 @@
 		}
 	}
 	if err == nil && reply.Refusal.Code != "" {
-		err = errors.Newf("pull refused: %s", reply.Refusal.Code)
+		err = errors.Wrap(errRefused, reply.Refusal.Code)
 	}
 	return reply, err
 }
