diskd: a replica with its records leaves copies to those that are joining

After a loss of power with two disks all three complete replicas began to copy from each other what they had missed, beside the two copies of the empty disks: five copies at once from three VMs of a quarter of a core, 13 to 18 s long, in whose first seconds 706 requests were refused. What such a replica missed is on f+1 disks already; its copies wait while a replica is joining, for a minute at most.

TestCatchUpWaitsForJoiningReplicas failed before: it was copying at once.

--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,9 @@
 	// handOverDelay is how long a VM that is to be emptied waits for another to
 	// replace it before it hands its records over to the remaining replicas and resigns.
 	handOverDelay = 2 * time.Second
+	// maxCatchUpDelay is how long after its start a replica that has its records leaves
+	// copies to the replicas that are joining.
+	maxCatchUpDelay = time.Minute
 	// newVMTime is how long a VM that started with an empty disk counts as new: longer than
 	// the lease of its predecessor's key lasts.
 	newVMTime = 8 * time.Second
@@ -254,7 +258,7 @@
 		d.createRoster(ctx)
 	case in && replica.Joining:
 		d.startJoin(ctx, s.Roster)
-	case in && !d.caughtUp:
+	case in && !d.caughtUp && d.mayCatchUp(s.Roster):
 		d.startJoin(ctx, s.Roster)
 	case in && replica.Address != d.Settings.Address:
 		d.updateRoster(ctx, func(s discov.State) (roster.Roster, bool) { return s.Roster.WithAddress(d.self()), true }, "moved")
@@ -305,6 +309,14 @@
 	return err == nil
 }
 
+// mayCatchUp reports whether this VM, a replica with its records, may copy those that it missed
+// while it did not run. They are additional copies. While a replica is joining, its copies come
+// first: after a loss of power the few complete replicas serve all callers as well.
+func (d *Daemon) mayCatchUp(r roster.Roster) bool {
+	joining := slices.ContainsFunc(r.Replicas, func(p roster.Replica) bool { return p.Joining })
+	return !joining || time.Since(d.started) > maxCatchUpDelay
+}
+
 func (d *Daemon) startJoin(ctx context.Context, r roster.Roster) {
 	if d.joining {
 		return
--- a/internal/node/diskd/diskd_test.go
+++ b/internal/node/diskd/diskd_test.go
@@ -375,3 +375,27 @@
 		is.Equal(f.op.reports, []bool{false, true})
 	})
 }
+
+// After a loss of power some replicas have lost their disks. A replica that still has its records must not copy from the others at the same time: its copies can wait, and the few complete replicas serve all callers.
+func TestCatchUpWaitsForJoiningReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t)
+		members := append(others()[:2], f.daemon.self())
+		r, _ := roster.Initial(members, 1)
+		r.Replicas[0].Joining = true
+		data, _ := r.Encode()
+		f.s.put(discov.RosterKey, data)
+		for _, m := range members {
+			f.s.setListed(m, true)
+		}
+		f.daemon.caughtUp = false
+		f.runFixed(5 * time.Second)
+		is.True(!f.daemon.joining && !f.daemon.caughtUp) // it waits
+		data, _ = r.WithJoined(r.Replicas[0].DiskID).Encode()
+		f.s.put(discov.RosterKey, data)
+		f.runFixed(2 * rosterInterval)
+		is.True(f.daemon.joining || f.daemon.caughtUp)
+		synctest.Wait()
+	})
+}
