--- /dev/null
+++ b/internal/node/frontd/change.go
@@ -0,0 +1,71 @@
+package frontd
+
+import (
+	"io"
+	"log"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/front/fleet"
+)
+
+// apply applies an update to the fleet's state and logs the changes.
+func (d *Daemon) apply(n fleet.Event, cause error) { d.applyAt(time.Now(), n, cause) }
+
+func (d *Daemon) applyAt(now time.Time, n fleet.Event, cause error) {
+	for _, c := range d.fleet.Update(now, n) {
+		line := d.Log.Info()
+		switch c.Kind {
+		case "outage":
+			line = d.Log.Warn().Err(cause).Str("dependency", "store")
+		case "regained":
+			line = line.Str("dependency", "store")
+		case "return":
+			d.Scope.Counter("store_returns").Inc(1)
+			line = line.Str("dependency", "store").Str("away", c.From)
+		case "config":
+			t := d.fleet.View().Table
+			line = line.Int64("version", t.Version).Uint64("config_revision", t.Revision).Int("routes", t.Len()).
+				Dur("state_age_ms", now.Sub(d.fleet.View().Confirmed))
+		default:
+			line = line.Str("upstream", c.ID).Str("from", c.From).Str("to", c.To)
+		}
+		line.Str("by", source(n)).Uint64("revision", d.fleet.View().Revision).Msg("state changed: " + c.Kind)
+	}
+}
+
+func source(n fleet.Event) string {
+	switch n.(type) {
+	case fleet.Snapshot:
+		return "store"
+	case fleet.PeerSnapshot, fleet.Confirmed, fleet.PeerAvailability:
+		return "peer"
+	default:
+		return ""
+	}
+}
+
+// discardLog returns a logger for HTTP servers that drops their lines: a caller that
+// disconnects is not worth a line in the daemon's log.
+func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// reportState updates gauges of the present state, which stay available after the log lines
+// about its changes have been rotated away.
+func (d *Daemon) reportState(now time.Time) {
+	v := d.fleet.View()
+	if v.Confirmed.IsZero() {
+		return
+	}
+	leaving := 0
+	for _, u := range v.Upstreams {
+		if u.Leaving {
+			leaving++
+		}
+	}
+	d.Scope.Gauge("news_age_seconds").Update(now.Sub(v.Confirmed).Seconds())
+	d.Scope.Gauge("upstreams_listed").Update(float64(len(v.Upstreams)))
+	d.Scope.Gauge("upstreams_leaving").Update(float64(leaving))
+	if v.Table != nil {
+		d.Scope.Gauge("config_version").Update(float64(v.Table.Version))
+	}
+	d.Scope.Gauge("upstreams_missing").Update(float64(len(v.Retained)))
+}
--- /dev/null
+++ b/internal/node/frontd/refresh.go
@@ -0,0 +1,59 @@
+package frontd
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// staleAge is the age from which a request that matches no route triggers a read before
+	// its caller gets an error. An added route must be served within two seconds.
+	staleAge = time.Second
+	// minRefreshInterval is the shortest interval between reads triggered by requests, and
+	// refreshTimeout the longest time that a request waits for one.
+	minRefreshInterval = 250 * time.Millisecond
+	refreshTimeout     = 500 * time.Millisecond
+)
+
+// refreshConfig reads the store for a request that matches no route or no key, if the state is
+// older than staleAge and the last such read is at least minRefreshInterval ago. It waits for
+// the read, also for one that another request has begun, and reports whether the state is then
+// recent enough to refuse the request for good.
+func (d *Daemon) refreshConfig(ctx context.Context) (current bool) {
+	arrived := time.Now()
+	if d.stateAge() < staleAge {
+		return true
+	}
+	ctx, stop := context.WithTimeout(ctx, refreshTimeout)
+	defer stop()
+	select {
+	case <-d.readState.refresh(func() { _ = d.readStore(context.WithoutCancel(ctx)) }): // on failure the state stays old
+	case <-ctx.Done():
+	}
+	return d.stateAge() < staleAge || !d.fleet.View().Confirmed.Before(arrived)
+}
+
+func (d *Daemon) stateAge() time.Duration { return time.Since(d.fleet.View().Confirmed) }
+
+// refresh starts a read, unless one is under way or the last began less than
+// minRefreshInterval ago. The channel is closed when the read has ended.
+func (s *readState) refresh(read func()) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refreshed != nil && time.Since(s.refreshedAt) < minRefreshInterval {
+		return s.refreshed
+	}
+	if s.refreshing {
+		return s.refreshed
+	}
+	done := make(chan struct{})
+	s.refreshed, s.refreshedAt, s.refreshing = done, time.Now(), true
+	go func() {
+		read()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refreshing = false
+		close(done)
+	}()
+	return done
+}
