quorum, reach: say which replicas did not answer, and which calls were not made

A request that is refused with records_away said only that too few record servers had answered. Whether one holder is slow or all are, or whether the front's breaker was open, could not be told from the logs.

--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -12,7 +12,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -107,10 +109,12 @@
 	}
 	replicas := preferenceOrder(r, rec.Key())
 	replies := make(chan reply, len(replicas))
+	pending := map[string]bool{} // nodes that have not answered
 	next := 0
 	send := func() {
 		if next < len(replicas) {
 			go c.writeTo(ctx, r.Version, replicas[next], rec, replies)
+			pending[replicas[next].Node] = true
 			next++
 		}
 	}
@@ -125,6 +129,7 @@
 		select {
 		case got := <-replies:
 			received++
+			delete(pending, got.replica.Node)
 			if !c.accepted(got.err, got.write.Refusal, &stale) {
 				// If r is stale, its other replicas may be gone: don't wait for
 				// them, but retry with the newer roster. A refusal for another
@@ -146,7 +151,7 @@
 		case <-hedge.C:
 			send()
 		case <-ctx.Done():
-			return res, stale, errors.CombineErrors(ErrNoQuorum, ctx.Err())
+			return res, stale, errors.CombineErrors(noQuorum(written, pending), ctx.Err())
 		}
 		// A reservation also needs a read quorum of complete replicas, so that its result
 		// has every reservation acknowledged before.
@@ -161,6 +166,12 @@
 	return res, stale, ErrNoQuorum
 }
 
+// noQuorum returns an ErrNoQuorum that says how many replicas have the record and which have
+// not answered.
+func noQuorum(written int, pending map[string]bool) error {
+	return errors.Wrapf(ErrNoQuorum, "%d wrote, no answer from %s", written, strings.Join(slices.Sorted(maps.Keys(pending)), ", "))
+}
+
 // writeTo writes to one replica. It goes on after the write quorum is reached, and
 // after ctx is cancelled: each further copy may outlive the others.
 func (c *Client) writeTo(ctx context.Context, version uint64, p roster.Replica, rec index.Record, replies chan<- reply) {
--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -32,6 +32,9 @@
 	probeInterval = 250 * time.Millisecond
 )
 
+// errOpen is the error of a call that is not made.
+var errOpen = errors.Wrap(quorum.ErrNoQuorum, "not asked since earlier calls failed")
+
 type (
 	// Records reads and writes durable records.
 	Records interface {
@@ -59,7 +62,7 @@
 		return b.Records.Write(ctx, rec)
 	}
 	if !b.allow(time.Now()) {
-		return res, quorum.ErrNoQuorum
+		return res, errOpen
 	}
 	limited, stop := context.WithTimeout(ctx, CallTimeout)
 	defer stop()
@@ -72,7 +75,7 @@
 // fails with quorum.ErrNoQuorum while the holders are unreachable.
 func (b *Breaker) Read(ctx context.Context, program, turn string) (chain []index.Turn, err error) {
 	if !b.allow(time.Now()) {
-		return nil, quorum.ErrNoQuorum
+		return nil, errOpen
 	}
 	limited, stop := context.WithTimeout(ctx, CallTimeout)
 	defer stop()
