--- a/internal/disk/quorum/quorum_test.go
+++ b/internal/disk/quorum/quorum_test.go
@@ -351,3 +351,20 @@
 		is.Equal(cl.firstPulls, 2) // each source is scanned once
 	})
 }
+
+// A source is lost for good while a new disk copies; it must not be waited for once the roster has another in its place.
+func TestJoinStopsAtANewerRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 3, 1)
+		write(t, cl.client(), turn("1", ""))
+		cl.set(cl.down, "n2", true)
+		m := cl.add()
+		newer := cl.current()
+		newer.Version += 2
+		time.AfterFunc(time.Second, func() { cl.servers[m.Address].Learn(newer) })
+		began := time.Now()
+		is.True(cl.replace(0, m) != nil)
+		is.True(time.Since(began) < 2*time.Second)
+	})
+}
--- a/internal/front/fleet/reads_test.go
+++ b/internal/front/fleet/reads_test.go
@@ -60,3 +60,23 @@
 		})
 	}
 }
+
+// A VM is suspended and its clock stands still; a late report of a read from before must not make the view seem as new as that clock says.
+func TestSuspensionAgesKnownReads(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	r := newRead()
+	f.Update(start, Confirmed{Read: r})
+	f.Update(start, Suspended{For: 4 * time.Second})
+	f.Update(start, Confirmed{Read: r})
+	is.Equal(f.View().Confirmed, start.Add(-4*time.Second))
+}
+
+// Daemons restart for months, each time as another reader; those that are gone must not fill the memory.
+func TestGoneReadersAreForgotten(t *testing.T) {
+	var f Fleet
+	for i := range 1000 {
+		f.Update(start.Add(time.Duration(i)*time.Second), Confirmed{Read: newRead()})
+	}
+	is.New(t).True(len(f.reads.latest) <= int(readerTTL/time.Second)+1)
+}
--- a/internal/node/diskd/diskd_test.go
+++ b/internal/node/diskd/diskd_test.go
@@ -378,24 +378,38 @@
 
 // After a loss of power some replicas have lost their disks. A replica that still has its records must not copy from the others at the same time: its copies can wait, and the few complete replicas serve all callers.
 func TestCatchUpWaitsForJoiningReplicas(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFixture(t)
-		members := append(others()[:2], f.daemon.self())
-		r, _ := roster.Initial(members, 1)
-		r.Replicas[0].Joining = true
-		data, _ := r.Encode()
-		f.s.put(discov.RosterKey, data)
-		for _, m := range members {
-			f.s.setListed(m, true)
-		}
-		f.daemon.caughtUp = false
-		f.runFixed(5 * time.Second)
-		is.True(!f.daemon.joining && !f.daemon.caughtUp) // it waits
-		data, _ = r.WithJoined(r.Replicas[0].DiskID).Encode()
-		f.s.put(discov.RosterKey, data)
-		f.runFixed(2 * rosterInterval)
-		is.True(f.daemon.joining || f.daemon.caughtUp)
-		synctest.Wait()
-	})
+	cases := map[string]struct {
+		joined bool // the other replica completes its copy
+		waited time.Duration
+	}{
+		"the other one joins":        {true, 5 * time.Second},
+		"the other one never joins":  {false, maxCatchUpDelay},
+		"it joins as the time is up": {true, maxCatchUpDelay},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t)
+				members := append(others()[:2], f.daemon.self())
+				r, _ := roster.Initial(members, 1)
+				r.Replicas[0].Joining = true
+				data, _ := r.Encode()
+				f.s.put(discov.RosterKey, data)
+				for _, m := range members {
+					f.s.setListed(m, true)
+				}
+				f.daemon.caughtUp = false
+				f.runFixed(tc.waited)
+				is.True(!f.daemon.joining && !f.daemon.caughtUp)
+				if tc.joined {
+					data, _ = r.WithJoined(r.Replicas[0].DiskID).Encode()
+					f.s.put(discov.RosterKey, data)
+				}
+				f.runFixed(3 * rosterInterval)
+				is.True(f.daemon.joining || f.daemon.caughtUp)
+				synctest.Wait()
+			})
+		})
+	}
 }
