cmd: a command below another one fails with exit code 1

soak processes exited with 2, the code of a misspelt command, where a promise was broken. Now all commands are told apart in the same way.

TestExitCodeOfNestedCommand failed before: 2 in place of 1.

--- a/cmd/slaterock/exit_test.go
+++ b/cmd/slaterock/exit_test.go
@@ -6,7 +6,9 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/spf13/cobra"
 
 	"github.com/slaterock/slaterock/examples"
 )
@@ -47,3 +49,26 @@
 		})
 	}
 }
+
+// A soak that finds a broken promise must not look like a misspelt command to the script that runs it.
+func TestExitCodeOfNestedCommand(t *testing.T) {
+	cases := map[string]struct {
+		args []string
+		code int
+	}{
+		"a broken promise": {[]string{"soak", "processes"}, exitFailed},
+		"an unknown flag":  {[]string{"soak", "processes", "--bogus"}, exitUsage},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := rootCommand()
+			nested, _, err := c.Find([]string{"soak", "processes"})
+			is.NoErr(err)
+			nested.RunE = func(*cobra.Command, []string) error { return errors.New("promise broken") }
+			c.SetArgs(tc.args)
+			c.SetOut(io.Discard)
+			is.Equal(run(t.Context(), c, io.Discard), tc.code)
+		})
+	}
+}
--- a/cmd/slaterock/main.go
+++ b/cmd/slaterock/main.go
@@ -26,18 +26,11 @@
 	os.Exit(code)
 }
 
-// run executes the command line and returns the exit code. An error returned before a top-level
-// command starts is a usage error. Commands below those are not tracked, so an error of `soak
-// processes` gives exitUsage as well.
+// run executes the command line and returns the exit code. An error returned before a command
+// starts is a usage error.
 func run(ctx context.Context, c *cobra.Command, stderr io.Writer) int {
 	started := false
-	for _, sub := range c.Commands() {
-		runE := sub.RunE
-		sub.RunE = func(c *cobra.Command, args []string) error {
-			started = true
-			return runE(c, args)
-		}
-	}
+	onStart(c, func() { started = true })
 	err := c.ExecuteContext(ctx)
 	if err == nil {
 		return exitOK
@@ -49,6 +42,21 @@
 	return exitFailed
 }
 
+// onStart has all commands below c call started before they run.
+func onStart(c *cobra.Command, started func()) {
+	for _, sub := range c.Commands() {
+		onStart(sub, started)
+		runE := sub.RunE
+		if runE == nil {
+			continue
+		}
+		sub.RunE = func(c *cobra.Command, args []string) error {
+			started()
+			return runE(c, args)
+		}
+	}
+}
+
 func rootCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use:           "slaterock",
