locate: callers without a program get the addresses in different orders

The order was hashed from the program, so all callers that asked without one went to the same daemon. Now a number that is drawn for each answer takes the place of the hash.

TestEntriesSpread, case no program: without this one daemon of eight is first for all 8,000 callers.

--- a/internal/edge/locate/locate.go
+++ b/internal/edge/locate/locate.go
@@ -116,10 +116,14 @@
 // Entries returns the addresses that a caller of the program should use: the owner
 // first if it is alive, then other alive daemons, each from the failure domain with
 // the fewest entries so far, up to MaxEntries addresses. If program is empty, no
-// entry is marked as owner. Draining, suspect and down daemons are never included.
-func Entries(members []swim.Member, program string, shards int) Answer {
+// entry is marked as owner, and draw, a random number, takes the place of the program's
+// hash. Draining, suspect and down daemons are never included.
+func Entries(members []swim.Member, program string, shards int, draw uint64) Answer {
 	live := alive(members)
 	seed := mix(xxhash.Sum64String(program))
+	if program == "" {
+		seed = mix(draw)
+	}
 	used := map[string]int{}
 	answer := Answer{Entries: []Entry{}, TTLSeconds: TTLSeconds}
 	owner, owned := Owner(members, Shard(program, shards))
--- a/internal/edge/locate/locate_test.go
+++ b/internal/edge/locate/locate_test.go
@@ -101,7 +101,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			got := Entries(tt.members, program, shards)
+			got := Entries(tt.members, program, shards, 0)
 			is.Equal(got.TTLSeconds, TTLSeconds)
 			is.Equal(len(got.Entries), tt.n)
 			if tt.first != "" {
@@ -114,26 +114,33 @@
 	}
 }
 
-// Callers of different programs must get different first addresses, or one daemon
-// is overloaded while the others are idle.
+// Callers must get different first addresses, those without a program too, or one daemon is overloaded while the others are idle.
 func TestEntriesSpread(t *testing.T) {
-	is := is.New(t)
-	members := fleet(8, 4)
-	count := map[string]int{}
-	const programs = 8000
-	for i := range programs {
-		answer := Entries(members, fmt.Sprintf("round-%d", i), 16)
-		count[answer.Entries[0].Address]++
-		domains := map[string]bool{}
-		for _, e := range answer.Entries[:4] {
-			domains[e.FailureDomain] = true
-		}
-		is.Equal(len(domains), 4)
+	cases := map[string]func(i int) (program string){
+		"different programs": func(i int) string { return fmt.Sprintf("round-%d", i) },
+		"no program":         func(int) string { return "" },
 	}
-	for _, n := range count {
-		is.True(n > programs/8*8/10 && n < programs/8*12/10) // within 20 % of an even spread
+	for name, program := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			members := fleet(8, 4)
+			count := map[string]int{}
+			const callers = 8000
+			for i := range callers {
+				answer := Entries(members, program(i), 16, uint64(i))
+				count[answer.Entries[0].Address]++
+				domains := map[string]bool{}
+				for _, e := range answer.Entries[:4] {
+					domains[e.FailureDomain] = true
+				}
+				is.Equal(len(domains), 4)
+			}
+			is.Equal(len(count), len(members))
+			for _, n := range count {
+				is.True(n > callers/8*8/10 && n < callers/8*12/10) // within 20 % of an even spread
+			}
+		})
 	}
-	is.Equal(len(count), 8)
 }
 
 func TestPreferredIsBounded(t *testing.T) {
@@ -188,7 +195,7 @@
 	members := fleet(320, 10)
 	b.ReportAllocs()
 	for b.Loop() {
-		Entries(members, "round-7", 64)
+		Entries(members, "round-7", 64, 0)
 	}
 }
 
--- a/internal/node/daemon/edge.go
+++ b/internal/node/daemon/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,7 +50,7 @@
 		Config:  d.config.Current,
 		Account: d.authenticate,
 		Entries: func(program string) locate.Answer {
-			return locate.Entries(d.gossip.Members(), program, d.shardCount())
+			return locate.Entries(d.gossip.Members(), program, d.shardCount(), rand.Uint64())
 		},
 		Ready:       d.isReady,
 		Logs:        d.Logs,
