frontd, locate: tests at their first size and with their literal again

TestFrontReadsWithoutTheOthers had been shortened from 78 to 40 fronts in three of four cases to save time under the race detector, and a literal 8 in TestEntriesSpread had become a length. Both are as strict as before now.

--- a/internal/edge/locate/locate_test.go
+++ b/internal/edge/locate/locate_test.go
@@ -135,7 +135,7 @@
 				}
 				is.Equal(len(domains), 4)
 			}
-			is.Equal(len(count), len(members))
+			is.Equal(len(count), 8)
 			for _, n := range count {
 				is.True(n > callers/8*8/10 && n < callers/8*12/10) // within 20 % of an even spread
 			}
--- a/internal/node/frontd/order_test.go
+++ b/internal/node/frontd/order_test.go
@@ -15,27 +15,26 @@
 // A front that reaches the store must not wait for others that don't read, or that it can't hear.
 func TestFrontReadsWithoutTheOthers(t *testing.T) {
 	cases := map[string]struct {
-		fronts int
 		last   func(*clusterFront) // what happens to the front that is last in the order of reads
 		others func(*clusterFront)
 	}{
 		"it hears nobody": {
-			fronts: 78, last: func(f *clusterFront) { f.disturb(storeAnswers, true, false) },
+			last: func(f *clusterFront) { f.disturb(storeAnswers, true, false) },
 		},
 		"it hears of newer state and can't fetch it": {
-			fronts: 40, last: func(f *clusterFront) { f.disturb(storeAnswers, false, true) },
+			last: func(f *clusterFront) { f.disturb(storeAnswers, false, true) },
 		},
 		"the store refuses the others": {
-			fronts: 40, others: func(f *clusterFront) { f.disturb(storeRefuses, false, false) },
+			others: func(f *clusterFront) { f.disturb(storeRefuses, false, false) },
 		},
 		"the store is silent to the others": {
-			fronts: 40, others: func(f *clusterFront) { f.disturb(storeSilent, false, false) },
+			others: func(f *clusterFront) { f.disturb(storeSilent, false, false) },
 		},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, tc.fronts, 2, 0)
+				c := newCluster(t, 78, 2, 0)
 				time.Sleep(settle)
 				last := slices.MaxFunc(c.fronts, func(a, b *clusterFront) int {
 					return cmp.Or(cmp.Compare(a.meshio.Rank(time.Now()), b.meshio.Rank(time.Now())), cmp.Compare(mesh.IDOf(a.Settings.Node), mesh.IDOf(b.Settings.Node)))
