--- a/internal/node/frontd/refresh.go
+++ b/internal/node/frontd/refresh.go
@@ -40,10 +40,8 @@
 func (s *readState) refresh(read func()) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.refreshed != nil && time.Since(s.refreshedAt) < minRefreshInterval {
-		return s.refreshed
-	}
-	if s.refreshing {
+	recent := s.refreshed != nil && time.Since(s.refreshedAt) < minRefreshInterval
+	if s.refreshing || recent {
 		return s.refreshed
 	}
 	done := make(chan struct{})
