fleet: a changed upstream costs the same whatever the number of upstreams

A change of one upstream cloned, sorted, hashed and compared all upstreams and rebuilt all services, at each front, and twelve whole views were kept for deltas. Views now share what did not change (a B-tree that copies the nodes on the way to a change), the hash is a sum of hashes of items, and the history holds which items changed. Hashed ids of upstreams are an index of the view in place of a map that was built anew with each view.

Two other ways: an immutable radix tree copies fewer bytes for a change and takes several times the memory, a node for each upstream; a slice in chunks has no search by id. Views of old and new releases differ in their hash, so daemons of both confirm their own kind only, and send each other whole states, while a release is rolled out.

--- a/internal/front/fleet/delta.go
+++ b/internal/front/fleet/delta.go
@@ -5,64 +5,108 @@
 	"strings"
 )
 
-// historySize is the number of previous views that are kept as bases for deltas. Views
-// usually change at most every half second, and a peer that requests a delta is a few views
-// behind; one that is further behind gets the full state. A view of a thousand upstreams
-// takes 0.2 MB.
-const historySize = 12
+// historySize bounds the history that deltas are made from, in changed items. A peer that
+// requests a delta is a few views behind; one that is further behind gets the full state,
+// which in the largest fleets is about as long as a delta of so many items.
+const historySize = 8192
 
-// Delta is the difference between two views, which are identified by their hashes.
-type Delta struct {
-	Base        uint64     // hash of the view that the delta applies to
-	Hash        uint64     // hash of the resulting view
-	Upstreams   []Upstream // added or changed
-	Gone        []string   // ids of removed upstreams
-	Entries     []Entry    // added or changed fronts
-	GoneEntries []string   // nodes of removed fronts
-}
+type (
+	// Delta is the difference between two views, which are identified by their hashes.
+	Delta struct {
+		Base        uint64     // hash of the view that the delta applies to
+		Hash        uint64     // hash of the resulting view
+		Upstreams   []Upstream // added or changed
+		Gone        []string   // ids of removed upstreams
+		Entries     []Entry    // added or changed fronts
+		GoneEntries []string   // nodes of removed fronts
+		Restored    bool       `cbor:",omitempty"` // of the resulting view
+	}
+
+	// history holds which items changed from each of the last views to the next. The zero
+	// value is empty.
+	history struct {
+		steps []historyStep // the newest last
+		size  int           // number of changed items
+	}
+
+	historyStep struct {
+		base      uint64   // hash of the view before
+		upstreams []string // ids
+		entries   []string // nodes
+	}
+)
 
 // DeltaSince returns the delta from the view with that hash to the current one, and
 // false if that view is not in the history.
 func (f *Fleet) DeltaSince(hash uint64) (d Delta, ok bool) {
 	f.mu.Lock()
-	i := slices.IndexFunc(f.history, func(v *View) bool { return v.Hash == hash })
-	var old *View
-	if i >= 0 {
-		old = f.history[i]
-	}
+	v := f.View()
+	upstreams, entries, ok := f.history.changedSince(hash)
 	f.mu.Unlock()
-	if old == nil {
+	if hash != v.Hash && !ok {
 		return d, false
 	}
-	v := f.View()
-	d.Base, d.Hash = hash, v.Hash
-	d.Upstreams, d.Gone = diff(old.Upstreams, v.Upstreams, func(u Upstream) string { return u.ID }, sameUpstream)
-	d.Entries, d.GoneEntries = diff(old.Entries, v.Entries, func(e Entry) string { return e.Node }, func(a, b Entry) bool { return a == b })
+	d.Base, d.Hash, d.Restored = hash, v.Hash, v.Restored
+	for _, id := range upstreams {
+		if u, found := v.Listed.Find(id); found {
+			d.Upstreams = append(d.Upstreams, *u)
+		} else {
+			d.Gone = append(d.Gone, id)
+		}
+	}
+	for _, node := range entries {
+		if e, found := v.entry(node); found {
+			d.Entries = append(d.Entries, e)
+		} else {
+			d.GoneEntries = append(d.GoneEntries, node)
+		}
+	}
 	return d, true
 }
 
-// Apply returns the snapshot that results from applying the delta to v, without its
-// revision, and false if the base of the delta is not v.
-func (v *View) Apply(d Delta) (r Snapshot, ok bool) {
-	if d.Base != v.Hash {
-		return r, false
-	}
-	r.Table = v.Table
-	r.Upstreams = merge(v.Upstreams, d.Upstreams, d.Gone, func(u Upstream) string { return u.ID })
-	r.Entries = merge(v.Entries, d.Entries, d.GoneEntries, func(e Entry) string { return e.Node })
-	return r, true
+// add records the changes of a delta to the view with the hash base.
+func (h *history) add(base uint64, d Delta) {
+	if base == 0 {
+		return // nothing was known: who asks from there gets the full state
+	}
+	s := historyStep{base: base, upstreams: slices.Clone(d.Gone), entries: slices.Clone(d.GoneEntries)}
+	for i := range d.Upstreams {
+		s.upstreams = append(s.upstreams, d.Upstreams[i].ID)
+	}
+	for i := range d.Entries {
+		s.entries = append(s.entries, d.Entries[i].Node)
+	}
+	h.steps = append(h.steps, s)
+	h.size += s.size()
+	for h.size > historySize {
+		h.size -= h.steps[0].size()
+		h.steps = slices.Delete(h.steps, 0, 1)
+	}
 }
 
-// addHistory appends a view that has been replaced; f.mu is held.
-func (f *Fleet) addHistory(v *View) {
-	if v.Hash == 0 {
-		return
+// changedSince returns the items that changed after the view with the hash, sorted, and
+// false if that view is not in the history.
+func (h *history) changedSince(hash uint64) (upstreams, entries []string, ok bool) {
+	for i := len(h.steps) - 1; i >= 0 && !ok; i-- {
+		upstreams = append(upstreams, h.steps[i].upstreams...)
+		entries = append(entries, h.steps[i].entries...)
+		ok = h.steps[i].base == hash
 	}
-	f.history = slices.DeleteFunc(f.history, func(old *View) bool { return old.Hash == v.Hash })
-	f.history = append(f.history, v)
-	if len(f.history) > historySize {
-		f.history = slices.Delete(f.history, 0, 1)
+	slices.Sort(upstreams)
+	slices.Sort(entries)
+	return slices.Compact(upstreams), slices.Compact(entries), ok
+}
+
+// size counts a step without items as one, so that the number of steps is bounded, too.
+func (s historyStep) size() int { return 1 + len(s.upstreams) + len(s.entries) }
+
+// entry returns the front with that name.
+func (v *View) entry(node string) (e Entry, found bool) {
+	i, found := slices.BinarySearchFunc(v.Entries, node, func(e Entry, node string) int { return strings.Compare(e.Node, node) })
+	if !found {
+		return e, false
 	}
+	return v.Entries[i], true
 }
 
 // sameUpstream compares upstreams without the fields that change with every report
--- a/internal/front/fleet/delta_test.go
+++ b/internal/front/fleet/delta_test.go
@@ -24,6 +24,15 @@
 	return r
 }
 
+// listing returns the listed upstreams without the fields that are left out of the hash.
+func listing(v *View) (list []Upstream) {
+	for _, u := range v.Listed.List() {
+		u.Serial, u.Cold = 0, 0
+		list = append(list, u)
+	}
+	return list
+}
+
 // A daemon receives deltas from whichever peer has read the store, several views apart.
 // Applying a delta must yield the peer's view; otherwise requests are sent to upstreams
 // that are gone.
@@ -40,18 +49,15 @@
 			}
 			v := source.View()
 			d, ok := source.DeltaSince(replica.View().Hash)
-			r := Snapshot{Upstreams: v.Upstreams, Entries: v.Entries}
 			if ok {
-				r, ok = replica.View().Apply(d)
-				is.True(ok)
+				replica.Update(time.Now(), PeerDelta{Delta: d, Revision: v.Revision})
 			} else {
 				full++
+				replica.Update(time.Now(), PeerSnapshot{Snapshot: Snapshot{Revision: v.Revision, Upstreams: v.Listed.List(), Entries: v.Entries}})
 			}
-			r.Revision = v.Revision
-			replica.Update(time.Now(), PeerSnapshot{Snapshot: r})
 			is.Equal(replica.View().Hash, v.Hash)
-			is.Equal(len(replica.View().Upstreams), len(v.Upstreams))
-			is.Equal(len(replica.View().Entries), len(v.Entries))
+			is.Equal(listing(replica.View()), listing(v))
+			is.Equal(replica.View().Entries, v.Entries)
 		}
 		is.True(full <= 2) // the first, and one whose base is no longer in the history
 	}
@@ -70,8 +76,9 @@
 	d, ok := source.DeltaSince(replica.View().Hash)
 	is.True(ok)
 	replica.Update(time.Now(), randomSnapshot(rnd, 3))
-	_, ok = replica.View().Apply(d)
-	is.True(!ok)
+	before := replica.View()
+	replica.Update(time.Now(), PeerDelta{Delta: d, Revision: 4})
+	is.Equal(replica.View(), before)
 	_, ok = source.DeltaSince(12345)
 	is.True(!ok)
 }
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -27,8 +27,8 @@
 	Fleet struct {
 		mu          sync.Mutex
 		view        atomic.Pointer[View]
-		history     []*View // previous views, the newest last
-		unreachable bool    // the store does not answer this daemon
+		history     history
+		unreachable bool // the store does not answer this daemon
 		reads       readTimes
 		avail       avail.Interval // latest interval in which some daemon reached the store
 		outageSeen  bool           // an outage was detected since the start, so avail.From may be its end
@@ -89,24 +89,62 @@
 		if e.Read.known() {
 			changes = f.confirm(&v, e.Revision, e.Read, now.Add(-e.Age))
 		}
-		changes = append(changes, v.replace(e.Snapshot, f.inGrace(now))...)
+		changes = append(changes, f.replace(&v, e.Snapshot, now)...)
+	case PeerDelta:
+		if e.Revision < v.Revision || e.Base != v.Hash {
+			return nil
+		}
+		v.Revision = e.Revision
+		if e.Read.known() {
+			changes = f.confirm(&v, e.Revision, e.Read, now.Add(-e.Age))
+		}
+		changes = append(changes, v.setTable(e.Table)...)
+		v.Restored = e.Restored
+		changes = append(changes, f.change(&v, e.Delta, now)...)
 	case Snapshot:
 		changes = f.noteReachable()
 		if e.Revision < v.Revision {
 			return changes
 		}
 		changes = append(changes, f.confirm(&v, e.Revision, e.Read, now)...)
-		changes = append(changes, v.replace(e, f.inGrace(now))...)
+		changes = append(changes, f.replace(&v, e, now)...)
+	case Changes:
+		changes = f.noteReachable()
+		if e.Since != v.Revision || v.Restored {
+			return changes // the state is another one by now; the next read starts from there
+		}
+		changes = append(changes, f.confirm(&v, e.Revision, e.Read, now)...)
+		changes = append(changes, v.setTable(e.Table)...)
+		changes = append(changes, f.change(&v, e.Delta, now)...)
 	}
 	changes = append(changes, f.dropExpired(&v, now)...)
 	v.AvailableSince = f.avail.From
-	if old := f.View(); old.Hash != v.Hash {
-		f.addHistory(old)
-	}
 	f.view.Store(&v)
 	return changes
 }
 
+// replace replaces the content of the view, and records what that changes.
+func (f *Fleet) replace(v *View, s Snapshot, now time.Time) []Change {
+	base := v.Hash
+	changes, d := v.replace(s, f.inGrace(now))
+	f.record(base, v, d)
+	return changes
+}
+
+// change applies a delta to the view, and records it.
+func (f *Fleet) change(v *View, d Delta, now time.Time) []Change {
+	base := v.Hash
+	changes := v.change(d, f.inGrace(now))
+	f.record(base, v, d)
+	return changes
+}
+
+func (f *Fleet) record(base uint64, v *View, d Delta) {
+	if v.Hash != base {
+		f.history.add(base, d)
+	}
+}
+
 // confirm records that the store was at that revision when it was read. An unknown read is
 // one of this daemon's own.
 func (f *Fleet) confirm(v *View, revision uint64, r Read, at time.Time) []Change {
@@ -151,8 +189,8 @@
 
 // dropExpired drops the retained upstreams once the grace period is over.
 func (f *Fleet) dropExpired(v *View, now time.Time) []Change {
-	if len(v.Retained) == 0 || f.inGrace(now) {
+	if v.Retained.Len() == 0 || f.inGrace(now) {
 		return nil
 	}
-	return v.setUpstreams(v.Upstreams, false)
+	return v.change(Delta{}, false)
 }
--- a/internal/front/fleet/fleet_test.go
+++ b/internal/front/fleet/fleet_test.go
@@ -37,7 +37,9 @@
 }
 
 func ids(v *View) (s string) {
-	for _, u := range v.Services["s"] {
+	service := v.Services["s"]
+	for i := range service.Len() {
+		u := service.At(i)
 		s += u.ID
 		if u.Leaving {
 			s += "!"
@@ -253,5 +255,5 @@
 	is.Equal(len(f.Update(recovery.Add(time.Second), snapshot(2, 1, "a"))), 0)
 	is.Equal(fmt.Sprint(f.Update(recovery.Add(time.Second), snapshot(3, 1, "a", "b"))), "[{upstream b missing ready}]")
 	is.Equal(fmt.Sprint(f.Update(recovery.Add(RecoveryGrace), snapshot(3, 1, "a", "b"))), "[{upstream c missing gone}]")
-	is.Equal(len(f.View().Retained), 0)
+	is.Equal(f.View().Retained.Len(), 0)
 }
--- a/internal/front/fleet/partition_test.go
+++ b/internal/front/fleet/partition_test.go
@@ -22,7 +22,7 @@
 	case v.Hash == w.Hash:
 		to.Update(now, Confirmed{Read: v.Read, Revision: v.Revision, Age: age})
 	default:
-		to.Update(now, PeerSnapshot{Snapshot: Snapshot{Read: v.Read, Revision: v.Revision, Upstreams: v.Upstreams, Entries: v.Entries}, Age: age})
+		to.Update(now, PeerSnapshot{Snapshot: Snapshot{Read: v.Read, Revision: v.Revision, Upstreams: v.Listed.List(), Entries: v.Entries}, Age: age})
 	}
 }
 
--- a/internal/front/fleet/types.go
+++ b/internal/front/fleet/types.go
@@ -42,6 +42,16 @@
 		Table     *route.Table // nil if there is no valid configuration
 		Upstreams []Upstream
 		Entries   []Entry
+		Restored  bool // from a backup, as in View
+	}
+
+	// Changes are the changes of the store after the revision Since, up to Revision, as this
+	// daemon has just read them. They only apply to a view of that revision.
+	Changes struct {
+		Read            Read
+		Since, Revision uint64
+		Table           *route.Table // nil if the configuration did not change, or is invalid now
+		Delta           Delta        // without the hashes
 	}
 
 	// PeerSnapshot is a snapshot received from another daemon, which may itself have
@@ -51,6 +61,16 @@
 		Age time.Duration // since the other daemon's view was confirmed
 	}
 
+	// PeerDelta is a delta received from another daemon. It only applies to a view with the
+	// hash of its base.
+	PeerDelta struct {
+		Delta
+		Read     Read
+		Revision uint64
+		Table    *route.Table // nil if the configuration did not change
+		Age      time.Duration
+	}
+
 	// Confirmed reports that another daemon has the same view at the given revision,
 	// confirmed Age ago by a read.
 	Confirmed struct {
@@ -76,6 +96,8 @@
 
 func (Snapshot) event()         {}
 func (PeerSnapshot) event()     {}
+func (PeerDelta) event()        {}
+func (Changes) event()          {}
 func (Confirmed) event()        {}
 func (PeerAvailability) event() {}
 func (Suspended) event()        {}
--- a/internal/front/pick/bench_test.go
+++ b/internal/front/pick/bench_test.go
@@ -1,6 +1,10 @@
 package pick
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/slaterock/slaterock/internal/front/fleet"
+)
 
 // BenchmarkLoad sums the load of 1,100 upstreams, as is done for each new program: 19 us
 // and no allocation, measured under other load.
@@ -10,10 +14,11 @@
 	for i := range list {
 		load[list[i].ID] = 1 + i%8
 	}
+	service := fleet.NewService(list...)
 	p := &Picker{Domain: "x"}
 	p.PeersUpdated(load, 1)
 	b.ReportAllocs()
 	for b.Loop() {
-		p.Load(list, func(int) float64 { return 1 })
+		p.Load(service, func(int) float64 { return 1 })
 	}
 }
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -98,53 +98,29 @@
 
 		mu        sync.Mutex
 		upstreams map[string]*state
-		fronts    int // other daemons that are alive
+		peers     map[string]int // requests of other daemons in flight by upstream, as they reported
+		fronts    int            // other daemons that are alive
 	}
 
 	state struct {
-		ownInFlight   int       // requests of this daemon
-		peersInFlight int       // requests of other daemons, as they reported
-		avoidUntil    time.Time // not selected before then if there is another candidate
-		failureRate   float64   // moving average of failures, 0 to 1
-		slowdown      float64   // moving average of the time taken, in multiples of the usual; 0 is unknown
-		lastOutcome   time.Time // when an outcome was last recorded
+		ownInFlight int       // requests of this daemon
+		avoidUntil  time.Time // not selected before then if there is another candidate
+		failureRate float64   // moving average of failures, 0 to 1
+		slowdown    float64   // moving average of the time taken, in multiples of the usual; 0 is unknown
+		lastOutcome time.Time // when an outcome was last recorded
 	}
 
 	// Request describes a request for which an upstream is selected.
 	Request struct {
-		Candidates []fleet.Upstream // upstreams of the service
-		Key        string           // of the program whose turn it is; empty for plain calls
-		Prefer     string           // id of the upstream that has the prompt cached; may be empty
-		Tokens     int              // length of the prompt, which other upstreams would have to prefill
-		Only       string           // id of the only upstream that may run it, even if leaving or excluded; empty for any
-		Exclude    map[string]bool  // ids that have refused or failed this attempt
+		Candidates *fleet.Service  // upstreams of the service; nil for none
+		Key        string          // of the program whose turn it is; empty for plain calls
+		Prefer     string          // id of the upstream that has the prompt cached; may be empty
+		Tokens     int             // length of the prompt, which other upstreams would have to prefill
+		Only       string          // id of the only upstream that may run it, even if leaving or excluded; empty for any
+		Exclude    map[string]bool // ids that have refused or failed this attempt
 	}
 )
 
-// Choose selects the candidate with the lowest cost and counts the request as in flight
-// there. It returns false if there is no eligible candidate. The caller must call Done
-// when the request has ended.
-func (p *Picker) Choose(now time.Time, r Request) (fleet.Upstream, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	confidence := p.confidence()
-	best, lowest := -1, math.Inf(1)
-	for i := range r.Candidates {
-		u := &r.Candidates[i]
-		if r.Only != "" && u.ID != r.Only || r.Only == "" && (u.Leaving || r.Exclude[u.ID]) {
-			continue
-		}
-		if cost := p.cost(now, u, r, confidence); cost < lowest {
-			best, lowest = i, cost
-		}
-	}
-	if best < 0 {
-		return fleet.Upstream{}, false
-	}
-	p.state(r.Candidates[best].ID).ownInFlight++
-	return r.Candidates[best], true
-}
-
 // avoidCost is added for an upstream that is selected only if there is no other: it
 // exceeds the sum of all other costs.
 const avoidCost = 1e6
@@ -157,7 +133,7 @@
 	return min(1, float64(freshAge)/float64(max(p.Age(), 1)))
 }
 
-func (p *Picker) cost(now time.Time, u *fleet.Upstream, r Request, confidence float64) float64 {
+func (p *Picker) cost(now time.Time, u *fleet.Upstream, r *Request, confidence float64) float64 {
 	cost := noiseCost / 2 * jitter()
 	if u.Domain != p.Domain {
 		cost += crossDomainCost
@@ -173,25 +149,28 @@
 	if r.Prefer == "" {
 		cost += (noiseCost + spreadCost*(1-confidence)) * weight(cmp.Or(r.Key, p.Name), u.ID)
 	}
+	own, peers := 0, p.peers[u.ID]
 	s := p.upstreams[u.ID]
-	if s == nil {
+	if s != nil {
+		own = s.ownInFlight
+		cost += s.outcomes(now)
+		if now.Before(s.avoidUntil) {
+			cost += avoidCost
+		}
+	}
+	if own+peers == 0 {
 		return cost
 	}
-	cost += prefillCost * float64(s.ownInFlight+s.peersInFlight)
+	cost += prefillCost * float64(own+peers)
 	batch := float64(max(u.Batch, 1))
-	inFlight := float64(s.ownInFlight) + confidence*float64(s.peersInFlight)
+	inFlight := float64(own) + confidence*float64(peers)
 	if r.Key != "" {
 		cost += contentionCost * inFlight
 	} else {
 		share := min(inFlight/batch, 1)
 		cost += loadCost * share * share
 	}
-	cost += queueCost * max(inFlight-batch+1, 0) / batch
-	cost += s.outcomes(now)
-	if now.Before(s.avoidUntil) {
-		cost += avoidCost
-	}
-	return cost
+	return cost + queueCost*max(inFlight-batch+1, 0)/batch
 }
 
 // outcomes returns the cost expected from recent outcomes, which decays with time.
@@ -231,34 +210,50 @@
 func (p *Picker) InFlight(id string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.inFlight(id)
+}
+
+func (p *Picker) inFlight(id string) int {
+	n := p.peers[id]
 	if s := p.upstreams[id]; s != nil {
-		return s.ownInFlight + s.peersInFlight
+		n += s.ownInFlight
 	}
-	return 0
+	return n
 }
 
-// Load returns the sums over all upstreams that are not leaving: the requests in flight
-// (InFlight) and the capacity in requests (Capacity), which is for each the batch size times
-// share(batch size). It adds the number of daemons, this one included (Daemons), and the
+// Load returns the sums over all upstreams of a service that are not leaving: the requests in
+// flight (InFlight) and the capacity in requests (Capacity), which is for each the batch size
+// times share(batch size). It adds the number of daemons, this one included (Daemons), and the
 // value of Age (Staleness).
-func (p *Picker) Load(list []fleet.Upstream, share func(batch int) float64) (l gate.Load) {
+func (p *Picker) Load(s *fleet.Service, share func(batch int) float64) (l gate.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.Daemons = 1 + p.fronts
 	if p.Age != nil {
 		l.Staleness = p.Age()
 	}
-	room := 0.0
-	for i := range list {
-		if list[i].Leaving {
+	l.Capacity = s.Capacity(share)
+	if s.Len() <= len(p.peers)+len(p.upstreams) {
+		for i := range s.Len() {
+			if u := s.At(i); !u.Leaving {
+				l.InFlight += p.inFlight(u.ID)
+			}
+		}
+		return l
+	}
+	for id, n := range p.peers {
+		if u, found := s.Find(id); found && !u.Leaving {
+			l.InFlight += n
+		}
+	}
+	for id, state := range p.upstreams {
+		if state.ownInFlight == 0 {
 			continue
 		}
-		room += share(list[i].Batch) * float64(list[i].Batch)
-		if s := p.upstreams[list[i].ID]; s != nil {
-			l.InFlight += s.ownInFlight + s.peersInFlight
+		if u, found := s.Find(id); found && !u.Leaving {
+			l.InFlight += state.ownInFlight
 		}
 	}
-	l.Capacity = int(room)
 	return l
 }
 
@@ -327,17 +322,12 @@
 }
 
 // PeersUpdated replaces the numbers of requests that all other daemons together have in
-// flight, by upstream id, and the number of these daemons.
+// flight, by upstream id, and the number of these daemons. The map must not be changed
+// afterwards.
 func (p *Picker) PeersUpdated(load map[string]int, fronts int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fronts = fronts
-	for id, s := range p.upstreams {
-		s.peersInFlight = load[id]
-	}
-	for id, n := range load {
-		p.state(id).peersInFlight = n
-	}
+	p.fronts, p.peers = fronts, load
 }
 
 // Forget drops the state of upstreams that are no longer listed and have no requests in
@@ -346,7 +336,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, s := range p.upstreams {
-		if s.ownInFlight == 0 && s.peersInFlight == 0 && !listed(id) {
+		if s.ownInFlight == 0 && !listed(id) {
 			delete(p.upstreams, id)
 		}
 	}
--- a/internal/front/pick/pick_test.go
+++ b/internal/front/pick/pick_test.go
@@ -38,11 +38,11 @@
 	list[2].Batch = 8
 	count := map[string]int{}
 	for range 16 {
-		count[choose(p, Request{Candidates: list})]++
+		count[choose(p, Request{Candidates: fleet.NewService(list...)})]++
 	}
 	is.Equal(count, map[string]int{"u0": 4, "u1": 4, "u2": 8}) // in proportion to their batch sizes
 	p.Done("u1")
-	is.Equal(choose(p, Request{Candidates: list}), "u1")
+	is.Equal(choose(p, Request{Candidates: fleet.NewService(list...)}), "u1")
 }
 
 func TestAvoidedUpstreams(t *testing.T) {
@@ -76,7 +76,7 @@
 			list := ups(2)
 			p := &Picker{Domain: "x"}
 			c.prepare(p, list)
-			is.New(t).Equal(choose(p, Request{Candidates: list, Exclude: map[string]bool{c.exclude: true}}), c.want)
+			is.New(t).Equal(choose(p, Request{Candidates: fleet.NewService(list...), Exclude: map[string]bool{c.exclude: true}}), c.want)
 		})
 	}
 	_, ok := (&Picker{}).Choose(now, Request{})
@@ -96,7 +96,7 @@
 	is := is.New(t)
 	list := ups(9)
 	p := &Picker{Domain: "y"}
-	r := Request{Candidates: list, Key: "k", Prefer: "u3", Tokens: 4000}
+	r := Request{Candidates: fleet.NewService(list...), Key: "k", Prefer: "u3", Tokens: 4000}
 	for range list[0].Batch {
 		is.Equal(choose(p, r), "u3")
 	}
@@ -106,8 +106,8 @@
 	p = &Picker{}
 	p.PeersUpdated(map[string]int{"u3": 3}, 1)
 	is.True(choose(p, r) != "u3") // no prefill is saved by staying
-	is.Equal(choose(&Picker{}, Request{Candidates: list, Only: "u5"}), "u5")
-	is.Equal(choose(&Picker{}, Request{Candidates: list, Only: "gone"}), "")
+	is.Equal(choose(&Picker{}, Request{Candidates: fleet.NewService(list...), Only: "u5"}), "u5")
+	is.Equal(choose(&Picker{}, Request{Candidates: fleet.NewService(list...), Only: "gone"}), "")
 }
 
 // The engine that has a program's prompt cached is busier than others. A turn that moves
@@ -129,7 +129,7 @@
 			list := ups(2)
 			list[0].Batch, list[1].Batch = 16, 16
 			p.PeersUpdated(map[string]int{"u0": c.preferred, "u1": c.other}, 1)
-			is.New(t).Equal(choose(p, Request{Candidates: list, Key: "k", Prefer: "u0", Tokens: 1200}), c.want)
+			is.New(t).Equal(choose(p, Request{Candidates: fleet.NewService(list...), Key: "k", Prefer: "u0", Tokens: 1200}), c.want)
 		})
 	}
 }
@@ -141,7 +141,7 @@
 	list := ups(4)
 	count := map[string]int{}
 	for i := range 16 {
-		count[choose(p, Request{Candidates: list, Key: fmt.Sprint(i)})]++
+		count[choose(p, Request{Candidates: fleet.NewService(list...), Key: fmt.Sprint(i)})]++
 	}
 	is.Equal(count, map[string]int{"u0": 4, "u1": 4, "u2": 4, "u3": 4})
 }
@@ -160,7 +160,7 @@
 			busy[u.ID] = 3 // all but one are reported busy
 		}
 		p.PeersUpdated(busy, 1)
-		count[choose(p, Request{Candidates: list})]++
+		count[choose(p, Request{Candidates: fleet.NewService(list...)})]++
 	}
 	for id, n := range count {
 		if n > 12 {
@@ -174,7 +174,7 @@
 	is := is.New(t)
 	p := &Picker{}
 	none := func(string) bool { return false }
-	choose(p, Request{Candidates: ups(1)})
+	choose(p, Request{Candidates: fleet.NewService(ups(1)...)})
 	p.RecordFull(now, "gone")
 	p.Forget(none)
 	is.Equal(len(p.upstreams), 1) // it has a request in flight
@@ -201,11 +201,11 @@
 	p := &Picker{}
 	list := ups(1100)
 	for i := range 5000 {
-		choose(p, Request{Candidates: list, Key: fmt.Sprint(i)})
+		choose(p, Request{Candidates: fleet.NewService(list...), Key: fmt.Sprint(i)})
 	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		u, _ := p.Choose(now, Request{Candidates: list, Key: "program", Prefer: "u700"})
+		u, _ := p.Choose(now, Request{Candidates: fleet.NewService(list...), Key: "program", Prefer: "u700"})
 		p.Done(u.ID)
 	}
 }
--- a/internal/front/proxy/account_test.go
+++ b/internal/front/proxy/account_test.go
@@ -34,7 +34,7 @@
 	v := env.e.Fleet.View()
 	t := route.New(version, routes, []route.Service{{Name: "s", EventTokens: 3}}, route.Limits{BodyBytes: 100})
 	t.Accounts = a
-	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: uint64(version), Table: t, Upstreams: v.Upstreams})
+	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: uint64(version), Table: t, Upstreams: v.Listed.List()})
 }
 
 // startWithAccounts configures accounts and lets the limiter run until it grants their
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -36,6 +36,9 @@
 	defaultWait = 30 * time.Second
 	// writeSlack is how long after the deadline a response may still be written.
 	writeSlack = time.Second
+	// idleTime is how long a daemon without requests counts as serving no callers, longer
+	// than the directory keeps naming daemons of which fewer are needed.
+	idleTime = 15 * time.Second
 	// defaultBody is the limit on request bodies if the configuration sets none, in bytes.
 	defaultBody = 4 << 20
 )
@@ -83,8 +86,12 @@
 		// Stop is done when the daemon stops; it bounds work that outlives its request.
 		Stop context.Context //nolint:containedctx // lifetime of the daemon
 
+		// Woken is called with the first request after idleTime without any; nil for none.
+		Woken func()
+
 		draining atomic.Bool
 		active   atomic.Int64
+		lastAt   atomic.Int64 // when the last request began, in Unix nanoseconds
 	}
 
 	// request is one attempt in progress.
@@ -109,12 +116,26 @@
 // Drain sets "Connection: close" on the responses to all later requests.
 func (e *Endpoint) Drain() { e.draining.Store(true) }
 
+// Idle reports whether there was no request for idleTime.
+func (e *Endpoint) Idle(now time.Time) bool {
+	return e.active.Load() == 0 && now.UnixNano()-e.lastAt.Load() > int64(idleTime)
+}
+
+// noteRequest records that a request begins.
+func (e *Endpoint) noteRequest(now time.Time) {
+	before := e.lastAt.Swap(now.UnixNano())
+	if e.Woken != nil && now.UnixNano()-before > int64(idleTime) {
+		go e.Woken()
+	}
+}
+
 // Active returns the number of requests in progress.
 func (e *Endpoint) Active() int64 { return e.active.Load() }
 
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
+	e.noteRequest(time.Now())
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -245,12 +245,8 @@
 	if !errors.Is(err, errNoUpstream) {
 		return false
 	}
-	for _, u := range t.e.Fleet.View().Services[t.service.Name] {
-		if u.ID == id {
-			return false
-		}
-	}
-	return true
+	_, listed := t.e.Fleet.View().Services[t.service.Name].Find(id)
+	return !listed
 }
 
 // relay relays a response to the caller. A status other than 200 carries no events: the
--- a/internal/node/frontd/backup.go
+++ b/internal/node/frontd/backup.go
@@ -169,5 +169,7 @@
 	if err = cbor.Unmarshal(n.Data, &s); err != nil {
 		return errors.Wrap(err, "decode backup")
 	}
+	// one revision older, so that the state of a front that has read the store replaces it
+	s.Revision, s.Restored = max(s.Revision, 1)-1, true
 	return d.applySnapshot(s, time.Duration(n.Age)*time.Millisecond)
 }
--- a/internal/node/frontd/change.go
+++ b/internal/node/frontd/change.go
@@ -35,9 +35,9 @@
 
 func source(n fleet.Event) string {
 	switch n.(type) {
-	case fleet.Snapshot:
+	case fleet.Snapshot, fleet.Changes:
 		return "store"
-	case fleet.PeerSnapshot, fleet.Confirmed, fleet.PeerAvailability:
+	case fleet.PeerSnapshot, fleet.PeerDelta, fleet.Confirmed, fleet.PeerAvailability:
 		return "peer"
 	default:
 		return ""
@@ -55,17 +55,11 @@
 	if v.Confirmed.IsZero() {
 		return
 	}
-	leaving := 0
-	for _, u := range v.Upstreams {
-		if u.Leaving {
-			leaving++
-		}
-	}
 	d.Scope.Gauge("news_age_seconds").Update(now.Sub(v.Confirmed).Seconds())
-	d.Scope.Gauge("upstreams_listed").Update(float64(len(v.Upstreams)))
-	d.Scope.Gauge("upstreams_leaving").Update(float64(leaving))
+	d.Scope.Gauge("upstreams_listed").Update(float64(v.Listed.Len()))
+	d.Scope.Gauge("upstreams_leaving").Update(float64(v.Listed.Leaving()))
 	if v.Table != nil {
 		d.Scope.Gauge("config_version").Update(float64(v.Table.Version))
 	}
-	d.Scope.Gauge("upstreams_missing").Update(float64(len(v.Retained)))
+	d.Scope.Gauge("upstreams_missing").Update(float64(v.Retained.Len()))
 }
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -102,7 +102,6 @@
 		backups     backups
 		limits      limits.Limiter
 		limitPeers  limitPeers
-		idCache     atomic.Pointer[upstreamIDs]
 	}
 )
 
@@ -155,7 +154,7 @@
 	}
 	d.proxy = proxy.Endpoint{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
-		Refresh: d.refreshConfig, Stop: ctx, Limiter: &d.limits,
+		Refresh: d.refreshConfig, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast,
 		Records: &d.reach,
 	}
 	d.reach.Records = &quorum.Client{
@@ -257,13 +256,11 @@
 func (d *Daemon) sweep(ctx context.Context) {
 	for pause.For(ctx, sweepInterval) {
 		d.pool.CloseExpired(time.Now())
-		known := map[string]bool{}
-		for _, list := range d.fleet.View().Services {
-			for _, u := range list {
-				known[u.ID] = true
-			}
-		}
-		d.picker.Forget(func(id string) bool { return known[id] })
+		v := d.fleet.View()
+		d.picker.Forget(func(id string) bool {
+			_, known := v.Find(id)
+			return known
+		})
 		d.reportState(time.Now())
 		d.reportLimits(time.Now())
 		d.Scope.Gauge("queued").Update(float64(d.proxy.Queue.Len()))
--- a/internal/node/frontd/frontd_test.go
+++ b/internal/node/frontd/frontd_test.go
@@ -129,7 +129,7 @@
 	is.True(d.fleet.View().Confirmed.IsZero())
 	d.apply(fleet.Snapshot{Revision: 1, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}}, nil)
 	d.apply(fleet.Snapshot{Revision: 2}, nil)
-	is.Equal(len(d.fleet.View().Services["s"]), 0)
+	is.Equal(d.fleet.View().Services["s"].Len(), 0)
 }
 
 // A front was partitioned for five seconds. The datagrams of the others must show that the
@@ -154,7 +154,7 @@
 			is.NoErr(err)
 			d.onPeerState(now, mesh.StateOf(msg))
 			d.fleet.Update(now, fleet.Snapshot{Revision: revision + 1})
-			is.Equal(len(d.fleet.View().Services["s"]), 0)
+			is.Equal(d.fleet.View().Services["s"].Len(), 0)
 		})
 	}
 }
--- a/internal/node/frontd/state.go
+++ b/internal/node/frontd/state.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/peer/link"
@@ -35,6 +38,8 @@
 		Delta  *fleet.Delta `cbor:"8,keyasint,omitempty"`
 		Reader uint32       `cbor:"9,keyasint,omitempty"`  // as in mesh.State
 		Read   uint64       `cbor:"10,keyasint,omitempty"` // as in mesh.State
+		// Restored is as in fleet.View.
+		Restored bool `cbor:"11,keyasint,omitempty"`
 	}
 
 	// baseline identifies the state that a front already has, in its request for a snapshot.
@@ -49,22 +54,16 @@
 		mu   sync.Mutex
 		busy map[string]bool
 	}
-
-	// upstreamIDs maps the hashed ids of upstreams to the ids.
-	upstreamIDs struct {
-		hash   uint64 // of the fleet state that they are from
-		lapsed int    // how many of them are kept although the store does not list them
-		byHash map[mesh.ID]string
-	}
 )
 
 // ownTick returns this front's own load, usage and state, for the other fronts.
 func (d *Daemon) ownTick() mesh.Tick {
 	v := d.fleet.View()
-	return mesh.Tick{Load: toIDs(d.picker.OwnInFlight()), Used: toIDs(d.limits.Used(time.Now())), State: mesh.State{
+	now := time.Now()
+	return mesh.Tick{Idle: d.proxy.Idle(now), Load: toIDs(d.picker.OwnInFlight()), Used: toIDs(d.limits.Used(now)), State: mesh.State{
 		Node: d.Settings.Node, Peer: d.Settings.Peer, Callers: d.Settings.Callers,
 		Leaving:   !d.ready(), // also before there is a configuration: it can't serve callers then
-		Unhealthy: d.reach.Down(time.Now()),
+		Unhealthy: d.reach.Down(now),
 		Revision:  v.Revision, Hash: v.Hash, Age: time.Since(v.Confirmed).Milliseconds(), AvailableFor: v.AvailableFor().Milliseconds(),
 		Reader: v.Read.By, Read: v.Read.Number,
 	}}
@@ -91,28 +90,25 @@
 	return out
 }
 
+// upstreamNames replaces the hashed ids of upstreams by the ids, as toNames does.
+func upstreamNames(counts map[mesh.ID]int, v *fleet.View) map[string]int {
+	out := make(map[string]int, len(counts))
+	for id, n := range counts {
+		if u, known := v.FindByID(id); known {
+			out[u.ID] = n
+		}
+	}
+	return out
+}
+
 // onPeersChanged updates the limits and the picker with the numbers of requests that the other
 // fronts have accepted and have in flight, and has the queue of waiting requests check the load.
 func (d *Daemon) onPeersChanged(p mesh.Summary) {
 	d.updateLimits(p)
-	d.picker.PeersUpdated(toNames(p.Load, d.upstreamIDs().byHash), p.Fronts-1)
+	d.picker.PeersUpdated(upstreamNames(p.Load, d.fleet.View()), p.Fronts-1)
 	d.proxy.PeersUpdated()
 }
 
-// upstreamIDs returns the ids of the upstreams in the current view, cached by its hash.
-func (d *Daemon) upstreamIDs() *upstreamIDs {
-	v := d.fleet.View()
-	if n := d.idCache.Load(); n != nil && n.hash == v.Hash && n.lapsed == len(v.Retained) {
-		return n
-	}
-	n := &upstreamIDs{hash: v.Hash, lapsed: len(v.Retained), byHash: make(map[mesh.ID]string, len(v.Upstreams))}
-	for _, u := range v.All() {
-		n.byHash[mesh.IDOf(u.ID)] = u.ID
-	}
-	d.idCache.Store(n)
-	return n
-}
-
 // onPeerState compares another front's state with this one's. Newer state is fetched. The
 // same state from a later read confirms this front's, which then need not read the store.
 // A newer revision must not be required for that, since the store's revision does not change
@@ -162,10 +158,11 @@
 }
 
 func (d *Daemon) fetchSnapshot(e mesh.State) {
+	base := d.baseline()
 	ctx, stop := context.WithTimeout(d.proxy.Stop, peerTimeout)
 	defer stop()
 	var s snapshot
-	err := link.InvokeTyped(ctx, d.link.Peer(e.Peer), methodSnapshot, d.baseline(), &s)
+	err := link.InvokeTyped(ctx, d.link.Peer(e.Peer), methodSnapshot, base, &s)
 	d.fetches.end(e.Node)
 	if err == nil {
 		err = d.applySnapshot(s, 0)
@@ -178,27 +175,24 @@
 // applySnapshot applies a snapshot of a front; ago is the time since it was taken. A delta
 // whose base has been replaced meanwhile is ignored: the next datagram shows whether to
 // fetch again.
-func (d *Daemon) applySnapshot(s snapshot, ago time.Duration) error {
-	t := fleet.PeerSnapshot{Age: time.Duration(s.Age)*time.Millisecond + ago}
-	if s.Delta != nil {
-		var ok bool
-		if t.Snapshot, ok = d.fleet.View().Apply(*s.Delta); !ok {
-			return nil
-		}
-	} else {
-		t.Upstreams, t.Entries = s.Upstreams, s.Entries
-	}
-	t.Revision, t.Read = s.Revision, fleet.Read{By: s.Reader, Number: s.Read}
+func (d *Daemon) applySnapshot(s snapshot, ago time.Duration) (err error) {
+	read, age := fleet.Read{By: s.Reader, Number: s.Read}, time.Duration(s.Age)*time.Millisecond+ago
+	var table *route.Table
 	if len(s.Config) > 0 {
-		var err error
-		if t.Table, err = d.Source.Decode(s.Config, s.ConfigRev); err != nil {
+		if table, err = d.Source.Decode(s.Config, s.ConfigRev); err != nil {
 			return err
 		}
 	}
 	if len(s.Roster) > 0 {
 		d.discov.Learn(s.Roster)
 	}
-	d.apply(t, nil)
+	if s.Delta != nil {
+		d.apply(fleet.PeerDelta{Delta: *s.Delta, Read: read, Revision: s.Revision, Table: table, Age: age}, nil)
+		return nil
+	}
+	d.apply(fleet.PeerSnapshot{Age: age, Snapshot: fleet.Snapshot{
+		Read: read, Revision: s.Revision, Table: table, Upstreams: s.Upstreams, Entries: s.Entries, Restored: s.Restored,
+	}}, nil)
 	return nil
 }
 
@@ -222,13 +216,15 @@
 	if ok && delta.Hash == v.Hash {
 		s.Delta = &delta
 	} else {
-		s.Upstreams, s.Entries = v.Upstreams, v.Entries
+		s.Upstreams, s.Entries, s.Restored = v.Listed.List(), v.Entries, v.Restored
 	}
 	if v.Table != nil && v.Table.Version != b.Version {
 		s.Config, s.ConfigRev = v.Table.Text, v.Table.Revision
 	}
 	if r := d.discov.Roster(); r.Version > 0 {
-		s.Roster, err = r.Encode()
+		var invalid error
+		s.Roster, invalid = r.Encode()
+		err = errors.CombineErrors(err, invalid)
 	}
 	return s, err
 }
