frontd: a fleet that starts reads all keys once, and fetches them packed

At a start each front read all keys at once: 866 times 21 calls and some 4.5 MB, 3.9 GB in all, half a minute of the store's link, after each loss of power. Each front now reads the list of fronts first, from a replica that may be behind (a tenth of a call). Up to 24 fronts nothing else changes. Of more, the hubs read one after the other, 0.4 s apart, and all others wait for the state of the first that has it.

A first fetch may take 3 s, since a hub answers dozens at the same time.

In an outage, fronts beyond the 320th in the order of reads read later and later, so that the calls of an outage don't grow with the fleet.

--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -102,6 +102,8 @@
 		backups     backups
 		limits      limits.Limiter
 		limitPeers  limitPeers
+		packs       packs
+		starting    starting
 	}
 )
 
@@ -203,7 +205,7 @@
 // others returns the other fronts: those listed in the store, and those known from datagrams
 // only. A front whose calls the store refuses may have no key there.
 func (d *Daemon) others(p mesh.Summary) []fleet.Entry {
-	list := slices.Clone(d.fleet.View().Entries)
+	list := slices.Clone(d.entries())
 	for i := range list {
 		list[i].Leaving = list[i].Leaving || p.Alive[mesh.IDOf(list[i].Node)]&mesh.Leaving != 0
 	}
@@ -214,7 +216,7 @@
 }
 
 func (d *Daemon) peers() (list []mesh.Peer) {
-	for _, e := range d.fleet.View().Entries {
+	for _, e := range d.entries() {
 		if e.Node != d.Settings.Node {
 			list = append(list, mesh.Peer{Node: e.Node, Address: e.Peer, Domain: e.Domain, Cores: e.Cores})
 		}
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -19,12 +19,12 @@
 const (
 	// checkInterval is the pause between checks of the age of the state.
 	checkInterval = 40 * time.Millisecond
-	// maxStartJitter spreads the second reads of fronts that know neither a configuration nor
-	// other fronts, during the first startupTime after their start. The first to read again
-	// sends the state to the others. Without it each of 171 fronts that start together reads
-	// four times until all are listed, which is half of the store's calls on a day at low load.
-	maxStartJitter = 2 * time.Second
-	startupTime    = 5 * time.Second
+	// startupTime is the time after its start during which a front that knows neither a
+	// configuration nor other fronts delays its second read by startJitter. The first to read
+	// again sends the state to the others. Without it each of 171 fronts that start together
+	// reads four times until all are listed, which is half of the store's calls on a day at
+	// low load.
+	startupTime = 5 * time.Second
 	// resumeDelay is how long a front whose process was suspended waits before it reads the
 	// store: enough for a report to another front and its answer. If it read at once, its
 	// gap without state would look like an outage of the store, and it would keep upstreams
@@ -69,7 +69,8 @@
 // readLoop reads the store whenever this front's state is too old, until ctx ends.
 func (d *Daemon) readLoop(ctx context.Context) {
 	wait := time.Duration(0)
-	began, jitter := time.Now(), rand.N(maxStartJitter)
+	began, jitter := time.Now(), startJitter()
+	d.readFronts(ctx)
 	spread := rand.N(readAgeSpread)
 	var ran stall.Detector
 	var resumeAt time.Time // no read before then
@@ -77,7 +78,8 @@
 		v := d.fleet.View()
 		now := time.Now()
 		turn := d.readTurn(now, spread)
-		if now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter, turn) {
+		awaited := v.Revision == 0 && d.awaitsState(now.Sub(began), spread, now)
+		if awaited || now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter, turn) {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
 			wait = turn.backoff(wait)
--- a/internal/node/frontd/register.go
+++ b/internal/node/frontd/register.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// registered reports whether the store lists this front with its present entry, as of the
-// last known state.
-func (d *Daemon) registered() bool { return slices.Contains(d.fleet.View().Entries, d.self()) }
+// registered reports whether the store lists this front with its present entry, as far as it
+// knows.
+func (d *Daemon) registered() bool { return slices.Contains(d.entries(), d.self()) }
 
 func (d *Daemon) logRegistration(err error) {
 	if err != nil {
--- /dev/null
+++ b/internal/node/frontd/start.go
@@ -0,0 +1,101 @@
+package frontd
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/mesh"
+	"github.com/slaterock/slaterock/internal/node/discov"
+)
+
+// A front that starts has no state. In a small system it reads the whole store at once. If
+// hundreds did so, after a loss of power, the answers would fill the store's link for half a
+// minute. So each first reads the list of fronts alone, from a replica of the store that may be
+// behind. If the list is long, the hubs read the store one after the other, and all others get
+// the state from the first hub that has it.
+
+const (
+	// hubDelay is how long after its start a hub waits for the state for each hub before it.
+	// A hub reads the keys of 10,000 upstreams in about 0.4 s.
+	hubDelay = 400 * time.Millisecond
+	// maxStartDelay is how long a front waits for others at most before it reads by itself.
+	maxStartDelay = 4 * time.Second
+	// maxSilentStart is how long after its start a front that hears nobody waits for others.
+	maxSilentStart = time.Second
+	// startSpread is the time over which fronts that know of no others spread their second
+	// reads, and startBias the exponent by which later times are more likely. The first of 8
+	// fronts reads after 3 s, the first of 900 after 1 s, and half a second later a few others.
+	startSpread = 4 * time.Second
+	startBias   = 10.0
+)
+
+// starting is what a front knows before it has any state. The zero value is ready for use.
+type starting struct {
+	fronts atomic.Pointer[[]fleet.Entry] // as listed when this front started
+}
+
+// entries returns the fronts that are listed in the store: as of the view, or as of the start if
+// there is no view yet.
+func (d *Daemon) entries() []fleet.Entry {
+	if v := d.fleet.View(); v.Revision > 0 {
+		return v.Entries
+	}
+	if list := d.starting.fronts.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// readFronts reads the list of fronts and, if all of them can't send to each other directly,
+// joins them before it has any state.
+func (d *Daemon) readFronts(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, peerTimeout)
+	defer stop()
+	list, _, err := d.Store.Scan(ctx, discov.FrontPrefix, true)
+	if err != nil {
+		return // the read of the store that follows logs the outage
+	}
+	fronts, err := discov.Fronts(list)
+	if err != nil {
+		d.logUnusable(err)
+	}
+	if len(fronts) <= mesh.FullMeshMax {
+		return
+	}
+	d.starting.fronts.Store(&fronts)
+	d.meshio.Broadcast()
+	d.Log.Info().Int("fronts", len(fronts)).Msg("state awaited from other fronts")
+}
+
+// awaitsState reports whether this front, which has no state yet, goes on waiting for that of
+// others. One that hears nobody a second after its start does not.
+func (d *Daemon) awaitsState(uptime, spread time.Duration, now time.Time) bool {
+	if uptime > maxSilentStart && d.meshio.Summary(now).Fronts <= 1 {
+		return false
+	}
+	return uptime < d.startDelay(spread)
+}
+
+// startDelay returns how long after its start this front waits for the state of others, 0 if
+// there are few others.
+func (d *Daemon) startDelay(spread time.Duration) time.Duration {
+	if d.starting.fronts.Load() == nil {
+		return 0
+	}
+	place, isHub := d.meshio.HubPlace()
+	if !isHub {
+		return maxStartDelay + spread
+	}
+	return min(time.Duration(place)*hubDelay, maxStartDelay+spread)
+}
+
+// startJitter returns a random part of startSpread. Later times are more likely, so that few
+// fronts read before the first of them can tell the others, however many there are.
+func startJitter() time.Duration {
+	part := math.Log1p(rand.Float64()*math.Expm1(startBias)) / startBias
+	return time.Duration(part * float64(startSpread))
+}
--- /dev/null
+++ b/internal/node/frontd/start_test.go
@@ -0,0 +1,73 @@
+package frontd
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// All fronts restart together, as after a loss of power. If each of them read all keys, the answers would fill the store's link for half a minute in a fleet of hundreds; all must have the state soon all the same.
+func TestFleetRestartsWithFewReads(t *testing.T) {
+	const readAllTime, bound = 400 * time.Millisecond, 3 * time.Second
+	for name, n := range map[string]int{"a few dozen": 54, "the largest that is served": 171} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, n, 4, 0)
+				c.mu.Lock()
+				c.readAllTime = readAllTime
+				c.mu.Unlock()
+				began := time.Now()
+				for c.started() < n && time.Since(began) < 10*time.Second {
+					time.Sleep(20 * time.Millisecond)
+				}
+				took := time.Since(began)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				t.Logf("%d readings of all keys; all fronts have the state after %v", c.readsAll, took)
+				is.True(c.readsAll <= 2)
+				is.True(took <= bound)
+			})
+		})
+	}
+}
+
+// started returns the number of fronts that have a configuration.
+func (c *cluster) started() (n int) {
+	for _, f := range c.fronts {
+		if f.fleet.View().Table != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// The second reads of fronts that start together with an empty store must be spread so that few come before the first of them can tell the others, however many there are.
+func TestStartJitter(t *testing.T) {
+	const told = 500 * time.Millisecond
+	for name, n := range map[string]int{"eight": 8, "171": 171, "a thousand": 1000} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const plays = 200
+			early := 0
+			for range plays {
+				list := make([]time.Duration, n)
+				first := startSpread
+				for i := range list {
+					list[i] = startJitter()
+					first = min(first, list[i])
+				}
+				is.True(first >= 0 && first < startSpread)
+				for _, at := range list {
+					if at < first+told {
+						early++
+					}
+				}
+			}
+			t.Logf("%.1f fronts read within %v", float64(early)/plays, told)
+			is.True(early/plays <= 10)
+		})
+	}
+}
--- a/internal/node/frontd/state.go
+++ b/internal/node/frontd/state.go
@@ -16,6 +16,9 @@
 const (
 	// peerTimeout bounds a call to another daemon.
 	peerTimeout = 700 * time.Millisecond
+	// firstFetchTimeout bounds the fetch of the whole state, of a few hundred KB, which a hub
+	// may send to dozens of others at the same time.
+	firstFetchTimeout = 3 * time.Second
 	// maxFetches bounds concurrent fetches of newer state from other fronts: a second
 	// one in case the first peer is about to stop.
 	maxFetches = 2
@@ -40,12 +43,15 @@
 		Read   uint64       `cbor:"10,keyasint,omitempty"` // as in mesh.State
 		// Restored is as in fleet.View.
 		Restored bool `cbor:"11,keyasint,omitempty"`
+		// Packed replaces the lists of upstreams and entries: they are encoded and compressed.
+		Packed []byte `cbor:"12,keyasint,omitempty"`
 	}
 
 	// baseline identifies the state that a front already has, in its request for a snapshot.
 	baseline struct {
 		Hash    uint64 `cbor:"1,keyasint"` // of its state
 		Version int64  `cbor:"2,keyasint"` // of its configuration
+		Unpacks bool   `cbor:"3,keyasint"` // it accepts packed lists
 	}
 
 	// fetches tracks which fronts a snapshot is being fetched from. The zero value is
@@ -158,8 +164,11 @@
 }
 
 func (d *Daemon) fetchSnapshot(e mesh.State) {
-	base := d.baseline()
-	ctx, stop := context.WithTimeout(d.proxy.Stop, peerTimeout)
+	base, timeout := d.baseline(), peerTimeout
+	if base.Hash == 0 {
+		timeout = firstFetchTimeout
+	}
+	ctx, stop := context.WithTimeout(d.proxy.Stop, timeout)
 	defer stop()
 	var s snapshot
 	err := link.InvokeTyped(ctx, d.link.Peer(e.Peer), methodSnapshot, base, &s)
@@ -190,6 +199,9 @@
 		d.apply(fleet.PeerDelta{Delta: *s.Delta, Read: read, Revision: s.Revision, Table: table, Age: age}, nil)
 		return nil
 	}
+	if err = s.unpack(); err != nil {
+		return err
+	}
 	d.apply(fleet.PeerSnapshot{Age: age, Snapshot: fleet.Snapshot{
 		Read: read, Revision: s.Revision, Table: table, Upstreams: s.Upstreams, Entries: s.Entries, Restored: s.Restored,
 	}}, nil)
@@ -198,7 +210,7 @@
 
 func (d *Daemon) baseline() baseline {
 	v := d.fleet.View()
-	b := baseline{Hash: v.Hash}
+	b := baseline{Hash: v.Hash, Unpacks: true}
 	if v.Table != nil {
 		b.Version = v.Table.Version
 	}
@@ -215,8 +227,10 @@
 	s.Reader, s.Read = v.Read.By, v.Read.Number
 	if ok && delta.Hash == v.Hash {
 		s.Delta = &delta
+	} else if s.Restored = v.Restored; b.Unpacks {
+		s.Packed, err = d.packs.pack(v)
 	} else {
-		s.Upstreams, s.Entries, s.Restored = v.Listed.List(), v.Entries, v.Restored
+		s.Upstreams, s.Entries = v.Listed.List(), v.Entries
 	}
 	if v.Table != nil && v.Table.Version != b.Version {
 		s.Config, s.ConfigRev = v.Table.Text, v.Table.Revision
--- a/internal/node/frontd/turn.go
+++ b/internal/node/frontd/turn.go
@@ -25,6 +25,12 @@
 	minBackoff  = 300 * time.Millisecond
 	maxBackoff  = 1200 * time.Millisecond
 	lateBackoff = 2500 * time.Millisecond
+	// farRank is the rank from which fronts read later and later than maxReadAge, each
+	// farDelay after the one before and all within maxFarDelay, so that the calls of an outage
+	// don't grow with the number of fronts.
+	farRank     = 320
+	farDelay    = 5 * time.Millisecond
+	maxFarDelay = 2 * time.Second
 )
 
 // readTurn is a front's place in the order in which fronts read the store for all.
@@ -57,7 +63,8 @@
 	if t.alone {
 		return maxReadAgeAlone + t.spread
 	}
-	return maxReadAge + t.spread
+	far := time.Duration(max(t.rank-farRank, 0)) * farDelay
+	return maxReadAge + t.spread + min(far, maxFarDelay)
 }
 
 // backoff returns the backoff after a failed read that followed the given one.
