frontd: who is alive is looked up, not listed, at each tick

A front built a map of all fronts for each summary, up to 50 times a second, and a list of all peers 35 times a second: some 3 MB of garbage a second at 866 fronts. A summary now refers to the digest and the list of fronts, and the list of peers is kept until the entries change.

--- a/internal/front/mesh/elect.go
+++ b/internal/front/mesh/elect.go
@@ -211,6 +211,24 @@
 	return place, place >= 0
 }
 
+// hears reports whether another front has sent a report or a share that is still live, or
+// reports to a hub that has.
+func (m *Mesh) hears(now time.Time, id ID) bool {
+	if r, found := m.reports[id]; found && now.Sub(r.at) <= reportTTL {
+		return true
+	}
+	longest := m.silenceTimeout()
+	if s, found := m.shares[id]; found && now.Sub(s.at) <= longest {
+		return true
+	}
+	for _, s := range m.shares {
+		if _, found := s.Group[id]; found && now.Sub(s.at) <= longest {
+			return true
+		}
+	}
+	return false
+}
+
 // Rank is the position of this front, from 0, in the order in which fronts read the store:
 // hubs first, since they send the result to all others. For a hub it is the number of live
 // hubs before it, for another front the number of hubs plus that of listed fronts with a
@@ -218,11 +236,13 @@
 func (m *Mesh) Rank(now time.Time) int {
 	self := IDOf(m.Self.Node)
 	if i := slices.IndexFunc(m.hubs, m.isSelf); i >= 0 {
-		alive := m.alive(now)
-		return len(slices.DeleteFunc(slices.Clone(m.hubs[:i]), func(p peer) bool {
-			_, ok := alive[p.id]
-			return !ok
-		}))
+		n := 0
+		for _, p := range m.hubs[:i] {
+			if m.hears(now, p.id) {
+				n++
+			}
+		}
+		return n
 	}
 	n := len(m.hubs)
 	for id := range m.peers {
--- a/internal/front/mesh/sim_test.go
+++ b/internal/front/mesh/sim_test.go
@@ -190,7 +190,7 @@
 		for _, other := range list {
 			key := [2]int{i, other}
 			id := IDOf(sim.fronts[other].Self.Node)
-			_, live := p.Alive[id]
+			_, live := p.Status(id)
 			live = live || !alive && p.Load[id] != 0 // the load of a front that is down must not count
 			if other == i || live == alive {
 				delete(o.since, key)
--- a/internal/front/mesh/summary.go
+++ b/internal/front/mesh/summary.go
@@ -15,11 +15,15 @@
 
 	// Summary is the state of the other fronts at one moment.
 	Summary struct {
-		Alive    map[ID]Status
-		Unlisted []State    // of live fronts that are not in the PeerList, sorted by node
-		Load     map[ID]int // requests in flight at all of them, by upstream
-		Used     map[ID]int // requests admitted recently by all of them, by account
-		Fronts   int        // number of live fronts, this one included
+		Alive    map[ID]Status // live fronts; see Status
+		Unlisted []State       // of live fronts that are not in the PeerList, sorted by node
+		Load     map[ID]int    // requests in flight at all of them, by upstream
+		Used     map[ID]int    // requests admitted recently by all of them, by account
+		Fronts   int           // number of live fronts, this one included
+
+		byDigest bool // all fronts in peers are alive but those in missing; Alive has those with flags
+		peers    map[ID]peer
+		missing  map[ID]bool
 	}
 )
 
@@ -27,6 +31,16 @@
 // that receives from fewer is partitioned itself, and can't tell which of them are down.
 func (p Summary) ReachesHalf(others int) bool { return 2*(p.Fronts-1) >= others }
 
+// Status returns the flags of another front, and whether it is alive.
+func (p Summary) Status(id ID) (s Status, alive bool) {
+	s, alive = p.Alive[id]
+	if p.byDigest {
+		_, alive = p.peers[id]
+		alive = alive && !p.missing[id]
+	}
+	return s, alive
+}
+
 // Summary returns the current state of the other fronts.
 func (m *Mesh) Summary(now time.Time) (p Summary) {
 	m.init()
@@ -52,12 +66,8 @@
 }
 
 func (m *Mesh) digestSummary() (p Summary) {
-	p.Alive = make(map[ID]Status, len(m.peers))
-	for id := range m.peers {
-		if !m.digest.missing[id] {
-			p.Alive[id] = 0
-		}
-	}
+	p.byDigest, p.peers, p.missing = true, m.peers, m.digest.missing
+	p.Alive = make(map[ID]Status, len(m.digest.Leaving)+len(m.digest.Unhealthy))
 	for _, id := range m.digest.Leaving {
 		p.Alive[id] |= Leaving
 	}
--- a/internal/node/frontd/directory.go
+++ b/internal/node/frontd/directory.go
@@ -87,13 +87,14 @@
 	others := d.others(p)
 	trusted := p.ReachesHalf(len(others))
 	for _, e := range others {
-		_, alive := p.Alive[mesh.IDOf(e.Node)]
+		_, alive := p.Status(mesh.IDOf(e.Node))
 		if !e.Leaving && (alive || !trusted) {
 			all = append(all, e)
 		}
 	}
 	for _, e := range all {
-		unhealthy := p.Alive[mesh.IDOf(e.Node)]&mesh.Unhealthy != 0
+		status, _ := p.Status(mesh.IDOf(e.Node))
+		unhealthy := status&mesh.Unhealthy != 0
 		if e.Node == self.Node {
 			unhealthy = d.reach.Down(now)
 		}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -74,6 +74,13 @@
 		ReadyPath() string
 	}
 
+	// peerList is what peers returns for the listed fronts, which it is asked for dozens of times
+	// a second.
+	peerList struct {
+		entries []fleet.Entry
+		peers   []mesh.Peer
+	}
+
 	// Daemon serves callers at one VM. Set the exported fields, then call Run.
 	Daemon struct {
 		Settings  Settings
@@ -104,6 +111,7 @@
 		limitPeers  limitPeers
 		packs       packs
 		starting    starting
+		peerCache   atomic.Pointer[peerList]
 	}
 )
 
@@ -207,7 +215,8 @@
 func (d *Daemon) others(p mesh.Summary) []fleet.Entry {
 	list := slices.Clone(d.entries())
 	for i := range list {
-		list[i].Leaving = list[i].Leaving || p.Alive[mesh.IDOf(list[i].Node)]&mesh.Leaving != 0
+		status, _ := p.Status(mesh.IDOf(list[i].Node))
+		list[i].Leaving = list[i].Leaving || status&mesh.Leaving != 0
 	}
 	for _, s := range p.Unlisted {
 		list = append(list, fleet.Entry{Node: s.Node, Address: s.Callers, Peer: s.Peer, Leaving: s.Leaving})
@@ -215,13 +224,25 @@
 	return slices.DeleteFunc(list, func(e fleet.Entry) bool { return e.Node == d.Settings.Node })
 }
 
-func (d *Daemon) peers() (list []mesh.Peer) {
-	for _, e := range d.entries() {
+// peers returns the listed fronts but this one. The list must not be changed.
+func (d *Daemon) peers() []mesh.Peer {
+	entries := d.entries()
+	if last := d.peerCache.Load(); last != nil && sameList(last.entries, entries) {
+		return last.peers
+	}
+	next := peerList{entries: entries}
+	for _, e := range entries {
 		if e.Node != d.Settings.Node {
-			list = append(list, mesh.Peer{Node: e.Node, Address: e.Peer, Domain: e.Domain, Cores: e.Cores})
+			next.peers = append(next.peers, mesh.Peer{Node: e.Node, Address: e.Peer, Domain: e.Domain, Cores: e.Cores})
 		}
 	}
-	return list
+	d.peerCache.Store(&next)
+	return next.peers
+}
+
+// sameList reports whether two lists that are never changed are one.
+func sameList(a, b []fleet.Entry) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.fleet.View().Table != nil }
--- a/internal/node/frontd/silent.go
+++ b/internal/node/frontd/silent.go
@@ -43,7 +43,7 @@
 	}
 	next := map[string]time.Time{}
 	for _, e := range others {
-		if _, alive := p.Alive[mesh.IDOf(e.Node)]; alive {
+		if _, alive := p.Status(mesh.IDOf(e.Node)); alive {
 			continue
 		}
 		next[e.Node] = now
