discov: VMs with a disk leave the keys of fronts out of their scans

Each of 120 VMs with a disk read the keys of all 986 VMs every 2 s, 260 KB and two calls each time: 16 MB a second of the store's link, four times as much at twice the fleet. Above 400 keys they read their own and the roster, as many calls and 121 keys. A front that looks up the roster reads that key alone; hundreds do so at once after a change.

--- a/internal/node/discov/discov.go
+++ b/internal/node/discov/discov.go
@@ -2,13 +2,14 @@
 // serve callers (fronts), which VMs have a disk, and the roster, which lists the replicas of
 // the records.
 //
-// Scan reads the keys; a stale read is cheap and may be seconds old. Rescan makes one that is
-// not stale. Apply takes keys that were read elsewhere.
+// Scan reads the keys; a stale read is cheap and may be seconds old. Rescan reads the roster
+// alone, not stale. Apply and ApplyChanges take keys that were read elsewhere.
 package discov
 
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,11 @@
 	DiskPrefix  = Prefix + "disk/"
 )
 
+// maxTogether is the number of keys up to which Scan reads all in one call, which then is the
+// cheapest way. Of more, it leaves out those of fronts: there are several times as many of them,
+// and hundreds of VMs with a disk, which don't need them, would fill the store's link.
+const maxTogether = 400
+
 // minRescanInterval is the shortest interval between rescans. They are not stale, so each
 // costs as much as ten stale reads.
 const minRescanInterval = 150 * time.Millisecond
@@ -40,6 +46,7 @@
 		mu          sync.Mutex
 		state       State
 		scannedRev  store.Rev // of the newest scan
+		many        bool      // the last scan of all keys found more than maxTogether
 		rescannedAt time.Time
 		rescanning  chan struct{}
 	}
@@ -92,14 +99,48 @@
 	}
 }
 
-// Scan reads all keys with the prefix and applies them.
+// Scan reads the roster and the VMs with a disk, and the fronts unless there are many keys.
 func (s *Reader) Scan(ctx context.Context, stale bool) (err error) {
 	defer func() { err = errors.Wrap(err, "scout") }()
-	list, rev, err := s.Store.Scan(ctx, Prefix, stale)
+	s.mu.Lock()
+	many := s.many
+	s.mu.Unlock()
+	if !many {
+		list, rev, err := s.Store.Scan(ctx, Prefix, stale)
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		s.many = len(list) > maxTogether
+		s.mu.Unlock()
+		return s.Apply(list, rev)
+	}
+	list, rev, err := s.Store.Scan(ctx, DiskPrefix, stale)
+	if err != nil {
+		return err
+	}
+	rosterKey, rosterRev, err := s.Store.Scan(ctx, RosterKey, stale)
 	if err != nil {
 		return err
 	}
-	return s.Apply(list, rev)
+	return s.Apply(slices.Concat(list, rosterKey), min(rev, rosterRev))
+}
+
+// scanRoster reads the roster alone.
+func (s *Reader) scanRoster(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "scan roster") }()
+	list, _, err := s.Store.Scan(ctx, RosterKey, false)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range list {
+		if err := s.state.add(e); err != nil {
+			return errors.Wrapf(err, "key %s", e.Key)
+		}
+	}
+	return nil
 }
 
 // Apply replaces the state by the keys in list, which were read at revision rev. It ignores a
@@ -207,7 +248,7 @@
 	return nil
 }
 
-// Rescan makes a read that is not stale, unless the last one began less than
+// Rescan reads the roster, not from a stale replica, unless the last one began less than
 // minRescanInterval ago. Calls during a read wait for its result. After an error the state is
 // unchanged.
 func (s *Reader) Rescan(ctx context.Context) {
@@ -231,7 +272,7 @@
 	s.mu.Unlock()
 	go func() {
 		defer close(done)
-		_ = s.Scan(context.WithoutCancel(ctx), false) // the caller retries; the daemon's periodic reads log outages
+		_ = s.scanRoster(context.WithoutCancel(ctx)) // the caller retries; the daemon's periodic reads log outages
 		s.mu.Lock()
 		s.rescanning = nil
 		s.mu.Unlock()
