--- a/internal/node/frontd/cluster_test.go
+++ b/internal/node/frontd/cluster_test.go
@@ -275,6 +275,9 @@
 	return n, nil, nil, nil
 }
 
+// Unusable implements Source.
+func (f *clusterFront) Unusable() int { return 0 }
+
 // Read implements Source.
 func (f *clusterFront) Read(ctx context.Context) (s fleet.Snapshot, others []store.Entry, bad []error, err error) {
 	if err = f.call(ctx); err != nil {
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -41,6 +41,8 @@
 		// keys, and an error for each entry that has become invalid. It fails with
 		// store.ErrCompacted if the store has forgotten them.
 		Changes(ctx context.Context, since uint64) (fleet.Changes, []store.Change, []error, error)
+		// Unusable returns the number of invalid entries, as far as they were read here.
+		Unusable() int
 		// Decode decodes a configuration that another daemon has sent.
 		Decode(text []byte, revision uint64) (*route.Table, error)
 	}
@@ -126,6 +128,8 @@
 		}
 		return err
 	}
+	d.Scope.Counter("store_reads").Inc(1)
+	d.Scope.Gauge("entries_unusable").Update(float64(d.Source.Unusable()))
 	d.Log.Info().Bool("all", r.all).Uint64("revision", r.revision).Int("changes", r.changes).Dur("took_ms", time.Since(r.asked)).
 		Dur("state_age_ms", r.asked.Sub(v.Confirmed)).Msg("store read")
 	d.applyAt(r.asked, r.event, nil)
@@ -146,7 +150,6 @@
 	}
 	c.Read = r.read
 	r.event, r.revision, r.changes = c, c.Revision, len(c.Delta.Upstreams)+len(c.Delta.Gone)+len(others)
-	d.Scope.Counter("store_reads").Inc(1)
 	return nil
 }
 
@@ -156,7 +159,6 @@
 	if err != nil {
 		return err
 	}
-	d.Scope.Gauge("entries_unusable").Update(float64(len(bad)))
 	d.logUnusable(bad...)
 	if err = d.discov.Apply(others, store.Rev(n.Revision)); err != nil {
 		d.logUnusable(err)
--- a/internal/node/frontd/read_test.go
+++ b/internal/node/frontd/read_test.go
@@ -50,6 +50,8 @@
 	return fleet.Snapshot{Revision: 20, Table: testTable(2)}, nil, nil, nil
 }
 
+func (s *countingSource) Unusable() int { return 0 }
+
 func (s *countingSource) Changes(_ context.Context, since uint64) (fleet.Changes, []store.Change, []error, error) {
 	s.changes++
 	return fleet.Changes{Since: since, Revision: since + 1}, nil, nil, s.err
