frontd: at most 64 lines for the upstreams of one change

At a start a front logged a line for each upstream: 10,002 lines at each of 866 fronts, some 2 MB and half a second of a small VM's processor. The rest of a change is now counted by state in one line each.

--- a/internal/node/frontd/change.go
+++ b/internal/node/frontd/change.go
@@ -8,11 +8,26 @@
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
+// maxUpstreamLines is how many changed upstreams of one event get a line of their own. At a
+// start all of them change, thousands in a large fleet.
+const maxUpstreamLines = 64
+
+// transition is a change of an upstream's state.
+type transition struct{ from, to string }
+
 // apply applies an update to the fleet's state and logs the changes.
 func (d *Daemon) apply(n fleet.Event, cause error) { d.applyAt(time.Now(), n, cause) }
 
 func (d *Daemon) applyAt(now time.Time, n fleet.Event, cause error) {
+	upstreams := 0
+	more := map[transition]int{}
 	for _, c := range d.fleet.Update(now, n) {
+		if c.Kind == "upstream" {
+			if upstreams++; upstreams > maxUpstreamLines {
+				more[transition{c.From, c.To}]++
+				continue
+			}
+		}
 		line := d.Log.Info()
 		switch c.Kind {
 		case "outage":
@@ -31,6 +46,10 @@
 		}
 		line.Str("by", source(n)).Uint64("revision", d.fleet.View().Revision).Msg("state changed: " + c.Kind)
 	}
+	for t, count := range more {
+		d.Log.Info().Int("more", count).Str("from", t.from).Str("to", t.to).Str("by", source(n)).
+			Uint64("revision", d.fleet.View().Revision).Msg("state changed: upstreams")
+	}
 }
 
 func source(n fleet.Event) string {
