--- a/internal/front/fleet/hash.go
+++ b/internal/front/fleet/hash.go
@@ -14,7 +14,7 @@
 func (u *Upstream) hash() uint64 {
 	var h hasher
 	h.text(u.ID, u.Service, u.Address, u.Domain, u.Version)
-	h.number(uint64(u.Batch), truth(u.Leaving), uint64(u.Born)) //nolint:gosec // any bits do for a hash
+	h.number(uint64(u.Batch), truth(u.Leaving), uint64(u.Born))
 	return h.Sum64()
 }
 
@@ -32,7 +32,7 @@
 	if v.Table != nil {
 		version = v.Table.Version
 	}
-	h.number(v.Listed.sum, v.entriesSum, uint64(version), truth(v.Restored)) //nolint:gosec // any bits do for a hash
+	h.number(v.Listed.sum, v.entriesSum, uint64(version), truth(v.Restored))
 	return h.Sum64()
 }
 
--- a/internal/front/fleet/size_test.go
+++ b/internal/front/fleet/size_test.go
@@ -90,7 +90,7 @@
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	live := int64(after.HeapAlloc) - int64(before.HeapAlloc) //nolint:gosec // far below the limit
+	live := int64(after.HeapAlloc) - int64(before.HeapAlloc)
 	t.Logf("live heap: %d kB", live/1000)
 	is.True(live <= 8e6)
 	runtime.KeepAlive(&f)
--- a/internal/node/discov/discov_test.go
+++ b/internal/node/discov/discov_test.go
@@ -97,7 +97,8 @@
 	var r Reader
 	changed, lost, err := r.ApplyChanges([]store.Change{
 		written("a", value), gone("b"), gone("c"), written("c", value), written("d", value), gone("d"), written("e", []byte("7")),
-		{Entry: store.Entry{Key: RosterKey, Data: []byte(`{"version":4}`), Rev: 12}}, {Entry: store.Entry{Key: DiskPrefix + "x", Data: []byte("{}")}},
+		{Entry: store.Entry{Key: RosterKey, Data: []byte(`{"version":4}`), Rev: 12}},
+		{Entry: store.Entry{Key: DiskPrefix + "x", Data: []byte("{}")}},
 	})
 	is.True(strings.Contains(fmt.Sprint(err), FrontPrefix+"e"))
 	slices.SortFunc(changed, func(a, b fleet.Entry) int { return strings.Compare(a.Node, b.Node) })
