mesh: datagrams fit whatever is missing

A digest names the fronts that are silent. At a start of 1,732 fronts that is longer than the recipients' buffer, so none would have been decoded, and each front would have taken itself for alone. Digests that know of too few fronts to be accepted now name none, and messages leave loads out until they fit. What does not fit without any is counted (mesh_messages_too_long).

Before: TestDatagramsFitWhateverIsMissing fails with 3 of 4 cases too long.

--- a/internal/front/mesh/mesh_test.go
+++ b/internal/front/mesh/mesh_test.go
@@ -206,3 +206,35 @@
 		is.Equal(s.Message.state().Age, own.Age+later.Milliseconds())
 	}
 }
+
+// All VMs of a fleet of twice today's size restart, and three quarters of the fronts are silent still. A datagram that is longer than its recipient's buffer would be lost each time, and each front would take itself for alone.
+func TestDatagramsFitWhateverIsMissing(t *testing.T) {
+	const n = 1732
+	for name, alive := range map[string]int{"nobody else": 0, "a quarter": n / 4, "more than a quarter": n/4 + 20, "all": n - 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			hub := Mesh{Self: Peer{Node: "hub", Domain: "x", Cores: 1}}
+			var peers []Peer
+			group, load := map[ID]Status{}, map[ID]int{}
+			for i := range n {
+				p := Peer{Node: fmt.Sprint("front-", i), Address: fmt.Sprint("10.0.0.1:", i), Domain: "x"}
+				peers = append(peers, p)
+				if i < alive {
+					group[IDOf(p.Node)] = 0
+				}
+				load[IDOf(fmt.Sprint("upstream-", i))] = 1
+			}
+			hub.Step(now, PeerList{Peers: peers})
+			hub.Step(now, Tick{State: State{Node: "hub", Peer: "10.0.0.2:1"}})
+			hub.Step(now, Received{Message: Share{State: State{Node: "front-1", Peer: "10.0.0.1:1"}, Group: group, Load: load}})
+			sends := hub.Step(now, Received{Message: Report{State: State{Node: "front-0", Peer: "10.0.0.1:0"}}})
+			data, err := Encode(sends[0].Message)
+			is.NoErr(err)
+			is.True(len(data) <= MaxPacket)
+			msg, err := Decode(data)
+			is.NoErr(err)
+			is.Equal(StateOf(msg).Node, "hub")
+		})
+	}
+}
--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -93,22 +93,34 @@
 	return m
 }
 
-// Encode returns the datagram of a message, with at most maxLoads upstreams and accounts.
+// Encode returns the datagram of a message, with at most maxLoads upstreams and accounts, and
+// with fewer if it would be longer than MaxPacket. The error reports one that is too long
+// without any.
 func Encode(msg Message) (data []byte, err error) {
-	var p packet
+	defer func() { err = errors.Wrap(err, "encode datagram") }()
+	for most := maxLoads; ; most /= 4 {
+		if data, err = cbor.Marshal(packetOf(msg, most)); err != nil || len(data) <= MaxPacket {
+			return data, err
+		}
+		if most == 0 {
+			return nil, errors.Newf("%d bytes, %d at most", len(data), MaxPacket)
+		}
+	}
+}
+
+func packetOf(msg Message, most int) (p packet) {
 	switch msg := msg.(type) {
 	case Report:
-		msg.Load, msg.Used = busiest(msg.Load), busiest(msg.Used)
+		msg.Load, msg.Used = busiest(msg.Load, most), busiest(msg.Used, most)
 		p.Report = &msg
 	case Share:
-		msg.Load, msg.Used = busiest(msg.Load), busiest(msg.Used)
+		msg.Load, msg.Used = busiest(msg.Load, most), busiest(msg.Used, most)
 		p.Share = &msg
 	case Digest:
-		msg.Load, msg.Used = busiest(msg.Load), busiest(msg.Used)
+		msg.Load, msg.Used = busiest(msg.Load, most), busiest(msg.Used, most)
 		p.Digest = &msg
 	}
-	data, err = cbor.Marshal(p)
-	return data, errors.Wrap(err, "encode datagram")
+	return p
 }
 
 // Decode returns the message of a datagram. The error reports a datagram that is damaged
@@ -135,14 +147,14 @@
 // StateOf returns the state of the sender of a message.
 func StateOf(msg Message) State { return msg.state() }
 
-// busiest returns the maxLoads largest counts.
-func busiest(load map[ID]int) map[ID]int {
-	if len(load) <= maxLoads {
+// busiest returns so many of the counts at most, the largest.
+func busiest(load map[ID]int, most int) map[ID]int {
+	if len(load) <= most {
 		return load
 	}
 	ids := slices.SortedFunc(maps.Keys(load), func(a, b ID) int { return load[b] - load[a] })
-	out := make(map[ID]int, maxLoads)
-	for _, id := range ids[:maxLoads] {
+	out := make(map[ID]int, most)
+	for _, id := range ids[:most] {
 		out[id] = load[id]
 	}
 	return out
--- a/internal/front/mesh/summary.go
+++ b/internal/front/mesh/summary.go
@@ -231,6 +231,9 @@
 			o.missing = append(o.missing, id)
 		}
 	}
+	if minKnownDivisor*o.fronts <= len(m.order) {
+		o.missing = nil // the digest is not accepted, for the same reason, and the list would be long
+	}
 	alive[IDOf(m.Self.Node)] = status(m.own.State)
 	for id, status := range alive {
 		if status&Leaving != 0 {
--- a/internal/front/meshio/meshio.go
+++ b/internal/front/meshio/meshio.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,7 @@
 		mesh        mesh.Mesh
 		summary     mesh.Summary
 		summaryTime time.Time // when summary was computed
+		notSent     atomic.Int64
 	}
 )
 
@@ -100,6 +102,9 @@
 	return t.mesh.HubPlace()
 }
 
+// NotSent returns the number of steps that ended early because a message did not fit a datagram.
+func (t *Transport) NotSent() int64 { return t.notSent.Load() }
+
 // Age is the largest age of the state of other daemons.
 func (t *Transport) Age() time.Duration {
 	t.mu.Lock()
@@ -148,6 +153,7 @@
 		}
 		if i == 0 || !sameShare(last, s.Message) {
 			if data, err = mesh.Encode(s.Message); err != nil {
+				t.notSent.Add(1)
 				return
 			}
 			last = s.Message
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -286,6 +286,7 @@
 		})
 		d.reportState(time.Now())
 		d.reportLimits(time.Now())
+		d.Scope.Gauge("mesh_messages_too_long").Update(float64(d.meshio.NotSent()))
 		d.Scope.Gauge("queued").Update(float64(d.proxy.Queue.Len()))
 		d.Scope.Gauge("active").Update(float64(d.proxy.Active()))
 		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
