frontd: after an outage in which all fronts started, two read all keys

State from a backup is completed by a reading of all keys. When the store came back, each front with such a state read all of them. The first sign of the store is now a call for changes; then the first two in the order of reads read all keys, and the others fetch the state from these, or read after 4 s.

--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -80,7 +80,7 @@
 		v := d.fleet.View()
 		now := time.Now()
 		turn := d.readTurn(now, spread)
-		awaited := v.Revision == 0 && d.awaitsState(now.Sub(began), spread, now)
+		awaited := v.Revision == 0 && d.awaitsState(now.Sub(began), spread, now) || v.Restored && d.awaitsReader(turn, now)
 		if awaited || now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter, turn) {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
@@ -116,10 +116,13 @@
 	r := reading{read: d.readState.begin(), asked: time.Now()}
 	v := d.fleet.View()
 	err := store.ErrCompacted
-	if v.Revision > 0 && !v.Restored {
+	if v.Revision > 0 {
 		err = d.readChanges(ctx, &r, v.Revision)
 	}
-	if errors.Is(err, store.ErrCompacted) {
+	if err == nil && v.Restored && d.starting.noteStore(r.asked) {
+		return nil // the store is back: the first in the order of reads read all keys
+	}
+	if err == nil && v.Restored || errors.Is(err, store.ErrCompacted) {
 		err = d.readAll(ctx, &r)
 	}
 	if err != nil {
--- a/internal/node/frontd/start.go
+++ b/internal/node/frontd/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,9 @@
 	maxStartDelay = 4 * time.Second
 	// maxSilentStart is how long after its start a front that hears nobody waits for others.
 	maxSilentStart = time.Second
+	// firstReaders is how many fronts, the first in the order of reads, read all keys when the
+	// store is back after an outage in which all of them started.
+	firstReaders = 2
 	// startSpread is the time over which fronts that know of no others spread their second
 	// reads, and startBias the exponent by which later times are more likely. The first of 8
 	// fronts reads after 3 s, the first of 900 after 1 s, and half a second later a few others.
@@ -33,9 +37,34 @@
 	startBias   = 10.0
 )
 
-// starting is what a front knows before it has any state. The zero value is ready for use.
+// starting is what a front knows before it has any state that was read from the store. The zero
+// value is ready for use.
 type starting struct {
 	fronts atomic.Pointer[[]fleet.Entry] // as listed when this front started
+
+	mu        sync.Mutex
+	storeBack time.Time // when the store was first seen to answer while the state was from a backup
+}
+
+// noteStore records that the store answers, and reports whether it did not before.
+func (s *starting) noteStore(now time.Time) (first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first = s.storeBack.IsZero()
+	if first {
+		s.storeBack = now
+	}
+	return first
+}
+
+// sinceStore returns since when the store is known to answer, 0 if it is not.
+func (s *starting) sinceStore(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.storeBack.IsZero() {
+		return 0
+	}
+	return now.Sub(s.storeBack)
 }
 
 // entries returns the fronts that are listed in the store: as of the view, or as of the start if
@@ -80,6 +109,14 @@
 	return uptime < d.startDelay(spread)
 }
 
+// awaitsReader reports whether this front, whose state is from a backup and whose store answers,
+// goes on waiting for others to read it. After an outage in which a fleet restarted, all fronts
+// have such a state.
+func (d *Daemon) awaitsReader(turn readTurn, now time.Time) bool {
+	since := d.starting.sinceStore(now)
+	return since > 0 && since < maxStartDelay && turn.rank >= firstReaders && !turn.alone
+}
+
 // startDelay returns how long after its start this front waits for the state of others, 0 if
 // there are few others.
 func (d *Daemon) startDelay(spread time.Duration) time.Duration {
--- a/internal/node/frontd/start_test.go
+++ b/internal/node/frontd/start_test.go
@@ -34,6 +34,42 @@
 	}
 }
 
+// All fronts restart during an outage of the store and serve with what the disks had. When the store is back, a few must read all keys, not each of them.
+func TestFleetRestartedInAnOutage(t *testing.T) {
+	for name, n := range map[string]int{"eight": 8, "a few dozen": 54} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, n, 6, 0)
+				for _, f := range c.fronts {
+					f.disturb(storeRefuses, false, false)
+					s := snapshot{Revision: 1, Config: []byte("1"), Restored: true}
+					for _, o := range c.fronts {
+						s.Entries = append(s.Entries, o.self())
+					}
+					is.NoErr(f.applySnapshot(s, time.Second))
+				}
+				time.Sleep(settle)
+				c.mu.Lock()
+				c.readAllTime = 400 * time.Millisecond
+				c.mu.Unlock()
+				c.accept()
+				for _, f := range c.fronts {
+					f.disturb(storeAnswers, false, false)
+				}
+				time.Sleep(3 * time.Second)
+				for _, f := range c.fronts {
+					is.True(!f.fleet.View().Restored)
+				}
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				t.Logf("%d readings of all keys", c.readsAll)
+				is.True(c.readsAll <= 8)
+			})
+		})
+	}
+}
+
 // started returns the number of fronts that have a configuration.
 func (c *cluster) started() (n int) {
 	for _, f := range c.fronts {
