fleet: the roster's version is part of the state

The roster was not part of the hash by which fronts compare their states. A front whose state was the same as the reader's took over the reader's revision without the roster; when it read the store itself, the change of the roster was not among those since that revision, so it knew no replicas to back up to. A reading of all keys, before, had found it each time.

TestRosterIsPartOfTheState fails without it.

--- a/internal/front/fleet/delta.go
+++ b/internal/front/fleet/delta.go
@@ -19,6 +19,7 @@
 		Gone        []string   // ids of removed upstreams
 		Entries     []Entry    // added or changed fronts
 		GoneEntries []string   // nodes of removed fronts
+		Roster      uint64     `cbor:",omitempty"` // its version in the resulting view; 0 if it did not change
 		Restored    bool       `cbor:",omitempty"` // of the resulting view
 	}
 
@@ -46,7 +47,7 @@
 	if hash != v.Hash && !ok {
 		return d, false
 	}
-	d.Base, d.Hash, d.Restored = hash, v.Hash, v.Restored
+	d.Base, d.Hash, d.Roster, d.Restored = hash, v.Hash, v.Roster, v.Restored
 	for _, id := range upstreams {
 		if u, found := v.Listed.Find(id); found {
 			d.Upstreams = append(d.Upstreams, *u)
--- a/internal/front/fleet/hash.go
+++ b/internal/front/fleet/hash.go
@@ -32,7 +32,7 @@
 	if v.Table != nil {
 		version = v.Table.Version
 	}
-	h.number(v.Listed.sum, v.entriesSum, uint64(version), truth(v.Restored))
+	h.number(v.Listed.sum, v.entriesSum, uint64(version), v.Roster, truth(v.Restored))
 	return h.Sum64()
 }
 
--- a/internal/front/fleet/types.go
+++ b/internal/front/fleet/types.go
@@ -42,7 +42,8 @@
 		Table     *route.Table // nil if there is no valid configuration
 		Upstreams []Upstream
 		Entries   []Entry
-		Restored  bool // from a backup, as in View
+		Roster    uint64 // version of the roster; 0 if there is none
+		Restored  bool   // from a backup, as in View
 	}
 
 	// Changes are the changes of the store after the revision Since, up to Revision, as this
--- a/internal/front/fleet/view.go
+++ b/internal/front/fleet/view.go
@@ -39,6 +39,7 @@
 	Listed         Upstreams           // as listed in the store
 	Retained       Upstreams           // kept although the store does not list them
 	Entries        []Entry             // fronts as listed in the store, sorted by node
+	Roster         uint64              // version of the roster that the store holds
 	Hash           uint64              // of the listed content
 	// Restored reports that the content stems from a backup on a disk. That one also lists
 	// upstreams that the store did not, so changes of the store since Revision don't complete it.
@@ -85,6 +86,7 @@
 func (v *View) replace(s Snapshot, retain bool) (changes []Change, d Delta) {
 	changes = v.setTable(s.Table)
 	v.Restored = s.Restored
+	d.Roster = s.Roster
 	d.Upstreams, d.Gone = v.difference(s.Upstreams)
 	entries := slices.SortedFunc(slices.Values(s.Entries), byNode)
 	d.Entries, d.GoneEntries = diff(v.Entries, entries, func(e Entry) string { return e.Node }, func(a, b Entry) bool { return a == b })
@@ -135,6 +137,9 @@
 	}
 	e.apply(v)
 	v.changeEntries(d)
+	if d.Roster != 0 {
+		v.Roster = d.Roster
+	}
 	v.Hash = v.hash()
 	return changes
 }
--- a/internal/node/discov/discov.go
+++ b/internal/node/discov/discov.go
@@ -55,6 +55,7 @@
 	State struct {
 		Roster   roster.Roster
 		Revision store.Rev       // of the roster's key; 0 while unknown
+		Stored   uint64          // version of the roster in that key, as last read
 		Members  []roster.Member // VMs with a disk
 		Entries  []fleet.Entry   // fronts
 	}
@@ -153,7 +154,7 @@
 		return nil
 	}
 	s.scannedRev = rev
-	next := State{Roster: s.state.Roster, Revision: s.state.Revision}
+	next := State{Roster: s.state.Roster, Revision: s.state.Revision, Stored: s.state.Stored}
 	for _, e := range list {
 		if err := next.add(e); err != nil {
 			return errors.Wrapf(err, "key %s", e.Key)
@@ -164,9 +165,9 @@
 }
 
 // ApplyChanges applies changes of keys in their order. It returns those of fronts, which State
-// does not take over, and an error that names the keys with invalid values; these keep the state
-// that they had.
-func (s *Reader) ApplyChanges(list []store.Change) (changed []fleet.Entry, gone []string, err error) {
+// does not take over, the version of the roster if it is among them, and an error that names the
+// keys with invalid values; these keep the state that they had.
+func (s *Reader) ApplyChanges(list []store.Change) (d fleet.Delta, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fronts := map[string]*fleet.Entry{} // by node; nil if gone
@@ -185,17 +186,19 @@
 		case c.Key == RosterKey && !c.Gone:
 			if invalid := s.state.add(c.Entry); invalid != nil {
 				err = errors.CombineErrors(err, errors.Wrapf(invalid, "key %s", c.Key))
+				continue
 			}
+			d.Roster = s.state.Stored
 		}
 	}
 	for node, e := range fronts {
 		if e == nil {
-			gone = append(gone, node)
+			d.GoneEntries = append(d.GoneEntries, node)
 			continue
 		}
-		changed = append(changed, *e)
+		d.Entries = append(d.Entries, *e)
 	}
-	return changed, gone, err
+	return d, err
 }
 
 // Fronts decodes the keys of fronts. The error names those with invalid values, which are left
@@ -229,6 +232,7 @@
 		if err != nil {
 			return err
 		}
+		s.Stored = r.Version
 		if r.Version >= s.Roster.Version {
 			s.Roster, s.Revision = r, e.Rev
 		}
--- a/internal/node/discov/discov_test.go
+++ b/internal/node/discov/discov_test.go
@@ -95,16 +95,15 @@
 	}
 	value := FrontValue(fleet.Entry{Address: "x"})
 	var r Reader
-	changed, lost, err := r.ApplyChanges([]store.Change{
+	d, err := r.ApplyChanges([]store.Change{
 		written("a", value), gone("b"), gone("c"), written("c", value), written("d", value), gone("d"), written("e", []byte("7")),
 		{Entry: store.Entry{Key: RosterKey, Data: []byte(`{"version":4}`), Rev: 12}},
 		{Entry: store.Entry{Key: DiskPrefix + "x", Data: []byte("{}")}},
 	})
 	is.True(strings.Contains(fmt.Sprint(err), FrontPrefix+"e"))
-	slices.SortFunc(changed, func(a, b fleet.Entry) int { return strings.Compare(a.Node, b.Node) })
-	slices.Sort(lost)
-	is.Equal(changed, []fleet.Entry{{Node: "a", Address: "x"}, {Node: "c", Address: "x"}})
-	is.Equal(lost, []string{"b", "d"})
+	slices.SortFunc(d.Entries, func(a, b fleet.Entry) int { return strings.Compare(a.Node, b.Node) })
+	slices.Sort(d.GoneEntries)
+	is.Equal(d, fleet.Delta{Entries: []fleet.Entry{{Node: "a", Address: "x"}, {Node: "c", Address: "x"}}, GoneEntries: []string{"b", "d"}, Roster: 4})
 	is.Equal(r.Roster().Version, uint64(4))
 	is.Equal(r.State().Revision, store.Rev(12))
 }
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -148,9 +148,11 @@
 		return err
 	}
 	d.logUnusable(bad...)
-	if c.Delta.Entries, c.Delta.GoneEntries, err = d.discov.ApplyChanges(others); err != nil {
+	keys, err := d.discov.ApplyChanges(others)
+	if err != nil {
 		d.logUnusable(err)
 	}
+	c.Delta.Entries, c.Delta.GoneEntries, c.Delta.Roster = keys.Entries, keys.GoneEntries, keys.Roster
 	c.Read = r.read
 	r.event, r.revision, r.changes = c, c.Revision, len(c.Delta.Upstreams)+len(c.Delta.Gone)+len(others)
 	return nil
@@ -166,7 +168,8 @@
 	if err = d.discov.Apply(others, store.Rev(n.Revision)); err != nil {
 		d.logUnusable(err)
 	}
-	n.Read, n.Entries = r.read, d.discov.State().Entries
+	s := d.discov.State()
+	n.Read, n.Entries, n.Roster = r.read, s.Entries, s.Stored
 	r.event, r.revision, r.changes, r.all = n, n.Revision, len(n.Upstreams)+len(others), true
 	d.Scope.Counter("store_reads_all").Inc(1)
 	return nil
--- a/internal/node/frontd/read_test.go
+++ b/internal/node/frontd/read_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/node/discov"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
@@ -93,3 +94,34 @@
 		})
 	}
 }
+
+// rosterSource has changes that hold a new roster.
+type rosterSource struct{ Source }
+
+func (rosterSource) Unusable() int { return 0 }
+
+func (rosterSource) Changes(_ context.Context, since uint64) (fleet.Changes, []store.Change, []error, error) {
+	key := store.Change{Entry: store.Entry{Key: discov.RosterKey, Data: []byte(`{"version":4}`), Rev: 9}}
+	return fleet.Changes{Since: since, Revision: 9}, []store.Change{key}, nil, nil
+}
+
+// The roster changes and nothing else. A front that took its state for the same as the reader's would not learn of it; if it then reads the store itself, the change is not among those since its revision, and its backups go to the wrong disks or none.
+func TestRosterIsPartOfTheState(t *testing.T) {
+	is := is.New(t)
+	reader, other := newDaemon(), newDaemon()
+	is.Equal(reader.fleet.View().Hash, other.fleet.View().Hash)
+	reader.Source = rosterSource{}
+	is.NoErr(reader.readStore(t.Context()))
+	is.True(reader.fleet.View().Hash != other.fleet.View().Hash)
+	s, err := reader.serveSnapshot(t.Context(), other.baseline())
+	is.NoErr(err)
+	is.True(s.Delta != nil)
+	is.NoErr(other.applySnapshot(s, 0))
+	is.Equal(other.fleet.View().Hash, reader.fleet.View().Hash)
+	is.Equal(other.discov.Roster().Version, uint64(4))
+	whole, err := reader.serveSnapshot(t.Context(), baseline{Unpacks: true})
+	is.NoErr(err)
+	third := newDaemon()
+	is.NoErr(third.applySnapshot(whole, 0))
+	is.Equal(third.fleet.View().Hash, reader.fleet.View().Hash)
+}
--- a/internal/node/frontd/state.go
+++ b/internal/node/frontd/state.go
@@ -45,6 +45,8 @@
 		Restored bool `cbor:"11,keyasint,omitempty"`
 		// Packed replaces the lists of upstreams and entries: they are encoded and compressed.
 		Packed []byte `cbor:"12,keyasint,omitempty"`
+		// Listed is the version of the roster that the store holds; Roster may be a newer one.
+		Listed uint64 `cbor:"13,keyasint,omitempty"`
 	}
 
 	// baseline identifies the state that a front already has, in its request for a snapshot.
@@ -203,7 +205,7 @@
 		return err
 	}
 	d.apply(fleet.PeerSnapshot{Age: age, Snapshot: fleet.Snapshot{
-		Read: read, Revision: s.Revision, Table: table, Upstreams: s.Upstreams, Entries: s.Entries, Restored: s.Restored,
+		Read: read, Revision: s.Revision, Table: table, Upstreams: s.Upstreams, Entries: s.Entries, Roster: s.Listed, Restored: s.Restored,
 	}}, nil)
 	return nil
 }
@@ -224,7 +226,7 @@
 	delta, ok := d.fleet.DeltaSince(b.Hash)
 	v := d.fleet.View()
 	s.Revision, s.Age = v.Revision, time.Since(v.Confirmed).Milliseconds()
-	s.Reader, s.Read = v.Read.By, v.Read.Number
+	s.Reader, s.Read, s.Listed = v.Read.By, v.Read.Number, v.Roster
 	if ok && delta.Hash == v.Hash {
 		s.Delta = &delta
 	} else if s.Restored = v.Restored; b.Unpacks {
