metakv: the stand-in tells changes, and forgets them

The stand-in of the store had no watch, so since fronts read by changes the processes before it took the store for away after their first reading.

--- a/internal/fake/metakv/metakv.go
+++ b/internal/fake/metakv/metakv.go
@@ -16,6 +16,8 @@
 
 const (
 	pageItems = 500
+	// maxLog bounds the changes that are kept.
+	maxLog = 4096
 	// None means no fault. So does the zero value.
 	None Fault = iota
 	// Busy responds to every call with status 503.
@@ -40,6 +42,19 @@
 		leases    map[uint64]lease
 		lastLease uint64
 		fault     Fault
+		log       []change // the newest last
+		forgotten uint64   // changes up to this revision are not in the log
+	}
+
+	change struct {
+		rev uint64
+		key string
+	}
+
+	// Event is the JSON encoding of a change: the item as it is, or a removed key.
+	Event struct {
+		Item
+		Gone bool `json:"tombstone,omitempty"`
 	}
 
 	// Item is the JSON encoding of a key.
@@ -94,8 +109,30 @@
 func (d *Store) Remove(key string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.delete(key)
+}
+
+// delete removes a key; d.mu is held.
+func (d *Store) delete(key string) {
 	d.rev++
 	delete(d.items, key)
+	d.record(key)
+}
+
+// record notes that the present revision changed the key; d.mu is held.
+func (d *Store) record(key string) {
+	d.log = append(d.log, change{d.rev, key})
+	if len(d.log) > maxLog {
+		d.forgotten = d.log[0].rev
+		d.log = d.log[1:]
+	}
+}
+
+// Compact forgets all changes up to now.
+func (d *Store) Compact() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.log, d.forgotten = nil, d.rev
 }
 
 // Get returns a key's value and whether the key exists.
@@ -117,6 +154,7 @@
 		made = old.CreateRev
 	}
 	d.items[key] = Item{Key: key, Value: data, Rev: d.rev, CreateRev: made, Lease: l}
+	d.record(key)
 }
 
 // expireLeases deletes expired leases with their keys.
@@ -132,8 +170,7 @@
 	delete(d.leases, id)
 	for key, it := range d.items {
 		if it.Lease == id {
-			d.rev++
-			delete(d.items, key)
+			d.delete(key)
 		}
 	}
 }
@@ -174,6 +211,8 @@
 		return http.StatusOK, it
 	case path == "/-/kv-range":
 		return d.list(q.Get("path-prefix"), q.Get("after"))
+	case path == "/-/kv-watch":
+		return d.changes(q.Get("path-prefix"), q.Get("after"))
 	case path == "/-/kv-txn":
 		var t txn
 		if json.NewDecoder(r.Body).Decode(&t) != nil {
@@ -223,6 +262,37 @@
 	return http.StatusOK, answer
 }
 
+// changes answers a watch that does not wait. Keys that changed several times are returned once,
+// as they are now.
+func (d *Store) changes(prefix, after string) (int, any) {
+	answer := struct {
+		Events  []Event `json:"events"`
+		Current uint64  `json:"current-rev"`
+	}{Events: []Event{}, Current: d.rev}
+	since, err := strconv.ParseUint(after, 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	if since < d.forgotten {
+		return http.StatusGone, nil
+	}
+	latest := map[string]uint64{}
+	for _, c := range d.log {
+		latest[c.key] = c.rev
+	}
+	for _, c := range d.log {
+		if c.rev <= since || latest[c.key] != c.rev || !strings.HasPrefix(c.key, prefix) {
+			continue
+		}
+		it, exists := d.items[c.key]
+		if !exists {
+			it = Item{Key: c.key, Rev: c.rev}
+		}
+		answer.Events = append(answer.Events, Event{Item: it, Gone: !exists})
+	}
+	return http.StatusOK, answer
+}
+
 func (d *Store) commit(t txn) (int, any) {
 	var conflicts struct {
 		Items []Item `json:"items"`
@@ -245,8 +315,7 @@
 		d.put(p.Key, p.Value, p.Lease)
 	}
 	for _, key := range t.Delete {
-		d.rev++
-		delete(d.items, key)
+		d.delete(key)
 	}
 	return http.StatusOK, map[string]uint64{"revision": d.rev}
 }
