frontd: a first start with one reading, too

They now wait for their jitter before the first reading as well, and write their keys at once. Nor do they ask the seeds for backups meanwhile, ten times a second each, as they did until they had a configuration.

--- a/internal/node/frontd/backup.go
+++ b/internal/node/frontd/backup.go
@@ -156,8 +156,8 @@
 		go func() {
 			var err error
 			for pause.For(ctx, restoreInterval) && d.fleet.View().Table == nil {
-				if d.starting.fronts.Load() != nil && time.Since(began) < maxStartDelay {
-					continue // the store answers: another front reads it for all
+				if d.starting.awaitsOthers() && time.Since(began) < maxStartDelay {
+					continue // the store answers: a front reads it for all
 				}
 				err = d.restoreFrom(ctx, address)
 			}
--- a/internal/node/frontd/cluster_test.go
+++ b/internal/node/frontd/cluster_test.go
@@ -53,6 +53,7 @@
 		readsAll int // of them, of all keys
 
 		readAllTime time.Duration // that reading all keys takes beyond one call
+		unlisted    time.Time     // until then the fronts' keys are not in the store
 	}
 
 	// clusterFront is one front with its network.
@@ -223,11 +224,16 @@
 
 func (s clusterStore) Scan(context.Context, string, bool) ([]store.Entry, store.Rev, error) {
 	time.Sleep(storeLatency)
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
 	return s.c.listed(), 1, nil
 }
 
-// listed returns the keys of the fronts, none before they are listed.
+// listed returns the keys of the fronts, none before they are written; c.mu is held.
 func (c *cluster) listed() (list []store.Entry) {
+	if time.Now().Before(c.unlisted) {
+		return nil
+	}
 	for _, o := range c.fronts {
 		list = append(list, store.Entry{Key: discov.FrontPrefix + o.Settings.Node, Data: discov.FrontValue(o.self())})
 	}
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -80,7 +80,7 @@
 		v := d.fleet.View()
 		now := time.Now()
 		turn := d.readTurn(now, spread)
-		awaited := v.Revision == 0 && d.awaitsState(now.Sub(began), spread, now) || v.Restored && d.awaitsReader(turn, now)
+		awaited := v.Revision == 0 && d.awaitsState(now.Sub(began), spread, jitter, now) || v.Restored && d.awaitsReader(turn, now)
 		if awaited || now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter, turn) {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
--- a/internal/node/frontd/register.go
+++ b/internal/node/frontd/register.go
@@ -8,10 +8,10 @@
 )
 
 // register keeps this front listed in the store. It first waits, a second at most, for a
-// first state, which may show that the key is current already. Until a front is listed, only
+// first state or the list of fronts, which may show that the key is current already. Until a front is listed, only
 // the fronts that got a datagram from it know its address.
 func (d *Daemon) register(ctx context.Context) {
-	d.waitFor(ctx, func(v *fleet.View) bool { return !v.Confirmed.IsZero() })
+	d.waitFor(ctx, func(v *fleet.View) bool { return !v.Confirmed.IsZero() || d.starting.first.Load() })
 	d.regkey.Run(ctx)
 }
 
--- a/internal/node/frontd/start.go
+++ b/internal/node/frontd/start.go
@@ -30,8 +30,8 @@
 	// firstReaders is how many fronts, the first in the order of reads, read all keys when the
 	// store is back after an outage in which all of them started.
 	firstReaders = 2
-	// startSpread is the time over which fronts that know of no others spread their second
-	// reads, and startBias the exponent by which later times are more likely. The first of 8
+	// startSpread is the time over which fronts that know of no others spread their reads, and
+	// startBias the exponent by which later times are more likely. The first of 8
 	// fronts reads after 1.8 s, the first of 900 after 0.6 s, and half a second later a few
 	// others. All know their own keys before they would write them again.
 	startSpread = 2400 * time.Millisecond
@@ -41,12 +41,17 @@
 // starting is what a front knows before it has any state that was read from the store. The zero
 // value is ready for use.
 type starting struct {
-	fronts atomic.Pointer[[]fleet.Entry] // as listed when this front started
+	fronts atomic.Pointer[[]fleet.Entry] // as listed when this front started, if they are many
+	first  atomic.Bool                   // it was empty: the system starts for the first time
 
 	mu        sync.Mutex
 	storeBack time.Time // when the store was first seen to answer while the state was from a backup
 }
 
+// awaitsOthers reports whether the store has answered this front, and another one may read it
+// for all.
+func (s *starting) awaitsOthers() bool { return s.first.Load() || s.fronts.Load() != nil }
+
 // noteStore records that the store answers, and reports whether it did not before.
 func (s *starting) noteStore(now time.Time) (first bool) {
 	s.mu.Lock()
@@ -93,6 +98,7 @@
 	if err != nil {
 		d.logUnusable(err)
 	}
+	d.starting.first.Store(len(list) == 0)
 	if len(fronts) <= mesh.FullMeshMax {
 		return
 	}
@@ -102,8 +108,12 @@
 }
 
 // awaitsState reports whether this front, which has no state yet, goes on waiting for that of
-// others. One that hears nobody a second after its start does not.
-func (d *Daemon) awaitsState(uptime, spread time.Duration, now time.Time) bool {
+// others. One that hears nobody a second after its start does not, unless the system starts for
+// the first time: then all wait for their jitter.
+func (d *Daemon) awaitsState(uptime, spread, jitter time.Duration, now time.Time) bool {
+	if d.starting.first.Load() {
+		return uptime < jitter
+	}
 	if uptime > maxSilentStart && d.meshio.Summary(now).Fronts <= 1 {
 		return false
 	}
--- a/internal/node/frontd/start_test.go
+++ b/internal/node/frontd/start_test.go
@@ -34,6 +34,32 @@
 	}
 }
 
+// All fronts start for the first time, with an empty store. If each read it at once, that would be most of the calls of a quiet day.
+func TestFirstStartWithFewReads(t *testing.T) {
+	const bound = 4 * time.Second
+	for name, n := range map[string]int{"eight": 8, "the largest that is served": 171} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, n, 5, 0)
+				c.mu.Lock()
+				c.unlisted = time.Now().Add(400 * time.Millisecond)
+				c.mu.Unlock()
+				began := time.Now()
+				for c.started() < n && time.Since(began) < 10*time.Second {
+					time.Sleep(20 * time.Millisecond)
+				}
+				took := time.Since(began)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				t.Logf("%d readings of all keys; all fronts have the state after %v", c.readsAll, took)
+				is.True(c.readsAll <= 12)
+				is.True(took <= bound)
+			})
+		})
+	}
+}
+
 // All fronts restart during an outage of the store and serve with what the disks had. When the store is back, a few must read all keys, not each of them.
 func TestFleetRestartedInAnOutage(t *testing.T) {
 	for name, n := range map[string]int{"eight": 8, "a few dozen": 54} {
