--- a/internal/front/reach/reach_test.go
+++ b/internal/front/reach/reach_test.go
@@ -62,12 +62,11 @@
 		is.True(b.Down(time.Now()))
 		_, _ = write() // let through as a probe
 		_, _ = b.Read(t.Context(), "", "x")
-		before := s.calls
 		took, err = write()
 		is.True(errors.Is(err, quorum.ErrNoQuorum))
 		is.True(took <= CallTimeout)
 		for range 5 {
-			before = s.calls
+			before := s.calls
 			go func() { _, _ = write() }() // let through as a probe
 			synctest.Wait()
 			is.Equal(s.calls, before+1)
