frontd: fronts that start read one short key

Each front read the list of 866 fronts to know whether it has to read the store itself, two pages of 0.1 MB, 173 MB for all, 1.4 s of the store's link, with a timeout of 0.7 s. Whose list did not come read all keys at once, which none of them got.

The reading front now keeps the 64 largest fronts in one key of some 8 KB, and a front that starts joins those. It reads the whole list only where there is no such key, as in a small system, and all keys never before it knows which fronts there are. One that hears nobody reads by itself after a second and a random time.

TestFleetRestartsWithFewReads reads no list of fronts any more where the key was written.

--- a/internal/node/discov/discov.go
+++ b/internal/node/discov/discov.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	RosterKey   = Prefix + "roster"
 	FrontPrefix = Prefix + "front/"
 	DiskPrefix  = Prefix + "disk/"
+	// HubsKey holds the largest of many fronts, for fronts that start.
+	HubsKey = Prefix + "hubs"
 )
 
 // maxTogether is the number of keys up to which Scan reads all in one call, which then is the
@@ -76,6 +79,29 @@
 	return data
 }
 
+// HubsValue encodes the value of HubsKey.
+func HubsValue(list []fleet.Entry) []byte {
+	values := make(map[string]frontValue, len(list))
+	for _, e := range list {
+		values[e.Node] = frontValue{Address: e.Address, Peer: e.Peer, Domain: e.Domain, Cores: e.Cores}
+	}
+	data, _ := json.Marshal(values) // strings and finite numbers always encode
+	return data
+}
+
+// Hubs decodes the value of HubsKey.
+func Hubs(data []byte) (list []fleet.Entry, err error) {
+	var values map[string]frontValue
+	if err = json.Unmarshal(data, &values); err != nil {
+		return nil, errors.Wrap(err, "decode hubs")
+	}
+	for _, node := range slices.Sorted(maps.Keys(values)) {
+		v := values[node]
+		list = append(list, fleet.Entry{Node: node, Address: v.Address, Peer: v.Peer, Domain: v.Domain, Cores: v.Cores})
+	}
+	return list, nil
+}
+
 // State returns the newest state.
 func (s *Reader) State() State {
 	s.mu.Lock()
--- a/internal/node/frontd/cluster_test.go
+++ b/internal/node/frontd/cluster_test.go
@@ -53,6 +53,9 @@
 		readsAll int // of them, of all keys
 
 		readAllTime time.Duration // that reading all keys takes beyond one call
+		hubs        []byte        // value of the key with the hubs; nil if there is none
+		hubWrites   int           // how often it was written
+		listReads   int           // of the list of fronts
 		unlisted    time.Time     // until then the fronts' keys are not in the store
 	}
 
@@ -222,11 +225,29 @@
 	c *cluster
 }
 
-func (s clusterStore) Scan(context.Context, string, bool) ([]store.Entry, store.Rev, error) {
+func (s clusterStore) Scan(_ context.Context, prefix string, _ bool) ([]store.Entry, store.Rev, error) {
 	time.Sleep(storeLatency)
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
-	return s.c.listed(), 1, nil
+	if prefix != discov.HubsKey {
+		s.c.listReads++
+		return s.c.listed(), 1, nil
+	}
+	if s.c.hubs == nil {
+		return nil, 1, nil
+	}
+	return []store.Entry{{Key: discov.HubsKey, Data: s.c.hubs}}, 1, nil
+}
+
+func (s clusterStore) Set(_ context.Context, key string, data []byte, _ store.Lease) (store.Rev, error) {
+	time.Sleep(storeLatency)
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	if key == discov.HubsKey {
+		s.c.hubs = data
+		s.c.hubWrites++
+	}
+	return 1, nil
 }
 
 // listed returns the keys of the fronts, none before they are written; c.mu is held.
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -11,6 +11,7 @@
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/mesh"
+	"github.com/slaterock/slaterock/internal/node/discov"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/peer/stall"
 	"github.com/slaterock/slaterock/internal/plat/store"
@@ -72,7 +73,6 @@
 func (d *Daemon) readLoop(ctx context.Context) {
 	wait := time.Duration(0)
 	began, jitter := time.Now(), startJitter()
-	d.readFronts(ctx)
 	spread := rand.N(readAgeSpread)
 	var ran stall.Detector
 	var resumeAt time.Time // no read before then
@@ -80,8 +80,11 @@
 		v := d.fleet.View()
 		now := time.Now()
 		turn := d.readTurn(now, spread)
+		unknown := v.Revision == 0 && !d.starting.known.Load()
 		awaited := v.Revision == 0 && d.awaitsState(now.Sub(began), spread, jitter, now) || v.Restored && d.awaitsReader(turn, now)
-		if awaited || now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter, turn) {
+		if unknown {
+			wait = d.readFrontsOrWait(ctx, turn, wait)
+		} else if awaited || now.Before(resumeAt) || now.Sub(v.Confirmed) < d.maxAge(v, now.Sub(began), jitter, turn) {
 			wait = 0
 		} else if err := d.readStore(ctx); err != nil {
 			wait = turn.backoff(wait)
@@ -102,6 +105,18 @@
 	}
 }
 
+// readFrontsOrWait reads which fronts there are, and returns the backoff if that fails.
+func (d *Daemon) readFrontsOrWait(ctx context.Context, turn readTurn, last time.Duration) time.Duration {
+	err := d.readFronts(ctx)
+	if err == nil {
+		return 0
+	}
+	if ctx.Err() == nil {
+		d.apply(fleet.Outage{}, err)
+	}
+	return turn.backoff(last)
+}
+
 // maxAge is the age of the state at which this front reads the store.
 func (d *Daemon) maxAge(v *fleet.View, uptime, jitter time.Duration, turn readTurn) time.Duration {
 	if uptime < startupTime && len(d.others(mesh.Summary{})) == 0 && v.Table == nil {
@@ -137,6 +152,7 @@
 		Dur("state_age_ms", r.asked.Sub(v.Confirmed)).Msg("store read")
 	d.applyAt(r.asked, r.event, nil)
 	d.meshio.Broadcast() // at once, so that the front next in rank need not read
+	d.publishHubs(ctx, r.asked)
 	d.backUp(ctx)
 	d.removeLost(ctx)
 	return nil
@@ -148,6 +164,11 @@
 		return err
 	}
 	d.logUnusable(bad...)
+	for _, c := range others {
+		if c.Key == discov.HubsKey {
+			d.starting.noteHubs(c.Data)
+		}
+	}
 	keys, err := d.discov.ApplyChanges(others)
 	if err != nil {
 		d.logUnusable(err)
@@ -165,6 +186,11 @@
 		return err
 	}
 	d.logUnusable(bad...)
+	for _, e := range others {
+		if e.Key == discov.HubsKey {
+			d.starting.noteHubs(e.Data)
+		}
+	}
 	if err = d.discov.Apply(others, store.Rev(n.Revision)); err != nil {
 		d.logUnusable(err)
 	}
--- a/internal/node/frontd/register.go
+++ b/internal/node/frontd/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
@@ -11,7 +12,14 @@
 // first state or the list of fronts, which may show that the key is current already. Until a front is listed, only
 // the fronts that got a datagram from it know its address.
 func (d *Daemon) register(ctx context.Context) {
-	d.waitFor(ctx, func(v *fleet.View) bool { return !v.Confirmed.IsZero() || d.starting.first.Load() })
+	known := func(v *fleet.View) bool { return !v.Confirmed.IsZero() || d.starting.first.Load() }
+	d.waitFor(ctx, known)
+	for began := time.Now(); d.starting.fronts.Load() != nil && time.Since(began) < maxStartDelay && !known(d.fleet.View()); {
+		d.waitFor(ctx, known) // the state of others will tell
+		if ctx.Err() != nil {
+			return
+		}
+	}
 	d.regkey.Run(ctx)
 }
 
--- a/internal/node/frontd/start.go
+++ b/internal/node/frontd/start.go
@@ -1,6 +1,7 @@
 package frontd
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -8,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/node/discov"
@@ -15,9 +18,9 @@
 
 // A front that starts has no state. In a small system it reads the whole store at once. If
 // hundreds did so, after a loss of power, the answers would fill the store's link for half a
-// minute. So each first reads the list of fronts alone, from a replica of the store that may be
-// behind. If the list is long, the hubs read the store one after the other, and all others get
-// the state from the first hub that has it.
+// minute. So each first reads which fronts there are, from a replica of the store that may be
+// behind. If they are many, the hubs read the store one after the other, and all others get the
+// state from the first hub that has it.
 
 const (
 	// hubDelay is how long after its start a hub waits for the state for each hub before it.
@@ -30,6 +33,10 @@
 	// firstReaders is how many fronts, the first in the order of reads, read all keys when the
 	// store is back after an outage in which all of them started.
 	firstReaders = 2
+	// maxHubsListed is how many fronts HubsKey lists, more than are hubs in a fleet of a thousand,
+	// and hubsInterval the shortest interval between two writes.
+	maxHubsListed = 64
+	hubsInterval  = 2 * time.Second
 	// startSpread is the time over which fronts that know of no others spread their reads, and
 	// startBias the exponent by which later times are more likely. The first of 8
 	// fronts reads after 1.8 s, the first of 900 after 0.6 s, and half a second later a few
@@ -41,10 +48,13 @@
 // starting is what a front knows before it has any state that was read from the store. The zero
 // value is ready for use.
 type starting struct {
-	fronts atomic.Pointer[[]fleet.Entry] // as listed when this front started, if they are many
+	known  atomic.Bool                   // readFronts has succeeded
+	fronts atomic.Pointer[[]fleet.Entry] // the largest when this front started, if they are many
 	first  atomic.Bool                   // it was empty: the system starts for the first time
 
 	mu        sync.Mutex
+	hubs      []byte    // value of HubsKey, as this front read or wrote it last
+	hubsAt    time.Time // when this front wrote it last
 	storeBack time.Time // when the store was first seen to answer while the state was from a backup
 }
 
@@ -85,36 +95,92 @@
 	return nil
 }
 
-// readFronts reads the list of fronts and, if all of them can't send to each other directly,
-// joins them before it has any state.
-func (d *Daemon) readFronts(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, peerTimeout)
-	defer stop()
+// readFronts reads which fronts there are, as far as this one needs to know before it has any
+// state. If all of them can't send to each other directly, it joins the largest of them, which
+// are in one short key: the list of hundreds, read by each of them, would fill the store's link.
+func (d *Daemon) readFronts(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "read fronts") }()
+	keys, _, err := d.Store.Scan(ctx, discov.HubsKey, true)
+	if err != nil {
+		return err
+	}
+	for _, e := range keys {
+		hubs, err := discov.Hubs(e.Data)
+		if err != nil {
+			d.logUnusable(err)
+			continue
+		}
+		d.join(hubs)
+		return nil
+	}
 	list, _, err := d.Store.Scan(ctx, discov.FrontPrefix, true)
 	if err != nil {
-		return // the read of the store that follows logs the outage
+		return err
 	}
 	fronts, err := discov.Fronts(list)
 	if err != nil {
 		d.logUnusable(err)
 	}
 	d.starting.first.Store(len(list) == 0)
-	if len(fronts) <= mesh.FullMeshMax {
-		return
+	if len(fronts) > mesh.FullMeshMax {
+		d.join(fronts)
+		return nil
 	}
+	d.starting.known.Store(true)
+	return nil
+}
+
+// join sends to other fronts from now on.
+func (d *Daemon) join(fronts []fleet.Entry) {
 	d.starting.fronts.Store(&fronts)
+	d.starting.known.Store(true)
 	d.meshio.Broadcast()
 	d.Log.Info().Int("fronts", len(fronts)).Msg("state awaited from other fronts")
 }
 
+// publishHubs writes the largest fronts to the store if there are many fronts and the key, as
+// this front knows it, has others.
+func (d *Daemon) publishHubs(ctx context.Context, now time.Time) {
+	entries := d.fleet.View().Entries
+	if len(entries) <= mesh.FullMeshMax {
+		return
+	}
+	data := discov.HubsValue(largest(entries, maxHubsListed))
+	if !d.starting.hubsDue(now, data) {
+		return
+	}
+	if _, err := d.Store.Set(ctx, discov.HubsKey, data, 0); err != nil && ctx.Err() == nil {
+		d.starting.noteHubs(nil)
+		d.Log.Warn().Err(err).Str("dependency", "store").Msg("list of hubs not written")
+	}
+}
+
+// hubsDue reports whether to write the value now, and takes it for written if so.
+func (s *starting) hubsDue(now time.Time, data []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if bytes.Equal(s.hubs, data) || now.Sub(s.hubsAt) < hubsInterval {
+		return false
+	}
+	s.hubs, s.hubsAt = data, now
+	return true
+}
+
+// noteHubs records the value of the key as it was read.
+func (s *starting) noteHubs(data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hubs = data
+}
+
 // awaitsState reports whether this front, which has no state yet, goes on waiting for that of
-// others. One that hears nobody a second after its start does not, unless the system starts for
-// the first time: then all wait for their jitter.
+// others. One that hears nobody maxSilentStart and its jitter after its start does not; if the
+// system starts for the first time, all wait for their jitter alone.
 func (d *Daemon) awaitsState(uptime, spread, jitter time.Duration, now time.Time) bool {
 	if d.starting.first.Load() {
 		return uptime < jitter
 	}
-	if uptime > maxSilentStart && d.meshio.Summary(now).Fronts <= 1 {
+	if uptime > maxSilentStart+jitter && d.meshio.Summary(now).Fronts <= 1 {
 		return false
 	}
 	return uptime < d.startDelay(spread)
--- a/internal/node/frontd/start_test.go
+++ b/internal/node/frontd/start_test.go
@@ -6,18 +6,34 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/node/discov"
 )
 
 // All fronts restart together, as after a loss of power. If each of them read all keys, the answers would fill the store's link for half a minute in a fleet of hundreds; all must have the state soon all the same.
 func TestFleetRestartsWithFewReads(t *testing.T) {
 	const readAllTime, bound = 400 * time.Millisecond, 3 * time.Second
-	for name, n := range map[string]int{"a few dozen": 54, "the largest that is served": 171} {
+	cases := map[string]struct {
+		n    int
+		hubs bool // the key with the hubs was written before
+	}{
+		"a few dozen":                {54, true},
+		"the largest that is served": {171, true},
+		"after an older release":     {171, false},
+	}
+	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
+				n := tc.n
 				c := newCluster(t, n, 4, 0)
 				c.mu.Lock()
 				c.readAllTime = readAllTime
+				if tc.hubs {
+					fronts, err := discov.Fronts(c.listed())
+					is.NoErr(err)
+					c.hubs = discov.HubsValue(largest(fronts, maxHubsListed))
+				}
 				c.mu.Unlock()
 				began := time.Now()
 				for c.started() < n && time.Since(began) < 10*time.Second {
@@ -29,6 +45,9 @@
 				t.Logf("%d readings of all keys; all fronts have the state after %v", c.readsAll, took)
 				is.True(c.readsAll <= 2)
 				is.True(took <= bound)
+				is.True(c.listReads == 0 || !tc.hubs) // hundreds of long answers would fill the store's link
+				is.True(len(c.hubs) < 16<<10)
+				is.True(c.hubWrites <= 2)
 			})
 		})
 	}
