--- a/internal/node/frontd/start.go
+++ b/internal/node/frontd/start.go
@@ -50,7 +50,7 @@
 type starting struct {
 	known  atomic.Bool                   // readFronts has succeeded
 	fronts atomic.Pointer[[]fleet.Entry] // the largest when this front started, if they are many
-	first  atomic.Bool                   // it was empty: the system starts for the first time
+	first  atomic.Bool                   // no front was listed: the system starts for the first time
 
 	mu        sync.Mutex
 	hubs      []byte    // value of HubsKey, as this front read or wrote it last
@@ -73,7 +73,7 @@
 	return first
 }
 
-// sinceStore returns since when the store is known to answer, 0 if it is not.
+// sinceStore returns for how long the store is known to answer, 0 if it is not.
 func (s *starting) sinceStore(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,7 +155,7 @@
 	}
 }
 
-// hubsDue reports whether to write the value now, and takes it for written if so.
+// hubsDue reports whether to write the value now, and records it as written if so.
 func (s *starting) hubsDue(now time.Time, data []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
