frontd: one wait for a start in its tests

Two tests of a start waited for all fronts with the same loop. The wait is now the cluster's; bounds and assertions are as they were. go test ./internal/node/frontd -run 'Start|Restart': ok.

--- a/internal/node/frontd/start_test.go
+++ b/internal/node/frontd/start_test.go
@@ -35,11 +35,7 @@
 					c.hubs = discov.HubsValue(largest(fronts, maxHubsListed))
 				}
 				c.mu.Unlock()
-				began := time.Now()
-				for c.started() < n && time.Since(began) < 10*time.Second {
-					time.Sleep(20 * time.Millisecond)
-				}
-				took := time.Since(began)
+				took := c.awaitStart(n)
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				t.Logf("%d readings of all keys; all fronts have the state after %v", c.readsAll, took)
@@ -64,11 +60,7 @@
 				c.mu.Lock()
 				c.unlisted = time.Now().Add(400 * time.Millisecond)
 				c.mu.Unlock()
-				began := time.Now()
-				for c.started() < n && time.Since(began) < 10*time.Second {
-					time.Sleep(20 * time.Millisecond)
-				}
-				took := time.Since(began)
+				took := c.awaitStart(n)
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				t.Logf("%d readings of all keys; all fronts have the state after %v", c.readsAll, took)
@@ -115,6 +107,16 @@
 	}
 }
 
+// awaitStart waits until n fronts have a configuration, 10 s at most, and returns how long that
+// took.
+func (c *cluster) awaitStart(n int) time.Duration {
+	began := time.Now()
+	for c.started() < n && time.Since(began) < 10*time.Second {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
 // started returns the number of fronts that have a configuration.
 func (c *cluster) started() (n int) {
 	for _, f := range c.fronts {
