frontd: the cluster's store ends its waits with the test

A run of the package's tests ended once with a sleeping goroutine of a front in a bubble whose test had ended (a panic at cluster_test.go:111); the next run passed. The store that the cluster's fronts list each other in slept without its context. Waits there end with it now, as those of the source do.

The key with the hubs is part of what package discov knows, as the roster is, instead of being looked for by the front in two more loops over the same keys.

--- a/internal/node/discov/discov.go
+++ b/internal/node/discov/discov.go
@@ -59,6 +59,7 @@
 		Roster   roster.Roster
 		Revision store.Rev       // of the roster's key; 0 while unknown
 		Stored   uint64          // version of the roster in that key, as last read
+		Hubs     []byte          // value of HubsKey, as last read; nil if there is none
 		Members  []roster.Member // VMs with a disk
 		Entries  []fleet.Entry   // fronts
 	}
@@ -215,6 +216,8 @@
 				continue
 			}
 			d.Roster = s.state.Stored
+		case c.Key == HubsKey:
+			s.state.Hubs = c.Data
 		}
 	}
 	for node, e := range fronts {
@@ -262,6 +265,8 @@
 		if r.Version >= s.Roster.Version {
 			s.Roster, s.Revision = r, e.Rev
 		}
+	case e.Key == HubsKey:
+		s.Hubs = e.Data
 	case strings.HasPrefix(e.Key, DiskPrefix):
 		var m roster.Member
 		if err := json.Unmarshal(e.Data, &m); err != nil {
--- a/internal/node/frontd/cluster_test.go
+++ b/internal/node/frontd/cluster_test.go
@@ -225,8 +225,10 @@
 	c *cluster
 }
 
-func (s clusterStore) Scan(_ context.Context, prefix string, _ bool) ([]store.Entry, store.Rev, error) {
-	time.Sleep(storeLatency)
+func (s clusterStore) Scan(ctx context.Context, prefix string, _ bool) ([]store.Entry, store.Rev, error) {
+	if !pause.For(ctx, storeLatency) {
+		return nil, 0, ctx.Err()
+	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	if prefix != discov.HubsKey {
@@ -239,8 +241,10 @@
 	return []store.Entry{{Key: discov.HubsKey, Data: s.c.hubs}}, 1, nil
 }
 
-func (s clusterStore) Set(_ context.Context, key string, data []byte, _ store.Lease) (store.Rev, error) {
-	time.Sleep(storeLatency)
+func (s clusterStore) Set(ctx context.Context, key string, data []byte, _ store.Lease) (store.Rev, error) {
+	if !pause.For(ctx, storeLatency) {
+		return 0, ctx.Err()
+	}
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	if key == discov.HubsKey {
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -11,7 +11,6 @@
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/mesh"
-	"github.com/slaterock/slaterock/internal/node/discov"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/internal/peer/stall"
 	"github.com/slaterock/slaterock/internal/plat/store"
@@ -164,11 +163,6 @@
 		return err
 	}
 	d.logUnusable(bad...)
-	for _, c := range others {
-		if c.Key == discov.HubsKey {
-			d.starting.noteHubs(c.Data)
-		}
-	}
 	keys, err := d.discov.ApplyChanges(others)
 	if err != nil {
 		d.logUnusable(err)
@@ -186,11 +180,6 @@
 		return err
 	}
 	d.logUnusable(bad...)
-	for _, e := range others {
-		if e.Key == discov.HubsKey {
-			d.starting.noteHubs(e.Data)
-		}
-	}
 	if err = d.discov.Apply(others, store.Rev(n.Revision)); err != nil {
 		d.logUnusable(err)
 	}
--- a/internal/node/frontd/start.go
+++ b/internal/node/frontd/start.go
@@ -53,7 +53,6 @@
 	first  atomic.Bool                   // no front was listed: the system starts for the first time
 
 	mu        sync.Mutex
-	hubs      []byte    // value of HubsKey, as this front read or wrote it last
 	hubsAt    time.Time // when this front wrote it last
 	storeBack time.Time // when the store was first seen to answer while the state was from a backup
 }
@@ -146,33 +145,26 @@
 		return
 	}
 	data := discov.HubsValue(largest(entries, maxHubsListed))
-	if !d.starting.hubsDue(now, data) {
+	if bytes.Equal(d.discov.State().Hubs, data) || !d.starting.hubsDue(now) {
 		return
 	}
 	if _, err := d.Store.Set(ctx, discov.HubsKey, data, 0); err != nil && ctx.Err() == nil {
-		d.starting.noteHubs(nil)
 		d.Log.Warn().Err(err).Str("dependency", "store").Msg("list of hubs not written")
 	}
 }
 
-// hubsDue reports whether to write the value now, and records it as written if so.
-func (s *starting) hubsDue(now time.Time, data []byte) bool {
+// hubsDue reports whether hubsInterval has passed since the last write of HubsKey and, if so,
+// records now as the time of the next one.
+func (s *starting) hubsDue(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if bytes.Equal(s.hubs, data) || now.Sub(s.hubsAt) < hubsInterval {
+	if now.Sub(s.hubsAt) < hubsInterval {
 		return false
 	}
-	s.hubs, s.hubsAt = data, now
+	s.hubsAt = now
 	return true
 }
 
-// noteHubs records the value of the key as it was read.
-func (s *starting) noteHubs(data []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hubs = data
-}
-
 // awaitsState reports whether this front, which has no state yet, goes on waiting for that of
 // others. One that hears nobody maxSilentStart and its jitter after its start does not; if the
 // system starts for the first time, all wait for their jitter alone.
