swim: only the first report of a call to the store dates it

Callers of `serve` would see calls refused in a long outage of the store, although their shards' owners could have gone on: owners believed that somebody had reached the store after their lease ended.

Cause: a packet's age leaves out its transit time, and the receiver could not tell a call that it knew from a newer one.

Each call now has an identity (daemon, incarnation, serial), and only its first report dates it. Dating a call by the time at which an own probe was sent was refuted: it makes the age older than the truth, which is the unsafe side.

--- a/internal/peer/swim/fault_test.go
+++ b/internal/peer/swim/fault_test.go
@@ -341,3 +341,49 @@
 		}
 	}
 }
+
+// Calls of several daemons to the store, made just before an outage, must not be taken for later ones by turns, whatever the seed and the transit times.
+func TestSeveralCallsDoNotMakeStoreAgeYounger(t *testing.T) {
+	tests := map[string]struct {
+		daemons int
+		transit time.Duration
+		bound   time.Duration // the time of a path through some daemons
+	}{
+		"few, slow packets":  {5, 400 * time.Millisecond, 2 * time.Second},
+		"many, slow packets": {80, 200 * time.Millisecond, 2 * time.Second},
+		"many, fast packets": {80, 4 * time.Millisecond, 50 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(5) {
+				f := convergedFleet(t, test.daemons, seed+1)
+				f.transit = test.transit
+				for i := range 4 {
+					f.run(50 * time.Millisecond)
+					f.step(f.nodes[i], Reached{At: f.now})
+				}
+				at := f.now
+				f.run(2 * time.Minute)
+				for _, n := range f.nodes {
+					age, truth := n.membership.StoreAge(f.now), f.now.Sub(at)
+					is.True(age <= truth)
+					is.True(age >= truth-test.bound)
+				}
+			}
+		})
+	}
+}
+
+// During a rolling update daemons of an earlier release report calls without identity; these must still count.
+func TestCallsReportedByAnEarlierRelease(t *testing.T) {
+	is := is.New(t)
+	f := convergedFleet(t, 3, 1)
+	ms := &f.nodes[0].membership
+	ms.Step(f.now, Packet{From: f.nodes[1].member.Peer, Age: 3 * time.Second})
+	is.Equal(ms.StoreAge(f.now), 3*time.Second)
+	ms.Step(f.now, Packet{From: f.nodes[2].member.Peer, Age: 2 * time.Second, Call: StoreCall{Name: "d9", Incarnation: 1, Serial: 1}})
+	is.Equal(ms.StoreAge(f.now), 2*time.Second)
+	ms.Step(f.now.Add(time.Second), Packet{From: f.nodes[2].member.Peer, Age: 2 * time.Second, Call: StoreCall{Name: "d9", Incarnation: 1, Serial: 1}})
+	is.Equal(ms.StoreAge(f.now.Add(time.Second)), 3*time.Second)
+}
--- a/internal/peer/swim/fuzz_test.go
+++ b/internal/peer/swim/fuzz_test.go
@@ -11,6 +11,7 @@
 func FuzzPacket(f *testing.F) {
 	whole := Packet{
 		From: "10.0.0.1:7410", Round: 7, Ack: 3, Full: true, Age: time.Second, Head: 5,
+		Call: StoreCall{Name: "d1", Incarnation: 1, Serial: 8},
 		News: []Member{{
 			Name: "d1", Address: "10.0.0.1:7400", Peer: "10.0.0.1:7410", FailureDomain: "a", State: Alive,
 			Incarnation: 1, Serial: 2, Config: 5, Shards: []Shard{{Shard: 3, Epoch: 9}},
--- a/internal/peer/swim/merge.go
+++ b/internal/peer/swim/merge.go
@@ -17,9 +17,7 @@
 		ms.rejoined = now
 	}
 	ms.lastReceived = now
-	if p.Age >= 0 {
-		ms.storeReached = latest(ms.storeReached, now.Add(-p.Age))
-	}
+	ms.mergeStoreCall(now, p)
 	for _, m := range p.News {
 		ms.mergeMember(now, m, out)
 	}
--- a/internal/peer/swim/step.go
+++ b/internal/peer/swim/step.go
@@ -39,11 +39,13 @@
 		ticks          int
 		lastTick       time.Time
 		lastReceived   time.Time
-		storeReached   time.Time // by any daemon
-		rejoined       time.Time // last newer entry of a daemon under a Down claim, or first packet after Alone
-		configChanged  time.Time // last change of configuration seen in any entry
-		newestConfig   uint64    // highest version reported by Newer
-		newestReported time.Time // last Newer
+		storeReached   time.Time            // by any daemon
+		lastCall       StoreCall            // the call at storeReached; zero if an earlier release reported it
+		storeCalls     map[string]StoreCall // the newest that is known of each daemon, by its name
+		rejoined       time.Time            // last newer entry of a daemon under a Down claim, or first packet after Alone
+		configChanged  time.Time            // last change of configuration seen in any entry
+		newestConfig   uint64               // highest version reported by Newer
+		newestReported time.Time            // last Newer
 	}
 
 	// record is one other daemon: its own entry and what others claim.
@@ -62,7 +64,7 @@
 	case Self:
 		ms.setSelf(now, m, &out)
 	case Reached:
-		ms.storeReached = latest(ms.storeReached, m.At)
+		ms.noteOwnCall(m.At)
 	case Tick:
 		ms.tick(now, &out)
 	case Packet:
@@ -100,8 +102,8 @@
 }
 
 // StoreAge returns the time since the last successful call of any daemon to the
-// store that is known here, -1 if none is. It does not include packets' transit
-// times, so a delayed packet makes it too small.
+// store that is known here, -1 if none is. It does not include the transit times of
+// the packets that first reported the call, so a delayed packet makes it too small.
 func (ms *Membership) StoreAge(now time.Time) time.Duration {
 	if ms.storeReached.IsZero() {
 		return -1
@@ -200,10 +202,3 @@
 	m.State = r.state()
 	return m
 }
-
-func latest(x, y time.Time) time.Time {
-	if y.After(x) {
-		return y
-	}
-	return x
-}
--- a/internal/peer/swim/swim.go
+++ b/internal/peer/swim/swim.go
@@ -82,6 +82,8 @@
 	// Round that is answered, or 0. Full with a Round requests the receiver's
 	// full state; a Full packet may also carry the sender's.
 	//
+	// Call identifies the call to the store that Age refers to; earlier releases send none.
+	//
 	// Ask is a peer address that the receiver is to probe on the sender's behalf
 	// (an indirect probe), and For, in the ack, the address that answered it.
 	// Head is the sender's configuration version, which can be fetched from it.
@@ -97,6 +99,7 @@
 		For    string        `json:"for,omitempty"`
 		Digest uint64        `json:"digest,omitempty"`
 		Age    time.Duration `json:"age"`
+		Call   StoreCall     `json:"call,omitzero"`
 		Head   uint64        `json:"head"` // configuration version
 		News   []Member      `json:"news,omitempty"`
 		Claims []Claim       `json:"claims,omitempty"`
@@ -111,6 +114,14 @@
 		State       State  `json:"state"`
 	}
 
+	// StoreCall identifies one successful call of a daemon to the store. Serial counts the
+	// calls of one Incarnation. The zero value identifies none.
+	StoreCall struct {
+		Name        string `json:"name"` // of the daemon
+		Incarnation uint64 `json:"incarnation"`
+		Serial      uint64 `json:"serial"`
+	}
+
 	// Mark is the configuration version that a daemon has in force. It only
 	// rises, so it needs no Serial. All daemons change it at about the same
 	// time, and sending their whole entries would take many times the bytes.
--- a/internal/peer/swim/updates.go
+++ b/internal/peer/swim/updates.go
@@ -73,7 +73,7 @@
 // packet is Full.
 func (ms *Membership) send(now time.Time, to string, p Packet, out *effects) {
 	p.From = ms.self.Peer
-	p.Age = ms.StoreAge(now)
+	p.Age, p.Call = ms.StoreAge(now), ms.lastCall
 	p.Head = ms.self.Config
 	ms.addReceiverClaim(to, &p)
 	if !p.Full {
--- a/internal/peer/swim/wire.go
+++ b/internal/peer/swim/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,11 @@
 	// The first byte of a packed address.
 	addressText   = 0
 	addressBinary = 1
+
+	// callPrefix begins the name of the mark that carries a packet's StoreCall; no daemon's
+	// name begins so. A packet is an array of fixed length, and earlier releases ignore
+	// marks of daemons that they don't know.
+	callPrefix = "\x00"
 )
 
 type (
@@ -86,6 +92,9 @@
 	for _, m := range p.Marks {
 		w.Marks = append(w.Marks, mark{Name: m.Name, Incarnation: m.Incarnation, Config: m.Config})
 	}
+	if c := p.Call; c != (StoreCall{}) {
+		w.Marks = append(w.Marks, mark{Name: callPrefix + c.Name, Incarnation: c.Incarnation, Config: c.Serial})
+	}
 	return cbor.Marshal(w)
 }
 
@@ -111,6 +120,10 @@
 		p.Claims = append(p.Claims, Claim{Name: c.Name, Incarnation: c.Incarnation, Serial: c.Serial, State: stateFromCode(c.State)})
 	}
 	for _, m := range w.Marks {
+		if name, ok := strings.CutPrefix(m.Name, callPrefix); ok {
+			p.Call = StoreCall{Name: name, Incarnation: m.Incarnation, Serial: m.Config}
+			continue
+		}
 		p.Marks = append(p.Marks, Mark{Name: m.Name, Incarnation: m.Incarnation, Config: m.Config})
 	}
 	return nil
