recsrv: reservations are refused above a bound; log and count requests refused or slow

Evidence first: a VM with a disk left no trace of how much it is asked and how much it serves. Each second in which requests for records were refused or took over 100 ms now leaves one line (served, refused, rejected by the link, slowest, writes under way), and metrics count by kind.

A link serves 256 requests at a time and rejected all kinds alike, also records of turns that had run. Reservations, whose turns have not run, are now refused from 128 writes on. Replies to other records no longer carry the program's charges, which nobody reads.

--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/roster"
@@ -35,6 +36,10 @@
 	forceDropAfter = 10 * time.Second
 	// maxFill is the part of the disk that records may fill.
 	maxFill = 0.85
+	// maxWrites is the number of writes under way above which reservations are refused.
+	// They take some 50 ms then. Of the 256 requests that a link serves at a time, the rest
+	// is for the records of turns that have run.
+	maxWrites = 128
 )
 
 // Server stores records in Dir. Set the exported fields, then call Open.
@@ -42,9 +47,11 @@
 	Dir      string
 	Capacity int64 // bytes of the disk; 0 is unbounded
 	Now      func() time.Time
+	Scope    tally.Scope // of metrics; nil for none
 
 	log    seglog.Log
 	diskID string
+	meter  meter
 
 	mu         sync.Mutex
 	index      index.Index
@@ -52,6 +59,7 @@
 	roster     roster.Roster
 	maxTTL     time.Duration // longest retention of any record
 	frozen     bool          // no new records are accepted, because this VM is being retired
+	writes     int           // under way
 }
 
 // Open reads the log. Empty reports that the disk was empty and has got a new ID.
@@ -160,8 +168,10 @@
 	return r
 }
 
-// Write makes a record durable and returns the charges of its program.
+// Write makes a record durable. For a reservation it returns the charges of the program.
 func (s *Server) Write(ctx context.Context, req WriteRequest) (reply WriteReply, err error) {
+	began := time.Now()
+	defer func() { s.observe(kindOf(req.Record), began, reply.Refusal) }()
 	data, err := req.Record.Encode()
 	if err != nil {
 		return WriteReply{}, err
@@ -170,13 +180,14 @@
 	if reply.Refusal = s.appendIfAllowed(req, data, done); reply.Refusal.Code != "" {
 		return reply, nil
 	}
-	if err = await(ctx, done); err != nil {
-		return WriteReply{}, err
-	}
+	err = await(ctx, done)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply.Charges = s.index.Charges(req.Record.Program)
-	return reply, nil
+	s.writes--
+	if err == nil && req.Record.Reserved {
+		reply.Charges = s.index.Charges(req.Record.Program)
+	}
+	return reply, err
 }
 
 // appendIfAllowed appends a record unless it must be refused. The checks and the append
@@ -193,6 +204,10 @@
 	if s.frozen || full {
 		return Refusal{Code: CodeFull}
 	}
+	if req.Record.Reserved && s.writes >= maxWrites {
+		return Refusal{Code: CodeBusy}
+	}
+	s.writes++
 	s.index.ApplyCharge(req.Record, s.Now())
 	s.append(req.Record, data, done)
 	return Refusal{}
@@ -249,7 +264,9 @@
 }
 
 // Read returns a turn and the previous ones, as far as they are on this disk.
-func (s *Server) Read(_ context.Context, req ReadRequest) (ReadReply, error) {
+func (s *Server) Read(_ context.Context, req ReadRequest) (reply ReadReply, err error) {
+	began := time.Now()
+	defer func() { s.observe(kindRead, began, reply.Refusal) }()
 	if r := s.checkTarget(req.Target); r.Code != "" {
 		return ReadReply{Refusal: r}, nil
 	}
--- a/internal/disk/recsrv/wire.go
+++ b/internal/disk/recsrv/wire.go
@@ -28,7 +28,8 @@
 		Record index.Record `cbor:"2,keyasint"`
 	}
 
-	// WriteReply has the charges of the program's attempts, this record's included.
+	// WriteReply has the charges of the program's attempts, this record's included, if the
+	// record is a reservation.
 	WriteReply struct {
 		Refusal Refusal        `cbor:"1,keyasint"`
 		Charges []index.Charge `cbor:"2,keyasint,omitempty"`
@@ -86,8 +87,8 @@
 	// that it was executed.
 	Refusal struct {
 		Code    string `cbor:"1,keyasint,omitempty"`
-		Version uint64 `cbor:"2,keyasint,omitempty"` // of the newest roster that the server has seen; 0 with CodeFull
-		Roster  []byte `cbor:"3,keyasint,omitempty"` // newest roster that the server has, encoded; empty if it has none, and with CodeFull
+		Version uint64 `cbor:"2,keyasint,omitempty"` // of the newest roster that the server has seen; 0 with CodeFull and CodeBusy
+		Roster  []byte `cbor:"3,keyasint,omitempty"` // newest roster that the server has, encoded; empty if it has none, and with CodeFull and CodeBusy
 	}
 )
 
@@ -96,4 +97,5 @@
 	CodeStaleRoster = "stale" // the request's roster is older than the newest that the server has seen
 	CodeWrongDisk   = "other" // the request is for another disk
 	CodeFull        = "full"  // the disk is full or frozen
+	CodeBusy        = "busy"  // too many records are being written
 )
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -114,7 +114,7 @@
 	defer func() { err = errors.Wrap(err, "run disk daemon") }()
 	d.started = time.Now()
 	d.joinResult = make(chan error, 1)
-	d.recsrv.Dir, d.recsrv.Capacity = d.Settings.Dir, d.Settings.Capacity
+	d.recsrv.Dir, d.recsrv.Capacity, d.recsrv.Scope = d.Settings.Dir, d.Settings.Capacity, d.Scope
 	emptyDisk, err := d.recsrv.Open()
 	if err != nil {
 		return err
@@ -142,6 +142,7 @@
 	}()
 	go d.checkLoop(ctx)
 	go d.trim(ctx)
+	go d.watchLoad(ctx)
 	go d.serveControl(ctx)
 	err = d.link.Serve(ctx, ln)
 	<-registrationEnded
--- a/internal/peer/link/errors.go
+++ b/internal/peer/link/errors.go
@@ -22,6 +22,10 @@
 	// peer cancelled the request.
 	ErrCancelled = errors.New("cancelled by the caller")
 
+	// ErrOverloaded is the cause if the peer rejected a request because it is serving as many
+	// as it can.
+	ErrOverloaded = errors.New("peer is overloaded")
+
 	errNotStarted = errors.New("link not started")
 	errBadFrame   = errors.New("not a frame")
 	errTooLarge   = errors.New("message too large")
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -20,6 +20,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,6 +73,7 @@
 		sessions    map[*session]struct{}
 		closed      bool
 		lastScan    time.Time
+		rejected    atomic.Int64
 		wg          sync.WaitGroup
 	}
 )
@@ -165,6 +167,9 @@
 	l.wg.Wait()
 }
 
+// Rejected returns how many requests this daemon has rejected because it served too many.
+func (l *Link) Rejected() int64 { return l.rejected.Load() }
+
 // Peer returns the client for the daemon at a peer address. It dials on use.
 func (l *Link) Peer(address string) *Peer {
 	l.mu.Lock()
--- a/internal/peer/link/pending.go
+++ b/internal/peer/link/pending.go
@@ -106,7 +106,7 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &rpcErr) && rpcErr.Code == codeOverloaded:
-		return s.linkError(false, err)
+		return s.linkError(false, errors.Wrap(ErrOverloaded, rpcErr.Message))
 	case errors.As(err, &rpcErr):
 		return &MethodError{Method: method, Message: rpcErr.Message}
 	case ctx.Err() != nil:
--- a/internal/peer/link/serve.go
+++ b/internal/peer/link/serve.go
@@ -55,6 +55,7 @@
 
 func (s *session) rejectOverload(r *jsonrpc2.Request, err error) {
 	s.link.Scope.Counter("link_refused").Inc(1)
+	s.link.rejected.Add(1)
 	s.replyError(r, codeOverloaded, err)
 }
 
