quorum, proxy: retries and settlements of refused turns don't keep record servers overloaded

What callers saw: nearly no turn was served after a burst (records_away), for as long as they asked.

Cause: a request rejected for overload went to the next replica at once, and an attempt began again after 40 ms at all replicas, also those that had the record. A refused turn settled its reservation in this way for four seconds, although no replica had it.

Now a reservation that overloaded replicas refuse fails at once; other records are tried again after pauses that double; replicas that have the record are not asked again; none is asked once a quorum is out of reach; and a reservation that certainly was not written (ErrNotWritten) is not settled. Outcome records_busy.

--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -12,9 +12,7 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +46,11 @@
 	ErrNoTurn = errors.New("no such turn")
 	// ErrNoQuorum reports that too few replicas answered.
 	ErrNoQuorum = errors.New("no quorum: too few record servers answered")
+	// ErrNotWritten reports that no replica has the record, or will have it: all that were
+	// asked have refused it.
+	ErrNotWritten = errors.New("record refused by the record servers")
+	// ErrOverloaded reports that replicas refused the record because they have too much to do.
+	ErrOverloaded = errors.New("record servers are overloaded")
 )
 
 type (
@@ -65,7 +68,7 @@
 
 	// Result is the outcome of a write.
 	Result struct {
-		Charges []index.Charge // of the program, merged from the replicas that had answered
+		Charges []index.Charge // of a reservation's program, merged from the replicas that had answered
 	}
 
 	reply struct {
@@ -76,18 +79,23 @@
 	}
 )
 
-// Write makes a record durable. It retries until ctx ends; after an error the record
-// may be durable or not. The result of a reservation has the charge of every
-// reservation of the program that was acknowledged before; that of other records may
-// lack some.
+// Write makes a record durable. It retries until ctx ends, but a reservation that overloaded
+// replicas have refused fails at once. After an error the record may be durable or
+// not, unless the error is ErrNotWritten. The result of a reservation has the charge of every
+// reservation of the program that was acknowledged before; that of other records has none.
 func (c *Client) Write(ctx context.Context, rec index.Record) (res Result, err error) {
 	defer func() { err = errors.Wrapf(err, "write record of %s", rec.Attempt) }()
+	w := recordWrite{client: c, rec: rec}
+	wait := retryPause
 	for {
-		var stale bool
-		if res, stale, err = c.write(ctx, rec); err == nil || ctx.Err() != nil {
+		if err = w.try(ctx); err == nil {
+			return w.result(), nil
+		}
+		if ctx.Err() != nil || rec.Reserved && w.busy && errors.Is(err, ErrNotWritten) {
 			return res, err
 		}
-		if !c.waitRetry(ctx, stale) {
+		wait = w.nextPause(wait)
+		if !c.waitRetry(ctx, w.stale, wait) {
 			return res, err
 		}
 	}
@@ -95,94 +103,11 @@
 
 // waitRetry waits before the next attempt, and first refreshes the roster if it may
 // be stale. It returns false if ctx has ended.
-func (c *Client) waitRetry(ctx context.Context, stale bool) bool {
+func (c *Client) waitRetry(ctx context.Context, stale bool, wait time.Duration) bool {
 	if stale {
 		c.Refresh(ctx)
 	}
-	return pause.For(ctx, retryPause)
-}
-
-func (c *Client) write(ctx context.Context, rec index.Record) (res Result, stale bool, err error) {
-	r := c.Roster()
-	if len(r.Replicas) < r.WriteQuorum() || len(r.Replicas) == 0 {
-		return res, true, ErrNoQuorum
-	}
-	replicas := preferenceOrder(r, rec.Key())
-	replies := make(chan reply, len(replicas))
-	pending := map[string]bool{} // nodes that have not answered
-	next := 0
-	send := func() {
-		if next < len(replicas) {
-			go c.writeTo(ctx, r.Version, replicas[next], rec, replies)
-			pending[replicas[next].Node] = true
-			next++
-		}
-	}
-	for range r.WriteQuorum() {
-		send()
-	}
-	hedge := time.NewTicker(c.writeLatency.hedge(replicas, minWriteHedge))
-	defer hedge.Stop()
-	charges := map[string]index.Charge{}
-	written, complete := 0, 0
-	for received := 0; received < len(replicas); {
-		select {
-		case got := <-replies:
-			received++
-			delete(pending, got.replica.Node)
-			if !c.accepted(got.err, got.write.Refusal, &stale) {
-				// If r is stale, its other replicas may be gone: don't wait for
-				// them, but retry with the newer roster. A refusal for another
-				// reason (the replica's disk was replaced, is full or is
-				// frozen) only skips this replica.
-				if got.write.Refusal.Version > r.Version {
-					return res, stale, ErrNoQuorum
-				}
-				send()
-				continue
-			}
-			written++
-			if !got.replica.Joining {
-				complete++
-			}
-			for _, charge := range got.write.Charges {
-				charges[charge.Attempt] = index.Merge(charges[charge.Attempt], charge)
-			}
-		case <-hedge.C:
-			send()
-		case <-ctx.Done():
-			return res, stale, errors.CombineErrors(noQuorum(written, pending), ctx.Err())
-		}
-		// A reservation also needs a read quorum of complete replicas, so that its result
-		// has every reservation acknowledged before.
-		if written < r.WriteQuorum() || rec.Reserved && complete < r.ReadQuorum() {
-			continue
-		}
-		for _, charge := range charges {
-			res.Charges = append(res.Charges, charge)
-		}
-		return res, false, nil
-	}
-	return res, stale, ErrNoQuorum
-}
-
-// noQuorum returns an ErrNoQuorum that says how many replicas have the record and which have
-// not answered.
-func noQuorum(written int, pending map[string]bool) error {
-	return errors.Wrapf(ErrNoQuorum, "%d wrote, no answer from %s", written, strings.Join(slices.Sorted(maps.Keys(pending)), ", "))
-}
-
-// writeTo writes to one replica. It goes on after the write quorum is reached, and
-// after ctx is cancelled: each further copy may outlive the others.
-func (c *Client) writeTo(ctx context.Context, version uint64, p roster.Replica, rec index.Record, replies chan<- reply) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), replicaTimeout)
-	defer stop()
-	req := recsrv.WriteRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Record: rec}
-	out := reply{replica: p}
-	began := time.Now()
-	out.err = link.InvokeTyped(ctx, c.Peer(p.Address), recsrv.MethodWrite, req, &out.write)
-	c.writeLatency.observe(p, time.Since(began), out.err)
-	replies <- out
+	return pause.For(ctx, wait)
 }
 
 // preferenceOrder returns the replicas in the order in which a program's records are
@@ -204,8 +129,8 @@
 	return list
 }
 
-// accepted reports whether a replica executed the request. After a refusal it sets
-// stale, and passes on the roster that came with it.
+// accepted reports whether a replica executed the request. After a refusal other than for
+// overload it sets stale, and passes on the roster that came with it.
 func (c *Client) accepted(err error, refusal recsrv.Refusal, stale *bool) bool {
 	if err != nil {
 		return false
@@ -213,6 +138,9 @@
 	if refusal.Code == "" {
 		return true
 	}
+	if refusal.Code == recsrv.CodeBusy {
+		return false
+	}
 	*stale = true
 	if len(refusal.Roster) > 0 {
 		c.Learn(refusal.Roster)
@@ -255,7 +183,7 @@
 		if err == nil || errors.Is(err, ErrNoTurn) || ctx.Err() != nil {
 			return part, next, err
 		}
-		if !c.waitRetry(ctx, stale) {
+		if !c.waitRetry(ctx, stale, retryPause) {
 			return nil, turn, err
 		}
 	}
--- /dev/null
+++ b/internal/disk/quorum/write.go
@@ -0,0 +1,182 @@
+package quorum
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/disk/recsrv"
+	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/peer/link"
+)
+
+// maxRetryPause is the longest pause between attempts while replicas are overloaded.
+const maxRetryPause = time.Second
+
+// recordWrite is one record being written, over all attempts under one roster: a replica that has
+// the record is not asked again.
+type recordWrite struct {
+	client *Client
+	rec    index.Record
+
+	version  uint64                  // of the roster; a newer one starts over
+	written  map[string]bool         // disk IDs of the replicas that have the record
+	complete int                     // those of them that are not joining
+	charges  map[string]index.Charge // by attempt, merged from their answers
+	maybe    bool                    // some replica may have the record although it did not say so
+	busy     bool                    // a replica was overloaded in the last attempt
+	stale    bool                    // the roster may be stale after the last attempt
+}
+
+// try asks the replicas that lack the record until enough have it, or can't have it.
+func (w *recordWrite) try(ctx context.Context) error {
+	r := w.client.Roster()
+	w.busy, w.stale = false, false
+	if len(r.Replicas) < r.WriteQuorum() || len(r.Replicas) == 0 {
+		w.stale = true
+		return ErrNoQuorum
+	}
+	w.begin(r)
+	replicas := slices.DeleteFunc(preferenceOrder(r, w.rec.Key()), func(p roster.Replica) bool { return w.written[p.DiskID] })
+	replies := make(chan reply, len(replicas))
+	pending := map[string]bool{} // nodes that have not answered
+	next := 0
+	send := func() {
+		if next < len(replicas) {
+			go w.client.writeTo(ctx, r.Version, replicas[next], w.rec, replies)
+			pending[replicas[next].Node] = true
+			next++
+		}
+	}
+	for range max(r.WriteQuorum()-len(w.written), 1) {
+		send()
+	}
+	hedge := time.NewTicker(w.client.writeLatency.hedge(replicas, minWriteHedge))
+	defer hedge.Stop()
+	hopeless := false // a quorum is out of reach
+	for received := 0; received < len(replicas) && !(hopeless && len(pending) == 0); {
+		select {
+		case got := <-replies:
+			received++
+			delete(pending, got.replica.Node)
+			if w.accept(got) {
+				break
+			}
+			// If r is stale, its other replicas may be gone: don't wait for them, but retry
+			// with the newer roster. A refusal for another reason only skips this replica.
+			if got.write.Refusal.Version > r.Version {
+				return w.failure(pending)
+			}
+			// If a quorum is out of reach, the others are not asked: they may be overloaded too.
+			// The answers of those asked already tell which have the record.
+			hopeless = len(w.written)+len(replicas)-received < r.WriteQuorum()
+			if !hopeless {
+				send()
+			}
+		case <-hedge.C:
+			if hopeless {
+				return w.failure(pending)
+			}
+			send()
+		case <-ctx.Done():
+			return errors.CombineErrors(w.failure(pending), ctx.Err())
+		}
+		if w.enough(r) {
+			return nil
+		}
+	}
+	return w.failure(pending)
+}
+
+// begin forgets what was written under an older roster: a replica that joined since may have
+// copied the records before.
+func (w *recordWrite) begin(r roster.Roster) {
+	if w.written != nil && w.version == r.Version {
+		return
+	}
+	w.maybe = w.maybe || len(w.written) > 0
+	w.version, w.complete = r.Version, 0
+	w.written, w.charges = map[string]bool{}, map[string]index.Charge{}
+}
+
+// enough reports whether the record is durable. A reservation also needs a read quorum of
+// complete replicas, so that its result has every reservation acknowledged before.
+func (w *recordWrite) enough(r roster.Roster) bool {
+	return len(w.written) >= r.WriteQuorum() && (!w.rec.Reserved || w.complete >= r.ReadQuorum())
+}
+
+// accept notes a replica's answer, and reports whether the replica has the record.
+func (w *recordWrite) accept(got reply) bool {
+	w.busy = w.busy || got.write.Refusal.Code == recsrv.CodeBusy || errors.Is(got.err, link.ErrOverloaded)
+	if !w.client.accepted(got.err, got.write.Refusal, &w.stale) {
+		w.maybe = w.maybe || mayHaveRun(got.err)
+		return false
+	}
+	w.written[got.replica.DiskID] = true
+	if !got.replica.Joining {
+		w.complete++
+	}
+	for _, charge := range got.write.Charges {
+		w.charges[charge.Attempt] = index.Merge(w.charges[charge.Attempt], charge)
+	}
+	return true
+}
+
+// mayHaveRun reports whether a request that failed may have been executed.
+func mayHaveRun(err error) bool {
+	var failure *link.Error
+	if errors.As(err, &failure) {
+		return failure.MayHaveRun
+	}
+	return err != nil
+}
+
+// failure returns an ErrNoQuorum that says how many replicas have the record and which have
+// not answered. It is an ErrNotWritten too if none has the record or will have it, and an
+// ErrOverloaded if a replica was.
+func (w *recordWrite) failure(pending map[string]bool) error {
+	w.maybe = w.maybe || len(pending) > 0
+	err := errors.Wrapf(ErrNoQuorum, "%d wrote, no answer from %s", len(w.written), strings.Join(slices.Sorted(maps.Keys(pending)), ", "))
+	if !w.maybe && len(w.written) == 0 {
+		err = errors.Mark(err, ErrNotWritten)
+	}
+	if w.busy {
+		err = errors.Mark(err, ErrOverloaded)
+	}
+	return err
+}
+
+// nextPause returns the pause after one of length last. While replicas are overloaded it
+// doubles: retries at a fixed pause would keep them overloaded.
+func (w *recordWrite) nextPause(last time.Duration) time.Duration {
+	if !w.busy {
+		return retryPause
+	}
+	return min(last+rand.N(last), maxRetryPause)
+}
+
+func (w *recordWrite) result() (res Result) {
+	for _, charge := range w.charges {
+		res.Charges = append(res.Charges, charge)
+	}
+	return res
+}
+
+// writeTo writes to one replica. It goes on after the write quorum is reached, and
+// after ctx is cancelled: each further copy may outlive the others.
+func (c *Client) writeTo(ctx context.Context, version uint64, p roster.Replica, rec index.Record, replies chan<- reply) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), replicaTimeout)
+	defer stop()
+	req := recsrv.WriteRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Record: rec}
+	out := reply{replica: p}
+	began := time.Now()
+	out.err = link.InvokeTyped(ctx, c.Peer(p.Address), recsrv.MethodWrite, req, &out.write)
+	c.writeLatency.observe(p, time.Since(began), out.err)
+	replies <- out
+}
--- a/internal/front/proxy/reply.go
+++ b/internal/front/proxy/reply.go
@@ -22,6 +22,9 @@
 	// retryNoQuorum is for fewer replicas of the records responding than a quorum,
 	// which lasts until a failed one has restarted or was replaced.
 	retryNoQuorum = 400 * time.Millisecond
+	// retryRecordsBusy is for replicas of the records that have too much to do: they have
+	// worked off what waits after some hundred milliseconds.
+	retryRecordsBusy = 400 * time.Millisecond
 )
 
 // errorBody is the body of an error response that the proxy itself generates.
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -100,11 +100,21 @@
 	case ctx.Err() != nil:
 		t.replyExpired(err)
 	default:
-		t.replyUnavailable("records_away", retryNoQuorum, err)
+		t.replyNoRecords(err)
 	}
 	return false
 }
 
+// replyNoRecords refuses a turn whose records can't be read or written: too few replicas
+// answer, or they have too much to do.
+func (t *turn) replyNoRecords(err error) {
+	if errors.Is(err, quorum.ErrOverloaded) {
+		t.replyUnavailable("records_busy", retryRecordsBusy, err)
+		return
+	}
+	t.replyUnavailable("records_away", retryNoQuorum, err)
+}
+
 func (t *turn) readHistory(ctx context.Context) error {
 	if !t.route.StoreTurns || t.Previous == "" {
 		return nil
@@ -149,14 +159,14 @@
 	rec := t.newRecord()
 	rec.Reserved, rec.MaxTokens = true, t.maxTokens()
 	res, err := t.e.Records.Write(ctx, rec)
-	t.reserved = true
+	t.reserved = !errors.Is(err, quorum.ErrNotWritten)
 	if err != nil {
 		t.settle()
 		if ctx.Err() != nil {
 			t.replyExpired(err)
 			return false
 		}
-		t.replyUnavailable("records_away", retryNoQuorum, err)
+		t.replyNoRecords(err)
 		return false
 	}
 	t.programBegun = t.Previous != "" || index.OthersStarted(res.Charges, rec.Attempt)
