slots: a front bounds its reservations by what the record servers can do

Refusing a request costs a record server nearly half of what serving it does, so at twice its capacity it has no time left if all fronts pass on all they get. Each front now bounds the reservations that it has under way: it halves the bound when they are refused for overload or get no answer in time, raises it slowly, and refuses the excess itself within 0.2 s.

--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -4,7 +4,8 @@
 // Turns at such a front would wait for their records until their callers give up. Once
 // calls have failed for some time without a success, further calls fail at once, so that
 // callers retry and are directed to another front; probes are let through to detect
-// when the holders are reachable again.
+// when the holders are reachable again. Reservations beyond what the holders can do fail at
+// once, too (see package slots).
 package reach
 
 import (
@@ -16,6 +17,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/slots"
 )
 
 const (
@@ -32,8 +34,12 @@
 	probeInterval = 250 * time.Millisecond
 )
 
-// errOpen is the error of a call that is not made.
-var errOpen = errors.Wrap(quorum.ErrNoQuorum, "not asked since earlier calls failed")
+var (
+	// errOpen is the error of a call that is not made.
+	errOpen = errors.Mark(errors.Wrap(quorum.ErrNoQuorum, "not asked since earlier calls failed"), quorum.ErrNotWritten)
+	// errFull is the error of a reservation beyond what the holders can do.
+	errFull = errors.Mark(errors.Mark(errors.Wrap(quorum.ErrNoQuorum, "not asked since others wait"), quorum.ErrNotWritten), quorum.ErrOverloaded)
+)
 
 type (
 	// Records reads and writes durable records.
@@ -47,6 +53,8 @@
 	Breaker struct {
 		Records Records
 
+		slots slots.Slots // of reservations
+
 		mu           sync.Mutex
 		failures     int       // since the last success
 		firstFailure time.Time // since the last success
@@ -55,7 +63,8 @@
 )
 
 // Write writes a record. A reservation has CallTimeout, and fails with quorum.ErrNoQuorum
-// while the holders are unreachable. Other records, the output and the usage of turns, are
+// while the holders are unreachable, and with quorum.ErrOverloaded while they have too much to
+// do. Other records, the output and the usage of turns, are
 // always written, without a timeout of their own.
 func (b *Breaker) Write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
 	if !rec.Reserved {
@@ -66,7 +75,12 @@
 	}
 	limited, stop := context.WithTimeout(ctx, CallTimeout)
 	defer stop()
+	if err = b.slots.Acquire(limited); err != nil {
+		return res, errors.WithSecondaryError(errFull, err)
+	}
 	res, err = b.Records.Write(limited, rec)
+	overloaded := errors.Is(err, quorum.ErrOverloaded) || limited.Err() != nil && ctx.Err() == nil
+	b.slots.Release(time.Now(), overloaded)
 	b.recordOutcome(ctx, err)
 	return res, err
 }
@@ -84,13 +98,13 @@
 	return chain, err
 }
 
-// recordOutcome counts a failure or resets the count. ErrNoTurn is an answer and resets it,
-// too; a call that its caller cancelled is ignored.
+// recordOutcome counts a failure or resets the count. ErrNoTurn and ErrOverloaded are answers
+// and reset it, too; a call that its caller cancelled is ignored.
 func (b *Breaker) recordOutcome(ctx context.Context, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case err == nil || errors.Is(err, quorum.ErrNoTurn):
+	case err == nil || errors.Is(err, quorum.ErrNoTurn) || errors.Is(err, quorum.ErrOverloaded):
 		b.failures = 0
 	case errors.Is(ctx.Err(), context.Canceled):
 	default:
@@ -100,6 +114,9 @@
 	}
 }
 
+// Slots returns how many reservations may be under way, how many are, and how many wait.
+func (b *Breaker) Slots() (slots, inUse, waiting int) { return b.slots.Len() }
+
 // Down reports whether the holders count as unreachable.
 func (b *Breaker) Down(now time.Time) bool {
 	b.mu.Lock()
