crash: the head of a crash is kept on the disk and logged at the next start

The Go runtime writes the cause first and the registers last, so nothing told a panic from a signal.

VMs with a disk now have a crash written to a file as well, and the process that starts next logs its head as one bounded line: reason, details (program counter, signal code), the stack that crashed.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -17,6 +17,7 @@
 	"github.com/slaterock/slaterock/internal/front/bucket"
 	"github.com/slaterock/slaterock/internal/node/diskd"
 	"github.com/slaterock/slaterock/internal/node/frontd"
+	"github.com/slaterock/slaterock/internal/obs/crash"
 	"github.com/slaterock/slaterock/internal/obs/logbuf"
 	"github.com/slaterock/slaterock/internal/obs/metric"
 	"github.com/slaterock/slaterock/internal/obs/trace"
@@ -156,6 +157,9 @@
 	if s.DataDir == "" {
 		return errors.New("settings: data-dir is missing")
 	}
+	if err := crash.Watch(s.DataDir, p.log); err != nil {
+		p.log.Warn().Err(err).Msg("a crash of this process will not be logged at its next start")
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
