link, frontd: a silent connection is replaced before it counts as dead

Cause: a front notices after 2.5 to 3 s that a connection to a VM with a disk is silent, and until then sends each reservation over it; a turn waits 0.9 s.

A front now pings after 0.2 s without data on a connection with a request that waits, dials another one after 0.4 s, and takes that if it is answered while the first is still silent. A VM that is only slow answers the ping first and keeps its connection. Such silence also halved the front's bound on reservations, which it says nothing about: only refusals for overload do so now.

TestSilentConnectionIsReplaced (0.5 s; before, 3 s), TestSlowPeerKeepsItsConnection.

--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -79,8 +79,7 @@
 		return res, errors.WithSecondaryError(errFull, err)
 	}
 	res, err = b.Records.Write(limited, rec)
-	overloaded := errors.Is(err, quorum.ErrOverloaded) || limited.Err() != nil && ctx.Err() == nil
-	b.slots.Release(time.Now(), overloaded)
+	b.slots.Release(time.Now(), errors.Is(err, quorum.ErrOverloaded))
 	b.recordOutcome(ctx, err)
 	return res, err
 }
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -46,6 +46,10 @@
 	// distant regions.
 	dialTimeout    = 300 * time.Millisecond
 	maxDialBackoff = 300 * time.Millisecond
+	// pingAfter is the time without data after which a connection on which a request waits is
+	// checked. A turn waits for its records for 0.9 s at most, and needs time to ask again
+	// when a connection has gone silent.
+	pingAfter = 200 * time.Millisecond
 	// probeInterval is the pause between checks whether the record servers are reachable.
 	probeInterval = 200 * time.Millisecond
 )
@@ -153,7 +157,7 @@
 	d.limits.Tolerance = d.Settings.Tolerance
 	d.picker.Idle, d.picker.Age = d.pool.Idle, d.meshio.Age
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
-	d.link.DialTimeout, d.link.BackOff = dialTimeout, maxDialBackoff
+	d.link.DialTimeout, d.link.BackOff, d.link.PingAfter = dialTimeout, maxDialBackoff, pingAfter
 	d.link.Handle(methodSnapshot, link.TypedHandler(d.serveSnapshot))
 	if err := d.link.Start(ctx); err != nil {
 		return err
--- a/internal/peer/link/lifecycle_test.go
+++ b/internal/peer/link/lifecycle_test.go
@@ -214,3 +214,38 @@
 	client.Wait()
 	is.True(client.Peer(ln.Addr().String()).Call(t.Context(), call.Call{}, nil).Ran == result.No)
 }
+
+// A connection stops passing data while calls wait. They must fail, and further calls get through on another connection, soon after PingAfter and not only once the connection counts as dead.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPairWith(t, func(p *pair) {
+			p.a.PingAfter = 200 * time.Millisecond
+			p.b.Handle("echo", func(context.Context, json.RawMessage) (any, error) { return true, nil })
+		})
+		defer p.end()
+		invoke := func() error { return p.a.Peer("b").Invoke(t.Context(), "echo", nil, nil) }
+		is.NoErr(invoke())
+		p.network.dropAll()
+		start := time.Now()
+		is.True(errors.Is(invoke(), ErrUnresponsive))
+		is.NoErr(invoke())
+		is.True(time.Since(start) <= 500*time.Millisecond)
+		is.Equal(p.count("link_silent"), int64(1))
+	})
+}
+
+// A peer that is only slow must keep its connection, and the calls on it.
+func TestSlowPeerKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPairWith(t, func(p *pair) {
+			p.a.PingAfter = 200 * time.Millisecond
+			p.b.Handle("slow", func(context.Context, json.RawMessage) (any, error) { sleep(2 * time.Second); return true, nil })
+		})
+		defer p.end()
+		is.NoErr(p.a.Peer("b").Invoke(t.Context(), "slow", nil, nil))
+		is.Equal(p.count("link_silent"), int64(0))
+		is.Equal(p.network.dials, 1)
+	})
+}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -9,8 +9,9 @@
 //
 // A connection can stop passing data without FIN or RST, for example when a
 // middlebox dropped its state, and calls over it would hang. So a side that
-// waits for data and receives none sends a ping, and closes the connection if
-// it still receives nothing; the next call dials again. Idle connections carry
+// waits for data and receives none sends a ping, and tries another connection if
+// it still receives nothing; that one replaces the first if it is answered before.
+// At last a silent connection is closed, and the next call dials again. Idle connections carry
 // no heartbeats: at the target fleet size these alone would exceed a daemon's
 // budget for control traffic.
 package link
@@ -37,9 +38,9 @@
 	// DefaultIdleTimeout is how long an unused connection is kept.
 	DefaultIdleTimeout = 5 * time.Minute
 
-	handlerWorkers = 256
-	scanInterval   = 500 * time.Millisecond
-	dialTimeout    = 2 * time.Second
+	handlerWorkers  = 256
+	maxScanInterval = 500 * time.Millisecond
+	dialTimeout     = 2 * time.Second
 )
 
 type (
@@ -62,6 +63,7 @@
 		IdleTimeout time.Duration
 		DialTimeout time.Duration // of the default Dial; any dial with its handshake ends after 2 s
 		BackOff     time.Duration // maximum pause between dials
+		PingAfter   time.Duration // without data on a connection with a request that waits; 1 s if 0
 		Scope       tally.Scope
 
 		handlers    map[string]Handler
@@ -122,6 +124,9 @@
 	if l.BackOff == 0 {
 		l.BackOff = backOffMax
 	}
+	if l.PingAfter == 0 {
+		l.PingAfter = defaultPingAfter
+	}
 	if l.Scope == nil {
 		l.Scope = tally.NoopScope
 	}
@@ -214,7 +219,7 @@
 // monitor checks all sessions on one timer, since a timer for each would wake a
 // daemon with hundreds of idle connections needlessly.
 func (l *Link) monitor(ctx context.Context) {
-	ticker := time.NewTicker(scanInterval)
+	ticker := time.NewTicker(l.scanInterval())
 	defer ticker.Stop()
 	for {
 		select {
@@ -227,6 +232,8 @@
 	}
 }
 
+func (l *Link) scanInterval() time.Duration { return min(l.PingAfter/2, maxScanInterval) }
+
 // close prevents new work, since nothing may start once Wait has returned.
 // Sessions end by themselves with ctx.
 func (l *Link) close() {
@@ -240,7 +247,7 @@
 func (l *Link) scan(now time.Time) {
 	// After a pause of this process nothing was received, but the connections
 	// may be sound: data that came meanwhile is still to be read.
-	paused := now.Sub(l.lastScan) > 2*scanInterval
+	paused := now.Sub(l.lastScan) > 2*maxScanInterval
 	l.lastScan = now
 	l.mu.Lock()
 	all := make([]*session, 0, len(l.sessions))
--- a/internal/peer/link/peer.go
+++ b/internal/peer/link/peer.go
@@ -28,12 +28,13 @@
 	link    *Link
 	address string
 
-	mu       sync.Mutex
-	session  *session
-	dialing  chan struct{} // closed when the running dial ends; nil if there is none
-	backOff  time.Duration // after the last failure
-	nextDial time.Time     // no dial before this time
-	dialErr  error
+	mu        sync.Mutex
+	session   *session
+	dialing   chan struct{} // closed when the running dial ends; nil if there is none
+	dialBegan time.Time
+	backOff   time.Duration // after the last failure
+	nextDial  time.Time     // no dial before this time
+	dialErr   error
 }
 
 var _ runner.Runner = (*Peer)(nil)
@@ -229,15 +230,35 @@
 	if err != nil {
 		return nil, err
 	}
-	p.dialing = done
+	p.dialing, p.dialBegan = done, time.Now()
 	return done, nil
 }
 
+// tryReplace dials another connection, unless a dial is running, since old is silent. The
+// peer may only be slow: then old answers first and is kept.
+func (p *Peer) tryReplace(old *session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.session != old || p.dialing != nil {
+		return
+	}
+	_, _ = p.startDial() // a failure is tried again at the next check
+}
+
 func (p *Peer) dialDone(s *session, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	began := p.dialBegan
 	p.dialing = nil
 	if err == nil {
+		if old := p.liveSession(); old != nil {
+			if old.stream.lastRead.Load() >= began.UnixNano() {
+				go s.close(errIdleClosed)
+				return
+			}
+			p.link.Scope.Counter("link_silent").Inc(1)
+			go old.close(ErrUnresponsive)
+		}
 		p.session = s
 		p.backOff = 0
 		p.nextDial = time.Time{}
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// A side that waits for a response pings after pingAfter without data and
-	// closes the connection after deadAfter. With scanInterval that is within 3 s.
-	pingAfter = time.Second
-	deadAfter = 2500 * time.Millisecond
+	// A side that waits for a response pings after Link.PingAfter without data, dials
+	// another connection after redialFactor times that, and closes the connection after
+	// deadAfter. With the longest scan interval that is within 3 s.
+	defaultPingAfter = time.Second
+	redialFactor     = 2
+	deadAfter        = 2500 * time.Millisecond
 	// For a side that only serves, late detection costs no more than wasted
 	// work, so it pings less often.
 	serverPingAfter = 5 * time.Second
@@ -260,7 +262,10 @@
 	sinceRead := now.Sub(time.Unix(0, max(lastRead, awaitingSince)))
 	switch {
 	case s.awaiting.Load() > 0 || awaitingSince > lastRead:
-		s.checkLiveness(now, sinceRead, pingAfter, deadAfter)
+		s.checkLiveness(now, sinceRead, s.link.PingAfter, deadAfter)
+		if sinceRead >= redialFactor*s.link.PingAfter && s.peer != "" {
+			s.link.Peer(s.peer).tryReplace(s)
+		}
 	case s.serving.Load() > 0:
 		s.checkLiveness(now, sinceRead, serverPingAfter, serverDeadAfter)
 	default:
