recsrv, quorum: a reservation beyond a spent budget is refused without a record

A program that loops on with its budget spent asks some fifty times at once.

The reservation now carries the budget, and a record server that knows from settled attempts alone that it has no room says so at once. Settled tokens never fall, so no attempt under way can change that; reservations count as before, at the front.

TestSpentBudgetIsRefusedWithoutRecord, TestRefusedReservation. The pauses of retries now grow by half at least.

--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -127,6 +127,21 @@
 	return sum <= budget
 }
 
+// SettledTokens returns the tokens that the settled attempts of a program have spent. The sum
+// never falls.
+func (ix *Index) SettledTokens(name string) (sum int) {
+	p := ix.programs[name]
+	if p == nil {
+		return 0
+	}
+	for _, c := range p.charges {
+		if c.Settled {
+			sum += c.Tokens
+		}
+	}
+	return sum
+}
+
 // LastUpstream returns the id of the upstream that last ran a turn of the session, or
 // else of the whole program, since a sub-agent's prompt begins with its parent's. It is
 // empty if there is none.
--- a/internal/disk/index/record.go
+++ b/internal/disk/index/record.go
@@ -22,6 +22,7 @@
 		Fence     uint64 `cbor:"10,keyasint,omitempty"` // requests under rosters older than this version are refused
 		Upstream  string `cbor:"11,keyasint,omitempty"` // id of the upstream that ran the attempt; set with Settled
 		Session   string `cbor:"12,keyasint,omitempty"` // session that the turn belongs to
+		Budget    int    `cbor:"-"`                     // tokens of the program's budget, with Reserved; 0 for none. Not stored
 	}
 
 	// Turn is the content that a turn adds to its chain. Its id is the attempt's.
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -49,6 +49,9 @@
 	// ErrNotWritten reports that no replica has the record, or will have it: all that were
 	// asked have refused it.
 	ErrNotWritten = errors.New("record refused by the record servers")
+	// ErrSpent reports a reservation for which the program's budget has no room, whatever
+	// becomes of its attempts under way.
+	ErrSpent = errors.New("budget spent")
 	// ErrOverloaded reports that replicas refused the record because they have too much to do.
 	ErrOverloaded = errors.New("record servers are overloaded")
 )
@@ -80,7 +83,7 @@
 )
 
 // Write makes a record durable. It retries until ctx ends, but a reservation that overloaded
-// replicas have refused fails at once. After an error the record may be durable or
+// replicas have refused, or that exceeds the budget, fails at once. After an error the record may be durable or
 // not, unless the error is ErrNotWritten. The result of a reservation has the charge of every
 // reservation of the program that was acknowledged before; that of other records has none.
 func (c *Client) Write(ctx context.Context, rec index.Record) (res Result, err error) {
@@ -91,7 +94,7 @@
 		if err = w.try(ctx); err == nil {
 			return w.result(), nil
 		}
-		if ctx.Err() != nil || rec.Reserved && w.busy && errors.Is(err, ErrNotWritten) {
+		if ctx.Err() != nil || w.spent || rec.Reserved && w.busy && errors.Is(err, ErrNotWritten) {
 			return res, err
 		}
 		wait = w.nextPause(wait)
@@ -129,8 +132,8 @@
 	return list
 }
 
-// accepted reports whether a replica executed the request. After a refusal other than for
-// overload it sets stale, and passes on the roster that came with it.
+// accepted reports whether a replica executed the request. After a refusal that the roster may
+// explain it sets stale, and passes on the roster that came with it.
 func (c *Client) accepted(err error, refusal recsrv.Refusal, stale *bool) bool {
 	if err != nil {
 		return false
@@ -138,7 +141,7 @@
 	if refusal.Code == "" {
 		return true
 	}
-	if refusal.Code == recsrv.CodeBusy {
+	if refusal.Code == recsrv.CodeBusy || refusal.Code == recsrv.CodeSpent {
 		return false
 	}
 	*stale = true
--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -32,6 +32,7 @@
 	maybe    bool                    // some replica may have the record although it did not say so
 	busy     bool                    // a replica was overloaded in the last attempt
 	stale    bool                    // the roster may be stale after the last attempt
+	spent    bool                    // a replica knows that the budget has no room
 }
 
 // try asks the replicas that lack the record until enough have it, or can't have it.
@@ -59,7 +60,7 @@
 	}
 	hedge := time.NewTicker(w.client.writeLatency.hedge(replicas, minWriteHedge))
 	defer hedge.Stop()
-	hopeless := false // a quorum is out of reach
+	hopeless := false // the record can't, or must not, get a quorum
 	for received := 0; received < len(replicas) && !(hopeless && len(pending) == 0); {
 		select {
 		case got := <-replies:
@@ -75,7 +76,7 @@
 			}
 			// If a quorum is out of reach, the others are not asked: they may be overloaded too.
 			// The answers of those asked already tell which have the record.
-			hopeless = len(w.written)+len(replicas)-received < r.WriteQuorum()
+			hopeless = w.spent || len(w.written)+len(replicas)-received < r.WriteQuorum()
 			if !hopeless {
 				send()
 			}
@@ -105,15 +106,16 @@
 	w.written, w.charges = map[string]bool{}, map[string]index.Charge{}
 }
 
-// enough reports whether the record is durable. A reservation also needs a read quorum of
+// enough reports whether the record is durable and may be. A reservation also needs a read quorum of
 // complete replicas, so that its result has every reservation acknowledged before.
 func (w *recordWrite) enough(r roster.Roster) bool {
-	return len(w.written) >= r.WriteQuorum() && (!w.rec.Reserved || w.complete >= r.ReadQuorum())
+	return !w.spent && len(w.written) >= r.WriteQuorum() && (!w.rec.Reserved || w.complete >= r.ReadQuorum())
 }
 
 // accept notes a replica's answer, and reports whether the replica has the record.
 func (w *recordWrite) accept(got reply) bool {
 	w.busy = w.busy || got.write.Refusal.Code == recsrv.CodeBusy || errors.Is(got.err, link.ErrOverloaded)
+	w.spent = w.spent || got.write.Refusal.Code == recsrv.CodeSpent
 	if !w.client.accepted(got.err, got.write.Refusal, &w.stale) {
 		w.maybe = w.maybe || mayHaveRun(got.err)
 		return false
@@ -139,26 +141,29 @@
 
 // failure returns an ErrNoQuorum that says how many replicas have the record and which have
 // not answered. It is an ErrNotWritten too if none has the record or will have it, and an
-// ErrOverloaded if a replica was.
+// ErrSpent or ErrOverloaded if that is why.
 func (w *recordWrite) failure(pending map[string]bool) error {
 	w.maybe = w.maybe || len(pending) > 0
 	err := errors.Wrapf(ErrNoQuorum, "%d wrote, no answer from %s", len(w.written), strings.Join(slices.Sorted(maps.Keys(pending)), ", "))
 	if !w.maybe && len(w.written) == 0 {
 		err = errors.Mark(err, ErrNotWritten)
 	}
-	if w.busy {
+	switch {
+	case w.spent:
+		err = errors.Mark(err, ErrSpent)
+	case w.busy:
 		err = errors.Mark(err, ErrOverloaded)
 	}
 	return err
 }
 
-// nextPause returns the pause after one of length last. While replicas are overloaded it
-// doubles: retries at a fixed pause would keep them overloaded.
+// nextPause returns the pause after one of length last. While replicas are overloaded it about
+// doubles each time: retries at a fixed pause would keep them overloaded.
 func (w *recordWrite) nextPause(last time.Duration) time.Duration {
 	if !w.busy {
 		return retryPause
 	}
-	return min(last+rand.N(last), maxRetryPause)
+	return min(last+last/2+rand.N(last), maxRetryPause)
 }
 
 func (w *recordWrite) result() (res Result) {
@@ -173,7 +178,7 @@
 func (c *Client) writeTo(ctx context.Context, version uint64, p roster.Replica, rec index.Record, replies chan<- reply) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), replicaTimeout)
 	defer stop()
-	req := recsrv.WriteRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Record: rec}
+	req := recsrv.WriteRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Record: rec, Budget: rec.Budget}
 	out := reply{replica: p}
 	began := time.Now()
 	out.err = link.InvokeTyped(ctx, c.Peer(p.Address), recsrv.MethodWrite, req, &out.write)
--- a/internal/disk/quorum/write_test.go
+++ b/internal/disk/quorum/write_test.go
@@ -34,6 +34,7 @@
 
 const (
 	answerBusy       answer = "busy"       // the record server refuses
+	answerSpent      answer = "spent"      // the record server knows that the budget is spent
 	answerOverloaded answer = "overloaded" // the link refuses
 	answerLost       answer = "lost"       // the connection ends after the request was sent
 )
@@ -47,6 +48,8 @@
 	switch got {
 	case answerBusy:
 		reply.Refusal.Code = recsrv.CodeBusy
+	case answerSpent:
+		reply.Refusal.Code = recsrv.CodeSpent
 	case answerOverloaded:
 		return &link.Error{Cause: link.ErrOverloaded}
 	case answerLost:
@@ -72,16 +75,20 @@
 
 // A refused reservation must fail at once, and say whether it may be recorded somewhere: fronts settle only those that may be.
 func TestRefusedReservation(t *testing.T) {
+	first := preferenceOrder((&answers{}).client().Roster(), "p")[0].Address
 	tests := map[string]struct {
 		by         map[string]answer
 		atOnce     bool
 		notWritten bool
 		overloaded bool
+		spent      bool
 	}{
-		"all refuse":                {map[string]answer{"n0": answerBusy, "n1": answerOverloaded, "n2": answerBusy}, true, true, true},
-		"two refuse, one has it":    {map[string]answer{"n0": answerBusy, "n1": answerBusy}, false, false, true},
-		"two refuse, one is silent": {map[string]answer{"n0": answerBusy, "n1": answerBusy, "n2": answerLost}, false, false, true},
-		"all break off":             {map[string]answer{"n0": answerLost, "n1": answerLost, "n2": answerLost}, false, false, false},
+		"all refuse":                         {map[string]answer{"n0": answerBusy, "n1": answerOverloaded, "n2": answerBusy}, true, true, true, false},
+		"two refuse, one has it":             {map[string]answer{"n0": answerBusy, "n1": answerBusy}, false, false, true, false},
+		"two refuse, one is silent":          {map[string]answer{"n0": answerBusy, "n1": answerBusy, "n2": answerLost}, false, false, true, false},
+		"one knows that the budget is spent": {map[string]answer{"n0": answerSpent, "n1": answerSpent, "n2": answerBusy}, true, true, false, true},
+		"the first knows, the next has it":   {map[string]answer{first: answerSpent}, true, false, false, true},
+		"all break off":                      {map[string]answer{"n0": answerLost, "n1": answerLost, "n2": answerLost}, false, false, false, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -96,6 +103,7 @@
 				is.Equal(time.Since(began) == 0, test.atOnce)
 				is.Equal(errors.Is(err, ErrNotWritten), test.notWritten)
 				is.Equal(errors.Is(err, ErrOverloaded), test.overloaded)
+				is.Equal(errors.Is(err, ErrSpent), test.spent)
 				synctest.Wait()
 			})
 		})
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -204,6 +204,9 @@
 	if s.frozen || full {
 		return Refusal{Code: CodeFull}
 	}
+	if req.Record.Reserved && req.Budget > 0 && s.index.SettledTokens(req.Record.Program)+req.Record.MaxTokens > req.Budget {
+		return Refusal{Code: CodeSpent}
+	}
 	if req.Record.Reserved && s.writes >= maxWrites {
 		return Refusal{Code: CodeBusy}
 	}
--- a/internal/disk/recsrv/recsrv_test.go
+++ b/internal/disk/recsrv/recsrv_test.go
@@ -39,3 +39,37 @@
 		})
 	}
 }
+
+// A program that goes on asking with its budget spent must be refused without a record, and never because of attempts that may still give tokens back.
+func TestSpentBudgetIsRefusedWithoutRecord(t *testing.T) {
+	const budget = 100
+	tests := map[string]struct {
+		earlier []index.Record
+		code    string
+	}{
+		"nothing spent":         {nil, ""},
+		"room for one more":     {[]index.Record{{Attempt: "a", Settled: true, Spent: 70}}, ""},
+		"spent":                 {[]index.Record{{Attempt: "a", Settled: true, Spent: 71}}, CodeSpent},
+		"spent by two":          {[]index.Record{{Attempt: "a", Settled: true, Spent: 40}, {Attempt: "b", Settled: true, Spent: 40}}, CodeSpent},
+		"reserved, not settled": {[]index.Record{{Attempt: "a", Reserved: true, MaxTokens: 100}}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &Server{Dir: t.TempDir()}
+			_, err := s.Open()
+			is.NoErr(err)
+			defer func() { is.NoErr(s.Close()) }()
+			for _, rec := range test.earlier {
+				rec.Program = "p"
+				_, err := s.Write(t.Context(), WriteRequest{Record: rec})
+				is.NoErr(err)
+			}
+			rec := index.Record{Program: "p", Attempt: "next", Reserved: true, MaxTokens: 30}
+			reply, err := s.Write(t.Context(), WriteRequest{Record: rec, Budget: budget})
+			is.NoErr(err)
+			is.Equal(reply.Refusal.Code, test.code)
+			is.Equal(len(s.index.Charges("p")), len(test.earlier)+map[string]int{"": 1, CodeSpent: 0}[test.code])
+		})
+	}
+}
--- a/internal/disk/recsrv/wire.go
+++ b/internal/disk/recsrv/wire.go
@@ -26,6 +26,7 @@
 	WriteRequest struct {
 		Target Target       `cbor:"1,keyasint"`
 		Record index.Record `cbor:"2,keyasint"`
+		Budget int          `cbor:"3,keyasint,omitempty"` // of the program, with a reservation; 0 for none
 	}
 
 	// WriteReply has the charges of the program's attempts, this record's included, if the
@@ -98,4 +99,5 @@
 	CodeWrongDisk   = "other" // the request is for another disk
 	CodeFull        = "full"  // the disk is full or frozen
 	CodeBusy        = "busy"  // too many records are being written
+	CodeSpent       = "spent" // the program's settled attempts leave no room for the reservation
 )
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -157,16 +157,19 @@
 		return true
 	}
 	rec := t.newRecord()
-	rec.Reserved, rec.MaxTokens = true, t.maxTokens()
+	rec.Reserved, rec.MaxTokens, rec.Budget = true, t.maxTokens(), t.TokenBudget
 	res, err := t.e.Records.Write(ctx, rec)
 	t.reserved = !errors.Is(err, quorum.ErrNotWritten)
 	if err != nil {
 		t.settle()
-		if ctx.Err() != nil {
+		switch {
+		case errors.Is(err, quorum.ErrSpent):
+			t.replyError(http.StatusPaymentRequired, "budget_spent", nil)
+		case ctx.Err() != nil:
 			t.replyExpired(err)
-			return false
+		default:
+			t.replyNoRecords(err)
 		}
-		t.replyNoRecords(err)
 		return false
 	}
 	t.programBegun = t.Previous != "" || index.OthersStarted(res.Charges, rec.Attempt)
--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -97,13 +97,13 @@
 	return chain, err
 }
 
-// recordOutcome counts a failure or resets the count. ErrNoTurn and ErrOverloaded are answers
-// and reset it, too; a call that its caller cancelled is ignored.
+// recordOutcome counts a failure or resets the count. ErrNoTurn, ErrSpent and ErrOverloaded are
+// answers and reset it, too; a call that its caller cancelled is ignored.
 func (b *Breaker) recordOutcome(ctx context.Context, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case err == nil || errors.Is(err, quorum.ErrNoTurn) || errors.Is(err, quorum.ErrOverloaded):
+	case err == nil || errors.IsAny(err, quorum.ErrNoTurn, quorum.ErrSpent, quorum.ErrOverloaded):
 		b.failures = 0
 	case errors.Is(ctx.Err(), context.Canceled):
 	default:
