slots: reservations wait for up to 0.3 s at the front

Callers that were refused after 0.2 s come back after 0.4 s, so waiting a little longer serves them earlier.

--- a/internal/front/slots/slots.go
+++ b/internal/front/slots/slots.go
@@ -25,9 +25,10 @@
 	minDropInterval = 100 * time.Millisecond
 	// queueFactor times the slots is how many calls wait for one; each waits for about as many
 	// rounds of calls, some 50 ms each at replicas that have enough to do.
-	queueFactor = 2
-	// maxWait leaves a call that gets a slot most of its time.
-	maxWait = 200 * time.Millisecond
+	queueFactor = 4
+	// maxWait is about the time after which a refused caller comes back. It leaves a call that
+	// gets a slot most of its time.
+	maxWait = 300 * time.Millisecond
 )
 
 // ErrFull reports that too many calls wait already.
@@ -42,7 +43,7 @@
 	lastDrop time.Time
 }
 
-// Acquire waits for a slot, for 200 ms at most. It fails with ErrFull if it gets none, at once
+// Acquire waits for a slot, for 300 ms at most. It fails with ErrFull if it gets none, at once
 // if too many calls wait already.
 func (s *Slots) Acquire(ctx context.Context) error {
 	s.mu.Lock()
