--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -61,7 +61,7 @@
 	hedge := time.NewTicker(w.client.writeLatency.hedge(replicas, minWriteHedge))
 	defer hedge.Stop()
 	hopeless := false // the record can't, or must not, get a quorum
-	for received := 0; received < len(replicas) && !(hopeless && len(pending) == 0); {
+	for received := 0; received < len(replicas) && (!hopeless || len(pending) > 0); {
 		select {
 		case got := <-replies:
 			received++
--- a/internal/disk/recsrv/copy.go
+++ b/internal/disk/recsrv/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,14 +89,27 @@
 	return s.minVersion > r.Version
 }
 
-// sources returns the replicas that this one may copy from.
+// sources returns the replicas that this one may copy from, in the order in which it asks
+// them. Replicas that join at the same time begin with different ones: the complete replicas
+// serve all callers meanwhile, and the slowest of them decides how long a reservation takes.
 func (s *Server) sources(r roster.Roster) (list []roster.Replica) {
+	joiningBefore := 0 // in the roster
+	counting := true
 	for _, p := range r.Replicas {
-		if p.DiskID != s.diskID && !p.Joining {
+		switch {
+		case p.DiskID == s.diskID:
+			counting = false
+		case !p.Joining:
 			list = append(list, p)
+		case counting:
+			joiningBefore++
 		}
 	}
-	return list
+	if len(list) == 0 {
+		return nil
+	}
+	first := joiningBefore % len(list)
+	return slices.Concat(list[first:], list[:first])
 }
 
 // copyFromEach copies from the remaining sources until there are enough, and leaves those that
--- a/internal/disk/recsrv/recsrv_test.go
+++ b/internal/disk/recsrv/recsrv_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/disk/roster"
 )
 
 // A server with too much to do must refuse reservations, which can be refused, and leave room for the records of turns that have run.
@@ -73,3 +74,19 @@
 		})
 	}
 }
+
+// After a loss of power with two disks, both joining replicas must not copy from the same complete one at the same time, while it serves callers.
+func TestJoiningReplicasBeginWithDifferentSources(t *testing.T) {
+	is := is.New(t)
+	r := roster.Roster{Version: 1, MaxFailures: 2, Replicas: []roster.Replica{
+		{DiskID: "a"}, {DiskID: "b", Joining: true}, {DiskID: "c"}, {DiskID: "d", Joining: true}, {DiskID: "e"},
+	}}
+	var first []string
+	for _, id := range []string{"b", "d"} {
+		s := &Server{diskID: id}
+		list := s.sources(r)
+		is.Equal(len(list), 3)
+		first = append(first, list[0].DiskID)
+	}
+	is.True(first[0] != first[1])
+}
--- a/internal/obs/crash/crash.go
+++ b/internal/obs/crash/crash.go
@@ -20,6 +20,7 @@
 
 const (
 	fileName = "crash.txt"
+	dirMode  = 0o700
 	fileMode = 0o600
 	// maxHead is how much of a crash is read, in bytes, and maxStack how many lines of the
 	// stack that crashed are logged.
@@ -39,7 +40,7 @@
 // output only.
 func Watch(dir string, log zerolog.Logger) (err error) {
 	defer func() { err = errors.Wrap(err, "watch for crashes") }()
-	if err = os.MkdirAll(dir, 0o700); err != nil {
+	if err = os.MkdirAll(dir, dirMode); err != nil { //nolint:gosec // the folder comes from the settings
 		return err
 	}
 	f, err := os.OpenFile(filepath.Join(dir, fileName), os.O_CREATE|os.O_RDWR, fileMode) //nolint:gosec // the folder comes from the settings
--- a/internal/obs/crash/crash_test.go
+++ b/internal/obs/crash/crash_test.go
@@ -52,7 +52,7 @@
 			dir := t.TempDir()
 			self, err := os.Executable()
 			is.NoErr(err)
-			cmd := exec.CommandContext(t.Context(), self) //nolint:gosec // this test itself
+			cmd := exec.CommandContext(t.Context(), self)
 			cmd.Env = append(os.Environ(), folderVariable+"="+dir, howVariable+"="+test.how)
 			err = cmd.Run()
 			is.Equal(err != nil, test.reason != "")
