frontd: the list of hubs goes when a fleet shrinks

A front that knows of few fronts and of such a list now empties it, and an empty list counts as none. Small fleets that never had one write nothing.

TestListOfHubsGoesWhenAFleetShrinks ("shrunk" wrote nothing before).

--- a/internal/node/frontd/start.go
+++ b/internal/node/frontd/start.go
@@ -109,6 +109,9 @@
 			d.logUnusable(err)
 			continue
 		}
+		if len(hubs) == 0 {
+			break // there are few fronts
+		}
 		d.join(hubs)
 		return nil
 	}
@@ -138,14 +141,18 @@
 }
 
 // publishHubs writes the largest fronts to the store if there are many fronts and the key, as
-// this front knows it, has others.
+// this front knows it, has others. Once there are few it empties the key: a front that starts
+// would join fronts that are gone.
 func (d *Daemon) publishHubs(ctx context.Context, now time.Time) {
-	entries := d.fleet.View().Entries
-	if len(entries) <= mesh.FullMeshMax {
+	known, hubs := d.discov.State().Hubs, []fleet.Entry(nil)
+	switch entries := d.fleet.View().Entries; {
+	case len(entries) > mesh.FullMeshMax:
+		hubs = largest(entries, maxHubsListed)
+	case known == nil:
 		return
 	}
-	data := discov.HubsValue(largest(entries, maxHubsListed))
-	if bytes.Equal(d.discov.State().Hubs, data) || !d.starting.hubsDue(now) {
+	data := discov.HubsValue(hubs)
+	if bytes.Equal(known, data) || !d.starting.hubsDue(now) {
 		return
 	}
 	if _, err := d.Store.Set(ctx, discov.HubsKey, data, 0); err != nil && ctx.Err() == nil {
--- a/internal/node/frontd/start_test.go
+++ b/internal/node/frontd/start_test.go
@@ -1,13 +1,18 @@
 package frontd
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/node/discov"
+	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
 // All fronts restart together, as after a loss of power. If each of them read all keys, the answers would fill the store's link for half a minute in a fleet of hundreds; all must have the state soon all the same.
@@ -154,3 +159,41 @@
 		})
 	}
 }
+
+// A fleet has shrunk to a few fronts. Its list of hubs must go: a front that starts would join fronts that are gone, and wait for their state for seconds.
+func TestListOfHubsGoesWhenAFleetShrinks(t *testing.T) {
+	tests := map[string]struct {
+		fronts int
+		known  []byte // value of the key; nil if there is none
+		writes int
+		listed int
+	}{
+		"shrunk":       {8, discov.HubsValue(make([]fleet.Entry, 1)), 1, 0},
+		"always small": {8, nil, 0, 0},
+		"emptied":      {8, discov.HubsValue(nil), 0, 0},
+		"large":        {30, nil, 1, 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &cluster{ctx: t.Context(), hubs: test.known}
+			d := &Daemon{Store: clusterStore{c: c}, Log: zerolog.Nop(), Scope: tally.NoopScope}
+			var entries []fleet.Entry
+			for i := range test.fronts {
+				entries = append(entries, fleet.Entry{Node: fmt.Sprintf("front-%03d", i), Peer: fmt.Sprint("p", i)})
+			}
+			d.fleet.Update(time.Now(), fleet.Snapshot{Revision: 1, Entries: entries})
+			if test.known != nil {
+				_, err := d.discov.ApplyChanges([]store.Change{{Entry: store.Entry{Key: discov.HubsKey, Data: test.known}}})
+				is.NoErr(err)
+			}
+			d.publishHubs(t.Context(), time.Now())
+			is.Equal(c.hubWrites, test.writes)
+			if test.writes > 0 {
+				list, err := discov.Hubs(c.hubs)
+				is.NoErr(err)
+				is.Equal(len(list), test.listed)
+			}
+		})
+	}
+}
