--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -44,55 +44,29 @@
 		return ErrNoQuorum
 	}
 	w.begin(r)
-	replicas := slices.DeleteFunc(preferenceOrder(r, w.rec.Key()), func(p roster.Replica) bool { return w.written[p.DiskID] })
-	replies := make(chan reply, len(replicas))
-	pending := map[string]bool{} // nodes that have not answered
-	next := 0
-	send := func() {
-		if next < len(replicas) {
-			go w.client.writeTo(ctx, r.Version, replicas[next], w.rec, replies)
-			pending[replicas[next].Node] = true
-			next++
-		}
-	}
+	a := newWriteAttempt(w, r)
 	for range max(r.WriteQuorum()-len(w.written), 1) {
-		send()
+		a.send(ctx)
 	}
-	hedge := time.NewTicker(w.client.writeLatency.hedge(replicas, minWriteHedge))
+	hedge := time.NewTicker(w.client.writeLatency.hedge(a.replicas, minWriteHedge))
 	defer hedge.Stop()
-	hopeless := false // the record can't, or must not, get a quorum
-	for received := 0; received < len(replicas) && (!hopeless || len(pending) > 0); {
+	for !a.ended() {
 		select {
-		case got := <-replies:
-			received++
-			delete(pending, got.replica.Node)
-			if w.accept(got) {
-				break
-			}
-			// If r is stale, its other replicas may be gone: don't wait for them, but retry
-			// with the newer roster. A refusal for another reason only skips this replica.
-			if got.write.Refusal.Version > r.Version {
-				return w.failure(pending)
-			}
-			// If a quorum is out of reach, the others are not asked: they may be overloaded too.
-			// The answers of those asked already tell which have the record.
-			hopeless = w.spent || len(w.written)+len(replicas)-received < r.WriteQuorum()
-			if !hopeless {
-				send()
-			}
+		case got := <-a.replies:
+			a.receive(ctx, got)
 		case <-hedge.C:
-			if hopeless {
-				return w.failure(pending)
+			if a.hopeless {
+				return w.failure(a.pending)
 			}
-			send()
+			a.send(ctx)
 		case <-ctx.Done():
-			return errors.CombineErrors(w.failure(pending), ctx.Err())
+			return errors.CombineErrors(w.failure(a.pending), ctx.Err())
 		}
 		if w.enough(r) {
 			return nil
 		}
 	}
-	return w.failure(pending)
+	return w.failure(a.pending)
 }
 
 // begin forgets what was written under an older roster: a replica that joined since may have
