--- /dev/null
+++ b/internal/disk/recsrv/write.go
@@ -0,0 +1,105 @@
+package recsrv
+
+import (
+	"context"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/disk/seglog"
+)
+
+// maxWrites is the number of writes under way above which reservations are refused.
+// They take some 50 ms then. Of the 256 requests that a link serves at a time, the rest
+// is for the records of turns that have run.
+const maxWrites = 128
+
+// Write makes a record durable. For a reservation it returns the charges of the program.
+func (s *Server) Write(ctx context.Context, req WriteRequest) (reply WriteReply, err error) {
+	began := time.Now()
+	defer func() { s.observe(kindOf(req.Record), began, reply.Refusal) }()
+	data, err := req.Record.Encode()
+	if err != nil {
+		return WriteReply{}, err
+	}
+	done := make(chan error, 1)
+	if reply.Refusal = s.appendIfAllowed(req, data, done); reply.Refusal.Code != "" {
+		return reply, nil
+	}
+	err = await(ctx, done)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes--
+	if err == nil && req.Record.Reserved {
+		reply.Charges = s.index.Charges(req.Record.Program)
+	}
+	return reply, err
+}
+
+// appendIfAllowed appends a record unless it must be refused. The checks and the append
+// are atomic. Otherwise the start of a copy of this disk, or Freeze, could come between
+// them: the record would be acknowledged here but missing from the copy, and so be on no
+// other disk of the new roster.
+func (s *Server) appendIfAllowed(req WriteRequest, data []byte, done chan<- error) Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.checkTargetLocked(req.Target); r.Code != "" {
+		return r
+	}
+	full := s.Capacity > 0 && float64(s.log.Bytes()) > maxFill*float64(s.Capacity)
+	if s.frozen || full {
+		return Refusal{Code: CodeFull}
+	}
+	if req.Record.Reserved && req.Budget > 0 && s.index.SettledTokens(req.Record.Program)+req.Record.MaxTokens > req.Budget {
+		return Refusal{Code: CodeSpent}
+	}
+	if req.Record.Reserved && s.writes >= maxWrites {
+		return Refusal{Code: CodeBusy}
+	}
+	s.writes++
+	s.index.ApplyCharge(req.Record, s.Now())
+	s.append(req.Record, data, done)
+	return Refusal{}
+}
+
+// Freeze sets whether new records are refused. While they are, only the other record
+// servers acknowledge records.
+func (s *Server) Freeze(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = on
+}
+
+// appendAndWait appends a record and waits until it is durable.
+func (s *Server) appendAndWait(ctx context.Context, r index.Record) error {
+	data, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.index.ApplyCharge(r, s.Now())
+	s.mu.Unlock()
+	done := make(chan error, 1)
+	s.append(r, data, done)
+	return await(ctx, done)
+}
+
+// append appends a record, and sends to done once it is durable and indexed.
+func (s *Server) append(r index.Record, data []byte, done chan<- error) {
+	s.log.Append(data, func(pos seglog.Pos, err error) {
+		if err == nil {
+			s.mu.Lock()
+			s.apply(r, pos, s.Now())
+			s.mu.Unlock()
+		}
+		done <- err
+	})
+}
+
+func await(ctx context.Context, done <-chan error) error {
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
