recsrv: an imported record is confirmed only once it is synced

A VM that is being retired hands its records to the other replicas and leaves once they have confirmed them. A record whose write was under way at a replica counted there as indexed and was confirmed at once, although its sync had not ended: the index has a charge as soon as the record is appended. A loss of power at that moment would lose a charge or a settlement that was acknowledged.

Import now appends a fence behind such records and waits for it, unless it has appended others behind them anyway. Other answers from the index: copies end with such a fence already, a repeated write appends and waits.

TestImportWaitsForTheSyncOfIndexedRecords, with a disk that holds the sync back: before, the import returned at once.

--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -257,10 +257,11 @@
 	return ImportReply{}, s.Import(ctx, req.Records)
 }
 
-// Import appends the records that the index lacks and waits until these are durable.
-// Records that are indexed already may still be waiting for their sync.
-func (s *Server) Import(ctx context.Context, records [][]byte) error {
-	var last error
+// Import appends the records that the index lacks and waits until all of them are durable. A
+// record that is indexed already may still be waiting for its sync: the index has its charge as
+// soon as it is appended. A replica that is being retired leaves once this returns.
+func (s *Server) Import(ctx context.Context, records [][]byte) (err error) {
+	appended, indexed := 0, false
 	wait := make(chan error, len(records))
 	for _, data := range records {
 		r, err := index.Decode(data)
@@ -271,15 +272,26 @@
 		has := s.index.Has(r) // also true of a record that has only a fence, which need not be copied
 		s.mu.Unlock()
 		if has {
-			wait <- nil
+			indexed = true
 			continue
 		}
 		s.append(r, data, wait)
+		appended++
 	}
-	for range records {
-		last = errors.CombineErrors(last, await(ctx, wait))
+	for range appended {
+		err = errors.CombineErrors(err, await(ctx, wait))
 	}
-	return last
+	if indexed && appended == 0 {
+		// Nothing was appended behind the records that are indexed.
+		err = s.barrier(ctx, s.fenceVersion())
+	}
+	return err
+}
+
+func (s *Server) fenceVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.minVersion
 }
 
 // Stats returns the number of programs and turns, and the bytes on disk.
--- a/internal/disk/recsrv/recsrv_test.go
+++ b/internal/disk/recsrv/recsrv_test.go
@@ -1,7 +1,9 @@
 package recsrv
 
 import (
+	"os"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -90,3 +92,30 @@
 	}
 	is.True(first[0] != first[1])
 }
+
+// A VM that is being retired hands over a record that another replica has indexed and not synced yet. If that replica confirmed it, a loss of power would lose an acknowledged record.
+func TestImportWaitsForTheSyncOfIndexedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &Server{Dir: t.TempDir()}
+		syncs := make(chan struct{})
+		s.log.Sync = func(f *os.File) error {
+			<-syncs
+			return f.Sync()
+		}
+		_, err := s.Open()
+		is.NoErr(err)
+		rec := index.Record{Program: "p", Attempt: "a", Settled: true, Spent: 7}
+		data, err := rec.Encode()
+		is.NoErr(err)
+		go func() { _, _ = s.Write(t.Context(), WriteRequest{Record: rec}) }()
+		synctest.Wait()
+		imported := make(chan error, 1)
+		go func() { imported <- s.Import(t.Context(), [][]byte{data}) }()
+		synctest.Wait()
+		is.Equal(len(imported), 0)
+		close(syncs)
+		is.NoErr(<-imported)
+		is.NoErr(s.Close())
+	})
+}
--- a/internal/disk/seglog/seglog.go
+++ b/internal/disk/seglog/seglog.go
@@ -43,7 +43,8 @@
 	// Log is the log in Dir. Set the fields, then call Open.
 	Log struct {
 		Dir     string
-		Segment int64 // bytes after which a new segment is begun; 0 is DefaultSegmentSize
+		Segment int64                // bytes after which a new segment is begun; 0 is DefaultSegmentSize
+		Sync    func(*os.File) error // makes a segment durable; nil is os.File.Sync
 
 		mu       sync.Mutex
 		cond     *sync.Cond
@@ -92,6 +93,9 @@
 	if l.Segment == 0 {
 		l.Segment = DefaultSegmentSize
 	}
+	if l.Sync == nil {
+		l.Sync = (*os.File).Sync
+	}
 	l.cond = sync.NewCond(&l.mu)
 	l.segments = map[uint64]*segment{}
 	l.done = make(chan struct{})
@@ -246,7 +250,7 @@
 	}
 	_, err = file.WriteAt(buf, size)
 	if err == nil {
-		err = file.Sync()
+		err = l.Sync(file)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
