recsrv: metrics are looked up once, not for each request

Counting a request looked its metric up by a map of tags: 1.1 us and three allocations, at a holder whose processor is full in a burst. Now 0.17 us and none (throwaway benchmark of both ways). The names of the metrics stay.

--- a/internal/disk/recsrv/load.go
+++ b/internal/disk/recsrv/load.go
@@ -30,11 +30,28 @@
 
 	// meter counts requests in the metrics, and since the last report.
 	meter struct {
+		refused map[kind]tally.Counter
+		time    map[kind]tally.Timer
+
 		mu   sync.Mutex
 		load Load
 	}
 )
 
+var kinds = []kind{kindReservation, kindTurn, kindSettlement, kindRead}
+
+// open looks the metrics up; doing so for each request would cost as much as counting it.
+func (m *meter) open(scope tally.Scope) {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	m.refused, m.time = map[kind]tally.Counter{}, map[kind]tally.Timer{}
+	for _, k := range kinds {
+		tagged := scope.Tagged(map[string]string{"kind": string(k)})
+		m.refused[k], m.time[k] = tagged.Counter("records_refused"), tagged.Timer("records_request_time")
+	}
+}
+
 // TakeLoad returns what the server did since the last call.
 func (s *Server) TakeLoad() Load {
 	s.mu.Lock()
@@ -49,26 +66,21 @@
 }
 
 // observe counts a request that has ended.
-func (s *Server) observe(k kind, began time.Time, refusal Refusal) {
+func (m *meter) observe(k kind, began time.Time, refusal Refusal) {
 	took := time.Since(began)
-	scope := s.Scope
-	if scope == nil {
-		scope = tally.NoopScope
-	}
-	scope = scope.Tagged(map[string]string{"kind": string(k)})
 	if refusal.Code != "" {
-		scope.Counter("records_refused").Inc(1)
+		m.refused[k].Inc(1)
 	} else {
-		scope.Timer("records_request_time").Record(took)
+		m.time[k].Record(took)
 	}
-	s.meter.mu.Lock()
-	defer s.meter.mu.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	switch refusal.Code {
 	case CodeBusy:
-		s.meter.load.Refused++
+		m.load.Refused++
 	case "":
-		s.meter.load.Served++
-		s.meter.load.Slowest = max(s.meter.load.Slowest, took)
+		m.load.Served++
+		m.load.Slowest = max(m.load.Slowest, took)
 	}
 }
 
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -64,6 +64,7 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
+	s.meter.open(s.Scope)
 	if s.diskID, empty, err = loadDiskID(s.Dir); err != nil {
 		return false, err
 	}
@@ -174,7 +175,7 @@
 // Read returns a turn and the previous ones, as far as they are on this disk.
 func (s *Server) Read(_ context.Context, req ReadRequest) (reply ReadReply, err error) {
 	began := time.Now()
-	defer func() { s.observe(kindRead, began, reply.Refusal) }()
+	defer func() { s.meter.observe(kindRead, began, reply.Refusal) }()
 	if r := s.checkTarget(req.Target); r.Code != "" {
 		return ReadReply{Refusal: r}, nil
 	}
--- a/internal/disk/recsrv/write.go
+++ b/internal/disk/recsrv/write.go
@@ -16,7 +16,7 @@
 // Write makes a record durable. For a reservation it returns the charges of the program.
 func (s *Server) Write(ctx context.Context, req WriteRequest) (reply WriteReply, err error) {
 	began := time.Now()
-	defer func() { s.observe(kindOf(req.Record), began, reply.Refusal) }()
+	defer func() { s.meter.observe(kindOf(req.Record), began, reply.Refusal) }()
 	data, err := req.Record.Encode()
 	if err != nil {
 		return WriteReply{}, err
