--- a/internal/node/frontd/limits.go
+++ b/internal/node/frontd/limits.go
@@ -25,8 +25,9 @@
 // limitPeers tracks the fronts that share the limits of accounts. The zero value is ready
 // for use.
 type limitPeers struct {
+	updates throttle
+
 	mu         sync.Mutex
-	updatedAt  time.Time
 	seen       map[string]time.Time // when each front was last listed or heard from
 	majorityAt time.Time            // when at least half of them were last heard from
 	accounts   *accnt.Accounts      // that names was built from
@@ -37,7 +38,7 @@
 func (d *Daemon) updateLimits(p mesh.Summary) {
 	now := time.Now()
 	v := d.fleet.View()
-	if v.Table == nil || v.Table.Accounts == nil || !d.limitPeers.due(now) {
+	if v.Table == nil || v.Table.Accounts == nil || !d.limitPeers.updates.due(now, limitInterval) {
 		return
 	}
 	nodes := []string{d.Settings.Node}
@@ -49,18 +50,6 @@
 	d.limits.Update(now, v.Table.Accounts, h)
 }
 
-// due reports whether limitInterval has passed since the last update and, if so, records now
-// as the time of the last update.
-func (p *limitPeers) due(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now.Sub(p.updatedAt) < limitInterval {
-		return false
-	}
-	p.updatedAt = now
-	return true
-}
-
 // count returns how many fronts share the limits and how many of them are heard from. A front
 // that has heard from less than half of them for isolationTimeout counts none, which leaves
 // it without a share of any limit.
--- a/internal/node/frontd/start.go
+++ b/internal/node/frontd/start.go
@@ -48,12 +48,12 @@
 // starting is what a front knows before it has any state that was read from the store. The zero
 // value is ready for use.
 type starting struct {
-	known  atomic.Bool                   // readFronts has succeeded
-	fronts atomic.Pointer[[]fleet.Entry] // the largest when this front started, if they are many
-	first  atomic.Bool                   // no front was listed: the system starts for the first time
+	known     atomic.Bool                   // readFronts has succeeded
+	fronts    atomic.Pointer[[]fleet.Entry] // the largest when this front started, if they are many
+	first     atomic.Bool                   // no front was listed: the system starts for the first time
+	hubWrites throttle                      // of HubsKey by this front
 
 	mu        sync.Mutex
-	hubsAt    time.Time // when this front wrote it last
 	storeBack time.Time // when the store was first seen to answer while the state was from a backup
 }
 
@@ -152,7 +152,7 @@
 		return
 	}
 	data := discov.HubsValue(hubs)
-	if bytes.Equal(known, data) || !d.starting.hubsDue(now) {
+	if bytes.Equal(known, data) || !d.starting.hubWrites.due(now, hubsInterval) {
 		return
 	}
 	if _, err := d.Store.Set(ctx, discov.HubsKey, data, 0); err != nil && ctx.Err() == nil {
@@ -160,18 +160,6 @@
 	}
 }
 
-// hubsDue reports whether hubsInterval has passed since the last write of HubsKey and, if so,
-// records now as the time of the next one.
-func (s *starting) hubsDue(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.hubsAt) < hubsInterval {
-		return false
-	}
-	s.hubsAt = now
-	return true
-}
-
 // awaitsState reports whether this front, which has no state yet, goes on waiting for that of
 // others. One that hears nobody maxSilentStart and its jitter after its start does not; if the
 // system starts for the first time, all wait for their jitter alone.
