quorum: reads that overloaded replicas reject are repeated less and less often

The twin of the fault in writes: a turn reads its chain beside its reservation, and a read that all replicas rejected for overload began again after 40 ms, at all of them, until its 0.9 s were over.

What replicas refuse for is one type now, for reads and writes; the pause between attempts follows from it for both, and so does the error (ErrOverloaded, outcome records_busy).

TestOverloadedReplicasAreReadLessOften fails on the code before.

--- a/internal/disk/quorum/attempt.go
+++ b/internal/disk/quorum/attempt.go
@@ -47,7 +47,7 @@
 	a.outdated = a.outdated || got.write.Refusal.Version > a.roster.Version
 	// If a quorum is out of reach, the others are not asked: they may be overloaded too. The
 	// answers of those asked already tell which have the record.
-	a.hopeless = a.w.spent || len(a.w.written)+len(a.replicas)-a.received < a.roster.WriteQuorum()
+	a.hopeless = a.w.seen.spent || len(a.w.written)+len(a.replicas)-a.received < a.roster.WriteQuorum()
 	if !a.hopeless {
 		a.send(ctx)
 	}
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -38,6 +39,8 @@
 	// retryPause is the pause between attempts, in which a roster that has just
 	// changed reaches this daemon.
 	retryPause = 40 * time.Millisecond
+	// maxRetryPause is the longest pause between attempts while replicas are overloaded.
+	maxRetryPause = time.Second
 )
 
 var (
@@ -74,6 +77,13 @@
 		Charges []index.Charge // of a reservation's program, merged from the replicas that had answered
 	}
 
+	// refusals are the reasons for which replicas refused the requests of one attempt.
+	refusals struct {
+		stale bool // the roster may be stale
+		busy  bool // a replica is overloaded
+		spent bool // a replica knows that the program's budget has no room
+	}
+
 	reply struct {
 		replica roster.Replica
 		write   recsrv.WriteReply
@@ -82,6 +92,18 @@
 	}
 )
 
+// mark returns err as an ErrSpent or ErrOverloaded if that is why the attempt failed.
+func (s refusals) mark(err error) error {
+	switch {
+	case s.spent:
+		return errors.Mark(err, ErrSpent)
+	case s.busy:
+		return errors.Mark(err, ErrOverloaded)
+	default:
+		return err
+	}
+}
+
 // Write makes a record durable. It retries until ctx ends, but a reservation that overloaded
 // replicas have refused, or that exceeds the budget, fails at once. After an error the record may be durable or
 // not, unless the error is ErrNotWritten. The result of a reservation has the charge of every
@@ -89,16 +111,13 @@
 func (c *Client) Write(ctx context.Context, rec index.Record) (res Result, err error) {
 	defer func() { err = errors.Wrapf(err, "write record of %s", rec.Attempt) }()
 	w := recordWrite{client: c, rec: rec}
-	wait := retryPause
-	for {
+	for wait := retryPause; ; {
 		if err = w.try(ctx); err == nil {
 			return w.result(), nil
 		}
-		if ctx.Err() != nil || w.spent || rec.Reserved && w.busy && errors.Is(err, ErrNotWritten) {
-			return res, err
-		}
-		wait = w.nextPause(wait)
-		if !c.waitRetry(ctx, w.stale, wait) {
+		wait = nextPause(wait, w.seen.busy)
+		refused := w.seen.spent || rec.Reserved && w.seen.busy && errors.Is(err, ErrNotWritten)
+		if refused || ctx.Err() != nil || !c.waitRetry(ctx, w.seen.stale, wait) {
 			return res, err
 		}
 	}
@@ -113,6 +132,15 @@
 	return pause.For(ctx, wait)
 }
 
+// nextPause returns the pause after one of length last. While replicas are overloaded it about
+// doubles each time: retries at a fixed pause would keep them overloaded.
+func nextPause(last time.Duration, busy bool) time.Duration {
+	if !busy {
+		return retryPause
+	}
+	return min(last+last/2+rand.N(last), maxRetryPause)
+}
+
 // preferenceOrder returns the replicas in the order in which a program's records are
 // written to them, by rendezvous hashing; joining ones come last. Writing to f+1 of the
 // 2f+1 replicas saves a third (f = 1) to two fifths (f = 2) of the record servers' work and
@@ -132,19 +160,20 @@
 	return list
 }
 
-// accepted reports whether a replica executed the request. After a refusal that the roster may
-// explain it sets stale, and passes on the roster that came with it.
-func (c *Client) accepted(err error, refusal recsrv.Refusal, stale *bool) bool {
-	if err != nil {
+// accepted reports whether a replica executed the request. After a refusal it adds the reason
+// to seen, and passes on the roster that came with it.
+func (c *Client) accepted(err error, refusal recsrv.Refusal, seen *refusals) bool {
+	seen.busy = seen.busy || refusal.Code == recsrv.CodeBusy || errors.Is(err, link.ErrOverloaded)
+	seen.spent = seen.spent || refusal.Code == recsrv.CodeSpent
+	switch {
+	case err != nil:
 		return false
-	}
-	if refusal.Code == "" {
+	case refusal.Code == "":
 		return true
-	}
-	if refusal.Code == recsrv.CodeBusy || refusal.Code == recsrv.CodeSpent {
+	case refusal.Code == recsrv.CodeBusy || refusal.Code == recsrv.CodeSpent:
 		return false
 	}
-	*stale = true
+	seen.stale = true
 	if len(refusal.Roster) > 0 {
 		c.Learn(refusal.Roster)
 	}
@@ -180,23 +209,25 @@
 // readPart returns the turn and the previous ones, the newest first, as far as one
 // replica has them, and the id of the first that it lacks.
 func (c *Client) readPart(ctx context.Context, program, turn string) (part []index.Turn, next string, err error) {
-	for {
-		var stale bool
-		part, next, stale, err = c.tryRead(ctx, program, turn)
+	for wait := retryPause; ; {
+		var seen refusals
+		part, next, err = c.tryRead(ctx, program, turn, &seen)
 		if err == nil || errors.Is(err, ErrNoTurn) || ctx.Err() != nil {
 			return part, next, err
 		}
-		if !c.waitRetry(ctx, stale, retryPause) {
+		wait = nextPause(wait, seen.busy)
+		if !c.waitRetry(ctx, seen.stale, wait) {
 			return nil, turn, err
 		}
 	}
 }
 
-func (c *Client) tryRead(ctx context.Context, program, turn string) (part []index.Turn, next string, stale bool, err error) {
+func (c *Client) tryRead(ctx context.Context, program, turn string, seen *refusals) (part []index.Turn, next string, err error) {
 	r := c.Roster()
 	replicas := c.readOrder(r, program)
 	if len(replicas) == 0 {
-		return nil, turn, true, ErrNoQuorum
+		seen.stale = true
+		return nil, turn, ErrNoQuorum
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -211,28 +242,28 @@
 		case got := <-replies:
 			received++
 			send()
-			if !c.accepted(got.err, got.read.Refusal, &stale) {
+			if !c.accepted(got.err, got.read.Refusal, seen) {
 				if got.read.Refusal.Version > r.Version {
-					return nil, turn, stale, ErrNoQuorum // r is stale: retry with the newer roster
+					return nil, turn, ErrNoQuorum // r is stale: retry with the newer roster
 				}
 				continue
 			}
 			if len(got.read.Chain) > 0 {
-				return got.read.Chain, got.read.Next, false, nil
+				return got.read.Chain, got.read.Next, nil
 			}
 			if !got.replica.Joining {
 				absent++
 			}
 			if absent >= r.AbsenceQuorum() {
-				return nil, turn, false, ErrNoTurn
+				return nil, turn, ErrNoTurn
 			}
 		case <-hedge.C:
 			send()
 		case <-ctx.Done():
-			return nil, turn, stale, errors.CombineErrors(ErrNoQuorum, ctx.Err())
+			return nil, turn, seen.mark(errors.CombineErrors(ErrNoQuorum, ctx.Err()))
 		}
 	}
-	return nil, turn, stale, ErrNoQuorum
+	return nil, turn, seen.mark(ErrNoQuorum)
 }
 
 // sendNext returns a function that sends the read to the next replica.
--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -16,9 +15,6 @@
 	"github.com/slaterock/slaterock/internal/peer/link"
 )
 
-// maxRetryPause is the longest pause between attempts while replicas are overloaded.
-const maxRetryPause = time.Second
-
 // recordWrite is one record being written, over all attempts under one roster: a replica that has
 // the record is not asked again.
 type recordWrite struct {
@@ -30,17 +26,15 @@
 	complete int                     // those of them that are not joining
 	charges  map[string]index.Charge // by attempt, merged from their answers
 	maybe    bool                    // some replica may have the record although it did not say so
-	busy     bool                    // a replica was overloaded in the last attempt
-	stale    bool                    // the roster may be stale after the last attempt
-	spent    bool                    // a replica knows that the budget has no room
+	seen     refusals                // in the last attempt
 }
 
 // try asks the replicas that lack the record until enough have it, or can't have it.
 func (w *recordWrite) try(ctx context.Context) error {
 	r := w.client.Roster()
-	w.busy, w.stale = false, false
+	w.seen = refusals{}
 	if len(r.Replicas) < r.WriteQuorum() || len(r.Replicas) == 0 {
-		w.stale = true
+		w.seen.stale = true
 		return ErrNoQuorum
 	}
 	w.begin(r)
@@ -83,14 +77,12 @@
 // enough reports whether the record is durable and may be. A reservation also needs a read quorum of
 // complete replicas, so that its result has every reservation acknowledged before.
 func (w *recordWrite) enough(r roster.Roster) bool {
-	return !w.spent && len(w.written) >= r.WriteQuorum() && (!w.rec.Reserved || w.complete >= r.ReadQuorum())
+	return !w.seen.spent && len(w.written) >= r.WriteQuorum() && (!w.rec.Reserved || w.complete >= r.ReadQuorum())
 }
 
 // accept notes a replica's answer, and reports whether the replica has the record.
 func (w *recordWrite) accept(got reply) bool {
-	w.busy = w.busy || got.write.Refusal.Code == recsrv.CodeBusy || errors.Is(got.err, link.ErrOverloaded)
-	w.spent = w.spent || got.write.Refusal.Code == recsrv.CodeSpent
-	if !w.client.accepted(got.err, got.write.Refusal, &w.stale) {
+	if !w.client.accepted(got.err, got.write.Refusal, &w.seen) {
 		w.maybe = w.maybe || mayHaveRun(got.err)
 		return false
 	}
@@ -122,22 +114,7 @@
 	if !w.maybe && len(w.written) == 0 {
 		err = errors.Mark(err, ErrNotWritten)
 	}
-	switch {
-	case w.spent:
-		err = errors.Mark(err, ErrSpent)
-	case w.busy:
-		err = errors.Mark(err, ErrOverloaded)
-	}
-	return err
-}
-
-// nextPause returns the pause after one of length last. While replicas are overloaded it about
-// doubles each time: retries at a fixed pause would keep them overloaded.
-func (w *recordWrite) nextPause(last time.Duration) time.Duration {
-	if !w.busy {
-		return retryPause
-	}
-	return min(last+last/2+rand.N(last), maxRetryPause)
+	return w.seen.mark(err)
 }
 
 func (w *recordWrite) result() (res Result) {
--- a/internal/disk/quorum/write_test.go
+++ b/internal/disk/quorum/write_test.go
@@ -127,3 +127,19 @@
 		is.True(a.asked["n1"] <= 10)
 	})
 }
+
+// The same for reads: a turn reads its chain while it reserves, so rejected reads repeated at a fixed pause would keep replicas overloaded too.
+func TestOverloadedReplicasAreReadLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := answers{by: map[string]answer{"n0": answerOverloaded, "n1": answerOverloaded, "n2": answerOverloaded}}
+		ctx, stop := context.WithTimeout(t.Context(), 4*time.Second)
+		defer stop()
+		_, err := a.client().Read(ctx, "p", "a")
+		is.True(errors.Is(err, ErrOverloaded))
+		synctest.Wait()
+		for _, asked := range a.asked {
+			is.True(asked <= 10)
+		}
+	})
+}
