mesh: reports, shares and digests carry demand

Fronts share limits and engines without knowing what waits at the others. Reports, shares and digests get one more field with sums of what waits for limits and engines, of the programs that began and of the turns in flight by account. Releases without the field ignore it.

--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -124,10 +124,11 @@
 
 	// Tick is due at every Interval. It may come earlier, to send changed state at once.
 	Tick struct {
-		State State
-		Load  map[ID]int // own requests in flight, by upstream
-		Used  map[ID]int // own requests admitted recently, by account
-		Idle  bool       // it serves no callers, and needs no loads of others
+		State  State
+		Load   map[ID]int // own requests in flight, by upstream
+		Used   map[ID]int // own requests admitted recently, by account
+		Demand Demand     // own requests that compete for limits and engines
+		Idle   bool       // it serves no callers, and needs no loads of others
 	}
 
 	// Send is a datagram to send.
--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -38,7 +38,8 @@
 		Used  map[ID]int `cbor:"3,keyasint,omitempty"` // its own requests admitted recently, by account
 		// Idle tells the hub to leave the loads of upstreams out of its answer: hundreds of
 		// fronts serve no callers, and a digest of thousands of loads is long.
-		Idle bool `cbor:"4,keyasint,omitempty"`
+		Idle   bool   `cbor:"4,keyasint,omitempty"`
+		Demand Demand `cbor:"10,keyasint,omitzero"` // its own
 	}
 
 	// Share is what a hub sends to the other hubs.
@@ -48,6 +49,8 @@
 		Group map[ID]Status `cbor:"3,keyasint,omitempty"` // the fronts that report to it
 		Hubs  []ID          `cbor:"4,keyasint,omitempty"` // fronts that act as hubs, but are not hubs in the sender's order
 		Used  map[ID]int    `cbor:"5,keyasint,omitempty"` // as Load, by account
+
+		Demand Demand `cbor:"10,keyasint,omitzero"` // as Load
 	}
 
 	// Digest is the state of all fronts that a hub sends in answer to a report, or
@@ -60,6 +63,7 @@
 		Leaving   []ID       `cbor:"5,keyasint,omitempty"`
 		Unhealthy []ID       `cbor:"6,keyasint,omitempty"`
 		Used      map[ID]int `cbor:"7,keyasint,omitempty"` // as Load, by account
+		Demand    Demand     `cbor:"10,keyasint,omitzero"` // as Load
 	}
 
 	// Status holds the flags of a live front that decide whether callers are directed to it.
@@ -111,13 +115,13 @@
 func packetOf(msg Message, most int) (p packet) {
 	switch msg := msg.(type) {
 	case Report:
-		msg.Load, msg.Used = busiest(msg.Load, most), busiest(msg.Used, most)
+		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
 		p.Report = &msg
 	case Share:
-		msg.Load, msg.Used = busiest(msg.Load, most), busiest(msg.Used, most)
+		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
 		p.Share = &msg
 	case Digest:
-		msg.Load, msg.Used = busiest(msg.Load, most), busiest(msg.Used, most)
+		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
 		p.Digest = &msg
 	}
 	return p
--- a/internal/front/mesh/sim_test.go
+++ b/internal/front/mesh/sim_test.go
@@ -26,12 +26,13 @@
 		at          map[string]int // index of the front, by address
 		queue       events
 		rng         *rand.Rand
-		received    map[int]int // number of datagrams sent to a front, by index
-		bytes       map[int]int // their bytes
-		largest     int         // bytes of the largest datagram
-		measure     bool        // count datagrams and bytes
-		partitioned bool        // the two halves don't receive each other's datagrams
-		serving     int         // number of fronts that serve callers; 0 for all
+		received    map[int]int        // number of datagrams sent to a front, by index
+		bytes       map[int]int        // their bytes
+		largest     int                // bytes of the largest datagram
+		measure     bool               // count datagrams and bytes
+		partitioned bool               // the two halves don't receive each other's datagrams
+		serving     int                // number of fronts that serve callers; 0 for all
+		demand      func(i int) Demand // of a front, by index; nil for none
 	}
 
 	front struct {
@@ -94,11 +95,19 @@
 		return sim.fronts[i].Step(sim.now, Tick{State: State{Node: p.Node, Peer: p.Address, Callers: p.Address}, Idle: true})
 	}
 	return sim.fronts[i].Step(sim.now, Tick{
-		State: State{Node: p.Node, Peer: p.Address, Callers: p.Address},
-		Load:  map[ID]int{IDOf(p.Node): sim.load()},
+		State:  State{Node: p.Node, Peer: p.Address, Callers: p.Address},
+		Load:   map[ID]int{IDOf(p.Node): sim.load()},
+		Demand: sim.demandOf(i),
 	})
 }
 
+func (sim *simulation) demandOf(i int) (d Demand) {
+	if sim.demand != nil {
+		d = sim.demand(i)
+	}
+	return d
+}
+
 // run simulates until the given time, and calls observe every step.
 func (sim *simulation) run(until time.Time, observe func()) {
 	next := sim.now
--- a/internal/front/mesh/summary.go
+++ b/internal/front/mesh/summary.go
@@ -9,9 +9,12 @@
 )
 
 type (
-	// totals are sums over several fronts: requests in flight by upstream, and requests
-	// admitted recently by account.
-	totals struct{ load, used map[ID]int }
+	// totals are sums over several fronts: requests in flight by upstream, requests admitted
+	// recently by account, and what competes for limits and engines.
+	totals struct {
+		load, used map[ID]int
+		demand     Demand
+	}
 
 	// Summary is the state of the other fronts at one moment.
 	Summary struct {
@@ -19,6 +22,7 @@
 		Unlisted []State       // of live fronts that are not in the PeerList, sorted by node
 		Load     map[ID]int    // requests in flight at all of them, by upstream
 		Used     map[ID]int    // requests admitted recently by all of them, by account
+		Demand   Demand        // of all of them
 		Fronts   int           // number of live fronts, this one included
 
 		byDigest bool // all fronts in peers are alive but those in missing; Alive has those with flags
@@ -49,7 +53,7 @@
 	}
 	p.Alive = m.alive(now)
 	all := m.total(now)
-	p.Load, p.Used = all.load, all.used
+	p.Load, p.Used, p.Demand = all.load, all.used, all.demand
 	p.Fronts = len(p.Alive) + 1
 	for id, s := range m.liveShares(now) {
 		if _, listed := m.peers[id]; !listed {
@@ -74,7 +78,7 @@
 	for _, id := range m.digest.Unhealthy {
 		p.Alive[id] |= Unhealthy
 	}
-	p.Load, p.Used = m.digest.Load, m.digest.Used
+	p.Load, p.Used, p.Demand = m.digest.Load, m.digest.Used, m.digest.Demand
 	p.Fronts = m.digest.Fronts
 	return p
 }
@@ -98,7 +102,7 @@
 func (m *Mesh) total(now time.Time) totals {
 	out := newTotals()
 	for _, s := range m.liveShares(now) {
-		out.add(s.Load, s.Used)
+		out.add(s.Load, s.Used, s.Demand)
 	}
 	m.addGroup(now, out)
 	return out
@@ -106,7 +110,7 @@
 
 func (m *Mesh) addGroup(now time.Time, total totals) {
 	for _, r := range m.liveReports(now) {
-		total.add(r.Load, r.Used)
+		total.add(r.Load, r.Used, r.Demand)
 	}
 }
 
@@ -131,15 +135,14 @@
 	}
 }
 
-func newTotals() totals { return totals{load: map[ID]int{}, used: map[ID]int{}} }
+func newTotals() totals {
+	return totals{load: map[ID]int{}, used: map[ID]int{}, demand: newDemand()}
+}
 
-func (s totals) add(load, used map[ID]int) {
-	for id, n := range load {
-		s.load[id] += n
-	}
-	for id, n := range used {
-		s.used[id] += n
-	}
+func (s totals) add(load, used map[ID]int, d Demand) {
+	addCounts(s.load, load)
+	addCounts(s.used, used)
+	s.demand.add(d)
 }
 
 // ownState returns this front's state, as of its last tick, for a message that is sent now.
@@ -154,9 +157,9 @@
 // and to hubs that are not listed.
 func (m *Mesh) shareWithHubs(now time.Time) (sends []Send) {
 	all := newTotals()
-	all.add(m.own.Load, m.own.Used)
+	all.add(m.own.Load, m.own.Used, m.own.Demand)
 	m.addGroup(now, all)
-	s := Share{State: m.ownState(now), Load: all.load, Used: all.used, Group: map[ID]Status{}, Hubs: m.unexpectedHubs()}
+	s := Share{State: m.ownState(now), Load: all.load, Used: all.used, Demand: all.demand, Group: map[ID]Status{}, Hubs: m.unexpectedHubs()}
 	for id, r := range m.liveReports(now) {
 		s.Group[id] = status(r.State)
 	}
@@ -181,7 +184,7 @@
 	} else if len(list) > 0 {
 		maps.DeleteFunc(m.awaiting, func(id ID, _ time.Time) bool { return id != list[0].id }) // probed hubs that need not answer any more
 	}
-	r := Report{State: m.ownState(now), Load: m.own.Load, Used: m.own.Used, Idle: m.own.Idle}
+	r := Report{State: m.ownState(now), Load: m.own.Load, Used: m.own.Used, Idle: m.own.Idle, Demand: m.own.Demand}
 	for _, hub := range list[:min(most, len(list))] {
 		if _, waiting := m.awaiting[hub.id]; !waiting {
 			m.awaiting[hub.id] = now
@@ -243,7 +246,7 @@
 			o.unhealthy = append(o.unhealthy, id)
 		}
 	}
-	o.add(m.own.Load, m.own.Used)
+	o.add(m.own.Load, m.own.Used, m.own.Demand)
 	m.overview = o
 	return o
 }
@@ -254,6 +257,7 @@
 	d := Digest{State: m.ownState(now), Fronts: o.fronts, Missing: o.missing, Leaving: o.leaving, Unhealthy: o.unhealthy}
 	known := o.reports[to]
 	d.Used = without(o.used, known.Used)
+	d.Demand = o.demand.without(known.Demand)
 	if r, reports := m.reports[to]; !reports || !r.Idle {
 		d.Load = without(o.load, known.Load)
 	}
