frontd: a front that is cut off sends callers elsewhere

Callers went on coming to fronts that reach neither the record servers nor most other fronts: such a front can't tell who is alive, so its directory named all fronts, other cut-off ones included, and callers kept that answer. It answers 503 now, and callers ask another front or keep what they have. A turn refused for lost records while other fronts serve is told to come back after 50 ms in place of 400 ms.

--- a/internal/front/mesh/summary.go
+++ b/internal/front/mesh/summary.go
@@ -45,6 +45,16 @@
 	return s, alive
 }
 
+// Unhealthy returns the number of other live fronts that report a lost dependency.
+func (p Summary) Unhealthy() (n int) {
+	for _, s := range p.Alive {
+		if s&Unhealthy != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Summary returns the current state of the other fronts.
 func (m *Mesh) Summary(now time.Time) (p Summary) {
 	m.init()
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -86,6 +86,9 @@
 		// Stop is done when the daemon stops; it bounds work that outlives its request.
 		Stop context.Context //nolint:containedctx // lifetime of the daemon
 
+		// OthersServe reports whether most other daemons are likely to reach the records while
+		// this one does not; nil for never.
+		OthersServe func() bool
 		// Woken is called with the first request after idleTime without any; nil for none.
 		Woken func()
 
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -367,3 +367,28 @@
 		})
 	}
 }
+
+// Guards against callers that wait for the records of a front which is cut off, although other
+// fronts could serve them at once.
+func TestRetryElsewhereAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		othersServe func() bool
+		after       time.Duration
+	}{
+		"others serve":     {func() bool { return true }, retryElsewhere},
+		"others don't":     {func() bool { return false }, retryNoQuorum},
+		"nothing is known": {nil, retryNoQuorum},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv([]string{completeStream})
+			defer env.close()
+			env.rec.down = true
+			env.e.OthersServe = c.othersServe
+			rec, _ := env.do(t.Context(), "/keep/", map[string]string{"Previous": "t1"}, "x")
+			is.Equal(rec.Code, 503)
+			is.Equal(rec.Header().Get("Again"), c.after.String())
+		})
+	}
+}
--- a/internal/front/proxy/reply.go
+++ b/internal/front/proxy/reply.go
@@ -22,6 +22,9 @@
 	// retryNoQuorum is for fewer replicas of the records responding than a quorum,
 	// which lasts until a failed one has restarted or was replaced.
 	retryNoQuorum = 400 * time.Millisecond
+	// retryElsewhere is for a daemon that can't reach the replicas while others can: callers
+	// retry on a new connection, most likely to another daemon.
+	retryElsewhere = 50 * time.Millisecond
 	// retryRecordsBusy is for replicas of the records that have too much to do: they have
 	// worked off what waits after some hundred milliseconds.
 	retryRecordsBusy = 400 * time.Millisecond
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -112,7 +112,11 @@
 		t.replyUnavailable("records_busy", retryRecordsBusy, err)
 		return
 	}
-	t.replyUnavailable("records_away", retryNoQuorum, err)
+	after := retryNoQuorum
+	if t.e.OthersServe != nil && t.e.OthersServe() {
+		after = retryElsewhere
+	}
+	t.replyUnavailable("records_away", after, err)
 }
 
 func (t *turn) readHistory(ctx context.Context) error {
--- a/internal/node/frontd/directory.go
+++ b/internal/node/frontd/directory.go
@@ -54,10 +54,11 @@
 	return f.n
 }
 
-// resolve answers a caller with the addresses to connect to, or 503 if there are none.
+// resolve answers a caller with the addresses to connect to, or 503 if there are none or if
+// this front is cut off: the caller then asks another one, or keeps the answer that it has.
 func (d *Daemon) resolve(w http.ResponseWriter, _ *http.Request) {
 	list := d.directoryEntries()
-	if len(list) == 0 {
+	if len(list) == 0 || d.cutOff(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -108,6 +109,21 @@
 	return largest(healthy, d.fanout.size(now, totalInFlight(p, d.picker.OwnInFlight())))
 }
 
+// cutOff reports whether this front reaches neither the record servers nor half of the other
+// fronts. It would name fronts that are cut off like itself, since it can't tell which are.
+func (d *Daemon) cutOff(now time.Time) bool {
+	p := d.meshio.Summary(now)
+	return d.reach.Down(now) && !p.ReachesHalf(len(d.others(p)))
+}
+
+// othersServe reports whether most other fronts are likely to reach the record servers while
+// this one does not: most live ones report so, or this front hears less than half of them and
+// is cut off itself.
+func (d *Daemon) othersServe() bool {
+	p := d.meshio.Summary(time.Now())
+	return !p.ReachesHalf(len(d.others(p))) || 2*p.Unhealthy() < p.Fronts-1
+}
+
 // totalInFlight returns the number of requests in flight at all fronts.
 func totalInFlight(p mesh.Summary, own map[string]int) (n int) {
 	for _, load := range p.Load {
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -168,7 +168,7 @@
 	}
 	d.proxy = proxy.Endpoint{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
-		Refresh: d.refreshConfig, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast,
+		Refresh: d.refreshConfig, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast, OthersServe: d.othersServe,
 		Records: &d.reach,
 	}
 	d.reach.Records = &quorum.Client{
