frontd: an answer of the store is older by the time of a suspension

A VM that was suspended while it read the store dated the answer by its monotonic clock, which had stood still, so that a configuration replaced meanwhile counted as confirmed; the suspension itself was not noticed either, and limits of accounts were not drained. The answer is dated back by the difference between wall clock and monotonic clock, and a suspension during a read is handled like any other.

--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -64,7 +64,9 @@
 		refreshedAt time.Time     // last read triggered by a request
 		refreshed   chan struct{} // closed when that read has ended
 		refreshing  bool          // it has not ended
-		logged      map[string]bool
+		// suspended replaces stall.Suspended in tests.
+		suspended func(from, to time.Time) time.Duration
+		logged    map[string]bool
 	}
 )
 
@@ -91,19 +93,28 @@
 			wait = 0
 		}
 		due := checkInterval + wait/2 + rand.N(wait/2+1)
+		if stood := d.readState.stood(now); stood > 0 {
+			resumeAt = d.resume(stood, stood)
+		}
 		ran.Check(time.Now(), due)
 		if !pause.For(ctx, due) {
 			return
 		}
 		if away, stood := ran.Check(time.Now(), due); away > 0 {
-			d.Log.Warn().Dur("away_ms", away).Dur("clock_stood_ms", stood).Msg("process did not run: VM frozen, suspended or starved")
-			d.apply(fleet.Suspended{For: stood}, nil)
-			d.limits.Drain(time.Now())
-			resumeAt = time.Now().Add(resumeDelay)
+			resumeAt = d.resume(away, stood)
 		}
 	}
 }
 
+// resume takes account of a time in which this process did not run, and returns when it may
+// read the store.
+func (d *Daemon) resume(away, stood time.Duration) (readAt time.Time) {
+	d.Log.Warn().Dur("away_ms", away).Dur("clock_stood_ms", stood).Msg("process did not run: VM frozen, suspended or starved")
+	d.apply(fleet.Suspended{For: stood}, nil)
+	d.limits.Drain(time.Now())
+	return time.Now().Add(resumeDelay)
+}
+
 // readFrontsOrWait reads which fronts there are, and returns the backoff if that fails.
 func (d *Daemon) readFrontsOrWait(ctx context.Context, turn readTurn, last time.Duration) time.Duration {
 	err := d.readFronts(ctx)
@@ -149,7 +160,7 @@
 	d.Scope.Gauge("entries_unusable").Update(float64(d.Source.Unusable()))
 	d.Log.Info().Bool("all", r.all).Uint64("revision", r.revision).Int("changes", r.changes).Dur("took_ms", time.Since(r.asked)).
 		Dur("state_age_ms", r.asked.Sub(v.Confirmed)).Msg("store read")
-	d.applyAt(r.asked, r.event, nil)
+	d.applyAt(r.asked.Add(-d.readState.stood(r.asked)), r.event, nil)
 	d.meshio.Broadcast() // at once, so that the front next in rank need not read
 	d.publishHubs(ctx, r.asked)
 	d.backUp(ctx)
@@ -190,6 +201,16 @@
 	return nil
 }
 
+// stood returns for how long the monotonic clock has stood still since a read was begun: its
+// answer is older by that time than the clock shows, and would otherwise confirm a
+// configuration that was replaced while the VM was suspended.
+func (s *readState) stood(since time.Time) time.Duration {
+	if s.suspended != nil {
+		return s.suspended(since, time.Now())
+	}
+	return stall.Suspended(since, time.Now())
+}
+
 // begin returns the identity of the next read.
 func (s *readState) begin() fleet.Read {
 	s.mu.Lock()
--- a/internal/node/frontd/read_test.go
+++ b/internal/node/frontd/read_test.go
@@ -125,3 +125,22 @@
 	is.NoErr(third.applySnapshot(whole, 0))
 	is.Equal(third.fleet.View().Hash, reader.fleet.View().Hash)
 }
+
+// Guards against a front that is suspended while the store's answer is under way and takes the
+// answer for as new as its clock says: it would serve an old configuration as a confirmed one.
+func TestAnswerIsOlderByASuspension(t *testing.T) {
+	cases := map[string]time.Duration{"it ran": 0, "suspended during the read": 4 * time.Second}
+	for name, stood := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDaemonAt(time.Now().Add(-10 * time.Second))
+			d.Source = &countingSource{}
+			d.readState.suspended = func(time.Time, time.Time) time.Duration { return stood }
+			asked := time.Now()
+			is.NoErr(d.readStore(t.Context()))
+			confirmed := d.fleet.View().Confirmed
+			is.True(!confirmed.Before(asked.Add(-stood)))
+			is.True(confirmed.Before(time.Now().Add(-stood)))
+		})
+	}
+}
--- a/internal/peer/stall/stall.go
+++ b/internal/peer/stall/stall.go
@@ -26,11 +26,25 @@
 	if last.IsZero() {
 		return 0, 0
 	}
-	mono := now.Sub(last)
-	wall := now.Round(0).Sub(last.Round(0)) // Round(0) strips the monotonic reading
+	mono, wall := elapsed(last, now)
 	stalled = max(mono, wall) - interval
 	if stalled < MinStall {
 		return 0, 0
 	}
 	return stalled, max(wall-mono, 0)
 }
+
+// Suspended returns for how much of the time between two readings of the clock the monotonic
+// clock stood still, 0 if that is below MinStall.
+func Suspended(from, to time.Time) time.Duration { return suspended(elapsed(from, to)) }
+
+func suspended(mono, wall time.Duration) time.Duration {
+	if wall-mono < MinStall {
+		return 0
+	}
+	return wall - mono
+}
+
+func elapsed(from, to time.Time) (mono, wall time.Duration) {
+	return to.Sub(from), to.Round(0).Sub(from.Round(0)) // Round(0) strips the monotonic reading
+}
--- a/internal/peer/stall/stall_test.go
+++ b/internal/peer/stall/stall_test.go
@@ -48,3 +48,21 @@
 	stalled, _ = d.Check(begin.Round(0).Add(-time.Hour), 0) // clock set back: not a stall
 	is.Equal(stalled, time.Duration(0))
 }
+
+// A VM is suspended while a call is under way. Its answer is older than the monotonic clock
+// shows.
+func TestSuspended(t *testing.T) {
+	cases := map[string]struct{ mono, wall, want time.Duration }{
+		"it ran":                      {time.Second, time.Second, 0},
+		"the clock was slewed":        {time.Second, time.Second + MinStall/2, 0},
+		"suspended":                   {100 * time.Millisecond, 4100 * time.Millisecond, 4 * time.Second},
+		"frozen with a running clock": {4 * time.Second, 4 * time.Second, 0},
+		"the wall clock was set back": {time.Second, -time.Hour, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(suspended(c.mono, c.wall), c.want)
+		})
+	}
+	is.New(t).Equal(Suspended(time.Now(), time.Now()), time.Duration(0))
+}
