--- a/cmd/slaterock/exit_test.go
+++ b/cmd/slaterock/exit_test.go
@@ -38,6 +38,10 @@
 		"unknown shape":    {[]string{"load", "--shape=bogus"}, exitFailed},
 		"no trace":         {[]string{"replay"}, exitUsage},
 		"missing trace":    {[]string{"replay", good + "x"}, exitFailed},
+		"no log":           {[]string{"explain"}, exitFailed},
+		"missing log":      {[]string{"explain", good + "x"}, exitFailed},
+		"unknown table":    {[]string{"explain", good, "--by=hour"}, exitFailed},
+		"a log of faults":  {[]string{"explain", faulty}, exitOK},
 		"missing settings": {[]string{"serve"}, exitUsage},
 	}
 	for name, tt := range tests {
--- a/cmd/slaterock/main.go
+++ b/cmd/slaterock/main.go
@@ -66,7 +66,7 @@
 	}
 	c.AddCommand(frontCommand(), storageCommand())
 	c.AddCommand(serveCommand(), devCommand(), fakeCommand(), soakCommand())
-	c.AddCommand(checkCommand(), applyCommand(), replayCommand(), loadCommand())
+	c.AddCommand(checkCommand(), applyCommand(), replayCommand(), loadCommand(), explainCommand())
 	c.AddCommand(statusCommand(), historyCommand(), requestCommand(), drainCommand())
 	return c
 }
