proxy: the request line leaves out a finish time that the caller did not state

finish_ms was 0 both for a request whose time is over and for one without a finish time, so slaterock explain would count each program without one as late.

TestLineOfARequestCanBeSummedUp parses the line with recap; its case of no finish time fails on the line as it was.

--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -61,8 +61,11 @@
 		Int64("config", q.version()).Int64("news_age_ms", q.viewAge()).Str("upstream", s.upstream).Int("sends", s.sends).
 		Str("refusals", s.refusals).Int("status", s.status).Str("outcome", s.outcome()).Str("ran", string(s.ran)).
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.CallerTimeout.Milliseconds()).
-		Int64("finish_ms", q.FinishIn.Milliseconds()).Int64("recorded_ms", s.recordsTime.Milliseconds()).
+		Int64("recorded_ms", s.recordsTime.Milliseconds()).
 		Int64("first_ms", s.firstOutput.Milliseconds()).Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
+	if q.HasFinishIn {
+		line.Int64("finish_ms", q.FinishIn.Milliseconds())
+	}
 	if s.missing {
 		line.Bool("upstream_missing", true)
 	}
