--- a/internal/obs/recap/run_test.go
+++ b/internal/obs/recap/run_test.go
@@ -1,6 +1,7 @@
 package recap
 
 import (
+	"context"
 	"encoding/json"
 	"encoding/xml"
 	"errors"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -88,6 +90,21 @@
 	is.Equal(r.Tables[0].Rows[1].Name, "11")
 }
 
+// An interrupt must end the command also while nothing comes from the standard input.
+func TestRunEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stdin, writer := io.Pipe()
+		defer func() { is.NoErr(writer.Close()) }()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- Run(ctx, io.Discard, Args{Paths: []string{"-"}, Stdin: stdin, Idle: DefaultIdle}) }()
+		synctest.Wait()
+		cancel()
+		is.True(errors.Is(<-done, context.Canceled))
+	})
+}
+
 // An empty log is no failure: a front without callers has none.
 func TestEmptyLog(t *testing.T) {
 	is := is.New(t)
