limits, proxy, frontd: requests wait for their account's limit

Limiter.Acquire blocks until a token is there for the request, until it is useless or its caller has disconnected. Turns wait 1.5 s at most, new programs until their latest start, plain calls until their timeout less the usual duration of their route. Fronts report what waits and what began. Without accounts, and for an account without a limit, nothing waits: there is a test for both.

--- a/internal/front/limits/limits.go
+++ b/internal/front/limits/limits.go
@@ -1,5 +1,6 @@
 // Package limits enforces this daemon's share of the rate limits of accounts. It adds
-// locking and the configured accounts to the limiter of package bucket.
+// locking, timers and the configured accounts to the limiter of package bucket and to the
+// waiting requests of package wait.
 package limits
 
 import (
@@ -21,6 +22,7 @@
 	mu       sync.Mutex
 	bucket   bucket.Buckets
 	accounts *accnt.Accounts // whose limits were last set in bucket
+	waiting  waiting
 }
 
 // Take takes one request from an account's limit if the verdict is OK. Begun means that it
@@ -50,6 +52,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.bucket.Refund(now, name)
+	a.step(now, name)
 }
 
 // Used returns how many requests this daemon allowed recently, by account, as it reports
@@ -74,6 +77,14 @@
 	defer a.mu.Unlock()
 	a.setAccounts(now, accounts)
 	a.bucket.Update(now, h)
+	a.stepAll(now)
+}
+
+// Programs returns the number of programs in progress of each account, by the forecast.
+func (a *Limiter) Programs(now time.Time) map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bucket.Programs(now)
 }
 
 // Drain empties each account's token bucket. It is to be called after the process was
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -8,6 +9,14 @@
 
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/front/bucket"
+	"github.com/slaterock/slaterock/internal/front/limits"
+)
+
+// limitBegun and limitNew are the logged classes of requests that waited for their account's
+// limit, or were refused.
+const (
+	limitBegun = "begun"
+	limitNew   = "new"
 )
 
 // errUnknownKey reports a key that no longer belongs to the account that it had when the
@@ -68,27 +77,76 @@
 	return "\x00" + q.account.Name + "\x00" + id
 }
 
-// limitReached refuses a request at once if its account has used up its limit, and
-// reports whether it did.
-func (q *request) limitReached() bool {
-	if q.account.Name == "" {
+// limitReached refuses a turn at once if its account's limit can't admit it while it may wait,
+// and reports whether it did.
+func (t *turn) limitReached() bool {
+	if t.account.Name == "" {
 		return false
 	}
-	v := q.e.Limiter.Check(time.Now(), q.account.Name)
-	return !v.OK && !q.replyIfDenied(v)
+	d := t.e.Limiter.CanAdmit(time.Now(), t.account.Name, t.began.Add(maxQueueWait))
+	return !d.OK && !t.replyIfDenied(d)
 }
 
-// acquire takes the request from its account's limit. If the limit does not allow it,
-// acquire sends an error response and returns false. The parameter mayUseReserve is false
-// for the first turn of a program with a budget, which may not use the reserved part of
-// the limit.
-func (q *request) acquire(mayUseReserve bool) bool {
+// acquire takes the request from its account's limit, for which it may wait. If it gets none,
+// acquire sends an error response, unless the caller has disconnected, and returns false.
+func (q *request) acquire(ctx context.Context, r limits.Request) bool {
 	if q.acquired || q.account.Name == "" {
 		return true
 	}
-	v := q.e.Limiter.Take(time.Now(), q.account.Name, mayUseReserve)
-	q.acquired = v.OK
-	return q.replyIfDenied(v)
+	r.Account = q.account.Name
+	began := time.Now()
+	d := q.e.Limiter.Acquire(ctx, r)
+	q.acquired = d.OK
+	s := &q.summary
+	if s.limitWait = time.Since(began); s.limitWait >= minLoggedWait || !d.OK {
+		s.limitAhead, s.limitClass = d.Ahead, limitBegun
+		if r.First {
+			s.limitClass = limitNew
+		}
+	}
+	if s.limitWait >= minLoggedWait {
+		q.e.Scope.Timer("limit_wait_time").Record(s.limitWait)
+	}
+	if err := ctx.Err(); err != nil && !d.OK {
+		q.replyExpired(err)
+		return false
+	}
+	return q.replyIfDenied(d)
+}
+
+// turnRequest returns the turn's request to its account's limit. A turn waits for as long as
+// its program can end in time, and the first one until the latest start. Turns without a
+// budget count as turns of programs that have begun, as nothing is known of their programs.
+func (t *turn) turnRequest(now time.Time) limits.Request {
+	r := limits.Request{Begun: t.programBegun || !t.reserved, Until: t.began.Add(maxQueueWait), Start: t.programStart}
+	r.First = !r.Begun
+	finish := t.began.Add(t.FinishIn)
+	switch {
+	case !t.HasFinishIn:
+	case r.First:
+		r.Until = earlier(r.Until, t.latestStart(now))
+	case finish.After(now):
+		r.Until = earlier(r.Until, finish)
+	}
+	r.Until = earlier(r.Until, t.deadline)
+	return r
+}
+
+// callRequest returns the request of a plain call, which waits until its deadline less the
+// usual duration of its route, or half of its time if that is not known.
+func (q *request) callRequest() limits.Request {
+	usual := time.Duration(q.e.Baseline.Mean(q.route.Name) * float64(time.Second))
+	if usual == 0 {
+		usual = q.deadline.Sub(q.began) / 2
+	}
+	return limits.Request{Begun: true, Until: q.deadline.Add(-usual)}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // replyIfDenied sends an error response if the limit does not allow the request, and
@@ -96,12 +154,15 @@
 func (q *request) replyIfDenied(v bucket.Decision) bool {
 	switch {
 	case v.OK:
+		return true
 	case v.NoShare:
 		q.replyUnavailable("limits_unknown", v.RetryAfter, nil)
 	default:
 		q.replyOverLimit(v.RetryAfter)
 	}
-	return v.OK
+	tags := map[string]string{"account": q.e.Limiter.Label.Of(q.account.Name), "cause": q.summary.code}
+	q.e.Scope.Tagged(tags).Counter("account_refused").Inc(1)
+	return false
 }
 
 // countSend counts a send against the account's limit. The request taken by acquire
--- a/internal/front/proxy/account_test.go
+++ b/internal/front/proxy/account_test.go
@@ -228,3 +228,126 @@
 		is.Equal(len(env.upstreams["up2"].requests()), 1)
 	})
 }
+
+// A caller that comes while its account's limit is used up waits for a token as long as a
+// response is useful, and is refused before anything ran if there is none in time.
+func TestWaitsForLimit(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		header map[string]string
+		rate   float64
+		begun  time.Duration // since the program began; 0 for a new one
+		status int
+		least  time.Duration
+		most   time.Duration
+		class  string
+	}{
+		"plain call":              {"/safe/", nil, 2, 0, 200, 400 * time.Millisecond, 900 * time.Millisecond, "begun"},
+		"plain call, no token":    {"/safe/", nil, 0.2, 0, 429, 0, 0, "begun"},
+		"begun":                   {"/keep/", map[string]string{"Finish": "1s"}, 2, time.Second, 200, 400 * time.Millisecond, 900 * time.Millisecond, "begun"},
+		"begun, late":             {"/keep/", map[string]string{"Finish": "-1s"}, 2, time.Second, 200, 400 * time.Millisecond, 900 * time.Millisecond, "begun"},
+		"begun, not to end":       {"/keep/", map[string]string{"Finish": "300ms"}, 2, time.Second, 429, 0, 300 * time.Millisecond, "begun"},
+		"begun, no token in 1.5s": {"/keep/", map[string]string{"Finish": "1m"}, 0.5, time.Second, 429, 0, 0, ""},
+		"new":                     {"/keep/", map[string]string{"Finish": "6s"}, 2, 0, 200, 400 * time.Millisecond, 1200 * time.Millisecond, "new"},
+		"new, too late to start":  {"/keep/", map[string]string{"Finish": "1s"}, 2, 0, 429, 0, 200 * time.Millisecond, "new"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{completeStream})
+				if !strings.HasPrefix(c.path, "/keep/") {
+					env = newTestEnv([]string{ok})
+				}
+				defer env.close()
+				env.useUp(t, c.rate)
+				var log strings.Builder
+				env.e.Log = zerolog.New(&log)
+				if c.begun > 0 {
+					id := env.e.scopedTestID("cafe", "r0")
+					env.rec.shares[id] = index.Charge{Attempt: id, Settled: true, Tokens: 9, At: time.Now().Add(-c.begun).UnixMilli()}
+				}
+				h := map[string]string{"Key": "secret-a", "Program": "p", "Budget": "1000"}
+				for k, v := range c.header {
+					h[k] = v
+				}
+				began := time.Now()
+				rec, _ := env.do(t.Context(), c.path, h, "")
+				took := time.Since(began)
+				is.Equal(rec.Code, c.status)
+				is.True(took >= c.least && took <= c.most)
+				is.Equal(len(env.upstreams["up1"].requests()) == 1, c.status == 200)
+				is.Equal(rec.Header().Get("Again") != "", c.status == 429)
+				is.Equal(strings.Contains(log.String(), `"limit_wait":"`+c.class+`"`), c.class != "")
+				synctest.Wait()
+				is.True(c.status == 200 || env.rec.shares[env.e.scopedTestID("cafe", "r1")].Tokens == 0)
+			})
+		})
+	}
+}
+
+// useUp configures an account whose limit is used up.
+func (env *testEnv) useUp(t *testing.T, rate float64) {
+	t.Helper()
+	a, err := accnt.New([]accnt.Account{{Name: "cafe", Rate: rate, Burst: 5, Keys: []accnt.Digest{accnt.DigestOf("secret-a")}}})
+	is.New(t).NoErr(err)
+	env.configure(2, a)
+	env.syncLimits(10)
+	env.e.Limiter.Update(time.Now(), a, bucket.PeerUsage{Fronts: 1, Total: 1})
+	env.e.Limiter.Drain(time.Now())
+}
+
+// scopedTestID returns an id as used in the records of an account.
+func (e *Endpoint) scopedTestID(account, id string) string { return "\x00" + account + "\x00" + id }
+
+// A caller that disconnects while it waits for the limit must free its place at once, also on a
+// route whose runs are not aborted, and nothing must run.
+func TestLeavesWhileItWaitsForLimit(t *testing.T) {
+	for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{ok})
+				defer env.close()
+				env.useUp(t, 1.2)
+				ctx, cancel := context.WithCancel(t.Context())
+				timer := time.AfterFunc(100*time.Millisecond, cancel)
+				defer timer.Stop()
+				began := time.Now()
+				env.do(ctx, path, map[string]string{"Key": "secret-a"}, "")
+				is.Equal(time.Since(began), 100*time.Millisecond)
+				is.Equal(len(env.e.Limiter.Demand(time.Now()).Waiting), 0)
+				is.Equal(len(env.e.Limiter.Used(time.Now())), 0)
+				is.Equal(len(env.upstreams["up1"].requests()), 0)
+			})
+		})
+	}
+}
+
+// Without accounts, and for an account without a limit, no request may wait or be refused, and
+// nothing may be reported or logged about limits, however many requests come.
+func TestNoLimitNoWait(t *testing.T) {
+	for name, key := range map[string]string{"no accounts": "", "no limit": "secret-b"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{ok})
+				defer env.close()
+				if key != "" {
+					env.startWithAccounts()
+				}
+				var log strings.Builder
+				env.e.Log = zerolog.New(&log)
+				began := time.Now()
+				for range 100 {
+					rec, _ := env.do(t.Context(), "/safe/", map[string]string{"Key": key}, "")
+					is.Equal(rec.Code, 200)
+				}
+				is.Equal(time.Since(began), time.Duration(0))
+				is.True(!strings.Contains(log.String(), "limit_"))
+				d := env.e.Limiter.Demand(time.Now())
+				is.Equal(len(d.Waiting)+len(d.Begun), 0)
+			})
+		})
+	}
+}
--- a/internal/front/proxy/admission.go
+++ b/internal/front/proxy/admission.go
@@ -15,8 +15,8 @@
 	// deadline that it may spend in the queue. The rest is what it needs: programs take
 	// 0.8 of that time on busy engines and 0.6 on idle ones.
 	maxQueueShare = 0.2
-	// maxQueueWait bounds the queue time of a first turn: callers disconnect from a
-	// stream that sends nothing for two seconds.
+	// maxQueueWait bounds the time that a turn waits for its account's limit and for engines:
+	// callers disconnect from a stream that sends nothing for two seconds.
 	maxQueueWait = 1500 * time.Millisecond
 	// minLoggedWait is the shortest queue time that is logged for an admitted program.
 	minLoggedWait = time.Millisecond
@@ -36,11 +36,7 @@
 		return true
 	}
 	began := time.Now()
-	programTime := t.FinishIn + began.Sub(t.programStart)
-	waitUntil := t.programStart.Add(time.Duration(maxQueueShare * float64(programTime)))
-	if maxWaitUntil := began.Add(maxQueueWait); waitUntil.After(maxWaitUntil) {
-		waitUntil = maxWaitUntil
-	}
+	waitUntil := earlier(t.latestStart(began), began.Add(maxQueueWait-t.summary.limitWait))
 	s := &t.summary
 	if s.load = t.e.load(t.service.Name); s.load.Capacity == 0 {
 		return true // no engine accepts work: dispatch refuses the turn at once
@@ -68,6 +64,12 @@
 	return false
 }
 
+// latestStart returns the time until which the program may begin to be finished in time.
+func (t *turn) latestStart(now time.Time) time.Time {
+	programTime := t.FinishIn + now.Sub(t.programStart)
+	return t.programStart.Add(time.Duration(maxQueueShare * float64(programTime)))
+}
+
 // load returns the load of a service's engines.
 func (e *Endpoint) load(service string) gate.Load {
 	return e.Picker.Load(e.Fleet.View().Services[service], e.Queue.Share(service))
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -18,6 +18,9 @@
 // read before any of it is returned, so that a truncated one can be retried where the
 // kind allows it, and is reported as an error elsewhere.
 func (q *request) serveBuffered(ctx context.Context) {
+	if !q.acquire(ctx, q.callRequest()) {
+		return
+	}
 	if q.route.Kind == route.Unsafe {
 		// The run must not be aborted if the caller disconnects, since it cannot
 		// be repeated.
@@ -25,9 +28,6 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 		defer cancel()
 	}
-	if !q.acquire(true) {
-		return
-	}
 	exclude := map[string]bool{}
 	for {
 		s, err := q.dispatch(ctx, pick.Request{Exclude: exclude}, q.body, meta.Dispatch{})
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -49,7 +49,7 @@
 // serveStream serves a request whose response is a stream of events.
 func (q *request) serveStream(ctx context.Context) {
 	t := &turn{request: q, lastEventID: q.LastEventID, flush: http.NewResponseController(q.w).Flush}
-	if t.limitReached() || !t.prepare(ctx) || !t.withinLimit() || !t.waitForRoom(ctx) {
+	if t.limitReached() || !t.prepare(ctx) || !t.withinLimit(ctx) || !t.waitForRoom(ctx) {
 		return
 	}
 	err := t.relayTurn(ctx)
@@ -66,11 +66,10 @@
 	q.replyFailure(err)
 }
 
-// withinLimit takes the turn from its account's limit, or sends an error response and
-// returns false. Part of the limit is not available to the first turn of a program with a
-// budget, so that programs that have begun can finish.
-func (t *turn) withinLimit() bool {
-	if t.acquire(t.programBegun || !t.reserved) {
+// withinLimit takes the turn from its account's limit, for which it may wait. It returns false
+// if the request has ended: an error response was sent, or the caller has disconnected.
+func (t *turn) withinLimit(ctx context.Context) bool {
+	if t.acquire(ctx, t.turnRequest(time.Now())) {
 		return true
 	}
 	t.settle()
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -31,6 +31,9 @@
 		recordsTime time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason string        // why the attempt was queued; empty if it was not
 		queueTime   time.Duration // how long it was queued
+		limitClass  string        // class in which the attempt waited for its account's limit or was refused; empty if neither
+		limitWait   time.Duration // how long it waited for its account's limit
+		limitAhead  int           // requests that waited for the limit before it, over all fronts
 		load        gate.Load     // of the engines when it was queued
 		firstOutput time.Duration // from arrival to the first event of a stream, or to the end of another response; 0 for none
 	}
@@ -70,6 +73,9 @@
 		line.Str("queue", s.queueReason).Int64("queued_ms", s.queueTime.Milliseconds()).Int("engines_under_way", s.load.InFlight).
 			Int("engines_room", s.load.Capacity).Int("daemons", s.load.Daemons)
 	}
+	if s.limitClass != "" {
+		line.Str("limit_wait", s.limitClass).Int64("limit_wait_ms", s.limitWait.Milliseconds()).Int("limit_ahead", s.limitAhead)
+	}
 	line.Msg("request")
 }
 
--- a/internal/node/frontd/limits.go
+++ b/internal/node/frontd/limits.go
@@ -32,6 +32,21 @@
 	majorityAt time.Time            // when at least half of them were last heard from
 	accounts   *accnt.Accounts      // that names was built from
 	names      map[mesh.ID]string
+	begunNames map[mesh.ID]string // names by begunID
+}
+
+// begunID is the key, in the demand that fronts report, of the requests of programs that have
+// begun and that wait for the limit of an account. They are also counted under the account.
+func begunID(account string) mesh.ID { return mesh.IDOf(account + "\x00begun") }
+
+// limitDemand returns what competes for the limits at this front, for the other fronts.
+func (d *Daemon) limitDemand(now time.Time) (out mesh.Demand) {
+	own := d.limits.Demand(now)
+	out.Waiting, out.Begun = toIDs(own.Waiting), toIDs(own.Begun)
+	for name, n := range own.WaitingBegun {
+		out.Waiting[begunID(name)] = n
+	}
+	return out
 }
 
 // updateLimits passes the number of requests that the other fronts accepted to the limits.
@@ -47,6 +62,9 @@
 	}
 	h := d.limitPeers.count(now, nodes, p.Fronts)
 	h.Used = d.limitPeers.byAccount(v.Table.Accounts, p.Used)
+	h.Begun = d.limitPeers.byAccount(v.Table.Accounts, p.Demand.Begun)
+	h.Waiting = d.limitPeers.byAccount(v.Table.Accounts, p.Demand.Waiting)
+	h.WaitingBegun = d.limitPeers.begunByAccount(p.Demand.Waiting)
 	d.limits.Update(now, v.Table.Accounts, h)
 }
 
@@ -78,11 +96,16 @@
 	return h
 }
 
-// reportLimits updates the gauges of what each account has left of its limit.
+// reportLimits updates the gauges of each account: what it has left of its limit, the requests
+// that wait for it here, and the programs in progress.
 func (d *Daemon) reportLimits(now time.Time) {
+	programs, waiting := d.limits.Programs(now), d.limits.Demand(now).Waiting
 	for name, left := range d.limits.Remaining(now) {
 		if l := d.limits.Label.Of(name); l != label.Others {
-			d.Scope.Tagged(map[string]string{"account": l}).Gauge("account_limit_left").Update(left)
+			scope := d.Scope.Tagged(map[string]string{"account": l})
+			scope.Gauge("account_limit_left").Update(left)
+			scope.Gauge("account_waiting").Update(float64(waiting[name]))
+			scope.Gauge("account_programs").Update(programs[name])
 		}
 	}
 }
@@ -92,10 +115,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.accounts != accounts || p.names == nil {
-		p.accounts, p.names = accounts, map[mesh.ID]string{}
+		p.accounts, p.names, p.begunNames = accounts, map[mesh.ID]string{}, map[mesh.ID]string{}
 		for _, a := range accounts.All() {
 			p.names[mesh.IDOf(a.Name)] = a.Name
+			p.begunNames[begunID(a.Name)] = a.Name
 		}
 	}
 	return toNames(used, p.names)
 }
+
+// begunByAccount is byAccount for the requests under begunID, of the accounts that byAccount
+// was called with last.
+func (p *limitPeers) begunByAccount(waiting map[mesh.ID]int) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return toNames(waiting, p.begunNames)
+}
--- a/internal/node/frontd/limits_test.go
+++ b/internal/node/frontd/limits_test.go
@@ -47,11 +47,14 @@
 	is.New(t).True(isolationTimeout < peerExpiry)
 }
 
+// The requests that wait are reported by account, those of programs that have begun also
+// under a key of their own, which must not count as another account's.
 func TestUseByKnownAccount(t *testing.T) {
 	is := is.New(t)
 	a, err := accnt.New([]accnt.Account{{Name: "cafe"}, {Name: "bar"}})
 	is.NoErr(err)
 	var p limitPeers
-	is.Equal(p.byAccount(a, map[mesh.ID]int{mesh.IDOf("cafe"): 3, mesh.IDOf("gone"): 2}), map[string]int{"cafe": 3})
+	is.Equal(p.byAccount(a, map[mesh.ID]int{mesh.IDOf("cafe"): 3, mesh.IDOf("gone"): 2, begunID("cafe"): 1}), map[string]int{"cafe": 3})
+	is.Equal(p.begunByAccount(map[mesh.ID]int{mesh.IDOf("cafe"): 3, begunID("cafe"): 1}), map[string]int{"cafe": 1})
 	is.Equal(len(p.byAccount(nil, map[mesh.ID]int{mesh.IDOf("cafe"): 3})), 0)
 }
