limits: a program that the engines refused has not begun

Its request was returned to the limit, but the forecast still counted what it would have asked for, and refused others in its place. Programs past their latest start begin only if none waits at any front.

--- a/internal/front/bucket/bucket.go
+++ b/internal/front/bucket/bucket.go
@@ -179,11 +179,11 @@
 	case a.level < 1 || !r.fits(now, a, class):
 		return r.refuse(now, a, class)
 	}
-	a.use(now, 1)
 	if class == New {
 		a.forecast.Begin()
 		a.begun.add(now, 1)
 	}
+	a.use(now, 1)
 	return Decision{OK: true}
 }
 
@@ -250,6 +250,16 @@
 	}
 }
 
+// RefundClass is Refund for a class of requests: a program whose first request reached no
+// upstream has not begun.
+func (r *Buckets) RefundClass(now time.Time, name string, class Class) {
+	r.Refund(now, name)
+	if a := r.accounts[name]; a != nil && class == New {
+		a.begun.add(now, -1)
+		a.forecast.Withdraw()
+	}
+}
+
 // Update sets the state of the other fronts. It must be called several times a second,
 // even if there are none.
 func (r *Buckets) Update(now time.Time, u PeerUsage) {
@@ -285,48 +295,6 @@
 	}
 }
 
-// Used returns the requests that this front admitted during the last Period, by account.
-func (r *Buckets) Used(now time.Time) map[string]int {
-	out := map[string]int{}
-	for name, a := range r.accounts {
-		if n := a.used.sum(now); n > 0 {
-			out[name] = n
-		}
-	}
-	return out
-}
-
-// Begun returns the programs that this front admitted during the last Period, by account.
-func (r *Buckets) Begun(now time.Time) map[string]int {
-	out := map[string]int{}
-	for name, a := range r.accounts {
-		if n := a.begun.sum(now); n > 0 {
-			out[name] = n
-		}
-	}
-	return out
-}
-
-// Remaining returns the level of each account as a part of its capacity, from 0 to 1.
-func (r *Buckets) Remaining(now time.Time) map[string]float64 {
-	out := make(map[string]float64, len(r.accounts))
-	for name, a := range r.accounts {
-		r.refill(now, a)
-		out[name] = max(a.level, 0) / max(r.capacity(a.limit, r.groupShare), 1)
-	}
-	return out
-}
-
-// Programs returns the number of programs in progress of each account, by the forecast.
-func (r *Buckets) Programs(now time.Time) map[string]float64 {
-	out := make(map[string]float64, len(r.accounts))
-	for name, a := range r.accounts {
-		r.refill(now, a)
-		out[name] = a.forecast.Programs()
-	}
-	return out
-}
-
 // retryAfter returns when a refused caller may retry: once there are tokens for it and for
 // the requests before it at all fronts, randomized so that not all retry at once.
 func (r *Buckets) retryAfter(now time.Time, a *account, class Class) time.Duration {
@@ -345,95 +313,3 @@
 	}
 	return wait
 }
-
-// rate is the number of requests that the live fronts together may admit in a second.
-func (r *Buckets) rate(l Limit) float64 { return l.Rate * r.groupShare }
-
-// capacity is the largest level for a part of the limit. It is at least one request, so
-// that an isolated front can admit any, unless all fronts would exceed the tolerance if
-// they were isolated at the same time.
-func (r *Buckets) capacity(l Limit, groupShare float64) float64 {
-	t := r.Tolerance
-	tolerated := t.Over*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
-	capacity := (l.Burst + toleranceUse*tolerated) * groupShare
-	if groupShare > 0 && float64(r.peers.Total) <= l.Burst+(1-toleranceUse)*tolerated {
-		return max(capacity, 1)
-	}
-	return capacity
-}
-
-// account returns the account with its level updated, nil if it has no limit.
-func (r *Buckets) account(now time.Time, name string) *account {
-	r.detectStall(now)
-	a := r.accounts[name]
-	if a != nil {
-		r.refill(now, a)
-	}
-	return a
-}
-
-// detectStall empties the buckets if this front has not run for stallTime.
-func (r *Buckets) detectStall(now time.Time) {
-	if !r.lastUpdate.IsZero() && now.Sub(r.lastUpdate) > stallTime {
-		r.Drain(now)
-		r.lastUpdate = now
-	}
-}
-
-// refill updates the level by the time passed, and by the rate at which the other fronts
-// admit requests.
-func (r *Buckets) refill(now time.Time, a *account) {
-	if a.quiet {
-		a.at, a.forecastAt = now, now
-		return
-	}
-	passed := now.Sub(a.at)
-	if passed < refillStep {
-		return
-	}
-	r.accrue(now, a, passed)
-	a.at = now
-	a.level += passed.Seconds() * (r.rate(a.limit) - a.others.used/Period.Seconds())
-	capacity := r.capacity(a.limit, r.groupShare)
-	a.level = max(min(a.level, capacity), -capacity)
-	a.quiet = a.level == capacity && a.others == others{} && a.forecast.Remaining() < 0.01 && !a.limited()
-	if passed = now.Sub(a.forecastAt); passed >= forecastStep {
-		a.forecastAt = now
-		a.forecast.Advance(passed, a.others.used/Period.Seconds(), a.others.begun/Period.Seconds())
-	}
-}
-
-// of returns the counts of an account.
-func (u PeerUsage) of(name string) (o others) {
-	o.used = float64(u.Used[name])
-	if o.used == 0 && len(u.Waiting) == 0 {
-		return o // as for most of thousands of accounts
-	}
-	o.begun, o.waiting, o.waitingBegun = float64(u.Begun[name]), float64(u.Waiting[name]), float64(u.WaitingBegun[name])
-	return o
-}
-
-// hear replaces what is known of the other fronts.
-func (a *account) hear(o others) {
-	if !a.current && o.used > 0 {
-		a.forecast.Resume((o.used + o.waitingBegun) / Period.Seconds())
-	}
-	a.others, a.current = o, true
-	a.quiet = a.quiet && o == others{}
-}
-
-func (a *account) use(now time.Time, n int) {
-	a.used.add(now, n)
-	a.level -= float64(n)
-	a.quiet = false
-	a.forecast.Admit(float64(n))
-}
-
-// ahead returns the number of requests that wait before one of the class that arrives now,
-// over all fronts.
-func (a *account) ahead(class Class) int {
-	if class == Begun {
-		return a.shares[Begun].waiting + int(a.others.waitingBegun)
-	}
-	return a.shares[Begun].waiting + a.shares[New].waiting + int(a.others.waiting)
-}
--- a/internal/front/bucket/bucket_test.go
+++ b/internal/front/bucket/bucket_test.go
@@ -92,6 +92,23 @@
 	is.Equal(r.Used(now.Add(2 * Period))["small"], 0)
 }
 
+// A program that was admitted and then refused by the engines has not begun: if it were counted,
+// the forecast would refuse others in its place.
+func TestRefundedProgramHasNotBegun(t *testing.T) {
+	is := is.New(t)
+	r := Buckets{Tolerance: tolerance}
+	now := time.Unix(1000, 0)
+	r.Limit(now, limits)
+	for range 50 {
+		r.Update(now, PeerUsage{Fronts: 1, Total: 1})
+		now = now.Add(100 * time.Millisecond)
+		is.True(r.Take(now, "small", false).OK)
+		r.RefundClass(now, "small", New)
+		is.Equal(r.Programs(now)["small"], 0.0)
+		is.Equal(len(r.Begun(now)), 0)
+	}
+}
+
 // An account whose limit is too small for a program of the usual size must still get one after
 // the other: it would be refused for good otherwise.
 func TestSmallLimitServesOneProgramAtATime(t *testing.T) {
--- a/internal/front/demand/demand.go
+++ b/internal/front/demand/demand.go
@@ -80,6 +80,12 @@
 	f.begun++
 }
 
+// Withdraw undoes Begin for a program that did not begin.
+func (f *Forecast) Withdraw() {
+	f.begun = max(f.begun-1, 0)
+	f.remaining = max(f.remaining-f.Requests()+1, 0)
+}
+
 // Observe records the age of a program at one of its requests.
 func (f *Forecast) Observe(age time.Duration) {
 	f.age += min(max(age, 0), maxAge).Seconds()
--- a/internal/front/limits/acquire.go
+++ b/internal/front/limits/acquire.go
@@ -74,7 +74,7 @@
 	w.queue.Buckets = &a.bucket
 	w.ticket++
 	ticket = w.ticket
-	d, waits, evicted := w.queue.Arrive(now, wait.Request{
+	d, waits, evicted := w.queue.Arrive(now, &wait.Request{
 		Ticket: ticket, Account: r.Account, Class: r.class(), Until: r.Until, Start: r.Start,
 	})
 	a.deliver(evicted)
@@ -109,6 +109,14 @@
 	return d, a.waiting.queue.Cancel(now, ticket)
 }
 
+// RefundFirst is Refund for a new program's first turn that no upstream ran: it has not begun.
+func (a *Limiter) RefundFirst(now time.Time, name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket.RefundClass(now, name, bucket.New)
+	a.step(now, name)
+}
+
 // CanAdmit returns a refusal if no request of the account can be admitted until the given
 // time.
 func (a *Limiter) CanAdmit(now time.Time, name string, until time.Time) bucket.Decision {
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -96,7 +96,7 @@
 	r.Account = q.account.Name
 	began := time.Now()
 	d := q.e.Limiter.Acquire(ctx, r)
-	q.acquired = d.OK
+	q.acquired, q.acquiredFirst = d.OK, r.First
 	s := &q.summary
 	if s.limitWait = time.Since(began); s.limitWait >= minLoggedWait || !d.OK {
 		s.limitAhead, s.limitClass = d.Ahead, limitBegun
@@ -185,8 +185,13 @@
 // releaseAcquired returns to the account's limit a request that was acquired and that no
 // upstream ran.
 func (q *request) releaseAcquired() {
-	if q.acquired {
-		q.e.Limiter.Refund(time.Now(), q.account.Name)
-		q.acquired = false
+	if !q.acquired {
+		return
 	}
+	q.acquired = false
+	if q.acquiredFirst {
+		q.e.Limiter.RefundFirst(time.Now(), q.account.Name)
+		return
+	}
+	q.e.Limiter.Refund(time.Now(), q.account.Name)
 }
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -106,10 +106,12 @@
 		service  route.Service
 		account  accnt.Account // of the caller; zero if it has none
 		acquired bool          // a request was taken from the account's limit and no upstream ran it yet
-		body     []byte
-		began    time.Time
-		deadline time.Time
-		summary  summary
+		// acquiredFirst tells that it was taken for a new program's first turn.
+		acquiredFirst bool
+		body          []byte
+		began         time.Time
+		deadline      time.Time
+		summary       summary
 	}
 )
 
--- a/internal/front/wait/wait.go
+++ b/internal/front/wait/wait.go
@@ -89,10 +89,10 @@
 
 // Arrive decides on a request. If it waits, Step, Expire or Cancel end that. Evicted has the
 // refusals of requests that had to leave for it.
-func (q *Queue) Arrive(now time.Time, r Request) (d bucket.Decision, waits bool, evicted []Outcome) {
+func (q *Queue) Arrive(now time.Time, r *Request) (d bucket.Decision, waits bool, evicted []Outcome) {
 	l := q.lines[r.Account]
 	late := r.Class == bucket.New && !r.Until.After(now)
-	if (l == nil || q.precedes(now, r, l)) && !(late && q.Buckets.Waiting(r.Account) > 0) {
+	if (l == nil || q.precedes(now, *r, l)) && (!late || q.Buckets.Waiting(r.Account) == 0) {
 		if d = q.take(now, r); d.OK {
 			return d, false, nil
 		}
@@ -102,7 +102,7 @@
 	if d.NoShare || q.Buckets.Hopeless(now, r.Account, r.Until.Sub(now)) {
 		return d, false, nil
 	}
-	q.add(now, r)
+	q.add(now, *r)
 	if len(q.waiting) <= cmp.Or(q.Max, DefaultMax) {
 		return d, true, nil
 	}
@@ -120,7 +120,7 @@
 }
 
 // take decides on a request that comes first.
-func (q *Queue) take(now time.Time, r Request) bucket.Decision {
+func (q *Queue) take(now time.Time, r *Request) bucket.Decision {
 	d := q.Buckets.TakeClass(now, r.Account, r.Class)
 	if d.OK && !r.Start.IsZero() {
 		q.Buckets.Observe(r.Account, now.Sub(r.Start))
@@ -133,7 +133,7 @@
 	l := q.lines[account]
 	for l != nil && l.order.Len() > 0 {
 		first, _ := l.order.Min()
-		d := q.take(now, first.Request)
+		d := q.take(now, &first.Request)
 		if !d.OK && !d.NoShare && !q.Buckets.Hopeless(now, account, first.Until.Sub(now)) {
 			break
 		}
--- a/internal/front/wait/wait_test.go
+++ b/internal/front/wait/wait_test.go
@@ -25,8 +25,8 @@
 	return &Queue{Buckets: b}
 }
 
-func request(ticket uint64, class bucket.Class, age, wait time.Duration) Request {
-	return Request{Ticket: ticket, Account: "a", Class: class, Start: start.Add(-age), Until: start.Add(wait)}
+func request(ticket uint64, class bucket.Class, age, wait time.Duration) *Request {
+	return &Request{Ticket: ticket, Account: "a", Class: class, Start: start.Add(-age), Until: start.Add(wait)}
 }
 
 // Programs that have begun must not wait behind new ones, and of these the shortest and, among
@@ -34,7 +34,7 @@
 func TestOrder(t *testing.T) {
 	is := is.New(t)
 	q := newQueue()
-	for _, r := range []Request{
+	for _, r := range []*Request{
 		request(1, bucket.New, 0, 900*time.Millisecond),
 		request(2, bucket.New, 100*time.Millisecond, 400*time.Millisecond),
 		request(3, bucket.New, 0, 500*time.Millisecond),
