--- a/internal/play/flood/flood_test.go
+++ b/internal/play/flood/flood_test.go
@@ -215,3 +215,27 @@
 		is.True(s.Refused*20 <= s.Programs)
 	}
 }
+
+// Programs that have begun must end although fronts are suspended, restarted or cut off during a
+// flood: the forecast must be right again soon after, and the requests that waited at a lost
+// front are sent again by their callers.
+func TestFaultsBreakFewPrograms(t *testing.T) {
+	for _, fault := range []string{"nothing", "all start anew", "a third is cut off", "a fifth is frozen"} {
+		t.Run(fault, func(t *testing.T) {
+			is := is.New(t)
+			sim := New(5, 62, limits)
+			sim.setDemand(0.6)
+			sim.Run(settleTime)
+			sim.setDemand(4.7)
+			sim.Run(floodTime / 2)
+			faults[fault](sim)
+			sim.Run(floodTime + recoveryTime)
+			for _, name := range []string{"middle", "large"} {
+				s := sim.scores[name]
+				t.Log(name, *s)
+				is.True(float64(s.Aborted) <= 0.02*float64(s.Begun))
+				is.True(sim.PeakRatio(name) <= 1)
+			}
+		})
+	}
+}
