--- a/internal/front/wait/wait.go
+++ b/internal/front/wait/wait.go
@@ -53,14 +53,14 @@
 
 		lines   map[string]*line
 		lengths *btree.BTreeG[*line] // lines by length
-		waiting map[uint64]entry
+		waiting map[uint64]*entry
 		last    uint64 // sequence number of the last arrival
 	}
 
 	// line is the order of the requests that wait for one account.
 	line struct {
 		account string
-		order   *btree.BTreeG[entry]
+		order   *btree.BTreeG[*entry]
 		begun   int
 	}
 
@@ -71,7 +71,7 @@
 	}
 )
 
-func before(a, b entry) bool {
+func before(a, b *entry) bool {
 	newest := 0
 	if a.Class == bucket.New {
 		newest = b.Start.Compare(a.Start)
@@ -116,7 +116,7 @@
 // precedes reports whether the request comes before all that wait in the line.
 func (q *Queue) precedes(now time.Time, r Request, l *line) bool {
 	first, _ := l.order.Min()
-	return before(entry{Request: r, rank: q.rank(now, r), seq: q.last + 1}, first)
+	return before(&entry{Request: r, rank: q.rank(now, r), seq: q.last + 1}, first)
 }
 
 // take decides on a request that comes first.
@@ -214,7 +214,7 @@
 
 func (q *Queue) add(now time.Time, r Request) {
 	if q.lines == nil {
-		q.lines, q.waiting, q.lengths = map[string]*line{}, map[uint64]entry{}, newTree(shorter)
+		q.lines, q.waiting, q.lengths = map[string]*line{}, map[uint64]*entry{}, newTree(shorter)
 	}
 	l := q.lines[r.Account]
 	if l == nil {
@@ -222,7 +222,7 @@
 		q.lines[r.Account] = l
 	}
 	q.last++
-	e := entry{r, q.rank(now, r), q.last}
+	e := &entry{r, q.rank(now, r), q.last}
 	q.lengths.Delete(l)
 	l.order.Set(e)
 	q.lengths.Set(l)
@@ -230,7 +230,7 @@
 	q.count(now, l, r.Class, 1)
 }
 
-func (q *Queue) remove(now time.Time, e entry) {
+func (q *Queue) remove(now time.Time, e *entry) {
 	l := q.lines[e.Account]
 	q.lengths.Delete(l)
 	l.order.Delete(e)
--- a/internal/node/frontd/limits.go
+++ b/internal/node/frontd/limits.go
@@ -42,6 +42,9 @@
 // limitDemand returns what competes for the limits at this front, for the other fronts.
 func (d *Daemon) limitDemand(now time.Time) (out mesh.Demand) {
 	own := d.limits.Demand(now)
+	if len(own.Waiting)+len(own.Begun) == 0 {
+		return out // without contention the field is left out of messages
+	}
 	out.Waiting, out.Begun = toIDs(own.Waiting), toIDs(own.Begun)
 	for name, n := range own.WaitingBegun {
 		out.Waiting[begunID(name)] = n
--- a/internal/node/frontd/limits_test.go
+++ b/internal/node/frontd/limits_test.go
@@ -58,3 +58,11 @@
 	is.Equal(p.begunByAccount(map[mesh.ID]int{mesh.IDOf("cafe"): 3, begunID("cafe"): 1}), map[string]int{"cafe": 1})
 	is.Equal(len(p.byAccount(nil, map[mesh.ID]int{mesh.IDOf("cafe"): 3})), 0)
 }
+
+// Without requests that wait and programs that begin, as without accounts, messages must have no
+// field for demand.
+func TestNoDemandWithoutContention(t *testing.T) {
+	is := is.New(t)
+	var d Daemon
+	is.Equal(d.limitDemand(time.Unix(1000, 0)), mesh.Demand{})
+}
