--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -20,6 +20,7 @@
 		TokenBudget     int           // tokens that the program's turns may generate; valid with HasTokenBudget
 		HasTokenBudget  bool
 		PromptTokens    int           // tokens of the prompt
+		Parts           []Part        // parts of the prompt in order, MaxParts at most; nil if not named
 		MaxOutputTokens int           // most tokens that the turn may generate
 		Previous        string        // attempt id of the turn that this one continues
 		LastEventID     string        // id of the last event that the caller received
