mesh: reports, shares and digests carry pairs of cached parts

Hubs pass on what is new since their last message to each recipient, 24 pairs of 9 bytes at most, the newest first. Messages without pairs are as long as before.

--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/slaterock/slaterock/internal/front/cached"
 )
 
 const (
@@ -129,6 +131,8 @@
 		Used   map[ID]int // own requests admitted recently, by account
 		Demand Demand     // own requests that compete for limits and engines
 		Idle   bool       // it serves no callers, and needs no loads of others
+
+		Cached []cached.Pair // prompt parts at upstreams that are new here since the last tick, the newest first
 	}
 
 	// Send is a datagram to send.
@@ -155,6 +159,7 @@
 		lastTick     time.Time
 		resumed      time.Time // end of the latest freeze
 		overview     *overview // nil if it has to be computed
+		feed         feed
 		isHub        bool
 		hubs         []peer // that this front considers hubs, of all failure domains, sorted by ID
 		targets      []peer // to which this front sends its share as a hub
@@ -168,7 +173,8 @@
 
 	report struct {
 		Report
-		at time.Time
+		at  time.Time
+		fed uint64 // number of the feed's pairs up to the last digest to the front
 	}
 
 	avoided struct {
@@ -203,6 +209,7 @@
 			m.overview = nil
 		}
 		m.own = e
+		m.feed.add(now, IDOf(m.Self.Node), e.Cached, true)
 		m.resetIfStalled(now)
 		m.elect(now)
 		if m.isHub {
@@ -284,8 +291,9 @@
 		if changed {
 			m.overview = nil
 		}
-		m.reports[id] = report{Report: msg, at: now}
-		sends := []Send{{To: msg.State.Peer, Message: m.digestFor(now, id)}}
+		m.reports[id] = report{Report: msg, at: now, fed: old.fed}
+		m.feed.add(now, id, msg.Cached, true)
+		sends := []Send{{To: msg.State.Peer, Message: m.answer(now, id)}}
 		if changed {
 			sends = append(sends, m.shareWithHubs(now)...) // so that callers are directed elsewhere at once
 		}
@@ -295,6 +303,7 @@
 			return nil
 		}
 		m.shares[id] = share{Share: msg, at: now}
+		m.feed.add(now, id, msg.Cached, false)
 	case Digest:
 		delete(m.awaiting, id)
 		if minKnownDivisor*msg.Fronts <= len(m.order) {
--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/slaterock/slaterock/internal/front/cached"
 )
 
 // MaxPacket is the largest datagram, in bytes.
@@ -38,8 +40,9 @@
 		Used  map[ID]int `cbor:"3,keyasint,omitempty"` // its own requests admitted recently, by account
 		// Idle tells the hub to leave the loads of upstreams out of its answer: hundreds of
 		// fronts serve no callers, and a digest of thousands of loads is long.
-		Idle   bool   `cbor:"4,keyasint,omitempty"`
-		Demand Demand `cbor:"10,keyasint,omitzero"` // its own
+		Idle   bool          `cbor:"4,keyasint,omitempty"`
+		Demand Demand        `cbor:"10,keyasint,omitzero"`  // its own
+		Cached []cached.Pair `cbor:"12,keyasint,omitempty"` // that are new at the sender, the newest first
 	}
 
 	// Share is what a hub sends to the other hubs.
@@ -50,7 +53,8 @@
 		Hubs  []ID          `cbor:"4,keyasint,omitempty"` // fronts that act as hubs, but are not hubs in the sender's order
 		Used  map[ID]int    `cbor:"5,keyasint,omitempty"` // as Load, by account
 
-		Demand Demand `cbor:"10,keyasint,omitzero"` // as Load
+		Demand Demand        `cbor:"10,keyasint,omitzero"`  // as Load
+		Cached []cached.Pair `cbor:"12,keyasint,omitempty"` // new since its last share, of its own and its group
 	}
 
 	// Digest is the state of all fronts that a hub sends in answer to a report, or
@@ -64,6 +68,8 @@
 		Unhealthy []ID       `cbor:"6,keyasint,omitempty"`
 		Used      map[ID]int `cbor:"7,keyasint,omitempty"` // as Load, by account
 		Demand    Demand     `cbor:"10,keyasint,omitzero"` // as Load
+
+		Cached []cached.Pair `cbor:"12,keyasint,omitempty"` // new since the last digest to the recipient, of other fronts
 	}
 
 	// Status holds the flags of a live front that decide whether callers are directed to it.
@@ -116,12 +122,15 @@
 	switch msg := msg.(type) {
 	case Report:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
+		msg.Cached = newest(msg.Cached, most)
 		p.Report = &msg
 	case Share:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
+		msg.Cached = newest(msg.Cached, most)
 		p.Share = &msg
 	case Digest:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
+		msg.Cached = newest(msg.Cached, most)
 		p.Digest = &msg
 	}
 	return p
--- a/internal/front/mesh/sim_test.go
+++ b/internal/front/mesh/sim_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/front/cached"
 )
 
 const (
@@ -33,6 +35,9 @@
 		partitioned bool               // the two halves don't receive each other's datagrams
 		serving     int                // number of fronts that serve callers; 0 for all
 		demand      func(i int) Demand // of a front, by index; nil for none
+
+		news  func(i int) []cached.Pair            // of a front at each tick; nil for none
+		pairs func(to int, received []cached.Pair) // called with those of each message; may be nil
 	}
 
 	front struct {
@@ -98,9 +103,17 @@
 		State:  State{Node: p.Node, Peer: p.Address, Callers: p.Address},
 		Load:   map[ID]int{IDOf(p.Node): sim.load()},
 		Demand: sim.demandOf(i),
+		Cached: sim.newsOf(i),
 	})
 }
 
+func (sim *simulation) newsOf(i int) (list []cached.Pair) {
+	if sim.news != nil {
+		list = sim.news(i)
+	}
+	return list
+}
+
 func (sim *simulation) demandOf(i int) (d Demand) {
 	if sim.demand != nil {
 		d = sim.demand(i)
@@ -145,6 +158,9 @@
 		return
 	}
 	for _, msg := range append(f.held, e.msg) {
+		if sim.pairs != nil {
+			sim.pairs(e.to, CachedOf(msg))
+		}
 		sim.send(f.Step(sim.now, Received{Message: msg}))
 	}
 	f.held = nil
--- a/internal/front/mesh/summary.go
+++ b/internal/front/mesh/summary.go
@@ -163,6 +163,7 @@
 	for id, r := range m.liveReports(now) {
 		s.Group[id] = status(r.State)
 	}
+	s.Cached = m.feed.takePending()
 	for _, p := range m.targets {
 		sends = append(sends, Send{To: p.Address, Message: s})
 	}
@@ -184,7 +185,7 @@
 	} else if len(list) > 0 {
 		maps.DeleteFunc(m.awaiting, func(id ID, _ time.Time) bool { return id != list[0].id }) // probed hubs that need not answer any more
 	}
-	r := Report{State: m.ownState(now), Load: m.own.Load, Used: m.own.Used, Idle: m.own.Idle, Demand: m.own.Demand}
+	r := Report{State: m.ownState(now), Load: m.own.Load, Used: m.own.Used, Idle: m.own.Idle, Demand: m.own.Demand, Cached: m.own.Cached}
 	for _, hub := range list[:min(most, len(list))] {
 		if _, waiting := m.awaiting[hub.id]; !waiting {
 			m.awaiting[hub.id] = now
--- a/internal/front/meshio/meshio.go
+++ b/internal/front/meshio/meshio.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/slaterock/slaterock/internal/front/cached"
 	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
@@ -36,6 +37,8 @@
 		// be nil.
 		Received func(now time.Time, s mesh.State)
 		Updated  func(mesh.Summary)
+		// Cached is called with the prompt parts at upstreams that a message reports; nil for none.
+		Cached func(now time.Time, pairs []cached.Pair)
 
 		mu          sync.Mutex
 		mesh        mesh.Mesh
@@ -75,6 +78,9 @@
 	if t.Received != nil {
 		t.Received(now, mesh.StateOf(msg))
 	}
+	if pairs := mesh.CachedOf(msg); t.Cached != nil && len(pairs) > 0 {
+		t.Cached(now, pairs)
+	}
 	t.notifyUpdated(now)
 }
 
