pick: new programs go where their shared prompt parts are cached

An upstream that lacks them costs their prefill, for the program and for each turn in flight there. Without named parts each choice is the one of before; a test replays both.

--- a/internal/front/pick/choose.go
+++ b/internal/front/pick/choose.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxWalk is the number of candidates up to which all are compared. Of more, the one
-	// that has the prompt cached is compared with those selected last, which may have an
+	// that has the prompt cached and maxHolders that have its shared parts are compared with those selected last, which may have an
 	// open connection, and with sampleSize others at random. The least loaded of so many is
 	// among the least loaded sixth of all but once in a thousand times.
 	maxWalk    = 128
@@ -45,6 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := selection{p: p, r: &r, now: now, confidence: p.confidence(), lowest: math.Inf(1)}
+	p.findHolders(now, &r)
 	s.run()
 	if s.best == nil {
 		return u, false
@@ -77,6 +78,7 @@
 
 func (s *selection) compareSome(n int) {
 	s.compareID(s.r.Prefer)
+	holders := s.compareHolders()
 	for range sampleSize {
 		s.compare(s.r.Candidates.At(rand.IntN(n)))
 	}
@@ -84,7 +86,7 @@
 	if last == nil {
 		return
 	}
-	for _, id := range last.ids {
+	for _, id := range last.ids[holders:] {
 		s.compareID(id)
 	}
 }
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -14,7 +14,6 @@
 package pick
 
 import (
-	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -22,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/place/gate"
 )
 
@@ -95,12 +95,16 @@
 		// Idle reports whether a connection to the address is open and unused; nil means
 		// that none is.
 		Idle func(address string) bool
+		// Holders appends the upstreams that are known to have a shared part cached to the list;
+		// nil means that none has.
+		Holders func(now time.Time, part uint64, list []Holder) []Holder
 
 		mu        sync.Mutex
 		upstreams map[string]*state
 		peers     map[string]int     // requests of other daemons in flight by upstream, as they reported
 		recent    map[string]*recent // upstreams selected last, by service
 		fronts    int                // other daemons that are alive
+		sharing   sharing
 	}
 
 	state struct {
@@ -117,6 +121,7 @@
 		Key        string          // of the program whose turn it is; empty for plain calls
 		Prefer     string          // id of the upstream that has the prompt cached; may be empty
 		Tokens     int             // length of the prompt, which other upstreams would have to prefill
+		Shared     []meta.Part     // parts of the prompt that other programs may share; see meta.Attempt.SharedParts
 		Only       string          // id of the only upstream that may run it, even if leaving or excluded; empty for any
 		Exclude    map[string]bool // ids that have refused or failed this attempt
 	}
@@ -142,13 +147,10 @@
 	if p.Idle == nil || !p.Idle(u.Address) {
 		cost += newConnCost
 	}
-	prefillCost := 0.0
-	if r.Prefer != "" && u.ID != r.Prefer {
-		prefillCost = float64(r.Tokens) / prefillPerMs
-	}
+	prefillCost := p.prefillCost(u, r)
 	cost += prefillCost
 	if r.Prefer == "" {
-		cost += (noiseCost + spreadCost*(1-confidence)) * weight(cmp.Or(r.Key, p.Name), u.ID)
+		cost += p.order(u, r, prefillCost, confidence)
 	}
 	own, peers := 0, p.peers[u.ID]
 	s := p.upstreams[u.ID]
@@ -166,7 +168,7 @@
 	batch := float64(max(u.Batch, 1))
 	inFlight := float64(own) + confidence*float64(peers)
 	if r.Key != "" {
-		cost += contentionCost * inFlight
+		cost += contentionCost*inFlight + laterCost(r, own+peers)
 	} else {
 		share := min(inFlight/batch, 1)
 		cost += loadCost * share * share
