--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/meta"
+	"github.com/slaterock/slaterock/internal/front/parts"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/obs/trace"
@@ -76,6 +77,7 @@
 		Baseline pick.Baseline // usual durations, by route
 		Queue    admit.Queue
 		Limiter  *limits.Limiter
+		Parts    parts.Table // shared prompt parts that upstreams have cached
 		Log      zerolog.Logger
 		Scope    tally.Scope
 		Trace    *trace.Trace
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -220,7 +220,7 @@
 	if len(t.history) > 0 {
 		body = slices.Concat(t.history, t.body)
 	}
-	c := pick.Request{Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens, Exclude: map[string]bool{}}
+	c := pick.Request{Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens, Shared: t.SharedParts(), Exclude: map[string]bool{}}
 	d := meta.Dispatch{Priority: min(t.priority(), 9), HasPriority: true, LastEventID: t.lastEventID}
 	for range maxRuns {
 		s, err := t.dispatch(ctx, c, body, d)
@@ -231,6 +231,7 @@
 		if err != nil {
 			return err
 		}
+		t.noteParts(s, c.Shared)
 		err = t.relay(ctx, s)
 		t.e.done(s.up.ID)
 		if err == nil || ctx.Err() != nil || !t.route.Resume {
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -18,21 +18,23 @@
 type (
 	// summary holds what is logged about an attempt.
 	summary struct {
-		status      int
-		code        string // empty for a complete response
-		ran         ran
-		upstream    string
-		missing     bool // the upstream was not listed in the store
-		sends       int
-		events      int
-		tokens      int
-		refusals    string // by upstreams, and interruptions of resumable streams, in order
-		err         error
-		recordsTime time.Duration // from arrival until the tokens were reserved and the history was read
-		queueReason string        // why the attempt was queued; empty if it was not
-		queueTime   time.Duration // how long it was queued
-		load        gate.Load     // of the engines when it was queued
-		firstOutput time.Duration // from arrival to the first event of a stream, or to the end of another response; 0 for none
+		status       int
+		code         string // empty for a complete response
+		ran          ran
+		upstream     string
+		missing      bool // the upstream was not listed in the store
+		sends        int
+		events       int
+		tokens       int
+		refusals     string // by upstreams, and interruptions of resumable streams, in order
+		err          error
+		recordsTime  time.Duration // from arrival until the tokens were reserved and the history was read
+		queueReason  string        // why the attempt was queued; empty if it was not
+		queueTime    time.Duration // how long it was queued
+		load         gate.Load     // of the engines when it was queued
+		sharedTokens int           // of the shared parts of the prompt
+		sharedCached int           // of these, tokens that the upstream was assumed to have cached
+		firstOutput  time.Duration // from arrival to the first event of a stream, or to the end of another response; 0 for none
 	}
 
 	// ran states whether an upstream ran the request.
@@ -70,6 +72,12 @@
 		line.Str("queue", s.queueReason).Int64("queued_ms", s.queueTime.Milliseconds()).Int("engines_under_way", s.load.InFlight).
 			Int("engines_room", s.load.Capacity).Int("daemons", s.load.Daemons)
 	}
+	if q.PromptTokens > 0 {
+		line.Int("prompt_tokens", q.PromptTokens)
+	}
+	if s.sharedTokens > 0 {
+		line.Int("shared_tokens_cached", s.sharedCached)
+	}
 	line.Msg("request")
 }
 
--- a/internal/node/frontd/state.go
+++ b/internal/node/frontd/state.go
@@ -68,7 +68,7 @@
 func (d *Daemon) ownTick() mesh.Tick {
 	v := d.fleet.View()
 	now := time.Now()
-	return mesh.Tick{Idle: d.proxy.Idle(now), Load: toIDs(d.picker.OwnInFlight()), Used: toIDs(d.limits.Used(now)), State: mesh.State{
+	return mesh.Tick{Cached: d.proxy.Parts.TakeNew(), Idle: d.proxy.Idle(now), Load: toIDs(d.picker.OwnInFlight()), Used: toIDs(d.limits.Used(now)), State: mesh.State{
 		Node: d.Settings.Node, Peer: d.Settings.Peer, Callers: d.Settings.Callers,
 		Leaving:   !d.ready(), // also before there is a configuration: it can't serve callers then
 		Unhealthy: d.reach.Down(now),
@@ -113,7 +113,9 @@
 // fronts have accepted and have in flight, and has the queue of waiting requests check the load.
 func (d *Daemon) onPeersChanged(p mesh.Summary) {
 	d.updateLimits(p)
-	d.picker.PeersUpdated(upstreamNames(p.Load, d.fleet.View()), p.Fronts-1)
+	v := d.fleet.View()
+	d.picker.PeersUpdated(upstreamNames(p.Load, v), p.Fronts-1)
+	d.proxy.Parts.Update(time.Now(), v)
 	d.proxy.PeersUpdated()
 }
 
