--- a/internal/front/cached/cached.go
+++ b/internal/front/cached/cached.go
@@ -66,8 +66,8 @@
 // UpstreamOf returns the hash of an upstream's id and start time. An upstream that restarts under
 // its id has another one, which voids its pairs.
 func UpstreamOf(id string, born int64) Upstream {
-	h := xxhash.Sum64String(id) + uint64(born)*mixer //nolint:gosec // only hashed
-	return Upstream(h ^ h>>32)                       //nolint:gosec // the lower half
+	h := xxhash.Sum64String(id) + uint64(born)*mixer
+	return Upstream(h ^ h>>32)
 }
 
 func (p Pair) part() uint32       { return uint32(p >> 32) }
--- a/internal/front/mesh/cached.go
+++ b/internal/front/mesh/cached.go
@@ -100,13 +100,15 @@
 }
 
 // answer returns the digest for a front that has just reported, with the pairs that are new
-// since its last digest. One that serves no callers has no use for them.
+// since its last digest. One that serves no callers has no use for them yet, and gets the newest
+// once it does.
 func (m *Mesh) answer(now time.Time, to ID) Digest {
 	d := m.digestFor(now, to)
 	r := m.reports[to]
-	if !r.Idle {
-		d.Cached = m.feed.since(r.fed, to)
+	if r.Idle {
+		return d
 	}
+	d.Cached = m.feed.since(r.fed, to)
 	r.fed = m.feed.end
 	m.reports[to] = r
 	return d
--- a/internal/front/mesh/cached_test.go
+++ b/internal/front/mesh/cached_test.go
@@ -95,3 +95,21 @@
 	is.Equal(len(f.takePending()), MaxCached)
 	is.Equal(len(f.since(0, 4)), 0)
 }
+
+// Guards against a front without callers that gets pairs it has no use for, and against one that
+// knows none of them when its first caller comes.
+func TestIdleFrontsGetPairsLater(t *testing.T) {
+	is := is.New(t)
+	m := Mesh{Self: Peer{Node: "hub"}}
+	at := time.Unix(1000, 0)
+	report := func(after time.Duration, node string, idle bool, pairs ...cached.Pair) []cached.Pair {
+		at = at.Add(after)
+		sends := m.Step(at, Received{Message: Report{State: State{Node: node, Sent: at.UnixNano()}, Idle: idle, Cached: pairs}})
+		return CachedOf(sends[0].Message)
+	}
+	is.Equal(report(0, "a", true), nil)
+	report(10*time.Millisecond, "b", false, 7)
+	is.Equal(report(10*time.Millisecond, "a", true), nil)
+	is.Equal(report(10*time.Millisecond, "a", false), []cached.Pair{7})
+	is.Equal(report(10*time.Millisecond, "a", false), nil)
+}
--- a/internal/front/parts/sim_test.go
+++ b/internal/front/parts/sim_test.go
@@ -212,7 +212,7 @@
 		total += math.Pow(float64(i+1), -r.zipf)
 	}
 	number, at := 0, r.load.Float64()*total
-	for at -= 1; at > 0 && number < r.prefixes-1; number++ {
+	for at--; at > 0 && number < r.prefixes-1; number++ {
 		at -= math.Pow(float64(number+2), -r.zipf)
 	}
 	a := meta.Attempt{Parts: []meta.Part{{ID: uint64(number), Tokens: prefixTokens}, {ID: uint64(p.number) << 32}}}
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	tally "github.com/uber-go/tally/v4"
 
@@ -81,6 +82,10 @@
 	if a.ID == "" {
 		return a, errors.New("no id")
 	}
+	if h.Get("Shared") != "" {
+		a.PromptTokens = 2600
+		a.Parts = []meta.Part{{ID: xxhash.Sum64String(h.Get("Shared")), Tokens: 2560}, {Tokens: 40}}
+	}
 	if b := h.Get("Budget"); b != "" {
 		a.HasTokenBudget = true
 		_, err = fmt.Sscan(b, &a.TokenBudget)
--- a/internal/node/frontd/cluster_test.go
+++ b/internal/node/frontd/cluster_test.go
@@ -107,6 +107,7 @@
 	d.meshio.Conn, d.meshio.Local, d.meshio.Peers = f, d.ownTick, d.peers
 	d.meshio.Self = mesh.Peer{Node: d.Settings.Node, Address: d.Settings.Peer, Domain: d.Settings.Domain, Cores: d.Settings.Cores}
 	d.meshio.Received = d.onPeerState
+	d.connectParts()
 	go func() { _ = d.link.Serve(f.c.ctx, f.c.net.Listen(d.Settings.Peer)) }()
 	go func() {
 		time.Sleep(f.c.jitter(300 * time.Millisecond))
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -183,7 +183,7 @@
 	d.meshio.Conn, d.meshio.Local, d.meshio.Peers = conn, d.ownTick, d.peers
 	d.meshio.Self = mesh.Peer{Node: d.Settings.Node, Address: d.Settings.Peer, Domain: d.Settings.Domain, Cores: d.Settings.Cores}
 	d.meshio.Received, d.meshio.Updated = d.onPeerState, d.onPeersChanged
-	d.meshio.Cached, d.picker.Holders = d.proxy.Parts.Merge, d.proxy.Parts.Holders
+	d.connectParts()
 	go func() {
 		if err := d.meshio.Run(ctx); err != nil {
 			d.Log.Error().Err(err).Msg("state exchange with other daemons stopped")
