--- a/internal/front/cached/cached.go
+++ b/internal/front/cached/cached.go
@@ -27,7 +27,7 @@
 	// way through two hubs.
 	repeatAfter = 6 * time.Second
 	// MaxPairs bounds the pairs that are known, those used last: a few dozen prefixes of two or
-	// three parts at a hundred engines each. It takes 2 MB.
+	// three parts at a hundred engines each. It takes 1.3 MB.
 	MaxPairs = 1 << 13
 	// MaxNew bounds the pairs that wait to be reported, the newest.
 	MaxNew = 64
--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -21,7 +21,7 @@
 	// convergeCost is the cost of a rank in the order of upstreams for a shared part, for each
 	// e-fold of the rank. Fronts that have the same prefix to prefill at the same time then
 	// select the same few engines of those that are about equally loaded: the first rank is
-	// ahead of the second by more than crossDomainCost or newConnCost.
+	// ahead of the second by 5 ms on the average, about as much as crossDomainCost.
 	convergeCost = 10.0
 	// laterTurns is the number of turns after its first that a new program is expected to run at
 	// the same engine: programs have 3 to 9 turns, and some move. On generated arrivals 0 made
--- a/internal/front/proxy/parts_test.go
+++ b/internal/front/proxy/parts_test.go
@@ -47,7 +47,6 @@
 				counters := scope.Snapshot().Counters()
 				is.Equal(counters["shared_tokens_cached+"].Value(), int64(c.cached))
 				is.Equal(len(env.e.Parts.TakeNew()), 1)
-
 			})
 		})
 	}
