pick: the order of a prefix costs no more than its prefill

The cost of the order among thousands of engines exceeded the prefill, so that an engine with all but a short part of the prefix lost to others by chance (TestHoldersAmongThousands, once in 30 runs).

--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -18,11 +18,6 @@
 	// candidates are, in place of as many of those selected last: a prefill costs more than a new
 	// connection.
 	maxHolders = recentSize
-	// convergeCost is the cost of a rank in the order of upstreams for a shared part, for each
-	// e-fold of the rank. Fronts that have the same prefix to prefill at the same time then
-	// select the same few engines of those that are about equally loaded: the first rank is
-	// ahead of the second by 5 ms on the average, about as much as crossDomainCost.
-	convergeCost = 10.0
 	// laterTurns is the number of turns after its first that a new program is expected to run at
 	// the same engine: programs have 3 to 9 turns, and some move. On generated arrivals 0 made
 	// turns a quarter longer than without named parts, and 8 took 2.5 times the prefills of 3;
@@ -119,13 +114,18 @@
 }
 
 // order returns the cost by which the order of equally loaded upstreams differs: from program to
-// program, or from prefix to prefix if no upstream has the shared parts yet.
+// program, or from prefix to prefix if no upstream has all shared parts yet. Fronts that have the
+// same prefix to prefill at the same time then select the same few engines: the logarithm of the
+// rank sets the first ranks apart. The cost is at most that of the prefill, or the usual one, so an
+// upstream that has a longer beginning comes first, however many there are.
 func (p *Picker) order(u *fleet.Upstream, r *Request, missing, confidence float64) float64 {
+	cost := noiseCost + spreadCost*(1-confidence)
 	if missing == 0 || p.sharing.whole {
-		return (noiseCost + spreadCost*(1-confidence)) * weight(cmp.Or(r.Key, p.Name), u.ID)
+		return cost * weight(cmp.Or(r.Key, p.Name), u.ID)
 	}
+	n := float64(r.Candidates.Len())
 	last := r.Shared[len(r.Shared)-1].ID
-	return convergeCost * math.Log1p(weightOf(last, u.ID)*float64(r.Candidates.Len()))
+	return max(cost, missing) * math.Log1p(n*weightOf(last, u.ID)) / math.Log1p(n)
 }
 
 // sample returns maxHolders of the list at most, which begin at a random one.
--- a/internal/front/pick/prefix_test.go
+++ b/internal/front/pick/prefix_test.go
@@ -96,13 +96,19 @@
 	is.True(len(count) <= 3)
 }
 
-// Guards against a holder that is not found among thousands, of which only some are compared.
+// Guards against a holder that is not found among thousands, of which only some are compared, or
+// that loses to the order of those that lack more.
 func TestHoldersAmongThousands(t *testing.T) {
 	is := is.New(t)
 	p := &Picker{Domain: "x", Holders: holdersOf(map[uint64][]string{1: {"u4321"}})}
 	service := fleet.NewService(ups(10000)...)
 	shared := []meta.Part{{ID: 1, Tokens: 2560}, {ID: 2, Tokens: 100}} // nobody has the second
-	is.Equal(choose(p, Request{Candidates: service, Key: "k", Shared: shared}), "u4321")
+	for last := range uint64(50) {
+		shared[1].ID = 2 + last
+		got := choose(p, Request{Candidates: service, Key: "k", Shared: shared})
+		p.Done(got)
+		is.Equal(got, "u4321")
+	}
 }
 
 // costBefore is the cost as it was before parts of prompts were named.
