pick: popular prefixes spread, and fewer later turns are charged

The prefill of parts that most engines have is charged less, so that a prefix of all programs reaches all engines: turns are 5 in 100 longer than without named parts, before 13 (go test -v ./internal/front/parts).

--- a/internal/front/parts/load_test.go
+++ b/internal/front/parts/load_test.go
@@ -43,6 +43,7 @@
 		"one report in five":   func(s *scenario) { s.loss = 0.2 }, // is lost
 		"engines evict":        func(s *scenario) { s.keeps = 6 },
 		"few fronts, no hubs":  func(s *scenario) { s.fronts = 20 },
+		"twice the load":       func(s *scenario) { s.rate, s.length = 200, 10*time.Second },
 		"three times the load": func(s *scenario) { s.rate, s.length = 300, 8*time.Second },
 	}
 	for name, change := range cases {
@@ -71,7 +72,7 @@
 	}
 	slices.Sort(named.waits)
 	is.True(named.waits[len(named.waits)*99/100] < 100)
-	is.True(named.meanTurn() < 1.15*today.meanTurn())
+	is.True(named.meanTurn() < 1.1*today.meanTurn())
 }
 
 // Guards against first turns of the same prefix that begin at all fronts at the same time, before
--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -18,11 +18,11 @@
 	// candidates are, in place of as many of those selected last: a prefill costs more than a new
 	// connection.
 	maxHolders = recentSize
-	// laterTurns is the number of turns after its first that a new program is expected to run at
-	// the same engine: programs have 3 to 9 turns, and some move. On generated arrivals 0 made
-	// turns a quarter longer than without named parts, and 8 took 2.5 times the prefills of 3;
-	// see docs/design/prefixes.md.
-	laterTurns = 4
+	// laterTurns is the number of later turns for which a new program is charged the load of the
+	// engine where it begins: of the 2 to 8 that it has, some move. On generated arrivals 0 made
+	// turns a quarter longer than without named parts; 4 took twice the prefills of 2 and longer
+	// turns at twice the load. See docs/design/prefixes.md.
+	laterTurns = 2
 )
 
 type (
@@ -40,6 +40,8 @@
 		held  map[cached.Upstream]int // tokens of the longest beginning that an upstream has
 		list  []Holder                // of the longest beginning that any upstream has
 		spare []Holder
+		// holders is the number of upstreams with the longest beginning, of which list may be a sample.
+		holders int
 	}
 )
 
@@ -47,7 +49,7 @@
 // all parts before it too, so an upstream that has a part has those, and the last one counts.
 func (p *Picker) findHolders(now time.Time, r *Request) {
 	s := &p.sharing
-	s.total, s.whole, s.list = 0, false, s.list[:0]
+	s.total, s.whole, s.list, s.holders = 0, false, s.list[:0], 0
 	clear(s.held)
 	for _, part := range r.Shared {
 		s.total += part.Tokens
@@ -58,13 +60,14 @@
 	tokens := s.total
 	for i := len(r.Shared) - 1; i >= 0 && len(s.list) < maxHolders; i-- {
 		s.spare = p.Holders(now, r.Shared[i].ID, s.spare[:0])
+		n := len(s.spare)
 		if r.Candidates.Len() > maxWalk {
 			s.spare = sample(s.spare)
 		}
 		s.hold(s.spare, tokens)
 		s.whole = s.whole || tokens == s.total && len(s.spare) > 0
 		if len(s.list) == 0 {
-			s.list, s.spare = s.spare, s.list
+			s.list, s.spare, s.holders = s.spare, s.list, n
 		}
 		tokens -= r.Shared[i].Tokens
 	}
@@ -91,12 +94,17 @@
 }
 
 // prefillCost returns the time in which the upstream prefills what others have cached: for a new
-// program the shared parts, for a later turn the prompt.
+// program the shared parts, for a later turn the prompt. Shared parts that most upstreams have are
+// used by so many programs that the others will have to prefill them too. They cost less, by the
+// share of upstreams that have them; otherwise programs with such parts would leave
+// idle upstreams without.
 func (p *Picker) prefillCost(u *fleet.Upstream, r *Request) float64 {
 	missing := 0
 	switch {
 	case r.Prefer == "" && len(r.Shared) > 0:
 		missing = p.sharing.total - p.heldTokens(u)
+		spread := float64(p.sharing.holders) / float64(r.Candidates.Len())
+		return float64(missing) / prefillPerMs * (1 - min(spread, 1))
 	case r.Prefer != "" && u.ID != r.Prefer:
 		missing = max(r.Tokens-p.heldTokens(u), 0)
 	}
--- a/internal/front/pick/prefix_test.go
+++ b/internal/front/pick/prefix_test.go
@@ -36,7 +36,10 @@
 		"one has them":                 {map[uint64][]string{1: {"u3"}, 2: {"u3"}}, nil, nil, "u3"},
 		"one has more of them":         {map[uint64][]string{1: {"u1", "u3"}, 2: {"u3"}}, nil, nil, "u3"},
 		"only the first part is known": {map[uint64][]string{1: {"u3"}}, nil, nil, "u3"},
-		"the less loaded of two":       {map[uint64][]string{1: {"u1", "u3"}, 2: {"u1", "u3"}}, map[string]int{"u1": 2, "u3": 1}, nil, "u3"},
+		"the less loaded of two":       {map[uint64][]string{1: {"u1", "u3"}, 2: {"u1", "u3"}}, map[string]int{"u0": 1, "u1": 2, "u2": 1, "u3": 1, "u4": 1}, nil, "u3"},
+		"most have them, one without is idle": {
+			map[uint64][]string{1: {"u0", "u1", "u2", "u4"}, 2: {"u0", "u1", "u2", "u4"}}, map[string]int{"u0": 1, "u1": 1, "u2": 1, "u4": 1}, nil, "u3",
+		},
 		"the load costs less than a prefill": {
 			map[uint64][]string{1: {"u3"}, 2: {"u3"}}, map[string]int{"u0": 2, "u1": 2, "u2": 2, "u3": 3, "u4": 2}, nil, "u3",
 		},
@@ -70,17 +73,15 @@
 func TestHoldersOfEarlierIncarnation(t *testing.T) {
 	disableJitter(t)
 	is := is.New(t)
-	list := ups(2)
+	list := ups(5)
 	p := &Picker{Domain: "x", Holders: holdersOf(map[uint64][]string{1: {"u0", "u1"}})}
 	r := Request{Key: "k", Shared: []meta.Part{{ID: 1, Tokens: 2560}}}
-	for i := range list {
-		for j := range list {
-			list[j].Born = int64(i ^ j)
-		}
+	for i := range 2 {
+		list[i].Born, list[1-i].Born = 0, 1
 		r.Candidates = fleet.NewService(list...)
 		u, _ := p.Choose(now, r)
 		p.Done(u.ID)
-		is.Equal(u.Born, int64(0))
+		is.Equal(u.ID, list[i].ID)
 	}
 }
 
