--- a/internal/front/parts/load_test.go
+++ b/internal/front/parts/load_test.go
@@ -27,7 +27,7 @@
 		copies += len(h)
 	}
 	slices.Sort(r.waits)
-	t.Logf("%s: %d programs, %d turns, %d shared tokens prefilled again, %d assumed wrongly, wait mean %.1f p99 %.1f ms, mean turn %.1f ms, %d copies", name, r.programs, r.turns, r.again, r.wrong,
+	t.Logf("%s, %s: %d programs, %d turns, %d shared tokens prefilled again, %d assumed wrongly, wait mean %.1f p99 %.1f ms, mean turn %.1f ms, %d copies", t.Name(), name, r.programs, r.turns, r.again, r.wrong,
 		r.meanWait(), r.waits[len(r.waits)*99/100], r.meanTurn(), copies)
 	return r
 }
