pace, mesh: the speeds of upstreams are estimated from the samples of all fronts

A front observed an engine every few seconds only, so it could not tell fast from slow ones. Fronts now report sums of their samples, hubs add them up and send a dozen estimates in each digest (CBOR key 11).

--- a/internal/front/mesh/mesh.go
+++ b/internal/front/mesh/mesh.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 const (
@@ -139,8 +141,10 @@
 
 	// Mesh is the state of one front. Set Self, then call Step.
 	Mesh struct {
-		Self Peer
+		Self  Peer
+		Paces pace.Table // speeds of upstreams; the samples of this front are added by the caller
 
+		selected     selected // estimates for digests
 		own          Tick
 		listed       []Peer
 		peers        map[ID]peer
@@ -241,6 +245,7 @@
 	clear(m.shares)
 	clear(m.avoid)
 	clear(m.awaiting)
+	m.Paces.DropDelta() // their times include the freeze
 	m.digest = digest{}
 	m.overview = nil
 	m.resumed = now
@@ -284,17 +289,19 @@
 		if changed {
 			m.overview = nil
 		}
-		m.reports[id] = report{Report: msg, at: now}
+		noticed := m.forwardPaces(now, msg)
+		m.reports[id] = report{Report: msg.withoutPaces(), at: now}
 		sends := []Send{{To: msg.State.Peer, Message: m.digestFor(now, id)}}
-		if changed {
-			sends = append(sends, m.shareWithHubs(now)...) // so that callers are directed elsewhere at once
+		if changed || noticed {
+			sends = append(sends, m.shareWithHubs(now)...) // so that requests are directed elsewhere at once
 		}
 		return sends
 	case Share:
 		if old, known := m.shares[id]; known && stale(now, msg.State, old.State, old.at) {
 			return nil
 		}
-		m.shares[id] = share{Share: msg, at: now}
+		m.Paces.AddDelta(now, msg.Paces)
+		m.shares[id] = share{Share: msg.withoutPaces(), at: now}
 	case Digest:
 		delete(m.awaiting, id)
 		if minKnownDivisor*msg.Fronts <= len(m.order) {
@@ -306,6 +313,7 @@
 		if msg.State.Node == m.digest.State.Node && stale(now, msg.State, m.digest.State, m.digest.at) {
 			return nil
 		}
+		m.mergePaces(now, msg)
 		m.digest = digest{Digest: msg, at: now, missing: map[ID]bool{}}
 		for _, id := range msg.Missing {
 			m.digest.missing[id] = true
--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 // MaxPacket is the largest datagram, in bytes.
@@ -40,6 +42,8 @@
 		// fronts serve no callers, and a digest of thousands of loads is long.
 		Idle   bool   `cbor:"4,keyasint,omitempty"`
 		Demand Demand `cbor:"10,keyasint,omitzero"` // its own
+		// Paces are samples of upstreams' times since its last report or share.
+		Paces []pace.Sample `cbor:"11,keyasint,omitempty"`
 	}
 
 	// Share is what a hub sends to the other hubs.
@@ -50,7 +54,8 @@
 		Hubs  []ID          `cbor:"4,keyasint,omitempty"` // fronts that act as hubs, but are not hubs in the sender's order
 		Used  map[ID]int    `cbor:"5,keyasint,omitempty"` // as Load, by account
 
-		Demand Demand `cbor:"10,keyasint,omitzero"` // as Load
+		Demand Demand        `cbor:"10,keyasint,omitzero"`  // as Load
+		Paces  []pace.Sample `cbor:"11,keyasint,omitempty"` // as Load, since its last share
 	}
 
 	// Digest is the state of all fronts that a hub sends in answer to a report, or
@@ -64,6 +69,8 @@
 		Unhealthy []ID       `cbor:"6,keyasint,omitempty"`
 		Used      map[ID]int `cbor:"7,keyasint,omitempty"` // as Load, by account
 		Demand    Demand     `cbor:"10,keyasint,omitzero"` // as Load
+
+		Paces []pace.Estimate `cbor:"11,keyasint,omitempty"` // of a few upstreams in turn
 	}
 
 	// Status holds the flags of a live front that decide whether callers are directed to it.
@@ -116,9 +123,11 @@
 	switch msg := msg.(type) {
 	case Report:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
+		msg.Paces = first(msg.Paces, most)
 		p.Report = &msg
 	case Share:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
+		msg.Paces = first(msg.Paces, most)
 		p.Share = &msg
 	case Digest:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
--- a/internal/front/mesh/sim_test.go
+++ b/internal/front/mesh/sim_test.go
@@ -30,6 +30,7 @@
 		bytes       map[int]int        // their bytes
 		largest     int                // bytes of the largest datagram
 		measure     bool               // count datagrams and bytes
+		digestLoss  float64            // share of digests lost, if more than loss
 		partitioned bool               // the two halves don't receive each other's datagrams
 		serving     int                // number of fronts that serve callers; 0 for all
 		demand      func(i int) Demand // of a front, by index; nil for none
@@ -166,13 +167,18 @@
 			sim.bytes[to] += len(data)
 			sim.largest = max(sim.largest, len(data))
 		}
-		if sim.rng.Float64() < loss {
+		if lost := sim.rng.Float64(); lost < loss || isDigest(s.Message) && lost < sim.digestLoss {
 			continue
 		}
 		heap.Push(&sim.queue, delivery{at: sim.now.Add(delay), to: to, msg: s.Message})
 	}
 }
 
+func isDigest(msg Message) bool {
+	_, ok := msg.(Digest)
+	return ok
+}
+
 // freeze freezes or resumes a tenth of the fronts, those with the most cores.
 func (sim *simulation) freeze(on bool) (list []int) {
 	for i := 0; i < len(sim.fronts); i += 10 {
--- a/internal/front/mesh/summary.go
+++ b/internal/front/mesh/summary.go
@@ -171,7 +171,7 @@
 			sends = append(sends, Send{To: o.State.Peer, Message: s})
 		}
 	}
-	return sends
+	return m.addPaces(sends)
 }
 
 // reportToHub returns the report to this front's hub, or to maxProbes of them while none
@@ -191,7 +191,7 @@
 		}
 		sends = append(sends, Send{To: hub.Address, Message: r})
 	}
-	return sends
+	return m.addPaces(sends)
 }
 
 // announce returns digests to the silent fronts that would report to this one.
@@ -260,6 +260,7 @@
 	d.Demand = o.demand.without(known.Demand)
 	if r, reports := m.reports[to]; !reports || !r.Idle {
 		d.Load = without(o.load, known.Load)
+		d.Paces = m.selectPaces(now)
 	}
 	return d
 }
--- a/internal/place/batch/batch.go
+++ b/internal/place/batch/batch.go
@@ -36,12 +36,18 @@
 	// outlier is the ratio of measured to expected event time above which the engine is
 	// taken to be slow for a reason of its own, and the event is ignored.
 	outlier = 2.5
+	// minExpected is the number of events from which on Expected is known. A daemon of a
+	// large fleet sees few, and the errors of many daemons cancel out.
+	minExpected = 1
+	// excessWeight is the weight of one factor in the moving average.
+	excessWeight = 0.02
 )
 
 // Estimator holds the estimate for one service. The zero value is ready.
 type Estimator struct {
 	fit     slope.Slope
 	samples int
+	excess  float64 // moving average of the engines' factors, less 1
 }
 
 // Observe adds the time of one event, in seconds, and the number of turns that the
@@ -70,3 +76,17 @@
 	turns := 1 + (maxSlowdown-1)*alone/e.fit.Rise()
 	return max(turns/float64(batchSize), minShare)
 }
+
+// ObserveAt adds the time of one event at an engine whose time is a multiple (factor) of that of
+// its service. The line is fitted to the time that the mean engine would have taken: fast
+// engines run more turns, and would make the line flatter than that of any engine.
+func (e *Estimator) ObserveAt(turns, event, factor float64) {
+	e.excess += excessWeight * (factor - 1 - e.excess)
+	e.Observe(turns, event*(1+e.excess)/factor)
+}
+
+// Expected returns the time of one event of the mean engine at so many turns, in seconds, and
+// whether it is known.
+func (e *Estimator) Expected(turns float64) (event float64, known bool) {
+	return e.fit.At(turns), e.samples >= minExpected
+}
--- /dev/null
+++ b/internal/place/pace/pace_test.go
@@ -0,0 +1,133 @@
+package pace
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	one   = IDOf("one", 1)
+)
+
+// observe adds so many samples, one each 40 ms, and returns the time of the last.
+func observe(t *Table, now time.Time, n int, ratio float64) time.Time {
+	for range n {
+		now = now.Add(40 * time.Millisecond)
+		t.Observe(now, one, 0.1*ratio, 0.1, true)
+	}
+	return now
+}
+
+// A few slow responses, small differences and old samples are no reason to avoid an upstream.
+func TestFactor(t *testing.T) {
+	cases := map[string]struct {
+		samples     int
+		ratio       float64
+		later       time.Duration
+		least, most float64
+	}{
+		"unknown":             {0, 1, 0, 1, 1},
+		"too few samples":     {11, 2, 0, 1, 1},
+		"slow":                {40, 1.6, 0, 1.5, 1.6},
+		"fast":                {40, 0.6, 0, 0.6, 0.65},
+		"as usual":            {40, 1.02, 0, 1, 1},
+		"slow some time ago":  {40, 1.6, 10 * time.Second, 1.2, 1.5},
+		"slow long ago":       {40, 1.6, time.Minute, 1, 1},
+		"far slower":          {60, 4, 0, 3, 4.1},
+		"three times as fast": {60, 0.3, 0, 0.3, 0.4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var table Table
+			f := table.Factor(observe(&table, epoch, c.samples, c.ratio).Add(c.later), one)
+			t.Log(f)
+			is.New(t).True(f >= c.least && f <= c.most)
+		})
+	}
+}
+
+// A process that restarts under the same id may be another machine: its factor is unknown.
+func TestRestartIsUnknown(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := observe(&table, epoch, 40, 1.6)
+	is.True(table.Factor(now, one) > 1)
+	is.Equal(table.Factor(now, IDOf("one", 2)), 1.0)
+}
+
+// An upstream becomes four times slower and recovers. The earlier samples must not hide that.
+func TestChangeOfSpeed(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := observe(&table, epoch, 100, 1)
+	now = observe(&table, now, 3, 4)
+	is.True(table.Factor(now, one) > 2)
+	now = observe(&table, now, 40, 4)
+	is.True(table.Factor(now, one) > 3)
+	now = observe(&table, now, 15, 1)
+	is.True(table.Factor(now, one) < 1.6)
+	is.True(table.Changes() >= 2)
+}
+
+// The samples that a daemon sends must give the others the same factor, however they are split
+// and in whatever order they arrive, and must be sent once.
+func TestDeltas(t *testing.T) {
+	is := is.New(t)
+	var from, hub, other Table
+	now, lists := epoch, [][]Sample{}
+	for range 20 {
+		now = observe(&from, now, 2, 1.6)
+		lists = append(lists, from.TakeDelta(10))
+	}
+	is.Equal(len(from.TakeDelta(10)), 0)
+	for i := range lists {
+		hub.Forward(now, lists[len(lists)-1-i])
+	}
+	other.AddDelta(now, hub.TakeDelta(10))
+	is.Equal(hub.Factor(now, one), other.Factor(now, one))
+	is.True(math.Abs(hub.Factor(now, one)-from.Factor(now, one)) < 0.03)
+	from.Observe(now, one, 0.1, 0.1, true)
+	from.DropDelta()
+	is.Equal(len(from.TakeDelta(10)), 0)
+	hub.AddDelta(now, []Sample{{ID: one}}) // nothing to add, not a division by zero
+	is.True(hub.Factor(now, one) > 1)
+}
+
+// A message has room for a few estimates. Changed ones come first, the others in turn, and those
+// that were 1 all the time not at all.
+func TestSelect(t *testing.T) {
+	is := is.New(t)
+	const n = 100
+	var hub, front Table
+	ids := [n]ID{}
+	now := epoch
+	add := func(id ID, ratio float64) {
+		for range 40 {
+			hub.Observe(now, id, 0.1*ratio, 0.1, true)
+		}
+	}
+	for i := range ids {
+		ids[i] = IDOf("up", int64(i))
+		add(ids[i], 1+0.6*float64(i%2))
+	}
+	seen := map[ID]int{}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		list := hub.Select(now, 12)
+		is.True(len(list) <= 12)
+		for _, e := range list {
+			seen[e.ID]++
+		}
+		front.Merge(now, list)
+	}
+	is.Equal(len(seen), n/2)
+	is.True(math.Abs(front.Factor(now, ids[1])-hub.Factor(now, ids[1])) < 0.05)
+	add(ids[8], 3)
+	front.Merge(now, hub.Select(now.Add(time.Millisecond), 12))
+	is.True(front.Factor(now, ids[8]) > 1.5)
+	is.Equal(len((&Table{}).Select(now, 12)), 0)
+}
