pick, proxy, frontd: upstreams are chosen by expected time where their speeds differ

A program began at slow engines as often as at fast ones and stayed there. The cost of an upstream is now the time of the request there, what it costs the others and the program's later turns, if any of the candidates has a factor; otherwise the choice is the earlier one (TestEqualSpeedsChangeNothing).

--- a/internal/front/admit/admit.go
+++ b/internal/front/admit/admit.go
@@ -101,12 +101,24 @@
 	return names
 }
 
-// Observe records the mean time per event of a complete stream, on an engine that ran so
-// many turns meanwhile.
-func (q *Queue) Observe(name string, turns float64, event time.Duration) {
+// Observe records the mean time per event of a complete stream, on an engine that ran so many
+// turns meanwhile and whose time is a multiple (factor) of that of its service.
+func (q *Queue) Observe(name string, turns float64, event time.Duration, factor float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.service(name).batch.Observe(turns, event.Seconds())
+	q.service(name).batch.ObserveAt(turns, event.Seconds(), factor)
+}
+
+// EventTime returns the usual time per event at an engine of the service that runs so many turns,
+// 0 if it is unknown.
+func (q *Queue) EventTime(name string, turns float64) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	event, known := q.service(name).batch.Expected(turns)
+	if !known {
+		return 0
+	}
+	return time.Duration(event * float64(time.Second))
 }
 
 // Share returns a function that gives, for an engine of the service that runs so many turns
--- a/internal/front/meshio/meshio.go
+++ b/internal/front/meshio/meshio.go
@@ -42,6 +42,7 @@
 		summary     mesh.Summary
 		summaryTime time.Time // when summary was computed
 		notSent     atomic.Int64
+		factors     factors
 	}
 )
 
@@ -143,6 +144,7 @@
 	t.mu.Lock()
 	t.mesh.Self = t.Self
 	sends := t.mesh.Step(now, e)
+	t.factors.update(now, &t.mesh.Paces)
 	t.mu.Unlock()
 	var last mesh.Message
 	var data []byte
--- a/internal/front/pick/baseline.go
+++ b/internal/front/pick/baseline.go
@@ -30,3 +30,10 @@
 	b.mean[kind] = mean + baselineWeight*(min(took, 4*mean)-mean)
 	return slowdown
 }
+
+// Mean returns the mean duration of a kind of request, 0 if it is unknown.
+func (b *Baseline) Mean(kind string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mean[kind]
+}
--- a/internal/front/pick/choose.go
+++ b/internal/front/pick/choose.go
@@ -30,11 +30,12 @@
 	// selection is the search for the candidate with the lowest cost.
 	selection struct {
 		p          *Picker
-		r          *Request
+		r          Request // a copy, so that the caller's need not be on the heap
 		now        time.Time
 		confidence float64
 		best       *fleet.Upstream
 		lowest     float64
+		timed      timed // the same by expected time
 	}
 )
 
@@ -44,14 +45,19 @@
 func (p *Picker) Choose(now time.Time, r Request) (u fleet.Upstream, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := selection{p: p, r: &r, now: now, confidence: p.confidence(), lowest: math.Inf(1)}
+	s := selection{p: p, r: r, now: now, confidence: p.confidence(), lowest: math.Inf(1)}
+	s.timed.lowest = math.Inf(1)
 	s.run()
-	if s.best == nil {
+	best := s.best
+	if s.timed.differ {
+		best = s.timed.best
+	}
+	if best == nil {
 		return u, false
 	}
-	p.state(s.best.ID).ownInFlight++
-	p.remember(s.best)
-	return *s.best, true
+	p.state(best.ID).ownInFlight++
+	p.remember(best)
+	return *best, true
 }
 
 func (s *selection) run() {
@@ -100,8 +106,12 @@
 	if s.r.Only == "" && (u.Leaving || s.r.Exclude[u.ID]) {
 		return
 	}
-	if cost := s.p.cost(s.now, u, s.r, s.confidence); cost < s.lowest {
-		s.best, s.lowest = u, cost
+	w := s.p.weigh(s.now, u, &s.r, s.confidence)
+	if w.cost < s.lowest {
+		s.best, s.lowest = u, w.cost
+	}
+	if s.p.Factor != nil && s.r.Work.Alone > 0 {
+		s.compareTime(u, w)
 	}
 }
 
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -74,7 +74,7 @@
 	// failureCost is the cost of an upstream that fails every request.
 	failureCost = 600.0
 	// slowThreshold is the multiple of the usual time above which an upstream counts as
-	// slow, and slowCost the cost of each further multiple. Work differs by a factor of
+	// slow, and slowCost the cost of each further multiple, where the factor is not known. Work differs by a factor of
 	// three from call to call, so a lower multiple is not significant.
 	slowThreshold = 1.8
 	slowCost      = 60.0
@@ -95,6 +95,9 @@
 		// Idle reports whether a connection to the address is open and unused; nil means
 		// that none is.
 		Idle func(address string) bool
+		// Factor returns the time of an upstream as a multiple of that of its service, 1 if it is
+		// not known to differ; nil means 1.
+		Factor func(*fleet.Upstream) float64
 
 		mu        sync.Mutex
 		upstreams map[string]*state
@@ -109,6 +112,7 @@
 		failureRate float64   // moving average of failures, 0 to 1
 		slowdown    float64   // moving average of the time taken, in multiples of the usual; 0 is unknown
 		lastOutcome time.Time // when an outcome was last recorded
+		usual       average   // of the requests of other daemons in flight
 	}
 
 	// Request describes a request for which an upstream is selected.
@@ -119,6 +123,7 @@
 		Tokens     int             // length of the prompt, which other upstreams would have to prefill
 		Only       string          // id of the only upstream that may run it, even if leaving or excluded; empty for any
 		Exclude    map[string]bool // ids that have refused or failed this attempt
+		Work       Work            // what is expected of it; used if upstreams differ in speed
 	}
 )
 
@@ -135,6 +140,11 @@
 }
 
 func (p *Picker) cost(now time.Time, u *fleet.Upstream, r *Request, confidence float64) float64 {
+	return p.weigh(now, u, r, confidence).cost
+}
+
+// weigh returns the cost of an upstream if all are of the same speed, and its parts.
+func (p *Picker) weigh(now time.Time, u *fleet.Upstream, r *Request, confidence float64) (w weighed) {
 	cost := noiseCost / 2 * jitter()
 	if u.Domain != p.Domain {
 		cost += crossDomainCost
@@ -142,45 +152,55 @@
 	if p.Idle == nil || !p.Idle(u.Address) {
 		cost += newConnCost
 	}
+	w.fixed = cost
 	prefillCost := 0.0
 	if r.Prefer != "" && u.ID != r.Prefer {
 		prefillCost = float64(r.Tokens) / prefillPerMs
 	}
 	cost += prefillCost
+	if r.Prefer == "" || p.Factor != nil {
+		w.hash = weight(cmp.Or(r.Key, p.Name), u.ID)
+	}
 	if r.Prefer == "" {
-		cost += (noiseCost + spreadCost*(1-confidence)) * weight(cmp.Or(r.Key, p.Name), u.ID)
+		cost += (noiseCost + spreadCost*(1-confidence)) * w.hash
 	}
-	own, peers := 0, p.peers[u.ID]
+	w.peers = p.peers[u.ID]
 	s := p.upstreams[u.ID]
+	w.state = s
 	if s != nil {
-		own = s.ownInFlight
-		cost += s.outcomes(now)
+		w.own = s.ownInFlight
+		failing, slow := s.outcomes(now)
+		cost += failing + slow
+		w.fixed += failing
 		if now.Before(s.avoidUntil) {
 			cost += avoidCost
+			w.fixed += avoidCost
 		}
 	}
-	if own+peers == 0 {
-		return cost
+	if w.cost = cost; w.own+w.peers == 0 {
+		return w
 	}
-	cost += prefillCost * float64(own+peers)
+	cost += prefillCost * float64(w.own+w.peers)
 	batch := float64(max(u.Batch, 1))
-	inFlight := float64(own) + confidence*float64(peers)
+	inFlight := float64(w.own) + confidence*float64(w.peers)
 	if r.Key != "" {
 		cost += contentionCost * inFlight
 	} else {
 		share := min(inFlight/batch, 1)
 		cost += loadCost * share * share
 	}
-	return cost + queueCost*max(inFlight-batch+1, 0)/batch
+	w.cost = cost + queueCost*max(inFlight-batch+1, 0)/batch
+	return w
 }
 
-// outcomes returns the cost expected from recent outcomes, which decays with time.
-func (s *state) outcomes(now time.Time) float64 {
+// outcomes returns the costs expected from recent failures and recent slowness, which decay with
+// time.
+func (s *state) outcomes(now time.Time) (failing, slow float64) {
 	if s.lastOutcome.IsZero() {
-		return 0
+		return 0, 0
 	}
 	fade := math.Exp2(-float64(now.Sub(s.lastOutcome)) / float64(outcomeHalfLife))
-	return fade * (failureCost*s.failureRate + slowCost*max(s.slowdown-slowThreshold, 0))
+	return fade * failureCost * s.failureRate, fade * slowCost * max(s.slowdown-slowThreshold, 0)
 }
 
 // weight is the rendezvous hash of a key and an upstream, from 0 to 1: the order of the
--- a/internal/front/pick/size_test.go
+++ b/internal/front/pick/size_test.go
@@ -13,7 +13,7 @@
 
 // wholeWalk returns the lowest cost among all candidates.
 func wholeWalk(p *Picker, r Request) (lowest float64) {
-	s := selection{p: p, r: &r, now: now, confidence: p.confidence(), lowest: avoidCost * 2}
+	s := selection{p: p, r: r, now: now, confidence: p.confidence(), lowest: avoidCost * 2}
 	s.compareAll()
 	return s.lowest
 }
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -30,7 +30,7 @@
 	}
 	exclude := map[string]bool{}
 	for {
-		s, err := q.dispatch(ctx, pick.Request{Exclude: exclude}, q.body, meta.Dispatch{})
+		s, err := q.dispatch(ctx, pick.Request{Exclude: exclude, Work: q.callWork()}, q.body, meta.Dispatch{})
 		if err == nil {
 			if err = q.returnResponse(ctx, s); err == nil {
 				return
@@ -67,6 +67,7 @@
 	s.releaseConn(q.e.Pool)
 	q.summary.firstOutput = time.Since(q.began)
 	pace := q.e.Baseline.Slowdown(q.route.Name, time.Since(s.began).Seconds())
+	q.observeCall(s, pace)
 	q.e.Picker.RecordOutcome(time.Now(), s.up.ID, pace, s.resp.StatusCode >= http.StatusInternalServerError)
 	q.writeResponse(s, body)
 	return nil
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -86,7 +86,7 @@
 		if !ok {
 			return nil, lastErr
 		}
-		q.summary.missing = view.Missing(up.ID)
+		q.summary.missing, q.summary.factor = view.Missing(up.ID), q.e.factor(&up)
 		s, err := q.send(ctx, up, body, d)
 		if err == nil {
 			return s, nil
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -37,6 +37,7 @@
 	previousID       string    // id in the records of the turn that this one continues
 	previousUpstream string    // id of the upstream that ran that turn
 	lastUpstream     string    // id of the upstream that last ran a turn of the program, of the same session if any
+	turnsDone        int       // turns of the program that have run before, as recorded
 	reserved         bool      // tokens are reserved and not settled yet
 	programBegun     bool      // a turn of the program has run, or may have
 	programStart     time.Time // arrival of the program's first attempt
@@ -173,6 +174,7 @@
 		return false
 	}
 	t.programBegun = t.Previous != "" || index.OthersStarted(res.Charges, rec.Attempt)
+	t.turnsDone = index.TurnsRun(res.Charges, rec.Attempt)
 	t.programStart = index.StartTime(res.Charges, t.began)
 	t.lastUpstream = index.LastUpstream(res.Charges, t.Session)
 	if !index.WithinBudget(res.Charges, t.TokenBudget) {
@@ -220,7 +222,7 @@
 	if len(t.history) > 0 {
 		body = slices.Concat(t.history, t.body)
 	}
-	c := pick.Request{Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens, Exclude: map[string]bool{}}
+	c := pick.Request{Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens, Exclude: map[string]bool{}, Work: t.work()}
 	d := meta.Dispatch{Priority: min(t.priority(), 9), HasPriority: true, LastEventID: t.lastEventID}
 	for range maxRuns {
 		s, err := t.dispatch(ctx, c, body, d)
@@ -284,14 +286,17 @@
 		t.writeHeader(s.resp)
 	}
 	under := t.e.Picker.InFlight(s.up.ID)
+	var pace streamPace
 	r := event.Reader{R: bufio.NewReaderSize(s.resp.Body, streamBuffer)}
 	for {
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) {
+			pace.end(t)
 			t.observe(s, float64(under+t.e.Picker.InFlight(s.up.ID))/2)
 			return t.complete(ctx, s)
 		}
 		if err == nil {
+			pace.event(t, s, under)
 			err = t.relayEvent(e)
 		}
 		if err != nil {
@@ -340,7 +345,8 @@
 	if n := t.summary.events - 1; n > 2 {
 		eventTime := (time.Since(t.began) - t.summary.firstOutput) / time.Duration(n)
 		pace = t.e.Baseline.Slowdown(t.route.Name, eventTime.Seconds())
-		t.e.Queue.Observe(t.service.Name, turns, eventTime)
+		t.e.Queue.Observe(t.service.Name, turns, eventTime, t.e.factor(&s.up))
+		t.e.Turns.Ended(t.route.Name, t.summary.events)
 	}
 	t.e.Picker.RecordOutcome(time.Now(), s.up.ID, pace, false)
 }
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -22,7 +23,8 @@
 		code        string // empty for a complete response
 		ran         ran
 		upstream    string
-		missing     bool // the upstream was not listed in the store
+		factor      float64 // of the upstream, as used in the choice; 0 if none was chosen
+		missing     bool    // the upstream was not listed in the store
 		sends       int
 		events      int
 		tokens      int
@@ -63,6 +65,9 @@
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.CallerTimeout.Milliseconds()).
 		Int64("finish_ms", q.FinishIn.Milliseconds()).Int64("recorded_ms", s.recordsTime.Milliseconds()).
 		Int64("first_ms", s.firstOutput.Milliseconds()).Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
+	if s.factor > 0 && s.factor != 1 {
+		line.Float64("upstream_factor", math.Round(s.factor*100)/100)
+	}
 	if s.missing {
 		line.Bool("upstream_missing", true)
 	}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -26,6 +26,7 @@
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/node/discov"
 	"github.com/slaterock/slaterock/internal/node/regkey"
+	"github.com/slaterock/slaterock/internal/obs/label"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/peer/pause"
@@ -116,6 +117,7 @@
 		packs       packs
 		starting    starting
 		peerCache   atomic.Pointer[peerList]
+		upstreams   label.Label // of upstreams in metrics
 	}
 )
 
@@ -156,6 +158,7 @@
 	d.picker.Name, d.picker.Domain = d.Settings.Node, d.Settings.Domain
 	d.limits.Tolerance = d.Settings.Tolerance
 	d.picker.Idle, d.picker.Age = d.pool.Idle, d.meshio.Age
+	d.picker.Factor = func(u *fleet.Upstream) float64 { return d.meshio.Factor(u.ID, u.Born) }
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
 	d.link.DialTimeout, d.link.BackOff, d.link.PingAfter = dialTimeout, maxDialBackoff, pingAfter
 	d.link.Handle(methodSnapshot, link.TypedHandler(d.serveSnapshot))
@@ -169,7 +172,7 @@
 	d.proxy = proxy.Endpoint{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
 		Refresh: d.refreshConfig, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast,
-		Records: &d.reach,
+		Records: &d.reach, Paces: &d.meshio,
 	}
 	d.reach.Records = &quorum.Client{
 		Peer:   func(address string) link.Invoker { return d.link.Peer(address) },
@@ -290,6 +293,7 @@
 		})
 		d.reportState(time.Now())
 		d.reportLimits(time.Now())
+		d.reportFactors()
 		d.Scope.Gauge("mesh_messages_too_long").Update(float64(d.meshio.NotSent()))
 		slots, inUse, waiting := d.reach.Slots()
 		d.Scope.Gauge("records_slots").Update(float64(slots))
--- a/internal/obs/label/label.go
+++ b/internal/obs/label/label.go
@@ -34,3 +34,10 @@
 	l.known[value] = true
 	return value
 }
+
+// Has reports whether the value is one of those that are kept.
+func (l *Label) Has(value string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known[value]
+}
