sched: the speed of an upstream is estimated by package pace

Both schedulers had their own estimate. A factor is now used only if it differs by more than chance, also for slaterock serve, and the usual times are fitted to times divided by it.

--- a/internal/place/batch/batch.go
+++ b/internal/place/batch/batch.go
@@ -7,7 +7,10 @@
 // estimate is therefore a line fitted to event time over turns in flight.
 package batch
 
-import "github.com/slaterock/slaterock/internal/place/slope"
+import (
+	"github.com/slaterock/slaterock/internal/place/pace"
+	"github.com/slaterock/slaterock/internal/place/slope"
+)
 
 const (
 	// maxSlowdown is the greatest event time, as a multiple of that of a lone turn, at
@@ -39,15 +42,13 @@
 	// minExpected is the number of events from which on Expected is known. A daemon of a
 	// large fleet sees few, and the errors of many daemons cancel out.
 	minExpected = 1
-	// excessWeight is the weight of one factor in the moving average.
-	excessWeight = 0.02
 )
 
 // Estimator holds the estimate for one service. The zero value is ready.
 type Estimator struct {
 	fit     slope.Slope
 	samples int
-	excess  float64 // moving average of the engines' factors, less 1
+	scale   pace.Scale
 }
 
 // Observe adds the time of one event, in seconds, and the number of turns that the
@@ -81,8 +82,7 @@
 // its service. The line is fitted to the time that the mean engine would have taken: fast
 // engines run more turns, and would make the line flatter than that of any engine.
 func (e *Estimator) ObserveAt(turns, event, factor float64) {
-	e.excess += excessWeight * (factor - 1 - e.excess)
-	e.Observe(turns, event*(1+e.excess)/factor)
+	e.Observe(turns, e.scale.Usual(event, factor))
 }
 
 // Expected returns the time of one event of the mean engine at so many turns, in seconds, and
--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -11,6 +11,7 @@
 package pace
 
 import (
+	"cmp"
 	"encoding/binary"
 	"time"
 
@@ -79,6 +80,9 @@
 
 	// Table holds the sums of all upstreams. The zero value is ready.
 	Table struct {
+		// HalfLife is that of the samples, 0 for the usual one.
+		HalfLife time.Duration
+
 		all     map[ID]*entry
 		pending map[ID]sums // not yet returned by TakeDelta
 		changes int         // number of changes of speed that were noticed
@@ -183,7 +187,7 @@
 		if t.all == nil {
 			t.all = map[ID]*entry{}
 		}
-		e = &entry{at: now, halfLife: HalfLife}
+		e = &entry{at: now, halfLife: cmp.Or(t.HalfLife, HalfLife)}
 		t.all[id] = e
 	}
 	e.decay(now)
--- a/internal/place/sched/attempt.go
+++ b/internal/place/sched/attempt.go
@@ -188,8 +188,7 @@
 	u.speed.ObserveCall(now, took)
 	g.speed.ObserveCall(now, took)
 	if r.submit.Service != "" {
-		u.speed.ObserveFactor(took.Seconds(), g.callTime.At(t.concurrent))
-		g.callTime.Observe(t.concurrent, took.Seconds())
+		s.observeTime(now, u, &g.callTime, t.concurrent, took.Seconds())
 		sv := s.serviceStats(r.submit.Service)
 		sv.speed.ObserveCall(now, took)
 		sv.hedge.Observe(now, took)
@@ -209,8 +208,7 @@
 	if m.Usage.Output > 1 {
 		each := now.Sub(t.first).Seconds() / float64(m.Usage.Output)
 		concurrent := (t.concurrent + float64(u.load.Inflight()) + u.load.Others(now)) / 2
-		u.speed.ObserveFactor(each, g.tokenTime.At(concurrent))
-		g.tokenTime.Observe(concurrent, each)
+		s.observeTime(now, u, &g.tokenTime, concurrent, each)
 	}
 }
 
--- a/internal/place/sched/machine.go
+++ b/internal/place/sched/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/slaterock/slaterock/internal/conf/file"
+	"github.com/slaterock/slaterock/internal/place/pace"
 	"github.com/slaterock/slaterock/internal/place/prefix"
 	"github.com/slaterock/slaterock/internal/place/retry"
 	"github.com/slaterock/slaterock/internal/place/score"
@@ -15,7 +16,8 @@
 	// Sched is the scheduler. The zero value refuses every request until it is
 	// configured.
 	Sched struct {
-		Seed uint64 // of the random choices; must differ between daemons
+		paces pace.Table // times of upstreams relative to their groups
+		Seed  uint64     // of the random choices; must differ between daemons
 
 		cfg       file.File
 		weights   score.Weights
--- a/internal/place/sched/place.go
+++ b/internal/place/sched/place.go
@@ -110,13 +110,14 @@
 	m := s.index.Matched(i)
 	missing := promptTokens - m.Tokens
 	requestTime, rise := g.requestTime(n)
+	factor := s.paces.Factor(now, u.pace())
 	return score.Candidate{
 		Queued:      max(0, n+1-capacity),
 		Capacity:    capacity,
 		Mean:        sp.Mean(),
-		ServiceTime: requestTime * sp.Factor(),
+		ServiceTime: requestTime * factor,
 		Slowdown:    rise * n,
-		LaterCalls:  s.laterCalls(now, g, i, sp.Factor(), stays),
+		LaterCalls:  s.laterCalls(now, g, i, factor, stays),
 		PerToken:    sp.PerToken(),
 		Missing:     missing,
 		Shared:      max(0, float64(missing)-(promptWeight-m.Weight)),
--- a/internal/place/speed/speed.go
+++ b/internal/place/speed/speed.go
@@ -1,6 +1,6 @@
 // Package speed estimates the speed of an upstream, a group or a service: the prefill
-// time per token, the time of one request, and an upstream's slowdown relative to its
-// group.
+// time per token and the time of one request. Its slowdown relative to its group is
+// estimated by package pace.
 //
 // The prefill time and the shortest time of a request are wanted without queueing, but
 // only times with queueing can be measured. Their estimates therefore follow faster times
@@ -21,7 +21,6 @@
 	maxLongMean = 4
 	// Fewer tokens measure the fixed cost of a request, not the prefill.
 	minPrefill = 256
-	maxFactor  = 10 // limits the effect of one outlier
 	// Age of the last measurement at which an upstream's own speed counts half.
 	halfWeightAge = 30 * time.Second
 
@@ -37,7 +36,6 @@
 		call     float64 // moving average of the time of one request, from dispatch to end
 		best     float64 // low end of the time of one request
 		longMean float64 // average of the time of one request over a long time
-		factor   float64 // time as a multiple of that of its group at the same load
 		calls    int
 		seen     time.Time
 	}
@@ -52,18 +50,6 @@
 	s.prefill = trackLow(s.prefill, took.Seconds()/float64(tokens))
 }
 
-// ObserveFactor records the time of a request and the time that its group takes
-// at the same load.
-func (s *Speed) ObserveFactor(measured, expected float64) {
-	if expected <= 0 || measured <= 0 {
-		return
-	}
-	if s.factor == 0 {
-		s.factor = 1
-	}
-	s.factor += meanAlpha * (min(measured/expected, maxFactor) - s.factor)
-}
-
 // ObserveCall records the total time of one request that ended now.
 func (s *Speed) ObserveCall(now time.Time, took time.Duration) {
 	x := took.Seconds()
@@ -97,19 +83,10 @@
 	return Speed{
 		prefill: mix(s.prefill, group.prefill),
 		call:    mix(s.call, group.call),
-		factor:  mix(s.factor, 1),
 		best:    s.best,
 	}
 }
 
-// Factor returns the upstream's time as a multiple of its group's.
-func (s *Speed) Factor() float64 {
-	if s.factor == 0 {
-		return 1
-	}
-	return s.factor
-}
-
 // PerToken returns the seconds of prefill for one token.
 func (s *Speed) PerToken() float64 {
 	if s.prefill == 0 {
--- a/internal/place/speed/speed_test.go
+++ b/internal/place/speed/speed_test.go
@@ -31,12 +31,11 @@
 	var u, group Speed
 	for range 100 {
 		u.ObserveCall(epoch, 10*time.Second)
-		u.ObserveFactor(4, 1)
 		group.ObserveCall(epoch, time.Second)
 	}
 	now, later := u.Blend(epoch, &group), u.Blend(epoch.Add(30*halfWeightAge), &group)
-	is.True(now.Factor() > 3.9 && now.Mean() > 9.9)
-	is.True(later.Factor() < 1.2 && later.Mean() < 1.5)
+	is.True(now.Mean() > 9.9)
+	is.True(later.Mean() < 1.5)
 	var unknown Speed
 	as := unknown.Blend(epoch, &group)
 	is.True(math.Abs(as.Mean()-1) < 1e-9)
