--- a/internal/front/mesh/paces.go
+++ b/internal/front/mesh/paces.go
@@ -8,8 +8,8 @@
 
 const (
 	// maxSamples is the number of upstreams of which a report or share has samples at most,
-	// about 2 KB. The others are in the next one.
-	maxSamples = 120
+	// less than 3 KB. The others are in the next one.
+	maxSamples = 100
 	// maxEstimates is the number of estimates in a digest at most, 14 bytes each: a front gets
 	// ten digests a second and less than 2 KB of estimates.
 	maxEstimates = 12
--- a/internal/front/mesh/paces_test.go
+++ b/internal/front/mesh/paces_test.go
@@ -244,3 +244,64 @@
 	is.True(float64(differ) <= 0.05*float64(all))
 	is.True(math.Exp(largest) < 2) // a change of speed that isn't there
 }
+
+// While no hub answers, a front reports to several of them, which pass its samples on to each other.
+// They must not be counted several times.
+func TestProbesCarrySamplesOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(50, 1)
+	var f *front
+	for _, f = range sim.fronts {
+		f.Step(sim.now, Tick{})
+		if !f.isHub {
+			break
+		}
+	}
+	now := sim.now.Add(200 * time.Millisecond)
+	f.Paces.Observe(now, 1, 0.1, 0.1, true)
+	with := 0
+	sends := f.Step(now, Tick{State: State{Node: f.Self.Node}})
+	for _, s := range sends {
+		r, _ := s.Message.(Report)
+		with += len(r.Paces)
+	}
+	is.True(len(sends) > 1)
+	is.Equal(with, 1)
+	for _, s := range f.Step(now.Add(reportInterval), Tick{State: State{Node: f.Self.Node}}) {
+		r, _ := s.Message.(Report)
+		is.Equal(len(r.Paces), 0)
+	}
+}
+
+// Estimates must not fill the links of hundreds of fronts, and cost nothing where engines are alike.
+func TestPacesTakeFewBytes(t *testing.T) {
+	is := is.New(t)
+	state := State{Node: "front", Sent: 1, Peer: "10.0.0.1:1"}
+	length := func(msg Message) int {
+		data, err := Encode(msg)
+		is.NoErr(err)
+		return len(data)
+	}
+	var m Mesh
+	now := time.Unix(1000, 0)
+	for i := range 2000 {
+		for range 40 {
+			m.Paces.Observe(now, pace.ID(1e9+i), 0.16, 0.1, true)
+		}
+	}
+	d := Digest{State: state}
+	empty := length(d)
+	d.Paces = m.selectPaces(now)
+	is.Equal(len(d.Paces), maxEstimates)
+	perSecond := (length(d) - empty) * int(time.Second/reportInterval)
+	t.Logf("%d bytes a second of estimates", perSecond)
+	is.True(perSecond < 2000)
+	is.Equal(length(Report{State: state, Paces: []pace.Sample{}}), length(Report{State: state}))
+	is.True(length(Share{State: state, Paces: m.Paces.TakeDelta(maxSamples)}) < 3000)
+	msg, err := Decode([]byte{0xa0})
+	is.True(msg == nil && err != nil)
+	data, _ := Encode(d)
+	msg, err = Decode(data)
+	is.NoErr(err)
+	is.Equal(msg.(Digest).Paces, d.Paces)
+}
--- a/internal/front/pick/speeds_test.go
+++ b/internal/front/pick/speeds_test.go
@@ -67,6 +67,7 @@
 
 func newField(fronts int, speeds []float64, choose policy) *field {
 	f := &field{rng: rand.New(rand.NewPCG(5, 5)), waiting: map[int][]*program{}, choose: choose}
+	jitter = rand.New(rand.NewPCG(6, 6)).Float64
 	for i := range machines {
 		f.list = append(f.list, fleet.Upstream{ID: fmt.Sprint("u", i), Address: fmt.Sprint("u", i), Batch: places, Domain: "x", Service: "s"})
 		f.factors = append(f.factors, speeds[i%len(speeds)])
@@ -268,6 +269,7 @@
 // slow engines as to fast ones; one that knows them must not overload the fast ones instead,
 // although hundreds of daemons choose by loads that are 0.2 s old.
 func TestProgramTime(t *testing.T) {
+	disableJitter(t) // and restores it
 	cases := map[string]struct {
 		speeds []float64
 		load   float64
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -170,7 +170,15 @@
 		u.mu.Unlock()
 		response, hang := strings.CutSuffix(response, "HANG")
 		response, closing := strings.CutSuffix(response, "CLOSE")
-		if _, err = io.WriteString(conn, strings.ReplaceAll(response, "ID", r.Header.Get("Id"))); err != nil || closing {
+		for i, part := range strings.Split(strings.ReplaceAll(response, "ID", r.Header.Get("Id")), "PAUSE") {
+			if i > 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			if _, err = io.WriteString(conn, part); err != nil {
+				return
+			}
+		}
+		if closing {
 			return
 		}
 		if hang {
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -223,6 +223,7 @@
 		body = slices.Concat(t.history, t.body)
 	}
 	c := pick.Request{Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens, Exclude: map[string]bool{}, Work: t.work()}
+	t.e.Turns.Began(t.route.Name, !t.programBegun && t.Previous == "")
 	d := meta.Dispatch{Priority: min(t.priority(), 9), HasPriority: true, LastEventID: t.lastEventID}
 	for range maxRuns {
 		s, err := t.dispatch(ctx, c, body, d)
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -131,3 +131,37 @@
 	is.True(front.Factor(now, ids[8]) > 1.5)
 	is.Equal(len((&Table{}).Select(now, 12)), 0)
 }
+
+// A prefill stops all streams of an engine once. A single long gap must not look like a slow engine,
+// two in a row must.
+func TestStreamConfirmsLongGaps(t *testing.T) {
+	cases := map[string]struct {
+		gaps      []int // ms; 25 are expected
+		confirmed int   // samples that are long and confirmed
+		samples   int
+	}{
+		"usual":               {[]int{25, 25, 25, 25}, 0, 2},
+		"one pause":           {[]int{25, 280, 25, 25, 25}, 0, 3},
+		"every event is late": {[]int{25, 100, 100, 100}, 2, 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			stream, now, confirmed, samples := Stream{Last: epoch}, epoch, 0, 0
+			observe := func(measured, expected float64, again bool) bool {
+				long := measured > 3*expected
+				if samples++; long && again {
+					confirmed++
+				}
+				return long
+			}
+			for _, ms := range c.gaps {
+				now = now.Add(time.Duration(ms) * time.Millisecond)
+				stream.Event(now, 25*time.Millisecond, observe)
+			}
+			stream.End(observe)
+			is.Equal(confirmed, c.confirmed)
+			is.Equal(samples, c.samples)
+		})
+	}
+}
