--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -19,8 +19,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/place/gate"
 )
@@ -203,18 +201,6 @@
 	return fade * failureCost * s.failureRate, fade * slowCost * max(s.slowdown-slowThreshold, 0)
 }
 
-// weight is the rendezvous hash of a key and an upstream, from 0 to 1: the order of the
-// upstreams differs by key, and an upstream that is added or removed moves only the keys
-// for which it comes first.
-func weight(key, id string) float64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(id)
-	return float64(d.Sum64()>>11) / (1 << 53)
-}
-
 func (p *Picker) state(id string) *state {
 	if p.upstreams == nil {
 		p.upstreams = map[string]*state{}
