--- a/internal/front/pick/timed.go
+++ b/internal/front/pick/timed.go
@@ -13,7 +13,7 @@
 const (
 	// laterWeight is the weight of a later request, and laterLoad that of the present load in its
 	// time: the program may move before, and the load will be another. With weights of 1 programs
-	// followed the load around, which took 1.4 times as long (TestProgramTime, trial).
+	// followed the load around and moved more than once each (trial of TestProgramTime).
 	laterWeight = 0.5
 	laterLoad   = 0.5
 	// moveMargin is how often the prefill counts for a program that moves, for the errors of both
