merge: the speed of upstreams is known to all fronts

With shared parts a program chooses by expected time among its part of all engines and a part of those that have its prefix cached; if none has it, among the same few as other programs with that prefix. Each engine is charged for what it has to prefill.

--- a/internal/front/mesh/message.go
+++ b/internal/front/mesh/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/slaterock/slaterock/internal/front/cached"
+	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 // MaxPacket is the largest datagram, in bytes.
@@ -40,8 +41,10 @@
 		Used  map[ID]int `cbor:"3,keyasint,omitempty"` // its own requests admitted recently, by account
 		// Idle tells the hub to leave the loads of upstreams out of its answer: hundreds of
 		// fronts serve no callers, and a digest of thousands of loads is long.
-		Idle   bool          `cbor:"4,keyasint,omitempty"`
-		Demand Demand        `cbor:"10,keyasint,omitzero"`  // its own
+		Idle   bool   `cbor:"4,keyasint,omitempty"`
+		Demand Demand `cbor:"10,keyasint,omitzero"` // its own
+		// Paces are samples of upstreams' times since its last report or share.
+		Paces  []pace.Sample `cbor:"11,keyasint,omitempty"`
 		Cached []cached.Pair `cbor:"12,keyasint,omitempty"` // that are new at the sender, the newest first
 	}
 
@@ -54,6 +57,7 @@
 		Used  map[ID]int    `cbor:"5,keyasint,omitempty"` // as Load, by account
 
 		Demand Demand        `cbor:"10,keyasint,omitzero"`  // as Load
+		Paces  []pace.Sample `cbor:"11,keyasint,omitempty"` // as Load, since its last share
 		Cached []cached.Pair `cbor:"12,keyasint,omitempty"` // new since its last share, of its own and its group
 	}
 
@@ -69,7 +73,8 @@
 		Used      map[ID]int `cbor:"7,keyasint,omitempty"` // as Load, by account
 		Demand    Demand     `cbor:"10,keyasint,omitzero"` // as Load
 
-		Cached []cached.Pair `cbor:"12,keyasint,omitempty"` // new since the last digest to the recipient, of other fronts
+		Paces  []pace.Estimate `cbor:"11,keyasint,omitempty"` // of a few upstreams in turn
+		Cached []cached.Pair   `cbor:"12,keyasint,omitempty"` // new since the last digest to the recipient, of other fronts
 	}
 
 	// Status holds the flags of a live front that decide whether callers are directed to it.
@@ -122,11 +127,11 @@
 	switch msg := msg.(type) {
 	case Report:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
-		msg.Cached = newest(msg.Cached, most)
+		msg.Paces, msg.Cached = first(msg.Paces, most), newest(msg.Cached, most)
 		p.Report = &msg
 	case Share:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
-		msg.Cached = newest(msg.Cached, most)
+		msg.Paces, msg.Cached = first(msg.Paces, most), newest(msg.Cached, most)
 		p.Share = &msg
 	case Digest:
 		msg.Load, msg.Used, msg.Demand = busiest(msg.Load, most), busiest(msg.Used, most), msg.Demand.busiest(most)
--- a/internal/front/pick/baseline.go
+++ b/internal/front/pick/baseline.go
@@ -31,7 +31,7 @@
 	return slowdown
 }
 
-// Mean returns the mean duration of a kind of request, 0 if none was observed.
+// Mean returns the mean duration of a kind of request, 0 if it is unknown.
 func (b *Baseline) Mean(kind string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -14,12 +14,11 @@
 package pick
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/place/gate"
@@ -74,7 +73,7 @@
 	// failureCost is the cost of an upstream that fails every request.
 	failureCost = 600.0
 	// slowThreshold is the multiple of the usual time above which an upstream counts as
-	// slow, and slowCost the cost of each further multiple. Work differs by a factor of
+	// slow, and slowCost the cost of each further multiple, where the factor is not known. Work differs by a factor of
 	// three from call to call, so a lower multiple is not significant.
 	slowThreshold = 1.8
 	slowCost      = 60.0
@@ -98,6 +97,9 @@
 		// Holders appends the upstreams that are known to have a shared part cached to the list;
 		// nil means that none has.
 		Holders func(now time.Time, part uint64, list []Holder) []Holder
+		// Factor returns the time of an upstream as a multiple of that of its service, 1 if it is
+		// not known to differ; nil means 1.
+		Factor func(*fleet.Upstream) float64
 
 		mu        sync.Mutex
 		upstreams map[string]*state
@@ -113,6 +115,7 @@
 		failureRate float64   // moving average of failures, 0 to 1
 		slowdown    float64   // moving average of the time taken, in multiples of the usual; 0 is unknown
 		lastOutcome time.Time // when an outcome was last recorded
+		usual       average   // of the requests of other daemons in flight
 	}
 
 	// Request describes a request for which an upstream is selected.
@@ -124,6 +127,7 @@
 		Shared     []meta.Part     // parts of the prompt that other programs may share; see meta.Attempt.SharedParts
 		Only       string          // id of the only upstream that may run it, even if leaving or excluded; empty for any
 		Exclude    map[string]bool // ids that have refused or failed this attempt
+		Work       Work            // what is expected of it; used if upstreams differ in speed
 	}
 )
 
@@ -140,6 +144,11 @@
 }
 
 func (p *Picker) cost(now time.Time, u *fleet.Upstream, r *Request, confidence float64) float64 {
+	return p.weigh(now, u, r, confidence).cost
+}
+
+// weigh returns the cost of an upstream if all are of the same speed, and its parts.
+func (p *Picker) weigh(now time.Time, u *fleet.Upstream, r *Request, confidence float64) (w weighed) {
 	cost := noiseCost / 2 * jitter()
 	if u.Domain != p.Domain {
 		cost += crossDomainCost
@@ -147,54 +156,52 @@
 	if p.Idle == nil || !p.Idle(u.Address) {
 		cost += newConnCost
 	}
+	w.fixed = cost
 	prefillCost := p.prefillCost(u, r)
 	cost += prefillCost
+	if r.Prefer == "" || p.Factor != nil {
+		w.hash = weight(cmp.Or(r.Key, p.Name), u.ID)
+	}
 	if r.Prefer == "" {
-		cost += p.order(u, r, prefillCost, confidence)
+		cost += p.order(u, r, w.hash, prefillCost, confidence)
 	}
-	own, peers := 0, p.peers[u.ID]
+	w.peers = p.peers[u.ID]
 	s := p.upstreams[u.ID]
+	w.state = s
 	if s != nil {
-		own = s.ownInFlight
-		cost += s.outcomes(now)
+		w.own = s.ownInFlight
+		failing, slow := s.outcomes(now)
+		cost += failing + slow
+		w.fixed += failing
 		if now.Before(s.avoidUntil) {
 			cost += avoidCost
+			w.fixed += avoidCost
 		}
 	}
-	if own+peers == 0 {
-		return cost
+	if w.cost = cost; w.own+w.peers == 0 {
+		return w
 	}
-	cost += prefillCost * float64(own+peers)
+	cost += prefillCost * float64(w.own+w.peers)
 	batch := float64(max(u.Batch, 1))
-	inFlight := float64(own) + confidence*float64(peers)
+	inFlight := float64(w.own) + confidence*float64(w.peers)
 	if r.Key != "" {
-		cost += contentionCost*inFlight + laterCost(r, own+peers)
+		cost += contentionCost*inFlight + laterCost(r, w.own+w.peers)
 	} else {
 		share := min(inFlight/batch, 1)
 		cost += loadCost * share * share
 	}
-	return cost + queueCost*max(inFlight-batch+1, 0)/batch
+	w.cost = cost + queueCost*max(inFlight-batch+1, 0)/batch
+	return w
 }
 
-// outcomes returns the cost expected from recent outcomes, which decays with time.
-func (s *state) outcomes(now time.Time) float64 {
+// outcomes returns the costs expected from recent failures and recent slowness, which decay with
+// time.
+func (s *state) outcomes(now time.Time) (failing, slow float64) {
 	if s.lastOutcome.IsZero() {
-		return 0
+		return 0, 0
 	}
 	fade := math.Exp2(-float64(now.Sub(s.lastOutcome)) / float64(outcomeHalfLife))
-	return fade * (failureCost*s.failureRate + slowCost*max(s.slowdown-slowThreshold, 0))
-}
-
-// weight is the rendezvous hash of a key and an upstream, from 0 to 1: the order of the
-// upstreams differs by key, and an upstream that is added or removed moves only the keys
-// for which it comes first.
-func weight(key, id string) float64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(id)
-	return float64(d.Sum64()>>11) / (1 << 53)
+	return fade * failureCost * s.failureRate, fade * slowCost * max(s.slowdown-slowThreshold, 0)
 }
 
 func (p *Picker) state(id string) *state {
--- a/internal/front/pick/prefix_test.go
+++ b/internal/front/pick/prefix_test.go
@@ -132,7 +132,8 @@
 	own, peers := 0, p.peers[u.ID]
 	if s := p.upstreams[u.ID]; s != nil {
 		own = s.ownInFlight
-		cost += s.outcomes(now)
+		failing, slow := s.outcomes(now)
+		cost += failing + slow
 	}
 	if own+peers == 0 {
 		return cost
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -22,7 +23,8 @@
 		code         string // empty for a complete response
 		ran          ran
 		upstream     string
-		missing      bool // the upstream was not listed in the store
+		factor       float64 // of the upstream, as used in the choice; 0 if none was chosen
+		missing      bool    // the upstream was not listed in the store
 		sends        int
 		events       int
 		tokens       int
@@ -71,6 +73,9 @@
 	if q.HasFinishIn {
 		line.Int64("finish_ms", q.FinishIn.Milliseconds())
 	}
+	if s.factor > 0 && s.factor != 1 {
+		line.Float64("upstream_factor", math.Round(s.factor*100)/100)
+	}
 	if s.missing {
 		line.Bool("upstream_missing", true)
 	}
