admit, proxy, frontd: queues know what waits and runs at other fronts

Fronts report the programs that wait by service and priority and, while any wait, the turns in flight by account. The admission queue passes them to the gate with the program's priority, account and weight (the account's rate). The request line has queue_ahead and account_running, and there is a gauge account_running.

--- a/internal/conf/accnt/accnt.go
+++ b/internal/conf/accnt/accnt.go
@@ -107,6 +107,16 @@
 	return a.list[i], true
 }
 
+// Named returns the account with a name.
+func (a *Accounts) Named(name string) (Account, bool) {
+	all := a.All()
+	i, found := slices.BinarySearchFunc(all, name, func(x Account, name string) int { return cmp.Compare(x.Name, name) })
+	if !found {
+		return Account{}, false
+	}
+	return all[i], true
+}
+
 // All returns the accounts sorted by name. The caller must not change the slice.
 func (a *Accounts) All() []Account {
 	if a == nil {
--- a/internal/front/admit/admit.go
+++ b/internal/front/admit/admit.go
@@ -27,6 +27,21 @@
 		batch batch.Estimator
 	}
 
+	// Program is a program that is to begin. It waits until LatestStart at the latest; if
+	// that has passed, it is admitted or refused at once.
+	Program struct {
+		LatestStart time.Time
+		Priority    int     // 0 is the most urgent
+		Account     string  // empty for none
+		Weight      float64 // of the account in the shares of the engines; 0 is 1
+	}
+
+	// Key identifies the programs of one priority that wait for one service.
+	Key struct {
+		Service  string
+		Priority int
+	}
+
 	// NotAdmittedError reports that a program may not begin. Its caller may retry after
 	// the duration After.
 	NotAdmittedError struct{ After time.Duration }
@@ -34,10 +49,10 @@
 
 func (e *NotAdmittedError) Error() string { return "too many turns under way" }
 
-// Wait blocks until a program of the service may begin. It waits until waitUntil at the
-// latest; if that has passed, the program is admitted or refused at once. The error wraps a
-// *NotAdmittedError or that of the context.
-func (q *Queue) Wait(ctx context.Context, name string, waitUntil time.Time, load gate.Load) (err error) {
+// Wait blocks until a program of the service may begin. It returns how many programs came
+// before it when it arrived, as far as is known. The error wraps a *NotAdmittedError or that
+// of the context.
+func (q *Queue) Wait(ctx context.Context, name string, p Program, load gate.Load) (ahead int, err error) {
 	defer func() { err = errors.Wrap(err, "wait for admission") }()
 	done := make(chan gate.Op, 1)
 	q.mu.Lock()
@@ -47,14 +62,16 @@
 		q.waiters = map[uint64]chan gate.Op{}
 	}
 	q.waiters[ticket] = done
-	q.step(name, gate.Arrive{Ticket: ticket, LatestStart: waitUntil, Load: load})
+	arrive := gate.Arrive{Ticket: ticket, LatestStart: p.LatestStart, Priority: p.Priority, Account: p.Account, Weight: p.Weight, Load: load}
+	ahead = q.service(name).gate.Ahead(arrive)
+	q.step(name, arrive)
 	q.mu.Unlock()
-	timer := time.NewTimer(time.Until(waitUntil))
+	timer := time.NewTimer(time.Until(p.LatestStart))
 	defer timer.Stop()
 	for {
 		select {
 		case op := <-done:
-			return outcome(op)
+			return ahead, outcome(op)
 		case <-timer.C:
 			q.mu.Lock()
 			q.step(name, gate.Change{}) // refuses programs that may not wait any longer
@@ -64,7 +81,7 @@
 			delete(q.waiters, ticket)
 			q.step(name, gate.Cancel{Ticket: ticket})
 			q.mu.Unlock()
-			return ctx.Err()
+			return ahead, ctx.Err()
 		}
 	}
 }
@@ -125,6 +142,21 @@
 	return len(q.waiters)
 }
 
+// Queued returns the number of programs that wait, by service and priority; nil for none.
+func (q *Queue) Queued() (queued map[Key]int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for name, s := range q.services {
+		s.gate.Queued(func(priority, n int) {
+			if queued == nil {
+				queued = map[Key]int{}
+			}
+			queued[Key{Service: name, Priority: priority}] = n
+		})
+	}
+	return queued
+}
+
 // service returns the state of a service, which it creates if needed; q.mu is held.
 func (q *Queue) service(name string) *service {
 	if q.services == nil {
--- a/internal/front/admit/admit_test.go
+++ b/internal/front/admit/admit_test.go
@@ -37,7 +37,7 @@
 				began := time.Now()
 				timer := time.AfterFunc(100*time.Millisecond, func() { c.then(&q, cancel) })
 				defer timer.Stop()
-				err := q.Wait(ctx, "engines", began.Add(300*time.Millisecond), busy("engines"))
+				_, err := q.Wait(ctx, "engines", Program{LatestStart: began.Add(300 * time.Millisecond)}, busy("engines"))
 				is.True(c.check(err))
 				is.Equal(time.Since(began), c.after)
 				is.Equal(q.Len(), 0)
@@ -50,3 +50,47 @@
 	var notAdmitted *NotAdmittedError
 	return errors.As(err, &notAdmitted) && notAdmitted.After > 0
 }
+
+// Guards against a caller that keeps its place in the queue, and the room that comes for it,
+// after it has disconnected.
+func TestDisconnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var q Queue
+		wait := func(ctx context.Context, p Program) chan error {
+			done := make(chan error, 1)
+			p.LatestStart = time.Now().Add(time.Second)
+			go func() {
+				_, err := q.Wait(ctx, "engines", p, busy("engines"))
+				done <- err
+			}()
+			synctest.Wait()
+			return done
+		}
+		ctx, disconnect := context.WithCancel(t.Context())
+		urgent := wait(ctx, Program{Account: "a"})
+		other := wait(t.Context(), Program{Account: "b", Priority: 2})
+		is.Equal(q.Queued(), map[Key]int{{"engines", 0}: 1, {"engines", 2}: 1})
+		disconnect()
+		is.True(errors.Is(<-urgent, context.Canceled))
+		is.Equal(q.Queued(), map[Key]int{{"engines", 2}: 1})
+		q.Change(idle)
+		is.NoErr(<-other)
+		is.Equal(q.Queued(), nil)
+	})
+}
+
+// Guards against turns that are counted twice, or still counted after they have ended.
+func TestRunning(t *testing.T) {
+	is := is.New(t)
+	var r Running
+	is.Equal(r.All(), nil)
+	r.Begin("a")
+	r.Begin("a")
+	r.SetPeers(map[string]int{"a": 3, "b": 1})
+	is.Equal(r.All(), map[string]int{"a": 5, "b": 1})
+	r.End("a")
+	r.End("a")
+	is.Equal(len(r.Own()), 0)
+	is.Equal(r.All(), map[string]int{"a": 3, "b": 1})
+}
--- a/internal/front/proxy/admission.go
+++ b/internal/front/proxy/admission.go
@@ -45,7 +45,8 @@
 	if s.load = t.e.load(t.service.Name); s.load.Capacity == 0 {
 		return true // no engine accepts work: dispatch refuses the turn at once
 	}
-	err := t.e.Queue.Wait(ctx, t.service.Name, waitUntil, s.load)
+	var err error
+	s.queueAhead, err = t.e.Queue.Wait(ctx, t.service.Name, t.program(waitUntil), s.load)
 	s.queueTime = time.Since(began)
 	t.e.Scope.Timer("queue_time").Record(s.queueTime)
 	if err == nil && s.queueTime < minLoggedWait {
@@ -70,7 +71,10 @@
 
 // load returns the load of a service's engines.
 func (e *Endpoint) load(service string) gate.Load {
-	return e.Picker.Load(e.Fleet.View().Services[service], e.Queue.Share(service))
+	view := e.Fleet.View()
+	l := e.Picker.Load(view.Services[service], e.Queue.Share(service))
+	e.addDemand(&l, service, view.Table)
+	return l
 }
 
 // done records the end of a request at an upstream, which may make room for a queued
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -89,6 +89,9 @@
 		// Woken is called with the first request after idleTime without any; nil for none.
 		Woken func()
 
+		running    admit.Running // turns in flight at engines
+		peerQueued atomic.Pointer[func(service string, priority int) int]
+
 		draining atomic.Bool
 		active   atomic.Int64
 		lastAt   atomic.Int64 // when the last request began, in Unix nanoseconds
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -38,6 +38,7 @@
 	previousUpstream string    // id of the upstream that ran that turn
 	lastUpstream     string    // id of the upstream that last ran a turn of the program, of the same session if any
 	reserved         bool      // tokens are reserved and not settled yet
+	running          bool      // counted as in flight at engines
 	programBegun     bool      // a turn of the program has run, or may have
 	programStart     time.Time // arrival of the program's first attempt
 	output           []byte    // data of the events so far, if the route keeps turns
@@ -221,8 +222,10 @@
 		body = slices.Concat(t.history, t.body)
 	}
 	c := pick.Request{Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens, Exclude: map[string]bool{}}
-	d := meta.Dispatch{Priority: min(t.priority(), 9), HasPriority: true, LastEventID: t.lastEventID}
+	d := meta.Dispatch{Priority: min(t.priority(), maxPriority), HasPriority: true, LastEventID: t.lastEventID}
+	defer t.endRunning()
 	for range maxRuns {
+		t.beginRunning()
 		s, err := t.dispatch(ctx, c, body, d)
 		if c.Only != "" && err != nil && t.mayResumeElsewhere(c.Only, err) {
 			c.Only = ""
@@ -232,6 +235,7 @@
 			return err
 		}
 		err = t.relay(ctx, s)
+		t.endRunning()
 		t.e.done(s.up.ID)
 		if err == nil || ctx.Err() != nil || !t.route.Resume {
 			return err
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -31,6 +31,7 @@
 		recordsTime time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason string        // why the attempt was queued; empty if it was not
 		queueTime   time.Duration // how long it was queued
+		queueAhead  int           // how many programs were ahead of it
 		load        gate.Load     // of the engines when it was queued
 		firstOutput time.Duration // from arrival to the first event of a stream, or to the end of another response; 0 for none
 	}
@@ -68,7 +69,10 @@
 	}
 	if s.queueReason != "" {
 		line.Str("queue", s.queueReason).Int64("queued_ms", s.queueTime.Milliseconds()).Int("engines_under_way", s.load.InFlight).
-			Int("engines_room", s.load.Capacity).Int("daemons", s.load.Daemons)
+			Int("engines_room", s.load.Capacity).Int("daemons", s.load.Daemons).Int("queue_ahead", s.queueAhead)
+		if s.load.Running != nil {
+			line.Int("account_running", s.load.Running[q.account.Name])
+		}
 	}
 	line.Msg("request")
 }
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -116,6 +116,8 @@
 		packs       packs
 		starting    starting
 		peerCache   atomic.Pointer[peerList]
+
+		runningGauges map[string]int // the gauges of turns in flight that were set last, by label
 	}
 )
 
@@ -290,6 +292,7 @@
 		})
 		d.reportState(time.Now())
 		d.reportLimits(time.Now())
+		d.reportRunning()
 		d.Scope.Gauge("mesh_messages_too_long").Update(float64(d.meshio.NotSent()))
 		slots, inUse, waiting := d.reach.Slots()
 		d.Scope.Gauge("records_slots").Update(float64(slots))
--- a/internal/node/frontd/state.go
+++ b/internal/node/frontd/state.go
@@ -68,7 +68,7 @@
 func (d *Daemon) ownTick() mesh.Tick {
 	v := d.fleet.View()
 	now := time.Now()
-	return mesh.Tick{Idle: d.proxy.Idle(now), Load: toIDs(d.picker.OwnInFlight()), Used: toIDs(d.limits.Used(now)), State: mesh.State{
+	return mesh.Tick{Idle: d.proxy.Idle(now), Load: toIDs(d.picker.OwnInFlight()), Used: toIDs(d.limits.Used(now)), Demand: d.ownDemand(), State: mesh.State{
 		Node: d.Settings.Node, Peer: d.Settings.Peer, Callers: d.Settings.Callers,
 		Leaving:   !d.ready(), // also before there is a configuration: it can't serve callers then
 		Unhealthy: d.reach.Down(now),
@@ -114,6 +114,7 @@
 func (d *Daemon) onPeersChanged(p mesh.Summary) {
 	d.updateLimits(p)
 	d.picker.PeersUpdated(upstreamNames(p.Load, d.fleet.View()), p.Fronts-1)
+	d.proxy.SetPeerDemand(d.peerDemand(p.Demand))
 	d.proxy.PeersUpdated()
 }
 
