--- a/internal/place/gate/class.go
+++ b/internal/place/gate/class.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/place/fair"
@@ -53,13 +54,8 @@
 			return
 		}
 	}
-	recent := (*c)[:0]
-	for _, o := range *c {
-		if now.Sub(o.seen) <= classTTL {
-			recent = append(recent, o)
-		}
-	}
-	*c = append(recent, class{priority: priority, seen: now, due: chance(now, ticket), dueAt: now})
+	*c = slices.DeleteFunc(*c, func(o class) bool { return now.Sub(o.seen) > classTTL })
+	*c = append(*c, class{priority: priority, seen: now, due: chance(now, ticket), dueAt: now})
 }
 
 // served records that a program of a priority began in its turn: nothing is due to that
