--- a/internal/front/bucket/bucket.go
+++ b/internal/front/bucket/bucket.go
@@ -296,7 +296,9 @@
 }
 
 // retryAfter returns when a refused caller may retry: once there are tokens for it and for
-// the requests before it at all fronts, randomized so that not all retry at once.
+// the requests before it at all fronts, randomized so that not all retry at once. A new program
+// is refused once it can't end in time any more, and begins when no other one waits. While others
+// wait nobody knows when that will be, and a caller that comes back sooner uses up its attempts.
 func (r *Buckets) retryAfter(now time.Time, a *account, class Class) time.Duration {
 	needed := max(1-a.level, 0) + float64(a.ahead(Begun)+a.refused.sum(now))
 	if class == New {
@@ -304,7 +306,8 @@
 		needed += max(1-a.forecast.Room(a.level, r.rate(a.limit)), 0) * a.forecast.Requests()
 	}
 	wait := maxRetryAfter
-	if rate := r.rate(a.limit); rate > 0 {
+	crowded := class == New && a.ahead(New) > a.ahead(Begun)
+	if rate := r.rate(a.limit); rate > 0 && !crowded {
 		wait = time.Duration(min(needed/rate, maxRetryAfter.Seconds()) * float64(time.Second))
 	}
 	wait = max(wait, minRetryAfter)
--- a/internal/front/bucket/bucket_test.go
+++ b/internal/front/bucket/bucket_test.go
@@ -164,3 +164,29 @@
 		r.Update(now, PeerUsage{Used: used, Fronts: 320, Total: 320})
 	}
 }
+
+// Guards against a flood in which refused callers come back again and again within a second:
+// they would have used up their attempts before it is over.
+func TestRetryAfterInAFlood(t *testing.T) {
+	cases := map[string]struct {
+		class   Class
+		waiting int // new programs that wait at other fronts
+		least   time.Duration
+		most    time.Duration
+	}{
+		"a new program, nobody waits": {New, 0, minRetryAfter, maxRetryAfter - 1},
+		"a new program, others wait":  {New, 5, maxRetryAfter, maxRetryAfter},
+		"a begun one, new ones wait":  {Begun, 5, minRetryAfter, maxRetryAfter - 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := Buckets{Tolerance: tolerance}
+			now := time.Unix(1000, 0)
+			r.Limit(now, map[string]Limit{"a": {Rate: 100, Burst: 100}})
+			r.Update(now, PeerUsage{Fronts: 2, Total: 2, Waiting: map[string]int{"a": c.waiting}})
+			after := r.Refuse(now, "a", c.class).RetryAfter
+			is.True(after >= c.least && after <= c.most)
+		})
+	}
+}
--- a/internal/front/proxy/admission.go
+++ b/internal/front/proxy/admission.go
@@ -15,6 +15,9 @@
 	// deadline that it may spend in the queue. The rest is what it needs: programs take
 	// 0.8 of that time on busy engines and 0.6 on idle ones.
 	maxQueueShare = 0.2
+	// maxLimitShare is the same for the wait for its account's limit. Limits bind on idle
+	// engines, too; if the engines are busy, the queue refuses the program afterwards.
+	maxLimitShare = 0.35
 	// maxQueueWait bounds the time that a turn waits for its account's limit and for engines:
 	// callers disconnect from a stream that sends nothing for two seconds.
 	maxQueueWait = 1500 * time.Millisecond
@@ -36,12 +39,13 @@
 		return true
 	}
 	began := time.Now()
-	waitUntil := earlier(t.latestStart(began), began.Add(maxQueueWait-t.summary.limitWait))
+	waitUntil := earlier(t.latestStart(began, maxQueueShare), began.Add(maxQueueWait-t.summary.limitWait))
 	s := &t.summary
 	if s.load = t.e.load(t.service.Name); s.load.Capacity == 0 {
 		return true // no engine accepts work: dispatch refuses the turn at once
 	}
-	err := t.e.Queue.Wait(ctx, t.service.Name, waitUntil, s.load)
+	var err error
+	s.queueAhead, err = t.e.Queue.Wait(ctx, t.service.Name, t.program(waitUntil), s.load)
 	s.queueTime = time.Since(began)
 	t.e.Scope.Timer("queue_time").Record(s.queueTime)
 	if err == nil && s.queueTime < minLoggedWait {
@@ -64,15 +68,19 @@
 	return false
 }
 
-// latestStart returns the time until which the program may begin to be finished in time.
-func (t *turn) latestStart(now time.Time) time.Time {
+// latestStart returns the time until which the program may begin to be finished in time, if it
+// may wait for a share of the time between its first attempt and its deadline.
+func (t *turn) latestStart(now time.Time, share float64) time.Time {
 	programTime := t.FinishIn + now.Sub(t.programStart)
-	return t.programStart.Add(time.Duration(maxQueueShare * float64(programTime)))
+	return t.programStart.Add(time.Duration(share * float64(programTime)))
 }
 
 // load returns the load of a service's engines.
 func (e *Endpoint) load(service string) gate.Load {
-	return e.Picker.Load(e.Fleet.View().Services[service], e.Queue.Share(service))
+	view := e.Fleet.View()
+	l := e.Picker.Load(view.Services[service], e.Queue.Share(service))
+	e.addDemand(&l, service, view.Table)
+	return l
 }
 
 // done records the end of a request at an upstream, which may make room for a queued
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -39,6 +39,7 @@
 	lastUpstream     string    // id of the upstream that last ran a turn of the program, of the same session if any
 	turnsDone        int       // turns of the program that have run before, as recorded
 	reserved         bool      // tokens are reserved and not settled yet
+	running          bool      // counted as in flight at engines
 	programBegun     bool      // a turn of the program has run, or may have
 	programStart     time.Time // arrival of the program's first attempt
 	output           []byte    // data of the events so far, if the route keeps turns
@@ -230,8 +231,10 @@
 		Shared: t.SharedParts(), Exclude: map[string]bool{}, Work: t.work(),
 	}
 	t.e.Turns.Began(t.route.Name, !t.programBegun && t.Previous == "")
-	d := meta.Dispatch{Priority: min(t.priority(), 9), HasPriority: true, LastEventID: t.lastEventID}
+	d := meta.Dispatch{Priority: min(t.priority(), maxPriority), HasPriority: true, LastEventID: t.lastEventID}
+	defer t.endRunning()
 	for range maxRuns {
+		t.beginRunning()
 		s, err := t.dispatch(ctx, c, body, d)
 		if c.Only != "" && err != nil && t.mayResumeElsewhere(c.Only, err) {
 			c.Only = ""
@@ -242,6 +245,7 @@
 		}
 		t.noteParts(s, c.Shared)
 		err = t.relay(ctx, s)
+		t.endRunning()
 		t.e.done(s.up.ID)
 		if err == nil || ctx.Err() != nil || !t.route.Resume {
 			return err
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -33,6 +33,7 @@
 		recordsTime  time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason  string        // why the attempt was queued; empty if it was not
 		queueTime    time.Duration // how long it was queued
+		queueAhead   int           // how many programs were ahead of it
 		limitClass   string        // class in which the attempt waited for its account's limit or was refused; empty if neither
 		limitWait    time.Duration // how long it waited for its account's limit
 		limitAhead   int           // requests that waited for the limit before it, over all fronts
@@ -81,7 +82,10 @@
 	}
 	if s.queueReason != "" {
 		line.Str("queue", s.queueReason).Int64("queued_ms", s.queueTime.Milliseconds()).Int("engines_under_way", s.load.InFlight).
-			Int("engines_room", s.load.Capacity).Int("daemons", s.load.Daemons)
+			Int("engines_room", s.load.Capacity).Int("daemons", s.load.Daemons).Int("queue_ahead", s.queueAhead)
+		if s.load.Running != nil {
+			line.Int("account_running", s.load.Running[q.account.Name])
+		}
 	}
 	if s.limitClass != "" {
 		line.Str("limit_wait", s.limitClass).Int64("limit_wait_ms", s.limitWait.Milliseconds()).Int("limit_ahead", s.limitAhead)
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -118,6 +118,8 @@
 		starting    starting
 		peerCache   atomic.Pointer[peerList]
 		upstreams   label.Label // of upstreams in metrics
+
+		runningGauges map[string]int // the gauges of turns in flight that were set last, by label
 	}
 )
 
@@ -295,6 +297,7 @@
 		d.reportState(time.Now())
 		d.reportLimits(time.Now())
 		d.reportFactors()
+		d.reportRunning()
 		d.Scope.Gauge("mesh_messages_too_long").Update(float64(d.meshio.NotSent()))
 		slots, inUse, waiting := d.reach.Slots()
 		d.Scope.Gauge("records_slots").Update(float64(slots))
--- a/internal/node/frontd/state.go
+++ b/internal/node/frontd/state.go
@@ -70,7 +70,7 @@
 	now := time.Now()
 	return mesh.Tick{
 		Idle: d.proxy.Idle(now), Load: toIDs(d.picker.OwnInFlight()), Used: toIDs(d.limits.Used(now)),
-		Demand: d.limitDemand(now), Cached: d.proxy.Parts.TakeNew(), State: d.ownState(now, v),
+		Demand: d.ownDemand(now), Cached: d.proxy.Parts.TakeNew(), State: d.ownState(now, v),
 	}
 }
 
@@ -124,6 +124,7 @@
 	v := d.fleet.View()
 	d.picker.PeersUpdated(upstreamNames(p.Load, v), p.Fronts-1)
 	d.proxy.Parts.Update(time.Now(), v)
+	d.proxy.SetPeerDemand(d.peerDemand(p.Demand))
 	d.proxy.PeersUpdated()
 }
 
