pace: an engine is compared with the mean of its service, whatever its load

The line is that of before again, and samples are compared with the mean of the service, so that a busy engine looks slower, not faster. pace.Scale is gone.

--- a/internal/front/admit/admit.go
+++ b/internal/front/admit/admit.go
@@ -118,12 +118,23 @@
 	return names
 }
 
-// Observe records the mean time per event of a complete stream, on an engine that ran so many
-// turns meanwhile and whose time is a multiple (factor) of that of its service.
-func (q *Queue) Observe(name string, turns float64, event time.Duration, factor float64) {
+// Observe records the mean time per event of a complete stream, on an engine that ran so
+// many turns meanwhile.
+func (q *Queue) Observe(name string, turns float64, event time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.service(name).batch.ObserveAt(turns, event.Seconds(), factor)
+	q.service(name).batch.Observe(turns, event.Seconds())
+}
+
+// MeanEventTime returns the mean time per event at the engines of the service, 0 if it is unknown.
+func (q *Queue) MeanEventTime(name string) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	event, known := q.service(name).batch.Mean()
+	if !known {
+		return 0
+	}
+	return time.Duration(event * float64(time.Second))
 }
 
 // EventTime returns the usual time per event at an engine of the service that runs so many turns,
--- a/internal/front/mesh/paces_test.go
+++ b/internal/front/mesh/paces_test.go
@@ -113,7 +113,7 @@
 	observe := func(measured, expected float64, confirmed bool) bool {
 		return paces.Observe(at, f.ids[t.engine], measured, expected, confirmed)
 	}
-	each, known := fit.Expected(turns)
+	each, known := fit.Mean()
 	if known {
 		t.stream.Event(at, time.Duration(each*float64(time.Second)), observe)
 	} else {
@@ -122,7 +122,7 @@
 	if t.events++; t.left == 0 {
 		t.stream.End(observe)
 		f.running[t.engine]--
-		fit.ObserveAt(turns, at.Sub(t.began).Seconds()/float64(t.events), paces.Factor(at, f.ids[t.engine]))
+		fit.Observe(turns, at.Sub(t.began).Seconds()/float64(t.events))
 	}
 }
 
--- a/internal/front/pick/field_test.go
+++ b/internal/front/pick/field_test.go
@@ -151,7 +151,7 @@
 		if p.events -= each; p.events > 0 {
 			return false
 		}
-		f.fit.ObserveAt(float64(p.under+len(e.turns))/2, (f.now-p.decoded)/p.all, f.known[i])
+		f.fit.Observe(float64(p.under+len(e.turns))/2, (f.now-p.decoded)/p.all)
 		f.fronts[p.front].Done(f.list[i].ID)
 		if p.done++; p.done == p.turns {
 			f.took = append(f.took, f.now-p.began)
--- a/internal/front/proxy/pace.go
+++ b/internal/front/proxy/pace.go
@@ -30,9 +30,10 @@
 	return e.Paces.Factor(u.ID, u.Born)
 }
 
-// event adds an event. Under is the number of turns in flight at the upstream when the stream
-// began.
-func (p *streamPace) event(t *turn, s *exchange, under int) {
+// event adds an event. It is compared with the mean time of the service, whatever the load: a line
+// over load that is too steep would make an engine look the faster the more turns it runs, and
+// draw still more to it. Compared with the mean, an engine that runs many turns looks slower.
+func (p *streamPace) event(t *turn, s *exchange) {
 	if t.e.Paces == nil {
 		return
 	}
@@ -41,7 +42,7 @@
 		p.stream.Last, p.id = now, pace.IDOf(s.up.ID, s.up.Born)
 		return
 	}
-	usual := t.e.Queue.EventTime(t.service.Name, float64(under+t.e.Picker.InFlight(s.up.ID))/2)
+	usual := t.e.Queue.MeanEventTime(t.service.Name)
 	if usual <= 0 {
 		p.stream.Last = now
 		return
--- a/internal/place/batch/batch.go
+++ b/internal/place/batch/batch.go
@@ -7,10 +7,7 @@
 // estimate is therefore a line fitted to event time over turns in flight.
 package batch
 
-import (
-	"github.com/slaterock/slaterock/internal/place/pace"
-	"github.com/slaterock/slaterock/internal/place/slope"
-)
+import "github.com/slaterock/slaterock/internal/place/slope"
 
 const (
 	// maxSlowdown is the greatest event time, as a multiple of that of a lone turn, at
@@ -48,7 +45,6 @@
 type Estimator struct {
 	fit     slope.Slope
 	samples int
-	scale   pace.Scale
 }
 
 // Observe adds the time of one event, in seconds, and the number of turns that the
@@ -78,11 +74,10 @@
 	return max(turns/float64(batchSize), minShare)
 }
 
-// ObserveAt adds the time of one event at an engine whose time is a multiple (factor) of that of
-// its service. The line is fitted to the time that the mean engine would have taken: fast
-// engines run more turns, and would make the line flatter than that of any engine.
-func (e *Estimator) ObserveAt(turns, event, factor float64) {
-	e.Observe(turns, e.scale.Usual(event, factor))
+// Mean returns the mean time of one event, in seconds, at the usual number of turns, and whether
+// it is known.
+func (e *Estimator) Mean() (event float64, known bool) {
+	return e.fit.Mean(), e.samples >= minExpected
 }
 
 // Expected returns the time of one event of the mean engine at so many turns, in seconds, and
--- a/internal/place/sched/pace.go
+++ b/internal/place/sched/pace.go
@@ -23,5 +23,5 @@
 		s.paces.Observe(now, u.pace(), took, line.At(load), false)
 		s.paces.DropDelta() // owners don't exchange them
 	}
-	line.Observe(load, u.group.scale.Usual(took, s.paces.Factor(now, u.pace())))
+	line.Observe(load, took)
 }
--- a/internal/place/sched/upstream.go
+++ b/internal/place/sched/upstream.go
@@ -9,7 +9,6 @@
 	"github.com/slaterock/slaterock/internal/place/brkr"
 	"github.com/slaterock/slaterock/internal/place/limit"
 	"github.com/slaterock/slaterock/internal/place/load"
-	"github.com/slaterock/slaterock/internal/place/pace"
 	"github.com/slaterock/slaterock/internal/place/queue"
 	"github.com/slaterock/slaterock/internal/place/score"
 	"github.com/slaterock/slaterock/internal/place/slope"
@@ -52,7 +51,6 @@
 		programCalls float64     // mean calls of a program
 		busyShare    float64     // mean share of its lifetime that a program has a call in flight
 		tokenTime    slope.Slope // seconds per output token, by concurrent requests
-		scale        pace.Scale  // of the times that tokenTime and callTime are fitted to
 		callTime     slope.Slope // seconds per service call, by concurrent requests
 	}
 )
--- a/internal/place/slope/slope.go
+++ b/internal/place/slope/slope.go
@@ -48,5 +48,8 @@
 // At returns the expected time at load x, at least a quarter of the mean time.
 func (s *Slope) At(x float64) float64 { return max(s.y+s.Rise()*(x-s.x), s.y/4) }
 
+// Mean returns the mean time.
+func (s *Slope) Mean() float64 { return s.y }
+
 // Known reports whether anything was observed.
 func (s *Slope) Known() bool { return s.n > 0 }
