--- a/internal/front/pick/field_test.go
+++ b/internal/front/pick/field_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/place/batch"
+	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 const (
@@ -40,7 +41,8 @@
 		begun    int
 		reported float64         // s, age of the loads of other daemons
 		fit      batch.Estimator // as learned by all daemons together
-		homes    [machines]int   // programs, by engine of their last turn
+		scale    pace.Scale
+		homes    [machines]int // programs, by engine of their last turn
 	}
 
 	engine struct{ turns, queue []*program }
@@ -151,7 +153,7 @@
 		if p.events -= each; p.events > 0 {
 			return false
 		}
-		f.fit.Observe(float64(p.under+len(e.turns))/2, (f.now-p.decoded)/p.all)
+		f.fit.Observe(float64(p.under+len(e.turns))/2, f.scale.Usual((f.now-p.decoded)/p.all, f.known[i]))
 		f.fronts[p.front].Done(f.list[i].ID)
 		if p.done++; p.done == p.turns {
 			f.took = append(f.took, f.now-p.began)
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -165,3 +165,22 @@
 		})
 	}
 }
+
+// Guards against an engine that looks the faster the more turns it runs, and draws still more to
+// it: alike engines of which some are busier must not get factors below 1.
+func TestBusyUpstreamsAreNotTakenForFaster(t *testing.T) {
+	is := is.New(t)
+	var p Table
+	const usual = 0.025 // of the service; a busy engine takes a little longer
+	now := time.Unix(1000, 0)
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		for turns := range 30 {
+			p.Observe(now, ID(turns+1), usual*(0.95+0.005*float64(turns)), usual, false)
+		}
+	}
+	for turns := range 30 {
+		is.True(p.Factor(now, ID(turns+1)) >= 0.9)
+	}
+	is.True(p.Factor(now, 30) > p.Factor(now, 1))
+}
