pace: estimates without samples don't make later samples NaN

A hub sends the estimate of an engine that was slow and has been idle for 18.2 s with a count of 0. At the next sample there a front computed its standard error as 0 times infinity, and reported as the measured time: the engine got no more programs at any front. The same happened at an owner after its sums had decayed to 0.

Only Select forgot upstreams, which fronts that are not hubs and owners never call: they kept each incarnation until they stopped.

--- a/internal/place/pace/pace.go
+++ b/internal/place/pace/pace.go
@@ -180,8 +180,10 @@
 	t.pending[id] = p
 }
 
-// entry returns the entry of an upstream, decayed until now.
+// entry returns the entry of an upstream, decayed until now. Tables that select nothing for other
+// daemons have to forget upstreams too.
 func (t *Table) entry(now time.Time, id ID) *entry {
+	t.sweep(now)
 	e := t.all[id]
 	if e == nil {
 		if t.all == nil {
@@ -240,8 +242,8 @@
 // usual returns the factors between which the upstream's lies by the samples until usualAge ago, or
 // until its last change.
 func (e *entry) usual(now time.Time) bounds {
-	if !e.known {
-		return bounds{1, 1}
+	if !e.known || e.long.count <= 0 {
+		return bounds{1, 1} // without samples the standard error is not defined
 	}
 	if now.Sub(e.usualAt) >= usualAge || e.earlier[0].most == 0 {
 		mean, margin := e.long.mean(), significance*e.long.standardError()
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -165,3 +165,39 @@
 		})
 	}
 }
+
+// Guards against a table that keeps upstreams that are gone where nothing is selected for others,
+// as at fronts that are no hubs, and against an infinite error after a long time without samples.
+func TestForgottenWithoutSelect(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Unix(1e9, 0)
+	for id := range ID(100) {
+		for range 30 {
+			table.Observe(now, id, 0.1, 0.1, false)
+		}
+	}
+	now = now.Add(2 * time.Hour)
+	table.Observe(now, 1, 0.1, 0.1, false)
+	is.Equal(len(table.all), 1)
+	is.Equal(table.Factor(now, 1), 1.0)
+	table.DropDelta()
+	table.Observe(now, 1, 0.1, 0.1, false)
+	is.Equal(table.TakeDelta(1)[0].Measured, uint64(1000))
+}
+
+// Guards against samples that are not numbers after an estimate whose count was rounded to 0: that
+// of an engine that was slow and has been idle for 18 s.
+func TestEstimateWithoutSamples(t *testing.T) {
+	is := is.New(t)
+	var hub, front Table
+	now := observe(&hub, epoch, 40, 1.6)
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		front.Merge(now, hub.Select(now, 12))
+	}
+	is.Equal(front.all[one].long.count, 0.0)
+	front.Observe(now, one, 0.1, 0.1, false)
+	is.Equal(front.TakeDelta(1)[0].Measured, uint64(1000))
+	is.Equal(front.Factor(now, one), 1.0)
+}
