mesh: expired pairs and samples without a recipient are not sent

A hub answered a front that starts, or has callers again, with the newest pairs whatever their age; the front kept them for another 20 s. A front without others kept its samples: one that started later got hours of them at once, as new ones, which outweighed its own for a minute.

--- a/internal/front/mesh/cached.go
+++ b/internal/front/mesh/cached.go
@@ -89,10 +89,15 @@
 }
 
 // since returns the pairs from the number given that other fronts than the recipient sent, at
-// most MaxCached, the newest first.
-func (f *feed) since(first uint64, to ID) (pairs []cached.Pair) {
+// most MaxCached, the newest first. Those older than cached.TTL are left out: the recipient takes
+// each for one that was used just now.
+func (f *feed) since(now time.Time, first uint64, to ID) (pairs []cached.Pair) {
 	for n := f.end; n > first && n+feedSize > f.end && len(pairs) < MaxCached; n-- {
-		if e := &f.ring[(n-1)%feedSize]; e.from != to {
+		e := &f.ring[(n-1)%feedSize]
+		if now.Sub(e.at) > cached.TTL {
+			break
+		}
+		if e.from != to {
 			pairs = append(pairs, e.pair)
 		}
 	}
@@ -108,7 +113,7 @@
 	if r.Idle {
 		return d
 	}
-	d.Cached = m.feed.since(r.fed, to)
+	d.Cached = m.feed.since(now, r.fed, to)
 	r.fed = m.feed.end
 	m.reports[to] = r
 	return d
--- a/internal/front/mesh/cached_test.go
+++ b/internal/front/mesh/cached_test.go
@@ -81,9 +81,9 @@
 	f.add(at, 1, []cached.Pair{11, 10}, true)
 	f.add(at, 2, []cached.Pair{20, 11}, true)
 	f.add(at, 3, []cached.Pair{30}, false) // of another hub
-	is.Equal(f.since(0, 1), []cached.Pair{30, 20})
-	is.Equal(f.since(0, 2), []cached.Pair{30, 11, 10})
-	is.Equal(f.since(f.end, 2), nil)
+	is.Equal(f.since(at, 0, 1), []cached.Pair{30, 20})
+	is.Equal(f.since(at, 0, 2), []cached.Pair{30, 11, 10})
+	is.Equal(f.since(at, f.end, 2), nil)
 	is.Equal(f.takePending(), []cached.Pair{20, 11, 10})
 	is.Equal(f.takePending(), nil)
 	f.add(at.Add(feedRepeat), 2, []cached.Pair{11}, true)
@@ -91,9 +91,9 @@
 	for i := range 3 * feedSize {
 		f.add(at, 4, []cached.Pair{cached.Pair(1000 + i)}, true)
 	}
-	is.Equal(len(f.since(0, 1)), MaxCached)
+	is.Equal(len(f.since(at, 0, 1)), MaxCached)
 	is.Equal(len(f.takePending()), MaxCached)
-	is.Equal(len(f.since(0, 4)), 0)
+	is.Equal(len(f.since(at, 0, 4)), 0)
 }
 
 // Guards against a front without callers that gets pairs it has no use for, and against one that
@@ -113,3 +113,15 @@
 	is.Equal(report(10*time.Millisecond, "a", false), []cached.Pair{7})
 	is.Equal(report(10*time.Millisecond, "a", false), nil)
 }
+
+// Guards against pairs that a front which starts, or has callers again, gets after they have expired
+// everywhere: it would keep them as if they had just been used.
+func TestExpiredPairsAreNotSent(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	var f feed
+	f.add(at, 1, []cached.Pair{10}, true)
+	f.add(at.Add(cached.TTL), 1, []cached.Pair{11}, true)
+	is.Equal(f.since(at.Add(cached.TTL), 0, 2), []cached.Pair{11, 10})
+	is.Equal(f.since(at.Add(cached.TTL+time.Second), 0, 2), []cached.Pair{11})
+}
--- a/internal/front/mesh/paces.go
+++ b/internal/front/mesh/paces.go
@@ -53,9 +53,11 @@
 
 // addPaces adds the samples since the last time to messages of one kind: to all shares, since
 // each goes to another hub, or to the first of several reports, since hubs pass them on to each
-// other and would count them several times.
+// other and would count them several times. Without a recipient it drops the samples: a front that
+// starts later would take hours of them for new ones.
 func (m *Mesh) addPaces(sends []Send) []Send {
 	if len(sends) == 0 {
+		m.Paces.DropDelta()
 		return sends
 	}
 	delta := m.Paces.TakeDelta(maxSamples)
--- a/internal/front/mesh/paces_test.go
+++ b/internal/front/mesh/paces_test.go
@@ -273,6 +273,20 @@
 	}
 }
 
+// Guards against a front without others that keeps its samples, and reports hours of them as if they
+// were new once there is another front.
+func TestSamplesWithoutRecipientAreDropped(t *testing.T) {
+	is := is.New(t)
+	m := Mesh{Self: Peer{Node: "front00", Address: "10.0.0.1:1"}}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(reportInterval)
+		m.Paces.Observe(now, 1, 0.1, 0.1, true)
+		is.Equal(len(m.Step(now, Tick{State: State{Node: m.Self.Node}})), 0)
+	}
+	is.Equal(len(m.Paces.TakeDelta(maxSamples)), 0)
+}
+
 // Estimates must not fill the links of hundreds of fronts, and cost nothing where engines are alike.
 func TestPacesTakeFewBytes(t *testing.T) {
 	is := is.New(t)
