pick: new programs find the longest known beginning also by expected time

If no engine had all shared parts of a prompt, a choice by expected time was among the five engines that the hash of the last shared part gives, and the engines that have an earlier part were outside.

--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -41,6 +41,7 @@
 		spare []Holder
 		// holders is the number of upstreams with the longest beginning, of which list may be a sample.
 		holders int
+		longest int // tokens of that beginning
 	}
 )
 
@@ -48,7 +49,7 @@
 // all parts before it too, so an upstream that has a part has those, and the last one counts.
 func (p *Picker) findHolders(now time.Time, r *Request) {
 	s := &p.sharing
-	s.total, s.whole, s.list, s.holders = 0, false, s.list[:0], 0
+	s.total, s.whole, s.list, s.holders, s.longest = 0, false, s.list[:0], 0, 0
 	clear(s.held)
 	for _, part := range r.Shared {
 		s.total += part.Tokens
@@ -66,7 +67,7 @@
 		s.hold(s.spare, tokens)
 		s.whole = s.whole || tokens == s.total && len(s.spare) > 0
 		if len(s.list) == 0 {
-			s.list, s.spare, s.holders = s.spare, s.list, n
+			s.list, s.spare, s.holders, s.longest = s.spare, s.list, n, tokens
 		}
 		tokens -= r.Shared[i].Tokens
 	}
--- a/internal/front/pick/timed.go
+++ b/internal/front/pick/timed.go
@@ -125,17 +125,22 @@
 
 // inSubset reports whether the request's program chooses among upstreams that include this one.
 // Place is the product of the hash of the program and the upstream and its factor. A new program
-// with shared parts also chooses among a part of the upstreams that have them, as large as its part
-// of all; if none has them, all programs with these parts choose among the same few.
+// with shared parts also chooses among a part of the upstreams that have the longest beginning of
+// them, as large as its part of all. If none has all of them, the other upstreams are the same few
+// for all programs with these parts.
 func (p *Picker) inSubset(u *fleet.Upstream, r *Request, place float64) bool {
 	n := r.Candidates.Len()
 	if r.Prefer != "" || len(r.Shared) == 0 {
 		return place <= subset(n)
 	}
-	if !p.sharing.whole {
-		return weightOf(r.Shared[len(r.Shared)-1].ID, u.ID) <= subset(n)
+	s := &p.sharing
+	if s.holders > 0 && p.heldTokens(u) >= s.longest && place <= subset(s.holders) {
+		return true
 	}
-	return place <= subset(n) || p.heldTokens(u) == p.sharing.total && place <= subset(p.sharing.holders)
+	if !s.whole {
+		place = weightOf(r.Shared[len(r.Shared)-1].ID, u.ID)
+	}
+	return place <= subset(n)
 }
 
 // subset returns the share of so many candidates among which a program chooses.
