--- a/internal/place/pace/exchange.go
+++ b/internal/place/pace/exchange.go
@@ -81,11 +81,14 @@
 // DropDelta forgets the samples that TakeDelta has not returned yet.
 func (t *Table) DropDelta() { clear(t.pending) }
 
-// AddDelta adds samples of other daemons.
+// AddDelta adds samples of other daemons. A daemon that gets them has no need of estimates that it
+// merged before, and lets these decay as samples do.
 func (t *Table) AddDelta(now time.Time, list []Sample) {
 	for _, s := range list {
 		if d, ok := s.sums(); ok {
-			t.add(now, s.ID, t.entry(now, s.ID), d)
+			e := t.entry(now, s.ID)
+			e.halfLife = cmp.Or(t.HalfLife, HalfLife)
+			t.add(now, s.ID, e, d)
 		}
 	}
 }
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -201,3 +201,20 @@
 	is.Equal(front.TakeDelta(1)[0].Measured, uint64(1000))
 	is.Equal(front.Factor(now, one), 1.0)
 }
+
+// Guards against a front that becomes a hub and whose estimates then follow the samples only
+// slowly, since it had them from another hub before.
+func TestNewHubFollowsSamples(t *testing.T) {
+	is := is.New(t)
+	var before, after Table
+	now := epoch
+	before.Merge(now, []Estimate{{ID: one, Count: 80, Mean: 1600, Deviation: 160}})
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		list := []Sample{{ID: one, Count: 2, Usual: 2, Expected: 2000, Measured: 2400, Square: 2900}}
+		before.AddDelta(now, list)
+		after.AddDelta(now, list)
+	}
+	t.Log(before.Factor(now, one), after.Factor(now, one))
+	is.True(math.Abs(before.Factor(now, one)-after.Factor(now, one)) < 0.1)
+}
