--- a/internal/front/pick/choose.go
+++ b/internal/front/pick/choose.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// maxWalk is the number of candidates up to which all are compared. Of more, the one
-	// that has the prompt cached and maxHolders that have its shared parts are compared with those selected last, which may have an
-	// open connection, and with sampleSize others at random. The least loaded of so many is
-	// among the least loaded sixth of all but once in a thousand times.
+	// maxWalk is the number of candidates up to which all are compared. Of more, these are:
+	// the one that has the prompt cached, maxHolders that have its shared parts, those selected
+	// last, which may have an open connection, and sampleSize others at random. The least loaded
+	// of so many is among the least loaded sixth of all but once in a thousand times.
 	maxWalk    = 128
 	sampleSize = 40
-	// recentSize is the number of upstreams selected last that are compared.
+	// recentSize is the number of upstreams selected last that are compared, less the holders.
 	recentSize = 32
 )
 
--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -96,8 +96,7 @@
 // prefillCost returns the time in which the upstream prefills what others have cached: for a new
 // program the shared parts, for a later turn the prompt. Shared parts that most upstreams have are
 // used by so many programs that the others will have to prefill them too. They cost less, by the
-// share of upstreams that have them; otherwise programs with such parts would leave
-// idle upstreams without.
+// share of upstreams that have them; otherwise upstreams without such parts would stay idle.
 func (p *Picker) prefillCost(u *fleet.Upstream, r *Request) float64 {
 	switch {
 	case r.Prefer == "" && len(r.Shared) > 0:
--- a/internal/front/pick/timed.go
+++ b/internal/front/pick/timed.go
@@ -16,8 +16,8 @@
 	// followed the load around and moved more than once each (trial of TestProgramTime).
 	laterWeight = 0.5
 	laterLoad   = 0.5
-	// moveMargin is how often the prefill counts for a program that moves, for the errors of both
-	// estimates.
+	// moveMargin is the multiple of the prefill that a program which moves is charged, since the
+	// expected times at both upstreams have errors.
 	moveMargin = 2.0
 	// subsetSize is the number of candidates of the usual speed among which a program chooses;
 	// faster ones are in more subsets. So only a part of all programs can go to one upstream before
@@ -90,8 +90,8 @@
 // requests that are there, and both for the later requests of its program.
 //
 // The load is that of other daemons as reported now, or their average where the report is old:
-// daemons that took old reports for the present load would all select the same fast upstream,
-// and daemons that took no notice of them would overload all fast ones.
+// daemons that relied on old reports would all select the same fast upstream, and daemons that
+// ignored them would overload all fast ones.
 func (p *Picker) timedCost(now time.Time, u *fleet.Upstream, r *Request, confidence float64, w weighed, factor float64) float64 {
 	own, peers, batch := float64(w.own), float64(w.peers), float64(max(u.Batch, 1))
 	if w.state == nil {
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -119,7 +119,8 @@
 		peerCache   atomic.Pointer[peerList]
 		upstreams   label.Label // of upstreams in metrics
 
-		runningGauges map[string]int // the gauges of turns in flight that were set last, by label
+		runningGauges map[string]int     // the gauges of turns in flight that were set last, by label
+		factorGauges  map[string]float64 // the gauges of upstreams' factors that were set last, by label
 	}
 )
 
