meta: ids of shared prompt parts differ by service

Engines of another service that had the same part counted as holders. With 60 of them and 10 engines of the program's service, one of which had the part, 12 of 100 new programs went there instead of 100, since most engines seemed to have it. Fronts of both releases ignore each other's pairs during an update; each costs a prefill.

TestSharedPartsAreFound names another prefix: its hash has to select up1 first, and the hashes have changed. Its conditions are the same.

--- a/internal/front/meta/parts.go
+++ b/internal/front/meta/parts.go
@@ -22,14 +22,14 @@
 
 // SharedParts returns the parts that other programs may share: all but the last, which belongs
 // to the request or its session. The ID of each also stands for all parts before it, since an
-// engine can use a cached part only after the same beginning. From the part number maxShared on
-// they are joined into one.
-func (a Attempt) SharedParts() (shared []Part) {
+// engine can use a cached part only after the same beginning, and for the service, since engines
+// of others can't run the request. From the part number maxShared on they are joined into one.
+func (a Attempt) SharedParts(service string) (shared []Part) {
 	if len(a.Parts) < 2 {
 		return nil
 	}
 	shared = make([]Part, 0, min(len(a.Parts)-1, maxShared))
-	id := uint64(0)
+	id := xxhash.Sum64String(service)
 	for i, p := range a.Parts[:len(a.Parts)-1] {
 		var chain [16]byte
 		binary.LittleEndian.PutUint64(chain[:8], id)
--- a/internal/front/parts/sim_test.go
+++ b/internal/front/parts/sim_test.go
@@ -216,7 +216,7 @@
 		at -= math.Pow(float64(number+2), -r.zipf)
 	}
 	a := meta.Attempt{Parts: []meta.Part{{ID: uint64(number), Tokens: prefixTokens}, {ID: uint64(p.number) << 32}}}
-	p.shared = a.SharedParts()
+	p.shared = a.SharedParts("s")
 	r.turn(p)
 	r.after(time.Duration(r.load.ExpFloat64()/r.rate*float64(time.Second)), r.arrive)
 }
--- a/internal/front/proxy/parts_test.go
+++ b/internal/front/proxy/parts_test.go
@@ -37,7 +37,7 @@
 				var out bytes.Buffer
 				env.e.Scope, env.e.Log = scope, zerolog.New(&out)
 				for i := range 2 {
-					env.do(t.Context(), "/stream/", map[string]string{"Id": fmt.Sprint("r", i), "Program": fmt.Sprint("p", i), "Shared": "mall"}, "in")
+					env.do(t.Context(), "/stream/", map[string]string{"Id": fmt.Sprint("r", i), "Program": fmt.Sprint("p", i), "Shared": "prefix"}, "in")
 				}
 				lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 				is.Equal(len(lines), 2)
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -228,7 +228,7 @@
 	}
 	c := pick.Request{
 		Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens,
-		Shared: t.SharedParts(), Exclude: map[string]bool{}, Work: t.work(),
+		Shared: t.SharedParts(t.service.Name), Exclude: map[string]bool{}, Work: t.work(),
 	}
 	t.e.Turns.Began(t.route.Name, !t.programBegun && t.Previous == "")
 	d := meta.Dispatch{Priority: min(t.priority(), maxPriority), HasPriority: true, LastEventID: t.lastEventID}
