--- a/internal/front/mesh/paces_test.go
+++ b/internal/front/mesh/paces_test.go
@@ -273,6 +273,20 @@
 	}
 }
 
+// Guards against a front without others that keeps its samples, and reports hours of them as if they
+// were new once there is another front.
+func TestSamplesWithoutRecipientAreDropped(t *testing.T) {
+	is := is.New(t)
+	m := Mesh{Self: Peer{Node: "front00", Address: "10.0.0.1:1"}}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(reportInterval)
+		m.Paces.Observe(now, 1, 0.1, 0.1, true)
+		is.Equal(len(m.Step(now, Tick{State: State{Node: m.Self.Node}})), 0)
+	}
+	is.Equal(len(m.Paces.TakeDelta(maxSamples)), 0)
+}
+
 // Estimates must not fill the links of hundreds of fronts, and cost nothing where engines are alike.
 func TestPacesTakeFewBytes(t *testing.T) {
 	is := is.New(t)
@@ -305,3 +319,21 @@
 	is.NoErr(err)
 	is.Equal(msg.(Digest).Paces, d.Paces)
 }
+
+// BenchmarkChanges is the time of a digest's estimates with 10,000 upstreams, of which one changes
+// its speed for each digest and millisecond.
+func BenchmarkChanges(b *testing.B) {
+	var m Mesh
+	now := time.Unix(1000, 0)
+	for id := range 10000 {
+		for range 40 {
+			m.Paces.Observe(now, pace.ID(id), 0.1, 0.1, true)
+		}
+	}
+	m.Paces.DropDelta()
+	for id := 0; b.Loop(); id++ {
+		now = now.Add(time.Millisecond)
+		m.Paces.AddDelta(now, []pace.Sample{{ID: pace.ID(id % 10000), Slower: 1}})
+		m.selectPaces(now)
+	}
+}
--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -41,6 +41,7 @@
 		spare []Holder
 		// holders is the number of upstreams with the longest beginning, of which list may be a sample.
 		holders int
+		longest int // tokens of that beginning
 	}
 )
 
@@ -48,7 +49,7 @@
 // all parts before it too, so an upstream that has a part has those, and the last one counts.
 func (p *Picker) findHolders(now time.Time, r *Request) {
 	s := &p.sharing
-	s.total, s.whole, s.list, s.holders = 0, false, s.list[:0], 0
+	s.total, s.whole, s.list, s.holders, s.longest = 0, false, s.list[:0], 0, 0
 	clear(s.held)
 	for _, part := range r.Shared {
 		s.total += part.Tokens
@@ -66,7 +67,7 @@
 		s.hold(s.spare, tokens)
 		s.whole = s.whole || tokens == s.total && len(s.spare) > 0
 		if len(s.list) == 0 {
-			s.list, s.spare, s.holders = s.spare, s.list, n
+			s.list, s.spare, s.holders, s.longest = s.spare, s.list, n, tokens
 		}
 		tokens -= r.Shared[i].Tokens
 	}
@@ -95,8 +96,7 @@
 // prefillCost returns the time in which the upstream prefills what others have cached: for a new
 // program the shared parts, for a later turn the prompt. Shared parts that most upstreams have are
 // used by so many programs that the others will have to prefill them too. They cost less, by the
-// share of upstreams that have them; otherwise programs with such parts would leave
-// idle upstreams without.
+// share of upstreams that have them; otherwise upstreams without such parts would stay idle.
 func (p *Picker) prefillCost(u *fleet.Upstream, r *Request) float64 {
 	switch {
 	case r.Prefer == "" && len(r.Shared) > 0:
--- a/internal/front/pick/timed.go
+++ b/internal/front/pick/timed.go
@@ -16,8 +16,8 @@
 	// followed the load around and moved more than once each (trial of TestProgramTime).
 	laterWeight = 0.5
 	laterLoad   = 0.5
-	// moveMargin is how often the prefill counts for a program that moves, for the errors of both
-	// estimates.
+	// moveMargin is the multiple of the prefill that a program which moves is charged, since the
+	// expected times at both upstreams have errors.
 	moveMargin = 2.0
 	// subsetSize is the number of candidates of the usual speed among which a program chooses;
 	// faster ones are in more subsets. So only a part of all programs can go to one upstream before
@@ -90,8 +90,8 @@
 // requests that are there, and both for the later requests of its program.
 //
 // The load is that of other daemons as reported now, or their average where the report is old:
-// daemons that took old reports for the present load would all select the same fast upstream,
-// and daemons that took no notice of them would overload all fast ones.
+// daemons that relied on old reports would all select the same fast upstream, and daemons that
+// ignored them would overload all fast ones.
 func (p *Picker) timedCost(now time.Time, u *fleet.Upstream, r *Request, confidence float64, w weighed, factor float64) float64 {
 	own, peers, batch := float64(w.own), float64(w.peers), float64(max(u.Batch, 1))
 	if w.state == nil {
@@ -125,17 +125,22 @@
 
 // inSubset reports whether the request's program chooses among upstreams that include this one.
 // Place is the product of the hash of the program and the upstream and its factor. A new program
-// with shared parts also chooses among a part of the upstreams that have them, as large as its part
-// of all; if none has them, all programs with these parts choose among the same few.
+// with shared parts also chooses among a part of the upstreams that have the longest beginning of
+// them, as large as its part of all. If none has all of them, the other upstreams are the same few
+// for all programs with these parts.
 func (p *Picker) inSubset(u *fleet.Upstream, r *Request, place float64) bool {
 	n := r.Candidates.Len()
 	if r.Prefer != "" || len(r.Shared) == 0 {
 		return place <= subset(n)
 	}
-	if !p.sharing.whole {
-		return weightOf(r.Shared[len(r.Shared)-1].ID, u.ID) <= subset(n)
+	s := &p.sharing
+	if s.holders > 0 && p.heldTokens(u) >= s.longest && place <= subset(s.holders) {
+		return true
 	}
-	return place <= subset(n) || p.heldTokens(u) == p.sharing.total && place <= subset(p.sharing.holders)
+	if !s.whole {
+		place = weightOf(r.Shared[len(r.Shared)-1].ID, u.ID)
+	}
+	return place <= subset(n)
 }
 
 // subset returns the share of so many candidates among which a program chooses.
--- a/internal/place/pace/pace_test.go
+++ b/internal/place/pace/pace_test.go
@@ -184,3 +184,56 @@
 	}
 	is.True(p.Factor(now, 30) > p.Factor(now, 1))
 }
+
+// Guards against a table that keeps upstreams that are gone where nothing is selected for others,
+// as at fronts that are no hubs, and against an infinite error after a long time without samples.
+func TestForgottenWithoutSelect(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Unix(1e9, 0)
+	for id := range ID(100) {
+		for range 30 {
+			table.Observe(now, id, 0.1, 0.1, false)
+		}
+	}
+	now = now.Add(2 * time.Hour)
+	table.Observe(now, 1, 0.1, 0.1, false)
+	is.Equal(len(table.all), 1)
+	is.Equal(table.Factor(now, 1), 1.0)
+	table.DropDelta()
+	table.Observe(now, 1, 0.1, 0.1, false)
+	is.Equal(table.TakeDelta(1)[0].Measured, uint64(1000))
+}
+
+// Guards against samples that are not numbers after an estimate whose count was rounded to 0: that
+// of an engine that was slow and has been idle for 18 s.
+func TestEstimateWithoutSamples(t *testing.T) {
+	is := is.New(t)
+	var hub, front Table
+	now := observe(&hub, epoch, 40, 1.6)
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		front.Merge(now, hub.Select(now, 12))
+	}
+	is.Equal(front.all[one].long.count, 0.0)
+	front.Observe(now, one, 0.1, 0.1, false)
+	is.Equal(front.TakeDelta(1)[0].Measured, uint64(1000))
+	is.Equal(front.Factor(now, one), 1.0)
+}
+
+// Guards against a front that becomes a hub and whose estimates then follow the samples only
+// slowly, since it had them from another hub before.
+func TestNewHubFollowsSamples(t *testing.T) {
+	is := is.New(t)
+	var before, after Table
+	now := epoch
+	before.Merge(now, []Estimate{{ID: one, Count: 80, Mean: 1600, Deviation: 160}})
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		list := []Sample{{ID: one, Count: 2, Usual: 2, Expected: 2000, Measured: 2400, Square: 2900}}
+		before.AddDelta(now, list)
+		after.AddDelta(now, list)
+	}
+	t.Log(before.Factor(now, one), after.Factor(now, one))
+	is.True(math.Abs(before.Factor(now, one)-after.Factor(now, one)) < 0.1)
+}
