place/fair: asks of accounts with large weights are not forgotten at once

The threshold below which an account's asks are forgotten applied to asks for each unit of weight. The weight is the account's rate, so from a rate of about 20 on usual accounts were forgotten with each rescale, the mean consisted of the asking account alone, and no account ever counted as asking for more than the others. The threshold now applies to the number of programs; for a weight of 1 nothing changes. TestOverAtAnyWeight failed for weights 60, 400 and 10000, and passes now.

--- a/internal/place/fair/shares.go
+++ b/internal/place/fair/shares.go
@@ -22,7 +22,8 @@
 	minExcess = 2.0
 	// minScale is the decay after which it is applied to the counts.
 	minScale = 0.01
-	// minMean is the mean below which an account is forgotten.
+	// minMean is the mean number of turns or of programs below which an account is forgotten. It
+	// does not depend on weights: those of accounts are requests a second, up to thousands.
 	minMean = 0.05
 )
 
@@ -33,12 +34,18 @@
 	equal float64 // mean of all accounts for each unit of weight
 	at    time.Time
 
-	asked   map[string]float64 // programs that asked to begin here for each unit of weight, to be multiplied by scale
-	sum     float64            // of asked
+	asked   map[string]ask
+	sum     float64 // of the shares of asked
 	scale   float64
 	askedAt time.Time
 }
 
+// ask is how many programs of an account asked to begin here, to be multiplied by the scale.
+type ask struct{ programs, weight float64 }
+
+// share returns the programs for each unit of the account's weight.
+func (a ask) share() float64 { return a.programs / weight(a.weight) }
+
 // Observe adds the present turns in flight by account. An account that is missing in weights
 // has a weight of 1.
 func (s *Shares) Observe(now time.Time, running map[string]int, weights map[string]float64) {
@@ -67,27 +74,29 @@
 func (s *Shares) Ask(now time.Time, account string, w float64) {
 	keep := math.Exp(-float64(now.Sub(s.askedAt)) / float64(askTime))
 	if s.asked == nil {
-		s.asked = map[string]float64{}
+		s.asked = map[string]ask{}
 	}
-	if s.scale *= keep; s.asked[account] == 0 || s.scale < minScale {
+	if s.scale *= keep; s.asked[account].programs == 0 || s.scale < minScale {
 		s.rescale()
 	}
 	s.askedAt = now
-	s.asked[account] += 1 / (weight(w) * s.scale)
-	s.sum += 1 / (weight(w) * s.scale)
+	before := s.asked[account]
+	after := ask{programs: before.programs + 1/s.scale, weight: w}
+	s.asked[account] = after
+	s.sum += after.share() - before.share()
 }
 
 // rescale applies the decay to what accounts have asked for, and forgets those that ask for
 // nothing any more.
 func (s *Shares) rescale() {
 	s.sum = 0
-	for account, asked := range s.asked {
-		if asked *= s.scale; asked < minMean {
+	for account, a := range s.asked {
+		if a.programs *= s.scale; a.programs < minMean {
 			delete(s.asked, account)
 			continue
 		}
-		s.asked[account] = asked
-		s.sum += asked
+		s.asked[account] = a
+		s.sum += a.share()
 	}
 	s.scale = 1
 }
@@ -95,7 +104,7 @@
 // Over reports whether an account of this weight asks for more than the others and has more
 // than an equal share.
 func (s *Shares) Over(account string, w float64) bool {
-	asks := s.asked[account]*float64(len(s.asked)) > minExcess*s.sum
+	asks := s.asked[account].share()*float64(len(s.asked)) > minExcess*s.sum
 	return asks && s.mean[account] > weight(w)*s.equal
 }
 
