proxy: a resumed turn that is refused does not withdraw its program

A first turn that was broken off and whose resumption no upstream ran was returned to the limit as if its program had not begun, so the forecast missed the program that had. TestBrokenOffProgramHasBegun fails without the change.

--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -166,10 +166,12 @@
 }
 
 // countSend counts a send against the account's limit. The request taken by acquire
-// covers the first one.
+// covers the first one. A further one means that the program may have begun, since an upstream
+// may have run the request.
 func (q *request) countSend() {
 	if q.account.Name != "" && !q.acquired {
 		q.e.Limiter.Add(time.Now(), q.account.Name)
+		q.acquiredFirst = false
 	}
 	q.acquired = false
 }
--- a/internal/front/proxy/account_test.go
+++ b/internal/front/proxy/account_test.go
@@ -206,6 +206,20 @@
 	})
 }
 
+// A program's first turn is broken off, and no upstream resumes it. The program has begun: only
+// the send that was refused may be returned, else more programs begin than the limit can finish.
+func TestBrokenOffProgramHasBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{chunked + event1 + "CLOSE", full})
+		defer env.close()
+		env.startWithAccounts()
+		_, aborted := env.do(t.Context(), "/resume/", map[string]string{"Key": "secret-a", "Program": "p", "Budget": "100", "Finish": "5s"}, "")
+		is.True(aborted)
+		is.True(env.e.Limiter.Programs(time.Now())["cafe"] > 0.5)
+	})
+}
+
 // A key that is new makes the front read a newer version; the request must then take that version's route too, not be run by the service that the route left.
 func TestNewKeyGoesToNewRoute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
