wait: a request that waits on is not counted as refused

Each decision on a waiting request counted a refusal when there was no token yet, and the time to retry of refused callers includes recent refusals. With one waiting request and 20 decisions within 0.3 s a refused caller was told to come back after 2 s in place of 0.3 s (limit 10; TestWaitingIsNoRefusal). Only refusals are counted now.

--- a/internal/front/bucket/bucket.go
+++ b/internal/front/bucket/bucket.go
@@ -170,21 +170,28 @@
 
 // TakeClass is Take for a class of requests.
 func (r *Buckets) TakeClass(now time.Time, name string, class Class) Decision {
+	if r.Admit(now, name, class) {
+		return Decision{OK: true}
+	}
+	return r.Refuse(now, name, class)
+}
+
+// Admit takes one request of a class and reports whether it is admitted. A request that is not
+// may wait on: Refuse counts those that are refused.
+func (r *Buckets) Admit(now time.Time, name string, class Class) bool {
 	a := r.account(now, name)
 	switch {
 	case a == nil:
-		return Decision{OK: true}
-	case r.groupShare == 0:
-		return Decision{RetryAfter: maxRetryAfter, NoShare: true}
-	case a.level < 1 || !r.fits(now, a, class):
-		return r.refuse(now, a, class)
+		return true
+	case r.groupShare == 0, a.level < 1, !r.fits(now, a, class):
+		return false
 	}
 	if class == New {
 		a.forecast.Begin()
 		a.begun.add(now, 1)
 	}
 	a.use(now, 1)
-	return Decision{OK: true}
+	return true
 }
 
 // Check reports whether an account is refused whatever the request. It counts a refusal for
@@ -197,7 +204,7 @@
 	case r.groupShare == 0:
 		return Decision{RetryAfter: maxRetryAfter, NoShare: true}
 	case a.level < 1:
-		return r.refuse(now, a, Begun)
+		return r.Refuse(now, name, Begun)
 	}
 	return Decision{OK: true}
 }
@@ -218,9 +225,17 @@
 	return 0
 }
 
-// Refuse returns the decision on a request that is refused whatever the level, since others
-// wait before it or since it has waited for as long as it may.
+// Refuse returns the decision on a request that is refused, and counts the refusal, which the
+// time to retry of later ones takes into account.
 func (r *Buckets) Refuse(now time.Time, name string, class Class) Decision {
+	if a := r.account(now, name); a != nil && r.groupShare > 0 {
+		a.refused.add(now, 1)
+	}
+	return r.Deny(now, name, class)
+}
+
+// Deny is Refuse for a request that may wait on: it counts nothing.
+func (r *Buckets) Deny(now time.Time, name string, class Class) Decision {
 	a := r.account(now, name)
 	switch {
 	case a == nil:
@@ -228,11 +243,6 @@
 	case r.groupShare == 0:
 		return Decision{RetryAfter: maxRetryAfter, NoShare: true}
 	}
-	return r.refuse(now, a, class)
-}
-
-func (r *Buckets) refuse(now time.Time, a *account, class Class) Decision {
-	a.refused.add(now, 1)
 	return Decision{RetryAfter: r.retryAfter(now, a, class), Ahead: a.ahead(class)}
 }
 
--- a/internal/front/wait/wait.go
+++ b/internal/front/wait/wait.go
@@ -92,16 +92,14 @@
 func (q *Queue) Arrive(now time.Time, r *Request) (d bucket.Decision, waits bool, evicted []Outcome) {
 	l := q.lines[r.Account]
 	late := r.Class == bucket.New && !r.Until.After(now)
-	if (l == nil || q.precedes(now, *r, l)) && (!late || q.Buckets.Waiting(r.Account) == 0) {
-		if d = q.take(now, r); d.OK {
-			return d, false, nil
-		}
-	} else {
-		d = q.Buckets.Refuse(now, r.Account, r.Class)
+	first := (l == nil || q.precedes(now, *r, l)) && (!late || q.Buckets.Waiting(r.Account) == 0)
+	if first && q.take(now, r) {
+		return bucket.Decision{OK: true}, false, nil
 	}
-	if d.NoShare || q.Buckets.Hopeless(now, r.Account, r.Until.Sub(now)) {
-		return d, false, nil
+	if q.Buckets.Hopeless(now, r.Account, r.Until.Sub(now)) {
+		return q.Buckets.Refuse(now, r.Account, r.Class), false, nil
 	}
+	d = q.Buckets.Deny(now, r.Account, r.Class)
 	q.add(now, *r)
 	if len(q.waiting) <= cmp.Or(q.Max, DefaultMax) {
 		return d, true, nil
@@ -119,13 +117,15 @@
 	return before(&entry{Request: r, rank: q.rank(now, r), seq: q.last + 1}, first)
 }
 
-// take decides on a request that comes first.
-func (q *Queue) take(now time.Time, r *Request) bucket.Decision {
-	d := q.Buckets.TakeClass(now, r.Account, r.Class)
-	if d.OK && !r.Start.IsZero() {
+// take takes the token of a request that comes first and reports whether there is one.
+func (q *Queue) take(now time.Time, r *Request) bool {
+	if !q.Buckets.Admit(now, r.Account, r.Class) {
+		return false
+	}
+	if !r.Start.IsZero() {
 		q.Buckets.Observe(r.Account, now.Sub(r.Start))
 	}
-	return d
+	return true
 }
 
 // Step decides on the requests that wait for an account whose limit may have changed.
@@ -133,11 +133,15 @@
 	l := q.lines[account]
 	for l != nil && l.order.Len() > 0 {
 		first, _ := l.order.Min()
-		d := q.take(now, &first.Request)
-		if !d.OK && !d.NoShare && !q.Buckets.Hopeless(now, account, first.Until.Sub(now)) {
+		admitted := q.take(now, &first.Request)
+		if !admitted && !q.Buckets.Hopeless(now, account, first.Until.Sub(now)) {
 			break
 		}
 		q.remove(now, first)
+		d := bucket.Decision{OK: true}
+		if !admitted {
+			d = q.Buckets.Refuse(now, account, first.Class)
+		}
 		out = append(out, Outcome{first.Ticket, d})
 	}
 	return out
