proxy: the wait for the limit does not move a program's latest start

The program's time was computed from the time left at arrival and the moment of the decision, so each second of waiting for the account's limit added a second to the time that the program is allowed: a program with 5 s left that waited 0.6 s was refused for lack of engines after 1.12 s in place of 1 s (TestLatestStartAfterLimitWait). Without a limit only the time of the records write, some milliseconds, no longer counts.

--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -124,7 +124,7 @@
 	switch {
 	case !t.HasFinishIn:
 	case r.First:
-		r.Until = earlier(r.Until, t.latestStart(now, maxLimitShare))
+		r.Until = earlier(r.Until, t.latestStart(maxLimitShare))
 	case finish.After(now):
 		r.Until = earlier(r.Until, finish)
 	}
--- a/internal/front/proxy/account_test.go
+++ b/internal/front/proxy/account_test.go
@@ -300,6 +300,22 @@
 	}
 }
 
+// The time that a program waited for its limit must not count as time that it is allowed: its
+// latest start would move on while it waits.
+func TestLatestStartAfterLimitWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{completeStream})
+		defer env.close()
+		env.useUp(t, 2)
+		env.setLoad("up1", 3)
+		began := time.Now()
+		rec, _ := env.do(t.Context(), "/keep/", map[string]string{"Key": "secret-a", "Program": "p", "Budget": "100", "Finish": "5s"}, "")
+		is.Equal(rec.Code, 503)
+		is.Equal(time.Since(began), time.Second) // a fifth of five seconds
+	})
+}
+
 // useUp configures an account whose limit is used up.
 func (env *testEnv) useUp(t *testing.T, rate float64) {
 	t.Helper()
--- a/internal/front/proxy/admission.go
+++ b/internal/front/proxy/admission.go
@@ -39,7 +39,7 @@
 		return true
 	}
 	began := time.Now()
-	waitUntil := earlier(t.latestStart(began, maxQueueShare), began.Add(maxQueueWait-t.summary.limitWait))
+	waitUntil := earlier(t.latestStart(maxQueueShare), began.Add(maxQueueWait-t.summary.limitWait))
 	s := &t.summary
 	if s.load = t.e.load(t.service.Name); s.load.Capacity == 0 {
 		return true // no engine accepts work: dispatch refuses the turn at once
@@ -69,9 +69,10 @@
 }
 
 // latestStart returns the time until which the program may begin to be finished in time, if it
-// may wait for a share of the time between its first attempt and its deadline.
-func (t *turn) latestStart(now time.Time, share float64) time.Time {
-	programTime := t.FinishIn + now.Sub(t.programStart)
+// may wait for a share of the time between its first attempt and its deadline. It does not
+// depend on how long this attempt has waited: FinishIn counts from its arrival.
+func (t *turn) latestStart(share float64) time.Time {
+	programTime := t.FinishIn + t.began.Sub(t.programStart)
 	return t.programStart.Add(time.Duration(share * float64(programTime)))
 }
 
