node/frontd: requests that wait are decided again when all accounts are removed

updateLimits returned early without accounts, so requests that waited for a limit when the last account was removed waited on and could be refused over a limit that no longer exists. The limits are now updated once more (TestAccountsRemovedWhileRequestsWait).

--- a/internal/front/limits/acquire.go
+++ b/internal/front/limits/acquire.go
@@ -45,7 +45,7 @@
 
 // Acquire takes one request from an account's limit. If there is none it waits, until
 // Request.Until at the latest. A request that can't be admitted until then is refused at once.
-// If ctx ends, Acquire takes nothing and returns a refusal.
+// If ctx ends before there is a decision, Acquire takes nothing and returns a refusal.
 func (a *Limiter) Acquire(ctx context.Context, r Request) bucket.Decision {
 	now := time.Now()
 	d, ticket, done := a.arrive(now, r)
--- a/internal/front/limits/limits.go
+++ b/internal/front/limits/limits.go
@@ -80,6 +80,13 @@
 	a.stepAll(now)
 }
 
+// HasAccounts reports whether Update set any accounts last.
+func (a *Limiter) HasAccounts() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.accounts != nil
+}
+
 // Programs returns the number of programs in progress of each account, by the forecast.
 func (a *Limiter) Programs(now time.Time) map[string]float64 {
 	a.mu.Lock()
--- a/internal/node/frontd/limits.go
+++ b/internal/node/frontd/limits.go
@@ -52,11 +52,12 @@
 	return out
 }
 
-// updateLimits passes the number of requests that the other fronts accepted to the limits.
+// updateLimits passes the accounts and the number of requests that the other fronts accepted to
+// the limits. After all accounts were removed it does so once more, for the requests that wait.
 func (d *Daemon) updateLimits(p mesh.Summary) {
 	now := time.Now()
 	v := d.fleet.View()
-	if v.Table == nil || v.Table.Accounts == nil || !d.limitPeers.updates.due(now, limitInterval) {
+	if v.Table == nil || v.Table.Accounts == nil && !d.limits.HasAccounts() || !d.limitPeers.updates.due(now, limitInterval) {
 		return
 	}
 	nodes := []string{d.Settings.Node}
--- a/internal/node/frontd/limits_test.go
+++ b/internal/node/frontd/limits_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/conf/accnt"
+	"github.com/slaterock/slaterock/internal/conf/route"
+	"github.com/slaterock/slaterock/internal/front/bucket"
+	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/mesh"
 )
 
@@ -66,3 +71,36 @@
 	var d Daemon
 	is.Equal(d.limitDemand(time.Unix(1000, 0)), mesh.Demand{})
 }
+
+// All accounts are removed while a request waits for a limit. It must be decided at once: it
+// would be refused as over a limit that no longer exists.
+func TestAccountsRemovedWhileRequestsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDaemon()
+		a, err := accnt.New([]accnt.Account{{Name: "cafe", Rate: 1, Burst: 1}})
+		is.NoErr(err)
+		configure := func(revision uint64, a *accnt.Accounts) {
+			table := route.New(int64(revision), nil, nil, route.Limits{})
+			table.Accounts = a
+			d.fleet.Update(time.Now(), fleet.Snapshot{Revision: revision, Table: table})
+			time.Sleep(limitInterval)
+			d.updateLimits(mesh.Summary{Fronts: 1})
+		}
+		configure(8, a)
+		d.limits.Drain(time.Now())
+		var waited bucket.Decision
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			waited = d.limits.Acquire(t.Context(), limits.Request{Account: "cafe", Begun: true, Until: time.Now().Add(3 * time.Second)})
+		}()
+		synctest.Wait()
+		is.Equal(d.limits.Demand(time.Now()).Waiting["cafe"], 1)
+		configure(9, nil)
+		synctest.Wait()
+		is.Equal(len(d.limits.Demand(time.Now()).Waiting), 0)
+		<-done
+		is.True(waited.OK)
+	})
+}
