bucket, gate, node/frontd: usual names

Hopeless is Infeasible, and stood and away are suspended and stalled, as in package stall. Log fields keep their names. No change of behavior.

--- a/internal/front/bucket/share.go
+++ b/internal/front/bucket/share.go
@@ -194,9 +194,9 @@
 	return max(min(time.Duration(seconds*float64(time.Second)), Period), minStep)
 }
 
-// Hopeless reports whether a request can't be admitted within the time, even if no other one
+// Infeasible reports whether a request can't be admitted within the time, even if no other one
 // is admitted before.
-func (r *Buckets) Hopeless(now time.Time, name string, within time.Duration) bool {
+func (r *Buckets) Infeasible(now time.Time, name string, within time.Duration) bool {
 	a := r.account(now, name)
 	if a == nil {
 		return false
--- a/internal/front/limits/acquire.go
+++ b/internal/front/limits/acquire.go
@@ -122,7 +122,7 @@
 func (a *Limiter) CanAdmit(now time.Time, name string, until time.Time) bucket.Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.bucket.Hopeless(now, name, until.Sub(now)) {
+	if a.bucket.Infeasible(now, name, until.Sub(now)) {
 		return a.bucket.Refuse(now, name, bucket.Begun)
 	}
 	return bucket.Decision{OK: true}
--- a/internal/front/wait/wait.go
+++ b/internal/front/wait/wait.go
@@ -96,7 +96,7 @@
 	if first && q.take(now, r) {
 		return bucket.Decision{OK: true}, false, nil
 	}
-	if q.Buckets.Hopeless(now, r.Account, r.Until.Sub(now)) {
+	if q.Buckets.Infeasible(now, r.Account, r.Until.Sub(now)) {
 		return q.Buckets.Refuse(now, r.Account, r.Class), false, nil
 	}
 	d = q.Buckets.Deny(now, r.Account, r.Class)
@@ -134,7 +134,7 @@
 	for l != nil && l.order.Len() > 0 {
 		first, _ := l.order.Min()
 		admitted := q.take(now, &first.Request)
-		if !admitted && !q.Buckets.Hopeless(now, account, first.Until.Sub(now)) {
+		if !admitted && !q.Buckets.Infeasible(now, account, first.Until.Sub(now)) {
 			break
 		}
 		q.remove(now, first)
--- a/internal/node/frontd/read.go
+++ b/internal/node/frontd/read.go
@@ -93,24 +93,24 @@
 			wait = 0
 		}
 		due := checkInterval + wait/2 + rand.N(wait/2+1)
-		if stood := d.readState.stood(now); stood > 0 {
-			resumeAt = d.resume(stood, stood)
+		if suspended := d.readState.suspendedSince(now); suspended > 0 {
+			resumeAt = d.resume(suspended, suspended)
 		}
 		ran.Check(time.Now(), due)
 		if !pause.For(ctx, due) {
 			return
 		}
-		if away, stood := ran.Check(time.Now(), due); away > 0 {
-			resumeAt = d.resume(away, stood)
+		if stalled, suspended := ran.Check(time.Now(), due); stalled > 0 {
+			resumeAt = d.resume(stalled, suspended)
 		}
 	}
 }
 
 // resume takes account of a time in which this process did not run, and returns when it may
 // read the store.
-func (d *Daemon) resume(away, stood time.Duration) (readAt time.Time) {
-	d.Log.Warn().Dur("away_ms", away).Dur("clock_stood_ms", stood).Msg("process did not run: VM frozen, suspended or starved")
-	d.apply(fleet.Suspended{For: stood}, nil)
+func (d *Daemon) resume(stalled, suspended time.Duration) (readAt time.Time) {
+	d.Log.Warn().Dur("away_ms", stalled).Dur("clock_stood_ms", suspended).Msg("process did not run: VM frozen, suspended or starved")
+	d.apply(fleet.Suspended{For: suspended}, nil)
 	d.limits.Drain(time.Now())
 	return time.Now().Add(resumeDelay)
 }
@@ -160,7 +160,7 @@
 	d.Scope.Gauge("entries_unusable").Update(float64(d.Source.Unusable()))
 	d.Log.Info().Bool("all", r.all).Uint64("revision", r.revision).Int("changes", r.changes).Dur("took_ms", time.Since(r.asked)).
 		Dur("state_age_ms", r.asked.Sub(v.Confirmed)).Msg("store read")
-	d.applyAt(r.asked.Add(-d.readState.stood(r.asked)), r.event, nil)
+	d.applyAt(r.asked.Add(-d.readState.suspendedSince(r.asked)), r.event, nil)
 	d.meshio.Broadcast() // at once, so that the front next in rank need not read
 	d.publishHubs(ctx, r.asked)
 	d.backUp(ctx)
@@ -201,10 +201,10 @@
 	return nil
 }
 
-// stood returns for how long the monotonic clock has stood still since a read was begun: its
-// answer is older by that time than the clock shows, and would otherwise confirm a
+// suspendedSince returns for how long the monotonic clock has stopped since a read was begun:
+// its answer is older by that time than the clock shows, and would otherwise confirm a
 // configuration that was replaced while the VM was suspended.
-func (s *readState) stood(since time.Time) time.Duration {
+func (s *readState) suspendedSince(since time.Time) time.Duration {
 	if s.suspended != nil {
 		return s.suspended(since, time.Now())
 	}
--- a/internal/peer/stall/stall.go
+++ b/internal/peer/stall/stall.go
@@ -35,7 +35,7 @@
 }
 
 // Suspended returns for how much of the time between two readings of the clock the monotonic
-// clock stood still, 0 if that is below MinStall.
+// clock was stopped, 0 if that is below MinStall.
 func Suspended(from, to time.Time) time.Duration { return suspended(elapsed(from, to)) }
 
 func suspended(mono, wall time.Duration) time.Duration {
--- a/internal/place/gate/forecast.go
+++ b/internal/place/gate/forecast.go
@@ -67,11 +67,11 @@
 	return n + g.waiting.Ahead(e.Priority, e.share())
 }
 
-// hopeless reports whether a program that has arrived will not begin in time by the forecast.
+// infeasible reports whether a program that has arrived will not begin in time by the forecast.
 // One program of each priority waits in any case, for the part of the capacity that each
 // priority gets. Without accounts and other priorities the newest program comes first, so
 // that nothing is known to be ahead of it.
-func (g *Gate) hopeless(now time.Time, e Arrive) bool {
+func (g *Gate) infeasible(now time.Time, e Arrive) bool {
 	if e.Account == "" && !g.mixed(now, e.Load, e.Priority) || g.waiting.LenAt(e.Priority) < 2 {
 		return false
 	}
--- a/internal/place/gate/gate.go
+++ b/internal/place/gate/gate.go
@@ -163,7 +163,7 @@
 		Ticket: e.Ticket, LatestStart: e.LatestStart, Priority: e.Priority, Account: e.Account, Weight: e.Weight,
 	}, e.Load.Running)
 	ops = g.admit(now, ops, e.Load)
-	if g.hopeless(now, e) && g.waiting.Remove(e.Ticket) {
+	if g.infeasible(now, e) && g.waiting.Remove(e.Ticket) {
 		ops = append(ops, Refuse{Ticket: e.Ticket, After: g.retryAfter(now, e.Ticket, g.Ahead(e))})
 	}
 	return ops
