obs/recap: the parts of a request are in the order in which it goes through them

Where attempts overlap only the first part of the earlier one counts, and the wait for the account's limit was taken to come before the records are read. A turn reads them first (TestOverlapKeepsFirstParts). The columns of the report have the same order.

--- a/internal/obs/recap/parts.go
+++ b/internal/obs/recap/parts.go
@@ -5,11 +5,11 @@
 	"slices"
 )
 
-// The parts of a program's time.
+// The parts of a program's time, in the order in which a request goes through them.
 const (
-	partLimit   = iota // waiting for the account's limit
+	partRecords = iota // reserving tokens and reading the history
+	partLimit          // waiting for the account's limit
 	partQueue          // waiting for engines
-	partRecords        // reserving tokens and reading the history
 	partFirst          // from there to the first event of a turn
 	partEvents         // from the first event of a turn to its end
 	partCalls          // plain calls, at the service
@@ -23,7 +23,7 @@
 const maxSpans = 32
 
 // partNames are the names of the parts in reports.
-var partNames = [partCount]string{"limit", "queue", "records", "first", "events", "calls", "between", "other"}
+var partNames = [partCount]string{"records", "limit", "queue", "first", "events", "calls", "between", "other"}
 
 type (
 	// Parts is time by part, in milliseconds.
