--- a/internal/place/gate/class.go
+++ b/internal/place/gate/class.go
@@ -45,8 +45,8 @@
 )
 
 // see records the arrival of a program. It drops the priorities that were last seen long
-// ago when a new one appears. What is due to that begins at chance: hundreds of daemons that
-// all begin at 0 would admit none for many seconds.
+// ago when a new one appears. What is due to the new one begins at a random value: hundreds of daemons
+// that all begin at 0 would admit none for many seconds.
 func (c *classes) see(now time.Time, priority int, ticket uint64) {
 	for i := range *c {
 		if (*c)[i].priority == priority {
