--- a/internal/front/proxy/account_test.go
+++ b/internal/front/proxy/account_test.go
@@ -206,6 +206,20 @@
 	})
 }
 
+// A program's first turn is broken off, and no upstream resumes it. The program has begun: only
+// the send that was refused may be returned, else more programs begin than the limit can finish.
+func TestBrokenOffProgramHasBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{chunked + event1 + "CLOSE", full})
+		defer env.close()
+		env.startWithAccounts()
+		_, aborted := env.do(t.Context(), "/resume/", map[string]string{"Key": "secret-a", "Program": "p", "Budget": "100", "Finish": "5s"}, "")
+		is.True(aborted)
+		is.True(env.e.Limiter.Programs(time.Now())["cafe"] > 0.5)
+	})
+}
+
 // A key that is new makes the front read a newer version; the request must then take that version's route too, not be run by the service that the route left.
 func TestNewKeyGoesToNewRoute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -286,6 +300,22 @@
 	}
 }
 
+// The time that a program waited for its limit must not count as time that it is allowed: its
+// latest start would move on while it waits.
+func TestLatestStartAfterLimitWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{completeStream})
+		defer env.close()
+		env.useUp(t, 2)
+		env.setLoad("up1", 3)
+		began := time.Now()
+		rec, _ := env.do(t.Context(), "/keep/", map[string]string{"Key": "secret-a", "Program": "p", "Budget": "100", "Finish": "5s"}, "")
+		is.Equal(rec.Code, 503)
+		is.Equal(time.Since(began), time.Second) // a fifth of five seconds
+	})
+}
+
 // useUp configures an account whose limit is used up.
 func (env *testEnv) useUp(t *testing.T, rate float64) {
 	t.Helper()
--- a/internal/place/gate/gate.go
+++ b/internal/place/gate/gate.go
@@ -79,6 +79,9 @@
 	// Change reports a new load, after turns have ended or another daemon's update.
 	Change struct{ Load Load }
 
+	// Expire refuses the programs whose latest start has passed. The load has not changed.
+	Expire struct{}
+
 	// Cancel removes a waiting program whose caller has disconnected.
 	Cancel struct{ Ticket uint64 }
 
@@ -110,6 +113,7 @@
 
 func (Arrive) event() {}
 func (Change) event() {}
+func (Expire) event() {}
 func (Cancel) event() {}
 func (Admit) op()     {}
 func (Refuse) op()    {}
@@ -121,6 +125,8 @@
 		return g.arrive(now, e)
 	case Change:
 		return g.release(now, g.expire(now, nil), e.Load)
+	case Expire:
+		return g.expire(now, nil)
 	case Cancel:
 		g.waiting.Remove(e.Ticket)
 	}
@@ -157,7 +163,7 @@
 		Ticket: e.Ticket, LatestStart: e.LatestStart, Priority: e.Priority, Account: e.Account, Weight: e.Weight,
 	}, e.Load.Running)
 	ops = g.admit(now, ops, e.Load)
-	if g.hopeless(now, e) && g.waiting.Remove(e.Ticket) {
+	if g.infeasible(now, e) && g.waiting.Remove(e.Ticket) {
 		ops = append(ops, Refuse{Ticket: e.Ticket, After: g.retryAfter(now, e.Ticket, g.Ahead(e))})
 	}
 	return ops
