--- a/internal/front/admit/admit.go
+++ b/internal/front/admit/admit.go
@@ -11,7 +11,6 @@
 
 	"github.com/slaterock/slaterock/internal/place/batch"
 	"github.com/slaterock/slaterock/internal/place/gate"
-	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
 type (
@@ -26,10 +25,6 @@
 	service struct {
 		gate  gate.Gate
 		batch batch.Estimator
-		// usual is fitted to times divided by the factors of the engines: fast ones run more
-		// turns, and would make the line flatter than that of any engine.
-		usual batch.Estimator
-		scale pace.Scale
 	}
 
 	// Program is a program that is to begin. It waits until LatestStart at the latest; if
@@ -123,14 +118,12 @@
 	return names
 }
 
-// Observe records the mean time per event of a complete stream, on an engine that ran so many
-// turns meanwhile and whose time is a multiple (factor) of that of its service.
-func (q *Queue) Observe(name string, turns float64, event time.Duration, factor float64) {
+// Observe records the mean time per event of a complete stream, on an engine that ran so
+// many turns meanwhile.
+func (q *Queue) Observe(name string, turns float64, event time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.service(name)
-	s.batch.Observe(turns, event.Seconds())
-	s.usual.Observe(turns, s.scale.Usual(event.Seconds(), factor))
+	q.service(name).batch.Observe(turns, event.Seconds())
 }
 
 // MeanEventTime returns the mean time per event at the engines of the service, 0 if it is unknown.
@@ -144,18 +137,6 @@
 	return time.Duration(event * float64(time.Second))
 }
 
-// EventTime returns the time per event that an engine of the usual speed of the service takes while
-// it runs so many turns, 0 if it is unknown.
-func (q *Queue) EventTime(name string, turns float64) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	event, known := q.service(name).usual.Expected(turns)
-	if !known {
-		return 0
-	}
-	return time.Duration(event * float64(time.Second))
-}
-
 // Share returns a function that gives, for an engine of the service that runs so many turns
 // at a time, how many it should be given at most, as a multiple of that number.
 func (q *Queue) Share(name string) func(places int) float64 {
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -115,7 +115,6 @@
 		failureRate float64   // moving average of failures, 0 to 1
 		slowdown    float64   // moving average of the time taken, in multiples of the usual; 0 is unknown
 		lastOutcome time.Time // when an outcome was last recorded
-		usual       average   // of the requests of other daemons in flight
 	}
 
 	// Request describes a request for which an upstream is selected.
@@ -167,7 +166,6 @@
 	}
 	w.peers = p.peers[u.ID]
 	s := p.upstreams[u.ID]
-	w.state = s
 	if s != nil {
 		w.own = s.ownInFlight
 		failing, slow := s.outcomes(now)
--- a/internal/front/proxy/pace.go
+++ b/internal/front/proxy/pace.go
@@ -76,12 +76,7 @@
 // work returns what is expected of a turn.
 func (t *turn) work() (w pick.Work) {
 	turns, events := t.e.Turns.Expected(t.route.Name)
-	alone, second := t.e.Queue.EventTime(t.service.Name, 1), t.e.Queue.EventTime(t.service.Name, 2)
-	if events == 0 || alone == 0 {
-		return w
-	}
-	w.Alone = events * milliseconds(alone)
-	w.Rise = events * milliseconds(second-alone)
+	w.Alone = events * milliseconds(t.e.Queue.MeanEventTime(t.service.Name))
 	w.Later = max(turns-1-float64(t.turnsDone), 0)
 	return w
 }
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -357,7 +357,7 @@
 	if n := t.summary.events - 1; n > 2 {
 		eventTime := (time.Since(t.began) - t.summary.firstOutput) / time.Duration(n)
 		pace = t.e.Baseline.Slowdown(t.route.Name, eventTime.Seconds())
-		t.e.Queue.Observe(t.service.Name, turns, eventTime, t.e.factor(&s.up))
+		t.e.Queue.Observe(t.service.Name, turns, eventTime)
 		t.e.Turns.Ended(t.route.Name, t.summary.events)
 	}
 	t.e.Picker.RecordOutcome(time.Now(), s.up.ID, pace, false)
--- a/internal/place/batch/batch.go
+++ b/internal/place/batch/batch.go
@@ -79,9 +79,3 @@
 func (e *Estimator) Mean() (event float64, known bool) {
 	return e.fit.Mean(), e.samples >= minExpected
 }
-
-// Expected returns the time of one event of the mean engine at so many turns, in seconds, and
-// whether it is known.
-func (e *Estimator) Expected(turns float64) (event float64, known bool) {
-	return e.fit.At(turns), e.samples >= minExpected
-}
