pick: slow upstreams, as all daemons know them, are avoided

What stays of the speeds: an upstream whose factor is above 1 costs slowCost for each multiple beyond, at all fronts, in place of what this front saw itself from 1.8 times on.

--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -168,16 +168,6 @@
 	return false
 }
 
-// TurnsRun returns the number of attempts of the program other than this one that have run.
-func TurnsRun(charges []Charge, attempt string) (n int) {
-	for _, c := range charges {
-		if c.Attempt != attempt && c.Upstream != "" {
-			n++
-		}
-	}
-	return n
-}
-
 // StartTime returns the time of the earliest settled attempt of a program, or now if there
 // is none.
 func StartTime(charges []Charge, now time.Time) time.Time {
--- a/internal/front/pick/choose.go
+++ b/internal/front/pick/choose.go
@@ -35,7 +35,6 @@
 		confidence float64
 		best       *fleet.Upstream
 		lowest     float64
-		timed      timed // the same by expected time
 	}
 )
 
@@ -47,18 +46,13 @@
 	defer p.mu.Unlock()
 	s := selection{p: p, r: r, now: now, confidence: p.confidence(), lowest: math.Inf(1)}
 	p.findHolders(now, &s.r)
-	s.timed.lowest = math.Inf(1)
 	s.run()
-	best := s.best
-	if s.timed.differ {
-		best = s.timed.best
-	}
-	if best == nil {
+	if s.best == nil {
 		return u, false
 	}
-	p.state(best.ID).ownInFlight++
-	p.remember(best)
-	return *best, true
+	p.state(s.best.ID).ownInFlight++
+	p.remember(s.best)
+	return *s.best, true
 }
 
 func (s *selection) run() {
@@ -108,12 +102,8 @@
 	if s.r.Only == "" && (u.Leaving || s.r.Exclude[u.ID]) {
 		return
 	}
-	w := s.p.weigh(s.now, u, &s.r, s.confidence)
-	if w.cost < s.lowest {
-		s.best, s.lowest = u, w.cost
-	}
-	if s.p.Factor != nil && s.r.Work.Alone > 0 {
-		s.compareTime(u, w)
+	if cost := s.p.cost(s.now, u, &s.r, s.confidence); cost < s.lowest {
+		s.best, s.lowest = u, cost
 	}
 }
 
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -14,7 +14,6 @@
 package pick
 
 import (
-	"cmp"
 	"sync"
 	"time"
 
@@ -71,10 +70,11 @@
 	freshAge = 80 * time.Millisecond
 	// failureCost is the cost of an upstream that fails every request.
 	failureCost = 600.0
-	// slowThreshold is the multiple of the usual time above which an upstream counts as
-	// slow, and slowCost the cost of each further multiple; a choice by expected time has the
-	// factor instead. Work differs by a factor of three from call to call, so a lower multiple
-	// is not significant.
+	// slowThreshold is the multiple of the usual time above which an upstream counts as slow by
+	// this daemon's own outcomes, and slowCost the cost of each further multiple. Work differs by
+	// a factor of three from call to call, so a lower multiple is not significant. A factor, from
+	// the samples of all daemons, is significant as such. Faster upstreams are not preferred:
+	// they would be overloaded before the load that they get is known everywhere.
 	slowThreshold = 1.8
 	slowCost      = 60.0
 	// outcomeWeight is the weight of one outcome in the moving average, and
@@ -126,7 +126,6 @@
 		Shared     []meta.Part     // parts of the prompt that other programs may share; see meta.Attempt.SharedParts
 		Only       string          // id of the only upstream that may run it, even if leaving or excluded; empty for any
 		Exclude    map[string]bool // ids that have refused or failed this attempt
-		Work       Work            // what is expected of it; used if upstreams differ in speed
 	}
 )
 
@@ -143,11 +142,6 @@
 }
 
 func (p *Picker) cost(now time.Time, u *fleet.Upstream, r *Request, confidence float64) float64 {
-	return p.weigh(now, u, r, confidence).cost
-}
-
-// weigh returns the cost of an upstream if all are of the same speed, and its parts.
-func (p *Picker) weigh(now time.Time, u *fleet.Upstream, r *Request, confidence float64) (w weighed) {
 	cost := noiseCost / 2 * jitter()
 	if u.Domain != p.Domain {
 		cost += crossDomainCost
@@ -155,41 +149,39 @@
 	if p.Idle == nil || !p.Idle(u.Address) {
 		cost += newConnCost
 	}
-	w.fixed = cost
 	prefillCost := p.prefillCost(u, r)
 	cost += prefillCost
-	if r.Prefer == "" || p.Factor != nil {
-		w.hash = weight(cmp.Or(r.Key, p.Name), u.ID)
-	}
 	if r.Prefer == "" {
-		cost += p.order(u, r, w.hash, prefillCost, confidence)
+		cost += p.order(u, r, prefillCost, confidence)
+	}
+	slow := 0.0
+	if p.Factor != nil {
+		slow = slowCost * max(p.Factor(u)-1, 0)
 	}
-	w.peers = p.peers[u.ID]
-	s := p.upstreams[u.ID]
-	if s != nil {
-		w.own = s.ownInFlight
-		failing, slow := s.outcomes(now)
-		cost += failing + slow
-		w.fixed += failing
+	own, peers := 0, p.peers[u.ID]
+	if s := p.upstreams[u.ID]; s != nil {
+		own = s.ownInFlight
+		failing, ownSlow := s.outcomes(now)
+		slow = max(slow, ownSlow)
+		cost += failing
 		if now.Before(s.avoidUntil) {
 			cost += avoidCost
-			w.fixed += avoidCost
 		}
 	}
-	if w.cost = cost; w.own+w.peers == 0 {
-		return w
+	cost += slow
+	if own+peers == 0 {
+		return cost
 	}
-	cost += prefillCost * float64(w.own+w.peers)
+	cost += prefillCost * float64(own+peers)
 	batch := float64(max(u.Batch, 1))
-	inFlight := float64(w.own) + confidence*float64(w.peers)
+	inFlight := float64(own) + confidence*float64(peers)
 	if r.Key != "" {
-		cost += contentionCost*inFlight + laterCost(r, w.own+w.peers)
+		cost += contentionCost*inFlight + laterCost(r, own+peers)
 	} else {
 		share := min(inFlight/batch, 1)
 		cost += loadCost * share * share
 	}
-	w.cost = cost + queueCost*max(inFlight-batch+1, 0)/batch
-	return w
+	return cost + queueCost*max(inFlight-batch+1, 0)/batch
 }
 
 func (p *Picker) state(id string) *state {
--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"math/rand/v2"
@@ -114,15 +115,6 @@
 	return float64(p.sharing.total-p.heldTokens(u)) * (1 - min(spread, 1))
 }
 
-// prefillTokens returns the tokens that the upstream, which did not run the last turn of the
-// program, is charged for.
-func (p *Picker) prefillTokens(u *fleet.Upstream, r *Request) float64 {
-	if r.Prefer == "" && len(r.Shared) > 0 {
-		return p.missingShared(u, r) + float64(max(r.Tokens-p.sharing.total, 0))
-	}
-	return float64(max(r.Tokens-p.heldTokens(u), 0))
-}
-
 // laterCost returns what the requests in flight at the upstream cost the later turns of a new
 // program with shared parts, which stay there. Without it an engine with a popular prefix gets
 // programs until their turns are slower by more than the prefill that is saved once.
@@ -137,12 +129,11 @@
 // program, or from prefix to prefix if no upstream has all shared parts yet. Fronts that have the
 // same prefix to prefill at the same time then select the same few engines: the logarithm of the
 // rank sets the first ranks apart. The cost is at most that of the prefill, or the usual one, so an
-// upstream that has a longer beginning comes first, however many there are. Hash is that of the
-// program and the upstream.
-func (p *Picker) order(u *fleet.Upstream, r *Request, hash, missing, confidence float64) float64 {
+// upstream that has a longer beginning comes first, however many there are.
+func (p *Picker) order(u *fleet.Upstream, r *Request, missing, confidence float64) float64 {
 	cost := noiseCost + spreadCost*(1-confidence)
 	if missing == 0 || p.sharing.whole {
-		return cost * hash
+		return cost * weight(cmp.Or(r.Key, p.Name), u.ID)
 	}
 	n := float64(r.Candidates.Len())
 	last := r.Shared[len(r.Shared)-1].ID
--- a/internal/front/pick/shared_test.go
+++ b/internal/front/pick/shared_test.go
@@ -20,9 +20,6 @@
 	return []float64{0.6, 1, 1.6}[i%3]
 }
 
-// sharedWork is what is expected of a turn in the tests below.
-var sharedWork = Work{Alone: 234, Later: 3}
-
 // Guards against new programs that are kept from the engine that has the longest known beginning of
 // their prompt, when engines differ in speed and the parts after it are their own.
 func TestLongestBeginningWithSpeeds(t *testing.T) {
@@ -32,7 +29,7 @@
 		service, there := fleet.NewService(ups(72)...), 0
 		for i := range uint64(50) {
 			shared := []meta.Part{{ID: 1, Tokens: 60000}, {ID: 100 + i, Tokens: 100}}
-			id := choose(p, Request{Candidates: service, Key: fmt.Sprint(i), Tokens: 60200, Shared: shared, Work: sharedWork})
+			id := choose(p, Request{Candidates: service, Key: fmt.Sprint(i), Tokens: 60200, Shared: shared})
 			if p.Done(id); id == holder {
 				there++
 			}
@@ -56,7 +53,7 @@
 					p := &Picker{Domain: "x", Factor: threeSpeeds, Holders: holdersOf(map[uint64][]string{1: held})}
 					r := Request{
 						Candidates: fleet.NewService(list...), Prefer: prefer, Tokens: 3000, Shared: []meta.Part{{ID: 1, Tokens: 2560}},
-						Exclude: map[string]bool{"u4": true}, Work: sharedWork,
+						Exclude: map[string]bool{"u4": true},
 					}
 					for i := range 100 {
 						r.Key = fmt.Sprint(i)
@@ -123,9 +120,9 @@
 		for i := range 24 {
 			part, front := 1+rng.Uint64N(prefixes), fronts[rng.IntN(len(fronts))]
 			u, _ := front.Choose(at, Request{
-				Candidates: service, Key: fmt.Sprint(step, i), Tokens: 4000, Shared: []meta.Part{{ID: part, Tokens: 2560}}, Work: sharedWork,
+				Candidates: service, Key: fmt.Sprint(step, i), Tokens: 4000, Shared: []meta.Part{{ID: part, Tokens: 2560}},
 			})
-			took := threeSpeeds(&u) * (sharedWork.Alone + 12*float64(load[u.ID]))
+			took := threeSpeeds(&u) * (234 + 12*float64(load[u.ID]))
 			turns = append(turns, running{front, u.ID, at.Add(time.Duration(took * float64(time.Millisecond)))})
 			load[u.ID]++
 			known := slices.Contains(held[part], u.ID)
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -30,7 +30,7 @@
 	}
 	exclude := map[string]bool{}
 	for {
-		s, err := q.dispatch(ctx, pick.Request{Exclude: exclude, Work: q.callWork()}, q.body, meta.Dispatch{})
+		s, err := q.dispatch(ctx, pick.Request{Exclude: exclude}, q.body, meta.Dispatch{})
 		if err == nil {
 			if err = q.returnResponse(ctx, s); err == nil {
 				return
--- a/internal/front/proxy/pace.go
+++ b/internal/front/proxy/pace.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
-	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/place/pace"
 )
 
@@ -72,18 +71,3 @@
 	took := time.Since(s.began).Seconds()
 	q.e.Paces.Observe(time.Now(), pace.IDOf(s.up.ID, s.up.Born), took, took/slowdown, false)
 }
-
-// work returns what is expected of a turn.
-func (t *turn) work() (w pick.Work) {
-	turns, events := t.e.Turns.Expected(t.route.Name)
-	w.Alone = events * milliseconds(t.e.Queue.MeanEventTime(t.service.Name))
-	w.Later = max(turns-1-float64(t.turnsDone), 0)
-	return w
-}
-
-// callWork returns what is expected of a call.
-func (q *request) callWork() pick.Work {
-	return pick.Work{Alone: 1000 * q.e.Baseline.Mean(q.route.Name)}
-}
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -75,7 +75,6 @@
 		Pool     *upconn.Pool
 		Picker   *pick.Picker
 		Baseline pick.Baseline // usual durations, by route
-		Turns    pick.Turns    // usual turns, by route
 		Paces    Paces         // speeds of upstreams; nil if they are not compared
 		Queue    admit.Queue
 		Limiter  *limits.Limiter
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -37,7 +37,6 @@
 	previousID       string    // id in the records of the turn that this one continues
 	previousUpstream string    // id of the upstream that ran that turn
 	lastUpstream     string    // id of the upstream that last ran a turn of the program, of the same session if any
-	turnsDone        int       // turns of the program that have run before, as recorded
 	reserved         bool      // tokens are reserved and not settled yet
 	running          bool      // counted as in flight at engines
 	programBegun     bool      // a turn of the program has run, or may have
@@ -178,7 +177,6 @@
 		return false
 	}
 	t.programBegun = t.Previous != "" || index.OthersStarted(res.Charges, rec.Attempt)
-	t.turnsDone = index.TurnsRun(res.Charges, rec.Attempt)
 	t.programStart = index.StartTime(res.Charges, t.began)
 	t.lastUpstream = index.LastUpstream(res.Charges, t.Session)
 	if !index.WithinBudget(res.Charges, t.TokenBudget) {
@@ -228,9 +226,8 @@
 	}
 	c := pick.Request{
 		Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens,
-		Shared: t.SharedParts(t.service.Name), Exclude: map[string]bool{}, Work: t.work(),
+		Shared: t.SharedParts(t.service.Name), Exclude: map[string]bool{},
 	}
-	t.e.Turns.Began(t.route.Name, !t.programBegun && t.Previous == "")
 	d := meta.Dispatch{Priority: min(t.priority(), maxPriority), HasPriority: true, LastEventID: t.lastEventID}
 	defer t.endRunning()
 	for range maxRuns {
@@ -358,7 +355,6 @@
 		eventTime := (time.Since(t.began) - t.summary.firstOutput) / time.Duration(n)
 		pace = t.e.Baseline.Slowdown(t.route.Name, eventTime.Seconds())
 		t.e.Queue.Observe(t.service.Name, turns, eventTime)
-		t.e.Turns.Ended(t.route.Name, t.summary.events)
 	}
 	t.e.Picker.RecordOutcome(time.Now(), s.up.ID, pace, false)
 }
