limits: a new program needs as much of its account's limit as it is long

A program's size, by the time that it is given against the mean of its account, now counts in the forecast, in the shares of fronts and in the room that it needs, and the shortest wait first whatever bounds their wait.

--- a/internal/front/bucket/bucket.go
+++ b/internal/front/bucket/bucket.go
@@ -82,7 +82,7 @@
 		Waiting map[string]int // requests that wait there for the limit
 		// WaitingBegun is the part of Waiting that belongs to programs that have begun.
 		WaitingBegun map[string]int
-		Begun        map[string]int // programs that they admitted during the last Period
+		Begun        map[string]int // sizes of programs that they admitted during the last Period, as returned by Begun
 		Fronts       int            // live fronts, this one included; 0 if this front may not use any part of the limits
 		Total        int            // fronts that recently existed, this one included
 	}
@@ -115,9 +115,10 @@
 		limit    Limit
 		level    float64 // requests that the live fronts together may admit now
 		at       time.Time
-		used     window // requests admitted by this front
-		begun    window // programs admitted by this front
-		refused  window // requests refused by this front
+		used     window  // requests admitted by this front
+		begun    window  // sizes of programs admitted by this front, in units
+		length   float64 // mean time that its programs are given, in seconds; 0 if unknown
+		refused  window  // requests refused by this front
 		forecast demand.Forecast
 		others   others
 		// forecastAt is the time up to which the forecast was advanced.
@@ -170,25 +171,26 @@
 
 // TakeClass is Take for a class of requests.
 func (r *Buckets) TakeClass(now time.Time, name string, class Class) Decision {
-	if r.Admit(now, name, class) {
+	if r.Admit(now, name, class, 1) {
 		return Decision{OK: true}
 	}
 	return r.Refuse(now, name, class)
 }
 
-// Admit takes one request of a class and reports whether it is admitted. A request that is not
+// Admit takes one request of a class and reports whether it is admitted. Size is that of the program
+// that a request of the class New begins, and 1 for others. A request that is not
 // may wait on: Refuse counts those that are refused.
-func (r *Buckets) Admit(now time.Time, name string, class Class) bool {
+func (r *Buckets) Admit(now time.Time, name string, class Class, size float64) bool {
 	a := r.account(now, name)
 	switch {
 	case a == nil:
 		return true
-	case r.groupShare == 0, a.level < 1, !r.fits(now, a, class):
+	case r.groupShare == 0, a.level < 1, !r.fits(now, a, class, size):
 		return false
 	}
 	if class == New {
-		a.forecast.Begin()
-		a.begun.add(now, 1)
+		a.forecast.Begin(size)
+		a.begun.add(now, sizeUnits(size))
 	}
 	a.use(now, 1)
 	return true
@@ -262,11 +264,11 @@
 
 // RefundClass is Refund for a class of requests: a program whose first request reached no
 // upstream has not begun.
-func (r *Buckets) RefundClass(now time.Time, name string, class Class) {
+func (r *Buckets) RefundClass(now time.Time, name string, class Class, size float64) {
 	r.Refund(now, name)
 	if a := r.accounts[name]; a != nil && class == New {
-		a.begun.add(now, -1)
-		a.forecast.Withdraw()
+		a.begun.add(now, -sizeUnits(size))
+		a.forecast.Withdraw(size)
 	}
 }
 
--- a/internal/front/bucket/bucket_test.go
+++ b/internal/front/bucket/bucket_test.go
@@ -103,7 +103,7 @@
 		r.Update(now, PeerUsage{Fronts: 1, Total: 1})
 		now = now.Add(100 * time.Millisecond)
 		is.True(r.Take(now, "small", false).OK)
-		r.RefundClass(now, "small", New)
+		r.RefundClass(now, "small", New, 1)
 		is.Equal(r.Programs(now)["small"], 0.0)
 		is.Equal(len(r.Begun(now)), 0)
 	}
--- a/internal/front/bucket/level.go
+++ b/internal/front/bucket/level.go
@@ -65,7 +65,7 @@
 	if o.used == 0 && len(u.Waiting) == 0 {
 		return o // as for most of thousands of accounts
 	}
-	o.begun, o.waiting, o.waitingBegun = float64(u.Begun[name]), float64(u.Waiting[name]), float64(u.WaitingBegun[name])
+	o.begun, o.waiting, o.waitingBegun = float64(u.Begun[name])/sizesPerProgram, float64(u.Waiting[name]), float64(u.WaitingBegun[name])
 	return o
 }
 
--- a/internal/front/bucket/report.go
+++ b/internal/front/bucket/report.go
@@ -13,7 +13,8 @@
 	return out
 }
 
-// Begun returns the programs that this front admitted during the last Period, by account.
+// Begun returns the sum of the sizes of the programs that this front admitted during the last Period,
+// in tenths of the mean size, by account.
 func (r *Buckets) Begun(now time.Time) map[string]int {
 	out := map[string]int{}
 	for name, a := range r.accounts {
--- a/internal/front/bucket/share.go
+++ b/internal/front/bucket/share.go
@@ -38,6 +38,7 @@
 type share struct {
 	waiting int
 	credit  float64
+	need    float64 // size of the request that was last not admitted for lack of credit
 	// onset is when the class became limited to shares. Reports of what the others have waiting
 	// may be missing for reportAge after it.
 	onset   time.Time
@@ -56,9 +57,9 @@
 // fits reports whether this front may admit one more request of the class, while the others'
 // latest requests are not known: until a part of what is available is used, freely, and then
 // against the front's credit.
-func (r *Buckets) fits(now time.Time, a *account, class Class) bool {
-	available := r.available(a, class)
-	if class == New && available < 1 {
+func (r *Buckets) fits(now time.Time, a *account, class Class, size float64) bool {
+	available := r.available(a, class, size)
+	if class == New && available < size {
 		return false
 	}
 	own, all, free := r.recent(now, a, class)
@@ -73,10 +74,11 @@
 		}
 	}
 	s.lastAt, s.limited, a.quiet = now, true, false
-	if s.credit < 1 {
+	if s.credit < size {
+		s.need = size
 		return false
 	}
-	s.credit--
+	s.credit -= size
 	return true
 }
 
@@ -85,8 +87,9 @@
 	return a.shares[Begun].limited || a.shares[New].limited || a.shares[Begun].waiting+a.shares[New].waiting > 0
 }
 
-// available returns how many requests of the class all fronts may admit now.
-func (r *Buckets) available(a *account, class Class) float64 {
+// available returns how many requests of the class all fronts may admit now, if the next program has
+// the size.
+func (r *Buckets) available(a *account, class Class, size float64) float64 {
 	level := a.level - unknownUsed*a.others.used
 	if class == Begun {
 		return level
@@ -94,7 +97,7 @@
 	level -= a.others.waitingBegun + float64(a.shares[Begun].waiting)
 	room := a.forecast.Room(level-r.margin(a), r.rate(a.limit))
 	if a.forecast.Remaining() < 1 {
-		room = max(room, 1) // a limit that is too small for any program still serves one after the other
+		room = max(room, size) // a limit that is too small for any program still serves one after the other
 	}
 	return room - unknownBegun*a.others.begun
 }
@@ -112,7 +115,7 @@
 		own = float64(a.used.sum(now))
 		return own, own + a.others.used, freeUseBegun
 	}
-	own = float64(a.begun.sum(now))
+	own = float64(a.begun.sum(now)) / sizesPerProgram
 	return own, own + a.others.begun, freeUse
 }
 
@@ -127,7 +130,7 @@
 		rate := r.creditRate(now, a, class)
 		most := 1.0
 		if s.waiting > 0 {
-			most = max(1, rate*Period.Seconds())
+			most = max(1, s.need, rate*Period.Seconds())
 		}
 		s.credit = max(min(s.credit+rate*passed.Seconds(), most), min(s.credit, 1))
 	}
@@ -136,7 +139,7 @@
 // creditRate returns how many requests of the class this front may admit per second: its
 // share, by demand, of what all fronts may admit.
 func (r *Buckets) creditRate(now time.Time, a *account, class Class) float64 {
-	all := max(r.available(a, class), 0)
+	all := max(r.available(a, class, 1), 0)
 	if class == Begun {
 		all /= reportAge.Seconds()
 	} else {
@@ -188,7 +191,7 @@
 	if a.level < 1 {
 		seconds = (1 - a.level) / max(r.rate(a.limit)-a.others.used/Period.Seconds(), 0.1)
 	}
-	if short := 1 - a.shares[class].credit; short > 0 {
+	if short := max(a.shares[class].need, 1) - a.shares[class].credit; short > 0 {
 		seconds = max(seconds, short/max(r.creditRate(now, a, class), 0.1))
 	}
 	return max(min(time.Duration(seconds*float64(time.Second)), Period), minStep)
--- a/internal/front/demand/demand.go
+++ b/internal/front/demand/demand.go
@@ -75,15 +75,16 @@
 }
 
 // Begin counts a program that this front admitted, and whose first request is counted by Admit.
-func (f *Forecast) Begin() {
-	f.remaining += f.Requests() - 1
-	f.begun++
+// Size is its length as a multiple of the mean.
+func (f *Forecast) Begin(size float64) {
+	f.remaining += max(f.Requests()*size-1, 0)
+	f.begun += size
 }
 
 // Withdraw undoes Begin for a program that did not begin.
-func (f *Forecast) Withdraw() {
-	f.begun = max(f.begun-1, 0)
-	f.remaining = max(f.remaining-f.Requests()+1, 0)
+func (f *Forecast) Withdraw(size float64) {
+	f.begun = max(f.begun-size, 0)
+	f.remaining = max(f.remaining-max(f.Requests()*size-1, 0), 0)
 }
 
 // Observe records the age of a program at one of its requests.
--- a/internal/front/demand/demand_test.go
+++ b/internal/front/demand/demand_test.go
@@ -49,7 +49,7 @@
 func TestForgets(t *testing.T) {
 	is := is.New(t)
 	var f Forecast
-	f.Begin()
+	f.Begin(1)
 	f.Admit(1)
 	for range 100 {
 		f.Observe(100 * time.Millisecond)
--- a/internal/front/limits/acquire.go
+++ b/internal/front/limits/acquire.go
@@ -16,6 +16,8 @@
 		First   bool      // it is a new program's first turn
 		Until   time.Time // latest useful moment
 		Start   time.Time // arrival of the program's first attempt; zero if not known
+		// Length is the time that the program is given, from Start to its deadline; 0 if not known.
+		Length time.Duration
 	}
 
 	// Demand is what competes for the limits at this daemon, by account, as it reports it to
@@ -75,7 +77,7 @@
 	w.ticket++
 	ticket = w.ticket
 	d, waits, evicted := w.queue.Arrive(now, &wait.Request{
-		Ticket: ticket, Account: r.Account, Class: r.class(), Until: r.Until, Start: r.Start,
+		Ticket: ticket, Account: r.Account, Class: r.class(), Until: r.Until, Start: r.Start, Length: r.Length,
 	})
 	a.deliver(evicted)
 	if !waits {
@@ -110,10 +112,10 @@
 }
 
 // RefundFirst is Refund for a new program's first turn that no upstream ran: it has not begun.
-func (a *Limiter) RefundFirst(now time.Time, name string) {
+func (a *Limiter) RefundFirst(now time.Time, name string, length time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bucket.RefundClass(now, name, bucket.New)
+	a.bucket.RefundClass(now, name, bucket.New, a.bucket.Size(name, length))
 	a.step(now, name)
 }
 
--- a/internal/front/mesh/demand.go
+++ b/internal/front/mesh/demand.go
@@ -6,7 +6,7 @@
 // without it ignore the field and send none.
 type Demand struct {
 	Waiting map[ID]int `cbor:"1,keyasint,omitempty"` // requests that wait for their account's limit, by account
-	Begun   map[ID]int `cbor:"2,keyasint,omitempty"` // programs that were admitted recently, by account
+	Begun   map[ID]int `cbor:"2,keyasint,omitempty"` // sizes of programs that were admitted recently, in tenths of the mean size, by account
 	Queued  map[ID]int `cbor:"3,keyasint,omitempty"` // programs that wait for engines, by QueueID
 	Running map[ID]int `cbor:"4,keyasint,omitempty"` // turns in flight at engines, by account; reported only while programs wait
 }
--- a/internal/front/proxy/account.go
+++ b/internal/front/proxy/account.go
@@ -124,6 +124,8 @@
 	switch {
 	case !t.HasFinishIn:
 	case r.First:
+		t.programTime = finish.Sub(t.programStart)
+		r.Length = t.programTime
 		r.Until = earlier(r.Until, t.latestStart(maxLimitShare))
 	case finish.After(now):
 		r.Until = earlier(r.Until, finish)
@@ -192,7 +194,7 @@
 	}
 	q.acquired = false
 	if q.acquiredFirst {
-		q.e.Limiter.RefundFirst(time.Now(), q.account.Name)
+		q.e.Limiter.RefundFirst(time.Now(), q.account.Name, q.programTime)
 		return
 	}
 	q.e.Limiter.Refund(time.Now(), q.account.Name)
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -117,6 +117,7 @@
 		acquired bool          // a request was taken from the account's limit and no upstream ran it yet
 		// acquiredFirst tells that it was taken for a new program's first turn.
 		acquiredFirst bool
+		programTime   time.Duration // that a new program is given, from its start to its deadline; 0 if not known
 		body          []byte
 		began         time.Time
 		deadline      time.Time
--- a/internal/front/wait/wait.go
+++ b/internal/front/wait/wait.go
@@ -35,6 +35,10 @@
 		Class   bucket.Class
 		Until   time.Time // latest useful moment
 		Start   time.Time // arrival of the program's first attempt; zero if not known
+		// Length is the time that a new program is given, from Start to its deadline; 0 if not known.
+		Length time.Duration
+
+		size float64 // of the program; see bucket.Buckets.Size
 	}
 
 	// Outcome is the decision on a waiting request.
@@ -90,6 +94,9 @@
 // Arrive decides on a request. If it waits, Step, Expire or Cancel end that. Evicted has the
 // refusals of requests that had to leave for it.
 func (q *Queue) Arrive(now time.Time, r *Request) (d bucket.Decision, waits bool, evicted []Outcome) {
+	if r.size = 1; r.Class == bucket.New {
+		r.size = q.Buckets.Size(r.Account, r.Length)
+	}
 	l := q.lines[r.Account]
 	late := r.Class == bucket.New && !r.Until.After(now)
 	first := (l == nil || q.precedes(now, *r, l)) && (!late || q.Buckets.Waiting(r.Account) == 0)
@@ -119,7 +126,7 @@
 
 // take takes the token of a request that comes first and reports whether there is one.
 func (q *Queue) take(now time.Time, r *Request) bool {
-	if !q.Buckets.Admit(now, r.Account, r.Class) {
+	if !q.Buckets.Admit(now, r.Account, r.Class, r.size) {
 		return false
 	}
 	if !r.Start.IsZero() {
@@ -211,6 +218,8 @@
 		return start.UnixNano()
 	case q.Rank != nil:
 		return q.Rank(r)
+	case r.Length > 0:
+		return int64(r.Length)
 	default:
 		return int64(r.Until.Sub(start))
 	}
