--- a/internal/play/flood/flood.go
+++ b/internal/play/flood/flood.go
@@ -93,6 +93,8 @@
 		Aborted   int           // programs that were admitted, but had a later request refused maxTries times
 		Retried   int           // refused requests that were sent again
 		Waited    time.Duration // by admitted requests, in total
+
+		Short, ShortCompleted int // programs with at most half of the mean number of requests
 	}
 
 	event struct {
--- a/internal/play/flood/flood_test.go
+++ b/internal/play/flood/flood_test.go
@@ -239,3 +239,25 @@
 		})
 	}
 }
+
+// Guards against a flood in which long programs use up a limit that would serve several short ones
+// each: most short programs must complete, and more of them than of all.
+func TestFloodServesShortPrograms(t *testing.T) {
+	for _, account := range []string{"middle", "large"} {
+		t.Run(account, func(t *testing.T) {
+			is := is.New(t)
+			sim := New(1, 62, limits)
+			sim.Varied = true
+			sim.setDemand(0.6)
+			sim.Run(settleTime)
+			*sim.scores[account] = Score{}
+			sim.setDemand(2.3)
+			sim.Run(2 * floodTime)
+			s := sim.scores[account]
+			all, short := float64(s.Completed)/float64(s.Programs), float64(s.ShortCompleted)/float64(s.Short)
+			t.Logf("completed: %.2f of all programs, %.2f of the short ones", all, short)
+			is.True(short >= 0.6 && short >= all+0.1)
+			is.True(sim.PeakRatio(account) <= 1)
+		})
+	}
+}
--- a/internal/play/flood/program.go
+++ b/internal/play/flood/program.go
@@ -21,9 +21,15 @@
 	if sim.Varied {
 		a.requests = 4 + sim.rng.IntN(13)
 	}
+	if a.short() {
+		sim.scores[account].Short++
+	}
 	sim.send(a)
 }
 
+// short reports whether the program has at most half of the mean number of requests.
+func (a attempt) short() bool { return a.requests <= RequestsPerProgram/2 }
+
 // timeFor returns the part of a time for RequestsPerProgram requests that the program has.
 func (a attempt) timeFor(d time.Duration) time.Duration {
 	return d * time.Duration(a.requests) / RequestsPerProgram
@@ -38,7 +44,7 @@
 		return
 	}
 	sim.lastTicket++
-	r := wait.Request{Ticket: sim.lastTicket, Account: a.account, Class: bucket.New, Start: a.start, Until: a.start.Add(a.timeFor(startTime))}
+	r := wait.Request{Ticket: sim.lastTicket, Account: a.account, Class: bucket.New, Start: a.start, Until: a.start.Add(a.timeFor(startTime)), Length: a.timeFor(programTime)}
 	if a.number > 0 || sim.AllStarted {
 		r.Class = bucket.Begun
 		if r.Until = a.start.Add(a.timeFor(programTime)); !r.Until.After(sim.now) {
@@ -117,6 +123,9 @@
 		}
 		if a.number+1 == a.requests {
 			s.Completed++
+			if a.short() {
+				s.ShortCompleted++
+			}
 			if sim.now.Sub(a.start) <= a.timeFor(programTime) {
 				s.InTime++
 			}
