--- a/internal/front/bucket/bucket.go
+++ b/internal/front/bucket/bucket.go
@@ -166,11 +166,6 @@
 	if started {
 		class = Begun
 	}
-	return r.TakeClass(now, name, class)
-}
-
-// TakeClass is Take for a class of requests.
-func (r *Buckets) TakeClass(now time.Time, name string, class Class) Decision {
 	if r.Admit(now, name, class, 1) {
 		return Decision{OK: true}
 	}
@@ -178,8 +173,8 @@
 }
 
 // Admit takes one request of a class and reports whether it is admitted. Size is that of the program
-// that a request of the class New begins, and 1 for others. A request that is not
-// may wait on: Refuse counts those that are refused.
+// that a request of the class New begins, and 1 for others. A request that is not admitted may wait
+// on: Refuse counts those that are refused.
 func (r *Buckets) Admit(now time.Time, name string, class Class, size float64) bool {
 	a := r.account(now, name)
 	switch {
--- a/internal/front/limits/limits.go
+++ b/internal/front/limits/limits.go
@@ -25,21 +25,6 @@
 	waiting  waiting
 }
 
-// Take takes one request from an account's limit if the verdict is OK. Begun means that it
-// belongs to a program that has begun: part of the limit is reserved for these.
-func (a *Limiter) Take(now time.Time, name string, begun bool) bucket.Decision {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.bucket.Take(now, name, begun)
-}
-
-// Check returns whether an account's limit allows any request, and takes none.
-func (a *Limiter) Check(now time.Time, name string) bucket.Decision {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.bucket.Check(now, name)
-}
-
 // Add counts a request that is sent again.
 func (a *Limiter) Add(now time.Time, name string) {
 	a.mu.Lock()
