pick: shared prefixes of busy engines attract no programs, and later turns move as before

Engines with three quarters of their batch in flight count as if they had nothing cached, and the shared parts don't count for later turns.

--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -23,6 +23,9 @@
 	// turns a quarter longer than without named parts; 4 took twice the prefills of 2 and longer
 	// turns at twice the load. See docs/design/prefixes.md.
 	laterTurns = 2
+	// busyShare is the share of its batch size from which an upstream gets no programs for the sake
+	// of what it has cached: the rest is for those that are there and return for their next turns.
+	busyShare = 0.75
 )
 
 type (
@@ -97,22 +100,28 @@
 // prefillCost returns the time in which the upstream prefills what others have cached: for a new
 // program the shared parts, for a later turn the prompt. Shared parts that most upstreams have are
 // used by so many programs that the others will have to prefill them too. They cost less, by the
-// share of upstreams that have them; otherwise upstreams without such parts would stay idle.
+// share of upstreams that have them; otherwise upstreams without such parts would stay idle. The
+// shared parts make no difference to a later turn: programs that move more easily slow others down.
 func (p *Picker) prefillCost(u *fleet.Upstream, r *Request) float64 {
 	switch {
 	case r.Prefer == "" && len(r.Shared) > 0:
 		return p.missingShared(u, r) / prefillPerMs
 	case r.Prefer != "" && u.ID != r.Prefer:
-		return float64(max(r.Tokens-p.heldTokens(u), 0)) / prefillPerMs
+		return float64(r.Tokens) / prefillPerMs
 	}
 	return 0
 }
 
 // missingShared returns the tokens of the shared parts that the upstream lacks, less the share of
-// upstreams that have them.
+// upstreams that have them. A busy upstream counts as if it lacked them all: the programs that it
+// would get besides wait for a place there for longer than the prefill takes elsewhere.
 func (p *Picker) missingShared(u *fleet.Upstream, r *Request) float64 {
+	held := p.heldTokens(u)
+	if float64(p.inFlight(u.ID)) >= busyShare*float64(u.Batch) {
+		held = 0
+	}
 	spread := float64(p.sharing.holders) / float64(r.Candidates.Len())
-	return float64(p.sharing.total-p.heldTokens(u)) * (1 - min(spread, 1))
+	return float64(p.sharing.total-held) * (1 - min(spread, 1))
 }
 
 // laterCost returns what the requests in flight at the upstream cost the later turns of a new
