--- a/internal/front/pick/prefix.go
+++ b/internal/front/pick/prefix.go
@@ -19,9 +19,7 @@
 	// connection.
 	maxHolders = recentSize
 	// laterTurns is the number of later turns for which a new program is charged the load of the
-	// engine where it begins: of the 2 to 8 that it has, some move. On generated arrivals 0 made
-	// turns a quarter longer than without named parts; 4 took twice the prefills of 2 and longer
-	// turns at twice the load. See docs/design/prefixes.md.
+	// engine where it begins: of the 2 to 8 that it has, some move.
 	laterTurns = 2
 	// busyShare is the share of its batch size from which an upstream gets no programs for the sake
 	// of what it has cached: the rest is for those that are there and return for their next turns.
@@ -45,7 +43,6 @@
 		spare []Holder
 		// holders is the number of upstreams with the longest beginning, of which list may be a sample.
 		holders int
-		longest int // tokens of that beginning
 	}
 )
 
@@ -53,7 +50,7 @@
 // all parts before it too, so an upstream that has a part has those, and the last one counts.
 func (p *Picker) findHolders(now time.Time, r *Request) {
 	s := &p.sharing
-	s.total, s.whole, s.list, s.holders, s.longest = 0, false, s.list[:0], 0, 0
+	s.total, s.whole, s.list, s.holders = 0, false, s.list[:0], 0
 	clear(s.held)
 	for _, part := range r.Shared {
 		s.total += part.Tokens
@@ -71,7 +68,7 @@
 		s.hold(s.spare, tokens)
 		s.whole = s.whole || tokens == s.total && len(s.spare) > 0
 		if len(s.list) == 0 {
-			s.list, s.spare, s.holders, s.longest = s.spare, s.list, n, tokens
+			s.list, s.spare, s.holders = s.spare, s.list, n
 		}
 		tokens -= r.Shared[i].Tokens
 	}
