--- a/internal/front/bucket/report.go
+++ b/internal/front/bucket/report.go
@@ -4,21 +4,20 @@
 
 // Used returns the requests that this front admitted during the last Period, by account.
 func (r *Buckets) Used(now time.Time) map[string]int {
-	out := map[string]int{}
-	for name, a := range r.accounts {
-		if n := a.used.sum(now); n > 0 {
-			out[name] = n
-		}
-	}
-	return out
+	return r.sums(now, func(a *account) *window { return &a.used })
 }
 
 // Begun returns the sum of the sizes of the programs that this front admitted during the last Period,
 // in tenths of the mean size, by account.
 func (r *Buckets) Begun(now time.Time) map[string]int {
+	return r.sums(now, func(a *account) *window { return &a.begun })
+}
+
+// sums returns the sums of a window of each account that are not 0.
+func (r *Buckets) sums(now time.Time, of func(*account) *window) map[string]int {
 	out := map[string]int{}
 	for name, a := range r.accounts {
-		if n := a.begun.sum(now); n > 0 {
+		if n := of(a).sum(now); n > 0 {
 			out[name] = n
 		}
 	}
--- a/internal/place/batch/batch.go
+++ b/internal/place/batch/batch.go
@@ -36,7 +36,7 @@
 	// outlier is the ratio of measured to expected event time above which the engine is
 	// taken to be slow for a reason of its own, and the event is ignored.
 	outlier = 2.5
-	// minExpected is the number of events from which on Expected is known. A daemon of a
+	// minExpected is the number of events from which on Mean is known. A daemon of a
 	// large fleet sees few, and the errors of many daemons cancel out.
 	minExpected = 1
 )
