--- a/internal/obs/recap/recap_test.go
+++ b/internal/obs/recap/recap_test.go
@@ -18,7 +18,7 @@
 	broken  = `"status":200,"outcome":"broken_off","ran":"yes"`
 )
 
-// entry returns a line as `fleetbench replay --log all` prints it.
+// entry returns a line with the second and the VM in front, as a recorder of many VMs prints it.
 func entry(seconds float64, front, program string, fields ...string) string {
 	if program != "" {
 		fields = append(fields, fmt.Sprintf(`"program":%q`, program))
