--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -47,13 +47,25 @@
 // excludes the upstream that failed.
 func (q *request) mayRetry(ctx context.Context, err error, exclude map[string]bool) bool {
 	var loss *lostError
-	if !errors.As(err, &loss) || ctx.Err() != nil || q.route.Kind != route.Safe {
+	switch {
+	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
+		q.summary.runs.next(nextOver)
+		return false
+	case !errors.As(err, &loss):
+		return false // dispatch tried what it may
+	case q.route.Kind != route.Safe:
+		q.summary.runs.next(nextNotAllowed)
 		return false
 	}
 	exclude[loss.up.ID] = true
 	// exclude also holds the upstreams that refused the request, so refusals count
 	// against the route's attempts as well.
-	return len(exclude) < q.route.Attempts
+	if len(exclude) >= q.route.Attempts {
+		q.summary.runs.next(nextAttempts)
+		return false
+	}
+	q.summary.runs.next(nextRepeat)
+	return true
 }
 
 // returnResponse reads the whole response and returns it to the caller.
@@ -78,6 +90,7 @@
 // upstream did not mark the response as not run (see meta.ResponseInfo).
 func (q *request) writeResponse(s *exchange, body []byte) {
 	q.summary.ran = ranYes
+	q.summary.runs.end(answeredWith(s.resp.StatusCode))
 	if impliesNotRun(s.resp.StatusCode) {
 		q.replyUnknown(http.StatusBadGateway, "upstream_failed", errors.Newf("upstream returned status %d without the not-run header", s.resp.StatusCode))
 		return
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -206,7 +206,7 @@
 	for i, list := range responses {
 		address := fmt.Sprintf("up%d", i+1)
 		env.upstreams[address] = &fakeUpstream{responses: list}
-		reading.Upstreams = append(reading.Upstreams, fleet.Upstream{ID: address, Service: "s", Address: address, Batch: 4 * (len(responses) - i)})
+		reading.Upstreams = append(reading.Upstreams, fleet.Upstream{ID: address, Service: "s", Address: address, Batch: 4 * (len(responses) - i), Version: "v1"})
 	}
 	f.Update(time.Now(), reading)
 	pool := &upconn.Pool{Dial: func(_ context.Context, address string) (net.Conn, error) {
@@ -226,6 +226,16 @@
 	return env
 }
 
+// changeUpstreams has the store list the upstreams as change makes them.
+func (env *testEnv) changeUpstreams(change func(*fleet.Upstream)) {
+	v := env.e.Fleet.View()
+	list := v.Listed.List()
+	for i := range list {
+		change(&list[i])
+	}
+	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
+}
+
 // do sends one request. Aborted reports that the connection was aborted in the middle of
 // the response.
 func (env *testEnv) do(ctx context.Context, path string, header map[string]string, body string) (rec *httptest.ResponseRecorder, aborted bool) {
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -119,6 +119,7 @@
 		acquiredFirst bool
 		programTime   time.Duration // that a new program is given, from its start to its deadline; 0 if not known
 		body          []byte
+		keyHash       uint64 // see key; 0 if not computed yet
 		began         time.Time
 		deadline      time.Time
 		summary       summary
--- /dev/null
+++ b/internal/front/proxy/runs.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/rs/zerolog"
+
+	"github.com/slaterock/slaterock/internal/front/fleet"
+)
+
+const (
+	// How a send ended, as logged. A refusal is logged with its cause (notRunError).
+	endAnswered    = "answered"
+	endLost        = "lost"        // no response, or an incomplete one of which nothing was passed on
+	endInterrupted = "interrupted" // a stream whose beginning was passed on
+	endCanceled    = "canceled"    // the caller left or the time was up
+
+	// Why a request was sent on after a send, or not, as logged.
+	nextNotRun     = "sent_on: not run"
+	nextResume     = "sent_on: resumed"
+	nextRepeat     = "sent_on: idempotent"
+	nextNotAllowed = "stopped: may not run twice"
+	nextAttempts   = "stopped: no attempts left"
+	nextNoUpstream = "stopped: no other upstream"
+	nextOver       = "stopped: caller left or time is up"
+)
+
+type (
+	// run is one send of an attempt to an upstream.
+	run struct {
+		upstream string
+		version  string // of the upstream's software
+		born     int64  // start of the upstream, in Unix milliseconds; 0 if it states none
+		end      string
+		next     string // why the request was sent on or not; empty after an answer
+	}
+
+	// runs are the sends of an attempt in order.
+	runs []run
+)
+
+// begin adds a send. It ends as canceled unless end is called.
+func (l *runs) begin(u *fleet.Upstream) {
+	*l = append(*l, run{upstream: u.ID, version: u.Version, born: u.Born, end: endCanceled})
+}
+
+// end sets how the last send ended.
+func (l runs) end(how string) {
+	if len(l) > 0 {
+		l[len(l)-1].end = how
+	}
+}
+
+// next sets why the request was sent on or not after the last send.
+func (l runs) next(why string) {
+	if len(l) > 0 {
+		l[len(l)-1].next = why
+	}
+}
+
+// MarshalZerologArray writes the sends into a log line.
+func (l runs) MarshalZerologArray(a *zerolog.Array) {
+	for _, r := range l {
+		d := zerolog.Dict().Str("upstream", r.upstream).Str("version", r.version).Int64("born", r.born).Str("end", r.end)
+		if r.next != "" {
+			d.Str("next", r.next)
+		}
+		a.Dict(d)
+	}
+}
+
+// answeredWith returns the end of a send that got a whole response with the status.
+func answeredWith(status int) string {
+	if status == http.StatusOK {
+		return endAnswered
+	}
+	return endAnswered + "_" + strconv.Itoa(status)
+}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -84,6 +84,7 @@
 		c.Candidates = view.Services[q.service.Name]
 		up, ok := q.e.Picker.Choose(time.Now(), c)
 		if !ok {
+			q.summary.runs.next(nextNoUpstream)
 			return nil, lastErr
 		}
 		q.summary.missing, q.summary.factor = view.Missing(up.ID), q.e.factor(&up)
@@ -98,8 +99,11 @@
 		}
 		lastErr = err
 		q.summary.refusals += up.ID + ":" + refusal.cause + " "
+		q.summary.runs.end(refusal.cause)
+		q.summary.runs.next(nextNotRun)
 		if c.Only != "" {
 			if refusal.cause != causeFull || !pause.For(ctx, fullRetryDelay) {
+				q.summary.runs.next(nextNoUpstream)
 				return nil, lastErr
 			}
 			continue
@@ -109,12 +113,14 @@
 		}
 		c.Exclude[up.ID] = true
 	}
+	q.summary.runs.next(nextAttempts)
 	return nil, lastErr
 }
 
 // send sends the request to one upstream and reads the header of the response.
 func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, d meta.Dispatch) (s *exchange, err error) {
 	q.summary.sends++
+	q.summary.runs.begin(&up)
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
 	conn, err := q.e.Pool.Get(ctx, up.ID, up.Address)
@@ -170,6 +176,7 @@
 	if !time.Now().Before(q.deadline) {
 		return errors.CombineErrors(context.DeadlineExceeded, err) // the connection's deadline fired before the context's
 	}
+	q.summary.runs.end(endLost)
 	q.e.Picker.RecordFailure(time.Now(), s.up.ID)
 	return &lostError{up: s.up, reused: s.conn.Reused, err: err}
 }
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -238,15 +238,24 @@
 			s, err = t.dispatch(ctx, c, body, d)
 		}
 		if err != nil {
+			t.noteStop(ctx, err)
 			return err
 		}
 		t.noteParts(s, c.Shared)
 		err = t.relay(ctx, s)
 		t.endRunning()
 		t.e.done(s.up.ID)
-		if err == nil || ctx.Err() != nil || !t.route.Resume {
+		switch {
+		case err == nil:
+			return nil
+		case ctx.Err() != nil:
+			t.summary.runs.next(nextOver)
+			return err
+		case !t.route.Resume:
+			t.summary.runs.next(nextNotAllowed)
 			return err
 		}
+		t.summary.runs.next(nextResume)
 		// Resuming at the same upstream reuses its cache. Others may run the turn
 		// only if the route allows several attempts, or if this one is gone.
 		d.LastEventID = t.lastEventID
@@ -256,9 +265,21 @@
 		}
 		t.summary.refusals += s.up.ID + ":resumed "
 	}
+	t.summary.runs.next(nextAttempts)
 	return errors.New("stream was interrupted too often")
 }
 
+// noteStop notes for the log why a turn ends without a response.
+func (t *turn) noteStop(ctx context.Context, err error) {
+	var loss *lostError
+	switch {
+	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
+		t.summary.runs.next(nextOver)
+	case errors.As(err, &loss):
+		t.summary.runs.next(nextNotAllowed)
+	}
+}
+
 // mayResumeElsewhere reports whether another upstream may resume the turn: the one that ran
 // it refused for another reason than being full, or is no longer listed.
 func (t *turn) mayResumeElsewhere(id string, err error) bool {
@@ -301,6 +322,7 @@
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) {
 			pace.end(t)
+			t.summary.runs.end(endAnswered)
 			t.observe(s, float64(under+t.e.Picker.InFlight(s.up.ID))/2)
 			return t.complete(ctx, s)
 		}
@@ -311,6 +333,7 @@
 		if err != nil {
 			s.closeConn()
 			if ctx.Err() == nil {
+				t.summary.runs.end(endInterrupted)
 				t.e.Picker.RecordFailure(time.Now(), s.up.ID)
 			}
 			return errors.CombineErrors(err, ctx.Err())
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -29,6 +30,7 @@
 		events       int
 		tokens       int
 		refusals     string // by upstreams, and interruptions of resumable streams, in order
+		runs         runs   // sends to upstreams, in order
 		err          error
 		recordsTime  time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason  string        // why the attempt was queued; empty if it was not
@@ -65,9 +67,9 @@
 	if s.ran == ranUnknown {
 		line = q.e.Log.Warn()
 	}
-	line.Str("request", q.ID).Str("program", q.Program).Str("account", q.account.Name).Str("route", q.route.Name).Str("kind", q.route.Kind.String()).
+	line.Str("request", q.ID).Str("request_key", strconv.FormatUint(q.key(), 16)).Str("program", q.Program).Str("account", q.account.Name).Str("route", q.route.Name).Str("kind", q.route.Kind.String()).
 		Int64("config", q.version()).Int64("news_age_ms", q.viewAge()).Str("upstream", s.upstream).Int("sends", s.sends).
-		Str("refusals", s.refusals).Int("status", s.status).Str("outcome", s.outcome()).Str("ran", string(s.ran)).
+		Str("refusals", s.refusals).Array("runs", s.runs).Int("status", s.status).Str("outcome", s.outcome()).Str("ran", string(s.ran)).
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.CallerTimeout.Milliseconds()).
 		Int64("recorded_ms", s.recordsTime.Milliseconds()).
 		Int64("first_ms", s.firstOutput.Milliseconds()).Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
