--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -38,6 +38,10 @@
 		received   []received
 		refuse     bool // refuse connections
 		refuseNext bool // set refuse after the next connection
+
+		endsOn    string // a request with this in its body ends the process; empty for none
+		endsAfter string // what the process sends of the response before
+		conns     []net.Conn
 	}
 
 	received struct {
@@ -173,6 +177,11 @@
 		u.received = append(u.received, received{r.Method, r.RequestURI, string(body), r.Header})
 		response := u.responses[min(len(u.received), len(u.responses))-1]
 		u.mu.Unlock()
+		if u.endsOn != "" && strings.Contains(string(body), u.endsOn) {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(u.endsAfter, "ID", r.Header.Get("Id")))
+			u.end()
+			return
+		}
 		response, hang := strings.CutSuffix(response, "HANG")
 		response, closing := strings.CutSuffix(response, "CLOSE")
 		for i, part := range strings.Split(strings.ReplaceAll(response, "ID", r.Header.Get("Id")), "PAUSE") {
@@ -193,6 +202,34 @@
 	}
 }
 
+// accept reports whether the process accepts a connection, of which conn is the far end.
+func (u *fakeUpstream) accept(conn net.Conn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.refuse {
+		return false
+	}
+	u.refuse = u.refuseNext
+	u.conns = append(u.conns, conn)
+	return true
+}
+
+// end ends the process, with all its connections.
+func (u *fakeUpstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.refuse = true
+	for _, conn := range u.conns {
+		_ = conn.Close()
+	}
+}
+
+func (u *fakeUpstream) hasEnded() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.refuse
+}
+
 func (u *fakeUpstream) requests() []received {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -209,21 +246,31 @@
 		reading.Upstreams = append(reading.Upstreams, fleet.Upstream{ID: address, Service: "s", Address: address, Batch: 4 * (len(responses) - i), Version: "v1"})
 	}
 	f.Update(time.Now(), reading)
+	env.e = env.newEndpoint(&f)
+	return env
+}
+
+// another returns another front with the same records and upstreams.
+func (env *testEnv) another() *testEnv {
+	other := &testEnv{rec: env.rec, upstreams: env.upstreams}
+	other.e = other.newEndpoint(env.e.Fleet)
+	return other
+}
+
+func (env *testEnv) newEndpoint(f *fleet.Fleet) *Endpoint {
 	pool := &upconn.Pool{Dial: func(_ context.Context, address string) (net.Conn, error) {
 		u := env.upstreams[address]
-		if u.refuse {
+		near, far := net.Pipe()
+		if !u.accept(far) {
 			return nil, errors.New("refused")
 		}
-		u.refuse = u.refuseNext
-		near, far := net.Pipe()
 		env.conns.Go(func() { u.serve(far) })
 		return near, nil
 	}}
-	env.e = &Endpoint{
-		Dialect: fakeDialect{}, Records: env.rec, Fleet: &f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+	return &Endpoint{
+		Dialect: fakeDialect{}, Records: env.rec, Fleet: f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Refresh: func(context.Context) bool { return true }, Stop: context.Background(), Limiter: &limits.Limiter{},
 	}
-	return env
 }
 
 // changeUpstreams has the store list the upstreams as change makes them.
