--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -31,6 +31,7 @@
 
 	program struct {
 		charges map[string]Charge
+		runs    map[string]Run // of attempts for which anything is stated; nil for none
 		expires time.Time
 	}
 
@@ -74,23 +75,35 @@
 // ApplyCharge applies a record's reservation or settlement. It may be called before the
 // record is durable, so that concurrent attempts see each other's charges.
 func (ix *Index) ApplyCharge(r Record, now time.Time) {
-	if r.Program == "" || !r.Reserved && !r.Settled {
+	if !r.hasCharge() && !r.hasRun() {
 		return
 	}
+	p := ix.program(r.Program)
+	if until := r.expires(now); until.After(p.expires) {
+		p.expires = until
+	}
+	if r.hasCharge() {
+		p.charges[r.Attempt] = Merge(p.charges[r.Attempt], r.charge())
+	}
+	if r.hasRun() {
+		p.addRun(r.run())
+	}
+}
+
+func (ix *Index) program(name string) *program {
 	if ix.programs == nil {
 		ix.programs = map[string]*program{}
 	}
-	p := ix.programs[r.Program]
+	p := ix.programs[name]
 	if p == nil {
 		p = &program{charges: map[string]Charge{}}
-		ix.programs[r.Program] = p
+		ix.programs[name] = p
 	}
-	if until := r.expires(now); until.After(p.expires) {
-		p.expires = until
-	}
-	p.charges[r.Attempt] = Merge(p.charges[r.Attempt], r.charge())
+	return p
 }
 
+func (r Record) hasCharge() bool { return r.Program != "" && (r.Reserved || r.Settled) }
+
 func (r Record) charge() Charge {
 	if r.Settled {
 		return Charge{Attempt: r.Attempt, Tokens: r.Spent, Settled: true, Upstream: r.Upstream, Session: r.Session, At: r.At}
@@ -245,8 +258,9 @@
 	if p == nil {
 		return false
 	}
-	_, ok := p.charges[r.Attempt]
-	return ok
+	_, charged := p.charges[r.Attempt]
+	_, ran := p.runs[r.Attempt]
+	return charged || ran
 }
 
 // Has reports whether applying the record would change nothing in the index but positions
@@ -255,13 +269,14 @@
 	if r.Turn != nil && ix.turns[r.Attempt] == nil {
 		return false
 	}
-	if r.Program == "" || !r.Reserved && !r.Settled {
+	if !r.hasCharge() && !r.hasRun() {
 		return true
 	}
 	p := ix.programs[r.Program]
-	if p == nil {
-		return false
-	}
+	return p != nil && (!r.hasCharge() || p.hasCharge(r)) && (!r.hasRun() || p.hasRun(r.run()))
+}
+
+func (p *program) hasCharge(r Record) bool {
 	old, known := p.charges[r.Attempt]
 	return known && Merge(old, r.charge()) == old
 }
--- a/internal/disk/index/record.go
+++ b/internal/disk/index/record.go
@@ -22,6 +22,7 @@
 		Fence     uint64 `cbor:"10,keyasint,omitempty"` // requests under rosters older than this version are refused
 		Upstream  string `cbor:"11,keyasint,omitempty"` // id of the upstream that ran the attempt; set with Settled
 		Session   string `cbor:"12,keyasint,omitempty"` // session that the turn belongs to
+		Run       *Run   `cbor:"13,keyasint,omitempty"` // what became of the attempt at upstreams; nil for nothing
 		Budget    int    `cbor:"-"`                     // tokens of the program's budget, with Reserved; 0 for none. Not stored
 	}
 
@@ -46,6 +47,11 @@
 	}
 )
 
+// IsQuery reports whether the record states nothing: it only asks for the runs of a request.
+func (r Record) IsQuery() bool {
+	return !r.Reserved && !r.Settled && r.Turn == nil && r.Fence == 0 && r.Run != nil && r.Run.isEmpty()
+}
+
 // Encode returns the record as CBOR.
 func (r Record) Encode() ([]byte, error) {
 	data, err := cbor.Marshal(r)
--- /dev/null
+++ b/internal/disk/index/run.go
@@ -0,0 +1,87 @@
+package index
+
+import (
+	"cmp"
+	"slices"
+)
+
+type (
+	// Run is what became of one attempt of a caller's request at upstreams. The request may have
+	// other attempts, at other fronts.
+	Run struct {
+		Attempt string  `cbor:"1,keyasint,omitempty"` // left out in a record, which has it
+		Request uint64  `cbor:"2,keyasint,omitempty"` // identifies the caller's request over all its attempts
+		Ended   []Start `cbor:"3,keyasint,omitempty"` // upstreams that ended while they ran it, sorted
+		Broken  []Start `cbor:"4,keyasint,omitempty"` // upstreams at which a run broke off and that may go on, one for each run
+		At      int64   `cbor:"5,keyasint,omitempty"` // start of the attempt, in Unix milliseconds; left out in a record
+	}
+
+	// Start identifies one start of an upstream: one that starts again under its id is another.
+	Start struct {
+		ID   string `cbor:"1,keyasint"`
+		Born int64  `cbor:"2,keyasint,omitempty"` // in Unix milliseconds; 0 if it states none
+	}
+)
+
+// Compare orders starts by id and time.
+func (s Start) Compare(o Start) int {
+	return cmp.Or(cmp.Compare(s.ID, o.ID), cmp.Compare(s.Born, o.Born))
+}
+
+func (r Run) isEmpty() bool { return len(r.Ended) == 0 && len(r.Broken) == 0 }
+
+func (r Record) hasRun() bool { return r.Program != "" && r.Run != nil && !r.Run.isEmpty() }
+
+// run returns the record's run with its attempt.
+func (r Record) run() Run {
+	run := *r.Run
+	run.Attempt, run.At = r.Attempt, r.At
+	return run
+}
+
+// MergeRuns merges what two records or replicas state of one attempt. Of the runs that broke off,
+// one states a beginning of what the other does.
+func MergeRuns(a, b Run) Run {
+	if a.Attempt == "" {
+		return b
+	}
+	if len(b.Broken) > len(a.Broken) {
+		a.Broken = b.Broken
+	}
+	if len(b.Ended) > 0 {
+		all := slices.Concat(a.Ended, b.Ended)
+		slices.SortFunc(all, Start.Compare)
+		a.Ended = slices.Compact(all)
+	}
+	return a
+}
+
+func (r Run) equal(o Run) bool {
+	return r.Attempt == o.Attempt && r.Request == o.Request && r.At == o.At && slices.Equal(r.Ended, o.Ended) && slices.Equal(r.Broken, o.Broken)
+}
+
+func (p *program) addRun(r Run) {
+	if p.runs == nil {
+		p.runs = map[string]Run{}
+	}
+	p.runs[r.Attempt] = MergeRuns(p.runs[r.Attempt], r)
+}
+
+func (p *program) hasRun(r Run) bool {
+	old, known := p.runs[r.Attempt]
+	return known && MergeRuns(old, r).equal(old)
+}
+
+// Runs returns what is stated of the attempts of a request.
+func (ix *Index) Runs(name string, request uint64) (list []Run) {
+	p := ix.programs[name]
+	if p == nil {
+		return nil
+	}
+	for _, r := range p.runs {
+		if r.Request == request {
+			list = append(list, r)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/disk/index/run_test.go
@@ -0,0 +1,57 @@
+package index
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func runOf(attempt string, request uint64, ended, broken []Start) Record {
+	return Record{Program: "p", Attempt: attempt, TTL: 60_000, Run: &Run{Request: request, Ended: ended, Broken: broken}}
+}
+
+// Replicas get the runs of an attempt in different orders, some twice, and a late one has less than what is known. If their states differed, a request would go on after the loss of a replica.
+func TestRunsCommute(t *testing.T) {
+	a, b, c := Start{ID: "a"}, Start{ID: "b", Born: 1}, Start{ID: "b", Born: 2}
+	records := []Record{
+		runOf("1", 7, []Start{a}, nil), runOf("1", 7, []Start{a, b}, []Start{c}), runOf("1", 7, []Start{a, b}, []Start{c, c}),
+		runOf("2", 7, []Start{c}, nil), runOf("3", 8, []Start{a}, nil), reserve("p", "1", 30),
+	}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		is := is.New(t)
+		var ix Index
+		for _, i := range rnd.Perm(len(records)) {
+			ix.Apply(records[i], pos(1), start)
+		}
+		for _, r := range records {
+			is.True(ix.Has(r))
+			is.True(ix.Live(r, pos(1)))
+		}
+		got := map[string]Run{}
+		for _, r := range ix.Runs("p", 7) {
+			got[r.Attempt] = r
+		}
+		is.Equal(got, map[string]Run{
+			"1": {Attempt: "1", Request: 7, Ended: []Start{a, b}, Broken: []Start{c, c}},
+			"2": {Attempt: "2", Request: 7, Ended: []Start{c}},
+		})
+		is.Equal(len(ix.Charges("p")), 1)
+		ix.Expire(start.Add(time.Minute + ClockSlack + time.Second))
+		is.Equal(len(ix.Runs("p", 7)), 0)
+	}
+}
+
+// Guards against a copy of a replica that leaves runs out because it has the charge of the attempt.
+func TestRunThatIsNotIndexed(t *testing.T) {
+	is := is.New(t)
+	var ix Index
+	ix.Apply(reserve("p", "1", 30), pos(1), start)
+	r := runOf("1", 7, []Start{{ID: "a"}}, nil)
+	is.True(!ix.Has(r))
+	ix.Apply(r, pos(2), start)
+	is.True(ix.Has(r))
+	is.True(!ix.Has(runOf("1", 7, []Start{{ID: "b"}}, nil)))
+}
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -75,6 +75,7 @@
 	// Result is the outcome of a write.
 	Result struct {
 		Charges []index.Charge // of a reservation's program, merged from the replicas that had answered
+		Runs    []index.Run    // of the request of a record with a run, merged likewise
 	}
 
 	// refusals are the reasons for which replicas refused the requests of one attempt.
@@ -107,7 +108,8 @@
 // Write makes a record durable. It retries until ctx ends, but a reservation that overloaded
 // replicas have refused, or that exceeds the budget, fails at once. After an error the record may be durable or
 // not, unless the error is ErrNotWritten. The result of a reservation has the charge of every
-// reservation of the program that was acknowledged before; that of other records has none.
+// reservation of the program that was acknowledged before, and that of a record with a run every run
+// of the same request; those of other records have none.
 func (c *Client) Write(ctx context.Context, rec index.Record) (res Result, err error) {
 	defer func() { err = errors.Wrapf(err, "write record of %s", rec.Attempt) }()
 	w := recordWrite{client: c, rec: rec}
--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -25,6 +25,7 @@
 	written  map[string]bool         // disk IDs of the replicas that have the record
 	complete int                     // those of them that are not joining
 	charges  map[string]index.Charge // by attempt, merged from their answers
+	runs     map[string]index.Run    // likewise
 	maybe    bool                    // some replica may have the record although it did not say so
 	seen     refusals                // in the last attempt
 }
@@ -71,13 +72,14 @@
 	}
 	w.maybe = w.maybe || len(w.written) > 0
 	w.version, w.complete = r.Version, 0
-	w.written, w.charges = map[string]bool{}, map[string]index.Charge{}
+	w.written, w.charges, w.runs = map[string]bool{}, map[string]index.Charge{}, map[string]index.Run{}
 }
 
-// enough reports whether the record is durable and may be. A reservation also needs a read quorum of
-// complete replicas, so that its result has every reservation acknowledged before.
+// enough reports whether the record is durable and may be. A reservation, or a record with a run, also
+// needs a read quorum of complete replicas, so that its result has all that was acknowledged before.
 func (w *recordWrite) enough(r roster.Roster) bool {
-	return !w.seen.spent && len(w.written) >= r.WriteQuorum() && (!w.rec.Reserved || w.complete >= r.ReadQuorum())
+	reads := w.rec.Reserved || w.rec.Run != nil
+	return !w.seen.spent && len(w.written) >= r.WriteQuorum() && (!reads || w.complete >= r.ReadQuorum())
 }
 
 // accept notes a replica's answer, and reports whether the replica has the record.
@@ -93,6 +95,9 @@
 	for _, charge := range got.write.Charges {
 		w.charges[charge.Attempt] = index.Merge(w.charges[charge.Attempt], charge)
 	}
+	for _, run := range got.write.Runs {
+		w.runs[run.Attempt] = index.MergeRuns(w.runs[run.Attempt], run)
+	}
 	return true
 }
 
@@ -121,6 +126,9 @@
 	for _, charge := range w.charges {
 		res.Charges = append(res.Charges, charge)
 	}
+	for _, run := range w.runs {
+		res.Runs = append(res.Runs, run)
+	}
 	return res
 }
 
--- a/internal/disk/recsrv/load.go
+++ b/internal/disk/recsrv/load.go
@@ -14,6 +14,7 @@
 	kindTurn        kind = "turn"
 	kindSettlement  kind = "settlement"
 	kindRead        kind = "read"
+	kindRun         kind = "run"
 )
 
 type (
@@ -38,7 +39,7 @@
 	}
 )
 
-var kinds = []kind{kindReservation, kindTurn, kindSettlement, kindRead}
+var kinds = []kind{kindReservation, kindTurn, kindSettlement, kindRead, kindRun}
 
 // open looks the metrics up; doing so for each request would cost as much as counting it.
 func (m *meter) open(scope tally.Scope) {
@@ -90,6 +91,8 @@
 		return kindReservation
 	case r.Turn != nil:
 		return kindTurn
+	case r.Run != nil:
+		return kindRun
 	default:
 		return kindSettlement
 	}
--- a/internal/disk/recsrv/wire.go
+++ b/internal/disk/recsrv/wire.go
@@ -30,10 +30,11 @@
 	}
 
 	// WriteReply has the charges of the program's attempts, this record's included, if the
-	// record is a reservation.
+	// record is a reservation, and the runs of its request if it has one.
 	WriteReply struct {
 		Refusal Refusal        `cbor:"1,keyasint"`
 		Charges []index.Charge `cbor:"2,keyasint,omitempty"`
+		Runs    []index.Run    `cbor:"3,keyasint,omitempty"`
 	}
 
 	// ReadRequest asks for a turn and the previous ones.
--- a/internal/disk/recsrv/write.go
+++ b/internal/disk/recsrv/write.go
@@ -13,10 +13,17 @@
 // is for the records of turns that have run.
 const maxWrites = 128
 
-// Write makes a record durable. For a reservation it returns the charges of the program.
+// Write makes a record durable. For a reservation it returns the charges of the program, and
+// for a record with a run the runs of its request. A query is answered without a write.
 func (s *Server) Write(ctx context.Context, req WriteRequest) (reply WriteReply, err error) {
 	began := time.Now()
 	defer func() { s.meter.observe(kindOf(req.Record), began, reply.Refusal) }()
+	if req.Record.IsQuery() {
+		if reply.Refusal = s.checkTarget(req.Target); reply.Refusal.Code == "" {
+			reply.Runs = s.runs(req.Record)
+		}
+		return reply, nil
+	}
 	data, err := req.Record.Encode()
 	if err != nil {
 		return WriteReply{}, err
@@ -26,6 +33,9 @@
 		return reply, nil
 	}
 	err = await(ctx, done)
+	if err == nil && req.Record.Run != nil {
+		reply.Runs = s.runs(req.Record)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes--
@@ -35,6 +45,13 @@
 	return reply, err
 }
 
+// runs returns the runs of a record's request.
+func (s *Server) runs(r index.Record) []index.Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.index.Runs(r.Program, r.Run.Request)
+}
+
 // appendIfAllowed appends a record unless it must be refused. The checks and the append
 // are atomic. Otherwise the start of a copy of this disk, or Freeze, could come between
 // them: the record would be acknowledged here but missing from the copy, and so be on no
--- /dev/null
+++ b/internal/front/ended/ended_test.go
@@ -0,0 +1,60 @@
+package ended
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/disk/index"
+)
+
+func starts(ids ...string) (list []index.Start) {
+	for _, id := range ids {
+		list = append(list, index.Start{ID: id})
+	}
+	return list
+}
+
+// Guards against a request that ends one upstream after the other, and against the refusal of one that only was there.
+func TestMayRun(t *testing.T) {
+	cases := map[string]struct {
+		runs       []index.Run
+		unlisted   string // id of an upstream that is no longer listed
+		want       bool
+		unrecorded bool // what a front without records decides
+	}{
+		"nothing is known":                    {nil, "", true, true},
+		"one ended":                           {[]index.Run{{Ended: starts("a")}}, "", true, true},
+		"two ended":                           {[]index.Run{{Ended: starts("a", "b")}}, "", true, false},
+		"three ended":                         {[]index.Run{{Ended: starts("a", "b", "c")}}, "", false, false},
+		"three in three attempts":             {[]index.Run{{Ended: starts("a")}, {Ended: starts("b")}, {Ended: starts("c")}}, "", false, false},
+		"the same in three attempts":          {[]index.Run{{Ended: starts("a")}, {Ended: starts("a")}, {Ended: starts("a")}}, "", true, true},
+		"three starts of one":                 {[]index.Run{{Ended: []index.Start{{ID: "a", Born: 1}, {ID: "a", Born: 2}, {ID: "a", Born: 3}}}}, "", false, false},
+		"five broke off":                      {[]index.Run{{Broken: starts("a", "a", "a")}, {Broken: starts("a", "b")}}, "", true, false},
+		"six broke off":                       {[]index.Run{{Broken: starts("a", "a", "a")}, {Broken: starts("a", "b", "c")}}, "", false, false},
+		"one ended, three broke off":          {[]index.Run{{Ended: starts("a"), Broken: starts("b", "b", "c")}}, "", true, false},
+		"two ended, two broke off":            {[]index.Run{{Ended: starts("a", "b"), Broken: starts("c", "c")}}, "", false, false},
+		"two ended, one has gone since":       {[]index.Run{{Ended: starts("a", "b"), Broken: starts("c")}}, "c", false, false},
+		"two ended, one of them broke before": {[]index.Run{{Ended: starts("a", "b"), Broken: starts("b")}}, "b", true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listed := func(s index.Start) bool { return s.ID != c.unlisted }
+			is.Equal(Of(c.runs).MayRun(listed), c.want)
+			is.Equal(Of(c.runs).MayRunUnrecorded(listed), c.unrecorded)
+		})
+	}
+}
+
+// Guards against an attempt that changes what another one knows.
+func TestTallyIsImmutable(t *testing.T) {
+	is := is.New(t)
+	base := Of([]index.Run{{Ended: starts("a", "c"), Broken: starts("d")}})
+	first, second := base.With(index.Start{ID: "b"}).WithBroken(index.Start{ID: "e"}), base.With(index.Start{ID: "d"}).WithBroken(index.Start{ID: "f"})
+	is.Equal(base.Ended(), starts("a", "c"))
+	is.Equal(first.Ended(), starts("a", "b", "c"))
+	is.Equal(second.Ended(), starts("a", "c", "d"))
+	is.Equal(first.Broken(), starts("d", "e"))
+	is.Equal(second.Broken(), starts("d", "f"))
+}
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -36,13 +36,23 @@
 				return
 			}
 		}
-		if !q.mayRetry(ctx, err, exclude) {
+		if err = q.noteLoss(ctx, err); !q.mayRetry(ctx, err, exclude) {
 			q.replyFailure(err)
 			return
 		}
 	}
 }
 
+// noteLoss records a run that got no whole response, if err is such a loss, and adds
+// errUpstreamsEnded if the request must not be sent on.
+func (q *request) noteLoss(ctx context.Context, err error) error {
+	var loss *lostError
+	if errors.As(err, &loss) {
+		return errors.CombineErrors(q.noteEnd(ctx, &loss.up), err)
+	}
+	return err
+}
+
 // mayRetry reports whether the request may be sent to another upstream after err, and
 // excludes the upstream that failed.
 func (q *request) mayRetry(ctx context.Context, err error, exclude map[string]bool) bool {
@@ -51,6 +61,9 @@
 	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
 		q.summary.runs.next(nextOver)
 		return false
+	case errors.Is(err, errUpstreamsEnded):
+		q.summary.runs.next(nextEnded)
+		return false
 	case !errors.As(err, &loss):
 		return false // dispatch tried what it may
 	case q.route.Kind != route.Safe:
@@ -73,7 +86,7 @@
 	body, err := upconn.ReadAll(s.resp.Body, maxResponse)
 	q.e.Picker.Done(s.up.ID)
 	if err != nil {
-		s.closeConn()
+		s.fail(err)
 		return q.recordLoss(ctx, s, err)
 	}
 	s.releaseConn(q.e.Pool)
@@ -126,6 +139,8 @@
 	var refusal *notRunError
 	var loss *lostError
 	switch {
+	case errors.Is(err, errUpstreamsEnded):
+		q.replyUpstreamsEnded()
 	case errors.Is(err, errUnknownKey) && q.summary.ran == ranNo:
 		q.replyError(http.StatusUnauthorized, "unknown_key", err)
 	case errors.As(err, &refusal) && q.summary.ran == ranNo:
--- /dev/null
+++ b/internal/front/proxy/ended.go
@@ -0,0 +1,134 @@
+package proxy
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/ended"
+	"github.com/slaterock/slaterock/internal/front/fleet"
+)
+
+const (
+	// probeTimeout bounds the connect that tells whether an upstream has ended. One within the
+	// region takes a millisecond.
+	probeTimeout = 200 * time.Millisecond
+	// runsTimeout is how long a request waits for the records of its runs. It is to take a few
+	// disk syncs; longer, and callers of innocent requests would wait for a fault of the records.
+	runsTimeout = 400 * time.Millisecond
+	// minRunsTTL is how long the records of runs are kept at least: longer than the callers of
+	// calls and turns come back.
+	minRunsTTL = time.Minute
+)
+
+// errUpstreamsEnded reports a request that is not sent to further upstreams, since several have
+// ended while they ran it.
+var errUpstreamsEnded = errors.New("upstreams ended while they ran the request")
+
+// over reports whether the caller has left or the time is up. The deadline of a connection may
+// pass a moment before that of the context.
+func (q *request) over(ctx context.Context) bool {
+	return ctx.Err() != nil || !time.Now().Before(q.deadline)
+}
+
+// noteEnd records that the connection to an upstream broke while it ran the request, so that all
+// fronts know of it before the caller, or this front, sends the request again. It returns
+// errUpstreamsEnded if the request must not be sent on.
+func (q *request) noteEnd(ctx context.Context, up *fleet.Upstream) error {
+	start := index.Start{ID: up.ID, Born: up.Born}
+	if q.upstreamEnded(ctx, up) {
+		q.summary.runs.end(endUpstreamEnded)
+		q.own = q.own.With(start)
+		q.e.Scope.Counter("upstreams_ended").Inc(1)
+	} else {
+		q.own = q.own.WithBroken(start)
+	}
+	mayRun := q.own.MayRunUnrecorded(q.listed)
+	if runs, err := q.recordRuns(ctx); err == nil {
+		q.seen = ended.Of(runs)
+		mayRun = q.seen.MayRun(q.listed)
+	}
+	q.summary.endedUpstreams = len(q.seen.Ended())
+	if mayRun {
+		return nil
+	}
+	q.e.Scope.Counter("requests_stopped").Inc(1)
+	return errUpstreamsEnded
+}
+
+// upstreamEnded reports whether an upstream, the connection to which broke, has ended: it is no
+// longer listed, has started again, or accepts no connections.
+func (q *request) upstreamEnded(ctx context.Context, up *fleet.Upstream) bool {
+	if !q.listed(index.Start{ID: up.ID, Born: up.Born}) {
+		return true
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout) // also if the caller has left
+	defer stop()
+	return q.e.Pool.Probe(ctx, up.ID, up.Address) != nil
+}
+
+// listed reports whether the upstream is listed and has not started again since.
+func (q *request) listed(s index.Start) bool {
+	up, found := q.e.Fleet.View().Services[q.service.Name].Find(s.ID)
+	return found && up.Born == s.Born
+}
+
+// recordRuns makes the runs of this attempt durable, and returns those of all attempts of the
+// request. The write goes on if ctx ends or takes longer than runsTimeout.
+func (q *request) recordRuns(ctx context.Context) (runs []index.Run, err error) {
+	rec := q.runsRecord()
+	rec.Run.Ended, rec.Run.Broken = q.own.Ended(), q.own.Broken()
+	type result struct {
+		quorum.Result
+		error
+	}
+	done := make(chan result, 1)
+	go func() {
+		writeCtx, cancel := context.WithTimeout(q.e.Stop, settleTimeout)
+		defer cancel()
+		res, err := q.e.Records.Write(writeCtx, rec)
+		done <- result{res, err}
+	}()
+	ctx, stop := context.WithTimeout(ctx, runsTimeout)
+	defer stop()
+	select {
+	case r := <-done:
+		return r.Runs, errors.Wrap(r.error, "record runs")
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "record runs")
+	}
+}
+
+// queryRuns reads what is known of the request's earlier attempts. Nothing is known of them if
+// the records can't be read: the request is then as good as a new one.
+func (q *request) queryRuns(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, runsTimeout)
+	defer stop()
+	res, err := q.e.Records.Write(ctx, q.runsRecord())
+	if err == nil {
+		q.seen = ended.Of(res.Runs)
+	}
+}
+
+// runsRecord returns a record of this attempt that states nothing of its runs yet.
+func (q *request) runsRecord() index.Record {
+	program := q.scopedID(q.Program)
+	if q.Program == "" {
+		program = "request:" + strconv.FormatUint(q.key(), 16)
+	}
+	return index.Record{
+		Program: program, Attempt: q.scopedID(q.ID), At: q.began.UnixMilli(), TTL: max(q.route.RetainFor, minRunsTTL).Milliseconds(),
+		Run: &index.Run{Request: q.key()},
+	}
+}
+
+// replyUpstreamsEnded ends a request that is not sent to further upstreams. It gets no Retry-After
+// time: it is refused everywhere until what is known of it expires.
+func (q *request) replyUpstreamsEnded() {
+	q.summary.endedUpstreams = len(q.seen.Ended())
+	q.replyUnknown(502, "upstreams_ended", errUpstreamsEnded)
+}
--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/event"
+	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
 // caller sends one request of a caller until it is answered, to another front with each attempt.
@@ -119,3 +125,218 @@
 		})
 	}
 }
+
+// Guards against a request that is refused for what others did: it only was there when upstreams ended, or its upstream lost an answer and goes on.
+func TestInnocentRequestGoesOn(t *testing.T) {
+	budget := map[string]string{"Program": "p", "Budget": "9000"}
+	cases := map[string]struct {
+		path   string
+		header map[string]string
+		ends   []string // upstreams that have ended under earlier attempts of the request
+		broken int      // earlier runs that broke off at upstreams that went on
+	}{
+		"stream, a third ended":         {"/resume/", budget, []string{"up1", "up2"}, 0},
+		"turn, a third ended":           {"/keep/", budget, []string{"up1", "up2"}, 0},
+		"no budget, a third ended":      {"/resume/", map[string]string{"Program": "p"}, []string{"up1", "up2"}, 0},
+		"one upstream loses answers":    {"/resume/", budget, nil, 5},
+		"one ended, answers lost":       {"/resume/", budget, []string{"up1"}, 3},
+		"the same start counted twice":  {"/resume/", budget, []string{"up1", "up1", "up2"}, 0},
+		"safe call, two ended":          {"/safe/", map[string]string{"Program": "p"}, []string{"up1", "up2"}, 0},
+		"unsafe call of another caller": {"/unsafe/", map[string]string{"Program": "p"}, []string{"up1", "up2"}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				response := completeStream
+				if strings.HasPrefix(c.path, "/safe") || strings.HasPrefix(c.path, "/unsafe") {
+					response = ok
+				}
+				responses := make([][]string, 6)
+				for i := range responses {
+					responses[i] = []string{response}
+				}
+				env := newTestEnv(responses...)
+				defer env.close()
+				env.recordEarlierRuns(t, c.path, c.header, c.ends, c.broken)
+				for _, id := range c.ends {
+					env.upstreams[id].end()
+				}
+				rec, aborted := env.do(t.Context(), c.path, c.header, "in")
+				is.True(!aborted)
+				is.Equal(rec.Code, 200)
+			})
+		})
+	}
+}
+
+// Guards against a front that sends on what other fronts know to end upstreams.
+func TestKnownToEndUpstreams(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		ends   []string
+		broken int
+		status int
+		sends  int
+	}{
+		"three ended":                         {"/resume/", []string{"up1", "up2", "up3"}, 0, 502, 0},
+		"two ended, two broke off":            {"/resume/", []string{"up1", "up2"}, 2, 502, 0},
+		"six broke off":                       {"/resume/", nil, 6, 502, 0},
+		"a turn that is stored":               {"/keep/", []string{"up1", "up2", "up3"}, 0, 502, 0},
+		"two ended":                           {"/resume/", []string{"up1", "up2"}, 0, 200, 1},
+		"an upstream that started four times": {"/resume/", []string{"up1:1", "up1:2", "up1:3"}, 0, 502, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{completeStream})
+				defer env.close()
+				header := map[string]string{"Program": "p", "Budget": "9000"}
+				env.recordEarlierRuns(t, c.path, header, c.ends, c.broken)
+				rec, _ := env.do(t.Context(), c.path, header, "in")
+				is.Equal(rec.Code, c.status)
+				is.Equal(rec.Header().Get("Again"), "") // it would be refused again
+				is.Equal(len(env.upstreams["up1"].requests()), c.sends)
+				is.Equal(strings.Contains(rec.Body.String(), "upstreams_ended"), c.status != 200)
+				rec, _ = env.do(t.Context(), c.path, header, "another turn of the program")
+				is.Equal(rec.Code, 200) // only the request itself is refused
+				synctest.Wait()
+				is.Equal(env.rec.shares["r1"].Tokens, 6) // a refused turn is not charged
+			})
+		})
+	}
+}
+
+// recordEarlierRuns records what became of an earlier attempt at another front. An upstream is
+// given by its id, or by its id and start.
+func (env *testEnv) recordEarlierRuns(t *testing.T, path string, header map[string]string, ends []string, broken int) {
+	t.Helper()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, nil)
+	r.Host = "h"
+	q := request{e: env.e, r: r, view: env.e.Fleet.View(), body: []byte("in"), began: time.Now()}
+	q.Program, q.ID = header["Program"], "earlier"
+	for _, name := range ends {
+		id, born, _ := strings.Cut(name, ":")
+		start, _ := strconv.ParseInt(born, 10, 64)
+		q.own = q.own.With(index.Start{ID: id, Born: start})
+	}
+	for range broken {
+		q.own = q.own.WithBroken(index.Start{ID: "up1"})
+	}
+	_, err := q.recordRuns(t.Context())
+	is.New(t).NoErr(err)
+}
+
+// Guards against a front without records that sends a request to one upstream after the other, and against one that sends on nothing.
+func TestEndsThatCannotBeRecorded(t *testing.T) {
+	for name, poison := range map[string]bool{"ends each upstream": true, "one upstream ends": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				responses := make([][]string, 6)
+				for i := range responses {
+					responses[i] = []string{chunked + event2 + end}
+				}
+				env := newTestEnv(responses...)
+				defer env.close()
+				for id, u := range env.upstreams {
+					if poison || id == "up1" {
+						u.endsOn, u.endsAfter = "in", chunked+event1
+					}
+				}
+				env.setLoad("up1", -1) // so that up1 is tried first
+				env.rec.down = true
+				_, aborted := env.do(t.Context(), "/resume/", map[string]string{"Program": "p"}, "in")
+				is.Equal(aborted, poison)
+				if poison {
+					is.Equal(env.ended(), 2)
+				} else {
+					is.Equal(env.ended(), 1)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an upstream that starts again under its id while a request ends it again and again: it is another start each time.
+func TestUpstreamThatRestartsUnderItsID(t *testing.T) {
+	for name, told := range map[string]bool{"the store tells at once": true, "the store does not tell": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{completeStream})
+				other := env.another()
+				u := env.upstreams["up1"]
+				u.endsOn, u.endsAfter = "poison", chunked+event1
+				ends := 0
+				u.restart = func() {
+					ends++
+					if told {
+						env.changeUpstreams(func(up *fleet.Upstream) { up.Born = int64(ends) })
+					}
+				}
+				call := caller{fronts: []*testEnv{env, other}, path: "/resume/", header: map[string]string{"Program": "p", "Budget": "9000"}, body: "poison", attempts: 2, sends: 3}
+				_, complete := call.call(t)
+				is.True(!complete)
+				if told {
+					is.Equal(ends, 3)
+				} else {
+					is.Equal(ends, 6) // each looks as if the upstream had lost an answer, which counts half
+				}
+				env.close()
+				other.close()
+			})
+		})
+	}
+}
+
+// Guards against a front that goes on at once with a request that ended its upstream, and stops before it has told: the next front would begin at nothing.
+func TestEndIsRecordedBeforeTheRequestIsSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{ok}, []string{ok}, []string{ok})
+		for _, u := range env.upstreams {
+			u.endsOn, u.endsAfter = "poison", chunked+event1
+		}
+		known := []int{}
+		for _, u := range env.upstreams {
+			u.onRequest = func() {
+				env.rec.mu.Lock()
+				defer env.rec.mu.Unlock()
+				n := 0
+				for _, r := range env.rec.runs.Runs("p", env.key(t, "/resume/", "p", "poison")) {
+					n += len(r.Ended)
+				}
+				known = append(known, n)
+			}
+		}
+		_, aborted := env.do(t.Context(), "/resume/", map[string]string{"Program": "p", "Budget": "9000"}, "poison")
+		is.True(aborted)
+		is.Equal(known, []int{0, 1, 2})
+		env.close()
+	})
+}
+
+func (env *testEnv) key(t *testing.T, path, program, body string) uint64 {
+	t.Helper()
+	q := request{r: httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, nil), body: []byte(body)}
+	q.r.Host, q.Program = "h", program
+	return q.key()
+}
+
+// Guards against a request whose caller left, or did not take its events, and that is taken for one that breaks off at upstreams.
+func TestCallersThatLeaveEndNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{chunked + event1 + "HANG"})
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_, aborted := env.do(ctx, "/resume/", map[string]string{"Program": "p", "Budget": "9000"}, "in")
+		is.True(aborted)
+		synctest.Wait()
+		is.Equal(len(env.rec.runs.Runs("p", env.key(t, "/resume/", "p", "in"))), 0)
+		is.Equal(len(env.upstreams["up1"].requests()), 1)
+		env.close()
+	})
+}
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -41,6 +41,8 @@
 
 		endsOn    string // a request with this in its body ends the process; empty for none
 		endsAfter string // what the process sends of the response before
+		restart   func() // called when it has ended, after which it accepts connections again; nil if it stays down
+		onRequest func() // called with each request; nil for nothing
 		conns     []net.Conn
 	}
 
@@ -59,6 +61,7 @@
 		down   bool
 		shares map[string]index.Charge
 		turns  map[string]index.Turn
+		runs   index.Index
 	}
 
 	testEnv struct {
@@ -141,6 +144,10 @@
 	for _, s := range r.shares {
 		res.Charges = append(res.Charges, s)
 	}
+	if rec.Run != nil {
+		r.runs.ApplyCharge(rec, time.Now())
+		res.Runs = r.runs.Runs(rec.Program, rec.Run.Request)
+	}
 	return res, nil
 }
 
@@ -177,6 +184,9 @@
 		u.received = append(u.received, received{r.Method, r.RequestURI, string(body), r.Header})
 		response := u.responses[min(len(u.received), len(u.responses))-1]
 		u.mu.Unlock()
+		if u.onRequest != nil {
+			u.onRequest()
+		}
 		if u.endsOn != "" && strings.Contains(string(body), u.endsOn) {
 			_, _ = io.WriteString(conn, strings.ReplaceAll(u.endsAfter, "ID", r.Header.Get("Id")))
 			u.end()
@@ -218,10 +228,13 @@
 func (u *fakeUpstream) end() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.refuse = true
+	if u.refuse = u.restart == nil; !u.refuse {
+		u.restart()
+	}
 	for _, conn := range u.conns {
 		_ = conn.Close()
 	}
+	u.conns = nil
 }
 
 func (u *fakeUpstream) hasEnded() bool {
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/admit"
+	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/meta"
@@ -122,6 +123,8 @@
 		keyHash       uint64 // see key; 0 if not computed yet
 		began         time.Time
 		deadline      time.Time
+		own           ended.Tally // runs of this attempt
+		seen          ended.Tally // runs of all attempts, as last read from the records
 		summary       summary
 	}
 )
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -15,6 +15,8 @@
 	endLost        = "lost"        // no response, or an incomplete one of which nothing was passed on
 	endInterrupted = "interrupted" // a stream whose beginning was passed on
 	endCanceled    = "canceled"    // the caller left or the time was up
+	// endUpstreamEnded takes the place of the two that leave open what became of the upstream.
+	endUpstreamEnded = "upstream_ended"
 
 	// Why a request was sent on after a send, or not, as logged.
 	nextNotRun     = "sent_on: not run"
@@ -23,6 +25,7 @@
 	nextNotAllowed = "stopped: may not run twice"
 	nextAttempts   = "stopped: no attempts left"
 	nextNoUpstream = "stopped: no other upstream"
+	nextEnded      = "stopped: upstreams ended"
 	nextOver       = "stopped: caller left or time is up"
 )
 
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +41,7 @@
 		info            meta.ResponseInfo
 		began           time.Time
 		cancelInterrupt func() bool // cancels the interruption of conn when the context is done
+		brokeOff        bool        // the upstream broke the run off
 	}
 
 	// notRunError reports that an upstream did not run the request and never will.
@@ -147,7 +150,7 @@
 		s.resp, err = conn.Receive(q.r.Method) //nolint:bodyclose // ends with its connection: closeConn or releaseConn
 	}
 	if err != nil {
-		s.closeConn()
+		s.fail(err)
 		if !conn.Sent() {
 			q.uncountSend()
 			return nil, &notRunError{up: up, cause: "closed", err: err}
@@ -160,7 +163,7 @@
 		return nil, q.handleNotRun(s)
 	}
 	if s.info.Request != q.ID {
-		s.closeConn()
+		s.fail(errWrongRequest)
 		return nil, q.recordLoss(ctx, s, errWrongRequest)
 	}
 	return s, nil
@@ -170,11 +173,11 @@
 // counts as failed unless the context was done or the deadline had passed.
 func (q *request) recordLoss(ctx context.Context, s *exchange, err error) error {
 	q.summary.ran = ranUnknown
-	if ctx.Err() != nil {
-		return errors.CombineErrors(ctx.Err(), err)
-	}
-	if !time.Now().Before(q.deadline) {
-		return errors.CombineErrors(context.DeadlineExceeded, err) // the connection's deadline fired before the context's
+	if q.over(ctx) {
+		if s.brokeOff {
+			_ = q.noteEnd(ctx, &s.up) // it is not sent on anyway
+		}
+		return errors.CombineErrors(cmp.Or(ctx.Err(), context.DeadlineExceeded), err)
 	}
 	q.summary.runs.end(endLost)
 	q.e.Picker.RecordFailure(time.Now(), s.up.ID)
@@ -198,6 +201,16 @@
 	return &notRunError{up: s.up, cause: cause}
 }
 
+// fail closes the connection after a run has failed, and determines whether the upstream broke it
+// off. If the caller left or the time is up, the connection was interrupted here, but may have been
+// closed by the upstream before.
+func (s *exchange) fail(err error) {
+	s.cancelInterrupt()
+	ours := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errNotDelivered)
+	s.brokeOff = !ours || s.conn.ClosedByPeer()
+	s.conn.Close()
+}
+
 // closeConn closes the connection, by which an upstream that still runs the request
 // learns that it was abandoned.
 func (s *exchange) closeConn() {
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/event"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -30,6 +31,9 @@
 	streamBuffer = 16 << 10
 )
 
+// errNotDelivered reports an event that the caller's connection did not take.
+var errNotDelivered = errors.New("event was not delivered")
+
 // turn is a streamed request in progress.
 type turn struct {
 	*request
@@ -158,10 +162,12 @@
 // has ended: an error response was sent, or the caller has disconnected.
 func (t *turn) reserve(ctx context.Context) bool {
 	if !t.HasTokenBudget || t.Program == "" {
-		return true
+		t.queryRuns(ctx)
+		return t.mayRun()
 	}
 	rec := t.newRecord()
 	rec.Reserved, rec.MaxTokens, rec.Budget = true, t.maxTokens(), t.TokenBudget
+	rec.Run = &index.Run{Request: t.key()}
 	res, err := t.e.Records.Write(ctx, rec)
 	t.reserved = !errors.Is(err, quorum.ErrNotWritten)
 	if err != nil {
@@ -184,7 +190,19 @@
 		t.replyError(http.StatusPaymentRequired, "budget_spent", nil)
 		return false
 	}
-	return true
+	t.seen = ended.Of(res.Runs)
+	return t.mayRun()
+}
+
+// mayRun reports whether the turn may be sent to an upstream. Otherwise it has sent an error
+// response: several have ended while they ran the turn.
+func (t *turn) mayRun() bool {
+	if t.seen.MayRun(t.listed) {
+		return true
+	}
+	t.settle()
+	t.replyUpstreamsEnded()
+	return false
 }
 
 // settle replaces the reservation by the tokens that the turn generated. It writes in
@@ -238,6 +256,7 @@
 			s, err = t.dispatch(ctx, c, body, d)
 		}
 		if err != nil {
+			err = t.noteLoss(ctx, err)
 			t.noteStop(ctx, err)
 			return err
 		}
@@ -245,12 +264,20 @@
 		err = t.relay(ctx, s)
 		t.endRunning()
 		t.e.done(s.up.ID)
-		switch {
-		case err == nil:
+		if err == nil {
 			return nil
-		case ctx.Err() != nil:
+		}
+		var stop error
+		if s.brokeOff {
+			stop = t.noteEnd(ctx, &s.up)
+		}
+		switch {
+		case t.over(ctx) || errors.Is(err, errNotDelivered):
 			t.summary.runs.next(nextOver)
 			return err
+		case stop != nil:
+			t.summary.runs.next(nextEnded)
+			return stop
 		case !t.route.Resume:
 			t.summary.runs.next(nextNotAllowed)
 			return err
@@ -275,6 +302,8 @@
 	switch {
 	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
 		t.summary.runs.next(nextOver)
+	case errors.Is(err, errUpstreamsEnded):
+		t.summary.runs.next(nextEnded)
 	case errors.As(err, &loss):
 		t.summary.runs.next(nextNotAllowed)
 	}
@@ -300,8 +329,9 @@
 	if s.resp.StatusCode != http.StatusOK {
 		body, err := upconn.ReadAll(s.resp.Body, maxResponse)
 		if err != nil || t.headerSent {
-			s.closeConn()
-			return t.recordLoss(ctx, s, errors.CombineErrors(errors.Newf("upstream returned status %d", s.resp.StatusCode), err))
+			err = errors.CombineErrors(errors.Newf("upstream returned status %d", s.resp.StatusCode), err)
+			s.fail(err)
+			return t.recordLoss(ctx, s, err)
 		}
 		s.releaseConn(t.e.Pool)
 		if s.resp.StatusCode >= http.StatusInternalServerError {
@@ -331,8 +361,8 @@
 			err = t.relayEvent(e)
 		}
 		if err != nil {
-			s.closeConn()
-			if ctx.Err() == nil {
+			s.fail(err)
+			if s.brokeOff && !t.over(ctx) {
 				t.summary.runs.end(endInterrupted)
 				t.e.Picker.RecordFailure(time.Now(), s.up.ID)
 			}
@@ -364,9 +394,9 @@
 		t.lastEventID = e.ID
 	}
 	if _, err := t.w.Write(e.Raw); err != nil {
-		return err
+		return errors.Mark(err, errNotDelivered)
 	}
-	return t.flush()
+	return errors.Mark(t.flush(), errNotDelivered)
 }
 
 // observe records the mean time per event of the attempt, from its first event on, for the
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -20,29 +20,31 @@
 type (
 	// summary holds what is logged about an attempt.
 	summary struct {
-		status       int
-		code         string // empty for a complete response
-		ran          ran
-		upstream     string
-		factor       float64 // of the upstream, as used in the choice; 0 if none was chosen
-		missing      bool    // the upstream was not listed in the store
-		sends        int
-		events       int
-		tokens       int
-		refusals     string // by upstreams, and interruptions of resumable streams, in order
-		runs         runs   // sends to upstreams, in order
-		err          error
-		recordsTime  time.Duration // from arrival until the tokens were reserved and the history was read
-		queueReason  string        // why the attempt was queued; empty if it was not
-		queueTime    time.Duration // how long it was queued
-		queueAhead   int           // how many programs were ahead of it
-		limitClass   string        // class in which the attempt waited for its account's limit or was refused; empty if neither
-		limitWait    time.Duration // how long it waited for its account's limit
-		limitAhead   int           // requests that waited for the limit before it, over all fronts
-		load         gate.Load     // of the engines when it was queued
-		sharedTokens int           // of the shared parts of the prompt
-		sharedCached int           // of these, tokens that the upstream was assumed to have cached
-		firstOutput  time.Duration // from arrival to the first event of a stream, or to the end of another response; 0 for none
+		status   int
+		code     string // empty for a complete response
+		ran      ran
+		upstream string
+		factor   float64 // of the upstream, as used in the choice; 0 if none was chosen
+		missing  bool    // the upstream was not listed in the store
+		sends    int
+		events   int
+		tokens   int
+		refusals string // by upstreams, and interruptions of resumable streams, in order
+		runs     runs   // sends to upstreams, in order
+
+		endedUpstreams int // that ended while they ran the request, over all attempts, as known here
+		err            error
+		recordsTime    time.Duration // from arrival until the tokens were reserved and the history was read
+		queueReason    string        // why the attempt was queued; empty if it was not
+		queueTime      time.Duration // how long it was queued
+		queueAhead     int           // how many programs were ahead of it
+		limitClass     string        // class in which the attempt waited for its account's limit or was refused; empty if neither
+		limitWait      time.Duration // how long it waited for its account's limit
+		limitAhead     int           // requests that waited for the limit before it, over all fronts
+		load           gate.Load     // of the engines when it was queued
+		sharedTokens   int           // of the shared parts of the prompt
+		sharedCached   int           // of these, tokens that the upstream was assumed to have cached
+		firstOutput    time.Duration // from arrival to the first event of a stream, or to the end of another response; 0 for none
 	}
 
 	// ran states whether an upstream ran the request.
@@ -73,6 +75,9 @@
 		Int("events", s.events).Int("tokens", s.tokens).Int64("wait_ms", q.CallerTimeout.Milliseconds()).
 		Int64("recorded_ms", s.recordsTime.Milliseconds()).
 		Int64("first_ms", s.firstOutput.Milliseconds()).Int64("took_ms", took.Milliseconds()).Str("previous", q.Previous).AnErr("cause", s.err)
+	if s.endedUpstreams > 0 {
+		line.Int("upstreams_ended", s.endedUpstreams)
+	}
 	if q.HasFinishIn {
 		line.Int64("finish_ms", q.FinishIn.Milliseconds())
 	}
--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -64,10 +64,13 @@
 
 // Write writes a record. A reservation has CallTimeout, and fails with quorum.ErrNoQuorum
 // while the holders are unreachable, and with quorum.ErrOverloaded while they have too much to
-// do. Other records, the output and the usage of turns, are
-// always written, without a timeout of their own.
+// do. A query has CallTimeout and fails in the first case, too. Other records, the output, the
+// runs and the usage of turns, are always written, without a timeout of their own.
 func (b *Breaker) Write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
-	if !rec.Reserved {
+	switch {
+	case rec.IsQuery():
+		return b.query(ctx, rec)
+	case !rec.Reserved:
 		return b.Records.Write(ctx, rec)
 	}
 	if !b.allow(time.Now()) {
@@ -84,6 +87,17 @@
 	return res, err
 }
 
+func (b *Breaker) query(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
+	if !b.allow(time.Now()) {
+		return res, errOpen
+	}
+	limited, stop := context.WithTimeout(ctx, CallTimeout)
+	defer stop()
+	res, err = b.Records.Write(limited, rec)
+	b.recordOutcome(ctx, err)
+	return res, err
+}
+
 // Read returns a turn and the turns before it, the oldest first, within CallTimeout. It
 // fails with quorum.ErrNoQuorum while the holders are unreachable.
 func (b *Breaker) Read(ctx context.Context, program, turn string) (chain []index.Turn, err error) {
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -21,6 +21,9 @@
 	// It fits a connection's window, so the write cannot block on an upstream
 	// that responds before it reads.
 	inlineBody = 8 << 10
+	// maxDiscarded is the number of bytes after which ClosedByPeer takes the upstream for one
+	// that is still sending.
+	maxDiscarded = 64 << 10
 )
 
 type (
@@ -144,6 +147,31 @@
 	return err == nil && alive
 }
 
+// ClosedByPeer reports whether the upstream has closed the connection, for example because its
+// process has ended. It discards what the upstream sent before, so only Close may be called after it.
+func (c *Conn) ClosedByPeer() (closed bool) {
+	sc, ok := c.net.(syscall.Conn)
+	if !ok || c.net.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var p [4 << 10]byte
+	err = raw.Read(func(fd uintptr) bool {
+		for range maxDiscarded / len(p) {
+			n, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_DONTWAIT)
+			if err != nil || n == 0 {
+				closed = !errors.Is(err, syscall.EAGAIN)
+				break
+			}
+		}
+		return true
+	})
+	return err == nil && closed
+}
+
 // connect dials an upstream. TCP detects a dead connection: by keep-alive probes while
 // nothing is sent, and by TCP_USER_TIMEOUT while bytes are unacknowledged.
 func connect(ctx context.Context, address string) (net.Conn, error) {
--- /dev/null
+++ b/internal/front/upconn/conn_test.go
@@ -0,0 +1,76 @@
+package upconn
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// connPair returns a connection to an upstream and its far end.
+func connPair(t *testing.T) (c *Conn, far net.Conn, p *Pool) {
+	t.Helper()
+	is := is.New(t)
+	var lc net.ListenConfig
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = ln.Close() })
+	accepted := make(chan net.Conn)
+	go func() {
+		conn, _ := ln.Accept()
+		accepted <- conn
+	}()
+	p = &Pool{}
+	c, err = p.Get(t.Context(), "u", ln.Addr().String())
+	is.NoErr(err)
+	far = <-accepted
+	t.Cleanup(c.Close)
+	t.Cleanup(func() { _ = far.Close() })
+	return c, far, p
+}
+
+// Guards against an upstream that ended while a front was frozen, and is taken for one whose run was interrupted here.
+func TestClosedByPeer(t *testing.T) {
+	cases := map[string]struct {
+		sent   int // bytes that the upstream sent before
+		closes bool
+	}{
+		"open":                {0, false},
+		"open, sent":          {5000, false},
+		"closed":              {0, true},
+		"closed, sent before": {5000, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, far, _ := connPair(t)
+			_, err := far.Write(make([]byte, c.sent))
+			is.NoErr(err)
+			if c.closes {
+				is.NoErr(far.Close())
+			}
+			conn.Interrupt()
+			for c.closes && !conn.ClosedByPeer() {
+				runtime.Gosched() // its end takes a moment
+			}
+			is.Equal(conn.ClosedByPeer(), c.closes)
+		})
+	}
+}
+
+// Guards against an upstream that ended and is taken for one that goes on, and the reverse.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	conn, _, p := connPair(t)
+	is.NoErr(p.Probe(t.Context(), "u", conn.address))
+	is.True(p.Idle(conn.address)) // kept for the next request
+
+	var lc net.ListenConfig
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := ln.Addr().String()
+	is.NoErr(ln.Close())
+	is.True(p.Probe(context.Background(), "v", address) != nil)
+}
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -62,6 +62,10 @@
 		}
 		c.Close()
 	}
+	return p.open(ctx, id, address)
+}
+
+func (p *Pool) open(ctx context.Context, id, address string) (*Conn, error) {
 	dial := p.Dial
 	if dial == nil {
 		dial = connect
@@ -76,6 +80,17 @@
 	return &Conn{net: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address, upstreamID: id}, nil
 }
 
+// Probe opens a new connection to the upstream, and keeps it for the next request. The error is
+// that of the connect. Idle connections tell nothing: their end may not have been received yet.
+func (p *Pool) Probe(ctx context.Context, id, address string) error {
+	c, err := p.open(ctx, id, address)
+	if err != nil {
+		return err
+	}
+	p.Put(c, 0)
+	return nil
+}
+
 // Put returns a connection whose response was read completely. Idle is the upstream's idle
 // timeout, 0 if it stated none. A connection that cannot be reused is closed.
 func (p *Pool) Put(c *Conn, idle time.Duration) {
