proxy, platform: tests of streams at two software versions, which fail

Stand-ins of upstreams serve several versions, one ends in the middle of a stream, and callers take the stream up at another front and name the attempt that brought its first event, which platform decodes now.

--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -24,6 +24,7 @@
 		MaxOutputTokens int           // most tokens that the turn may generate
 		Previous        string        // attempt id of the turn that this one continues
 		LastEventID     string        // id of the last event that the caller received
+		FirstAttempt    string        // id of the attempt that brought the stream's first event; set with LastEventID, if known
 		FinishIn        time.Duration // from this attempt to the program's deadline; negative if it is late; valid with HasFinishIn
 		HasFinishIn     bool
 		AffinityKey     string       // id of the object that the request is about
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -43,7 +43,9 @@
 		endsAfter string // what the process sends of the response before
 		restart   func() // called when it has ended, after which it accepts connections again; nil if it stays down
 		onRequest func() // called with each request; nil for nothing
-		conns     []net.Conn
+		// respond returns the response in place of responses, and whether the process then ends; nil for neither.
+		respond func(h http.Header) (response string, ends bool)
+		conns   []net.Conn
 	}
 
 	received struct {
@@ -85,7 +87,7 @@
 }
 
 func (fakeDialect) Decode(h http.Header) (a meta.Attempt, err error) {
-	a = meta.Attempt{APIKey: accnt.DigestOf(h.Get("Key")), HasAPIKey: h.Get("Key") != "", ID: h.Get("Id"), Program: h.Get("Program"), Previous: h.Get("Previous"), LastEventID: h.Get("Last"), MaxOutputTokens: 30}
+	a = meta.Attempt{APIKey: accnt.DigestOf(h.Get("Key")), HasAPIKey: h.Get("Key") != "", ID: h.Get("Id"), Program: h.Get("Program"), Previous: h.Get("Previous"), LastEventID: h.Get("Last"), FirstAttempt: h.Get("First"), MaxOutputTokens: 30}
 	if a.ID == "" {
 		return a, errors.New("no id")
 	}
@@ -151,6 +153,17 @@
 	return res, nil
 }
 
+// forgetSettled forgets what fronts record when an attempt has ended, as if they had lost their power before.
+func (r *fakeRecords) forgetSettled() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, c := range r.shares {
+		if c.Settled {
+			delete(r.shares, id)
+		}
+	}
+}
+
 func (r *fakeRecords) Read(_ context.Context, _, id string) (chain []index.Turn, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -192,6 +205,14 @@
 			u.end()
 			return
 		}
+		if u.respond != nil {
+			var ends bool
+			if response, ends = u.respond(r.Header); ends {
+				_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", r.Header.Get("Id")))
+				u.end()
+				return
+			}
+		}
 		response, hang := strings.CutSuffix(response, "HANG")
 		response, closing := strings.CutSuffix(response, "CLOSE")
 		for i, part := range strings.Split(strings.ReplaceAll(response, "ID", r.Header.Get("Id")), "PAUSE") {
--- /dev/null
+++ b/internal/front/proxy/version_test.go
@@ -0,0 +1,228 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/front/event"
+	"github.com/slaterock/slaterock/internal/front/fleet"
+)
+
+const streamEvents = 4
+
+// serveVersion makes an upstream respond with the events of a stream, each of which names the
+// version. Its process ends after so many events in all; a negative number is never.
+func (u *fakeUpstream) serveVersion(version string, endsAfter int) {
+	sent := 0
+	u.respond = func(h http.Header) (response string, ends bool) {
+		var b strings.Builder
+		b.WriteString(chunked)
+		last, _ := strconv.Atoi(h.Get("Last"))
+		for i := last + 1; i <= streamEvents; i++ {
+			if sent == endsAfter {
+				return b.String(), true
+			}
+			sent++
+			text := fmt.Sprintf("id:%d\ndata:%s\n\n", i, version)
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(text), text)
+		}
+		return b.String() + end, false
+	}
+}
+
+// streamCaller takes one stream up again, at another front with each attempt.
+type streamCaller struct {
+	fronts   []*testEnv
+	header   map[string]string
+	noFirst  bool // it does not name the attempt that brought the first event
+	last     string
+	first    string
+	versions []string // of the events so far
+	statuses []int
+}
+
+// attempt sends one attempt, and reports whether the stream is complete now.
+func (c *streamCaller) attempt(t *testing.T) bool {
+	n := len(c.statuses)
+	header := map[string]string{"Id": fmt.Sprint("r", n), "Program": "p", "Budget": "9000", "Last": c.last}
+	if !c.noFirst {
+		header["First"] = c.first
+	}
+	for name, value := range c.header {
+		header[name] = value
+	}
+	rec, aborted := c.fronts[n%len(c.fronts)].do(t.Context(), "/resume/", header, "in")
+	c.statuses = append(c.statuses, rec.Code)
+	if rec.Code != http.StatusOK {
+		return false
+	}
+	r := event.Reader{R: bufio.NewReader(strings.NewReader(rec.Body.String()))}
+	for e, err := r.Next(); err == nil; e, err = r.Next() {
+		if c.first == "" {
+			c.first = header["Id"]
+		}
+		c.last = e.ID
+		c.versions = append(c.versions, string(e.Data))
+	}
+	return !aborted
+}
+
+// versionEnv returns fronts before upstreams of the versions given, up1 and so on.
+func versionEnv(fronts int, versions ...string) []*testEnv {
+	env := newTestEnv(slices.Repeat([][]string{{ok}}, len(versions))...)
+	env.changeUpstreams(func(u *fleet.Upstream) { u.Version = versions[u.ID[2]-'1'] })
+	for i, v := range versions {
+		env.upstreams[fmt.Sprint("up", i+1)].serveVersion(v, -1)
+	}
+	list := []*testEnv{env}
+	for range fronts - 1 {
+		list = append(list, env.another())
+	}
+	return list
+}
+
+func closeAll(fronts []*testEnv) {
+	for _, f := range fronts {
+		f.close()
+	}
+}
+
+// Guards against a stream that goes on at an upstream of another software version than the one that began it, within one response.
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	cases := map[string]struct {
+		versions []string // of up1, which ends in the middle, and the others
+		events   []string
+		complete bool
+	}{
+		"another of its version":      {[]string{"v1", "v2", "v2", "v1"}, []string{"v1", "v1", "v1", "v1"}, true},
+		"the newer version":           {[]string{"v2", "v1", "v1", "v2"}, []string{"v2", "v2", "v2", "v2"}, true},
+		"none of its version is left": {[]string{"v1", "v2", "v2"}, []string{"v1", "v1"}, false},
+		"no version is stated":        {[]string{"", "v2", ""}, []string{"", "", "", ""}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(1, c.versions...)
+				defer closeAll(fronts)
+				fronts[0].upstreams["up1"].serveVersion(c.versions[0], 2)
+				fronts[0].preferFirst(len(c.versions))
+				caller := streamCaller{fronts: fronts, header: map[string]string{}}
+				is.Equal(caller.attempt(t), c.complete)
+				is.Equal(caller.versions, c.events)
+			})
+		})
+	}
+}
+
+// Guards against a stream that its caller takes up again at another front and that goes on at another version, and against one that is refused although its version serves.
+func TestStreamTakenUpAtAnotherFront(t *testing.T) {
+	cases := map[string]struct {
+		versions []string // of up1, which begins the stream and ends, and the others
+		between  func(env *testEnv)
+		complete bool
+	}{
+		"its version serves":               {[]string{"v1", "v2", "v2", "v2", "v1"}, nil, true},
+		"it began at the newer version":    {[]string{"v2", "v1", "v1", "v1", "v2"}, nil, true},
+		"none of its version is left":      {[]string{"v1", "v2", "v2", "v2"}, nil, false},
+		"only one version is left":         {[]string{"v1", "v2"}, func(env *testEnv) { env.upgrade("up1", "v2") }, false},
+		"only a leaving one has it":        {[]string{"v1", "v2", "v1"}, func(env *testEnv) { env.leave("up3") }, false},
+		"the one that has it starts anew":  {[]string{"v1", "v2", "v1"}, func(env *testEnv) { env.upgrade("up3", "v2") }, false},
+		"its upstream has been upgraded":   {[]string{"v1", "v2", "v1"}, func(env *testEnv) { env.upgrade("up1", "v2") }, true},
+		"another version came meanwhile":   {[]string{"v1", "v1", "v1"}, func(env *testEnv) { env.upgrade("up2", "v2") }, true},
+		"there is one version only":        {[]string{"v1", "v1", "v1"}, nil, true},
+		"the first front lost its power":   {[]string{"v1", "v2", "v2", "v1"}, func(env *testEnv) { env.rec.forgetSettled() }, true},
+		"the same, and no version is left": {[]string{"v1", "v2", "v2"}, func(env *testEnv) { env.rec.forgetSettled() }, false},
+	}
+	for name, c := range cases {
+		for _, budget := range []string{"9000", ""} {
+			t.Run(name+", budget "+budget, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					fronts := versionEnv(3, c.versions...)
+					defer closeAll(fronts)
+					env := fronts[0]
+					env.upstreams["up1"].serveVersion(c.versions[0], 2)
+					env.setRefuse(true, 2, len(c.versions)) // so that the first front can't go on by itself
+					caller := streamCaller{fronts: fronts, header: map[string]string{"Budget": budget}}
+					is.True(!caller.attempt(t))
+					is.Equal(caller.last, "2")
+					env.setRefuse(false, 2, len(c.versions))
+					synctest.Wait()
+					if c.between != nil {
+						c.between(env)
+					}
+					is.Equal(caller.attempt(t), c.complete)
+					want := []string{c.versions[0], c.versions[0]}
+					status := http.StatusServiceUnavailable
+					if c.complete {
+						want, status = append(want, want...), http.StatusOK
+					}
+					is.Equal(caller.versions, want)
+					is.Equal(caller.statuses[1], status)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stream of which nothing was sent yet and that is held to a version that no upstream serves any more.
+func TestStreamWithoutEventsRunsAnywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fronts := versionEnv(2, "v1", "v2", "v2")
+		defer closeAll(fronts)
+		fronts[0].upstreams["up1"].serveVersion("v1", 0)
+		fronts[0].preferFirst(3)
+		caller := streamCaller{fronts: fronts}
+		for !caller.attempt(t) {
+			is.True(len(caller.statuses) < 3)
+		}
+		is.Equal(caller.versions, []string{"v2", "v2", "v2", "v2"})
+	})
+}
+
+// preferFirst has all upstreams but up1 look busy.
+func (env *testEnv) preferFirst(n int) {
+	load := map[string]int{}
+	for i := 2; i <= n; i++ {
+		load[fmt.Sprint("up", i)] = 2 * n
+	}
+	env.e.Picker.PeersUpdated(load, 1)
+}
+
+// setRefuse sets whether the upstreams from one number to another refuse connections.
+func (env *testEnv) setRefuse(on bool, from, to int) {
+	for i := from; i <= to; i++ {
+		u := env.upstreams[fmt.Sprint("up", i)]
+		u.mu.Lock()
+		u.refuse = on
+		u.mu.Unlock()
+	}
+}
+
+// upgrade restarts an upstream under its id with another version.
+func (env *testEnv) upgrade(id, version string) {
+	u := env.upstreams[id]
+	u.serveVersion(version, -1)
+	u.mu.Lock()
+	u.refuse = false
+	u.mu.Unlock()
+	env.changeUpstreams(func(up *fleet.Upstream) {
+		if up.ID == id {
+			up.Version, up.Born = version, up.Born+1
+		}
+	})
+}
+
+func (env *testEnv) leave(id string) {
+	env.changeUpstreams(func(up *fleet.Upstream) { up.Leaving = up.Leaving || up.ID == id })
+}
