proxy, pick, index: a stream goes on at the software version that began it

Callers got streams with events of two software versions. Cause: the version of an upstream was decoded and stayed in the view; neither the choice, nor a resumption within one response, nor what is recorded of an attempt knew it.

The choice takes a version that the upstream must have. Within one response it is that of the first event. Over attempts it has to be known at any front, also after the front that sent the first event lost its power: so the reservation of a resumable turn states the version at which it will most likely begin, a record of its own follows if another one is chosen, and it is durable before the caller gets its first event. A caller names the attempt that brought that event; the reservation of the attempt that takes the stream up returns its version. A version that no upstream serves is refused at once, without a Retry-After time; one that is not known, while several serve, with one. A stream without events runs anywhere. With one version all this costs no call and no record.

Also: a stream whose upstream has started again under its id was not resumed elsewhere, since that id was still listed.

--- a/internal/disk/index/run.go
+++ b/internal/disk/index/run.go
@@ -14,6 +14,11 @@
 		Ended   []Start `cbor:"3,keyasint,omitempty"` // upstreams that ended while they ran it, sorted
 		Broken  []Start `cbor:"4,keyasint,omitempty"` // upstreams at which a run broke off and that may go on, one for each run
 		At      int64   `cbor:"5,keyasint,omitempty"` // start of the attempt, in Unix milliseconds; left out in a record
+		// Version is the software version of the upstream that the attempt was sent to, before any of
+		// its response was passed on; valid with Choice, the number of times that one was chosen.
+		Version string `cbor:"6,keyasint,omitempty"`
+		Choice  int    `cbor:"7,keyasint,omitempty"`
+		First   string `cbor:"8,keyasint,omitempty"` // another attempt whose run is asked for, in a record; empty for none
 	}
 
 	// Start identifies one start of an upstream: one that starts again under its id is another.
@@ -28,23 +33,26 @@
 	return cmp.Or(cmp.Compare(s.ID, o.ID), cmp.Compare(s.Born, o.Born))
 }
 
-func (r Run) isEmpty() bool { return len(r.Ended) == 0 && len(r.Broken) == 0 }
+func (r Run) isEmpty() bool { return len(r.Ended) == 0 && len(r.Broken) == 0 && r.Choice == 0 }
 
 func (r Record) hasRun() bool { return r.Program != "" && r.Run != nil && !r.Run.isEmpty() }
 
 // run returns the record's run with its attempt.
 func (r Record) run() Run {
 	run := *r.Run
-	run.Attempt, run.At = r.Attempt, r.At
+	run.Attempt, run.At, run.First = r.Attempt, r.At, ""
 	return run
 }
 
 // MergeRuns merges what two records or replicas state of one attempt. Of the runs that broke off,
-// one states a beginning of what the other does.
+// one states a beginning of what the other does; of the versions the last choice holds.
 func MergeRuns(a, b Run) Run {
 	if a.Attempt == "" {
 		return b
 	}
+	if b.Choice > a.Choice {
+		a.Version, a.Choice = b.Version, b.Choice
+	}
 	if len(b.Broken) > len(a.Broken) {
 		a.Broken = b.Broken
 	}
@@ -57,7 +65,8 @@
 }
 
 func (r Run) equal(o Run) bool {
-	return r.Attempt == o.Attempt && r.Request == o.Request && r.At == o.At && slices.Equal(r.Ended, o.Ended) && slices.Equal(r.Broken, o.Broken)
+	return r.Attempt == o.Attempt && r.Request == o.Request && r.At == o.At && r.Version == o.Version && r.Choice == o.Choice &&
+		slices.Equal(r.Ended, o.Ended) && slices.Equal(r.Broken, o.Broken)
 }
 
 func (p *program) addRun(r Run) {
@@ -72,14 +81,14 @@
 	return known && MergeRuns(old, r).equal(old)
 }
 
-// Runs returns what is stated of the attempts of a request.
-func (ix *Index) Runs(name string, request uint64) (list []Run) {
+// Runs returns what is stated of the attempts of a request, and of the attempt first.
+func (ix *Index) Runs(name string, request uint64, first string) (list []Run) {
 	p := ix.programs[name]
 	if p == nil {
 		return nil
 	}
 	for _, r := range p.runs {
-		if r.Request == request {
+		if r.Request == request || r.Attempt == first {
 			list = append(list, r)
 		}
 	}
--- a/internal/disk/recsrv/write.go
+++ b/internal/disk/recsrv/write.go
@@ -49,7 +49,7 @@
 func (s *Server) runs(r index.Record) []index.Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.index.Runs(r.Program, r.Run.Request)
+	return s.index.Runs(r.Program, r.Run.Request, r.Run.First)
 }
 
 // appendIfAllowed appends a record unless it must be refused. The checks and the append
--- a/internal/front/fleet/service.go
+++ b/internal/front/fleet/service.go
@@ -8,11 +8,19 @@
 	Service struct {
 		Upstreams
 
-		open []batchCount
+		open     []batchCount
+		versions []versionCount
 	}
 
 	// batchCount is the number of upstreams of a batch size that are not leaving.
 	batchCount struct{ batch, n int }
+
+	// versionCount is the number of upstreams of a software version.
+	versionCount struct {
+		version string
+		n       int
+		open    int // of these, those that are not leaving
+	}
 )
 
 // NewService returns a service with these upstreams.
@@ -53,17 +61,32 @@
 	return int(total)
 }
 
+// OneVersion returns the software version of all upstreams, also of those that are leaving. It
+// returns false if they have several, or there are none.
+func (s *Service) OneVersion() (version string, ok bool) {
+	if s == nil || len(s.versions) != 1 {
+		return "", false
+	}
+	return s.versions[0].version, true
+}
+
+// Serves reports whether an upstream of the software version is not leaving.
+func (s *Service) Serves(version string) bool {
+	return s != nil && slices.ContainsFunc(s.versions, func(c versionCount) bool { return c.version == version && c.open > 0 })
+}
+
 // serviceEdit is a service that is being changed.
 type serviceEdit struct {
 	upstreams upstreamsEdit
 	open      []batchCount
+	versions  []versionCount
 }
 
 func newServiceEdit(s *Service) *serviceEdit {
 	if s == nil {
 		return &serviceEdit{}
 	}
-	return &serviceEdit{upstreams: upstreamsEdit{set: s.Upstreams}, open: slices.Clone(s.open)}
+	return &serviceEdit{upstreams: upstreamsEdit{set: s.Upstreams}, open: slices.Clone(s.open), versions: slices.Clone(s.versions)}
 }
 
 func (e *serviceEdit) put(u *Upstream) {
@@ -80,6 +103,7 @@
 }
 
 func (e *serviceEdit) count(u *Upstream, n int) {
+	e.countVersion(u, n)
 	if u.Leaving {
 		return
 	}
@@ -93,6 +117,20 @@
 	}
 }
 
+func (e *serviceEdit) countVersion(u *Upstream, n int) {
+	i := slices.IndexFunc(e.versions, func(c versionCount) bool { return c.version == u.Version })
+	if i < 0 {
+		i = len(e.versions)
+		e.versions = append(e.versions, versionCount{version: u.Version})
+	}
+	if !u.Leaving {
+		e.versions[i].open += n
+	}
+	if e.versions[i].n += n; e.versions[i].n == 0 {
+		e.versions = slices.Delete(e.versions, i, i+1)
+	}
+}
+
 func (e *serviceEdit) done() *Service {
-	return &Service{Upstreams: e.upstreams.set, open: e.open}
+	return &Service{Upstreams: e.upstreams.set, open: e.open, versions: e.versions}
 }
--- a/internal/front/pick/choose.go
+++ b/internal/front/pick/choose.go
@@ -44,15 +44,32 @@
 func (p *Picker) Choose(now time.Time, r Request) (u fleet.Upstream, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	best := p.best(now, r)
+	if best == nil {
+		return u, false
+	}
+	p.state(best.ID).ownInFlight++
+	p.remember(best)
+	return *best, true
+}
+
+// Preview returns the candidate that Choose would select now, apart from chance.
+func (p *Picker) Preview(now time.Time, r Request) (u fleet.Upstream, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := p.best(now, r)
+	if best == nil {
+		return u, false
+	}
+	return *best, true
+}
+
+// best returns the candidate with the lowest cost, nil if none is eligible.
+func (p *Picker) best(now time.Time, r Request) *fleet.Upstream {
 	s := selection{p: p, r: r, now: now, confidence: p.confidence(), lowest: math.Inf(1)}
 	p.findHolders(now, &s.r)
 	s.run()
-	if s.best == nil {
-		return u, false
-	}
-	p.state(s.best.ID).ownInFlight++
-	p.remember(s.best)
-	return *s.best, true
+	return s.best
 }
 
 func (s *selection) run() {
@@ -99,6 +116,9 @@
 
 // compare makes an upstream the best one if it is eligible and its cost is the lowest so far.
 func (s *selection) compare(u *fleet.Upstream) {
+	if s.r.HasVersion && u.Version != s.r.Version {
+		return
+	}
 	if s.r.Only == "" && (u.Leaving || s.r.Exclude[u.ID]) {
 		return
 	}
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -126,6 +126,8 @@
 		Shared     []meta.Part     // parts of the prompt that other programs may share; see meta.Attempt.SharedParts
 		Only       string          // id of the only upstream that may run it, even if leaving or excluded; empty for any
 		Exclude    map[string]bool // ids that have refused or failed this attempt
+		Version    string          // software version that the upstream must have; valid with HasVersion
+		HasVersion bool
 	}
 )
 
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,7 +51,7 @@
 	}
 	mayRun := q.own.MayRunUnrecorded(q.listed)
 	if runs, err := q.recordRuns(ctx); err == nil {
-		q.seen = ended.Of(runs)
+		q.see(runs)
 		mayRun = q.seen.MayRun(q.listed)
 	}
 	q.summary.endedUpstreams = len(q.seen.Ended())
@@ -103,15 +105,24 @@
 	}
 }
 
-// queryRuns reads what is known of the request's earlier attempts. Nothing is known of them if
-// the records can't be read: the request is then as good as a new one.
-func (q *request) queryRuns(ctx context.Context) {
+// see takes over what is recorded of the request's attempts.
+func (q *request) see(runs []index.Run) {
+	other := func(r index.Run) bool { return r.Request != q.key() }
+	q.seen = ended.Of(slices.DeleteFunc(slices.Clone(runs), other))
+}
+
+// queryRuns returns what is recorded of the request's earlier attempts, and of the attempt first.
+// Nothing is known of them if the records can't be read.
+func (q *request) queryRuns(ctx context.Context, first string) []index.Run {
 	ctx, stop := context.WithTimeout(ctx, runsTimeout)
 	defer stop()
-	res, err := q.e.Records.Write(ctx, q.runsRecord())
-	if err == nil {
-		q.seen = ended.Of(res.Runs)
+	rec := q.runsRecord()
+	rec.Run.First = first
+	res, err := q.e.Records.Write(ctx, rec)
+	if err != nil {
+		return nil
 	}
+	return res.Runs
 }
 
 // runsRecord returns a record of this attempt that states nothing of its runs yet.
@@ -130,5 +141,5 @@
 // time: it is refused everywhere until what is known of it expires.
 func (q *request) replyUpstreamsEnded() {
 	q.summary.endedUpstreams = len(q.seen.Ended())
-	q.replyUnknown(502, "upstreams_ended", errUpstreamsEnded)
+	q.replyUnknown(http.StatusBadGateway, "upstreams_ended", errUpstreamsEnded)
 }
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -123,8 +123,9 @@
 		keyHash       uint64 // see key; 0 if not computed yet
 		began         time.Time
 		deadline      time.Time
-		own           ended.Tally // runs of this attempt
-		seen          ended.Tally // runs of all attempts, as last read from the records
+		own           ended.Tally           // runs of this attempt
+		seen          ended.Tally           // runs of all attempts, as last read from the records
+		onSend        func(*fleet.Upstream) // called before each send; nil for nothing
 		summary       summary
 	}
 )
--- a/internal/front/proxy/reply.go
+++ b/internal/front/proxy/reply.go
@@ -55,6 +55,11 @@
 	q.replyUnavailable("old_configuration", retryOldConfig, nil)
 }
 
+// refuse refuses a request that has not run, without a Retry-After time: it would be refused again.
+func (q *request) refuse(code string, err error) {
+	q.reply(http.StatusServiceUnavailable, code, 0, err)
+}
+
 // replyUnavailable refuses a request that has not run, with a Retry-After time.
 func (q *request) replyUnavailable(code string, after time.Duration, err error) {
 	q.e.Dialect.RetryAfter(q.w.Header(), after)
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -26,6 +26,8 @@
 	nextAttempts   = "stopped: no attempts left"
 	nextNoUpstream = "stopped: no other upstream"
 	nextEnded      = "stopped: upstreams ended"
+	nextVersion    = "stopped: no upstream of its version"
+	nextUnrecorded = "stopped: version not recorded"
 	nextOver       = "stopped: caller left or time is up"
 )
 
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -123,6 +123,9 @@
 // send sends the request to one upstream and reads the header of the response.
 func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, d meta.Dispatch) (s *exchange, err error) {
 	q.summary.sends++
+	if q.onSend != nil {
+		q.onSend(&up)
+	}
 	q.summary.runs.begin(&up)
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
@@ -206,7 +209,7 @@
 // closed by the upstream before.
 func (s *exchange) fail(err error) {
 	s.cancelInterrupt()
-	ours := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errNotDelivered)
+	ours := errors.IsAny(err, os.ErrDeadlineExceeded, errNotDelivered, errVersionNotRecorded)
 	s.brokeOff = !ours || s.conn.ClosedByPeer()
 	s.conn.Close()
 }
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -13,7 +13,6 @@
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
-	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/event"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -48,12 +47,14 @@
 	output           []byte    // data of the events so far, if the route keeps turns
 	lastEventID      string    // id of the last event sent to the caller
 	headerSent       bool      // the response header was sent to the caller
+	version          streamVersion
 	flush            func() error
 }
 
 // serveStream serves a request whose response is a stream of events.
 func (q *request) serveStream(ctx context.Context) {
 	t := &turn{request: q, lastEventID: q.LastEventID, flush: http.NewResponseController(q.w).Flush}
+	q.onSend = t.versionChosen
 	if t.limitReached() || !t.prepare(ctx) || !t.withinLimit(ctx) || !t.waitForRoom(ctx) {
 		return
 	}
@@ -162,12 +163,14 @@
 // has ended: an error response was sent, or the caller has disconnected.
 func (t *turn) reserve(ctx context.Context) bool {
 	if !t.HasTokenBudget || t.Program == "" {
-		t.queryRuns(ctx)
-		return t.mayRun()
+		runs := t.queryRuns(ctx, t.scopedID(t.FirstAttempt))
+		t.see(runs)
+		return t.mayRun() && t.findVersion(runs)
 	}
 	rec := t.newRecord()
 	rec.Reserved, rec.MaxTokens, rec.Budget = true, t.maxTokens(), t.TokenBudget
 	rec.Run = &index.Run{Request: t.key()}
+	t.stateVersion(rec.Run)
 	res, err := t.e.Records.Write(ctx, rec)
 	t.reserved = !errors.Is(err, quorum.ErrNotWritten)
 	if err != nil {
@@ -190,8 +193,8 @@
 		t.replyError(http.StatusPaymentRequired, "budget_spent", nil)
 		return false
 	}
-	t.seen = ended.Of(res.Runs)
-	return t.mayRun()
+	t.see(res.Runs)
+	return t.mayRun() && t.findVersion(res.Runs)
 }
 
 // mayRun reports whether the turn may be sent to an upstream. Otherwise it has sent an error
@@ -244,17 +247,22 @@
 	}
 	c := pick.Request{
 		Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens,
-		Shared: t.SharedParts(t.service.Name), Exclude: map[string]bool{},
+		Shared: t.SharedParts(t.service.Name), Exclude: map[string]bool{}, Version: t.version.name, HasVersion: t.version.known,
 	}
 	d := meta.Dispatch{Priority: min(t.priority(), maxPriority), HasPriority: true, LastEventID: t.lastEventID}
 	defer t.endRunning()
+	var last index.Start // upstream that ran it last
 	for range maxRuns {
 		t.beginRunning()
 		s, err := t.dispatch(ctx, c, body, d)
-		if c.Only != "" && err != nil && t.mayResumeElsewhere(c.Only, err) {
+		if c.Only != "" && err != nil && t.mayResumeElsewhere(last, err) {
 			c.Only = ""
 			s, err = t.dispatch(ctx, c, body, d)
 		}
+		if c.HasVersion && !t.version.known && t.mayRunAnywhere(err) {
+			c.HasVersion = false
+			s, err = t.dispatch(ctx, c, body, d)
+		}
 		if err != nil {
 			err = t.noteLoss(ctx, err)
 			t.noteStop(ctx, err)
@@ -272,6 +280,9 @@
 			stop = t.noteEnd(ctx, &s.up)
 		}
 		switch {
+		case errors.Is(err, errVersionNotRecorded):
+			t.summary.runs.next(nextUnrecorded)
+			return err
 		case t.over(ctx) || errors.Is(err, errNotDelivered):
 			t.summary.runs.next(nextOver)
 			return err
@@ -286,7 +297,9 @@
 		// Resuming at the same upstream reuses its cache. Others may run the turn
 		// only if the route allows several attempts, or if this one is gone.
 		d.LastEventID = t.lastEventID
+		last = index.Start{ID: s.up.ID, Born: s.up.Born}
 		c.Prefer = s.up.ID
+		c.Version, c.HasVersion = s.up.Version, true
 		if t.route.Attempts == 1 {
 			c.Only = s.up.ID
 		}
@@ -296,6 +309,13 @@
 	return errors.New("stream was interrupted too often")
 }
 
+// mayRunAnywhere reports whether a stream that no upstream of the version of its response's header has
+// run may run at another version: none of its events was sent.
+func (t *turn) mayRunAnywhere(err error) bool {
+	var refusal *notRunError
+	return errors.Is(err, errNoUpstream) || errors.As(err, &refusal)
+}
+
 // noteStop notes for the log why a turn ends without a response.
 func (t *turn) noteStop(ctx context.Context, err error) {
 	var loss *lostError
@@ -304,23 +324,21 @@
 		t.summary.runs.next(nextOver)
 	case errors.Is(err, errUpstreamsEnded):
 		t.summary.runs.next(nextEnded)
+	case errors.Is(err, errNoUpstream) && t.version.known:
+		t.summary.runs.next(nextVersion)
 	case errors.As(err, &loss):
 		t.summary.runs.next(nextNotAllowed)
 	}
 }
 
 // mayResumeElsewhere reports whether another upstream may resume the turn: the one that ran
-// it refused for another reason than being full, or is no longer listed.
-func (t *turn) mayResumeElsewhere(id string, err error) bool {
+// it refused for another reason than being full, is no longer listed, or has started again.
+func (t *turn) mayResumeElsewhere(last index.Start, err error) bool {
 	var refusal *notRunError
 	if errors.As(err, &refusal) {
 		return refusal.cause != causeFull
 	}
-	if !errors.Is(err, errNoUpstream) {
-		return false
-	}
-	_, listed := t.e.Fleet.View().Services[t.service.Name].Find(id)
-	return !listed
+	return errors.Is(err, errNoUpstream) && !t.listed(last)
 }
 
 // relay relays a response to the caller. A status other than 200 carries no events: the
@@ -358,6 +376,9 @@
 		}
 		if err == nil {
 			pace.event(t, s)
+			err = t.fixVersion(ctx, &s.up)
+		}
+		if err == nil {
 			err = t.relayEvent(e)
 		}
 		if err != nil {
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -174,6 +175,72 @@
 	}
 }
 
+// Guards against a stream that a caller takes up without naming its first attempt, or while nothing is known of it.
+func TestStreamOfUnknownBeginning(t *testing.T) {
+	cases := map[string]struct {
+		versions []string
+		budget   string
+		away     bool // the records can't be reached
+		status   int
+	}{
+		"known from the request": {[]string{"v1", "v2", "v2", "v1"}, "9000", false, 200},
+		"no version is left":     {[]string{"v1", "v2", "v2"}, "9000", false, 503},
+		"not known":              {[]string{"v1", "v2", "v2", "v1"}, "", true, 503},
+		"not known, one version": {[]string{"v1", "v1", "v1"}, "", true, 200},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(2, c.versions...)
+				defer closeAll(fronts)
+				env := fronts[0]
+				env.upstreams["up1"].serveVersion(c.versions[0], 2)
+				env.setRefuse(true, 2, len(c.versions))
+				caller := streamCaller{fronts: fronts, noFirst: true, header: map[string]string{"Budget": c.budget}}
+				is.True(!caller.attempt(t))
+				env.setRefuse(false, 2, len(c.versions))
+				synctest.Wait()
+				env.rec.down = c.away
+				is.Equal(caller.attempt(t), c.status == 200)
+				is.Equal(caller.statuses[1], c.status)
+				for _, v := range caller.versions {
+					is.Equal(v, c.versions[0])
+				}
+			})
+		})
+	}
+}
+
+// Guards against a caller that has an event of a version that no record states, since its front loses its power before it writes it.
+func TestVersionIsDurableBeforeTheFirstEvent(t *testing.T) {
+	for name, fails := range map[string]bool{"recorded": false, "cannot be recorded": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(1, "v1", "v2")
+				defer closeAll(fronts)
+				env := fronts[0]
+				env.preferFirst(2)           // so that v1 is expected
+				env.setRefuse(true, 1, 1)    // but can't run it
+				env.rec.failVersions = fails // the second record
+				env.rec.delay = 50 * time.Millisecond
+				caller := streamCaller{fronts: fronts}
+				is.Equal(caller.attempt(t), !fails)
+				time.Sleep(time.Second) // until all is recorded
+				runs := env.rec.runs.Runs("p", env.key(t, "/resume/", "p", "in"), "")
+				is.Equal(len(runs), 1)
+				if fails {
+					is.Equal(len(caller.versions), 0)
+					return
+				}
+				is.Equal(runs[0].Version, "v2")
+				is.Equal(runs[0].Choice, 2)
+			})
+		})
+	}
+}
+
 // Guards against a stream of which nothing was sent yet and that is held to a version that no upstream serves any more.
 func TestStreamWithoutEventsRunsAnywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
