proxy, frontd: an upstream that has just started again under its id goes on with no stream unnoticed

Cause: a front's state is up to half a second old, and seconds in an outage of the store; it took a process for the start that its state had, whose version another one has by now. An upstream does not check it.

While several versions serve, a stream goes on over a connection only if the state was read from the store after the connection was established: the process can't have started since. The upstream that began a stream is checked in the same way, in one response and by the front where the caller takes it up: the record has the start where it was not certain. While the store is away and several versions serve, such a stream ends with version_unknown.

--- a/internal/disk/index/run.go
+++ b/internal/disk/index/run.go
@@ -18,7 +18,10 @@
 		// its response was passed on; valid with Choice, the number of times that one was chosen.
 		Version string `cbor:"6,keyasint,omitempty"`
 		Choice  int    `cbor:"7,keyasint,omitempty"`
-		First   string `cbor:"8,keyasint,omitempty"` // another attempt whose run is asked for, in a record; empty for none
+		// Began is that upstream if several versions served and it may have started again, with another
+		// version, before its front knew. Part of the choice; empty otherwise.
+		Began Start  `cbor:"9,keyasint,omitzero"`
+		First string `cbor:"8,keyasint,omitempty"` // another attempt whose run is asked for, in a record; empty for none
 	}
 
 	// Start identifies one start of an upstream: one that starts again under its id is another.
@@ -51,7 +54,7 @@
 		return b
 	}
 	if b.Choice > a.Choice {
-		a.Version, a.Choice = b.Version, b.Choice
+		a.Version, a.Choice, a.Began = b.Version, b.Choice, b.Began
 	}
 	if len(b.Broken) > len(a.Broken) {
 		a.Broken = b.Broken
@@ -65,7 +68,7 @@
 }
 
 func (r Run) equal(o Run) bool {
-	return r.Attempt == o.Attempt && r.Request == o.Request && r.At == o.At && r.Version == o.Version && r.Choice == o.Choice &&
+	return r.Attempt == o.Attempt && r.Request == o.Request && r.At == o.At && r.Version == o.Version && r.Choice == o.Choice && r.Began == o.Began &&
 		slices.Equal(r.Ended, o.Ended) && slices.Equal(r.Broken, o.Broken)
 }
 
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -87,6 +87,9 @@
 		// or the last attempt to read it is recent. It reports whether the configuration
 		// is then recent enough to refuse a request for good.
 		Refresh func(context.Context) (current bool)
+		// Confirm reports whether the state was read from the store at the given time or later. It
+		// reads the store if necessary. Nil if it always was.
+		Confirm func(ctx context.Context, since time.Time) bool
 		// Stop is done when the daemon stops; it bounds work that outlives its request.
 		Stop context.Context //nolint:containedctx // lifetime of the daemon
 
@@ -123,9 +126,11 @@
 		keyHash       uint64 // see key; 0 if not computed yet
 		began         time.Time
 		deadline      time.Time
-		own           ended.Tally           // runs of this attempt
-		seen          ended.Tally           // runs of all attempts, as last read from the records
-		onSend        func(*fleet.Upstream) // called before each send; nil for nothing
+		own           ended.Tally     // runs of this attempt
+		seen          ended.Tally     // runs of all attempts, as last read from the records
+		onSend        func(*exchange) // called before each send; nil for nothing
+		goesOn        bool            // the next send goes on with a stream of which the caller has events
+		unconfirmed   bool            // the store could not be read to confirm the start of an upstream
 		summary       summary
 	}
 )
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -27,6 +27,7 @@
 	nextNoUpstream = "stopped: no other upstream"
 	nextEnded      = "stopped: upstreams ended"
 	nextVersion    = "stopped: no upstream of its version"
+	nextUnknown    = "stopped: its version is not known"
 	nextUnrecorded = "stopped: version not recorded"
 	nextOver       = "stopped: caller left or time is up"
 )
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -42,6 +42,7 @@
 		began           time.Time
 		cancelInterrupt func() bool // cancels the interruption of conn when the context is done
 		brokeOff        bool        // the upstream broke the run off
+		startKnown      bool        // see startKnown of request; as of the send
 	}
 
 	// notRunError reports that an upstream did not run the request and never will.
@@ -123,9 +124,6 @@
 // send sends the request to one upstream and reads the header of the response.
 func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, d meta.Dispatch) (s *exchange, err error) {
 	q.summary.sends++
-	if q.onSend != nil {
-		q.onSend(&up)
-	}
 	q.summary.runs.begin(&up)
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
@@ -136,7 +134,14 @@
 		}
 		return nil, &notRunError{up: up, cause: "unreachable", err: err}
 	}
-	s = &exchange{up: up, conn: conn, began: time.Now()}
+	if cause := q.startDiffers(ctx, conn, &up); cause != "" {
+		q.e.Pool.Put(conn, 0)
+		return nil, &notRunError{up: up, cause: cause}
+	}
+	s = &exchange{up: up, conn: conn, began: time.Now(), startKnown: q.startKnown(conn, &up)}
+	if q.onSend != nil {
+		q.onSend(s)
+	}
 	if err = conn.Deadline(q.deadline); err != nil {
 		conn.Close()
 		return nil, &notRunError{up: up, cause: "closed", err: err}
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -165,7 +165,7 @@
 	if !t.HasTokenBudget || t.Program == "" {
 		runs := t.queryRuns(ctx, t.scopedID(t.FirstAttempt))
 		t.see(runs)
-		return t.mayRun() && t.findVersion(runs)
+		return t.mayRun() && t.findVersion(ctx, runs)
 	}
 	rec := t.newRecord()
 	rec.Reserved, rec.MaxTokens, rec.Budget = true, t.maxTokens(), t.TokenBudget
@@ -194,7 +194,7 @@
 		return false
 	}
 	t.see(res.Runs)
-	return t.mayRun() && t.findVersion(res.Runs)
+	return t.mayRun() && t.findVersion(ctx, res.Runs)
 }
 
 // mayRun reports whether the turn may be sent to an upstream. Otherwise it has sent an error
@@ -254,6 +254,7 @@
 	var last index.Start // upstream that ran it last
 	for range maxRuns {
 		t.beginRunning()
+		t.goesOn = t.version.known
 		s, err := t.dispatch(ctx, c, body, d)
 		if c.Only != "" && err != nil && t.mayResumeElsewhere(last, err) {
 			c.Only = ""
@@ -293,6 +294,10 @@
 			t.summary.runs.next(nextNotAllowed)
 			return err
 		}
+		if unknown := t.confirmVersion(ctx); unknown != nil {
+			t.summary.runs.next(nextUnknown)
+			return unknown
+		}
 		t.summary.runs.next(nextResume)
 		// Resuming at the same upstream reuses its cache. Others may run the turn
 		// only if the route allows several attempts, or if this one is gone.
@@ -376,7 +381,7 @@
 		}
 		if err == nil {
 			pace.event(t, s)
-			err = t.fixVersion(ctx, &s.up)
+			err = t.fixVersion(ctx, s)
 		}
 		if err == nil {
 			err = t.relayEvent(e)
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -212,6 +213,151 @@
 	}
 }
 
+// Guards against a stream that goes on at an upstream which has started again, under its id and with another version, a moment ago: this front's state is older.
+func TestUpstreamThatWasUpgradedUnnoticed(t *testing.T) {
+	cases := map[string]struct {
+		versions []string
+		upgraded bool // up3 starts again as v2
+		away     bool // the store can't be read
+		used     bool // the second front has had a connection to up3 since before its state was read
+		complete bool
+	}{
+		"another one of its version":        {[]string{"v1", "v2", "v1", "v1"}, true, false, false, true},
+		"no other one":                      {[]string{"v1", "v2", "v1"}, true, false, false, false},
+		"it was not upgraded":               {[]string{"v1", "v2", "v1"}, false, false, false, true},
+		"upgraded, the store is away":       {[]string{"v1", "v2", "v1"}, true, true, false, false},
+		"not upgraded, the store is away":   {[]string{"v1", "v2", "v1"}, false, true, false, false}, // nobody can know
+		"the same, over an open connection": {[]string{"v1", "v2", "v1"}, false, true, true, true},
+		"one version, the store is away":    {[]string{"v1", "v1", "v1"}, false, true, false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(2, c.versions...)
+				defer closeAll(fronts)
+				env := fronts[0]
+				caller := streamCaller{fronts: fronts, header: map[string]string{"Budget": "9000"}}
+				env.upstreams["up1"].serveVersion("v1", 2)
+				env.setRefuse(true, 2, len(c.versions))
+				is.True(!caller.attempt(t))
+				env.setRefuse(false, 2, len(c.versions))
+				if c.used {
+					is.NoErr(fronts[1].e.Pool.Probe(t.Context(), "up3", "up3"))
+					time.Sleep(10 * time.Millisecond)
+					env.changeUpstreams(func(*fleet.Upstream) {})
+				}
+				time.Sleep(10 * time.Millisecond)
+				if c.upgraded {
+					env.upstreams["up3"].serveVersion("v2", -1)
+				}
+				fronts[1].e.Confirm = func(context.Context, time.Time) bool {
+					if !c.away && c.upgraded {
+						env.upgrade("up3", "v2")
+					}
+					return !c.away
+				}
+				is.Equal(caller.attempt(t), c.complete)
+				is.Equal(caller.statuses[1] == http.StatusOK, c.complete)
+				for _, v := range caller.versions {
+					is.Equal(v, "v1")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream that begins at an upstream which has just started again with another version, and goes on at the one that this front took it for.
+func TestStreamThatBeganAtAnUpgradedUpstream(t *testing.T) {
+	cases := map[string]struct {
+		upgraded bool // up1 started again as v2 before the stream began
+		later    bool // it is upgraded after it was interrupted; the state was read in between
+		away     bool
+		complete bool
+	}{
+		"upgraded before":        {true, false, false, false},
+		"not upgraded":           {false, false, false, true},
+		"upgraded after":         {false, true, false, true},
+		"the store is away":      {false, false, true, false},
+		"upgraded, and it is so": {true, false, true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(1, "v1", "v2", "v1", "v1")
+				defer closeAll(fronts)
+				env := fronts[0]
+				env.preferFirst(4)
+				version := "v1"
+				if c.upgraded {
+					version = "v2"
+				}
+				env.upstreams["up1"].serveVersion(version, 2)
+				time.Sleep(time.Second) // the state is older than the connection
+				env.e.Confirm = func(context.Context, time.Time) bool {
+					if c.away {
+						return false
+					}
+					env.changeUpstreams(func(up *fleet.Upstream) {
+						if up.ID == "up1" && c.upgraded {
+							up.Version, up.Born = version, 5
+						}
+					})
+					return true
+				}
+				if c.later {
+					env.changeUpstreams(func(*fleet.Upstream) {})
+					is.NoErr(env.e.Pool.Probe(t.Context(), "up1", "up1"))
+					time.Sleep(time.Millisecond)
+					env.changeUpstreams(func(*fleet.Upstream) {})
+					env.upstreams["up1"].restart = func() { env.upgradeEntry("up1", "v2") }
+				}
+				caller := streamCaller{fronts: fronts}
+				is.Equal(caller.attempt(t), c.complete)
+				for _, v := range caller.versions {
+					is.Equal(v, version)
+				}
+			})
+		})
+	}
+}
+
+// Guards against the same where another front takes the stream up: the first one recorded the version that it took the upstream for.
+func TestStreamThatBeganUnnoticedIsTakenUp(t *testing.T) {
+	for name, upgraded := range map[string]bool{"upgraded before": true, "not upgraded": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(2, "v1", "v2", "v1")
+				defer closeAll(fronts)
+				env := fronts[0]
+				began := "v1"
+				if upgraded {
+					began = "v2"
+				}
+				env.upstreams["up1"].serveVersion(began, 2)
+				env.setRefuse(true, 2, 3)
+				time.Sleep(time.Second) // the state is older than the connection
+				env.e.Confirm = func(context.Context, time.Time) bool { return false }
+				caller := streamCaller{fronts: fronts}
+				is.True(!caller.attempt(t))
+				env.setRefuse(false, 2, 3)
+				fronts[1].e.Confirm = func(context.Context, time.Time) bool {
+					if upgraded {
+						env.upgradeEntry("up1", "v2")
+					}
+					return true
+				}
+				is.Equal(caller.attempt(t), !upgraded)
+				for _, v := range caller.versions {
+					is.Equal(v, began)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a caller that has an event of a version that no record states, since its front loses its power before it writes it.
 func TestVersionIsDurableBeforeTheFirstEvent(t *testing.T) {
 	for name, fails := range map[string]bool{"recorded": false, "cannot be recorded": true} {
@@ -283,6 +429,11 @@
 	u.mu.Lock()
 	u.refuse = false
 	u.mu.Unlock()
+	env.upgradeEntry(id, version)
+}
+
+// upgradeEntry has the store list an upstream as restarted with another version.
+func (env *testEnv) upgradeEntry(id, version string) {
 	env.changeUpstreams(func(up *fleet.Upstream) {
 		if up.ID == id {
 			up.Version, up.Born = version, up.Born+1
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -29,7 +29,8 @@
 type (
 	// Conn is a connection to an upstream. It carries one request at a time.
 	Conn struct {
-		Reused bool // it has carried a request before
+		Reused bool      // it has carried a request before
+		Opened time.Time // when it was established
 
 		net        net.Conn
 		br         *bufio.Reader
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -77,7 +77,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{net: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address, upstreamID: id}, nil
+	return &Conn{Opened: time.Now(), net: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address, upstreamID: id}, nil
 }
 
 // Probe opens a new connection to the upstream, and keeps it for the next request. The error is
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -174,7 +174,7 @@
 	}
 	d.proxy = proxy.Endpoint{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
-		Refresh: d.refreshConfig, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast, OthersServe: d.othersServe,
+		Refresh: d.refreshConfig, Confirm: d.confirm, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast, OthersServe: d.othersServe,
 		Records: &d.reach, Paces: &d.meshio,
 	}
 	d.reach.Records = &quorum.Client{
