index, ended: an attempt whose front was lost counts where an upstream has ended already

A reservation that is not settled and states the same request is such an attempt, or one under way. Next to an upstream that ended it counts as one more, but once only: callers may send several like requests at a time.

--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -7,6 +7,7 @@
 package index
 
 import (
+	"slices"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/disk/seglog"
@@ -108,13 +109,19 @@
 	if r.Settled {
 		return Charge{Attempt: r.Attempt, Tokens: r.Spent, Settled: true, Upstream: r.Upstream, Session: r.Session, At: r.At}
 	}
-	return Charge{Attempt: r.Attempt, Tokens: r.MaxTokens}
+	c := Charge{Attempt: r.Attempt, Tokens: r.MaxTokens}
+	if r.Run != nil {
+		c.Request = r.Run.Request
+	}
+	return c
 }
 
 // Merge merges two charges of one attempt, as from two replicas: a settled one has
 // precedence over a reservation; if both or neither are settled, the one with more tokens
 // has.
 func Merge(a, b Charge) Charge {
+	request := max(a.Request, b.Request) // a settlement states none
+	a.Request, b.Request = request, request
 	switch {
 	case a.Attempt == "":
 		return b
@@ -181,6 +188,21 @@
 	return false
 }
 
+// HasOpenAttempt reports whether an attempt of the request is not settled, other than the one given and
+// those with runs: it is under way, or its daemon was lost with it.
+func HasOpenAttempt(charges []Charge, request uint64, attempt string, runs []Run) bool {
+	for _, c := range charges {
+		if c.Request != request || c.Settled || c.Attempt == attempt {
+			continue
+		}
+		noted := func(r Run) bool { return r.Attempt == c.Attempt && len(r.Ended)+len(r.Broken) > 0 }
+		if !slices.ContainsFunc(runs, noted) {
+			return true
+		}
+	}
+	return false
+}
+
 // StartTime returns the time of the earliest settled attempt of a program, or now if there
 // is none.
 func StartTime(charges []Charge, now time.Time) time.Time {
--- a/internal/disk/index/index_test.go
+++ b/internal/disk/index/index_test.go
@@ -47,7 +47,7 @@
 	records := []Record{
 		reserve("p", "a", 100), settle("p", "a", 30), reserve("p", "b", 100), reserve("p", "c", 50), settle("p", "c", 0), settle("p", "a", 30),
 	}
-	want := "[{a 30 true   0} {b 100 false   0} {c 0 true   0}]"
+	want := "[{a 30 true   0 0} {b 100 false   0 0} {c 0 true   0 0}]"
 	rnd := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
 		var ix Index
--- a/internal/front/ended/ended.go
+++ b/internal/front/ended/ended.go
@@ -32,6 +32,7 @@
 type Tally struct {
 	ended  []index.Start // sorted
 	broken []index.Start // one for each run
+	open   bool          // the end of another attempt is not known
 }
 
 // Of returns the tally of the runs of a request, one for each attempt.
@@ -61,6 +62,14 @@
 	return t
 }
 
+// WithOpen returns the tally with another attempt of which the end is not known: it is under way, or
+// its front was lost with it. Next to an upstream that ended it counts as one more, however many such
+// attempts there are: callers may send several like requests at a time.
+func (t Tally) WithOpen(open bool) Tally {
+	t.open = open
+	return t
+}
+
 // Ended returns the upstreams that ended, sorted. They must not be changed.
 func (t Tally) Ended() []index.Start { return t.ended }
 
@@ -80,6 +89,9 @@
 
 func (t Tally) weight(listed func(index.Start) bool) int {
 	sum := weightEnded * len(t.ended)
+	if t.open && len(t.ended) > 0 {
+		sum += weightEnded
+	}
 	gone := t // with the starts that are no longer listed
 	for _, s := range t.broken {
 		sum += weightBroken
--- a/internal/front/ended/ended_test.go
+++ b/internal/front/ended/ended_test.go
@@ -20,29 +20,33 @@
 	cases := map[string]struct {
 		runs       []index.Run
 		unlisted   string // id of an upstream that is no longer listed
+		open       bool   // the end of another attempt is not known
 		want       bool
 		unrecorded bool // what a front without records decides
 	}{
-		"nothing is known":                    {nil, "", true, true},
-		"one ended":                           {[]index.Run{{Ended: starts("a")}}, "", true, true},
-		"two ended":                           {[]index.Run{{Ended: starts("a", "b")}}, "", true, false},
-		"three ended":                         {[]index.Run{{Ended: starts("a", "b", "c")}}, "", false, false},
-		"three in three attempts":             {[]index.Run{{Ended: starts("a")}, {Ended: starts("b")}, {Ended: starts("c")}}, "", false, false},
-		"the same in three attempts":          {[]index.Run{{Ended: starts("a")}, {Ended: starts("a")}, {Ended: starts("a")}}, "", true, true},
-		"three starts of one":                 {[]index.Run{{Ended: []index.Start{{ID: "a", Born: 1}, {ID: "a", Born: 2}, {ID: "a", Born: 3}}}}, "", false, false},
-		"five broke off":                      {[]index.Run{{Broken: starts("a", "a", "a")}, {Broken: starts("a", "b")}}, "", true, false},
-		"six broke off":                       {[]index.Run{{Broken: starts("a", "a", "a")}, {Broken: starts("a", "b", "c")}}, "", false, false},
-		"one ended, three broke off":          {[]index.Run{{Ended: starts("a"), Broken: starts("b", "b", "c")}}, "", true, false},
-		"two ended, two broke off":            {[]index.Run{{Ended: starts("a", "b"), Broken: starts("c", "c")}}, "", false, false},
-		"two ended, one has gone since":       {[]index.Run{{Ended: starts("a", "b"), Broken: starts("c")}}, "c", false, false},
-		"two ended, one of them broke before": {[]index.Run{{Ended: starts("a", "b"), Broken: starts("b")}}, "b", true, false},
+		"nothing is known":                    {nil, "", false, true, true},
+		"one ended":                           {[]index.Run{{Ended: starts("a")}}, "", false, true, true},
+		"two ended":                           {[]index.Run{{Ended: starts("a", "b")}}, "", false, true, false},
+		"three ended":                         {[]index.Run{{Ended: starts("a", "b", "c")}}, "", false, false, false},
+		"three in three attempts":             {[]index.Run{{Ended: starts("a")}, {Ended: starts("b")}, {Ended: starts("c")}}, "", false, false, false},
+		"the same in three attempts":          {[]index.Run{{Ended: starts("a")}, {Ended: starts("a")}, {Ended: starts("a")}}, "", false, true, true},
+		"three starts of one":                 {[]index.Run{{Ended: []index.Start{{ID: "a", Born: 1}, {ID: "a", Born: 2}, {ID: "a", Born: 3}}}}, "", false, false, false},
+		"five broke off":                      {[]index.Run{{Broken: starts("a", "a", "a")}, {Broken: starts("a", "b")}}, "", false, true, false},
+		"six broke off":                       {[]index.Run{{Broken: starts("a", "a", "a")}, {Broken: starts("a", "b", "c")}}, "", false, false, false},
+		"one ended, three broke off":          {[]index.Run{{Ended: starts("a"), Broken: starts("b", "b", "c")}}, "", false, true, false},
+		"two ended, two broke off":            {[]index.Run{{Ended: starts("a", "b"), Broken: starts("c", "c")}}, "", false, false, false},
+		"two ended, one has gone since":       {[]index.Run{{Ended: starts("a", "b"), Broken: starts("c")}}, "c", false, false, false},
+		"two ended, one of them broke before": {[]index.Run{{Ended: starts("a", "b"), Broken: starts("b")}}, "b", false, true, false},
+		"one ended, one not known":            {[]index.Run{{Ended: starts("a")}}, "", true, true, false},
+		"two ended, one not known":            {[]index.Run{{Ended: starts("a", "b")}}, "", true, false, false},
+		"one not known":                       {nil, "", true, true, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			listed := func(s index.Start) bool { return s.ID != c.unlisted }
-			is.Equal(Of(c.runs).MayRun(listed), c.want)
-			is.Equal(Of(c.runs).MayRunUnrecorded(listed), c.unrecorded)
+			is.Equal(Of(c.runs).WithOpen(c.open).MayRun(listed), c.want)
+			is.Equal(Of(c.runs).WithOpen(c.open).MayRunUnrecorded(listed), c.unrecorded)
 		})
 	}
 }
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -108,7 +108,7 @@
 // see takes over what is recorded of the request's attempts.
 func (q *request) see(runs []index.Run) {
 	other := func(r index.Run) bool { return r.Request != q.key() }
-	q.seen = ended.Of(slices.DeleteFunc(slices.Clone(runs), other))
+	q.seen = ended.Of(slices.DeleteFunc(slices.Clone(runs), other)).WithOpen(q.otherOpen)
 }
 
 // queryRuns returns what is recorded of the request's earlier attempts, and of the attempt first.
--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -170,6 +170,38 @@
 	}
 }
 
+// Guards against an upstream that ended under an attempt whose front lost its power with it, and that nobody counts.
+func TestFrontLostWithTheRun(t *testing.T) {
+	cases := map[string]struct {
+		ends   []string
+		others int // like requests under way
+		status int
+	}{
+		"two ended, one more was under way":  {[]string{"up1", "up2"}, 1, 502},
+		"one ended, one more was under way":  {[]string{"up1"}, 1, 200},
+		"one ended, many like it under way":  {[]string{"up1"}, 9, 200},
+		"nothing ended, many like it so far": {nil, 9, 200},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{completeStream})
+				defer env.close()
+				header := map[string]string{"Program": "p", "Budget": "9000"}
+				env.recordEarlierRuns(t, "/resume/", header, c.ends, 0)
+				for i := range c.others {
+					rec := index.Record{Program: "p", Attempt: fmt.Sprint("lost", i), Reserved: true, MaxTokens: 30, Run: &index.Run{Request: env.key(t, "/resume/", "p", "in")}}
+					_, err := env.rec.Write(t.Context(), rec)
+					is.NoErr(err)
+				}
+				rec, _ := env.do(t.Context(), "/resume/", header, "in")
+				is.Equal(rec.Code, c.status)
+			})
+		})
+	}
+}
+
 // Guards against a front that sends on what other fronts know to end upstreams.
 func TestKnownToEndUpstreams(t *testing.T) {
 	cases := map[string]struct {
