chaos: callers read streams over attempts at several fronts, upstreams have two versions

The soak knew one version and no caller that takes a stream up, so it could not see streams of two. Each event states the version of its upstream now, and a caller checks that a stream has each event once and one version. It counts the streams that were taken up and those that went on.

--- a/cmd/slaterock/storm.go
+++ b/cmd/slaterock/storm.go
@@ -66,7 +66,7 @@
 	f.DurationVar(&s.For, "for", 15*time.Second, "time with faults")
 	f.IntVar(&s.Fronts, "fronts", 4, "processes that serve callers")
 	f.IntVar(&s.Disks, "disks", 4, "processes that keep records")
-	f.IntVar(&s.Upstreams, "upstreams", 8, "upstreams")
+	f.IntVar(&s.Upstreams, "upstreams", 16, "upstreams")
 	f.IntVar(&s.Callers, "callers", 24, "callers at a time")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "slaterock-soak"), "folder for settings, disks and logs")
 	return c
--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -17,9 +17,15 @@
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
-// ExpectBody is a header that only the fake reads: the Digest of the body that the
-// upstream must receive. Tests compute it when they send a request.
-const ExpectBody = "X-Expect-Body"
+// Headers that only the fake reads.
+const (
+	// ExpectBody is the Digest of the body that the upstream must receive. Tests compute it when
+	// they send a request.
+	ExpectBody = "X-Expect-Body"
+	// Stream names a stream over all attempts of its caller, in place of the attempt's id. Its
+	// events state the version of the upstream.
+	Stream = "X-Stream"
+)
 
 type (
 	// RunLog records the executions at all upstreams of a system.
@@ -37,6 +43,7 @@
 		MaxInFlight int
 		Delay       time.Duration // before each event, and before a plain response
 
+		Version    atomic.Value // string
 		BreakEvery atomic.Int64 // every BreakEvery-th response is truncated; 0 means none
 		LoseEvery  atomic.Int64 // every LoseEvery-th response is lost after the execution; 0 means none
 
@@ -132,14 +139,22 @@
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, EventText(id, i))
-		_ = http.NewResponseController(w).Flush() // a disconnected client is noticed at the next delay
+		_, _ = io.WriteString(w, u.eventText(r, id, i)) //nolint:gosec // events for the caller of a fake
+		_ = http.NewResponseController(w).Flush()       // a disconnected client is noticed at the next delay
 	}
 }
 
 // delay waits for Delay; it returns false if the request ended before.
 func (u *Upstream) delay(r *http.Request) bool { return pause.For(r.Context(), u.Delay) }
 
+func (u *Upstream) eventText(r *http.Request, id string, i int) string {
+	stream := r.Header.Get(Stream)
+	if stream == "" {
+		return EventText(id, i)
+	}
+	return fmt.Sprintf("event: %s\n%s", u.Version.Load(), EventText(stream, i))
+}
+
 // EventText returns the text of event i of an attempt, in the format of
 // server-sent events.
 func EventText(id string, i int) string {
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -206,7 +206,7 @@
 	r, found := t.beginning(runs)
 	v.name, v.known = r.Version, found
 	mayChange := found && r.Began.ID != "" && !t.oneVersion()
-	unconfirmed := mayChange && !t.confirmed(ctx, t.request.began)
+	unconfirmed := mayChange && !t.confirmed(ctx, t.began)
 	switch {
 	case !found && t.oneVersion():
 		return true
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -11,6 +11,9 @@
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
+// versions are those of the upstreams' software.
+var versions = []string{"v1", "v2"}
+
 // startAll starts the fakes, the proxies and the processes.
 func (s *Runner) startAll(ctx context.Context) error {
 	store, err := serve(ctx, &s.metakv, anyPort)
@@ -52,9 +55,11 @@
 // startUpstreams starts the upstreams, each behind a proxy. It writes their store
 // entries every entryInterval, which real upstreams do themselves.
 func (s *Runner) startUpstreams(ctx context.Context) error {
+	s.entries = map[string]map[string]any{}
 	for i := range s.Upstreams {
 		service := []string{"model", "plain"}[i%2]
 		u := &upstrm.Upstream{ID: fmt.Sprintf("i-%d", i), RunLog: &s.runLog, MaxInFlight: 16, Delay: 8 * time.Millisecond}
+		u.Version.Store(versions[i/2%len(versions)])
 		address, err := serve(ctx, u, anyPort)
 		if err != nil {
 			return err
@@ -64,17 +69,24 @@
 			return err
 		}
 		s.upstreams, s.upstreamProxies = append(s.upstreams, u), append(s.upstreamProxies, p)
-		s.entries.Store(u.ID, map[string]any{
-			"service": service, "address": p.Address, "zone": fmt.Sprintf("z%d", i%3), "version": "v1", "max-batch": u.MaxInFlight,
-			"state": "ready", "cold-remaining-ms": 0, "born": time.Now().UnixMilli(),
-		})
+		register := func() {
+			s.entriesMu.Lock()
+			defer s.entriesMu.Unlock()
+			s.entries[u.ID] = map[string]any{
+				"service": service, "address": p.Address, "zone": fmt.Sprintf("z%d", i%3), "version": u.Version.Load(), "max-batch": u.MaxInFlight,
+				"state": "ready", "cold-remaining-ms": 0, "born": time.Now().UnixMilli(),
+			}
+			s.metakv.Put("servers/"+u.ID, s.entries[u.ID])
+		}
+		register()
 	}
 	go func() {
 		for ctx.Err() == nil {
-			s.entries.Range(func(id, entry any) bool {
-				s.metakv.Put("servers/"+id.(string), entry)
-				return true
-			})
+			s.entriesMu.Lock()
+			for id, entry := range s.entries {
+				s.metakv.Put("servers/"+id, entry)
+			}
+			s.entriesMu.Unlock()
 			pause.For(ctx, entryInterval)
 		}
 	}()
--- a/internal/play/chaos/caller.go
+++ b/internal/play/chaos/caller.go
@@ -47,6 +47,8 @@
 		complete     int
 		refused      int
 		other        int
+		takenUp      int      // streams that a caller took up again
+		wentOn       int      // of these, those that went on
 		otherSamples []string // the first maxOtherSamples of the other results, for debugging
 	}
 
@@ -94,7 +96,11 @@
 
 func (c *caller) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		c.program(ctx, fmt.Sprintf("p%d-%d", c.id, n))
+		name := fmt.Sprintf("p%d-%d", c.id, n)
+		c.program(ctx, name)
+		if c.rnd.IntN(streamOdds) == 0 {
+			c.stream(ctx, name+"-stream")
+		}
 	}
 }
 
@@ -159,7 +165,7 @@
 	if previous != "" {
 		h.Set("Previous-Turn", previous)
 	}
-	status, body, err := c.send(ctx, http.MethodPost, fmt.Sprintf("%sx?events=%d", path, turnEvents), id, h, input)
+	status, body, err := c.send(ctx, fmt.Sprintf("%sx?events=%d", path, turnEvents), id, h, input)
 	events := strings.Count(string(body), "\n\n")
 	complete = status == http.StatusOK && err == nil
 	want := ""
@@ -181,7 +187,7 @@
 // complete.
 func (c *caller) call(ctx context.Context, id string, safe bool) {
 	path := map[bool]string{true: "/safe/x", false: "/unsafe/x"}[safe]
-	status, body, err := c.send(ctx, http.MethodPost, path, id, http.Header{}, []byte("call"))
+	status, body, err := c.send(ctx, path, id, http.Header{}, []byte("call"))
 	complete := status == http.StatusOK && err == nil
 	if complete && string(body) != "answer to "+id {
 		c.s.observed.addViolation("%s: got %.100q", id, body)
@@ -191,13 +197,13 @@
 
 // send sends one attempt. It keeps using the same front, over a persistent
 // connection, until an error; before one attempt in 20 it chooses a front anew.
-func (c *caller) send(ctx context.Context, method, path, id string, h http.Header, body []byte) (status int, answer []byte, err error) {
+func (c *caller) send(ctx context.Context, path, id string, h http.Header, body []byte) (status int, answer []byte, err error) {
 	ctx, stop := context.WithTimeout(ctx, attemptTimeout)
 	defer stop()
 	if c.front < 0 || c.rnd.IntN(20) == 0 {
 		c.chooseFront(ctx)
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.s.frontProxies[max(c.front, 0)].Address+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.s.frontProxies[max(c.front, 0)].Address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -69,7 +69,8 @@
 		metakv          metakv.Store
 		runLog          upstrm.RunLog
 		upstreams       []*upstrm.Upstream
-		entries         sync.Map // upstream id to its entry in the store
+		entriesMu       sync.Mutex
+		entries         map[string]map[string]any // of upstreams in the store, by id
 		upstreamProxies []*Proxy
 		storeProxies    []*Proxy // one for each process
 		frontProxies    []*Proxy
@@ -85,6 +86,8 @@
 		Refused int // refused with status 503 or 402
 		Other   int // failed in another way
 		Faults  int // injected
+		TakenUp int // streams that a caller took up again at another front
+		WentOn  int // of these, those that went on
 	}
 )
 
@@ -124,6 +127,7 @@
 	stopCalls()
 	work.Wait()
 	s.verify()
+	sum.TakenUp, sum.WentOn = s.observed.takenUp, s.observed.wentOn
 	_, _ = fmt.Fprintf(s.Out, "neither whole nor refused: %s\n", strings.Join(s.observed.otherSamples, "\n"))
 	sum.Whole, sum.Refused, sum.Other = s.observed.complete, s.observed.refused, s.observed.other
 	if sum.Whole == 0 {
