--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,6 +23,8 @@
 	// ExpectBody is the Digest of the body that the upstream must receive. Tests compute it when
 	// they send a request.
 	ExpectBody = "X-Expect-Body"
+	// Crash names a request that ends the process of each upstream that runs it.
+	Crash = "X-Crash"
 	// Stream names a stream over all attempts of its caller, in place of the attempt's id. Its
 	// events state the version of the upstream.
 	Stream = "X-Stream"
@@ -33,6 +36,7 @@
 		mu         sync.Mutex
 		runs       map[string]int // number of executions by attempt id
 		violations []string       // descriptions of violations
+		crashes    map[string]int // number of processes that ended, by the value of Crash
 	}
 
 	// Upstream is the HTTP handler of one upstream. Set the exported fields
@@ -44,6 +48,7 @@
 		Delay       time.Duration // before each event, and before a plain response
 
 		Version    atomic.Value // string
+		Restart    func()       // ends the process, with all connections, and starts it again later; nil if it can't end
 		BreakEvery atomic.Int64 // every BreakEvery-th response is truncated; 0 means none
 		LoseEvery  atomic.Int64 // every LoseEvery-th response is lost after the execution; 0 means none
 
@@ -66,6 +71,22 @@
 	return append([]string(nil), l.violations...)
 }
 
+// Crashes returns how many processes of upstreams have ended with each request that ends them.
+func (l *RunLog) Crashes() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.crashes)
+}
+
+func (l *RunLog) addCrash(request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.crashes == nil {
+		l.crashes = map[string]int{}
+	}
+	l.crashes[request]++
+}
+
 func (l *RunLog) addRun(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,6 +131,12 @@
 		u.delay(r)
 		panic(http.ErrAbortHandler)
 	}
+	if request := r.Header.Get(Crash); request != "" && u.Restart != nil {
+		u.delay(r)
+		u.RunLog.addCrash(request)
+		u.Restart()
+		panic(http.ErrAbortHandler)
+	}
 	every := u.BreakEvery.Load()
 	u.respond(w, r, id, every > 0 && n%every == 0)
 }
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/fake/upstrm"
@@ -79,6 +80,12 @@
 			s.metakv.Put("servers/"+u.ID, s.entries[u.ID])
 		}
 		register()
+		var down atomic.Bool
+		u.Restart = func() {
+			if down.CompareAndSwap(false, true) {
+				s.restartUpstream(ctx, u, p, register, &down)
+			}
+		}
 	}
 	go func() {
 		for ctx.Err() == nil {
--- a/internal/play/chaos/caller.go
+++ b/internal/play/chaos/caller.go
@@ -101,6 +101,9 @@
 		if c.rnd.IntN(streamOdds) == 0 {
 			c.stream(ctx, name+"-stream")
 		}
+		if !c.s.NoFaults && c.rnd.IntN(crashOdds) == 0 {
+			c.crash(ctx, name+"-crash")
+		}
 	}
 }
 
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -88,6 +88,7 @@
 		Faults  int // injected
 		TakenUp int // streams that a caller took up again at another front
 		WentOn  int // of these, those that went on
+		Ended   int // most upstreams that ended with one request
 	}
 )
 
@@ -127,6 +128,7 @@
 	stopCalls()
 	work.Wait()
 	s.verify()
+	sum.Ended = s.verifyCrashes()
 	sum.TakenUp, sum.WentOn = s.observed.takenUp, s.observed.wentOn
 	_, _ = fmt.Fprintf(s.Out, "neither whole nor refused: %s\n", strings.Join(s.observed.otherSamples, "\n"))
 	sum.Whole, sum.Refused, sum.Other = s.observed.complete, s.observed.refused, s.observed.other
--- a/internal/play/chaos/proxy.go
+++ b/internal/play/chaos/proxy.go
@@ -37,22 +37,40 @@
 		fault atomic.Int32
 		mu    sync.Mutex
 		conns map[net.Conn]struct{}
+		ln    net.Listener
 	}
 )
 
 // Start listens on a free port of ip, and returns; it serves until ctx ends.
 func (p *Proxy) Start(ctx context.Context, ip string) error {
+	p.conns = map[net.Conn]struct{}{}
+	if err := p.listen(ctx, ip+":0"); err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, p.Stop)
+	return nil
+}
+
+// Stop closes all connections and refuses new ones, as if the target's process had ended.
+func (p *Proxy) Stop() {
+	p.mu.Lock()
+	_ = p.ln.Close()
+	p.mu.Unlock()
+	p.Reset()
+}
+
+// Restart accepts connections again, at the same address.
+func (p *Proxy) Restart(ctx context.Context) error { return p.listen(ctx, p.Address) }
+
+func (p *Proxy) listen(ctx context.Context, address string) error {
 	var c net.ListenConfig
-	ln, err := c.Listen(ctx, "tcp", ip+":0")
+	ln, err := c.Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
-	p.Address = ln.Addr().String()
-	p.conns = map[net.Conn]struct{}{}
-	context.AfterFunc(ctx, func() {
-		_ = ln.Close()
-		p.Reset()
-	})
+	p.mu.Lock()
+	p.ln, p.Address = ln, ln.Addr().String()
+	p.mu.Unlock()
 	go func() {
 		for {
 			near, err := ln.Accept()
