--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -132,15 +132,28 @@
 		panic(http.ErrAbortHandler)
 	}
 	if request := r.Header.Get(Crash); request != "" && u.Restart != nil {
-		u.delay(r)
-		u.RunLog.addCrash(request)
-		u.Restart()
-		panic(http.ErrAbortHandler)
+		u.crash(w, r, id, request, n%2 == 0)
 	}
 	every := u.BreakEvery.Load()
 	u.respond(w, r, id, every > 0 && n%every == 0)
 }
 
+// crash ends the process of the upstream while it runs a request, before the response or after the
+// first event.
+func (u *Upstream) crash(w http.ResponseWriter, r *http.Request, id, request string, begin bool) {
+	u.delay(r)
+	if begin {
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 is the start
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, u.eventText(r, id, first+1)) //nolint:gosec // an event for the caller of a fake
+		_ = http.NewResponseController(w).Flush()
+		u.delay(r)
+	}
+	u.RunLog.addCrash(request)
+	u.Restart()
+	panic(http.ErrAbortHandler)
+}
+
 // respond sends the number of events that the query asks for, or a plain text
 // body if that is 0.
 func (u *Upstream) respond(w http.ResponseWriter, r *http.Request, id string, broken bool) {
