proxy: an upstream that ends again under a start that ended before is counted again

A start that is known to have ended before the request was sent there can't end again: it was a later one, which counts.

--- a/internal/disk/index/run.go
+++ b/internal/disk/index/run.go
@@ -27,7 +27,7 @@
 	// Start identifies one start of an upstream: one that starts again under its id is another.
 	Start struct {
 		ID   string `cbor:"1,keyasint"`
-		Born int64  `cbor:"2,keyasint,omitempty"` // in Unix milliseconds; 0 if it states none
+		Born int64  `cbor:"2,keyasint,omitempty"` // in Unix milliseconds; 0 if it states none, negative if only known to have begun before then
 	}
 )
 
--- a/internal/front/ended/ended.go
+++ b/internal/front/ended/ended.go
@@ -56,6 +56,12 @@
 	return t
 }
 
+// Has reports whether the start of an upstream is known to have ended.
+func (t Tally) Has(s index.Start) bool {
+	_, known := slices.BinarySearchFunc(t.ended, s, index.Start.Compare)
+	return known
+}
+
 // WithBroken returns the tally with one more run that broke off at an upstream that may go on.
 func (t Tally) WithBroken(s index.Start) Tally {
 	t.broken = append(slices.Clip(t.broken), s)
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -41,7 +41,7 @@
 // fronts know of it before the caller, or this front, sends the request again. It returns
 // errUpstreamsEnded if the request must not be sent on.
 func (q *request) noteEnd(ctx context.Context, up *fleet.Upstream) error {
-	start := index.Start{ID: up.ID, Born: up.Born}
+	start := q.startOf(up)
 	if q.upstreamEnded(ctx, up) {
 		q.summary.runs.end(endUpstreamEnded)
 		q.own = q.own.With(start)
@@ -62,6 +62,19 @@
 	return errUpstreamsEnded
 }
 
+// startOf returns the start of an upstream that ran the request. If that one is known to have ended
+// before, it was a later one, which this front did not know of when it sent the request.
+func (q *request) startOf(up *fleet.Upstream) index.Start {
+	s := index.Start{ID: up.ID, Born: up.Born}
+	if !q.seen.Has(s) {
+		return s
+	}
+	for s.Born = -time.Now().UnixMilli(); q.seen.Has(s); {
+		s.Born--
+	}
+	return s
+}
+
 // upstreamEnded reports whether an upstream, the connection to which broke, has ended: it is no
 // longer listed, has started again, or accepts no connections.
 func (q *request) upstreamEnded(ctx context.Context, up *fleet.Upstream) bool {
--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -293,29 +293,35 @@
 
 // Guards against an upstream that starts again under its id while a request ends it again and again: it is another start each time.
 func TestUpstreamThatRestartsUnderItsID(t *testing.T) {
-	for name, told := range map[string]bool{"the store tells at once": true, "the store does not tell": false} {
+	cases := map[string]struct {
+		told    bool // the store tells at once
+		downFor int  // connections that are refused before
+		ends    int
+	}{
+		"the store tells":                    {true, 0, 3},
+		"it is seen to be down":              {false, 1, 3},
+		"nothing shows it":                   {false, 0, 6}, // each end looks like a lost answer, which counts half
+		"the store tells, and it is seen so": {true, 1, 3},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				env := newTestEnv([]string{completeStream})
 				other := env.another()
 				u := env.upstreams["up1"]
-				u.endsOn, u.endsAfter = "poison", chunked+event1
+				u.endsOn, u.endsAfter, u.downFor = "poison", chunked+event1, c.downFor
 				ends := 0
 				u.restart = func() {
 					ends++
-					if told {
+					if c.told {
 						env.changeUpstreams(func(up *fleet.Upstream) { up.Born = int64(ends) })
 					}
 				}
 				call := caller{fronts: []*testEnv{env, other}, path: "/resume/", header: map[string]string{"Program": "p", "Budget": "9000"}, body: "poison", attempts: 2, sends: 3}
 				_, complete := call.call(t)
 				is.True(!complete)
-				if told {
-					is.Equal(ends, 3)
-				} else {
-					is.Equal(ends, 6) // each looks as if the upstream had lost an answer, which counts half
-				}
+				is.Equal(ends, c.ends)
 				env.close()
 				other.close()
 			})
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -42,6 +42,8 @@
 		endsOn    string // a request with this in its body ends the process; empty for none
 		endsAfter string // what the process sends of the response before
 		restart   func() // called when it has ended, after which it accepts connections again; nil if it stays down
+		downFor   int    // connections that it refuses before it has restarted
+		down      int    // of these, those that it will still refuse
 		onRequest func() // called with each request; nil for nothing
 		// respond returns the response in place of responses, and whether the process then ends; nil for neither.
 		respond func(h http.Header) (response string, ends bool)
@@ -244,6 +246,10 @@
 	if u.refuse {
 		return false
 	}
+	if u.down > 0 {
+		u.down--
+		return false
+	}
 	u.refuse = u.refuseNext
 	u.conns = append(u.conns, conn)
 	return true
@@ -253,6 +259,7 @@
 func (u *fakeUpstream) end() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.down = u.downFor
 	if u.refuse = u.restart == nil; !u.refuse {
 		u.restart()
 	}
