--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -45,18 +45,14 @@
 	queueCost = 200.0
 	// prefillPerMs is the prefill rate in tokens per millisecond, the lowest of the
 	// engines in use. A prefill delays every other turn at that engine by its duration,
-	// so it is counted for each of them too. With bursts on eight engines with batches of
-	// 16 this gained 0.063 ±0.016 of the total value of a day's programs (eight paired
-	// simulations).
+	// so it is counted for each of them too.
 	prefillPerMs = 42.0
 	// crossDomainCost is added for an upstream in another failure domain, for the price of
 	// the bytes in between: for the 10 KB of a turn it is about a hundredth of the value of
 	// a program.
 	crossDomainCost = 4.0
-	// newConnCost is added for a new connection, which takes a millisecond. With a value of
-	// 15 turns shared an engine with others only because a connection was open, which lost
-	// 0.020 of the total value of a day's programs on eight busy engines (six paired
-	// simulations).
+	// newConnCost is added for a new connection, which takes a millisecond. A cost above
+	// contentionCost would have turns share an engine only because a connection is open.
 	newConnCost = 5.0
 	// noiseCost is the most that the hash of the program or daemon and the upstream adds,
 	// and twice the most that jitter adds. It keeps daemons with the same state from all
--- a/internal/place/batch/batch.go
+++ b/internal/place/batch/batch.go
@@ -14,24 +14,19 @@
 	// which programs still meet their deadlines. The time allowed to a program is 1.4 to
 	// 2.4 times its time on idle engines plus 0.2 s. At low load it takes 0.55 of that: a
 	// third of the allowed time outside the engines, the rest in them. At a slowdown of 2
-	// it takes about 0.8. With 1.6, bursts that 44 engines with a batch size of 6 could
-	// still serve were refused.
+	// it takes about 0.8.
 	maxSlowdown = 2.0
-	// minShare and maxShare bound the fill level. With a batch size of 16, a minimum of
-	// 0.72 gave the best results in the range of 0.52 to 0.95. A smaller minimum would
-	// refuse callers while many slots are free; a larger maximum would have most turns
-	// queue in the engine.
+	// minShare and maxShare bound the fill level. A smaller minimum would refuse callers
+	// while many slots are free; a larger maximum would have most turns queue in the engine.
 	minShare = 0.72
 	maxShare = 2.0
 	// minSamples is the number of observed events below which Share returns maxShare. A
-	// daemon of a large fleet sees about a dozen a second. Assuming one full batch until
-	// then limited 44 engines with a batch size of 6, which could take 1.6 times as much,
-	// for ten seconds, and lost 0.12 of the value of a replayed day's programs.
+	// daemon of a large fleet sees about a dozen a second. One full batch until then would
+	// refuse programs that engines with small batches can take.
 	minSamples = 50
 	// decay is the factor on the weight of earlier events at each new one. The window is
-	// about a thousand events, half a minute at one daemon. With a hundred the share came
-	// out at 0.55 to 0.8 where 0.83 is right, which lost 0.07 of the value of a replayed
-	// day's programs.
+	// about a thousand events, half a minute at one daemon. The estimate from a hundred
+	// varies by a third.
 	decay = 0.999
 	// outlier is the ratio of measured to expected event time above which the engine is
 	// taken to be slow for a reason of its own, and the event is ignored.
--- a/internal/place/gate/gate.go
+++ b/internal/place/gate/gate.go
@@ -13,10 +13,6 @@
 // fair, and a program that certainly waits too long is refused at once. With one priority
 // and no accounts none of this applies.
 //
-// In three paired replays of a day's load, with 3.5 times the usual arrivals for eight
-// seconds on eight engines with a batch size of 16, the gate raised the value of the
-// programs finished in time by 0.24 ±0.02 of the value of all programs.
-//
 // It is a state machine without clock, lock or network: Step takes an event and
 // returns operations.
 package gate
@@ -32,8 +28,7 @@
 	// missed its latest start is still admitted; it only uses capacity that is left over.
 	lateFill = 0.85
 	// overcommit is the multiple of its equal share of the free capacity that a daemon
-	// may use, since not every daemon has programs waiting. With a factor of 1 and 54
-	// daemons, a quarter of the capacity stayed free while programs waited.
+	// may use: not every daemon has programs waiting, so equal shares would leave capacity free.
 	overcommit = 3
 	// After is the longest time after which the caller of a refused program may retry, and
 	// the one without a forecast. It should be long, as bursts last for seconds. But a
