proxy: ends that the records told still count when they can't be reached any more

Found on reading. A front that knew of two ends from a turn's reservation, met a third and could not record it counted its own only, and sent the turn on. What is known and what is its own both bound it now. A break that was noted since the time was up is not noted again.

TestRecordsLostInTheMiddle had two upstreams end before, one now.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -44,18 +44,17 @@
 	start := q.startOf(up)
 	if q.upstreamEnded(ctx, up) {
 		q.summary.runs.end(endUpstreamEnded)
-		q.own = q.own.With(start)
+		q.own, q.seen = q.own.With(start), q.seen.With(start)
 		q.e.Scope.Counter("upstreams_ended").Inc(1)
 	} else {
-		q.own = q.own.WithBroken(start)
+		q.own, q.seen = q.own.WithBroken(start), q.seen.WithBroken(start)
 	}
-	mayRun := q.own.MayRunUnrecorded(q.listed)
-	if runs, err := q.recordRuns(ctx); err == nil {
+	runs, err := q.recordRuns(ctx)
+	if err == nil {
 		q.see(runs)
-		mayRun = q.seen.MayRun(q.listed)
 	}
 	q.summary.endedUpstreams = len(q.seen.Ended())
-	if mayRun {
+	if q.seen.MayRun(q.listed) && (err == nil || q.own.MayRunUnrecorded(q.listed)) {
 		return nil
 	}
 	q.e.Scope.Counter("requests_stopped").Inc(1)
--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -291,6 +292,28 @@
 	}
 }
 
+// Guards against a front that knows of two ends from the records, loses them, and counts only its own.
+func TestRecordsLostInTheMiddle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv(slices.Repeat([][]string{{ok}}, 6)...)
+		defer env.close()
+		header := map[string]string{"Program": "p", "Budget": "9000"}
+		env.recordEarlierRuns(t, "/resume/", header, []string{"x1", "x2"}, 0)
+		for _, u := range env.upstreams {
+			u.endsOn, u.endsAfter = "in", chunked+event1
+			u.onRequest = func() {
+				env.rec.mu.Lock()
+				defer env.rec.mu.Unlock()
+				env.rec.down = true
+			}
+		}
+		_, aborted := env.do(t.Context(), "/resume/", header, "in")
+		is.True(aborted)
+		is.Equal(env.ended(), 1)
+	})
+}
+
 // Guards against an upstream that starts again under its id while a request ends it again and again: it is another start each time.
 func TestUpstreamThatRestartsUnderItsID(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -184,6 +184,7 @@
 	if q.over(ctx) {
 		if s.brokeOff {
 			_ = q.noteEnd(ctx, &s.up) // it is not sent on anyway
+			s.brokeOff = false        // noted
 		}
 		return errors.CombineErrors(cmp.Or(ctx.Err(), context.DeadlineExceeded), err)
 	}
