--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -292,6 +292,27 @@
 	}
 }
 
+// Guards against upstreams that lose answers and go on, and are taken for ones that ended.
+func TestLostAnswersAreNoEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{closing, closing, closing, completeStream})
+		defer env.close()
+		header := map[string]string{"Program": "p", "Budget": "9000"}
+		for i := range 3 {
+			header["Id"] = fmt.Sprint("r", i)
+			rec, _ := env.do(t.Context(), "/resume/", header, "in")
+			is.Equal(rec.Code, 502)
+		}
+		header["Id"] = "r3"
+		rec, _ := env.do(t.Context(), "/resume/", header, "in")
+		is.Equal(rec.Code, 200)
+		for _, r := range env.rec.runs.Runs("p", env.key(t, "/resume/", "p", "in"), "") {
+			is.Equal(len(r.Ended), 0)
+		}
+	})
+}
+
 // Guards against a front that knows of two ends from the records, loses them, and counts only its own.
 func TestRecordsLostInTheMiddle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
