failed, proxy, frontd: what became of upstreams after runs without a whole good answer is logged

No line told what became of an upstream after its run, and a canceled run did not say how long it lasted: a request that ends upstreams a second later looked like one whose caller left. Runs state took_ms and cause. No decision changes.

--- /dev/null
+++ b/internal/front/failed/failed_test.go
@@ -0,0 +1,48 @@
+package failed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/disk/index"
+)
+
+// Guards against an upstream that ends after a run, of which no line tells.
+func TestTakeLeft(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := map[string]struct {
+		after  time.Duration // from the run's end
+		listed bool
+		left   int
+	}{
+		"it stays":           {time.Second, true, 0},
+		"it has left":        {time.Second, false, 1},
+		"at the last":        {Span, false, 1},
+		"it left long after": {Span + 1, false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var l Runs
+			l.Add(Run{Key: 1, Upstream: index.Start{ID: "u"}, At: start})
+			listed := func(index.Start) bool { return c.listed }
+			is.Equal(len(l.TakeLeft(start.Add(c.after), listed)), c.left)
+			is.Equal(len(l.TakeLeft(start.Add(c.after), listed)), 0) // once
+		})
+	}
+}
+
+// Guards against a flood of failed requests that takes memory without bound.
+func TestRunsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var l Runs
+	for i := range 3 * maxRuns {
+		l.Add(Run{Request: fmt.Sprint(i), At: time.Unix(1000, int64(i))})
+	}
+	is.Equal(len(l.list), maxRuns)
+	is.Equal(l.Dropped(), int64(2*maxRuns))
+	is.Equal(l.list[0].Request, fmt.Sprint(2*maxRuns))
+}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/admit"
 	"github.com/slaterock/slaterock/internal/front/ended"
+	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/meta"
@@ -80,6 +81,7 @@
 		Queue    admit.Queue
 		Limiter  *limits.Limiter
 		Parts    parts.Table // shared prompt parts that upstreams have cached
+		Failed   failed.Runs // runs that got no whole good answer
 		Log      zerolog.Logger
 		Scope    tally.Scope
 		Trace    *trace.Trace
@@ -166,6 +168,7 @@
 	q := &request{e: e, w: w, r: r.WithContext(ctx), began: time.Now()}
 	q.summary.ran = ranNo
 	defer q.report(span)
+	defer q.noteFailed()
 	defer q.releaseAcquired()
 	if q.accept() {
 		q.serve()
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -3,12 +3,19 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
+// maxCause bounds a cause that is logged, in bytes: it may quote what an upstream sent.
+const maxCause = 120
+
 const (
 	// How a send ended, as logged. A refusal is logged with its cause (notRunError).
 	endAnswered    = "answered"
@@ -38,7 +45,10 @@
 		upstream string
 		version  string // of the upstream's software
 		born     int64  // start of the upstream, in Unix milliseconds; 0 if it states none
+		began    time.Time
+		took     time.Duration // until it ended; 0 while it is under way
 		end      string
+		cause    string // why no whole response came; empty if one did
 		next     string // why the request was sent on or not; empty after an answer
 	}
 
@@ -48,13 +58,30 @@
 
 // begin adds a send. It ends as canceled unless end is called.
 func (l *runs) begin(u *fleet.Upstream) {
-	*l = append(*l, run{upstream: u.ID, version: u.Version, born: u.Born, end: endCanceled})
+	*l = append(*l, run{upstream: u.ID, version: u.Version, born: u.Born, began: time.Now(), end: endCanceled})
 }
 
 // end sets how the last send ended.
 func (l runs) end(how string) {
 	if len(l) > 0 {
 		l[len(l)-1].end = how
+		l.stop()
+	}
+}
+
+// fail sets why no whole response of the last send came.
+func (l runs) fail(err error) {
+	if len(l) > 0 {
+		text := err.Error()
+		l[len(l)-1].cause = text[:min(len(text), maxCause)]
+		l.stop()
+	}
+}
+
+// stop sets when the last send ended, unless that is known.
+func (l runs) stop() {
+	if len(l) > 0 && l[len(l)-1].took == 0 {
+		l[len(l)-1].took = time.Since(l[len(l)-1].began)
 	}
 }
 
@@ -65,10 +92,39 @@
 	}
 }
 
+// ran reports whether the upstream ran the request, or may have.
+func (r run) ran() bool {
+	switch r.end {
+	case endAnswered, endLost, endInterrupted, endCanceled, endUpstreamEnded:
+		return true
+	default:
+		return r.isFailure()
+	}
+}
+
+// isFailure reports whether the run ended with an answer that tells of a failure of the upstream.
+func (r run) isFailure() bool { return strings.HasPrefix(r.end, endAnswered+"_5") }
+
+// noteFailed remembers the runs of the attempt that got no whole good answer.
+func (q *request) noteFailed() {
+	q.summary.runs.stop()
+	for _, r := range q.summary.runs {
+		if r.ran() && r.end != endAnswered {
+			q.e.Failed.Add(failed.Run{
+				Request: q.ID, Key: q.key(), Upstream: index.Start{ID: r.upstream, Born: r.born}, End: r.end, At: r.began.Add(r.took),
+			})
+		}
+	}
+}
+
 // MarshalZerologArray writes the sends into a log line.
 func (l runs) MarshalZerologArray(a *zerolog.Array) {
 	for _, r := range l {
-		d := zerolog.Dict().Str("upstream", r.upstream).Str("version", r.version).Int64("born", r.born).Str("end", r.end)
+		d := zerolog.Dict().Str("upstream", r.upstream).Str("version", r.version).Int64("born", r.born).
+			Int64("took_ms", r.took.Milliseconds()).Str("end", r.end)
+		if r.cause != "" {
+			d.Str("cause", r.cause)
+		}
 		if r.next != "" {
 			d.Str("next", r.next)
 		}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -181,6 +181,7 @@
 // counts as failed unless the context was done or the deadline had passed.
 func (q *request) recordLoss(ctx context.Context, s *exchange, err error) error {
 	q.summary.ran = ranUnknown
+	q.summary.runs.fail(err)
 	if q.over(ctx) {
 		if s.brokeOff {
 			_ = q.noteEnd(ctx, &s.up) // it is not sent on anyway
--- a/internal/node/frontd/change.go
+++ b/internal/node/frontd/change.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 	"log"
+	"strconv"
 	"time"
 
+	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
@@ -46,12 +48,30 @@
 		}
 		line.Str("by", source(n)).Uint64("revision", d.fleet.View().Revision).Msg("state changed: " + c.Kind)
 	}
+	if upstreams > 0 {
+		d.reportLeft(now)
+	}
 	for t, count := range more {
 		d.Log.Info().Int("more", count).Str("from", t.from).Str("to", t.to).Str("by", source(n)).
 			Uint64("revision", d.fleet.View().Revision).Msg("state changed: upstreams")
 	}
 }
 
+// reportLeft logs the upstreams that left soon after they ran a request without a whole good answer:
+// the request may be what ended them.
+func (d *Daemon) reportLeft(now time.Time) {
+	v := d.fleet.View()
+	listed := func(s index.Start) bool {
+		u, found := v.Find(s.ID)
+		return found && u.Born == s.Born
+	}
+	for _, r := range d.proxy.Failed.TakeLeft(now, listed) {
+		d.Scope.Tagged(map[string]string{"end": r.End}).Counter("runs_upstream_left").Inc(1)
+		d.Log.Info().Str("request", r.Request).Str("request_key", strconv.FormatUint(r.Key, 16)).Str("upstream", r.Upstream.ID).
+			Int64("born", r.Upstream.Born).Str("end", r.End).Dur("after_ms", now.Sub(r.At)).Msg("upstream left after a run")
+	}
+}
+
 func source(n fleet.Event) string {
 	switch n.(type) {
 	case fleet.Snapshot, fleet.Changes:
--- a/internal/node/frontd/change_test.go
+++ b/internal/node/frontd/change_test.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
@@ -38,3 +42,27 @@
 		})
 	}
 }
+
+// Guards against an upstream that ends seconds after a request harmed it, and whose end no line ties to the request.
+func TestUpstreamThatLeftAfterARunIsLogged(t *testing.T) {
+	cases := map[string]struct {
+		second fleet.Event
+		lines  int
+	}{
+		"it stays":         {fleet.Snapshot{Revision: 6, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}, {ID: "w", Service: "s"}}}, 0},
+		"another left":     {fleet.Snapshot{Revision: 6, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}}}, 0},
+		"it left":          {fleet.Snapshot{Revision: 6}, 1},
+		"it has restarted": {fleet.Snapshot{Revision: 6, Upstreams: []fleet.Upstream{{ID: "u", Service: "s", Born: 7}}}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			d := &Daemon{Log: zerolog.New(&out), Scope: tally.NoopScope}
+			d.apply(fleet.Snapshot{Revision: 5, Upstreams: []fleet.Upstream{{ID: "u", Service: "s"}, {ID: "v", Service: "s"}}}, nil)
+			d.proxy.Failed.Add(failed.Run{Request: "r", Key: 0xab, Upstream: index.Start{ID: "u"}, End: "canceled", At: time.Now()})
+			d.apply(c.second, nil)
+			is.Equal(strings.Count(out.String(), `"request":"r","request_key":"ab","upstream":"u","born":0,"end":"canceled"`), c.lines)
+		})
+	}
+}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -305,6 +305,7 @@
 		d.Scope.Gauge("records_slots_used").Update(float64(inUse))
 		d.Scope.Gauge("records_slots_waiting").Update(float64(waiting))
 		d.Scope.Gauge("queued").Update(float64(d.proxy.Queue.Len()))
+		d.Scope.Gauge("failed_runs_dropped").Update(float64(d.proxy.Failed.Dropped()))
 		d.Scope.Gauge("active").Update(float64(d.proxy.Active()))
 		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
 	}
