--- a/internal/front/proxy/ended_env_test.go
+++ b/internal/front/proxy/ended_env_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -22,9 +23,11 @@
 	path     string
 	header   map[string]string
 	body     string
-	attempts int // of each send
-	sends    int // of a turn from its start
-	sent     int // attempts so far
+	attempts int           // of each send
+	sends    int           // of a turn from its start
+	patience time.Duration // until the caller leaves; 0 for never
+	pause    time.Duration // before each attempt but the first
+	sent     int           // attempts so far
 }
 
 // call returns the status of the last attempt, and whether the response was complete.
@@ -38,8 +41,16 @@
 			}
 			header["Id"] = fmt.Sprint("r", c.sent)
 			front := c.fronts[c.sent%len(c.fronts)]
+			if c.sent > 0 {
+				time.Sleep(c.pause)
+			}
 			c.sent++
-			rec, aborted := front.do(t.Context(), c.path, header, c.body)
+			ctx, leave := context.WithCancel(t.Context())
+			if c.patience > 0 {
+				time.AfterFunc(c.patience, leave)
+			}
+			rec, aborted := front.do(ctx, c.path, header, c.body)
+			leave()
 			if rec.Code == http.StatusOK && !aborted {
 				return rec.Code, true
 			}
@@ -67,6 +78,13 @@
 	}
 }
 
+// delistWhenEnded has the store no longer list each upstream some time after it has ended.
+func (env *testEnv) delistWhenEnded(after time.Duration) {
+	for id, u := range env.upstreams {
+		u.ended = func() { time.AfterFunc(after, func() { env.delist(id) }) }
+	}
+}
+
 // ended returns the number of upstreams whose process has ended.
 func (env *testEnv) ended() (n int) {
 	for _, u := range env.upstreams {
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,12 +40,14 @@
 		refuse     bool // refuse connections
 		refuseNext bool // set refuse after the next connection
 
-		endsOn    string // a request with this in its body ends the process; empty for none
-		endsAfter string // what the process sends of the response before
-		restart   func() // called when it has ended, after which it accepts connections again; nil if it stays down
-		downFor   int    // connections that it refuses before it has restarted
-		down      int    // of these, those that it will still refuse
-		onRequest func() // called with each request; nil for nothing
+		endsOn    string        // a request with this in its body ends the process; empty for none
+		endsAfter string        // what the process sends of the response before; with "CLOSE" and "HANG" as in responses
+		endsIn    time.Duration // from then on; 0 for at once
+		restart   func()        // called when it has ended, after which it accepts connections again; nil if it stays down
+		downFor   int           // connections that it refuses before it has restarted
+		down      int           // of these, those that it will still refuse
+		ended     func()        // called when it has ended; nil for nothing
+		onRequest func()        // called with each request; nil for nothing
 		// respond returns the response in place of responses, and whether the process then ends; nil for neither.
 		respond func(h http.Header) (response string, ends bool)
 		conns   []net.Conn
@@ -206,7 +209,10 @@
 		if u.onRequest != nil {
 			u.onRequest()
 		}
-		if u.endsOn != "" && strings.Contains(string(body), u.endsOn) {
+		if u.endsOn != "" && strings.Contains(string(body), u.endsOn) && u.endsIn > 0 {
+			time.AfterFunc(u.endsIn, u.end)
+			response = u.endsAfter
+		} else if u.endsOn != "" && strings.Contains(string(body), u.endsOn) {
 			_, _ = io.WriteString(conn, strings.ReplaceAll(u.endsAfter, "ID", r.Header.Get("Id")))
 			u.end()
 			return
@@ -259,6 +265,9 @@
 func (u *fakeUpstream) end() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.ended != nil && !u.refuse {
+		u.ended()
+	}
 	u.down = u.downFor
 	if u.refuse = u.restart == nil; !u.refuse {
 		u.restart()
@@ -328,6 +337,13 @@
 	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
 }
 
+// delist has the store no longer list an upstream.
+func (env *testEnv) delist(id string) {
+	v := env.e.Fleet.View()
+	list := slices.DeleteFunc(v.Listed.List(), func(u fleet.Upstream) bool { return u.ID == id })
+	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
+}
+
 // do sends one request. Aborted reports that the connection was aborted in the middle of
 // the response.
 func (env *testEnv) do(ctx context.Context, path string, header map[string]string, body string) (rec *httptest.ResponseRecorder, aborted bool) {
