proxy, ended, index: a request that got no whole good answer at three upstreams runs at no others

Callers: a turn under which upstreams end was sent to up to six upstreams, if they ended 0.15 to 2.5 s after its run. Cause: whether an upstream ended because of a request was judged once, in the moment in which the connection broke; a reset, bytes that are no answer and a 500 come before the end, silence until the caller leaves was never judged, and runs that were canceled or answered 500 were not recorded.

Now all runs without a whole good answer are recorded, with the settlement of the turn, and before a failure is passed on. Once there are three such upstreams, the request runs at these only, for as long as they go on: what becomes of each need not be known when the next one is chosen.

The other side: TestInnocentRequestGoesOnAfterFailures, TestDomainThatEndsAtOnce.

--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -195,7 +195,7 @@
 		if c.Request != request || c.Settled || c.Attempt == attempt {
 			continue
 		}
-		noted := func(r Run) bool { return r.Attempt == c.Attempt && len(r.Ended)+len(r.Broken) > 0 }
+		noted := func(r Run) bool { return r.Attempt == c.Attempt && r.hasFailed() }
 		if !slices.ContainsFunc(runs, noted) {
 			return true
 		}
--- a/internal/disk/index/run.go
+++ b/internal/disk/index/run.go
@@ -20,8 +20,11 @@
 		Choice  int    `cbor:"7,keyasint,omitempty"`
 		// Began is that upstream if several versions served and it may have started again, with another
 		// version, before its front knew. Part of the choice; empty otherwise.
-		Began Start  `cbor:"9,keyasint,omitzero"`
-		First string `cbor:"8,keyasint,omitempty"` // another attempt whose run is asked for, in a record; empty for none
+		Began Start `cbor:"9,keyasint,omitzero"`
+		// Tried are upstreams that ran it without a whole good answer, sorted: they answered with a
+		// failure or were silent until the caller left, and may yet end because of it.
+		Tried []Start `cbor:"10,keyasint,omitempty"`
+		First string  `cbor:"8,keyasint,omitempty"` // another attempt whose run is asked for, in a record; empty for none
 	}
 
 	// Start identifies one start of an upstream: one that starts again under its id is another.
@@ -36,7 +39,10 @@
 	return cmp.Or(cmp.Compare(s.ID, o.ID), cmp.Compare(s.Born, o.Born))
 }
 
-func (r Run) isEmpty() bool { return len(r.Ended) == 0 && len(r.Broken) == 0 && r.Choice == 0 }
+func (r Run) isEmpty() bool { return !r.hasFailed() && r.Choice == 0 }
+
+// hasFailed reports whether the attempt has runs without a whole good answer.
+func (r Run) hasFailed() bool { return len(r.Ended)+len(r.Broken)+len(r.Tried) > 0 }
 
 func (r Record) hasRun() bool { return r.Program != "" && r.Run != nil && !r.Run.isEmpty() }
 
@@ -59,17 +65,23 @@
 	if len(b.Broken) > len(a.Broken) {
 		a.Broken = b.Broken
 	}
-	if len(b.Ended) > 0 {
-		all := slices.Concat(a.Ended, b.Ended)
-		slices.SortFunc(all, Start.Compare)
-		a.Ended = slices.Compact(all)
-	}
+	a.Ended, a.Tried = union(a.Ended, b.Ended), union(a.Tried, b.Tried)
 	return a
 }
 
+// union returns the starts in one of two sorted lists, sorted.
+func union(a, b []Start) []Start {
+	if len(b) == 0 {
+		return a
+	}
+	all := slices.Concat(a, b)
+	slices.SortFunc(all, Start.Compare)
+	return slices.Compact(all)
+}
+
 func (r Run) equal(o Run) bool {
 	return r.Attempt == o.Attempt && r.Request == o.Request && r.At == o.At && r.Version == o.Version && r.Choice == o.Choice && r.Began == o.Began &&
-		slices.Equal(r.Ended, o.Ended) && slices.Equal(r.Broken, o.Broken)
+		slices.Equal(r.Ended, o.Ended) && slices.Equal(r.Broken, o.Broken) && slices.Equal(r.Tried, o.Tried)
 }
 
 func (p *program) addRun(r Run) {
--- a/internal/front/ended/ended.go
+++ b/internal/front/ended/ended.go
@@ -1,13 +1,17 @@
-// Package ended decides whether a request may be sent to another upstream after some have ended
-// while they ran it.
+// Package ended decides at which upstreams a request may run after runs that got no whole good
+// answer.
 //
 // A request that makes upstreams crash is sent again by its front, and by its caller to other
 // fronts, and takes down whatever runs beside it each time. A request that only was there when an
 // upstream crashed looks the same at first, and has to go on. What tells them apart is the number
 // of upstreams: of an innocent request hardly ever three end.
 //
-// A connection that breaks off while the upstream goes on is weaker evidence: it may have lost an
-// answer, or have ended and started again unnoticed.
+// An upstream may end in the moment in which its answer fails, or seconds later, when the request
+// has been sent to the next ones. So a request that got no whole good answer at three upstreams runs
+// at no others: it goes on at these for as long as they do, and ends with them.
+//
+// A connection that breaks off while the upstream goes on is weaker evidence of its end: it may have
+// lost an answer, or have ended and started again unnoticed.
 package ended
 
 import (
@@ -17,9 +21,11 @@
 )
 
 const (
-	// MaxUpstreams is the number of upstreams that may end while they run one request.
+	// MaxUpstreams is the number of upstreams at which a request may run without a whole good answer,
+	// and so the number of those that may end because of it.
 	MaxUpstreams = 3
-	// maxUnrecorded is the same for a front that can neither tell others nor ask them.
+	// maxUnrecorded is the number of upstreams that may end for a front that can neither tell others
+	// nor ask them.
 	maxUnrecorded = 2
 	// weightEnded is the weight of an upstream that ended, and weightBroken that of a run that
 	// broke off, which becomes that of an upstream that ended once its start is no longer listed.
@@ -32,6 +38,7 @@
 type Tally struct {
 	ended  []index.Start // sorted
 	broken []index.Start // one for each run
+	tried  []index.Start // sorted
 	open   bool          // the end of another attempt is not known
 }
 
@@ -41,6 +48,9 @@
 		for _, s := range r.Ended {
 			t = t.With(s)
 		}
+		for _, s := range r.Tried {
+			t = t.WithTried(s)
+		}
 		t.broken = append(t.broken, r.Broken...)
 	}
 	return t
@@ -49,10 +59,14 @@
 // With returns the tally with an upstream that has ended. A start that is known already counts
 // once.
 func (t Tally) With(s index.Start) Tally {
-	i, known := slices.BinarySearchFunc(t.ended, s, index.Start.Compare)
-	if !known {
-		t.ended = slices.Insert(slices.Clone(t.ended), i, s)
-	}
+	t.ended = insert(t.ended, s)
+	return t
+}
+
+// WithTried returns the tally with an upstream that ran the request without a whole good answer, and
+// that neither ended nor broke the run off.
+func (t Tally) WithTried(s index.Start) Tally {
+	t.tried = insert(t.tried, s)
 	return t
 }
 
@@ -82,6 +96,23 @@
 // Broken returns the upstreams at which a run broke off, in order. They must not be changed.
 func (t Tally) Broken() []index.Start { return t.broken }
 
+// Tried returns the upstreams that ran the request without a whole good answer in another way, sorted.
+// They must not be changed.
+func (t Tally) Tried() []index.Start { return t.tried }
+
+// Confined reports whether the request may run at no further upstreams. Then starts are those that
+// ran it, sorted, some of which may have ended.
+func (t Tally) Confined() (starts []index.Start, confined bool) {
+	for _, s := range slices.Concat(t.ended, t.tried, t.broken) {
+		starts = insert(starts, s)
+	}
+	n := len(starts)
+	if t.open && n > 0 {
+		n++
+	}
+	return starts, n >= MaxUpstreams
+}
+
 // MayRun reports whether the request may be sent to another upstream. Listed reports whether a
 // start of an upstream is still listed.
 func (t Tally) MayRun(listed func(index.Start) bool) bool {
@@ -94,17 +125,33 @@
 }
 
 func (t Tally) weight(listed func(index.Start) bool) int {
-	sum := weightEnded * len(t.ended)
-	if t.open && len(t.ended) > 0 {
-		sum += weightEnded
-	}
-	gone := t // with the starts that are no longer listed
+	gone := t.ended // with the other starts that are no longer listed
+	sum := 0
 	for _, s := range t.broken {
 		sum += weightBroken
-		if !listed(s) && len(gone.ended) < len(gone.With(s).ended) {
-			gone = gone.With(s)
-			sum += weightEnded - weightBroken
+		if n := len(gone); !listed(s) {
+			if gone = insert(gone, s); len(gone) > n {
+				sum -= weightBroken
+			}
+		}
+	}
+	for _, s := range t.tried {
+		if !listed(s) {
+			gone = insert(gone, s)
 		}
 	}
+	sum += weightEnded * len(gone)
+	if t.open && len(gone) > 0 {
+		sum += weightEnded
+	}
 	return sum
 }
+
+// insert returns a sorted list with one more start, unless it has that one. The list is not changed.
+func insert(list []index.Start, s index.Start) []index.Start {
+	i, known := slices.BinarySearchFunc(list, s, index.Start.Compare)
+	if known {
+		return list
+	}
+	return slices.Insert(slices.Clone(list), i, s)
+}
--- a/internal/front/ended/ended_test.go
+++ b/internal/front/ended/ended_test.go
@@ -40,6 +40,9 @@
 		"one ended, one not known":            {[]index.Run{{Ended: starts("a")}}, "", true, true, false},
 		"two ended, one not known":            {[]index.Run{{Ended: starts("a", "b")}}, "", true, false, false},
 		"one not known":                       {nil, "", true, true, true},
+		"three failed and go on":              {[]index.Run{{Tried: starts("a", "b")}, {Tried: starts("c")}}, "", false, true, true},
+		"two ended, a third one later":        {[]index.Run{{Ended: starts("a", "b"), Tried: starts("c")}}, "c", false, false, false},
+		"one failed, broke off and has gone":  {[]index.Run{{Tried: starts("c"), Broken: starts("c", "c")}}, "c", false, true, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -51,6 +54,31 @@
 	}
 }
 
+// Guards against a request that harms one upstream after the other before any of them is known to have ended.
+func TestConfined(t *testing.T) {
+	cases := map[string]struct {
+		runs     []index.Run
+		open     bool
+		starts   []index.Start
+		confined bool
+	}{
+		"nothing is known":            {nil, true, nil, false},
+		"two":                         {[]index.Run{{Tried: starts("a"), Broken: starts("b", "b", "b")}}, false, starts("a", "b"), false},
+		"two, and one not known":      {[]index.Run{{Tried: starts("a"), Broken: starts("b")}}, true, starts("a", "b"), true},
+		"three ways":                  {[]index.Run{{Tried: starts("c")}, {Broken: starts("a")}, {Ended: starts("b")}}, false, starts("a", "b", "c"), true},
+		"the same in three ways":      {[]index.Run{{Tried: starts("a"), Broken: starts("a"), Ended: starts("a")}}, false, starts("a"), false},
+		"many, of requests like this": {[]index.Run{{Tried: starts("a", "b", "c", "d")}}, false, starts("a", "b", "c", "d"), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, confined := Of(c.runs).WithOpen(c.open).Confined()
+			is.Equal(got, c.starts)
+			is.Equal(confined, c.confined)
+		})
+	}
+}
+
 // Guards against an attempt that changes what another one knows.
 func TestTallyIsImmutable(t *testing.T) {
 	is := is.New(t)
--- a/internal/front/pick/choose.go
+++ b/internal/front/pick/choose.go
@@ -77,6 +77,10 @@
 	switch n := all.Len(); {
 	case s.r.Only != "":
 		s.compareID(s.r.Only)
+	case s.r.Confined:
+		for _, id := range s.r.Among {
+			s.compareID(id)
+		}
 	case n <= maxWalk:
 		s.compareAll()
 	default:
--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -122,7 +122,9 @@
 		Shared     []meta.Part     // parts of the prompt that other programs may share; see meta.Attempt.SharedParts
 		Only       string          // id of the only upstream that may run it, even if leaving or excluded; empty for any
 		Exclude    map[string]bool // ids that have refused or failed this attempt
-		Version    string          // software version that the upstream must have; valid with HasVersion
+		Among      []string        // ids of the only upstreams that may run it, if not leaving; valid with Confined
+		Confined   bool
+		Version    string // software version that the upstream must have; valid with HasVersion
 		HasVersion bool
 	}
 )
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -9,9 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/ended"
+	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
@@ -22,6 +24,9 @@
 	// runsTimeout is how long a request waits for the records of its runs. It is to take a few
 	// disk syncs; longer, and callers of innocent requests would wait for a fault of the records.
 	runsTimeout = 400 * time.Millisecond
+	// triedSpan is how long after the start of an attempt the end of an upstream that it was sent to may
+	// be due to it: the time of an attempt, and failed.Span.
+	triedSpan = failed.Span + 5*time.Second
 	// minRunsTTL is how long the records of runs are kept at least: longer than the callers of
 	// calls and turns come back.
 	minRunsTTL = time.Minute
@@ -61,6 +66,54 @@
 	return errUpstreamsEnded
 }
 
+// noteTried notes that an upstream ran the request without a whole good answer, and goes on as far as
+// is known. The turn's settlement, or recordTried, tells other fronts.
+func (q *request) noteTried(up *fleet.Upstream) {
+	if q.route.Kind != route.Stream {
+		return // a call asks for nothing before its first run
+	}
+	s := index.Start{ID: up.ID, Born: up.Born}
+	q.own, q.seen = q.own.WithTried(s), q.seen.WithTried(s)
+	q.unrecorded = true
+}
+
+// recordTried records the runs of the attempt before its caller gets the failure that the upstream
+// answered with, and comes back. Without records, other fronts don't learn of it in time.
+func (q *request) recordTried(ctx context.Context, up *fleet.Upstream) {
+	q.noteTried(up)
+	if q.unrecorded {
+		_, _ = q.recordRuns(ctx) // the write goes on
+	}
+}
+
+// confined returns the upstreams to which the request is confined, as far as they are listed, since it
+// got no whole good answer from several.
+func (q *request) confined() (ids []string, confined bool) {
+	starts, confined := q.seen.Confined()
+	if !confined {
+		return nil, false
+	}
+	q.summary.confined = true
+	for _, s := range starts {
+		if q.listed(s) {
+			ids = append(ids, s.ID)
+		}
+	}
+	return slices.Compact(ids), true
+}
+
+// noteUnreachable notes that an upstream that ran the request accepts no connection: it has ended. It
+// reports whether the request must not be sent on.
+func (q *request) noteUnreachable(up *fleet.Upstream) (stop bool) {
+	q.seen = q.seen.With(index.Start{ID: up.ID, Born: up.Born})
+	return !q.seen.MayRun(q.listed)
+}
+
+// ownRun returns what is known of the runs of this attempt.
+func (q *request) ownRun() *index.Run {
+	return &index.Run{Request: q.key(), Ended: q.own.Ended(), Broken: q.own.Broken(), Tried: q.own.Tried()}
+}
+
 // startOf returns the start of an upstream that ran the request. If that one is known to have ended
 // before, it was a later one, which this front did not know of when it sent the request.
 func (q *request) startOf(up *fleet.Upstream) index.Start {
@@ -95,7 +148,8 @@
 // request. The write goes on if ctx ends or takes longer than runsTimeout.
 func (q *request) recordRuns(ctx context.Context) (runs []index.Run, err error) {
 	rec := q.runsRecord()
-	rec.Run.Ended, rec.Run.Broken = q.own.Ended(), q.own.Broken()
+	rec.Run = q.ownRun()
+	q.unrecorded = false
 	type result struct {
 		quorum.Result
 		error
@@ -119,8 +173,17 @@
 
 // see takes over what is recorded of the request's attempts.
 func (q *request) see(runs []index.Run) {
-	other := func(r index.Run) bool { return r.Request != q.key() }
-	q.seen = ended.Of(slices.DeleteFunc(slices.Clone(runs), other)).WithOpen(q.otherOpen)
+	var own []index.Run
+	for _, r := range runs {
+		if r.Request != q.key() {
+			continue
+		}
+		if q.began.UnixMilli()-r.At > triedSpan.Milliseconds() {
+			r.Tried = nil
+		}
+		own = append(own, r)
+	}
+	q.seen = ended.Of(own).WithOpen(q.otherOpen)
 }
 
 // queryRuns returns what is recorded of the request's earlier attempts, and of the attempt first.
--- a/internal/front/proxy/ended_env_test.go
+++ b/internal/front/proxy/ended_env_test.go
@@ -13,8 +13,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/event"
+	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
 // caller sends one request of a caller until it is answered, to another front with each attempt.
@@ -115,6 +117,20 @@
 	is.New(t).NoErr(err)
 }
 
+// recordTried records an earlier attempt that upstreams ran without a whole good answer.
+func (env *testEnv) recordTried(t *testing.T, path string, header map[string]string, ids ...string) {
+	t.Helper()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, nil)
+	r.Host = "h"
+	q := request{e: env.e, r: r, view: env.e.Fleet.View(), body: []byte("in"), began: time.Now(), route: route.Route{Kind: route.Stream}}
+	q.Program, q.ID = header["Program"], "earlier"
+	for _, id := range ids {
+		q.noteTried(&fleet.Upstream{ID: id})
+	}
+	_, err := q.recordRuns(t.Context())
+	is.New(t).NoErr(err)
+}
+
 func (env *testEnv) key(t *testing.T, path, program, body string) uint64 {
 	t.Helper()
 	q := request{r: httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, nil), body: []byte(body)}
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -1,11 +1,16 @@
 package proxy
 
 import (
+	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
 const noAnswer = "\x16\x03\x01 this is no response\r\n\r\n"
@@ -86,3 +91,74 @@
 		}
 	}
 }
+
+// Guards against an innocent request that is refused, or goes nowhere, since its upstreams failed or its callers left.
+func TestInnocentRequestGoesOnAfterFailures(t *testing.T) {
+	cases := map[string]struct {
+		tried  []string      // upstreams that an earlier attempt was sent to without a whole good answer
+		left   []string      // upstreams that have left since
+		ago    time.Duration // since that attempt
+		served []string      // where the next attempt may run; empty for anywhere
+	}{
+		"two failed":                      {[]string{"up1", "up2"}, nil, 0, nil},
+		"two failed and left":             {[]string{"up1", "up2"}, []string{"up1", "up2"}, 0, []string{"up3", "up4", "up5", "up6"}},
+		"three failed and go on":          {[]string{"up1", "up2", "up3"}, nil, 0, []string{"up1", "up2", "up3"}},
+		"three failed, two left":          {[]string{"up1", "up2", "up3"}, []string{"up1", "up3"}, 0, []string{"up2"}},
+		"three failed, all left long ago": {[]string{"up1", "up2", "up3"}, []string{"up1", "up2", "up3"}, triedSpan + time.Second, []string{"up4", "up5", "up6"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv(slices.Repeat([][]string{{completeStream}}, 6)...)
+				defer env.close()
+				header := map[string]string{"Program": "p", "Budget": "9000"}
+				env.recordTried(t, "/resume/", header, c.tried...)
+				for end := time.Now().Add(c.ago); time.Now().Before(end); time.Sleep(time.Second) {
+					env.changeUpstreams(func(*fleet.Upstream) {}) // the store is read all the while
+				}
+				for _, id := range c.left {
+					env.delist(id)
+				}
+				rec, aborted := env.do(t.Context(), "/resume/", header, "in")
+				is.True(!aborted)
+				is.Equal(rec.Code, 200)
+				for id, u := range env.upstreams {
+					is.True(len(u.requests()) == 0 || len(c.served) == 0 || slices.Contains(c.served, id))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that is taken for what ended a whole failure domain, where it only was at one of the upstreams.
+func TestDomainThatEndsAtOnce(t *testing.T) {
+	for _, path := range []string{"/resume/", "/safe/"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				response := map[string]string{"/resume/": completeStream, "/safe/": ok}[path]
+				env := newTestEnv(slices.Repeat([][]string{{response}}, 9)...)
+				defer env.close()
+				for range 30 { // so that connections to all of them are open
+					env.do(t.Context(), path, nil, "warm up")
+				}
+				var domain sync.Once
+				for i := range 9 {
+					env.upstreams[fmt.Sprint("up", i+1)].onRequest = func() {
+						domain.Do(func() {
+							for n := range 4 {
+								env.upstreams[fmt.Sprint("up", (i+n)%9+1)].end()
+							}
+						})
+					}
+				}
+				call := caller{fronts: []*testEnv{env}, path: path, header: map[string]string{"Program": "p", "Budget": "9000"}, body: "in", attempts: 2, sends: 1}
+				status, complete := call.call(t)
+				is.Equal(env.ended(), 4)
+				is.True(complete)
+				is.Equal(status, 200)
+			})
+		})
+	}
+}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -130,6 +130,7 @@
 		deadline      time.Time
 		own           ended.Tally     // runs of this attempt
 		seen          ended.Tally     // runs of all attempts, as last read from the records
+		unrecorded    bool            // the last runs of this attempt are not recorded
 		otherOpen     bool            // the end of another attempt of the request was not known when this one began
 		onSend        func(*exchange) // called before each send; nil for nothing
 		goesOn        bool            // the next send goes on with a stream of which the caller has events
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -143,15 +143,19 @@
 	return false
 }
 
-// settle replaces the reservation by the tokens that the turn generated. It writes in
-// the background.
+// settle replaces the reservation by the tokens that the turn generated, and records the runs that
+// are not recorded yet. It writes in the background.
 func (t *turn) settle() {
-	if !t.reserved {
+	if !t.reserved && !t.unrecorded {
 		return
 	}
-	t.reserved = false
 	rec := t.newRecord()
-	rec.Settled, rec.Spent = true, t.summary.tokens
+	if t.unrecorded {
+		rec = t.runsRecord()
+		rec.Run = t.ownRun()
+	}
+	rec.Settled, rec.Spent = t.reserved, t.summary.tokens
+	t.reserved, t.unrecorded = false, false
 	if t.summary.events > 0 {
 		rec.Upstream, rec.Session = t.summary.upstream, t.Session
 	}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -28,6 +28,8 @@
 	// causeFull is the cause of a refusal by an upstream without a free place, which
 	// is temporary.
 	causeFull = "full"
+	// causeUnreachable is the cause if no connection could be established.
+	causeUnreachable = "unreachable"
 	// maxResponse bounds the body of a response that is not a stream, in bytes.
 	maxResponse = 16 << 20
 )
@@ -86,6 +88,7 @@
 		}
 		view := q.e.Fleet.View()
 		c.Candidates = view.Services[q.service.Name]
+		c.Among, c.Confined = q.confined()
 		up, ok := q.e.Picker.Choose(time.Now(), c)
 		if !ok {
 			q.summary.runs.next(nextNoUpstream)
@@ -105,6 +108,9 @@
 		q.summary.refusals += up.ID + ":" + refusal.cause + " "
 		q.summary.runs.end(refusal.cause)
 		q.summary.runs.next(nextNotRun)
+		if c.Confined && refusal.cause == causeUnreachable && q.noteUnreachable(&up) {
+			return nil, errUpstreamsEnded
+		}
 		if c.Only != "" {
 			if refusal.cause != causeFull || !pause.For(ctx, fullRetryDelay) {
 				q.summary.runs.next(nextNoUpstream)
@@ -132,7 +138,7 @@
 		if ctx.Err() == nil {
 			q.e.Picker.RecordFailure(time.Now(), up.ID)
 		}
-		return nil, &notRunError{up: up, cause: "unreachable", err: err}
+		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
 	}
 	if cause := q.startDiffers(ctx, conn, &up); cause != "" {
 		q.e.Pool.Put(conn, 0)
@@ -186,6 +192,8 @@
 		if s.brokeOff {
 			_ = q.noteEnd(ctx, &s.up) // it is not sent on anyway
 			s.brokeOff = false        // noted
+		} else {
+			q.noteTried(&s.up)
 		}
 		return errors.CombineErrors(cmp.Or(ctx.Err(), context.DeadlineExceeded), err)
 	}
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -154,6 +154,8 @@
 	var stop error
 	if s.brokeOff {
 		stop = t.noteEnd(ctx, &s.up)
+	} else {
+		t.noteTried(&s.up)
 	}
 	switch {
 	case errors.Is(err, errVersionNotRecorded):
@@ -221,6 +223,7 @@
 		s.releaseConn(t.e.Pool)
 		if s.resp.StatusCode >= http.StatusInternalServerError {
 			t.e.Picker.RecordFailure(time.Now(), s.up.ID) // otherwise it would look idle and attract all turns
+			t.recordTried(ctx, &s.up)
 		}
 		t.settle()
 		t.writeResponse(s, body)
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -32,7 +32,8 @@
 		refusals string // by upstreams, and interruptions of resumable streams, in order
 		runs     runs   // sends to upstreams, in order
 
-		endedUpstreams int // that ended while they ran the request, over all attempts, as known here
+		endedUpstreams int  // that ended while they ran the request, over all attempts, as known here
+		confined       bool // to the upstreams that ran it without a whole good answer
 		err            error
 		recordsTime    time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason    string        // why the attempt was queued; empty if it was not
@@ -78,6 +79,9 @@
 	if s.endedUpstreams > 0 {
 		line.Int("upstreams_ended", s.endedUpstreams)
 	}
+	if s.confined {
+		line.Bool("confined", true)
+	}
 	if q.HasFinishIn {
 		line.Int64("finish_ms", q.FinishIn.Milliseconds())
 	}
