--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -138,12 +138,12 @@
 func (fakeDialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Again", d.String()) }
 
 func (r *fakeRecords) Write(_ context.Context, rec index.Record) (res quorum.Result, err error) {
+	time.Sleep(r.delay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down || r.failVersions && !rec.Reserved && rec.Run != nil {
 		return res, quorum.ErrNoQuorum
 	}
-	time.Sleep(r.delay)
 	var b index.Index
 	b.ApplyCharge(rec, time.Now())
 	for _, s := range b.Charges(rec.Program) {
@@ -162,6 +162,12 @@
 	return res, nil
 }
 
+func (r *fakeRecords) setDown(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+}
+
 // forgetSettled forgets what fronts record when an attempt has ended, as if they had lost their power before.
 func (r *fakeRecords) forgetSettled() {
 	r.mu.Lock()
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -162,3 +163,67 @@
 		})
 	}
 }
+
+// lateAndEarlyEnds are all ways in which an upstream may end because of a request.
+func lateAndEarlyEnds() map[string]lateEnd {
+	ends := maps.Clone(lateEnds)
+	ends["at once"] = lateEnd{}
+	ends["in the middle, at once"] = lateEnd{response: chunked + event1}
+	ends["half an answer, at once"] = lateEnd{response: "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\ngood"}
+	return ends
+}
+
+// Guards against a call that ends one upstream after the other: it asks for nothing before its first run, so no attempt knows of those before.
+func TestCallsThatEndUpstreams(t *testing.T) {
+	for kind, c := range map[string]caller{
+		"two attempts":           {path: "/safe/", attempts: 2, sends: 1},
+		"three attempts":         {path: "/safe/", attempts: 3, sends: 1},
+		"six, call of a program": {path: "/safe/", header: map[string]string{"Program": "p"}, attempts: 6, sends: 1},
+	} {
+		for name, e := range lateAndEarlyEnds() {
+			for delisted, after := range map[string]time.Duration{"": 0, ", delisted": 700 * time.Millisecond} {
+				t.Run(kind+", "+name+delisted, func(t *testing.T) {
+					is := is.New(t)
+					for range 4 { // the choice of upstreams is random
+						is.True(playLateEnds(t, e, c, after, nil) <= 3)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against fronts that take records that can't be read for nothing known, and each send a request on.
+func TestUpstreamsThatEndWhileRecordsAreAway(t *testing.T) {
+	callers := map[string]caller{
+		"resumable turn, no budget": {path: "/resume/", header: map[string]string{"Program": "p"}, attempts: 2, sends: 3},
+		"turn, no budget":           {path: "/stream/", header: map[string]string{"Program": "p"}, attempts: 2, sends: 3},
+		"resumable turn":            {path: "/resume/", header: map[string]string{"Program": "p", "Budget": "9000"}, attempts: 2, sends: 3},
+		"safe call":                 {path: "/safe/", attempts: 3, sends: 1},
+	}
+	records := map[string]func(*testEnv){
+		"away": func(env *testEnv) { env.rec.down = true },
+		"lost in the first run": func(env *testEnv) {
+			for _, u := range env.upstreams {
+				u.onRequest = func() { env.rec.setDown(true) }
+			}
+		},
+		"away for a second": func(env *testEnv) {
+			env.rec.down = true
+			time.AfterFunc(time.Second, func() { env.rec.setDown(false) })
+		},
+		"slow": func(env *testEnv) { env.rec.delay = 700 * time.Millisecond },
+	}
+	for kind, c := range callers {
+		for name, e := range lateAndEarlyEnds() {
+			for how, prepare := range records {
+				t.Run(kind+", "+name+", records "+how, func(t *testing.T) {
+					is := is.New(t)
+					for range 4 {
+						is.True(playLateEnds(t, e, c, 700*time.Millisecond, prepare) <= 3)
+					}
+				})
+			}
+		}
+	}
+}
