home, proxy: safe calls are mapped to three upstreams by their key

Callers: a safe call that ends its upstreams ended four with three attempts, six with six. Cause: it asks for nothing before its first run of an attempt, which would cost each call a round trip to the records, so each attempt added one.

Others may run it once all three are gone, refuse it or have just failed, and the records tell that it has not run at too many.

--- a/internal/front/pick/pick.go
+++ b/internal/front/pick/pick.go
@@ -247,6 +247,15 @@
 	return l
 }
 
+// Avoids reports whether an upstream is selected only if there is no other: it has failed, or was
+// full, a moment ago.
+func (p *Picker) Avoids(now time.Time, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.upstreams[id]
+	return s != nil && now.Before(s.avoidUntil)
+}
+
 // Done removes a request of this daemon from those in flight.
 func (p *Picker) Done(id string) {
 	p.mu.Lock()
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -28,6 +28,8 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 		defer cancel()
 	}
+	q.homed = q.route.Kind == route.Safe
+	defer q.recordUnrecorded()
 	exclude := map[string]bool{}
 	for {
 		s, err := q.dispatch(ctx, pick.Request{Exclude: exclude}, q.body, meta.Dispatch{})
@@ -93,7 +95,11 @@
 	q.summary.firstOutput = time.Since(q.began)
 	pace := q.e.Baseline.Slowdown(q.route.Name, time.Since(s.began).Seconds())
 	q.observeCall(s, pace)
-	q.e.Picker.RecordOutcome(time.Now(), s.up.ID, pace, s.resp.StatusCode >= http.StatusInternalServerError)
+	failed := s.resp.StatusCode >= http.StatusInternalServerError
+	q.e.Picker.RecordOutcome(time.Now(), s.up.ID, pace, failed)
+	if failed {
+		q.recordTried(ctx, &s.up)
+	}
 	q.writeResponse(s, body)
 	return nil
 }
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/conf/route"
@@ -15,6 +16,7 @@
 	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/pick"
 )
 
 const (
@@ -69,8 +71,8 @@
 // noteTried notes that an upstream ran the request without a whole good answer, and goes on as far as
 // is known. The turn's settlement, or recordTried, tells other fronts.
 func (q *request) noteTried(up *fleet.Upstream) {
-	if q.route.Kind != route.Stream {
-		return // a call asks for nothing before its first run
+	if q.route.Kind == route.Unsafe {
+		return // no caller repeats it
 	}
 	s := index.Start{ID: up.ID, Born: up.Born}
 	q.own, q.seen = q.own.WithTried(s), q.seen.WithTried(s)
@@ -86,10 +88,28 @@
 	}
 }
 
+// recordUnrecorded records the runs of a call that were not recorded yet. It writes in the background.
+func (q *request) recordUnrecorded() {
+	if !q.unrecorded {
+		return
+	}
+	rec := q.runsRecord()
+	rec.Run = q.ownRun()
+	go func() {
+		ctx, cancel := context.WithTimeout(q.e.Stop, settleTimeout)
+		defer cancel()
+		_, _ = q.e.Records.Write(ctx, rec) // without it, Endpoint.Home bounds the upstreams
+	}()
+}
+
 // confined returns the upstreams to which the request is confined, as far as they are listed, since it
 // got no whole good answer from several.
 func (q *request) confined() (ids []string, confined bool) {
 	starts, confined := q.seen.Confined()
+	if !confined && q.homed {
+		p := q.e.Home.Of(time.Now(), q.service.Name, q.e.Fleet.View().Services[q.service.Name], q.homeKey())
+		return p.IDs, !p.All
+	}
 	if !confined {
 		return nil, false
 	}
@@ -102,11 +122,50 @@
 	return slices.Compact(ids), true
 }
 
-// noteUnreachable notes that an upstream that ran the request accepts no connection: it has ended. It
-// reports whether the request must not be sent on.
-func (q *request) noteUnreachable(up *fleet.Upstream) (stop bool) {
-	q.seen = q.seen.With(index.Start{ID: up.ID, Born: up.Born})
-	return !q.seen.MayRun(q.listed)
+// choose selects one of the upstreams that may run the request. If only those that Endpoint.Home names
+// may, and each of them is gone, refuses it or has just failed, others may once the records tell that it
+// has not run at too many already.
+func (q *request) choose(ctx context.Context, c *pick.Request) (up fleet.Upstream, ok bool) {
+	up, ok = q.e.Picker.Choose(time.Now(), *c)
+	if !c.Confined || !q.homed || c.Only != "" || ok && !q.e.Picker.Avoids(time.Now(), up.ID) || !q.leaveHome(ctx) {
+		return up, ok
+	}
+	if ok {
+		q.e.done(up.ID)
+	}
+	c.Among, c.Confined = q.confined()
+	return q.e.Picker.Choose(time.Now(), *c)
+}
+
+// leaveHome reports whether other upstreams than those that Endpoint.Home names may run the request.
+func (q *request) leaveHome(ctx context.Context) bool {
+	if !q.asked {
+		q.queryRuns(ctx, "")
+	}
+	if !q.asked || !q.seen.MayRun(q.listed) {
+		return false
+	}
+	q.homed = false
+	q.e.Scope.Counter("requests_left_home").Inc(1)
+	return true
+}
+
+// homeKey returns the key by which a request is mapped to upstreams, the same in all its attempts. Turns
+// of a program, or of a session, share theirs, and so cached prompts.
+func (q *request) homeKey() uint64 {
+	if q.route.Kind == route.Stream && (q.Program != "" || q.AffinityKey != "") {
+		return xxhash.Sum64String(q.affinityKey())
+	}
+	return q.key()
+}
+
+// noteUnreachable notes that an upstream accepts no connection: if it ran the request before, it has
+// ended.
+func (q *request) noteUnreachable(up *fleet.Upstream) {
+	s := index.Start{ID: up.ID, Born: up.Born}
+	if starts, confined := q.seen.Confined(); confined && slices.Contains(starts, s) {
+		q.seen = q.seen.With(s)
+	}
 }
 
 // ownRun returns what is known of the runs of this attempt.
@@ -186,8 +245,8 @@
 	q.seen = ended.Of(own).WithOpen(q.otherOpen)
 }
 
-// queryRuns returns what is recorded of the request's earlier attempts, and of the attempt first.
-// Nothing is known of them if the records can't be read.
+// queryRuns takes over and returns what is recorded of the request's earlier attempts, and returns that of
+// the attempt first. Nothing is known of them if the records can't be read.
 func (q *request) queryRuns(ctx context.Context, first string) []index.Run {
 	ctx, stop := context.WithTimeout(ctx, runsTimeout)
 	defer stop()
@@ -197,6 +256,8 @@
 	if err != nil {
 		return nil
 	}
+	q.asked = true
+	q.see(res.Runs)
 	return res.Runs
 }
 
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -75,6 +75,7 @@
 	}
 
 	testEnv struct {
+		others    []*testEnv // other fronts
 		e         *Endpoint
 		rec       *fakeRecords
 		upstreams map[string]*fakeUpstream // by address
@@ -137,8 +138,12 @@
 
 func (fakeDialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Again", d.String()) }
 
-func (r *fakeRecords) Write(_ context.Context, rec index.Record) (res quorum.Result, err error) {
-	time.Sleep(r.delay)
+func (r *fakeRecords) Write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
+	select {
+	case <-time.After(r.delay):
+	case <-ctx.Done():
+		return res, ctx.Err()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down || r.failVersions && !rec.Reserved && rec.Run != nil {
@@ -314,6 +319,7 @@
 func (env *testEnv) another() *testEnv {
 	other := &testEnv{rec: env.rec, upstreams: env.upstreams}
 	other.e = other.newEndpoint(env.e.Fleet)
+	env.others = append(env.others, other)
 	return other
 }
 
@@ -340,14 +346,26 @@
 	for i := range list {
 		change(&list[i])
 	}
-	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
+	env.update(fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
+}
+
+// update applies what the store lists, and tells all fronts what has left.
+func (env *testEnv) update(s fleet.Snapshot) {
+	now, before := time.Now(), env.e.Fleet.View()
+	var changed []string
+	for _, c := range env.e.Fleet.Update(now, s) {
+		changed = append(changed, c.ID)
+	}
+	for _, front := range append([]*testEnv{env}, env.others...) {
+		front.e.Home.Update(now, before, env.e.Fleet.View(), changed)
+	}
 }
 
 // delist has the store no longer list an upstream.
 func (env *testEnv) delist(id string) {
 	v := env.e.Fleet.View()
 	list := slices.DeleteFunc(v.Listed.List(), func(u fleet.Upstream) bool { return u.ID == id })
-	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
+	env.update(fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
 }
 
 // do sends one request. Aborted reports that the connection was aborted in the middle of
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -212,7 +213,8 @@
 			env.rec.down = true
 			time.AfterFunc(time.Second, func() { env.rec.setDown(false) })
 		},
-		"slow": func(env *testEnv) { env.rec.delay = 700 * time.Millisecond },
+		"slow":      func(env *testEnv) { env.rec.delay = 300 * time.Millisecond },
+		"very slow": func(env *testEnv) { env.rec.delay = 700 * time.Millisecond },
 	}
 	for kind, c := range callers {
 		for name, e := range lateAndEarlyEnds() {
@@ -227,3 +229,40 @@
 		}
 	}
 }
+
+// Guards against an innocent call that is refused since the few upstreams to which it is mapped are gone, and against one that is sent on although nobody can tell where it ran.
+func TestCallWhoseUpstreamsAreGone(t *testing.T) {
+	cases := map[string]struct {
+		ends   []string // upstreams that have ended under earlier attempts
+		down   bool     // the records
+		status int
+		code   string // of a refusal
+	}{
+		"innocent":                 {nil, false, 200, ""},
+		"two ended under it":       {[]string{"x1", "x2"}, false, 200, ""},
+		"three ended under it":     {[]string{"x1", "x2", "x3"}, false, 502, "upstreams_ended"},
+		"records can't be reached": {nil, true, 503, "upstreams_unreachable"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv(slices.Repeat([][]string{{ok}}, 9)...)
+				defer env.close()
+				env.recordEarlierRuns(t, "/safe/", nil, c.ends, 0)
+				v := env.e.Fleet.View()
+				home := env.e.Home.Of(time.Now(), "s", v.Services["s"], env.key(t, "/safe/", "", "in"))
+				for _, id := range home.IDs {
+					env.upstreams[id].end()
+				}
+				env.rec.setDown(c.down)
+				rec, _ := env.do(t.Context(), "/safe/", nil, "in")
+				is.Equal(rec.Code, c.status)
+				is.True(strings.Contains(rec.Body.String(), c.code))
+				is.Equal(rec.Header().Get("Again") != "", c.status == 503)
+				rec, _ = env.do(t.Context(), "/unsafe/", map[string]string{"Id": "r2"}, "in")
+				is.Equal(rec.Code, 200) // no caller repeats it after a failure, so it is not confined
+			})
+		})
+	}
+}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/home"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/parts"
@@ -82,6 +83,7 @@
 		Limiter  *limits.Limiter
 		Parts    parts.Table // shared prompt parts that upstreams have cached
 		Failed   failed.Runs // runs that got no whole good answer
+		Home     home.Table  // upstreams that may run a request of which nothing is known
 		Log      zerolog.Logger
 		Scope    tally.Scope
 		Trace    *trace.Trace
@@ -130,6 +132,8 @@
 		deadline      time.Time
 		own           ended.Tally     // runs of this attempt
 		seen          ended.Tally     // runs of all attempts, as last read from the records
+		homed         bool            // only the upstreams that Endpoint.Home names may run it
+		asked         bool            // seen has what the records held when this attempt began, or later
 		unrecorded    bool            // the last runs of this attempt are not recorded
 		otherOpen     bool            // the end of another attempt of the request was not known when this one began
 		onSend        func(*exchange) // called before each send; nil for nothing
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -98,7 +98,6 @@
 func (t *turn) reserve(ctx context.Context) bool {
 	if !t.HasTokenBudget || t.Program == "" {
 		runs := t.queryRuns(ctx, t.scopedID(t.FirstAttempt))
-		t.see(runs)
 		return t.mayRun() && t.findVersion(ctx, runs)
 	}
 	rec := t.newRecord()
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -89,7 +89,13 @@
 		view := q.e.Fleet.View()
 		c.Candidates = view.Services[q.service.Name]
 		c.Among, c.Confined = q.confined()
-		up, ok := q.e.Picker.Choose(time.Now(), c)
+		up, ok := q.choose(ctx, &c)
+		if !q.seen.MayRun(q.listed) {
+			if ok {
+				q.e.done(up.ID)
+			}
+			return nil, errUpstreamsEnded
+		}
 		if !ok {
 			q.summary.runs.next(nextNoUpstream)
 			return nil, lastErr
@@ -108,8 +114,8 @@
 		q.summary.refusals += up.ID + ":" + refusal.cause + " "
 		q.summary.runs.end(refusal.cause)
 		q.summary.runs.next(nextNotRun)
-		if c.Confined && refusal.cause == causeUnreachable && q.noteUnreachable(&up) {
-			return nil, errUpstreamsEnded
+		if refusal.cause == causeUnreachable {
+			q.noteUnreachable(&up)
 		}
 		if c.Only != "" {
 			if refusal.cause != causeFull || !pause.For(ctx, fullRetryDelay) {
