--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -61,7 +61,7 @@
 		q.see(runs)
 	}
 	q.summary.endedUpstreams = len(q.seen.Ended())
-	if q.seen.MayRun(q.listed) && (err == nil || q.own.MayRunUnrecorded(q.listed)) {
+	if q.seen.MayRun(q.listed) && (err == nil || q.homed && q.own.MayRunUnrecorded(q.listed)) {
 		return nil
 	}
 	q.e.Scope.Counter("requests_stopped").Inc(1)
--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -187,12 +189,15 @@
 				}
 				env := newTestEnv(responses...)
 				defer env.close()
-				for id, u := range env.upstreams {
-					if poison || id == "up1" {
-						u.endsOn, u.endsAfter = "in", chunked+event1
+				var runs atomic.Int64
+				for _, u := range env.upstreams {
+					u.respond = func(http.Header) (string, bool) {
+						if poison || runs.Add(1) == 1 {
+							return chunked + event1, true
+						}
+						return chunked + event2 + end, false
 					}
 				}
-				env.setLoad("up1", -1) // so that up1 is tried first
 				env.rec.down = true
 				_, aborted := env.do(t.Context(), "/resume/", map[string]string{"Program": "p"}, "in")
 				is.Equal(aborted, poison)
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -97,6 +97,7 @@
 // has ended: an error response was sent, or the caller has disconnected.
 func (t *turn) reserve(ctx context.Context) bool {
 	if !t.HasTokenBudget || t.Program == "" {
+		t.homed = true
 		runs := t.queryRuns(ctx, t.scopedID(t.FirstAttempt))
 		return t.mayRun() && t.findVersion(ctx, runs)
 	}
