home, proxy, failed: a call asks first where one of its upstreams may have ended

Cause: the places hashed starts, of which fronts with older state know others, and a first run asked nobody.

Places are those of ids now. A call asks the records before its first run, for 100 ms at most, if one of its places has changed within 15 s, accepted no connection, the front has just started or its state is over 2 s old, or it failed at this front before. In quiet times it still asks nothing.

--- a/internal/front/failed/failed.go
+++ b/internal/front/failed/failed.go
@@ -24,8 +24,9 @@
 	// Runs holds the runs of the last Span. The zero value is empty. It is safe for concurrent use.
 	Runs struct {
 		mu      sync.Mutex
-		list    []Run // by the time of their ends, oldest first
-		dropped int64 // runs dropped before Span was over
+		list    []Run          // by the time of their ends, oldest first
+		keys    map[uint64]int // number of runs in list by Key
+		dropped int64          // runs dropped before Span was over
 	}
 
 	// Run is one run of a request at an upstream, without a whole good answer.
@@ -44,12 +45,25 @@
 	defer l.mu.Unlock()
 	l.expire(r.At)
 	if len(l.list) == maxRuns {
-		l.list = l.list[1:]
+		l.dropOldest()
 		l.dropped++
 	}
+	if l.keys == nil {
+		l.keys = map[uint64]int{}
+	}
+	l.keys[r.Key]++
 	l.list = append(l.list, r)
 }
 
+// Has reports whether a request with the key has failed here within Span, unless all the upstreams that
+// ran it have left since.
+func (l *Runs) Has(now time.Time, key uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	return l.keys[key] > 0
+}
+
 // TakeLeft removes and returns the runs whose upstreams have left since: listed reports whether that
 // start of an upstream is still listed.
 func (l *Runs) TakeLeft(now time.Time, listed func(index.Start) bool) (left []Run) {
@@ -62,6 +76,7 @@
 			kept = append(kept, r)
 		} else {
 			left = append(left, r)
+			l.forget(r.Key)
 		}
 	}
 	clear(l.list[len(kept):])
@@ -78,6 +93,17 @@
 
 func (l *Runs) expire(now time.Time) {
 	for len(l.list) > 0 && now.Sub(l.list[0].At) > Span {
-		l.list = l.list[1:]
+		l.dropOldest()
+	}
+}
+
+func (l *Runs) dropOldest() {
+	l.forget(l.list[0].Key)
+	l.list = l.list[1:]
+}
+
+func (l *Runs) forget(key uint64) {
+	if l.keys[key]--; l.keys[key] == 0 {
+		delete(l.keys, key)
 	}
 }
--- a/internal/front/failed/failed_test.go
+++ b/internal/front/failed/failed_test.go
@@ -40,9 +40,13 @@
 	is := is.New(t)
 	var l Runs
 	for i := range 3 * maxRuns {
-		l.Add(Run{Request: fmt.Sprint(i), At: time.Unix(1000, int64(i))})
+		l.Add(Run{Request: fmt.Sprint(i), Key: uint64(i), At: time.Unix(1000, int64(i))})
 	}
 	is.Equal(len(l.list), maxRuns)
-	is.Equal(l.Dropped(), int64(2*maxRuns))
 	is.Equal(l.list[0].Request, fmt.Sprint(2*maxRuns))
+	is.Equal(len(l.keys), maxRuns)
+	is.True(!l.Has(time.Unix(1000, 0), 2*maxRuns-1) && l.Has(time.Unix(1000, 0), 2*maxRuns))
+	is.True(!l.Has(time.Unix(1000, 0).Add(Span+time.Second), 2*maxRuns))
+	is.Equal(len(l.list)+len(l.keys), 0)
+	is.Equal(l.Dropped(), int64(2*maxRuns))
 }
--- a/internal/front/home/home.go
+++ b/internal/front/home/home.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,18 +31,29 @@
 	Table struct {
 		mu       sync.Mutex
 		services map[string]*places
+		began    time.Time            // of the first view; zero if there is none
+		changed  map[string]time.Time // when upstreams came, left or started again since, by id; within placeSpan
 	}
 
 	// Places are the upstreams to which a request is mapped.
 	Places struct {
-		IDs  []string // those that are listed
-		Left int      // places of upstreams that have left
-		All  bool     // the service has no others
+		IDs     []string // those that are listed
+		Left    int      // places of upstreams that have left
+		Changed bool     // one may have left, come or started again within placeSpan
+		All     bool     // the service has no others
 	}
 
+	// places are those of one service.
 	places struct {
-		of   *fleet.Service // as of the last look
-		list []place
+		of     *fleet.Service // that listed stems from
+		listed []place
+		left   []place
+	}
+
+	place struct {
+		id   string
+		hash uint64    // of the id
+		at   time.Time // when the upstream left; zero if it is listed
 	}
 
 	// ranking holds the places with the highest scores, the highest first.
@@ -51,76 +63,62 @@
 		*place
 		score uint64
 	}
-
-	place struct {
-		id   string
-		hash uint64    // of the start of the upstream
-		left time.Time // when it was found to have left; zero if it is listed
-	}
 )
 
-// Of returns the upstreams of a service to which the request with the key is mapped: those with the
-// highest hashes of key and start (rendezvous hashing), so that a change of the list moves few requests.
-func (t *Table) Of(now time.Time, name string, s *fleet.Service, key uint64) (p Places) {
+// Update takes over which upstreams changed from one view to the next.
+func (t *Table) Update(now time.Time, before, after *fleet.View, changed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := t.update(now, name, s)
-	if len(list) <= ended.MaxUpstreams {
-		p.All = true
-	}
-	var best ranking
-	for i := range list {
-		best.add(ranked{&list[i], score(list[i].hash, key)})
-	}
-	for _, b := range best {
-		switch {
-		case b.place == nil:
-		case b.left.IsZero():
-			p.IDs = append(p.IDs, b.id)
-		default:
-			p.Left++
-		}
+	if t.began.IsZero() {
+		t.began, t.changed = now, map[string]time.Time{}
+		return // all have come
 	}
-	return p
-}
-
-// add takes a place into the ranking if its score is among the highest.
-func (r *ranking) add(p ranked) {
-	for i := range r {
-		if r[i].place == nil || p.score > r[i].score {
-			r[i], p = p, r[i]
+	maps.DeleteFunc(t.changed, func(_ string, at time.Time) bool { return now.Sub(at) > placeSpan })
+	for _, id := range changed {
+		old, known := before.Find(id)
+		u, listed := after.Find(id)
+		if known && listed && u.Born == old.Born {
+			continue
 		}
-		if p.place == nil {
-			return
+		t.changed[id] = now
+		if known && !listed {
+			t.of(now, old.Service).leave(now, id)
 		}
 	}
 }
 
-// Update keeps the places of those of the changed upstreams that have left, or have started again, from
-// one view to the next.
-func (t *Table) Update(now time.Time, before, after *fleet.View, changed []string) {
+// Of returns the upstreams of a service to which the request with the key is mapped: those with the
+// highest hashes of key and id (rendezvous hashing), so that a change of the list moves few requests.
+func (t *Table) Of(now time.Time, name string, s *fleet.Service, key uint64) (p Places) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range changed {
-		old, known := before.Find(id)
-		if u, listed := after.Find(id); known && (!listed || u.Born != old.Born) {
-			t.keep(now, old)
+	ps := t.of(now, name)
+	ps.list(now, s)
+	var best ranking
+	for _, list := range [][]place{ps.listed, ps.left} {
+		for i := range list {
+			best.add(ranked{&list[i], score(list[i].hash, key)})
 		}
 	}
-}
-
-func (t *Table) keep(now time.Time, u *fleet.Upstream) {
-	ps := t.of(u.Service)
-	ps.expire(now)
-	h := hash(u)
-	if i := slices.IndexFunc(ps.list, func(p place) bool { return p.hash == h }); i >= 0 {
-		ps.list[i].leave(now)
-		return
+	p.All = len(ps.listed)+len(ps.left) <= len(best)
+	p.Changed = now.Sub(t.began) <= placeSpan
+	for _, b := range best {
+		if b.place == nil {
+			break
+		}
+		if b.at.IsZero() {
+			p.IDs = append(p.IDs, b.id)
+		} else {
+			p.Left++
+		}
+		at, changed := t.changed[b.id]
+		p.Changed = p.Changed || changed && now.Sub(at) <= placeSpan
 	}
-	ps.list = append(ps.list, place{id: u.ID, hash: h, left: now})
+	return p
 }
 
-func (t *Table) of(service string) *places {
+// of returns the places of a service, without those that were left long ago.
+func (t *Table) of(now time.Time, service string) *places {
 	if t.services == nil {
 		t.services = map[string]*places{}
 	}
@@ -129,60 +127,56 @@
 		ps = &places{}
 		t.services[service] = ps
 	}
+	ps.left = slices.DeleteFunc(ps.left, func(p place) bool { return now.Sub(p.at) > placeSpan })
 	return ps
 }
 
-// update returns the places of a service, as of the view that s stems from.
-func (t *Table) update(now time.Time, name string, s *fleet.Service) []place {
-	ps := t.of(name)
-	if ps.of != s {
-		ps.replace(now, s)
+// list takes over the listed upstreams. Those that are missing have left, of which Update may tell a
+// moment later.
+func (ps *places) list(now time.Time, s *fleet.Service) {
+	if ps.of == s {
+		return
 	}
-	ps.expire(now)
-	return ps.list
-}
-
-func (ps *places) expire(now time.Time) {
-	ps.list = slices.DeleteFunc(ps.list, func(p place) bool { return !p.left.IsZero() && now.Sub(p.left) > placeSpan })
+	for _, p := range ps.listed {
+		if _, listed := s.Find(p.id); !listed {
+			ps.leave(now, p.id)
+		}
+	}
+	ps.of, ps.listed = s, make([]place, 0, s.Len())
+	for i := range s.Len() {
+		id := s.At(i).ID
+		ps.listed = append(ps.listed, place{id: id, hash: xxhash.Sum64String(id)})
+	}
+	ps.left = slices.DeleteFunc(ps.left, func(p place) bool {
+		_, back := s.Find(p.id)
+		return back
+	})
 }
 
-// leave notes that the upstream has left, unless that is known.
-func (p *place) leave(now time.Time) {
-	if p.left.IsZero() {
-		p.left = now
+// leave keeps the place of an upstream that has left.
+func (ps *places) leave(now time.Time, id string) {
+	if slices.ContainsFunc(ps.left, func(p place) bool { return p.id == id }) {
+		return
 	}
+	ps.left = append(ps.left, place{id: id, hash: xxhash.Sum64String(id), at: now})
 }
 
-// replace takes over a changed list of upstreams.
-func (ps *places) replace(now time.Time, s *fleet.Service) {
-	listed := make(map[uint64]bool, s.Len())
-	next := make([]place, 0, s.Len())
-	for i := range s.Len() {
-		u := s.At(i)
-		h := hash(u)
-		listed[h] = true
-		next = append(next, place{id: u.ID, hash: h})
-	}
-	for _, p := range ps.list {
-		if listed[p.hash] {
-			continue
+// add takes a place into the ranking if its score is among the highest.
+func (r *ranking) add(p ranked) {
+	for i := range r {
+		if r[i].place == nil || p.score > r[i].score {
+			r[i], p = p, r[i]
+		}
+		if p.place == nil {
+			return
 		}
-		p.leave(now)
-		next = append(next, p)
 	}
-	ps.of, ps.list = s, next
-}
-
-// hash returns the hash of one start of an upstream.
-func hash(u *fleet.Upstream) uint64 {
-	var b [64]byte
-	return xxhash.Sum64(append(binary.LittleEndian.AppendUint64(b[:0], uint64(u.Born)), u.ID...))
 }
 
-// score returns the rendezvous hash of a start and a key.
-func score(start, key uint64) uint64 {
+// score returns the rendezvous hash of an upstream and a key.
+func score(upstream, key uint64) uint64 {
 	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], start)
+	binary.LittleEndian.PutUint64(b[:8], upstream)
 	binary.LittleEndian.PutUint64(b[8:], key)
 	return xxhash.Sum64(b[:])
 }
--- a/internal/front/home/home_test.go
+++ b/internal/front/home/home_test.go
@@ -11,7 +11,7 @@
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
-var start = time.Unix(1000, 0)
+var start = time.Unix(100_000, 0)
 
 func service(n int) (list []fleet.Upstream) {
 	for i := range n {
@@ -47,58 +47,77 @@
 	}
 }
 
+// change has the table learn of another list, and returns it.
+func change(l *Table, now time.Time, from, to []fleet.Upstream) *fleet.Service {
+	var f fleet.Fleet
+	f.Update(now, fleet.Snapshot{Revision: 1, Upstreams: from})
+	before := f.View()
+	var changed []string
+	for _, c := range f.Update(now, fleet.Snapshot{Revision: 2, Upstreams: to}) {
+		changed = append(changed, c.ID)
+	}
+	l.Update(now, before, f.View(), changed)
+	return f.View().Services["s"]
+}
+
 // Guards against a request that goes on to others when those that it ended are no longer listed, and against places that are lost for good.
 func TestPlacesOfUpstreamsThatLeft(t *testing.T) {
 	list := service(12)
-	var first Table
-	home := first.Of(start, "s", fleet.NewService(list...), 5).IDs
 	cases := map[string]struct {
-		told  bool // by an event, before the table was asked for anything
+		asked bool // for the request before
 		after time.Duration
 		left  int
 	}{
-		"seen in the list": {false, placeSpan, 2},
-		"told":             {true, placeSpan, 2},
+		"asked before":     {true, placeSpan, 2},
+		"not asked before": {false, placeSpan, 2},
 		"long after":       {false, placeSpan + 1, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var l Table
-			if c.told {
-				var f fleet.Fleet
-				f.Update(start, fleet.Snapshot{Revision: 1, Upstreams: list})
-				before := f.View()
-				f.Update(start, fleet.Snapshot{Revision: 2, Upstreams: without(list, home[:2])})
-				l.Update(start, before, f.View(), home)
-			}
-			if !c.told {
+			var first, l Table
+			home := first.Of(start, "s", fleet.NewService(list...), 5).IDs
+			change(&l, start.Add(-time.Hour), nil, list)
+			if c.asked {
 				l.Of(start, "s", fleet.NewService(list...), 5)
 			}
-			rest := fleet.NewService(without(list, home[:2])...)
-			l.Of(start, "s", rest, 5)
+			rest := change(&l, start, list, without(list, home[:2]))
 			p := l.Of(start.Add(c.after), "s", rest, 5)
 			is.Equal(p.Left, c.left)
+			is.Equal(p.Changed, c.left > 0)
 			is.Equal(len(p.IDs), 3-c.left)
 			is.True(slices.Contains(p.IDs, home[2]))
 		})
 	}
 }
 
-// Guards against an upstream that starts again under its id, and gets the request that ended it again.
-func TestRestartKeepsThePlaceTaken(t *testing.T) {
+// Guards against an upstream that starts again under its id, and gets the request that ended it again from a front that asks nobody.
+func TestRestartIsAChange(t *testing.T) {
 	is := is.New(t)
 	var l Table
 	list := service(12)
-	home := l.Of(start, "s", fleet.NewService(list...), 5).IDs
-	for i := range list {
-		if list[i].ID == home[0] {
-			list[i].Born = 8
+	now := start.Add(time.Hour)
+	s := change(&l, start, nil, list)
+	is.True(l.Of(start, "s", s, 5).Changed) // the front has just started
+	home := l.Of(now, "s", s, 5)
+	is.True(!home.Changed)
+	next := slices.Clone(list)
+	for i := range next {
+		if next[i].ID == home.IDs[0] {
+			next[i].Born = 8
 		}
 	}
-	p := l.Of(start, "s", fleet.NewService(list...), 5)
-	is.Equal(p.Left, 1)
-	is.True(!slices.Contains(p.IDs, home[0]))
+	s = change(&l, now, list, next)
+	p := l.Of(now, "s", s, 5)
+	is.True(p.Changed)
+	is.Equal(p.IDs, home.IDs)
+	is.True(!l.Of(now.Add(placeSpan+1), "s", s, 5).Changed)
+	s = change(&l, now, next, without(next, home.IDs[:1]))
+	is.Equal(l.Of(now, "s", s, 5).Left, 1)
+	s = change(&l, now, without(next, home.IDs[:1]), list)
+	p = l.Of(now, "s", s, 5)
+	is.Equal(p.Left, 0) // it is back
+	is.Equal(p.IDs, home.IDs)
 }
 
 // Guards against an innocent request that finds no upstream in a service of a few.
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -16,6 +16,7 @@
 	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/home"
 	"github.com/slaterock/slaterock/internal/front/pick"
 )
 
@@ -26,9 +27,14 @@
 	// runsTimeout is how long a request waits for the records of its runs. It is to take a few
 	// disk syncs; longer, and callers of innocent requests would wait for a fault of the records.
 	runsTimeout = 400 * time.Millisecond
+	// askTimeout is how long a call that may have ended upstreams waits for the records before its first
+	// run. Without them, only the upstreams to which it is mapped run it.
+	askTimeout = 100 * time.Millisecond
 	// triedSpan is how long after the start of an attempt the end of an upstream that it was sent to may
 	// be due to it: the time of an attempt, and failed.Span.
 	triedSpan = failed.Span + 5*time.Second
+	// staleState is the age from which on the state may lack upstreams that have started again.
+	staleState = 2 * time.Second
 	// minRunsTTL is how long the records of runs are kept at least: longer than the callers of
 	// calls and turns come back.
 	minRunsTTL = time.Minute
@@ -107,7 +113,7 @@
 func (q *request) confined() (ids []string, confined bool) {
 	starts, confined := q.seen.Confined()
 	if !confined && q.homed {
-		p := q.e.Home.Of(time.Now(), q.service.Name, q.e.Fleet.View().Services[q.service.Name], q.homeKey())
+		p := q.home()
 		return p.IDs, !p.All
 	}
 	if !confined {
@@ -127,6 +133,14 @@
 // has not run at too many already.
 func (q *request) choose(ctx context.Context, c *pick.Request) (up fleet.Upstream, ok bool) {
 	up, ok = q.e.Picker.Choose(time.Now(), *c)
+	if ok && q.homed && !q.asked && q.mayHaveEnded() {
+		limited, stop := context.WithTimeout(ctx, askTimeout)
+		q.queryRuns(limited, "")
+		stop()
+		q.e.done(up.ID)
+		c.Among, c.Confined = q.confined()
+		up, ok = q.e.Picker.Choose(time.Now(), *c)
+	}
 	if !c.Confined || !q.homed || c.Only != "" || ok && !q.e.Picker.Avoids(time.Now(), up.ID) || !q.leaveHome(ctx) {
 		return up, ok
 	}
@@ -150,6 +164,18 @@
 	return true
 }
 
+// mayHaveEnded reports whether one of the upstreams to which the request is mapped may have ended because
+// of it, as far as this front can tell.
+func (q *request) mayHaveEnded() bool {
+	now := time.Now()
+	return q.homeLost || q.home().Changed || now.Sub(q.e.Fleet.View().Confirmed) > staleState || q.e.Failed.Has(now, q.key())
+}
+
+// home returns the upstreams that Endpoint.Home names for the request.
+func (q *request) home() home.Places {
+	return q.e.Home.Of(time.Now(), q.service.Name, q.e.Fleet.View().Services[q.service.Name], q.homeKey())
+}
+
 // homeKey returns the key by which a request is mapped to upstreams, the same in all its attempts. Turns
 // of a program, or of a session, share theirs, and so cached prompts.
 func (q *request) homeKey() uint64 {
@@ -162,6 +188,7 @@
 // noteUnreachable notes that an upstream accepts no connection: if it ran the request before, it has
 // ended.
 func (q *request) noteUnreachable(up *fleet.Upstream) {
+	q.homeLost = true
 	s := index.Start{ID: up.ID, Born: up.Born}
 	if starts, confined := q.seen.Confined(); confined && slices.Contains(starts, s) {
 		q.seen = q.seen.With(s)
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -333,10 +333,12 @@
 		env.conns.Go(func() { u.serve(far) })
 		return near, nil
 	}}
-	return &Endpoint{
+	e := &Endpoint{
 		Dialect: fakeDialect{}, Records: env.rec, Fleet: f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Refresh: func(context.Context) bool { return true }, Stop: context.Background(), Limiter: &limits.Limiter{},
 	}
+	e.Home.Update(time.Now().Add(-time.Hour), &fleet.View{}, f.View(), nil) // it started long ago
+	return e
 }
 
 // changeUpstreams has the store list the upstreams as change makes them.
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -133,6 +133,7 @@
 		own           ended.Tally     // runs of this attempt
 		seen          ended.Tally     // runs of all attempts, as last read from the records
 		homed         bool            // only the upstreams that Endpoint.Home names may run it
+		homeLost      bool            // one of these accepted no connection
 		asked         bool            // seen has what the records held when this attempt began, or later
 		unrecorded    bool            // the last runs of this attempt are not recorded
 		otherOpen     bool            // the end of another attempt of the request was not known when this one began
