proxy: a start that a confined request ran at is confirmed before it runs it again

Whether the process at the other end of a new connection is the start that the state lists is now confirmed by a read of the store, for requests that are confined or whose upstream is known to have ended, as it is for streams that go on.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -195,6 +195,17 @@
 	}
 }
 
+// mayHaveRestarted reports whether the process at an upstream may be another start than the one that
+// the state lists, which would be one more that the request ends.
+func (q *request) mayHaveRestarted(up *fleet.Upstream) bool {
+	s := index.Start{ID: up.ID, Born: up.Born}
+	if q.seen.Has(s) {
+		return true
+	}
+	starts, confined := q.seen.Confined()
+	return confined && slices.Contains(starts, s)
+}
+
 // ownRun returns what is known of the runs of this attempt.
 func (q *request) ownRun() *index.Run {
 	return &index.Run{Request: q.key(), Ended: q.own.Ended(), Broken: q.own.Broken(), Tried: q.own.Tried()}
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -172,11 +172,11 @@
 	return one
 }
 
-// startDiffers returns why the process at the other end of a connection may not go on with a stream,
-// empty if it may. An upstream that has just started again under its id may have another version,
-// which it doesn't check.
+// startDiffers returns why the process at the other end of a connection may not run the request, empty if
+// it may. An upstream that has just started again under its id may have another version than a stream that
+// goes on there, which it doesn't check, or be one more that the request ends.
 func (q *request) startDiffers(ctx context.Context, conn *upconn.Conn, up *fleet.Upstream) (cause string) {
-	if !q.goesOn || q.oneVersion() {
+	if (!q.goesOn || q.oneVersion()) && !q.mayHaveRestarted(up) {
 		return ""
 	}
 	if !q.confirmed(ctx, conn.Opened) {
