chaos, upstrm: upstreams end later than the run, in six ways; calls and turns without a budget end them, callers leave

Requests that end upstreams did so at once, as turns with a budget, and their callers stayed: the ways of the incident were not played. Now an upstream ends before the response, after the first event, 0.15 s after a 500, after bytes that are no answer or after a reset, or after 2 s of silence; a third each are turns with a budget, turns without and safe calls; one attempt in three is left after 0.3 s.

Two faults of the stand-ins mended, which looked like streams of two versions and like further ends: a connection that was accepted while a process ended reached the next one, and a late end hit the next start.

--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -30,7 +30,26 @@
 	Stream = "X-Stream"
 )
 
+// The ways in which a request ends the process.
+const (
+	crashAtOnce        crashWay = iota // before the response
+	crashInStream                      // after the first event
+	crashAfterFailure                  // crashDelay after it answered with a failure
+	crashAfterNoAnswer                 // the same after bytes that are no response
+	crashAfterReset                    // the same after it closed the connection
+	crashAfterSilence                  // after crashSilence without a response
+	crashWays
+)
+
+const (
+	crashDelay   = 150 * time.Millisecond
+	crashSilence = 2 * time.Second
+	noAnswer     = "\x16\x03\x01 no response\r\n\r\n"
+)
+
 type (
+	crashWay int64
+
 	// RunLog records the executions at all upstreams of a system.
 	RunLog struct {
 		mu         sync.Mutex
@@ -48,10 +67,11 @@
 		Delay       time.Duration // before each event, and before a plain response
 
 		Version    atomic.Value // string
-		Restart    func()       // ends the process, with all connections, and starts it again later; nil if it can't end
+		Restart    func() bool  // ends the process, with all connections, and starts it again later, unless it has ended; nil if it can't end
 		BreakEvery atomic.Int64 // every BreakEvery-th response is truncated; 0 means none
 		LoseEvery  atomic.Int64 // every LoseEvery-th response is lost after the execution; 0 means none
 
+		starts   atomic.Int64 // that have ended because of a request
 		inFlight atomic.Int64
 		runs     atomic.Int64
 	}
@@ -122,6 +142,7 @@
 		return
 	}
 	u.RunLog.addRun(id)
+	version := u.Version.Load() // a process has one, also if the next one has started
 	if want := r.Header.Get(ExpectBody); want != "" && want != Digest(body) {
 		u.RunLog.addViolation(fmt.Sprintf("attempt %s ran with another body, of %d bytes", id, len(body)))
 	}
@@ -132,31 +153,56 @@
 		panic(http.ErrAbortHandler)
 	}
 	if request := r.Header.Get(Crash); request != "" && u.Restart != nil {
-		u.crash(w, r, id, request, n%2 == 0)
+		u.crash(w, r, id, request, version, crashWay(n)%crashWays)
+		return
 	}
 	every := u.BreakEvery.Load()
-	u.respond(w, r, id, every > 0 && n%every == 0)
+	u.respond(w, r, id, version, every > 0 && n%every == 0)
 }
 
-// crash ends the process of the upstream while it runs a request, before the response or after the
-// first event.
-func (u *Upstream) crash(w http.ResponseWriter, r *http.Request, id, request string, begin bool) {
-	u.delay(r)
-	if begin {
+// crash ends the process of the upstream because of a request: while it runs it, or later.
+func (u *Upstream) crash(w http.ResponseWriter, r *http.Request, id, request string, version any, way crashWay) {
+	start := u.starts.Load()
+	if !u.delay(r) {
+		return
+	}
+	end := func() {
+		if u.starts.CompareAndSwap(start, start+1) && u.Restart() {
+			u.RunLog.addCrash(request)
+		}
+	}
+	switch way {
+	case crashAtOnce:
+		end()
+	case crashInStream:
 		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 is the start
 		w.Header().Set("Content-Type", "text/event-stream")
-		_, _ = io.WriteString(w, u.eventText(r, id, first+1)) //nolint:gosec // an event for the caller of a fake
+		_, _ = io.WriteString(w, eventText(r, id, version, first+1)) //nolint:gosec // an event for the caller of a fake
 		_ = http.NewResponseController(w).Flush()
 		u.delay(r)
+		end()
+	case crashAfterFailure:
+		time.AfterFunc(crashDelay, end)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case crashAfterNoAnswer:
+		time.AfterFunc(crashDelay, end)
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = io.WriteString(conn, noAnswer)
+			_ = conn.Close()
+		}
+	case crashAfterReset:
+		time.AfterFunc(crashDelay, end)
+	case crashAfterSilence:
+		time.AfterFunc(crashSilence, end)
+		<-r.Context().Done()
 	}
-	u.RunLog.addCrash(request)
-	u.Restart()
 	panic(http.ErrAbortHandler)
 }
 
 // respond sends the number of events that the query asks for, or a plain text
 // body if that is 0.
-func (u *Upstream) respond(w http.ResponseWriter, r *http.Request, id string, broken bool) {
+func (u *Upstream) respond(w http.ResponseWriter, r *http.Request, id string, version any, broken bool) {
 	events, _ := strconv.Atoi(r.URL.Query().Get("events")) // 0 for a plain call
 	if events == 0 {
 		if !u.delay(r) {
@@ -179,20 +225,20 @@
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, u.eventText(r, id, i)) //nolint:gosec // events for the caller of a fake
-		_ = http.NewResponseController(w).Flush()       // a disconnected client is noticed at the next delay
+		_, _ = io.WriteString(w, eventText(r, id, version, i)) //nolint:gosec // events for the caller of a fake
+		_ = http.NewResponseController(w).Flush()              // a disconnected client is noticed at the next delay
 	}
 }
 
 // delay waits for Delay; it returns false if the request ended before.
 func (u *Upstream) delay(r *http.Request) bool { return pause.For(r.Context(), u.Delay) }
 
-func (u *Upstream) eventText(r *http.Request, id string, i int) string {
+func eventText(r *http.Request, id string, version any, i int) string {
 	stream := r.Header.Get(Stream)
 	if stream == "" {
 		return EventText(id, i)
 	}
-	return fmt.Sprintf("event: %s\n%s", u.Version.Load(), EventText(stream, i))
+	return fmt.Sprintf("event: %s\n%s", version, EventText(stream, i))
 }
 
 // EventText returns the text of event i of an attempt, in the format of
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -81,10 +81,12 @@
 		}
 		register()
 		var down atomic.Bool
-		u.Restart = func() {
-			if down.CompareAndSwap(false, true) {
+		u.Restart = func() bool {
+			ended := down.CompareAndSwap(false, true)
+			if ended {
 				s.restartUpstream(ctx, u, p, register, &down)
 			}
+			return ended
 		}
 	}
 	go func() {
--- a/internal/play/chaos/crash.go
+++ b/internal/play/chaos/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -20,16 +21,29 @@
 	upstreamDowntime = 400 * time.Millisecond
 )
 
-// crash sends a request that ends each upstream that runs it, until it is refused for good.
+// crashPatience are the times after which a caller leaves.
+var crashPatience = []time.Duration{300 * time.Millisecond, attemptTimeout, attemptTimeout}
+
+// crash sends a request that ends each upstream that runs it, in all its attempts. It is a turn with a
+// budget, one without, or a safe call; in some attempts the caller leaves early.
 func (c *caller) crash(ctx context.Context, name string) {
+	kind := c.rnd.IntN(3)
 	for try := range crashAttempts {
-		h := turnHeader(name)
+		h, path := turnHeader(name), fmt.Sprintf("%sx?events=%d", resumePath, turnEvents)
+		switch kind {
+		case 1:
+			h.Del("Token-Budget")
+		case 2:
+			h, path = http.Header{}, "/safe/x"
+		}
 		h.Set(upstrm.Crash, name)
 		c.front = -1
 		id := fmt.Sprintf("%s-x%d", name, try)
-		status, _, err := c.send(ctx, fmt.Sprintf("%sx?events=%d", resumePath, turnEvents), id, h, []byte(name))
+		limited, leave := context.WithTimeout(ctx, crashPatience[c.rnd.IntN(len(crashPatience))])
+		status, _, err := c.send(limited, path, id, h, []byte(name))
+		leave()
 		c.s.observed.record(ctx, id, observed{status: status, idempotent: true, err: err}, false)
-		pause.For(ctx, 50*time.Millisecond)
+		pause.For(ctx, time.Duration(50+c.rnd.IntN(250))*time.Millisecond)
 	}
 }
 
--- a/internal/play/chaos/proxy.go
+++ b/internal/play/chaos/proxy.go
@@ -38,6 +38,7 @@
 		mu    sync.Mutex
 		conns map[net.Conn]struct{}
 		ln    net.Listener
+		stops int // calls of Stop
 	}
 )
 
@@ -55,6 +56,7 @@
 func (p *Proxy) Stop() {
 	p.mu.Lock()
 	_ = p.ln.Close()
+	p.stops++
 	p.mu.Unlock()
 	p.Reset()
 }
@@ -70,6 +72,7 @@
 	}
 	p.mu.Lock()
 	p.ln, p.Address = ln, ln.Addr().String()
+	stops := p.stops
 	p.mu.Unlock()
 	go func() {
 		for {
@@ -77,7 +80,7 @@
 			if err != nil {
 				return
 			}
-			go p.forward(ctx, near)
+			go p.forward(ctx, near, stops)
 		}
 	}()
 	return nil
@@ -98,17 +101,22 @@
 	}
 }
 
-func (p *Proxy) track(c net.Conn, on bool) {
+// track notes a connection that was accepted after so many stops. It returns false if there was another
+// one since, after which it must not be used.
+func (p *Proxy) track(c net.Conn, stops int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+	return p.stops == stops
+}
+
+func (p *Proxy) untrack(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if on {
-		p.conns[c] = struct{}{}
-		return
-	}
 	delete(p.conns, c)
 }
 
-func (p *Proxy) forward(ctx context.Context, near net.Conn) {
+func (p *Proxy) forward(ctx context.Context, near net.Conn, stops int) {
 	defer func() { _ = near.Close() }()
 	d := net.Dialer{Timeout: time.Second}
 	far, err := d.DialContext(ctx, "tcp", p.Target)
@@ -117,8 +125,10 @@
 	}
 	defer func() { _ = far.Close() }()
 	for _, c := range []net.Conn{near, far} {
-		p.track(c, true)
-		defer p.track(c, false)
+		defer p.untrack(c)
+		if !p.track(c, stops) {
+			return
+		}
 	}
 	done := make(chan struct{}, 2)
 	go p.copy(far, near, false, done)
