--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -77,7 +77,11 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{Opened: time.Now(), net: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address, upstreamID: id}, nil
+	return newConn(nc, id, address), nil
+}
+
+func newConn(nc net.Conn, id, address string) *Conn {
+	return &Conn{Opened: time.Now(), net: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address, upstreamID: id}
 }
 
 // Probe opens a new connection to the upstream, and keeps it for the next request. The error is
