upconn, proxy: the header of a response has a bound

Callers: one upstream that sends bytes without end in place of a header took gigabytes from a front with 134 MB, and with it all requests there; the read outlived its deadline since it copied what had come. Cause: http.ReadResponse sets no bound, and informational responses were skipped without one.

A header, with all informational ones before it, has 64 KiB; beyond that the connection is closed, the run counts as lost, and callers get what a lost answer gives them. The cause in the log names the bound, responses_too_long counts it, also for bodies and events.

--- a/internal/front/event/event.go
+++ b/internal/front/event/event.go
@@ -32,8 +32,12 @@
 	}
 )
 
-// ErrTruncated reports a stream that ended in the middle of an event.
-var ErrTruncated = errors.New("event: stream ends in the middle of an event")
+var (
+	// ErrTruncated reports a stream that ended in the middle of an event.
+	ErrTruncated = errors.New("event: stream ends in the middle of an event")
+	// ErrTooLong reports an event that is longer than MaxSize.
+	ErrTooLong = errors.Newf("event: longer than %d bytes", MaxSize)
+)
 
 // Next returns the next event, or io.EOF at the end of the stream, or ErrTruncated if that
 // is in the middle of an event.
@@ -43,7 +47,7 @@
 		line, err := r.R.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
 		if len(r.raw) > MaxSize {
-			return Event{}, errors.Newf("event: larger than %d bytes", MaxSize)
+			return Event{}, ErrTooLong
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/slaterock/slaterock/internal/front/event"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -194,6 +195,7 @@
 func (q *request) recordLoss(ctx context.Context, s *exchange, err error) error {
 	q.summary.ran = ranUnknown
 	q.summary.runs.fail(err)
+	q.countTooLong(err)
 	if q.over(ctx) {
 		if s.brokeOff {
 			_ = q.noteEnd(ctx, &s.up) // it is not sent on anyway
@@ -208,6 +210,22 @@
 	return &lostError{up: s.up, reused: s.conn.Reused, err: err}
 }
 
+// countTooLong counts a response that was longer than a bound.
+func (q *request) countTooLong(err error) {
+	bound := ""
+	switch {
+	case errors.Is(err, upconn.ErrHeadTooLong):
+		bound = "head"
+	case errors.Is(err, upconn.ErrBodyTooLong):
+		bound = "body"
+	case errors.Is(err, event.ErrTooLong):
+		bound = "event"
+	default:
+		return
+	}
+	q.e.Scope.Tagged(map[string]string{"bound": bound}).Counter("responses_too_long").Inc(1)
+}
+
 // handleNotRun ends a send that the upstream refused without running it.
 func (q *request) handleNotRun(s *exchange) error {
 	cause := causeFull
--- a/internal/front/proxy/smuggle_test.go
+++ b/internal/front/proxy/smuggle_test.go
@@ -92,3 +92,34 @@
 		})
 	}
 }
+
+// Guards against a response without end that a caller gets as a success, or that keeps a safe call from another upstream.
+func TestHeaderWithoutEnd(t *testing.T) {
+	endless := "HTTP/1.1 200 " + strings.Repeat("x", 200<<10)
+	cases := map[string]struct {
+		path   string
+		status int
+		sends  int
+	}{
+		"safe":   {"/safe/", 200, 2},
+		"unsafe": {"/unsafe/", 502, 1},
+		"stream": {"/stream/", 502, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{endless}, []string{ok})
+				env.setLoad("up2", 1) // so that up1 is tried first
+				log := logTo(env)
+				rec, _ := env.do(t.Context(), c.path, map[string]string{"Program": "p"}, "in")
+				is.Equal(rec.Code, c.status)
+				lines := parseLines(is, log.String())
+				is.Equal(len(lines[0].Runs), c.sends)
+				is.Equal(lines[0].Runs[0].End, "lost") // the upstream goes on
+				is.True(strings.Contains(log.String(), "header of the response is longer than 65536 bytes"))
+				env.close()
+			})
+		})
+	}
+}
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -26,14 +26,32 @@
 	maxDiscarded = 64 << 10
 )
 
+// MaxHead bounds the header of a response, with all informational ones before it, in bytes.
+const MaxHead = 64 << 10
+
+var (
+	// ErrHeadTooLong reports a response whose header is longer than MaxHead.
+	ErrHeadTooLong = errors.Newf("header of the response is longer than %d bytes", MaxHead)
+	// ErrBodyTooLong reports a body that is longer than its bound.
+	ErrBodyTooLong = errors.New("body is longer than its bound")
+)
+
 type (
+	// headReader reads from a connection, no more than left bytes while it is bounded.
+	headReader struct {
+		conn    io.Reader
+		left    int
+		bounded bool
+	}
+
 	// Conn is a connection to an upstream. It carries one request at a time.
 	Conn struct {
 		Reused bool      // it has carried a request before
 		Opened time.Time // when it was established
 
 		net        net.Conn
-		br         *bufio.Reader
+		in         headReader
+		br         *bufio.Reader // of in
 		address    string
 		upstreamID string // the upstream that was dialled; another one may have the same address later
 		idleUntil  time.Time
@@ -88,8 +106,11 @@
 func (c *Conn) Sent() bool { return c.sent.Load() }
 
 // Receive reads the header of the response, whose body is still to be read.
-// Informational responses (1xx) are skipped.
+// Informational responses (1xx) are skipped. It fails with ErrHeadTooLong if all these headers are
+// longer than MaxHead.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.in.left, c.in.bounded = MaxHead, true
+	defer func() { c.in.bounded = false }()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
@@ -101,6 +122,18 @@
 	}
 }
 
+func (r *headReader) Read(p []byte) (n int, err error) {
+	if !r.bounded {
+		return r.conn.Read(p)
+	}
+	if r.left == 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err = r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // Interrupt makes reads and writes fail at once, including those in progress.
 func (c *Conn) Interrupt() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
 
@@ -190,11 +223,11 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// ReadAll reads a whole body. It fails if the body is longer than limit bytes.
+// ReadAll reads a whole body. It fails with ErrBodyTooLong if the body is longer than limit bytes.
 func ReadAll(r io.Reader, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err == nil && int64(len(body)) > limit {
-		return nil, errors.Newf("body is longer than %d bytes", limit)
+		return nil, errors.Wrapf(ErrBodyTooLong, "%d bytes", limit)
 	}
 	return body, err
 }
--- a/internal/front/upconn/endless_test.go
+++ b/internal/front/upconn/endless_test.go
@@ -99,4 +99,3 @@
 		is.Equal(len(got), len(body))
 	}
 }
-
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -81,7 +81,10 @@
 }
 
 func newConn(nc net.Conn, id, address string) *Conn {
-	return &Conn{Opened: time.Now(), net: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address, upstreamID: id}
+	c := &Conn{Opened: time.Now(), net: nc, address: address, upstreamID: id}
+	c.in.conn = nc
+	c.br = bufio.NewReaderSize(&c.in, readBuffer)
+	return c
 }
 
 // Probe opens a new connection to the upstream, and keeps it for the next request. The error is
