memory, proxy, event: long responses of all requests share one bound

Callers: a front with 134 MB read bodies of up to 16 MiB for each request under way, events of up to 1 MiB for each stream, and the output of a turn to be stored without any bound: a few dozen upstreams that send without end, or innocent long answers at a time, take all of its memory. Cause: the bounds were for a request each.

What is over 64 KiB takes its bound (its length, 16 MiB, or 1 MiB for an event) from a budget of an eighth of the VM's memory, 16 MiB at least, and waits for it until its deadline. One that has it goes on; short ones ask for nothing. A turn's output has 16 MiB. Tests: TestLongResponsesShareMemory (one at a time, none lost, a short one beside them at once), TestBodyWithoutEnd (chunks, until the close, a long length, chunk extension, trailer, event). A body of a refusal has 64 KiB.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -136,7 +136,7 @@
 	}()
 	d := &frontd.Daemon{
 		Settings: frontd.Settings{
-			Node: s.Node, Domain: s.Domain, Cores: s.Cores, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
+			Node: s.Node, Domain: s.Domain, Cores: s.Cores, Memory: int64(s.MemoryMB) << 20, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
 			Peer: p.peerAddress(), Seeds: s.Seeds, Grace: s.Grace, AnswerTTL: s.AnswerTTL, Tolerance: bucket.Tolerance(s.Limits),
 		},
 		Store: p.store, Source: &platform.Source{Store: p.store}, Dialect: platform.Dialect{}, Endpoints: platform.Endpoints{},
--- a/internal/front/event/event.go
+++ b/internal/front/event/event.go
@@ -13,15 +13,25 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxSize bounds one event in bytes. Upstreams send a few hundred; a faulty one that sends
-// more than this must not exhaust the daemon's memory.
-const MaxSize = 1 << 20
+const (
+	// MaxSize bounds one event in bytes. Upstreams send a few hundred; a faulty one that sends
+	// more than this must not exhaust the daemon's memory.
+	MaxSize = 1 << 20
+	// Short is the length up to which an event is read without leave, in bytes.
+	Short = 64 << 10
+)
 
 type (
 	// Reader reads events. Set R before use.
 	Reader struct {
-		R   *bufio.Reader
-		raw []byte
+		R *bufio.Reader
+		// Take is called before more than Short bytes of an event are held, with the most that it may
+		// need, and Return when the event is done with; nil for nothing.
+		Take   func(n int64) error
+		Return func(n int64)
+
+		raw   []byte
+		taken bool
 	}
 
 	// Event is one event. Its slices are valid until the next call of Next.
@@ -42,13 +52,13 @@
 // Next returns the next event, or io.EOF at the end of the stream, or ErrTruncated if that
 // is in the middle of an event.
 func (r *Reader) Next() (e Event, err error) {
-	r.raw = r.raw[:0]
+	r.Close()
 	for {
 		line, err := r.R.ReadSlice('\n')
-		r.raw = append(r.raw, line...)
-		if len(r.raw) > MaxSize {
-			return Event{}, ErrTooLong
+		if leave := r.mayHold(len(r.raw) + len(line)); leave != nil {
+			return Event{}, leave
 		}
+		r.raw = append(r.raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -63,6 +73,28 @@
 	}
 }
 
+// Close frees what the last event holds. The reader may be used again.
+func (r *Reader) Close() {
+	r.raw = r.raw[:0]
+	if !r.taken {
+		return
+	}
+	r.raw, r.taken = nil, false
+	r.Return(MaxSize)
+}
+
+// mayHold returns an error if the reader may not hold n bytes of an event.
+func (r *Reader) mayHold(n int) (err error) {
+	switch {
+	case n > MaxSize:
+		return ErrTooLong
+	case n > Short && !r.taken && r.Take != nil:
+		err = r.Take(MaxSize)
+		r.taken = err == nil
+	}
+	return err
+}
+
 // endsEvent reports whether raw is a complete event: whether it ends with an empty line.
 // Empty lines before an event's first field belong to it.
 func endsEvent(raw []byte) bool {
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/conf/route"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -85,7 +88,7 @@
 
 // returnResponse reads the whole response and returns it to the caller.
 func (q *request) returnResponse(ctx context.Context, s *exchange) error {
-	body, err := upconn.ReadAll(s.resp.Body, maxResponse)
+	body, err := q.readResponse(ctx, s.resp)
 	q.e.Picker.Done(s.up.ID)
 	if err != nil {
 		s.fail(err)
@@ -104,6 +107,48 @@
 	return nil
 }
 
+// readResponse reads the body of a response. A long one takes its bound from the memory for long responses,
+// and waits for it.
+func (q *request) readResponse(ctx context.Context, resp *http.Response) ([]byte, error) {
+	q.returnMemory() // of a response before
+	size := resp.ContentLength
+	if size <= memory.Short {
+		short, err := io.ReadAll(io.LimitReader(resp.Body, memory.Short))
+		if err != nil || len(short) < memory.Short {
+			return short, err
+		}
+		resp.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(short), resp.Body), resp.Body}
+	}
+	if size < 0 {
+		size = maxResponse
+	}
+	if size > maxResponse {
+		return nil, upconn.ErrBodyTooLong
+	}
+	if err := q.takeMemory(ctx, size); err != nil {
+		return nil, err
+	}
+	return upconn.ReadAll(resp.Body, maxResponse)
+}
+
+func (q *request) takeMemory(ctx context.Context, n int64) error {
+	if err := q.e.Memory.Take(ctx, n); err != nil {
+		return err
+	}
+	q.held += n
+	return nil
+}
+
+func (q *request) returnMemory() {
+	if q.held > 0 {
+		q.e.Memory.Return(q.held)
+		q.held = 0
+	}
+}
+
 // writeResponse writes an upstream's whole response to the caller. A status that
 // implies that the request has not run is replaced by an error, since the
 // upstream did not mark the response as not run (see meta.ResponseInfo).
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -28,6 +28,7 @@
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/home"
 	"github.com/slaterock/slaterock/internal/front/limits"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/parts"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -83,7 +84,8 @@
 		Limiter  *limits.Limiter
 		Parts    parts.Table // shared prompt parts that upstreams have cached
 		Failed   failed.Runs // runs that got no whole good answer
-		Home     home.Table  // upstreams that may run a request of which nothing is known
+		Memory   memory.Budget
+		Home     home.Table // upstreams that may run a request of which nothing is known
 		Log      zerolog.Logger
 		Scope    tally.Scope
 		Trace    *trace.Trace
@@ -132,6 +134,7 @@
 		deadline      time.Time
 		own           ended.Tally     // runs of this attempt
 		seen          ended.Tally     // runs of all attempts, as last read from the records
+		held          int64           // bytes taken from Endpoint.Memory
 		homed         bool            // only the upstreams that Endpoint.Home names may run it
 		homeLost      bool            // one of these accepted no connection
 		asked         bool            // seen has what the records held when this attempt began, or later
@@ -176,6 +179,7 @@
 	defer q.report(span)
 	defer q.noteFailed()
 	defer q.releaseAcquired()
+	defer q.returnMemory()
 	if q.accept() {
 		q.serve()
 	}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/slaterock/slaterock/internal/front/event"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -31,8 +32,9 @@
 	causeFull = "full"
 	// causeUnreachable is the cause if no connection could be established.
 	causeUnreachable = "unreachable"
-	// maxResponse bounds the body of a response that is not a stream, in bytes.
-	maxResponse = 16 << 20
+	// maxResponse bounds the body of a response that is not a stream, and the output of a turn that is
+	// stored, in bytes.
+	maxResponse = memory.Longest
 )
 
 type (
@@ -235,7 +237,7 @@
 	} else {
 		q.e.Picker.RecordFull(time.Now(), s.up.ID)
 	}
-	if _, err := upconn.ReadAll(s.resp.Body, maxResponse); err != nil {
+	if _, err := upconn.ReadAll(s.resp.Body, memory.Short); err != nil { // what it refuses with is short
 		s.closeConn()
 	} else {
 		s.releaseConn(q.e.Pool)
@@ -248,7 +250,7 @@
 // closed by the upstream before.
 func (s *exchange) fail(err error) {
 	s.cancelInterrupt()
-	ours := errors.IsAny(err, os.ErrDeadlineExceeded, errNotDelivered, errVersionNotRecorded)
+	ours := errors.IsAny(err, os.ErrDeadlineExceeded, errNotDelivered, errVersionNotRecorded, memory.ErrNone)
 	s.brokeOff = !ours || s.conn.ClosedByPeer()
 	s.conn.Close()
 }
--- a/internal/front/proxy/smuggle_test.go
+++ b/internal/front/proxy/smuggle_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,3 +125,68 @@
 		})
 	}
 }
+
+// Guards against long responses that together take all memory of a front, and against short ones that wait for them.
+func TestLongResponsesShareMemory(t *testing.T) {
+	const size = 9 << 20 // two don't fit at a time
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		half := strings.Repeat("b", size/2)
+		long := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: %d\r\n\r\n%sPAUSE%s", size, half, half)
+		env := newTestEnv([]string{ok}, []string{ok})
+		for _, u := range env.upstreams {
+			u.respond = func(h http.Header) (string, bool) {
+				if strings.HasPrefix(h.Get("Id"), "long") {
+					return long, false
+				}
+				return ok, false
+			}
+		}
+		began := time.Now()
+		codes := make([]int, 4)
+		took := make([]time.Duration, 4)
+		var calls sync.WaitGroup
+		for i := range codes {
+			calls.Go(func() {
+				rec, _ := env.do(t.Context(), "/open/", map[string]string{"Id": fmt.Sprint("long", i)}, "in")
+				codes[i], took[i] = rec.Code, time.Since(began)
+			})
+		}
+		synctest.Wait()
+		rec, _ := env.do(t.Context(), "/unsafe/", map[string]string{"Id": "short"}, "in")
+		is.Equal(rec.Code, 200)
+		is.Equal(time.Since(began), time.Duration(0)) // it waits for none
+		calls.Wait()
+		slices.Sort(took)
+		for i := range codes {
+			is.Equal(codes[i], 200)
+			is.Equal(took[i], time.Duration(i+1)*100*time.Millisecond) // one at a time
+		}
+		env.close()
+	})
+}
+
+// Guards against a body without end that a caller gets as a success, or that takes more than its bound.
+func TestBodyWithoutEnd(t *testing.T) {
+	cases := map[string]string{
+		"chunks":          "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("100000\r\n"+strings.Repeat("b", 1<<20)+"\r\n", 18),
+		"until it closes": "HTTP/1.1 200 OK\r\nId: ID\r\nConnection: close\r\n\r\n" + strings.Repeat("b", 18<<20) + "CLOSE",
+		"long length":     "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 99999999\r\n\r\n" + strings.Repeat("b", 18<<20),
+		"chunk extension": "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n1;" + strings.Repeat("x", 1<<20),
+		"trailer":         "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\nA: " + strings.Repeat("x", 1<<20),
+		"an event":        chunked + "100000\r\ndata: " + strings.Repeat("b", 2<<20),
+	}
+	for name, response := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				path := map[bool]string{true: "/stream/", false: "/unsafe/"}[name == "an event"]
+				env := newTestEnv([]string{response})
+				rec, aborted := env.do(t.Context(), path, map[string]string{"Program": "p"}, "in")
+				is.True(rec.Code == 502 || aborted)
+				is.NoErr(env.e.Memory.Take(t.Context(), env.e.Memory.Limit())) // all was returned
+				env.close()
+			})
+		})
+	}
+}
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/event"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -215,7 +216,7 @@
 // response is returned as a whole, or is an error if the stream has already started.
 func (t *turn) relay(ctx context.Context, s *exchange) error {
 	if s.resp.StatusCode != http.StatusOK {
-		body, err := upconn.ReadAll(s.resp.Body, maxResponse)
+		body, err := t.readResponse(ctx, s.resp)
 		if err != nil || t.headerSent {
 			t.endWithoutResponse(s, err)
 			return t.recordLoss(ctx, s, errors.CombineErrors(errors.Newf("upstream returned status %d", s.resp.StatusCode), err))
@@ -235,7 +236,11 @@
 	}
 	under := t.e.Picker.InFlight(s.up.ID)
 	var pace streamPace
-	r := event.Reader{R: bufio.NewReaderSize(s.resp.Body, streamBuffer)}
+	r := event.Reader{
+		R:    bufio.NewReaderSize(s.resp.Body, streamBuffer),
+		Take: func(n int64) error { return t.e.Memory.Take(ctx, n) }, Return: t.e.Memory.Return,
+	}
+	defer r.Close()
 	for {
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) {
@@ -249,7 +254,7 @@
 			err = t.fixVersion(ctx, s)
 		}
 		if err == nil {
-			err = t.relayEvent(e)
+			err = t.relayEvent(ctx, e)
 		}
 		if err != nil {
 			s.fail(err)
@@ -284,13 +289,16 @@
 	t.w.WriteHeader(resp.StatusCode)
 }
 
-func (t *turn) relayEvent(e event.Event) error {
+func (t *turn) relayEvent(ctx context.Context, e event.Event) error {
 	if t.summary.events == 0 {
 		t.summary.firstOutput = time.Since(t.began)
 	}
 	t.summary.events++
 	t.summary.tokens += max(t.service.EventTokens, 1)
 	if t.route.StoreTurns {
+		if err := t.mayStore(ctx, len(t.output)+len(e.Data)+1); err != nil {
+			return err
+		}
 		t.output = append(append(t.output, e.Data...), '\n')
 	}
 	if e.ID != "" {
@@ -302,6 +310,18 @@
 	return errors.Mark(t.flush(), errNotDelivered)
 }
 
+// mayStore returns an error if n bytes of output may not be held until the turn is stored.
+func (t *turn) mayStore(ctx context.Context, n int) error {
+	switch {
+	case n > maxResponse:
+		return upconn.ErrBodyTooLong
+	case n > memory.Short && t.held == 0:
+		return t.takeMemory(ctx, maxResponse)
+	default:
+		return nil
+	}
+}
+
 // observe records the mean time per event of the attempt, from its first event on, for the
 // upstream that completed it. That time hardly depends on the prompt. Streams of fewer than
 // four events give none. Turns is the mean number of turns in progress at the upstream.
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -18,6 +18,7 @@
 	"github.com/slaterock/slaterock/internal/front/bucket"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/limits"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/mesh"
 	"github.com/slaterock/slaterock/internal/front/meshio"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -61,6 +62,7 @@
 		Node      string
 		Domain    string           // failure domain
 		Cores     float64          // processor cores, possibly a fraction
+		Memory    int64            // in bytes; 0 if not known
 		Callers   string           // listen address for callers' requests
 		Ready     string           // listen address of the readiness check; empty for none
 		Directory string           // listen address of the directory; empty for none
@@ -175,7 +177,7 @@
 	d.proxy = proxy.Endpoint{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
 		Refresh: d.refreshConfig, Confirm: d.confirm, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast, OthersServe: d.othersServe,
-		Records: &d.reach, Paces: &d.meshio,
+		Records: &d.reach, Paces: &d.meshio, Memory: memory.Budget{VM: d.Settings.Memory},
 	}
 	d.reach.Records = &quorum.Client{
 		Peer:   func(address string) link.Invoker { return d.link.Peer(address) },
