upconn: a header that is cut by its bound is reported as too long

Where the bound cut a header line, the error was that of the malformed line, and responses_too_long did not count it (header 'many headers' of TestHeadWithoutEnd, which checks the error now).

--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -113,6 +113,9 @@
 	defer func() { c.in.bounded = false }()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err != nil && c.in.left == 0 {
+			return nil, ErrHeadTooLong // some errors are about the line that was cut
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/front/upconn/endless_test.go
+++ b/internal/front/upconn/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -47,7 +48,7 @@
 			_, err := conn.Receive(http.MethodGet) //nolint:bodyclose // there is none
 			conn.Close()
 			runtime.ReadMemStats(&after)
-			is.True(err != nil)
+			is.True(errors.Is(err, ErrHeadTooLong))
 			is.True(after.TotalAlloc-before.TotalAlloc < most)
 		})
 	}
