fleet, home: places of upstreams are kept before the new list is in force

A front that took the new list, and was asked for the places of a call before it had noted who left, gave the place away: one call of 6,400 in TestUpstreamsThatEndWhileRecordsAreAway (records slow) ended four upstreams. The list of upstreams that changed is handed over before the view is in force. Each attempt of these tests now reaches a front that has not served the request before.

--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -25,6 +25,10 @@
 type (
 	// Fleet applies events to the current view. The zero value has an empty view.
 	Fleet struct {
+		// OnUpstreams is called with the ids of upstreams that changed, before the new view is in
+		// force; nil for nothing.
+		OnUpstreams func(now time.Time, before, after *View, ids []string)
+
 		mu          sync.Mutex
 		view        atomic.Pointer[View]
 		history     history
@@ -119,10 +123,27 @@
 	}
 	changes = append(changes, f.dropExpired(&v, now)...)
 	v.AvailableSince = f.avail.From
+	f.announce(now, &v, changes)
 	f.view.Store(&v)
 	return changes
 }
 
+// announce calls OnUpstreams.
+func (f *Fleet) announce(now time.Time, v *View, changes []Change) {
+	if f.OnUpstreams == nil {
+		return
+	}
+	var ids []string
+	for _, c := range changes {
+		if c.Kind == "upstream" {
+			ids = append(ids, c.ID)
+		}
+	}
+	if len(ids) > 0 {
+		f.OnUpstreams(now, f.View(), v, ids)
+	}
+}
+
 // replace replaces the content of the view, and records what that changes.
 func (f *Fleet) replace(v *View, s Snapshot, now time.Time) []Change {
 	base := v.Hash
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -312,6 +312,11 @@
 	}
 	f.Update(time.Now(), reading)
 	env.e = env.newEndpoint(&f)
+	f.OnUpstreams = func(now time.Time, before, after *fleet.View, ids []string) {
+		for _, front := range append([]*testEnv{env}, env.others...) {
+			front.e.Home.Update(now, before, after, ids)
+		}
+	}
 	return env
 }
 
@@ -348,26 +353,14 @@
 	for i := range list {
 		change(&list[i])
 	}
-	env.update(fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
-}
-
-// update applies what the store lists, and tells all fronts what has left.
-func (env *testEnv) update(s fleet.Snapshot) {
-	now, before := time.Now(), env.e.Fleet.View()
-	var changed []string
-	for _, c := range env.e.Fleet.Update(now, s) {
-		changed = append(changed, c.ID)
-	}
-	for _, front := range append([]*testEnv{env}, env.others...) {
-		front.e.Home.Update(now, before, env.e.Fleet.View(), changed)
-	}
+	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
 }
 
 // delist has the store no longer list an upstream.
 func (env *testEnv) delist(id string) {
 	v := env.e.Fleet.View()
 	list := slices.DeleteFunc(v.Listed.List(), func(u fleet.Upstream) bool { return u.ID == id })
-	env.update(fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
+	env.e.Fleet.Update(time.Now(), fleet.Snapshot{Revision: v.Revision + 1, Table: v.Table, Upstreams: list})
 }
 
 // do sends one request. Aborted reports that the connection was aborted in the middle of
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -50,7 +50,10 @@
 			responses[i] = []string{ok}
 		}
 		env := newTestEnv(responses...)
-		c.fronts = []*testEnv{env, env.another(), env.another()}
+		c.fronts = []*testEnv{env}
+		for range c.attempts*c.sends - 1 {
+			c.fronts = append(c.fronts, env.another()) // each attempt is the first at its front
+		}
 		for _, u := range env.upstreams {
 			u.endsOn, u.endsAfter, u.endsIn = "poison", e.response, e.in
 		}
--- a/internal/node/frontd/change.go
+++ b/internal/node/frontd/change.go
@@ -23,11 +23,8 @@
 func (d *Daemon) applyAt(now time.Time, n fleet.Event, cause error) {
 	upstreams := 0
 	more := map[transition]int{}
-	var changed []string
-	before := d.fleet.View()
 	for _, c := range d.fleet.Update(now, n) {
 		if c.Kind == "upstream" {
-			changed = append(changed, c.ID)
 			if upstreams++; upstreams > maxUpstreamLines {
 				more[transition{c.From, c.To}]++
 				continue
@@ -53,7 +50,6 @@
 	}
 	if upstreams > 0 {
 		d.reportLeft(now)
-		d.proxy.Home.Update(now, before, d.fleet.View(), changed)
 	}
 	for t, count := range more {
 		d.Log.Info().Int("more", count).Str("from", t.from).Str("to", t.to).Str("by", source(n)).
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -179,6 +179,7 @@
 		Refresh: d.refreshConfig, Confirm: d.confirm, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast, OthersServe: d.othersServe,
 		Records: &d.reach, Paces: &d.meshio, Memory: memory.Budget{VM: d.Settings.Memory},
 	}
+	d.fleet.OnUpstreams = d.proxy.Home.Update
 	d.reach.Records = &quorum.Client{
 		Peer:   func(address string) link.Invoker { return d.link.Peer(address) },
 		Roster: d.discov.Roster, Learn: d.discov.Learn, Refresh: d.discov.Rescan, Domain: d.Settings.Domain,
