proxy: runs that could not be recorded come with the turn's settlement

Callers: a turn whose runs could not be recorded within 0.4 s, and whose settlement could, ended six upstreams: its reservation was closed, and no longer counted as an attempt of which the end is not known. Found on reading. The settlement now has these runs.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -244,9 +244,10 @@
 // recordRuns makes the runs of this attempt durable, and returns those of all attempts of the
 // request. The write goes on if ctx ends or takes longer than runsTimeout.
 func (q *request) recordRuns(ctx context.Context) (runs []index.Run, err error) {
+	q.unrecorded = false
+	defer func() { q.unrecorded = q.unrecorded || err != nil }()
 	rec := q.runsRecord()
 	rec.Run = q.ownRun()
-	q.unrecorded = false
 	type result struct {
 		quorum.Result
 		error
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -72,6 +72,7 @@
 
 		delay        time.Duration // of a write
 		failVersions bool          // of the records that only state a version
+		failRuns     bool          // of the records that are no reservation and no settlement
 	}
 
 	testEnv struct {
@@ -146,7 +147,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.down || r.failVersions && !rec.Reserved && rec.Run != nil {
+	if r.down || r.failVersions && !rec.Reserved && rec.Run != nil || r.failRuns && !rec.Reserved && !rec.Settled && !rec.IsQuery() {
 		return res, quorum.ErrNoQuorum
 	}
 	var b index.Index
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -269,3 +269,30 @@
 		})
 	}
 }
+
+// Guards against runs that are lost although their attempt is settled: the settlement brings those that could not be recorded before.
+func TestRunsAreSettledWithTheTurn(t *testing.T) {
+	for name, e := range lateAndEarlyEnds() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := caller{path: "/resume/", header: map[string]string{"Program": "p", "Budget": "9000"}, attempts: 2, sends: 3}
+			is.True(playLateEnds(t, e, c, 700*time.Millisecond, func(env *testEnv) { env.rec.failRuns = true }) <= 3)
+		})
+	}
+}
+
+// Guards against records that answer questions and take no writes, and are taken for ones that know of no runs.
+func TestRunsThatCannotBeWritten(t *testing.T) {
+	callers := map[string]caller{
+		"turn, no budget": {path: "/resume/", header: map[string]string{"Program": "p"}, attempts: 2, sends: 3},
+		"safe call":       {path: "/safe/", attempts: 3, sends: 1},
+	}
+	for kind, c := range callers {
+		for name, e := range lateAndEarlyEnds() {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				is := is.New(t)
+				is.True(playLateEnds(t, e, c, 700*time.Millisecond, func(env *testEnv) { env.rec.failRuns = true }) <= 3)
+			})
+		}
+	}
+}
