review: a late extra refusal makes an unsafe request run twice

A worker's answer with Not-Executed that bears the id of an earlier request is taken for the answer to the present one. The request is then sent to another worker, or refused with 503, although the first one runs it.

Adds the stand-ins that all cases share and the script of this case.

--- /dev/null
+++ b/review/_stand/main.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	cases := map[string]func(*world) []string{"extra": extraAnswer}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: stand extra RECORD")
+		os.Exit(2)
+	}
+	os.Exit(run(os.Args[2], cases[os.Args[1]]))
+}
