--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -200,7 +200,7 @@
 		listen = fmt.Sprintf("{front: %q, ready: %q, directory: %q}", p.at(0), p.at(1), p.at(2))
 	} else {
 		listen = fmt.Sprintf("{control: %q}", p.at(3))
-		dir, counts = fmt.Sprintf("%q", filepath.Join(w.dir, "data-"+p.name)), "true"
+		dir, counts = fmt.Sprintf("%q", p.data()), "true"
 		limits = "{cpu-share: 0.8, cores: 1, memory-mb: 144, max-fds: 8200, link-mbps: 600.0, disk-mb: 310}"
 	}
 	names := ""
@@ -241,6 +241,9 @@
 	return p
 }
 
+// data is the folder of the machine's disk.
+func (p *proc) data() string { return filepath.Join(p.w.dir, "data-"+p.name) }
+
 func (p *proc) at(port int) string { return fmt.Sprintf("%s:%d", p.ip, p.w.ports[port]) }
 
 // launch starts the process, as the deploy file says.
