review: a stream goes on at another software version while the store is away

Whether all upstreams have one version is judged by a state that may be older than the restart of an upstream with another version. Then nothing is confirmed, and a stream that breaks at that upstream goes on at the version of before.

--- a/review/_stand/resume.go
+++ b/review/_stand/resume.go
@@ -38,6 +38,7 @@
 	w.ready(fronts...)
 	w.await("all fronts are named", func() bool { return len(w.resolve(fronts[1])) == len(fronts) })
 	time.Sleep(time.Second)
+	begun := "" // the attempt that brought the first event
 	turn := func(front *proc, body, previous, last string, onEvent func(int)) *attempt {
 		a := &attempt{method: "POST", path: "/chat/x", body: body, limit: 5 * time.Second, onEvent: onEvent, header: map[string]string{
 			"Model": "m", "Program-Id": "p1", "Session-Id": "s1", "Finish-Ms": "20000", "Token-Budget": "2000", "Token-Usage": "400,60",
@@ -47,7 +48,7 @@
 			a.header["Previous-Turn"] = previous
 		}
 		if last != "" {
-			a.header["Last-Event-Id"] = last
+			a.header["Last-Event-Id"], a.header["Resumes"] = last, begun
 		}
 		return w.send(newClient(false), front.at(0), a)
 	}
@@ -57,7 +58,7 @@
 			go fronts[0].stop(syscall.SIGKILL)
 		}
 	})
-	got = append(got, first.events...)
+	got, begun = append(got, first.events...), first.id
 	for i := 0; !first.whole && i < 3; i++ { // the client's retries, each on a new channel
 		time.Sleep(200 * time.Millisecond)
 		again := turn(fronts[1+i], "first input\n", "", first.lastID, nil)
--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -25,9 +25,15 @@
 		queue   int
 		work    time.Duration // of a plain request, and before each event of a stream
 		events  int           // of a stream; 0 for a plain service
+		version string        // of its software; empty is v1
+		told    bool          // each event tells the version that wrote it
 		faults  faults
 
 		mu      sync.Mutex
+		address string
+		born    int64
+		ln      net.Listener
+		conns   map[net.Conn]bool
 		free    chan struct{}
 		here    int // requests that run or wait
 		answers int // so far
@@ -39,8 +45,6 @@
 		// shed is called after the worker has refused a request, with the bytes of its answer. It
 		// returns the bytes that come before the answer to the next request on the channel.
 		shed func(id string, answer []byte) []byte
-		// answer may change the head of a successful answer.
-		answer func(id string, h http.Header)
 	}
 
 	// execution is one run.
@@ -58,29 +62,69 @@
 
 func (k *worker) start() *worker {
 	k.free = make(chan struct{}, k.slots)
-	ln, err := net.Listen("tcp", k.w.ip()+":0")
+	k.address = k.w.ip() + ":0"
+	k.listen()
+	go k.register()
+	return k
+}
+
+// listen begins a lifetime of the worker.
+func (k *worker) listen() {
+	ln, err := net.Listen("tcp", k.address)
 	must(err)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ln, k.address, k.born, k.conns = ln, ln.Addr().String(), time.Now().UnixMilli(), map[net.Conn]bool{}
+	if k.version == "" {
+		k.version = "v1"
+	}
 	go func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
+			k.mu.Lock()
+			k.conns[c] = true
+			k.mu.Unlock()
 			go k.serve(c)
 		}
 	}()
-	go k.register(ln.Addr().String())
-	return k
 }
 
-// register writes the worker's entry about every heartbeat.
-func (k *worker) register(address string) {
-	born := time.Now().UnixMilli()
+// crash ends the worker with all its channels. It sends nothing.
+func (k *worker) crash() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.w.note("%s crashes, with %d requests under way", k.id, k.here)
+	_ = k.ln.Close()
+	for c := range k.conns {
+		_ = c.Close()
+	}
+	k.born = 0
+}
+
+// again starts the worker again under its id, with a software version.
+func (k *worker) again(version string) {
+	k.mu.Lock()
+	k.version = version
+	k.mu.Unlock()
+	k.listen()
+	k.w.note("%s has started again under its id, its software version is %s", k.id, version)
+}
+
+// register writes the worker's entry about every heartbeat, while it runs and reaches the store.
+func (k *worker) register() {
 	for seq := 1; ; seq++ {
-		k.w.store.Put("servers/"+k.id, map[string]any{
-			"service": k.service, "address": address, "zone": "z0", "version": "v1", "max-batch": k.slots,
-			"state": "ready", "cold-remaining-ms": 0, "seq": seq, "born": born,
-		})
+		k.mu.Lock()
+		entry := map[string]any{
+			"service": k.service, "address": k.address, "zone": "z0", "version": k.version, "max-batch": k.slots,
+			"state": "ready", "cold-remaining-ms": 0, "seq": seq, "born": k.born,
+		}
+		k.mu.Unlock()
+		if entry["born"] != int64(0) && !k.w.storeDown.Load() {
+			k.w.store.Put("servers/"+k.id, entry)
+		}
 		select {
 		case <-k.w.ended:
 			return
@@ -91,7 +135,12 @@
 
 // serve serves one channel. A request that runs is dropped when its channel closes.
 func (k *worker) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.conns, c)
+	}()
 	ctx, closed := context.WithCancel(context.Background())
 	defer closed()
 	requests := make(chan incoming)
@@ -176,9 +225,6 @@
 	if !sleep(ctx, k.work) {
 		return nil
 	}
-	if k.faults.answer != nil {
-		k.faults.answer(id, h)
-	}
 	_ = write(c, http.StatusOK, h, []byte("answer to "+id))
 	k.count()
 	return nil
@@ -192,11 +238,17 @@
 		return
 	}
 	first, _ := strconv.Atoi(in.r.Header.Get("Last-Event-Id")) // 0 is the start
+	prefix := ""
+	if k.told {
+		k.mu.Lock()
+		prefix = k.version + "/"
+		k.mu.Unlock()
+	}
 	for i := first + 1; i <= k.events; i++ {
 		if !sleep(ctx, k.work) {
 			return
 		}
-		text := "id: " + strconv.Itoa(i) + "\ndata: " + eventData(in.r.Header.Get("Session-Id"), i) + "\n\n"
+		text := "id: " + strconv.Itoa(i) + "\ndata: " + prefix + eventData(in.r.Header.Get("Session-Id"), i) + "\n\n"
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
 			return
 		}
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -16,6 +16,7 @@
 	"os/signal"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,13 +34,14 @@
 
 // world holds all that one case has started.
 type world struct {
-	dir     string
-	net     string // first three bytes of all addresses
-	ports   [5]int // front, ready, directory, control, first of the ports between daemons
-	store   metakv.Store
-	address string // of the store
-	trouble bool
-	began   time.Time
+	dir       string
+	net       string // first three bytes of all addresses
+	ports     [5]int // front, ready, directory, control, first of the ports between daemons
+	store     metakv.Store
+	storeDown atomic.Bool // the store refuses all calls
+	address   string      // of the store
+	trouble   bool
+	began     time.Time
 
 	mu     sync.Mutex
 	record *os.File
