--- a/review/_stand/extra.go
+++ b/review/_stand/extra.go
@@ -10,8 +10,8 @@
 	clumpSize  = 26 // requests at a time; two workers take 20
 	clumpEvery = 450 * time.Millisecond
 	// lateSpan and lateShare bound the disruption: garble "extra late" with for_s 5 and x 0.03 at a
-	// share of 0.5 of the workers.
-	lateSpan  = 5 * time.Second
+	// share of 0.5 of the workers. An extra answer is sent with the next group of requests at the latest.
+	lateSpan  = 5*time.Second - clumpEvery
 	lateShare = 0.03
 )
 
