proxy: a response decides about a request only if it bears its id

An upstream that sends a refusal once more, late, does so where the response to the next request on the connection is due; the front took it for that response.

Cause: send acted on "not run" and on status 421 before it compared the id in the response with the request's. Whatever the wrong response stated counted: the refusal, the upstream's lack of room, the time that the connection may idle.

Now a response with another request's id is read and discarded, and the front goes on reading for the request's own, so that an unsafe request also gets its answer; before, another's success in its place ended it with 502. A safe request waits half a second for it and is then sent on; others wait until their deadline. A response without an id ends the exchange as one that may have run. The connection is closed afterwards. Two neighbours: a refusal of a request that may be sent to the same upstream again is not kept on its connection, since a copy would bear the right id; nor is a response to HEAD.

Cost: one comparison a response; nothing is written or kept.

--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -70,10 +70,17 @@
 		Restart    func() bool  // ends the process, with all connections, and starts it again later, unless it has ended; nil if it can't end
 		BreakEvery atomic.Int64 // every BreakEvery-th response is truncated; 0 means none
 		LoseEvery  atomic.Int64 // every LoseEvery-th response is lost after the execution; 0 means none
+		ShedEvery  atomic.Int64 // every ShedEvery-th request is refused without an execution; 0 means none
+
+		// Every RepeatEvery-th refusal is sent once more, where the next response on its connection is due;
+		// 0 means none. It needs Listener.
+		RepeatEvery atomic.Int64
 
 		starts   atomic.Int64 // that have ended because of a request
 		inFlight atomic.Int64
 		runs     atomic.Int64
+		arrivals atomic.Int64
+		refusals atomic.Int64
 	}
 )
 
@@ -136,7 +143,7 @@
 		return
 	}
 	defer u.inFlight.Add(-1)
-	if u.inFlight.Add(1) > int64(u.MaxInFlight) {
+	if u.inFlight.Add(1) > int64(u.MaxInFlight) || isNth(u.arrivals.Add(1), &u.ShedEvery) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -148,7 +155,7 @@
 	}
 	w.Header().Set("Server-Signature", "s."+u.ID+"."+id)
 	n := u.runs.Add(1)
-	if every := u.LoseEvery.Load(); every > 0 && n%every == 0 {
+	if isNth(n, &u.LoseEvery) {
 		u.delay(r)
 		panic(http.ErrAbortHandler)
 	}
@@ -156,8 +163,13 @@
 		u.crash(w, r, id, request, version, crashWay(n)%crashWays)
 		return
 	}
-	every := u.BreakEvery.Load()
-	u.respond(w, r, id, version, every > 0 && n%every == 0)
+	u.respond(w, r, id, version, isNth(n, &u.BreakEvery))
+}
+
+// isNth reports whether a fault that befalls every so many befalls number n.
+func isNth(n int64, every *atomic.Int64) bool {
+	e := every.Load()
+	return e > 0 && n%e == 0
 }
 
 // crash ends the process of the upstream because of a request: while it runs it, or later.
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -367,7 +367,11 @@
 // do sends one request. Aborted reports that the connection was aborted in the middle of
 // the response.
 func (env *testEnv) do(ctx context.Context, path string, header map[string]string, body string) (rec *httptest.ResponseRecorder, aborted bool) {
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
+	return env.doMethod(ctx, http.MethodPost, path, header, body)
+}
+
+func (env *testEnv) doMethod(ctx context.Context, method, path string, header map[string]string, body string) (rec *httptest.ResponseRecorder, aborted bool) {
+	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
 	r.Host = "h"
 	r.Header.Set("Id", "r1")
 	for name, value := range header {
--- /dev/null
+++ b/internal/front/proxy/receive.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/conf/route"
+	"github.com/slaterock/slaterock/internal/front/upconn"
+)
+
+const (
+	// maxForeign is how many responses to other requests are discarded while a request waits for its own.
+	maxForeign = 8
+	// ownResponseWait is how long a request that may run again waits for its own response once one to
+	// another request has come in its place. Others wait until their deadline: they have one run.
+	ownResponseWait = 500 * time.Millisecond
+)
+
+var (
+	errNoRequest    = errors.New("response names no request")
+	errWrongRequest = errors.New("responses belong to other requests")
+)
+
+// receive reads the header of the response to the request, which is the only one that tells anything
+// about it. A faulty upstream may send a response once more where the next one on the connection is due:
+// responses to other requests are discarded, whatever they state. If the request's own one does not
+// follow, the request may have run.
+func (q *request) receive(s *exchange) (err error) {
+	var impatient *time.Timer
+	defer func() {
+		if impatient != nil {
+			impatient.Stop()
+		}
+		if err != nil && s.foreign > 0 {
+			err = errors.Wrapf(err, "after %d responses to other requests", s.foreign)
+		}
+	}()
+	for s.foreign <= maxForeign {
+		if s.resp, err = s.conn.Receive(q.r.Method); err != nil { //nolint:bodyclose // ends with its connection: closeConn or releaseConn
+			return err
+		}
+		s.info = q.e.Dialect.ResponseInfo(s.resp.StatusCode, s.resp.Header)
+		switch s.info.Request {
+		case q.ID:
+			return nil
+		case "":
+			return errNoRequest
+		}
+		s.foreign++
+		q.summary.runs.addForeign()
+		q.e.Scope.Counter("responses_to_other_requests").Inc(1)
+		if q.route.Kind == route.Safe && impatient == nil {
+			impatient = time.AfterFunc(ownResponseWait, s.conn.Interrupt)
+		}
+		if err = upconn.Discard(s.resp.Body, maxResponse); err != nil {
+			return err
+		}
+	}
+	return errWrongRequest
+}
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -49,6 +49,7 @@
 		took     time.Duration // until it ended; 0 while it is under way
 		end      string
 		cause    string // why no whole response came; empty if one did
+		foreign  int    // responses to other requests that came in place of the request's own
 		next     string // why the request was sent on or not; empty after an answer
 	}
 
@@ -85,6 +86,13 @@
 	}
 }
 
+// addForeign counts a response to another request that came over the connection of the last send.
+func (l runs) addForeign() {
+	if len(l) > 0 {
+		l[len(l)-1].foreign++
+	}
+}
+
 // next sets why the request was sent on or not after the last send.
 func (l runs) next(why string) {
 	if len(l) > 0 {
@@ -125,6 +133,9 @@
 		if r.cause != "" {
 			d.Str("cause", r.cause)
 		}
+		if r.foreign > 0 {
+			d.Int("other_responses", r.foreign)
+		}
 		if r.next != "" {
 			d.Str("next", r.next)
 		}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -47,6 +47,7 @@
 		began           time.Time
 		cancelInterrupt func() bool // cancels the interruption of conn when the context is done
 		brokeOff        bool        // the upstream broke the run off
+		foreign         int         // responses to other requests that came first
 		startKnown      bool        // see startKnown of request; as of the send
 	}
 
@@ -70,10 +71,7 @@
 func (e *lostError) Error() string   { return "no answer from " + e.up.ID }
 func (e *lostError) Unwrap() error   { return e.err }
 
-var (
-	errNoUpstream   = errors.New("no upstream accepts requests")
-	errWrongRequest = errors.New("response belongs to another request")
-)
+var errNoUpstream = errors.New("no upstream accepts requests")
 
 // dispatch sends the request to upstreams until one accepts it. A *notRunError,
 // errNoUpstream or errUnknownKey means that no upstream ran the request in this call. After
@@ -104,7 +102,7 @@
 			return nil, lastErr
 		}
 		q.summary.missing, q.summary.factor = view.Missing(up.ID), q.e.factor(&up)
-		s, err := q.send(ctx, up, body, d)
+		s, err := q.send(ctx, up, body, d, c.Only != "")
 		if err == nil {
 			return s, nil
 		}
@@ -136,8 +134,9 @@
 	return nil, lastErr
 }
 
-// send sends the request to one upstream and reads the header of the response.
-func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, d meta.Dispatch) (s *exchange, err error) {
+// send sends the request to one upstream and reads the header of the response. Repeats tells that the
+// request may be sent to the upstream again after a refusal.
+func (q *request) send(ctx context.Context, up fleet.Upstream, body []byte, d meta.Dispatch, repeats bool) (s *exchange, err error) {
 	q.summary.sends++
 	q.summary.runs.begin(&up)
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
@@ -170,7 +169,7 @@
 	})
 	if err == nil {
 		q.summary.upstream = up.ID
-		s.resp, err = conn.Receive(q.r.Method) //nolint:bodyclose // ends with its connection: closeConn or releaseConn
+		err = q.receive(s)
 	}
 	if err != nil {
 		s.fail(err)
@@ -180,14 +179,9 @@
 		}
 		return nil, q.recordLoss(ctx, s, err)
 	}
-	s.info = q.e.Dialect.ResponseInfo(s.resp.StatusCode, s.resp.Header)
 	if s.info.NotRun {
 		q.uncountSend()
-		return nil, q.handleNotRun(s)
-	}
-	if s.info.Request != q.ID {
-		s.fail(errWrongRequest)
-		return nil, q.recordLoss(ctx, s, errWrongRequest)
+		return nil, q.handleNotRun(s, repeats)
 	}
 	return s, nil
 }
@@ -228,8 +222,9 @@
 	q.e.Scope.Tagged(map[string]string{"bound": bound}).Counter("responses_too_long").Inc(1)
 }
 
-// handleNotRun ends a send that the upstream refused without running it.
-func (q *request) handleNotRun(s *exchange) error {
+// handleNotRun ends a send that the upstream refused without running it. If the request may be sent to it
+// again, the connection is closed: a second copy of this refusal would bear the id of that send, too.
+func (q *request) handleNotRun(s *exchange, repeats bool) error {
 	cause := causeFull
 	if s.resp.StatusCode == http.StatusMisdirectedRequest {
 		cause = "other_instance"
@@ -237,7 +232,7 @@
 	} else {
 		q.e.Picker.RecordFull(time.Now(), s.up.ID)
 	}
-	if _, err := upconn.ReadAll(s.resp.Body, memory.Short); err != nil { // what it refuses with is short
+	if _, err := upconn.ReadAll(s.resp.Body, memory.Short); err != nil || repeats { // what it refuses with is short
 		s.closeConn()
 	} else {
 		s.releaseConn(q.e.Pool)
@@ -262,10 +257,11 @@
 	s.conn.Close()
 }
 
-// releaseConn returns the connection to the pool after the whole response was read. One
-// that is being interrupted is closed, as it cannot be used again.
+// releaseConn returns the connection to the pool after the whole response was read. One that is
+// being interrupted is closed, as it cannot be used again, and so is one over which responses to other
+// requests came, and one of a HEAD request: a late copy of its response could not be told from one with a body.
 func (s *exchange) releaseConn(p *upconn.Pool) {
-	if !s.cancelInterrupt() || s.info.Closing || s.resp.Close {
+	if !s.cancelInterrupt() || s.info.Closing || s.resp.Close || s.foreign > 0 || s.resp.Request.Method == http.MethodHead {
 		s.conn.Close()
 		return
 	}
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -234,3 +234,13 @@
 	}
 	return body, err
 }
+
+// Discard reads a whole body without keeping it. It fails with ErrBodyTooLong if the body is longer than
+// limit bytes.
+func Discard(r io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	if err == nil && n > limit {
+		return errors.Wrapf(ErrBodyTooLong, "%d bytes", limit)
+	}
+	return err
+}
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -180,6 +180,9 @@
 	}
 	until := time.Now().Add(s.For)
 	var running sync.WaitGroup
+	repeatCtx, stopRepeats := context.WithDeadline(ctx, until)
+	defer stopRepeats()
+	running.Go(func() { s.repeatRefusals(repeatCtx) })
 	var diskMu sync.Mutex // held during faults of VMs with a disk, see exclusive
 	for time.Now().Before(until) && ctx.Err() == nil {
 		faults++
@@ -355,6 +358,9 @@
 	if err != nil {
 		return "", err
 	}
+	if u, ok := h.(*upstrm.Upstream); ok {
+		ln = u.Listener(ln)
+	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
 	go func() { _ = srv.Serve(ln) }()
--- /dev/null
+++ b/internal/play/chaos/extra.go
@@ -0,0 +1,32 @@
+package chaos
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/peer/pause"
+)
+
+const (
+	// While an upstream repeats refusals, it refuses one request in shedEvery, and sends one refusal in
+	// repeatEvery once more.
+	shedEvery   = 3
+	repeatEvery = 2
+	repeatTime  = time.Second
+)
+
+// repeatRefusals has one upstream after another refuse requests, and send refusals once more, late, until
+// ctx ends. It runs beside the other faults and has random numbers of its own, so that these stay the same.
+func (s *Runner) repeatRefusals(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(s.Seed, 3))
+	for ctx.Err() == nil {
+		u := s.upstreams[rnd.IntN(len(s.upstreams))]
+		u.ShedEvery.Store(shedEvery)
+		u.RepeatEvery.Store(repeatEvery)
+		pause.For(ctx, repeatTime)
+		u.ShedEvery.Store(0)
+		u.RepeatEvery.Store(0)
+		pause.For(ctx, time.Duration(rnd.IntN(2000))*time.Millisecond)
+	}
+}
