recsrv, index: what later turns retain outlives its segment, and its replica's news

Two causes, one class: a copy was removed since another one was thought to be there.

First, a segment of the log that is older than the longest retention by 30 s is dropped although it holds live records, after these were copied to the end of the log. The copy was made with Import, which leaves out what the index has; the index has all of it. Charges on budgets went the same way (fences did not). Around it: a turn that stands behind the turns that continue it keeps its retention over a restart; a copy to a joining replica reaches the place to which records are moved; nothing expires during an import, in which old turns come first.

Second, found by TestLongHistories: a replica extended a chain's retention only by the turns that it got itself. Where a program's records go changes with the roster and with slow replicas, so one replica of two forgot the old turns of a program that went on, and the loss of the other one lost them. Now all records of a program have one retention, and before a replica forgets a program it asks the others until when they retain it; while one does not answer, it waits two minutes more.

--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -28,18 +28,23 @@
 	Index struct {
 		programs map[string]*program
 		turns    map[string]*turn
+		// awaited has, for turns that are not indexed, until when turns that continue them retain them:
+		// records come in any order.
+		awaited map[string]time.Time
 	}
 
 	program struct {
 		charges map[string]Charge
 		runs    map[string]Run // of attempts for which anything is stated; nil for none
+		turns   []string
 		expires time.Time
 	}
 
 	turn struct {
 		previous string
+		owner    string // key of its record: the program with which it is retained
 		pos      seglog.Pos
-		expires  time.Time
+		expires  time.Time // by its own record and the turns that continue it
 	}
 )
 
@@ -54,25 +59,55 @@
 	}
 	t := ix.turns[r.Attempt]
 	if t == nil {
-		t = &turn{previous: r.Turn.Previous}
+		t = &turn{previous: r.Turn.Previous, owner: r.Key()}
 		ix.turns[r.Attempt] = t
+		p := ix.program(t.owner)
+		p.turns = append(p.turns, r.Attempt)
 	}
 	t.pos = pos
-	ix.extendChain(r.Attempt, r.expires(now))
+	until := r.expires(now)
+	if later, ok := ix.awaited[r.Attempt]; ok {
+		delete(ix.awaited, r.Attempt)
+		until = latest(until, later)
+	}
+	ix.extendChain(r.Attempt, until)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
 }
 
-// extendChain extends the expiry of a turn and of those before it in its chain.
+// extendChain extends the retention of a turn and of those before it in its chain, with their programs.
 func (ix *Index) extendChain(id string, until time.Time) {
 	for range MaxChain {
 		t := ix.turns[id]
-		if t == nil || !t.expires.Before(until) {
+		if t == nil {
+			ix.await(id, until)
+			return
+		}
+		if !t.expires.Before(until) {
 			return
 		}
 		t.expires = until
+		ix.program(t.owner).extend(until)
 		id = t.previous
 	}
 }
 
+// await notes that the turn, once it is indexed, is to be retained until then.
+func (ix *Index) await(id string, until time.Time) {
+	if id == "" || !ix.awaited[id].Before(until) {
+		return
+	}
+	if ix.awaited == nil {
+		ix.awaited = map[string]time.Time{}
+	}
+	ix.awaited[id] = until
+}
+
 // ApplyCharge applies a record's reservation or settlement. It may be called before the
 // record is durable, so that concurrent attempts see each other's charges.
 func (ix *Index) ApplyCharge(r Record, now time.Time) {
@@ -80,9 +115,7 @@
 		return
 	}
 	p := ix.program(r.Program)
-	if until := r.expires(now); until.After(p.expires) {
-		p.expires = until
-	}
+	p.extend(r.expires(now))
 	if r.hasCharge() {
 		p.charges[r.Attempt] = Merge(p.charges[r.Attempt], r.charge())
 	}
@@ -103,6 +136,8 @@
 	return p
 }
 
+func (p *program) extend(until time.Time) { p.expires = latest(p.expires, until) }
+
 func (r Record) hasCharge() bool { return r.Program != "" && (r.Reserved || r.Settled) }
 
 func (r Record) charge() Charge {
@@ -255,16 +290,62 @@
 	return list, id
 }
 
-// Expire removes the programs and turns whose retention has ended.
-func (ix *Index) Expire(now time.Time) {
+// Expired returns at most limit programs whose retention has ended, as far as is known here. All records of
+// a program have the same retention: a replica that lacks a turn in the middle of a chain can't tell which
+// ones come before it.
+func (ix *Index) Expired(now time.Time, limit int) (names []string) {
 	for name, p := range ix.programs {
+		if len(names) == limit {
+			break
+		}
 		if now.After(p.expires) {
-			delete(ix.programs, name)
+			names = append(names, name)
 		}
 	}
-	for id, t := range ix.turns {
-		if now.After(t.expires) {
-			delete(ix.turns, id)
+	return names
+}
+
+// RetainedUntil returns until when a program is retained; the zero time if none of its records is indexed.
+func (ix *Index) RetainedUntil(name string) time.Time {
+	p := ix.programs[name]
+	if p == nil {
+		return time.Time{}
+	}
+	return p.expires
+}
+
+// Retain retains a program's records until then at least.
+func (ix *Index) Retain(name string, until time.Time) {
+	if p := ix.programs[name]; p != nil {
+		p.extend(until)
+	}
+}
+
+// Remove removes a program with its turns, if its retention had ended by then.
+func (ix *Index) Remove(name string, at time.Time) {
+	p := ix.programs[name]
+	if p == nil || !at.After(p.expires) {
+		return
+	}
+	for _, id := range p.turns {
+		delete(ix.turns, id)
+	}
+	delete(ix.programs, name)
+}
+
+// Expire removes all programs whose retention has ended.
+func (ix *Index) Expire(now time.Time) {
+	for _, name := range ix.Expired(now, len(ix.programs)) {
+		ix.Remove(name, now)
+	}
+	ix.ExpireAwaited(now)
+}
+
+// ExpireAwaited forgets turns that have not come, and that no turn retains any more.
+func (ix *Index) ExpireAwaited(now time.Time) {
+	for id, until := range ix.awaited {
+		if now.After(until) {
+			delete(ix.awaited, id)
 		}
 	}
 }
--- a/internal/disk/quorum/cluster_test.go
+++ b/internal/disk/quorum/cluster_test.go
@@ -50,7 +50,7 @@
 func (cl *cluster) add() roster.Member {
 	cl.next++
 	name := fmt.Sprintf("n%d", cl.next)
-	srv := &recsrv.Server{Dir: cl.t.TempDir()}
+	srv := &recsrv.Server{Dir: cl.t.TempDir(), Others: cl.peer}
 	_, err := srv.Open()
 	is.New(cl.t).NoErr(err)
 	cl.t.Cleanup(func() { _ = srv.Close() })
@@ -67,7 +67,7 @@
 	cl.mu.Unlock()
 	is := is.New(cl.t)
 	is.NoErr(old.Close())
-	srv := &recsrv.Server{Dir: old.Dir}
+	srv := &recsrv.Server{Dir: old.Dir, Others: cl.peer}
 	_, err := srv.Open()
 	is.NoErr(err)
 	cl.t.Cleanup(func() { _ = srv.Close() })
@@ -76,6 +76,8 @@
 	cl.servers[name] = srv
 }
 
+func (cl *cluster) peer(address string) link.Invoker { return conn{cl, address} }
+
 func (cl *cluster) set(m map[string]bool, name string, on bool) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
@@ -99,7 +101,7 @@
 	cl.roster = r
 	srv := cl.servers[m.Address]
 	cl.mu.Unlock()
-	if err := srv.CatchUp(context.Background(), r, func(a string) link.Invoker { return conn{cl, a} }); err != nil {
+	if err := srv.CatchUp(context.Background(), r, cl.peer); err != nil {
 		return err
 	}
 	cl.mu.Lock()
@@ -149,7 +151,7 @@
 	var mu sync.Mutex
 	known := cl.current()
 	return &Client{
-		Peer:   func(address string) link.Invoker { return conn{cl, address} },
+		Peer:   cl.peer,
 		Roster: func() roster.Roster { mu.Lock(); defer mu.Unlock(); return known },
 		Learn: func(data []byte) {
 			r, err := roster.Decode(data)
--- a/internal/disk/recsrv/copy.go
+++ b/internal/disk/recsrv/copy.go
@@ -142,16 +142,20 @@
 		if err != nil {
 			return err
 		}
-		if req.First {
+		if end.Before(reply.End) {
 			end = reply.End
 		}
 		missing, err := s.missing(reply)
 		if err != nil {
 			return err
 		}
-		if err = s.fetch(ctx, req.Target, missing, peer); err != nil {
+		moved, err := s.fetch(ctx, req.Target, missing, peer)
+		if err != nil {
 			return err
 		}
+		if end.Before(moved) {
+			end = moved
+		}
 		if len(reply.Records) == 0 || !reply.After.Before(end) {
 			return nil
 		}
@@ -175,8 +179,9 @@
 	return list, nil
 }
 
-// fetch copies the records at these positions in full, about pageSize bytes at a time.
-func (s *Server) fetch(ctx context.Context, t Target, list []seglog.Pos, peer link.Invoker) error {
+// fetch copies the records at these positions in full, about pageSize bytes at a time. The source may have
+// moved some of them: moved is the position before which these come.
+func (s *Server) fetch(ctx context.Context, t Target, list []seglog.Pos, peer link.Invoker) (moved seglog.Pos, err error) {
 	for len(list) > 0 {
 		n, size := 0, 0
 		for n < len(list) && (n == 0 || size+list[n].Size <= pageSize) {
@@ -185,14 +190,17 @@
 		}
 		reply, err := pull(ctx, peer, PullRequest{Target: t, Pick: list[:n]})
 		if err != nil {
-			return err
+			return moved, err
+		}
+		if moved.Before(reply.End) {
+			moved = reply.End
 		}
 		if err = s.Import(ctx, reply.Records); err != nil {
-			return err
+			return moved, err
 		}
 		list = list[n:]
 	}
-	return nil
+	return moved, nil
 }
 
 // pull makes one request and retries it after an error: it is idempotent, and a copy
--- /dev/null
+++ b/internal/disk/recsrv/expire.go
@@ -0,0 +1,103 @@
+package recsrv
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/peer/link"
+)
+
+const (
+	// maxExpired is how many programs expire in one Trim at most: it bounds the question about them.
+	maxExpired = 4096
+	// askTimeout bounds the question whether programs are retained elsewhere. It is no caller's request.
+	askTimeout = time.Second
+	// holdTime is how long records are retained beyond their time while another replica does not tell
+	// whether it retains them. A VM that is lost for longer is replaced, or its disk would fill others.
+	holdTime = 2 * time.Minute
+)
+
+// expire removes programs whose retention has ended. A program's newest records may be on other replicas
+// only: their choice changes with the roster and with each replica that is slow. The older ones are retained
+// here as long as those are, or they would be lost with the replica that has both. So the other replicas are
+// asked first.
+func (s *Server) expire(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	if now.Sub(s.importedAt) < importGrace {
+		s.mu.Unlock()
+		return
+	}
+	names := s.index.Expired(now, maxExpired)
+	r := s.roster
+	s.mu.Unlock()
+	removeAt := now
+	if _, isReplica := r.Find(s.diskID); isReplica && s.Others != nil && len(names) > 0 {
+		if !s.askOthers(ctx, r, names) {
+			removeAt = now.Add(-holdTime)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		s.index.Remove(name, removeAt)
+	}
+	s.index.ExpireAwaited(now)
+}
+
+// askOthers asks the other replicas until when they retain the programs, and retains them as long. It
+// reports whether all complete replicas have answered.
+func (s *Server) askOthers(ctx context.Context, r roster.Roster, names []string) bool {
+	ctx, stop := context.WithTimeout(ctx, askTimeout)
+	defer stop()
+	failed := make([]bool, len(r.Replicas))
+	var work sync.WaitGroup
+	for i, p := range r.Replicas {
+		if p.DiskID == s.diskID {
+			continue
+		}
+		work.Go(func() {
+			var reply RetainedReply
+			req := RetainedRequest{Target: Target{Version: r.Version, DiskID: p.DiskID}, Programs: names}
+			err := link.InvokeTyped(ctx, s.Others(p.Address), MethodRetained, req, &reply)
+			failed[i] = err != nil || reply.Refusal.Code != "" || len(reply.Until) != len(names)
+			if !failed[i] {
+				s.retain(names, reply.Until)
+			}
+		})
+	}
+	work.Wait()
+	for i, p := range r.Replicas {
+		if failed[i] && !p.Joining {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) retain(names []string, until []int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, name := range names {
+		if until[i] > 0 {
+			s.index.Retain(name, time.UnixMilli(until[i]))
+		}
+	}
+}
+
+// Retained returns until when this replica retains programs.
+func (s *Server) Retained(_ context.Context, req RetainedRequest) (reply RetainedReply, err error) {
+	if r := s.checkTarget(req.Target); r.Code != "" {
+		return RetainedReply{Refusal: r}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply.Until = make([]int64, len(req.Programs))
+	for i, name := range req.Programs {
+		if until := s.index.RetainedUntil(name); !until.IsZero() {
+			reply.Until[i] = until.UnixMilli()
+		}
+	}
+	return reply, nil
+}
--- a/internal/disk/recsrv/load.go
+++ b/internal/disk/recsrv/load.go
@@ -31,8 +31,11 @@
 
 	// meter counts requests in the metrics, and since the last report.
 	meter struct {
-		refused map[kind]tally.Counter
-		time    map[kind]tally.Timer
+		refused    map[kind]tally.Counter
+		time       map[kind]tally.Timer
+		dropped    tally.Counter // segments
+		moved      tally.Counter // records out of segments that were dropped, and their bytes
+		movedBytes tally.Counter
 
 		mu   sync.Mutex
 		load Load
@@ -46,6 +49,8 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
+	m.dropped = scope.Counter("records_segments_dropped")
+	m.moved, m.movedBytes = scope.Counter("records_moved"), scope.Counter("records_moved_bytes")
 	m.refused, m.time = map[kind]tally.Counter{}, map[kind]tally.Timer{}
 	for _, k := range kinds {
 		tagged := scope.Tagged(map[string]string{"kind": string(k)})
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	// its last write is older than the longest retention by this and ClockSlack, they
 	// are copied to the end of the log and the segment is dropped.
 	forceDropAfter = 10 * time.Second
+	// readTries is how often a chain is read while its records are moved.
+	readTries = 3
 	// maxFill is the part of the disk that records may fill.
 	maxFill = 0.85
 )
@@ -44,6 +47,7 @@
 	Capacity int64 // bytes of the disk; 0 is unbounded
 	Now      func() time.Time
 	Scope    tally.Scope // of metrics; nil for none
+	Others   Peers       // connects to the other replicas, which are asked before records expire; nil to ask none
 
 	log    seglog.Log
 	diskID string
@@ -56,6 +60,8 @@
 	maxTTL     time.Duration // longest retention of any record
 	frozen     bool          // no new records are accepted, because this VM is being retired
 	writes     int           // under way
+	importedAt time.Time     // when records of another replica came last
+	movedTo    seglog.Pos    // end of the records that Trim has moved; zero if it has moved none
 }
 
 // Open reads the log. Empty reports that the disk was empty and has got a new ID.
@@ -106,11 +112,12 @@
 
 func (s *Server) methods() map[string]link.Handler {
 	return map[string]link.Handler{
-		MethodWrite:  link.TypedHandler(s.Write),
-		MethodRead:   link.TypedHandler(s.Read),
-		MethodPull:   link.TypedHandler(s.Pull),
-		MethodImport: link.TypedHandler(s.handleImport),
-		MethodDiskID: link.TypedHandler(func(context.Context, struct{}) (string, error) { return s.diskID, nil }),
+		MethodWrite:    link.TypedHandler(s.Write),
+		MethodRead:     link.TypedHandler(s.Read),
+		MethodPull:     link.TypedHandler(s.Pull),
+		MethodImport:   link.TypedHandler(s.handleImport),
+		MethodRetained: link.TypedHandler(s.Retained),
+		MethodDiskID:   link.TypedHandler(func(context.Context, struct{}) (string, error) { return s.diskID, nil }),
 	}
 }
 
@@ -179,6 +186,19 @@
 	if r := s.checkTarget(req.Target); r.Code != "" {
 		return ReadReply{Refusal: r}, nil
 	}
+	for range readTries {
+		reply, err = s.readChain(req)
+		if !isDropped(err) { // or else moved since its position was looked up
+			break
+		}
+	}
+	return reply, err
+}
+
+// isDropped reports whether a read failed since the segment was dropped before it, or during it.
+func isDropped(err error) bool { return errors.IsAny(err, os.ErrNotExist, os.ErrClosed) }
+
+func (s *Server) readChain(req ReadRequest) (reply ReadReply, err error) {
 	s.mu.Lock()
 	positions, next := s.index.Chain(req.Turn)
 	s.mu.Unlock()
@@ -207,6 +227,7 @@
 	}
 	if len(req.Pick) > 0 {
 		reply.Records, err = s.readAt(req.Pick)
+		reply.End = s.movedEnd()
 		return reply, err
 	}
 	if req.First {
@@ -220,6 +241,10 @@
 	if err != nil {
 		return PullReply{}, err
 	}
+	// Read after the scan: a segment that it no longer found was moved before.
+	if moved := s.movedEnd(); reply.End.Before(moved) {
+		reply.End = moved
+	}
 	for _, data := range recs {
 		r, err := index.Decode(data)
 		if err != nil {
@@ -234,9 +259,21 @@
 	return reply, nil
 }
 
+// movedEnd returns the end of the records that Trim has moved.
+func (s *Server) movedEnd() seglog.Pos {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.movedTo
+}
+
+// readAt returns the records at the positions, except those that have been dropped since: what was live
+// there comes before movedEnd.
 func (s *Server) readAt(positions []seglog.Pos) (recs [][]byte, err error) {
 	for _, pos := range positions {
 		rec, err := s.log.Read(pos)
+		if isDropped(err) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -270,6 +307,7 @@
 			return err
 		}
 		s.mu.Lock()
+		s.importedAt = s.Now()
 		has := s.index.Has(r) // also true of a record that has only a fence, which need not be copied
 		s.mu.Unlock()
 		if has {
@@ -279,9 +317,7 @@
 		s.append(r, data, wait)
 		appended++
 	}
-	for range appended {
-		err = errors.CombineErrors(err, await(ctx, wait))
-	}
+	err = drain(ctx, wait, appended)
 	if indexed && appended == 0 {
 		// Nothing was appended behind the records that are indexed.
 		err = s.barrier(ctx, s.fenceVersion())
--- a/internal/disk/recsrv/wire.go
+++ b/internal/disk/recsrv/wire.go
@@ -7,11 +7,12 @@
 
 // The methods that a record server offers to other daemons.
 const (
-	MethodWrite  = "disk.write"
-	MethodRead   = "disk.read"
-	MethodPull   = "disk.pull"
-	MethodImport = "disk.fill"
-	MethodDiskID = "disk.life" // takes no parameters; returns the disk ID as a string
+	MethodWrite    = "disk.write"
+	MethodRead     = "disk.read"
+	MethodPull     = "disk.pull"
+	MethodImport   = "disk.fill"
+	MethodRetained = "disk.retained"
+	MethodDiskID   = "disk.life" // takes no parameters; returns the disk ID as a string
 )
 
 type (
@@ -62,10 +63,11 @@
 		Pick   []seglog.Pos `cbor:"4,keyasint,omitempty"`
 	}
 
-	// PullReply has the requested records, none at the end of the log. Unless they were
-	// picked, it also has their positions and the position to continue from. End is the
-	// end of the log and set in the first reply of a copy: records after it were not
-	// written under an older roster and need not be copied.
+	// PullReply has the requested records, none at the end of the log, and of those that were picked
+	// the ones that are still there. Unless they were picked, it also has their positions and the position to continue from. In the first reply
+	// of a copy, End is the end of the log: records after it were not written under an older
+	// roster and need not be copied. In others it is the end of the records that were moved from
+	// segments that are dropped, which must be copied, and zero if there are none.
 	PullReply struct {
 		Refusal   Refusal      `cbor:"1,keyasint"`
 		Records   [][]byte     `cbor:"2,keyasint,omitempty"`
@@ -85,6 +87,18 @@
 		Refusal Refusal `cbor:"1,keyasint"`
 	}
 
+	// RetainedRequest asks until when programs are retained.
+	RetainedRequest struct {
+		Target   Target   `cbor:"1,keyasint"`
+		Programs []string `cbor:"2,keyasint"`
+	}
+
+	// RetainedReply has one time for each program, in Unix milliseconds, 0 for one that the replica lacks.
+	RetainedReply struct {
+		Refusal Refusal `cbor:"1,keyasint"`
+		Until   []int64 `cbor:"2,keyasint,omitempty"`
+	}
+
 	// Refusal reports that the request was not executed, and why. The zero value means
 	// that it was executed.
 	Refusal struct {
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -115,6 +115,7 @@
 	d.started = time.Now()
 	d.joinResult = make(chan error, 1)
 	d.recsrv.Dir, d.recsrv.Capacity, d.recsrv.Scope = d.Settings.Dir, d.Settings.Capacity, d.Scope
+	d.recsrv.Others = d.peers()
 	emptyDisk, err := d.recsrv.Open()
 	if err != nil {
 		return err
