proxy, index: a turn that was taken up at another front is stored as a whole

Cause: the turn was recorded with what its last attempt had relayed. What the caller had from earlier attempts was known to no other front.

On routes that store turns and whose streams may be taken up, each event is now durable before its caller gets it, and an attempt that goes on asks for these parts with its reservation or query and records the turn with them. One that can't be recorded whole (parts are missing, the event is beyond what was recorded, it is another program's, the route allows no resumption) is refused with 503 output_unknown before it runs, so that the caller starts anew. While the records are slow, an event waits 100 ms once, and the stream goes on without.

--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -35,7 +35,8 @@
 
 	program struct {
 		charges map[string]Charge
-		runs    map[string]Run // of attempts for which anything is stated; nil for none
+		runs    map[string]Run   // of attempts for which anything is stated; nil for none
+		parts   map[partKey]part // nil for none
 		turns   []string
 		expires time.Time
 	}
@@ -51,6 +52,11 @@
 // Apply indexes a durable record at pos.
 func (ix *Index) Apply(r Record, pos seglog.Pos, now time.Time) {
 	ix.ApplyCharge(r, now)
+	if r.Part != nil {
+		p := ix.program(r.Key())
+		p.addPart(r, pos)
+		p.extend(r.expires(now))
+	}
 	if r.Turn == nil {
 		return
 	}
@@ -357,10 +363,13 @@
 			return true
 		}
 	}
-	p := ix.programs[r.Program]
+	p := ix.programs[r.Key()]
 	if p == nil {
 		return false
 	}
+	if r.Part != nil && p.parts[r.partKey()].pos == pos {
+		return true
+	}
 	_, charged := p.charges[r.Attempt]
 	_, ran := p.runs[r.Attempt]
 	return charged || ran
@@ -372,6 +381,9 @@
 	if r.Turn != nil && ix.turns[r.Attempt] == nil {
 		return false
 	}
+	if r.Part != nil && !ix.hasPart(r) {
+		return false
+	}
 	if !r.hasCharge() && !r.hasRun() {
 		return true
 	}
@@ -379,6 +391,15 @@
 	return p != nil && (!r.hasCharge() || p.hasCharge(r)) && (!r.hasRun() || p.hasRun(r.run()))
 }
 
+func (ix *Index) hasPart(r Record) bool {
+	p := ix.programs[r.Key()]
+	if p == nil {
+		return false
+	}
+	_, known := p.parts[r.partKey()]
+	return known
+}
+
 func (p *program) hasCharge(r Record) bool {
 	old, known := p.charges[r.Attempt]
 	return known && Merge(old, r.charge()) == old
--- a/internal/disk/index/record.go
+++ b/internal/disk/index/record.go
@@ -23,7 +23,9 @@
 		Upstream  string `cbor:"11,keyasint,omitempty"` // id of the upstream that ran the attempt; set with Settled
 		Session   string `cbor:"12,keyasint,omitempty"` // session that the turn belongs to
 		Run       *Run   `cbor:"13,keyasint,omitempty"` // what became of the attempt at upstreams; nil for nothing
+		Part      *Part  `cbor:"14,keyasint,omitempty"` // of the attempt's output; nil for none
 		Budget    int    `cbor:"-"`                     // tokens of the program's budget, with Reserved; 0 for none. Not stored
+		AskParts  bool   `cbor:"-"`                     // with Run: the parts of the request's streams are asked for, and those of Run.First. Not stored
 	}
 
 	// Turn is the content that a turn adds to its chain. Its id is the attempt's.
@@ -50,7 +52,7 @@
 
 // IsQuery reports whether the record states nothing: it only asks for the runs of a request.
 func (r Record) IsQuery() bool {
-	return !r.Reserved && !r.Settled && r.Turn == nil && r.Fence == 0 && r.Run != nil && r.Run.isEmpty()
+	return !r.Reserved && !r.Settled && r.Turn == nil && r.Part == nil && r.Fence == 0 && r.Run != nil && r.Run.isEmpty()
 }
 
 // Encode returns the record as CBOR.
@@ -68,13 +70,18 @@
 	return r.Attempt
 }
 
-// WithoutContent returns the record without the input and output of its turn.
+// WithoutContent returns the record without the input and output of its turn, and the data of its part.
 func (r Record) WithoutContent() Record {
 	if r.Turn != nil {
 		t := *r.Turn
 		t.Input, t.Output = nil, nil
 		r.Turn = &t
 	}
+	if r.Part != nil {
+		p := *r.Part
+		p.Data = nil
+		r.Part = &p
+	}
 	return r
 }
 
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -76,6 +76,7 @@
 	Result struct {
 		Charges []index.Charge // of a reservation's program, merged from the replicas that had answered
 		Runs    []index.Run    // of the request of a record with a run, merged likewise
+		Parts   []index.Part   // likewise, if they were asked for; in no order
 	}
 
 	// refusals are the reasons for which replicas refused the requests of one attempt.
--- a/internal/disk/quorum/runs_test.go
+++ b/internal/disk/quorum/runs_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -8,6 +9,45 @@
 	"github.com/slaterock/slaterock/internal/disk/index"
 )
 
+// Guards against a stream whose caller takes it up again and that is refused, although its events are
+// recorded: they are on different replicas, one of which was replaced.
+func TestPartsOnDifferentReplicas(t *testing.T) {
+	is := is.New(t)
+	cl := newCluster(t, 3, 1)
+	c := cl.client()
+	for n := range 6 {
+		down := cl.current().Replicas[n%3].Address
+		cl.set(cl.down, down, true)
+		rec := index.Record{Program: "p", Attempt: "a", TTL: 60_000, Part: &index.Part{Stream: "a", Request: 7, Seq: n, EventID: fmt.Sprint(n), Data: []byte("x")}}
+		_, err := c.Write(t.Context(), rec)
+		is.NoErr(err)
+		cl.set(cl.down, down, false)
+	}
+	cl.set(cl.down, "n1", true)
+	is.NoErr(cl.replace(0, cl.add()))
+	cl.set(cl.down, "n2", true)
+	cases := map[string]struct {
+		program, first string
+		request        uint64
+		whole          bool
+	}{
+		"by the first attempt": {"p", "a", 9, true},
+		"by the request":       {"p", "", 7, true},
+		"another request":      {"p", "b", 9, false},
+		"another program":      {"q", "a", 7, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			res, err := cl.client().Write(t.Context(), index.Record{Program: tc.program, Attempt: "b", AskParts: true, Run: &index.Run{Request: tc.request, First: tc.first}})
+			is.NoErr(err)
+			output, _, ok := index.OutputUpTo(res.Parts, "a", "5")
+			is.Equal(ok, tc.whole)
+			is.True(!ok || string(output) == "xxxxxx")
+		})
+	}
+}
+
 // Guards against a front that does not learn under which upstreams other fronts' attempts of a request ended, whatever happened to a replica since.
 func TestRunsAreKnownToAllFronts(t *testing.T) {
 	cases := map[string]func(cl *cluster){
--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -26,10 +26,17 @@
 	complete int                     // those of them that are not joining
 	charges  map[string]index.Charge // by attempt, merged from their answers
 	runs     map[string]index.Run    // likewise
+	parts    map[partOf]index.Part   // likewise
 	maybe    bool                    // some replica may have the record although it did not say so
 	seen     refusals                // in the last attempt
 }
 
+// partOf identifies a part: replicas have the same ones.
+type partOf struct {
+	attempt string
+	seq     int
+}
+
 // try asks the replicas that lack the record until enough have it, or can't have it.
 func (w *recordWrite) try(ctx context.Context) error {
 	r := w.client.Roster()
@@ -73,6 +80,7 @@
 	w.maybe = w.maybe || len(w.written) > 0
 	w.version, w.complete = r.Version, 0
 	w.written, w.charges, w.runs = map[string]bool{}, map[string]index.Charge{}, map[string]index.Run{}
+	w.parts = map[partOf]index.Part{}
 }
 
 // enough reports whether the record is durable and may be. A reservation, or a record with a run, also
@@ -98,6 +106,9 @@
 	for _, run := range got.write.Runs {
 		w.runs[run.Attempt] = index.MergeRuns(w.runs[run.Attempt], run)
 	}
+	for _, part := range got.write.Parts {
+		w.parts[partOf{part.Attempt, part.Seq}] = part
+	}
 	return true
 }
 
@@ -129,6 +140,9 @@
 	for _, run := range w.runs {
 		res.Runs = append(res.Runs, run)
 	}
+	for _, part := range w.parts {
+		res.Parts = append(res.Parts, part)
+	}
 	return res
 }
 
@@ -137,7 +151,7 @@
 func (c *Client) writeTo(ctx context.Context, version uint64, p roster.Replica, rec index.Record, replies chan<- reply) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), replicaTimeout)
 	defer stop()
-	req := recsrv.WriteRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Record: rec, Budget: rec.Budget}
+	req := recsrv.WriteRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Record: rec, Budget: rec.Budget, Parts: rec.AskParts}
 	out := reply{replica: p}
 	began := time.Now()
 	out.err = link.InvokeTyped(ctx, c.Peer(p.Address), recsrv.MethodWrite, req, &out.write)
--- a/internal/disk/recsrv/trim_test.go
+++ b/internal/disk/recsrv/trim_test.go
@@ -50,6 +50,27 @@
 	return r
 }
 
+// partRecord is the record of event n of the stream that begins with a program's first turn.
+func partRecord(program string, n int) index.Record {
+	r := chainRecord(program, 0)
+	r.Turn, r.Settled, r.Spent = nil, false, 0
+	r.Part = &index.Part{Stream: r.Attempt, Seq: n, EventID: fmt.Sprint(n), Data: []byte("event\n")}
+	return r
+}
+
+// checkParts checks that a program's parts can be read up to part n.
+func checkParts(t *testing.T, s *Server, program string, n int) {
+	t.Helper()
+	is := is.New(t)
+	stream := program + "-0"
+	query := WriteRequest{Target: Target{Version: s.fenceVersion()}, Parts: true, Record: index.Record{Program: program, Run: &index.Run{First: stream}}}
+	reply, err := s.Write(t.Context(), query)
+	is.NoErr(err)
+	output, _, ok := index.OutputUpTo(reply.Parts, stream, fmt.Sprint(n))
+	is.True(ok)
+	is.Equal(len(output), (n+1)*len("event\n"))
+}
+
 func write(t *testing.T, s *Server, r index.Record) {
 	t.Helper()
 	reply, err := s.Write(t.Context(), WriteRequest{Target: Target{Version: s.fenceVersion()}, Record: r})
@@ -128,6 +149,7 @@
 				for n := range testTurns {
 					write(t, s, chainRecord("a", n))
 					write(t, s, chainRecord("b", n))
+					write(t, s, partRecord("b", n))
 					s = c.between(t, s, n)
 					pass(t, s, testEvery)
 					checkChain(t, s, "a", n)
@@ -136,6 +158,7 @@
 				is.NoErr(s.Trim(t.Context()))
 				checkChain(t, s, "a", testTurns-1)
 				checkChain(t, s, "b", testTurns-1)
+				checkParts(t, s, "b", testTurns-1)
 				is.Equal(s.fenceVersion(), uint64(7))
 
 				// Once nobody goes on, all of it leaves the disk.
--- a/internal/disk/recsrv/wire.go
+++ b/internal/disk/recsrv/wire.go
@@ -28,14 +28,17 @@
 		Target Target       `cbor:"1,keyasint"`
 		Record index.Record `cbor:"2,keyasint"`
 		Budget int          `cbor:"3,keyasint,omitempty"` // of the program, with a reservation; 0 for none
+		Parts  bool         `cbor:"4,keyasint,omitempty"` // see AskParts of index.Record
 	}
 
 	// WriteReply has the charges of the program's attempts, this record's included, if the
-	// record is a reservation, and the runs of its request if it has one.
+	// record is a reservation, and the runs of its request if it has one, with the parts if
+	// they are asked for.
 	WriteReply struct {
 		Refusal Refusal        `cbor:"1,keyasint"`
 		Charges []index.Charge `cbor:"2,keyasint,omitempty"`
 		Runs    []index.Run    `cbor:"3,keyasint,omitempty"`
+		Parts   []index.Part   `cbor:"4,keyasint,omitempty"`
 	}
 
 	// ReadRequest asks for a turn and the previous ones.
--- a/internal/disk/recsrv/write.go
+++ b/internal/disk/recsrv/write.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/seglog"
 )
@@ -21,8 +23,9 @@
 	if req.Record.IsQuery() {
 		if reply.Refusal = s.checkTarget(req.Target); reply.Refusal.Code == "" {
 			reply.Runs = s.runs(req.Record)
+			reply.Parts, err = s.parts(req)
 		}
-		return reply, nil
+		return reply, err
 	}
 	data, err := req.Record.Encode()
 	if err != nil {
@@ -35,6 +38,7 @@
 	err = await(ctx, done)
 	if err == nil && req.Record.Run != nil {
 		reply.Runs = s.runs(req.Record)
+		reply.Parts, err = s.parts(req)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,6 +56,39 @@
 	return s.index.Runs(r.Program, r.Run.Request, r.Run.First)
 }
 
+// parts returns the parts that a request asks for.
+func (s *Server) parts(req WriteRequest) (list []index.Part, err error) {
+	if !req.Parts {
+		return nil, nil
+	}
+	r := req.Record
+	for range readTries {
+		s.mu.Lock()
+		positions := s.index.Parts(r.Program, r.Run.Request, r.Run.First)
+		s.mu.Unlock()
+		if list, err = s.partsAt(positions); !isDropped(err) {
+			break
+		}
+	}
+	return list, err
+}
+
+func (s *Server) partsAt(positions []seglog.Pos) (list []index.Part, err error) {
+	for _, pos := range positions {
+		data, err := s.log.Read(pos)
+		if err != nil {
+			return nil, err
+		}
+		r, err := index.Decode(data)
+		if err != nil || r.Part == nil {
+			return nil, errors.CombineErrors(errors.New("record has no part"), err)
+		}
+		r.Part.Attempt = r.Attempt
+		list = append(list, *r.Part)
+	}
+	return list, nil
+}
+
 // appendIfAllowed appends a record unless it must be refused. The checks and the append
 // are atomic. Otherwise the start of a copy of this disk, or Freeze, could come between
 // them: the record would be acknowledged here but missing from the copy, and so be on no
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -135,7 +135,7 @@
 	up, ok = q.e.Picker.Choose(time.Now(), *c)
 	if ok && q.homed && !q.asked && q.mayHaveEnded() {
 		limited, stop := context.WithTimeout(ctx, askTimeout)
-		q.queryRuns(limited, "")
+		q.queryRuns(limited, "", false)
 		stop()
 		q.e.done(up.ID)
 		c.Among, c.Confined = q.confined()
@@ -154,7 +154,7 @@
 // leaveHome reports whether other upstreams than those that Endpoint.Home names may run the request.
 func (q *request) leaveHome(ctx context.Context) bool {
 	if !q.asked {
-		q.queryRuns(ctx, "")
+		q.queryRuns(ctx, "", false)
 	}
 	if !q.asked || !q.seen.MayRun(q.listed) {
 		return false
@@ -285,19 +285,20 @@
 }
 
 // queryRuns takes over and returns what is recorded of the request's earlier attempts, and returns that of
-// the attempt first. Nothing is known of them if the records can't be read.
-func (q *request) queryRuns(ctx context.Context, first string) []index.Run {
+// the attempt first, with the parts of their streams if they are asked for. Nothing is known of them if the
+// records can't be read.
+func (q *request) queryRuns(ctx context.Context, first string, parts bool) quorum.Result {
 	ctx, stop := context.WithTimeout(ctx, runsTimeout)
 	defer stop()
 	rec := q.runsRecord()
-	rec.Run.First = first
+	rec.Run.First, rec.AskParts = first, parts
 	res, err := q.e.Records.Write(ctx, rec)
 	if err != nil {
-		return nil
+		return quorum.Result{}
 	}
 	q.asked = true
 	q.see(res.Runs)
-	return res.Runs
+	return res
 }
 
 // runsRecord returns a record of this attempt that states nothing of its runs yet.
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -69,12 +69,20 @@
 		shares map[string]index.Charge
 		turns  map[string]index.Turn
 		runs   index.Index
+		parts  []partOf
 
 		delay        time.Duration // of a write
 		failVersions bool          // of the records that only state a version
+		failParts    bool          // of the records with a part
 		failRuns     bool          // of the records that are no reservation and no settlement
 	}
 
+	// partOf is a part with its program.
+	partOf struct {
+		program string
+		index.Part
+	}
+
 	testEnv struct {
 		others    []*testEnv // other fronts
 		e         *Endpoint
@@ -92,6 +100,7 @@
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Attempts: 1, Turns: true, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "resume", Host: "h", Prefix: "/resume/", Kind: route.Stream, Attempts: 1, Turns: true, Resume: true, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "keep", Host: "h", Prefix: "/keep/", Kind: route.Stream, Attempts: 1, Turns: true, StoreTurns: true, RetainFor: time.Minute, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "both", Host: "h", Prefix: "/both/", Kind: route.Stream, Attempts: 1, Turns: true, StoreTurns: true, RetainFor: time.Minute, Resume: true, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "open", Host: "h", Prefix: "/open/", Kind: route.Safe, Attempts: 1, Open: true, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "nowhere", Host: "h", Prefix: "/nowhere/", Kind: route.Safe, Attempts: 1, Backends: []route.Backend{{Service: "none"}}},
 }
@@ -147,7 +156,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.down || r.failVersions && !rec.Reserved && rec.Run != nil || r.failRuns && !rec.Reserved && !rec.Settled && !rec.IsQuery() {
+	if r.down || r.failParts && rec.Part != nil || r.failVersions && !rec.Reserved && rec.Run != nil || r.failRuns && !rec.Reserved && !rec.Settled && !rec.IsQuery() {
 		return res, quorum.ErrNoQuorum
 	}
 	var b index.Index
@@ -161,6 +170,18 @@
 	for _, s := range r.shares {
 		res.Charges = append(res.Charges, s)
 	}
+	if rec.Part != nil {
+		part := *rec.Part
+		part.Attempt = rec.Attempt
+		r.parts = append(r.parts, partOf{rec.Program, part})
+	}
+	if rec.AskParts {
+		for _, p := range r.parts {
+			if p.program == rec.Program && (p.Request == rec.Run.Request || p.Stream == rec.Run.First) {
+				res.Parts = append(res.Parts, p.Part)
+			}
+		}
+	}
 	if rec.Run != nil {
 		r.runs.ApplyCharge(rec, time.Now())
 		res.Runs = r.runs.Runs(rec.Program, rec.Run.Request, rec.Run.First)
@@ -174,6 +195,12 @@
 	r.down = down
 }
 
+func (r *fakeRecords) setFailParts(fail bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failParts = fail
+}
+
 // forgetSettled forgets what fronts record when an attempt has ended, as if they had lost their power before.
 func (r *fakeRecords) forgetSettled() {
 	r.mu.Lock()
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -98,12 +98,12 @@
 func (t *turn) reserve(ctx context.Context) bool {
 	if !t.HasTokenBudget || t.Program == "" {
 		t.homed = true
-		runs := t.queryRuns(ctx, t.scopedID(t.FirstAttempt))
-		return t.mayRun() && t.findVersion(ctx, runs)
+		res := t.queryRuns(ctx, t.scopedID(t.FirstAttempt), t.takesUp())
+		return t.mayRun() && t.findVersion(ctx, res.Runs) && t.findBeginning(res)
 	}
 	rec := t.newRecord()
 	rec.Reserved, rec.MaxTokens, rec.Budget = true, t.maxTokens(), t.TokenBudget
-	rec.Run = &index.Run{Request: t.key()}
+	rec.Run, rec.AskParts = &index.Run{Request: t.key()}, t.takesUp()
 	t.stateVersion(rec.Run)
 	res, err := t.e.Records.Write(ctx, rec)
 	t.reserved = !errors.Is(err, quorum.ErrNotWritten)
@@ -129,7 +129,7 @@
 	}
 	t.otherOpen = index.HasOpenAttempt(res.Charges, t.key(), rec.Attempt, res.Runs)
 	t.see(res.Runs)
-	return t.mayRun() && t.findVersion(ctx, res.Runs)
+	return t.mayRun() && t.findVersion(ctx, res.Runs) && t.findBeginning(res)
 }
 
 // mayRun reports whether the turn may be sent to an upstream. Otherwise it has sent an error
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -40,10 +40,11 @@
 	running          bool      // counted as in flight at engines
 	programBegun     bool      // a turn of the program has run, or may have
 	programStart     time.Time // arrival of the program's first attempt
-	output           []byte    // data of the events so far, if the route keeps turns
+	output           []byte    // data of the events so far, of earlier attempts too, if the route keeps turns
 	lastEventID      string    // id of the last event sent to the caller
 	headerSent       bool      // the response header was sent to the caller
 	version          streamVersion
+	parts            streamParts
 	flush            func() error
 }
 
@@ -300,6 +301,7 @@
 			return err
 		}
 		t.output = append(append(t.output, e.Data...), '\n')
+		t.recordPart(ctx, e)
 	}
 	if e.ID != "" {
 		t.lastEventID = e.ID
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -163,6 +163,7 @@
 		"routes": []any{
 			route("turn", "streaming", "model", map[string]any{"max-attempts": 1, "retain": true, "retention-s": 60.0}),
 			route("resume", "streaming", "model", map[string]any{"max-attempts": 1, "can-resume": true, "retain": false, "retention-s": 60.0}),
+			route("stored", "streaming", "model", map[string]any{"max-attempts": 1, "can-resume": true, "retain": true, "retention-s": 60.0}),
 			route("safe", "safe", "plain", nil),
 			route("unsafe", "unsafe", "plain", nil),
 		},
--- a/internal/play/chaos/caller.go
+++ b/internal/play/chaos/caller.go
@@ -26,6 +26,7 @@
 
 	turnPath   = "/turn/"
 	resumePath = "/resume/"
+	storedPath = "/stored/" // its streams may be taken up, and its turns are stored
 )
 
 type (
--- a/internal/play/chaos/streams.go
+++ b/internal/play/chaos/streams.go
@@ -19,9 +19,10 @@
 )
 
 // stream reads one stream, which it takes up again at another front after each interruption, and
-// verifies that it is one stream of one version.
+// verifies that it is one stream of one version. A whole one is continued by another turn, for which
+// its output must have been stored as a whole.
 func (c *caller) stream(ctx context.Context, name string) {
-	var events, version, first string
+	var events, version, first, whole string
 	next := 1
 	for try := range streamAttempts {
 		id := fmt.Sprintf("%s-s%d", name, try)
@@ -32,7 +33,7 @@
 			h.Set("Resumes", first)
 		}
 		c.front = -1
-		status, body, err := c.send(ctx, fmt.Sprintf("%sx?events=%d", resumePath, turnEvents), id, h, []byte(name))
+		status, body, err := c.send(ctx, fmt.Sprintf("%sx?events=%d", storedPath, turnEvents), id, h, []byte(name))
 		complete := status == http.StatusOK && err == nil
 		c.s.observed.record(ctx, id, observed{status: status, idempotent: true, err: err}, complete)
 		if status == http.StatusOK && len(body) > 0 {
@@ -47,6 +48,9 @@
 			c.s.observed.countStream(false)
 		}
 		next = strings.Count(events, "\n\n") + 1
+		if complete {
+			whole = id
+		}
 		if complete || ctx.Err() != nil {
 			break
 		}
@@ -59,6 +63,28 @@
 	if events != want {
 		c.s.observed.addViolation("%s: parts of two streams or versions: %.400q", name, events)
 	}
+	if whole != "" {
+		c.continueStream(ctx, name, whole, next-1)
+	}
+}
+
+// continueStream sends the turn that continues a whole stream of n events.
+func (c *caller) continueStream(ctx context.Context, name, previous string, n int) {
+	id := name + "-n"
+	input := []byte("after " + name)
+	body := []byte(name)
+	for i := 1; i <= n; i++ {
+		body = append(append(body, upstrm.EventData(name, i)...), '\n')
+	}
+	h := turnHeader(name)
+	h.Set(upstrm.Stream, id)
+	h.Set("Previous-Turn", previous)
+	h.Set(upstrm.ExpectBody, upstrm.Digest(append(body, input...)))
+	status, _, err := c.send(ctx, fmt.Sprintf("%sx?events=%d", storedPath, turnEvents), id, h, input)
+	if status == http.StatusNotFound {
+		c.s.observed.addViolation("%s: no such turn as %s, which was answered whole", id, previous)
+	}
+	c.s.observed.record(ctx, id, observed{status: status, idempotent: true, err: err}, status == http.StatusOK && err == nil)
 }
 
 func turnHeader(program string) http.Header {
