frontd: fronts that are silent are checked under a lock

The race detector reported silentPeers.check in the soak: the loop that reads the store calls it, and so does a request that has the store read at once. Two writes of its map at a time would end the front.

Before: TestSilentPeersAreCheckedConcurrently reports the race. After: it passes.

--- a/internal/node/frontd/silent.go
+++ b/internal/node/frontd/silent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
@@ -26,6 +27,7 @@
 
 // silentPeers tracks since when listed fronts have been silent. The zero value is ready for use.
 type silentPeers struct {
+	mu        sync.Mutex // the loop that reads the store checks, and so does a request that reads it at once
 	since     map[string]time.Time
 	checkedAt time.Time
 }
@@ -33,6 +35,8 @@
 // check returns a front that has been silent for lostAfter, if there is one. A front that
 // hears from less than half of the others is partitioned itself and starts over.
 func (s *silentPeers) check(now time.Time, others []fleet.Entry, p mesh.Summary) (node string, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if now.Sub(s.checkedAt) > maxCheckGap {
 		s.since = nil
 	}
--- a/internal/node/frontd/silent_test.go
+++ b/internal/node/frontd/silent_test.go
@@ -1,6 +1,7 @@
 package frontd
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,26 @@
 	"github.com/slaterock/slaterock/internal/front/mesh"
 )
 
+// Guards against checks at the same time, by the loop that reads the store and by a request that reads it at once.
+func TestSilentPeersAreCheckedConcurrently(t *testing.T) {
+	var s silentPeers
+	listed := []fleet.Entry{{Node: "a"}, {Node: "b"}, {Node: "c"}}
+	p := mesh.Summary{Alive: map[mesh.ID]mesh.Status{mesh.IDOf("a"): 0, mesh.IDOf("b"): 0}, Fronts: 3}
+	now := time.Unix(1000, 0)
+	var work sync.WaitGroup
+	for range 4 {
+		work.Go(func() {
+			for i := range 100 {
+				s.check(now.Add(time.Duration(i)*time.Millisecond), listed, p)
+			}
+		})
+	}
+	work.Wait()
+	node, found := s.check(now.Add(time.Second), listed, p)
+	is.New(t).True(!found)
+	is.New(t).Equal(node, "")
+}
+
 // A VM is lost permanently and its key stays in the store. If the key were never removed,
 // datagrams would be sent there forever. A VM that hears from less than half of the others is
 // partitioned itself and must not remove any key.
