proxy: a success without its upstream's signature is no answer

Such a response now counts like one that is cut off: a safe request is sent on within its attempts, others end with 502 and are not told "not run". Failures and refusals stay as they are.

Cost: one comparison.

--- a/internal/front/proxy/extra_test.go
+++ b/internal/front/proxy/extra_test.go
@@ -76,6 +76,43 @@
 	}
 }
 
+// Guards against a success that its upstream did not sign and that reaches the caller, and against a failure
+// that does not because of it.
+func TestUnsignedResponses(t *testing.T) {
+	unsigned := func(response string) string { return strings.Replace(response, "\r\n", "\r\nUnsigned: 1\r\n", 1) }
+	cases := map[string]struct {
+		path, first, second string
+		status              int
+		body                string
+		sends               [2]int
+	}{
+		"safe":                  {"/safe/", unsigned(ok), ok, 200, "good", [2]int{1, 1}},
+		"safe, both":            {"/safe/", unsigned(ok), unsigned(ok), 502, "answer_lost", [2]int{1, 1}},
+		"unsafe":                {"/unsafe/", unsigned(ok), ok, 502, `"ran":"unknown"`, [2]int{1, 0}},
+		"unsafe, other success": {"/unsafe/", unsigned("HTTP/1.1 204 No Content\r\nId: ID\r\n\r\n"), ok, 502, `"ran":"unknown"`, [2]int{1, 0}},
+		"stream":                {"/stream/", unsigned(completeStream), completeStream, 502, `"ran":"unknown"`, [2]int{1, 0}},
+		"stored stream":         {"/keep/", unsigned(completeStream), completeStream, 502, `"ran":"unknown"`, [2]int{1, 0}},
+		"failure":               {"/unsafe/", unsigned(upstream500), ok, 500, "bad", [2]int{1, 0}},
+		"refusal":               {"/unsafe/", unsigned(full), ok, 200, "good", [2]int{1, 1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{c.first}, []string{c.second})
+				env.setLoad("up2", 2) // so that up1 is tried first
+				rec, aborted := env.do(t.Context(), c.path, nil, "")
+				is.True(!aborted)
+				is.Equal(rec.Code, c.status)
+				is.True(strings.Contains(rec.Body.String(), c.body))
+				is.Equal(rec.Header().Get("Again"), "")
+				is.Equal([2]int{len(env.upstreams["up1"].requests()), len(env.upstreams["up2"].requests())}, c.sends)
+				env.close()
+			})
+		})
+	}
+}
+
 // Guards against a second copy of a refusal that is taken for the refusal of the next send of the same
 // request to the same upstream, which runs it.
 func TestCopyOfRefusalBeforeNextSend(t *testing.T) {
--- a/internal/front/proxy/receive.go
+++ b/internal/front/proxy/receive.go
@@ -19,11 +19,12 @@
 
 var (
 	errNoRequest    = errors.New("response names no request")
+	errUnsigned     = errors.New("success bears no signature of the upstream")
 	errWrongRequest = errors.New("responses belong to other requests")
 )
 
 // receive reads the header of the response to the request, which is the only one that tells anything
-// about it. A faulty upstream may send a response once more where the next one on the connection is due:
+// about it, a success only if it is signed. A faulty upstream may send a response once more where the next one on the connection is due:
 // responses to other requests are discarded, whatever they state. If the request's own one does not
 // follow, the request may have run.
 func (q *request) receive(s *exchange) (err error) {
@@ -43,6 +44,9 @@
 		s.info = q.e.Dialect.ResponseInfo(s.resp.StatusCode, s.resp.Header)
 		switch s.info.Request {
 		case q.ID:
+			if isSuccess(s.resp.StatusCode) && !s.info.Signed {
+				return errUnsigned
+			}
 			return nil
 		case "":
 			return errNoRequest
@@ -59,3 +63,5 @@
 	}
 	return errWrongRequest
 }
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
