roster, recsrv: the successor of a VM that is being retired copies from it

The retired VM had all records and counted for nothing.

Now the roster names the retired VM as the source of its successor, if it was complete. Its records up to the moment in which it refuses older rosters, and what the successor got since, are what a replica in that place would have, so the successor is complete with it alone. It asks the others only if that VM does not answer. Within the losses to be borne, at most one replica joins without a source.

--- a/internal/disk/recsrv/copy.go
+++ b/internal/disk/recsrv/copy.go
@@ -20,6 +20,8 @@
 	pageTimeout    = 2 * time.Second
 	pageAttempts   = 3
 	pageRetryPause = 100 * time.Millisecond
+	// sourceTimeout bounds the question whether the VM that this one takes over from answers.
+	sourceTimeout = 500 * time.Millisecond
 	// sourceWait is how long a joining replica waits for sources that do not answer, since
 	// it last copied from one: longer than VMs take to restart. It tries them again after
 	// each sourceRetryPause.
@@ -56,10 +58,14 @@
 // records are fetched in full.
 //
 // A joining replica waits for sources that do not answer yet: a copy that starts over asks
-// all of them again.
+// all of them again. One that takes over from a VM that is being retired copies from that one,
+// which serves no callers any more, and from the others only if it does not answer.
 func (s *Server) CatchUp(ctx context.Context, r roster.Roster, peers Peers) (err error) {
 	defer func() { err = errors.Wrap(err, "catch up") }()
 	self, _ := r.Find(s.diskID)
+	if s.copyFromSource(ctx, r, self, peers) {
+		return s.barrier(ctx, r.Version)
+	}
 	c := copying{roster: r, peers: peers, sources: s.sources(r)}
 	for progress := time.Now(); ; {
 		before := c.copied
@@ -82,6 +88,22 @@
 	}
 }
 
+// copyFromSource copies from the VM that this joining replica takes over from, and reports whether it has
+// all records of that one. It refuses writes under older rosters from then on.
+func (s *Server) copyFromSource(ctx context.Context, r roster.Roster, self roster.Replica, peers Peers) bool {
+	if !self.Joining || self.Source.DiskID == "" {
+		return false
+	}
+	peer := peers(self.Source.Address)
+	limited, stop := context.WithTimeout(ctx, sourceTimeout)
+	defer stop()
+	var diskID string // one that does not answer would cost the time of three pages
+	if err := link.InvokeTyped(limited, peer, MethodDiskID, struct{}{}, &diskID); err != nil || diskID != self.Source.DiskID {
+		return false
+	}
+	return s.copyFrom(ctx, r.Version, roster.Replica{Node: self.Source.Node, DiskID: diskID}, peer) == nil
+}
+
 // isStale reports whether this server has seen a newer roster.
 func (s *Server) isStale(r roster.Roster) bool {
 	s.mu.Lock()
--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -52,6 +52,16 @@
 		Domain  string `json:"domain"`
 		DiskID  string `json:"life"`
 		Joining bool   `json:"joining,omitempty"` // has not copied all records yet
+		// Source is the complete replica that this one takes over from while that is being retired. Its
+		// records, and what this one got since, are a complete replica's. Zero for none, and once joined.
+		Source Source `json:"source,omitzero"`
+	}
+
+	// Source is a VM that is no replica any more and still has a replica's records.
+	Source struct {
+		Node    string `json:"node"`
+		Address string `json:"address"`
+		DiskID  string `json:"life"`
 	}
 
 	// Member is a running VM with a disk, as listed in the store.
@@ -161,7 +171,7 @@
 	next := r.copy()
 	for i := range next.Replicas {
 		if next.Replicas[i].DiskID == diskID {
-			next.Replicas[i].Joining = false
+			next.Replicas[i].Joining, next.Replicas[i].Source = false, Source{}
 		}
 	}
 	return next
@@ -184,7 +194,8 @@
 // claimant, in place of a VM that is retiring or has been missing for minMissing.
 // MissingSince has the time since which a node has not been listed. While another replica
 // is joining, no retiring or missing VM is replaced: two replacements at once could leave
-// too few complete replicas.
+// too few complete replicas. A disk that was lost meanwhile may join beside the successor of
+// a retiring VM, which needs no other replica: it copies from that VM.
 func (r Roster) Claim(now time.Time, self Member, members []Member, missingSince map[string]time.Time, minMissing time.Duration) (Roster, bool) {
 	if _, in := r.Find(self.DiskID); in || self.Retiring {
 		return Roster{}, false
@@ -210,7 +221,11 @@
 			if r.otherJoining(i) {
 				return Roster{}, false
 			}
-			return r.withReplica(i, self), true
+			next := r.withReplica(i, self)
+			if retiring[p.DiskID] && !p.Joining {
+				next.Replicas[i].Source = Source{Node: p.Node, Address: p.Address, DiskID: p.DiskID}
+			}
+			return next, true
 		}
 	}
 	return Roster{}, false
