roster: a joining replica is not replaced for being retired

Now a replica that joins is not replaced for being retired. It completes from its source first, and is the source of its own successor then.

--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -195,7 +195,8 @@
 // MissingSince has the time since which a node has not been listed. While another replica
 // is joining, no retiring or missing VM is replaced: two replacements at once could leave
 // too few complete replicas. A disk that was lost meanwhile may join beside the successor of
-// a retiring VM, which needs no other replica: it copies from that VM.
+// a retiring VM, which needs no other replica: it copies from that VM. A replica that is
+// joining is not replaced for being retired: its successor would have no source.
 func (r Roster) Claim(now time.Time, self Member, members []Member, missingSince map[string]time.Time, minMissing time.Duration) (Roster, bool) {
 	if _, in := r.Find(self.DiskID); in || self.Retiring {
 		return Roster{}, false
@@ -217,12 +218,13 @@
 	}
 	for i, p := range r.Replicas {
 		since, gone := missingSince[p.Node]
-		if gone && now.Sub(since) >= minMissing || retiring[p.DiskID] {
+		leaves := retiring[p.DiskID] && !p.Joining // one that joins is to be complete first, as a source
+		if gone && now.Sub(since) >= minMissing || leaves {
 			if r.otherJoining(i) {
 				return Roster{}, false
 			}
 			next := r.withReplica(i, self)
-			if retiring[p.DiskID] && !p.Joining {
+			if leaves {
 				next.Replicas[i].Source = Source{Node: p.Node, Address: p.Address, DiskID: p.DiskID}
 			}
 			return next, true
