recsrv: a replica that does not know the roster holds what it would forget

Found on reading: a replica that restarts while the store is away does not know whom to ask, and forgot the older turns of programs that go on elsewhere. It holds them for two minutes more now, as while another replica does not answer. The case "restarted, store is away" of TestExpiryAsksOtherReplicas fails without it.

--- a/internal/disk/recsrv/expire.go
+++ b/internal/disk/recsrv/expire.go
@@ -33,10 +33,8 @@
 	r := s.roster
 	s.mu.Unlock()
 	removeAt := now
-	if _, isReplica := r.Find(s.diskID); isReplica && s.Others != nil && len(names) > 0 {
-		if !s.askOthers(ctx, r, names) {
-			removeAt = now.Add(-holdTime)
-		}
+	if len(names) > 0 && !s.mayForget(ctx, r, names) {
+		removeAt = now.Add(-holdTime)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -46,6 +44,19 @@
 	s.index.ExpireAwaited(now)
 }
 
+// mayForget reports whether it is known which of the programs other replicas retain. After a restart while the
+// store is away, it is not known which these are.
+func (s *Server) mayForget(ctx context.Context, r roster.Roster, names []string) bool {
+	if s.Others == nil {
+		return true
+	}
+	if r.Version == 0 {
+		return false
+	}
+	_, isReplica := r.Find(s.diskID)
+	return !isReplica || s.askOthers(ctx, r, names)
+}
+
 // askOthers asks the other replicas until when they retain the programs, and retains them as long. It
 // reports whether all complete replicas have answered.
 func (s *Server) askOthers(ctx context.Context, r roster.Roster, names []string) bool {
--- a/internal/disk/recsrv/expire_test.go
+++ b/internal/disk/recsrv/expire_test.go
@@ -26,12 +26,14 @@
 	cases := map[string]struct {
 		goesOn  time.Duration // for how long the other replica gets turns of the program
 		answers bool
+		unknown bool          // the roster is not known here
 		until   time.Duration // when the records expire here, from the first one
 	}{
-		"ended everywhere":         {0, true, ends},
-		"goes on elsewhere":        {36 * TrimInterval, true, 36*TrimInterval + ends},
-		"other replica is away":    {0, false, ends + holdTime},
-		"goes on, replica is away": {36 * TrimInterval, false, ends + holdTime},
+		"ended everywhere":         {0, true, false, ends},
+		"goes on elsewhere":        {36 * TrimInterval, true, false, 36*TrimInterval + ends},
+		"other replica is away":    {0, false, false, ends + holdTime},
+		"restarted, store is away": {0, true, true, ends + holdTime},
+		"goes on, replica is away": {36 * TrimInterval, false, false, ends + holdTime},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -40,7 +42,9 @@
 				here, other := openServer(t, t.TempDir(), 0), openServer(t, t.TempDir(), 0)
 				defer func() { _, _ = here.Close(), other.Close() }()
 				r := roster.Roster{Version: 1, Replicas: []roster.Replica{{Address: "here", DiskID: here.DiskID()}, {Address: "other", DiskID: other.DiskID()}}}
-				here.Learn(r)
+				if !c.unknown {
+					here.Learn(r)
+				}
 				here.Others = func(string) link.Invoker {
 					if !c.answers {
 						return unreachable{}
