--- /dev/null
+++ b/internal/disk/index/expire.go
@@ -0,0 +1,103 @@
+package index
+
+import "time"
+
+// expires returns when the record's retention ends. It counts from the time in the record,
+// not from now: all records are read again after a restart, which must not extend their
+// retention.
+func (r Record) expires(now time.Time) time.Time {
+	at := now
+	if r.At > 0 && r.At < now.UnixMilli() {
+		at = time.UnixMilli(r.At)
+	}
+	return at.Add(time.Duration(r.TTL)*time.Millisecond + ClockSlack)
+}
+
+// extendChain extends the retention of a turn and of those before it in its chain, with their programs.
+func (ix *Index) extendChain(id string, until time.Time) {
+	for range MaxChain {
+		t := ix.turns[id]
+		if t == nil {
+			ix.await(id, until)
+			return
+		}
+		if !t.expires.Before(until) {
+			return
+		}
+		t.expires = until
+		ix.program(t.owner).extend(until)
+		id = t.previous
+	}
+}
+
+// await notes that the turn, once it is indexed, is to be retained until then.
+func (ix *Index) await(id string, until time.Time) {
+	if id == "" || !ix.awaited[id].Before(until) {
+		return
+	}
+	if ix.awaited == nil {
+		ix.awaited = map[string]time.Time{}
+	}
+	ix.awaited[id] = until
+}
+
+// Expired returns at most limit programs whose retention has ended, as far as is known here. All records of
+// a program have the same retention: a replica that lacks a turn in the middle of a chain can't tell which
+// ones come before it.
+func (ix *Index) Expired(now time.Time, limit int) (names []string) {
+	for name, p := range ix.programs {
+		if len(names) == limit {
+			break
+		}
+		if now.After(p.expires) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// RetainedUntil returns until when a program is retained; the zero time if none of its records is indexed.
+func (ix *Index) RetainedUntil(name string) time.Time {
+	p := ix.programs[name]
+	if p == nil {
+		return time.Time{}
+	}
+	return p.expires
+}
+
+// Retain retains a program's records until then at least.
+func (ix *Index) Retain(name string, until time.Time) {
+	if p := ix.programs[name]; p != nil {
+		p.extend(until)
+	}
+}
+
+// Remove removes a program with its turns, if its retention had ended by then.
+func (ix *Index) Remove(name string, at time.Time) {
+	p := ix.programs[name]
+	if p == nil || !at.After(p.expires) {
+		return
+	}
+	for _, id := range p.turns {
+		delete(ix.turns, id)
+	}
+	delete(ix.programs, name)
+}
+
+// ExpireAwaited forgets turns that have not come, and that no turn retains any more.
+func (ix *Index) ExpireAwaited(now time.Time) {
+	for id, until := range ix.awaited {
+		if now.After(until) {
+			delete(ix.awaited, id)
+		}
+	}
+}
+
+func (p *program) extend(until time.Time) { p.expires = latest(p.expires, until) }
+
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -79,41 +79,6 @@
 	ix.extendChain(r.Attempt, until)
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
-// extendChain extends the retention of a turn and of those before it in its chain, with their programs.
-func (ix *Index) extendChain(id string, until time.Time) {
-	for range MaxChain {
-		t := ix.turns[id]
-		if t == nil {
-			ix.await(id, until)
-			return
-		}
-		if !t.expires.Before(until) {
-			return
-		}
-		t.expires = until
-		ix.program(t.owner).extend(until)
-		id = t.previous
-	}
-}
-
-// await notes that the turn, once it is indexed, is to be retained until then.
-func (ix *Index) await(id string, until time.Time) {
-	if id == "" || !ix.awaited[id].Before(until) {
-		return
-	}
-	if ix.awaited == nil {
-		ix.awaited = map[string]time.Time{}
-	}
-	ix.awaited[id] = until
-}
-
 // ApplyCharge applies a record's reservation or settlement. It may be called before the
 // record is durable, so that concurrent attempts see each other's charges.
 func (ix *Index) ApplyCharge(r Record, now time.Time) {
@@ -142,8 +107,6 @@
 	return p
 }
 
-func (p *program) extend(until time.Time) { p.expires = latest(p.expires, until) }
-
 func (r Record) hasCharge() bool { return r.Program != "" && (r.Reserved || r.Settled) }
 
 func (r Record) charge() Charge {
@@ -256,17 +219,6 @@
 	return first
 }
 
-// expires returns when the record's retention ends. It counts from the time in the record,
-// not from now: all records are read again after a restart, which must not extend their
-// retention.
-func (r Record) expires(now time.Time) time.Time {
-	at := now
-	if r.At > 0 && r.At < now.UnixMilli() {
-		at = time.UnixMilli(r.At)
-	}
-	return at.Add(time.Duration(r.TTL)*time.Millisecond + ClockSlack)
-}
-
 // Charges returns the charges on a program's budget, one for each attempt.
 func (ix *Index) Charges(name string) []Charge {
 	p := ix.programs[name]
@@ -296,66 +248,6 @@
 	return list, id
 }
 
-// Expired returns at most limit programs whose retention has ended, as far as is known here. All records of
-// a program have the same retention: a replica that lacks a turn in the middle of a chain can't tell which
-// ones come before it.
-func (ix *Index) Expired(now time.Time, limit int) (names []string) {
-	for name, p := range ix.programs {
-		if len(names) == limit {
-			break
-		}
-		if now.After(p.expires) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// RetainedUntil returns until when a program is retained; the zero time if none of its records is indexed.
-func (ix *Index) RetainedUntil(name string) time.Time {
-	p := ix.programs[name]
-	if p == nil {
-		return time.Time{}
-	}
-	return p.expires
-}
-
-// Retain retains a program's records until then at least.
-func (ix *Index) Retain(name string, until time.Time) {
-	if p := ix.programs[name]; p != nil {
-		p.extend(until)
-	}
-}
-
-// Remove removes a program with its turns, if its retention had ended by then.
-func (ix *Index) Remove(name string, at time.Time) {
-	p := ix.programs[name]
-	if p == nil || !at.After(p.expires) {
-		return
-	}
-	for _, id := range p.turns {
-		delete(ix.turns, id)
-	}
-	delete(ix.programs, name)
-}
-
-// Expire removes all programs whose retention has ended.
-func (ix *Index) Expire(now time.Time) {
-	for _, name := range ix.Expired(now, len(ix.programs)) {
-		ix.Remove(name, now)
-	}
-	ix.ExpireAwaited(now)
-}
-
-// ExpireAwaited forgets turns that have not come, and that no turn retains any more.
-func (ix *Index) ExpireAwaited(now time.Time) {
-	for id, until := range ix.awaited {
-		if now.After(until) {
-			delete(ix.awaited, id)
-		}
-	}
-}
-
 // Live reports whether a record at pos must be retained.
 func (ix *Index) Live(r Record, pos seglog.Pos) bool {
 	if r.Turn != nil {
--- a/internal/disk/index/index_test.go
+++ b/internal/disk/index/index_test.go
@@ -26,6 +26,14 @@
 	return Record{Attempt: attempt, TTL: 60_000, Turn: &Turn{Previous: previous}}
 }
 
+// expire removes what a replica forgets that has nobody to ask.
+func expire(ix *Index, now time.Time) {
+	for _, name := range ix.Expired(now, len(ix.programs)) {
+		ix.Remove(name, now)
+	}
+	ix.ExpireAwaited(now)
+}
+
 func pos(n int64) seglog.Pos { return seglog.Pos{Segment: 1, Offset: n} }
 
 func TestRecordRoundTrip(t *testing.T) {
@@ -101,14 +109,44 @@
 	ix.Apply(turnOf("1", ""), pos(1), start)
 	later := start.Add(50 * time.Second)
 	ix.Apply(turnOf("2", "1"), pos(2), later)
-	ix.Expire(start.Add(60*time.Second + ClockSlack + time.Second))
+	expire(&ix, start.Add(60*time.Second+ClockSlack+time.Second))
 	_, next := ix.Chain("2")
 	is.Equal(next, "")
-	ix.Expire(later.Add(60*time.Second + ClockSlack + time.Second))
+	expire(&ix, later.Add(60*time.Second+ClockSlack+time.Second))
 	_, turns := ix.Len()
 	is.Equal(turns, 0)
 }
 
+// Guards against an old turn that is read after the turns that continue it, as from a copy at the end of the log,
+// and expires at once.
+func TestChainIsRetainedInAnyOrder(t *testing.T) {
+	var records []Record
+	for i, id := range []string{"1", "2", "3", "4"} {
+		r := turnOf(id, "")
+		r.At = start.Add(time.Duration(i) * 50 * time.Second).UnixMilli()
+		if i > 0 {
+			r.Turn.Previous = records[i-1].Attempt
+		}
+		records = append(records, r)
+	}
+	last := start.Add(150 * time.Second)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 100 {
+		is := is.New(t)
+		var ix Index
+		for _, i := range rnd.Perm(len(records)) {
+			ix.Apply(records[i], pos(int64(i)), last)
+		}
+		expire(&ix, last.Add(60*time.Second+ClockSlack))
+		list, next := ix.Chain("4")
+		is.Equal(len(list), 4)
+		is.Equal(next, "")
+		expire(&ix, last.Add(60*time.Second+ClockSlack+time.Second))
+		programs, turns := ix.Len()
+		is.Equal(programs+turns+len(ix.awaited), 0)
+	}
+}
+
 // All records are read again after a restart. That must not extend their retention, or a
 // VM that restarts often would fill its disk.
 func TestExpiryCountsFromRecordTime(t *testing.T) {
@@ -117,7 +155,7 @@
 	r := reserve("p", "a", 1)
 	r.At = start.UnixMilli()
 	ix.Apply(r, pos(1), start.Add(time.Minute))
-	ix.Expire(start.Add(time.Minute + ClockSlack + time.Second))
+	expire(&ix, start.Add(time.Minute+ClockSlack+time.Second))
 	programs, _ := ix.Len()
 	is.Equal(programs, 0)
 }
--- a/internal/disk/index/run_test.go
+++ b/internal/disk/index/run_test.go
@@ -47,7 +47,7 @@
 			"2": {Attempt: "2", Request: 7, Ended: []Start{c}, Tried: []Start{a, b, c}},
 		})
 		is.Equal(len(ix.Charges("p")), 1)
-		ix.Expire(start.Add(time.Minute + ClockSlack + time.Second))
+		expire(&ix, start.Add(time.Minute+ClockSlack+time.Second))
 		is.Equal(len(ix.Runs("p", 7, "")), 0)
 	}
 }
--- a/internal/front/proxy/receive.go
+++ b/internal/front/proxy/receive.go
@@ -24,14 +24,14 @@
 )
 
 // receive reads the header of the response to the request, which is the only one that tells anything
-// about it, a success only if it is signed. A faulty upstream may send a response once more where the next one on the connection is due:
-// responses to other requests are discarded, whatever they state. If the request's own one does not
-// follow, the request may have run.
+// about it, and a success only if it is signed. A faulty upstream may send a response once more where the
+// next one on the connection is due: responses to other requests are discarded, whatever they state. If
+// the request's own one does not follow, the request may have run.
 func (q *request) receive(s *exchange) (err error) {
-	var impatient *time.Timer
+	var giveUp *time.Timer
 	defer func() {
-		if impatient != nil {
-			impatient.Stop()
+		if giveUp != nil {
+			giveUp.Stop()
 		}
 		if err != nil && s.foreign > 0 {
 			err = errors.Wrapf(err, "after %d responses to other requests", s.foreign)
@@ -54,8 +54,8 @@
 		s.foreign++
 		q.summary.runs.addForeign()
 		q.e.Scope.Counter("responses_to_other_requests").Inc(1)
-		if q.route.Kind == route.Safe && impatient == nil {
-			impatient = time.AfterFunc(ownResponseWait, s.conn.Interrupt)
+		if q.route.Kind == route.Safe && giveUp == nil {
+			giveUp = time.AfterFunc(ownResponseWait, s.conn.Interrupt)
 		}
 		if err = upconn.Discard(s.resp.Body, maxResponse); err != nil {
 			return err
