proxy: an event that is recorded slowly does not end the recording of its stream

TestSlowRecordsDelayStreamOnce has a stream whose records take 300 ms each: it is delayed once, and all of it can be taken up afterwards; before, nothing could.

--- a/internal/front/proxy/beginning.go
+++ b/internal/front/proxy/beginning.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,7 @@
 // goes on finds the output so far. Without it, the turn would be recorded without its beginning, and the
 // next one run on a conversation that was not held; so the attempt is refused, and the caller starts anew.
 
-// partTimeout bounds the record of an event, which the caller waits for. It is below the delay at which a
+// partTimeout is how long a caller waits for the record of an event. It is below the delay at which a
 // stream counts as late.
 const partTimeout = 100 * time.Millisecond
 
@@ -29,7 +30,8 @@
 	resumption int
 	before     []byte // output that the caller had before this attempt, until it is recorded
 	next       int    // number of the next part
-	stopped    bool   // one could not be recorded: the stream can't be taken up again after it
+	pending    atomic.Int32
+	failed     atomic.Bool // one could not be recorded: the stream can't be taken up again after it
 }
 
 // takesUp reports whether the attempt goes on with a stream that is to be stored.
@@ -64,33 +66,50 @@
 }
 
 // recordPart makes an event durable before its caller gets it, if the stream may be taken up again. While
-// the records are away it goes on without.
+// the records are slow, the caller waits for one event, and the others are recorded meanwhile.
 func (t *turn) recordPart(ctx context.Context, e event.Event) {
 	p := &t.parts
-	if !t.route.StoreTurns || !t.route.Resume || p.stopped {
+	if !t.route.StoreTurns || !t.route.Resume || p.failed.Load() {
 		return
 	}
-	ctx, stop := context.WithTimeout(ctx, partTimeout)
-	defer stop()
+	behind := p.pending.Load() > 0
+	var written []<-chan struct{}
 	if len(p.before) > 0 {
-		p.stopped = !t.writePart(ctx, t.LastEventID, p.before)
+		written = append(written, t.writePart(t.LastEventID, p.before))
 		p.before = nil
 	}
-	if !p.stopped {
-		p.stopped = !t.writePart(ctx, e.ID, append(e.Data[:len(e.Data):len(e.Data)], '\n'))
+	written = append(written, t.writePart(e.ID, append(e.Data[:len(e.Data):len(e.Data)], '\n')))
+	if behind {
+		return
 	}
-	if p.stopped {
-		t.e.Scope.Counter("stream_parts_unrecorded").Inc(1)
+	ctx, stop := context.WithTimeout(ctx, partTimeout)
+	defer stop()
+	for _, w := range written {
+		select {
+		case <-w:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-func (t *turn) writePart(ctx context.Context, eventID string, data []byte) bool {
+// writePart records a part in the background. The channel is closed once that has ended.
+func (t *turn) writePart(eventID string, data []byte) <-chan struct{} {
+	p := &t.parts
 	rec := t.runsRecord()
 	rec.Run = nil
-	rec.Part = &index.Part{
-		Stream: t.parts.stream, Request: t.key(), Resumption: t.parts.resumption, Seq: t.parts.next, EventID: eventID, Data: data,
-	}
-	t.parts.next++
-	_, err := t.e.Records.Write(ctx, rec)
-	return err == nil
+	rec.Part = &index.Part{Stream: p.stream, Request: t.key(), Resumption: p.resumption, Seq: p.next, EventID: eventID, Data: data}
+	p.next++
+	p.pending.Add(1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer p.pending.Add(-1)
+		ctx, stop := context.WithTimeout(t.e.Stop, settleTimeout)
+		defer stop()
+		if _, err := t.e.Records.Write(ctx, rec); err != nil && p.failed.CompareAndSwap(false, true) {
+			t.e.Scope.Counter("stream_parts_unrecorded").Inc(1)
+		}
+	}()
+	return ended
 }
--- a/internal/front/proxy/beginning_test.go
+++ b/internal/front/proxy/beginning_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/disk/index"
 )
 
 const (
@@ -110,8 +112,8 @@
 	}
 }
 
-// Guards against a stream that its caller may not read to the end since the records are slow: events wait for
-// one record at most, and the turn is recorded whole.
+// Guards against a stream that is delayed by each of its records while these are slow, and that can't be taken up
+// afterwards although they became durable.
 func TestSlowRecordsDelayStreamOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -122,6 +124,10 @@
 		is.True(!aborted)
 		is.Equal(rec.Body.String(), text12)
 		is.True(time.Since(began) <= 3*env.rec.delay+partTimeout) // the query, the version, the turn
+		parts := env.rec.allParts()
+		output, _, ok := index.OutputUpTo(parts, "r1", "2")
+		is.True(ok)
+		is.Equal(string(output), "a\nb\n")
 		env.close()
 	})
 }
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -195,6 +195,15 @@
 	r.down = down
 }
 
+func (r *fakeRecords) allParts() (list []index.Part) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.parts {
+		list = append(list, p.Part)
+	}
+	return list
+}
+
 func (r *fakeRecords) setFailParts(fail bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
