--- a/internal/front/proxy/beginning.go
+++ b/internal/front/proxy/beginning.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,10 +16,6 @@
 // goes on finds the output so far. Without it, the turn would be recorded without its beginning, and the
 // next one run on a conversation that was not held; so the attempt is refused, and the caller starts anew.
 
-// partTimeout is how long a caller waits for the record of an event. It is below the delay at which a
-// stream counts as late.
-const partTimeout = 100 * time.Millisecond
-
 // errOutputUnknown reports a stream of which it is not known what its caller has.
 var errOutputUnknown = errors.New("the output that the caller has is not recorded")
 
@@ -82,7 +77,7 @@
 	if behind {
 		return
 	}
-	ctx, stop := context.WithTimeout(ctx, partTimeout)
+	ctx, stop := context.WithTimeout(ctx, runsTimeout)
 	defer stop()
 	for _, w := range written {
 		select {
