proxy, upconn: the line of a request tells what a refusal or a loss rests on

Callers were told that requests had not run that an upstream ran. The line named the cause of a refusal, but not what it rested on: a repeated refusal on a reused connection, one before the request was out, 421 without the header, or no response at all looked alike.

Each send that was not answered now has the connection's age and use, the status, the time from send to header, whether the header for "not run" was there, whether the request was out and how many bytes came behind the response. Answered sends have none of it, so that lines grow with failures only; nothing waits for it.

No decision changes.

--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -44,10 +44,11 @@
 
 	// ResponseInfo is the metadata of an upstream's response.
 	ResponseInfo struct {
-		Request  string        // id of the attempt that it responds to
-		NotRun   bool          // the upstream did not run the request and never will
-		Signed   bool          // it carries a signature of the upstream
-		Closing  bool          // the upstream closes the connection after this response
-		IdleTime time.Duration // after which the upstream closes an idle connection; 0 if not stated
+		Request      string        // id of the attempt that it responds to
+		NotRun       bool          // the upstream did not run the request and never will
+		NotRunHeader bool          // the response states so by itself, not only by its status
+		Signed       bool          // it carries a signature of the upstream
+		Closing      bool          // the upstream closes the connection after this response
+		IdleTime     time.Duration // after which the upstream closes an idle connection; 0 if not stated
 	}
 )
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -143,7 +143,8 @@
 func (fakeDialect) Return(h http.Header) http.Header { return h.Clone() }
 
 func (fakeDialect) ResponseInfo(status int, h http.Header) meta.ResponseInfo {
-	return meta.ResponseInfo{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != "" || status == 421, Signed: h.Get("Unsigned") == "", IdleTime: time.Minute}
+	stated := h.Get("Not-Run") != ""
+	return meta.ResponseInfo{Request: h.Get("Id"), NotRunHeader: stated, NotRun: stated || status == 421, Signed: h.Get("Unsigned") == "", IdleTime: time.Minute}
 }
 
 func (fakeDialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Again", d.String()) }
--- a/internal/front/proxy/receive.go
+++ b/internal/front/proxy/receive.go
@@ -41,6 +41,7 @@
 		if s.resp, err = s.conn.Receive(q.r.Method); err != nil { //nolint:bodyclose // ends with its connection: closeConn or releaseConn
 			return err
 		}
+		s.headTime = time.Since(s.began)
 		s.info = q.e.Dialect.ResponseInfo(s.resp.StatusCode, s.resp.Header)
 		switch s.info.Request {
 		case q.ID:
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -51,6 +51,19 @@
 		cause    string // why no whole response came; empty if one did
 		foreign  int    // responses to other requests that came in place of the request's own
 		next     string // why the request was sent on or not; empty after an answer
+		rests    evidence
+	}
+
+	// evidence is what the end of a send rests on. The zero value is nothing: no connection was established.
+	evidence struct {
+		connected     bool
+		reused        bool          // the connection had carried a request before
+		connAge       time.Duration // at the send
+		headTime      time.Duration // from the send to the header of the response; 0 for none
+		status        int           // of the response; 0 for none
+		notRunHeader  bool          // it states that the request was not run
+		partlyWritten bool          // the request was not out when the send ended
+		unread        int           // bytes that were received with the header, beyond its body
 	}
 
 	// runs are the sends of an attempt in order.
@@ -93,6 +106,13 @@
 	}
 }
 
+// rest sets what the end of the last send rests on.
+func (l runs) rest(e evidence) {
+	if len(l) > 0 {
+		l[len(l)-1].rests = e
+	}
+}
+
 // next sets why the request was sent on or not after the last send.
 func (l runs) next(why string) {
 	if len(l) > 0 {
@@ -136,6 +156,9 @@
 		if r.foreign > 0 {
 			d.Int("other_responses", r.foreign)
 		}
+		if r.end != endAnswered {
+			r.rests.write(d)
+		}
 		if r.next != "" {
 			d.Str("next", r.next)
 		}
@@ -143,6 +166,23 @@
 	}
 }
 
+// write adds the evidence to the log line's entry of a send.
+func (e evidence) write(d *zerolog.Event) {
+	if !e.connected {
+		return
+	}
+	d.Bool("reused", e.reused).Int64("conn_age_ms", e.connAge.Milliseconds())
+	if e.status > 0 {
+		d.Int("status", e.status).Int64("head_ms", e.headTime.Milliseconds()).Bool("not_run_header", e.notRunHeader)
+	}
+	if e.partlyWritten {
+		d.Bool("partly_written", true)
+	}
+	if e.unread > 0 {
+		d.Int("unread_bytes", e.unread)
+	}
+}
+
 // answeredWith returns the end of a send that got a whole response with the status.
 func answeredWith(status int) string {
 	if status == http.StatusOK {
--- a/internal/front/proxy/runs_test.go
+++ b/internal/front/proxy/runs_test.go
@@ -19,6 +19,10 @@
 	Runs    []struct {
 		Upstream, Version, End, Next string
 		Born                         int64
+		Status                       int
+		Reused                       *bool // nil if no connection was established
+		NotRunHeader                 bool  `json:"not_run_header"`
+		UnreadBytes                  int   `json:"unread_bytes"`
 	} `json:"runs"`
 }
 
@@ -119,3 +123,39 @@
 		})
 	}
 }
+
+// Guards against a false refusal of which the log cannot tell what it rested on.
+func TestRefusalIsLoggedWithWhatItRestsOn(t *testing.T) {
+	cases := map[string]struct {
+		response       string // to the request, after one that was answered on the same connection
+		refuse         bool   // connections
+		status, unread int
+		header         bool
+	}{
+		"stated":               {response: full, status: 503, header: true},
+		"by its status":        {response: wrongInstance, status: 421},
+		"with more behind it":  {response: full + "more", status: 503, header: true, unread: 4},
+		"with a body":          {response: strings.Replace(full, "Length: 0\r\n\r\n", "Length: 4\r\n\r\nfull", 1), status: 503, header: true},
+		"without a connection": {refuse: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{ok, c.response})
+				defer env.close()
+				env.upstreams["up1"].refuse = c.refuse
+				log := logTo(env)
+				env.do(t.Context(), "/unsafe/", map[string]string{"Id": "r1"}, "in")
+				rec, _ := env.do(t.Context(), "/unsafe/", map[string]string{"Id": "r2"}, "in")
+				is.Equal(rec.Code, 503)
+				lines := parseLines(is, log.String())
+				run := lines[len(lines)-1].Runs[0]
+				is.Equal(run.Reused != nil && *run.Reused, !c.refuse)
+				is.Equal(run.Status, c.status)
+				is.Equal(run.NotRunHeader, c.header)
+				is.Equal(run.UnreadBytes, c.unread)
+			})
+		})
+	}
+}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -45,10 +45,11 @@
 		resp            *http.Response
 		info            meta.ResponseInfo
 		began           time.Time
-		cancelInterrupt func() bool // cancels the interruption of conn when the context is done
-		brokeOff        bool        // the upstream broke the run off
-		foreign         int         // responses to other requests that came first
-		startKnown      bool        // see startKnown of request; as of the send
+		cancelInterrupt func() bool   // cancels the interruption of conn when the context is done
+		brokeOff        bool          // the upstream broke the run off
+		foreign         int           // responses to other requests that came first
+		headTime        time.Duration // from the send to the header of the last response; 0 for none
+		startKnown      bool          // see startKnown of request; as of the send
 	}
 
 	// notRunError reports that an upstream did not run the request and never will.
@@ -171,6 +172,7 @@
 		q.summary.upstream = up.ID
 		err = q.receive(s)
 	}
+	q.summary.runs.rest(s.evidence())
 	if err != nil {
 		s.fail(err)
 		if !conn.Sent() {
@@ -186,6 +188,19 @@
 	return s, nil
 }
 
+// evidence returns what is known of the send when the header of its response has come or it has failed.
+func (s *exchange) evidence() evidence {
+	e := evidence{
+		connected: true, reused: s.conn.Reused, connAge: s.began.Sub(s.conn.Opened), headTime: s.headTime,
+		partlyWritten: !s.conn.Written(), unread: s.conn.Unread(), notRunHeader: s.info.NotRunHeader,
+	}
+	if s.resp != nil {
+		e.status = s.resp.StatusCode
+		e.unread = max(0, e.unread-max(0, int(s.resp.ContentLength)))
+	}
+	return e
+}
+
 // recordLoss records that the request may have run, and returns the error. The upstream
 // counts as failed unless the context was done or the deadline had passed.
 func (q *request) recordLoss(ctx context.Context, s *exchange, err error) error {
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -146,20 +146,27 @@
 // Close closes the connection. Do not call Pool.Put after it.
 func (c *Conn) Close() { _ = c.net.Close() }
 
-// written reports whether the whole request has been written.
-func (c *Conn) written() bool {
+// Written reports whether the whole request has been written.
+func (c *Conn) Written() bool {
 	if c.writing == nil {
 		return true
 	}
 	select {
 	case err := <-c.writing:
+		if err != nil {
+			c.writing <- err // for later calls
+			return false
+		}
 		c.writing = nil
-		return err == nil
+		return true
 	default:
 		return false
 	}
 }
 
+// Unread returns how many bytes were received and not read yet.
+func (c *Conn) Unread() int { return c.br.Buffered() }
+
 // reusable reports whether an idle connection is still open and has received nothing.
 // Unsolicited bytes would be read as the response to the next request.
 func (c *Conn) reusable() bool {
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -104,7 +104,7 @@
 	if idle == 0 {
 		idle = defaultIdle
 	}
-	if !c.written() || c.br.Buffered() > 0 || idle <= idleMargin || c.Deadline(time.Time{}) != nil {
+	if !c.Written() || c.Unread() > 0 || idle <= idleMargin || c.Deadline(time.Time{}) != nil {
 		c.Close()
 		return
 	}
