proxy, upconn: lines name the request of a foreign response, and a metric counts unsolicited bytes

A refusal with the right id that is followed by an answer, or a copy that comes while nobody waits, left no trace: the connection was closed silently when it was next wanted. And a loss after a foreign refusal was logged with that one's status and header, so that it read as the request's own; a stream of unknown length had unread_bytes although nothing was behind it. Found by a reader of the trace.

The evidence of a send is now from the request's own response only, the first foreign response is named (64 bytes at most), and slaterock_upstream_connections_unsolicited counts idle connections over which bytes came.

--- a/internal/front/proxy/receive.go
+++ b/internal/front/proxy/receive.go
@@ -12,8 +12,8 @@
 const (
 	// maxForeign is how many responses to other requests are discarded while a request waits for its own.
 	maxForeign = 8
-	// ownResponseWait is how long a request that may run again waits for its own response once one to
-	// another request has come in its place. Others wait until their deadline: they have one run.
+	// ownResponseWait is how long a request that may run again elsewhere waits for its own response once
+	// one to another request has come in its place. Others wait until their deadline: they have one run.
 	ownResponseWait = 500 * time.Millisecond
 )
 
@@ -53,7 +53,7 @@
 			return errNoRequest
 		}
 		s.foreign++
-		q.summary.runs.addForeign()
+		q.summary.runs.addForeign(s.info.Request)
 		q.e.Scope.Counter("responses_to_other_requests").Inc(1)
 		if q.route.Kind == route.Safe && giveUp == nil {
 			giveUp = time.AfterFunc(ownResponseWait, s.conn.Interrupt)
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -13,8 +13,11 @@
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
-// maxCause bounds a cause that is logged, in bytes: it may quote what an upstream sent.
-const maxCause = 120
+// Bounds of what is logged, in bytes: both may quote what an upstream sent.
+const (
+	maxCause     = 120
+	maxForeignID = 64
+)
 
 const (
 	// How a send ended, as logged. A refusal is logged with its cause (notRunError).
@@ -50,6 +53,7 @@
 		end      string
 		cause    string // why no whole response came; empty if one did
 		foreign  int    // responses to other requests that came in place of the request's own
+		other    string // id of the request of the first one
 		next     string // why the request was sent on or not; empty after an answer
 		rests    evidence
 	}
@@ -59,11 +63,11 @@
 		connected     bool
 		reused        bool          // the connection had carried a request before
 		connAge       time.Duration // at the send
-		headTime      time.Duration // from the send to the header of the response; 0 for none
-		status        int           // of the response; 0 for none
+		headTime      time.Duration // from the send to the header of the request's own response; 0 for none
+		status        int           // of that response; 0 for none
 		notRunHeader  bool          // it states that the request was not run
 		partlyWritten bool          // the request was not out when the send ended
-		unread        int           // bytes that were received with the header, beyond its body
+		unread        int           // bytes that were received with the header beyond its body, if that states its length
 	}
 
 	// runs are the sends of an attempt in order.
@@ -99,10 +103,15 @@
 	}
 }
 
-// addForeign counts a response to another request that came over the connection of the last send.
-func (l runs) addForeign() {
-	if len(l) > 0 {
-		l[len(l)-1].foreign++
+// addForeign counts a response to another request, of which this is the id, that came over the connection of
+// the last send.
+func (l runs) addForeign(id string) {
+	if len(l) == 0 {
+		return
+	}
+	r := &l[len(l)-1]
+	if r.foreign++; r.foreign == 1 {
+		r.other = id[:min(len(id), maxForeignID)]
 	}
 }
 
@@ -154,7 +163,7 @@
 			d.Str("cause", r.cause)
 		}
 		if r.foreign > 0 {
-			d.Int("other_responses", r.foreign)
+			d.Int("other_responses", r.foreign).Str("other_response_to", r.other)
 		}
 		if r.end != endAnswered {
 			r.rests.write(d)
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -172,7 +172,7 @@
 		q.summary.upstream = up.ID
 		err = q.receive(s)
 	}
-	q.summary.runs.rest(s.evidence())
+	q.summary.runs.rest(s.evidence(q.ID))
 	if err != nil {
 		s.fail(err)
 		if !conn.Sent() {
@@ -188,15 +188,18 @@
 	return s, nil
 }
 
-// evidence returns what is known of the send when the header of its response has come or it has failed.
-func (s *exchange) evidence() evidence {
+// evidence returns what is known of the send of the request with this id when the header of its response has
+// come or it has failed.
+func (s *exchange) evidence(id string) evidence {
 	e := evidence{
-		connected: true, reused: s.conn.Reused, connAge: s.began.Sub(s.conn.Opened), headTime: s.headTime,
-		partlyWritten: !s.conn.Written(), unread: s.conn.Unread(), notRunHeader: s.info.NotRunHeader,
+		connected: true, reused: s.conn.Reused, connAge: s.began.Sub(s.conn.Opened), partlyWritten: !s.conn.Written(),
 	}
-	if s.resp != nil {
-		e.status = s.resp.StatusCode
-		e.unread = max(0, e.unread-max(0, int(s.resp.ContentLength)))
+	if s.resp == nil || s.info.Request != id {
+		return e
+	}
+	e.status, e.headTime, e.notRunHeader = s.resp.StatusCode, s.headTime, s.info.NotRunHeader
+	if n := s.resp.ContentLength; n >= 0 {
+		e.unread = max(0, s.conn.Unread()-int(n))
 	}
 	return e
 }
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -167,28 +167,27 @@
 // Unread returns how many bytes were received and not read yet.
 func (c *Conn) Unread() int { return c.br.Buffered() }
 
-// reusable reports whether an idle connection is still open and has received nothing.
-// Unsolicited bytes would be read as the response to the next request.
-func (c *Conn) reusable() bool {
+// reusable reports whether an idle connection is still open and has received nothing. Unsolicited bytes
+// would be read as the response to the next request; it also reports whether such have come.
+func (c *Conn) reusable() (ok, unsolicited bool) {
 	if c.br.Buffered() > 0 {
-		return false
+		return false, true
 	}
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
-		return true
+	sc, isSocket := c.net.(syscall.Conn)
+	if !isSocket {
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	alive := false
 	err = raw.Read(func(fd uintptr) bool {
 		var p [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ok, unsolicited = errors.Is(err, syscall.EAGAIN), n > 0
 		return true
 	})
-	return err == nil && alive
+	return err == nil && ok, unsolicited
 }
 
 // ClosedByPeer reports whether the upstream has closed the connection, for example because its
--- a/internal/front/upconn/conn_test.go
+++ b/internal/front/upconn/conn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -74,3 +75,41 @@
 	is.NoErr(ln.Close())
 	is.True(p.Probe(context.Background(), "v", address) != nil)
 }
+
+// Guards against an idle connection over which bytes came that would be read as the response to the next request,
+// and that nobody learns of.
+func TestUnsolicitedBytesAreCounted(t *testing.T) {
+	cases := map[string]struct {
+		sent   int  // bytes that the upstream sends while the connection is idle
+		closes bool // it then closes it
+		count  int64
+	}{
+		"none":             {0, false, 0},
+		"closed":           {0, true, 0},
+		"a response":       {200, false, 1},
+		"one, then closed": {200, true, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, far, p := connPair(t)
+			_, err := far.Write(make([]byte, c.sent))
+			is.NoErr(err)
+			if c.closes {
+				is.NoErr(far.Close())
+			}
+			p.Put(conn, time.Minute)
+			for c.sent > 0 || c.closes {
+				if ok, _ := conn.reusable(); !ok {
+					break
+				}
+				runtime.Gosched() // the bytes take a moment
+			}
+			again, err := p.Get(t.Context(), conn.upstreamID, conn.address)
+			is.NoErr(err)
+			defer again.Close()
+			is.Equal(again == conn, c.sent == 0 && !c.closes)
+			is.Equal(p.Unsolicited(), c.count)
+		})
+	}
+}
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -12,6 +12,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +45,8 @@
 		mu     sync.Mutex
 		idle   map[string][]*Conn // by address, least recently used first
 		opened int64
+
+		unsolicited atomic.Int64
 	}
 )
 
@@ -55,7 +58,11 @@
 		if c == nil {
 			break
 		}
-		if c.upstreamID == id && time.Now().Before(c.idleUntil) && c.reusable() {
+		ok, unsolicited := c.reusable()
+		if unsolicited {
+			p.unsolicited.Add(1)
+		}
+		if ok && c.upstreamID == id && time.Now().Before(c.idleUntil) {
 			c.Reused = true
 			c.sent.Store(false)
 			return c, nil
@@ -166,3 +173,7 @@
 	defer p.mu.Unlock()
 	return p.opened
 }
+
+// Unsolicited returns how many idle connections were closed so far because bytes had come over them: an
+// upstream has sent more than the responses that it owed.
+func (p *Pool) Unsolicited() int64 { return p.unsolicited.Load() }
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -311,5 +311,6 @@
 		d.Scope.Gauge("failed_runs_dropped").Update(float64(d.proxy.Failed.Dropped()))
 		d.Scope.Gauge("active").Update(float64(d.proxy.Active()))
 		d.Scope.Gauge("upstream_connections_opened").Update(float64(d.pool.Opened()))
+		d.Scope.Gauge("upstream_connections_unsolicited").Update(float64(d.pool.Unsolicited()))
 	}
 }
