proxy: a safe request waits on for its own response if it has no other attempt

A caller of a safe route got 502 half a second after a response to another request had come in the place of its own, although the own one was on its way and no attempt was left: the wait was there to send the request on, and it can't be.

Now the wait ends early only if the attempts of the route allow another send. TestOwnResponseLongAfterExtraOne: the case of the last try failed before with "502 != 200"; its other cases and TestExtraResponseTellsNothingOfItsUpstream guard what no test noticed when it was broken on purpose: streams that give up early, a body that is cut, an upstream that counts as full or failed because of a response to another request, a connection that is kept after one.

--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -98,6 +98,7 @@
 	{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Attempts: 2, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "short", Host: "h", Prefix: "/short/", Kind: route.Unsafe, Attempts: 1, Timeout: time.Second, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Attempts: 1, Turns: true, Backends: []route.Backend{{Service: "s"}}},
+	{Name: "tries", Host: "h", Prefix: "/tries/", Kind: route.Stream, Attempts: 3, Turns: true, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "resume", Host: "h", Prefix: "/resume/", Kind: route.Stream, Attempts: 1, Turns: true, Resume: true, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "keep", Host: "h", Prefix: "/keep/", Kind: route.Stream, Attempts: 1, Turns: true, StoreTurns: true, RetainFor: time.Minute, Backends: []route.Backend{{Service: "s"}}},
 	{Name: "both", Host: "h", Prefix: "/both/", Kind: route.Stream, Attempts: 1, Turns: true, StoreTurns: true, RetainFor: time.Minute, Resume: true, Backends: []route.Backend{{Service: "s"}}},
--- a/internal/front/proxy/extra_test.go
+++ b/internal/front/proxy/extra_test.go
@@ -76,6 +76,62 @@
 	}
 }
 
+// Guards against a run in progress that is given up because a response to another request came before its own.
+func TestOwnResponseLongAfterExtraOne(t *testing.T) {
+	const later = "PAUSEPAUSEPAUSEPAUSEPAUSEPAUSEPAUSE" // 700 ms, longer than ownResponseWait
+	cases := map[string]struct {
+		path, first, second string // responses of both upstreams
+		body                string
+		sends               [2]int
+		took                time.Duration
+	}{
+		"unsafe":              {"/unsafe/", late(full) + later + ok, ok, "good", [2]int{1, 0}, 700 * time.Millisecond},
+		"stream":              {"/stream/", late(full) + later + completeStream, completeStream, text12, [2]int{1, 0}, 700 * time.Millisecond},
+		"stream, three tries": {"/tries/", late(full) + later + completeStream, completeStream, text12, [2]int{1, 0}, 700 * time.Millisecond},
+		"safe":                {"/safe/", late(full) + later + ok, ok, "good", [2]int{1, 1}, ownResponseWait},
+		"safe, its last try":  {"/safe/", full, late(full) + later + ok, "good", [2]int{1, 1}, 700 * time.Millisecond},
+		"safe, a slow body":   {"/safe/", late(full) + strings.Replace(ok, "good", later+"good", 1), ok, "good", [2]int{1, 0}, 700 * time.Millisecond},
+		"safe, after success": {"/safe/", late(ok) + later + ok, ok, "good", [2]int{1, 1}, ownResponseWait},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{c.first}, []string{c.second})
+				env.setLoad("up2", 2) // so that up1 is tried first
+				began := time.Now()
+				rec, aborted := env.do(t.Context(), c.path, nil, "")
+				is.True(!aborted)
+				is.Equal(rec.Code, 200)
+				is.Equal(rec.Body.String(), c.body)
+				is.Equal(time.Since(began), c.took)
+				is.Equal([2]int{len(env.upstreams["up1"].requests()), len(env.upstreams["up2"].requests())}, c.sends)
+				env.close()
+			})
+		})
+	}
+}
+
+// Guards against an upstream that is avoided, or a connection that is kept, because of a response to another request.
+func TestExtraResponseTellsNothingOfItsUpstream(t *testing.T) {
+	for name, extra := range map[string]string{"refusal": full, "another instance": wrongInstance, "failure": upstream500} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{late(extra) + ok, ok}, []string{ok})
+				env.setLoad("up2", 1) // so that up1 is tried first
+				for _, id := range []string{"r1", "r2"} {
+					rec, _ := env.do(t.Context(), "/unsafe/", map[string]string{"Id": id}, "")
+					is.Equal(rec.Code, 200)
+					is.Equal(env.e.Pool.Idle("up1"), id == "r2")
+				}
+				is.Equal(len(env.upstreams["up1"].requests()), 2)
+				env.close()
+			})
+		})
+	}
+}
+
 // Guards against a success that its upstream did not sign and that reaches the caller, and against a failure
 // that does not because of it.
 func TestUnsignedResponses(t *testing.T) {
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -141,6 +141,7 @@
 		unrecorded    bool            // the last runs of this attempt are not recorded
 		otherOpen     bool            // the end of another attempt of the request was not known when this one began
 		onSend        func(*exchange) // called before each send; nil for nothing
+		lastTry       bool            // the present send is the last one that the attempts of the route allow
 		goesOn        bool            // the next send goes on with a stream of which the caller has events
 		unconfirmed   bool            // the store could not be read to confirm the start of an upstream
 		summary       summary
--- a/internal/front/proxy/receive.go
+++ b/internal/front/proxy/receive.go
@@ -55,7 +55,7 @@
 		s.foreign++
 		q.summary.runs.addForeign(s.info.Request)
 		q.e.Scope.Counter("responses_to_other_requests").Inc(1)
-		if q.route.Kind == route.Safe && giveUp == nil {
+		if q.route.Kind == route.Safe && !q.lastTry && giveUp == nil {
 			giveUp = time.AfterFunc(ownResponseWait, s.conn.Interrupt)
 		}
 		if err = upconn.Discard(s.resp.Body, maxResponse); err != nil {
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -103,6 +103,7 @@
 			return nil, lastErr
 		}
 		q.summary.missing, q.summary.factor = view.Missing(up.ID), q.e.factor(&up)
+		q.lastTry = len(c.Exclude)+1 >= q.route.Attempts
 		s, err := q.send(ctx, up, body, d, c.Only != "")
 		if err == nil {
 			return s, nil
