proxy: no empty success for a caller that has stopped sending

A caller that closes its side of the connection for sending (and still reads) got 200 with an empty body for a safe call, a stream before its first event, and an unsafe request that was refused after that: a success that no upstream gave, also where nothing had run.

Cause: the HTTP server takes the end of the caller's bytes for a caller that has left. The request then ends without an answer ("caller_left"), and the server sends an empty 200 for a handler that wrote nothing.

Evidence: TestCallerStopsSending failed in three of five cases with "200 != 0" (safe, unsafe then refused, stream before an event); over TCP loopback a trial got "200 OK, Content-Length: 0" for /safe/ and /stream/.

Change: a request that ends without a status aborts its connection, which promises nothing. An unsafe request that is under way still gets its answer. One place, so each way to end without an answer is covered.

TestCallerStopsSending: three of five cases failed before, none after (20 of 20 with -race).

--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -183,6 +183,9 @@
 	if q.accept() {
 		q.serve()
 	}
+	if q.summary.status == 0 {
+		panic(http.ErrAbortHandler) // the server would send an empty success, which a caller may still receive
+	}
 }
 
 // accept reads the request, finds its route and authenticates the caller. It returns
