proxy: the body of a refusal does not hold a request

An upstream that refuses a request and does not end the body of its refusal (half of it, chunks without end, no length on a connection that stays open) held the request until its deadline; the caller then got 503 for a request that another upstream had room for.

Cause: the header of a refusal states all, but the request waited for the body, only so that the connection could be kept.

Change: the body may take 50 ms (in truth it comes with the header). Longer, longer than its bound, or cut, and the connection is closed; the request is sent on. What is believed does not change: the header states "not run".

Evidence: TestBodyOfRefusalThatDoesNotEnd, 21 cases: 15 failed before (12 with "503 != 200" after 2 s, 3 took longer than 50 ms), none after.

--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -27,6 +27,9 @@
 	// fullRetryDelay is the delay before a request that only one upstream may run is
 	// sent to it again: about the time until one of its places becomes free.
 	fullRetryDelay = 60 * time.Millisecond
+	// refusalBodyWait is how long the body of a refusal may take, whose header has stated all. Longer, and
+	// its connection is closed: the request is to be sent on.
+	refusalBodyWait = 50 * time.Millisecond
 	// causeFull is the cause of a refusal by an upstream without a free place, which
 	// is temporary.
 	causeFull = "full"
@@ -247,7 +250,7 @@
 	} else {
 		q.e.Picker.RecordFull(time.Now(), s.up.ID)
 	}
-	if _, err := upconn.ReadAll(s.resp.Body, memory.Short); err != nil || repeats { // what it refuses with is short
+	if repeats || !s.discardRefusal() {
 		s.closeConn()
 	} else {
 		s.releaseConn(q.e.Pool)
@@ -255,6 +258,13 @@
 	return &notRunError{up: s.up, cause: cause}
 }
 
+// discardRefusal reads the body of a refusal, and reports whether all of it came at once.
+func (s *exchange) discardRefusal() bool {
+	giveUp := time.AfterFunc(refusalBodyWait, s.conn.Interrupt)
+	err := upconn.Discard(s.resp.Body, memory.Short)
+	return giveUp.Stop() && err == nil
+}
+
 // fail closes the connection after a run has failed, and determines whether the upstream broke it
 // off. If the caller left or the time is up, the connection was interrupted here, but may have been
 // closed by the upstream before.
