platform, proxy: a signed answer with status 421 is not a refusal

An upstream whose application itself answers 421 had run the request; the front took the status for "not the instance requested" and sent the request on. An unsafe request could run twice, or its caller get 503 with a Retry-After time for one that ran.

Cause: any 421 with the request's id counted as "not run". The protocol lets only two things state it: the header, and a 421 of an upstream that is not the one named. Upstreams sign what they answer after a run.

Change: a 421 with a signature and without the header is an answer after a run: the caller gets 502, which promises nothing. Without a signature, or with the header, it is still sent on. The test's 421 of another instance has no signature now, as in the protocol; the one with a signature is a new case.

Not known to be a cause of the false refusals that were reported.

--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -143,8 +143,8 @@
 func (fakeDialect) Return(h http.Header) http.Header { return h.Clone() }
 
 func (fakeDialect) ResponseInfo(status int, h http.Header) meta.ResponseInfo {
-	stated := h.Get("Not-Run") != ""
-	return meta.ResponseInfo{Request: h.Get("Id"), NotRunHeader: stated, NotRun: stated || status == 421, Signed: h.Get("Unsigned") == "", IdleTime: time.Minute}
+	stated, signed := h.Get("Not-Run") != "", h.Get("Unsigned") == ""
+	return meta.ResponseInfo{Request: h.Get("Id"), NotRunHeader: stated, NotRun: stated || status == 421 && !signed, Signed: signed, IdleTime: time.Minute}
 }
 
 func (fakeDialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Again", d.String()) }
--- a/internal/front/proxy/proxy_test.go
+++ b/internal/front/proxy/proxy_test.go
@@ -16,7 +16,8 @@
 const (
 	ok             = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 4\r\n\r\ngood"
 	full           = "HTTP/1.1 503 Full\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	wrongInstance  = "HTTP/1.1 421 Other\r\nId: ID\r\nContent-Length: 0\r\n\r\n"
+	wrongInstance  = "HTTP/1.1 421 Other\r\nId: ID\r\nUnsigned: 1\r\nContent-Length: 0\r\n\r\n"
+	own421         = "HTTP/1.1 421 Own\r\nId: ID\r\nContent-Length: 0\r\n\r\n"
 	upstream503    = "HTTP/1.1 503 Broken\r\nId: ID\r\nContent-Length: 0\r\n\r\n"
 	upstream500    = "HTTP/1.1 500 Broken\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"
 	wrongID        = "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 4\r\n\r\nevil"
@@ -65,6 +66,7 @@
 		"unsafe, another's answer":                {"/unsafe/", []string{wrongID}, []string{ok}, 504, "timeout", [2]int{1, 0}},
 		"unsafe, another's answer, then closed":   {"/unsafe/", []string{wrongID + closing}, []string{ok}, 502, "answer_lost", [2]int{1, 0}},
 		"unsafe, 503 that doesn't say not run":    {"/unsafe/", []string{upstream503}, []string{ok}, 502, "upstream_failed", [2]int{1, 0}},
+		"unsafe, 421 of the application":          {"/unsafe/", []string{own421}, []string{ok}, 502, "upstream_failed", [2]int{1, 0}},
 		"unsafe, silent":                          {"/unsafe/", []string{silent}, []string{ok}, 504, "timeout", [2]int{1, 0}},
 		"unsafe, silent beyond the route's time":  {"/short/", []string{silent}, []string{ok}, 504, "timeout", [2]int{1, 0}},
 		"no upstream at all":                      {"/nowhere/", []string{ok}, []string{ok}, 503, "no_upstream", [2]int{0, 0}},
