--- a/internal/front/proxy/receive.go
+++ b/internal/front/proxy/receive.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	errNoRequest    = errors.New("response names no request")
+	errNoRequest    = errors.New("response names no request, or several")
 	errUnsigned     = errors.New("success bears no signature of the upstream")
 	errWrongRequest = errors.New("responses belong to other requests")
 )
