upconn: a long request of which no byte left counts as not run

An unsafe call or a stream with a body over 8 KiB whose connection was closed before a byte of it left got 502 ("answer_lost") and was not sent on; with a short body it was.

Cause: a long body is written in the background, and Sent counted it as left from the start.

Change: Sent waits for the write in the background, which ends at once once the connection is closed (it is, where Sent is asked), and tells what left. The other direction is checked as well: over pipes and TCP no case has bytes that left while Sent is false (interrupted, deadline passed, reset, closed here or there, before and while it writes, bodies of 0, 8 KiB, 8 KiB + 1 and 16 MiB).

TestAnswerBeforeLongBody holds already: after an answer before the body the connection is kept only if all of the request is out; then the rest arrives whole, and the next request behind it. Otherwise nothing writes the rest.

Evidence: TestSentTellsWhetherBytesLeft, 28 cases: 10 failed before (the two long bodies of five cases, "true != false"), none after. TestConnectionClosedBeforeRequest: long bodies, unsafe and stream, failed before with "502 != 200". TestSentOverTCP and TestAnswerBeforeLongBody passed before, too.

--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -69,7 +69,7 @@
 	}
 )
 
-// Send writes the request; a large one is written in the background. After an error, Sent
+// Send writes the request; a large one is written in the background. After an error and Close, Sent
 // reports whether any of it may have reached the upstream.
 func (c *Conn) Send(r Request) error {
 	var b bytes.Buffer
@@ -89,7 +89,6 @@
 	}
 	done := make(chan error, 1)
 	c.writing = done
-	c.sent.Store(true) // the write may have begun by the next call of Sent
 	go func() { done <- c.write(b.Bytes()) }()
 	return nil
 }
@@ -102,8 +101,15 @@
 	return err
 }
 
-// Sent reports whether any byte of the request was, or may have been, written.
-func (c *Conn) Sent() bool { return c.sent.Load() }
+// Sent reports whether any byte of the request was written. It waits for a write in the background, which
+// ends at once after Close.
+func (c *Conn) Sent() bool {
+	if c.writing != nil {
+		err := <-c.writing
+		c.writing <- err // for later calls, and for Written
+	}
+	return c.sent.Load()
+}
 
 // Receive reads the header of the response, whose body is still to be read.
 // Informational responses (1xx) are skipped. It fails with ErrHeadTooLong if all these headers are
