upconn: a request that was cut while it was written counts as not out

The line of a request lacked partly_written if a short request could not be written whole (its connection was reset, interrupted, or took no bytes): the field that tells "the connection broke while the request was sent" from "the request was out, and no answer came" was only right for bodies over 8 KiB.

Cause: Written knew only writes in the background. No connection went back to the pool because of it: one whose write failed is closed.

--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -56,6 +56,7 @@
 		upstreamID string // the upstream that was dialled; another one may have the same address later
 		idleUntil  time.Time
 		sent       atomic.Bool
+		cut        bool       // a write in the foreground failed
 		writing    chan error // result of a write in the background; nil for none
 	}
 
@@ -85,7 +86,9 @@
 	b.Write(r.Body)
 	c.writing = nil
 	if len(r.Body) <= inlineBody {
-		return c.write(b.Bytes())
+		err := c.write(b.Bytes())
+		c.cut = err != nil
+		return err
 	}
 	done := make(chan error, 1)
 	c.writing = done
@@ -155,7 +158,7 @@
 // Written reports whether the whole request has been written.
 func (c *Conn) Written() bool {
 	if c.writing == nil {
-		return true
+		return !c.cut
 	}
 	select {
 	case err := <-c.writing:
--- a/internal/front/upconn/sent_test.go
+++ b/internal/front/upconn/sent_test.go
@@ -55,7 +55,9 @@
 					}
 					is.True(err != nil)
 					conn.Close()
+					is.True(!conn.Written())
 					is.Equal(conn.Sent(), c.sent)
+					is.True(!conn.Written())
 					upstream.Wait()
 					_ = far.Close()
 				})
