proxy: an upstream's own 402 does not tell a turn that its budget is spent

A turn with a token budget whose upstream answered 402 itself, without saying "not run", got that 402: for its caller the promise that the budget is spent and the turn has not run and will not.

Cause: the statuses of upstreams that are not passed on were 408, 421, 429 and 503; 402 promises the same, to turns.

Change: such a turn gets 502 (ran: unknown), as with the others. Calls and streams without a budget still get the upstream's own 402, which promises them nothing.

Evidence: TestStatusOfUpstreamThatPromises failed for "turn 402" ("402 != 502"). TestRefusedAfterRun (a request of which one run was lost and the next refused is not refused, 14 cases) passed before, too. Not seen from any upstream.

--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -155,7 +155,7 @@
 func (q *request) writeResponse(s *exchange, body []byte) {
 	q.summary.ran = ranYes
 	q.summary.runs.end(answeredWith(s.resp.StatusCode))
-	if impliesNotRun(s.resp.StatusCode) {
+	if q.impliesNotRun(s.resp.StatusCode) {
 		q.replyUnknown(http.StatusBadGateway, "upstream_failed", errors.Newf("upstream returned status %d without the not-run header", s.resp.StatusCode))
 		return
 	}
@@ -175,8 +175,10 @@
 }
 
 // impliesNotRun reports whether the status tells a caller that its request has not run.
-func impliesNotRun(status int) bool {
+func (q *request) impliesNotRun(status int) bool {
 	switch status {
+	case http.StatusPaymentRequired:
+		return q.route.Kind == route.Stream && q.HasTokenBudget // callers take it for a budget that is spent
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
 	default:
--- a/internal/front/proxy/refusal_test.go
+++ b/internal/front/proxy/refusal_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -94,3 +96,87 @@
 		}
 	}
 }
+
+// Guards against an upstream's status that a caller takes for a promise that its request has not run.
+func TestStatusOfUpstreamThatPromises(t *testing.T) {
+	budget := map[string]string{"Program": "p", "Budget": "90"}
+	cases := map[string]struct {
+		path     string
+		header   map[string]string
+		statuses []int // that promise it
+		others   []int // passed on
+	}{
+		"safe":              {"/safe/", nil, []int{408, 421, 429, 503}, []int{401, 402, 404, 410, 500, 502, 504}},
+		"unsafe":            {"/unsafe/", nil, []int{408, 421, 429, 503}, []int{401, 402, 404, 410, 500, 502, 504}},
+		"stream, no budget": {"/stream/", nil, []int{408, 421, 429, 503}, []int{401, 402, 404, 410, 500, 502, 504}},
+		"turn":              {"/stream/", budget, []int{402, 408, 421, 429, 503}, []int{401, 404, 410, 500, 502, 504}},
+		"stored turn":       {"/keep/", budget, []int{402, 408, 421, 429, 503}, []int{401, 404, 410, 500, 502, 504}},
+	}
+	for name, c := range cases {
+		for _, status := range slices.Concat(c.statuses, c.others) {
+			t.Run(fmt.Sprint(name, " ", status), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					answer := fmt.Sprintf("HTTP/1.1 %d Own\r\nId: ID\r\nAgain: 1\r\nContent-Length: 3\r\n\r\nown", status)
+					env := newTestEnv([]string{answer}, []string{answer})
+					rec, aborted := env.do(t.Context(), c.path, c.header, "in")
+					is.True(!aborted)
+					if slices.Contains(c.others, status) {
+						is.Equal(rec.Code, status)
+						is.Equal(rec.Body.String(), "own")
+					} else {
+						is.Equal(rec.Code, 502)
+						is.Equal(rec.Header().Get("Again"), "")
+						is.True(strings.Contains(rec.Body.String(), `"ran":"unknown"`))
+					}
+					is.Equal(len(env.upstreams["up1"].requests())+len(env.upstreams["up2"].requests()), 1)
+					env.close()
+				})
+			})
+		}
+	}
+}
+
+// Guards against a refusal for a request of which an earlier run was lost, and against a refusal that is
+// lost because of the one before.
+func TestRefusedAfterRun(t *testing.T) {
+	const broken = chunked + event1 + closing
+	cases := map[string]struct {
+		path          string
+		first, second []string
+		status        int // 0 for a response that is broken off
+		ran           string
+	}{
+		"safe, lost, refused":                {"/safe/", []string{closing}, []string{full}, 502, "unknown"},
+		"safe, cut, refused":                 {"/safe/", []string{truncated}, []string{full}, 502, "unknown"},
+		"safe, lost, another instance":       {"/safe/", []string{closing}, []string{wrongInstance}, 502, "unknown"},
+		"safe, refused, refused":             {"/safe/", []string{full}, []string{full}, 503, "no"},
+		"unsafe, refused, refused":           {"/unsafe/", []string{full}, []string{wrongInstance}, 503, "no"},
+		"unsafe, refused, lost":              {"/unsafe/", []string{full}, []string{closing}, 502, "unknown"},
+		"stream, refused, refused":           {"/stream/", []string{full}, []string{full}, 503, "no"},
+		"stream, refused, lost":              {"/stream/", []string{full}, []string{closing}, 502, "unknown"},
+		"resumed, broken off, refused":       {"/resume/", []string{broken, full}, []string{full}, 0, ""},
+		"resumed, header only, refused":      {"/resume/", []string{chunked + closing, full}, []string{full}, 0, ""},
+		"resumed, header only, unreachable":  {"/resume/", []string{chunked + closing, closing}, []string{full}, 0, ""},
+		"resumed, lost":                      {"/resume/", []string{closing}, []string{full}, 502, "unknown"},
+		"resumed, failure cut short":         {"/resume/", []string{"HTTP/1.1 500 Bad\r\nId: ID\r\nContent-Length: 9\r\n\r\nbadCLOSE", full}, []string{full}, 502, "unknown"},
+		"unsafe, refused, own 503, no third": {"/unsafe/", []string{full}, []string{upstream503}, 502, "unknown"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv(c.first, c.second)
+				env.setLoad("up2", 2) // so that up1 is tried first
+				rec, aborted := env.do(t.Context(), c.path, map[string]string{"Program": "p"}, "in")
+				is.Equal(aborted, c.status == 0)
+				if !aborted {
+					is.Equal(rec.Code, c.status)
+					is.Equal(rec.Header().Get("Again") != "", c.ran == "no")
+					is.True(strings.Contains(rec.Body.String(), `"ran":"`+c.ran+`"`))
+				}
+				env.close()
+			})
+		})
+	}
+}
