proxy: test that a refusal before a long body leaves nothing to run

An upstream refuses before it has read a long body and reads on later.

Evidence: without the check of Written in Pool.Put, TestRefusedBeforeLongBody fails (the connection is kept) and so does upconn's TestAnswerBeforeLongBody (the whole body arrives).

--- a/internal/front/proxy/refusal_test.go
+++ b/internal/front/proxy/refusal_test.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,3 +184,42 @@
 		})
 	}
 }
+
+// Guards against a request that runs although its caller was refused: the rest of a long body that arrives after the refusal.
+func TestRefusedBeforeLongBody(t *testing.T) {
+	refusals := map[string]string{"full": full, "another instance": wrongInstance, "with a body": strings.Replace(full, "Length: 0\r\n\r\n", "Length: 4\r\n\r\nfull", 1), "body without end": strings.Replace(full, "Length: 0", "Length: 9", 1)}
+	for name, refusal := range refusals {
+		for _, path := range []string{"/unsafe/", "/stream/"} {
+			t.Run(name+", "+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					body := strings.Repeat("b", 100<<10)
+					env := newTestEnv([]string{ok})
+					env.allowLongBodies()
+					var upstream sync.WaitGroup
+					whole := false
+					env.e.Pool.Dial = func(context.Context, string) (net.Conn, error) {
+						near, far := net.Pipe()
+						upstream.Go(func() {
+							r, err := http.ReadRequest(bufio.NewReader(far))
+							is.NoErr(err)
+							_, _ = io.WriteString(far, strings.ReplaceAll(refusal, "ID", "r1"))
+							time.Sleep(100 * time.Millisecond) // then it reads on
+							_, err = io.Copy(io.Discard, r.Body)
+							whole = err == nil
+						})
+						return near, nil
+					}
+					rec, aborted := env.do(t.Context(), path, nil, body)
+					is.True(!aborted)
+					is.Equal(rec.Code, 503)
+					is.True(rec.Header().Get("Again") != "")
+					is.True(!env.e.Pool.Idle("up1"))
+					upstream.Wait()
+					is.True(!whole)
+					env.close()
+				})
+			})
+		}
+	}
+}
