owner: a repeat with too many callers is not said to have not run

A caller who repeated a call under way, while 16 others waited for it, got 429 with ran: no, a promise that it has not run and never will; the call was running, or ran later.

Cause: the refusal of the caller was made with the result for requests that did not run.

Change: ran is unknown; the message says that the call is under way.

Evidence: TestCalls/repeat_while_under_way,_too_many_callers failed with "no != unknown".

--- a/internal/shard/owner/call.go
+++ b/internal/shard/owner/call.go
@@ -111,7 +111,7 @@
 	case r.digest != digest:
 		o.reply(m.Ticket, m.Call.Request, result.Refuse(result.CodeConflict, "call %d is under way with another body", r.call.Number))
 	case len(r.tickets) >= maxCallersPerCall:
-		o.reply(m.Ticket, m.Call.Request, result.Refuse(result.CodeLimited, "call %d has too many callers waiting", r.call.Number))
+		o.reply(m.Ticket, m.Call.Request, result.Failed(result.CodeLimited, result.Unknown, "call %d is under way, and has too many callers waiting", r.call.Number))
 	default:
 		o.addCaller(m.Ticket, r)
 	}
--- a/internal/shard/owner/calls_test.go
+++ b/internal/shard/owner/calls_test.go
@@ -48,6 +48,12 @@
 			d.answer(sched.Succeeded)
 			return t
 		}, result.CodeOK, result.Yes, 1},
+		"repeat while under way, too many callers": {func(d *driver) (t owner.Ticket) {
+			for range 17 {
+				t = d.call("p", 0, "receipt", "a")
+			}
+			return t
+		}, result.CodeLimited, result.Unknown, 1},
 		"repeat after the end": {func(d *driver) owner.Ticket {
 			d.call("p", 0, "receipt", "a")
 			d.answer(sched.Succeeded)
