host: a repeated call whose record can't be read is not said to have not run

Cause: the failure to read was answered with the result for requests that did not run.

Change: ran is unknown. The stand-in of the soak does the same.

Evidence: TestRecordedResult, two of four cases failed with "no != unknown".

--- a/internal/node/host/history.go
+++ b/internal/node/host/history.go
@@ -42,13 +42,18 @@
 	ctx, stop := context.WithTimeout(h.ctx, storeTimeout)
 	defer stop()
 	c, ok, err := h.journal().Call(ctx, e.Program, e.Number, e.Entries)
+	h.reply(e.Ticket, recordedResult(e.Number, c, ok, err))
+}
+
+// recordedResult returns the answer to a repeat of the call with the number, of which the journal holds c, if ok.
+func recordedResult(number int, c hist.Call, ok bool, err error) result.Result {
 	switch {
 	case err != nil:
-		h.reply(e.Ticket, result.Refuse(result.CodeStoreDown, "the recorded outcome can't be read now").WithRetryAfter(storeTimeout))
+		return result.Failed(result.CodeStoreDown, result.Unknown, "the recorded outcome can't be read now").WithRetryAfter(storeTimeout)
 	case !ok:
-		h.reply(e.Ticket, result.Refuse(result.CodeOrder, "call %d has ended without an answer and later calls have run", e.Number))
+		return result.Refuse(result.CodeOrder, "call %d has ended without an answer and later calls have run", number)
 	default:
-		h.reply(e.Ticket, c.Result)
+		return c.Result
 	}
 }
 
--- a/internal/node/host/history_test.go
+++ b/internal/node/host/history_test.go
@@ -3,12 +3,37 @@
 import (
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/slaterock/slaterock/internal/prog/hist"
 	"github.com/slaterock/slaterock/internal/prog/result"
 )
 
+// Guards against a repeated call that ran, and is said not to have run because its record can't be read now.
+func TestRecordedResult(t *testing.T) {
+	answer := result.Result{Code: result.CodeOK, Ran: result.Yes, Status: 200}
+	tests := map[string]struct {
+		ok   bool
+		err  error
+		code result.Code
+		ran  result.Ran
+	}{
+		"read":               {true, nil, result.CodeOK, result.Yes},
+		"can't be read":      {false, errors.New("down"), result.CodeStoreDown, result.Unknown},
+		"text can't be":      {true, errors.New("down"), result.CodeStoreDown, result.Unknown},
+		"not to be repeated": {false, nil, result.CodeOrder, result.No},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := recordedResult(3, hist.Call{Result: answer}, tt.ok, tt.err)
+			is.Equal(r.Code, tt.code)
+			is.Equal(r.Ran, tt.ran)
+		})
+	}
+}
+
 // Support engineers look a request up by the id in its response. The id may be that of a
 // repeated call, which joined the original or was answered from the journal and has no
 // record of its own.
--- a/internal/play/soak/effects.go
+++ b/internal/play/soak/effects.go
@@ -35,7 +35,7 @@
 	case owner.ReplyFromJournal:
 		c, ok, err := histio.Reader{Store: sim.st, Shard: 0, ReadText: sim.text}.Call(context.Background(), e.Program, e.Number, e.Entries)
 		if err != nil {
-			sim.reply(e.Ticket, "", result.Refuse(result.CodeStoreDown, "can't be read").WithRetryAfter(time.Second))
+			sim.reply(e.Ticket, "", result.Failed(result.CodeStoreDown, result.Unknown, "can't be read").WithRetryAfter(time.Second))
 			return
 		}
 		sim.stats.Recalled++
