--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -56,6 +56,7 @@
 		upstreamID string // the upstream that was dialled; another one may have the same address later
 		idleUntil  time.Time
 		sent       atomic.Bool
+		cut        bool       // a write in the foreground failed
 		writing    chan error // result of a write in the background; nil for none
 	}
 
@@ -69,7 +70,7 @@
 	}
 )
 
-// Send writes the request; a large one is written in the background. After an error, Sent
+// Send writes the request; a large one is written in the background. After an error and Close, Sent
 // reports whether any of it may have reached the upstream.
 func (c *Conn) Send(r Request) error {
 	var b bytes.Buffer
@@ -85,11 +86,12 @@
 	b.Write(r.Body)
 	c.writing = nil
 	if len(r.Body) <= inlineBody {
-		return c.write(b.Bytes())
+		err := c.write(b.Bytes())
+		c.cut = err != nil
+		return err
 	}
 	done := make(chan error, 1)
 	c.writing = done
-	c.sent.Store(true) // the write may have begun by the next call of Sent
 	go func() { done <- c.write(b.Bytes()) }()
 	return nil
 }
@@ -102,8 +104,15 @@
 	return err
 }
 
-// Sent reports whether any byte of the request was, or may have been, written.
-func (c *Conn) Sent() bool { return c.sent.Load() }
+// Sent reports whether any byte of the request was written. It waits for a write in the background, which
+// ends at once after Close.
+func (c *Conn) Sent() bool {
+	if c.writing != nil {
+		err := <-c.writing
+		c.writing <- err // for later calls, and for Written
+	}
+	return c.sent.Load()
+}
 
 // Receive reads the header of the response, whose body is still to be read.
 // Informational responses (1xx) are skipped. It fails with ErrHeadTooLong if all these headers are
@@ -149,7 +158,7 @@
 // Written reports whether the whole request has been written.
 func (c *Conn) Written() bool {
 	if c.writing == nil {
-		return true
+		return !c.cut
 	}
 	select {
 	case err := <-c.writing:
