recsrv, diskd: the line on slow requests for records has the slowest sync

Callers got 503 records_away after 0.9 s each, for seconds, and no log told whether the disks or the processors of the VMs with a disk were slow: the line had the time of the slowest request only.

The record server times each sync of its log. The line has slowest_sync_ms, and is also written for a slow sync alone; slaterock_records_sync_time counts them. TestLoadTellsSlowSyncs did not compile before: there was nothing to ask.

--- a/internal/disk/recsrv/load.go
+++ b/internal/disk/recsrv/load.go
@@ -1,6 +1,7 @@
 package recsrv
 
 import (
+	"os"
 	"sync"
 	"time"
 
@@ -20,10 +21,11 @@
 type (
 	// Load is what a server did in some time.
 	Load struct {
-		Served   int           // requests for records, refused ones excluded
-		Refused  int           // reservations refused for overload
-		Slowest  time.Duration // of the served requests
-		UnderWay int           // writes, at the end of that time
+		Served      int           // requests for records, refused ones excluded
+		Refused     int           // reservations refused for overload
+		Slowest     time.Duration // of the served requests
+		SlowestSync time.Duration // of the log, which writes wait for: for the one under way and for their own
+		UnderWay    int           // writes, at the end of that time
 	}
 
 	// kind is the kind of a request, as metrics name it.
@@ -33,6 +35,7 @@
 	meter struct {
 		refused    map[kind]tally.Counter
 		time       map[kind]tally.Timer
+		syncTime   tally.Timer
 		dropped    tally.Counter // segments
 		moved      tally.Counter // records out of segments that were dropped, and their bytes
 		movedBytes tally.Counter
@@ -49,6 +52,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
+	m.syncTime = scope.Timer("records_sync_time")
 	m.dropped = scope.Counter("records_segments_dropped")
 	m.moved, m.movedBytes = scope.Counter("records_moved"), scope.Counter("records_moved_bytes")
 	m.refused, m.time = map[kind]tally.Counter{}, map[kind]tally.Timer{}
@@ -71,6 +75,23 @@
 	return load
 }
 
+// timed returns a function that makes a file durable with sync, nil for os.File.Sync, and notes the time.
+func (m *meter) timed(sync func(*os.File) error) func(*os.File) error {
+	if sync == nil {
+		sync = (*os.File).Sync
+	}
+	return func(f *os.File) error {
+		began := time.Now()
+		err := sync(f)
+		took := time.Since(began)
+		m.syncTime.Record(took)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.load.SlowestSync = max(m.load.SlowestSync, took)
+		return err
+	}
+}
+
 // observe counts a request that has ended.
 func (m *meter) observe(k kind, began time.Time, refusal Refusal) {
 	took := time.Since(began)
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -75,6 +75,7 @@
 		return false, err
 	}
 	s.log.Dir = s.Dir
+	s.log.Sync = s.meter.timed(s.log.Sync)
 	now := s.Now()
 	var decodeErr error
 	err = s.log.Open(func(pos seglog.Pos, data []byte) {
--- a/internal/disk/recsrv/recsrv_test.go
+++ b/internal/disk/recsrv/recsrv_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -119,3 +120,28 @@
 		is.NoErr(s.Close())
 	})
 }
+
+// A slow disk must be told from a record server that has too much to do: with a slow request, the load has the time of the slowest sync.
+func TestLoadTellsSlowSyncs(t *testing.T) {
+	for name, syncTime := range map[string]time.Duration{"fast": 0, "slow": 700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &Server{Dir: t.TempDir()}
+				s.log.Sync = func(*os.File) error {
+					time.Sleep(syncTime)
+					return nil
+				}
+				_, err := s.Open()
+				is.NoErr(err)
+				_, err = s.Write(t.Context(), WriteRequest{Record: index.Record{Program: "p", Attempt: "a", Reserved: true}})
+				is.NoErr(err)
+				load := s.TakeLoad()
+				is.Equal(load.SlowestSync, syncTime)
+				is.Equal(load.Slowest, syncTime)
+				is.Equal(s.TakeLoad().SlowestSync, time.Duration(0))
+				is.NoErr(s.Close())
+			})
+		})
+	}
+}
--- a/internal/node/diskd/load.go
+++ b/internal/node/diskd/load.go
@@ -23,9 +23,9 @@
 	for pause.For(ctx, loadInterval) {
 		load, total := d.recsrv.TakeLoad(), d.link.Rejected()
 		d.Scope.Gauge("records_writes").Update(float64(load.UnderWay))
-		if load.Refused > 0 || total > rejected || load.Slowest >= slowRequest {
+		if load.Refused > 0 || total > rejected || max(load.Slowest, load.SlowestSync) >= slowRequest {
 			d.Log.Warn().Int("served", load.Served).Int("refused", load.Refused).Int64("rejected", total-rejected).
-				Int64("slowest_ms", load.Slowest.Milliseconds()).Int("writes_under_way", load.UnderWay).Msg("requests for records refused or slow")
+				Int64("slowest_ms", load.Slowest.Milliseconds()).Int64("slowest_sync_ms", load.SlowestSync.Milliseconds()).Int("writes_under_way", load.UnderWay).Msg("requests for records refused or slow")
 		}
 		rejected = total
 	}
