reach, quorum: a reservation waits for record servers that answer and are slow to sync

Callers got five 503 records_away in a row, for turns whose records were all there, while syncs took 0.7 to 2.5 s at all replicas at once (the disk that they share had much to write).

Cause: a reservation was given up after 0.9 s, on the ground that what takes longer is unlikely to succeed. That holds for replicas that are away, not for ones that are slow: a write waits for the sync under way and for its own. Each attempt was given up before its record was durable, and after the second one further attempts were refused at once, so five attempts 0.4 s apart were over in 2.5 to 6.5 s.

A reservation now asks after 0.6 s whether as many replicas as it needs answer a call that waits for no disk, in one question for all that wait meanwhile, at most one in 0.9 s. If they do, it waits for up to 2.5 s; if not, or if they refuse it, it fails after 0.9 s as before. Overloaded record servers take as long for the question as for a write, so they get no more reservations.

The stand-in of TestPartitionedFromRecords answers the question as it answers calls; what it checks is the same.

--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -39,6 +39,10 @@
 	// retryPause is the pause between attempts, in which a roster that has just
 	// changed reaches this daemon.
 	retryPause = 40 * time.Millisecond
+	// RetryTime is how long a reservation that replicas refuse or don't get is tried again. A
+	// killed one is skipped within 20 ms, and a changed roster is known within 0.1 s, so one
+	// that takes longer is unlikely to succeed.
+	RetryTime = 900 * time.Millisecond
 	// maxRetryPause is the longest pause between attempts while replicas are overloaded.
 	maxRetryPause = time.Second
 )
@@ -106,7 +110,7 @@
 	}
 }
 
-// Write makes a record durable. It retries until ctx ends, but a reservation that overloaded
+// Write makes a record durable. It retries until ctx ends, a reservation for RetryTime; one that overloaded
 // replicas have refused, or that exceeds the budget, fails at once. After an error the record may be durable or
 // not, unless the error is ErrNotWritten. The result of a reservation has the charge of every
 // reservation of the program that was acknowledged before, and that of a record with a run every run
@@ -114,18 +118,55 @@
 func (c *Client) Write(ctx context.Context, rec index.Record) (res Result, err error) {
 	defer func() { err = errors.Wrapf(err, "write record of %s", rec.Attempt) }()
 	w := recordWrite{client: c, rec: rec}
+	began := time.Now()
 	for wait := retryPause; ; {
 		if err = w.try(ctx); err == nil {
 			return w.result(), nil
 		}
 		wait = nextPause(wait, w.seen.busy)
 		refused := w.seen.spent || rec.Reserved && w.seen.busy && errors.Is(err, ErrNotWritten)
-		if refused || ctx.Err() != nil || !c.waitRetry(ctx, w.seen.stale, wait) {
+		late := rec.Reserved && time.Since(began) >= RetryTime
+		if refused || late || ctx.Err() != nil || !c.waitRetry(ctx, w.seen.stale, wait) {
 			return res, err
 		}
 	}
 }
 
+// Answering reports whether as many replicas as a reservation needs answer, before ctx ends, a call that
+// waits for no disk.
+func (c *Client) Answering(ctx context.Context) bool {
+	r := c.Roster()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	answers := make(chan *roster.Replica, len(r.Replicas))
+	for _, p := range r.Replicas {
+		go func() {
+			var diskID string
+			err := link.InvokeTyped(ctx, c.Peer(p.Address), recsrv.MethodDiskID, struct{}{}, &diskID)
+			if err != nil || diskID != p.DiskID {
+				answers <- nil
+				return
+			}
+			answers <- &p
+		}()
+	}
+	all, complete := 0, 0
+	for range r.Replicas {
+		p := <-answers
+		if p == nil {
+			continue
+		}
+		all++
+		if !p.Joining {
+			complete++
+		}
+		if all >= r.WriteQuorum() && complete >= r.ReadQuorum() {
+			return true
+		}
+	}
+	return false
+}
+
 // waitRetry waits before the next attempt, and first refreshes the roster if it may
 // be stale. It returns false if ctx has ended.
 func (c *Client) waitRetry(ctx context.Context, stale bool, wait time.Duration) bool {
--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -18,13 +18,19 @@
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/slots"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 const (
-	// CallTimeout limits the calls that a turn waits for before it runs. A killed holder is
-	// skipped within 20 ms, and a changed list of holders is known within 0.1 s, so a call
-	// that takes longer is unlikely to succeed.
-	CallTimeout = 900 * time.Millisecond
+	// CallTimeout limits the calls that a turn waits for before it runs, except for a
+	// reservation at holders that answer other calls.
+	CallTimeout = quorum.RetryTime
+	// slowTimeout limits a reservation at holders that answer. It waits for the sync under
+	// way and for its own, which take a second each while the disks have much to write.
+	slowTimeout = 2500 * time.Millisecond
+	// answerTimeout bounds the question whether the holders answer: a round trip takes
+	// milliseconds, and one that has too much to do takes as long for this as for a write.
+	answerTimeout = 300 * time.Millisecond
 	// tripFailures is the number of consecutive failures, and tripTime the time since the
 	// first of them, after which the holders count as unreachable. One slow call does not
 	// suffice.
@@ -46,6 +52,9 @@
 	Records interface {
 		Write(context.Context, index.Record) (quorum.Result, error)
 		Read(ctx context.Context, program, turn string) ([]index.Turn, error)
+		// Answering reports whether as many holders as a reservation needs answer, before ctx ends, a
+		// call that waits for no disk.
+		Answering(ctx context.Context) bool
 	}
 
 	// Breaker wraps Records so that calls fail at once while the holders are unreachable.
@@ -59,12 +68,20 @@
 		failures     int       // since the last success
 		firstFailure time.Time // since the last success
 		lastProbe    time.Time
+		asked        *question // the last one; nil for none
+	}
+
+	// question is one whether the holders answer, for all calls that wait meanwhile.
+	question struct {
+		began time.Time
+		ended chan struct{}
+		yes   bool
 	}
 )
 
-// Write writes a record. A reservation has CallTimeout, and fails with quorum.ErrNoQuorum
-// while the holders are unreachable, and with quorum.ErrOverloaded while they have too much to
-// do. A query has CallTimeout and fails in the first case, too. Other records, the output, the
+// Write writes a record. A reservation has CallTimeout, or slowTimeout as long as the holders
+// answer other calls. It fails with quorum.ErrNoQuorum while they are unreachable, and with
+// quorum.ErrOverloaded while they have too much to do. A query has CallTimeout and fails in the first case, too. Other records, the output, the
 // runs and the usage of turns, are always written, without a timeout of their own.
 func (b *Breaker) Write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
 	switch {
@@ -73,20 +90,68 @@
 	case !rec.Reserved:
 		return b.Records.Write(ctx, rec)
 	}
+	return b.reserve(ctx, rec)
+}
+
+func (b *Breaker) reserve(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
 	if !b.allow(time.Now()) {
 		return res, errOpen
 	}
-	limited, stop := context.WithTimeout(ctx, CallTimeout)
+	limited, stop := context.WithTimeout(ctx, slowTimeout)
 	defer stop()
+	defer time.AfterFunc(CallTimeout-answerTimeout, func() { b.endUnanswered(limited, stop) }).Stop()
 	if err = b.slots.Acquire(limited); err != nil {
 		return res, errors.WithSecondaryError(errFull, err)
 	}
 	res, err = b.Records.Write(limited, rec)
 	b.slots.Release(time.Now(), errors.Is(err, quorum.ErrOverloaded))
 	b.recordOutcome(ctx, err)
+	if err != nil && errors.Is(limited.Err(), context.DeadlineExceeded) {
+		err = errors.Wrap(err, "record servers answer and have not synced")
+	}
 	return res, err
 }
 
+// endUnanswered ends a call, with CallTimeout at the earliest, once the holders don't answer other calls.
+func (b *Breaker) endUnanswered(ctx context.Context, stop func()) {
+	for {
+		began := time.Now()
+		if !b.answering(ctx) {
+			pause.For(ctx, time.Until(began.Add(answerTimeout)))
+			stop()
+			return
+		}
+		if !pause.For(ctx, CallTimeout) {
+			return
+		}
+	}
+}
+
+// answering reports whether the holders answer. It asks them once in CallTimeout at most: they may have too
+// much to do.
+func (b *Breaker) answering(ctx context.Context) bool {
+	b.mu.Lock()
+	if b.asked == nil || time.Since(b.asked.began) >= CallTimeout {
+		b.asked = &question{began: time.Now(), ended: make(chan struct{})}
+		go b.ask(context.WithoutCancel(ctx), b.asked)
+	}
+	q := b.asked
+	b.mu.Unlock()
+	select {
+	case <-q.ended:
+		return q.yes
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (b *Breaker) ask(ctx context.Context, q *question) {
+	defer close(q.ended)
+	limited, stop := context.WithTimeout(ctx, answerTimeout)
+	defer stop()
+	q.yes = b.Records.Answering(limited)
+}
+
 func (b *Breaker) query(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
 	if !b.allow(time.Now()) {
 		return res, errOpen
--- a/internal/front/reach/reach_test.go
+++ b/internal/front/reach/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,7 @@
 
 // stubRecords is a Records whose calls hang while it is down.
 type stubRecords struct {
-	down  bool
+	down  atomic.Bool
 	calls int
 }
 
@@ -27,9 +28,16 @@
 	return nil, errors.CombineErrors(s.call(ctx), quorum.ErrNoTurn)
 }
 
+func (s *stubRecords) Answering(ctx context.Context) bool {
+	if s.down.Load() {
+		<-ctx.Done()
+	}
+	return !s.down.Load()
+}
+
 func (s *stubRecords) call(ctx context.Context) error {
 	s.calls++
-	if !s.down {
+	if !s.down.Load() {
 		return nil
 	}
 	<-ctx.Done()
@@ -53,7 +61,7 @@
 		}
 		_, err := write()
 		is.NoErr(err)
-		s.down = true
+		s.down.Store(true)
 		took, err := write()
 		is.True(err != nil)
 		is.Equal(took, CallTimeout)
@@ -76,7 +84,7 @@
 			is.True(errors.Is(err, quorum.ErrNoQuorum))
 			time.Sleep(CallTimeout)
 		}
-		s.down = false
+		s.down.Store(false)
 		time.Sleep(probeInterval)
 		b.Probe(t.Context())
 		is.True(!b.Down(time.Now()))
@@ -89,7 +97,9 @@
 func TestCancelledCallsAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := &Breaker{Records: &stubRecords{down: true}}
+		s := &stubRecords{}
+		s.down.Store(true)
+		b := &Breaker{Records: s}
 		for range 5 {
 			ctx, cancel := context.WithCancel(t.Context())
 			time.AfterFunc(100*time.Millisecond, cancel)
--- a/internal/node/frontd/cutoff_test.go
+++ b/internal/node/frontd/cutoff_test.go
@@ -24,6 +24,8 @@
 	return nil, quorum.ErrNoQuorum
 }
 
+func (noRecords) Answering(context.Context) bool { return false }
+
 // Guards against callers that a front without a network keeps: it would go on naming fronts
 // that are cut off like itself, and callers of those would be refused for seconds.
 func TestCutOffFrontNamesNobody(t *testing.T) {
