reach: a reservation that waits for a slow disk takes no slot

Cause: a front lets eight reservations through at first, and one more for each that succeeds while all are in use; further ones wait for 0.3 s, which fits the 50 ms that a reservation takes. With syncs of a second each slot is held for 1.2 to 2.5 s, so those that come back after 0.4 s find none.

The bound protects the record servers from work, and a record that waits for a disk is none. Once they answer the question of a slow reservation, that one releases its slot. The record servers' own bound of 128 writes under way stays.

TestSlowDisksTakeNoSlots: of 40 turns together at one front 19 were refused five times before, now none. TestOverloadEndsWithTheBurst passes as before.

--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,12 +100,19 @@
 	}
 	limited, stop := context.WithTimeout(ctx, slowTimeout)
 	defer stop()
-	defer time.AfterFunc(CallTimeout-answerTimeout, func() { b.endUnanswered(limited, stop) }).Stop()
+	var held atomic.Bool // a slot
+	release := func(overloaded bool) {
+		if held.Swap(false) {
+			b.slots.Release(time.Now(), overloaded)
+		}
+	}
+	defer time.AfterFunc(CallTimeout-answerTimeout, func() { b.endUnanswered(limited, stop, release) }).Stop()
 	if err = b.slots.Acquire(limited); err != nil {
 		return res, errors.WithSecondaryError(errFull, err)
 	}
+	held.Store(true)
 	res, err = b.Records.Write(limited, rec)
-	b.slots.Release(time.Now(), errors.Is(err, quorum.ErrOverloaded))
+	release(errors.Is(err, quorum.ErrOverloaded))
 	b.recordOutcome(ctx, err)
 	if err != nil && errors.Is(limited.Err(), context.DeadlineExceeded) {
 		err = errors.Wrap(err, "record servers answer and have not synced")
@@ -112,8 +120,9 @@
 	return res, err
 }
 
-// endUnanswered ends a call, with CallTimeout at the earliest, once the holders don't answer other calls.
-func (b *Breaker) endUnanswered(ctx context.Context, stop func()) {
+// endUnanswered ends a call, with CallTimeout at the earliest, once the holders don't answer other calls. If
+// they do, it releases the call's slot: the call waits for a disk, and the holders have room for others.
+func (b *Breaker) endUnanswered(ctx context.Context, stop func(), release func(overloaded bool)) {
 	for {
 		began := time.Now()
 		if !b.answering(ctx) {
@@ -121,6 +130,7 @@
 			stop()
 			return
 		}
+		release(false)
 		if !pause.For(ctx, CallTimeout) {
 			return
 		}
--- a/internal/front/reach/slow_test.go
+++ b/internal/front/reach/slow_test.go
@@ -79,6 +79,22 @@
 	return err
 }
 
+// newSlowHolders returns the breaker of a front and its three holders.
+func newSlowHolders(disks [3]disk, syncTime time.Duration) (*Breaker, map[string]*slowHolder) {
+	r := roster.Roster{Version: 1, MaxFailures: 1}
+	holders := map[string]*slowHolder{}
+	for i, d := range disks {
+		n := fmt.Sprint("n", i)
+		holders[n] = &slowHolder{name: n, disk: d, sync: syncTime}
+		r.Replicas = append(r.Replicas, roster.Replica{Node: n, Address: n, DiskID: n})
+	}
+	return &Breaker{Records: &quorum.Client{
+		Peer:    func(address string) link.Invoker { return holders[address] },
+		Roster:  func() roster.Roster { return r },
+		Refresh: func(context.Context) {},
+	}}, holders
+}
+
 // Turns at holders that answer and whose disks are slow must be recorded late, not refused at each try; those of holders that don't answer, or refuse, must be refused as before.
 func TestSlowDisksAreWaitedFor(t *testing.T) {
 	tests := map[string]struct {
@@ -101,18 +117,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
-				r := roster.Roster{Version: 1, MaxFailures: 1}
-				holders := map[string]*slowHolder{}
-				for i, d := range test.disks {
-					n := fmt.Sprint("n", i)
-					holders[n] = &slowHolder{name: n, disk: d, sync: test.sync}
-					r.Replicas = append(r.Replicas, roster.Replica{Node: n, Address: n, DiskID: n})
-				}
-				b := &Breaker{Records: &quorum.Client{
-					Peer:    func(address string) link.Invoker { return holders[address] },
-					Roster:  func() roster.Roster { return r },
-					Refresh: func(context.Context) {},
-				}}
+				b, holders := newSlowHolders(test.disks, test.sync)
 				var turns sync.WaitGroup
 				for i := range 8 {
 					turns.Go(func() {
@@ -134,3 +139,35 @@
 		})
 	}
 }
+
+// Turns that come together at a front whose holders have slow disks must not be refused again and again for lack of slots: those that wait for a disk are no work for the holders.
+func TestSlowDisksTakeNoSlots(t *testing.T) {
+	const (
+		together = 40
+		comeBack = 400 * time.Millisecond
+		tries    = 5 // after which callers take a turn for lost
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		b, _ := newSlowHolders([3]disk{}, 1200*time.Millisecond)
+		var turns sync.WaitGroup
+		for i := range together {
+			turns.Go(func() {
+				var err error
+				for try := range tries {
+					id := fmt.Sprint("t", i, "-", try)
+					if _, err = b.Write(t.Context(), index.Record{Program: id, Attempt: id, Reserved: true}); err == nil {
+						return
+					}
+					time.Sleep(comeBack)
+				}
+				is.NoErr(err)
+			})
+		}
+		turns.Wait()
+		time.Sleep(5 * time.Second) // the writes that are under way
+		_, inUse, waiting := b.Slots()
+		is.Equal(inUse, 0)
+		is.Equal(waiting, 0)
+	})
+}
