roster: a VM that loses its disk while it is being emptied is replaced

Callers would see nothing until the next loss, which then stops the service: the roster kept a replica without a disk for as long as the operator left the VM running.

Cause: the VM starts with an empty disk and does not claim its own place, since it is to be emptied. It is listed, so it is not missing; and a spare took the place of a retiring VM only if the VM had the disk of that place. So nobody did. Found by a search over the roster's states: retire a; lose disk a; a spare comes.

The place of a retiring VM is taken also if its disk is not the place's any more, then without a source to copy from. TestClaim, "one is to be emptied, disk lost", fails before.

--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -196,7 +196,8 @@
 // is joining, no retiring or missing VM is replaced: two replacements at once could leave
 // too few complete replicas. A disk that was lost meanwhile may join beside the successor of
 // a retiring VM, which needs no other replica: it copies from that VM. A replica that is
-// joining is not replaced for being retired: its successor would have no source.
+// joining is not replaced for being retired: its successor would have no source. One whose disk
+// was lost is: its VM, which is being retired, does not claim its place.
 func (r Roster) Claim(now time.Time, self Member, members []Member, missingSince map[string]time.Time, minMissing time.Duration) (Roster, bool) {
 	if _, in := r.Find(self.DiskID); in || self.Retiring {
 		return Roster{}, false
@@ -212,19 +213,23 @@
 	if !r.IsNextClaimant(self, members) {
 		return Roster{}, false
 	}
-	retiring := map[string]bool{}
+	retiring := map[string]string{} // disk IDs of nodes
 	for _, m := range members {
-		retiring[m.DiskID] = m.Retiring
+		if m.Retiring {
+			retiring[m.Node] = m.DiskID
+		}
 	}
 	for i, p := range r.Replicas {
 		since, gone := missingSince[p.Node]
-		leaves := retiring[p.DiskID] && !p.Joining // one that joins is to be complete first, as a source
+		diskID, leaves := retiring[p.Node]
+		hasDisk := diskID == p.DiskID
+		leaves = leaves && !(hasDisk && p.Joining) // one that joins is to be complete first, as a source
 		if gone && now.Sub(since) >= minMissing || leaves {
 			if r.otherJoining(i) {
 				return Roster{}, false
 			}
 			next := r.withReplica(i, self)
-			if leaves {
+			if leaves && hasDisk {
 				next.Replicas[i].Source = Source{Node: p.Node, Address: p.Address, DiskID: p.DiskID}
 			}
 			return next, true
--- a/internal/disk/roster/roster_test.go
+++ b/internal/disk/roster/roster_test.go
@@ -77,6 +77,8 @@
 	retiring.Retiring = true
 	retiringMember := member("e", "z", "9")
 	retiringMember.Retiring = true
+	emptyDisk := member("c", "z", "33") // of the VM that is to be emptied
+	emptyDisk.Retiring = true
 	cases := map[string]struct {
 		r       Roster
 		self    Member
@@ -93,6 +95,7 @@
 		"the first one is to be emptied":  {base, member("f", "x", "5"), []Member{retiringMember}, longMissing, "a/1 b/2 f/5* "},
 		"one is to be emptied":            {base, member("d", "x", "4"), []Member{retiring}, nil, "a/1 b/2 d/4* "},
 		"to be emptied itself":            {base, retiringMember, nil, longMissing, ""},
+		"one is to be emptied, disk lost": {base, member("d", "x", "4"), []Member{emptyDisk}, nil, "a/1 b/2 d/4* "},
 		"another place is joining":        {joining, member("d", "x", "4"), nil, longMissing, ""},
 		"own disk lost while one joins":   {joining, member("a", "x", "8"), nil, nil, "a/8* b/2* c/3 "},
 		"fewer places than there may be":  {base.Without("3"), member("d", "x", "4"), nil, nil, "a/1 b/2 d/4* "},
