roster: a VM that is missing while it joins is replaced beside one that is being emptied

Callers would see nothing until the next loss, which then stops the service: a replica that was lost while it joined was not replaced, and the VM to be emptied kept its records for good.

Cause: a spare looks at the replicas in their order, and gave up at the first one that leaves if another one joins, before it came to the one that joins and is missing itself. Found by the search over the roster's states, after some 14,000: retire b; d joins in its place; retire a; b is kept; d is lost; a spare comes.

It goes on to the next replica. TestClaim, "one is to be emptied, the one that joins is missing", fails before.

--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -226,7 +226,7 @@
 		leaves = leaves && !(hasDisk && p.Joining) // one that joins is to be complete first, as a source
 		if gone && now.Sub(since) >= minMissing || leaves {
 			if r.otherJoining(i) {
-				return Roster{}, false
+				continue // the one that joins may itself have to be replaced
 			}
 			next := r.withReplica(i, self)
 			if leaves && hasDisk {
--- a/internal/disk/roster/roster_test.go
+++ b/internal/disk/roster/roster_test.go
@@ -79,6 +79,8 @@
 	retiringMember.Retiring = true
 	emptyDisk := member("c", "z", "33") // of the VM that is to be emptied
 	emptyDisk.Retiring = true
+	first := member("a", "x", "1")
+	first.Retiring = true
 	cases := map[string]struct {
 		r       Roster
 		self    Member
@@ -86,20 +88,21 @@
 		missing map[string]time.Time
 		want    string
 	}{
-		"has a place":                     {base, member("a", "x", "1"), nil, longMissing, ""},
-		"nothing is free":                 {base, member("d", "x", "4"), nil, nil, ""},
-		"one is missing, not yet long":    {base, member("d", "x", "4"), nil, map[string]time.Time{"c": now.Add(-TakeoverDelay + 1)}, ""},
-		"one is missing for long":         {base, member("d", "x", "4"), nil, longMissing, "a/1 b/2 d/4* "},
-		"own place with an empty disk":    {base, member("b", "x", "7"), nil, nil, "a/1 b/7* c/3 "},
-		"another claims first":            {base, member("e", "x", "5"), []Member{member("d", "x", "4")}, longMissing, ""},
-		"the first one is to be emptied":  {base, member("f", "x", "5"), []Member{retiringMember}, longMissing, "a/1 b/2 f/5* "},
-		"one is to be emptied":            {base, member("d", "x", "4"), []Member{retiring}, nil, "a/1 b/2 d/4* "},
-		"to be emptied itself":            {base, retiringMember, nil, longMissing, ""},
-		"one is to be emptied, disk lost": {base, member("d", "x", "4"), []Member{emptyDisk}, nil, "a/1 b/2 d/4* "},
-		"another place is joining":        {joining, member("d", "x", "4"), nil, longMissing, ""},
-		"own disk lost while one joins":   {joining, member("a", "x", "8"), nil, nil, "a/8* b/2* c/3 "},
-		"fewer places than there may be":  {base.Without("3"), member("d", "x", "4"), nil, nil, "a/1 b/2 d/4* "},
-		"the place that is joining again": {joining, member("d", "x", "4"), nil, map[string]time.Time{"b": now.Add(-TakeoverDelay)}, "a/1 d/4* c/3 "},
+		"has a place":                                         {base, member("a", "x", "1"), nil, longMissing, ""},
+		"nothing is free":                                     {base, member("d", "x", "4"), nil, nil, ""},
+		"one is missing, not yet long":                        {base, member("d", "x", "4"), nil, map[string]time.Time{"c": now.Add(-TakeoverDelay + 1)}, ""},
+		"one is missing for long":                             {base, member("d", "x", "4"), nil, longMissing, "a/1 b/2 d/4* "},
+		"own place with an empty disk":                        {base, member("b", "x", "7"), nil, nil, "a/1 b/7* c/3 "},
+		"another claims first":                                {base, member("e", "x", "5"), []Member{member("d", "x", "4")}, longMissing, ""},
+		"the first one is to be emptied":                      {base, member("f", "x", "5"), []Member{retiringMember}, longMissing, "a/1 b/2 f/5* "},
+		"one is to be emptied":                                {base, member("d", "x", "4"), []Member{retiring}, nil, "a/1 b/2 d/4* "},
+		"to be emptied itself":                                {base, retiringMember, nil, longMissing, ""},
+		"one is to be emptied, disk lost":                     {base, member("d", "x", "4"), []Member{emptyDisk}, nil, "a/1 b/2 d/4* "},
+		"one is to be emptied, the one that joins is missing": {joining, member("d", "x", "4"), []Member{first}, map[string]time.Time{"b": now.Add(-TakeoverDelay)}, "a/1 d/4* c/3 "},
+		"another place is joining":                            {joining, member("d", "x", "4"), nil, longMissing, ""},
+		"own disk lost while one joins":                       {joining, member("a", "x", "8"), nil, nil, "a/8* b/2* c/3 "},
+		"fewer places than there may be":                      {base.Without("3"), member("d", "x", "4"), nil, nil, "a/1 b/2 d/4* "},
+		"the place that is joining again":                     {joining, member("d", "x", "4"), nil, map[string]time.Time{"b": now.Add(-TakeoverDelay)}, "a/1 d/4* c/3 "},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
