roster, recsrv: an additional replica joins without waiting for the others

Callers got 503 records_away for every turn, for good: an additional replica was joining (a VM was retired without a spare, and it or another one came back), and one of the two others lost its disk.

Cause: each of the two joining replicas needed a read quorum of complete ones to copy from, which is two of three, and there was one. It is the second form of "two join at once": the copy from the retired VM does not help, since there is none. Found by the search over the roster's states after some 360 of them: retire a; a resigns; a is kept, and claims a place; b loses its disk.

What is acknowledged has a write quorum without an additional replica, and the read quorum grows with it, so it needs no record to be complete. The roster says that it is added; it copies from the replicas that answer and joins.

--- a/internal/disk/recsrv/copy.go
+++ b/internal/disk/recsrv/copy.go
@@ -57,8 +57,8 @@
 // without the turns' input and output, which is a fiftieth of the bytes, and only missing
 // records are fetched in full.
 //
-// A joining replica waits for sources that do not answer yet: a copy that starts over asks
-// all of them again. One that takes over from a VM that is being retired copies from that one,
+// A joining replica waits for sources that do not answer yet, unless it is an additional one: a
+// copy that starts over asks all of them again. One that takes over from a VM that is being retired copies from that one,
 // which serves no callers any more, and from the others only if it does not answer.
 func (s *Server) CatchUp(ctx context.Context, r roster.Roster, peers Peers) (err error) {
 	defer func() { err = errors.Wrap(err, "catch up") }()
@@ -73,9 +73,10 @@
 			// Records that were indexed already may not have been synced yet.
 			return s.barrier(ctx, r.Version)
 		}
-		if !self.Joining {
-			// This replica has all records that it acknowledged. Those that it missed
-			// are only additional copies, so the ones available are enough.
+		if !self.Joining || self.Added {
+			// This replica has all records that it acknowledged, or none are counted on
+			// at it. Those that it lacks are only additional copies, so the ones
+			// available are enough.
 			return nil
 		}
 		if c.copied > before {
--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -55,6 +55,9 @@
 		// Source is the complete replica that this one takes over from while that is being retired. Its
 		// records, and what this one got since, are a complete replica's. Zero for none, and once joined.
 		Source Source `json:"source,omitzero"`
+		// Added tells that this replica joins as an additional one. Whatever was acknowledged has a write
+		// quorum without it, so it needs no record to be complete, and waits for no other replica.
+		Added bool `json:"added,omitempty"`
 	}
 
 	// Source is a VM that is no replica any more and still has a replica's records.
@@ -150,6 +153,7 @@
 	p := m.replica()
 	p.Joining = true
 	if i == len(next.Replicas) {
+		p.Added = true
 		next.Replicas = append(next.Replicas, p)
 	} else {
 		next.Replicas[i] = p
@@ -171,7 +175,8 @@
 	next := r.copy()
 	for i := range next.Replicas {
 		if next.Replicas[i].DiskID == diskID {
-			next.Replicas[i].Joining, next.Replicas[i].Source = false, Source{}
+			p := &next.Replicas[i]
+			p.Joining, p.Source, p.Added = false, Source{}, false
 		}
 	}
 	return next
@@ -223,7 +228,7 @@
 		since, gone := missingSince[p.Node]
 		diskID, leaves := retiring[p.Node]
 		hasDisk := diskID == p.DiskID
-		leaves = leaves && !(hasDisk && p.Joining) // one that joins is to be complete first, as a source
+		leaves = leaves && (!hasDisk || !p.Joining) // one that joins is to be complete first, as a source
 		if gone && now.Sub(since) >= minMissing || leaves {
 			if r.otherJoining(i) {
 				continue // the one that joins may itself have to be replaced
