--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -55,6 +55,9 @@
 		// Source is the complete replica that this one takes over from while that is being retired. Its
 		// records, and what this one got since, are a complete replica's. Zero for none, and once joined.
 		Source Source `json:"source,omitzero"`
+		// Added tells that this replica joins as an additional one. Whatever was acknowledged has a write
+		// quorum without it, so it needs no record to be complete, and waits for no other replica.
+		Added bool `json:"added,omitempty"`
 	}
 
 	// Source is a VM that is no replica any more and still has a replica's records.
@@ -150,6 +153,7 @@
 	p := m.replica()
 	p.Joining = true
 	if i == len(next.Replicas) {
+		p.Added = true
 		next.Replicas = append(next.Replicas, p)
 	} else {
 		next.Replicas[i] = p
@@ -171,7 +175,8 @@
 	next := r.copy()
 	for i := range next.Replicas {
 		if next.Replicas[i].DiskID == diskID {
-			next.Replicas[i].Joining, next.Replicas[i].Source = false, Source{}
+			p := &next.Replicas[i]
+			p.Joining, p.Source, p.Added = false, Source{}, false
 		}
 	}
 	return next
@@ -196,7 +201,8 @@
 // is joining, no retiring or missing VM is replaced: two replacements at once could leave
 // too few complete replicas. A disk that was lost meanwhile may join beside the successor of
 // a retiring VM, which needs no other replica: it copies from that VM. A replica that is
-// joining is not replaced for being retired: its successor would have no source.
+// joining is not replaced for being retired: its successor would have no source. One whose disk
+// was lost is: its VM, which is being retired, does not claim its place.
 func (r Roster) Claim(now time.Time, self Member, members []Member, missingSince map[string]time.Time, minMissing time.Duration) (Roster, bool) {
 	if _, in := r.Find(self.DiskID); in || self.Retiring {
 		return Roster{}, false
@@ -212,19 +218,23 @@
 	if !r.IsNextClaimant(self, members) {
 		return Roster{}, false
 	}
-	retiring := map[string]bool{}
+	retiring := map[string]string{} // disk IDs of nodes
 	for _, m := range members {
-		retiring[m.DiskID] = m.Retiring
+		if m.Retiring {
+			retiring[m.Node] = m.DiskID
+		}
 	}
 	for i, p := range r.Replicas {
 		since, gone := missingSince[p.Node]
-		leaves := retiring[p.DiskID] && !p.Joining // one that joins is to be complete first, as a source
+		diskID, leaves := retiring[p.Node]
+		hasDisk := diskID == p.DiskID
+		leaves = leaves && (!hasDisk || !p.Joining) // one that joins is to be complete first, as a source
 		if gone && now.Sub(since) >= minMissing || leaves {
 			if r.otherJoining(i) {
-				return Roster{}, false
+				continue // the one that joins may itself have to be replaced
 			}
 			next := r.withReplica(i, self)
-			if leaves {
+			if leaves && hasDisk {
 				next.Replicas[i].Source = Source{Node: p.Node, Address: p.Address, DiskID: p.DiskID}
 			}
 			return next, true
