seglog: its files are behind an interface

No change of behaviour. A log's files were opened, made, synced and removed by calls of the system, so that a test could hold back a sync and nothing else. The interface Files stands between; without it the log uses Dir, and Sync, as before.

--- a/internal/disk/seglog/scan.go
+++ b/internal/disk/seglog/scan.go
@@ -1,7 +1,6 @@
 package seglog
 
 import (
-	"os"
 	"sort"
 	"time"
 
@@ -36,7 +35,7 @@
 	}
 	delete(l.segments, n)
 	l.mu.Unlock()
-	return errors.CombineErrors(s.file.Close(), os.Remove(l.name(n)))
+	return errors.CombineErrors(s.file.Close(), l.Files.Remove(fileName(n)))
 }
 
 // End returns the position after the last batch written. A batch that failed counts too.
--- a/internal/disk/seglog/seglog.go
+++ b/internal/disk/seglog/seglog.go
@@ -12,8 +12,8 @@
 	"encoding/binary"
 	"hash/crc32"
 	"io"
+	"math"
 	"os"
-	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
@@ -21,8 +21,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/slaterock/slaterock/internal/disk/fsync"
 )
 
 const (
@@ -44,12 +42,13 @@
 	Log struct {
 		Dir     string
 		Segment int64                // bytes after which a new segment is begun; 0 is DefaultSegmentSize
-		Sync    func(*os.File) error // makes a segment durable; nil is os.File.Sync
+		Sync    func(*os.File) error // makes a segment in Dir durable; nil is os.File.Sync
+		Files   Files                // nil for those of Dir
 
 		mu       sync.Mutex
 		cond     *sync.Cond
 		pending  []entry
-		file     *os.File // the segment that is being written, with its number and size
+		file     File // the segment that is being written, with its number and size
 		number   uint64
 		size     int64
 		segments map[uint64]*segment
@@ -74,7 +73,7 @@
 	}
 
 	segment struct {
-		file      *os.File
+		file      File
 		size      int64
 		lastWrite time.Time
 	}
@@ -96,12 +95,12 @@
 	if l.Sync == nil {
 		l.Sync = (*os.File).Sync
 	}
+	if l.Files == nil {
+		l.Files = folder{l.Dir, l.Sync}
+	}
 	l.cond = sync.NewCond(&l.mu)
 	l.segments = map[uint64]*segment{}
 	l.done = make(chan struct{})
-	if err = os.MkdirAll(l.Dir, dirMode); err != nil {
-		return err
-	}
 	numbers, err := l.numbers()
 	if err != nil {
 		return err
@@ -120,13 +119,13 @@
 }
 
 func (l *Log) numbers() (list []uint64, err error) {
-	names, err := os.ReadDir(l.Dir)
+	names, err := l.Files.List()
 	if err != nil {
 		return nil, err
 	}
-	for _, d := range names {
-		n, err := strconv.ParseUint(strings.TrimSuffix(d.Name(), suffix), 10, 64)
-		if err == nil && strings.HasSuffix(d.Name(), suffix) {
+	for _, name := range names {
+		n, err := strconv.ParseUint(strings.TrimSuffix(name, suffix), 10, 64)
+		if err == nil && strings.HasSuffix(name, suffix) {
 			list = append(list, n)
 		}
 	}
@@ -134,16 +133,14 @@
 	return list, nil
 }
 
-func (l *Log) name(n uint64) string {
-	return filepath.Join(l.Dir, strconv.FormatUint(n, 10)+suffix)
-}
+func fileName(n uint64) string { return strconv.FormatUint(n, 10) + suffix }
 
 func (l *Log) load(n uint64, visit func(Pos, []byte)) error {
-	f, err := os.Open(l.name(n))
+	f, err := l.Files.Open(fileName(n))
 	if err != nil {
 		return err
 	}
-	data, err := io.ReadAll(f)
+	data, err := io.ReadAll(io.NewSectionReader(f, 0, math.MaxInt64))
 	if err != nil {
 		return errors.CombineErrors(err, f.Close())
 	}
@@ -181,13 +178,13 @@
 // name durable; the folder is synced for the others.
 func (l *Log) newSegment() error {
 	l.number++
-	f, err := os.OpenFile(l.name(l.number), os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+	f, err := l.Files.Create(fileName(l.number))
 	if err != nil {
 		return err
 	}
 	l.file, l.size = f, 0
 	l.segments[l.number] = &segment{file: f, lastWrite: time.Now()}
-	return fsync.Dir(l.Dir)
+	return l.Files.Sync()
 }
 
 // Append queues a record. Done is called from a goroutine of the log.
@@ -250,7 +247,7 @@
 	}
 	_, err = file.WriteAt(buf, size)
 	if err == nil {
-		err = l.Sync(file)
+		err = file.Sync()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
