seglog: a disk that refuses a write, a sync or a file tears no segment

What callers would see: after one refused write (no room, an I/O error) the size of the segment counted bytes that are not in the file. Copies of the log to a joining replica, and the removal of old segments, failed from then on ("scan: EOF" or "record is corrupt"). If the next segment's file could not be made, the next write dereferenced nil and ended the process; a start on a full disk ended it too. Records of a refused batch stood in the log as if acknowledged.

Cause: commit counted a batch whatever became of it, and reported a batch that was durable as failed if the segment after it could not be made.

Now only what a sync covered counts. After a refusal the tail is cut off the file (a process that starts again would take it for records), nothing more is written to that file, since a later sync that succeeds does not cover what an earlier one lost, and each batch tries a new segment until one can be written. A segment without any acknowledged record is removed, so that retries do not fill the directory. The start goes on without a segment to write. It syncs the last segment, which the process before may not have done; if that fails, its records are written again before any other is acknowledged.

Shown by a disk in memory that refuses each operation and loses what no sync covered, or what a failed one did.

Left: a tail that can't be cut, if the process then starts again before the disk takes a truncation, is told from records by nothing. While it lasts no segment is begun.

--- a/internal/disk/seglog/scan.go
+++ b/internal/disk/seglog/scan.go
@@ -13,7 +13,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for n := range l.segments {
-		if n != l.number {
+		if n != l.number || l.file == nil {
 			numbers = append(numbers, n)
 		}
 	}
@@ -29,7 +29,7 @@
 	defer func() { err = errors.Wrapf(err, "drop segment %d", n) }()
 	l.mu.Lock()
 	s := l.segments[n]
-	if s == nil || n == l.number {
+	if s == nil || n == l.number && l.file != nil {
 		l.mu.Unlock()
 		return errors.New("not a complete segment")
 	}
@@ -38,7 +38,7 @@
 	return errors.CombineErrors(s.file.Close(), l.Files.Remove(fileName(n)))
 }
 
-// End returns the position after the last batch written. A batch that failed counts too.
+// End returns the position after the last batch that was made durable, or after the segment that had it.
 func (l *Log) End() Pos {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/disk/seglog/seglog.go
+++ b/internal/disk/seglog/seglog.go
@@ -6,6 +6,10 @@
 // missing or torn; reading stops at the first incomplete record, which is safe because no
 // record after it was ever acknowledged. Each start begins a new segment, so that nothing
 // is written after a torn tail.
+//
+// A disk may refuse a write, a sync or a new file. What a failed sync covered may be lost
+// even if a later one of the same file succeeds. The records of a batch that was refused
+// fail, the log goes on in a new segment, and it tries again with each batch.
 package seglog
 
 import (
@@ -48,10 +52,13 @@
 		mu       sync.Mutex
 		cond     *sync.Cond
 		pending  []entry
-		file     File // the segment that is being written, with its number and size
-		number   uint64
-		size     int64
+		file     File   // the segment that is being written; nil before it is begun
+		number   uint64 // of that segment
+		size     int64  // of it
 		segments map[uint64]*segment
+		torn     uint64 // segment behind whose records a refused batch may stand; 0 for none
+		unsynced uint64 // segment that could not be synced at the start; 0 for none
+		refused  error  // why the last batch, or the start of the first segment, failed; nil if it did not
 		closed   bool
 		done     chan struct{}
 	}
@@ -86,7 +93,9 @@
 	crcTable = crc32.MakeTable(crc32.Castagnoli)
 )
 
-// Open calls visit for all complete records in order, and begins a new segment.
+// Open calls visit for all complete records in order, and begins a new segment. If the disk
+// takes no writes, Refused tells so. What a process wrote before and did not sync is durable
+// once a further record is.
 func (l *Log) Open(visit func(Pos, []byte)) (err error) {
 	defer func() { err = errors.Wrapf(err, "open log %s", l.Dir) }()
 	if l.Segment == 0 {
@@ -111,9 +120,7 @@
 		}
 		l.number = n
 	}
-	if err = l.newSegment(); err != nil {
-		return err
-	}
+	l.refused = errors.CombineErrors(l.syncLast(), l.prepare())
 	go l.run()
 	return nil
 }
@@ -174,19 +181,6 @@
 	return rec
 }
 
-// newSegment begins a new segment. On most file systems the first sync of the file makes its
-// name durable; the folder is synced for the others.
-func (l *Log) newSegment() error {
-	l.number++
-	f, err := l.Files.Create(fileName(l.number))
-	if err != nil {
-		return err
-	}
-	l.file, l.size = f, 0
-	l.segments[l.number] = &segment{file: f, lastWrite: time.Now()}
-	return l.Files.Sync()
-}
-
 // Append queues a record. Done is called from a goroutine of the log.
 func (l *Log) Append(data []byte, done Callback) {
 	l.mu.Lock()
@@ -228,38 +222,6 @@
 	}
 }
 
-// commit writes and syncs a batch. After a failure the state of the segment's tail is
-// unknown, so the next batch goes to a new segment. The old segment's size then includes
-// the failed batch.
-func (l *Log) commit(batch []entry) (positions []Pos, err error) {
-	positions = make([]Pos, len(batch))
-	l.mu.Lock()
-	file, number, size := l.file, l.number, l.size
-	l.mu.Unlock()
-	var buf []byte
-	offset := size
-	for i, e := range batch {
-		positions[i] = Pos{Segment: number, Offset: offset, Size: len(e.data)}
-		buf = binary.LittleEndian.AppendUint32(buf, uint32(len(e.data)))
-		buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(e.data, crcTable))
-		buf = append(buf, e.data...)
-		offset += headerSize + int64(len(e.data))
-	}
-	_, err = file.WriteAt(buf, size)
-	if err == nil {
-		err = file.Sync()
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.size = offset
-	s := l.segments[number]
-	s.size, s.lastWrite = offset, time.Now()
-	if err != nil || offset >= l.Segment {
-		err = errors.CombineErrors(err, l.newSegment())
-	}
-	return positions, errors.Wrap(err, "commit")
-}
-
 // Read returns the record at p, which must have its size. The error is os.ErrNotExist if the
 // segment was dropped.
 func (l *Log) Read(p Pos) (rec []byte, err error) {
