recsrv: a record that the disk refused does not count as held

What callers would see: a turn or a settlement that was acknowledged is gone, or a budget is spent twice, after a replica whose disk refused some writes outlives the others. That replica confirmed a copy of the record (from a replica that is being emptied and then leaves), or counted as complete after its copy, without having it.

Cause: the index gets the charge of a record before its write, so that attempts under way see each other. If the disk then refuses the write, the index keeps it, and Import and CatchUp take "indexed" for "held or about to be": a barrier behind it succeeds in the next segment.

Attempts whose record was refused are remembered until their program expires, and are not held: an import writes them, a copy fetches them. An import asks again after its wait whether a write under way was refused meanwhile; a copy during which one was refused fails, and is made again.

Charges of refused records stay in the index, as before: a budget may look fuller than it is until they expire, never emptier.

--- a/internal/disk/recsrv/copy.go
+++ b/internal/disk/recsrv/copy.go
@@ -62,6 +62,12 @@
 // which serves no callers any more, and from the others only if it does not answer.
 func (s *Server) CatchUp(ctx context.Context, r roster.Roster, peers Peers) (err error) {
 	defer func() { err = errors.Wrap(err, "catch up") }()
+	refusals := s.refusals()
+	defer func() {
+		if err == nil && s.refusals() != refusals {
+			err = errRefusedWrite // it may have been taken for held
+		}
+	}()
 	self, _ := r.Find(s.diskID)
 	if s.copyFromSource(ctx, r, self, peers) {
 		return s.barrier(ctx, r.Version)
@@ -193,7 +199,7 @@
 			return nil, err
 		}
 		s.mu.Lock()
-		if !s.index.Has(r) {
+		if !s.holds(r) {
 			list = append(list, reply.Positions[i])
 		}
 		s.mu.Unlock()
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,7 @@
 	writes     int           // under way
 	importedAt time.Time     // when records of another replica came last
 	movedTo    seglog.Pos    // end of the records that Trim has moved; zero if it has moved none
+	unsaved    unsaved       // records that the disk has refused and that the index has
 }
 
 // Open reads the log. Empty reports that the disk was empty and has got a new ID.
@@ -299,30 +301,43 @@
 // record that is indexed already may still be waiting for its sync: the index has its charge as
 // soon as it is appended. A replica that is being retired leaves once this returns.
 func (s *Server) Import(ctx context.Context, records [][]byte) (err error) {
-	appended, indexed := 0, false
-	wait := make(chan error, len(records))
-	for _, data := range records {
+	list := make([]stored, len(records))
+	for i, data := range records {
 		r, err := index.Decode(data)
 		if err != nil {
 			return err
 		}
+		list[i] = stored{r, data}
+	}
+	for err == nil && len(list) > 0 {
+		list, err = s.importOnce(ctx, list)
+	}
+	return err
+}
+
+// importOnce returns the records that were indexed before and whose write the disk has refused since.
+func (s *Server) importOnce(ctx context.Context, list []stored) (refused []stored, err error) {
+	var indexed []stored
+	wait := make(chan error, len(list))
+	for _, r := range list {
 		s.mu.Lock()
 		s.importedAt = s.Now()
-		has := s.index.Has(r) // also true of a record that has only a fence, which need not be copied
+		has := s.holds(r.rec) // also true of a record that has only a fence, which need not be copied
 		s.mu.Unlock()
 		if has {
-			indexed = true
+			indexed = append(indexed, r)
 			continue
 		}
-		s.append(r, data, wait)
-		appended++
+		s.append(r.rec, r.data, wait)
 	}
-	err = drain(ctx, wait, appended)
-	if indexed && appended == 0 {
+	err = drain(ctx, wait, len(list)-len(indexed))
+	if len(indexed) == len(list) {
 		// Nothing was appended behind the records that are indexed.
 		err = s.barrier(ctx, s.fenceVersion())
 	}
-	return err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(indexed, func(r stored) bool { return s.holds(r.rec) }), err
 }
 
 func (s *Server) fenceVersion() uint64 {
--- a/internal/disk/recsrv/trim.go
+++ b/internal/disk/recsrv/trim.go
@@ -32,6 +32,7 @@
 	s.expire(ctx, now)
 	s.mu.Lock()
 	maxTTL := s.maxTTL
+	s.unsaved.expire(&s.index)
 	s.mu.Unlock()
 	numbers, lastWrite := s.log.Segments()
 	for i, n := range numbers {
--- a/internal/disk/recsrv/write.go
+++ b/internal/disk/recsrv/write.go
@@ -140,11 +140,13 @@
 // append appends a record, and sends to done once it is durable and indexed.
 func (s *Server) append(r index.Record, data []byte, done chan<- error) {
 	s.log.Append(data, func(pos seglog.Pos, err error) {
+		s.mu.Lock()
 		if err == nil {
-			s.mu.Lock()
 			s.apply(r, pos, s.Now())
-			s.mu.Unlock()
+		} else {
+			s.unsaved.add(r)
 		}
+		s.mu.Unlock()
 		done <- err
 	})
 }
