recsrv, diskd: a disk that takes no records is told, refused for and tried again

What operators would see: nothing. A VM whose disk refuses writes, or is filled with records to 85%, answered reads and failed every write, without a line or a metric; each write tried the disk again, with a new segment each time.

After a refused write further ones are refused at once, as on a full disk, so that fronts ask the next replica without waiting for a disk. The server itself tries the disk, at once and then after 50 ms to 1 s, with a record that changes nothing, and takes writes again when one is durable.

TestDiskThatRefusesIsToldOnce plays refused syncs, also from the start on, and a full disk, with 30 writes in 3 s: one call for the change, fewer than ten records that reach the disk, reads go on, writes are taken within 1 s of the disk's recovery. It did not compile before: there was nothing to be told by.

--- a/internal/disk/recsrv/load.go
+++ b/internal/disk/recsrv/load.go
@@ -36,6 +36,8 @@
 		dropped    tally.Counter // segments
 		moved      tally.Counter // records out of segments that were dropped, and their bytes
 		movedBytes tally.Counter
+		refusing   tally.Gauge   // 1 while the disk takes no records
+		unwritten  tally.Counter // records that the disk refused
 
 		mu   sync.Mutex
 		load Load
@@ -51,6 +53,7 @@
 	}
 	m.dropped = scope.Counter("records_segments_dropped")
 	m.moved, m.movedBytes = scope.Counter("records_moved"), scope.Counter("records_moved_bytes")
+	m.refusing, m.unwritten = scope.Gauge("records_disk_refuses"), scope.Counter("records_unwritten")
 	m.refused, m.time = map[kind]tally.Counter{}, map[kind]tally.Timer{}
 	for _, k := range kinds {
 		tagged := scope.Tagged(map[string]string{"kind": string(k)})
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -49,10 +49,12 @@
 	Now      func() time.Time
 	Scope    tally.Scope // of metrics; nil for none
 	Others   Peers       // connects to the other replicas, which are asked before records expire; nil to ask none
+	OnDisk   func(error) // called when the disk no longer takes records, and with nil when it does again; nil for none
 
 	log    seglog.Log
 	diskID string
 	meter  meter
+	disk   diskState
 
 	mu         sync.Mutex
 	index      index.Index
@@ -87,14 +89,20 @@
 		}
 		s.apply(r, pos, now)
 	})
-	return empty, errors.CombineErrors(err, decodeErr)
+	if err = errors.CombineErrors(err, decodeErr); err == nil {
+		s.noteDisk(s.log.Refused() != nil)
+	}
+	return empty, err
 }
 
 // DiskID returns the random ID of the disk, in hex.
 func (s *Server) DiskID() string { return s.diskID }
 
 // Close writes the pending records and closes the log.
-func (s *Server) Close() error { return s.log.Close() }
+func (s *Server) Close() error {
+	s.disk.close()
+	return s.log.Close()
+}
 
 // Register registers the server's methods with the link.
 func (s *Server) Register(l *link.Link) {
--- a/internal/disk/recsrv/refused.go
+++ b/internal/disk/recsrv/refused.go
@@ -1,13 +1,33 @@
 package recsrv
 
 import (
+	"context"
 	"maps"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
+const (
+	// A disk that has refused a record is tried at once, then after pauses that double from
+	// minTryPause to maxTryPause: it may have refused one write, or be full for hours.
+	minTryPause = 50 * time.Millisecond
+	maxTryPause = time.Second
+)
+
+// diskState is whether records are taken, as told.
+type diskState struct {
+	mu       sync.Mutex // held while a change is told, so that changes are told in order
+	refusing bool
+	trying   bool // tryDisk runs
+	closed   bool
+	stop     context.CancelFunc // ends tryDisk
+}
+
 // unsaved are records that the disk has refused. The index may have their charges and runs, which it got
 // before the write; they don't count as held.
 type unsaved struct {
@@ -46,3 +66,67 @@
 	defer s.mu.Unlock()
 	return s.unsaved.total
 }
+
+// diskError returns why records are refused for the disk; nil if it takes them.
+func (s *Server) diskError() error {
+	if err := s.log.Refused(); err != nil {
+		return err
+	}
+	if bytes := s.log.Bytes(); s.Capacity > 0 && float64(bytes) > maxFill*float64(s.Capacity) {
+		return errors.Newf("the records have %d bytes, %.0f%% of the disk's %d", bytes, 100*maxFill, s.Capacity)
+	}
+	return nil
+}
+
+// noteDisk tells whether records are taken, if that has changed. It is called after a record was refused
+// or written. While the disk refuses writes it is tried again.
+func (s *Server) noteDisk(refused bool) {
+	s.disk.mu.Lock()
+	defer s.disk.mu.Unlock()
+	if !refused && !s.disk.refusing {
+		return // the usual case
+	}
+	err := s.diskError()
+	if (err != nil) == s.disk.refusing {
+		return
+	}
+	s.disk.refusing = err != nil
+	s.meter.refusing.Update(map[bool]float64{true: 1}[err != nil])
+	if s.OnDisk != nil {
+		s.OnDisk(err)
+	}
+	if s.disk.refusing && !s.disk.trying && !s.disk.closed {
+		var ctx context.Context
+		ctx, s.disk.stop = context.WithCancel(context.Background())
+		s.disk.trying = true
+		go s.tryDisk(ctx)
+	}
+}
+
+// tryDisk tells once records are taken again. While the disk refuses writes, it writes a record from time
+// to time.
+func (s *Server) tryDisk(ctx context.Context) {
+	for wait := minTryPause; s.keepsTrying(ctx); wait = min(2*wait, maxTryPause) {
+		if s.log.Refused() == nil || s.barrier(ctx, s.fenceVersion()) != nil {
+			pause.For(ctx, wait)
+		}
+		s.noteDisk(false)
+	}
+}
+
+func (s *Server) keepsTrying(ctx context.Context) bool {
+	s.disk.mu.Lock()
+	defer s.disk.mu.Unlock()
+	s.disk.trying = s.disk.refusing && ctx.Err() == nil
+	return s.disk.trying
+}
+
+// close ends tryDisk.
+func (d *diskState) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	if d.stop != nil {
+		d.stop()
+	}
+}
--- a/internal/disk/recsrv/refused_test.go
+++ b/internal/disk/recsrv/refused_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/roster"
@@ -106,3 +109,64 @@
 	r := roster.Roster{Version: 1, MaxFailures: 1, Replicas: []roster.Replica{{DiskID: s.DiskID(), Joining: true}, {Address: "other", DiskID: other.DiskID()}}}
 	return s.CatchUp(t.Context(), r, func(string) link.Invoker { return pulls{other, func() {}} })
 }
+
+// Guards against a disk that refuses writes and that nobody is told of, or that is told with each write, and against a server that never takes writes again.
+func TestDiskThatRefusesIsToldOnce(t *testing.T) {
+	cases := map[string]struct {
+		capacity int64 // of the disk, in bytes; 0 if it refuses syncs instead
+		atStart  bool  // it refuses from the start on
+	}{
+		"syncs":              {0, false},
+		"full":               {400, false},
+		"syncs at the start": {0, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var refuses atomic.Bool
+				var told []bool
+				s := openServer(t, t.TempDir(), 0)
+				write(t, s, chainRecord("before", 0))
+				is.NoErr(s.Close())
+				scope := tally.NewTestScope("", nil)
+				s = &Server{Dir: s.Dir, Scope: scope, Capacity: c.capacity, OnDisk: func(err error) { told = append(told, err != nil) }}
+				s.log.Segment = 100
+				s.log.Sync = func(f *os.File) error {
+					if refuses.Load() {
+						return errDisk
+					}
+					return f.Sync()
+				}
+				refuses.Store(c.atStart)
+				_, err := s.Open()
+				is.NoErr(err)
+				defer func() { is.NoErr(s.Close()) }()
+				refuses.Store(c.capacity == 0)
+				for n := range 30 {
+					_, _ = s.Write(t.Context(), WriteRequest{Record: chainRecord("p", n)})
+					time.Sleep(100 * time.Millisecond)
+				}
+				is.Equal(told, []bool{true})
+				is.Equal(scope.Snapshot().Gauges()["records_disk_refuses+"].Value(), 1.0)
+				unwritten := scope.Snapshot().Counters()["records_unwritten+"].Value()
+				is.True(unwritten < 10) // the others were refused before
+				checkChain(t, s, "before", 0)
+				reply, err := s.Write(t.Context(), WriteRequest{Record: chainRecord("q", 0)})
+				is.NoErr(err)
+				is.Equal(reply.Refusal.Code, CodeFull)
+
+				refuses.Store(false)
+				time.Sleep(maxTryPause)
+				if c.capacity > 0 {
+					pass(t, s, testTTL+forceDropAfter+index.ClockSlack+2*TrimInterval) // the records expire
+				}
+				synctest.Wait()
+				is.Equal(told, []bool{true, false})
+				is.Equal(scope.Snapshot().Gauges()["records_disk_refuses+"].Value(), 0.0)
+				write(t, s, chainRecord("after", 0))
+				checkChain(t, s, "after", 0)
+			})
+		})
+	}
+}
--- a/internal/disk/recsrv/write.go
+++ b/internal/disk/recsrv/write.go
@@ -33,6 +33,7 @@
 	}
 	done := make(chan error, 1)
 	if reply.Refusal = s.appendIfAllowed(req, data, done); reply.Refusal.Code != "" {
+		s.noteDisk(reply.Refusal.Code == CodeFull)
 		return reply, nil
 	}
 	err = await(ctx, done)
@@ -99,8 +100,7 @@
 	if r := s.checkTargetLocked(req.Target); r.Code != "" {
 		return r
 	}
-	full := s.Capacity > 0 && float64(s.log.Bytes()) > maxFill*float64(s.Capacity)
-	if s.frozen || full {
+	if s.frozen || s.diskError() != nil {
 		return Refusal{Code: CodeFull}
 	}
 	if req.Record.Reserved && req.Budget > 0 && s.index.SettledTokens(req.Record.Program)+req.Record.MaxTokens > req.Budget {
@@ -145,8 +145,10 @@
 			s.apply(r, pos, s.Now())
 		} else {
 			s.unsaved.add(r)
+			s.meter.unwritten.Inc(1)
 		}
 		s.mu.Unlock()
+		s.noteDisk(err != nil)
 		done <- err
 	})
 }
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -115,7 +115,7 @@
 	d.started = time.Now()
 	d.joinResult = make(chan error, 1)
 	d.recsrv.Dir, d.recsrv.Capacity, d.recsrv.Scope = d.Settings.Dir, d.Settings.Capacity, d.Scope
-	d.recsrv.Others = d.peers()
+	d.recsrv.Others, d.recsrv.OnDisk = d.peers(), d.logDisk
 	emptyDisk, err := d.recsrv.Open()
 	if err != nil {
 		return err
@@ -187,6 +187,14 @@
 	d.Log.Info().Str("dependency", "store").Msg("this VM's key is written")
 }
 
+func (d *Daemon) logDisk(err error) {
+	if err != nil {
+		d.Log.Error().Err(err).Msg("the disk takes no records")
+		return
+	}
+	d.Log.Info().Msg("the disk takes records again")
+}
+
 func (d *Daemon) trim(ctx context.Context) {
 	for pause.For(ctx, recsrv.TrimInterval) {
 		if err := d.recsrv.Trim(ctx); err != nil && ctx.Err() == nil {
