proxy: a request keeps what it knows of its own runs when the records don't

What upstreams would see: an attempt whose run could not be recorded (records slow, or refusing) asks the records before it goes on to upstreams beyond those to which it is mapped, and takes their answer in place of what it knows: the upstream that ended under it a moment ago counts as one that never ran it.

Cause: see replaced the tally by what the records tell. It now merges the attempt's own runs into the recorded ones; recorded twice, they count once, as for replicas.

TestOwnRunsOutliveAnswersWithoutThem failed before (the upstream was forgotten). The tests of late ends, with callers, did not need it: the upstreams to which a request is mapped bound it as well.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -269,19 +269,26 @@
 	}
 }
 
-// see takes over what is recorded of the request's attempts.
+// see takes over what is recorded of the request's attempts. What this one knows of its own runs holds
+// also if it could not be recorded.
 func (q *request) see(runs []index.Run) {
+	mine := *q.ownRun()
+	mine.Attempt = q.scopedID(q.ID)
 	var own []index.Run
 	for _, r := range runs {
 		if r.Request != q.key() {
 			continue
 		}
+		if r.Attempt == mine.Attempt {
+			mine = index.MergeRuns(r, mine)
+			continue
+		}
 		if q.began.UnixMilli()-r.At > triedSpan.Milliseconds() {
 			r.Tried = nil
 		}
 		own = append(own, r)
 	}
-	q.seen = ended.Of(own).WithOpen(q.otherOpen)
+	q.seen = ended.Of(append(own, mine)).WithOpen(q.otherOpen)
 }
 
 // queryRuns takes over and returns what is recorded of the request's earlier attempts, and returns that of
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -12,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
@@ -296,3 +299,19 @@
 		}
 	}
 }
+
+// Guards against a request that forgets which upstreams ended under it, since the records do not know.
+func TestOwnRunsOutliveAnswersWithoutThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{ok})
+		defer env.close()
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/safe/", nil)
+		q := request{e: env.e, r: r, view: env.e.Fleet.View(), began: time.Now()}
+		q.ID = "r1"
+		start := index.Start{ID: "up1"}
+		q.own, q.seen = q.own.With(start), q.seen.With(start)
+		q.queryRuns(t.Context(), "", false)
+		is.True(q.seen.Has(start))
+	})
+}
