proxy: a stream goes on only where the start of its upstream is known, also with one version

Cause: confirmVersion, startDiffers, findVersion and versionChosen asked nothing if all upstreams are listed with one version. That was read from the state, which may be older than the connection: an upstream had restarted under its id with the next version and could not write its entry.

Change: no decision where a stream goes on rests on one version any more. That is checked with each event, so that a stream whose upstream restarts later keeps what was known. A stream that goes on prefers a connection of before. A stream that breaks off, or whose caller leaves, with an unknown start is recorded so. An upstream that is gone counts as not restarted only if the store was available since.

TestSettledAfterAnOutage and TestOlderConnectionIsPreferred are of new parts.

One expectation was wrong: "one version, the store is away" wanted a stream to go on at an upstream that nobody can know not to have restarted, as the line for several versions says. It now wants the end; two lines were added in its place, over an open connection and with the store at hand, that want it to go on.

--- a/internal/disk/index/run.go
+++ b/internal/disk/index/run.go
@@ -18,8 +18,8 @@
 		// its response was passed on; valid with Choice, the number of times that one was chosen.
 		Version string `cbor:"6,keyasint,omitempty"`
 		Choice  int    `cbor:"7,keyasint,omitempty"`
-		// Began is that upstream if several versions served and it may have started again, with another
-		// version, before its front knew. Part of the choice; empty otherwise.
+		// Began is that upstream if it may have started again, with another version, before its front knew;
+		// without an id if it was not chosen yet. Part of the choice; zero otherwise.
 		Began Start `cbor:"9,keyasint,omitzero"`
 		// Tried are upstreams that ran it without a whole good answer, sorted: they answered with a
 		// failure or were silent until the caller left, and may yet end because of it.
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -71,7 +71,7 @@
 		}
 		return changes
 	case Suspended:
-		v.Confirmed = v.Confirmed.Add(-e.For)
+		v.Confirmed, v.Settled = v.Confirmed.Add(-e.For), v.Settled.Add(-e.For)
 		f.avail = f.avail.ShiftBack(e.For)
 		f.reads.shiftBack(e.For)
 	case PeerAvailability:
@@ -176,7 +176,11 @@
 	if at.After(v.Confirmed) {
 		v.Confirmed, v.Read = at, r
 	}
-	return f.extendAvailability(avail.At(at))
+	changes := f.extendAvailability(avail.At(at))
+	if at.After(v.Settled) && !f.inGrace(at) {
+		v.Settled = at
+	}
+	return changes
 }
 
 // extendAvailability merges an interval in which some daemon reached the store, and
--- a/internal/front/fleet/fleet_test.go
+++ b/internal/front/fleet/fleet_test.go
@@ -191,6 +191,34 @@
 	is.Equal(ids(f.View()), "a")
 }
 
+// Guards against a start of an upstream that is taken from an entry of before an outage, in which the upstream has started again.
+func TestSettledAfterAnOutage(t *testing.T) {
+	cases := map[string]struct {
+		away time.Duration // time without a read
+		at   time.Duration // since that, of the last read
+		want time.Duration // since start
+	}{
+		"no outage":            {time.Second, 500 * time.Millisecond, 1500 * time.Millisecond},
+		"just after an outage": {5 * time.Second, 0, 0},
+		"in the grace period":  {5 * time.Second, RecoveryGrace - time.Millisecond, 0},
+		"after it":             {5 * time.Second, RecoveryGrace, 5*time.Second + RecoveryGrace},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f Fleet
+			f.Update(start, snapshot(1, 1, "a"))
+			for at := c.away; at < c.away+c.at; at += 500 * time.Millisecond {
+				f.Update(start.Add(at), snapshot(1, 1, "a"))
+			}
+			last := start.Add(c.away + c.at)
+			f.Update(last, snapshot(1, 1, "a"))
+			is.Equal(f.View().Confirmed, last)
+			is.Equal(f.View().Settled, start.Add(c.want))
+		})
+	}
+}
+
 // A daemon that the store refuses receives confirmations from its peers. Its view is then
 // as recent as theirs.
 func TestConfirmed(t *testing.T) {
--- a/internal/front/fleet/view.go
+++ b/internal/front/fleet/view.go
@@ -30,9 +30,12 @@
 // listed upstreams are sent to peers and hashed: daemons at the same revision have the
 // same hash.
 type View struct {
-	Revision       uint64              // latest known revision of the store
-	Confirmed      time.Time           // latest time at which the store is known to have held this state
-	Read           Read                // by which it was known to; unknown if a peer did not tell
+	Revision  uint64    // latest known revision of the store
+	Confirmed time.Time // latest time at which the store is known to have held this state
+	Read      Read      // by which it was known to; unknown if a peer did not tell
+	// Settled is the latest such time at which entries were as new as their upstreams: Confirmed, but not
+	// within RecoveryGrace after an outage, in which upstreams that have started again may not be listed so.
+	Settled        time.Time
 	AvailableSince time.Time           // start of the interval without a gap in which some daemon reached the store
 	Table          *route.Table        // nil while there is none
 	Services       map[string]*Service // listed and retained upstreams, by service
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -93,7 +93,7 @@
 		// or the last attempt to read it is recent. It reports whether the configuration
 		// is then recent enough to refuse a request for good.
 		Refresh func(context.Context) (current bool)
-		// Confirm reports whether the state was read from the store at the given time or later. It
+		// Confirm reports whether the state was settled (fleet.View) at the given time or later. It
 		// reads the store if necessary. Nil if it always was.
 		Confirm func(ctx context.Context, since time.Time) bool
 		// Stop is done when the daemon stops; it bounds work that outlives its request.
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -142,7 +142,7 @@
 	q.summary.runs.begin(&up)
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
-	conn, err := q.e.Pool.Get(ctx, up.ID, up.Address)
+	conn, err := q.connect(ctx, &up)
 	if err != nil {
 		if ctx.Err() == nil {
 			q.e.Picker.RecordFailure(time.Now(), up.ID)
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -164,6 +164,7 @@
 		t.summary.runs.next(nextUnrecorded)
 		return err
 	case t.over(ctx) || errors.Is(err, errNotDelivered):
+		t.recordDoubt() // the caller may be back at another front
 		t.summary.runs.next(nextOver)
 		return err
 	case stop != nil:
@@ -174,6 +175,7 @@
 		return err
 	}
 	if unknown := t.confirmVersion(ctx); unknown != nil {
+		_ = t.waitFor(ctx, t.recordDoubt()) // without it, what is recorded holds
 		t.summary.runs.next(nextUnknown)
 		return unknown
 	}
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -23,6 +23,11 @@
 // The parts of one stream must come from one software version: what two of them generate does not
 // fit together, and upstreams don't check it. A caller may take the stream up at any front, so the
 // version at which an attempt begins is durable before the caller gets its first event.
+//
+// The store tells the version of each start of an upstream, and lists a later start some time after that
+// accepts connections; while the store is away, at any later time. So the process at the other end of a
+// connection is known to be a listed start only if the connection was established before the state was
+// settled. That all upstreams are listed with one version tells nothing of one that has started since.
 
 var (
 	// errVersionGone reports a stream that can't go on: no upstream has the version that began it.
@@ -39,6 +44,9 @@
 	began   index.Start
 }
 
+// startNotChosen stands for the upstream of a statement that is recorded before one is chosen.
+var startNotChosen = index.Start{Born: -1}
+
 // streamVersion is what is known of the software version of a resumable stream.
 type streamVersion struct {
 	name     string
@@ -66,7 +74,10 @@
 	}
 	s := t.e.Fleet.View().Services[t.service.Name]
 	version, one := s.OneVersion()
-	if !one {
+	switch {
+	case one && !t.alike():
+		r.Began = startNotChosen
+	case !one:
 		u, ok := t.e.Picker.Preview(time.Now(), pick.Request{Candidates: s, Key: t.affinityKey(), Tokens: t.PromptTokens})
 		if !ok {
 			return
@@ -84,27 +95,60 @@
 	v := &t.version
 	cautious := statement{s.up.Version, index.Start{ID: s.up.ID, Born: s.up.Born}}
 	state := cautious
-	if s.startKnown || t.oneVersion() {
+	if s.startKnown || t.alike() {
 		state.began = index.Start{}
 	}
 	if !t.begins() || v.known || v.choices > 0 && v.recorded == state {
 		return
 	}
-	earlierHolds := v.choices > 0 && v.recorded == cautious && v.written == nil
-	v.choices++
-	v.recorded = state
-	rec := t.runsRecord()
-	rec.Run.Version, rec.Run.Choice, rec.Run.Began = state.version, v.choices, state.began
-	written := make(chan error, 1)
+	vague := statement{s.up.Version, startNotChosen}
+	earlierHolds := v.choices > 0 && (v.recorded == cautious || v.recorded == vague) && v.written == nil
+	written := t.record(state)
 	if !earlierHolds {
 		v.written = written
 	}
+}
+
+// record begins to record a statement in place of the last one.
+func (t *turn) record(s statement) (written chan error) {
+	v := &t.version
+	v.choices++
+	v.recorded = s
+	rec := t.runsRecord()
+	rec.Run.Version, rec.Run.Choice, rec.Run.Began = s.version, v.choices, s.began
+	written = make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(t.e.Stop, settleTimeout)
 		defer cancel()
 		_, err := t.e.Records.Write(ctx, rec)
 		written <- err
 	}()
+	return written
+}
+
+// recordDoubt begins to record that the upstream which began the stream may have started again before, if
+// that is not known and the last record leaves it out. It returns nil otherwise.
+func (t *turn) recordDoubt() (written <-chan error) {
+	v := &t.version
+	if v.opened.IsZero() || v.choices == 0 || v.recorded.began == v.began {
+		return nil
+	}
+	return t.record(statement{v.name, v.began})
+}
+
+// waitFor returns the outcome of a record, or an error after runsTimeout. A nil channel is of none.
+func (t *turn) waitFor(ctx context.Context, written <-chan error) error {
+	if written == nil {
+		return nil
+	}
+	ctx, stop := context.WithTimeout(ctx, runsTimeout)
+	defer stop()
+	select {
+	case err := <-written:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // fixVersion is called before the first event of an upstream is sent to the caller. From then on only
@@ -114,19 +158,11 @@
 func (t *turn) fixVersion(ctx context.Context, s *exchange) (err error) {
 	v := &t.version
 	if v.known {
+		t.checkStart()
 		return nil
 	}
-	if v.written != nil {
-		limited, stop := context.WithTimeout(ctx, runsTimeout)
-		defer stop()
-		select {
-		case err = <-v.written:
-		case <-limited.Done():
-			err = limited.Err()
-		}
-		if err != nil && v.choices > 1 {
-			return errors.Mark(err, errVersionNotRecorded)
-		}
+	if err = t.waitFor(ctx, v.written); err != nil && v.choices > 1 {
+		return errors.Mark(err, errVersionNotRecorded)
 	}
 	v.name, v.known = s.up.Version, true
 	v.began = index.Start{ID: s.up.ID, Born: s.up.Born}
@@ -136,10 +172,29 @@
 	return nil
 }
 
+// checkStart notes that the upstream which began the stream had not started again before, once the state is
+// new enough to tell. If it starts again later, the stream's version is known nevertheless.
+func (t *turn) checkStart() {
+	v := &t.version
+	if !v.opened.IsZero() && !t.e.Fleet.View().Settled.Before(v.opened) && t.listed(v.began) {
+		v.opened = time.Time{}
+	}
+}
+
 // startKnown reports whether the process at the other end of a connection is the start of the upstream
-// that the state has: the state was read from the store after the connection was established.
+// that the state has: the state was settled after the connection was established.
 func (q *request) startKnown(conn *upconn.Conn, up *fleet.Upstream) bool {
-	return !q.e.Fleet.View().Confirmed.Before(conn.Opened) && q.listed(index.Start{ID: up.ID, Born: up.Born})
+	return !q.e.Fleet.View().Settled.Before(conn.Opened) && q.listed(index.Start{ID: up.ID, Born: up.Born})
+}
+
+// connect returns a connection to the upstream. A stream that goes on takes one that tells the start of the
+// upstream, if there is any.
+func (q *request) connect(ctx context.Context, up *fleet.Upstream) (*upconn.Conn, error) {
+	var by time.Time
+	if q.goesOn {
+		by = q.e.Fleet.View().Settled
+	}
+	return q.e.Pool.GetOpenedBy(ctx, up.ID, up.Address, by)
 }
 
 // confirmVersion is called before a stream that this attempt began goes on. It returns an error if the
@@ -150,33 +205,35 @@
 	if v.opened.IsZero() {
 		return nil
 	}
-	if t.oneVersion() {
-		return nil
-	}
-	if !t.confirmed(ctx, v.opened) || t.restarted(v.began) {
+	if !t.confirmed(ctx, v.opened) || t.mayHaveBegun(v.began, v.opened) {
 		return errVersionUnknown
 	}
 	v.opened = time.Time{}
 	return nil
 }
 
-// restarted reports whether the upstream is listed as one that has started again.
-func (q *request) restarted(s index.Start) bool {
-	now, found := q.e.Fleet.View().Services[q.service.Name].Find(s.ID)
-	return found && now.Born != s.Born
+// mayHaveBegun reports whether another start than s may have run a stream that began at the upstream after
+// the time: a confirmed state lists another one, or none after an outage in which one may have come and gone.
+func (q *request) mayHaveBegun(s index.Start, after time.Time) bool {
+	v := q.e.Fleet.View()
+	now, found := v.Services[q.service.Name].Find(s.ID)
+	return found && now.Born != s.Born || !found && v.AvailableSince.After(after)
 }
 
-// oneVersion reports whether all upstreams of the service have the same software version.
-func (q *request) oneVersion() bool {
-	_, one := q.e.Fleet.View().Services[q.service.Name].OneVersion()
-	return one
+// alike reports whether all upstreams of the service have the same software version by a state that is not
+// stale. One that has started again since may have another: this decides what is recorded at the beginning
+// of a stream, but not where one goes on.
+func (q *request) alike() bool {
+	v := q.e.Fleet.View()
+	_, one := v.Services[q.service.Name].OneVersion()
+	return one && time.Since(v.Settled) <= staleState
 }
 
 // startDiffers returns why the process at the other end of a connection may not run the request, empty if
 // it may. An upstream that has just started again under its id may have another version than a stream that
 // goes on there, which it doesn't check, or be one more that the request ends.
 func (q *request) startDiffers(ctx context.Context, conn *upconn.Conn, up *fleet.Upstream) (cause string) {
-	if (!q.goesOn || q.oneVersion()) && !q.mayHaveRestarted(up) {
+	if !q.goesOn && !q.mayHaveRestarted(up) {
 		return ""
 	}
 	if !q.confirmed(ctx, conn.Opened) {
@@ -188,8 +245,9 @@
 	return ""
 }
 
+// confirmed reports whether the state was settled at the time or later.
 func (q *request) confirmed(ctx context.Context, since time.Time) bool {
-	if q.e.Confirm == nil || !q.e.Fleet.View().Confirmed.Before(since) {
+	if q.e.Confirm == nil || !q.e.Fleet.View().Settled.Before(since) {
 		return true
 	}
 	q.unconfirmed = q.unconfirmed || !q.e.Confirm(ctx, since) // not again for each upstream that is tried
@@ -204,18 +262,19 @@
 	}
 	v := &t.version
 	r, found := t.beginning(runs)
+	mayChange := found && r.Began.ID != ""
+	unconfirmed := (mayChange || !found) && !t.confirmed(ctx, t.began)
 	v.name, v.known = r.Version, found
-	mayChange := found && r.Began.ID != "" && !t.oneVersion()
-	unconfirmed := mayChange && !t.confirmed(ctx, t.began)
+	if !found && !unconfirmed {
+		v.name, v.known = t.e.Fleet.View().Services[t.service.Name].OneVersion()
+	}
 	switch {
-	case !found && t.oneVersion():
-		return true
-	case !found || unconfirmed:
+	case !v.known || unconfirmed || r.Began == startNotChosen:
 		t.settle()
 		t.e.Scope.Counter("streams_version_unknown").Inc(1)
 		t.replyUnavailable("version_unknown", retryElsewhere, errVersionUnknown)
 		return false
-	case mayChange && t.restarted(r.Began):
+	case mayChange && t.mayHaveBegun(r.Began, t.began.Add(-triedSpan)):
 		t.settle()
 		t.e.Scope.Counter("streams_version_unknown").Inc(1)
 		t.refuse("version_unknown", errVersionUnknown)
--- a/internal/front/proxy/version_env_test.go
+++ b/internal/front/proxy/version_env_test.go
@@ -28,13 +28,32 @@
 				return b.String(), true
 			}
 			sent++
-			text := fmt.Sprintf("id:%d\ndata:%s\n\n", i, version)
-			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(text), text)
+			b.WriteString(versionEvent(i, version))
 		}
 		return b.String() + end, false
 	}
 }
 
+// loseConnection makes an upstream send two events of a stream, 100 ms apart, and lose the connection. It
+// goes on with the stream when it gets it again.
+func (u *fakeUpstream) loseConnection(version string) {
+	u.serveVersion(version, -1)
+	whole, lost := u.respond, false
+	u.respond = func(h http.Header) (response string, ends bool) {
+		if lost {
+			return whole(h)
+		}
+		lost = true
+		return chunked + versionEvent(1, version) + "PAUSE" + versionEvent(2, version) + "CLOSE", false
+	}
+}
+
+// versionEvent returns a chunk with an event that names the version.
+func versionEvent(n int, version string) string {
+	text := fmt.Sprintf("id:%d\ndata:%s\n\n", n, version)
+	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+}
+
 // streamCaller takes one stream up again, at another front with each attempt.
 type streamCaller struct {
 	fronts   []*testEnv
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,7 +145,10 @@
 		"upgraded, the store is away":       {[]string{"v1", "v2", "v1"}, true, true, false, false},
 		"not upgraded, the store is away":   {[]string{"v1", "v2", "v1"}, false, true, false, false}, // nobody can know
 		"the same, over an open connection": {[]string{"v1", "v2", "v1"}, false, true, true, true},
-		"one version, the store is away":    {[]string{"v1", "v1", "v1"}, false, true, false, true},
+		"one version, the store is away":    {[]string{"v1", "v1", "v1"}, false, true, false, false}, // nor here
+		"the same, upgraded":                {[]string{"v1", "v1", "v1"}, true, true, false, false},
+		"one version, an open connection":   {[]string{"v1", "v1", "v1"}, false, true, true, true},
+		"one version, the store is read":    {[]string{"v1", "v1", "v1"}, false, false, false, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -240,37 +245,140 @@
 
 // Guards against the same where another front takes the stream up: the first one recorded the version that it took the upstream for.
 func TestStreamThatBeganUnnoticedIsTakenUp(t *testing.T) {
-	for name, upgraded := range map[string]bool{"upgraded before": true, "not upgraded": false} {
+	cases := map[string]struct {
+		others   string // version of the second upstream
+		upgraded bool
+		age      time.Duration // of the first front's state
+		gone     bool          // the first upstream is no longer listed, since an outage
+		complete bool
+	}{
+		"upgraded before":                 {"v2", true, time.Second, false, false},
+		"not upgraded":                    {"v2", false, time.Second, false, true},
+		"one version, upgraded":           {"v1", true, time.Second, false, false},
+		"one version, not upgraded":       {"v1", false, time.Second, false, true},
+		"one version, old, upgraded":      {"v1", true, 3 * time.Second, false, false},
+		"one version, old, not upgraded":  {"v1", false, 3 * time.Second, false, true},
+		"one version, gone in the outage": {"v1", true, 3 * time.Second, true, false},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				fronts := versionEnv(2, "v1", "v2", "v1")
+				fronts := versionEnv(2, "v1", c.others, "v1")
 				defer closeAll(fronts)
 				env := fronts[0]
 				began := "v1"
-				if upgraded {
+				if c.upgraded {
 					began = "v2"
 				}
 				env.upstreams["up1"].serveVersion(began, 2)
 				env.setRefuse(true, 2, 3)
-				time.Sleep(time.Second) // the state is older than the connection
+				time.Sleep(c.age) // the state is older than the connection
 				env.e.Confirm = func(context.Context, time.Time) bool { return false }
 				caller := streamCaller{fronts: fronts}
 				is.True(!caller.attempt(t))
 				env.setRefuse(false, 2, 3)
+				if c.gone {
+					for range 3 { // from the end of the outage until the upstream is dropped
+						env.delist("up1")
+						time.Sleep(fleet.RecoveryGrace / 2)
+					}
+				}
 				fronts[1].e.Confirm = func(context.Context, time.Time) bool {
-					if upgraded {
+					if c.upgraded && !c.gone {
 						env.upgradeEntry("up1", "v2")
 					}
 					return true
 				}
-				is.Equal(caller.attempt(t), !upgraded)
+				is.Equal(caller.attempt(t), c.complete)
+				for _, v := range caller.versions {
+					is.Equal(v, began)
+				}
+			})
+		})
+	}
+}
+
+// Guards against streams of two versions while the store is away and the front's state lists one version only, and against streams that end although it can be known that nothing has started again.
+func TestStreamsOfOneVersionWhileStoreIsAway(t *testing.T) {
+	cases := map[string]struct {
+		began, next bool   // the front has had a connection to the first and the next upstream since before its state was read
+		upgraded    string // upstreams that start again as v2 before the stream begins, unnoticed
+		lost        bool   // only the connection is lost, not the upstream
+		read        bool   // the store is read once while the stream goes on
+		readable    bool   // the store is back when the stream breaks off
+		complete    bool
+	}{
+		"connections of before":                 {true, true, "", false, false, false, true},
+		"began over a newer one":                {false, true, "", false, false, false, false},
+		"goes on over a newer one":              {true, false, "", false, false, false, false},
+		"the first was upgraded":                {false, true, "up1", false, false, false, false},
+		"the next was upgraded":                 {true, false, "up2", false, false, false, false},
+		"both were upgraded":                    {false, false, "up1 up2", false, false, false, false},
+		"the connection is lost":                {true, false, "", true, false, false, true},
+		"read while the stream goes on":         {false, true, "", true, true, false, true},
+		"newer connections, the store is back":  {false, false, "", false, false, true, true},
+		"the first was upgraded, store is back": {false, true, "up1", false, false, true, false},
+		"the next was upgraded, store is back":  {true, false, "up2", false, false, true, false},
+	}
+	goOn, mixed := 0, 0
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(1, "v1", "v1")
+				defer closeAll(fronts)
+				env := fronts[0]
+				env.preferFirst(2)
+				for id, open := range map[string]bool{"up1": c.began, "up2": c.next} {
+					for range 2 {
+						if open {
+							is.NoErr(env.e.Pool.Probe(t.Context(), id, id))
+						}
+					}
+				}
+				time.Sleep(time.Millisecond)
+				env.changeUpstreams(func(*fleet.Upstream) {})
+				time.Sleep(100 * time.Millisecond)
+				began := "v1"
+				if strings.Contains(c.upgraded, "up1") {
+					began = "v2"
+				}
+				env.upstreams["up1"].serveVersion(began, 2)
+				if strings.Contains(c.upgraded, "up2") {
+					env.upstreams["up2"].serveVersion("v2", -1)
+				}
+				if c.lost {
+					env.upstreams["up1"].loseConnection("v1")
+				}
+				if c.read {
+					time.AfterFunc(50*time.Millisecond, func() { env.changeUpstreams(func(*fleet.Upstream) {}) })
+				}
+				env.e.Confirm = func(context.Context, time.Time) bool {
+					for _, id := range strings.Fields(c.upgraded) {
+						if c.readable {
+							env.upgradeEntry(id, "v2")
+						}
+					}
+					return c.readable
+				}
+				caller := streamCaller{fronts: fronts}
+				complete := caller.attempt(t)
+				if complete {
+					goOn++
+				}
+				if slices.ContainsFunc(caller.versions, func(v string) bool { return v != began }) {
+					mixed++
+				}
+				is.Equal(caller.statuses[0], http.StatusOK)
+				is.Equal(complete, c.complete)
 				for _, v := range caller.versions {
 					is.Equal(v, began)
 				}
 			})
 		})
 	}
+	t.Logf("%d of %d streams went on, %d at another version", goOn, len(cases), mixed)
 }
 
 // Guards against a caller that has an event of a version that no record states, since its front loses its power before it writes it.
--- a/internal/front/upconn/conn_test.go
+++ b/internal/front/upconn/conn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -60,6 +61,45 @@
 	}
 }
 
+// Guards against a stream that can't go on since a newer connection is used, while an older one would tell the start of the upstream.
+func TestOlderConnectionIsPreferred(t *testing.T) {
+	cases := map[string]struct {
+		by   time.Duration // from the first on; they are a second apart
+		want int           // number of the connection that is used, from 0
+	}{
+		"any time":           {0, 2},
+		"before the last":    {1500 * time.Millisecond, 1},
+		"before the second":  {time.Second - 1, 0},
+		"before all of them": {-time.Second, 2},
+		"after all of them":  {time.Minute, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &Pool{}
+			var list []*Conn
+			start := time.Now()
+			for i := range 3 {
+				near, far := net.Pipe()
+				defer func() { _ = far.Close() }()
+				conn := newConn(near, "u", "a")
+				defer conn.Close()
+				conn.Opened = start.Add(time.Duration(i) * time.Second)
+				p.Put(conn, time.Minute)
+				list = append(list, conn)
+			}
+			by := start.Add(c.by)
+			if c.by == 0 {
+				by = time.Time{}
+			}
+			got, err := p.GetOpenedBy(t.Context(), "u", "a", by)
+			is.NoErr(err)
+			is.Equal(got, list[c.want])
+			is.Equal(len(p.idle["a"]), 2)
+		})
+	}
+}
+
 // Guards against an upstream that ended and is taken for one that goes on, and the reverse.
 func TestProbe(t *testing.T) {
 	is := is.New(t)
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -50,8 +51,14 @@
 // Get returns a connection to the upstream with this id and address: a reusable idle one if
 // there is one, and a new one otherwise.
 func (p *Pool) Get(ctx context.Context, id, address string) (*Conn, error) {
+	return p.GetOpenedBy(ctx, id, address, time.Time{})
+}
+
+// GetOpenedBy does what Get does, but prefers an idle connection that was established at the given time
+// or earlier.
+func (p *Pool) GetOpenedBy(ctx context.Context, id, address string, by time.Time) (*Conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, by)
 		if c == nil {
 			break
 		}
@@ -117,17 +124,24 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// pop removes the most recently used connection, which is the least likely to be closed. It
-// returns nil if there is none.
-func (p *Pool) pop(address string) *Conn {
+// pop removes the most recently used connection, which is the least likely to be closed, of those that
+// were established by a time, or else of all. It returns nil if there is none.
+func (p *Pool) pop(address string, by time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	i := len(list) - 1
+	for j := i; j >= 0 && !by.IsZero(); j-- {
+		if !list[j].Opened.After(by) {
+			i = j
+			break
+		}
+	}
+	c := list[i]
+	p.idle[address] = slices.Delete(list, i, i+1)
 	return c
 }
 
--- a/internal/node/frontd/confirm_test.go
+++ b/internal/node/frontd/confirm_test.go
@@ -18,9 +18,10 @@
 		want     bool
 		wait     time.Duration // at most
 	}{
-		"recent":        {-time.Millisecond, false, true, 0},
-		"old":           {time.Second, true, true, confirmRetry + minConfirmInterval},
-		"old, no store": {time.Second, false, false, confirmTimeout},
+		"recent":          {-time.Millisecond, false, true, 0},
+		"old":             {time.Second, true, true, confirmRetry + minConfirmInterval},
+		"old, no store":   {time.Second, false, false, confirmTimeout},
+		"after an outage": {5 * time.Second, true, false, confirmRetry},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/frontd/refresh.go
+++ b/internal/node/frontd/refresh.go
@@ -41,8 +41,8 @@
 	return d.stateAge() < staleAge || !d.fleet.View().Confirmed.Before(arrived)
 }
 
-// confirm reports whether the state was read from the store at the given time or later, by this front
-// or another one, or is within confirmTimeout. It reads the store for it.
+// confirm reports whether the state was settled at the given time or later, or is within confirmTimeout.
+// It reads the store for it, unless that was read since then and its entries may be old after an outage.
 func (d *Daemon) confirm(ctx context.Context, since time.Time) bool {
 	read := func() { _ = d.readStore(context.WithoutCancel(ctx)) } // on failure the state stays old
 	return d.confirmBy(ctx, since, read)
@@ -51,7 +51,10 @@
 func (d *Daemon) confirmBy(ctx context.Context, since time.Time, read func()) bool {
 	ctx, stop := context.WithTimeout(ctx, confirmTimeout)
 	defer stop()
-	for d.fleet.View().Confirmed.Before(since) {
+	for v := d.fleet.View(); v.Settled.Before(since); v = d.fleet.View() {
+		if !v.Confirmed.Before(since) {
+			return false
+		}
 		select {
 		case <-d.readState.refresh(minConfirmInterval, read):
 		case <-ctx.Done():
