upconn, proxy: an answer over an older connection tells the start of an upstream

Cause: only the age of the one connection was weighed. An upstream that answers a request over a connection of before the outage is still the start of before, and so is what accepted all connections between that one and the request.

Change: the pool remembers from when to when one process is known to have run at an address: it accepted a connection, and answered a request that was sent later. Times that overlap are of one process. A connection counts from the beginning of its time.

Evidence: TestOlderConnectionTellsTheStart, "it answers", fails without it.

--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -185,6 +185,7 @@
 		q.uncountSend()
 		return nil, q.handleNotRun(s, repeats)
 	}
+	q.e.Pool.NoteAnswer(conn, s.began)
 	return s, nil
 }
 
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -26,8 +26,8 @@
 //
 // The store tells the version of each start of an upstream, and lists a later start some time after that
 // accepts connections; while the store is away, at any later time. So the process at the other end of a
-// connection is known to be a listed start only if the connection was established before the state was
-// settled. That all upstreams are listed with one version tells nothing of one that has started since.
+// connection is known to be a listed start only if it ran before the state was settled: the connection was
+// established before, or an older one has answered since that. That all upstreams are listed with one version tells nothing of one that has started since.
 
 var (
 	// errVersionGone reports a stream that can't go on: no upstream has the version that began it.
@@ -55,11 +55,10 @@
 	choices  int        // records of this attempt that state a version
 	written  chan error // outcome of the last one; nil if none is under way, or an earlier one is true too
 
-	// The upstream at which this attempt began the stream, and when the connection to it was
-	// established; zero if it did not begin it, or the upstream is known not to have started
-	// again before.
-	began  index.Start
-	opened time.Time
+	// The upstream at which this attempt began the stream, and the connection to it; nil if it did not
+	// begin it, or the upstream is known not to have started again before.
+	began index.Start
+	conn  *upconn.Conn
 }
 
 // begins reports whether the attempt begins a stream that may go on elsewhere.
@@ -130,7 +129,7 @@
 // that is not known and the last record leaves it out. It returns nil otherwise.
 func (t *turn) recordDoubt() (written <-chan error) {
 	v := &t.version
-	if v.opened.IsZero() || v.choices == 0 || v.recorded.began == v.began {
+	if v.conn == nil || v.choices == 0 || v.recorded.began == v.began {
 		return nil
 	}
 	return t.record(statement{v.name, v.began})
@@ -167,7 +166,7 @@
 	v.name, v.known = s.up.Version, true
 	v.began = index.Start{ID: s.up.ID, Born: s.up.Born}
 	if !s.startKnown && !t.startKnown(s.conn, &s.up) {
-		v.opened = s.conn.Opened
+		v.conn = s.conn
 	}
 	return nil
 }
@@ -176,15 +175,15 @@
 // new enough to tell. If it starts again later, the stream's version is known nevertheless.
 func (t *turn) checkStart() {
 	v := &t.version
-	if !v.opened.IsZero() && !t.e.Fleet.View().Settled.Before(v.opened) && t.listed(v.began) {
-		v.opened = time.Time{}
+	if v.conn != nil && !t.e.Fleet.View().Settled.Before(t.e.Pool.Since(v.conn)) && t.listed(v.began) {
+		v.conn = nil
 	}
 }
 
 // startKnown reports whether the process at the other end of a connection is the start of the upstream
-// that the state has: the state was settled after the connection was established.
+// that the state has: the state was settled after that process ran.
 func (q *request) startKnown(conn *upconn.Conn, up *fleet.Upstream) bool {
-	return !q.e.Fleet.View().Settled.Before(conn.Opened) && q.listed(index.Start{ID: up.ID, Born: up.Born})
+	return !q.e.Fleet.View().Settled.Before(q.e.Pool.Since(conn)) && q.listed(index.Start{ID: up.ID, Born: up.Born})
 }
 
 // connect returns a connection to the upstream. A stream that goes on takes one that tells the start of the
@@ -202,13 +201,14 @@
 // older than the connection.
 func (t *turn) confirmVersion(ctx context.Context) error {
 	v := &t.version
-	if v.opened.IsZero() {
+	if v.conn == nil {
 		return nil
 	}
-	if !t.confirmed(ctx, v.opened) || t.mayHaveBegun(v.began, v.opened) {
+	since := t.e.Pool.Since(v.conn)
+	if !t.confirmed(ctx, since) || t.mayHaveBegun(v.began, since) {
 		return errVersionUnknown
 	}
-	v.opened = time.Time{}
+	v.conn = nil
 	return nil
 }
 
@@ -236,7 +236,7 @@
 	if !q.goesOn && !q.mayHaveRestarted(up) {
 		return ""
 	}
-	if !q.confirmed(ctx, conn.Opened) {
+	if !q.confirmed(ctx, q.e.Pool.Since(conn)) {
 		return causeUnconfirmed
 	}
 	if !q.listed(index.Start{ID: up.ID, Born: up.Born}) {
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -381,6 +381,46 @@
 	t.Logf("%d of %d streams went on, %d at another version", goOn, len(cases), mixed)
 }
 
+// Guards against a stream that ends since its connection is newer than the state, although its upstream has answered over an older one meanwhile.
+func TestOlderConnectionTellsTheStart(t *testing.T) {
+	cases := map[string]struct {
+		answers  bool // over the older connection, while the stream goes on
+		complete bool
+	}{
+		"it answers":      {true, true},
+		"it only is open": {false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fronts := versionEnv(1, "v1", "v1")
+				defer closeAll(fronts)
+				env := fronts[0]
+				env.preferFirst(2)
+				older, err := env.e.Pool.Get(t.Context(), "up1", "up1")
+				is.NoErr(err)
+				time.Sleep(time.Millisecond)
+				env.changeUpstreams(func(*fleet.Upstream) {})
+				time.Sleep(time.Millisecond)
+				env.upstreams["up1"].loseConnection("v1")
+				env.e.Confirm = func(context.Context, time.Time) bool { return false }
+				done := make(chan struct{})
+				time.AfterFunc(50*time.Millisecond, func() {
+					defer close(done)
+					env.e.Pool.Put(older, time.Minute)
+					if c.answers {
+						env.do(t.Context(), "/safe/", map[string]string{"Id": "other"}, "")
+					}
+				})
+				caller := streamCaller{fronts: fronts}
+				is.Equal(caller.attempt(t), c.complete)
+				<-done
+			})
+		})
+	}
+}
+
 // Guards against a caller that has an event of a version that no record states, since its front loses its power before it writes it.
 func TestVersionIsDurableBeforeTheFirstEvent(t *testing.T) {
 	for name, fails := range map[string]bool{"recorded": false, "cannot be recorded": true} {
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -44,6 +44,7 @@
 
 		mu     sync.Mutex
 		idle   map[string][]*Conn // by address, least recently used first
+		lives  map[process]lives
 		opened int64
 	}
 )
@@ -54,8 +55,8 @@
 	return p.GetOpenedBy(ctx, id, address, time.Time{})
 }
 
-// GetOpenedBy does what Get does, but prefers an idle connection that was established at the given time
-// or earlier.
+// GetOpenedBy does what Get does, but prefers an idle connection to a process that is known to have run at
+// the given time or earlier.
 func (p *Pool) GetOpenedBy(ctx context.Context, id, address string, by time.Time) (*Conn, error) {
 	for {
 		c := p.pop(address, by)
@@ -125,7 +126,7 @@
 }
 
 // pop removes the most recently used connection, which is the least likely to be closed, of those that
-// were established by a time, or else of all. It returns nil if there is none.
+// go to a process that ran at a time, or else of all. It returns nil if there is none.
 func (p *Pool) pop(address string, by time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -135,7 +136,7 @@
 	}
 	i := len(list) - 1
 	for j := i; j >= 0 && !by.IsZero(); j-- {
-		if !list[j].Opened.After(by) {
+		if !p.since(list[j]).After(by) {
 			i = j
 			break
 		}
@@ -157,6 +158,11 @@
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for key, l := range p.lives {
+		if now.Sub(l[len(l)-1].to) > livesFor {
+			delete(p.lives, key)
+		}
+	}
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
