--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -27,7 +27,8 @@
 // The store tells the version of each start of an upstream, and lists a later start some time after that
 // accepts connections; while the store is away, at any later time. So the process at the other end of a
 // connection is known to be a listed start only if it ran before the state was settled: the connection was
-// established before, or an older one has answered since that. That all upstreams are listed with one version tells nothing of one that has started since.
+// established before, or an older one has answered since that. That all upstreams are listed with one version
+// tells nothing of one that has started since.
 
 var (
 	// errVersionGone reports a stream that can't go on: no upstream has the version that began it.
