--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,7 @@
 
 		mu     sync.Mutex
 		idle   map[string][]*Conn // by address, least recently used first
+		lives  map[process]lives
 		opened int64
 
 		unsolicited atomic.Int64
@@ -53,8 +55,14 @@
 // Get returns a connection to the upstream with this id and address: a reusable idle one if
 // there is one, and a new one otherwise.
 func (p *Pool) Get(ctx context.Context, id, address string) (*Conn, error) {
+	return p.GetOpenedBy(ctx, id, address, time.Time{})
+}
+
+// GetOpenedBy does what Get does, but prefers an idle connection to a process that is known to have run at
+// the given time or earlier.
+func (p *Pool) GetOpenedBy(ctx context.Context, id, address string, by time.Time) (*Conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, by)
 		if c == nil {
 			break
 		}
@@ -124,17 +132,24 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// pop removes the most recently used connection, which is the least likely to be closed. It
-// returns nil if there is none.
-func (p *Pool) pop(address string) *Conn {
+// pop removes the most recently used connection, which is the least likely to be closed, of those that
+// go to a process that ran at a time, or else of all. It returns nil if there is none.
+func (p *Pool) pop(address string, by time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	i := len(list) - 1
+	for j := i; j >= 0 && !by.IsZero(); j-- {
+		if !p.since(list[j]).After(by) {
+			i = j
+			break
+		}
+	}
+	c := list[i]
+	p.idle[address] = slices.Delete(list, i, i+1)
 	return c
 }
 
@@ -150,6 +165,11 @@
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for key, l := range p.lives {
+		if now.Sub(l[len(l)-1].to) > livesFor {
+			delete(p.lives, key)
+		}
+	}
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
