chaos: a load that keeps upstreams full while they repeat and cut responses

Callers saw unsafe requests told "not run" that an upstream ran. The soak had stand-ins that repeat refusals, but its upstreams were never full, its callers wait for each answer, and 408 and 421 were not held against runs.

Checked in both directions: what an upstream took is never told "not run", and what all had refused undisturbed is told so, with a time to come back, unless its time is up (traced: fronts that got too little of the processor sent on until the time was over).

--- a/cmd/slaterock/storm_test.go
+++ b/cmd/slaterock/storm_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/slaterock/slaterock/internal/fake/queued"
 	"github.com/slaterock/slaterock/internal/play/chaos"
 )
 
@@ -60,3 +61,24 @@
 		})
 	}
 }
+
+// Guards against a request that is told it has not run, and has, beside full upstreams that send refusals and successes once more, late.
+func TestRefusedRequestsDoNotRun(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	t.Setenv(mainEnv, "1")
+	var found bytes.Buffer
+	c := &chaos.Crowd{
+		Runner: &chaos.Runner{Seed: 1, For: 3 * time.Second, Fronts: 3, Disks: 3, Upstreams: 5, Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: &found},
+		CrowdLoad: chaos.CrowdLoad{
+			Rate: 250, Safe: 0.25, Long: 0.1, Work: 150 * time.Millisecond, Faulty: 0.6, FaultsFor: 2 * time.Second, OtherStart: true,
+			Faults: queued.Faults{Refusals: 0.3, Successes: 0.1, Cut: 0.05},
+		},
+	}
+	sum, err := c.Run(t.Context())
+	t.Logf("%+v\n%s", sum, found.String())
+	is.NoErr(err)
+	is.True(sum.CopiedRefusals > 0 && sum.CopiedSuccesses > 0 && sum.Early > 0 && sum.CameBack > 0) // the faults befell
+}
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -17,29 +17,35 @@
 
 // startAll starts the fakes, the proxies and the processes.
 func (s *Runner) startAll(ctx context.Context) error {
-	store, err := serve(ctx, &s.metakv, anyPort)
-	if err != nil {
+	s.metakv.Put("op/config", operatorConfig())
+	if err := s.startUpstreams(ctx); err != nil {
 		return err
 	}
-	s.metakv.Put("op/config", operatorConfig())
-	if err = s.startUpstreams(ctx); err != nil {
+	return s.startProcesses(ctx)
+}
+
+// startProcesses starts the store and the processes.
+func (s *Runner) startProcesses(ctx context.Context) error {
+	store, err := serve(ctx, &s.metakv, anyPort)
+	if err != nil {
 		return err
 	}
 	for i := range s.Fronts {
-		c, err := s.process(ctx, store, "front", i, fmt.Sprintf("127.0.1.%d", i+1))
+		ip := s.ip(1, i)
+		c, err := s.process(ctx, store, "front", i, ip)
 		if err != nil {
 			return err
 		}
-		p := &Proxy{Target: fmt.Sprintf("127.0.1.%d:%d", i+1, basePort)}
+		p := &Proxy{Target: fmt.Sprintf("%s:%d", ip, basePort)}
 		if err = p.Start(ctx, "127.0.0.1"); err != nil {
 			return err
 		}
 		s.frontProxies = append(s.frontProxies, p)
-		s.directories = append(s.directories, fmt.Sprintf("127.0.1.%d:%d", i+1, basePort+2))
+		s.directories = append(s.directories, fmt.Sprintf("%s:%d", ip, basePort+2))
 		s.fronts = append(s.fronts, c)
 	}
 	for i := range s.Disks {
-		c, err := s.process(ctx, store, "storage", i, fmt.Sprintf("127.0.2.%d", i+1))
+		c, err := s.process(ctx, store, "storage", i, s.ip(2, i))
 		if err != nil {
 			return err
 		}
@@ -89,19 +95,22 @@
 			return ended
 		}
 	}
-	go func() {
-		for ctx.Err() == nil {
-			s.entriesMu.Lock()
-			for id, entry := range s.entries {
-				s.metakv.Put("servers/"+id, entry)
-			}
-			s.entriesMu.Unlock()
-			pause.For(ctx, entryInterval)
-		}
-	}()
+	go s.writeEntries(ctx)
 	return nil
 }
 
+// writeEntries writes the upstreams' store entries until ctx ends.
+func (s *Runner) writeEntries(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.entriesMu.Lock()
+		for id, entry := range s.entries {
+			s.metakv.Put("servers/"+id, entry)
+		}
+		s.entriesMu.Unlock()
+		pause.For(ctx, entryInterval)
+	}
+}
+
 // process creates the settings file, log file and store proxy of process i of a
 // role. It does not start the process.
 func (s *Runner) process(ctx context.Context, store, role string, i int, ip string) (*process, error) {
@@ -127,7 +136,7 @@
 region: "r"
 listen: %s
 port-range: [%d, %d]
-seeds: ["127.0.2.1:%d", "127.0.2.2:%d", "127.0.2.3:%d"]
+seeds: ["%s:%d", "%s:%d", "%s:%d"]
 bootstrap: true
 loss-counts: %v
 limits: {cpu-share: 1, cores: 1, memory-mb: 200, disk-mb: 300}
@@ -136,7 +145,7 @@
 fault-tolerance: {machines: 1, zones: 0, regions: 0}
 bounds: {drain-ms: 2000, grace-s: 8, ttl_max_s: 5}
 platform: {address: %q, writes-per-s: 400, reads-per-s: 2000, value-bytes: 1048576, ttl-min-ms: 1000}
-`, name, role, ip, i%3, listen, peerPort, peerPort+15, basePort+3, basePort+3, basePort+3, role == "storage", dir, p.Address)
+`, name, role, ip, i%3, listen, peerPort, peerPort+15, s.ip(2, 0), basePort+3, s.ip(2, 1), basePort+3, s.ip(2, 2), basePort+3, role == "storage", dir, p.Address)
 	if err := os.WriteFile(c.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -145,6 +154,9 @@
 	return c, err
 }
 
+// ip returns the address of process i: group 1 are the fronts, group 2 those with a disk.
+func (s *Runner) ip(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", s.Net, group, i+1) }
+
 // operatorConfig returns the operator's configuration: four routes to the services
 // model and plain.
 func operatorConfig() map[string]any {
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -30,9 +30,9 @@
 )
 
 const (
-	host        = "shop.example"
-	lockAddress = "127.0.1.1:7399" // occupied during a run, to prevent a concurrent one
-	anyPort     = "127.0.0.1:0"
+	host     = "shop.example"
+	lockPort = 7399 // of the first front's address, occupied during a run to prevent a concurrent one
+	anyPort  = "127.0.0.1:0"
 	// basePort is the port of fronts for callers; their ready and directory ports
 	// and the control port of VMs with a disk follow.
 	basePort     = 7300
@@ -54,6 +54,7 @@
 	Runner struct {
 		Command     []string // command line of the program, without its role
 		Seed        uint64
+		Net         int           // second byte of the processes' loopback addresses; runs with different ones may overlap
 		For         time.Duration // time with faults; with StoreOutage, the time before the outage
 		Fronts      int
 		Disks       int
@@ -99,14 +100,11 @@
 	s.observed.attempts = map[string]observed{}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	// Concurrent runs would use the same addresses and connect to each other's
-	// processes.
-	var lc net.ListenConfig
-	lock, err := lc.Listen(ctx, "tcp", lockAddress)
+	unlock, err := s.lock(ctx)
 	if err != nil {
-		return sum, errors.Wrap(err, "another run is in progress")
+		return sum, err
 	}
-	defer func() { _ = lock.Close() }()
+	defer unlock()
 	if err = s.startAll(ctx); err != nil {
 		return sum, err
 	}
@@ -141,6 +139,17 @@
 	return sum, nil
 }
 
+// lock prevents concurrent runs, which would use the same addresses and connect to each
+// other's processes.
+func (s *Runner) lock(ctx context.Context) (unlock func(), err error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", fmt.Sprintf("%s:%d", s.ip(1, 0), lockPort))
+	if err != nil {
+		return nil, errors.Wrap(err, "another run is in progress")
+	}
+	return func() { _ = ln.Close() }, nil
+}
+
 // verify compares the responses that callers received with the executions at the
 // upstreams: a request that isn't idempotent must not run twice, or run although
 // it was refused.
@@ -150,11 +159,8 @@
 		if runs > 1 && !a.idempotent {
 			s.observed.addViolation("%s ran %d times", id, runs)
 		}
-		switch a.status {
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusPaymentRequired, http.StatusNotFound:
-			if runs > 0 && !a.idempotent {
-				s.observed.addViolation("%s was refused with %d and ran", id, a.status)
-			}
+		if runs > 0 && !a.idempotent && meansNotRun(a.status) {
+			s.observed.addViolation("%s was refused with %d and ran", id, a.status)
 		}
 	}
 	for _, text := range s.runLog.Violations() {
@@ -162,6 +168,17 @@
 	}
 }
 
+// meansNotRun reports whether the status tells a caller that its request has not run and never will.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusPaymentRequired, http.StatusNotFound:
+		return true
+	default:
+		return false
+	}
+}
+
 // injectFaults injects faults for the time For, some of them overlapping, waits
 // until all have ended, and returns their number.
 func (s *Runner) injectFaults(ctx context.Context) (faults int) {
--- /dev/null
+++ b/internal/play/chaos/crowd.go
@@ -0,0 +1,233 @@
+package chaos
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/fake/queued"
+	"github.com/slaterock/slaterock/internal/fake/upstrm"
+	"github.com/slaterock/slaterock/internal/peer/pause"
+)
+
+const (
+	crowdPlaces  = 6
+	crowdQueue   = 4
+	crowdTimeout = 2500 * time.Millisecond // of a request
+	crowdTarget  = 500 * time.Millisecond  // time within which a call is on time
+	crowdTries   = 3                       // attempts of a caller at one request
+	crowdSettle  = 500 * time.Millisecond  // after the last response, for runs that begin late
+	// maxLongBody bounds long bodies, in bytes; the shortest has half of it.
+	maxLongBody = 160 << 10
+	// startShare is the part of the time before faults begin.
+	startShare = 0.2
+	// otherStartTime is how long a wrong process answers at the address of an upstream.
+	otherStartTime = 400 * time.Millisecond
+)
+
+type (
+	// CrowdLoad is a load of calls to one service, and the faults of its upstreams. The calls are sent at their
+	// times, however many are under way.
+	CrowdLoad struct {
+		Rate       float64 // first attempts per second
+		Safe       float64 // share of safe calls, the others are unsafe
+		Long       float64 // share of unsafe calls with a body that is longer than 64 KiB
+		Work       time.Duration
+		Faulty     float64       // share of the upstreams that have Faults
+		Faults     queued.Faults // of these upstreams
+		FaultsFor  time.Duration
+		OtherStart bool // now and then a wrong process answers at the address of an upstream
+	}
+
+	// Crowd runs such a load, whose upstreams are full most of the time. Set the exported fields, then call Run.
+	Crowd struct {
+		*Runner // its callers and faults are not used
+		CrowdLoad
+
+		journal   queued.Journal
+		upstreams []*queued.Upstream
+		client    *http.Client
+		mu        sync.Mutex
+		attempts  []*crowdAttempt
+	}
+
+	// crowdAttempt is one attempt of a caller, as it received it.
+	crowdAttempt struct {
+		id         string
+		front      int
+		safe       bool
+		status     int // 0 if there was no whole response
+		body       string
+		retryAfter string
+		took       time.Duration
+	}
+)
+
+// Run executes the run. The error lists violations.
+func (c *Crowd) Run(ctx context.Context) (sum CrowdSummary, err error) {
+	defer func() { err = errors.Wrapf(err, "seed %d", c.Seed) }()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	unlock, err := c.lock(ctx)
+	if err != nil {
+		return sum, err
+	}
+	defer unlock()
+	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	c.rnd = rand.New(rand.NewPCG(c.Seed, 1))
+	c.metakv.Put("op/config", crowdConfig())
+	defer c.stopAll()
+	if err = c.startUpstreams(ctx); err != nil {
+		return sum, err
+	}
+	if err = c.startProcesses(ctx); err != nil {
+		return sum, err
+	}
+	if err = c.awaitFronts(ctx); err != nil {
+		return sum, err
+	}
+	var work sync.WaitGroup
+	work.Go(func() { c.playFaults(ctx) })
+	c.sendAll(ctx, &work)
+	work.Wait()
+	pause.For(ctx, crowdSettle)
+	return c.verify()
+}
+
+func (c *Crowd) startUpstreams(ctx context.Context) error {
+	c.entries = map[string]map[string]any{}
+	for i := range c.Upstreams {
+		u := &queued.Upstream{ID: fmt.Sprintf("i-%d", i), Places: crowdPlaces, Queue: crowdQueue, Work: c.Work, Journal: &c.journal, Seed: c.Seed + uint64(i)}
+		var lc net.ListenConfig
+		ln, err := lc.Listen(ctx, "tcp", anyPort)
+		if err != nil {
+			return err
+		}
+		go u.Serve(ctx, ln)
+		c.upstreams = append(c.upstreams, u)
+		c.entries[u.ID] = map[string]any{
+			"service": "plain", "address": ln.Addr().String(), "zone": fmt.Sprintf("z%d", i%3), "version": versions[0], "max-batch": u.Places,
+			"state": "ready", "cold-remaining-ms": 0, "born": time.Now().UnixMilli(),
+		}
+	}
+	go c.writeEntries(ctx)
+	return nil
+}
+
+// awaitFronts waits until each front has answered a call.
+func (c *Crowd) awaitFronts(ctx context.Context) error {
+	until := time.Now().Add(startTimeout)
+	for i := range c.fronts {
+		for n := 0; ; n++ {
+			a := &crowdAttempt{id: fmt.Sprintf("await-%d-%d", i, n), front: i, safe: true}
+			if c.send(ctx, a, nil); a.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(until) || ctx.Err() != nil {
+				return errors.Newf("%s does not serve", c.fronts[i].name)
+			}
+			pause.For(ctx, 100*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// sendAll sends the calls at their times, which are random, for the time For.
+func (c *Crowd) sendAll(ctx context.Context, work *sync.WaitGroup) {
+	began := time.Now()
+	for n, at := 0, time.Duration(0); at < c.For && ctx.Err() == nil; n++ {
+		pause.For(ctx, time.Until(began.Add(at)))
+		at += time.Duration(c.rnd.ExpFloat64() / c.Rate * float64(time.Second))
+		safe, long, fronts := c.rnd.Float64() < c.Safe, c.rnd.Float64() < c.Long, c.rnd.Perm(c.Fronts)
+		body := []byte(fmt.Sprintf("body of %d", n))
+		if long && !safe {
+			body = bytes.Repeat(body, maxLongBody/2/len(body)+c.rnd.IntN(maxLongBody/2/len(body)))
+		}
+		work.Go(func() { c.call(ctx, n, safe, fronts, body) })
+	}
+}
+
+// call makes attempts at one call until one is served or may have run: each at another front, after the time that the one before was told.
+func (c *Crowd) call(ctx context.Context, n int, safe bool, fronts []int, body []byte) {
+	for try := range min(crowdTries, len(fronts)) {
+		a := &crowdAttempt{id: fmt.Sprintf("c%d-%d", n, try), front: fronts[try], safe: safe}
+		c.send(ctx, a, body)
+		c.mu.Lock()
+		c.attempts = append(c.attempts, a)
+		c.mu.Unlock()
+		seconds, err := strconv.ParseFloat(a.retryAfter, 64)
+		if err != nil || !meansNotRun(a.status) {
+			return
+		}
+		pause.For(ctx, time.Duration(seconds*float64(time.Second)))
+	}
+}
+
+func (c *Crowd) send(ctx context.Context, a *crowdAttempt, body []byte) {
+	ctx, stop := context.WithTimeout(ctx, crowdTimeout+time.Second)
+	defer stop()
+	path := map[bool]string{true: "/safe/x", false: "/unsafe/x"}[a.safe]
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%s", c.ip(1, a.front), basePort, path), bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.GetBody = nil // net/http must not retry the request
+	r.Host = host
+	r.Header.Set("Request-Id", a.id)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(crowdTimeout.Milliseconds()))
+	r.Header.Set(upstrm.ExpectBody, upstrm.Digest(body))
+	began := time.Now()
+	defer func() { a.took = time.Since(began) }()
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil {
+		a.status, a.body, a.retryAfter = resp.StatusCode, string(text), resp.Header.Get("Retry-After")
+	}
+}
+
+// playFaults has some of the upstreams have the faults for a while.
+func (c *Crowd) playFaults(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(c.Seed, 2))
+	pause.For(ctx, time.Duration(startShare*float64(c.For)))
+	faulty := rnd.Perm(len(c.upstreams))[:int(c.Faulty*float64(len(c.upstreams))+0.5)]
+	for _, i := range faulty {
+		c.upstreams[i].SetFaults(c.Faults)
+	}
+	for until := time.Now().Add(c.FaultsFor); time.Now().Before(until) && ctx.Err() == nil; {
+		if !c.OtherStart {
+			pause.For(ctx, time.Until(until))
+			break
+		}
+		u := c.upstreams[faulty[rnd.IntN(len(faulty))]]
+		other := c.Faults
+		other.OtherStart = true
+		u.SetFaults(other)
+		pause.For(ctx, otherStartTime)
+		u.SetFaults(c.Faults)
+	}
+	for _, i := range faulty {
+		c.upstreams[i].SetFaults(queued.Faults{})
+	}
+}
+
+// crowdConfig returns the operator's configuration.
+func crowdConfig() map[string]any {
+	config := operatorConfig()
+	for _, r := range config["routes"].([]any) {
+		r.(map[string]any)["timeout-ms"] = crowdTimeout.Milliseconds()
+	}
+	return config
+}
