upconn: a cut header is not joined with the response behind it

Callers were told that an unsafe request had not run, or got another status than the upstream gave. An upstream sends an earlier response once more, late, and cuts it within its header; the request's own response follows at once. The reason or the field that was cut swallowed the first line of the own response, so that the status (and the header for "not run") of the copy stood beside the id and signature of the own response: a refusal with the right id. Comparing ids cannot tell that; a status line within a reason or a field can, wherever the cut is. Such a response is lost: the request may have run. Fields such as "Via: HTTP/1.1 relay" are not taken for one.

--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +36,9 @@
 	ErrHeadTooLong = errors.Newf("header of the response is longer than %d bytes", MaxHead)
 	// ErrBodyTooLong reports a body that is longer than its bound.
 	ErrBodyTooLong = errors.New("body is longer than its bound")
+
+	errTwoHeads = errors.New("header of the response was cut, and another response follows within it")
+	statusLine  = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
 )
 
 type (
@@ -107,7 +112,7 @@
 
 // Receive reads the header of the response, whose body is still to be read.
 // Informational responses (1xx) are skipped. It fails with ErrHeadTooLong if all these headers are
-// longer than MaxHead.
+// longer than MaxHead, and if the header was cut and goes on with that of another response.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	c.in.left, c.in.bounded = MaxHead, true
 	defer func() { c.in.bounded = false }()
@@ -119,10 +124,27 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
+		if resp.StatusCode < 200 {
+			continue
+		}
+		if hasStatusLine(resp) {
+			return nil, errTwoHeads
+		}
+		return resp, nil
+	}
+}
+
+// hasStatusLine reports whether the reason or a field of the header has the first line of another response at its end.
+func hasStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
 		}
 	}
+	return false
 }
 
 func (r *headReader) Read(p []byte) (n int, err error) {
