--- a/internal/play/chaos/crowd.go
+++ b/internal/play/chaos/crowd.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"time"
@@ -69,6 +70,8 @@
 		body       string
 		retryAfter string
 		took       time.Duration
+		idle       time.Duration // of the connection before; 0 for a new one
+		err        error         // why there was no whole response
 	}
 )
 
@@ -185,15 +188,17 @@
 	r.Header.Set("Request-Id", a.id)
 	r.Header.Set("Deadline-Ms", fmt.Sprint(crowdTimeout.Milliseconds()))
 	r.Header.Set(upstrm.ExpectBody, upstrm.Digest(body))
+	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.idle = i.IdleTime }}))
 	began := time.Now()
 	defer func() { a.took = time.Since(began) }()
 	resp, err := c.client.Do(r)
 	if err != nil {
+		a.err = err
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
-	if err == nil {
+	if a.err = err; err == nil {
 		a.status, a.body, a.retryAfter = resp.StatusCode, string(text), resp.Header.Get("Retry-After")
 	}
 }
--- a/internal/play/chaos/verdict.go
+++ b/internal/play/chaos/verdict.go
@@ -109,7 +109,7 @@
 		undisturbed = undisturbed && s.End == queued.Refused && !s.Foreign
 	}
 	violate := func(what string) {
-		violations = append(violations, fmt.Sprintf("%s at front %d, status %d after %v: %s: %+v", a.id, a.front, a.status, a.took, what, stays))
+		violations = append(violations, fmt.Sprintf("%s at front %d, status %d (%v) after %v, connection idle for %v: %s: %+v", a.id, a.front, a.status, a.err, a.took, a.idle, what, stays))
 	}
 	served := a.status == http.StatusOK
 	if served && (a.body != "answer to "+a.id || began == 0) {
