upconn: a connection that was taken and not used keeps its idle time

A turn or a call whose start of the upstream was not confirmed gave its connection back, and the next request could meet a connection that the upstream had closed for being idle, or closes at that moment: a lost answer, and 502 where it may not run twice.

Cause: giving it back started its idle time anew, with the default.

Change: Pool.PutBack keeps the idle time of a connection over which nothing was sent.

--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -153,7 +153,7 @@
 		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
 	}
 	if cause := q.startDiffers(ctx, conn, &up); cause != "" {
-		q.e.Pool.Put(conn, 0)
+		q.e.Pool.PutBack(conn)
 		return nil, &notRunError{up: up, cause: cause}
 	}
 	s = &exchange{up: up, conn: conn, began: time.Now(), startKnown: q.startKnown(conn, &up)}
--- a/internal/front/upconn/conn_test.go
+++ b/internal/front/upconn/conn_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"runtime"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -74,3 +76,45 @@
 	is.NoErr(ln.Close())
 	is.True(p.Probe(context.Background(), "v", address) != nil)
 }
+
+// Guards against a connection that is used beyond the idle time of its upstream, which closes it meanwhile.
+func TestIdleTimeOfUnusedConnection(t *testing.T) {
+	const idle = time.Second // of the upstream
+	cases := map[string]struct {
+		unused []time.Duration // when the connection is taken and put back without a request, after its last one
+		at     time.Duration   // when it is taken for the next request
+		reused bool
+	}{
+		"at once":                  {nil, 0, true},
+		"in time":                  {nil, idle - idleMargin - 1, true},
+		"late":                     {nil, idle - idleMargin, false},
+		"unused, in time":          {[]time.Duration{400 * time.Millisecond}, idle - idleMargin - 1, true},
+		"unused, late":             {[]time.Duration{650 * time.Millisecond}, idle + 40*time.Millisecond, false},
+		"unused twice, late":       {[]time.Duration{300 * time.Millisecond, 650 * time.Millisecond}, idle, false},
+		"unused long before, late": {[]time.Duration{0}, idle - idleMargin, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := &Pool{Dial: func(context.Context, string) (net.Conn, error) {
+					near, _ := net.Pipe()
+					return near, nil
+				}}
+				get := func() *Conn {
+					conn, err := p.Get(t.Context(), "u", "a")
+					is.NoErr(err)
+					return conn
+				}
+				p.Put(get(), idle)
+				began := time.Now()
+				for _, at := range c.unused {
+					time.Sleep(time.Until(began.Add(at)))
+					p.PutBack(get())
+				}
+				time.Sleep(time.Until(began.Add(c.at)))
+				is.Equal(get().Reused, c.reused)
+			})
+		})
+	}
+}
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -109,6 +109,19 @@
 		return
 	}
 	c.idleUntil = time.Now().Add(idle - idleMargin)
+	p.keep(c)
+}
+
+// PutBack returns a connection that Get returned and over which nothing was sent. Its idle time goes on.
+func (p *Pool) PutBack(c *Conn) {
+	if !c.Reused {
+		p.Put(c, 0)
+		return
+	}
+	p.keep(c)
+}
+
+func (p *Pool) keep(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
