diskd: metrics of how many replicas there are, and how many are joining

Operators could tell only from log lines that a replica is still copying, and so how many disks may be lost meanwhile. slaterock_records_replicas and _records_replicas_joining, at the VMs with a disk. TestClaim checks the count.

--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -243,6 +243,16 @@
 	return Roster{}, false
 }
 
+// Joining returns how many replicas are joining.
+func (r Roster) Joining() (n int) {
+	for _, p := range r.Replicas {
+		if p.Joining {
+			n++
+		}
+	}
+	return n
+}
+
 // otherJoining reports whether a replica other than i is joining.
 func (r Roster) otherJoining(i int) bool {
 	for j, p := range r.Replicas {
--- a/internal/disk/roster/roster_test.go
+++ b/internal/disk/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,6 +112,7 @@
 			is.Equal(ok, c.want != "")
 			if ok {
 				is.Equal(replicas(next), c.want)
+				is.Equal(next.Joining(), strings.Count(c.want, "*"))
 				is.Equal(next.Version, c.r.Version+1)
 			}
 		})
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -196,6 +195,9 @@
 		d.Scope.Gauge("records_programs").Update(float64(programs))
 		d.Scope.Gauge("records_turns").Update(float64(turns))
 		d.Scope.Gauge("records_bytes").Update(float64(bytes))
+		r := d.discov.Roster()
+		d.Scope.Gauge("records_replicas").Update(float64(len(r.Replicas)))
+		d.Scope.Gauge("records_replicas_joining").Update(float64(r.Joining()))
 	}
 }
 
@@ -315,8 +317,7 @@
 // while it did not run. They are additional copies. While a replica is joining, its copies come
 // first: after a loss of power the few complete replicas serve all callers as well.
 func (d *Daemon) mayCatchUp(r roster.Roster) bool {
-	joining := slices.ContainsFunc(r.Replicas, func(p roster.Replica) bool { return p.Joining })
-	return !joining || time.Since(d.started) > maxCatchUpDelay
+	return r.Joining() == 0 || time.Since(d.started) > maxCatchUpDelay
 }
 
 func (d *Daemon) startJoin(ctx context.Context, r roster.Roster) {
--- a/internal/node/diskd/retire.go
+++ b/internal/node/diskd/retire.go
@@ -33,7 +33,7 @@
 	if in && time.Since(d.retiringSince) > handOverDelay && !hasSpare(s) {
 		d.resign(ctx)
 	}
-	complete := !in && s.Roster.Version > 0 && !joining(s.Roster)
+	complete := !in && s.Roster.Version > 0 && s.Roster.Joining() == 0
 	state := map[bool]string{true: "complete", false: "running"}[complete]
 	if d.reported == state {
 		return
@@ -53,16 +53,7 @@
 			return true
 		}
 	}
-	return joining(s.Roster)
-}
-
-func joining(r roster.Roster) bool {
-	for _, p := range r.Replicas {
-		if p.Joining {
-			return true
-		}
-	}
-	return false
+	return s.Roster.Joining() > 0
 }
 
 // resign removes this VM from the roster where no other VM can replace it. Its records are
