--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -82,8 +82,9 @@
 
 // Write writes a record. A reservation has CallTimeout, or slowTimeout as long as the holders
 // answer other calls. It fails with quorum.ErrNoQuorum while they are unreachable, and with
-// quorum.ErrOverloaded while they have too much to do. A query has CallTimeout and fails in the first case, too. Other records, the output, the
-// runs and the usage of turns, are always written, without a timeout of their own.
+// quorum.ErrOverloaded while they have too much to do. A query has CallTimeout and fails in the
+// first case, too. Other records, the output, the runs and the usage of turns, are always
+// written, without a timeout of their own.
 func (b *Breaker) Write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
 	switch {
 	case rec.IsQuery():
@@ -98,6 +99,7 @@
 	if !b.allow(time.Now()) {
 		return res, errOpen
 	}
+	began := time.Now()
 	limited, stop := context.WithTimeout(ctx, slowTimeout)
 	defer stop()
 	var held atomic.Bool // a slot
@@ -114,7 +116,7 @@
 	res, err = b.Records.Write(limited, rec)
 	release(errors.Is(err, quorum.ErrOverloaded))
 	b.recordOutcome(ctx, err)
-	if err != nil && errors.Is(limited.Err(), context.DeadlineExceeded) {
+	if err != nil && time.Since(began) >= slowTimeout {
 		err = errors.Wrap(err, "record servers answer and have not synced")
 	}
 	return res, err
--- a/internal/front/reach/slow_test.go
+++ b/internal/front/reach/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -109,6 +110,7 @@
 		"syncs of 1.2 s, one VM silent":   {[3]disk{"", silent, ""}, 1200 * time.Millisecond, true, 2500 * time.Millisecond},
 		"syncs of 1.2 s, two VMs silent":  {[3]disk{"", silent, silent}, 1200 * time.Millisecond, false, CallTimeout},
 		"syncs of 3 s":                    {[3]disk{}, 3 * time.Second, false, slowTimeout},
+		"callers leave after 1 s":         {[3]disk{}, 1200 * time.Millisecond, false, time.Second},
 		"two disks hang":                  {[3]disk{"", hangs, hangs}, 10 * time.Millisecond, false, slowTimeout},
 		"two disks full":                  {[3]disk{"", full, full}, 10 * time.Millisecond, false, CallTimeout + 100*time.Millisecond},
 		"all VMs silent, as in partition": {[3]disk{silent, silent, silent}, 0, false, CallTimeout},
@@ -118,14 +120,21 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
 				b, holders := newSlowHolders(test.disks, test.sync)
+				callerTime := 5 * time.Second
+				if test.atMost == time.Second && !test.recorded {
+					callerTime = test.atMost
+				}
 				var turns sync.WaitGroup
 				for i := range 8 {
 					turns.Go(func() {
 						began := time.Now()
 						id := fmt.Sprint("t", i)
-						_, err := b.Write(t.Context(), index.Record{Program: id, Attempt: id, Reserved: true})
+						ctx, stop := context.WithTimeout(t.Context(), callerTime)
+						defer stop()
+						_, err := b.Write(ctx, index.Record{Program: id, Attempt: id, Reserved: true})
 						is.Equal(err == nil, test.recorded)
 						is.True(err == nil || errors.Is(err, quorum.ErrNoQuorum))
+						is.Equal(err != nil && strings.Contains(err.Error(), "have not synced"), !test.recorded && test.atMost == slowTimeout)
 						is.True(time.Since(began) <= test.atMost)
 					})
 					time.Sleep(30 * time.Millisecond)
