recsrv, quorum, proxy: replicas that refused records say so when they are asked

What upstreams would see: while the disks of most replicas are full, a turn without a budget or a safe call that makes upstreams end reaches up to six of them; three is the bound. Replicas that answer queries and take no writes told of no runs, fronts took that for "has not run", and each attempt left the three upstreams to which its request is mapped.

A replica that has refused a record within a minute (its disk refuses or is full, or it is being retired) says so in its answers to queries; a minute is longer than the callers of requests come back. A query asks further replicas until a write quorum of those that answered have refused none: then a run that was refused by the others was taken by these. If there is none, its result is incomplete, and the front does as with records that can't be read: the request runs at its three upstreams only. With one full disk of three, or two of five, nothing changes but one more answer to wait for.

TestOwnRunsOutliveAnswersWithoutThem has both kinds of answers.

The other side, TestInnocentRequestsWhileRunsCannotBeWritten: 300 requests with 0 to 6 of 12 upstreams gone a moment ago.

Left: a replica that restarts, or is replaced, within the minute has forgotten that it refused records, unless its disk still refuses them. While disks are full, a request whose three upstreams have no room goes to no others.

--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -77,6 +77,9 @@
 		Charges []index.Charge // of a reservation's program, merged from the replicas that had answered
 		Runs    []index.Run    // of the request of a record with a run, merged likewise
 		Parts   []index.Part   // likewise, if they were asked for; in no order
+		// Incomplete reports, of a query, that runs may be missing which were not acknowledged: so many
+		// replicas have refused records lately that no write quorum may have been left.
+		Incomplete bool
 	}
 
 	// refusals are the reasons for which replicas refused the requests of one attempt.
--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -22,8 +22,10 @@
 	rec    index.Record
 
 	version  uint64                  // of the roster; a newer one starts over
+	quorum   int                     // to write under that roster
 	written  map[string]bool         // disk IDs of the replicas that have the record
 	complete int                     // those of them that are not joining
+	taking   int                     // those of them that have refused no record lately
 	charges  map[string]index.Charge // by attempt, merged from their answers
 	runs     map[string]index.Run    // likewise
 	parts    map[partOf]index.Part   // likewise
@@ -62,15 +64,36 @@
 			}
 			a.send(ctx)
 		case <-ctx.Done():
+			if w.enough(r) {
+				return nil
+			}
 			return errors.CombineErrors(w.failure(a.pending), ctx.Err())
 		}
-		if w.enough(r) {
+		if w.enough(r) && w.wantsNoMore(ctx, a) {
 			return nil
 		}
 	}
+	if w.enough(r) {
+		return nil
+	}
 	return w.failure(a.pending)
 }
 
+// wantsNoMore reports whether a result that has enough answers is complete. For an incomplete one it asks
+// the next replica.
+func (w *recordWrite) wantsNoMore(ctx context.Context, a *writeAttempt) bool {
+	if !w.isIncomplete() {
+		return true
+	}
+	if len(a.pending) == 0 {
+		a.send(ctx)
+	}
+	return false
+}
+
+// isIncomplete reports whether the runs that a query found may lack some that were refused.
+func (w *recordWrite) isIncomplete() bool { return w.rec.IsQuery() && w.taking < w.quorum }
+
 // begin forgets what was written under an older roster: a replica that joined since may have
 // copied the records before.
 func (w *recordWrite) begin(r roster.Roster) {
@@ -78,7 +101,7 @@
 		return
 	}
 	w.maybe = w.maybe || len(w.written) > 0
-	w.version, w.complete = r.Version, 0
+	w.version, w.quorum, w.complete, w.taking = r.Version, r.WriteQuorum(), 0, 0
 	w.written, w.charges, w.runs = map[string]bool{}, map[string]index.Charge{}, map[string]index.Run{}
 	w.parts = map[partOf]index.Part{}
 }
@@ -100,6 +123,9 @@
 	if !got.replica.Joining {
 		w.complete++
 	}
+	if !got.write.Refusing {
+		w.taking++
+	}
 	for _, charge := range got.write.Charges {
 		w.charges[charge.Attempt] = index.Merge(w.charges[charge.Attempt], charge)
 	}
@@ -134,6 +160,7 @@
 }
 
 func (w *recordWrite) result() (res Result) {
+	res.Incomplete = w.isIncomplete()
 	for _, charge := range w.charges {
 		res.Charges = append(res.Charges, charge)
 	}
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -65,6 +65,7 @@
 	writes     int           // under way
 	importedAt time.Time     // when records of another replica came last
 	movedTo    seglog.Pos    // end of the records that Trim has moved; zero if it has moved none
+	refusedAt  time.Time     // when the last record was refused for the disk or for Freeze
 	unsaved    unsaved       // records that the disk has refused and that the index has
 }
 
--- a/internal/disk/recsrv/refused.go
+++ b/internal/disk/recsrv/refused.go
@@ -17,6 +17,9 @@
 	// minTryPause to maxTryPause: it may have refused one write, or be full for hours.
 	minTryPause = 50 * time.Millisecond
 	maxTryPause = time.Second
+	// refusedSpan is how long after a refused record a replica tells so in its answers: longer than the
+	// callers of requests come back.
+	refusedSpan = time.Minute
 )
 
 // diskState is whether records are taken, as told.
@@ -67,6 +70,13 @@
 	return s.unsaved.total
 }
 
+// hasRefused reports whether records were refused within refusedSpan.
+func (s *Server) hasRefused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.refusedAt.IsZero() && s.Now().Sub(s.refusedAt) <= refusedSpan
+}
+
 // diskError returns why records are refused for the disk; nil if it takes them.
 func (s *Server) diskError() error {
 	if err := s.log.Refused(); err != nil {
--- a/internal/disk/recsrv/wire.go
+++ b/internal/disk/recsrv/wire.go
@@ -39,6 +39,9 @@
 		Charges []index.Charge `cbor:"2,keyasint,omitempty"`
 		Runs    []index.Run    `cbor:"3,keyasint,omitempty"`
 		Parts   []index.Part   `cbor:"4,keyasint,omitempty"`
+		// Refusing reports that the replica has refused records lately, because of its disk or of its
+		// retirement: what it has no record of may have been. Set with a query.
+		Refusing bool `cbor:"5,keyasint,omitempty"`
 	}
 
 	// ReadRequest asks for a turn and the previous ones.
--- a/internal/disk/recsrv/write.go
+++ b/internal/disk/recsrv/write.go
@@ -24,6 +24,7 @@
 		if reply.Refusal = s.checkTarget(req.Target); reply.Refusal.Code == "" {
 			reply.Runs = s.runs(req.Record)
 			reply.Parts, err = s.parts(req)
+			reply.Refusing = s.hasRefused() // last: then it covers all that is missing above
 		}
 		return reply, err
 	}
@@ -101,6 +102,7 @@
 		return r
 	}
 	if s.frozen || s.diskError() != nil {
+		s.refusedAt = s.Now()
 		return Refusal{Code: CodeFull}
 	}
 	if req.Record.Reserved && req.Budget > 0 && s.index.SettledTokens(req.Record.Program)+req.Record.MaxTokens > req.Budget {
@@ -145,6 +147,7 @@
 			s.apply(r, pos, s.Now())
 		} else {
 			s.unsaved.add(r)
+			s.refusedAt = s.Now()
 			s.meter.unwritten.Inc(1)
 		}
 		s.mu.Unlock()
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -303,7 +303,7 @@
 	if err != nil {
 		return quorum.Result{}
 	}
-	q.asked = true
+	q.asked = !res.Incomplete // like records that can't be read, otherwise
 	q.see(res.Runs)
 	return res
 }
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -75,6 +75,7 @@
 		failVersions bool          // of the records that only state a version
 		failParts    bool          // of the records with a part
 		failRuns     bool          // of the records that are no reservation and no settlement
+		refused      bool          // one of these was refused, which queries are told
 	}
 
 	// partOf is a part with its program.
@@ -157,6 +158,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.refused = r.refused || r.failRuns && !rec.Reserved && !rec.Settled && !rec.IsQuery()
+	res.Incomplete = r.refused && rec.IsQuery()
 	if r.down || r.failParts && rec.Part != nil || r.failVersions && !rec.Reserved && rec.Run != nil || r.failRuns && !rec.Reserved && !rec.Settled && !rec.IsQuery() {
 		return res, quorum.ErrNoQuorum
 	}
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 )
@@ -300,18 +301,76 @@
 	}
 }
 
+// Guards against requests that harm nothing and are refused while records take no writes, although an upstream to which they are mapped goes on.
+func TestInnocentRequestsWhileRunsCannotBeWritten(t *testing.T) {
+	const requests = 300
+	paths := map[string]route.Route{"/safe/": {Kind: route.Safe}, "/resume/": {Kind: route.Stream}}
+	for path, kind := range paths {
+		for gone := range 7 { // of twelve upstreams
+			t.Run(fmt.Sprint(path, gone), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					response := map[string]string{"/safe/": ok, "/resume/": completeStream}[path]
+					env := newTestEnv(slices.Repeat([][]string{{response}}, 12)...)
+					defer env.close()
+					env.rec.failRuns, env.rec.refused = true, true
+					homes := make([][]string, requests)
+					for i := range homes {
+						q := request{r: httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, nil), route: kind, body: fmt.Append(nil, "in ", i)}
+						q.r.Host, q.Program = "h", fmt.Sprint("p", i)
+						homes[i] = env.e.Home.Of(time.Now(), "s", env.e.Fleet.View().Services["s"], q.homeKey()).IDs
+					}
+					for n := range gone {
+						env.upstreams[fmt.Sprint("up", n+1)].end()
+						env.delist(fmt.Sprint("up", n+1))
+					}
+					served, mayRun := 0, 0
+					for i, list := range homes {
+						lives := slices.ContainsFunc(list, func(id string) bool { return !env.upstreams[id].hasEnded() })
+						if lives {
+							mayRun++
+						}
+						rec, _ := env.do(t.Context(), path, map[string]string{"Id": fmt.Sprint("r", i), "Program": fmt.Sprint("p", i)}, fmt.Sprint("in ", i))
+						if rec.Code == http.StatusOK {
+							served++
+							continue
+						}
+						is.True(!lives)
+						is.Equal(rec.Code, http.StatusServiceUnavailable)
+						is.True(rec.Header().Get("Again") != "")
+					}
+					is.True(served >= mayRun)
+					for end := time.Now().Add(triedSpan + time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+						env.changeUpstreams(func(*fleet.Upstream) {}) // the store is read all the while
+					}
+					for i := range homes {
+						rec, _ := env.do(t.Context(), path, map[string]string{"Id": fmt.Sprint("s", i), "Program": fmt.Sprint("p", i)}, fmt.Sprint("in ", i))
+						is.Equal(rec.Code, http.StatusOK) // mapped to others by now
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a request that forgets which upstreams ended under it, since the records do not know.
 func TestOwnRunsOutliveAnswersWithoutThem(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		env := newTestEnv([]string{ok})
-		defer env.close()
-		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/safe/", nil)
-		q := request{e: env.e, r: r, view: env.e.Fleet.View(), began: time.Now()}
-		q.ID = "r1"
-		start := index.Start{ID: "up1"}
-		q.own, q.seen = q.own.With(start), q.seen.With(start)
-		q.queryRuns(t.Context(), "", false)
-		is.True(q.seen.Has(start))
-	})
+	for name, refused := range map[string]bool{"not recorded yet": false, "refused": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv([]string{ok})
+				defer env.close()
+				env.rec.refused = refused
+				r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/safe/", nil)
+				q := request{e: env.e, r: r, view: env.e.Fleet.View(), began: time.Now()}
+				q.ID = "r1"
+				start := index.Start{ID: "up1"}
+				q.own, q.seen = q.own.With(start), q.seen.With(start)
+				q.queryRuns(t.Context(), "", false)
+				is.True(q.seen.Has(start))
+				is.Equal(q.asked, !refused)
+			})
+		})
+	}
 }
