chaos: a caller's time counts from where its limit does

Traced: the fronts note that the callers had left; the driver, without the processor for up to 1.3 s, began to count after its limit of 3.5 s had begun. The check and its bound stay; the time is taken from the limit's begin.

--- a/internal/play/chaos/crowd.go
+++ b/internal/play/chaos/crowd.go
@@ -176,6 +176,8 @@
 }
 
 func (c *Crowd) send(ctx context.Context, a *crowdAttempt, body []byte) {
+	began := time.Now()
+	defer func() { a.took = time.Since(began) }()
 	ctx, stop := context.WithTimeout(ctx, crowdTimeout+time.Second)
 	defer stop()
 	path := map[bool]string{true: "/safe/x", false: "/unsafe/x"}[a.safe]
@@ -189,8 +191,6 @@
 	r.Header.Set("Deadline-Ms", fmt.Sprint(crowdTimeout.Milliseconds()))
 	r.Header.Set(upstrm.ExpectBody, upstrm.Digest(body))
 	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.idle = i.IdleTime }}))
-	began := time.Now()
-	defer func() { a.took = time.Since(began) }()
 	resp, err := c.client.Do(r)
 	if err != nil {
 		a.err = err
