frontd: a request that arrives as its connection's idle time ends is answered

A caller whose request arrived in the moment in which its connection had been idle for long enough got no response, although an upstream ran the request.

Cause: the timer of idleConns closed the connection; the server tells that it is in use only after it has read the request. Now the timer ends reads of the connection, and the server closes it, unless it had read a request before: that one is served, and the deadline is taken back.

--- a/internal/node/frontd/idle.go
+++ b/internal/node/frontd/idle.go
@@ -14,10 +14,14 @@
 type idleConns struct {
 	Timeout func() time.Duration
 
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+	mu      sync.Mutex
+	timers  map[net.Conn]*time.Timer
+	expired map[net.Conn]bool // reads of these end at once
 }
 
+// ended is a deadline that has passed.
+var ended = time.Unix(1, 0)
+
 // track is the ConnState callback of the HTTP server.
 func (i *idleConns) track(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
@@ -26,6 +30,12 @@
 		t.Stop()
 		delete(i.timers, c)
 	}
+	if i.expired[c] {
+		delete(i.expired, c)
+		if s == http.StateActive {
+			_ = c.SetReadDeadline(time.Time{}) // its request had been read before
+		}
+	}
 	if s != http.StateIdle {
 		return
 	}
@@ -35,8 +45,8 @@
 	i.wait(c, time.Now())
 }
 
-// wait closes the connection once it has been idle since then for long enough; the caller holds
-// i.mu.
+// wait ends reads of the connection once it has been idle since then for long enough; the caller holds
+// i.mu. The server closes it then, unless it has just read a request, which is served.
 func (i *idleConns) wait(c net.Conn, since time.Time) {
 	var t *time.Timer
 	t = time.AfterFunc(time.Until(since.Add(i.Timeout())), func() {
@@ -48,7 +58,11 @@
 			i.wait(c, since)
 		default:
 			delete(i.timers, c)
-			_ = c.Close()
+			if i.expired == nil {
+				i.expired = map[net.Conn]bool{}
+			}
+			i.expired[c] = true
+			_ = c.SetReadDeadline(ended)
 		}
 	})
 	i.timers[c] = t
