--- a/cmd/slaterock/storm.go
+++ b/cmd/slaterock/storm.go
@@ -19,7 +19,7 @@
 	var s chaos.Runner
 	var seeds int
 	var dir, program, moment string
-	crowd := chaos.CrowdLoad{Safe: 0.25, Long: 0.05}
+	overload := chaos.OpenLoad{Safe: 0.25, Long: 0.05}
 	c := &cobra.Command{
 		Use:   "processes",
 		Short: "Run the real daemons as processes, inject faults and check every guarantee",
@@ -30,7 +30,7 @@
 					return err
 				}
 			}
-			if crowd.Faults.Moment, err = momentOf(moment); err != nil {
+			if overload.Faults.Moment, err = momentOf(moment); err != nil {
 				return err
 			}
 			failed := 0
@@ -53,8 +53,8 @@
 				}
 				run.Out = faultLog
 				var sum any
-				if crowd.Rate > 0 {
-					sum, err = (&chaos.Crowd{Runner: &run, CrowdLoad: crowd}).Run(c.Context())
+				if overload.Rate > 0 {
+					sum, err = (&chaos.Overload{Runner: &run, OpenLoad: overload}).Run(c.Context())
 				} else {
 					sum, err = run.Run(c.Context())
 				}
@@ -81,16 +81,16 @@
 	f.IntVar(&s.Callers, "callers", 24, "callers at a time")
 	f.IntVar(&s.Net, "net", 0, "second byte of the loopback addresses; runs with different ones may overlap")
 	f.StringVar(&program, "program", "", "program to run, for example of another release; this one if empty")
-	f.Float64Var(&crowd.Rate, "crowd", 0, "calls per second of a load that keeps plain upstreams full, in place of callers and faults; 0 for none")
-	f.DurationVar(&crowd.Work, "work", 170*time.Millisecond, "mean time of a run under that load")
-	f.Float64Var(&crowd.Faulty, "faulty", 0.6, "share of the upstreams with faults under that load")
-	f.DurationVar(&crowd.FaultsFor, "faults-for", 10*time.Second, "time of these faults")
-	f.Float64Var(&crowd.Faults.Refusals, "repeat-refusals", 0, "share of their refusals that are sent once more, late")
-	f.Float64Var(&crowd.Faults.Successes, "repeat-successes", 0, "share of their successes that are sent once more, late")
+	f.Float64Var(&overload.Rate, "overload", 0, "calls per second of a load that keeps plain upstreams full, in place of callers and faults; 0 for none")
+	f.DurationVar(&overload.Work, "work", 170*time.Millisecond, "mean time of a run under that load")
+	f.Float64Var(&overload.Faulty, "faulty", 0.6, "share of the upstreams with faults under that load")
+	f.DurationVar(&overload.FaultsFor, "faults-for", 10*time.Second, "time of these faults")
+	f.Float64Var(&overload.Faults.Refusals, "repeat-refusals", 0, "share of their refusals that are sent once more, late")
+	f.Float64Var(&overload.Faults.Successes, "repeat-successes", 0, "share of their successes that are sent once more, late")
 	f.StringVar(&moment, "late", "arrival", "when these are sent: at the next request's arrival, begin or answer")
-	f.Float64Var(&crowd.Faults.Cut, "cut", 0, "share of their refusals that are cut")
-	f.Float64Var(&crowd.Faults.CutCopies, "cut-copies", 0, "share of what is sent once more that is cut")
-	f.BoolVar(&crowd.OtherStart, "other-start", false, "a wrong process answers at their addresses now and then")
+	f.Float64Var(&overload.Faults.Cut, "cut", 0, "share of their refusals that are cut")
+	f.Float64Var(&overload.Faults.CutCopies, "cut-copies", 0, "share of what is sent once more that is cut")
+	f.BoolVar(&overload.OtherStart, "other-start", false, "a wrong process answers at their addresses now and then")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "slaterock-soak"), "folder for settings, disks and logs")
 	return c
 }
--- a/cmd/slaterock/storm_test.go
+++ b/cmd/slaterock/storm_test.go
@@ -70,9 +70,9 @@
 	is := is.New(t)
 	t.Setenv(mainEnv, "1")
 	var found bytes.Buffer
-	c := &chaos.Crowd{
+	c := &chaos.Overload{
 		Runner: &chaos.Runner{Seed: 1, For: 3 * time.Second, Fronts: 3, Disks: 3, Upstreams: 5, Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: &found},
-		CrowdLoad: chaos.CrowdLoad{
+		OpenLoad: chaos.OpenLoad{
 			Rate: 250, Safe: 0.25, Long: 0.1, Work: 150 * time.Millisecond, Faulty: 0.6, FaultsFor: 2 * time.Second, OtherStart: true,
 			Faults: queued.Faults{Refusals: 0.3, Successes: 0.1, Cut: 0.05, CutCopies: 0.1},
 		},
--- a/internal/fake/queued/journal.go
+++ b/internal/fake/queued/journal.go
@@ -6,33 +6,33 @@
 	"time"
 )
 
-// The ways in which the stay of a request at an upstream ends.
+// The ways in which the delivery of a request at an upstream ends.
 const (
-	Here     End = iota // it is still there
-	Refused             // with a whole refusal
-	Spoilt              // with a refusal that was cut on its way
-	Answered            // its whole response was written
-	Dropped             // its connection closed before
+	Pending    End = iota // it is still there
+	Refused               // with a whole refusal
+	RefusedCut            // with a refusal that was cut on its way
+	Answered              // its whole response was written
+	Dropped               // its connection closed before
 )
 
 type (
-	// End is how a stay ended.
+	// End is how a delivery ended.
 	End int
 
-	// Stay is one request at one upstream.
-	Stay struct {
+	// Delivery is one request at one upstream.
+	Delivery struct {
 		Upstream string
-		Came     time.Time
+		Arrived  time.Time
 		Took     time.Duration // until it ended; 0 while it is there
 		Began    bool          // it ran, or began to
 		Foreign  bool          // a response to another request was written in place of its own
 		End      End
 	}
 
-	// Journal records the stays at all upstreams of a system. The zero value is ready.
+	// Journal records the deliveries at all upstreams of a system. The zero value is ready.
 	Journal struct {
 		mu         sync.Mutex
-		stays      map[string][]*Stay // by id of the request
+		deliveries map[string][]*Delivery // by id of the request
 		violations []string
 		counts     Counts
 	}
@@ -49,11 +49,11 @@
 	}
 )
 
-// Stays returns the stays of a request.
-func (j *Journal) Stays(id string) (list []Stay) {
+// Deliveries returns the deliveries of a request.
+func (j *Journal) Deliveries(id string) (list []Delivery) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for _, s := range j.stays[id] {
+	for _, s := range j.deliveries[id] {
 		list = append(list, *s)
 	}
 	return list
@@ -80,15 +80,15 @@
 	change()
 }
 
-func (s Stay) String() string {
-	how := []string{"here", "refused", "refused, cut", "answered", "dropped"}[s.End]
-	return fmt.Sprintf("%s %s+%v %s, began %v, foreign %v", s.Upstream, s.Came.Format("05.000"), s.Took.Round(time.Millisecond), how, s.Began, s.Foreign)
+func (d Delivery) String() string {
+	how := []string{"pending", "refused", "refused, cut", "answered", "dropped"}[d.End]
+	return fmt.Sprintf("%s %s+%v %s, began %v, foreign %v", d.Upstream, d.Arrived.Format("05.000"), d.Took.Round(time.Millisecond), how, d.Began, d.Foreign)
 }
 
-// end sets how the stay of a request ended.
-func (j *Journal) end(s *Stay, e End) {
+// end sets how the delivery of a request ended.
+func (j *Journal) end(d *Delivery, e End) {
 	j.note(func() {
-		s.End, s.Took = e, time.Since(s.Came)
+		d.End, d.Took = e, time.Since(d.Arrived)
 		switch e {
 		case Refused:
 			j.counts.Refusals++
@@ -100,13 +100,13 @@
 	})
 }
 
-func (j *Journal) begin(id, upstream string) *Stay {
-	s := &Stay{Upstream: upstream, Came: time.Now()}
+func (j *Journal) begin(id, upstream string) *Delivery {
+	d := &Delivery{Upstream: upstream, Arrived: time.Now()}
 	j.note(func() {
-		if j.stays == nil {
-			j.stays = map[string][]*Stay{}
+		if j.deliveries == nil {
+			j.deliveries = map[string][]*Delivery{}
 		}
-		j.stays[id] = append(j.stays[id], s)
+		j.deliveries[id] = append(j.deliveries[id], d)
 	})
-	return s
+	return d
 }
--- a/internal/fake/queued/queued.go
+++ b/internal/fake/queued/queued.go
@@ -67,21 +67,21 @@
 		rnd    *rand.Rand
 	}
 
-	// channel is one connection of a caller. It carries one request at a time.
-	channel struct {
+	// connection is one of a caller. It carries one request at a time.
+	connection struct {
 		u    *Upstream
 		conn net.Conn
 		br   *bufio.Reader
 		late []byte // a copy that is sent during the next request; nil for none
 	}
 
-	// visit is a request on a channel.
-	visit struct {
-		*channel
-		ctx     context.Context //nolint:containedctx // ends when the connection closes
-		id      string
-		stay    *Stay
-		timeout time.Duration // that the request states
+	// exchange is a request on a connection.
+	exchange struct {
+		*connection
+		ctx      context.Context //nolint:containedctx // ends when the connection closes
+		id       string
+		delivery *Delivery
+		timeout  time.Duration // that the request states
 	}
 )
 
@@ -102,7 +102,7 @@
 		}
 		u.Journal.note(func() { u.Journal.counts.Opened++ })
 		context.AfterFunc(ctx, func() { _ = conn.Close() })
-		go (&channel{u: u, conn: conn, br: bufio.NewReader(conn)}).serve(ctx)
+		go (&connection{u: u, conn: conn, br: bufio.NewReader(conn)}).serve(ctx)
 	}
 }
 
@@ -120,7 +120,7 @@
 	return time.Duration((0.5 + u.rnd.Float64()) * float64(u.Work))
 }
 
-func (c *channel) serve(ctx context.Context) {
+func (c *connection) serve(ctx context.Context) {
 	defer func() { _ = c.conn.Close() }()
 	for {
 		r, err := http.ReadRequest(c.br)
@@ -134,19 +134,19 @@
 }
 
 // handle serves one request, and returns false if the connection is to be closed.
-func (c *channel) handle(ctx context.Context, r *http.Request) bool {
-	v := &visit{channel: c, id: r.Header.Get("Request-Id")}
+func (c *connection) handle(ctx context.Context, r *http.Request) bool {
+	x := &exchange{connection: c, id: r.Header.Get("Request-Id")}
 	if c.u.faults.Load().OtherStart || r.Header.Get("Expect-Instance") != c.u.ID {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return false
 		}
-		v.stay = c.u.Journal.begin(v.id, c.u.ID)
-		return v.refuse(http.StatusMisdirectedRequest, http.Header{"Instance-Id": {c.u.ID + "-next"}})
+		x.delivery = c.u.Journal.begin(x.id, c.u.ID)
+		return x.refuse(http.StatusMisdirectedRequest, http.Header{"Instance-Id": {c.u.ID + "-next"}})
 	}
 	defer c.u.here.Add(-1)
 	if c.u.here.Add(1) > int64(c.u.Places+c.u.Queue) {
-		v.stay = c.u.Journal.begin(v.id, c.u.ID)
-		return v.refuseFull(r)
+		x.delivery = c.u.Journal.begin(x.id, c.u.ID)
+		return x.refuseFull(r)
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -154,15 +154,15 @@
 	}
 	if want := r.Header.Get(upstrm.ExpectBody); want != upstrm.Digest(body) {
 		c.u.Journal.note(func() {
-			c.u.Journal.violations = append(c.u.Journal.violations, fmt.Sprintf("%s came with another body, of %d bytes", v.id, len(body)))
+			c.u.Journal.violations = append(c.u.Journal.violations, fmt.Sprintf("%s came with another body, of %d bytes", x.id, len(body)))
 		})
 	}
-	v.stay = c.u.Journal.begin(v.id, c.u.ID)
+	x.delivery = c.u.Journal.begin(x.id, c.u.ID)
 	ms, _ := strconv.Atoi(r.Header.Get("Deadline-Ms")) // 0 for none
-	v.timeout = time.Duration(ms) * time.Millisecond
+	x.timeout = time.Duration(ms) * time.Millisecond
 	closed := make(chan struct{})
 	var stop context.CancelFunc
-	v.ctx, stop = context.WithCancel(ctx)
+	x.ctx, stop = context.WithCancel(ctx)
 	defer stop()
 	go func() {
 		defer close(closed)
@@ -170,7 +170,7 @@
 			stop()
 		}
 	}()
-	ok := v.run()
+	ok := x.run()
 	if !ok {
 		_ = c.conn.Close()
 	}
@@ -179,78 +179,78 @@
 }
 
 // refuseFull refuses a request, one with a long body before the body is read. The rest of it is read then.
-func (v *visit) refuseFull(r *http.Request) bool {
+func (x *exchange) refuseFull(r *http.Request) bool {
 	h := http.Header{"Not-Executed": {"1"}}
 	early := r.ContentLength > longBody
 	if early {
-		v.u.Journal.note(func() { v.u.Journal.counts.Early++ })
-		if !v.refuse(http.StatusServiceUnavailable, h) {
+		x.u.Journal.note(func() { x.u.Journal.counts.Early++ })
+		if !x.refuse(http.StatusServiceUnavailable, h) {
 			return false
 		}
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return false
 	}
-	return early || v.refuse(http.StatusServiceUnavailable, h)
+	return early || x.refuse(http.StatusServiceUnavailable, h)
 }
 
 // run waits for a place, runs the request and answers it. It returns false if the connection is to be closed.
-func (v *visit) run() bool {
-	v.sendLate(OnArrival)
-	over := time.NewTimer(v.timeout)
+func (x *exchange) run() bool {
+	x.sendLate(OnArrival)
+	over := time.NewTimer(x.timeout)
 	defer over.Stop()
 	select {
-	case v.u.free <- struct{}{}:
+	case x.u.free <- struct{}{}:
 	case <-over.C:
-		return v.refuse(http.StatusServiceUnavailable, http.Header{"Not-Executed": {"1"}})
-	case <-v.ctx.Done():
-		return v.drop()
+		return x.refuse(http.StatusServiceUnavailable, http.Header{"Not-Executed": {"1"}})
+	case <-x.ctx.Done():
+		return x.drop()
 	}
-	defer func() { <-v.u.free }()
-	v.u.Journal.note(func() { v.stay.Began = true })
-	v.sendLate(OnBegin)
-	done := time.NewTimer(v.u.work())
+	defer func() { <-x.u.free }()
+	x.u.Journal.note(func() { x.delivery.Began = true })
+	x.sendLate(OnBegin)
+	done := time.NewTimer(x.u.work())
 	defer done.Stop()
 	select {
 	case <-done.C:
-	case <-v.ctx.Done():
-		return v.drop()
+	case <-x.ctx.Done():
+		return x.drop()
 	}
-	v.sendLate(OnAnswer)
-	answer := v.u.response(http.StatusOK, http.Header{
-		"Request-Id": {v.id}, "Server-Signature": {"s." + v.u.ID + "." + v.id}, "Keep-Alive": {idleTimeout}, "Content-Type": {"text/plain"},
-	}, "answer to "+v.id)
-	v.u.Journal.end(v.stay, Answered)
-	if v.u.chance(v.u.faults.Load().Successes) {
-		v.late = answer
+	x.sendLate(OnAnswer)
+	answer := x.u.response(http.StatusOK, http.Header{
+		"Request-Id": {x.id}, "Server-Signature": {"s." + x.u.ID + "." + x.id}, "Keep-Alive": {idleTimeout}, "Content-Type": {"text/plain"},
+	}, "answer to "+x.id)
+	x.u.Journal.end(x.delivery, Answered)
+	if x.u.chance(x.u.faults.Load().Successes) {
+		x.late = answer
 	}
-	_, err := v.conn.Write(answer)
+	_, err := x.conn.Write(answer)
 	return err == nil
 }
 
 // drop ends a request whose connection has closed.
-func (v *visit) drop() bool {
-	v.u.Journal.end(v.stay, Dropped)
+func (x *exchange) drop() bool {
+	x.u.Journal.end(x.delivery, Dropped)
 	return false
 }
 
 // refuse writes a refusal, which may be cut, and returns false if the connection is to be closed.
-func (v *visit) refuse(status int, h http.Header) bool {
-	v.sendLate(OnAnswer)
-	h.Set("Request-Id", v.id)
+func (x *exchange) refuse(status int, h http.Header) bool {
+	x.sendLate(OnAnswer)
+	h.Set("Request-Id", x.id)
 	h.Set("Keep-Alive", idleTimeout)
-	refusal := v.u.response(status, h, "refused "+v.id)
-	f := v.u.faults.Load()
-	if v.u.chance(f.Cut) {
-		v.u.Journal.end(v.stay, Spoilt)
-		_, _ = v.conn.Write(v.u.cut(refusal)) // the connection closes
+	refusal := x.u.response(status, h, "refused "+x.id)
+	f := x.u.faults.Load()
+	if x.u.chance(f.Cut) {
+		x.u.Journal.end(x.delivery, RefusedCut)
+		_, _ = x.conn.Write(x.u.cut(refusal)) // the connection closes
 		return false
 	}
-	v.u.Journal.end(v.stay, Refused)
-	if v.u.chance(f.Refusals) {
-		v.late = refusal
+	x.u.Journal.end(x.delivery, Refused)
+	if x.u.chance(f.Refusals) {
+		x.late = refusal
 	}
-	_, err := v.conn.Write(refusal)
+	_, err := x.conn.Write(refusal)
 	return err == nil
 }
 
@@ -266,25 +266,25 @@
 }
 
 // sendLate writes the copy of the response before, if this is its moment or later.
-func (v *visit) sendLate(m Moment) {
-	f := v.u.faults.Load()
-	if v.late == nil || m < f.Moment {
+func (x *exchange) sendLate(m Moment) {
+	f := x.u.faults.Load()
+	if x.late == nil || m < f.Moment {
 		return
 	}
-	late := v.late
-	v.late = nil
-	v.u.Journal.note(func() {
-		v.stay.Foreign = true
+	late := x.late
+	x.late = nil
+	x.u.Journal.note(func() {
+		x.delivery.Foreign = true
 		if bytes.Contains(late, []byte("Server-Signature: ")) {
-			v.u.Journal.counts.CopiedSuccesses++
+			x.u.Journal.counts.CopiedSuccesses++
 		} else {
-			v.u.Journal.counts.CopiedRefusals++
+			x.u.Journal.counts.CopiedRefusals++
 		}
 	})
-	if v.u.chance(f.CutCopies) {
-		late = v.u.cut(late)
+	if x.u.chance(f.CutCopies) {
+		late = x.u.cut(late)
 	}
-	_, _ = v.conn.Write(late) // the write of the own response fails, too
+	_, _ = x.conn.Write(late) // the write of the own response fails, too
 }
 
 // response returns a response with its headers in random order.
--- a/internal/play/chaos/crowd.go
+++ b/internal/play/chaos/overload.go
@@ -21,12 +21,12 @@
 )
 
 const (
-	crowdPlaces  = 6
-	crowdQueue   = 4
-	crowdTimeout = 2500 * time.Millisecond // of a request
-	crowdTarget  = 500 * time.Millisecond  // time within which a call is on time
-	crowdTries   = 3                       // attempts of a caller at one request
-	crowdSettle  = 500 * time.Millisecond  // after the last response, for runs that begin late
+	overloadPlaces  = 6
+	overloadQueue   = 4
+	overloadTimeout = 2500 * time.Millisecond // of a request
+	overloadTarget  = 500 * time.Millisecond  // time within which a call is on time
+	overloadTries   = 3                       // attempts of a caller at one request
+	overloadSettle  = 500 * time.Millisecond  // after the last response, for runs that begin late
 	// maxLongBody bounds long bodies, in bytes; the shortest has half of it.
 	maxLongBody = 160 << 10
 	// startShare is the part of the time before faults begin.
@@ -36,9 +36,9 @@
 )
 
 type (
-	// CrowdLoad is a load of calls to one service, and the faults of its upstreams. The calls are sent at their
+	// OpenLoad is a load of calls to one service, and the faults of its upstreams. The calls are sent at their
 	// times, however many are under way.
-	CrowdLoad struct {
+	OpenLoad struct {
 		Rate       float64 // first attempts per second
 		Safe       float64 // share of safe calls, the others are unsafe
 		Long       float64 // share of unsafe calls with a body that is longer than 64 KiB
@@ -49,20 +49,20 @@
 		OtherStart bool // now and then a wrong process answers at the address of an upstream
 	}
 
-	// Crowd runs such a load, whose upstreams are full most of the time. Set the exported fields, then call Run.
-	Crowd struct {
+	// Overload runs such a load, whose upstreams are full most of the time. Set the exported fields, then call Run.
+	Overload struct {
 		*Runner // its callers and faults are not used
-		CrowdLoad
+		OpenLoad
 
 		journal   queued.Journal
 		upstreams []*queued.Upstream
 		client    *http.Client
 		mu        sync.Mutex
-		attempts  []*crowdAttempt
+		attempts  []*overloadAttempt
 	}
 
-	// crowdAttempt is one attempt of a caller, as it received it.
-	crowdAttempt struct {
+	// overloadAttempt is one attempt of a caller, as it received it.
+	overloadAttempt struct {
 		id         string
 		front      int
 		safe       bool
@@ -76,7 +76,7 @@
 )
 
 // Run executes the run. The error lists violations.
-func (c *Crowd) Run(ctx context.Context) (sum CrowdSummary, err error) {
+func (c *Overload) Run(ctx context.Context) (sum OverloadSummary, err error) {
 	defer func() { err = errors.Wrapf(err, "seed %d", c.Seed) }()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -87,7 +87,7 @@
 	defer unlock()
 	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
 	c.rnd = rand.New(rand.NewPCG(c.Seed, 1))
-	c.metakv.Put("op/config", crowdConfig())
+	c.metakv.Put("op/config", overloadConfig())
 	defer c.stopAll()
 	if err = c.startUpstreams(ctx); err != nil {
 		return sum, err
@@ -102,14 +102,14 @@
 	work.Go(func() { c.playFaults(ctx) })
 	c.sendAll(ctx, &work)
 	work.Wait()
-	pause.For(ctx, crowdSettle)
+	pause.For(ctx, overloadSettle)
 	return c.verify()
 }
 
-func (c *Crowd) startUpstreams(ctx context.Context) error {
+func (c *Overload) startUpstreams(ctx context.Context) error {
 	c.entries = map[string]map[string]any{}
 	for i := range c.Upstreams {
-		u := &queued.Upstream{ID: fmt.Sprintf("i-%d", i), Places: crowdPlaces, Queue: crowdQueue, Work: c.Work, Journal: &c.journal, Seed: c.Seed + uint64(i)}
+		u := &queued.Upstream{ID: fmt.Sprintf("i-%d", i), Places: overloadPlaces, Queue: overloadQueue, Work: c.Work, Journal: &c.journal, Seed: c.Seed + uint64(i)}
 		var lc net.ListenConfig
 		ln, err := lc.Listen(ctx, "tcp", anyPort)
 		if err != nil {
@@ -127,11 +127,11 @@
 }
 
 // awaitFronts waits until each front has answered a call.
-func (c *Crowd) awaitFronts(ctx context.Context) error {
+func (c *Overload) awaitFronts(ctx context.Context) error {
 	until := time.Now().Add(startTimeout)
 	for i := range c.fronts {
 		for n := 0; ; n++ {
-			a := &crowdAttempt{id: fmt.Sprintf("await-%d-%d", i, n), front: i, safe: true}
+			a := &overloadAttempt{id: fmt.Sprintf("await-%d-%d", i, n), front: i, safe: true}
 			if c.send(ctx, a, nil); a.status == http.StatusOK {
 				break
 			}
@@ -145,7 +145,7 @@
 }
 
 // sendAll sends the calls at their times, which are random, for the time For.
-func (c *Crowd) sendAll(ctx context.Context, work *sync.WaitGroup) {
+func (c *Overload) sendAll(ctx context.Context, work *sync.WaitGroup) {
 	began := time.Now()
 	for n, at := 0, time.Duration(0); at < c.For && ctx.Err() == nil; n++ {
 		pause.For(ctx, time.Until(began.Add(at)))
@@ -160,9 +160,9 @@
 }
 
 // call makes attempts at one call until one is served or may have run: each at another front, after the time that the one before was told.
-func (c *Crowd) call(ctx context.Context, n int, safe bool, fronts []int, body []byte) {
-	for try := range min(crowdTries, len(fronts)) {
-		a := &crowdAttempt{id: fmt.Sprintf("c%d-%d", n, try), front: fronts[try], safe: safe}
+func (c *Overload) call(ctx context.Context, n int, safe bool, fronts []int, body []byte) {
+	for try := range min(overloadTries, len(fronts)) {
+		a := &overloadAttempt{id: fmt.Sprintf("c%d-%d", n, try), front: fronts[try], safe: safe}
 		c.send(ctx, a, body)
 		c.mu.Lock()
 		c.attempts = append(c.attempts, a)
@@ -175,10 +175,10 @@
 	}
 }
 
-func (c *Crowd) send(ctx context.Context, a *crowdAttempt, body []byte) {
+func (c *Overload) send(ctx context.Context, a *overloadAttempt, body []byte) {
 	began := time.Now()
 	defer func() { a.took = time.Since(began) }()
-	ctx, stop := context.WithTimeout(ctx, crowdTimeout+time.Second)
+	ctx, stop := context.WithTimeout(ctx, overloadTimeout+time.Second)
 	defer stop()
 	path := map[bool]string{true: "/safe/x", false: "/unsafe/x"}[a.safe]
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%s", c.ip(1, a.front), basePort, path), bytes.NewReader(body))
@@ -188,7 +188,7 @@
 	r.GetBody = nil // net/http must not retry the request
 	r.Host = host
 	r.Header.Set("Request-Id", a.id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(crowdTimeout.Milliseconds()))
+	r.Header.Set("Deadline-Ms", fmt.Sprint(overloadTimeout.Milliseconds()))
 	r.Header.Set(upstrm.ExpectBody, upstrm.Digest(body))
 	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.idle = i.IdleTime }}))
 	resp, err := c.client.Do(r)
@@ -204,7 +204,7 @@
 }
 
 // playFaults has some of the upstreams have the faults for a while.
-func (c *Crowd) playFaults(ctx context.Context) {
+func (c *Overload) playFaults(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(c.Seed, 2))
 	pause.For(ctx, time.Duration(startShare*float64(c.For)))
 	faulty := rnd.Perm(len(c.upstreams))[:int(c.Faulty*float64(len(c.upstreams))+0.5)]
@@ -228,11 +228,11 @@
 	}
 }
 
-// crowdConfig returns the operator's configuration.
-func crowdConfig() map[string]any {
+// overloadConfig returns the operator's configuration.
+func overloadConfig() map[string]any {
 	config := operatorConfig()
 	for _, r := range config["routes"].([]any) {
-		r.(map[string]any)["timeout-ms"] = crowdTimeout.Milliseconds()
+		r.(map[string]any)["timeout-ms"] = overloadTimeout.Milliseconds()
 	}
 	return config
 }
--- a/internal/play/chaos/verdict.go
+++ b/internal/play/chaos/verdict.go
@@ -17,8 +17,8 @@
 )
 
 type (
-	// CrowdSummary is the result of a run of Crowd, in numbers of attempts unless stated otherwise.
-	CrowdSummary struct {
+	// OverloadSummary is the result of a run of Overload, in numbers of attempts unless stated otherwise.
+	OverloadSummary struct {
 		Unsafe        int
 		Served        int // of the unsafe ones
 		NotRun        int // unsafe ones that were told so
@@ -30,7 +30,7 @@
 		CameBack      int // unsafe calls that were served after a refusal
 		Safe          int
 		SafeServed    int
-		SafeLate      int           // served after crowdTarget
+		SafeLate      int           // served after overloadTarget
 		P50, P95, P99 time.Duration // of the safe ones that were served
 		Foreign       int           // responses to other requests that the fronts discarded
 		Lost          int           // sends whose response was lost
@@ -55,14 +55,14 @@
 	}
 )
 
-// verify compares the responses with the stays at the upstreams.
-func (c *Crowd) verify() (sum CrowdSummary, err error) {
+// verify compares the responses with the deliveries at the upstreams.
+func (c *Overload) verify() (sum OverloadSummary, err error) {
 	sum.Counts, sum.PerFront = c.journal.Counts(), make([]FrontSummary, c.Fronts)
 	violations := c.journal.Violations()
 	suspects := map[string]bool{} // attempts with a violation
 	var took []time.Duration
 	for _, a := range c.attempts {
-		found := sum.count(a, c.journal.Stays(a.id))
+		found := sum.count(a, c.journal.Deliveries(a.id))
 		suspects[a.id] = len(found) > 0
 		violations = append(violations, found...)
 		if a.safe && a.status == http.StatusOK {
@@ -95,12 +95,12 @@
 }
 
 // count counts an attempt and returns the violations that it shows.
-func (v *CrowdSummary) count(a *crowdAttempt, stays []queued.Stay) (violations []string) {
+func (v *OverloadSummary) count(a *overloadAttempt, deliveries []queued.Delivery) (violations []string) {
 	front := &v.PerFront[a.front]
 	front.Requests++
-	taken, began, undisturbed := 0, 0, len(stays) > 0
-	for _, s := range stays {
-		if s.End != queued.Refused && s.End != queued.Spoilt {
+	taken, began, undisturbed := 0, 0, len(deliveries) > 0
+	for _, s := range deliveries {
+		if s.End != queued.Refused && s.End != queued.RefusedCut {
 			taken++
 		}
 		if s.Began {
@@ -109,7 +109,7 @@
 		undisturbed = undisturbed && s.End == queued.Refused && !s.Foreign
 	}
 	violate := func(what string) {
-		violations = append(violations, fmt.Sprintf("%s at front %d, status %d (%v) after %v, connection idle for %v: %s: %+v", a.id, a.front, a.status, a.err, a.took, a.idle, what, stays))
+		violations = append(violations, fmt.Sprintf("%s at front %d, status %d (%v) after %v, connection idle for %v: %s: %+v", a.id, a.front, a.status, a.err, a.took, a.idle, what, deliveries))
 	}
 	served := a.status == http.StatusOK
 	if served && (a.body != "answer to "+a.id || began == 0) {
@@ -123,7 +123,7 @@
 		if served {
 			v.SafeServed++
 		}
-		if served && a.took > crowdTarget {
+		if served && a.took > overloadTarget {
 			v.SafeLate++
 		}
 		return violations
@@ -147,7 +147,7 @@
 		}
 	default:
 		v.Unknown++
-		if undisturbed && a.took < crowdTimeout {
+		if undisturbed && a.took < overloadTimeout {
 			v.Needless++
 			violate("not told that it has not run")
 		}
@@ -160,7 +160,7 @@
 }
 
 // readLog counts what the log of front i tells, and copies the lines of suspects.
-func (v *CrowdSummary) readLog(i int, path string, suspects map[string]bool, out io.Writer) error {
+func (v *OverloadSummary) readLog(i int, path string, suspects map[string]bool, out io.Writer) error {
 	f, err := os.Open(path) //nolint:gosec // the log of our own process
 	if err != nil {
 		return err
