--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -228,11 +228,17 @@
 // longer listed, has started again, or accepts no connections.
 func (q *request) upstreamEnded(ctx context.Context, up *fleet.Upstream) bool {
 	if !q.listed(index.Start{ID: up.ID, Born: up.Born}) {
+		q.summary.runs.judge(judgedByList)
 		return true
 	}
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout) // also if the caller has left
 	defer stop()
-	return q.e.Pool.Probe(ctx, up.ID, up.Address) != nil
+	if q.e.Pool.Probe(ctx, up.ID, up.Address) != nil {
+		q.summary.runs.judge(judgedRefuses)
+		return true
+	}
+	q.summary.runs.judge(judgedAccepts)
+	return false
 }
 
 // listed reports whether the upstream is listed and has not started again since.
--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -263,7 +263,7 @@
 	}{
 		"the store tells":                    {true, 0, 3},
 		"it is seen to be down":              {false, 1, 3},
-		"nothing shows it":                   {false, 0, 6}, // each end looks like a lost answer, which counts half
+		"nothing shows it":                   {false, 0, 3},
 		"the store tells, and it is seen so": {true, 1, 3},
 	}
 	for name, c := range cases {
@@ -283,10 +283,10 @@
 				}
 				call := caller{fronts: []*testEnv{env, other}, path: "/resume/", header: map[string]string{"Program": "p", "Budget": "9000"}, body: "poison", attempts: 2, sends: 3}
 				_, complete := call.call(t)
-				is.True(!complete)
-				is.Equal(ends, c.ends)
 				env.close()
 				other.close()
+				is.True(!complete)
+				is.Equal(ends, c.ends)
 			})
 		})
 	}
--- /dev/null
+++ b/internal/front/proxy/restart_test.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/front/fleet"
+)
+
+// restarts is how upstreams start again under their ids once a request has ended them.
+type restarts struct {
+	refused int           // connections that they refuse before
+	known   time.Duration // from the end of one until its new start is listed
+	born    int64         // start that is listed at first; 0 for none
+}
+
+// playRestarts has a caller send a request that ends each start of an upstream that runs it, and returns how
+// many starts ended. Each attempt is the first at its front.
+func playRestarts(t *testing.T, e lateEnd, c caller, r restarts, prepare func(*testEnv)) (ended int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(slices.Repeat([][]string{{ok}}, 8)...)
+		env.changeUpstreams(func(up *fleet.Upstream) { up.Born = r.born })
+		c.fronts = []*testEnv{env}
+		for range c.attempts*c.sends - 1 {
+			c.fronts = append(c.fronts, env.another())
+		}
+		ends := make(chan struct{}, 100)
+		for id, u := range env.upstreams {
+			u.endsOn, u.endsAfter, u.endsIn, u.downFor = "poison", e.response, e.in, r.refused
+			u.restart = func() {
+				ends <- struct{}{}
+				time.AfterFunc(r.known, func() {
+					env.changeUpstreams(func(up *fleet.Upstream) {
+						if up.ID == id {
+							up.Born++
+						}
+					})
+				})
+			}
+		}
+		if prepare != nil {
+			prepare(env)
+		}
+		c.body, c.patience, c.pause = "poison", e.patience, 100*time.Millisecond
+		c.call(t)
+		time.Sleep(5 * time.Second) // for those that end later
+		ended = len(ends)
+		closeAll(c.fronts)
+	})
+	return ended
+}
+
+// restartCallers are callers of requests that may be repeated.
+func restartCallers() map[string]caller {
+	budget := map[string]string{"Program": "p", "Budget": "9000"}
+	return map[string]caller{
+		"resumable turn":       {path: "/resume/", header: budget, attempts: 2, sends: 3},
+		"turn, no budget":      {path: "/resume/", header: map[string]string{"Program": "p"}, attempts: 2, sends: 3},
+		"stored turn":          {path: "/keep/", header: budget, attempts: 2, sends: 3},
+		"call, two attempts":   {path: "/safe/", attempts: 2, sends: 1},
+		"call, three attempts": {path: "/safe/", attempts: 3, sends: 1},
+		"call, six attempts":   {path: "/safe/", attempts: 6, sends: 1},
+	}
+}
+
+// Guards against a request that ends the same upstream again and again: it starts again under its id, and each front takes it for the process before.
+func TestUpstreamsThatStartAgainUnderTheirID(t *testing.T) {
+	ways := map[string]lateEnd{
+		"at once":        {},
+		"in the middle":  {response: chunked + event1},
+		"half an answer": {response: "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\ngood"},
+		"no answer":      {response: noAnswer},
+	}
+	over, most, all := 0, 0, 0
+	for kind, c := range restartCallers() {
+		for way, e := range ways {
+			for _, refused := range []int{0, 1, 3} {
+				for _, known := range []time.Duration{100 * time.Millisecond, time.Second, 1900 * time.Millisecond} {
+					for _, born := range []int64{0, 17} {
+						t.Run(fmt.Sprint(kind, ", ", way, ", refuses ", refused, ", known after ", known, ", born ", born), func(t *testing.T) {
+							is := is.New(t)
+							worst := 0
+							for range 3 { // the choice of upstreams is random
+								worst = max(worst, playRestarts(t, e, c, restarts{refused, known, born}, nil))
+							}
+							all++
+							most = max(most, worst)
+							if worst > 3 {
+								over++
+							}
+							is.True(worst <= 3)
+						})
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%d of %d cases over three ends, %d at most", over, all, most)
+}
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -28,6 +28,11 @@
 	// endUpstreamEnded takes the place of the two that leave open what became of the upstream.
 	endUpstreamEnded = "upstream_ended"
 
+	// What tells whether an upstream that broke a run off has ended, as logged.
+	judgedByList  = "not_listed" // or listed with a later start
+	judgedRefuses = "refuses_connections"
+	judgedAccepts = "accepts_connections"
+
 	// Why a request was sent on after a send, or not, as logged.
 	nextNotRun     = "sent_on: not run"
 	nextResume     = "sent_on: resumed"
@@ -55,6 +60,7 @@
 		foreign  int    // responses to other requests that came in place of the request's own
 		other    string // id of the request of the first one
 		next     string // why the request was sent on or not; empty after an answer
+		judged   string // what tells that the upstream has ended, or goes on; empty if its run did not break off
 		rests    evidence
 	}
 
@@ -63,6 +69,7 @@
 		connected     bool
 		reused        bool          // the connection had carried a request before
 		connAge       time.Duration // at the send
+		startKnown    bool          // the process is known to be the start that was listed at the send
 		headTime      time.Duration // from the send to the header of the request's own response; 0 for none
 		status        int           // of that response; 0 for none
 		notRunHeader  bool          // it states that the request was not run
@@ -115,6 +122,13 @@
 	}
 }
 
+// judge sets what tells that the upstream of the last send has ended, or goes on.
+func (l runs) judge(by string) {
+	if len(l) > 0 {
+		l[len(l)-1].judged = by
+	}
+}
+
 // rest sets what the end of the last send rests on.
 func (l runs) rest(e evidence) {
 	if len(l) > 0 {
@@ -168,6 +182,9 @@
 		if r.end != endAnswered {
 			r.rests.write(d)
 		}
+		if r.judged != "" {
+			d.Str("judged_by", r.judged)
+		}
 		if r.next != "" {
 			d.Str("next", r.next)
 		}
@@ -180,7 +197,7 @@
 	if !e.connected {
 		return
 	}
-	d.Bool("reused", e.reused).Int64("conn_age_ms", e.connAge.Milliseconds())
+	d.Bool("reused", e.reused).Int64("conn_age_ms", e.connAge.Milliseconds()).Bool("start_known", e.startKnown)
 	if e.status > 0 {
 		d.Int("status", e.status).Int64("head_ms", e.headTime.Milliseconds()).Bool("not_run_header", e.notRunHeader)
 	}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -197,7 +197,8 @@
 // come or it has failed.
 func (s *exchange) evidence(id string) evidence {
 	e := evidence{
-		connected: true, reused: s.conn.Reused, connAge: s.began.Sub(s.conn.Opened), partlyWritten: !s.conn.Written(),
+		connected: true, reused: s.conn.Reused, connAge: s.began.Sub(s.conn.Opened), startKnown: s.startKnown,
+		partlyWritten: !s.conn.Written(),
 	}
 	if s.resp == nil || s.info.Request != id {
 		return e
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -34,6 +34,7 @@
 
 		endedUpstreams int  // that ended while they ran the request, over all attempts, as known here
 		confined       bool // to the upstreams that ran it without a whole good answer
+		versionFrom    string // what the version of a stream that is taken up rests on; empty if none is
 		err            error
 		recordsTime    time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason    string        // why the attempt was queued; empty if it was not
@@ -82,6 +83,9 @@
 	if s.confined {
 		line.Bool("confined", true)
 	}
+	if s.versionFrom != "" {
+		line.Str("version_from", s.versionFrom)
+	}
 	if q.HasFinishIn {
 		line.Int64("finish_ms", q.FinishIn.Milliseconds())
 	}
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -18,6 +18,10 @@
 	// can't be confirmed.
 	causeRestarted   = "restarted"
 	causeUnconfirmed = "unconfirmed"
+
+	// What the version of a stream that is taken up rests on, as logged.
+	fromRecord = "record"
+	fromState  = "state" // nothing is recorded
 )
 
 // The parts of one stream must come from one software version: what two of them generate does not
@@ -266,6 +270,10 @@
 	mayChange := found && r.Began.ID != ""
 	unconfirmed := (mayChange || !found) && !t.confirmed(ctx, t.began)
 	v.name, v.known = r.Version, found
+	t.summary.versionFrom = fromRecord
+	if !found {
+		t.summary.versionFrom = fromState
+	}
 	if !found && !unconfirmed {
 		v.name, v.known = t.e.Fleet.View().Services[t.service.Name].OneVersion()
 	}
