proxy: a request is bounded by the processes that ran it, not by the ids of upstreams

Cause: an upstream was taken for its id and listed start. One that starts again under its id accepts connections before any front can read its new start, so a run that broke off there counted half, and the next attempt went to a process that had not run the request as if it had. The class: identity taken from a name that outlives what it names.

Now a run counts for a further process unless it is proven to be at one that ran the request before: its connection was established before that run began, or the state lists that start and is newer than the process by entryLag. After three processes the request runs only where that is proven. Requests that failed before take a second connection along, which tells afterwards whether the process goes on and proves the next run. A call asks the records before its first run unless a connection proves that its upstream has not started again lately.

The stand-in of the tests ended the next start with a timer that was meant for the one before; it names the start now.

--- a/internal/front/ended/ended.go
+++ b/internal/front/ended/ended.go
@@ -76,6 +76,25 @@
 	return known
 }
 
+// HasRuns reports whether any run without a whole good answer is known.
+func (t Tally) HasRuns() bool { return len(t.ended)+len(t.broken)+len(t.tried) > 0 }
+
+// RanAt reports whether such a run at any start of an upstream is known.
+func (t Tally) RanAt(id string) bool {
+	of := func(s index.Start) bool { return s.ID == id }
+	return slices.ContainsFunc(t.ended, of) || slices.ContainsFunc(t.broken, of) || slices.ContainsFunc(t.tried, of)
+}
+
+// HasRun reports whether such a run at the start of an upstream is known.
+func (t Tally) HasRun(s index.Start) bool {
+	return t.BrokeOffAt(s) || slices.Contains(t.tried, s)
+}
+
+// BrokeOffAt reports whether a run that broke off at the start of an upstream is known.
+func (t Tally) BrokeOffAt(s index.Start) bool {
+	return t.Has(s) || slices.Contains(t.broken, s)
+}
+
 // WithBroken returns the tally with one more run that broke off at an upstream that may go on.
 func (t Tally) WithBroken(s index.Start) Tally {
 	t.broken = append(slices.Clip(t.broken), s)
@@ -129,14 +148,14 @@
 	sum := 0
 	for _, s := range t.broken {
 		sum += weightBroken
-		if n := len(gone); !listed(s) {
+		if n := len(gone); s.Born >= 0 && !listed(s) {
 			if gone = insert(gone, s); len(gone) > n {
 				sum -= weightBroken
 			}
 		}
 	}
 	for _, s := range t.tried {
-		if !listed(s) {
+		if s.Born >= 0 && !listed(s) {
 			gone = insert(gone, s)
 		}
 	}
--- a/internal/front/failed/failed.go
+++ b/internal/front/failed/failed.go
@@ -7,6 +7,7 @@
 package failed
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 		Upstream index.Start // that ran it
 		End      string      // how the run ended, as logged
 		At       time.Time   // when it ended
+
+		Recorded    index.Start // the process that ran it, as recorded; zero if it was not sent
+		ConnsBefore int64       // highest number of the connections that were established before it
 	}
 )
 
@@ -64,6 +68,23 @@
 	return l.keys[key] > 0
 }
 
+// Find returns the process, as recorded, that ran the request with the key at an upstream before and is the one
+// at the other end of a connection with the number: that one was established before the run.
+func (l *Runs) Find(now time.Time, key uint64, upstream string, conn int64) (process index.Start, found bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if l.keys[key] == 0 {
+		return process, false
+	}
+	for _, r := range slices.Backward(l.list) {
+		if r.Key == key && r.Recorded.ID == upstream && conn <= r.ConnsBefore {
+			return r.Recorded, true
+		}
+	}
+	return process, false
+}
+
 // TakeLeft removes and returns the runs whose upstreams have left since: listed reports whether that
 // start of an upstream is still listed.
 func (l *Runs) TakeLeft(now time.Time, listed func(index.Start) bool) (left []Run) {
--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -56,6 +56,9 @@
 func (q *request) noteEnd(ctx context.Context, up *fleet.Upstream) error {
 	start := q.startOf(up)
 	if q.upstreamEnded(ctx, up) {
+		if q.mayBeAnother() {
+			start = q.laterStart(up.ID)
+		}
 		q.summary.runs.end(endUpstreamEnded)
 		q.own, q.seen = q.own.With(start), q.seen.With(start)
 		q.e.Scope.Counter("upstreams_ended").Inc(1)
@@ -74,13 +77,16 @@
 	return errUpstreamsEnded
 }
 
+// repeats reports whether the request may be sent again, by its caller or here, after it has run.
+func (q *request) repeats() bool { return q.route.Kind != route.Unsafe }
+
 // noteTried notes that an upstream ran the request without a whole good answer, and goes on as far as
 // is known. The turn's settlement, or recordTried, tells other fronts.
 func (q *request) noteTried(up *fleet.Upstream) {
-	if q.route.Kind == route.Unsafe {
-		return // no caller repeats it
+	if !q.repeats() {
+		return
 	}
-	s := index.Start{ID: up.ID, Born: up.Born}
+	s := q.startOf(up)
 	q.own, q.seen = q.own.WithTried(s), q.seen.WithTried(s)
 	q.unrecorded = true
 }
@@ -133,7 +139,8 @@
 // has not run at too many already.
 func (q *request) choose(ctx context.Context, c *pick.Request) (up fleet.Upstream, ok bool) {
 	up, ok = q.e.Picker.Choose(time.Now(), *c)
-	if ok && q.homed && !q.asked && q.mayHaveEnded() {
+	if ok && q.homed && !q.asked && (q.mayHaveEnded() || q.mayBeNew(&up)) {
+		q.e.Scope.Counter("calls_asked_records").Inc(1)
 		limited, stop := context.WithTimeout(ctx, askTimeout)
 		q.queryRuns(limited, "", false)
 		stop()
@@ -189,48 +196,33 @@
 // ended.
 func (q *request) noteUnreachable(up *fleet.Upstream) {
 	q.homeLost = true
-	s := index.Start{ID: up.ID, Born: up.Born}
+	s := listedStart(up)
 	if starts, confined := q.seen.Confined(); confined && slices.Contains(starts, s) {
 		q.seen = q.seen.With(s)
 	}
 }
 
-// mayHaveRestarted reports whether the process at an upstream may be another start than the one that
-// the state lists, which would be one more that the request ends.
-func (q *request) mayHaveRestarted(up *fleet.Upstream) bool {
-	s := index.Start{ID: up.ID, Born: up.Born}
-	if q.seen.Has(s) {
-		return true
-	}
-	starts, confined := q.seen.Confined()
-	return confined && slices.Contains(starts, s)
-}
-
 // ownRun returns what is known of the runs of this attempt.
 func (q *request) ownRun() *index.Run {
 	return &index.Run{Request: q.key(), Ended: q.own.Ended(), Broken: q.own.Broken(), Tried: q.own.Tried()}
 }
 
-// startOf returns the start of an upstream that ran the request. If that one is known to have ended
-// before, it was a later one, which this front did not know of when it sent the request.
-func (q *request) startOf(up *fleet.Upstream) index.Start {
-	s := index.Start{ID: up.ID, Born: up.Born}
-	if !q.seen.Has(s) {
-		return s
-	}
-	for s.Born = -time.Now().UnixMilli(); q.seen.Has(s); {
-		s.Born--
-	}
-	return s
-}
-
 // upstreamEnded reports whether an upstream, the connection to which broke, has ended: it is no
-// longer listed, has started again, or accepts no connections.
+// longer listed, has started again, closed other connections too, or accepts none. Otherwise it may have
+// ended and started again unnoticed.
 func (q *request) upstreamEnded(ctx context.Context, up *fleet.Upstream) bool {
-	if !q.listed(index.Start{ID: up.ID, Born: up.Born}) {
+	if !q.listed(listedStart(up)) {
 		q.summary.runs.judge(judgedByList)
 		return true
 	}
+	if q.witness != nil {
+		open := q.witness.IsOpen()
+		if q.summary.runs.judge(judgedOpen); !open {
+			q.summary.runs.judge(judgedClosed)
+		}
+		q.releaseWitness()
+		return !open
+	}
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout) // also if the caller has left
 	defer stop()
 	if q.e.Pool.Probe(ctx, up.ID, up.Address) != nil {
@@ -307,6 +299,7 @@
 	rec.Run.First, rec.AskParts = first, parts
 	res, err := q.e.Records.Write(ctx, rec)
 	if err != nil {
+		q.e.askFailed.Store(time.Now().UnixNano())
 		return quorum.Result{}
 	}
 	q.asked = !res.Incomplete // like records that can't be read, otherwise
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -45,6 +45,7 @@
 		restart   func()        // called when it has ended, after which it accepts connections again; nil if it stays down
 		downFor   int           // connections that it refuses before it has restarted
 		down      int           // of these, those that it will still refuse
+		ends      int           // how often it has ended
 		ended     func()        // called when it has ended; nil for nothing
 		onRequest func()        // called with each request; nil for nothing
 		// respond returns the response in place of responses, and whether the process then ends; nil for neither.
@@ -148,7 +149,8 @@
 			u.onRequest()
 		}
 		if u.endsOn != "" && strings.Contains(string(body), u.endsOn) && u.endsIn > 0 {
-			time.AfterFunc(u.endsIn, u.end)
+			start := u.start()
+			time.AfterFunc(u.endsIn, func() { u.endStart(start) })
 			response = u.endsAfter
 		} else if u.endsOn != "" && strings.Contains(string(body), u.endsOn) {
 			_, _ = io.WriteString(conn, strings.ReplaceAll(u.endsAfter, "ID", r.Header.Get("Id")))
@@ -199,10 +201,24 @@
 	return true
 }
 
+// start returns the number of times that the process has ended.
+func (u *fakeUpstream) start() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ends
+}
+
 // end ends the process, with all its connections.
-func (u *fakeUpstream) end() {
+func (u *fakeUpstream) end() { u.endStart(u.start()) }
+
+// endStart does the same, unless another start has taken its place.
+func (u *fakeUpstream) endStart(start int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.ends != start {
+		return
+	}
+	u.ends++
 	if u.ended != nil && !u.refuse {
 		u.ended()
 	}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -111,6 +111,8 @@
 		draining atomic.Bool
 		active   atomic.Int64
 		lastAt   atomic.Int64 // when the last request began, in Unix nanoseconds
+
+		askFailed atomic.Int64 // when the records last did not answer a query, in Unix nanoseconds
 	}
 
 	// request is one attempt in progress.
@@ -143,6 +145,7 @@
 		onSend        func(*exchange) // called before each send; nil for nothing
 		lastTry       bool            // the present send is the last one that the attempts of the route allow
 		goesOn        bool            // the next send goes on with a stream of which the caller has events
+		witness       *upconn.Conn    // see takeWitness; nil if there is none
 		unconfirmed   bool            // the store could not be read to confirm the start of an upstream
 		summary       summary
 	}
@@ -181,6 +184,7 @@
 	defer q.noteFailed()
 	defer q.releaseAcquired()
 	defer q.returnMemory()
+	defer q.releaseWitness()
 	if q.accept() {
 		q.serve()
 	}
--- a/internal/front/proxy/restart_test.go
+++ b/internal/front/proxy/restart_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -103,3 +104,38 @@
 	}
 	t.Logf("%d of %d cases over three ends, %d at most", over, all, most)
 }
+
+// readsStore has all fronts read the list when they have to confirm it. It lists starts late, like a store.
+func readsStore(env *testEnv) {
+	for _, front := range append([]*testEnv{env}, env.others...) {
+		front.e.Confirm = func(_ context.Context, since time.Time) bool {
+			env.changeUpstreams(func(*fleet.Upstream) {})
+			return !env.e.Fleet.View().Settled.Before(since)
+		}
+	}
+}
+
+// Guards against the same where the upstream ends some time after its run: a process that has started again a moment ago passes for the one that the request is confined to.
+func TestUpstreamsThatEndLaterAndStartAgain(t *testing.T) {
+	over, most, all := 0, 0, 0
+	for kind, c := range restartCallers() {
+		for way, e := range lateAndEarlyEnds() {
+			for _, known := range []time.Duration{100 * time.Millisecond, 1900 * time.Millisecond} {
+				t.Run(fmt.Sprint(kind, ", ", way, ", known after ", known), func(t *testing.T) {
+					is := is.New(t)
+					worst := 0
+					for range 2 {
+						worst = max(worst, playRestarts(t, e, c, restarts{0, known, 17}, readsStore))
+					}
+					all++
+					most = max(most, worst)
+					if worst > 3 {
+						over++
+					}
+					is.True(worst <= 3)
+				})
+			}
+		}
+	}
+	t.Logf("%d of %d cases over three ends, %d at most", over, all, most)
+}
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -32,6 +32,8 @@
 	judgedByList  = "not_listed" // or listed with a later start
 	judgedRefuses = "refuses_connections"
 	judgedAccepts = "accepts_connections"
+	judgedOpen    = "connection_open" // another one of before the run
+	judgedClosed  = "connection_closed"
 
 	// Why a request was sent on after a send, or not, as logged.
 	nextNotRun     = "sent_on: not run"
@@ -62,6 +64,9 @@
 		next     string // why the request was sent on or not; empty after an answer
 		judged   string // what tells that the upstream has ended, or goes on; empty if its run did not break off
 		rests    evidence
+		process  process // that ran it; zero until the request is sent
+		// connsBefore is the number of connections of the pool when the request was sent.
+		connsBefore int64
 	}
 
 	// evidence is what the end of a send rests on. The zero value is nothing: no connection was established.
@@ -122,6 +127,21 @@
 	}
 }
 
+// last returns the last send, nil if there is none.
+func (l runs) last() *run {
+	if len(l) == 0 {
+		return nil
+	}
+	return &l[len(l)-1]
+}
+
+// sent sets the process to which the last send goes, when so many connections were established.
+func (l runs) sent(p process, conns int64) {
+	if r := l.last(); r != nil {
+		r.process, r.connsBefore = p, conns
+	}
+}
+
 // judge sets what tells that the upstream of the last send has ended, or goes on.
 func (l runs) judge(by string) {
 	if len(l) > 0 {
@@ -163,6 +183,7 @@
 		if r.ran() && r.end != endAnswered {
 			q.e.Failed.Add(failed.Run{
 				Request: q.ID, Key: q.key(), Upstream: index.Start{ID: r.upstream, Born: r.born}, End: r.end, At: r.began.Add(r.took),
+				Recorded: r.process.start, ConnsBefore: r.connsBefore,
 			})
 		}
 	}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -146,6 +146,7 @@
 	q.summary.runs.begin(&up)
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
+	q.releaseWitness()
 	conn, err := q.connect(ctx, &up)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -157,6 +158,11 @@
 		q.e.Pool.PutBack(conn)
 		return nil, &notRunError{up: up, cause: cause}
 	}
+	if err = q.takeWitness(ctx, &up); err != nil {
+		conn.Close()
+		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
+	}
+	q.summary.runs.sent(q.identify(conn, &up), q.e.Pool.Opened())
 	s = &exchange{up: up, conn: conn, began: time.Now(), startKnown: q.startKnown(conn, &up)}
 	if q.onSend != nil {
 		q.onSend(s)
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -32,8 +32,8 @@
 		refusals string // by upstreams, and interruptions of resumable streams, in order
 		runs     runs   // sends to upstreams, in order
 
-		endedUpstreams int  // that ended while they ran the request, over all attempts, as known here
-		confined       bool // to the upstreams that ran it without a whole good answer
+		endedUpstreams int    // that ended while they ran the request, over all attempts, as known here
+		confined       bool   // to the upstreams that ran it without a whole good answer
 		versionFrom    string // what the version of a stream that is taken up rests on; empty if none is
 		err            error
 		recordsTime    time.Duration // from arrival until the tokens were reserved and the history was read
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -191,14 +191,9 @@
 	return !q.e.Fleet.View().Settled.Before(q.e.Pool.Since(conn)) && q.listed(index.Start{ID: up.ID, Born: up.Born})
 }
 
-// connect returns a connection to the upstream. A stream that goes on takes one that tells the start of the
-// upstream, if there is any.
+// connect returns a connection to the upstream, one that tells the start of the upstream if there is any.
 func (q *request) connect(ctx context.Context, up *fleet.Upstream) (*upconn.Conn, error) {
-	var by time.Time
-	if q.goesOn {
-		by = q.e.Fleet.View().Settled
-	}
-	return q.e.Pool.GetOpenedBy(ctx, up.ID, up.Address, by)
+	return q.e.Pool.GetWanted(ctx, up.ID, up.Address, q.wanted(up))
 }
 
 // confirmVersion is called before a stream that this attempt began goes on. It returns an error if the
@@ -238,8 +233,8 @@
 // it may. An upstream that has just started again under its id may have another version than a stream that
 // goes on there, which it doesn't check, or be one more that the request ends.
 func (q *request) startDiffers(ctx context.Context, conn *upconn.Conn, up *fleet.Upstream) (cause string) {
-	if !q.goesOn && !q.mayHaveRestarted(up) {
-		return ""
+	if cause = q.addsProcess(ctx, conn, up); cause != "" || !q.goesOn {
+		return cause
 	}
 	if !q.confirmed(ctx, q.e.Pool.Since(conn)) {
 		return causeUnconfirmed
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -53,6 +54,7 @@
 	Conn struct {
 		Reused bool      // it has carried a request before
 		Opened time.Time // when it was established
+		Number int64     // of the connections of its pool, in the order in which they were established, from 1
 
 		net        net.Conn
 		in         headReader
@@ -221,6 +223,20 @@
 	return err == nil && ok, unsolicited
 }
 
+// IsOpen reports whether a connection over which nothing is under way is still open: the process at its
+// other end goes on.
+func (c *Conn) IsOpen() bool {
+	if _, isSocket := c.net.(syscall.Conn); isSocket {
+		ok, unsolicited := c.reusable()
+		return ok || unsolicited
+	}
+	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // fails like the read if it is closed
+	var p [1]byte
+	n, err := c.net.Read(p[:])
+	_ = c.net.SetReadDeadline(time.Time{})
+	return n > 0 || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // ClosedByPeer reports whether the upstream has closed the connection, for example because its
 // process has ended. It discards what the upstream sent before, so only Close may be called after it.
 func (c *Conn) ClosedByPeer() (closed bool) {
--- a/internal/front/upconn/conn_test.go
+++ b/internal/front/upconn/conn_test.go
@@ -93,7 +93,7 @@
 			if c.by == 0 {
 				by = time.Time{}
 			}
-			got, err := p.GetOpenedBy(t.Context(), "u", "a", by)
+			got, err := p.GetWanted(t.Context(), "u", "a", Wanted{By: by})
 			is.NoErr(err)
 			is.Equal(got, list[c.want])
 			is.Equal(len(p.idle["a"]), 2)
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -50,19 +50,25 @@
 
 		unsolicited atomic.Int64
 	}
+
+	// Wanted tells which idle connections are preferred: those to a process that ran at some moment. The
+	// zero value is all.
+	Wanted struct {
+		By   time.Time // the process is known to have run by then; zero for any
+		UpTo int64     // highest Conn.Number: it was established before the next one; 0 for any
+	}
 )
 
 // Get returns a connection to the upstream with this id and address: a reusable idle one if
 // there is one, and a new one otherwise.
 func (p *Pool) Get(ctx context.Context, id, address string) (*Conn, error) {
-	return p.GetOpenedBy(ctx, id, address, time.Time{})
+	return p.GetWanted(ctx, id, address, Wanted{})
 }
 
-// GetOpenedBy does what Get does, but prefers an idle connection to a process that is known to have run at
-// the given time or earlier.
-func (p *Pool) GetOpenedBy(ctx context.Context, id, address string, by time.Time) (*Conn, error) {
+// GetWanted does what Get does, but prefers an idle connection that is wanted.
+func (p *Pool) GetWanted(ctx context.Context, id, address string, wanted Wanted) (*Conn, error) {
 	for {
-		c := p.pop(address, by)
+		c := p.pop(address, wanted)
 		if c == nil {
 			break
 		}
@@ -89,10 +95,12 @@
 	if err != nil {
 		return nil, err
 	}
+	c := newConn(nc, id, address)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.opened++
-	p.mu.Unlock()
-	return newConn(nc, id, address), nil
+	c.Number = p.opened
+	return c, nil
 }
 
 func newConn(nc net.Conn, id, address string) *Conn {
@@ -130,8 +138,7 @@
 // PutBack returns a connection that Get returned and over which nothing was sent. Its idle time goes on.
 func (p *Pool) PutBack(c *Conn) {
 	if !c.Reused {
-		p.Put(c, 0)
-		return
+		c.idleUntil = c.Opened.Add(defaultIdle - idleMargin)
 	}
 	p.keep(c)
 }
@@ -146,26 +153,43 @@
 }
 
 // pop removes the most recently used connection, which is the least likely to be closed, of those that
-// go to a process that ran at a time, or else of all. It returns nil if there is none.
-func (p *Pool) pop(address string, by time.Time) *Conn {
+// are wanted, or else of all. It returns nil if there is none.
+func (p *Pool) pop(address string, wanted Wanted) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
 		return nil
 	}
-	i := len(list) - 1
-	for j := i; j >= 0 && !by.IsZero(); j-- {
-		if !p.since(list[j]).After(by) {
-			i = j
-			break
-		}
+	i := p.findWanted(list, wanted)
+	if i < 0 {
+		i = len(list) - 1
 	}
 	c := list[i]
 	p.idle[address] = slices.Delete(list, i, i+1)
 	return c
 }
 
+// findWanted returns the index of the most recently used connection that is wanted, -1 if there is none.
+func (p *Pool) findWanted(list []*Conn, wanted Wanted) int {
+	for i := len(list) - 1; i >= 0; i-- {
+		if wanted.By.IsZero() || !p.since(list[i]).After(wanted.By) {
+			if wanted.UpTo == 0 || list[i].Number <= wanted.UpTo {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// HasWanted reports whether an idle connection to the upstream is wanted.
+func (p *Pool) HasWanted(id, address string, wanted Wanted) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := p.findWanted(p.idle[address], wanted)
+	return i >= 0 && p.idle[address][i].upstreamID == id
+}
+
 // Idle reports whether there is an idle connection to the address.
 func (p *Pool) Idle(address string) bool {
 	p.mu.Lock()
