proxy, fleet: a stream of unknown beginning goes on only where no other version has served since

Cause: if nothing is recorded of a stream, or the records don't answer, the one version of now was taken for the one at which it began. A front that has just started does not know what served before.

Evidence: TestStreamOfUnknownBeginningAfterAnUpgrade, four of seven cases went on at another version before, none now: with records away when the stream begins or is taken up, and where its version could not be recorded.

Now a front remembers since when all upstreams of a service have had one version, and that counts only if it covers the longest time in which the stream can have begun, without an outage of the store in between. Otherwise the attempt is refused with version_unknown and a Retry-After time; another front may know. Streams of one version go on while the records are away, as before. The tests' fronts have read the state for long, as the fronts of these cases have.

--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -123,6 +123,7 @@
 	}
 	changes = append(changes, f.dropExpired(&v, now)...)
 	v.AvailableSince = f.avail.From
+	v.updateTenures(f.View(), now)
 	f.announce(now, &v, changes)
 	f.view.Store(&v)
 	return changes
--- a/internal/front/fleet/view.go
+++ b/internal/front/fleet/view.go
@@ -48,6 +48,7 @@
 	// upstreams that the store did not, so changes of the store since Revision don't complete it.
 	Restored bool
 
+	tenures    map[string]tenure              // of the services that have one software version
 	entriesSum uint64                         // of the hashes of the entries, modulo 2^64
 	byID       *btree.Map[mesh.ID, *Upstream] // listed and retained upstreams
 }
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -244,16 +244,24 @@
 	return u.received
 }
 
+// newTestEnv returns a front, of which the state was read for long, before upstreams up1 and so on.
 func newTestEnv(responses ...[]string) *testEnv {
+	return newTestEnvOf(slices.Repeat([]string{"v1"}, len(responses)), responses)
+}
+
+// newTestEnvOf returns one before upstreams of these versions.
+func newTestEnvOf(versions []string, responses [][]string) *testEnv {
 	env := &testEnv{rec: &fakeRecords{shares: map[string]index.Charge{}, turns: map[string]index.Turn{}}, upstreams: map[string]*fakeUpstream{}}
 	var f fleet.Fleet
 	reading := fleet.Snapshot{Revision: 1, Table: route.New(1, routes, []route.Service{{Name: "s", EventTokens: 3}}, route.Limits{BodyBytes: 100})}
 	for i, list := range responses {
 		address := fmt.Sprintf("up%d", i+1)
 		env.upstreams[address] = &fakeUpstream{responses: list}
-		reading.Upstreams = append(reading.Upstreams, fleet.Upstream{ID: address, Service: "s", Address: address, Batch: 4 * (len(responses) - i), Version: "v1"})
+		reading.Upstreams = append(reading.Upstreams, fleet.Upstream{ID: address, Service: "s", Address: address, Batch: 4 * (len(responses) - i), Version: versions[i]})
+	}
+	for age := 20 * time.Second; age >= 0; age -= time.Second {
+		f.Update(time.Now().Add(-age), reading)
 	}
-	f.Update(time.Now(), reading)
 	env.e = env.newEndpoint(&f)
 	f.OnUpstreams = func(now time.Time, before, after *fleet.View, ids []string) {
 		for _, front := range append([]*testEnv{env}, env.others...) {
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -270,7 +270,7 @@
 		t.summary.versionFrom = fromState
 	}
 	if !found && !unconfirmed {
-		v.name, v.known = t.e.Fleet.View().Services[t.service.Name].OneVersion()
+		v.name, v.known = t.onlyVersion()
 	}
 	switch {
 	case !v.known || unconfirmed || r.Began == startNotChosen:
@@ -292,6 +292,15 @@
 	return true
 }
 
+// onlyVersion returns the version at which the stream began although nothing is known of that: no other one has
+// served since it can have begun.
+func (t *turn) onlyVersion() (version string, ok bool) {
+	v := t.e.Fleet.View()
+	version, since, ok := v.OnlyVersionSince(t.service.Name)
+	begins := t.began.Add(-triedSpan - t.route.Timeout)
+	return version, ok && !since.After(begins) && !v.AvailableSince.After(begins)
+}
+
 // beginning returns the run of the attempt that brought the stream's first event: the one that the
 // caller names, or else the last of the same request.
 func (t *turn) beginning(runs []index.Run) (r index.Run, found bool) {
--- a/internal/front/proxy/version_env_test.go
+++ b/internal/front/proxy/version_env_test.go
@@ -93,8 +93,7 @@
 
 // versionEnv returns fronts before upstreams of the versions given, up1 and so on.
 func versionEnv(fronts int, versions ...string) []*testEnv {
-	env := newTestEnv(slices.Repeat([][]string{{ok}}, len(versions))...)
-	env.changeUpstreams(func(u *fleet.Upstream) { u.Version = versions[u.ID[2]-'1'] })
+	env := newTestEnvOf(versions, slices.Repeat([][]string{{ok}}, len(versions)))
 	for i, v := range versions {
 		env.upstreams[fmt.Sprint("up", i+1)].serveVersion(v, -1)
 	}
