proxy, index: a run that its front was lost with counts, if the request had failed before

Cause: what a run did was recorded after it only. A turn's reservation tells other fronts of its attempt's first run; nothing told of later ones, or of a call's.

Before a run of a request that got no whole good answer before, the attempt is recorded as under way, and the next record says that it is over. An attempt under way, of which the end does not come, counts for one more process, as an open reservation does.

The first run of a call, of which nothing is known, is still not recorded before it: each front that is lost with such a run may add one.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -54,6 +54,7 @@
 // fronts know of it before the caller, or this front, sends the request again. It returns
 // errUpstreamsEnded if the request must not be sent on.
 func (q *request) noteEnd(ctx context.Context, up *fleet.Upstream) error {
+	q.runOver()
 	start := q.startOf(up)
 	if q.upstreamEnded(ctx, up) {
 		if q.mayBeAnother() {
@@ -86,6 +87,7 @@
 	if !q.repeats() {
 		return
 	}
+	q.runOver()
 	s := q.startOf(up)
 	q.own, q.seen = q.own.WithTried(s), q.seen.WithTried(s)
 	q.unrecorded = true
@@ -105,6 +107,8 @@
 	if !q.unrecorded {
 		return
 	}
+	q.runOver()
+	q.unrecorded = false
 	rec := q.runsRecord()
 	rec.Run = q.ownRun()
 	go func() {
@@ -142,7 +146,9 @@
 	if ok && q.homed && !q.asked && (q.mayHaveEnded() || q.mayBeNew(&up)) {
 		q.e.Scope.Counter("calls_asked_records").Inc(1)
 		limited, stop := context.WithTimeout(ctx, askTimeout)
+		began := time.Now()
 		q.queryRuns(limited, "", false)
+		q.summary.askTime = time.Since(began)
 		stop()
 		q.e.done(up.ID)
 		c.Among, c.Confined = q.confined()
@@ -204,7 +210,7 @@
 
 // ownRun returns what is known of the runs of this attempt.
 func (q *request) ownRun() *index.Run {
-	return &index.Run{Request: q.key(), Ended: q.own.Ended(), Broken: q.own.Broken(), Tried: q.own.Tried()}
+	return &index.Run{Request: q.key(), Ended: q.own.Ended(), Broken: q.own.Broken(), Tried: q.own.Tried(), Under: q.under}
 }
 
 // upstreamEnded reports whether an upstream, the connection to which broke, has ended: it is no
@@ -273,6 +279,7 @@
 	mine := *q.ownRun()
 	mine.Attempt = q.scopedID(q.ID)
 	var own []index.Run
+	open := q.otherOpen
 	for _, r := range runs {
 		if r.Request != q.key() {
 			continue
@@ -284,9 +291,10 @@
 		if q.began.UnixMilli()-r.At > triedSpan.Milliseconds() {
 			r.Tried = nil
 		}
+		open = open || r.IsUnderWay()
 		own = append(own, r)
 	}
-	q.seen = ended.Of(append(own, mine)).WithOpen(q.otherOpen)
+	q.seen = ended.Of(append(own, mine)).WithOpen(open)
 }
 
 // queryRuns takes over and returns what is recorded of the request's earlier attempts, and returns that of
--- a/internal/front/proxy/process.go
+++ b/internal/front/proxy/process.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -143,6 +144,21 @@
 	return !q.e.Pool.HasWanted(up.ID, up.Address, upconn.Wanted{By: q.e.Fleet.View().Settled.Add(-entryLag)})
 }
 
+// recordUnderWay records that a run of a request is about to begin which got no whole good answer before, so that
+// other fronts count it if this one is lost with it. The reservation of a turn tells so of its attempt's first run.
+func (q *request) recordUnderWay(ctx context.Context) {
+	reserved := q.route.Kind == route.Stream && q.HasTokenBudget && q.Program != ""
+	if !q.repeats() || !q.seen.HasRuns() || reserved && !q.own.HasRuns() {
+		return
+	}
+	q.under += 1 + q.under%2
+	_, _ = q.recordRuns(ctx) // without it, it is not counted
+	q.unrecorded = true
+}
+
+// runOver notes that the run of recordUnderWay is over. The next record tells.
+func (q *request) runOver() { q.under += q.under % 2 }
+
 // takeWitness takes a further connection to the upstream, over which nothing is sent, if the request got no whole
 // good answer before: it tells afterwards whether the process goes on, and a next run over it is at the same one.
 func (q *request) takeWitness(ctx context.Context, up *fleet.Upstream) (err error) {
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -141,6 +141,7 @@
 		homeLost      bool            // one of these accepted no connection
 		asked         bool            // seen has what the records held when this attempt began, or later
 		unrecorded    bool            // the last runs of this attempt are not recorded
+		under         int             // see index.Run
 		otherOpen     bool            // the end of another attempt of the request was not known when this one began
 		onSend        func(*exchange) // called before each send; nil for nothing
 		lastTry       bool            // the present send is the last one that the attempts of the route allow
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -151,6 +151,7 @@
 	}
 	rec := t.newRecord()
 	if t.unrecorded {
+		t.runOver()
 		rec = t.runsRecord()
 		rec.Run = t.ownRun()
 	}
@@ -185,5 +186,6 @@
 		return errors.Wrap(err, "the turn was not recorded")
 	}
 	t.reserved = false
+	t.recordUnrecorded()
 	return nil
 }
--- a/internal/front/proxy/restart_test.go
+++ b/internal/front/proxy/restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +140,49 @@
 	}
 	t.Logf("%d of %d cases over three ends, %d at most", over, all, most)
 }
+
+// Guards against runs that nobody counts, since their fronts lost their power with them after the request had failed before.
+func TestFrontsLostWithLaterRuns(t *testing.T) {
+	cases := map[string]struct {
+		path     string
+		header   map[string]string
+		response string // of an upstream before it ends
+	}{
+		"call":            {"/safe/", nil, ""},
+		"turn":            {"/resume/", map[string]string{"Program": "p", "Budget": "9000"}, chunked + event1},
+		"turn, no budget": {"/resume/", map[string]string{"Program": "p"}, chunked + event1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv(slices.Repeat([][]string{{ok}}, 8)...)
+				fronts := []*testEnv{env, env.another(), env.another(), env.another()}
+				var ends atomic.Int64
+				ctx, lose := context.WithCancel(t.Context())
+				defer lose()
+				for _, u := range env.upstreams {
+					u.endsOn, u.endsAfter, u.restart = "poison", c.response, func() { ends.Add(1) }
+					u.onRequest = func() {
+						if ends.Load() == 1 {
+							env.rec.setDown(true) // the first front is lost with its second run: it records nothing more
+							lose()
+						}
+					}
+				}
+				fronts[0].do(ctx, c.path, c.header, "poison")
+				time.Sleep(settleTimeout)
+				env.rec.setDown(false)
+				lost := ends.Load()
+				for _, u := range env.upstreams {
+					u.onRequest = nil
+				}
+				call := caller{fronts: fronts[1:], path: c.path, header: c.header, body: "poison", attempts: 3, sends: 1, sent: 10}
+				call.call(t)
+				closeAll(fronts)
+				is.Equal(lost, int64(2))
+				is.True(ends.Load() <= 3)
+			})
+		})
+	}
+}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -162,6 +162,7 @@
 		conn.Close()
 		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
 	}
+	q.recordUnderWay(ctx)
 	q.summary.runs.sent(q.identify(conn, &up), q.e.Pool.Opened())
 	s = &exchange{up: up, conn: conn, began: time.Now(), startKnown: q.startKnown(conn, &up)}
 	if q.onSend != nil {
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -32,9 +32,10 @@
 		refusals string // by upstreams, and interruptions of resumable streams, in order
 		runs     runs   // sends to upstreams, in order
 
-		endedUpstreams int    // that ended while they ran the request, over all attempts, as known here
-		confined       bool   // to the upstreams that ran it without a whole good answer
-		versionFrom    string // what the version of a stream that is taken up rests on; empty if none is
+		endedUpstreams int           // that ended while they ran the request, over all attempts, as known here
+		confined       bool          // to the upstreams that ran it without a whole good answer
+		versionFrom    string        // what the version of a stream that is taken up rests on; empty if none is
+		askTime        time.Duration // that a call waited for the records before its first run; 0 if it did not ask
 		err            error
 		recordsTime    time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason    string        // why the attempt was queued; empty if it was not
@@ -83,6 +84,9 @@
 	if s.confined {
 		line.Bool("confined", true)
 	}
+	if s.askTime > 0 {
+		line.Int64("asked_records_us", s.askTime.Microseconds())
+	}
 	if s.versionFrom != "" {
 		line.Str("version_from", s.versionFrom)
 	}
