chaos: upstreams start again under their ids at once or late, known late, and all fronts are lost at once

The soak could not see ends over three with upstreams that start again: they registered before they accepted connections, 0.4 s after their end. A third of them does so now with the other version; the others keep their version, start again at once or after 0.4 s, and their entries tell 0.1 to 1.9 s later. All fronts are killed at the same moment every 1.5 to 7.5 s, beside two versions. The faults of a seed stay as they were.

--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -67,6 +67,9 @@
 
 		rnd             *rand.Rand
 		outageRnd       *rand.Rand // separate source, so that outageOdds does not change the faults of a seed before its first outage
+		outMu           sync.Mutex
+		comebackMu      sync.Mutex
+		comebackRnd     *rand.Rand
 		metakv          metakv.Store
 		runLog          upstrm.RunLog
 		upstreams       []*upstrm.Upstream
@@ -97,6 +100,7 @@
 func (s *Runner) Run(ctx context.Context) (sum Summary, err error) {
 	defer func() { err = errors.Wrapf(err, "seed %d", s.Seed) }()
 	s.rnd, s.outageRnd = rand.New(rand.NewPCG(s.Seed, 1)), rand.New(rand.NewPCG(s.Seed, 2))
+	s.comebackRnd = rand.New(rand.NewPCG(s.Seed, 3))
 	s.observed.attempts = map[string]observed{}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -200,11 +204,12 @@
 	repeatCtx, stopRepeats := context.WithDeadline(ctx, until)
 	defer stopRepeats()
 	running.Go(func() { s.repeatRefusals(repeatCtx) })
+	running.Go(func() { s.loseFronts(repeatCtx) })
 	var diskMu sync.Mutex // held during faults of VMs with a disk, see exclusive
 	for time.Now().Before(until) && ctx.Err() == nil {
 		faults++
 		do, description := s.randomFault(ctx, &diskMu)
-		_, _ = fmt.Fprintf(s.Out, "%s %s\n", time.Now().Format("15:04:05.000"), description)
+		s.note(description)
 		running.Go(do)
 		pause.For(ctx, time.Duration(200+s.rnd.IntN(1500))*time.Millisecond)
 	}
@@ -212,6 +217,13 @@
 	return faults
 }
 
+// note writes the description of a fault that begins.
+func (s *Runner) note(fault string) {
+	s.outMu.Lock()
+	defer s.outMu.Unlock()
+	_, _ = fmt.Fprintf(s.Out, "%s %s\n", time.Now().Format("15:04:05.000"), fault)
+}
+
 // randomFault returns a random fault, as a function that injects and ends it, and
 // its description.
 func (s *Runner) randomFault(ctx context.Context, diskMu *sync.Mutex) (do func(), description string) {
--- a/internal/play/chaos/crash.go
+++ b/internal/play/chaos/crash.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/slaterock/slaterock/internal/fake/upstrm"
@@ -17,10 +20,19 @@
 	crashAttempts = 6
 	// One program in crashOdds is followed by such a request.
 	crashOdds = 30
-	// upstreamDowntime is how long an upstream that ended is down.
+	// upstreamDowntime is how long an upstream that ended is down, unless it starts again at once.
 	upstreamDowntime = 400 * time.Millisecond
+	// maxEntryDelay bounds the time from when an upstream accepts connections again until its entry tells.
+	maxEntryDelay = 1900 * time.Millisecond
 )
 
+// comeback is how an upstream starts again under its id.
+type comeback struct {
+	downtime   time.Duration
+	upgraded   bool          // it has the other version
+	entryDelay time.Duration // from then until it writes its entry; 0 for before
+}
+
 // crashPatience are the times after which a caller leaves.
 var crashPatience = []time.Duration{300 * time.Millisecond, attemptTimeout, attemptTimeout}
 
@@ -58,24 +70,63 @@
 	return most
 }
 
-// restartUpstream ends an upstream and starts it again after a while, under its id and with the other
-// version. It registers before it accepts connections.
+// nextComeback returns how the next upstream starts again. One that is known late keeps its version: a stream
+// that goes on there can't tell.
+func (s *Runner) nextComeback() (c comeback) {
+	s.comebackMu.Lock()
+	defer s.comebackMu.Unlock()
+	kind := s.comebackRnd.IntN(3)
+	delay := time.Duration(100+s.comebackRnd.Int64N(int64(maxEntryDelay/time.Millisecond)-100)) * time.Millisecond
+	switch kind {
+	case 0:
+		return comeback{downtime: upstreamDowntime, upgraded: true}
+	case 1:
+		return comeback{downtime: upstreamDowntime, entryDelay: delay}
+	default:
+		return comeback{entryDelay: delay}
+	}
+}
+
+// restartUpstream ends an upstream and starts it again under its id.
 func (s *Runner) restartUpstream(ctx context.Context, u *upstrm.Upstream, p *Proxy, register func(), down *atomic.Bool) {
 	p.Stop()
 	go func() {
-		pause.For(ctx, upstreamDowntime)
+		c := s.nextComeback()
+		pause.For(ctx, c.downtime)
 		if ctx.Err() != nil {
 			return
 		}
-		if u.Version.Load() == versions[0] {
-			u.Version.Store(versions[1])
+		if c.upgraded {
+			u.Version.Store(otherVersion(u.Version.Load()))
+		}
+		if c.entryDelay == 0 {
+			register()
 		} else {
-			u.Version.Store(versions[0])
+			time.AfterFunc(c.entryDelay, register)
 		}
-		register()
 		down.Store(false)
 		if err := p.Restart(ctx); err != nil {
 			s.observed.addViolation("%s did not start again: %v", u.ID, err)
 		}
 	}()
 }
+
+func otherVersion(v any) string {
+	if v == versions[0] {
+		return versions[1]
+	}
+	return versions[0]
+}
+
+// loseFronts kills all fronts at once now and then, until ctx ends.
+func (s *Runner) loseFronts(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(s.Seed, 4))
+	for pause.For(ctx, time.Duration(1500+rnd.IntN(6000))*time.Millisecond) {
+		s.note("all fronts are killed")
+		var work sync.WaitGroup
+		for _, f := range s.fronts {
+			work.Go(s.restart(f, syscall.SIGKILL))
+		}
+		work.Wait()
+	}
+}
