--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -76,11 +76,12 @@
 			return err
 		}
 		s.upstreams, s.upstreamProxies = append(s.upstreams, u), append(s.upstreamProxies, p)
+		address = p.Address // of all its starts
 		register := func() {
 			s.entriesMu.Lock()
 			defer s.entriesMu.Unlock()
 			s.entries[u.ID] = map[string]any{
-				"service": service, "address": p.Address, "zone": fmt.Sprintf("z%d", i%3), "version": u.Version.Load(), "max-batch": u.MaxInFlight,
+				"service": service, "address": address, "zone": fmt.Sprintf("z%d", i%3), "version": u.Version.Load(), "max-batch": u.MaxInFlight,
 				"state": "ready", "cold-remaining-ms": 0, "born": time.Now().UnixMilli(),
 			}
 			s.metakv.Put("servers/"+u.ID, s.entries[u.ID])
