proxy, upconn: a call asks the records by the connection that it got, and none of an ended process proves the next

A front with an idle connection to a process that had ended took it for proof that the upstream had not started again, did not ask the records, and then opened a new connection. Callers would have seen one more end. It asks now once it has the connection over which it will send.

A connection that is established in the same moment in which a process of before got its last request is not taken for one to that process: seen only where tests have no time between the two.

A run is recorded as under way before its connection is taken, so that this one does not come of age meanwhile.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -143,13 +143,8 @@
 // has not run at too many already.
 func (q *request) choose(ctx context.Context, c *pick.Request) (up fleet.Upstream, ok bool) {
 	up, ok = q.e.Picker.Choose(time.Now(), *c)
-	if ok && q.homed && !q.asked && (q.mayHaveEnded() || q.mayBeNew(&up)) {
-		q.e.Scope.Counter("calls_asked_records").Inc(1)
-		limited, stop := context.WithTimeout(ctx, askTimeout)
-		began := time.Now()
-		q.queryRuns(limited, "", false)
-		q.summary.askTime = time.Since(began)
-		stop()
+	if ok && q.homed && !q.asked && q.mayHaveEnded() {
+		q.askRecords(ctx)
 		q.e.done(up.ID)
 		c.Among, c.Confined = q.confined()
 		up, ok = q.e.Picker.Choose(time.Now(), *c)
@@ -164,6 +159,15 @@
 	return q.e.Picker.Choose(time.Now(), *c)
 }
 
+// askRecords takes over what is recorded of the request's earlier attempts, before its first run.
+func (q *request) askRecords(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, askTimeout)
+	defer stop()
+	began := time.Now()
+	q.queryRuns(ctx, "", false)
+	q.summary.askTime = time.Since(began)
+}
+
 // leaveHome reports whether other upstreams than those that Endpoint.Home names may run the request.
 func (q *request) leaveHome(ctx context.Context) bool {
 	if !q.asked {
@@ -222,12 +226,13 @@
 		return true
 	}
 	if q.witness != nil {
-		open := q.witness.IsOpen()
-		if q.summary.runs.judge(judgedOpen); !open {
-			q.summary.runs.judge(judgedClosed)
+		defer q.releaseWitness()
+		if q.witness.IsOpen() {
+			q.summary.runs.judge(judgedOpen)
+			return false
 		}
-		q.releaseWitness()
-		return !open
+		q.summary.runs.judge(judgedClosed)
+		return true
 	}
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout) // also if the caller has left
 	defer stop()
--- a/internal/front/proxy/process.go
+++ b/internal/front/proxy/process.go
@@ -135,13 +135,13 @@
 	return w
 }
 
-// mayBeNew reports whether the upstream may have started again so lately that no other attempt's runs are known
-// here: no connection proves that it is the listed start.
-func (q *request) mayBeNew(up *fleet.Upstream) bool {
-	if time.Now().UnixNano()-q.e.askFailed.Load() < int64(askRetry) {
+// mustAsk reports whether the request may have ended the upstream under another attempt, of which this front
+// does not know, and the process at the other end of a connection may have started again since.
+func (q *request) mustAsk(conn *upconn.Conn, up *fleet.Upstream) bool {
+	if !q.homed || q.asked || time.Now().UnixNano()-q.e.askFailed.Load() < int64(askRetry) {
 		return false
 	}
-	return !q.e.Pool.HasWanted(up.ID, up.Address, upconn.Wanted{By: q.e.Fleet.View().Settled.Add(-entryLag)})
+	return !q.listedBefore(conn, up)
 }
 
 // recordUnderWay records that a run of a request is about to begin which got no whole good answer before, so that
--- a/internal/front/proxy/restart_test.go
+++ b/internal/front/proxy/restart_test.go
@@ -19,6 +19,7 @@
 	refused int           // connections that they refuse before
 	known   time.Duration // from the end of one until its new start is listed
 	born    int64         // start that is listed at first; 0 for none
+	warm    bool          // the fronts have had connections to all upstreams for long
 }
 
 // playRestarts has a caller send a request that ends each start of an upstream that runs it, and returns how
@@ -49,6 +50,9 @@
 		if prepare != nil {
 			prepare(env)
 		}
+		if r.warm {
+			warmUp(c.fronts)
+		}
 		c.body, c.patience, c.pause = "poison", e.patience, 100*time.Millisecond
 		c.call(t)
 		time.Sleep(5 * time.Second) // for those that end later
@@ -58,6 +62,21 @@
 	return ended
 }
 
+// warmUp has the fronts use connections to all upstreams for some seconds, in which the state is read.
+func warmUp(fronts []*testEnv) {
+	for range 4 {
+		for _, front := range fronts {
+			for id := range front.upstreams {
+				if c, err := front.e.Pool.Get(context.Background(), id, id); err == nil {
+					front.e.Pool.Put(c, time.Minute)
+				}
+			}
+		}
+		time.Sleep(time.Second)
+		fronts[0].changeUpstreams(func(*fleet.Upstream) {})
+	}
+}
+
 // restartCallers are callers of requests that may be repeated.
 func restartCallers() map[string]caller {
 	budget := map[string]string{"Program": "p", "Budget": "9000"}
@@ -84,12 +103,16 @@
 		for way, e := range ways {
 			for _, refused := range []int{0, 1, 3} {
 				for _, known := range []time.Duration{100 * time.Millisecond, time.Second, 1900 * time.Millisecond} {
-					for _, born := range []int64{0, 17} {
-						t.Run(fmt.Sprint(kind, ", ", way, ", refuses ", refused, ", known after ", known, ", born ", born), func(t *testing.T) {
+					for _, warm := range []bool{false, true} {
+						born := int64(0)
+						if warm {
+							born = 17
+						}
+						t.Run(fmt.Sprint(kind, ", ", way, ", refuses ", refused, ", known after ", known, ", older connections ", warm), func(t *testing.T) {
 							is := is.New(t)
 							worst := 0
 							for range 3 { // the choice of upstreams is random
-								worst = max(worst, playRestarts(t, e, c, restarts{refused, known, born}, nil))
+								worst = max(worst, playRestarts(t, e, c, restarts{refused, known, born, warm}, nil))
 							}
 							all++
 							most = max(most, worst)
@@ -126,7 +149,7 @@
 					is := is.New(t)
 					worst := 0
 					for range 2 {
-						worst = max(worst, playRestarts(t, e, c, restarts{0, known, 17}, readsStore))
+						worst = max(worst, playRestarts(t, e, c, restarts{0, known, 17, false}, readsStore))
 					}
 					all++
 					most = max(most, worst)
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -147,6 +147,7 @@
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
 	q.releaseWitness()
+	q.recordUnderWay(ctx)
 	conn, err := q.connect(ctx, &up)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -154,6 +155,13 @@
 		}
 		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
 	}
+	if q.mustAsk(conn, &up) {
+		q.askRecords(ctx)
+	}
+	if !q.seen.MayRun(q.listed) {
+		q.e.Pool.PutBack(conn)
+		return nil, errUpstreamsEnded
+	}
 	if cause := q.startDiffers(ctx, conn, &up); cause != "" {
 		q.e.Pool.PutBack(conn)
 		return nil, &notRunError{up: up, cause: cause}
@@ -162,7 +170,6 @@
 		conn.Close()
 		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
 	}
-	q.recordUnderWay(ctx)
 	q.summary.runs.sent(q.identify(conn, &up), q.e.Pool.Opened())
 	s = &exchange{up: up, conn: conn, began: time.Now(), startKnown: q.startKnown(conn, &up)}
 	if q.onSend != nil {
--- a/internal/front/upconn/lives.go
+++ b/internal/front/upconn/lives.go
@@ -46,7 +46,7 @@
 
 func (p *Pool) since(c *Conn) time.Time {
 	for _, l := range p.lives[process{c.upstreamID, c.address}] {
-		if !c.Opened.Before(l.from) && !c.Opened.After(l.to) {
+		if !c.Opened.Before(l.from) && c.Opened.Before(l.to) {
 			return l.from
 		}
 	}
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -182,14 +182,6 @@
 	return -1
 }
 
-// HasWanted reports whether an idle connection to the upstream is wanted.
-func (p *Pool) HasWanted(id, address string, wanted Wanted) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	i := p.findWanted(p.idle[address], wanted)
-	return i >= 0 && p.idle[address][i].upstreamID == id
-}
-
 // Idle reports whether there is an idle connection to the address.
 func (p *Pool) Idle(address string) bool {
 	p.mu.Lock()
