--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -232,6 +232,23 @@
 	u.conns = nil
 }
 
+// endTogether ends processes that stay down, so that none accepts a connection once another one has closed its own.
+func endTogether(list []*fakeUpstream) {
+	for _, u := range list {
+		u.mu.Lock()
+		u.refuse = true
+		u.mu.Unlock()
+	}
+	for _, u := range list {
+		u.mu.Lock()
+		for _, conn := range u.conns {
+			_ = conn.Close()
+		}
+		u.conns = nil
+		u.mu.Unlock()
+	}
+}
+
 func (u *fakeUpstream) hasEnded() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/front/proxy/later_test.go
+++ b/internal/front/proxy/later_test.go
@@ -156,14 +156,20 @@
 				for i := range 9 {
 					env.upstreams[fmt.Sprint("up", i+1)].onRequest = func() {
 						domain.Do(func() {
+							var down []*fakeUpstream
 							for n := range 4 {
-								env.upstreams[fmt.Sprint("up", (i+n)%9+1)].end()
+								down = append(down, env.upstreams[fmt.Sprint("up", (i+n)%9+1)])
 							}
+							endTogether(down)
 						})
 					}
 				}
 				call := caller{fronts: []*testEnv{env}, path: path, header: map[string]string{"Program": "p", "Budget": "9000"}, body: "in", attempts: 2, sends: 1}
+				log := logTo(env)
 				status, complete := call.call(t)
+				if !complete {
+					t.Log(log.String())
+				}
 				is.Equal(env.ended(), 4)
 				is.True(complete)
 				is.Equal(status, 200)
