--- a/internal/front/failed/failed_test.go
+++ b/internal/front/failed/failed_test.go
@@ -50,3 +50,34 @@
 	is.Equal(len(l.list)+len(l.keys), 0)
 	is.Equal(l.Dropped(), int64(2*maxRuns))
 }
+
+// Guards against a process that has started again and passes for the one that ran the request, since its upstream has the same id.
+func TestFindProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, second := index.Start{ID: "u", Born: 1}, index.Start{ID: "u", Born: -2}
+	cases := map[string]struct {
+		key      uint64
+		upstream string
+		conn     int64 // number of the connection
+		after    time.Duration
+		want     index.Start // zero for none
+	}{
+		"established before the first run": {1, "u", 5, 0, second}, // open since, so both runs were there
+		"between the runs":                 {1, "u", 7, 0, second},
+		"after both":                       {1, "u", 9, 0, index.Start{}},
+		"of another upstream":              {1, "v", 5, 0, index.Start{}},
+		"of another request":               {2, "u", 5, 0, index.Start{}},
+		"long ago":                         {1, "u", 5, Span + time.Second, index.Start{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var l Runs
+			l.Add(Run{Key: 1, Upstream: first, Recorded: first, ConnsBefore: 6, At: now})
+			l.Add(Run{Key: 1, Upstream: first, Recorded: second, ConnsBefore: 8, At: now})
+			got, found := l.Find(now.Add(c.after), c.key, c.upstream, c.conn)
+			is.Equal(got, c.want)
+			is.Equal(found, c.want != index.Start{})
+		})
+	}
+}
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -224,11 +224,15 @@
 }
 
 // IsOpen reports whether a connection over which nothing is under way is still open: the process at its
-// other end goes on.
+// other end goes on. One over which unsolicited bytes came can't be used any more.
 func (c *Conn) IsOpen() bool {
 	if _, isSocket := c.net.(syscall.Conn); isSocket {
 		ok, unsolicited := c.reusable()
-		return ok || unsolicited
+		if !unsolicited {
+			return ok
+		}
+		defer c.Close()
+		return !c.ClosedByPeer()
 	}
 	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // fails like the read if it is closed
 	var p [1]byte
--- a/internal/front/upconn/conn_test.go
+++ b/internal/front/upconn/conn_test.go
@@ -116,6 +116,42 @@
 	is.True(p.Probe(context.Background(), "v", address) != nil)
 }
 
+// Guards against a process that has ended, or goes on, and of which the connections tell the opposite.
+func TestIsOpen(t *testing.T) {
+	cases := map[string]struct {
+		sends, closes bool
+		open          bool
+	}{
+		"silent":           {false, false, true},
+		"sent something":   {true, false, true},
+		"closed":           {false, true, false},
+		"closed behind it": {true, true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, far, _ := connPair(t)
+			if c.sends {
+				_, err := far.Write([]byte("x"))
+				is.NoErr(err)
+			}
+			if c.closes {
+				is.NoErr(far.Close())
+			}
+			for c.sends || c.closes {
+				if ok, _ := conn.reusable(); !ok {
+					break // what was sent takes a moment
+				}
+				runtime.Gosched()
+			}
+			for c.sends && c.closes && !conn.ClosedByPeer() {
+				runtime.Gosched()
+			}
+			is.Equal(conn.IsOpen(), c.open)
+		})
+	}
+}
+
 // Guards against an idle connection over which bytes came that would be read as the response to the next request,
 // and that nobody learns of.
 func TestUnsolicitedBytesAreCounted(t *testing.T) {
