--- a/internal/front/proxy/process.go
+++ b/internal/front/proxy/process.go
@@ -102,6 +102,7 @@
 	if !slices.Contains(starts, listed) {
 		return causeRestarted
 	}
+	// A state that needs no confirmation lists what there is, but for a process that has not written its entry yet.
 	by := q.e.Pool.Since(conn).Add(entryLag)
 	if q.seen.BrokeOffAt(listed) && q.e.Confirm == nil && q.e.Fleet.View().Settled.Before(by) || !q.confirmed(ctx, by) {
 		return causeUnconfirmed
--- a/internal/front/proxy/version_test.go
+++ b/internal/front/proxy/version_test.go
@@ -511,6 +511,7 @@
 					time.Sleep(time.Second)
 					env.changeUpstreams(func(*fleet.Upstream) {})
 				}
+				synctest.Wait() // for what the first attempt records
 				if c.goesOn != nil {
 					c.goesOn(env.rec)
 				}
