proxy, upconn: a further connection that its upstream closed after its idle time proves no end

What callers saw: a request that had failed once, and whose next run took longer than the upstream keeps idle connections, had that upstream counted as ended when the run broke off. An innocent one reaches the bound of three ends with fewer failures.

Cause: the connection that is taken along to tell whether the process goes on carries nothing, so the upstream may close it while the run lasts. That was taken for the end of the process.

Change: closed after its idle time it tells nothing; the upstream is asked by a new connection, as before the bound on processes. The next run there still counts for a further process, as its connection is newer than the run.

Evidence: TestIdleConnectionsThatCloseAreNoEnds fails before (one end recorded, none had occurred) and passes after. The tests of restarts under an id (432 and 192 cases) and all others of the package pass, none changed.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -218,8 +218,8 @@
 }
 
 // upstreamEnded reports whether an upstream, the connection to which broke, has ended: it is no
-// longer listed, has started again, closed other connections too, or accepts none. Otherwise it may have
-// ended and started again unnoticed.
+// longer listed, has started again, closed another connection before its idle time was over, or accepts
+// none. Otherwise it may have ended and started again unnoticed.
 func (q *request) upstreamEnded(ctx context.Context, up *fleet.Upstream) bool {
 	if !q.listed(listedStart(up)) {
 		q.summary.runs.judge(judgedByList)
@@ -231,8 +231,10 @@
 			q.summary.runs.judge(judgedOpen)
 			return false
 		}
-		q.summary.runs.judge(judgedClosed)
-		return true
+		if !q.witness.IdleIsOver(time.Now()) {
+			q.summary.runs.judge(judgedClosed)
+			return true
+		}
 	}
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout) // also if the caller has left
 	defer stop()
--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -336,3 +336,32 @@
 		env.close()
 	})
 }
+
+// Guards against an upstream that passes for ended because it closed an idle connection, as it does after its idle timeout, when a run broke off.
+func TestIdleConnectionsThatCloseAreNoEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv([]string{chunked + event1 + strings.Repeat("PAUSE", 12) + "CLOSE"})
+		defer env.close()
+		u := env.upstreams["up1"]
+		runs := 0
+		u.onRequest = func() {
+			if runs++; runs > 1 { // the first has no further connection
+				time.AfterFunc(time.Second, u.closeNewest)
+			}
+		}
+		header := map[string]string{"Program": "p", "Budget": "9000"}
+		for i := range 2 {
+			header["Id"] = fmt.Sprint("r", i)
+			_, aborted := env.do(t.Context(), "/resume/", header, "in")
+			is.True(aborted)
+		}
+		time.Sleep(time.Second) // until all is recorded
+		broken := 0
+		for _, r := range env.rec.runs.Runs("p", env.key(t, "/resume/", "p", "in"), "") {
+			is.Equal(len(r.Ended), 0)
+			broken += len(r.Broken)
+		}
+		is.True(broken >= 2)
+	})
+}
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -232,6 +232,13 @@
 	u.conns = nil
 }
 
+// closeNewest closes the connection that was accepted last.
+func (u *fakeUpstream) closeNewest() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.conns[len(u.conns)-1].Close()
+}
+
 // endTogether ends processes that stay down, so that none accepts a connection once another one has closed its own.
 func endTogether(list []*fakeUpstream) {
 	for _, u := range list {
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -241,6 +241,18 @@
 	return n > 0 || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// IdleIsOver reports whether the upstream may have closed the connection, over which nothing is under way, since
+// it was idle for too long.
+func (c *Conn) IdleIsOver(now time.Time) bool { return !now.Before(c.idleEnd()) }
+
+// idleEnd returns until when the upstream keeps the connection at least, if nothing is sent over it.
+func (c *Conn) idleEnd() time.Time {
+	if !c.Reused {
+		return c.Opened.Add(defaultIdle - idleMargin)
+	}
+	return c.idleUntil
+}
+
 // ClosedByPeer reports whether the upstream has closed the connection, for example because its
 // process has ended. It discards what the upstream sent before, so only Close may be called after it.
 func (c *Conn) ClosedByPeer() (closed bool) {
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -137,9 +137,7 @@
 
 // PutBack returns a connection that Get returned and over which nothing was sent. Its idle time goes on.
 func (p *Pool) PutBack(c *Conn) {
-	if !c.Reused {
-		c.idleUntil = c.Opened.Add(defaultIdle - idleMargin)
-	}
+	c.idleUntil = c.idleEnd()
 	p.keep(c)
 }
 
