--- a/internal/front/proxy/ended_test.go
+++ b/internal/front/proxy/ended_test.go
@@ -342,11 +342,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		env := newTestEnv([]string{chunked + event1 + strings.Repeat("PAUSE", 12) + "CLOSE"})
-		defer env.close()
 		u := env.upstreams["up1"]
-		runs := 0
+		var runs atomic.Int64
 		u.onRequest = func() {
-			if runs++; runs > 1 { // the first has no further connection
+			if runs.Add(1) > 1 { // the first has no further connection
 				time.AfterFunc(time.Second, u.closeNewest)
 			}
 		}
@@ -356,7 +355,10 @@
 			_, aborted := env.do(t.Context(), "/resume/", header, "in")
 			is.True(aborted)
 		}
+		env.close()
 		time.Sleep(time.Second) // until all is recorded
+		env.rec.mu.Lock()
+		defer env.rec.mu.Unlock()
 		broken := 0
 		for _, r := range env.rec.runs.Runs("p", env.key(t, "/resume/", "p", "in"), "") {
 			is.Equal(len(r.Ended), 0)
