proxy, reach: tests do not poll expired timers of one synctest bubble at one moment

The fake of records polled a timer of no duration with each write; without a delay it takes none now, and returns the context's error if that is done, which was left to chance. No check or bound changed.

--- a/internal/front/proxy/records_env_test.go
+++ b/internal/front/proxy/records_env_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
 type (
@@ -34,10 +35,11 @@
 )
 
 func (r *fakeRecords) Write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
-	select {
-	case <-time.After(r.delay):
-	case <-ctx.Done():
-		return res, ctx.Err()
+	if r.delay > 0 {
+		pause.For(ctx, r.delay)
+	}
+	if err = ctx.Err(); err != nil {
+		return res, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/front/reach/slow_test.go
+++ b/internal/front/reach/slow_test.go
@@ -163,6 +163,7 @@
 		for i := range together {
 			turns.Go(func() {
 				var err error
+				time.Sleep(time.Duration(i) * time.Microsecond) // the race detector ends if expired timers of one bubble are polled at one moment
 				for try := range tries {
 					id := fmt.Sprint("t", i, "-", try)
 					if _, err = b.Write(t.Context(), index.Record{Program: id, Attempt: id, Reserved: true}); err == nil {
