proxy: the line of a request tells on what its knowledge of earlier attempts rests

Cause: a log could not tell an attempt that knew of no earlier runs from one whose question the records did not answer in time, nor whether a run was recorded before the request went on. Change: knows_from and unrecorded in the line, runs_unrecorded in the metrics. No decision changes. Result: the tests of front/proxy pass as before.

--- a/internal/front/proxy/ended.go
+++ b/internal/front/proxy/ended.go
@@ -256,7 +256,13 @@
 // request. The write goes on if ctx ends or takes longer than runsTimeout.
 func (q *request) recordRuns(ctx context.Context) (runs []index.Run, err error) {
 	q.unrecorded = false
-	defer func() { q.unrecorded = q.unrecorded || err != nil }()
+	defer func() {
+		if err != nil {
+			q.unrecorded = true
+			q.summary.unrecorded++
+			q.e.Scope.Counter("runs_unrecorded").Inc(1)
+		}
+	}()
 	rec := q.runsRecord()
 	rec.Run = q.ownRun()
 	type result struct {
@@ -315,9 +321,14 @@
 	res, err := q.e.Records.Write(ctx, rec)
 	if err != nil {
 		q.e.askFailed.Store(time.Now().UnixNano())
+		q.summary.knowsFrom = knowsNothing
 		return quorum.Result{}
 	}
 	q.asked = !res.Incomplete // like records that can't be read, otherwise
+	q.summary.knowsFrom = knowsRecords
+	if res.Incomplete {
+		q.summary.knowsFrom = knowsIncomplete
+	}
 	q.see(res.Runs)
 	return res
 }
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -127,6 +127,7 @@
 		t.replyError(http.StatusPaymentRequired, "budget_spent", nil)
 		return false
 	}
+	t.summary.knowsFrom = knowsRecords
 	t.otherOpen = index.HasOpenAttempt(res.Charges, t.key(), rec.Attempt, res.Runs)
 	t.see(res.Runs)
 	return t.mayRun() && t.findVersion(ctx, res.Runs) && t.findBeginning(res)
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -35,6 +35,11 @@
 	judgedOpen    = "connection_open" // another one of before the run
 	judgedClosed  = "connection_closed"
 
+	// On what the knowledge of a request's earlier attempts rests, as logged.
+	knowsRecords    = "records"
+	knowsIncomplete = "records_incomplete" // they have refused runs lately
+	knowsNothing    = "nothing"            // the records did not answer in time
+
 	// Why a request was sent on after a send, or not, as logged.
 	nextNotRun     = "sent_on: not run"
 	nextResume     = "sent_on: resumed"
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -34,6 +34,8 @@
 
 		endedUpstreams int           // that ended while they ran the request, over all attempts, as known here
 		confined       bool          // to the upstreams that ran it without a whole good answer
+		knowsFrom      string        // on what the knowledge of earlier attempts rests; empty if nobody was asked
+		unrecorded     int           // times that the attempt went on, or ended, before its runs were recorded
 		versionFrom    string        // what the version of a stream that is taken up rests on; empty if none is
 		askTime        time.Duration // that a call waited for the records before its first run; 0 if it did not ask
 		err            error
@@ -87,6 +89,12 @@
 	if s.askTime > 0 {
 		line.Int64("asked_records_us", s.askTime.Microseconds())
 	}
+	if s.knowsFrom != "" {
+		line.Str("knows_from", s.knowsFrom)
+	}
+	if s.unrecorded > 0 {
+		line.Int("unrecorded", s.unrecorded)
+	}
 	if s.versionFrom != "" {
 		line.Str("version_from", s.versionFrom)
 	}
