--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,7 @@
 	"github.com/slaterock/slaterock/internal/conf/accnt"
 	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/index"
+	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/meta"
@@ -68,6 +70,13 @@
 		rec       *fakeRecords
 		upstreams map[string]*fakeUpstream // by address
 		conns     sync.WaitGroup
+		lost      atomic.Bool // the front has lost its power: nobody hears of it any more
+	}
+
+	// frontRecords are the records as one front reaches them.
+	frontRecords struct {
+		*fakeRecords
+		env *testEnv
 	}
 )
 
@@ -314,13 +323,23 @@
 		return near, nil
 	}}
 	e := &Endpoint{
-		Dialect: fakeDialect{}, Records: env.rec, Fleet: f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		Dialect: fakeDialect{}, Records: frontRecords{env.rec, env}, Fleet: f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Refresh: func(context.Context) bool { return true }, Stop: context.Background(), Limiter: &limits.Limiter{},
 	}
 	e.Home.Update(time.Now().Add(-time.Hour), &fleet.View{}, f.View(), nil) // it started long ago
 	return e
 }
 
+// losePower has nobody hear of the front any more.
+func (env *testEnv) losePower() { env.lost.Store(true) }
+
+func (r frontRecords) Write(ctx context.Context, rec index.Record) (quorum.Result, error) {
+	if r.env.lost.Load() {
+		return quorum.Result{}, quorum.ErrNoQuorum
+	}
+	return r.fakeRecords.Write(ctx, rec)
+}
+
 // changeUpstreams has the store list the upstreams as change makes them.
 func (env *testEnv) changeUpstreams(change func(*fleet.Upstream)) {
 	v := env.e.Fleet.View()
