proxy, frontd: a request runs only if somebody has told what its other attempts did

What callers saw: a request under which three upstreams had ended was sent to further ones while the records were away, slow or refused writes: 18 ends at most. Each front lost with a first run added one.

Cause: three sources that did not know of each other (recorded ends, a mapping of requests to three upstream ids, what one front saw) each bounded at three alone, and records that did not answer within 100 or 400 ms passed for ones that know of no runs. A first run left nothing behind, and of several attempts that were lost with their fronts one was counted.

Change: three fronts keep the runs of a request and are told before and after each run; what they and the records know is added up in one tally. A request runs only if two of the three fronts, or the records, have answered what its other attempts did, and know that it is about to run; else it gets 503 runs_unknown, which gives way for the bound: calls and turns without a budget at a front that reaches neither. An attempt that is under way names its front, which is asked what became of it; if it has started again or is silent, the attempt counts as one end, also when several were lost one after another. Like requests that were lost at the same moment count once. The mapping (front/home) is gone.

Why it works: an answer of two of three fronts meets the one that was told before, whichever is missing, and does not depend on a disk. Where too few fronts know, the records have to, and are told before the run.

Tests: TestEndsThatCannotBeRecorded expected two ends of a front that could tell nobody; it has three now where others are told, and one where they are not. TestCallWhoseUpstreamsAreGone and TestInnocentRequestsWhileRunsCannotBeWritten asked for the mapped upstreams only; all requests have to be served now. TestFrontsLostWithLaterRuns takes the front's power, not the records. The fake records try a write again as their client does. ended.MayRunUnrecorded, and its column in TestMayRun, went with the mapping.

--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -300,8 +300,3 @@
 
 // Len returns the number of programs and turns.
 func (ix *Index) Len() (programs, turns int) { return len(ix.programs), len(ix.turns) }
-
-// HasOpenAttempt reports whether there are any OpenAttempts.
-func HasOpenAttempt(charges []Charge, request uint64, attempt string, runs []Run) bool {
-	return len(OpenAttempts(charges, request, attempt, runs)) > 0
-}
--- a/internal/front/ended/ended.go
+++ b/internal/front/ended/ended.go
@@ -24,9 +24,6 @@
 	// MaxUpstreams is the number of upstreams at which a request may run without a whole good answer,
 	// and so the number of those that may end because of it.
 	MaxUpstreams = 3
-	// maxUnrecorded is the number of upstreams that may end for a front that can neither tell others
-	// nor ask them.
-	maxUnrecorded = 2
 	// weightEnded is the weight of an upstream that ended, and weightBroken that of a run that
 	// broke off, which becomes that of an upstream that ended once its start is no longer listed.
 	weightEnded  = 2
@@ -39,7 +36,8 @@
 	ended  []index.Start // sorted
 	broken []index.Start // one for each run
 	tried  []index.Start // sorted
-	open   bool          // the end of another attempt is not known
+	open   bool          // another attempt is under way, or may be
+	lost   int           // attempts that were lost with their fronts, one after another
 }
 
 // Of returns the tally of the runs of a request, one for each attempt.
@@ -101,14 +99,24 @@
 	return t
 }
 
-// WithOpen returns the tally with another attempt of which the end is not known: it is under way, or
-// its front was lost with it. Next to an upstream that ended it counts as one more, however many such
-// attempts there are: callers may send several like requests at a time.
+// WithOpen returns the tally with another attempt of which the end is not known. Next to an upstream that
+// ended it counts as one more, however many such attempts there are: callers may send several like requests
+// at a time.
 func (t Tally) WithOpen(open bool) Tally {
 	t.open = open
 	return t
 }
 
+// WithLost returns the tally with so many attempts that were lost with their fronts, each begun after the one
+// before. Each may have ended an upstream of which nobody can tell.
+func (t Tally) WithLost(n int) Tally {
+	t.lost = n
+	return t
+}
+
+// Lost returns the number of attempts that were lost with their fronts.
+func (t Tally) Lost() int { return t.lost }
+
 // Ended returns the upstreams that ended, sorted. They must not be changed.
 func (t Tally) Ended() []index.Start { return t.ended }
 
@@ -125,7 +133,7 @@
 	for _, s := range slices.Concat(t.ended, t.tried, t.broken) {
 		starts = insert(starts, s)
 	}
-	n := len(starts)
+	n := len(starts) + t.lost
 	if t.open && n > 0 {
 		n++
 	}
@@ -138,11 +146,6 @@
 	return t.weight(listed) < weightEnded*MaxUpstreams
 }
 
-// MayRunUnrecorded is MayRun for the runs of one attempt, at a front that can't reach the records.
-func (t Tally) MayRunUnrecorded(listed func(index.Start) bool) bool {
-	return t.weight(listed) < weightEnded*maxUnrecorded
-}
-
 func (t Tally) weight(listed func(index.Start) bool) int {
 	gone := t.ended // with the other starts that are no longer listed
 	sum := 0
@@ -159,8 +162,8 @@
 			gone = insert(gone, s)
 		}
 	}
-	sum += weightEnded * len(gone)
-	if t.open && len(gone) > 0 {
+	sum += weightEnded * (len(gone) + t.lost)
+	if t.open && len(gone)+t.lost > 0 {
 		sum += weightEnded
 	}
 	return sum
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -31,8 +31,6 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 		defer cancel()
 	}
-	q.homed = q.route.Kind == route.Safe
-	defer q.recordUnrecorded()
 	exclude := map[string]bool{}
 	for {
 		s, err := q.dispatch(ctx, pick.Request{Exclude: exclude}, q.body, meta.Dispatch{})
@@ -194,6 +192,8 @@
 	switch {
 	case errors.Is(err, errUpstreamsEnded):
 		q.replyUpstreamsEnded()
+	case errors.Is(err, errRunsUnknown) && q.summary.ran == ranNo:
+		q.replyUnavailable("runs_unknown", q.retryRecords(), err)
 	case errors.Is(err, errUnknownKey) && q.summary.ran == ranNo:
 		q.replyError(http.StatusUnauthorized, "unknown_key", err)
 	case errors.As(err, &refusal) && q.summary.ran == ranNo:
--- a/internal/front/proxy/outage_test.go
+++ b/internal/front/proxy/outage_test.go
@@ -85,6 +85,64 @@
 	}
 }
 
+// frontTroubles are ways in which other fronts don't tell what other attempts of a request have done.
+func frontTroubles() map[string]func(*testEnv) {
+	byTurns := func(env *testEnv, each time.Duration, do func(i int, front *testEnv)) {
+		fronts := env.fronts()
+		for i := range 60 {
+			time.AfterFunc(time.Duration(i)*each, func() { do(i, fronts[i%len(fronts)]) })
+		}
+	}
+	return map[string]func(*testEnv){
+		"start again by turns": func(env *testEnv) {
+			byTurns(env, 120*time.Millisecond, func(_ int, front *testEnv) { front.forgetRuns() })
+		},
+		"all start again": func(env *testEnv) {
+			byTurns(env, 350*time.Millisecond, func(int, *testEnv) {
+				for _, front := range env.fronts() {
+					front.forgetRuns()
+				}
+			})
+		},
+		"are cut off by turns": func(env *testEnv) {
+			byTurns(env, 130*time.Millisecond, func(i int, front *testEnv) { front.cut.Store(i/len(env.fronts())%2 == 0) })
+		},
+		"are all cut off": func(env *testEnv) {
+			for _, front := range env.fronts() {
+				front.cut.Store(true)
+			}
+		},
+		"are all cut off for a while": func(env *testEnv) {
+			for _, front := range env.fronts() {
+				front.cut.Store(true)
+				time.AfterFunc(300*time.Millisecond, func() { front.cut.Store(false) })
+			}
+		},
+	}
+}
+
+// Guards against fronts that have forgotten what they were told, or don't reach each other, and are taken for ones that know of no runs.
+func TestUpstreamsThatStartAgainWhileFrontsDoNotAnswer(t *testing.T) {
+	records := recordOutages()
+	for _, how := range []string{"take 50 ms", "take 200 ms", "away", "away for the first 0.3 s"} {
+		for trouble, harm := range frontTroubles() {
+			for kind, c := range restartCallers() {
+				var n tallyEnds
+				for way, e := range lateAndEarlyEnds() {
+					t.Run(fmt.Sprint("fronts ", trouble, ", records ", how, ", ", kind, ", ", way), func(t *testing.T) {
+						n.add(t, playRestarts(t, e, c, restarts{0, 1900 * time.Millisecond, 17, false}, func(env *testEnv) {
+							readsStore(env)
+							records[how](env)
+							harm(env)
+						}))
+					})
+				}
+				t.Logf("fronts %s, records %s, %s: %d of %d cases over three ends, %d at most", trouble, how, kind, n.over, n.all, n.most)
+			}
+		}
+	}
+}
+
 // Guards against first runs that nobody counts, since their fronts lost their power with them one after another.
 func TestFrontsLostWithFirstRuns(t *testing.T) {
 	cases := map[string]caller{
--- a/internal/front/proxy/process.go
+++ b/internal/front/proxy/process.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/slaterock/slaterock/internal/conf/route"
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/upconn"
@@ -20,8 +19,6 @@
 const (
 	// entryLag is how long after an upstream accepts connections the store may still list its start of before.
 	entryLag = 2 * time.Second
-	// askRetry is how long calls don't ask the records before their first run after these did not answer.
-	askRetry = time.Second
 )
 
 // process is the process at the other end of a connection to an upstream, as a run there is recorded.
@@ -81,13 +78,6 @@
 	return listedStart(up)
 }
 
-// mayBeAnother reports whether other attempts may have run at another process than the last run of this one,
-// although it would be recorded with the same start: it did not know of them.
-func (q *request) mayBeAnother() bool {
-	r := q.summary.runs.last()
-	return q.homed && !q.asked && r != nil && !r.process.proven
-}
-
 // addsProcess returns why the request may not run at the process at the other end of a connection, empty if
 // it may: it has run at as many processes as may end because of it, and this one may be a further one.
 func (q *request) addsProcess(ctx context.Context, conn *upconn.Conn, up *fleet.Upstream) (cause string) {
@@ -130,36 +120,12 @@
 		if w.UpTo == 0 {
 			w.By = settled.Add(-entryLag)
 		}
-	case confined, q.homed && !q.asked:
+	case confined:
 		w.By = settled.Add(-entryLag)
 	}
 	return w
 }
 
-// mustAsk reports whether the request may have ended the upstream under another attempt, of which this front
-// does not know, and the process at the other end of a connection may have started again since.
-func (q *request) mustAsk(conn *upconn.Conn, up *fleet.Upstream) bool {
-	if !q.homed || q.asked || time.Now().UnixNano()-q.e.askFailed.Load() < int64(askRetry) {
-		return false
-	}
-	return !q.listedBefore(conn, up)
-}
-
-// recordUnderWay records that a run of a request is about to begin which got no whole good answer before, so that
-// other fronts count it if this one is lost with it. The reservation of a turn tells so of its attempt's first run.
-func (q *request) recordUnderWay(ctx context.Context) {
-	reserved := q.route.Kind == route.Stream && q.HasTokenBudget && q.Program != ""
-	if !q.repeats() || !q.seen.HasRuns() || reserved && !q.own.HasRuns() {
-		return
-	}
-	q.under += 1 + q.under%2
-	_, _ = q.recordRuns(ctx) // without it, it is not counted
-	q.unrecorded = true
-}
-
-// runOver notes that the run of recordUnderWay is over. The next record tells.
-func (q *request) runOver() { q.under += q.under % 2 }
-
 // takeWitness takes a further connection to the upstream, over which nothing is sent, if the request got no whole
 // good answer before: it tells afterwards whether the process goes on, and a next run over it is at the same one.
 func (q *request) takeWitness(ctx context.Context, up *fleet.Upstream) (err error) {
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -26,12 +26,12 @@
 	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
-	"github.com/slaterock/slaterock/internal/front/home"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/parts"
 	"github.com/slaterock/slaterock/internal/front/pick"
+	"github.com/slaterock/slaterock/internal/front/runio"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 )
@@ -85,7 +85,7 @@
 		Parts    parts.Table // shared prompt parts that upstreams have cached
 		Failed   failed.Runs // runs that got no whole good answer
 		Memory   memory.Budget
-		Home     home.Table // upstreams that may run a request of which nothing is known
+		Runs     *runio.Exchange // what other fronts know of runs; nil if only the records do
 		Log      zerolog.Logger
 		Scope    tally.Scope
 		Trace    *trace.Trace
@@ -112,7 +112,9 @@
 		active   atomic.Int64
 		lastAt   atomic.Int64 // when the last request began, in Unix nanoseconds
 
-		askFailed atomic.Int64 // when the records last did not answer a query, in Unix nanoseconds
+		recordsLate atomic.Int64 // when the records last took longer than doubtTimeout, in Unix nanoseconds
+		recordsAway atomic.Int64 // when they last did not answer within runsTimeout, likewise
+		runWrites   atomic.Int64 // writes of runs under way
 	}
 
 	// request is one attempt in progress.
@@ -128,27 +130,31 @@
 		account  accnt.Account // of the caller; zero if it has none
 		acquired bool          // a request was taken from the account's limit and no upstream ran it yet
 		// acquiredFirst tells that it was taken for a new program's first turn.
-		acquiredFirst bool
-		programTime   time.Duration // that a new program is given, from its start to its deadline; 0 if not known
-		body          []byte
-		keyHash       uint64 // see key; 0 if not computed yet
-		began         time.Time
-		deadline      time.Time
-		own           ended.Tally     // runs of this attempt
-		seen          ended.Tally     // runs of all attempts, as last read from the records
-		held          int64           // bytes taken from Endpoint.Memory
-		homed         bool            // only the upstreams that Endpoint.Home names may run it
-		homeLost      bool            // one of these accepted no connection
-		asked         bool            // seen has what the records held when this attempt began, or later
-		unrecorded    bool            // the last runs of this attempt are not recorded
-		under         int             // see index.Run
-		otherOpen     bool            // the end of another attempt of the request was not known when this one began
-		onSend        func(*exchange) // called before each send; nil for nothing
-		lastTry       bool            // the present send is the last one that the attempts of the route allow
-		goesOn        bool            // the next send goes on with a stream of which the caller has events
-		witness       *upconn.Conn    // see takeWitness; nil if there is none
-		unconfirmed   bool            // the store could not be read to confirm the start of an upstream
-		summary       summary
+		acquiredFirst   bool
+		programTime     time.Duration // that a new program is given, from its start to its deadline; 0 if not known
+		body            []byte
+		keyHash         uint64 // see key; 0 if not computed yet
+		began           time.Time
+		deadline        time.Time
+		own             ended.Tally           // runs of this attempt
+		seen            ended.Tally           // runs of all attempts, as far as they are known
+		others          map[string]index.Run  // what other fronts and the records state of attempts, by id
+		fates           map[string]runio.Fate // of those that are under way, or were lost with their fronts
+		gone            []index.Start         // upstreams that ran the request before and accept no connections
+		held            int64                 // bytes taken from Endpoint.Memory
+		asked           bool                  // somebody who knows has told what other attempts did
+		recordsAnswered bool                  // the records have
+		announced       bool                  // other fronts were told of a run
+		untold          bool                  // they were not told how the last one ended
+		unrecorded      bool                  // the last runs of this attempt are not recorded
+		under           int                   // see index.Run
+		lostTold        int                   // index.Run.Lost as other fronts were told
+		onSend          func(*exchange)       // called before each send; nil for nothing
+		lastTry         bool                  // the present send is the last one that the attempts of the route allow
+		goesOn          bool                  // the next send goes on with a stream of which the caller has events
+		witness         *upconn.Conn          // see takeWitness; nil if there is none
+		unconfirmed     bool                  // the store could not be read to confirm the start of an upstream
+		summary         summary
 	}
 )
 
@@ -186,6 +192,7 @@
 	defer q.releaseAcquired()
 	defer q.returnMemory()
 	defer q.releaseWitness()
+	defer q.tellOver()
 	if q.accept() {
 		q.serve()
 	}
--- a/internal/front/proxy/records_env_test.go
+++ b/internal/front/proxy/records_env_test.go
@@ -10,6 +10,9 @@
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
+// retryPause is the pause before a fake record is written again.
+const retryPause = 40 * time.Millisecond
+
 type (
 	// fakeRecords keeps records in memory.
 	fakeRecords struct {
@@ -34,7 +37,17 @@
 	}
 )
 
+// Write tries again until ctx ends, like the records' client, if the record is only of runs.
 func (r *fakeRecords) Write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
+	for {
+		res, err = r.write(ctx, rec)
+		if err == nil || rec.Reserved || rec.Settled || rec.Run == nil || !pause.For(ctx, retryPause) {
+			return res, err
+		}
+	}
+}
+
+func (r *fakeRecords) write(ctx context.Context, rec index.Record) (res quorum.Result, err error) {
 	if r.delay > 0 {
 		pause.For(ctx, r.delay)
 	}
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -51,11 +51,15 @@
 		t.replyUnavailable("records_busy", retryRecordsBusy, err)
 		return
 	}
-	after := retryNoQuorum
-	if t.e.OthersServe != nil && t.e.OthersServe() {
-		after = retryElsewhere
+	t.replyUnavailable("records_away", t.retryRecords(), err)
+}
+
+// retryRecords returns the Retry-After time of a request that can't be served without records.
+func (q *request) retryRecords() time.Duration {
+	if q.e.OthersServe != nil && q.e.OthersServe() {
+		return retryElsewhere
 	}
-	t.replyUnavailable("records_away", after, err)
+	return retryNoQuorum
 }
 
 func (t *turn) readHistory(ctx context.Context) error {
@@ -97,13 +101,12 @@
 // has ended: an error response was sent, or the caller has disconnected.
 func (t *turn) reserve(ctx context.Context) bool {
 	if !t.HasTokenBudget || t.Program == "" {
-		t.homed = true
-		res := t.queryRuns(ctx, t.scopedID(t.FirstAttempt), t.takesUp())
+		res := t.queryRuns(ctx, runsTimeout, t.scopedID(t.FirstAttempt), t.takesUp())
 		return t.mayRun() && t.findVersion(ctx, res.Runs) && t.findBeginning(res)
 	}
 	rec := t.newRecord()
 	rec.Reserved, rec.MaxTokens, rec.Budget = true, t.maxTokens(), t.TokenBudget
-	rec.Run, rec.AskParts = &index.Run{Request: t.key()}, t.takesUp()
+	rec.Run, rec.AskParts = &index.Run{Request: t.key(), Front: t.ownRun().Front}, t.takesUp()
 	t.stateVersion(rec.Run)
 	res, err := t.e.Records.Write(ctx, rec)
 	t.reserved = !errors.Is(err, quorum.ErrNotWritten)
@@ -128,8 +131,9 @@
 		return false
 	}
 	t.summary.knowsFrom = knowsRecords
-	t.otherOpen = index.HasOpenAttempt(res.Charges, t.key(), rec.Attempt, res.Runs)
-	t.see(res.Runs)
+	t.asked, t.recordsAnswered = true, true
+	t.see(append(res.Runs, index.OpenAttempts(res.Charges, t.key(), rec.Attempt, res.Runs)...))
+	t.decideFates(ctx)
 	return t.mayRun() && t.findVersion(ctx, res.Runs) && t.findBeginning(res)
 }
 
@@ -187,6 +191,5 @@
 		return errors.Wrap(err, "the turn was not recorded")
 	}
 	t.reserved = false
-	t.recordUnrecorded()
 	return nil
 }
--- a/internal/front/proxy/runs.go
+++ b/internal/front/proxy/runs.go
@@ -36,6 +36,7 @@
 	judgedClosed  = "connection_closed"
 
 	// On what the knowledge of a request's earlier attempts rests, as logged.
+	knowsFronts     = "fronts"
 	knowsRecords    = "records"
 	knowsIncomplete = "records_incomplete" // they have refused runs lately
 	knowsNothing    = "nothing"            // the records did not answer in time
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -91,16 +91,16 @@
 		if err := q.checkKey(); err != nil {
 			return nil, err
 		}
-		view := q.e.Fleet.View()
-		c.Candidates = view.Services[q.service.Name]
-		c.Among, c.Confined = q.confined()
-		up, ok := q.choose(ctx, &c)
+		if err := q.announce(ctx); err != nil {
+			return nil, err
+		}
 		if !q.seen.MayRun(q.listed) {
-			if ok {
-				q.e.done(up.ID)
-			}
 			return nil, errUpstreamsEnded
 		}
+		view := q.e.Fleet.View()
+		c.Candidates = view.Services[q.service.Name]
+		c.Among, c.Confined = q.confined()
+		up, ok := q.e.Picker.Choose(time.Now(), c)
 		if !ok {
 			q.summary.runs.next(nextNoUpstream)
 			return nil, lastErr
@@ -147,7 +147,6 @@
 	ctx, span := q.e.Trace.Start(ctx, trace.Upstream, "", attribute.String("upstream", up.ID))
 	defer func() { span.End(err) }()
 	q.releaseWitness()
-	q.recordUnderWay(ctx)
 	conn, err := q.connect(ctx, &up)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -155,13 +154,6 @@
 		}
 		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
 	}
-	if q.mustAsk(conn, &up) {
-		q.askRecords(ctx)
-	}
-	if !q.seen.MayRun(q.listed) {
-		q.e.Pool.PutBack(conn)
-		return nil, errUpstreamsEnded
-	}
 	if cause := q.startDiffers(ctx, conn, &up); cause != "" {
 		q.e.Pool.PutBack(conn)
 		return nil, &notRunError{up: up, cause: cause}
--- a/internal/front/proxy/summary.go
+++ b/internal/front/proxy/summary.go
@@ -37,7 +37,8 @@
 		knowsFrom      string        // on what the knowledge of earlier attempts rests; empty if nobody was asked
 		unrecorded     int           // times that the attempt went on, or ended, before its runs were recorded
 		versionFrom    string        // what the version of a stream that is taken up rests on; empty if none is
-		askTime        time.Duration // that a call waited for the records before its first run; 0 if it did not ask
+		askTime        time.Duration // that it waited for the records before its first run, since other fronts could not tell all
+		tellTime       time.Duration // that it waited for other fronts, which keep its runs
 		err            error
 		recordsTime    time.Duration // from arrival until the tokens were reserved and the history was read
 		queueReason    string        // why the attempt was queued; empty if it was not
@@ -89,6 +90,12 @@
 	if s.askTime > 0 {
 		line.Int64("asked_records_us", s.askTime.Microseconds())
 	}
+	if s.tellTime > 0 {
+		line.Int64("told_fronts_us", s.tellTime.Microseconds())
+	}
+	if lost := q.seen.Lost(); lost > 0 {
+		line.Int("attempts_lost", lost)
+	}
 	if s.knowsFrom != "" {
 		line.Str("knows_from", s.knowsFrom)
 	}
--- a/internal/front/runio/runio.go
+++ b/internal/front/runio/runio.go
@@ -30,7 +30,7 @@
 	// within a region, and one that is lost is sent again.
 	answerTimeout = 100 * time.Millisecond
 	// firstResend is the pause before a datagram is sent again, doubled each time.
-	firstResend = 15 * time.Millisecond
+	firstResend = 10 * time.Millisecond
 	// settleTimeout bounds how long other fronts are told of an attempt that is over.
 	settleTimeout = time.Second
 	// tellPause is the pause before other fronts are told again of an attempt that is over.
@@ -60,7 +60,7 @@
 		mu        sync.Mutex
 		questions map[uint64]*question
 		lastSeq   uint64
-		silent    map[string]time.Time // fronts that did not answer, by when they were asked
+		silent    map[string]time.Time // addresses of fronts that did not answer, by when they were asked
 	}
 
 	// Answer is what other fronts say of a request.
@@ -107,17 +107,21 @@
 			q.take(reply{Kept: x.Table.Complete(now).Milliseconds(), Runs: x.Table.Runs(now, key)})
 			continue
 		}
-		if !o.HasLeft() && x.Heard(o.Node) {
+		heard := !o.HasLeft() && x.Heard(o.Node)
+		if heard && !x.isSilent(now, o.Address) {
 			q.waitFor(o.Address)
 			continue
 		}
-		q.doubt = true
+		q.doubt = q.doubt || !heard
 		if !o.HasLeft() {
 			q.others = append(q.others, o.Address) // it may answer all the same, and is to know
 		}
 	}
 	q.doubt = q.doubt || len(list) == 0 || !x.AllHeard()
 	x.ask(ctx, &q, packet{Key: key, Run: &run})
+	if !q.decided() {
+		x.noteSilent(now, q.pending)
+	}
 	return q.answer()
 }
 
@@ -184,7 +188,7 @@
 		switch {
 		case a.Front == x.Front():
 			answers[a.Front] = x.Table.Runs(now, key)
-		case a.Front != "" && addressOf(a.Front) != x.Self && !x.isSilent(now, a.Front):
+		case a.Front != "" && addressOf(a.Front) != x.Self && !x.isSilent(now, addressOf(a.Front)):
 			q.waitFor(addressOf(a.Front))
 		}
 	}
@@ -193,31 +197,27 @@
 	for _, r := range q.replies {
 		answers[r.Front] = r.Runs
 	}
-	x.noteSilent(now, attempts, answers)
+	x.noteSilent(now, q.pending)
 	return answers
 }
 
-func (x *Exchange) isSilent(now time.Time, front string) bool {
+func (x *Exchange) isSilent(now time.Time, address string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	at, found := x.silent[front]
+	at, found := x.silent[address]
 	return found && now.Sub(at) <= silentSpan
 }
 
-// noteSilent notes the fronts of attempts that did not answer.
-func (x *Exchange) noteSilent(now time.Time, attempts []index.Run, answers map[string][]index.Run) {
+// noteSilent notes fronts that did not answer when they were asked.
+func (x *Exchange) noteSilent(asked time.Time, addresses []string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	maps.DeleteFunc(x.silent, func(_ string, at time.Time) bool { return now.Sub(at) > silentSpan })
-	for _, a := range attempts {
-		_, answered := answers[a.Front]
-		if _, noted := x.silent[a.Front]; answered || noted {
-			continue
-		}
-		if x.silent == nil {
-			x.silent = map[string]time.Time{}
-		}
-		x.silent[a.Front] = now
+	maps.DeleteFunc(x.silent, func(_ string, at time.Time) bool { return asked.Sub(at) > silentSpan })
+	if x.silent == nil {
+		x.silent = map[string]time.Time{}
+	}
+	for _, address := range addresses {
+		x.silent[address] = asked
 	}
 }
 
@@ -310,6 +310,7 @@
 func (x *Exchange) receiveReply(p packet) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	delete(x.silent, addressOf(p.Reply.Front))
 	q := x.questions[p.Seq]
 	if q == nil || !q.receive(*p.Reply) {
 		return
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -24,6 +24,7 @@
 	"github.com/slaterock/slaterock/internal/front/pick"
 	"github.com/slaterock/slaterock/internal/front/proxy"
 	"github.com/slaterock/slaterock/internal/front/reach"
+	"github.com/slaterock/slaterock/internal/front/runio"
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/node/discov"
 	"github.com/slaterock/slaterock/internal/node/regkey"
@@ -117,6 +118,8 @@
 		limits      limits.Limiter
 		limitPeers  limitPeers
 		packs       packs
+		runs        runio.Exchange
+		ownerCache  atomic.Pointer[ownerList]
 		starting    starting
 		peerCache   atomic.Pointer[peerList]
 		upstreams   label.Label // of upstreams in metrics
@@ -177,9 +180,8 @@
 	d.proxy = proxy.Endpoint{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
 		Refresh: d.refreshConfig, Confirm: d.confirm, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast, OthersServe: d.othersServe,
-		Records: &d.reach, Paces: &d.meshio, Memory: memory.Budget{VM: d.Settings.Memory},
+		Records: &d.reach, Runs: &d.runs, Paces: &d.meshio, Memory: memory.Budget{VM: d.Settings.Memory},
 	}
-	d.fleet.OnUpstreams = d.proxy.Home.Update
 	d.reach.Records = &quorum.Client{
 		Peer:   func(address string) link.Invoker { return d.link.Peer(address) },
 		Roster: d.discov.Roster, Learn: d.discov.Learn, Refresh: d.discov.Rescan, Domain: d.Settings.Domain,
@@ -193,6 +195,7 @@
 	d.meshio.Self = mesh.Peer{Node: d.Settings.Node, Address: d.Settings.Peer, Domain: d.Settings.Domain, Cores: d.Settings.Cores}
 	d.meshio.Received, d.meshio.Updated = d.onPeerState, d.onPeersChanged
 	d.connectParts()
+	d.connectRuns()
 	go func() {
 		if err := d.meshio.Run(ctx); err != nil {
 			d.Log.Error().Err(err).Msg("state exchange with other daemons stopped")
