chaos: the soak's records do not answer at times, or take long

Cause: the soak lost one VM with a disk at a time, so the records answered nearly always, and requests that end their upstreams were never sent on for want of an answer. Change: all VMs with a disk stand still, once for up to 1.5 s or in pulses.

--- a/internal/play/chaos/crash.go
+++ b/internal/play/chaos/crash.go
@@ -33,6 +33,9 @@
 	entryDelay time.Duration // from then until it writes its entry; 0 for before
 }
 
+// hiddenTime bounds how long all VMs with a disk stand still at a time.
+const hiddenTime = 1500 * time.Millisecond
+
 // crashPatience are the times after which a caller leaves.
 var crashPatience = []time.Duration{300 * time.Millisecond, attemptTimeout, attemptTimeout}
 
@@ -130,3 +133,28 @@
 		work.Wait()
 	}
 }
+
+// hideRecords has the records not answer at times, or take long: all VMs with a disk stand still, once or in short
+// pulses.
+func (s *Runner) hideRecords(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(s.Seed, 5))
+	for pause.For(ctx, time.Duration(300+rnd.IntN(1500))*time.Millisecond) {
+		pulses, span := 1, time.Duration(200+rnd.Int64N(int64(hiddenTime/time.Millisecond)-200))*time.Millisecond
+		if rnd.IntN(2) == 0 {
+			pulses = 6
+		}
+		s.note(fmt.Sprintf("all VMs with a disk stand still for %v, %d times", span/time.Duration(pulses), pulses))
+		for range pulses {
+			s.signalDisks(syscall.SIGSTOP)
+			pause.For(ctx, span/time.Duration(pulses))
+			s.signalDisks(syscall.SIGCONT)
+			pause.For(ctx, 20*time.Millisecond)
+		}
+	}
+}
+
+func (s *Runner) signalDisks(sig syscall.Signal) {
+	for _, d := range s.disks {
+		d.signal(sig)
+	}
+}
