proxy, platform: a stream asks an upstream for its start before it relies on the list

What callers saw: a stream that had begun at an upstream which had started again with another software version, and was still listed with the one of before, went on at an upstream of the listed version: events of two versions in one stream (ORDER).

Cause: a state that is newer than a connection counted as proof that it lists the process at the other end. An upstream writes its entry up to two seconds after it accepts connections. Change: before a stream that may go on elsewhere is sent over a connection whose process may be younger than that, the process is asked for its start over the same connection; if it states another one than the list, the stream goes to another upstream. Upstreams that state no start are used as before, and where the list states none nothing is asked.

--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -54,6 +54,7 @@
 		onRequest func()        // called with each request; nil for nothing
 		// respond returns the response in place of responses, and whether the process then ends; nil for neither.
 		respond func(h http.Header) (response string, ends bool)
+		born    int64 // start that it states, in Unix milliseconds; 0 for none
 		conns   []net.Conn
 	}
 
@@ -87,6 +88,9 @@
 	}
 )
 
+// startTarget is where a fake upstream states its start.
+const startTarget = "/start"
+
 // routes is the routing table of a testEnv.
 var routes = []route.Route{
 	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, Attempts: 2, Backends: []route.Backend{{Service: "s"}}},
@@ -143,6 +147,13 @@
 	return meta.ResponseInfo{Request: h.Get("Id"), NotRunHeader: stated, NotRun: stated || status == 421 && !signed, Signed: signed, IdleTime: time.Minute}
 }
 
+func (fakeDialect) StartTarget() string { return startTarget }
+
+func (fakeDialect) Start(body []byte) (born int64, stated bool) {
+	_, err := fmt.Sscan(string(body), &born)
+	return born, err == nil && born > 0
+}
+
 func (fakeDialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Again", d.String()) }
 
 func (u *fakeUpstream) serve(conn net.Conn) {
@@ -157,6 +168,10 @@
 		if err != nil {
 			return
 		}
+		if r.RequestURI == startTarget {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n%20d", u.born)
+			continue
+		}
 		u.mu.Lock()
 		u.received = append(u.received, received{r.Method, r.RequestURI, string(body), r.Header})
 		response := u.responses[min(len(u.received), len(u.responses))-1]
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -60,6 +60,10 @@
 		Return(http.Header) http.Header
 		// ResponseInfo reads the metadata in an upstream's response header.
 		ResponseInfo(status int, h http.Header) meta.ResponseInfo
+		// StartTarget is the path at which an upstream states its start, and Start reads that from
+		// the response, in Unix milliseconds.
+		StartTarget() string
+		Start(body []byte) (born int64, stated bool)
 		// RetryAfter sets the Retry-After time in a caller's response header.
 		RetryAfter(http.Header, time.Duration)
 	}
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -154,7 +154,14 @@
 		}
 		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
 	}
-	if cause := q.startDiffers(ctx, conn, &up); cause != "" {
+	conn, cause, err := q.proveStart(ctx, conn, &up)
+	if err != nil {
+		return nil, &notRunError{up: up, cause: causeUnreachable, err: err}
+	}
+	if cause == "" {
+		cause = q.startDiffers(ctx, conn, &up)
+	}
+	if cause != "" {
 		q.e.Pool.PutBack(conn)
 		return nil, &notRunError{up: up, cause: cause}
 	}
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -188,6 +188,9 @@
 // startKnown reports whether the process at the other end of a connection is the start of the upstream
 // that the state has: the state was settled after that process ran.
 func (q *request) startKnown(conn *upconn.Conn, up *fleet.Upstream) bool {
+	if conn.Start != 0 {
+		return conn.Start == up.Born
+	}
 	return !q.e.Fleet.View().Settled.Before(q.e.Pool.Since(conn)) && q.listed(index.Start{ID: up.ID, Born: up.Born})
 }
 
@@ -236,7 +239,7 @@
 	if cause = q.addsProcess(ctx, conn, up); cause != "" || !q.goesOn {
 		return cause
 	}
-	if !q.confirmed(ctx, q.e.Pool.Since(conn)) {
+	if (conn.Start == 0 || conn.Start != up.Born) && !q.confirmed(ctx, q.e.Pool.Since(conn)) {
 		return causeUnconfirmed
 	}
 	if !q.listed(index.Start{ID: up.ID, Born: up.Born}) {
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -54,6 +54,7 @@
 	Conn struct {
 		Reused bool      // it has carried a request before
 		Opened time.Time // when it was established
+		Start  int64     // of the process at the other end, as it has stated, in Unix milliseconds; 0 if it has not
 		Number int64     // of the connections of its pool, in the order in which they were established, from 1
 
 		net        net.Conn
@@ -170,6 +171,12 @@
 	return n, err
 }
 
+// Reuse prepares the connection for a further request, once the response to the last one was read.
+func (c *Conn) Reuse() {
+	c.Reused = true
+	c.sent.Store(false)
+}
+
 // Interrupt makes reads and writes fail at once, including those in progress.
 func (c *Conn) Interrupt() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
 
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -77,8 +77,7 @@
 			p.unsolicited.Add(1)
 		}
 		if ok && c.upstreamID == id && time.Now().Before(c.idleUntil) {
-			c.Reused = true
-			c.sent.Store(false)
+			c.Reuse()
 			return c, nil
 		}
 		c.Close()
