proxy, runio: attempts that are lost with all fronts that keep their runs count

Cause: a first run is in the memory of three fronts; the records learn of it only if it fails. Change: the record of a stream's version, which is written when it begins, tells that the run is under way and at which front. If all fronts that keep a request's runs have started lately, an unknown attempt counts next to one that is known. Of the attempts of a program's request each counts that was lost; its like requests are one caller's.

--- a/internal/front/proxy/outage_test.go
+++ b/internal/front/proxy/outage_test.go
@@ -143,60 +143,91 @@
 	}
 }
 
+// playLostFronts has a request end each upstream that runs it while so many fronts are lost one after another, each with its first run, and then some more attempts at others.
+func playLostFronts(t *testing.T, c caller, lost int, restart, all bool) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv(slices.Repeat([][]string{{ok}}, 8)...)
+		fronts := []*testEnv{env}
+		for range lost + 3 {
+			fronts = append(fronts, env.another())
+		}
+		var ends atomic.Int64
+		for _, u := range env.upstreams {
+			u.endsOn, u.endsAfter = "poison", chunked+event1
+			u.ended = func() { ends.Add(1) }
+			if restart {
+				u.restart = func() {}
+			}
+		}
+		for i := range lost {
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			for _, u := range env.upstreams {
+				u.onRequest = func() {
+					fronts[i].losePower()
+					leave()
+				}
+			}
+			header := map[string]string{"Id": fmt.Sprint("lost", i)}
+			for k, v := range c.header {
+				header[k] = v
+			}
+			fronts[i].do(ctx, c.path, header, "poison")
+			time.Sleep(100 * time.Millisecond)
+			for _, front := range fronts {
+				if all {
+					front.forgetRuns()
+				}
+			}
+		}
+		for _, u := range env.upstreams {
+			u.onRequest = nil
+		}
+		c.fronts, c.body, c.attempts, c.sends, c.pause = fronts[lost:], "poison", 4, 1, 100*time.Millisecond
+		c.call(t)
+		time.Sleep(settleTimeout)
+		closeAll(fronts)
+		is.True(ends.Load() <= 3)
+	})
+}
+
 // Guards against first runs that nobody counts, since their fronts lost their power with them one after another.
 func TestFrontsLostWithFirstRuns(t *testing.T) {
-	cases := map[string]caller{
-		"call":            {path: "/safe/"},
-		"turn":            {path: "/resume/", header: map[string]string{"Program": "p", "Budget": "9000"}},
-		"turn, no budget": {path: "/resume/", header: map[string]string{"Program": "p"}},
-		"stored turn":     {path: "/keep/", header: map[string]string{"Program": "p", "Budget": "9000"}},
+	budget := map[string]string{"Program": "p", "Budget": "9000"}
+	cases := map[string]struct {
+		caller
+
+		all bool // with each of them all others start again
+	}{
+		"call":                         {caller{path: "/safe/"}, false},
+		"turn":                         {caller{path: "/resume/", header: budget}, false},
+		"turn, no budget":              {caller{path: "/resume/", header: map[string]string{"Program": "p"}}, false},
+		"stored turn":                  {caller{path: "/keep/", header: budget}, false},
+		"turn, all fronts lost":        {caller{path: "/resume/", header: budget}, true},
+		"stored turn, all fronts lost": {caller{path: "/keep/", header: budget}, true},
 	}
 	for name, c := range cases {
 		for _, restart := range []bool{false, true} {
 			for lost := 1; lost <= 3; lost++ {
 				t.Run(fmt.Sprint(name, ", starts again ", restart, ", fronts lost ", lost), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						is := is.New(t)
-						env := newTestEnv(slices.Repeat([][]string{{ok}}, 8)...)
-						fronts := []*testEnv{env}
-						for range lost + 3 {
-							fronts = append(fronts, env.another())
-						}
-						var ends atomic.Int64
-						for _, u := range env.upstreams {
-							u.endsOn, u.endsAfter = "poison", chunked+event1
-							u.ended = func() { ends.Add(1) }
-							if restart {
-								u.restart = func() {}
-							}
-						}
-						for i := range lost {
-							ctx, leave := context.WithCancel(t.Context())
-							defer leave()
-							for _, u := range env.upstreams {
-								u.onRequest = func() {
-									fronts[i].losePower()
-									leave()
-								}
-							}
-							header := map[string]string{"Id": fmt.Sprint("lost", i)}
-							for k, v := range c.header {
-								header[k] = v
-							}
-							fronts[i].do(ctx, c.path, header, "poison")
-							time.Sleep(100 * time.Millisecond)
-						}
-						for _, u := range env.upstreams {
-							u.onRequest = nil
-						}
-						c.fronts, c.body, c.attempts, c.sends, c.pause = fronts[lost:], "poison", 4, 1, 100*time.Millisecond
-						c.call(t)
-						time.Sleep(settleTimeout)
-						closeAll(fronts)
-						is.True(ends.Load() <= 3)
-					})
+					playLostFronts(t, c.caller, lost, restart, c.all)
 				})
 			}
 		}
 	}
 }
+
+// Guards against the same where all fronts that keep the runs are lost with each of them, and nothing is durable before a first run.
+func TestAllFrontsLostWithFirstRuns(t *testing.T) {
+	cases := map[string]caller{
+		"call":            {path: "/safe/"},
+		"turn, no budget": {path: "/resume/", header: map[string]string{"Program": "p"}},
+	}
+	for name, c := range cases {
+		for lost := 1; lost <= 3; lost++ {
+			t.Run(fmt.Sprint(name, ", times ", lost), func(t *testing.T) { playLostFronts(t, c, lost, false, true) })
+		}
+	}
+}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -148,6 +148,7 @@
 		held            int64                 // bytes taken from Endpoint.Memory
 		asked           bool                  // somebody who knows has told what other attempts did
 		recordsAnswered bool                  // the records have
+		forgotten       bool                  // a first run may have been lost with all fronts that kept it
 		announced       bool                  // other fronts were told of a run
 		untold          bool                  // they were not told how the last one ended
 		unrecorded      bool                  // the last runs of this attempt are not recorded
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -100,7 +100,7 @@
 // so that a crash cannot make a program exceed its budget. It returns false if the request
 // has ended: an error response was sent, or the caller has disconnected.
 func (t *turn) reserve(ctx context.Context) bool {
-	if !t.HasTokenBudget || t.Program == "" {
+	if !t.isBudgeted() {
 		res := t.queryRuns(ctx, runsTimeout, t.scopedID(t.FirstAttempt), t.takesUp())
 		return t.mayRun() && t.findVersion(ctx, res.Runs) && t.findBeginning(res)
 	}
--- a/internal/front/proxy/share.go
+++ b/internal/front/proxy/share.go
@@ -46,6 +46,9 @@
 	if answer.Complete {
 		q.asked, q.summary.knowsFrom = true, knowsFronts
 	}
+	if q.forgotten = answer.Forgotten && !q.isBudgeted(); q.forgotten {
+		q.tally()
+	}
 	q.askRecords(ctx, answer)
 	if !q.asked {
 		return q.stopUnknown()
@@ -106,9 +109,12 @@
 // isReserved reports whether the records know that the run which is about to begin may run: it is the first one of a
 // turn's attempt, of which the reservation tells.
 func (q *request) isReserved() bool {
-	return q.route.Kind == route.Stream && q.HasTokenBudget && q.Program != "" && !q.own.HasRuns()
+	return q.route.Kind == route.Stream && q.isBudgeted() && !q.own.HasRuns()
 }
 
+// isBudgeted reports whether the tokens of the request, if it is a turn, are reserved in its program's budget.
+func (q *request) isBudgeted() bool { return q.HasTokenBudget && q.Program != "" }
+
 // tellFronts tells other fronts what is known of this attempt, and takes over what they know of others.
 func (q *request) tellFronts(ctx context.Context) (answer runio.Answer) {
 	if q.e.Runs == nil {
@@ -167,7 +173,7 @@
 	mine := *q.ownRun()
 	mine.Attempt = q.scopedID(q.ID)
 	all := make([]index.Run, 0, len(q.others)+1)
-	open, lost := false, 0
+	open, lost, lostInAll := q.forgotten, 0, 0
 	for attempt, r := range q.others {
 		if attempt == mine.Attempt {
 			mine = index.MergeRuns(r, mine)
@@ -186,8 +192,12 @@
 			open = true
 		case fate == runio.Lost && !old:
 			lost = max(lost, r.Lost+1)
+			lostInAll++
 		}
 	}
+	if q.Program != "" {
+		lost = max(lost, lostInAll) // its like requests are attempts of one caller, one after another
+	}
 	q.seen = ended.Of(append(all, mine)).WithOpen(open).WithLost(lost)
 	for _, s := range q.gone {
 		q.seen = q.seen.With(s)
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -119,6 +119,9 @@
 	v.choices++
 	v.recorded = s
 	rec := t.runsRecord()
+	if !t.isBudgeted() { // otherwise the reservation tells
+		rec.Run = t.ownRun()
+	}
 	rec.Run.Version, rec.Run.Choice, rec.Run.Began = s.version, v.choices, s.began
 	written = make(chan error, 1)
 	go func() {
--- a/internal/front/runio/question.go
+++ b/internal/front/runio/question.go
@@ -62,7 +62,7 @@
 
 func (q *question) answer() Answer {
 	return Answer{
-		Runs: slices.Collect(maps.Values(q.runs)), Doubt: q.doubt,
+		Runs: slices.Collect(maps.Values(q.runs)), Doubt: q.doubt, Forgotten: q.took > 0 && q.know == 0,
 		Complete: q.need > 0 && q.know >= q.need, Told: q.need > 0 && q.took >= q.need,
 	}
 }
--- a/internal/front/runio/runio.go
+++ b/internal/front/runio/runio.go
@@ -70,6 +70,8 @@
 		Complete bool
 		// Told reports that as many fronts know of this attempt now as have to, also if they know of no other.
 		Told bool
+		// Forgotten reports that none of the fronts which answered knows: all have started lately.
+		Forgotten bool
 		// Doubt reports that some front is not heard of: it may have runs of which the others don't know.
 		Doubt bool
 	}
