--- a/internal/front/proxy/start.go
+++ b/internal/front/proxy/start.go
@@ -59,7 +59,7 @@
 		return 0, false, err
 	}
 	for range maxForeign {
-		resp, err := conn.Receive(http.MethodGet)
+		resp, err := conn.Receive(http.MethodGet) //nolint:bodyclose // ends with its connection
 		if err != nil {
 			return 0, false, err
 		}
