proxy: a run is recorded before it begins while all fronts that keep it have started lately

What callers saw: in a test, a safe call whose fronts were all lost with it twice in a row ended four upstreams, and five after three times.

Cause: a run that is under way is in the memory of three fronts only. Change: while these have forgotten, the records are told before the run. Why it works: of losses in a row only the first is unknown, and that one counts next to a known end.

--- a/internal/front/proxy/share.go
+++ b/internal/front/proxy/share.go
@@ -57,7 +57,13 @@
 	if q.seen.Lost() > q.lostTold {
 		answer = q.tellFronts(ctx) // if this front is lost, too, the next one counts on from here
 	}
-	if answer.Told || q.isReserved() {
+	if q.isReserved() {
+		return nil
+	}
+	if answer.Told {
+		if q.forgotten {
+			_ = q.awaitRuns(ctx, q.writeRuns(), doubtTimeout) // these fronts may be lost together once more
+		}
 		return nil
 	}
 	if err := q.awaitRuns(ctx, q.writeRuns(), runsTimeout); err != nil {
