runio: an answer to a question of an earlier start does not count

Questions are numbered from 1 at each start, so an answer that came late could be counted for another request, whose runs it does not have. It names the request now, which has to be the question's. Measured: TestAnswersToOtherQuestions fails without it.

--- a/internal/front/runio/question.go
+++ b/internal/front/runio/question.go
@@ -10,6 +10,7 @@
 
 // question is one question to some fronts.
 type question struct {
+	key     uint64   // of the request
 	need    int      // fronts that have to answer
 	pending []string // addresses of those that are waited for
 	others  []string // of those that are not, but may answer
--- a/internal/front/runio/runio.go
+++ b/internal/front/runio/runio.go
@@ -103,7 +103,7 @@
 	now := time.Now()
 	x.Table.Add(now, key, run)
 	list := x.owners.Of(now, x.Listed(), key)
-	q := question{need: len(list)/2 + 1, resend: firstResend}
+	q := question{key: key, need: len(list)/2 + 1, resend: firstResend}
 	for _, o := range list {
 		if o.Address == x.Self {
 			q.take(reply{Kept: x.Table.Complete(now).Milliseconds(), Runs: x.Table.Runs(now, key)})
@@ -185,7 +185,7 @@
 func (x *Exchange) askFronts(ctx context.Context, key uint64, attempts []index.Run) map[string][]index.Run {
 	now := time.Now()
 	answers := map[string][]index.Run{}
-	q := question{resend: firstResend}
+	q := question{key: key, resend: firstResend}
 	for _, a := range attempts {
 		switch {
 		case a.Front == x.Front():
@@ -314,8 +314,8 @@
 	defer x.mu.Unlock()
 	delete(x.silent, addressOf(p.Reply.Front))
 	q := x.questions[p.Seq]
-	if q == nil || !q.receive(*p.Reply) {
-		return
+	if q == nil || q.key != p.Key || !q.receive(*p.Reply) {
+		return // late, or to a question of an earlier start of this front
 	}
 	select {
 	case q.changed <- struct{}{}:
--- a/internal/front/runio/runio_test.go
+++ b/internal/front/runio/runio_test.go
@@ -266,6 +266,29 @@
 	})
 }
 
+// Guards against an answer to a question of an earlier start of a front that is counted for another request.
+func TestAnswersToOtherQuestions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := newNetwork(6)
+		keep, other := net.owners()
+		for _, x := range keep {
+			net.down[x.Self] = true
+		}
+		go func() {
+			time.Sleep(time.Millisecond)
+			for _, x := range keep {
+				late, err := encode(packet{Seq: 1, Key: key + 1, Reply: &reply{Front: x.Front(), Kept: time.Hour.Milliseconds()}})
+				is.NoErr(err)
+				other.Receive(time.Now(), late)
+			}
+		}()
+		got := other.Tell(t.Context(), key, attempt(other, "a", 1))
+		is.True(!got.Complete)
+		is.True(!got.Told)
+	})
+}
+
 // Guards against a datagram that ends the process, or is answered although it is none of ours.
 func FuzzReceive(f *testing.F) {
 	run := index.Run{Attempt: "a", Request: key, Under: 1, Front: "f0/1", Ended: []index.Start{{ID: "up1", Born: -5}}}
