--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -74,6 +74,14 @@
 		Read(ctx context.Context, program, turn string) ([]index.Turn, error)
 	}
 
+	// Runs tells other fronts of runs, and asks them for others; see runio.Exchange.
+	Runs interface {
+		Front() string
+		Tell(ctx context.Context, key uint64, run index.Run) runio.Answer
+		Over(ctx context.Context, key uint64, run index.Run)
+		Fates(ctx context.Context, key uint64, attempts []index.Run) (map[string]runio.Fate, []index.Run)
+	}
+
 	// Endpoint is the HTTP handler for callers' requests. Set the exported fields before
 	// use.
 	Endpoint struct {
@@ -89,7 +97,7 @@
 		Parts    parts.Table // shared prompt parts that upstreams have cached
 		Failed   failed.Runs // runs that got no whole good answer
 		Memory   memory.Budget
-		Runs     *runio.Exchange // what other fronts know of runs; nil if only the records do
+		Runs     Runs // what other fronts know of runs; nil if only the records do
 		Log      zerolog.Logger
 		Scope    tally.Scope
 		Trace    *trace.Trace
