cmd: tests of clients that misbehave, red

Callers that keep to the limits of the configuration, and callers that do not at listeners without such limits, have a process take more memory or descriptors than its VM has. No time and no share is checked.

The crowds and bounds are fixed here. The daemon's test will set the memory of its VM once there is a setting for it.

--- a/cmd/slaterock/process_test.go
+++ b/cmd/slaterock/process_test.go
@@ -47,6 +47,7 @@
 		procs           []*exec.Cmd
 		dataDirs        []string // data folders, one for each of the first daemons
 		extra           string   // appended to the configuration
+		bounds          string   // the section [bounds] of each daemon's settings
 		records         [daemons]string
 	}
 )
@@ -68,10 +69,17 @@
 // startSystem starts a system with extra appended to its configuration. The first daemons get
 // one data folder each.
 func startSystem(t testing.TB, extra string, dataDirs ...string) *system {
+	t.Helper()
+	return (&system{t: t, dataDirs: dataDirs, extra: extra}).run()
+}
+
+// run starts the system.
+func (s *system) run() *system {
+	t := s.t
 	t.Helper()
 	ctx, stop := context.WithTimeout(t.Context(), 2*time.Minute)
 	t.Cleanup(stop)
-	s := &system{t: t, ctx: ctx, addresses: map[string]string{}, dataDirs: dataDirs, extra: extra}
+	s.ctx, s.addresses = ctx, map[string]string{}
 	s.startPlatform()
 	for i := range daemons {
 		s.callerAddresses = append(s.callerAddresses, address(i, callerPort))
@@ -158,7 +166,8 @@
 listen = %s
 seeds = %s
 peer_key = a-key-for-this-test-alone
-`, i, folder, i, s.callerAddresses[i], testKey, s.addresses["store"], s.addresses["vms"], s.peerAddresses[i], strings.Join(s.peerAddresses, ", "))
+
+%s`, i, folder, i, s.callerAddresses[i], testKey, s.addresses["store"], s.addresses["vms"], s.peerAddresses[i], strings.Join(s.peerAddresses, ", "), s.bounds)
 	path := filepath.Join(s.t.TempDir(), fmt.Sprintf("d%d.ini", i))
 	is.New(s.t).NoErr(os.WriteFile(path, []byte(text), 0o600))
 	s.records[i] = filepath.Join(s.t.TempDir(), "record.jsonl")
--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,7 @@
 const (
 	crashDelay   = 150 * time.Millisecond
 	crashSilence = 2 * time.Second
+	maxMore      = 8 << 20 // bytes by which a query may make a plain body longer
 	noAnswer     = "\x16\x03\x01 no response\r\n\r\n"
 )
 
@@ -213,7 +215,7 @@
 }
 
 // respond sends the number of events that the query asks for, or a plain text
-// body if that is 0.
+// body if that is 0, with as many more bytes as the query asks for.
 func (u *Upstream) respond(w http.ResponseWriter, r *http.Request, id string, version any, broken bool) {
 	events, _ := strconv.Atoi(r.URL.Query().Get("events")) // 0 for a plain call
 	if events == 0 {
@@ -224,7 +226,8 @@
 			w.Header().Set("Content-Length", "100")
 		}
 		w.Header().Set("Content-Type", "text/plain")
-		_, _ = io.WriteString(w, "answer to "+id) //nolint:gosec // plain text for the caller of a fake
+		more, _ := strconv.Atoi(r.URL.Query().Get("bytes"))                               // 0 for none
+		_, _ = io.WriteString(w, "answer to "+id+strings.Repeat(" ", min(more, maxMore))) //nolint:gosec // plain text for the caller of a fake
 		return
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 is the start
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -1,6 +1,7 @@
 package chaos
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -12,6 +13,12 @@
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
 
+// Defaults of Runner.
+const (
+	defaultMemoryMB    = 200
+	defaultDescriptors = 4096
+)
+
 // versions are those of the upstreams' software.
 var versions = []string{"v1", "v2"}
 
@@ -140,13 +147,13 @@
 seeds: ["%s:%d", "%s:%d", "%s:%d"]
 bootstrap: true
 loss-counts: %v
-limits: {cpu-share: 1, cores: 1, memory-mb: 200, disk-mb: 300}
+limits: {cpu-share: 1, cores: 1, memory-mb: %d, max-fds: %d, disk-mb: 300}
 data-dir: %s
 heartbeat-ms: 1000
 fault-tolerance: {machines: 1, zones: 0, regions: 0}
 bounds: {drain-ms: 2000, grace-s: 8, ttl_max_s: 5}
 platform: {address: %q, writes-per-s: 400, reads-per-s: 2000, value-bytes: 1048576, ttl-min-ms: 1000}
-`, name, role, ip, i%3, listen, peerPort, peerPort+15, s.ip(2, 0), basePort+3, s.ip(2, 1), basePort+3, s.ip(2, 2), basePort+3, role == "storage", dir, p.Address)
+`, name, role, ip, i%3, listen, peerPort, peerPort+15, s.ip(2, 0), basePort+3, s.ip(2, 1), basePort+3, s.ip(2, 2), basePort+3, role == "storage", cmp.Or(s.MemoryMB, defaultMemoryMB), cmp.Or(s.Descriptors, defaultDescriptors), dir, p.Address)
 	if err := os.WriteFile(c.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -60,6 +60,8 @@
 		Disks       int
 		Upstreams   int
 		Callers     int
+		MemoryMB    int  // of each VM; 0 for 200
+		Descriptors int  // that a process on a VM may have; 0 for 4096
 		NoFaults    bool // inject no faults
 		StoreOutage bool // one fault only: all processes are restarted while the store is unavailable
 		Dir         string
