front: what clients have a front hold is counted before it is held

Callers saw a front end, killed for memory, or accept no connection, beside a few dozen clients that kept to the limits of the configuration.

Cause: nothing counted what a client makes a front hold. Bodies were read whole into growing buffers before anything was checked, and copied once more to be sent; a body that stopped had no time limit; parsed heads take some twenty times their bytes; connections were bounded by nothing.

One budget (front/memory) now bounds connections, bytes of short requests, of long bodies and of long responses, by the VM's memory and descriptors. front/conns takes from it as bytes arrive: a head before it is parsed, a body by its length before its buffer is made. All is returned when the connection is idle or closed. Who holds most and has moved least for longest gives way; a request that runs never does. A body that has to stop is told 503, one that is not whole in its request's time 408; both are checked before the request can run. A long body is no longer copied to be sent, and a response of known length is read into a buffer of that length. The Go runtime is told how much memory there is.

It works since what is live stays below the sum of the parts, and the collector starts before garbage fills the rest. Ruled out: a bound on connections alone, or caps below the configuration's limits (docs/design/clients.md).

What ordinary requests pay is not measured yet.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -15,12 +16,15 @@
 	"github.com/spf13/cobra"
 
 	"github.com/slaterock/slaterock/internal/front/bucket"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/node/diskd"
 	"github.com/slaterock/slaterock/internal/node/frontd"
 	"github.com/slaterock/slaterock/internal/obs/crash"
 	"github.com/slaterock/slaterock/internal/obs/logbuf"
 	"github.com/slaterock/slaterock/internal/obs/metric"
+	"github.com/slaterock/slaterock/internal/obs/sheds"
 	"github.com/slaterock/slaterock/internal/obs/trace"
+	"github.com/slaterock/slaterock/internal/peer/pause"
 	"github.com/slaterock/slaterock/platform"
 )
 
@@ -28,6 +32,15 @@
 // port for /metrics.
 const metricsPort = 9464
 
+const (
+	// otherMemory, in bytes, or the part otherShare of the VM's memory if that is more, is left for the program itself and
+	// for what the kernel holds for it; the Go runtime gets the rest, at least the part leastHeapShare.
+	otherMemory    = 36 << 20
+	otherShare     = 4
+	leastHeapShare = 2
+	reportInterval = time.Second // between two updates of the gauges of what clients hold
+)
+
 // traceEndpointEnv is the environment variable with the address of a trace collector. It may be
 // unset.
 const traceEndpointEnv = "SLATEROCK_TRACE_ENDPOINT"
@@ -62,7 +75,8 @@
 	store    *platform.Store
 	log      zerolog.Logger
 	metric   *metric.Metric
-	stop     chan struct{} // closed at SIGTERM or an interrupt
+	clients  *memory.Budget // what clients may have the process hold
+	stop     chan struct{}  // closed at SIGTERM or an interrupt
 }
 
 // runOnPlatform runs one process with log, metrics and signal handling.
@@ -78,6 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go p.watchSignals(ctx)
+	p.boundMemory(ctx)
 	srv := &http.Server{Addr: fmt.Sprintf("%s:%d", s.IP, metricsPort), Handler: p.metric.Handler(), ReadHeaderTimeout: time.Second}
 	go func() {
 		if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -90,6 +105,21 @@
 	return err
 }
 
+// boundMemory has clients hold only what the VM has room for, and the runtime collect garbage before the VM has none.
+func (p *process) boundMemory(ctx context.Context) {
+	vm := int64(p.settings.MemoryMB) << 20
+	if vm > 0 {
+		debug.SetMemoryLimit(max(vm-max(vm/otherShare, otherMemory), vm/leastHeapShare))
+	}
+	lost := &sheds.Sheds{Log: p.log, Scope: p.metric.Scope()}
+	p.clients = &memory.Budget{VM: vm, Descriptors: int64(p.settings.Descriptors), OnShed: lost.Note}
+	go func() {
+		for pause.For(ctx, reportInterval) {
+			lost.Report(p.clients)
+		}
+	}()
+}
+
 // watchSignals closes stop at SIGTERM or an interrupt, and reads the settings file again at
 // SIGHUP, which only checks it: the settings in use, such as addresses and folders, stay those
 // read at the start.
@@ -136,11 +166,11 @@
 	}()
 	d := &frontd.Daemon{
 		Settings: frontd.Settings{
-			Node: s.Node, Domain: s.Domain, Cores: s.Cores, Memory: int64(s.MemoryMB) << 20, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
+			Node: s.Node, Domain: s.Domain, Cores: s.Cores, Callers: s.Callers, Ready: s.Ready, Directory: s.Directory,
 			Peer: p.peerAddress(), Seeds: s.Seeds, Grace: s.Grace, AnswerTTL: s.AnswerTTL, Tolerance: bucket.Tolerance(s.Limits),
 		},
 		Store: p.store, Source: &platform.Source{Store: p.store}, Dialect: platform.Dialect{}, Endpoints: platform.Endpoints{},
-		Log: p.log, Scope: p.metric.Scope(), Trace: t,
+		Log: p.log, Scope: p.metric.Scope(), Trace: t, Clients: p.clients,
 	}
 	return d.Run(ctx, p.stop)
 }
--- a/cmd/slaterock/misuse_test.go
+++ b/cmd/slaterock/misuse_test.go
@@ -105,7 +105,7 @@
 				Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: &out,
 			}
 			sum, err := m.Run(t.Context())
-			t.Logf("%d MB, %d descriptors, %s", sum.Memory>>20, sum.Descriptors, sum.Crowd)
+			t.Logf("%d MB (%d unread), %d descriptors, %s", sum.Memory>>20, sum.Unread>>20, sum.Descriptors, sum.Crowd)
 			is.NoErr(err)
 		})
 	}
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -111,6 +111,7 @@
 	q.returnMemory() // of a response before
 	size := resp.ContentLength
 	if size <= memory.Short {
+		q.conn.Force(shortSize(size))
 		short, err := io.ReadAll(io.LimitReader(resp.Body, memory.Short))
 		if err != nil || len(short) < memory.Short {
 			return short, err
@@ -129,11 +130,20 @@
 	if err := q.takeMemory(ctx, size); err != nil {
 		return nil, err
 	}
-	return upconn.ReadAll(resp.Body, maxResponse)
+	return upconn.ReadAll(resp.Body, size, maxResponse)
+}
+
+// shortSize returns the most that a short response of the stated length takes, in bytes; the length is negative if it
+// is not stated.
+func shortSize(stated int64) int64 {
+	if stated < 0 {
+		return memory.Short
+	}
+	return stated
 }
 
 func (q *request) takeMemory(ctx context.Context, n int64) error {
-	if err := q.e.Memory.Take(ctx, n); err != nil {
+	if err := q.conn.TakeResponse(ctx, n); err != nil {
 		return err
 	}
 	q.held += n
@@ -142,7 +152,7 @@
 
 func (q *request) returnMemory() {
 	if q.held > 0 {
-		q.e.Memory.Return(q.held)
+		q.conn.GiveResponse(q.held)
 		q.held = 0
 	}
 }
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -25,6 +25,7 @@
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/limits"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/meta"
 	"github.com/slaterock/slaterock/internal/front/owners"
 	"github.com/slaterock/slaterock/internal/front/pick"
@@ -344,6 +345,7 @@
 		return near, nil
 	}}
 	e := &Endpoint{
+		Memory:  &memory.Budget{},
 		Dialect: fakeDialect{}, Records: frontRecords{env.rec, env}, Fleet: f, Pool: pool, Picker: &pick.Picker{}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Refresh: func(context.Context) bool { return true }, Limiter: &limits.Limiter{},
 	}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/admit"
+	"github.com/slaterock/slaterock/internal/front/conns"
 	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
@@ -96,7 +97,7 @@
 		Limiter  *limits.Limiter
 		Parts    parts.Table // shared prompt parts that upstreams have cached
 		Failed   failed.Runs // runs that got no whole good answer
-		Memory   memory.Budget
+		Memory   *memory.Budget
 		Runs     Runs // what other fronts know of runs; nil if only the records do
 		Log      zerolog.Logger
 		Scope    tally.Scope
@@ -133,6 +134,7 @@
 	request struct {
 		meta.Attempt
 		e        *Endpoint
+		conn     *conns.Conn // of the caller
 		w        http.ResponseWriter
 		r        *http.Request
 		view     *fleet.View
@@ -197,8 +199,10 @@
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	conn, done := conns.Of(r.Context(), e.Memory)
+	defer done()
 	ctx, span := e.Trace.Start(r.Context(), trace.Edge, "")
-	q := &request{e: e, w: w, r: r.WithContext(ctx), began: time.Now()}
+	q := &request{e: e, conn: conn, w: w, r: r.WithContext(ctx), began: time.Now()}
 	q.summary.ran = ranNo
 	defer q.report(span)
 	defer q.noteFailed()
@@ -206,7 +210,9 @@
 	defer q.returnMemory()
 	defer q.releaseWitness()
 	defer q.tellOver()
-	if q.accept() {
+	if !q.conn.Begin(r) {
+		q.replyUnavailable("no_room", retryNoRoom, nil)
+	} else if q.accept() {
 		q.serve()
 	}
 	if q.summary.status == 0 {
@@ -290,20 +296,24 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	defer cancel()
 	var err error
-	if q.r.ContentLength == 0 {
-		return true
-	}
-	q.body, err = upconn.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), limit)
-	if err == nil {
+	if q.body, err = q.conn.ReadBody(ctx, q.r, limit); err == nil {
 		return true
 	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.Is(err, conns.ErrBodyTooLong):
 		q.replyError(http.StatusRequestEntityTooLarge, "too_large", err)
-		return false
+	case errors.Is(err, conns.ErrBodyTimeout):
+		q.replyError(http.StatusRequestTimeout, "body_timeout", err)
+	case errors.Is(err, memory.ErrShed):
+		q.replyUnavailable("body_shed", retryNoRoom, err)
+	case errors.Is(err, memory.ErrNone):
+		q.replyUnavailable("no_room", retryNoRoom, err)
+	default:
+		q.replyError(http.StatusBadRequest, "bad_body", err)
 	}
-	q.replyError(http.StatusBadRequest, "bad_body", err)
 	return false
 }
 
--- a/internal/front/proxy/reply.go
+++ b/internal/front/proxy/reply.go
@@ -28,6 +28,9 @@
 	// retryRecordsBusy is for replicas of the records that have too much to do: they have
 	// worked off what waits after some hundred milliseconds.
 	retryRecordsBusy = 400 * time.Millisecond
+	// retryNoRoom is for a daemon whose clients hold all the memory that they may: callers retry on a new
+	// connection, most likely to another daemon.
+	retryNoRoom = 300 * time.Millisecond
 )
 
 // errorBody is the body of an error response that the proxy itself generates.
@@ -80,6 +83,7 @@
 }
 
 func (q *request) reply(status int, code string, after time.Duration, err error) {
+	q.conn.Refuse()
 	q.summary.status, q.summary.code, q.summary.err = status, code, err
 	var f errorBody
 	f.Error.Code, f.Error.Message, f.Error.Ran = code, http.StatusText(status), q.summary.ran
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -9,6 +9,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 )
 
@@ -75,6 +76,14 @@
 	if err != nil {
 		return err
 	}
+	n := 0
+	for _, before := range turns {
+		n += len(before.Input) + len(before.Output)
+	}
+	if n > memory.Short {
+		t.conn.Force(int64(2 * n)) // once more with the body, as it is sent
+	}
+	t.history = make([]byte, 0, n)
 	for _, before := range turns {
 		t.history = append(t.history, before.Input...)
 		t.history = append(t.history, before.Output...)
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -241,7 +241,7 @@
 	var pace streamPace
 	r := event.Reader{
 		R:    bufio.NewReaderSize(s.resp.Body, streamBuffer),
-		Take: func(n int64) error { return t.e.Memory.Take(ctx, n) }, Return: t.e.Memory.Return,
+		Take: func(n int64) error { return t.conn.TakeResponse(ctx, n) }, Return: t.conn.GiveResponse,
 	}
 	defer r.Close()
 	for {
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -82,7 +82,10 @@
 // reports whether any of it may have reached the upstream.
 func (c *Conn) Send(r Request) error {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	long := len(r.Body) > inlineBody
+	if !long {
+		b.Grow(1024 + len(r.Body))
+	}
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -91,16 +94,16 @@
 		return err
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	c.writing = nil
-	if len(r.Body) <= inlineBody {
+	if !long {
+		b.Write(r.Body)
 		err := c.write(b.Bytes())
 		c.cut = err != nil
 		return err
 	}
 	done := make(chan error, 1)
 	c.writing = done
-	go func() { done <- c.write(b.Bytes()) }()
+	go func() { done <- c.writeParts(b.Bytes(), r.Body) }() // a long body is not copied
 	return nil
 }
 
@@ -112,6 +115,13 @@
 	return err
 }
 
+func (c *Conn) writeParts(head, body []byte) error {
+	if err := c.write(head); err != nil {
+		return err
+	}
+	return c.write(body)
+}
+
 // Sent reports whether any byte of the request was written. It waits for a write in the background, which
 // ends at once after Close.
 func (c *Conn) Sent() bool {
@@ -302,13 +312,16 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// ReadAll reads a whole body. It fails with ErrBodyTooLong if the body is longer than limit bytes.
-func ReadAll(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
+// ReadAll reads a whole body, into a buffer of the length that is expected. It fails with ErrBodyTooLong if the body is
+// longer than limit bytes.
+func ReadAll(r io.Reader, expected, limit int64) ([]byte, error) {
+	// Without bytes.MinRead more the buffer would grow to find the end.
+	b := bytes.NewBuffer(make([]byte, 0, min(expected, limit)+bytes.MinRead))
+	_, err := b.ReadFrom(io.LimitReader(r, limit+1))
+	if err == nil && int64(b.Len()) > limit {
 		return nil, errors.Wrapf(ErrBodyTooLong, "%d bytes", limit)
 	}
-	return body, err
+	return b.Bytes(), err
 }
 
 // Discard reads a whole body without keeping it. It fails with ErrBodyTooLong if the body is longer than
--- a/internal/front/upconn/fuzz_test.go
+++ b/internal/front/upconn/fuzz_test.go
@@ -31,7 +31,7 @@
 		c := newConn(near, "u", "a")
 		resp, err := c.Receive(http.MethodGet)
 		if err == nil {
-			body, err := ReadAll(resp.Body, limit)
+			body, err := ReadAll(resp.Body, 0, limit)
 			is.True(err != nil || len(body) <= limit)
 			is.True(resp.StatusCode >= 200)
 			_, _ = io.Copy(io.Discard, resp.Body)
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -63,7 +63,6 @@
 		Node      string
 		Domain    string           // failure domain
 		Cores     float64          // processor cores, possibly a fraction
-		Memory    int64            // in bytes; 0 if not known
 		Callers   string           // listen address for callers' requests
 		Ready     string           // listen address of the readiness check; empty for none
 		Directory string           // listen address of the directory; empty for none
@@ -99,6 +98,7 @@
 		Log       zerolog.Logger
 		Scope     tally.Scope
 		Trace     *trace.Trace
+		Clients   *memory.Budget // what clients may have this process hold; nil for what fits a small VM
 
 		fleet       fleet.Fleet
 		picker      pick.Picker
@@ -162,6 +162,9 @@
 }
 
 func (d *Daemon) start(ctx context.Context) error {
+	if d.Clients == nil {
+		d.Clients = &memory.Budget{}
+	}
 	d.discov.Store = d.Store
 	d.picker.Name, d.picker.Domain = d.Settings.Node, d.Settings.Domain
 	d.limits.Tolerance = d.Settings.Tolerance
@@ -180,7 +183,7 @@
 	d.proxy = proxy.Endpoint{
 		Dialect: d.Dialect, Fleet: &d.fleet, Pool: &d.pool, Picker: &d.picker, Log: d.Log, Scope: d.Scope, Trace: d.Trace,
 		Refresh: d.refreshConfig, Confirm: d.confirm, Stop: ctx, Limiter: &d.limits, Woken: d.meshio.Broadcast, OthersServe: d.othersServe,
-		Records: &d.reach, Runs: &d.runs, Paces: &d.meshio, Memory: memory.Budget{VM: d.Settings.Memory},
+		Records: &d.reach, Runs: &d.runs, Paces: &d.meshio, Memory: d.Clients,
 	}
 	d.reach.Records = &quorum.Client{
 		Peer:   func(address string) link.Invoker { return d.link.Peer(address) },
--- a/internal/node/frontd/serve.go
+++ b/internal/node/frontd/serve.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/front/conns"
+	"github.com/slaterock/slaterock/internal/front/memory"
 )
 
 const (
@@ -51,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	go d.serve(srv, ln, d.Settings.Callers)
+	go d.serve(srv, (&conns.Server{Budget: d.Clients, Kind: memory.Callers}).Listen(ln), d.Settings.Callers)
 	return srv, nil
 }
 
@@ -67,6 +70,7 @@
 		srv.ReadHeaderTimeout = positive(t.Limits.HeaderTime, headerTimeout)
 		srv.MaxHeaderBytes = positive(t.Limits.HeaderBytes, maxHeaderBytes)
 	}
+	conns.Configure(srv)
 	return srv
 }
 
--- a/internal/play/chaos/misuse.go
+++ b/internal/play/chaos/misuse.go
@@ -54,6 +54,7 @@
 	// MisuseSummary is the most that the process with the listener had at a time.
 	MisuseSummary struct {
 		Memory      int64 // bytes, with those that the kernel has received for it and that it has not read
+		Unread      int64 // of these, bytes that it has not read
 		Descriptors int
 		Crowd       string // see crowd.Crowd.Summary
 	}
@@ -87,7 +88,7 @@
 	m.play(ctx)
 	stopWatch()
 	work.Wait()
-	sum = MisuseSummary{Memory: u.Memory, Descriptors: u.Descriptors, Crowd: m.Crowd.Summary()}
+	sum = MisuseSummary{Memory: u.Memory, Unread: u.Unread, Descriptors: u.Descriptors, Crowd: m.Crowd.Summary()}
 	m.judge(c, sum, u.Err)
 	m.verifyCrowd()
 	if list := m.observed.violations; len(list) > 0 {
--- a/internal/play/crowd/crowd.go
+++ b/internal/play/crowd/crowd.go
@@ -49,7 +49,7 @@
 	// Request is what a client sends.
 	Request struct {
 		Method     string // POST if empty
-		Path       string
+		Path       string // {id} in it stands for the request's id
 		Host       string
 		Header     []string // lines, without their ends
 		HeadBytes  int      // the head is filled up with lines to this length; 0 for no more lines
@@ -222,7 +222,7 @@
 	if method == "" {
 		method = http.MethodPost
 	}
-	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", method, r.Path, r.Host, id)
+	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", method, strings.ReplaceAll(r.Path, "{id}", id), r.Host, id)
 	for _, line := range r.Header {
 		b = append(append(b, line...), "\r\n"...)
 	}
--- a/internal/play/procs/procs.go
+++ b/internal/play/procs/procs.go
@@ -20,6 +20,7 @@
 	PID         int
 	IP          net.IP // of its listeners
 	Memory      int64  // bytes, with those that the kernel has received for it and that it has not read
+	Unread      int64  // of these, bytes that it has not read
 	Descriptors int
 	Err         error // of the first look that failed
 }
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	u.Descriptors = max(u.Descriptors, n)
+	u.Descriptors, u.Unread = max(u.Descriptors, n), max(u.Unread, unread)
 	// the peak is exact, also between two looks
 	u.Memory = max(u.Memory, int64(status.VmHWM), int64(status.VmRSS)+unread)
 	return nil
