index, runlog, runio: many like requests do not each hold the runs of all others

What callers saw: beside hundreds of callers who send the same request, a front took hundreds of megabytes and answered a dozen requests in seconds.

Cause: requests are known by what they contain, so like requests of many callers are attempts of one. Each attempt asked for the runs of all others: the front's table copied and sorted all of them, once more for each attempt that it asked about, and the records returned all. With n under way that is n times n, and once more n within askFronts.

Evidence: in a dump of a front with 900 such requests 890 goroutines wait for the table's lock in askFronts; a heap profile with 200 has 7 MB of 33 in what requests know of others and 14 MB in the records' answers.

The table and the records now pick the first of them, those with failures first, without copying the others (24 and 64 at most, and the attempt that was asked for), and askFronts asks its own table once. It works since what is decided rests on runs with failures, of which three suffice; the front's answers had this bound before.

TestRunsTakesNoMoreForManyLikeRequests failed before.

--- a/internal/disk/index/run.go
+++ b/internal/disk/index/run.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// maxRuns bounds the runs of one request that are returned, about 300 bytes each: many callers may send the same.
+const maxRuns = 64
+
 type (
 	// Run is what became of one attempt of a caller's request at upstreams. The request may have
 	// other attempts, at other fronts.
@@ -107,16 +110,40 @@
 	return known && MergeRuns(old, r).equal(old)
 }
 
-// Runs returns what is stated of the attempts of a request, and of the attempt first.
+// InsertRun inserts a run into a list that has those with failures first, then the newest, and keeps no more than most.
+// Hundreds of like requests may be under way, and each asks for the list.
+func InsertRun(list []Run, r Run, most int) []Run {
+	if len(list) >= most && compareRuns(r, list[most-1]) >= 0 {
+		return list
+	}
+	list = list[:min(len(list), most-1)]
+	i, _ := slices.BinarySearchFunc(list, r, compareRuns)
+	return slices.Insert(list, i, r)
+}
+
+func compareRuns(a, b Run) int {
+	if a.HasFailed() != b.HasFailed() {
+		if a.HasFailed() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.Lost, a.Lost), cmp.Compare(b.At, a.At), cmp.Compare(a.Attempt, b.Attempt))
+}
+
+// Runs returns what is stated of the attempts of a request, maxRuns at most, and of the attempt first.
 func (ix *Index) Runs(name string, request uint64, first string) (list []Run) {
 	p := ix.programs[name]
 	if p == nil {
 		return nil
 	}
 	for _, r := range p.runs {
-		if r.Request == request || r.Attempt == first {
-			list = append(list, r)
+		if r.Request == request && r.Attempt != first {
+			list = InsertRun(list, r, maxRuns)
 		}
 	}
+	if r, found := p.runs[first]; found {
+		list = append(list, r)
+	}
 	return list
 }
--- a/internal/disk/index/run_test.go
+++ b/internal/disk/index/run_test.go
@@ -1,11 +1,14 @@
 package index
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/slaterock/slaterock/internal/disk/seglog"
 )
 
 func runOf(attempt string, request uint64, ended, broken []Start) Record {
@@ -77,3 +80,23 @@
 	is.True(ix.Has(r))
 	is.True(!ix.Has(runOf("1", 7, []Start{{ID: "b"}}, nil)))
 }
+
+// Guards against answers that grow with the number of callers who send the same, and that leave out what is asked for.
+func TestRunsOfManyLikeRequests(t *testing.T) {
+	is := is.New(t)
+	var ix Index
+	add := func(attempt string, at int64, run Run) {
+		run.Request, run.Under = 7, run.Under+1
+		ix.Apply(Record{Program: "p", Attempt: attempt, At: at, TTL: 60_000, Run: &run}, seglog.Pos{}, time.UnixMilli(at))
+	}
+	add("first", 1, Run{})
+	add("failed", 2, Run{Ended: []Start{{ID: "up1"}}})
+	for i := range 20 * maxRuns {
+		add(fmt.Sprint("like", i), int64(10+i), Run{})
+	}
+	list := ix.Runs("p", 7, "first")
+	is.Equal(len(list), maxRuns+1)
+	is.Equal(list[0].Attempt, "failed")
+	is.Equal(list[1].Attempt, fmt.Sprint("like", 20*maxRuns-1)) // the newest
+	is.Equal(list[maxRuns].Attempt, "first")
+}
--- a/internal/front/runio/runio.go
+++ b/internal/front/runio/runio.go
@@ -187,7 +187,9 @@
 	answers := map[string][]index.Run{}
 	q := question{key: key, resend: firstResend}
 	for _, a := range attempts {
+		_, known := answers[a.Front]
 		switch {
+		case known:
 		case a.Front == x.Front():
 			answers[a.Front] = x.Table.Runs(now, key)
 		case a.Front != "" && addressOf(a.Front) != x.Self && !x.isSilent(now, addressOf(a.Front)):
--- a/internal/front/runlog/runlog.go
+++ b/internal/front/runlog/runlog.go
@@ -7,9 +7,6 @@
 package runlog
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -62,18 +59,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(now)
-	list = slices.AppendSeq(list, maps.Values(t.earlier.requests[key]))
-	list = slices.AppendSeq(list, maps.Values(t.current.requests[key]))
-	slices.SortFunc(list, func(a, b index.Run) int {
-		if a.HasFailed() != b.HasFailed() {
-			if a.HasFailed() {
-				return -1
-			}
-			return 1
+	for _, g := range []generation{t.earlier, t.current} {
+		for _, run := range g.requests[key] {
+			list = index.InsertRun(list, run, maxRuns)
 		}
-		return cmp.Or(cmp.Compare(b.Lost, a.Lost), cmp.Compare(b.At, a.At), cmp.Compare(a.Attempt, b.Attempt))
-	})
-	return list[:min(len(list), maxRuns)]
+	}
+	return list
 }
 
 // Complete returns for how long nothing was forgotten that was stated within keepFor.
--- a/internal/front/runlog/runlog_test.go
+++ b/internal/front/runlog/runlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -80,3 +81,20 @@
 	is.Equal(table.Complete(now.Add(time.Second)), time.Second)
 	is.True(table.current.n+table.earlier.n <= 2*maxAttempts)
 }
+
+// Guards against hundreds of like requests that each copy all others to learn of a few.
+func TestRunsTakesNoMoreForManyLikeRequests(t *testing.T) {
+	is := is.New(t)
+	taken := func(n int) float64 {
+		var table Table
+		for _, r := range manyAttempts(n) {
+			table.Add(start, 7, r)
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		table.Runs(start, 7)
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc - before.TotalAlloc)
+	}
+	is.True(taken(100*maxRuns) < 2*taken(maxRuns)+10_000)
+}
