frontd, cmd: the directory, the readiness check and /metrics hold what the VM has room for

What callers saw: forty heads of a megabyte at the directory took a front beyond its VM's memory, and connections that send nothing, to there or to /metrics, took its descriptors.

Cause: these listeners had the library's own limits, 1 MB for a head, and /metrics no timeout for a response or between two requests. Nothing bounded their connections.

Their connections and heads are taken from the budget of the callers' listener, with a part of the descriptors of their own (an eighth). Heads are bounded (64 KiB; 16 KiB for /metrics), requests and responses have timeouts. A front's directory takes the place of idle connections first, so an ordinary client gets in.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -16,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/slaterock/slaterock/internal/front/bucket"
+	"github.com/slaterock/slaterock/internal/front/conns"
 	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/node/diskd"
 	"github.com/slaterock/slaterock/internal/node/frontd"
@@ -33,6 +35,8 @@
 const metricsPort = 9464
 
 const (
+	metricsTimeout = 15 * time.Second // of a response, and between two requests
+	metricsHeader  = 16 << 10         // of a request, in bytes
 	// otherMemory, in bytes, or the part otherShare of the VM's memory if that is more, is left for the program itself and
 	// for what the kernel holds for it; the Go runtime gets the rest, at least the part leastHeapShare.
 	otherMemory    = 36 << 20
@@ -93,12 +97,10 @@
 	defer cancel()
 	go p.watchSignals(ctx)
 	p.boundMemory(ctx)
-	srv := &http.Server{Addr: fmt.Sprintf("%s:%d", s.IP, metricsPort), Handler: p.metric.Handler(), ReadHeaderTimeout: time.Second}
-	go func() {
-		if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			log.Warn().Err(err).Msg("metrics listener failed")
-		}
-	}()
+	srv := &http.Server{
+		Handler: p.metric.Handler(), ReadTimeout: time.Second, WriteTimeout: metricsTimeout, IdleTimeout: metricsTimeout, MaxHeaderBytes: metricsHeader,
+	}
+	go p.serveMetrics(ctx, srv)
 	err = run(ctx, p)
 	_ = srv.Close() // no final scrape is expected
 	log.Info().Err(err).Int64("store_calls", p.store.Calls()).Msg("stop")
@@ -120,6 +122,19 @@
 	}()
 }
 
+// serveMetrics serves /metrics. Without it, requests are served all the same.
+func (p *process) serveMetrics(ctx context.Context, srv *http.Server) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", fmt.Sprintf("%s:%d", p.settings.IP, metricsPort))
+	if err == nil {
+		conns.Configure(srv)
+		err = srv.Serve((&conns.Server{Budget: p.clients, Kind: memory.Checks}).Listen(ln))
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		p.log.Warn().Err(err).Msg("metrics listener failed")
+	}
+}
+
 // watchSignals closes stop at SIGTERM or an interrupt, and reads the settings file again at
 // SIGHUP, which only checks it: the settings in use, such as addresses and folders, stay those
 // read at the start.
--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -34,7 +34,7 @@
 	// and for checks, the directory and metrics may take. The others are for upstreams, the store and files.
 	callerShare = 3
 	peerShare   = 3
-	checkShare  = 16
+	checkShare  = 8
 	// defaultVM and defaultDescriptors are the size of a VM that is not known.
 	defaultVM          = 128 << 20
 	defaultDescriptors = 4096
--- a/internal/node/frontd/serve.go
+++ b/internal/node/frontd/serve.go
@@ -18,6 +18,10 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	maxHeaderBytes = 16 << 10
+	// checkHeaderBytes bounds a head at the directory and the readiness check, also before there is a configuration.
+	checkHeaderBytes = 64 << 10
+	// checkTimeout bounds a response of the directory and of the readiness check.
+	checkTimeout = 10 * time.Second
 )
 
 func (d *Daemon) serveChecks(ctx context.Context) (srv *http.Server, err error) {
@@ -28,7 +32,11 @@
 		}
 	})
 	mux.HandleFunc("GET "+d.Endpoints.DirectoryPath(), d.resolve)
-	srv = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog()}
+	srv = &http.Server{
+		Handler: mux, ReadTimeout: headerTimeout, WriteTimeout: checkTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: checkHeaderBytes, ErrorLog: discardLog(),
+	}
+	conns.Configure(srv)
+	counted := conns.Server{Budget: d.Clients, Kind: memory.Checks}
 	for _, address := range []string{d.Settings.Ready, d.Settings.Directory} {
 		if address == "" {
 			continue
@@ -37,7 +45,7 @@
 		if err != nil {
 			return nil, err
 		}
-		go d.serve(srv, ln, address)
+		go d.serve(srv, counted.Listen(ln), address)
 	}
 	return srv, nil
 }
