link, diskd, frontd: connections that have not proved the key are counted and give way

What callers saw: 900 connections that send nothing, to the ports between processes of a front or of a VM with a disk, took all descriptors of the process; with none left, the listener for other daemons would end at its next accept, and with it the process of a VM with a disk.

Cause: connections were accepted without bound, each for 2 s until its handshake timed out, and an accept that failed for want of a descriptor was taken for the end of the listener.

They are taken from the budget now, with a third of the descriptors; new ones take the place of those that have proved nothing for longest. A daemon that has proved that it has the key never gives way and holds no bytes of the budget; its buffers are the kernel's own. Accepting goes on after a pause if there was no descriptor.

Beside it: a long body that had waited for room longer than 0.2 s was taken for one that had not moved, had to give way as soon as it was let in, and kept a receive buffer of 512 KiB.

Before a proof at most 1 KiB is read (unchanged).

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -216,7 +216,7 @@
 			Node: s.Node, Domain: s.Domain, Address: p.peerAddress(), Control: s.Control, Dir: s.DataDir,
 			Capacity: int64(s.DiskMB) << 20, Losses: s.Losses,
 		},
-		Store: p.store, Operator: &platform.Source{Store: p.store}, Log: p.log, Scope: p.metric.Scope(),
+		Store: p.store, Operator: &platform.Source{Store: p.store}, Log: p.log, Scope: p.metric.Scope(), Clients: p.clients,
 	}
 	return d.Run(ctx)
 }
--- a/internal/front/conns/body.go
+++ b/internal/front/conns/body.go
@@ -177,6 +177,9 @@
 func (c *Conn) dropBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.body > 0 {
+		c.setBuffers(readBuffer, 0)
+	}
 	c.client.Give(memory.Bodies, c.body)
 	c.body = 0
 }
--- a/internal/front/conns/conns.go
+++ b/internal/front/conns/conns.go
@@ -32,7 +32,7 @@
 	lineCost = 256
 	// readBuffer and writeBuffer bound what the kernel holds for a connection, in bytes. bodyBuffer is for a long
 	// body, whose whole length is taken from the budget.
-	readBuffer  = 16 << 10
+	readBuffer  = 32 << 10
 	writeBuffer = 64 << 10
 	bodyBuffer  = 256 << 10
 	// serverBuffer is how much the HTTP server reads at a time, in bytes.
@@ -139,7 +139,9 @@
 	if !s.Budget.Enter(&c.client, idleBytes) {
 		return nil
 	}
-	c.setBuffers(readBuffer, writeBuffer)
+	if s.Kind != memory.Peers { // other daemons send as much as the link carries
+		c.setBuffers(readBuffer, writeBuffer)
+	}
 	return c
 }
 
--- a/internal/front/conns/conns_test.go
+++ b/internal/front/conns/conns_test.go
@@ -233,3 +233,57 @@
 		s.close()
 	})
 }
+
+// Guards against other daemons that have to give way to connections which have not proved who they are.
+func TestProvenPeersStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n memnet.Net
+		b := &memory.Budget{Descriptors: 12} // four for peers
+		ln := (&Server{Budget: b, Kind: memory.Peers}).Listen(n.Listen("peers"))
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				select {
+				case accepted <- c: // the first
+				default:
+					go func() { // closed once its client has to give way, or leaves
+						_, _ = io.Copy(io.Discard, c)
+						_ = c.Close()
+					}()
+				}
+			}
+		}()
+		var clients []net.Conn
+		connect := func() net.Conn {
+			c, err := n.Connect(t.Context(), "peers")
+			is.NoErr(err)
+			clients = append(clients, c)
+			return c
+		}
+		daemon := connect()
+		first := <-accepted
+		Trust(first)
+		accepted <- first // takes the only place
+		for range 20 {
+			time.Sleep(time.Second)
+			connect()
+		}
+		go func() { _, _ = daemon.Write([]byte("frame")) }()
+		got := make([]byte, 5)
+		_, err := io.ReadFull(first, got)
+		is.NoErr(err)
+		synctest.Wait()
+		used, limit := b.Used(memory.Peers)
+		is.Equal(used, limit)
+		_ = ln.Close()
+		_ = first.Close()
+		for _, c := range clients {
+			_ = c.Close()
+		}
+	})
+}
--- a/internal/front/memory/client.go
+++ b/internal/front/memory/client.go
@@ -178,6 +178,7 @@
 	// What leaves is not free yet: a long body may take as much again.
 	if !c.shed && (b.used[Bodies] == 0 || b.used[Bodies]+n <= b.limit(Bodies)) {
 		c.add(Bodies, n)
+		c.since, c.got = time.Now(), 0 // it could not move before
 		return nil, true
 	}
 	b.shedFor(time.Now(), c, Bodies, n)
--- a/internal/front/memory/client_test.go
+++ b/internal/front/memory/client_test.go
@@ -131,10 +131,16 @@
 		is.True(!stopped.Move(Running))
 		is.True(slow.Move(Running))
 		next.Move(Running)
-		late := newClient("late", gone)
+		late, newest := newClient("late", gone), newClient("newest", gone)
 		is.True(b.Enter(late, 0))
+		is.True(b.Enter(newest, 0))
 		is.Equal(late.WaitBody(t.Context(), 4*megabyte), ErrNone) // those that run are not ended
-		for _, c := range []*Client{slow, next, late} {
+		time.AfterFunc(maxBodyWait/2, slow.Leave)
+		late.Move(Body)
+		is.NoErr(late.WaitBody(t.Context(), 4*megabyte))
+		changed, ok := newest.tryBody(4 * megabyte)
+		is.True(!ok && changed != nil && len(gone) == 1) // late has just been let in
+		for _, c := range []*Client{slow, next, late, newest} {
 			c.Leave()
 			c.Leave()
 		}
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -18,6 +18,8 @@
 	"github.com/slaterock/slaterock/internal/disk/recsrv"
 	"github.com/slaterock/slaterock/internal/disk/roster"
 	"github.com/slaterock/slaterock/internal/disk/snap"
+	"github.com/slaterock/slaterock/internal/front/conns"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/node/discov"
 	"github.com/slaterock/slaterock/internal/node/leased"
 	"github.com/slaterock/slaterock/internal/peer/link"
@@ -85,6 +87,7 @@
 		Operator Operator
 		Log      zerolog.Logger
 		Scope    tally.Scope
+		Clients  *memory.Budget // what clients may have this process hold; nil for what fits a small VM
 
 		recsrv         recsrv.Server
 		snap           snap.Snapshotter
@@ -113,6 +116,9 @@
 	defer func() { err = errors.Wrap(err, "run disk daemon") }()
 	d.started = time.Now()
 	d.joinResult = make(chan error, 1)
+	if d.Clients == nil {
+		d.Clients = &memory.Budget{}
+	}
 	d.recsrv.Dir, d.recsrv.Capacity, d.recsrv.Scope = d.Settings.Dir, d.Settings.Capacity, d.Scope
 	d.recsrv.Others, d.recsrv.OnDisk = d.peers(), d.logDisk
 	emptyDisk, err := d.recsrv.Open()
@@ -129,6 +135,7 @@
 		return err
 	}
 	d.link.Address, d.link.Scope = d.Settings.Address, d.Scope
+	d.link.Proven = conns.Trust
 	d.recsrv.Register(&d.link)
 	d.snap.Dir = d.Settings.Dir
 	d.snap.Register(&d.link)
@@ -144,7 +151,7 @@
 	go d.trim(ctx)
 	go d.watchLoad(ctx)
 	go d.serveControl(ctx)
-	err = d.link.Serve(ctx, ln)
+	err = d.link.Serve(ctx, d.counted(ln))
 	<-registrationEnded
 	return errors.CombineErrors(err, d.recsrv.Close())
 }
@@ -158,13 +165,18 @@
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", d.Settings.Control)
 	if err == nil {
-		err = d.link.Serve(ctx, ln)
+		err = d.link.Serve(ctx, d.counted(ln))
 	}
 	if err != nil && ctx.Err() == nil {
 		d.Log.Error().Err(err).Str("address", d.Settings.Control).Msg("second listen address not served")
 	}
 }
 
+// counted returns the listener for other daemons with connections that are counted.
+func (d *Daemon) counted(ln net.Listener) net.Listener {
+	return (&conns.Server{Budget: d.Clients, Kind: memory.Peers}).Listen(ln)
+}
+
 // self returns this VM's entry for the store. The disk ID identifies the contents of the disk:
 // a disk that is empty at the start gets a new one.
 func (d *Daemon) self() roster.Member {
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -16,6 +16,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/quorum"
 	"github.com/slaterock/slaterock/internal/front/bucket"
+	"github.com/slaterock/slaterock/internal/front/conns"
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/memory"
@@ -172,6 +173,7 @@
 	d.picker.Factor = func(u *fleet.Upstream) float64 { return d.meshio.Factor(u.ID, u.Born) }
 	d.link.Address, d.link.Scope = d.Settings.Peer, d.Scope
 	d.link.DialTimeout, d.link.BackOff, d.link.PingAfter = dialTimeout, maxDialBackoff, pingAfter
+	d.link.Proven = conns.Trust
 	d.link.Handle(methodSnapshot, link.TypedHandler(d.serveSnapshot))
 	if err := d.link.Start(ctx); err != nil {
 		return err
@@ -209,7 +211,7 @@
 		return err
 	}
 	go func() {
-		if err := d.link.Serve(ctx, ln); err != nil {
+		if err := d.link.Serve(ctx, (&conns.Server{Budget: d.Clients, Kind: memory.Peers}).Listen(ln)); err != nil {
 			d.Log.Error().Err(err).Msg("listener for other daemons stopped")
 		}
 	}()
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -65,6 +65,8 @@
 		BackOff     time.Duration // maximum pause between dials
 		PingAfter   time.Duration // without data on a connection with a request that waits; 1 s if 0
 		Scope       tally.Scope
+		// Proven is called with each accepted connection whose peer has proved that it has the key; nil for nothing.
+		Proven func(net.Conn)
 
 		handlers    map[string]Handler
 		mu          sync.Mutex
@@ -199,6 +201,9 @@
 		_ = conn.Close()
 		return
 	}
+	if l.Proven != nil {
+		l.Proven(conn)
+	}
 	s.peer = address
 	if s.start(l.ctx) != nil {
 		return
