edge, daemon: serve reads a body once its key is known and there is room for it

What callers saw: sixty clients without a key that send bodies of 4 MB, or of one-byte chunks, and stop a byte short had a daemon take 278 to 380 MB; with a key up to 847. 900 connections to its port for other daemons took its descriptors.

Cause: the HTTP library read the whole body into a buffer before the handler looked at the key, kept it for 30 s if it stopped, and the body was copied once more. Its bounds (8,192 connections of 4 MiB) are for a machine that is larger. Forms were parsed besides, into files.

The body is streamed now: the handler looks at the announced length and the key first, and then takes room for the body from the same budget as a front does (front/memory, front/conns), in one buffer. The rest of a body that is not read is never taken for a request: the connection is closed after the response. Connections beyond the bound take the place of those that have been idle for longest.

The daemon's test sets memory_mb and descriptors to the bounds that it checked before.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -37,12 +36,7 @@
 const (
 	metricsTimeout = 15 * time.Second // of a response, and between two requests
 	metricsHeader  = 16 << 10         // of a request, in bytes
-	// otherMemory, in bytes, or the part otherShare of the VM's memory if that is more, is left for the program itself and
-	// for what the kernel holds for it; the Go runtime gets the rest, at least the part leastHeapShare.
-	otherMemory    = 36 << 20
-	otherShare     = 4
-	leastHeapShare = 2
-	reportInterval = time.Second // between two updates of the gauges of what clients hold
+	reportInterval = time.Second      // between two updates of the gauges of what clients hold
 )
 
 // traceEndpointEnv is the environment variable with the address of a trace collector. It may be
@@ -110,11 +104,9 @@
 // boundMemory has clients hold only what the VM has room for, and the runtime collect garbage before the VM has none.
 func (p *process) boundMemory(ctx context.Context) {
 	vm := int64(p.settings.MemoryMB) << 20
-	if vm > 0 {
-		debug.SetMemoryLimit(max(vm-max(vm/otherShare, otherMemory), vm/leastHeapShare))
-	}
 	lost := &sheds.Sheds{Log: p.log, Scope: p.metric.Scope()}
 	p.clients = &memory.Budget{VM: vm, Descriptors: int64(p.settings.Descriptors), OnShed: lost.Note}
+	p.clients.BoundRuntime()
 	go func() {
 		for pause.For(ctx, reportInterval) {
 			lost.Report(p.clients)
--- a/cmd/slaterock/misuse_test.go
+++ b/cmd/slaterock/misuse_test.go
@@ -136,7 +136,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := (&system{t: t, bounds: fmt.Sprintf("[bounds]\nconnections = %d\n", daemonConnections)}).run()
+			s := (&system{t: t, bounds: fmt.Sprintf("[bounds]\nconnections = %d\nmemory_mb = %d\ndescriptors = %d\n", daemonConnections, daemonMemoryMB, daemonDescriptors)}).run()
 			c.crowd.Address = s.callerAddresses[0]
 			if c.peers {
 				c.crowd.Address = s.peerAddresses[0]
--- a/internal/edge/server/answer.go
+++ b/internal/edge/server/answer.go
@@ -87,7 +87,7 @@
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		r = result.Refuse(result.CodeBadRequest, "the body is larger than max_body")
+		r = tooLong
 		r.Status = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &small):
 		r = result.Refuse(result.CodeBadRequest, "the headers are too large")
--- a/internal/edge/server/apply.go
+++ b/internal/edge/server/apply.go
@@ -107,7 +107,7 @@
 		x.badRequest("the query parameter from must be the version that this text was made from, or %s", FromNewest)
 		return
 	}
-	a := s.Apply(s.base, append([]byte(nil), x.Request.Body()...), from)
+	a := s.Apply(s.base, x.body, from)
 	x.json(a.status(), a)
 }
 
--- a/internal/edge/server/call.go
+++ b/internal/edge/server/call.go
@@ -121,8 +121,7 @@
 	x.raw(orDefault(r.Status, fasthttp.StatusOK), r.ContentType, r.Body)
 }
 
-// call reads the headers and body that all kinds of calls share. The body is
-// copied because fasthttp reuses its buffer once the request is answered.
+// call reads the headers and body that all kinds of calls share.
 func (x *exchange) call(kind call.Kind) (c call.Call, problem string) {
 	c = call.Call{
 		Account:     x.account,
@@ -130,7 +129,7 @@
 		Kind:        kind,
 		Method:      string(x.Method()),
 		ContentType: string(x.Request.Header.ContentType()),
-		Body:        append([]byte(nil), x.Request.Body()...),
+		Body:        x.body,
 	}
 	number := string(x.Request.Header.Peek(HeaderCall))
 	if c.Program == "" && number == "" {
--- a/internal/edge/server/program.go
+++ b/internal/edge/server/program.go
@@ -22,7 +22,7 @@
 // open opens a program.
 func (s *Server) open(x *exchange) {
 	var b openBody
-	if err := json.Unmarshal(x.Request.Body(), &b); err != nil {
+	if err := json.Unmarshal(x.body, &b); err != nil {
 		x.badRequest("the body is not a JSON object: %v", err)
 		return
 	}
--- a/internal/edge/server/route.go
+++ b/internal/edge/server/route.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/slaterock/slaterock/internal/edge/reqid"
+	"github.com/slaterock/slaterock/internal/front/conns"
 	"github.com/slaterock/slaterock/internal/prog/result"
 )
 
@@ -40,6 +41,8 @@
 	operator  bool
 	start     time.Time
 	telemetry *telemetry
+	conn      *conns.Conn   // of the caller
+	body      []byte        // whole, once readBody has succeeded
 	outcome   result.Result // the zero value is a success without details
 	detached  bool          // a stream continues after the handler has returned
 }
@@ -55,18 +58,29 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	x := &exchange{RequestCtx: ctx, start: time.Now(), path: string(ctx.URI().PathOriginal())}
+	var done func()
+	x.conn, done = s.connOf(ctx)
+	defer done()
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
 	x.assignID("", 0)
+	room := x.conn.Begin(x.bodyLength())
+	defer x.dropBody()
 	if s.probe(x) {
 		return
 	}
 	x.telemetry = s.newTelemetry(x)
-	if s.authenticate(x) {
-		s.route(x)
-	} else {
+	known := s.authenticate(x)
+	switch {
+	case !room:
+		x.refuseNoRoom()
+	case x.bodyLength() > s.bodyLimit(x):
+		x.refuseTooLong()
+	case !known:
 		x.answerError(result.Refuse(result.CodeUnauthorized, "the Bearer key is missing or not known"))
+	case s.readBody(x):
+		s.route(x)
 	}
 	if !x.detached {
 		x.telemetry.end(x.outcome, x.Response.StatusCode())
--- a/internal/edge/server/server.go
+++ b/internal/edge/server/server.go
@@ -14,7 +14,6 @@
 package server
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -28,6 +27,8 @@
 
 	"github.com/slaterock/slaterock/internal/conf/file"
 	"github.com/slaterock/slaterock/internal/edge/locate"
+	"github.com/slaterock/slaterock/internal/front/conns"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/obs/logs"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/prog/runner"
@@ -82,10 +83,11 @@
 		MaxCalls    int // in flight
 		MaxHeader   int // bytes
 		MaxConns    int
-		ReadTimeout time.Duration // for reading a whole request
-		SendTimeout time.Duration // for each write to a caller
-		IdleTimeout time.Duration // between requests
-		Heartbeat   time.Duration // interval of heartbeats in an idle stream
+		ReadTimeout time.Duration  // for reading a whole request
+		SendTimeout time.Duration  // for each write to a caller
+		IdleTimeout time.Duration  // between requests
+		Heartbeat   time.Duration  // interval of heartbeats in an idle stream
+		Clients     *memory.Budget // what callers may have this process hold; nil for what fits a small VM
 
 		once      sync.Once
 		http      fasthttp.Server
@@ -110,7 +112,8 @@
 	if !s.listeners.add(l) {
 		return l.Close()
 	}
-	return s.http.Serve(deadlineListener{Listener: l, timeout: orDefault(s.SendTimeout, DefaultSendTimeout)})
+	counted := (&conns.Server{Budget: s.Clients, Kind: memory.Callers}).Listen(l)
+	return s.http.Serve(deadlineListener{Listener: counted, timeout: orDefault(s.SendTimeout, DefaultSendTimeout)})
 }
 
 // StartDraining makes the server unready and closes each connection after its
@@ -157,37 +160,29 @@
 	s.base, s.stop = context.WithCancel(context.Background())
 	s.pool = newPool(DefaultMaxCalls)
 	s.meters = newMeters(s.Scope)
+	if s.Clients == nil {
+		s.Clients = &memory.Budget{}
+	}
 	if s.ticker == nil {
 		s.ticker = tick
 	}
 	s.http = fasthttp.Server{
-		Handler:               s.handle,
-		ErrorHandler:          refuseMalformed,
-		HeaderReceived:        s.limitBody,
-		Name:                  "slaterock",
-		Concurrency:           orDefault(s.MaxConns, DefaultMaxConns),
-		ReadBufferSize:        orDefault(s.MaxHeader, DefaultMaxHeader),
-		ReadTimeout:           orDefault(s.ReadTimeout, DefaultReadTimeout),
-		IdleTimeout:           orDefault(s.IdleTimeout, DefaultIdleTimeout),
-		MaxRequestBodySize:    DefaultMaxBody,
-		NoDefaultContentType:  true,
-		CloseOnShutdown:       true,
-		SecureErrorLogMessage: true, // keeps keys and bodies out of the text of fasthttp's errors
-		Logger:                discardLogger{},
-	}
-}
-
-// limitBody takes the size limit of a request's body from the configuration in
-// force, so that a new limit applies to the next request. Configurations sent by
-// operators have a limit of their own: with many accounts they are larger than
-// callers' bodies may be.
-func (s *Server) limitBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if bytes.HasPrefix(h.RequestURI(), []byte(pathConfig)) {
-		if _, operator, ok := s.accountOf(h); ok && operator {
-			return fasthttp.RequestConfig{MaxRequestBodySize: maxConfig}
-		}
+		Handler:                      s.handle,
+		ErrorHandler:                 refuseMalformed,
+		ConnState:                    noteState,
+		StreamRequestBody:            true, // a body is read once its caller is known and there is room for it
+		DisablePreParseMultipartForm: true,
+		Name:                         "slaterock",
+		Concurrency:                  orDefault(s.MaxConns, DefaultMaxConns),
+		ReadBufferSize:               orDefault(s.MaxHeader, DefaultMaxHeader),
+		ReadTimeout:                  orDefault(s.ReadTimeout, DefaultReadTimeout),
+		IdleTimeout:                  orDefault(s.IdleTimeout, DefaultIdleTimeout),
+		MaxRequestBodySize:           maxConfig,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+		SecureErrorLogMessage:        true, // keeps keys and bodies out of the text of fasthttp's errors
+		Logger:                       discardLogger{},
 	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: lowerLimit(s.config().Limits.MaxBody, s.MaxBody, DefaultMaxBody)}
 }
 
 func (s *Server) config() file.File {
--- a/internal/front/conns/body.go
+++ b/internal/front/conns/body.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -36,20 +35,20 @@
 }
 
 // ReadBody reads the body of the request, of limit bytes at most. It takes the length that is announced before it
-// reads, and the limit for a body of unknown length that turns out to be long; the connection holds that until the
-// request is over. It fails with memory.ErrNone if there is no room in time, with memory.ErrShed if the client had to give
+// reads, and the limit for a body without one (a negative length) that turns out to be long; the connection holds that
+// until the request is over. It fails with memory.ErrNone if there is no room in time, with memory.ErrShed if the client had to give
 // way, with ErrBodyTooLong, and with ErrBodyTimeout if the body is not whole at the deadline of ctx. The request
 // must not run then.
-func (c *Conn) ReadBody(ctx context.Context, r *http.Request, limit int64) (body []byte, err error) {
+func (c *Conn) ReadBody(ctx context.Context, r io.Reader, length, limit int64) (body []byte, err error) {
 	defer func() {
-		if err = c.explain(err); err != nil {
+		if err = c.explain(ctx, err); err != nil {
 			c.dropBody()
 		}
 	}()
 	switch {
-	case r.ContentLength == 0:
+	case length == 0:
 		return nil, nil
-	case r.ContentLength > limit:
+	case length > limit:
 		return nil, errors.Wrapf(ErrBodyTooLong, "%d bytes", limit)
 	}
 	if until, set := ctx.Deadline(); set {
@@ -58,10 +57,10 @@
 	if !c.client.Move(memory.Body) { // from here on it may have to give way, which ends the read
 		return nil, memory.ErrShed
 	}
-	if r.ContentLength > 0 {
-		body, err = c.readLength(ctx, r.Body, r.ContentLength)
+	if length > 0 {
+		body, err = c.readLength(ctx, r, length)
 	} else {
-		body, err = c.readChunks(ctx, r.Body, limit)
+		body, err = c.readChunks(ctx, r, limit)
 	}
 	if err != nil {
 		return nil, err
@@ -73,15 +72,17 @@
 	return body, nil
 }
 
-// explain tells why a body is not whole.
-func (c *Conn) explain(err error) error {
+// explain tells why a body is not whole. The reader may hide why the connection was not read on.
+func (c *Conn) explain(ctx context.Context, err error) error {
 	switch {
-	case !errors.Is(err, os.ErrDeadlineExceeded):
+	case err == nil || errors.IsAny(err, memory.ErrShed, memory.ErrNone, ErrBodyTooLong):
 		return err
 	case !c.client.Move(memory.Running):
 		return errors.Mark(err, memory.ErrShed)
-	default:
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return errors.Mark(err, ErrBodyTimeout)
+	default:
+		return err
 	}
 }
 
@@ -194,12 +195,13 @@
 	}
 }
 
-// Refuse prepares a response to a request whose body may not have been read: the HTTP server reads the rest of it before
-// it answers, and a client that sends no more would have it wait.
-func (c *Conn) Refuse() {
+// Refuse prepares a response to a request whose body may not have been read, and reports whether that is so: the HTTP server
+// reads the rest of it before it answers, and a client that sends no more would have it wait.
+func (c *Conn) Refuse() (unread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unread {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // a connection that is closed fails the read
 	}
+	return c.unread
 }
--- a/internal/front/conns/conns.go
+++ b/internal/front/conns/conns.go
@@ -91,15 +91,16 @@
 	return c, c.client.Leave
 }
 
-// Configure has the HTTP server tell of its connections, after the hook that it has.
+// Configure has the HTTP server tell when requests are over, after the hook that it has, and requests know their
+// connections.
 func Configure(srv *http.Server) {
 	before := srv.ConnState
 	srv.ConnState = func(c net.Conn, state http.ConnState) {
 		if before != nil {
 			before(c, state)
 		}
-		if c, ok := c.(*Conn); ok {
-			c.track(state)
+		if c, ok := c.(*Conn); ok && state == http.StateIdle {
+			c.Idle()
 		}
 	}
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
@@ -253,18 +254,13 @@
 	c.client.Move(memory.Running)
 }
 
-// track notes what the HTTP server does with the connection.
-func (c *Conn) track(s http.ConnState) {
+// Idle notes that a request is over, and returns what it took.
+func (c *Conn) Idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch s {
-	case http.StateActive:
-		c.handled = true
-	case http.StateIdle:
-		c.handled = false
-		c.giveRequest()
-		c.client.Move(memory.Idle)
-	}
+	c.handled = false
+	c.giveRequest()
+	c.client.Move(memory.Idle)
 }
 
 // giveRequest returns what the request took; the caller holds c.mu.
@@ -274,12 +270,12 @@
 	c.request, c.body = 0, 0
 }
 
-// Begin takes what the request takes while it is served. If it reports false there is no room, and the request must
-// be refused.
-func (c *Conn) Begin(r *http.Request) bool {
+// Begin notes that a request's head has been read, and takes what the request takes while it is served. Its length is that of
+// its body, negative if it is not stated. If Begin reports false there is no room, and the request must be refused.
+func (c *Conn) Begin(length int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unread = r.ContentLength != 0
+	c.handled, c.unread = true, length != 0
 	return c.client.Move(memory.Running) && c.grow(requestBytes+c.takeAhead())
 }
 
--- a/internal/front/conns/conns_test.go
+++ b/internal/front/conns/conns_test.go
@@ -44,14 +44,14 @@
 func (s *site) handle(w http.ResponseWriter, r *http.Request) {
 	c, done := Of(r.Context(), &s.budget)
 	defer done()
-	if !c.Begin(r) || r.URL.Path == "/refused" {
+	if !c.Begin(r.ContentLength) || r.URL.Path == "/refused" {
 		c.Refuse()
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	ctx, stop := context.WithTimeout(r.Context(), bodyTimeout)
 	defer stop()
-	body, err := c.ReadBody(ctx, r, bodyLimit)
+	body, err := c.ReadBody(ctx, r.Body, r.ContentLength, bodyLimit)
 	if err != nil {
 		c.Refuse()
 		w.WriteHeader(http.StatusTeapot)
@@ -159,8 +159,8 @@
 				s.srv.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 					c, done := Of(r.Context(), &s.budget)
 					defer done()
-					c.Begin(r)
-					_, err := c.ReadBody(r.Context(), r, bodyLimit)
+					c.Begin(r.ContentLength)
+					_, err := c.ReadBody(r.Context(), r.Body, r.ContentLength, bodyLimit)
 					read <- err
 				})
 				conn, err := s.net.Connect(t.Context(), "callers")
@@ -287,3 +287,46 @@
 		}
 	})
 }
+
+// Guards against a client that stops and is told that its request is wrong, which it does not send again: a reader of chunks hides the error of the connection.
+func TestHiddenErrors(t *testing.T) {
+	cases := map[string]struct {
+		room int64 // that another client asks for meanwhile
+		want error
+	}{
+		"time is over":     {0, ErrBodyTimeout},
+		"it had to go":     {bodyLimit, memory.ErrShed},
+		"a broken request": {-1, io.ErrUnexpectedEOF},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &memory.Budget{VM: 8 << 20}
+				c, done := Of(t.Context(), b)
+				defer done()
+				other, otherDone := Of(t.Context(), b)
+				defer otherDone()
+				ctx, stop := context.WithTimeout(t.Context(), bodyTimeout)
+				defer stop()
+				is.True(c.Begin(bodyLimit))
+				read := make(chan error, 1)
+				pr, pw := io.Pipe()
+				go func() {
+					_, err := c.ReadBody(ctx, pr, bodyLimit, bodyLimit)
+					read <- err
+				}()
+				time.Sleep(time.Second)
+				if tc.room > 0 {
+					go func() { _, _ = other.ReadBody(ctx, strings.NewReader(""), tc.room, bodyLimit) }()
+					time.Sleep(time.Second)
+				}
+				if tc.room == 0 {
+					time.Sleep(bodyTimeout)
+				}
+				_ = pw.CloseWithError(io.ErrUnexpectedEOF)
+				is.True(errors.Is(<-read, tc.want))
+			})
+		})
+	}
+}
--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -35,6 +36,11 @@
 	callerShare = 3
 	peerShare   = 3
 	checkShare  = 8
+	// otherMemory, in bytes, or the part otherShare of the VM's memory if that is more, is left for the program itself and
+	// for what the kernel holds for it; the Go runtime gets the rest, at least the part leastRuntimeShare.
+	otherMemory       = 36 << 20
+	otherShare        = 4
+	leastRuntimeShare = 2
 	// defaultVM and defaultDescriptors are the size of a VM that is not known.
 	defaultVM          = 128 << 20
 	defaultDescriptors = 4096
@@ -67,6 +73,7 @@
 	// Budget is the room that the VM has for clients. The zero value has room for one of the longest responses.
 	Budget struct {
 		VM          int64 // memory of the VM, in bytes; 0 if not known; set before use
+		MostCallers int64 // connections of callers, if the descriptors allow more; 0 for no bound of its own
 		Descriptors int64 // that a process of the VM may have; 0 if not known; set before use
 		// OnShed is called for each client that had to give way, or that was not let in; nil for nothing. It
 		// must not block or call the Budget.
@@ -93,6 +100,13 @@
 	}
 )
 
+// BoundRuntime has the Go runtime of this process collect garbage before the VM has no memory left.
+func (b *Budget) BoundRuntime() {
+	if b.VM > 0 {
+		debug.SetMemoryLimit(max(b.VM-max(b.VM/otherShare, otherMemory), b.VM/leastRuntimeShare))
+	}
+}
+
 // Kinds returns all kinds.
 func Kinds() []Kind { return []Kind{Callers, Peers, Checks, Requests, Bodies, Responses} }
 
@@ -126,7 +140,7 @@
 	vm, descriptors := cmp.Or(b.VM, defaultVM), cmp.Or(b.Descriptors, defaultDescriptors)
 	switch k {
 	case Callers:
-		return descriptors / callerShare
+		return min(descriptors/callerShare, cmp.Or(b.MostCallers, descriptors))
 	case Peers:
 		return descriptors / peerShare
 	case Checks:
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -210,7 +210,7 @@
 	defer q.returnMemory()
 	defer q.releaseWitness()
 	defer q.tellOver()
-	if !q.conn.Begin(r) {
+	if !q.conn.Begin(r.ContentLength) {
 		q.replyUnavailable("no_room", retryNoRoom, nil)
 	} else if q.accept() {
 		q.serve()
@@ -299,7 +299,7 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	var err error
-	if q.body, err = q.conn.ReadBody(ctx, q.r, limit); err == nil {
+	if q.body, err = q.conn.ReadBody(ctx, q.r.Body, q.r.ContentLength, limit); err == nil {
 		return true
 	}
 	switch {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -21,6 +21,8 @@
 	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/edge/relay"
 	"github.com/slaterock/slaterock/internal/edge/server"
+	"github.com/slaterock/slaterock/internal/front/conns"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/node/host"
 	"github.com/slaterock/slaterock/internal/node/invoke"
 	"github.com/slaterock/slaterock/internal/node/placer"
@@ -29,6 +31,7 @@
 	"github.com/slaterock/slaterock/internal/node/shards"
 	"github.com/slaterock/slaterock/internal/obs/logs"
 	"github.com/slaterock/slaterock/internal/obs/metric"
+	"github.com/slaterock/slaterock/internal/obs/sheds"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/gossip"
 	"github.com/slaterock/slaterock/internal/peer/link"
@@ -74,6 +77,8 @@
 		meter     meter.Meter
 		config    watch.Syncer
 		gossip    gossip.Gossip
+		clients   *memory.Budget // what clients may have the process hold
+		sheds     sheds.Sheds
 		link      link.Link
 		shards    shards.Shards
 		xfer      xfer.Endpoint
@@ -114,6 +119,10 @@
 	}
 	d.log = d.Logs.Logger()
 	d.scope = d.Metric.Scope().SubScope("owner")
+	d.clients = newRoom(d.Settings.Bounds)
+	d.clients.BoundRuntime()
+	d.sheds = sheds.Sheds{Log: d.log, Scope: d.Metric.Scope()}
+	d.clients.OnShed = d.sheds.Note
 	d.drain = make(chan struct{})
 	d.ready = make(chan struct{})
 	d.assembled = make(chan struct{})
@@ -160,7 +169,9 @@
 	work.Go(func() { d.reportGauges(ctx) })
 	work.Go(func() { d.placer.Serve(ctx) })
 	work.Go(func() { d.gossip.Run(ctx, swim.Self{Member: d.self, Seeds: d.Settings.Peers.Seeds}) })
-	work.Go(func() { d.stopOnError(stop, d.link.Serve(ctx, d.Peers)) })
+	work.Go(func() {
+		d.stopOnError(stop, d.link.Serve(ctx, (&conns.Server{Budget: d.clients, Kind: memory.Peers}).Listen(d.Peers)))
+	})
 	work.Go(func() { _ = d.config.Serve(ctx) })
 	work.Go(func() { d.shards.Serve(ctx) })
 	work.Go(func() { d.quotas.Serve(ctx) })
--- a/internal/node/daemon/edge.go
+++ b/internal/node/daemon/edge.go
@@ -65,6 +65,7 @@
 		Text:        func() ([]byte, uint64) { return server.AssembleText(d.config.Answer) },
 		MaxHeader:   b.HeaderBytes,
 		MaxConns:    b.Connections,
+		Clients:     d.clients,
 		ReadTimeout: t.Read,
 		SendTimeout: t.Write,
 		IdleTimeout: t.Idle,
--- a/internal/node/daemon/gauges.go
+++ b/internal/node/daemon/gauges.go
@@ -31,6 +31,7 @@
 		scope.Gauge("shards_owned").Update(float64(len(d.shards.List())))
 		scope.Gauge("config_version").Update(float64(d.config.Current().Version))
 		scope.Gauge("store_age_seconds").Update(d.gossip.StoreAge().Seconds())
+		d.sheds.Report(d.clients)
 		now := d.meter.Counts()
 		scope.Counter("store_reads").Inc(int64(now.Reads - last.Reads))
 		scope.Counter("store_writes").Inc(int64(now.Writes - last.Writes))
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -11,6 +11,7 @@
 	"github.com/slaterock/slaterock/internal/conf/watch"
 	"github.com/slaterock/slaterock/internal/edge/locate"
 	"github.com/slaterock/slaterock/internal/edge/relay"
+	"github.com/slaterock/slaterock/internal/front/conns"
 	"github.com/slaterock/slaterock/internal/node/host"
 	"github.com/slaterock/slaterock/internal/node/placer"
 	"github.com/slaterock/slaterock/internal/obs/trace"
@@ -58,6 +59,7 @@
 	d.gossip.Newer = func(version uint64, from string) { d.spawn(func() { d.config.Newer(version, from) }) }
 	d.link.Address = d.self.Peer
 	d.link.Key = []byte(d.Settings.Peers.Key)
+	d.link.Proven = conns.Trust
 	d.link.Runner = &d.shards
 	d.link.OnPacket = d.gossip.HandlePacket
 	handle(&d.link, methodConfig, func(_ context.Context, q watch.Query) (any, error) {
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -66,6 +66,8 @@
 		BodyBytes   int
 		HeaderBytes int
 		Connections int // of callers
+		MemoryMB    int // that the process may take; 0 for the memory of the machine
+		Descriptors int // that the process may have; 0 for as many as the system allows it
 		Calls       int // in progress
 		Programs    int // open at a time
 	}
@@ -189,6 +191,8 @@
 		BodyBytes:   int(sec.Int("body_bytes", int64(d.BodyBytes), 1<<10, 64<<20)),
 		HeaderBytes: int(sec.Int("header_bytes", int64(d.HeaderBytes), 1<<10, 1<<20)),
 		Connections: int(sec.Int("connections", int64(d.Connections), 1, 1_000_000)),
+		MemoryMB:    int(sec.Int("memory_mb", 0, 0, 1<<20)),
+		Descriptors: int(sec.Int("descriptors", 0, 0, 10_000_000)),
 		Calls:       int(sec.Int("calls", int64(d.Calls), 1, 1_000_000)),
 		Programs:    int(sec.Int("programs", int64(d.Programs), 1, 1_000_000)),
 	}
