front, quorum, recsrv: histories and records of long turns are counted before they are held

What callers saw: clients that store turns of megabytes and continue them had a front take 659 MB and a VM with a disk 308 (sixty clients, turns of 1 MB); stored turns of 4 MB 1,249 MB and 414.

Cause: a history was read whole, from as many replicas as were asked, decoded, copied to be one, and copied again with the body, and nothing of it was counted; nor were the copies of a stored turn for its replicas.

A read states how many bytes it may have. A replica that has more of the chain answers with the size, and the front takes the memory before it asks again (quorum.ReadWithin); histories up to 64 KiB are read as before, without another round trip. Histories are copied once less. A replica reads long ones within a bound of its own. Replicas that do not know the bound answer in full, as before, so releases may be mixed.

It works since the size is known to the index without reading. A history longer than an eighth of the VM is refused.

The tests measure a VM with a disk as well now.

--- a/cmd/slaterock/misuse_test.go
+++ b/cmd/slaterock/misuse_test.go
@@ -3,9 +3,9 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -67,6 +67,18 @@
 	}
 	smallChunks := body(1, 1)
 	smallChunks.BodyBytes = 3 << 20
+	turn := []string{"Program-Id: crowd-{id}", "Token-Budget: 1000", "Token-Usage: 10,60"}
+	stored := body(0, 0)
+	stored.Path, stored.Header = "/stored/x?events=3", turn
+	history := crowd.Request{
+		Path: "/turn/x?events=3", Host: shopHost, BodyBytes: longestBody / 4,
+		Header: []string{"Program-Id: crowd-{client}", "Token-Budget: 1000", "Token-Usage: 10,60", "Previous-Turn: {before}"},
+	}
+	extended := body(10, 1)
+	extended.ChunkExtension = 2000
+	trailers := crowd.Request{Path: "/safe/x", Host: shopHost, BodyBytes: 10, ChunkBytes: 10, TrailerBytes: 1 << 20}
+	longIDs := crowd.Request{Method: "GET", Path: "/safe/x?{id}", Host: shopHost, Header: []string{"Program-Id: {id}-" + strings.Repeat("p", 150), "Session-Id: {id}-" + strings.Repeat("s", 14_000)}}
+	stream := crowd.Request{Path: "/resume/x?events=100000", Host: shopHost, BodyBytes: 10, Header: turn}
 	cases := map[string]*chaos.Misuse{
 		"heads_of_short_lines":    {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 500, Request: shortLines}},
 		"heads_of_distinct_lines": {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 300, Request: distinctLines}},
@@ -78,6 +90,12 @@
 		"chunked_bodies":          {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: body(64<<10, 1)}},
 		"whole_chunked_bodies":    {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: body(64<<10, 0), Before: 2}},
 		"bodies_in_small_chunks":  {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: smallChunks}},
+		"stored_bodies":           {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: stored, Before: 2}},
+		"long_histories":          {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: history, Before: 5}},
+		"chunk_extensions":        {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: extended}},
+		"long_trailers":           {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 300, Request: trailers}},
+		"long_ids":                {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 300, Request: longIDs, Before: 20}},
+		"unread_streams":          {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 200, Request: stream, NoRead: true}},
 		"silent_connections":      {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 900, Silent: true}},
 		"idle_connections":        {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 900, Request: plain}},
 		"requests_sent_ahead":     {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 200, Request: ahead, Ahead: 400, NoRead: true}},
@@ -95,17 +113,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			t.Setenv(mainEnv, "1")
-			var out bytes.Buffer
-			memory := smallMemoryMB
-			if m.Listener == chaos.DiskPeers || m.Listener == chaos.Control {
-				memory = smallDiskMemoryMB
-			}
-			m.Runner = &chaos.Runner{
-				Seed: 1, Fronts: 1, Disks: 3, Upstreams: 2, MemoryMB: memory, Descriptors: smallDescriptors,
-				Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: &out,
-			}
+			m.Runner, m.DiskMemoryMB = smallVMs(t), smallDiskMemoryMB
 			sum, err := m.Run(t.Context())
-			t.Logf("%d MB (%d unread), %d descriptors, %s", sum.Memory>>20, sum.Unread>>20, sum.Descriptors, sum.Crowd)
+			logUsage(t, sum)
 			is.NoErr(err)
 		})
 	}
@@ -181,3 +191,52 @@
 		return err == nil
 	})
 }
+
+// The largest single requests inside the limits, one after another in calm on the smallest VM. Guards against bounds that
+// refuse them.
+func TestMisuseBoundsServeTheLargest(t *testing.T) {
+	head := crowd.Request{Path: "/safe/x", Host: shopHost, HeadBytes: longestHead, LineBytes: 5}
+	request := func(path string, chunk int) crowd.Request {
+		return crowd.Request{Path: path, Host: shopHost, BodyBytes: longestBody, ChunkBytes: chunk}
+	}
+	stored := request("/stored/x?events=3", 0)
+	stored.Header = []string{"Program-Id: largest-{id}", "Token-Budget: 1000", "Token-Usage: 10,60"}
+	cases := map[string]crowd.Request{
+		"head":               head,
+		"body":               request("/unsafe/x", 0),
+		"body in chunks":     request("/unsafe/x", 64<<10),
+		"body in bytes":      request("/safe/x", 1),
+		"response":           {Method: "GET", Path: "/safe/x?bytes=4000000", Host: shopHost},
+		"stored turn's body": stored,
+	}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			t.Setenv(mainEnv, "1")
+			m := &chaos.Misuse{Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 1, Request: r, Before: 2}}
+			m.Runner, m.DiskMemoryMB = smallVMs(t), smallDiskMemoryMB
+			sum, err := m.Run(t.Context())
+			logUsage(t, sum)
+			is.NoErr(err)
+			for _, result := range m.Crowd.Results() {
+				is.Equal(result.Status, 200)
+			}
+			is.Equal(len(m.Crowd.Results()), 3)
+		})
+	}
+}
+
+// smallVMs returns a front and three VMs with a disk.
+func smallVMs(t *testing.T) *chaos.Runner {
+	return &chaos.Runner{
+		Seed: 1, Fronts: 1, Disks: 3, Upstreams: 2, MemoryMB: smallMemoryMB, Descriptors: smallDescriptors,
+		Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: io.Discard,
+	}
+}
+
+func logUsage(t *testing.T, sum chaos.MisuseSummary) {
+	for name, u := range map[string]procs.Usage{"front": sum.Front, "disk": sum.Disk} {
+		t.Logf("%s: %d MB (%d unread), %d descriptors", name, u.Memory>>20, u.Unread>>20, u.Descriptors)
+	}
+	t.Log(sum.Crowd)
+}
--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -45,6 +46,8 @@
 	RetryTime = 900 * time.Millisecond
 	// maxRetryPause is the longest pause between attempts while replicas are overloaded.
 	maxRetryPause = time.Second
+	// shortChain is how many bytes of turns are read without leave.
+	shortChain = 64 << 10
 )
 
 var (
@@ -64,6 +67,15 @@
 )
 
 type (
+	// chainQuery asks for a turn and the previous ones.
+	chainQuery struct {
+		program, turn string
+		most          int64 // bytes that the turns may have; 0 for no bound
+	}
+
+	// longChainError reports turns that have more bytes than they may.
+	longChainError struct{ size int64 }
+
 	// Client reads and writes records. Set the fields before use.
 	Client struct {
 		Peer    func(address string) link.Invoker
@@ -234,11 +246,29 @@
 // was down. The turns that one replica lacks are therefore read from the others, one
 // by one; an absence quorum is counted for each turn separately.
 func (c *Client) Read(ctx context.Context, program, turn string) (chain []index.Turn, err error) {
+	return c.ReadWithin(ctx, program, turn, nil)
+}
+
+// ReadWithin does what Read does, but has room called before it reads turns of more than shortChain bytes, with the bytes
+// of them; nil for no bound. An error of room ends it.
+func (c *Client) ReadWithin(ctx context.Context, program, turn string, room func(ctx context.Context, n int64) error) (chain []index.Turn, err error) {
 	defer func() { err = errors.Wrapf(err, "read turn %s", turn) }()
+	q := chainQuery{program: program}
+	if room != nil {
+		q.most = shortChain
+	}
 	for next := turn; next != ""; {
+		q.turn = next
 		var part []index.Turn
-		part, next, err = c.readPart(ctx, program, next)
+		part, next, err = c.readPart(ctx, q)
+		var long *longChainError
 		switch {
+		case errors.As(err, &long):
+			if err = room(ctx, long.size); err != nil {
+				return nil, err
+			}
+			q.most = long.size
+			continue
 		case errors.Is(err, ErrNoTurn) && len(chain) > 0:
 			// An absence quorum lacks a previous turn although a later one is stored.
 			// That is not ErrNoTurn, which would mean that the requested turn does not
@@ -248,30 +278,49 @@
 			return nil, err
 		}
 		chain = append(chain, part...)
+		q.most = left(q.most, part)
 	}
 	slices.Reverse(chain)
 	return chain, nil
 }
 
+// left returns the bytes that further turns may have.
+func left(most int64, part []index.Turn) int64 {
+	if most == 0 {
+		return 0
+	}
+	for _, t := range part {
+		most -= int64(len(t.Input) + len(t.Output))
+	}
+	return max(most, 1)
+}
+
+func (e *longChainError) Error() string { return fmt.Sprintf("the turns have %d bytes", e.size) }
+
+func isLong(err error) bool {
+	var long *longChainError
+	return errors.As(err, &long)
+}
+
 // readPart returns the turn and the previous ones, the newest first, as far as one
 // replica has them, and the id of the first that it lacks.
-func (c *Client) readPart(ctx context.Context, program, turn string) (part []index.Turn, next string, err error) {
+func (c *Client) readPart(ctx context.Context, q chainQuery) (part []index.Turn, next string, err error) {
 	for wait := retryPause; ; {
 		var seen refusals
-		part, next, err = c.tryRead(ctx, program, turn, &seen)
-		if err == nil || errors.Is(err, ErrNoTurn) || ctx.Err() != nil {
+		part, next, err = c.tryRead(ctx, q, &seen)
+		if err == nil || errors.Is(err, ErrNoTurn) || isLong(err) || ctx.Err() != nil {
 			return part, next, err
 		}
 		wait = nextPause(wait, seen.busy)
 		if !c.waitRetry(ctx, seen.stale, wait) {
-			return nil, turn, err
+			return nil, q.turn, err
 		}
 	}
 }
 
-func (c *Client) tryRead(ctx context.Context, program, turn string, seen *refusals) (part []index.Turn, next string, err error) {
-	r := c.Roster()
-	replicas := c.readOrder(r, program)
+func (c *Client) tryRead(ctx context.Context, q chainQuery, seen *refusals) (part []index.Turn, next string, err error) {
+	r, turn := c.Roster(), q.turn
+	replicas := c.readOrder(r, q.program)
 	if len(replicas) == 0 {
 		seen.stale = true
 		return nil, turn, ErrNoQuorum
@@ -279,7 +328,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	replies := make(chan reply, len(replicas))
-	send := c.sendNext(ctx, r.Version, turn, replicas, replies)
+	send := c.sendNext(ctx, r.Version, q, replicas, replies)
 	send()
 	hedge := time.NewTicker(c.readLatency.hedge(replicas, minReadHedge))
 	defer hedge.Stop()
@@ -295,6 +344,9 @@
 				}
 				continue
 			}
+			if got.read.Size > 0 {
+				return nil, turn, &longChainError{got.read.Size}
+			}
 			if len(got.read.Chain) > 0 {
 				return got.read.Chain, got.read.Next, nil
 			}
@@ -314,7 +366,7 @@
 }
 
 // sendNext returns a function that sends the read to the next replica.
-func (c *Client) sendNext(ctx context.Context, version uint64, turn string, replicas []roster.Replica, replies chan<- reply) func() {
+func (c *Client) sendNext(ctx context.Context, version uint64, q chainQuery, replicas []roster.Replica, replies chan<- reply) func() {
 	next := 0
 	return func() {
 		if next == len(replicas) {
@@ -326,7 +378,7 @@
 			limited, stop := context.WithTimeout(ctx, replicaTimeout)
 			defer stop()
 			out := reply{replica: p}
-			req := recsrv.ReadRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Turn: turn}
+			req := recsrv.ReadRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Turn: q.turn, Most: q.most}
 			began := time.Now()
 			out.err = link.InvokeTyped(limited, c.Peer(p.Address), recsrv.MethodRead, req, &out.read)
 			c.readLatency.observe(p, time.Since(began), out.err)
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -21,6 +21,7 @@
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/roster"
 	"github.com/slaterock/slaterock/internal/disk/seglog"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/peer/link"
 )
 
@@ -47,9 +48,10 @@
 	Dir      string
 	Capacity int64 // bytes of the disk; 0 is unbounded
 	Now      func() time.Time
-	Scope    tally.Scope // of metrics; nil for none
-	Others   Peers       // connects to the other replicas, which are asked before records expire; nil to ask none
-	OnDisk   func(error) // called when the disk no longer takes records, and with nil when it does again; nil for none
+	Scope    tally.Scope    // of metrics; nil for none
+	Others   Peers          // connects to the other replicas, which are asked before records expire; nil to ask none
+	Room     *memory.Budget // for long histories that are read; nil for no bound
+	OnDisk   func(error)    // called when the disk no longer takes records, and with nil when it does again; nil for none
 
 	log    seglog.Log
 	diskID string
@@ -192,14 +194,14 @@
 }
 
 // Read returns a turn and the previous ones, as far as they are on this disk.
-func (s *Server) Read(_ context.Context, req ReadRequest) (reply ReadReply, err error) {
+func (s *Server) Read(ctx context.Context, req ReadRequest) (reply ReadReply, err error) {
 	began := time.Now()
 	defer func() { s.meter.observe(kindRead, began, reply.Refusal) }()
 	if r := s.checkTarget(req.Target); r.Code != "" {
 		return ReadReply{Refusal: r}, nil
 	}
 	for range readTries {
-		reply, err = s.readChain(req)
+		reply, err = s.readChain(ctx, req)
 		if !isDropped(err) { // or else moved since its position was looked up
 			break
 		}
@@ -210,10 +212,24 @@
 // isDropped reports whether a read failed since the segment was dropped before it, or during it.
 func isDropped(err error) bool { return errors.IsAny(err, os.ErrNotExist, os.ErrClosed) }
 
-func (s *Server) readChain(req ReadRequest) (reply ReadReply, err error) {
+func (s *Server) readChain(ctx context.Context, req ReadRequest) (reply ReadReply, err error) {
 	s.mu.Lock()
 	positions, next := s.index.Chain(req.Turn)
 	s.mu.Unlock()
+	size := int64(0)
+	for _, pos := range positions {
+		size += int64(pos.Size)
+	}
+	if req.Most > 0 && size > req.Most {
+		return ReadReply{Size: size, Next: req.Turn}, nil
+	}
+	if size > memory.Short && s.Room != nil {
+		n := min(size, s.Room.Limit())
+		if err := s.Room.Take(ctx, n); err != nil {
+			return ReadReply{}, err
+		}
+		defer s.Room.Return(n)
+	}
 	chain := make([]index.Turn, 0, len(positions))
 	for _, pos := range positions {
 		data, err := s.log.Read(pos)
--- a/internal/disk/recsrv/wire.go
+++ b/internal/disk/recsrv/wire.go
@@ -48,14 +48,17 @@
 	ReadRequest struct {
 		Target Target `cbor:"1,keyasint"`
 		Turn   string `cbor:"2,keyasint"`
+		Most   int64  `cbor:"3,keyasint,omitempty"` // bytes that the turns may have; 0 for no bound
 	}
 
 	// ReadReply has the turn and the previous ones, the newest first, as far as the
-	// replica has them. Next is the id of the first that it lacks, empty if it has all.
+	// replica has them. Next is the id of the first that it lacks, empty if it has all. If they have more bytes than they
+	// may, it has none of them, and Size.
 	ReadReply struct {
 		Refusal Refusal      `cbor:"1,keyasint"`
 		Chain   []index.Turn `cbor:"3,keyasint,omitempty"`
 		Next    string       `cbor:"4,keyasint,omitempty"`
+		Size    int64        `cbor:"5,keyasint,omitempty"` // bytes of the turns that are left out for their number
 	}
 
 	// PullRequest asks for the records from a position on, without their turns' input
--- a/internal/front/conns/body.go
+++ b/internal/front/conns/body.go
@@ -161,6 +161,26 @@
 	return nil
 }
 
+// TakeHistory takes n bytes for the history of a request, besides its body, until the request is over. It fails with
+// memory.ErrNone if there is no room in time.
+func (c *Conn) TakeHistory(ctx context.Context, n int64) error {
+	if err := c.client.WaitBody(ctx, n); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body += n
+	return nil
+}
+
+// ForceBody takes n bytes for copies of a long body until the request is over, whether there is room or not.
+func (c *Conn) ForceBody(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.client.Force(memory.Bodies, n)
+	c.body += n
+}
+
 // giveBody returns what a body of length n did not need of what was taken.
 func (c *Conn) giveBody(taken, n int64) {
 	c.mu.Lock()
--- a/internal/front/memory/client.go
+++ b/internal/front/memory/client.go
@@ -50,6 +50,7 @@
 		got    int64     // bytes of the body since then
 		served bool      // a request was answered
 		shed   bool      // it had to give way
+		left   bool      // its connection is closed: work that goes on takes nothing more
 	}
 )
 
@@ -82,6 +83,7 @@
 	for k := range kinds {
 		c.remove(k, c.held[k])
 	}
+	c.left = true
 	delete(b.clients, c)
 	b.notify()
 }
@@ -116,8 +118,12 @@
 }
 
 // WaitBody takes n bytes for a long body, for which it waits; others that move nothing give way. It fails with
-// ErrNone if there is no room in time.
+// ErrNone if there is no room in time, or never is.
 func (c *Client) WaitBody(ctx context.Context, n int64) error {
+	if n > c.budget.mostBody() {
+		c.budget.note(c, Bodies, n)
+		return ErrNone
+	}
 	ctx, stop := context.WithTimeout(ctx, maxBodyWait)
 	defer stop()
 	for {
@@ -175,8 +181,8 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	// What leaves is not free yet: a long body may take as much again.
-	if !c.shed && (b.used[Bodies] == 0 || b.used[Bodies]+n <= b.limit(Bodies)) {
+	// What leaves is not free yet: a long body may take as much again. What one client takes alone always fits.
+	if !c.shed && (b.used[Bodies] == c.held[Bodies] || b.used[Bodies]+n <= b.limit(Bodies)) {
 		c.add(Bodies, n)
 		c.since, c.got = time.Now(), 0 // it could not move before
 		return nil, true
@@ -211,6 +217,9 @@
 
 // add and remove change what the client holds; the caller holds budget.mu.
 func (c *Client) add(k Kind, n int64) {
+	if c.left {
+		return
+	}
 	c.held[k] += n
 	c.budget.used[k] += n
 	if c.shed {
--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -28,8 +28,10 @@
 	Longest = 16 << 20
 	// requestShare, bodyShare and responseShare are the parts of the VM's memory that short requests, long bodies and
 	// long responses may take. Garbage that is not collected yet takes as much again.
-	requestShare  = 6
-	bodyShare     = 8
+	requestShare = 6
+	bodyShare    = 8
+	// mostBodyShare is the part of the VM's memory that one body or history may take alone.
+	mostBodyShare = 4
 	responseShare = 8
 	// callerShare, peerShare and checkShare are the parts of the VM's descriptors that connections of callers, of other daemons,
 	// and for checks, the directory and metrics may take. The others are for upstreams, the store and files.
@@ -154,6 +156,9 @@
 	}
 }
 
+// mostBody returns the most that may be taken at once for a long body or a history, in bytes.
+func (b *Budget) mostBody() int64 { return cmp.Or(b.VM, defaultVM) / mostBodyShare }
+
 // fits reports whether there is room for n more of a kind. What one takes alone always fits. The caller holds b.mu.
 func (b *Budget) fits(k Kind, n int64) bool {
 	used := b.used[k] - b.leaving[k]
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -47,6 +47,8 @@
 	idleTime = 15 * time.Second
 	// defaultBody is the limit on request bodies if the configuration sets none, in bytes.
 	defaultBody = 4 << 20
+	// recordCopies is how many copies of a stored turn are made to send its record to replicas.
+	recordCopies = 3
 )
 
 type (
@@ -72,7 +74,8 @@
 	// Records reads and writes durable records of turns and token budgets.
 	Records interface {
 		Write(context.Context, index.Record) (quorum.Result, error)
-		Read(ctx context.Context, program, turn string) ([]index.Turn, error)
+		// Read has room called before it reads a history that is not short, with its bytes.
+		Read(ctx context.Context, program, turn string, room func(ctx context.Context, n int64) error) ([]index.Turn, error)
 	}
 
 	// Runs tells other fronts of runs, and asks them for others; see runio.Exchange.
@@ -300,6 +303,9 @@
 	defer cancel()
 	var err error
 	if q.body, err = q.conn.ReadBody(ctx, q.r.Body, q.r.ContentLength, limit); err == nil {
+		if len(q.body) > memory.Short && q.route.StoreTurns {
+			q.conn.ForceBody(recordCopies * int64(len(q.body)))
+		}
 		return true
 	}
 	switch {
--- a/internal/front/proxy/records_env_test.go
+++ b/internal/front/proxy/records_env_test.go
@@ -123,7 +123,7 @@
 	}
 }
 
-func (r *fakeRecords) Read(_ context.Context, _, id string) (chain []index.Turn, err error) {
+func (r *fakeRecords) Read(_ context.Context, _, id string, _ func(context.Context, int64) error) (chain []index.Turn, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down {
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -48,7 +48,11 @@
 // replyNoRecords refuses a turn whose records can't be read or written: too few replicas
 // answer, or they have too much to do.
 func (t *turn) replyNoRecords(err error) {
-	if errors.Is(err, quorum.ErrOverloaded) {
+	switch {
+	case errors.Is(err, memory.ErrNone):
+		t.replyUnavailable("no_room", retryNoRoom, err)
+		return
+	case errors.Is(err, quorum.ErrOverloaded):
 		t.replyUnavailable("records_busy", retryRecordsBusy, err)
 		return
 	}
@@ -68,10 +72,10 @@
 		return nil
 	}
 	t.previousID = t.scopedID(t.Previous)
-	turns, err := t.e.Records.Read(ctx, t.scopedID(t.Program), t.previousID)
+	turns, err := t.e.Records.Read(ctx, t.scopedID(t.Program), t.previousID, t.takeHistory)
 	if errors.Is(err, quorum.ErrNoTurn) && t.previousID != t.Previous {
 		t.previousID = t.Previous // recorded before accounts were configured
-		turns, err = t.e.Records.Read(ctx, t.Program, t.previousID)
+		turns, err = t.e.Records.Read(ctx, t.Program, t.previousID, t.takeHistory)
 	}
 	if err != nil {
 		return err
@@ -80,10 +84,7 @@
 	for _, before := range turns {
 		n += len(before.Input) + len(before.Output)
 	}
-	if n > memory.Short {
-		t.conn.Force(int64(2 * n)) // once more with the body, as it is sent
-	}
-	t.history = make([]byte, 0, n)
+	t.history = make([]byte, 0, n+len(t.body))
 	for _, before := range turns {
 		t.history = append(t.history, before.Input...)
 		t.history = append(t.history, before.Output...)
@@ -92,6 +93,9 @@
 	return nil
 }
 
+// takeHistory takes the memory for a history of n bytes: as it is read, and as it is sent.
+func (t *turn) takeHistory(ctx context.Context, n int64) error { return t.conn.TakeHistory(ctx, 2*n) }
+
 // maxTokens returns the most tokens that the turn can generate, rounded up to whole
 // events.
 func (t *turn) maxTokens() int {
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,7 +91,7 @@
 func (t *turn) relayTurn(ctx context.Context) error {
 	body := t.body
 	if len(t.history) > 0 {
-		body = slices.Concat(t.history, t.body)
+		body = append(t.history, t.body...) // it has room for both
 	}
 	c := pick.Request{
 		Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens,
--- a/internal/front/reach/reach.go
+++ b/internal/front/reach/reach.go
@@ -18,6 +18,7 @@
 
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/quorum"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/slots"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
@@ -49,10 +50,13 @@
 )
 
 type (
+	// Room takes n bytes for turns before they are read; nil takes nothing.
+	Room = func(ctx context.Context, n int64) error
+
 	// Records reads and writes durable records.
 	Records interface {
 		Write(context.Context, index.Record) (quorum.Result, error)
-		Read(ctx context.Context, program, turn string) ([]index.Turn, error)
+		ReadWithin(ctx context.Context, program, turn string, room Room) ([]index.Turn, error)
 		// Answering reports whether as many holders as a reservation needs answer, before ctx ends, a
 		// call that waits for no disk.
 		Answering(ctx context.Context) bool
@@ -177,13 +181,13 @@
 
 // Read returns a turn and the turns before it, the oldest first, within CallTimeout. It
 // fails with quorum.ErrNoQuorum while the holders are unreachable.
-func (b *Breaker) Read(ctx context.Context, program, turn string) (chain []index.Turn, err error) {
+func (b *Breaker) Read(ctx context.Context, program, turn string, room Room) (chain []index.Turn, err error) {
 	if !b.allow(time.Now()) {
 		return nil, errOpen
 	}
 	limited, stop := context.WithTimeout(ctx, CallTimeout)
 	defer stop()
-	chain, err = b.Records.Read(limited, program, turn)
+	chain, err = b.Records.ReadWithin(limited, program, turn, room)
 	b.recordOutcome(ctx, err)
 	return chain, err
 }
@@ -194,6 +198,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
+	case errors.Is(err, memory.ErrNone): // of this daemon
 	case err == nil || errors.IsAny(err, quorum.ErrNoTurn, quorum.ErrSpent, quorum.ErrOverloaded):
 		b.failures = 0
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -236,6 +241,6 @@
 // requests any more detects when they are reachable again.
 func (b *Breaker) Probe(ctx context.Context) {
 	if b.Down(time.Now()) {
-		_, _ = b.Read(ctx, "", "probe") // the outcome is recorded
+		_, _ = b.Read(ctx, "", "probe", nil) // the outcome is recorded
 	}
 }
--- a/internal/front/reach/reach_test.go
+++ b/internal/front/reach/reach_test.go
@@ -24,7 +24,7 @@
 	return quorum.Result{}, s.call(ctx)
 }
 
-func (s *stubRecords) Read(ctx context.Context, _, _ string) ([]index.Turn, error) {
+func (s *stubRecords) ReadWithin(ctx context.Context, _, _ string, _ Room) ([]index.Turn, error) {
 	return nil, errors.CombineErrors(s.call(ctx), quorum.ErrNoTurn)
 }
 
@@ -69,7 +69,7 @@
 		_, _ = write()
 		is.True(b.Down(time.Now()))
 		_, _ = write() // let through as a probe
-		_, _ = b.Read(t.Context(), "", "x")
+		_, _ = b.Read(t.Context(), "", "x", nil)
 		took, err = write()
 		is.True(errors.Is(err, quorum.ErrNoQuorum))
 		is.True(took <= CallTimeout)
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -120,7 +120,7 @@
 		d.Clients = &memory.Budget{}
 	}
 	d.recsrv.Dir, d.recsrv.Capacity, d.recsrv.Scope = d.Settings.Dir, d.Settings.Capacity, d.Scope
-	d.recsrv.Others, d.recsrv.OnDisk = d.peers(), d.logDisk
+	d.recsrv.Others, d.recsrv.OnDisk, d.recsrv.Room = d.peers(), d.logDisk, d.Clients
 	emptyDisk, err := d.recsrv.Open()
 	if err != nil {
 		return err
--- a/internal/node/frontd/cutoff_test.go
+++ b/internal/node/frontd/cutoff_test.go
@@ -20,7 +20,7 @@
 	return quorum.Result{}, quorum.ErrNoQuorum
 }
 
-func (noRecords) Read(context.Context, string, string) ([]index.Turn, error) {
+func (noRecords) ReadWithin(context.Context, string, string, func(context.Context, int64) error) ([]index.Turn, error) {
 	return nil, quorum.ErrNoQuorum
 }
 
@@ -53,7 +53,7 @@
 				d.reach.Records = noRecords{}
 				for range 3 {
 					if c.recordsLost {
-						_, err := d.reach.Read(t.Context(), "", "")
+						_, err := d.reach.Read(t.Context(), "", "", nil)
 						is.True(err != nil)
 					}
 					time.Sleep(200 * time.Millisecond)
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -153,7 +153,7 @@
 fault-tolerance: {machines: 1, zones: 0, regions: 0}
 bounds: {drain-ms: 2000, grace-s: 8, ttl_max_s: 5}
 platform: {address: %q, writes-per-s: 400, reads-per-s: 2000, value-bytes: 1048576, ttl-min-ms: 1000}
-`, name, role, ip, i%3, listen, peerPort, peerPort+15, s.ip(2, 0), basePort+3, s.ip(2, 1), basePort+3, s.ip(2, 2), basePort+3, role == "storage", cmp.Or(s.MemoryMB, defaultMemoryMB), cmp.Or(s.Descriptors, defaultDescriptors), dir, p.Address)
+`, name, role, ip, i%3, listen, peerPort, peerPort+15, s.ip(2, 0), basePort+3, s.ip(2, 1), basePort+3, s.ip(2, 2), basePort+3, role == "storage", s.memoryMB(role), cmp.Or(s.Descriptors, defaultDescriptors), dir, p.Address)
 	if err := os.WriteFile(c.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -162,6 +162,14 @@
 	return c, err
 }
 
+// memoryMB returns the memory of a VM with the role.
+func (s *Runner) memoryMB(role string) int {
+	if role == "storage" && s.diskMemoryMB > 0 {
+		return s.diskMemoryMB
+	}
+	return cmp.Or(s.MemoryMB, defaultMemoryMB)
+}
+
 // ip returns the address of process i: group 1 are the fronts, group 2 those with a disk.
 func (s *Runner) ip(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", s.Net, group, i+1) }
 
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -67,6 +67,7 @@
 		Dir         string
 		Out         io.Writer
 
+		diskMemoryMB    int // see Misuse
 		rnd             *rand.Rand
 		outageRnd       *rand.Rand // separate source, so that outageOdds does not change the faults of a seed before its first outage
 		outMu           sync.Mutex
--- a/internal/play/chaos/misuse.go
+++ b/internal/play/chaos/misuse.go
@@ -1,6 +1,7 @@
 package chaos
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -48,14 +49,13 @@
 	Misuse struct {
 		*Runner // its callers and faults are not used
 		Listener
-		Crowd crowd.Crowd // without its address
+		DiskMemoryMB int         // of a VM with a disk, if it has another size than the others
+		Crowd        crowd.Crowd // without its address
 	}
 
-	// MisuseSummary is the most that the process with the listener had at a time.
+	// MisuseSummary is the most that a front and a VM with a disk had at a time.
 	MisuseSummary struct {
-		Memory      int64 // bytes, with those that the kernel has received for it and that it has not read
-		Unread      int64 // of these, bytes that it has not read
-		Descriptors int
+		Front, Disk procs.Usage
 		Crowd       string // see crowd.Crowd.Summary
 	}
 )
@@ -70,6 +70,7 @@
 		return sum, err
 	}
 	defer unlock()
+	m.diskMemoryMB = m.DiskMemoryMB
 	m.rnd = rand.New(rand.NewPCG(m.Seed, 1))
 	m.observed.attempts = map[string]observed{}
 	if err = m.startAll(ctx); err != nil {
@@ -79,33 +80,40 @@
 	if err = m.awaitService(ctx, startTimeout); err != nil {
 		return sum, errors.Wrap(err, "start")
 	}
-	c, ip, port := m.target()
-	m.Crowd.Address = net.JoinHostPort(ip.String(), fmt.Sprint(port))
-	u := &procs.Usage{PID: c.cmd.Process.Pid, IP: ip}
+	m.Crowd.Address = m.target()
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	var work sync.WaitGroup
-	work.Go(func() { u.Watch(watchCtx) })
+	front, disk := m.watch(watchCtx, &work, m.fronts[0], m.ip(1, 0)), m.watch(watchCtx, &work, m.disks[0], m.ip(2, 0))
 	m.play(ctx)
 	stopWatch()
 	work.Wait()
-	sum = MisuseSummary{Memory: u.Memory, Unread: u.Unread, Descriptors: u.Descriptors, Crowd: m.Crowd.Summary()}
-	m.judge(c, sum, u.Err)
+	m.judge(m.fronts[0], front, m.MemoryMB)
+	m.judge(m.disks[0], disk, cmp.Or(m.DiskMemoryMB, m.MemoryMB))
 	m.verifyCrowd()
+	sum = MisuseSummary{Front: *front, Disk: *disk, Crowd: m.Crowd.Summary()}
 	if list := m.observed.violations; len(list) > 0 {
 		return sum, errors.Newf("%d violations: %s", len(list), strings.Join(list, "; "))
 	}
 	return sum, nil
 }
 
-// target returns the process with the listener, and the listener's address.
-func (m *Misuse) target() (c *process, ip net.IP, port int) {
-	port = map[Listener]int{
+// target returns the address of the listener.
+func (m *Misuse) target() string {
+	port := map[Listener]int{
 		Callers: basePort, Ready: basePort + 1, Directory: basePort + 2, Metrics: metricsPort, Peers: peerPort, DiskPeers: peerPort, Control: basePort + 3,
 	}[m.Listener]
+	ip := m.ip(1, 0)
 	if m.Listener == DiskPeers || m.Listener == Control {
-		return m.disks[0], net.ParseIP(m.ip(2, 0)), port
+		ip = m.ip(2, 0)
 	}
-	return m.fronts[0], net.ParseIP(m.ip(1, 0)), port
+	return fmt.Sprintf("%s:%d", ip, port)
+}
+
+// watch measures the process until ctx ends.
+func (m *Misuse) watch(ctx context.Context, work *sync.WaitGroup, c *process, ip string) *procs.Usage {
+	u := &procs.Usage{PID: c.cmd.Process.Pid, IP: net.ParseIP(ip)}
+	work.Go(func() { u.Watch(ctx) })
+	return u
 }
 
 // play has the crowd come, and sends an ordinary request beside it and another one after it.
@@ -139,20 +147,20 @@
 }
 
 // judge notes what the process took beyond its VM.
-func (m *Misuse) judge(c *process, sum MisuseSummary, err error) {
+func (m *Misuse) judge(c *process, u *procs.Usage, memoryMB int) {
 	select {
 	case <-c.done:
 		m.observed.addViolation("%s has ended", c.name)
 	default:
 	}
-	if err != nil {
-		m.observed.addViolation("%s not measured: %v", c.name, err)
+	if u.Err != nil {
+		m.observed.addViolation("%s not measured: %v", c.name, u.Err)
 	}
-	if sum.Memory > int64(m.MemoryMB)<<20 {
-		m.observed.addViolation("%d MB of memory, the VM has %d", sum.Memory>>20, m.MemoryMB)
+	if u.Memory > int64(memoryMB)<<20 {
+		m.observed.addViolation("%s took %d MB of memory, the VM has %d", c.name, u.Memory>>20, memoryMB)
 	}
-	if sum.Descriptors > m.Descriptors {
-		m.observed.addViolation("%d descriptors, the VM has %d", sum.Descriptors, m.Descriptors)
+	if u.Descriptors > m.Descriptors {
+		m.observed.addViolation("%s had %d descriptors, the VM has %d", c.name, u.Descriptors, m.Descriptors)
 	}
 }
 
--- a/internal/play/crowd/crowd.go
+++ b/internal/play/crowd/crowd.go
@@ -27,6 +27,7 @@
 	pieceBytes = 8 << 10
 	// receiveBuffer is that of clients that read no response, in bytes.
 	receiveBuffer = 4 << 10
+	idFormat      = "crowd-%d-%d" // of a client and its requests
 	lineLetters   = "abcdefghijklmnopqrstuvwxyz"
 )
 
@@ -49,16 +50,19 @@
 	// Request is what a client sends.
 	Request struct {
 		Method     string // POST if empty
-		Path       string // {id} in it stands for the request's id
+		Path       string // {id} in it stands for the request's id, {client} for the client, {before} for the id of its request before
 		Host       string
-		Header     []string // lines, without their ends
+		Header     []string // lines, without their ends; {id} and the others as in Path. One with {before} is left out at first
 		HeadBytes  int      // the head is filled up with lines to this length; 0 for no more lines
 		LineBytes  int      // length of such a line with its end, 5 at least
 		DistinctIn int      // letters of the names of such lines, which are distinct if there are enough letters; 0 for 1
 		NoEnd      bool     // the last head has no end
 		BodyBytes  int
 		ChunkBytes int // length of the chunks that the body is sent in; 0 if it is sent with its length
-		Missing    int // bytes of the last body that are not sent; its last chunk is not either
+		// ChunkExtension is the length of the extension of each chunk, and TrailerBytes that of the trailers after them.
+		ChunkExtension int
+		TrailerBytes   int
+		Missing        int // bytes of the last body that are not sent; its last chunk is not either
 	}
 
 	// Result is one request that got a response.
@@ -127,7 +131,7 @@
 		return nil
 	}
 	for n := range c.Before {
-		if err := c.Request.whole().send(conn, id(i, n)); err != nil {
+		if err := c.Request.whole().send(conn, idOf(i, n)); err != nil {
 			return err
 		}
 		select {
@@ -140,11 +144,11 @@
 		}
 	}
 	for n := range c.Ahead {
-		if err := c.Request.whole().send(conn, id(i, c.Before+n)); err != nil {
+		if err := c.Request.whole().send(conn, idOf(i, c.Before+n)); err != nil {
 			return err
 		}
 	}
-	return c.send(conn, id(i, c.Before+c.Ahead))
+	return c.send(conn, idOf(i, c.Before+c.Ahead))
 }
 
 // read notes the responses until the server closes the connection.
@@ -163,7 +167,7 @@
 			break
 		}
 		c.mu.Lock()
-		c.requests = append(c.requests, Result{ID: id(i, n), Status: resp.StatusCode})
+		c.requests = append(c.requests, Result{ID: idOf(i, n), Status: resp.StatusCode})
 		c.mu.Unlock()
 		if n < cap(answered) {
 			answered <- struct{}{}
@@ -180,8 +184,17 @@
 	c.mu.Unlock()
 }
 
-// id returns the id of a client's request.
-func id(client, n int) string { return fmt.Sprintf("crowd-%d-%d", client, n) }
+// idOf returns the id of a client's request.
+func idOf(client, n int) string { return fmt.Sprintf(idFormat, client, n) }
+
+// relatives returns the number of the request's client and the id of its request before, empty for the first one.
+func relatives(id string) (client, before string) {
+	var c, n int
+	if _, err := fmt.Sscanf(id, idFormat, &c, &n); err != nil || n == 0 {
+		return fmt.Sprint(c), ""
+	}
+	return fmt.Sprint(c), idOf(c, n-1)
+}
 
 // whole returns the request with all that the last one lacks.
 func (r Request) whole() Request {
@@ -196,15 +209,30 @@
 	if r.ChunkBytes == 0 {
 		return repeat(w, bytes.Repeat([]byte("b"), writeSize), r.BodyBytes-r.Missing)
 	}
-	chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", r.ChunkBytes, strings.Repeat("b", r.ChunkBytes))
+	chunk := fmt.Appendf(nil, "%x%s\r\n%s\r\n", r.ChunkBytes, r.extension(), strings.Repeat("b", r.ChunkBytes))
 	piece := bytes.Repeat(chunk, max(pieceBytes/len(chunk), 1))
 	if err := repeat(w, piece, r.BodyBytes/r.ChunkBytes*len(chunk)-r.Missing); err != nil || r.Missing > 0 {
 		return err
 	}
-	_, err := io.WriteString(w, "0\r\n\r\n")
+	if _, err := io.WriteString(w, "0\r\n"); err != nil {
+		return err
+	}
+	const trailer = "Trailing: value\r\n"
+	if err := repeat(w, []byte(trailer), r.TrailerBytes/len(trailer)*len(trailer)); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, "\r\n")
 	return err
 }
 
+// extension returns the extension of a chunk.
+func (r Request) extension() string {
+	if r.ChunkExtension == 0 {
+		return ""
+	}
+	return ";x=" + strings.Repeat("e", r.ChunkExtension)
+}
+
 // repeat writes n bytes, of the piece again and again.
 func repeat(w io.Writer, piece []byte, n int) error {
 	for n > 0 {
@@ -222,9 +250,13 @@
 	if method == "" {
 		method = http.MethodPost
 	}
-	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", method, strings.ReplaceAll(r.Path, "{id}", id), r.Host, id)
+	client, before := relatives(id)
+	names := strings.NewReplacer("{id}", id, "{client}", client, "{before}", before)
+	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", method, names.Replace(r.Path), r.Host, id)
 	for _, line := range r.Header {
-		b = append(append(b, line...), "\r\n"...)
+		if before != "" || !strings.Contains(line, "{before}") {
+			b = append(append(b, names.Replace(line)...), "\r\n"...)
+		}
 	}
 	switch {
 	case r.BodyBytes > 0 && r.ChunkBytes > 0:
