cmd: tests of long turns at eight fronts at once, red

Eight fronts, as the smallest deployment has, each with twenty clients that store turns of 4 MB, or continue turns of 1 MB, have one VM with a disk take 206 and 272 MB, and 136 and 131 MB (130 allowed), and a front 88 and 95 (88 allowed). Nothing counts at a disk what several fronts send, and copies of a record outlive their request at a front.

--- a/cmd/slaterock/misuse_test.go
+++ b/cmd/slaterock/misuse_test.go
@@ -28,6 +28,7 @@
 	smallMemoryMB     = 88
 	smallDiskMemoryMB = 130
 	smallDescriptors  = 600
+	manyFronts        = 8
 
 	// daemonMemoryMB, daemonConnections and daemonDescriptors are the bounds of a daemon.
 	daemonMemoryMB    = 128
@@ -92,6 +93,8 @@
 		"bodies_in_small_chunks":  {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: smallChunks}},
 		"stored_bodies":           {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: stored, Before: 2}},
 		"long_histories":          {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: history, Before: 5}},
+		"stored_bodies_at_all":    {Listener: chaos.Callers, EachFront: true, Crowd: crowd.Crowd{Clients: 20, Request: stored, Before: 4}},
+		"long_histories_at_all":   {Listener: chaos.Callers, EachFront: true, Crowd: crowd.Crowd{Clients: 20, Request: history, Before: 5}},
 		"chunk_extensions":        {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 60, Request: extended}},
 		"long_trailers":           {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 300, Request: trailers}},
 		"long_ids":                {Listener: chaos.Callers, Crowd: crowd.Crowd{Clients: 300, Request: longIDs, Before: 20}},
@@ -114,6 +117,9 @@
 			is := is.New(t)
 			t.Setenv(mainEnv, "1")
 			m.Runner, m.DiskMemoryMB = smallVMs(t), smallDiskMemoryMB
+			if m.EachFront {
+				m.Fronts = manyFronts
+			}
 			sum, err := m.Run(t.Context())
 			logUsage(t, sum)
 			is.NoErr(err)
@@ -218,10 +224,10 @@
 			sum, err := m.Run(t.Context())
 			logUsage(t, sum)
 			is.NoErr(err)
-			for _, result := range m.Crowd.Results() {
+			for _, result := range m.Results() {
 				is.Equal(result.Status, 200)
 			}
-			is.Equal(len(m.Crowd.Results()), 3)
+			is.Equal(len(m.Results()), 3)
 		})
 	}
 }
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -91,7 +91,8 @@
 func (t *turn) relayTurn(ctx context.Context) error {
 	body := t.body
 	if len(t.history) > 0 {
-		body = append(t.history, t.body...) // it has room for both
+		t.history = append(t.history, t.body...) // it has room for both
+		body = t.history
 	}
 	c := pick.Request{
 		Key: t.affinityKey(), Prefer: cmp.Or(t.previousUpstream, t.lastUpstream), Tokens: t.PromptTokens,
--- a/internal/play/chaos/misuse.go
+++ b/internal/play/chaos/misuse.go
@@ -51,6 +51,9 @@
 		Listener
 		DiskMemoryMB int         // of a VM with a disk, if it has another size than the others
 		Crowd        crowd.Crowd // without its address
+		EachFront    bool        // such a crowd comes to each front
+
+		crowds []*crowd.Crowd
 	}
 
 	// MisuseSummary is the most that a front and a VM with a disk had at a time.
@@ -80,7 +83,7 @@
 	if err = m.awaitService(ctx, startTimeout); err != nil {
 		return sum, errors.Wrap(err, "start")
 	}
-	m.Crowd.Address = m.target()
+	m.gather()
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	var work sync.WaitGroup
 	front, disk := m.watch(watchCtx, &work, m.fronts[0], m.ip(1, 0)), m.watch(watchCtx, &work, m.disks[0], m.ip(2, 0))
@@ -97,12 +100,32 @@
 	return sum, nil
 }
 
-// target returns the address of the listener.
-func (m *Misuse) target() string {
+// gather makes the crowds, at the first front or at each.
+func (m *Misuse) gather() {
+	m.crowds = []*crowd.Crowd{&m.Crowd}
+	m.Crowd.Address = m.target(0)
+	for i := 1; m.EachFront && i < m.Fronts; i++ {
+		m.crowds = append(m.crowds, &crowd.Crowd{
+			Address: m.target(i), Clients: m.Crowd.Clients, First: i * m.Crowd.Clients, Request: m.Crowd.Request,
+			Before: m.Crowd.Before, Ahead: m.Crowd.Ahead, Silent: m.Crowd.Silent, NoRead: m.Crowd.NoRead,
+		})
+	}
+}
+
+// Results returns the requests of the crowds that got a response.
+func (m *Misuse) Results() (list []crowd.Result) {
+	for _, c := range m.crowds {
+		list = append(list, c.Results()...)
+	}
+	return list
+}
+
+// target returns the address of the listener, of a front or of the first VM with a disk.
+func (m *Misuse) target(front int) string {
 	port := map[Listener]int{
 		Callers: basePort, Ready: basePort + 1, Directory: basePort + 2, Metrics: metricsPort, Peers: peerPort, DiskPeers: peerPort, Control: basePort + 3,
 	}[m.Listener]
-	ip := m.ip(1, 0)
+	ip := m.ip(1, front)
 	if m.Listener == DiskPeers || m.Listener == Control {
 		ip = m.ip(2, 0)
 	}
@@ -120,7 +143,9 @@
 func (m *Misuse) play(ctx context.Context) {
 	crowdCtx, stopCrowd := context.WithCancel(ctx)
 	var work sync.WaitGroup
-	work.Go(func() { m.Crowd.Play(crowdCtx) })
+	for _, c := range m.crowds {
+		work.Go(func() { c.Play(crowdCtx) })
+	}
 	pause.For(ctx, holdTime)
 	m.awaitAnswer(ctx, "beside the crowd")
 	stopCrowd()
@@ -166,7 +191,7 @@
 
 // verifyCrowd notes requests of the crowd that were told they have not run, and have.
 func (m *Misuse) verifyCrowd() {
-	for _, r := range m.Crowd.Results() {
+	for _, r := range m.Results() {
 		if meansNotRun(r.Status) && m.runLog.Runs(r.ID) > 0 {
 			m.observed.addViolation("%s was refused with %d and ran", r.ID, r.Status)
 		}
--- a/internal/play/crowd/crowd.go
+++ b/internal/play/crowd/crowd.go
@@ -36,6 +36,7 @@
 	Crowd struct {
 		Address string // IP address and port, of this machine
 		Clients int
+		First   int // number of the first client
 		Request
 		Before int  // requests that each client sends whole, one after the response to another, before the last one
 		Ahead  int  // requests that each client sends whole at once before the last one
@@ -76,7 +77,7 @@
 func (c *Crowd) Play(ctx context.Context) {
 	var work sync.WaitGroup
 	for i := range c.Clients {
-		work.Go(func() { _ = c.client(ctx, i) }) // closed by the server at any moment: that is allowed
+		work.Go(func() { _ = c.client(ctx, c.First+i) }) // closed by the server at any moment: that is allowed
 	}
 	work.Wait()
 }
