link, diskd, quorum: long requests of several fronts, and copies of records, are counted

Cause: each front bounds what its clients hold, but a replica read, decoded and encoded whatever all of them sent; and the copies of a record that a front sends to replicas go on after the write is acknowledged and its request over.

A link takes room for the attachment of a request before it reads it (64 KiB are free), three times its length at a VM with a disk. After 0.5 s without room the bytes are discarded and the request rejected as one that certainly did not run, so the peer's other messages are not held up for longer. A front takes room for each copy of a long record, a sixteenth of the VM's memory, until it has been sent. Receive buffers of daemons' connections are 512 KiB: the kernel held up to 24 MB for readers that waited.

--- a/internal/disk/quorum/quorum.go
+++ b/internal/disk/quorum/quorum.go
@@ -23,6 +23,7 @@
 	"github.com/slaterock/slaterock/internal/disk/index"
 	"github.com/slaterock/slaterock/internal/disk/recsrv"
 	"github.com/slaterock/slaterock/internal/disk/roster"
+	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
@@ -80,6 +81,7 @@
 	Client struct {
 		Peer    func(address string) link.Invoker
 		Roster  func() roster.Roster
+		Room    *memory.Budget            // for copies of long records; nil for no bound
 		Learn   func(data []byte)         // called with a newer roster, encoded, from a record server's refusal
 		Refresh func(ctx context.Context) // reads the roster from the store; limits its own rate
 		Domain  string                    // own failure domain
@@ -290,7 +292,7 @@
 		return 0
 	}
 	for _, t := range part {
-		most -= int64(len(t.Input) + len(t.Output))
+		most -= turnBytes(index.Record{Turn: &t})
 	}
 	return max(most, 1)
 }
--- a/internal/disk/quorum/write.go
+++ b/internal/disk/quorum/write.go
@@ -180,8 +180,37 @@
 	defer stop()
 	req := recsrv.WriteRequest{Target: recsrv.Target{Version: version, DiskID: p.DiskID}, Record: rec, Budget: rec.Budget, Parts: rec.AskParts}
 	out := reply{replica: p}
-	began := time.Now()
-	out.err = link.InvokeTyped(ctx, c.Peer(p.Address), recsrv.MethodWrite, req, &out.write)
-	c.writeLatency.observe(p, time.Since(began), out.err)
+	if out.err = c.takeCopy(ctx, rec); out.err == nil {
+		began := time.Now()
+		out.err = link.InvokeTyped(ctx, c.Peer(p.Address), recsrv.MethodWrite, req, &out.write)
+		c.writeLatency.observe(p, time.Since(began), out.err)
+		c.returnCopy(rec)
+	}
 	replies <- out
 }
+
+// takeCopy takes the memory for a copy of a long record, which may be sent on after its request is over.
+func (c *Client) takeCopy(ctx context.Context, rec index.Record) error {
+	n := turnBytes(rec)
+	if c.Room == nil || n <= shortChain {
+		return nil
+	}
+	if err := c.Room.TakeCopy(ctx, n); err != nil {
+		return &link.Error{Cause: errors.CombineErrors(link.ErrOverloaded, err)}
+	}
+	return nil
+}
+
+func (c *Client) returnCopy(rec index.Record) {
+	if n := turnBytes(rec); c.Room != nil && n > shortChain {
+		c.Room.ReturnCopy(n)
+	}
+}
+
+// turnBytes returns the bytes of a record's turn.
+func turnBytes(rec index.Record) int64 {
+	if rec.Turn == nil {
+		return 0
+	}
+	return int64(len(rec.Turn.Input) + len(rec.Turn.Output))
+}
--- a/internal/front/conns/body.go
+++ b/internal/front/conns/body.go
@@ -173,14 +173,6 @@
 	return nil
 }
 
-// ForceBody takes n bytes for copies of a long body until the request is over, whether there is room or not.
-func (c *Conn) ForceBody(n int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.client.Force(memory.Bodies, n)
-	c.body += n
-}
-
 // giveBody returns what a body of length n did not need of what was taken.
 func (c *Conn) giveBody(taken, n int64) {
 	c.mu.Lock()
--- a/internal/front/conns/conns.go
+++ b/internal/front/conns/conns.go
@@ -35,6 +35,8 @@
 	readBuffer  = 32 << 10
 	writeBuffer = 64 << 10
 	bodyBuffer  = 256 << 10
+	// peerBuffer is for another daemon, which sends records of megabytes.
+	peerBuffer = 512 << 10
 	// serverBuffer is how much the HTTP server reads at a time, in bytes.
 	serverBuffer = 4 << 10
 	// lingerTime is how long the rest of a body is read that is not wanted: closing a connection with unread
@@ -140,7 +142,9 @@
 	if !s.Budget.Enter(&c.client, idleBytes) {
 		return nil
 	}
-	if s.Kind != memory.Peers { // other daemons send as much as the link carries
+	if s.Kind == memory.Peers {
+		c.setBuffers(peerBuffer, 0)
+	} else {
 		c.setBuffers(readBuffer, writeBuffer)
 	}
 	return c
--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -30,6 +30,8 @@
 	// long responses may take. Garbage that is not collected yet takes as much again.
 	requestShare = 6
 	bodyShare    = 8
+	// copyShare is the part of the VM's memory that copies of long records may take which are sent to replicas.
+	copyShare = 16
 	// mostBodyShare is the part of the VM's memory that one body or history may take alone.
 	mostBodyShare = 4
 	responseShare = 8
@@ -84,6 +86,9 @@
 		once sync.Once
 		free *semaphore.Weighted // for long responses
 
+		onceCopies sync.Once
+		freeCopies *semaphore.Weighted // for copies of records that are sent
+
 		mu      sync.Mutex
 		used    [kinds]int64
 		leaving [kinds]int64 // of used, what clients hold that had to give way and have not ended yet
@@ -131,6 +136,22 @@
 	return b.free
 }
 
+// TakeCopy takes n bytes for a copy of a record that is sent, once they are free; a record that is larger than the bound
+// takes all of it. It fails with ErrNone if ctx ends before.
+func (b *Budget) TakeCopy(ctx context.Context, n int64) error {
+	return errors.Mark(b.copies().Acquire(ctx, min(n, b.copyLimit())), ErrNone)
+}
+
+// ReturnCopy returns what TakeCopy took for n bytes.
+func (b *Budget) ReturnCopy(n int64) { b.copies().Release(min(n, b.copyLimit())) }
+
+func (b *Budget) copyLimit() int64 { return cmp.Or(b.VM, defaultVM) / copyShare }
+
+func (b *Budget) copies() *semaphore.Weighted {
+	b.onceCopies.Do(func() { b.freeCopies = semaphore.NewWeighted(b.copyLimit()) })
+	return b.freeCopies
+}
+
 // Used returns how much of a kind is held now, and how much may be.
 func (b *Budget) Used(k Kind) (used, limit int64) {
 	b.mu.Lock()
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -47,8 +47,6 @@
 	idleTime = 15 * time.Second
 	// defaultBody is the limit on request bodies if the configuration sets none, in bytes.
 	defaultBody = 4 << 20
-	// recordCopies is how many copies of a stored turn are made to send its record to replicas.
-	recordCopies = 3
 )
 
 type (
@@ -303,9 +301,6 @@
 	defer cancel()
 	var err error
 	if q.body, err = q.conn.ReadBody(ctx, q.r.Body, q.r.ContentLength, limit); err == nil {
-		if len(q.body) > memory.Short && q.route.StoreTurns {
-			q.conn.ForceBody(recordCopies * int64(len(q.body)))
-		}
 		return true
 	}
 	switch {
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -54,6 +54,8 @@
 	// maxCatchUpDelay is how long after its start a replica that has its records leaves
 	// copies to the replicas that are joining.
 	maxCatchUpDelay = time.Minute
+	// requestCopies is how often a record is held while it is written.
+	requestCopies = 3
 	// newVMTime is how long a VM that started with an empty disk counts as new: longer than
 	// the lease of its predecessor's key lasts.
 	newVMTime = 8 * time.Second
@@ -136,6 +138,8 @@
 	}
 	d.link.Address, d.link.Scope = d.Settings.Address, d.Scope
 	d.link.Proven = conns.Trust
+	d.link.Take = func(ctx context.Context, n int64) error { return d.Clients.Take(ctx, d.roomOf(n)) }
+	d.link.Return = func(n int64) { d.Clients.Return(d.roomOf(n)) }
 	d.recsrv.Register(&d.link)
 	d.snap.Dir = d.Settings.Dir
 	d.snap.Register(&d.link)
@@ -172,6 +176,9 @@
 	}
 }
 
+// roomOf returns what a request with n bytes takes: as it came, decoded, and encoded for the log.
+func (d *Daemon) roomOf(n int64) int64 { return min(requestCopies*n, d.Clients.Limit()) }
+
 // counted returns the listener for other daemons with connections that are counted.
 func (d *Daemon) counted(ln net.Listener) net.Listener {
 	return (&conns.Server{Budget: d.Clients, Kind: memory.Peers}).Listen(ln)
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -189,7 +189,7 @@
 	}
 	d.reach.Records = &quorum.Client{
 		Peer:   func(address string) link.Invoker { return d.link.Peer(address) },
-		Roster: d.discov.Roster, Learn: d.discov.Learn, Refresh: d.discov.Rescan, Domain: d.Settings.Domain,
+		Roster: d.discov.Roster, Learn: d.discov.Learn, Refresh: d.discov.Rescan, Domain: d.Settings.Domain, Room: d.Clients,
 	}
 	var lc net.ListenConfig
 	conn, err := lc.ListenPacket(ctx, "udp", d.Settings.Peer)
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -65,6 +65,10 @@
 		BackOff     time.Duration // maximum pause between dials
 		PingAfter   time.Duration // without data on a connection with a request that waits; 1 s if 0
 		Scope       tally.Scope
+		// Take is called before the attachment of a request is read that is longer than 64 KiB, with its length, and Return
+		// once the request has been served; nil for no bound. A request is rejected, before it runs, for which Take fails.
+		Take   func(ctx context.Context, n int64) error
+		Return func(n int64)
 		// Proven is called with each accepted connection whose peer has proved that it has the key; nil for nothing.
 		Proven func(net.Conn)
 
--- a/internal/peer/link/serve.go
+++ b/internal/peer/link/serve.go
@@ -27,13 +27,21 @@
 	credit       int
 	creditSignal chan struct{} // holds one signal that credit grew
 
+	taken      int64  // by Link.Take for the request
 	attachment []byte // of the response; guarded by the session's mu
 }
 
 // serve runs a request on a pool; if the pool is full it is rejected at once.
 func (s *session) serve(r *jsonrpc2.Request, params json.RawMessage) {
+	taken := s.stream.lastTaken
 	var q request
-	if err := json.Unmarshal(params, &q); err != nil {
+	err := json.Unmarshal(params, &q)
+	switch {
+	case s.stream.lastErr != nil:
+		s.rejectOverload(r, s.stream.lastErr)
+		return
+	case err != nil:
+		s.giveBack(taken)
 		s.replyError(r, jsonrpc2.CodeInvalidParams, err)
 		return
 	}
@@ -43,7 +51,8 @@
 		pool = s.link.runnerPool
 	}
 	v := s.beginServing(r.ID.Num)
-	err := s.link.submit(pool, func() {
+	v.taken = taken
+	err = s.link.submit(pool, func() {
 		defer s.finishServing(v)
 		s.runAndReply(v, r, q)
 	})
@@ -53,6 +62,13 @@
 	}
 }
 
+// giveBack returns what was taken for a request.
+func (s *session) giveBack(taken int64) {
+	if taken > 0 {
+		s.link.Return(taken)
+	}
+}
+
 func (s *session) rejectOverload(r *jsonrpc2.Request, err error) {
 	s.link.Scope.Counter("link_refused").Inc(1)
 	s.link.rejected.Add(1)
@@ -74,6 +90,7 @@
 
 func (s *session) finishServing(v *servedRequest) {
 	v.cancel(nil)
+	s.giveBack(v.taken)
 	s.serving.Add(-1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -24,6 +24,8 @@
 	serverPingAfter = 5 * time.Second
 	serverDeadAfter = 10 * time.Second
 
+	roomTimeout = 500 * time.Millisecond // for room for a long request, much shorter than deadAfter
+
 	maxQueued        = 64 << 10 // messages in outQueue
 	maxQueuedPackets = 256      // messages in outQueue from which on packets are dropped
 
@@ -95,6 +97,9 @@
 	s.served = map[uint64]*servedRequest{}
 	s.lastUsed.Store(time.Now().UnixNano())
 	s.stream.onPiece = s.handlePiece
+	if s.link.Take != nil {
+		s.stream.take, s.stream.giveBack = s.takeRoom, s.link.Return
+	}
 	s.ready = make(chan struct{})
 	defer close(s.ready)
 	s.rpc = jsonrpc2.NewConn(ctx, s.stream, s, jsonrpc2.SetLogger(nopLogger{}), jsonrpc2.OnSend(s.onSend), jsonrpc2.OnRecv(s.onReceive))
@@ -103,6 +108,13 @@
 	return nil
 }
 
+// takeRoom takes n bytes for a request. It waits only briefly: the peer's other messages come after it.
+func (s *session) takeRoom(n int64) error {
+	ctx, stop := context.WithTimeout(s.link.ctx, roomTimeout)
+	defer stop()
+	return s.link.Take(ctx, n)
+}
+
 // send writes the messages of outQueue until the connection ends.
 func (s *session) send(ctx context.Context) {
 	disconnected := s.rpc.DisconnectNotify()
--- a/internal/peer/link/stream.go
+++ b/internal/peer/link/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -18,8 +19,13 @@
 	writeChunk   = 64 << 10
 	writeTimeout = 2500 * time.Millisecond // for each chunk
 	bufferSize   = 4 << 10
+	// freeAttachment is the length up to which an attachment is read without leave, in bytes.
+	freeAttachment = 64 << 10
 )
 
+// methodKey is in the JSON objects of requests only: their method comes first.
+var methodKey = []byte(`"method":`)
+
 // stream frames JSON-RPC messages; it is a jsonrpc2.ObjectStream. A frame is
 // the length of a JSON object as a varint, the object, the length of an
 // attachment as a varint, the attachment. Bodies and texts are attached
@@ -37,8 +43,12 @@
 	limit    uint64
 	lastRead atomic.Int64 // nanoseconds of Unix time
 	onPiece  func(id uint64, text []byte)
+	take     func(n int64) error // see Link.Take; nil for no bound
+	giveBack func(n int64)       // see Link.Return
 
 	lastAttachment []byte // attachment of the last object read; used by the reader only
+	lastTaken      int64  // bytes taken for it; used by the reader only
+	lastErr        error  // why it was not read; used by the reader only
 	nextAttachment []byte // attachment of the next object to write; used by its writer only
 	writeMu        sync.Mutex
 }
@@ -66,7 +76,7 @@
 		if err != nil {
 			return err
 		}
-		s.lastAttachment, err = s.readField()
+		s.lastAttachment, err = s.readAttachment(bytes.Contains(object, methodKey))
 		if err != nil {
 			return err
 		}
@@ -82,18 +92,50 @@
 }
 
 func (s *stream) readField() ([]byte, error) {
-	n, err := binary.ReadUvarint(s.r)
+	n, err := s.readLength()
 	if err != nil || n == 0 {
 		return nil, err
 	}
-	if n > s.limit {
-		return nil, errTooLarge
+	return s.readBytes(n)
+}
+
+func (s *stream) readLength() (uint64, error) {
+	n, err := binary.ReadUvarint(s.r)
+	if err == nil && n > s.limit {
+		return 0, errTooLarge
 	}
+	return n, err
+}
+
+func (s *stream) readBytes(n uint64) ([]byte, error) {
 	data := make([]byte, n)
-	_, err = io.ReadFull(s.r, data)
+	_, err := io.ReadFull(s.r, data)
 	return data, err
 }
 
+// readAttachment reads the attachment of an object. A long one of a request for which there is no room is discarded, and
+// lastErr tells why.
+func (s *stream) readAttachment(ofRequest bool) (data []byte, err error) {
+	s.lastTaken, s.lastErr = 0, nil
+	n, err := s.readLength()
+	if err != nil || n == 0 {
+		return nil, err
+	}
+	if n <= freeAttachment || !ofRequest || s.take == nil {
+		return s.readBytes(n)
+	}
+	if s.lastErr = s.take(int64(n)); s.lastErr != nil {
+		_, err = io.CopyN(io.Discard, s.r, int64(n))
+		return nil, err
+	}
+	if data, err = s.readBytes(n); err != nil {
+		s.giveBack(int64(n))
+		return nil, err
+	}
+	s.lastTaken = int64(n)
+	return data, nil
+}
+
 // WriteObject writes an object and its attachment.
 func (s *stream) WriteObject(v any) error {
 	attachment := s.nextAttachment
