--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -209,6 +209,7 @@
 	running.Go(func() { s.repeatRefusals(repeatCtx) })
 	running.Go(func() { s.loseFronts(repeatCtx) })
 	running.Go(func() { s.hideRecords(repeatCtx) })
+	running.Go(func() { s.misbehave(repeatCtx) })
 	var diskMu sync.Mutex // held during faults of VMs with a disk, see exclusive
 	for time.Now().Before(until) && ctx.Err() == nil {
 		faults++
--- a/internal/play/chaos/misuse.go
+++ b/internal/play/chaos/misuse.go
@@ -92,7 +92,7 @@
 	work.Wait()
 	m.judge(m.fronts[0], front, m.MemoryMB)
 	m.judge(m.disks[0], disk, cmp.Or(m.DiskMemoryMB, m.MemoryMB))
-	m.verifyCrowd()
+	m.verifyCrowds()
 	sum = MisuseSummary{Front: *front, Disk: *disk, Crowd: m.Crowd.Summary()}
 	if list := m.observed.violations; len(list) > 0 {
 		return sum, errors.Newf("%d violations: %s", len(list), strings.Join(list, "; "))
@@ -189,12 +189,10 @@
 	}
 }
 
-// verifyCrowd notes requests of the crowd that were told they have not run, and have.
-func (m *Misuse) verifyCrowd() {
-	for _, r := range m.Results() {
-		if meansNotRun(r.Status) && m.runLog.Runs(r.ID) > 0 {
-			m.observed.addViolation("%s was refused with %d and ran", r.ID, r.Status)
-		}
+// verifyCrowds notes requests of the crowds that were told they have not run, and have, and what upstreams have seen.
+func (m *Misuse) verifyCrowds() {
+	for _, c := range m.crowds {
+		m.Runner.verifyCrowd(c)
 	}
 	for _, text := range m.runLog.Violations() {
 		m.observed.addViolation("%s", text)
