--- a/cmd/slaterock/misuse_test.go
+++ b/cmd/slaterock/misuse_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strings"
@@ -236,7 +235,7 @@
 func smallVMs(t *testing.T) *chaos.Runner {
 	return &chaos.Runner{
 		Seed: 1, Fronts: 1, Disks: 3, Upstreams: 2, MemoryMB: smallMemoryMB, Descriptors: smallDescriptors,
-		Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: io.Discard,
+		Command: []string{os.Args[0]}, Dir: t.TempDir(), Out: t.Output(),
 	}
 }
 
--- a/internal/play/chaos/misuse.go
+++ b/internal/play/chaos/misuse.go
@@ -166,6 +166,7 @@
 			return
 		}
 		seen[fmt.Sprint(status, err)]++
+		_, _ = fmt.Fprintf(m.Out, "%s: status %d, %v: %.200s\n", id, status, err, body)
 		pause.For(ctx, answerPause)
 	}
 	m.observed.addViolation("no ordinary request answered %s: %v", when, seen)
