--- a/internal/play/chaos/misuse.go
+++ b/internal/play/chaos/misuse.go
@@ -193,7 +193,7 @@
 // verifyCrowds notes requests of the crowds that were told they have not run, and have, and what upstreams have seen.
 func (m *Misuse) verifyCrowds() {
 	for _, c := range m.crowds {
-		m.Runner.verifyCrowd(c)
+		m.verifyCrowd(c)
 	}
 	for _, text := range m.runLog.Violations() {
 		m.observed.addViolation("%s", text)
