--- a/internal/front/conns/body.go
+++ b/internal/front/conns/body.go
@@ -108,22 +108,25 @@
 		c.giveBody(short, int64(len(body)))
 		return body, err
 	}
-	if err = c.takeBody(ctx, limit); err != nil {
+	room := min(limit, c.client.MostBody()) // the body may well be shorter than it may be
+	if err = c.takeBody(ctx, room); err != nil {
 		return nil, err
 	}
 	c.giveBody(short, 0)
-	from.length = limit
-	long := make([]byte, limit+1) // a byte more shows that it is too long
+	from.length = room
+	long := make([]byte, room+1) // a byte more shows that it is too long
 	n, err := fill(from, long, copy(long, body))
 	switch {
+	case err == nil && room < limit:
+		return nil, memory.ErrNone
 	case err == nil:
 		return nil, errors.Wrapf(ErrBodyTooLong, "%d bytes", limit)
 	case !errors.Is(err, io.EOF):
 		return nil, err
-	case int64(n) > limit/2:
+	case int64(n) > room/2:
 		return long[:n], nil
 	default:
-		c.giveBody(limit, int64(n))
+		c.giveBody(room, int64(n))
 		return slices.Clone(long[:n]), nil
 	}
 }
--- a/internal/front/conns/conns.go
+++ b/internal/front/conns/conns.go
@@ -1,9 +1,9 @@
 // Package conns counts what the connections of clients have this VM hold, before it is held.
 //
 // Connections are let in while there is room for them, and the bytes of a head are taken from the budget as they
-// arrive, before an HTTP server parses them. What the handler needs for the request
-// it takes from the Conn that the request's context has. Buffers of the kernel are bounded, since bytes that have
-// arrived and are not read take memory as well.
+// arrive, before an HTTP server parses them. What the handler needs for a request it takes from the Conn of the
+// request's context. Buffers of the kernel are bounded, since bytes that have arrived and are not read take memory
+// as well.
 package conns
 
 import (
--- a/internal/front/conns/conns_test.go
+++ b/internal/front/conns/conns_test.go
@@ -145,6 +145,29 @@
 	}
 }
 
+// Guards against chunked bodies that are refused where the limit on bodies is more than the VM has room for, and against ones that take more.
+func TestChunksBelowALargeLimit(t *testing.T) {
+	cases := map[string]struct {
+		chunks int
+		answer string
+	}{
+		"short enough": {20, "200 20000 bytes"},
+		"long":         {200, "200 200000 bytes"},
+		"too long":     {600, "418 " + memory.ErrNone.Error()},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t, 2<<20) // 512 KiB for one body
+				answer, _ := s.send(chunked(strings.Repeat(chunk(1000), tc.chunks) + "0\r\n\r\n"))
+				is.Equal(answer, tc.answer)
+				s.close()
+			})
+		})
+	}
+}
+
 // Guards against a connection that is closed in the middle of its body, whose request is taken for whole.
 func TestCutBody(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/front/memory/client.go
+++ b/internal/front/memory/client.go
@@ -120,7 +120,7 @@
 // WaitBody takes n bytes for a long body, for which it waits; others that move nothing give way. It fails with
 // ErrNone if there is no room in time, or never is.
 func (c *Client) WaitBody(ctx context.Context, n int64) error {
-	if n > c.budget.mostBody() {
+	if n > c.budget.MostBody() {
 		c.budget.note(c, Bodies, n)
 		return ErrNone
 	}
@@ -205,6 +205,9 @@
 	return true
 }
 
+// MostBody returns Budget.MostBody.
+func (c *Client) MostBody() int64 { return c.budget.MostBody() }
+
 // Receive notes that n bytes of the body of the given length have arrived. A client moves once it has sent a
 // part of it, however it is split up.
 func (c *Client) Receive(n int, length int64) {
--- a/internal/front/memory/memory.go
+++ b/internal/front/memory/memory.go
@@ -7,7 +7,8 @@
 // never the other way round.
 //
 // When a kind is full, the client that holds most and has moved least for longest has to give way: its
-// connection is closed, or it is told that its request has not run. What runs at an upstream is never ended.
+// connection is closed, or it is told that its request has not run. A request that waits for its upstream is never
+// ended; one whose client does not read the response is.
 package memory
 
 import (
@@ -28,13 +29,13 @@
 	Longest = 16 << 20
 	// requestShare, bodyShare and responseShare are the parts of the VM's memory that short requests, long bodies and
 	// long responses may take. Garbage that is not collected yet takes as much again.
-	requestShare = 6
-	bodyShare    = 8
+	requestShare  = 6
+	bodyShare     = 8
+	responseShare = 8
 	// copyShare is the part of the VM's memory that copies of long records may take which are sent to replicas.
 	copyShare = 16
 	// mostBodyShare is the part of the VM's memory that one body or history may take alone.
 	mostBodyShare = 4
-	responseShare = 8
 	// callerShare, peerShare and checkShare are the parts of the VM's descriptors that connections of callers, of other daemons,
 	// and for checks, the directory and metrics may take. The others are for upstreams, the store and files.
 	callerShare = 3
@@ -177,8 +178,8 @@
 	}
 }
 
-// mostBody returns the most that may be taken at once for a long body or a history, in bytes.
-func (b *Budget) mostBody() int64 { return cmp.Or(b.VM, defaultVM) / mostBodyShare }
+// MostBody returns the most that may be taken at once for a long body or a history, in bytes.
+func (b *Budget) MostBody() int64 { return cmp.Or(b.VM, defaultVM) / mostBodyShare }
 
 // fits reports whether there is room for n more of a kind. What one takes alone always fits. The caller holds b.mu.
 func (b *Budget) fits(k Kind, n int64) bool {
