recsrv: a read of a chain whose records move keeps what it has read

What callers saw: a turn whose chain is read while its records are moved could be refused, since the read met a dropped segment in each of three attempts.

Cause: each attempt looked all positions up and began with the first turn again. A chain of which one segment after the other is moved and dropped has one of its turns moved in each.

A read now looks up where it met the dropped segment and goes on with the turn that it had come to; only a turn that is moved three times before it can be read fails it. The oldest turns may expire meanwhile.

--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -37,7 +37,7 @@
 	// its last write is older than the longest retention by this and ClockSlack, they
 	// are copied to the end of the log and the segment is dropped.
 	forceDropAfter = 10 * time.Second
-	// readTries is how often a chain is read while its records are moved.
+	// readTries is how often a turn is looked up that was moved before it could be read.
 	readTries = 3
 	// maxFill is the part of the disk that records may fill.
 	maxFill = 0.85
@@ -200,22 +200,14 @@
 	if r := s.checkTarget(req.Target); r.Code != "" {
 		return ReadReply{Refusal: r}, nil
 	}
-	for range readTries {
-		reply, err = s.readChain(ctx, req)
-		if !isDropped(err) { // or else moved since its position was looked up
-			break
-		}
-	}
-	return reply, err
+	return s.readChain(ctx, req)
 }
 
 // isDropped reports whether a read failed since the segment was dropped before it, or during it.
 func isDropped(err error) bool { return errors.IsAny(err, os.ErrNotExist, os.ErrClosed) }
 
 func (s *Server) readChain(ctx context.Context, req ReadRequest) (reply ReadReply, err error) {
-	s.mu.Lock()
-	positions, next := s.index.Chain(req.Turn)
-	s.mu.Unlock()
+	positions, next := s.lookUp(req.Turn)
 	size := int64(0)
 	for _, pos := range positions {
 		size += int64(pos.Size)
@@ -231,20 +223,41 @@
 		defer s.Room.Return(n)
 	}
 	chain := make([]index.Turn, 0, len(positions))
-	for _, pos := range positions {
-		data, err := s.log.Read(pos)
-		if err != nil {
+	for tries := 0; len(chain) < len(positions); {
+		turn, err := s.readTurn(positions[len(chain)])
+		tries++
+		switch {
+		case err == nil:
+			chain, tries = append(chain, turn), 0
+		case !isDropped(err) || tries == readTries:
 			return ReadReply{}, err
+		default: // moved since its position was looked up; what was read before holds
+			positions, next = s.lookUp(req.Turn)
+			chain = chain[:min(len(chain), len(positions))] // the oldest may have expired
 		}
-		r, err := index.Decode(data)
-		if err != nil || r.Turn == nil {
-			return ReadReply{}, errors.CombineErrors(errors.New("record has no turn"), err)
-		}
-		chain = append(chain, *r.Turn)
 	}
 	return ReadReply{Chain: chain, Next: next}, nil
 }
 
+// lookUp returns the positions of a turn and the previous ones, and the id of the first that this disk lacks.
+func (s *Server) lookUp(turn string) (positions []seglog.Pos, next string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.index.Chain(turn)
+}
+
+func (s *Server) readTurn(pos seglog.Pos) (turn index.Turn, err error) {
+	data, err := s.log.Read(pos)
+	if err != nil {
+		return turn, err
+	}
+	r, err := index.Decode(data)
+	if err != nil || r.Turn == nil {
+		return turn, errors.CombineErrors(errors.New("record has no turn"), err)
+	}
+	return *r.Turn, nil
+}
+
 // Pull returns the records from a position on without their turns' input and output, or
 // picked records in full. The first request of a copy waits until all records accepted
 // under older rosters are committed: such a record may still be acknowledged, so the copy
