--- a/review/_stand2/expire.go
+++ b/review/_stand2/expire.go
@@ -14,8 +14,8 @@
 	chains     = 120
 	bulkBytes  = 160 << 10
 	bulkPerS   = 20
-	secondAt   = 45 * time.Second // after the first turns
-	wipeAt     = 79500 * time.Millisecond
+	secondAt   = 45 * time.Second         // after the first turns
+	wipeAt     = 82300 * time.Millisecond // after the start of the processes: the first turns' programs are 80 s old
 	downFor    = 900 * time.Millisecond
 	continueAt = 90 * time.Second
 	tries      = 6
@@ -60,7 +60,7 @@
 	if count(second) < chains {
 		return 0, fmt.Errorf("second turns failed without trouble")
 	}
-	wait(wipeAt)
+	time.Sleep(time.Until(w.up.Add(wipeAt)))
 	stopBulk()
 	if trouble {
 		b := w.disks[1]
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -44,6 +44,7 @@
 	mu     sync.Mutex
 	record *os.File
 	began  time.Time
+	up     time.Time // when the first process was started
 }
 
 // process is one process of the system.
@@ -112,6 +113,7 @@
 	for i := range fronts {
 		w.fronts = append(w.fronts, w.process("front", i, fmt.Sprintf("127.%d.1.%d", w.second, i+1)))
 	}
+	w.up = time.Now()
 	for _, p := range append(append([]*process{}, w.disks...), w.fronts...) {
 		if err := p.start(true); err != nil {
 			return err
