--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -22,6 +22,7 @@
 	}
 	cases := map[string]func(context.Context, *world, bool) (int, error){
 		"expire": expire,
+		"limits": limits,
 		"long":   long,
 	}
 	do := cases[os.Args[1]]
