proxy, index: retention begins with the end of an attempt

Cause: a record expires at the start of its attempt + TTL + 20 s. What the attempt took came out of the retention. Reservations, records of runs and parts of streams expired so even while their attempt ran.

The TTL now covers what the attempt took, by the monotonic clock, and for one that is under way the longest that it may take. Replicas keep the latter by attempt and drop it with the settlement, so that short attempts are not kept longer. The longer one of the retentions at the start and at the end holds. At stays the start: the deadlines of programs count from it.

--- a/internal/disk/index/expire.go
+++ b/internal/disk/index/expire.go
@@ -1,6 +1,9 @@
 package index
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // expires returns when the record's retention ends. It counts from the time in the record,
 // not from now: all records are read again after a restart, which must not extend their
@@ -13,6 +16,43 @@
 	return at.Add(time.Duration(r.TTL)*time.Millisecond + ClockSlack)
 }
 
+// openAttempt is an attempt that has stated no end. Its records state until when it retains its program if its
+// end is never recorded.
+type openAttempt struct {
+	attempt string
+	until   time.Time
+}
+
+// IsOver reports whether the record is of the end of its attempt, or later.
+func (r Record) IsOver() bool { return r.Settled || r.Turn != nil }
+
+// retain retains a program for one of its records.
+func (p *program) retain(r Record, now time.Time) {
+	until := r.expires(now)
+	i := slices.IndexFunc(p.open, func(o openAttempt) bool { return o.attempt == r.Attempt })
+	switch {
+	case r.IsOver():
+		p.extend(until)
+		if i >= 0 {
+			p.open = slices.Delete(p.open, i, i+1)
+		}
+	case p.charges[r.Attempt].Settled:
+	case i < 0:
+		p.open = append(p.open, openAttempt{r.Attempt, until})
+	default:
+		p.open[i].until = latest(p.open[i].until, until)
+	}
+}
+
+// retainedUntil returns until when the program is retained.
+func (p *program) retainedUntil() time.Time {
+	until := p.expires
+	for _, o := range p.open {
+		until = latest(until, o.until)
+	}
+	return until
+}
+
 // extendChain extends the retention of a turn and of those before it in its chain, with their programs.
 func (ix *Index) extendChain(id string, until time.Time) {
 	for range MaxChain {
@@ -49,7 +89,7 @@
 		if len(names) == limit {
 			break
 		}
-		if now.After(p.expires) {
+		if now.After(p.expires) && now.After(p.retainedUntil()) {
 			names = append(names, name)
 		}
 	}
@@ -62,7 +102,7 @@
 	if p == nil {
 		return time.Time{}
 	}
-	return p.expires
+	return p.retainedUntil()
 }
 
 // Retain retains a program's records until then at least.
@@ -75,7 +115,7 @@
 // Remove removes a program with its turns, if its retention had ended by then.
 func (ix *Index) Remove(name string, at time.Time) {
 	p := ix.programs[name]
-	if p == nil || !at.After(p.expires) {
+	if p == nil || !at.After(p.retainedUntil()) {
 		return
 	}
 	for _, id := range p.turns {
--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -39,7 +39,8 @@
 		runs    map[string]Run   // of attempts for which anything is stated; nil for none
 		parts   map[partKey]part // nil for none
 		turns   []string
-		expires time.Time
+		open    []openAttempt // not known to be over
+		expires time.Time     // as far as open attempts don't retain it
 	}
 
 	turn struct {
@@ -87,7 +88,7 @@
 		return
 	}
 	p := ix.program(r.Program)
-	p.extend(r.expires(now))
+	p.retain(r, now)
 	if r.hasCharge() {
 		p.charges[r.Attempt] = Merge(p.charges[r.Attempt], r.charge())
 	}
--- a/internal/disk/index/record.go
+++ b/internal/disk/index/record.go
@@ -18,7 +18,7 @@
 		Spent     int    `cbor:"6,keyasint,omitempty"`  // tokens delivered to its caller
 		Turn      *Turn  `cbor:"7,keyasint,omitempty"`  // input and output, if they are stored
 		At        int64  `cbor:"8,keyasint,omitempty"`  // start of the attempt, in Unix milliseconds
-		TTL       int64  `cbor:"9,keyasint,omitempty"`  // milliseconds for which it must be retained
+		TTL       int64  `cbor:"9,keyasint,omitempty"`  // milliseconds from At for which it must be retained: what the attempt took, or may yet take, and then the retention
 		Fence     uint64 `cbor:"10,keyasint,omitempty"` // requests under rosters older than this version are refused
 		Upstream  string `cbor:"11,keyasint,omitempty"` // id of the upstream that ran the attempt; set with Settled
 		Session   string `cbor:"12,keyasint,omitempty"` // session that the turn belongs to
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -62,7 +62,8 @@
 	index      index.Index
 	minVersion uint64 // of the newest roster seen; requests under older ones are refused
 	roster     roster.Roster
-	maxTTL     time.Duration // longest retention of any record
+	maxTTL     time.Duration // longest retention of the records of attempts that are over
+	maxOpenTTL time.Duration // likewise of the others: it has the longest time that they may take
 	frozen     bool          // no new records are accepted, because this VM is being retired
 	writes     int           // under way
 	importedAt time.Time     // when records of another replica came last
@@ -189,7 +190,11 @@
 // apply indexes a durable record. The caller holds s.mu, or is Open.
 func (s *Server) apply(r index.Record, pos seglog.Pos, now time.Time) {
 	s.minVersion = max(s.minVersion, r.Fence)
-	s.maxTTL = max(s.maxTTL, time.Duration(r.TTL)*time.Millisecond)
+	longest := &s.maxOpenTTL
+	if r.IsOver() {
+		longest = &s.maxTTL
+	}
+	*longest = max(*longest, time.Duration(r.TTL)*time.Millisecond)
 	s.index.Apply(r, pos, now)
 }
 
--- a/internal/disk/recsrv/trim.go
+++ b/internal/disk/recsrv/trim.go
@@ -1,6 +1,7 @@
 package recsrv
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -31,7 +32,7 @@
 	now := s.Now()
 	s.expire(ctx, now)
 	s.mu.Lock()
-	maxTTL := s.maxTTL
+	maxTTL := cmp.Or(s.maxTTL, s.maxOpenTTL)
 	s.unsaved.expire(&s.index)
 	s.mu.Unlock()
 	numbers, lastWrite := s.log.Segments()
--- a/internal/front/proxy/beginning.go
+++ b/internal/front/proxy/beginning.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -91,7 +92,7 @@
 // writePart records a part in the background. The channel is closed once that has ended.
 func (t *turn) writePart(eventID string, data []byte) <-chan struct{} {
 	p := &t.parts
-	rec := t.runsRecord()
+	rec := t.runsRecord(time.Since(t.began))
 	rec.Run = nil
 	rec.Part = &index.Part{Stream: p.stream, Request: t.key(), Resumption: p.resumption, Seq: p.next, EventID: eventID, Data: data}
 	p.next++
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -125,6 +125,9 @@
 		a.FinishIn, err = time.ParseDuration(f)
 	}
 	a.CallerTimeout = 2 * time.Second
+	if w := h.Get("Wait"); w != "" {
+		a.CallerTimeout, err = time.ParseDuration(w)
+	}
 	return a, err
 }
 
--- a/internal/front/proxy/records_env_test.go
+++ b/internal/front/proxy/records_env_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 		turns  map[string]index.Turn
 		runs   index.Index
 		parts  []partOf
+		all    []index.Record // that were stored
 
 		delay        time.Duration // of a write
 		failVersions bool          // of the records that only state a version
@@ -61,6 +63,7 @@
 	if r.down || r.failParts && rec.Part != nil || r.failVersions && !rec.Reserved && rec.Run != nil || r.failRuns && !rec.Reserved && !rec.Settled && !rec.IsQuery() {
 		return res, quorum.ErrNoQuorum
 	}
+	r.all = append(r.all, rec)
 	var b index.Index
 	b.ApplyCharge(rec, time.Now())
 	for _, s := range b.Charges(rec.Program) {
@@ -91,6 +94,13 @@
 	return res, nil
 }
 
+// stored returns the records that were stored.
+func (r *fakeRecords) stored() []index.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.all)
+}
+
 func (r *fakeRecords) setDown(down bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -103,12 +103,23 @@
 	return (t.MaxOutputTokens + n - 1) / n * n
 }
 
-func (t *turn) newRecord() index.Record {
+// newRecord returns a record of the attempt, which may last a while yet or is over.
+func (t *turn) newRecord(lasts time.Duration) index.Record {
 	return index.Record{
-		Program: t.scopedID(t.Program), Attempt: t.scopedID(t.ID), At: t.began.UnixMilli(), TTL: t.route.RetainFor.Milliseconds(),
+		Program: t.scopedID(t.Program), Attempt: t.scopedID(t.ID), At: t.began.UnixMilli(), TTL: (lasts + t.retainFor()).Milliseconds(),
 	}
 }
 
+// retainFor returns how long the turn is retained after its end. A version of the configuration that came since it
+// began may ask for longer.
+func (q *request) retainFor() time.Duration {
+	now, _ := q.e.Fleet.View().Table.Match(q.r.Host, q.r.URL.Path)
+	return max(q.route.RetainFor, now.RetainFor)
+}
+
+// longest returns how long the attempt may last, with the write that settles it.
+func (q *request) longest() time.Duration { return q.deadline.Sub(q.began) + settleTimeout }
+
 // reserve records, before the turn runs, the maximum number of tokens that it can generate,
 // so that a crash cannot make a program exceed its budget. It returns false if the request
 // has ended: an error response was sent, or the caller has disconnected.
@@ -117,7 +128,7 @@
 		res := t.queryRuns(ctx, runsTimeout, t.scopedID(t.FirstAttempt), t.takesUp())
 		return t.mayRun() && t.findVersion(ctx, res.Runs) && t.findBeginning(res)
 	}
-	rec := t.newRecord()
+	rec := t.newRecord(t.longest())
 	rec.Reserved, rec.MaxTokens, rec.Budget = true, t.maxTokens(), t.TokenBudget
 	rec.Run, rec.AskParts = &index.Run{Request: t.key(), Front: t.ownRun().Front}, t.takesUp()
 	t.stateVersion(rec.Run)
@@ -167,10 +178,10 @@
 	if !t.reserved && !t.unrecorded {
 		return
 	}
-	rec := t.newRecord()
+	rec := t.newRecord(time.Since(t.began))
 	if t.unrecorded {
 		t.runOver()
-		rec = t.runsRecord()
+		rec = t.runsRecord(time.Since(t.began))
 		rec.Run = t.ownRun()
 	}
 	rec.Settled, rec.Spent = t.reserved, t.summary.tokens
@@ -196,7 +207,7 @@
 		t.settle()
 		return nil
 	}
-	rec := t.newRecord()
+	rec := t.newRecord(time.Since(t.began))
 	rec.Settled, rec.Spent = t.reserved, t.summary.tokens
 	rec.Upstream, rec.Session = s.up.ID, t.Session
 	rec.Turn = &index.Turn{Previous: t.previousID, Input: t.body, Output: t.output, Upstream: s.up.ID, Tokens: t.summary.tokens}
--- a/internal/front/proxy/share.go
+++ b/internal/front/proxy/share.go
@@ -245,7 +245,7 @@
 // writeRuns begins to make the runs of this attempt durable.
 func (q *request) writeRuns() <-chan written {
 	q.unrecorded = false
-	rec := q.runsRecord()
+	rec := q.runsRecord(q.longest())
 	rec.Run = q.ownRun()
 	done := make(chan written, 1)
 	if q.e.runWrites.Add(1) > maxRunWrites {
@@ -314,7 +314,7 @@
 	began := time.Now()
 	limited, stop := context.WithTimeout(ctx, longest)
 	defer stop()
-	rec := q.runsRecord()
+	rec := q.runsRecord(0)
 	rec.Run.First, rec.AskParts = first, parts
 	res, err := q.e.Records.Write(limited, rec)
 	if err != nil {
@@ -339,14 +339,15 @@
 	}
 }
 
-// runsRecord returns a record of this attempt that states nothing of its runs yet.
-func (q *request) runsRecord() index.Record {
+// runsRecord returns a record of this attempt, which may last a while yet or is over, that states nothing of its
+// runs yet.
+func (q *request) runsRecord(lasts time.Duration) index.Record {
 	program := q.scopedID(q.Program)
 	if q.Program == "" {
 		program = "request:" + strconv.FormatUint(q.key(), 16)
 	}
 	return index.Record{
-		Program: program, Attempt: q.scopedID(q.ID), At: q.began.UnixMilli(), TTL: max(q.route.RetainFor, minRunsTTL).Milliseconds(),
+		Program: program, Attempt: q.scopedID(q.ID), At: q.began.UnixMilli(), TTL: (lasts + max(q.retainFor(), minRunsTTL)).Milliseconds(),
 		Run: &index.Run{Request: q.key()},
 	}
 }
--- a/internal/front/proxy/version.go
+++ b/internal/front/proxy/version.go
@@ -118,7 +118,7 @@
 	v := &t.version
 	v.choices++
 	v.recorded = s
-	rec := t.runsRecord()
+	rec := t.runsRecord(t.longest())
 	if !t.isBudgeted() { // otherwise the reservation tells
 		rec.Run = t.ownRun()
 	}
