index, recsrv, proxy: a turn states which programs have turns of its chain

Cause: who needs a turn was known one step at a time. Each turn is on f+1 of 2f+1 replicas; one that lacks a turn in the middle of a chain can't tell what comes before it, and its answer to another replica concerned one program.

Replicas now tell with each turn of a chain whose program it is, the front states these programs with the turn that continues it, and a replica with such a record retains them, or answers until when they are needed if they lie elsewhere.

It works since any f+1 replicas that have a turn know all that it needs, at any depth, without asking others. Records of fronts of the code before are handled as before; storage VMs of the code before ignore the new fields.

--- a/internal/disk/index/expire.go
+++ b/internal/disk/index/expire.go
@@ -1,6 +1,7 @@
 package index
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -21,11 +22,53 @@
 type openAttempt struct {
 	attempt string
 	until   time.Time
+	claims  bool // it has stated what it needs
 }
 
 // IsOver reports whether the record is of the end of its attempt, or later.
 func (r Record) IsOver() bool { return r.Settled || r.Turn != nil }
 
+// isClaim reports whether the record only states what an attempt needs that may last for long.
+func (r Record) isClaim() bool {
+	return len(r.Needs) > 0 && !r.IsOver() && !r.Reserved && r.Run == nil && r.Part == nil
+}
+
+// need retains the programs that a record needs, here as far as they are indexed, and at other replicas when they ask.
+func (ix *Index) need(r Record, now time.Time) {
+	until := r.expires(now)
+	for _, name := range r.Needs {
+		if p := ix.programs[name]; p != nil {
+			p.extend(until)
+			continue
+		}
+		if ix.needed == nil {
+			ix.needed = map[string]time.Time{}
+		}
+		ix.needed[name] = latest(ix.needed[name], until)
+	}
+	if r.isClaim() {
+		p := ix.program(r.Key())
+		p.retain(r, now)
+		p.claim(r.Attempt)
+	}
+}
+
+func (p *program) claim(attempt string) {
+	for i := range p.open {
+		p.open[i].claims = p.open[i].claims || p.open[i].attempt == attempt
+	}
+}
+
+func (p *program) hasClaim(attempt string) bool {
+	return slices.ContainsFunc(p.open, func(o openAttempt) bool { return o.attempt == attempt && o.claims })
+}
+
+// hasClaim reports whether the claim, or the end of its attempt, is indexed.
+func (ix *Index) hasClaim(r Record) bool {
+	p := ix.programs[r.Key()]
+	return ix.turns[r.Attempt] != nil || p != nil && (p.charges[r.Attempt].Settled || p.hasClaim(r.Attempt))
+}
+
 // retain retains a program for one of its records.
 func (p *program) retain(r Record, now time.Time) {
 	until := r.expires(now)
@@ -38,7 +81,7 @@
 		}
 	case p.charges[r.Attempt].Settled:
 	case i < 0:
-		p.open = append(p.open, openAttempt{r.Attempt, until})
+		p.open = append(p.open, openAttempt{attempt: r.Attempt, until: until})
 	default:
 		p.open[i].until = latest(p.open[i].until, until)
 	}
@@ -96,11 +139,12 @@
 	return names
 }
 
-// RetainedUntil returns until when a program is retained; the zero time if none of its records is indexed.
+// RetainedUntil returns until when a program is retained, here or because of turns of other programs; the zero time
+// if neither its records nor such turns are indexed.
 func (ix *Index) RetainedUntil(name string) time.Time {
 	p := ix.programs[name]
 	if p == nil {
-		return time.Time{}
+		return ix.needed[name]
 	}
 	return p.retainedUntil()
 }
@@ -124,13 +168,11 @@
 	delete(ix.programs, name)
 }
 
-// ExpireAwaited forgets turns that have not come, and that no turn retains any more.
+// ExpireAwaited forgets turns and programs that have not come, and that no turn retains any more.
 func (ix *Index) ExpireAwaited(now time.Time) {
-	for id, until := range ix.awaited {
-		if now.After(until) {
-			delete(ix.awaited, id)
-		}
-	}
+	ended := func(_ string, until time.Time) bool { return now.After(until) }
+	maps.DeleteFunc(ix.awaited, ended)
+	maps.DeleteFunc(ix.needed, ended)
 }
 
 func (p *program) extend(until time.Time) { p.expires = latest(p.expires, until) }
--- a/internal/disk/index/index.go
+++ b/internal/disk/index/index.go
@@ -32,6 +32,8 @@
 		// awaited has, for turns that are not indexed, until when turns that continue them retain them:
 		// records come in any order.
 		awaited map[string]time.Time
+		// needed has, for programs that are not indexed, until when turns of others need them.
+		needed map[string]time.Time
 	}
 
 	program struct {
@@ -59,9 +61,13 @@
 		p.addPart(r, pos)
 		p.extend(r.expires(now))
 	}
+	if len(r.Needs) > 0 {
+		ix.need(r, now)
+	}
 	if r.Turn == nil {
 		return
 	}
+	ix.program(r.Key()).retain(r, now)
 	if ix.turns == nil {
 		ix.turns = map[string]*turn{}
 	}
@@ -103,8 +109,9 @@
 	}
 	p := ix.programs[name]
 	if p == nil {
-		p = &program{charges: map[string]Charge{}}
+		p = &program{charges: map[string]Charge{}, expires: ix.needed[name]}
 		ix.programs[name] = p
+		delete(ix.needed, name)
 	}
 	return p
 }
@@ -266,7 +273,7 @@
 	}
 	_, charged := p.charges[r.Attempt]
 	_, ran := p.runs[r.Attempt]
-	return charged || ran
+	return charged || ran || r.isClaim() && p.hasClaim(r.Attempt)
 }
 
 // Has reports whether applying the record would change nothing in the index but positions
@@ -278,6 +285,9 @@
 	if r.Part != nil && !ix.hasPart(r) {
 		return false
 	}
+	if r.isClaim() && !ix.hasClaim(r) {
+		return false
+	}
 	if !r.hasCharge() && !r.hasRun() {
 		return true
 	}
--- a/internal/disk/index/index_test.go
+++ b/internal/disk/index/index_test.go
@@ -174,3 +174,42 @@
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(LastUpstream(c.charges, "s"), c.want) })
 	}
 }
+
+// Guards against a claim that a joining replica does not copy, or that is dropped with its segment.
+func TestClaims(t *testing.T) {
+	claim := Record{Program: "r", Attempt: "t3", Needs: []string{"r", "p", "q"}, TTL: 180_000}
+	done := Record{Program: "r", Attempt: "t3", Needs: []string{"p", "q"}, TTL: 90_000, Turn: &Turn{Previous: "t2"}}
+	late := start.Add(2 * time.Minute)
+	cases := map[string]struct {
+		records []Record
+		has     bool
+		live    bool                     // two minutes later
+		until   map[string]time.Duration // retained, without ClockSlack
+	}{
+		"none":               {nil, false, false, map[string]time.Duration{"p": 0, "r": 0}},
+		"claim":              {[]Record{claim}, true, true, map[string]time.Duration{"p": 180 * time.Second, "q": 180 * time.Second, "r": 180 * time.Second}},
+		"beside reservation": {[]Record{reserve("r", "t3", 10)}, false, false, map[string]time.Duration{"p": 0, "r": time.Minute}},
+		"its turn":           {[]Record{done}, true, false, map[string]time.Duration{"p": 90 * time.Second, "r": 90 * time.Second}},
+		"turn of its own":    {[]Record{done, turnOf("p", "")}, true, false, map[string]time.Duration{"p": 90 * time.Second}},
+		"settled":            {[]Record{reserve("r", "t3", 10), claim, settle("r", "t3", 3)}, true, true, map[string]time.Duration{"r": 180 * time.Second}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var ix Index
+			for _, r := range c.records {
+				ix.Apply(r, pos(1), start)
+			}
+			is.Equal(ix.Has(claim), c.has)
+			for program, until := range c.until {
+				want := time.Time{}
+				if until > 0 {
+					want = start.Add(until + ClockSlack)
+				}
+				is.Equal(ix.RetainedUntil(program), want)
+			}
+			expire(&ix, late)
+			is.Equal(ix.Live(claim, pos(1)), c.live)
+		})
+	}
+}
--- a/internal/disk/recsrv/recsrv.go
+++ b/internal/disk/recsrv/recsrv.go
@@ -260,6 +260,7 @@
 	if err != nil || r.Turn == nil {
 		return turn, errors.CombineErrors(errors.New("record has no turn"), err)
 	}
+	r.Turn.Owner = r.Key()
 	return *r.Turn, nil
 }
 
--- a/internal/front/proxy/reserve.go
+++ b/internal/front/proxy/reserve.go
@@ -13,9 +13,14 @@
 	"github.com/slaterock/slaterock/internal/obs/trace"
 )
 
-// settleTimeout bounds the write that settles a reservation, for which no caller
-// waits.
-const settleTimeout = 4 * time.Second
+const (
+	// settleTimeout bounds the write that settles a reservation, for which no caller
+	// waits.
+	settleTimeout = 4 * time.Second
+	// claimAfter is how long an attempt may last before the turns that it continues could expire. The other
+	// half of the slack is for the differences of clocks.
+	claimAfter = index.ClockSlack / 2
+)
 
 // prepare reads the history that the turn continues and reserves its tokens in the
 // program's budget, before anything runs. It returns false if the request has ended: an
@@ -31,6 +36,7 @@
 	err := <-readErr
 	t.summary.recordsTime = time.Since(t.began)
 	if err == nil {
+		t.claim()
 		return true
 	}
 	t.settle()
@@ -80,6 +86,7 @@
 	if err != nil {
 		return err
 	}
+	t.needs = index.Owners(turns, t.newRecord(0).Key())
 	n := 0
 	for _, before := range turns {
 		n += len(before.Input) + len(before.Output)
@@ -93,6 +100,18 @@
 	return nil
 }
 
+// claim has the turns before this one retained while it runs, where that may take so long that they would expire. It
+// writes in the background: they are retained for a while yet.
+func (t *turn) claim() {
+	heldByReservation := t.isBudgeted() && len(t.needs) == 0
+	if t.previousID == "" || t.longest() <= claimAfter || heldByReservation {
+		return
+	}
+	rec := t.newRecord(t.longest())
+	rec.Needs = append([]string{rec.Key()}, t.needs...)
+	t.writeInBackground(rec, "cannot record that the turn needs those before it; they may expire while it runs")
+}
+
 // takeHistory takes the memory for a history of n bytes: as it is read, and as it is sent.
 func (t *turn) takeHistory(ctx context.Context, n int64) error { return t.conn.TakeHistory(ctx, 2*n) }
 
@@ -189,12 +208,16 @@
 	if t.summary.events > 0 {
 		rec.Upstream, rec.Session = t.summary.upstream, t.Session
 	}
+	t.writeInBackground(rec, "cannot record the tokens that the turn generated; its reservation stays charged to the budget")
+}
+
+// writeInBackground writes a record that nobody waits for, and logs it if that fails.
+func (t *turn) writeInBackground(rec index.Record, failure string) {
 	go func() {
 		ctx, cancel := context.WithTimeout(t.e.Stop, settleTimeout)
 		defer cancel()
 		if _, err := t.e.Records.Write(ctx, rec); err != nil {
-			t.e.Log.Warn().Err(err).Str("request", t.ID).Str("program", t.Program).Int("tokens", rec.Spent).
-				Msg("cannot record the tokens that the turn generated; its reservation stays charged to the budget")
+			t.e.Log.Warn().Err(err).Str("request", t.ID).Str("program", t.Program).Int("tokens", rec.Spent).Msg(failure)
 		}
 	}()
 }
@@ -210,6 +233,7 @@
 	rec := t.newRecord(time.Since(t.began))
 	rec.Settled, rec.Spent = t.reserved, t.summary.tokens
 	rec.Upstream, rec.Session = s.up.ID, t.Session
+	rec.Needs = t.needs
 	rec.Turn = &index.Turn{Previous: t.previousID, Input: t.body, Output: t.output, Upstream: s.up.ID, Tokens: t.summary.tokens}
 	if _, err := t.e.Records.Write(ctx, rec); err != nil {
 		return errors.Wrap(err, "the turn was not recorded")
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -33,6 +33,7 @@
 	*request
 	history          []byte    // input and output of earlier turns, sent before the caller's body
 	previousID       string    // id in the records of the turn that this one continues
+	needs            []string  // keys in the records of the other programs that have turns of the history
 	previousUpstream string    // id of the upstream that ran that turn
 	lastUpstream     string    // id of the upstream that last ran a turn of the program, of the same session if any
 	reserved         bool      // tokens are reserved and not settled yet
