recsrv: programs are forgotten on the answers of an absence quorum

A replica that could not ask all complete replicas waited for two minutes and then forgot a program, also if one that was away for longer still needed it: its callers would get 503 records_away for good. With one of three replicas away it kept every program for two minutes too long, which fills its disk to twice as much and more.

Cause: the question was whether all have answered, and a constant ended the wait.

A replica now forgets once an absence quorum of complete replicas, itself included, does not need the program: a record that does was acknowledged by f+1, so one of those that answered has it. While fewer answer it keeps what it has. No disk fills by that, since as few can't acknowledge a write either. After a restart while the store is away the replicas are not known, and the two minutes stay.

--- a/internal/disk/recsrv/expire.go
+++ b/internal/disk/recsrv/expire.go
@@ -14,15 +14,16 @@
 	maxExpired = 4096
 	// askTimeout bounds the question whether programs are retained elsewhere. It is no caller's request.
 	askTimeout = time.Second
-	// holdTime is how long records are retained beyond their time while another replica does not tell
-	// whether it retains them. A VM that is lost for longer is replaced, or its disk would fill others.
+	// holdTime is how long records are retained beyond their time after a restart while the store is away: which VMs
+	// are replicas is not known then, and records are still written.
 	holdTime = 2 * time.Minute
 )
 
 // expire removes programs whose retention has ended. A program's newest records may be on other replicas
 // only: their choice changes with the roster and with each replica that is slow. The older ones are retained
 // here as long as those are, or they would be lost with the replica that has both. So the other replicas are
-// asked first.
+// asked first, and records expire only once an absence quorum does not need them. While too few answer, nothing is
+// written either, so what stays fills no disk.
 func (s *Server) expire(ctx context.Context, now time.Time) {
 	s.mu.Lock()
 	if now.Sub(s.importedAt) < importGrace {
@@ -33,8 +34,12 @@
 	r := s.roster
 	s.mu.Unlock()
 	removeAt := now
-	if len(names) > 0 && !s.mayForget(ctx, r, names) {
+	switch _, isReplica := r.Find(s.diskID); {
+	case len(names) == 0 || s.Others == nil:
+	case r.Version == 0:
 		removeAt = now.Add(-holdTime)
+	case isReplica && !s.askOthers(ctx, r, names):
+		names = nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -44,47 +49,37 @@
 	s.index.ExpireAwaited(now)
 }
 
-// mayForget reports whether it is known which of the programs other replicas retain. After a restart while the
-// store is away, it is not known which these are.
-func (s *Server) mayForget(ctx context.Context, r roster.Roster, names []string) bool {
-	if s.Others == nil {
-		return true
-	}
-	if r.Version == 0 {
-		return false
-	}
-	_, isReplica := r.Find(s.diskID)
-	return !isReplica || s.askOthers(ctx, r, names)
-}
-
 // askOthers asks the other replicas until when they retain the programs, and retains them as long. It
-// reports whether all complete replicas have answered.
+// reports whether an absence quorum has answered: if a record that needs the programs was acknowledged, one of these
+// has it.
 func (s *Server) askOthers(ctx context.Context, r roster.Roster, names []string) bool {
 	ctx, stop := context.WithTimeout(ctx, askTimeout)
 	defer stop()
-	failed := make([]bool, len(r.Replicas))
+	answered := make([]bool, len(r.Replicas))
 	var work sync.WaitGroup
 	for i, p := range r.Replicas {
 		if p.DiskID == s.diskID {
+			answered[i] = true
 			continue
 		}
 		work.Go(func() {
 			var reply RetainedReply
 			req := RetainedRequest{Target: Target{Version: r.Version, DiskID: p.DiskID}, Programs: names}
 			err := link.InvokeTyped(ctx, s.Others(p.Address), MethodRetained, req, &reply)
-			failed[i] = err != nil || reply.Refusal.Code != "" || len(reply.Until) != len(names)
-			if !failed[i] {
+			answered[i] = err == nil && reply.Refusal.Code == "" && len(reply.Until) == len(names)
+			if answered[i] {
 				s.retain(names, reply.Until)
 			}
 		})
 	}
 	work.Wait()
+	complete := 0
 	for i, p := range r.Replicas {
-		if failed[i] && !p.Joining {
-			return false
+		if answered[i] && !p.Joining {
+			complete++
 		}
 	}
-	return true
+	return complete >= r.AbsenceQuorum()
 }
 
 func (s *Server) retain(names []string, until []int64) {
