proxy, frontd: a front that leaves takes only what it will answer

Callers of a front that was stopped as planned got no answer: requests whose last byte came late in the grace were passed on and cut with the process, among them ones that may not be repeated (a report of other operators).

Cause: after SIGTERM listeners and idle connections were closed, but a request whose head had come before was taken at any time of the grace.

A front that leaves now takes a request only if its deadline is before the end, or if the longest that requests of its route ran lately fits with a quarter more; else it is told 503 at once, not run. What still runs a second before the end of the grace is told 504, what has not run 503, what is not whole 408. The times of a stop follow the grace: with less than 3.2 s of it connections were accepted until the end.

It works since every request that is read whole has an answer that is written before the process ends, and only what can be finished is passed on.

--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -245,8 +245,11 @@
 	}
 }
 
-// delay waits for Delay; it returns false if the request ended before.
-func (u *Upstream) delay(r *http.Request) bool { return pause.For(r.Context(), u.Delay) }
+// delay waits for Delay, and for as long as the query asks for; it returns false if the request ended before.
+func (u *Upstream) delay(r *http.Request) bool {
+	longer, _ := strconv.Atoi(r.URL.Query().Get("wait")) // milliseconds; 0 for none
+	return pause.For(r.Context(), u.Delay+time.Duration(longer)*time.Millisecond)
+}
 
 func eventText(r *http.Request, id string, version any, i int) string {
 	stream := r.Header.Get(Stream)
--- a/internal/front/proxy/buffered.go
+++ b/internal/front/proxy/buffered.go
@@ -28,7 +28,7 @@
 		// The run must not be aborted if the caller disconnects, since it cannot
 		// be repeated.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
+		ctx, cancel = q.untilEnd(context.WithoutCancel(ctx))
 		defer cancel()
 	}
 	exclude := map[string]bool{}
--- a/internal/front/proxy/proxy.go
+++ b/internal/front/proxy/proxy.go
@@ -27,6 +27,7 @@
 	"github.com/slaterock/slaterock/internal/front/ended"
 	"github.com/slaterock/slaterock/internal/front/failed"
 	"github.com/slaterock/slaterock/internal/front/fleet"
+	"github.com/slaterock/slaterock/internal/front/lasted"
 	"github.com/slaterock/slaterock/internal/front/limits"
 	"github.com/slaterock/slaterock/internal/front/memory"
 	"github.com/slaterock/slaterock/internal/front/meta"
@@ -122,9 +123,10 @@
 		running    admit.Running // turns in flight at engines
 		peerQueued atomic.Pointer[func(service string, priority int) int]
 
-		draining atomic.Bool
-		active   atomic.Int64
-		lastAt   atomic.Int64 // when the last request began, in Unix nanoseconds
+		leaving leaving
+		lasted  lasted.Times // from the last byte of a request to the end of its answer, by route
+		active  atomic.Int64
+		lastAt  atomic.Int64 // when the last request began, in Unix nanoseconds
 
 		recordsLate atomic.Int64 // when the records last took longer than doubtTimeout, in Unix nanoseconds
 		recordsAway atomic.Int64 // when they last did not answer within runsTimeout, likewise
@@ -174,8 +176,9 @@
 	}
 )
 
-// Drain sets "Connection: close" on the responses to all later requests.
-func (e *Endpoint) Drain() { e.draining.Store(true) }
+// Drain has all requests answered by end. Later ones are refused if they take too long for that, and their responses close
+// the connection.
+func (e *Endpoint) Drain(end time.Time) { e.leaving.begin(end) }
 
 // Idle reports whether there was no request for idleTime.
 func (e *Endpoint) Idle(now time.Time) bool {
@@ -197,7 +200,7 @@
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	e.noteRequest(time.Now())
-	if e.draining.Load() {
+	if _, leaves := e.leaving.by(); leaves {
 		w.Header().Set("Connection", "close")
 	}
 	conn, done := conns.Of(r.Context(), e.Memory)
@@ -242,7 +245,15 @@
 	q.deadline = q.began.Add(wait)
 	// A caller that does not read must not block its handler indefinitely.
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeSlack)) // not supported by all writers
-	return q.readBody()
+	if !q.readBody() {
+		return false
+	}
+	if !q.finishesInTime(time.Now()) {
+		q.w.Header().Set("Connection", "close")
+		q.replyUnavailable("leaving", retryElsewhere, nil)
+		return false
+	}
+	return true
 }
 
 // findRoute matches the request. A missing route may have been added a moment ago, so
@@ -297,8 +308,9 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	ctx, cancel := q.untilEnd(q.r.Context())
 	defer cancel()
+	defer q.e.leaving.whenEnded(func() { _ = q.conn.SetReadDeadline(time.Now()) })() // a connection that is closed fails the read
 	var err error
 	if q.body, err = q.conn.ReadBody(ctx, q.r.Body, q.r.ContentLength, limit); err == nil {
 		return true
@@ -319,7 +331,8 @@
 }
 
 func (q *request) serve() {
-	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	defer q.noteLasted(time.Now())
+	ctx, cancel := q.untilEnd(q.r.Context())
 	defer cancel()
 	if q.route.Kind == route.Stream {
 		q.serveStream(ctx)
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -3,6 +3,7 @@
 package frontd
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -42,7 +43,12 @@
 	drainDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the time between SIGTERM and SIGKILL that is left unused.
 	shutdownMargin = 700 * time.Millisecond
-	sweepInterval  = time.Second
+	// answerMargin is how long before that requests that still run are told that they may have run, to have the answers
+	// written and what they spent recorded.
+	answerMargin = 300 * time.Millisecond
+	// defaultGrace is the grace if the settings have none.
+	defaultGrace  = 4 * time.Second
+	sweepInterval = time.Second
 	// dialTimeout bounds the opening of a connection to another VM, and maxDialBackoff
 	// the pause before the next attempt. A VM without power does not answer, and the
 	// kernel retransmits a lost SYN only after a second, while callers wait for records
@@ -269,18 +275,32 @@
 
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.fleet.View().Table != nil }
 
+// stopTimes are the times of a planned stop, from SIGTERM on.
+type stopTimes struct {
+	accepts  time.Duration // connections are accepted, and idle ones stay open
+	answered time.Duration // all requests are answered
+	closed   time.Duration // all connections are closed
+}
+
+// stopTimes returns the times for the grace of the settings. Answers are not ended before its last sixth.
+func (s *Settings) stopTimes() stopTimes {
+	grace := cmp.Or(s.Grace, defaultGrace)
+	closed := grace - min(shutdownMargin, grace/12)
+	return stopTimes{accepts: min(drainDelay, closed/2), answered: closed - min(answerMargin, grace/24), closed: closed}
+}
+
 // drain stops serving without cutting requests off. The directories name other fronts
-// from now on, new requests are still accepted during drainDelay, and connections are closed
+// from now on, requests are still taken as far as they will be answered in time, and connections are closed
 // with their next response.
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
+	times, began := d.Settings.stopTimes(), time.Now()
 	d.leaving.Store(true)
-	d.proxy.Drain()
+	d.proxy.Drain(began.Add(times.answered))
 	d.meshio.Broadcast()
 	go d.deregister(ctx)
 	d.Log.Info().Int64("active", d.proxy.Active()).Msg("draining")
-	pause.For(ctx, drainDelay)
-	rest := max(d.Settings.Grace-drainDelay-shutdownMargin, 0)
-	limited, stop := context.WithTimeout(ctx, rest)
+	pause.For(ctx, times.accepts)
+	limited, stop := context.WithDeadline(ctx, began.Add(times.closed))
 	defer stop()
 	err := callers.Shutdown(limited)
 	d.Log.Info().Err(err).Int64("active", d.proxy.Active()).Msg("drained")
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -186,15 +186,22 @@
 		}
 		return r
 	}
+	routes := []any{
+		route("turn", "streaming", "model", map[string]any{"max-attempts": 1, "retain": true, "retention-s": 60.0}),
+		route("resume", "streaming", "model", map[string]any{"max-attempts": 1, "can-resume": true, "retain": false, "retention-s": 60.0}),
+		route("stored", "streaming", "model", map[string]any{"max-attempts": 1, "can-resume": true, "retain": true, "retention-s": 60.0}),
+		route("safe", "safe", "plain", nil),
+		route("unsafe", "unsafe", "plain", nil),
+	}
+	for i := range slowRoutes {
+		routes = append(routes, route(fmt.Sprint("slow", i), "unsafe", "plain", map[string]any{"timeout-ms": slowTimeout.Milliseconds()}),
+			route(fmt.Sprint("slow-turn", i), "streaming", "model", map[string]any{
+				"timeout-ms": slowTimeout.Milliseconds(), "max-attempts": 1, "retain": true, "retention-s": 60.0, "gap-aim-ms": slowTimeout.Milliseconds(),
+			}))
+	}
 	return map[string]any{
 		"version": 3,
-		"routes": []any{
-			route("turn", "streaming", "model", map[string]any{"max-attempts": 1, "retain": true, "retention-s": 60.0}),
-			route("resume", "streaming", "model", map[string]any{"max-attempts": 1, "can-resume": true, "retain": false, "retention-s": 60.0}),
-			route("stored", "streaming", "model", map[string]any{"max-attempts": 1, "can-resume": true, "retain": true, "retention-s": 60.0}),
-			route("safe", "safe", "plain", nil),
-			route("unsafe", "unsafe", "plain", nil),
-		},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": "model", "health-path": "/health", "max-conns": 200, "runtime": map[string]any{"max-batch": 16, "tokens-per-event": tokensPerEvent}},
 			map[string]any{"name": "plain", "health-path": "/health", "max-conns": 200},
