frontd: limits on heads follow the configuration

Cause: fronts set the limits on heads of their HTTP server once, at the start.

It works since a connection has the limits of its server, and the one with former limits gets no more of them.

--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"context"
 	"net"
-	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -116,6 +115,7 @@
 		reach       reach.Breaker
 		regkey      regkey.Registration
 		proxy       proxy.Endpoint
+		callers     *callersServer
 		leaving     atomic.Bool
 		readState   readState
 		silentPeers silentPeers
@@ -155,8 +155,7 @@
 	go d.register(regCtx)
 	// without a configuration it answers 503 and uses the default limits for callers
 	d.waitFor(ctx, func(v *fleet.View) bool { return v.Table != nil })
-	callers, err := d.serveCallers()
-	if err != nil {
+	if err = d.serveCallers(); err != nil {
 		return err
 	}
 	select {
@@ -164,7 +163,7 @@
 	case <-ctx.Done():
 	}
 	stopRegistration()
-	d.drain(ctx, callers)
+	d.drain(ctx)
 	return nil
 }
 
@@ -221,6 +220,7 @@
 			d.Log.Error().Err(err).Msg("listener for other daemons stopped")
 		}
 	}()
+	d.callers = d.callersServer()
 	go d.readLoop(ctx)
 	d.restore(ctx)
 	go d.sweep(ctx)
@@ -292,7 +292,7 @@
 // drain stops serving without cutting requests off. The directories name other fronts
 // from now on, requests are still taken as far as they will be answered in time, and connections are closed
 // with their next response.
-func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
+func (d *Daemon) drain(ctx context.Context) {
 	times, began := d.Settings.stopTimes(), time.Now()
 	d.leaving.Store(true)
 	d.proxy.Drain(began.Add(times.answered))
@@ -302,14 +302,15 @@
 	pause.For(ctx, times.accepts)
 	limited, stop := context.WithDeadline(ctx, began.Add(times.closed))
 	defer stop()
-	err := callers.Shutdown(limited)
+	err := d.callers.Shutdown(limited)
 	d.Log.Info().Err(err).Int64("active", d.proxy.Active()).Msg("drained")
 }
 
-// probe checks whether the record servers are reachable and logs changes.
+// probe checks whether the record servers are reachable and logs changes, and applies new limits on heads.
 func (d *Daemon) probe(ctx context.Context) {
 	down := false
 	for pause.For(ctx, probeInterval) {
+		d.callers.Update()
 		d.reach.Probe(ctx)
 		if now := d.reach.Down(time.Now()); now != down {
 			down = now
--- a/internal/node/frontd/idle.go
+++ b/internal/node/frontd/idle.go
@@ -1,6 +1,7 @@
 package frontd
 
 import (
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -57,13 +58,28 @@
 		case time.Since(since) < i.Timeout(): // the configuration has changed
 			i.wait(c, since)
 		default:
-			delete(i.timers, c)
-			if i.expired == nil {
-				i.expired = map[net.Conn]bool{}
-			}
-			i.expired[c] = true
-			_ = c.SetReadDeadline(ended)
+			i.end(c)
 		}
 	})
 	i.timers[c] = t
 }
+
+// end ends reads of the connection; the caller holds i.mu.
+func (i *idleConns) end(c net.Conn) {
+	delete(i.timers, c)
+	if i.expired == nil {
+		i.expired = map[net.Conn]bool{}
+	}
+	i.expired[c] = true
+	_ = c.SetReadDeadline(ended)
+}
+
+// restart has all connections that are idle wait as if they were so from now on, for a Timeout that is shorter than before.
+func (i *idleConns) restart() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, t := range maps.Clone(i.timers) {
+		t.Stop()
+		i.wait(c, time.Now())
+	}
+}
--- a/internal/node/frontd/serve.go
+++ b/internal/node/frontd/serve.go
@@ -56,30 +56,23 @@
 	}
 }
 
-func (d *Daemon) serveCallers() (srv *http.Server, err error) {
-	srv = d.callersServer()
+func (d *Daemon) serveCallers() error {
 	ln, err := listen(context.Background(), d.Settings.Callers)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	go d.serve(srv, (&conns.Server{Budget: d.Clients, Kind: memory.Callers}).Listen(ln), d.Settings.Callers)
-	return srv, nil
+	counted := (&conns.Server{Budget: d.Clients, Kind: memory.Callers}).Listen(ln)
+	go func() {
+		if err := d.callers.Serve(counted); !errors.Is(err, net.ErrClosed) {
+			d.Log.Error().Err(err).Str("address", d.Settings.Callers).Msg("HTTP listener stopped")
+		}
+	}()
+	return nil
 }
 
-// callersServer returns the server for callers' requests. Its limits on headers are those of
-// the configuration at the start.
-func (d *Daemon) callersServer() *http.Server {
-	idle := idleConns{Timeout: d.callerIdleTime}
-	srv := &http.Server{
-		Handler: &d.proxy, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
-		ConnState: idle.track,
-	}
-	if t := d.fleet.View().Table; t != nil {
-		srv.ReadHeaderTimeout = positive(t.Limits.HeaderTime, headerTimeout)
-		srv.MaxHeaderBytes = positive(t.Limits.HeaderBytes, maxHeaderBytes)
-	}
-	conns.Configure(srv)
-	return srv
+// callersServer returns the server for callers' requests.
+func (d *Daemon) callersServer() *callersServer {
+	return &callersServer{Handler: &d.proxy, Limits: d.headLimits, Idle: d.callerIdleTime}
 }
 
 // callerIdleTime is how long a caller's connection may be idle now.
