chaos: the soak has chains over many programs and turns that take long

Chains of turns that are continued within their retention, most often by another program, some of them over up to 25 s, through all faults; once these are over each chain that is still retained has to go on.

--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -193,6 +193,9 @@
 		route("safe", "safe", "plain", nil),
 		route("unsafe", "unsafe", "plain", nil),
 	}
+	routes = append(routes, route("chain", "streaming", "model", map[string]any{
+		"timeout-ms": chainTimeout.Milliseconds(), "max-attempts": 1, "retain": true, "retention-s": chainRetention.Seconds(), "gap-aim-ms": 2 * longestEvent.Milliseconds(),
+	}))
 	for i := range slowRoutes {
 		routes = append(routes, route(fmt.Sprint("slow", i), "unsafe", "plain", map[string]any{"timeout-ms": slowTimeout.Milliseconds()}),
 			route(fmt.Sprint("slow-turn", i), "streaming", "model", map[string]any{
--- a/internal/play/chaos/caller.go
+++ b/internal/play/chaos/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -38,6 +39,9 @@
 		id     int
 		client *http.Client
 		front  int
+
+		timeout time.Duration // of an attempt; 0 for attemptTimeout
+		longer  time.Duration // by which upstreams take longer for each event
 	}
 
 	// tally collects the results of all callers.
@@ -169,7 +173,7 @@
 	if previous != "" {
 		h.Set("Previous-Turn", previous)
 	}
-	status, body, err := c.send(ctx, fmt.Sprintf("%sx?events=%d", path, turnEvents), id, h, input)
+	status, body, err := c.send(ctx, fmt.Sprintf("%sx?events=%d&wait=%d", path, turnEvents, c.longer.Milliseconds()), id, h, input)
 	events := strings.Count(string(body), "\n\n")
 	complete = status == http.StatusOK && err == nil
 	want := ""
@@ -202,7 +206,8 @@
 // send sends one attempt. It keeps using the same front, over a persistent
 // connection, until an error; before one attempt in 20 it chooses a front anew.
 func (c *caller) send(ctx context.Context, path, id string, h http.Header, body []byte) (status int, answer []byte, err error) {
-	ctx, stop := context.WithTimeout(ctx, attemptTimeout)
+	timeout := cmp.Or(c.timeout, attemptTimeout)
+	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
 	if c.front < 0 || c.rnd.IntN(20) == 0 {
 		c.chooseFront(ctx)
@@ -214,7 +219,7 @@
 	r.GetBody = nil // net/http must not retry the request
 	r.Header = h
 	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(attemptTimeout.Milliseconds()))
+	r.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
 	r.Host = host
 	resp, err := c.client.Do(r)
 	if err != nil {
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -125,12 +125,14 @@
 		c := &caller{s: s, rnd: rand.New(rand.NewPCG(s.Seed, uint64(100+i))), id: i, front: -1, client: &http.Client{Transport: &http.Transport{}}}
 		work.Go(func() { c.run(callCtx) })
 	}
+	finishChains := s.startChains(callCtx)
 	sum.Faults = s.injectFaults(ctx)
 	if err = s.awaitService(ctx, recoverTimeout); err != nil {
 		s.observed.addViolation("no service after the last fault: %v", err)
 	}
 	stopCalls()
 	work.Wait()
+	finishChains(ctx)
 	s.verify()
 	sum.Ended = s.verifyCrashes()
 	sum.TakenUp, sum.WentOn = s.observed.takenUp, s.observed.wentOn
