roster, diskd: places of missing VMs come first, and VMs that can't leave serve on

Evidence: TestAllRosterStates, with losses that count until there is a successor and with VMs that can't be emptied and have to serve, fails on the code before after 'retire a; lose VM b; come back d; claim d; join d; lose disk c' and 'retire a; lose disk a; remove a; lose disk b'.

While a VM is missing no other place than its own is claimed. A VM whose disk was lost claims its former place also if it is to be emptied, if no other can; complete is one that the roster does not name. One VM leaves at a time, and one whose write did not succeed takes records again once a later version of the roster names it: its own write can't be executed then.

It works since each place that a quorum counts is one that a live VM has or will claim, and a VM refuses records only while it may yet have left.

--- a/internal/disk/roster/roster.go
+++ b/internal/disk/roster/roster.go
@@ -195,54 +195,104 @@
 }
 
 // Claim returns the next version, in which self becomes a replica, if it can: in place of
-// a former disk of the same node, as an additional replica, or, if self is the next
-// claimant, in place of a VM that is retiring or has been missing for minMissing.
+// a former disk of the same node, in place of a VM that has been missing for minMissing, if self is
+// the next claimant, as an additional replica, or in place of one that is retiring, likewise.
 // MissingSince has the time since which a node has not been listed. While another replica
 // is joining, no retiring or missing VM is replaced: two replacements at once could leave
 // too few complete replicas. A disk that was lost meanwhile may join beside the successor of
 // a retiring VM, which needs no other replica: it copies from that VM. A replica that is
 // joining is not replaced for being retired: its successor would have no source. One whose disk
-// was lost is: its VM, which is being retired, does not claim its place.
+// was lost is: its VM, which is being retired, claims its place only if no other can.
+//
+// While a VM is missing, no other place is claimed than its own: nobody would be left for it, and it would
+// count as lost for good.
 func (r Roster) Claim(now time.Time, self Member, members []Member, missingSince map[string]time.Time, minMissing time.Duration) (Roster, bool) {
-	if _, in := r.Find(self.DiskID); in || self.Retiring {
+	if _, in := r.Find(self.DiskID); in {
 		return Roster{}, false
 	}
 	for i, p := range r.Replicas {
-		if p.Node == self.Node {
+		if p.Node == self.Node && (!self.Retiring || !r.HasSpare(members)) {
 			return r.withReplica(i, self), true
 		}
 	}
+	if self.Retiring {
+		return Roster{}, false
+	}
+	if r.anyMissing(missingSince) {
+		return r.claimMissing(now, self, members, missingSince, minMissing)
+	}
 	if len(r.Replicas) < MaxReplicas(r.MaxFailures) {
 		return r.withReplica(len(r.Replicas), self), true
 	}
-	if !r.IsNextClaimant(self, members) {
-		return Roster{}, false
-	}
-	retiring := map[string]string{} // disk IDs of nodes
-	for _, m := range members {
-		if m.Retiring {
-			retiring[m.Node] = m.DiskID
+	for i := range r.Replicas {
+		source, leaves := r.leaves(i, members)
+		if leaves && !r.otherJoining(i) && r.IsNextClaimant(self, members) {
+			next := r.withReplica(i, self)
+			next.Replicas[i].Source = source
+			return next, true
 		}
 	}
+	return Roster{}, false
+}
+
+// claimMissing returns the next version in which self, if it is the next claimant, takes the place of a VM that has been missing
+// for minMissing.
+func (r Roster) claimMissing(now time.Time, self Member, members []Member, missingSince map[string]time.Time, minMissing time.Duration) (Roster, bool) {
 	for i, p := range r.Replicas {
-		since, gone := missingSince[p.Node]
-		diskID, leaves := retiring[p.Node]
-		hasDisk := diskID == p.DiskID
-		leaves = leaves && (!hasDisk || !p.Joining) // one that joins is to be complete first, as a source
-		if gone && now.Sub(since) >= minMissing || leaves {
-			if r.otherJoining(i) {
-				continue // the one that joins may itself have to be replaced
-			}
-			next := r.withReplica(i, self)
-			if leaves && hasDisk {
-				next.Replicas[i].Source = Source{Node: p.Node, Address: p.Address, DiskID: p.DiskID}
-			}
-			return next, true
+		since, missing := missingSince[p.Node]
+		gone := missing && now.Sub(since) >= minMissing
+		if gone && !r.otherJoining(i) && r.IsNextClaimant(self, members) { // the one that joins may itself have to be replaced
+			return r.withReplica(i, self), true
 		}
 	}
 	return Roster{}, false
 }
 
+// leaves reports whether the VM of replica i is being retired and may be replaced, and the VM as a source if it still has the disk.
+func (r Roster) leaves(i int, members []Member) (source Source, leaves bool) {
+	p := r.Replicas[i]
+	for _, m := range members {
+		switch {
+		case m.Node != p.Node || !m.Retiring:
+		case m.DiskID != p.DiskID:
+			return Source{}, true
+		case !p.Joining: // one that joins is to be complete first, as a source
+			return Source{Node: p.Node, Address: p.Address, DiskID: p.DiskID}, true
+		}
+	}
+	return Source{}, false
+}
+
+// HasSpare reports whether a member that is not retiring, and has no place of its own, could become a replica.
+func (r Roster) HasSpare(members []Member) bool {
+	for _, m := range members {
+		if !r.Names(m.Node) && !m.Retiring {
+			return true
+		}
+	}
+	return false
+}
+
+// anyMissing reports whether the VM of a replica is missing.
+func (r Roster) anyMissing(missingSince map[string]time.Time) bool {
+	for _, p := range r.Replicas {
+		if _, missing := missingSince[p.Node]; missing {
+			return true
+		}
+	}
+	return false
+}
+
+// Names reports whether the roster names the node, maybe with a disk that it no longer has.
+func (r Roster) Names(node string) bool {
+	for _, p := range r.Replicas {
+		if p.Node == node {
+			return true
+		}
+	}
+	return false
+}
+
 // Joining returns how many replicas are joining.
 func (r Roster) Joining() (n int) {
 	for _, p := range r.Replicas {
--- a/internal/disk/roster/search_test.go
+++ b/internal/disk/roster/search_test.go
@@ -15,13 +15,18 @@
 	world struct {
 		roster Roster
 		vms    [searchVMs]vm
-		losses int  // until the roster is complete again
-		acked  bool // the record
+		losses int // until the roster is complete again
+		gone   int // VMs that were lost and have no successor yet
+		// lasting has a lost VM count until it has a successor, also where another one has its place, and VMs that can't be emptied
+		// have to serve.
+		lasting bool
+		acked   bool // the record
 	}
 
 	// vm is a VM with a disk. A disk that was lost is no VM's any more.
 	vm struct {
 		up, retiring bool
+		successor    bool // of a lost VM, and not a complete replica yet
 		disk         int
 		id           string // of the disk
 		has          bool   // the record
@@ -111,9 +116,9 @@
 		b = append(b, p.Node[0], disk(p.DiskID), disk(p.Source.DiskID), bit(p.Joining)<<1|bit(p.Added))
 	}
 	for _, v := range w.vms {
-		b = append(b, bit(v.up)<<2|bit(v.retiring)<<1|bit(v.has))
+		b = append(b, bit(v.successor)<<3|bit(v.up)<<2|bit(v.retiring)<<1|bit(v.has))
 	}
-	return string(append(b, byte(w.losses), bit(w.acked)))
+	return string(append(b, byte(w.losses), byte(w.gone), bit(w.acked)))
 }
 
 func (w *world) complete() bool {
@@ -121,6 +126,52 @@
 	return whole && !slices.ContainsFunc(w.roster.Replicas, func(p Replica) bool { return p.Joining || w.live(p.DiskID) < 0 })
 }
 
+// recover has losses no longer count: once the roster is complete, or, in a lasting world, once each lost VM has a successor and
+// all VMs that are not spares are complete replicas.
+func (w *world) recover() {
+	whole := true
+	for i := range w.vms {
+		v := &w.vms[i]
+		p, in := w.roster.Find(v.id)
+		replica := in && !p.Joining
+		if v.up && v.successor && replica {
+			v.successor, w.gone = false, max(w.gone-1, 0)
+		}
+		if v.up && !replica && (!v.retiring || w.names(i)) {
+			whole = false
+		}
+	}
+	for i := range w.vms {
+		w.vms[i].successor = w.vms[i].successor && w.gone > 0
+	}
+	if w.complete() && (!w.lasting || w.gone == 0) || w.lasting && w.gone == 0 && whole {
+		w.losses = 0
+	}
+}
+
+// excused reports whether too few VMs are left to serve.
+func (w *world) excused() bool {
+	if w.lasting {
+		return w.able() < w.roster.WriteQuorum()
+	}
+	return w.usable() < w.roster.WriteQuorum()
+}
+
+// names reports whether the roster names a VM, maybe with a disk that is lost.
+func (w *world) names(i int) bool {
+	return slices.ContainsFunc(w.roster.Replicas, func(p Replica) bool { return p.Node == node(i) })
+}
+
+// able returns the number of VMs that are up and have not been emptied.
+func (w *world) able() (n int) {
+	for i, v := range w.vms {
+		if v.up && (!v.retiring || w.names(i)) {
+			n++
+		}
+	}
+	return n
+}
+
 // usable returns the number of VMs that are up and not to be emptied.
 func (w *world) usable() (n int) {
 	for _, v := range w.vms {
@@ -204,8 +255,7 @@
 // remove has the operator take a VM away that reports to be empty.
 func (w *world) remove(i int) bool {
 	v := &w.vms[i]
-	_, in := w.roster.Find(v.id)
-	if !v.up || !v.retiring || in || slices.ContainsFunc(w.roster.Replicas, func(p Replica) bool { return p.Joining }) {
+	if !v.up || !v.retiring || w.names(i) || w.roster.Joining() > 0 {
 		return false
 	}
 	v.up, v.retiring = false, false
@@ -247,12 +297,16 @@
 			v := &w.vms[i]
 			was := v.up
 			v.up = false
+			if w.lasting {
+				w.gone++
+			}
 			return was && w.lose()
 		}},
 		{"come back", func(w *world) bool { // or a new VM
 			v := &w.vms[i]
 			was := v.up
 			v.up = true
+			v.successor = w.gone > 0
 			return !was
 		}},
 	}
@@ -312,7 +366,7 @@
 	serves := joining == 0 && complete >= max(w.roster.ReadQuorum(), w.roster.WriteQuorum())
 	enough := w.usable() < len(w.roster.Replicas) || w.complete()
 	kept := !w.acked || w.readable() && held > complete-w.roster.ReadQuorum()
-	if serves && enough && kept || w.usable() < w.roster.WriteQuorum() {
+	if serves && enough && kept || w.excused() {
 		return true
 	}
 	s.t.Errorf("serves: %v, all complete: %v, record kept: %v, after: %s\n%v", serves, enough, kept, s.path(before), w.roster)
@@ -354,9 +408,7 @@
 				if !e.do(&next) {
 					continue
 				}
-				if next.complete() {
-					next.losses = 0
-				}
+				next.recover()
 				s.push(next, step{key, e.name + " " + node(i)})
 			}
 		}
@@ -403,18 +455,28 @@
 
 // Guards against a roster that never becomes complete again, or loses a record, after any sequence of events of three VMs and a spare. With -args -exhaustive it takes a minute, and the states with a record too.
 func TestAllRosterStates(t *testing.T) {
-	s := &search{t: t, vms: 4, acked: *exhaustive}
-	s.run(newWorld(1))
-	t.Logf("%d states", len(s.seen))
+	for _, lasting := range []bool{false, true} {
+		s := &search{t: t, vms: 4, acked: *exhaustive}
+		w := newWorld(1)
+		w.lasting = lasting
+		s.run(w)
+		t.Logf("%d states, lost VMs have successors: %v", len(s.seen), lasting)
+	}
 }
 
 // The same for sequences of random events, of more VMs, and with two losses at a time.
 func TestRosterWalks(t *testing.T) {
-	cases := map[string]struct{ failures, vms int }{
-		"one loss, three VMs": {1, 3},
-		"one loss, five VMs":  {1, 5},
-		"two losses, six VMs": {2, 6},
-		"two losses, seven":   {2, 7},
+	cases := map[string]struct {
+		failures, vms int
+		lasting       bool
+	}{
+		"one loss, three VMs":             {1, 3, false},
+		"one loss, five VMs":              {1, 5, false},
+		"two losses, six VMs":             {2, 6, false},
+		"two losses, seven":               {2, 7, false},
+		"one loss, three VMs, successors": {1, 3, true},
+		"one loss, four VMs, successors":  {1, 4, true},
+		"two losses, six VMs, successors": {2, 6, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -422,6 +484,7 @@
 				rnd := rand.New(rand.NewPCG(seed, 1))
 				s := &search{t: t, vms: c.vms, seen: map[string]step{}, acked: true}
 				w, last := newWorld(c.failures), ""
+				w.lasting = c.lasting
 				for range walkSteps {
 					s.queue = nil
 					s.ack(w, last)
@@ -434,9 +497,7 @@
 					if !e.do(&next) {
 						continue
 					}
-					if next.complete() {
-						next.losses = 0
-					}
+					next.recover()
 					w = next
 					s.trail = append(s.trail, e.name+" "+node(i))
 					if !s.check(w) {
--- a/internal/node/diskd/diskd.go
+++ b/internal/node/diskd/diskd.go
@@ -51,6 +51,8 @@
 	// handOverDelay is how long a VM that is to be emptied waits for another to
 	// replace it before it hands its records over to the remaining replicas and resigns.
 	handOverDelay = 2 * time.Second
+	// resignTime is how long each VM that is to be emptied is given to leave the roster before the next one.
+	resignTime = 10 * time.Second
 	// maxCatchUpDelay is how long after its start a replica that has its records leaves
 	// copies to the replicas that are joining.
 	maxCatchUpDelay = time.Minute
@@ -109,6 +111,7 @@
 		peerFunc       recsrv.Peers // connects to other VMs with a disk; nil to use the link
 		retiring       atomic.Bool
 		retiringSince  time.Time // when retiring changed last
+		resigning      uint64    // version of the roster that this VM tried to leave, and takes no records meanwhile; 0 for none
 		reported       string    // the state reported to the operator last
 	}
 )
@@ -275,6 +278,7 @@
 	if s.Roster.Version > 0 {
 		d.recsrv.Learn(s.Roster)
 	}
+	d.thaw(s.Roster)
 	d.checkRetirement(ctx, s)
 	select {
 	case err := <-d.joinResult:
--- a/internal/node/diskd/retire.go
+++ b/internal/node/diskd/retire.go
@@ -22,18 +22,23 @@
 	if requested := nodes[d.Settings.Node]; requested != d.retiring.Load() {
 		d.retiring.Store(requested)
 		d.retiringSince = time.Now()
-		d.recsrv.Freeze(false)
+		if d.resigning == 0 {
+			d.recsrv.Freeze(false)
+		}
 		d.Log.Info().Bool("retiring", d.retiring.Load()).Msg("operator's request to empty this VM changed")
 		d.leased.Wake()
 	}
+	switch {
+	case d.mayResign(s):
+		d.resign(ctx)
+	case d.resigning > 0:
+		d.keepPlace(ctx)
+	}
 	if !d.retiring.Load() {
 		return
 	}
-	_, in := s.Roster.Find(d.recsrv.DiskID())
-	if in && time.Since(d.retiringSince) > handOverDelay && !hasSpare(s) {
-		d.resign(ctx)
-	}
-	complete := !in && s.Roster.Version > 0 && s.Roster.Joining() == 0
+	// The roster may name this VM with a disk that it has lost.
+	complete := !s.Roster.Names(d.Settings.Node) && s.Roster.Version > 0 && s.Roster.Joining() == 0
 	state := map[bool]string{true: "complete", false: "running"}[complete]
 	if d.reported == state {
 		return
@@ -45,34 +50,66 @@
 	}
 }
 
-// hasSpare reports whether a VM that is not a replica could replace this one, or a replica is
-// joining already.
-func hasSpare(s discov.State) bool {
+// mayResign reports whether this VM is to be emptied, and no other can replace it. Of several such VMs one resigns at a time:
+// each refuses records meanwhile.
+func (d *Daemon) mayResign(s discov.State) bool {
+	r := s.Roster
+	self, in := r.Find(d.recsrv.DiskID())
+	if !in || self.Joining || !d.retiring.Load() || r.HasSpare(s.Members) || r.Joining() > 0 || len(r.Replicas) <= r.WriteQuorum() {
+		return false // with no more replicas than a write needs, a loss could not be tolerated
+	}
+	before := 0
 	for _, m := range s.Members {
-		if _, in := s.Roster.Find(m.DiskID); !in && !m.Retiring {
-			return true
+		if _, isReplica := r.Find(m.DiskID); isReplica && m.Retiring && m.Node < d.Settings.Node {
+			before++
 		}
 	}
-	return s.Roster.Joining() > 0
+	return time.Since(d.retiringSince) > handOverDelay+time.Duration(before)*resignTime
 }
 
-// resign removes this VM from the roster where no other VM can replace it. Its records are
+// resign removes this VM from the roster. Its records are
 // copied to each remaining replica first, so that a write quorum still holds every acknowledged
-// record. With only as many replicas as a write needs it does nothing.
+// record.
 func (d *Daemon) resign(ctx context.Context) {
 	r := d.discov.Roster()
-	if len(r.Replicas) <= r.WriteQuorum() {
-		return // with fewer replicas a loss could not be tolerated
-	}
 	d.recsrv.Freeze(true)
 	if err := d.recsrv.CopyToOthers(ctx, r, d.peers()); err != nil {
-		d.recsrv.Freeze(false)
+		if d.resigning == 0 {
+			d.recsrv.Freeze(false)
+		}
 		d.Log.Warn().Err(err).Msg("records not handed over")
 		return
 	}
 	diskID := d.recsrv.DiskID()
-	d.updateRoster(ctx, func(s discov.State) (roster.Roster, bool) {
+	d.resigning = r.Version
+	left := d.updateRoster(ctx, func(s discov.State) (roster.Roster, bool) {
 		_, in := s.Roster.Find(diskID)
 		return s.Roster.Without(diskID), in && s.Roster.Version == r.Version
 	}, "place given up")
+	if left {
+		d.resigning = 0
+	}
+}
+
+// keepPlace writes the next version of the roster without a change, so that a write by which this VM would leave, and which
+// may still be on its way, fails.
+func (d *Daemon) keepPlace(ctx context.Context) {
+	d.updateRoster(ctx, func(s discov.State) (roster.Roster, bool) {
+		next := s.Roster
+		next.Version++
+		return next, s.Roster.Version == d.resigning
+	}, "place kept")
+}
+
+// thaw takes records again once it is known that this VM has not left the roster: another write of it came first.
+func (d *Daemon) thaw(r roster.Roster) {
+	if d.resigning == 0 || r.Version <= d.resigning {
+		return
+	}
+	d.resigning = 0
+	if _, in := r.Find(d.recsrv.DiskID()); !in && d.retiring.Load() {
+		return // it has left after all
+	}
+	d.recsrv.Freeze(false)
+	d.Log.Info().Uint64("roster", r.Version).Msg("records are taken again: this VM has not left the roster")
 }
