frontd: fronts that were not heard for long are not named, however few are heard

Cause: a front that hears less than half of the listed fronts takes itself for cut off and names all of them. Fronts that are removed while the store is away stay listed, so with more than half of them gone it did so for good.

A front that reaches the record servers is not cut off: it now leaves out whom it has not heard for 5 s meanwhile. One that has just started, stood still or lost the record servers begins anew, and names all as before.

It works since the record servers are VMs in several failure domains that don't depend on the other fronts.

--- a/internal/node/frontd/directory.go
+++ b/internal/node/frontd/directory.go
@@ -75,8 +75,9 @@
 
 // directoryEntries returns the fronts that the directory names, fanout.size of them at most:
 // those that are alive, not leaving and reach the record servers; if none reaches them, all
-// that are alive and not leaving. A front that hears from less than half of the others is
-// partitioned itself and takes all of them as alive.
+// that are alive and not leaving. A front that hears from less than half of the others may be
+// partitioned itself and takes them as alive, but for those that it has not heard for deadAfter while it reached the
+// record servers: many may have been removed while the store, which lists them, was away.
 func (d *Daemon) directoryEntries() (healthy []fleet.Entry) {
 	now := time.Now()
 	p := d.meshio.Summary(now)
@@ -89,7 +90,7 @@
 	trusted := p.ReachesHalf(len(others))
 	for _, e := range others {
 		_, alive := p.Status(mesh.IDOf(e.Node))
-		if !e.Leaving && (alive || !trusted) {
+		if !e.Leaving && (alive || !trusted && !d.unheard.isDead(now, e.Node)) {
 			all = append(all, e)
 		}
 	}
--- a/internal/node/frontd/frontd.go
+++ b/internal/node/frontd/frontd.go
@@ -119,6 +119,7 @@
 		leaving     atomic.Bool
 		readState   readState
 		silentPeers silentPeers
+		unheard     unheard
 		fetches     fetches
 		fanout      fanout
 		backups     backups
@@ -327,6 +328,7 @@
 			_, known := v.Find(id)
 			return known
 		})
+		d.noteUnheard(time.Now())
 		d.reportState(time.Now())
 		d.reportLimits(time.Now())
 		d.reportFactors()
