chaos: every second start of a process may run another release

Records change on disk and on the wire, and processes of the code before and after run side by side during an upgrade.

--- a/cmd/slaterock/storm.go
+++ b/cmd/slaterock/storm.go
@@ -18,7 +18,7 @@
 func stormCommand() *cobra.Command {
 	var s chaos.Runner
 	var seeds int
-	var dir, program, moment string
+	var dir, program, other, moment string
 	overload := chaos.OpenLoad{Safe: 0.25, Long: 0.05}
 	c := &cobra.Command{
 		Use:   "processes",
@@ -52,6 +52,9 @@
 					return err
 				}
 				run.Out = faultLog
+				if other != "" {
+					run.Other = []string{other}
+				}
 				var sum any
 				if overload.Rate > 0 {
 					sum, err = (&chaos.Overload{Runner: &run, OpenLoad: overload}).Run(c.Context())
@@ -81,6 +84,7 @@
 	f.IntVar(&s.Callers, "callers", 24, "callers at a time")
 	f.IntVar(&s.Net, "net", 0, "second byte of the loopback addresses; runs with different ones may overlap")
 	f.StringVar(&program, "program", "", "program to run, for example of another release; this one if empty")
+	f.StringVar(&other, "other", "", "program of another release, which every second start of a process runs; none if empty")
 	f.Float64Var(&overload.Rate, "overload", 0, "calls per second of a load that keeps plain upstreams full, in place of callers and faults; 0 for none")
 	f.DurationVar(&overload.Work, "work", 170*time.Millisecond, "mean time of a run under that load")
 	f.Float64Var(&overload.Faulty, "faulty", 0.6, "share of the upstreams with faults under that load")
--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -128,7 +128,7 @@
 	}
 	s.storeProxies = append(s.storeProxies, p)
 	name := fmt.Sprintf("%s-%d", role, i)
-	c := &process{name: name, role: role, command: s.Command, settings: s.path(name + ".yaml")}
+	c := &process{name: name, role: role, command: s.Command, other: s.Other, starts: i, settings: s.path(name + ".yaml")}
 	listen, dir := "", "null"
 	if role == "front" {
 		listen = fmt.Sprintf("{front: %q, ready: %q, directory: %q}", fmt.Sprintf("%s:%d", ip, basePort), fmt.Sprintf("%s:%d", ip, basePort+1), fmt.Sprintf("%s:%d", ip, basePort+2))
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -52,6 +52,7 @@
 	// Runner executes one run. Set the exported fields, then call Run.
 	Runner struct {
 		Command     []string // command line of the program, without its role
+		Other       []string // of another release, which every second process and every second start of each runs; nil for none
 		Seed        uint64
 		Net         int           // second byte of the processes' loopback addresses; runs with different ones may overlap
 		For         time.Duration // time with faults; with StoreOutage, the time before the outage
--- a/internal/play/chaos/process.go
+++ b/internal/play/chaos/process.go
@@ -19,6 +19,8 @@
 	dir      string // data folder; empty if the VM has no disk
 	log      *os.File
 	command  []string
+	other    []string // command of another release, which every second start runs; nil for none
+	starts   int
 
 	restartMu sync.Mutex // held from a stop to the following start
 
@@ -30,7 +32,12 @@
 func (c *process) start() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cmd := exec.Command(c.command[0], append(append([]string(nil), c.command[1:]...), c.role)...) //nolint:gosec,noctx // our own program; it is stopped by signals
+	command := c.command
+	if c.starts%2 == 1 && c.other != nil {
+		command = c.other
+	}
+	c.starts++
+	cmd := exec.Command(command[0], append(append([]string(nil), command[1:]...), c.role)...) //nolint:gosec,noctx // our own program; it is stopped by signals
 	cmd.Env = append(os.Environ(), "SLATEROCK_CONFIG="+c.settings)
 	cmd.Stdout, cmd.Stderr = c.log, c.log
 	if err := cmd.Start(); err != nil {
