diskd: a test of leaving VMs changes its fakes from one goroutine

The steps are the same: the store is away from the copy of the records on for 6 s, and the request is withdrawn before it is back.

--- a/internal/node/diskd/fixture_test.go
+++ b/internal/node/diskd/fixture_test.go
@@ -52,6 +52,12 @@
 	return s.rev, nil
 }
 
+func (s *memStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 func (s *memStore) put(key string, data []byte) {
 	s.rev++
 	s.items[key] = store.Entry{Key: key, Data: data, Rev: s.rev}
--- a/internal/node/diskd/retire_test.go
+++ b/internal/node/diskd/retire_test.go
@@ -61,10 +61,7 @@
 		"it leaves":        {func(*fixture) {}, "ab", false},
 		"another has left": {func(f *fixture) { f.retiring(3, "bd") }, "bd", true},
 		"the store is away, and it stays": {func(f *fixture) {
-			if !f.s.down {
-				time.AfterFunc(3*time.Second, func() { f.s.down = false; f.op.want["d"] = false })
-			}
-			f.s.down = true
+			f.s.setDown(true)
 		}, "abd", true},
 	}
 	for name, c := range cases {
@@ -78,7 +75,12 @@
 				f.retiring(2, "abd")
 				f.daemon.peerFunc = func(string) link.Invoker { return importer(func() { c.between(f) }) }
 				f.op.want["d"] = true
-				f.runFixed(20 * time.Second)
+				f.runFixed(6 * time.Second)
+				if c.nodes == "abd" {
+					f.op.want["d"] = false
+				}
+				f.s.setDown(false)
+				f.runFixed(14 * time.Second)
 				is.Equal(f.nodes(), c.nodes)
 				is.Equal(f.takes(), c.takes)
 			})
