link: the room of a long request is free before its reply

A caller whose next long request follows the reply at once could be told that there is no room, since its last request still counted.

Cause: what a request took was returned once the reply had been written.

--- a/internal/peer/link/serve.go
+++ b/internal/peer/link/serve.go
@@ -99,6 +99,8 @@
 
 func (s *session) runAndReply(v *servedRequest, r *jsonrpc2.Request, q request) {
 	out, attachment, err := v.run(r.Method, q)
+	s.giveBack(v.taken) // before the reply: the caller's next request may follow it at once
+	v.taken = 0
 	if cause := context.Cause(v.ctx); cause != nil && !errors.Is(cause, ErrCancelled) {
 		// This daemon is stopping or the connection was lost. What the runner
 		// returned is not an outcome: a caller that got it would not retry.
