--- a/internal/play/chaos/build.go
+++ b/internal/play/chaos/build.go
@@ -4,11 +4,14 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/slaterock/slaterock/internal/fake/upstrm"
 	"github.com/slaterock/slaterock/internal/peer/pause"
 )
@@ -31,6 +34,29 @@
 	return s.startProcesses(ctx)
 }
 
+// begin starts everything for a run without callers and faults of its own, and waits until all fronts serve. End stops it.
+func (s *Runner) begin(ctx context.Context) (end func(), err error) {
+	unlock, err := s.lock(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.rnd = rand.New(rand.NewPCG(s.Seed, 1))
+	s.observed.attempts = map[string]observed{}
+	if err = s.startAll(ctx); err != nil {
+		unlock()
+		return nil, err
+	}
+	end = func() {
+		s.stopAll()
+		unlock()
+	}
+	if err = s.awaitService(ctx, startTimeout); err != nil {
+		end()
+		return nil, errors.Wrap(err, "start")
+	}
+	return end, nil
+}
+
 // startProcesses starts the store and the processes.
 func (s *Runner) startProcesses(ctx context.Context) error {
 	store, err := serve(ctx, &s.metakv, anyPort)
--- a/internal/play/chaos/leave.go
+++ b/internal/play/chaos/leave.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -60,20 +59,11 @@
 	defer func() { err = errors.Wrap(err, "planned stop") }()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	unlock, err := l.lock(ctx)
+	end, err := l.begin(ctx)
 	if err != nil {
 		return sum, err
 	}
-	defer unlock()
-	l.rnd = rand.New(rand.NewPCG(l.Seed, 1))
-	l.observed.attempts = map[string]observed{}
-	if err = l.startAll(ctx); err != nil {
-		return sum, err
-	}
-	defer l.stopAll()
-	if err = l.awaitService(ctx, startTimeout); err != nil {
-		return sum, errors.Wrap(err, "start")
-	}
+	defer end()
 	requests := l.requests()
 	var work sync.WaitGroup
 	for _, r := range l.usual() { // fronts know how long requests take
--- a/internal/play/chaos/misuse.go
+++ b/internal/play/chaos/misuse.go
@@ -68,21 +68,12 @@
 	defer func() { err = errors.Wrapf(err, "%d clients at %s", m.Crowd.Clients, m.Listener) }()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	unlock, err := m.lock(ctx)
-	if err != nil {
-		return sum, err
-	}
-	defer unlock()
 	m.diskMemoryMB = m.DiskMemoryMB
-	m.rnd = rand.New(rand.NewPCG(m.Seed, 1))
-	m.observed.attempts = map[string]observed{}
-	if err = m.startAll(ctx); err != nil {
+	end, err := m.begin(ctx)
+	if err != nil {
 		return sum, err
 	}
-	defer m.stopAll()
-	if err = m.awaitService(ctx, startTimeout); err != nil {
-		return sum, errors.Wrap(err, "start")
-	}
+	defer end()
 	m.gather()
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	var work sync.WaitGroup
