frontd, lasted: silences of fronts are tracked by one piece

The directory's check and the one that removes keys had the same loop over the listed fronts; silences serves both, with their own bounds. The servers of callers take the address from their listener, and the longest times are handed on in place of being copied and cleared.

--- a/internal/front/lasted/lasted.go
+++ b/internal/front/lasted/lasted.go
@@ -2,7 +2,6 @@
 package lasted
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
@@ -44,10 +43,9 @@
 	if since < span {
 		return
 	}
-	t.earlier = maps.Clone(t.current)
+	t.earlier, t.current = t.current, nil
 	if since >= 2*span {
 		t.earlier = nil
 	}
-	clear(t.current)
 	t.swapped = now
 }
--- a/internal/node/frontd/callers.go
+++ b/internal/node/frontd/callers.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/slaterock/slaterock/internal/front/conns"
-	"github.com/slaterock/slaterock/internal/front/fleet"
 )
 
 // retiredIdle is how long a connection with former limits stays idle. The HTTP server sets its own deadline just after a connection has
@@ -54,20 +53,19 @@
 )
 
 // headLimits returns the limits of the configuration in force, or the defaults.
-func (d *Daemon) headLimits() headLimits { return headLimitsOf(d.fleet.View()) }
-
-func headLimitsOf(v *fleet.View) headLimits {
-	if v.Table == nil {
+func (d *Daemon) headLimits() headLimits {
+	t := d.fleet.View().Table
+	if t == nil {
 		return headLimits{maxHeaderBytes, headerTimeout}
 	}
-	return headLimits{positive(v.Table.Limits.HeaderBytes, maxHeaderBytes), positive(v.Table.Limits.HeaderTime, headerTimeout)}
+	return headLimits{positive(t.Limits.HeaderBytes, maxHeaderBytes), positive(t.Limits.HeaderTime, headerTimeout)}
 }
 
 // Serve serves the connections of a listener until that is closed.
 func (c *callersServer) Serve(ln net.Listener) error {
 	c.mu.Lock()
 	c.listener = ln
-	c.start(ln.Addr())
+	c.start()
 	c.mu.Unlock()
 	for {
 		conn, err := ln.Accept()
@@ -97,7 +95,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.listener != nil && !c.closed {
-		c.start(c.listener.Addr())
+		c.start()
 	}
 }
 
@@ -140,12 +138,12 @@
 	if c.closed {
 		return nil
 	}
-	return c.start(c.listener.Addr())
+	return c.start()
 }
 
 // start returns the server for the limits in force, which it starts if there is none, and retires the one before; the caller
 // holds c.mu.
-func (c *callersServer) start(address net.Addr) *limitedServer {
+func (c *callersServer) start() *limitedServer {
 	limits := c.Limits()
 	if n := len(c.servers); n > 0 {
 		last := c.servers[n-1]
@@ -154,7 +152,7 @@
 		}
 		last.retire()
 	}
-	s := &limitedServer{limits: limits, given: make(chan net.Conn), done: make(chan struct{}), address: address}
+	s := &limitedServer{limits: limits, given: make(chan net.Conn), done: make(chan struct{}), address: c.listener.Addr()}
 	s.idle.Timeout = func() time.Duration {
 		if s.retired.Load() {
 			return retiredIdle
--- a/internal/node/frontd/silent.go
+++ b/internal/node/frontd/silent.go
@@ -45,21 +45,29 @@
 		s.since = nil
 		return "", false
 	}
-	next := map[string]time.Time{}
+	s.since = silences(s.since, now, others, p)
+	for _, e := range others {
+		if since, silent := s.since[e.Node]; silent && now.Sub(since) >= lostAfter {
+			node, found = e.Node, true
+		}
+	}
+	return node, found
+}
+
+// silences returns since when each of the other fronts that is not alive has been silent, by its node. Before has what was
+// known at the last check.
+func silences(before map[string]time.Time, now time.Time, others []fleet.Entry, p mesh.Summary) map[string]time.Time {
+	silent := map[string]time.Time{}
 	for _, e := range others {
 		if _, alive := p.Status(mesh.IDOf(e.Node)); alive {
 			continue
 		}
-		next[e.Node] = now
-		if since, known := s.since[e.Node]; known {
-			next[e.Node] = since
-		}
-		if now.Sub(next[e.Node]) >= lostAfter {
-			node, found = e.Node, true
+		silent[e.Node] = now
+		if since, known := before[e.Node]; known {
+			silent[e.Node] = since
 		}
 	}
-	s.since = next
-	return node, found
+	return silent
 }
 
 // removeLost removes the key of a front that has been silent for lostAfter, if there is one.
--- a/internal/node/frontd/unheard.go
+++ b/internal/node/frontd/unheard.go
@@ -34,17 +34,9 @@
 		u.since = nil
 	}
 	u.checkedAt = now
-	next := map[string]time.Time{}
-	for _, e := range others {
-		if _, alive := p.Status(mesh.IDOf(e.Node)); alive || !connected {
-			continue
-		}
-		next[e.Node] = now
-		if since, known := u.since[e.Node]; known {
-			next[e.Node] = since
-		}
+	if connected {
+		u.since = silences(u.since, now, others, p)
 	}
-	u.since = next
 }
 
 // isDead reports whether the front has not been heard for deadAfter.
