head, upconn: a response with a broken status line is no answer

Callers got 200 with bytes that were not the upstream's body: an upstream sent a status of 000 or 099, and what stood behind its head on the connection, or in its body, was read as the response. Statuses of 600 and 999, HTTP/0.9 and HTTP/2.0 in the status line and a 101 that nobody had asked for before a response were passed on, too.

Cause: http.ReadResponse takes any three digits for a status, and Conn.Receive skipped all below 200 as informational. So the body of a 000, which has one for the library, was the next head. Nobody said what a whole head is.

head.Checker does, on the bytes that are received, before the library reads them: version 1.x, three digits from 100 to 599 but 101. The connection ends with a *head.Error, the send is a loss as after any other bytes that are no response: 502 "unknown", another upstream for an idempotent call. A refusal inside of it tells nothing. It is a failure of that upstream, stands in the log as the cause of the run, and is counted (responses_broken). An answer to the question for an upstream's start is treated alike.

The rest (1xx of other heads, a status of two, four or no digits) was refused by the library already; its cases stay.

--- /dev/null
+++ b/internal/fake/broken/broken.go
@@ -0,0 +1,73 @@
+// Package broken makes broken responses of whole ones, as an upstream in trouble sends them: heads that RFC 9112
+// does not allow, whatever a library makes of them.
+package broken
+
+import (
+	"fmt"
+	"strings"
+)
+
+const (
+	lineEnd = "\r\n"
+	headEnd = lineEnd + lineEnd
+)
+
+// Responses are broken responses in place of a whole one, by what is broken.
+type Responses map[string]string
+
+// Statuses returns responses whose status line is broken, or that have another response with such a one before
+// them.
+func Statuses(whole string) Responses {
+	out := Responses{
+		"000, then a whole one":    "HTTP/1.1 000 None" + headEnd + whole,
+		"099, then a whole one":    "HTTP/1.1 099 None" + headEnd + whole,
+		"000 around a whole one":   fmt.Sprintf("HTTP/1.1 000 None\r\nContent-Length: %d", len(whole)) + headEnd + whole,
+		"101 that nobody asked":    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a" + headEnd + whole,
+		"000 after informational":  "HTTP/1.1 103 Early Hints" + headEnd + withStatus(whole, "HTTP/1.1 000"),
+		"two blanks before status": withStatus(whole, "HTTP/1.1  200"),
+	}
+	for _, start := range []string{"HTTP/1.1 000", "HTTP/1.1 099", "HTTP/1.1 600", "HTTP/1.1 999", "HTTP/1.1 0", "HTTP/1.1 2000", "HTTP/1.1 -20", "HTTP/1.1 2x0", "HTTP/0.9 200", "HTTP/2.0 200", "HTTP/3 200"} {
+		out[start] = withStatus(whole, start)
+	}
+	return out
+}
+
+// Names returns responses in which the name of a field is broken, also of one that states the length of the body, and those
+// with an informational response before them that is broken so.
+func Names(whole string) Responses {
+	out := Responses{}
+	for what, line := range map[string]string{
+		"blank inside": "X Y: 1", "blanks inside": "X  Y: 1", "blank before the colon": "X-Y : 1", "blank first": " X-Y: 1", "blank only": " : 1",
+		"tab inside": "X\tY: 1", "tab before the colon": "X-Y\t: 1", "tab first": "\tX-Y: 1", "0x00": "X\x00Y: 1", "0x00 first": "\x00XY: 1", "0x01": "X\x01Y: 1",
+		"0x0d": "X\rY: 1", "0x1b before the colon": "XY\x1b: 1", "0x7f": "X\x7fY: 1", "0x80": "X\x80Y: 1", "bracket": "X(Y): 1", "quote": "X\"Y: 1", "empty": ": 1", "no colon": "XY",
+	} {
+		out[what] = withLine(whole, line)
+		out[what+", informational"] = withLine("HTTP/1.1 103 Early Hints\r\nA: b"+headEnd, line) + whole
+	}
+	for _, name := range []string{"Content-Length", "Transfer-Encoding"} {
+		for what, changed := range map[string]string{
+			"blank before the colon": name + " ", "blank inside": strings.Replace(name, "-", " ", 1), "blank first": " " + name, "control byte": name + "\x01",
+		} {
+			if strings.Contains(whole, lineEnd+name+":") {
+				out[name+", "+what] = strings.Replace(whole, lineEnd+name+":", lineEnd+changed+":", 1)
+			}
+		}
+	}
+	return out
+}
+
+// Values returns responses in which the value of a field, or the reason, holds a control byte.
+func Values(whole string) Responses {
+	return Responses{
+		"0x00 in a value": withLine(whole, "X-Y: a\x00b"), "0x0d in a value": withLine(whole, "X-Y: a\rb"), "0x1b in a value": withLine(whole, "X-Y: \x1b"),
+		"0x01 in the reason": strings.Replace(whole, lineEnd, "\x01"+lineEnd, 1),
+	}
+}
+
+// withStatus returns the response with another beginning of its status line.
+func withStatus(whole, start string) string { return start + whole[len("HTTP/1.1 200"):] }
+
+// withLine returns the response with a further line as the last one of its head.
+func withLine(whole, line string) string {
+	return strings.Replace(whole, headEnd, lineEnd+line+headEnd, 1)
+}
--- a/internal/front/proxy/env_test.go
+++ b/internal/front/proxy/env_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,7 +56,9 @@
 		// respond returns the response in place of responses, and whether the process then ends; nil for neither.
 		respond func(h http.Header) (response string, ends bool)
 		born    int64 // start that it states, in Unix milliseconds; 0 for none
-		conns   []net.Conn
+		// startStatus is the status with which it states its start; empty for 200.
+		startStatus string
+		conns       []net.Conn
 	}
 
 	received struct {
@@ -174,7 +177,7 @@
 			return
 		}
 		if r.RequestURI == startTarget {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n%20d", u.born)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\nContent-Length: 20\r\n\r\n%20d", cmp.Or(u.startStatus, "200"), u.born)
 			continue
 		}
 		u.mu.Lock()
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -18,6 +18,7 @@
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/pause"
+	"github.com/slaterock/slaterock/internal/plat/head"
 )
 
 const (
@@ -228,7 +229,7 @@
 func (q *request) recordLoss(ctx context.Context, s *exchange, err error) error {
 	q.summary.ran = ranUnknown
 	q.summary.runs.fail(err)
-	q.countTooLong(err)
+	q.countFault(err)
 	if q.over(ctx) {
 		if s.brokeOff {
 			_ = q.noteEnd(ctx, &s.up) // it is not sent on anyway
@@ -243,8 +244,13 @@
 	return &lostError{up: s.up, reused: s.conn.Reused, err: err}
 }
 
-// countTooLong counts a response that was longer than a bound.
-func (q *request) countTooLong(err error) {
+// countFault counts a response that was broken, or longer than a bound.
+func (q *request) countFault(err error) {
+	var broken *head.Error
+	if errors.As(err, &broken) {
+		q.e.Scope.Tagged(map[string]string{"part": string(broken.Part)}).Counter("responses_broken").Inc(1)
+		return
+	}
 	bound := ""
 	switch {
 	case errors.Is(err, upconn.ErrHeadTooLong):
--- a/internal/front/proxy/start.go
+++ b/internal/front/proxy/start.go
@@ -10,6 +10,7 @@
 
 	"github.com/slaterock/slaterock/internal/front/fleet"
 	"github.com/slaterock/slaterock/internal/front/upconn"
+	"github.com/slaterock/slaterock/internal/plat/head"
 )
 
 // The store may list the start of an upstream, and its software version, for up to entryLag after another process
@@ -34,6 +35,7 @@
 	q.e.Scope.Counter("upstream_starts_asked").Inc(1)
 	born, stated, err := q.askStart(ctx, conn)
 	if err != nil {
+		q.noteBrokenStart(up, err)
 		conn.Close() // its answer may come later
 		conn, err = q.connect(ctx, up)
 		return conn, "", err
@@ -48,6 +50,17 @@
 	return conn, "", nil
 }
 
+// noteBrokenStart records that an upstream has answered the question for its start with a broken response, if err tells so.
+func (q *request) noteBrokenStart(up *fleet.Upstream, err error) {
+	var broken *head.Error
+	if !errors.As(err, &broken) {
+		return
+	}
+	q.countFault(err)
+	q.e.Picker.RecordFailure(time.Now(), up.ID)
+	q.e.Log.Warn().Err(err).Str("request", q.ID).Str("upstream", up.ID).Msg("start of the upstream is not known")
+}
+
 // askStart asks the process at the other end of a connection when it started, in Unix milliseconds.
 func (q *request) askStart(ctx context.Context, conn *upconn.Conn) (born int64, stated bool, err error) {
 	defer func() { err = errors.Wrap(err, "ask for the start of the upstream") }()
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -270,7 +270,7 @@
 		if err != nil {
 			s.fail(err)
 			t.summary.runs.fail(err)
-			t.countTooLong(err)
+			t.countFault(err)
 			if s.brokeOff && !t.over(ctx) {
 				t.summary.runs.end(endInterrupted)
 				t.e.Picker.RecordFailure(time.Now(), s.up.ID)
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/slaterock/slaterock/internal/plat/head"
 )
 
 const (
@@ -43,11 +45,13 @@
 )
 
 type (
-	// headReader reads from a connection, no more than left bytes while it is bounded.
+	// headReader reads from a connection, no more than left bytes while it is bounded. It passes on no bytes of a
+	// broken head.
 	headReader struct {
 		conn    io.Reader
 		left    int
 		bounded bool
+		checker head.Checker
 	}
 
 	// Conn is a connection to an upstream. It carries one request at a time.
@@ -134,12 +138,20 @@
 
 // Receive reads the header of the response, whose body is still to be read.
 // Informational responses (1xx) are skipped. It fails with ErrHeadTooLong if all these headers are
-// longer than MaxHead, and if the header was cut and goes on with that of another response.
+// longer than MaxHead, with a *head.Error if one of them is broken, and if the header was cut and goes
+// on with that of another response. After an error, only Close may be called.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	c.in.left, c.in.bounded = MaxHead, true
+	c.in.left, c.in.bounded, c.in.checker = MaxHead, true, head.Checker{}
 	defer func() { c.in.bounded = false }()
+	received, _ := c.br.Peek(c.br.Buffered()) // with the response before; can't fail
+	if err := c.in.checker.Check(received); err != nil {
+		return nil, err
+	}
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if broken := c.in.checker.Err(); broken != nil {
+			return nil, broken // err may be about the part that came before
+		}
 		if err != nil && c.in.left == 0 {
 			return nil, ErrHeadTooLong // some errors are about the line that was cut
 		}
@@ -178,6 +190,9 @@
 	}
 	n, err = r.conn.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if broken := r.checker.Check(p[:n]); broken != nil {
+		return 0, broken
+	}
 	return n, err
 }
 
