head: a response with a blank or control byte in the name of a field is no answer

Callers got such responses as whole ones. The writer towards the caller leaves out names that are no tokens, without a word, and with the line what it meant: "Content-Length : 4" gave 200 with all that came until the connection closed as its body, "Transfer-Encoding : chunked" gave 200 with the sizes of the chunks in the body. A line that begins with a blank became part of the value before it.

Cause: http.ReadResponse keeps names with blanks, inside and before the colon, to be liberal, and joins lines that begin with a blank or a tab; it refuses other bytes only since it can't make a canonical name of them. It takes control bytes in the reason.

head.Checker now takes no name that is not a token of RFC 9110, 5.6.2, and no control byte in values and reasons but a tab, in informational heads as well. RFC 9112, 5.1 has a relay remove a blank before the colon; none is safe here, since nobody can tell what the line was meant to be. It works since the check sees the bytes before any library has folded, renamed or dropped them.

Evidence: TestBrokenNames and TestBrokenValues, eight kinds of route, as TestBrokenStatus. Refused already, cases kept: tabs, 0x00 to 0x1f, 0x7f, bytes from 0x80 on, brackets, quotes and nothing in a name, a line without a colon, a blank first in the first field, control bytes in values.

--- a/internal/fake/broken/broken.go
+++ b/internal/fake/broken/broken.go
@@ -37,13 +37,14 @@
 func Names(whole string) Responses {
 	out := Responses{}
 	for what, line := range map[string]string{
-		"blank inside": "X Y: 1", "blanks inside": "X  Y: 1", "blank before the colon": "X-Y : 1", "blank first": " X-Y: 1", "blank only": " : 1",
-		"tab inside": "X\tY: 1", "tab before the colon": "X-Y\t: 1", "tab first": "\tX-Y: 1", "0x00": "X\x00Y: 1", "0x00 first": "\x00XY: 1", "0x01": "X\x01Y: 1",
+		"blank inside": "X Y: 1", "blanks inside": "X  Y: 1", "blank before the colon": "X-Y : 1", "blank first": "A: b\r\n X-Y: 1", "blank first, behind another": " X-Y: 1", "blank only": " : 1",
+		"tab inside": "X\tY: 1", "tab before the colon": "X-Y\t: 1", "tab first": "A: b\r\n\tX-Y: 1", "0x00": "X\x00Y: 1", "0x00 first": "\x00XY: 1", "0x01": "X\x01Y: 1",
 		"0x0d": "X\rY: 1", "0x1b before the colon": "XY\x1b: 1", "0x7f": "X\x7fY: 1", "0x80": "X\x80Y: 1", "bracket": "X(Y): 1", "quote": "X\"Y: 1", "empty": ": 1", "no colon": "XY",
 	} {
 		out[what] = withLine(whole, line)
 		out[what+", informational"] = withLine("HTTP/1.1 103 Early Hints\r\nA: b"+headEnd, line) + whole
 	}
+	out["blank in the first name"] = strings.Replace(whole, lineEnd, lineEnd+" X-Y: 1"+lineEnd, 1)
 	for _, name := range []string{"Content-Length", "Transfer-Encoding"} {
 		for what, changed := range map[string]string{
 			"blank before the colon": name + " ", "blank inside": strings.Replace(name, "-", " ", 1), "blank first": " " + name, "control byte": name + "\x01",
--- a/internal/front/proxy/broken_test.go
+++ b/internal/front/proxy/broken_test.go
@@ -37,6 +37,12 @@
 // Guards against a response with a broken status line, or bytes behind one, that reach a caller.
 func TestBrokenStatus(t *testing.T) { testBroken(t, broken.Statuses) }
 
+// Guards against a response with a blank or a control byte in the name of a field, which reaches a caller without that line, or with a body that is not its own.
+func TestBrokenNames(t *testing.T) { testBroken(t, broken.Names) }
+
+// Guards against a response with a control byte in the value of a field, or in its reason, that reaches a caller.
+func TestBrokenValues(t *testing.T) { testBroken(t, broken.Values) }
+
 // testBroken has an upstream send broken responses to all kinds of requests, and another one whole ones.
 func testBroken(t *testing.T, responses func(whole string) broken.Responses) {
 	t.Helper()
--- a/internal/plat/head/head.go
+++ b/internal/plat/head/head.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"strings"
 )
 
 const (
@@ -20,12 +21,18 @@
 	minorVersion  = len(versionPrefix) // offsets in the status line
 	statusBegin   = minorVersion + 2
 	statusEnd     = statusBegin + 3
+
+	// markBytes are the bytes of a token (RFC 9110, 5.6.2) beside letters and digits.
+	markBytes = "!#$%&'*+-.^_`|~"
 )
 
 // The parts of a head that can be broken.
 const (
 	StatusLine Part = "status_line"
 	Status     Part = "status"
+	Reason     Part = "reason"
+	FieldName  Part = "field_name"
+	FieldValue Part = "field_value"
 	LineEnd    Part = "line_end"
 )
 
@@ -33,7 +40,8 @@
 	inStatusLine state = iota // up to the status
 	inReason
 	atLineStart
-	inLine
+	inName
+	inValue
 	inLineEnd
 	inLastLineEnd
 	behindHead
@@ -102,15 +110,14 @@
 		case '\n':
 			c.endHead()
 		default:
-			c.state = inLine
-		}
-	case inReason, inLine:
-		switch b {
-		case '\r':
-			c.state = inLineEnd
-		case '\n': // alone is a line's end, too
-			c.state = atLineStart
+			return c.stepName(b, isTokenByte(b))
 		}
+	case inName:
+		return c.stepName(b, isTokenByte(b) || b == ':')
+	case inReason:
+		return c.stepText(b, Reason)
+	case inValue:
+		return c.stepText(b, FieldValue)
 	case inLineEnd, inLastLineEnd:
 		if b != '\n' {
 			return &Error{Part: LineEnd, Byte: b}
@@ -144,6 +151,32 @@
 	}
 }
 
+// stepName takes a byte of a field's name, or the colon behind it. A line that begins with a blank, to go on with the
+// value before, is broken as well: the standard has no such lines any more.
+func (c *Checker) stepName(b byte, valid bool) error {
+	if !valid {
+		return &Error{Part: FieldName, Byte: b}
+	}
+	c.state = inName
+	if b == ':' {
+		c.state = inValue
+	}
+	return nil
+}
+
+// stepText takes a byte of a field's value, or of the reason, or the line's end behind it.
+func (c *Checker) stepText(b byte, part Part) error {
+	switch {
+	case b == '\r':
+		c.state = inLineEnd
+	case b == '\n': // alone is a line's end, too
+		c.state = atLineStart
+	case !isTextByte(b):
+		return &Error{Part: part, Byte: b}
+	}
+	return nil
+}
+
 // endHead ends a head. Another one follows an informational one.
 func (c *Checker) endHead() {
 	if c.status >= minFinalStatus {
@@ -156,4 +189,11 @@
 // isStatus reports whether a response may have the status. Nobody here asks for a switch of protocols.
 func isStatus(n int) bool { return n >= minStatus && n <= maxStatus && n != switchingProtocols }
 
+func isTokenByte(b byte) bool {
+	return b|0x20 >= 'a' && b|0x20 <= 'z' || isDigit(b) || strings.IndexByte(markBytes, b) >= 0
+}
+
+// isTextByte reports whether b is no control byte but a tab. Bytes from 0x80 on are text.
+func isTextByte(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
+
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/internal/plat/head/head_test.go
+++ b/internal/plat/head/head_test.go
@@ -25,11 +25,13 @@
 
 // Guards against broken heads that are taken for whole ones, in whatever pieces they come.
 func TestBrokenHeads(t *testing.T) {
-	for name, response := range broken.Statuses(whole) {
-		t.Run(name, func(t *testing.T) {
-			var broken *Error
-			is.New(t).True(errors.As(check(t, response), &broken))
-		})
+	for kind, list := range map[string]broken.Responses{"status": broken.Statuses(whole), "name": broken.Names(whole), "value": broken.Values(whole)} {
+		for name, response := range list {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				var broken *Error
+				is.New(t).True(errors.As(check(t, response), &broken))
+			})
+		}
 	}
 }
 
@@ -40,6 +42,10 @@
 		"HTTP/1.1 600 A\r\n":             "head of the response is broken: status 600",
 		"HTTP/2.0 200 OK\r\n":            "head of the response is broken: byte 0x32 in status_line",
 		"HTTP/1.1 200 OK\r\nA: b\rc\r\n": "head of the response is broken: byte 0x63 in line_end",
+		"HTTP/1.1 200 OK\r\nA : b\r\n":   "head of the response is broken: byte 0x20 in field_name",
+		"HTTP/1.1 200 OK\r\nAB\r\n":      "head of the response is broken: byte 0x0d in field_name",
+		"HTTP/1.1 200 OK\r\nA: \x00\r\n": "head of the response is broken: byte 0x00 in field_value",
+		"HTTP/1.1 200 \x7f\r\n":          "head of the response is broken: byte 0x7f in reason",
 	} {
 		is.New(t).Equal(check(t, response).Error(), want)
 	}
