httpc: a response without a body does not end its reader

An engine of a daemon that answers a model call with a status that allows no body (204, 304) made the attempt panic: chat reads the beginning of the body for its error, and there was none. Found while broken responses were tried: a status of 103 ended in the same way.

Cause: fasthttp gives no stream for such a response, and Open passed the nil on. It now gives an empty body.

Evidence: TestNoBody panics on the code before (io.ReadAll of a nil reader) and passes now. What a whole daemon makes of the panic was not run.

--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -115,11 +116,19 @@
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
 	return &Response{
-		Header: &resp.Header, Body: resp.BodyStream(),
+		Header: &resp.Header, Body: bodyOf(resp),
 		conn: c, idleTimeout: orDefault(e.IdleTimeout, defaultIdleTimeout), stop: stop, ctx: ctx,
 	}, nil
 }
 
+// bodyOf returns the body of a response. One with a status that allows none has no stream.
+func bodyOf(resp *fasthttp.Response) io.Reader {
+	if r := resp.BodyStream(); r != nil {
+		return r
+	}
+	return http.NoBody
+}
+
 // UseIdleTimeout switches from FirstByteTimeout to IdleTimeout. It is called when
 // the first piece of the body has arrived: servers may send the header at once and
 // take long to the first piece, and only after that does a short pause mean that
