httpc: a response with a broken head is an exchange without a response

A daemon took broken responses of engines, services, the store, the list of VMs and the weight store for answers, and so did the commands that ask a daemon. A status of 000 was read as 200: its body, or the whole response behind it, was the answer, and a write to the store counted as done. Names with blanks were taken, "Content-Length : 4" gave everything until the close as the body.

Cause: fasthttp keeps the status as a number of which 0 stands for "not set", and StatusCode returns 200 for that. Its reader checks no range, takes blanks in names, joins lines that begin with a blank or a tab, takes HTTP/0.9 and 2.0, and a 101 or 103 as the final response.

The connection's reader runs what it receives through the same head.Checker as a front's, before the library sees it. The error says that the request was sent: an attempt has failed and may have run, a write to the store is unknown, a read unavailable. The line "broken response" has the request's id, responses_broken and store_responses_broken count.

Evidence: TestBrokenResponses in httpc has both ways of reading receive 264 broken responses. Now all are told.

--- a/internal/fake/broken/broken.go
+++ b/internal/fake/broken/broken.go
@@ -3,13 +3,18 @@
 package broken
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 )
 
 const (
 	lineEnd = "\r\n"
 	headEnd = lineEnd + lineEnd
+
+	maxRequest = 4 << 10 // bytes of a request that Connect answers
 )
 
 // Responses are broken responses in place of a whole one, by what is broken.
@@ -72,3 +77,17 @@
 func withLine(whole, line string) string {
 	return strings.Replace(whole, headEnd, lineEnd+line+headEnd, 1)
 }
+
+// Connect returns what connects to an upstream that answers a short request with these bytes and closes the
+// connection.
+func Connect(response string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			_, _ = far.Read(make([]byte, maxRequest))
+			_, _ = io.WriteString(far, response) // fails if the reader has given up
+		}()
+		return near, nil
+	}
+}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -307,7 +307,7 @@
 		defer mu.Unlock()
 		return random.Uint64()
 	}
-	invoker := invoke.Invoker{Trace: d.Trace, Engine: d.Engine, Tool: d.Tool, First: func(request, upstream string) {
+	invoker := invoke.Invoker{Trace: d.Trace, Engine: d.Engine, Tool: d.Tool, Broken: d.recordBroken, First: func(request, upstream string) {
 		d.placer.Tell(ctx, nil, sched.First{ID: request, Upstream: upstream})
 	}}
 	d.shards = shards.Shards{
--- a/internal/node/daemon/edge.go
+++ b/internal/node/daemon/edge.go
@@ -14,6 +14,7 @@
 	"github.com/slaterock/slaterock/internal/edge/server"
 	"github.com/slaterock/slaterock/internal/peer/link"
 	"github.com/slaterock/slaterock/internal/peer/swim"
+	"github.com/slaterock/slaterock/internal/plat/head"
 	"github.com/slaterock/slaterock/internal/plat/meter"
 	"github.com/slaterock/slaterock/internal/shard/owner"
 )
@@ -124,3 +125,9 @@
 	d.scope.Counter("output_tokens").Inc(int64(c.Result.Output))
 	d.scope.Counter("attempts").Inc(int64(len(c.Tries)))
 }
+
+// recordBroken is called for a response of an upstream whose header is broken.
+func (d *Daemon) recordBroken(request, upstream string, err *head.Error) {
+	d.log.Warn().Str("request", request).Str("upstream", upstream).Err(err).Msg("broken response")
+	d.scope.Tagged(map[string]string{"part": string(err.Part)}).Counter("responses_broken").Inc(1)
+}
--- a/internal/node/daemon/gauges.go
+++ b/internal/node/daemon/gauges.go
@@ -37,6 +37,7 @@
 		scope.Counter("store_writes").Inc(int64(now.Writes - last.Writes))
 		scope.Counter("store_watches").Inc(int64(now.Watches - last.Watches))
 		scope.Counter("store_failures").Inc(int64(now.Failed - last.Failed))
+		scope.Counter("store_responses_broken").Inc(int64(now.Broken - last.Broken))
 		last = now
 	}
 }
--- a/internal/node/invoke/invoke.go
+++ b/internal/node/invoke/invoke.go
@@ -16,6 +16,7 @@
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/place/sched"
 	"github.com/slaterock/slaterock/internal/plat/engine"
+	"github.com/slaterock/slaterock/internal/plat/head"
 	"github.com/slaterock/slaterock/internal/plat/tool"
 	"github.com/slaterock/slaterock/internal/prog/call"
 	"github.com/slaterock/slaterock/internal/shard/owner"
@@ -32,7 +33,8 @@
 	Invoker struct {
 		Engine func(address string) engine.Engine
 		Tool   func(address string) tool.Tool
-		First  func(request, upstream string) // called with the first piece of an answer
+		First  func(request, upstream string)                  // called with the first piece of an answer
+		Broken func(request, upstream string, err *head.Error) // called for a response with a broken header; nil for nothing
 		Trace  *trace.Trace
 	}
 )
@@ -99,6 +101,7 @@
 	if errors.Is(err, errOverrun) {
 		t.Usage.Finish, t.Usage.Output, err = "length", d.MaxTokens, nil
 	}
+	i.reportBroken(d, err)
 	if err != nil {
 		// A resumption that was not sent doesn't make the attempt unsent: the request
 		// itself was sent before.
@@ -126,6 +129,7 @@
 		Body:        d.Call.Body,
 		TraceParent: d.Call.TraceParent,
 	})
+	i.reportBroken(d, err)
 	if err != nil {
 		var e *tool.Error
 		t.Outcome, t.Reason = i.classify(ctx, err, errors.As(err, &e) && !e.Sent)
@@ -136,6 +140,13 @@
 	return t
 }
 
+func (i Invoker) reportBroken(d owner.Dispatch, err error) {
+	var broken *head.Error
+	if i.Broken != nil && errors.As(err, &broken) {
+		i.Broken(d.Request, d.Upstream, broken)
+	}
+}
+
 // classify returns the outcome and reason for an error. A cancelled attempt is
 // sched.Cancelled even if it was not sent, because it is not tried again.
 func (i Invoker) classify(ctx context.Context, err error, unsent bool) (sched.Outcome, string) {
--- a/internal/plat/httpc/broken_test.go
+++ b/internal/plat/httpc/broken_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"io"
-	"net"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -11,9 +11,37 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/slaterock/slaterock/internal/fake/broken"
+	"github.com/slaterock/slaterock/internal/plat/head"
 	"github.com/slaterock/slaterock/internal/plat/httpc"
 )
 
+const (
+	plainOK   = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+	chunkedOK = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n"
+)
+
+// Guards against a broken response that passes for a whole one, or for one with the status 200 or the body of another.
+func TestBrokenResponses(t *testing.T) {
+	for _, whole := range []string{plainOK, chunkedOK} {
+		for kind, list := range map[string]broken.Responses{"status": broken.Statuses(whole), "name": broken.Names(whole), "value": broken.Values(whole)} {
+			for what, response := range list {
+				for name, read := range readers {
+					t.Run(name+", "+kind+", "+what, func(t *testing.T) {
+						is := is.New(t)
+						_, body, err := receive(t, read, response)
+						is.Equal(body, "") // of no response
+						var failed *httpc.Error
+						is.True(errors.As(err, &failed) && failed.Sent) // it may have run
+						var part *head.Error
+						is.True(errors.As(err, &part)) // told apart from a connection that failed
+					})
+				}
+			}
+		}
+	}
+}
+
 // Guards against a response without a body that ends the process of its reader.
 func TestNoBody(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 204 No Content", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4", "HTTP/1.1 200 OK\r\nContent-Length: 0"} {
@@ -49,19 +77,11 @@
 	},
 }
 
-// receive has a server answer a request with these bytes, and close the connection.
+// receive reads these bytes as a response.
 func receive(t *testing.T, read reader, response string) (status int, body string, err error) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		e := httpc.Endpoint{Address: "peer", Connect: func(context.Context, string) (net.Conn, error) {
-			near, far := net.Pipe()
-			go func() {
-				defer func() { _ = far.Close() }()
-				_, _ = far.Read(make([]byte, 4<<10))
-				_, _ = io.WriteString(far, response)
-			}()
-			return near, nil
-		}}
+		e := httpc.Endpoint{Address: "peer", Connect: broken.Connect(response)}
 		var req fasthttp.Request
 		var got []byte
 		status, got, err = read(t.Context(), e, &req)
--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/slaterock/slaterock/internal/plat/head"
 )
 
 const (
@@ -65,10 +67,11 @@
 		ctx         context.Context //nolint:containedctx // Cause reports its end as the cause of read errors
 	}
 
-	// conn sets a deadline for each read and write and records whether any write
-	// was attempted.
+	// conn sets a deadline for each read and write, records whether any write
+	// was attempted, and passes on no bytes of a broken header.
 	conn struct {
 		net.Conn
+		checker     head.Checker
 		timeout     time.Duration
 		idleTimeout time.Duration // replaces timeout after the first byte; 0: never
 		written     atomic.Bool
@@ -94,10 +97,7 @@
 	defer func() { _ = c.Close() }()
 	defer stop()
 	c.idleTimeout = orDefault(e.IdleTimeout, defaultIdleTimeout)
-	if err := resp.ReadLimitBody(bufio.NewReader(c), orDefault(e.MaxBody, defaultMaxBody)); err != nil {
-		return &Error{Sent: true, Err: cause(ctx, err)}
-	}
-	return nil
+	return e.receive(ctx, c, resp)
 }
 
 // Open sends the request and returns when the response's header has arrived; if the
@@ -110,10 +110,10 @@
 		return nil, err
 	}
 	resp := &fasthttp.Response{StreamBody: true}
-	if err := resp.ReadLimitBody(bufio.NewReader(c), orDefault(e.MaxBody, defaultMaxBody)); err != nil {
+	if err := e.receive(ctx, c, resp); err != nil {
 		stop()
 		_ = c.Close()
-		return nil, &Error{Sent: true, Err: cause(ctx, err)}
+		return nil, err
 	}
 	return &Response{
 		Header: &resp.Header, Body: bodyOf(resp),
@@ -121,6 +121,18 @@
 	}, nil
 }
 
+// receive reads the response. After one with a broken header, the error wraps a *head.Error.
+func (e Endpoint) receive(ctx context.Context, c *conn, resp *fasthttp.Response) error {
+	err := resp.ReadLimitBody(bufio.NewReader(c), orDefault(e.MaxBody, defaultMaxBody))
+	if broken := c.checker.Err(); broken != nil {
+		err = broken // the library may have read a part as a response, or hide the cause
+	}
+	if err != nil {
+		return &Error{Sent: true, Err: cause(ctx, err)}
+	}
+	return nil
+}
+
 // bodyOf returns the body of a response. One with a status that allows none has no stream.
 func bodyOf(resp *fasthttp.Response) io.Reader {
 	if r := resp.BodyStream(); r != nil {
@@ -189,6 +201,9 @@
 	if n > 0 && c.idleTimeout > 0 {
 		c.timeout = c.idleTimeout
 	}
+	if broken := c.checker.Check(p[:n]); broken != nil {
+		return 0, broken
+	}
 	return n, err
 }
 
--- a/internal/plat/meter/meter.go
+++ b/internal/plat/meter/meter.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/slaterock/slaterock/internal/plat/head"
 	"github.com/slaterock/slaterock/internal/plat/store"
 )
 
@@ -31,15 +32,18 @@
 		nreads, nwrites atomic.Uint64
 		nwatches        atomic.Uint64
 		nfailed         atomic.Uint64
+		nbroken         atomic.Uint64
 		waited          atomic.Int64
 	}
 
-	// Counts are the numbers of calls since the start. Failed is without watches.
+	// Counts are the numbers of calls since the start. Failed is without watches. Broken are the calls that were
+	// answered with a broken header.
 	Counts struct {
 		Reads   uint64        `json:"reads"`
 		Writes  uint64        `json:"writes"`
 		Watches uint64        `json:"watches"`
 		Failed  uint64        `json:"failed"`
+		Broken  uint64        `json:"broken"`
 		Waited  time.Duration `json:"waited"` // total time that calls waited for the limiters
 	}
 )
@@ -66,6 +70,7 @@
 		Writes:  m.nwrites.Load(),
 		Watches: m.nwatches.Load(),
 		Failed:  m.nfailed.Load(),
+		Broken:  m.nbroken.Load(),
 		Waited:  time.Duration(m.waited.Load()),
 	}
 }
@@ -86,6 +91,7 @@
 // record records how a call ended. Conflicts, missing keys and expired leases count
 // as answered, all other errors as failed.
 func (m *Meter) record(sent time.Time, err error) {
+	m.recordBroken(err)
 	var c *store.ConflictError
 	answered := err == nil || errors.As(err, &c) || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrLeaseExpired)
 	if !answered {
@@ -97,6 +103,13 @@
 	}
 }
 
+func (m *Meter) recordBroken(err error) {
+	var broken *head.Error
+	if errors.As(err, &broken) {
+		m.nbroken.Add(1)
+	}
+}
+
 // Get implements store.Store.
 func (m *Meter) Get(ctx context.Context, key string) (e store.Entry, err error) {
 	if err := m.wait(ctx, &m.reads); err != nil {
@@ -118,11 +131,12 @@
 }
 
 // Watch implements store.Store.
-func (m *Meter) Watch(ctx context.Context, key string, rev store.Rev) (store.Entry, error) {
+func (m *Meter) Watch(ctx context.Context, key string, rev store.Rev) (e store.Entry, err error) {
 	if err := m.wait(ctx, &m.reads); err != nil {
 		return store.Entry{}, err
 	}
 	m.nwatches.Add(1)
+	defer func() { m.recordBroken(err) }()
 	return m.Store.Watch(ctx, key, rev)
 }
 
