httpc: informational responses are skipped

An upstream or the store of a daemon that sends 102 or 103 before its response had its call fail with that status: fasthttp skips one 100 and takes any other informational response, and a second 100, for the final one. What came behind it was dropped.

receive goes on until a final response, for 32 responses at most, so that an upstream that sends nothing else does not hold the call for ever: each byte renews the time-out of the read.

--- a/internal/plat/httpc/broken_test.go
+++ b/internal/plat/httpc/broken_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -42,6 +44,29 @@
 	}
 }
 
+// Guards against an informational response that passes for the one behind it.
+func TestInformationalResponses(t *testing.T) {
+	for what, c := range map[string]struct {
+		before string
+		whole  bool
+	}{
+		"none": {"", true}, "100": {"HTTP/1.1 100 Continue\r\n\r\n", true}, "103": {"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", true},
+		"several": {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n", 4), true}, "no end": {strings.Repeat("HTTP/1.1 103 A\r\n\r\n", 1000), false},
+	} {
+		for name, read := range readers {
+			t.Run(name+", "+what, func(t *testing.T) {
+				is := is.New(t)
+				status, body, err := receive(t, read, c.before+plainOK)
+				is.Equal(err == nil, c.whole)
+				if c.whole {
+					is.Equal(status, http.StatusOK)
+					is.Equal(body, "good")
+				}
+			})
+		}
+	}
+}
+
 // Guards against a response without a body that ends the process of its reader.
 func TestNoBody(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 204 No Content", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4", "HTTP/1.1 200 OK\r\nContent-Length: 0"} {
--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -29,6 +29,7 @@
 	defaultFirstByteTimeout = 30 * time.Second
 	defaultIdleTimeout      = 10 * time.Second
 	defaultMaxBody          = 64 << 20
+	maxResponses            = 32 // that are read for one request, with informational ones
 )
 
 type (
@@ -82,6 +83,8 @@
 // text is stored in histories and keeps its wording.
 var ErrStalled = errors.New("line: connection is silent")
 
+var errInformational = errors.New("only informational responses")
+
 // Error returns the cause's text.
 func (e *Error) Error() string { return e.Err.Error() }
 
@@ -121,16 +124,22 @@
 	}, nil
 }
 
-// receive reads the response. After one with a broken header, the error wraps a *head.Error.
+// receive reads the response, and skips informational ones. After one with a broken header, the error wraps a *head.Error.
 func (e Endpoint) receive(ctx context.Context, c *conn, resp *fasthttp.Response) error {
-	err := resp.ReadLimitBody(bufio.NewReader(c), orDefault(e.MaxBody, defaultMaxBody))
-	if broken := c.checker.Err(); broken != nil {
-		err = broken // the library may have read a part as a response, or hide the cause
-	}
-	if err != nil {
-		return &Error{Sent: true, Err: cause(ctx, err)}
-	}
-	return nil
+	br := bufio.NewReader(c)
+	for range maxResponses {
+		err := resp.ReadLimitBody(br, orDefault(e.MaxBody, defaultMaxBody))
+		if broken := c.checker.Err(); broken != nil {
+			err = broken // the library may have read a part as a response, or hide the cause
+		}
+		if err != nil {
+			return &Error{Sent: true, Err: cause(ctx, err)}
+		}
+		if resp.StatusCode() >= http.StatusOK {
+			return nil
+		}
+	}
+	return &Error{Sent: true, Err: errInformational}
 }
 
 // bodyOf returns the body of a response. One with a status that allows none has no stream.
