trip, platform: a broken answer of the store tells nothing

Fronts and VMs with a disk took broken answers of the store: a read got what stood in one with a blank in a name or behind a status of 000, a write counted as done or, by a 503, 412 or 404 in such a head, as one that certainly was not.

Cause: http.Transport reads with the same reader as fronts did.

trip.Transport wraps its connections in a head.Checker. What is read after the transport took a connection for a request is a response, since all of the one before was read; so bodies are not followed. The transport closes the connection of a broken one. A read over a used connection is sent once more, as after any other failure of it; a write is unknown. The line "broken answer of the store" and store_responses_broken tell.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -26,6 +26,7 @@
 	"github.com/slaterock/slaterock/internal/obs/sheds"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/pause"
+	"github.com/slaterock/slaterock/internal/plat/head"
 	"github.com/slaterock/slaterock/platform"
 )
 
@@ -86,6 +87,7 @@
 	log, closeLog := logbuf.Open(os.Stdout, s.Node)
 	defer closeLog()
 	p := &process{settings: s, store: platform.Open(s.Store.Address), log: log, metric: metric.New(), stop: make(chan struct{})}
+	p.store.Broken = p.noteBrokenAnswer
 	log.Info().Interface("settings", s).Msg("start")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -101,6 +103,12 @@
 	return err
 }
 
+// noteBrokenAnswer logs and counts an answer of the store of which nothing was used.
+func (p *process) noteBrokenAnswer(err *head.Error) {
+	p.log.Warn().Err(err).Msg("broken answer of the store")
+	p.metric.Scope().Tagged(map[string]string{"part": string(err.Part)}).Counter("store_responses_broken").Inc(1)
+}
+
 // boundMemory has clients hold only what the VM has room for, and the runtime collect garbage before the VM has none.
 func (p *process) boundMemory(ctx context.Context) {
 	vm := int64(p.settings.MemoryMB) << 20
--- /dev/null
+++ b/internal/plat/trip/trip.go
@@ -0,0 +1,97 @@
+// Package trip is an HTTP transport over which no response with a broken header comes.
+//
+// http.Transport pools connections, and reads whatever its own reader takes. Here each connection has a head.Checker.
+// It has to know where a response begins: when the transport takes a connection for a request, all of the response
+// before was read.
+package trip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/slaterock/slaterock/internal/plat/head"
+)
+
+type (
+	// Transport is an http.RoundTripper. Set the exported fields before use; the zero value works.
+	Transport struct {
+		Dialer      net.Dialer
+		IdlePerHost int           // idle connections that are kept for a host; 0 is the default of http.Transport
+		IdleTimeout time.Duration // of idle connections; 0 for none
+		// Broken is called for each response that is broken; nil for nothing.
+		Broken func(err *head.Error)
+
+		once sync.Once
+		base http.Transport
+	}
+
+	// conn passes on no bytes of a broken header.
+	conn struct {
+		net.Conn
+		broken   func(err *head.Error)
+		expected atomic.Bool  // a request is about to be sent
+		checker  head.Checker // of the reading goroutine
+	}
+)
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// RoundTrip implements http.RoundTripper. After a response with a broken header, the error wraps a *head.Error, and
+// the connection is closed. A request that may be repeated without harm is sent once more over another connection, as
+// http.Transport does when a used one breaks.
+func (t *Transport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
+	t.once.Do(t.init)
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: expectResponse})
+	return t.base.RoundTrip(r.WithContext(ctx))
+}
+
+// CloseIdleConnections closes the connections that are idle.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+func (t *Transport) init() {
+	t.base.DialContext = t.dial
+	t.base.MaxIdleConnsPerHost = t.IdlePerHost
+	t.base.IdleConnTimeout = t.IdleTimeout
+	t.base.DisableCompression = true
+}
+
+func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := t.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc, broken: t.Broken}, nil
+}
+
+func expectResponse(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*conn); ok {
+		c.expected.Store(true)
+	}
+}
+
+// Read reads from the connection. A read that began before the request was sent may return the response.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.expected.Swap(false) {
+		c.checker = head.Checker{}
+	}
+	if broken := c.checker.Check(p[:n]); broken != nil {
+		c.report(broken)
+		return 0, broken
+	}
+	return n, err
+}
+
+func (c *conn) report(err error) {
+	var broken *head.Error
+	if c.broken != nil && errors.As(err, &broken) {
+		c.broken(broken)
+	}
+	c.broken = nil // the transport may read once more
+}
