head: nothing is read after a broken line

A broken response that came in pieces, over a connection that stayed open, held its caller until its deadline: 504 in place of the answer that another upstream could have given at once.

Cause: bufio.Reader.ReadLine gives what it has of a line without the error behind it, and forgets that. The library's next read went to the connection, which had nothing further.

--- a/internal/front/proxy/broken_test.go
+++ b/internal/front/proxy/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -51,6 +52,7 @@
 		for what, response := range responses(c.whole) {
 			scripts[what] = []string{response}
 			scripts[what+", closed"] = []string{response + "CLOSE"}
+			scripts[what+", in pieces"] = []string{inPieces(response)}
 			scripts[what+", after another's"] = []string{late(ok) + response}
 			scripts[what+", used connection"] = []string{c.whole, response}
 		}
@@ -68,6 +70,17 @@
 	}
 }
 
+// inPieces has a response come in pieces that end anywhere in its lines.
+func inPieces(response string) string {
+	const size = 19
+	var b strings.Builder
+	for piece := range slices.Chunk([]byte(response), size) {
+		b.Write(piece)
+		b.WriteString("PAUSE")
+	}
+	return strings.TrimSuffix(b.String(), "PAUSE")
+}
+
 // run sends a request, as the last one of the script of its upstream.
 func (c brokenCase) run(t *testing.T, script []string) {
 	is := is.NewRelaxed(t)
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -188,11 +188,8 @@
 	if r.left == 0 {
 		return 0, ErrHeadTooLong
 	}
-	n, err = r.conn.Read(p[:min(len(p), r.left)])
+	n, err = r.checker.Read(r.conn, p[:min(len(p), r.left)])
 	r.left -= n
-	if broken := r.checker.Check(p[:n]); broken != nil {
-		return 0, broken
-	}
 	return n, err
 }
 
--- a/internal/plat/head/head.go
+++ b/internal/plat/head/head.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 )
 
@@ -96,6 +97,19 @@
 	return c.err
 }
 
+// Read reads from r and checks what it has read. After an error of Check it reads no more: a library may go on after
+// it, and r may have nothing further to give.
+func (c *Checker) Read(r io.Reader, p []byte) (n int, err error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	n, err = r.Read(p)
+	if broken := c.Check(p[:n]); broken != nil {
+		return 0, broken
+	}
+	return n, err
+}
+
 // Err returns the error that Check has returned, if any.
 func (c *Checker) Err() error { return c.err }
 
--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -206,13 +206,10 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.checker.Read(c.Conn, p)
 	if n > 0 && c.idleTimeout > 0 {
 		c.timeout = c.idleTimeout
 	}
-	if broken := c.checker.Check(p[:n]); broken != nil {
-		return 0, broken
-	}
 	return n, err
 }
 
--- a/internal/plat/trip/trip.go
+++ b/internal/plat/trip/trip.go
@@ -77,6 +77,9 @@
 
 // Read reads from the connection. A read that began before the request was sent may return the response.
 func (c *conn) Read(p []byte) (int, error) {
+	if broken := c.checker.Err(); broken != nil {
+		return 0, broken
+	}
 	n, err := c.Conn.Read(p)
 	if c.expected.Swap(false) {
 		c.checker = head.Checker{}
@@ -93,5 +96,4 @@
 	if c.broken != nil && errors.As(err, &broken) {
 		c.broken(broken)
 	}
-	c.broken = nil // the transport may read once more
 }
