head: a field with a broken name behind the last chunk breaks the response

Callers got responses as whole ones whose trailer held a blank in the name of a field: both libraries take them there as they do in heads, and drop them. Nothing of it was passed on; but an upstream that sends them is in trouble as one that sends them in front, and neither log nor metrics told.

The checker follows the chunks of a response that says that it has some, and takes the lines behind the last one as it takes those of a head. It judges no chunk: what is no size is left to the library. What came before the broken line is passed on: a stream goes on at another upstream where its route allows it, and is broken off elsewhere, as after any other end that is none.

Evidence: TestBrokenTrailers, 20 broken fields on five kinds of route, at once and in pieces.

--- a/internal/fake/broken/broken.go
+++ b/internal/fake/broken/broken.go
@@ -17,6 +17,13 @@
 	maxRequest = 4 << 10 // bytes of a request that Connect answers
 )
 
+// names are lines in which the name of a field is broken.
+var names = map[string]string{
+	"blank inside": "X Y: 1", "blanks inside": "X  Y: 1", "blank before the colon": "X-Y : 1", "blank first": "A: b\r\n X-Y: 1", "blank first, behind another": " X-Y: 1", "blank only": " : 1",
+	"tab inside": "X\tY: 1", "tab before the colon": "X-Y\t: 1", "tab first": "A: b\r\n\tX-Y: 1", "0x00": "X\x00Y: 1", "0x00 first": "\x00XY: 1", "0x01": "X\x01Y: 1",
+	"0x0d": "X\rY: 1", "0x1b before the colon": "XY\x1b: 1", "0x7f": "X\x7fY: 1", "0x80": "X\x80Y: 1", "bracket": "X(Y): 1", "quote": "X\"Y: 1", "empty": ": 1", "no colon": "XY",
+}
+
 // Responses are broken responses in place of a whole one, by what is broken.
 type Responses map[string]string
 
@@ -41,11 +48,7 @@
 // with an informational response before them that is broken so.
 func Names(whole string) Responses {
 	out := Responses{}
-	for what, line := range map[string]string{
-		"blank inside": "X Y: 1", "blanks inside": "X  Y: 1", "blank before the colon": "X-Y : 1", "blank first": "A: b\r\n X-Y: 1", "blank first, behind another": " X-Y: 1", "blank only": " : 1",
-		"tab inside": "X\tY: 1", "tab before the colon": "X-Y\t: 1", "tab first": "A: b\r\n\tX-Y: 1", "0x00": "X\x00Y: 1", "0x00 first": "\x00XY: 1", "0x01": "X\x01Y: 1",
-		"0x0d": "X\rY: 1", "0x1b before the colon": "XY\x1b: 1", "0x7f": "X\x7fY: 1", "0x80": "X\x80Y: 1", "bracket": "X(Y): 1", "quote": "X\"Y: 1", "empty": ": 1", "no colon": "XY",
-	} {
+	for what, line := range names {
 		out[what] = withLine(whole, line)
 		out[what+", informational"] = withLine("HTTP/1.1 103 Early Hints\r\nA: b"+headEnd, line) + whole
 	}
@@ -70,6 +73,15 @@
 	}
 }
 
+// Trailers returns responses in chunks, of which a field behind the last chunk is broken.
+func Trailers(whole string) Responses {
+	out := Responses{}
+	for what, line := range names {
+		out[what] = strings.TrimSuffix(whole, lineEnd) + line + headEnd
+	}
+	return out
+}
+
 // withStatus returns the response with another beginning of its status line.
 func withStatus(whole, start string) string { return start + whole[len("HTTP/1.1 200"):] }
 
--- a/internal/front/proxy/broken_test.go
+++ b/internal/front/proxy/broken_test.go
@@ -44,6 +44,44 @@
 // Guards against a response with a control byte in the value of a field, or in its reason, that reaches a caller.
 func TestBrokenValues(t *testing.T) { testBroken(t, broken.Values) }
 
+// Guards against a response with a broken name behind its last chunk that passes for a whole one, and against a stream that stops there although another upstream may go on.
+func TestBrokenTrailers(t *testing.T) {
+	cases := map[string]struct {
+		path, first, second string
+		status              int
+		body                string
+		aborted             bool
+	}{
+		"safe":   {"/safe/", chunkedOK, ok, http.StatusOK, "good", false},
+		"unsafe": {"/unsafe/", chunkedOK, ok, http.StatusBadGateway, "", false},
+		"stream": {"/stream/", completeStream, completeStream, http.StatusOK, text12, true},
+		"kept":   {"/keep/", completeStream, completeStream, http.StatusOK, text12, true},
+		"resume": {"/resume/", completeStream, chunked + end, http.StatusOK, text12, false},
+	}
+	for name, c := range cases {
+		for what, response := range broken.Trailers(c.first) {
+			for _, first := range []string{response, inPieces(response)} {
+				t.Run(name+", "+what, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						is := is.NewRelaxed(t)
+						env := newTestEnv([]string{first, c.second}, []string{c.second})
+						env.setLoad("up2", 2) // so that up1 is tried first
+						scope := tally.NewTestScope("", nil)
+						env.e.Scope = scope
+						rec, aborted := env.do(t.Context(), c.path, map[string]string{"Program": "p", "Budget": "9000", "Wait": "8s"}, "in")
+						is.Equal(rec.Code, c.status)
+						is.Equal(aborted, c.aborted)
+						is.True(c.body == "" || rec.Body.String() == c.body)
+						_, counted := scope.Snapshot().Counters()["responses_broken+part=trailer"]
+						is.True(counted)
+						env.close()
+					})
+				})
+			}
+		}
+	}
+}
+
 // testBroken has an upstream send broken responses to all kinds of requests, and another one whole ones.
 func testBroken(t *testing.T, responses func(whole string) broken.Responses) {
 	t.Helper()
--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -227,6 +227,7 @@
 // recordLoss records that the request may have run, and returns the error. The upstream
 // counts as failed unless the context was done or the deadline had passed.
 func (q *request) recordLoss(ctx context.Context, s *exchange, err error) error {
+	err = s.conn.Cause(err)
 	q.summary.ran = ranUnknown
 	q.summary.runs.fail(err)
 	q.countFault(err)
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -268,6 +268,7 @@
 			err = t.relayEvent(ctx, e)
 		}
 		if err != nil {
+			err = s.conn.Cause(err)
 			s.fail(err)
 			t.summary.runs.fail(err)
 			t.countFault(err)
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -141,22 +141,19 @@
 // longer than MaxHead, with a *head.Error if one of them is broken, and if the header was cut and goes
 // on with that of another response. After an error, only Close may be called.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	c.in.left, c.in.bounded, c.in.checker = MaxHead, true, head.Checker{}
+	c.in.left, c.in.bounded, c.in.checker = MaxHead, true, head.Checker{NoBody: method == http.MethodHead}
 	defer func() { c.in.bounded = false }()
 	received, _ := c.br.Peek(c.br.Buffered()) // with the response before; can't fail
-	if err := c.in.checker.Check(received); err != nil {
+	if _, err := c.in.checker.Check(received); err != nil {
 		return nil, err
 	}
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-		if broken := c.in.checker.Err(); broken != nil {
-			return nil, broken // err may be about the part that came before
-		}
-		if err != nil && c.in.left == 0 {
+		if err != nil && c.in.left == 0 && c.in.checker.Err() == nil {
 			return nil, ErrHeadTooLong // some errors are about the line that was cut
 		}
 		if err != nil {
-			return nil, err
+			return nil, c.Cause(err)
 		}
 		if resp.StatusCode < 200 {
 			continue
@@ -168,6 +165,15 @@
 	}
 }
 
+// Cause returns the cause of an error in reading the response: a *head.Error after broken bytes, which a library may hide, and
+// else err itself.
+func (c *Conn) Cause(err error) error {
+	if broken := c.in.checker.Err(); broken != nil {
+		return broken
+	}
+	return err
+}
+
 // hasStatusLine reports whether the reason or a field of the header has the first line of another response at its end.
 func hasStatusLine(resp *http.Response) bool {
 	if statusLine.MatchString(resp.Status) {
@@ -183,7 +189,7 @@
 
 func (r *headReader) Read(p []byte) (n int, err error) {
 	if !r.bounded {
-		return r.conn.Read(p)
+		return r.checker.Read(r.conn, p)
 	}
 	if r.left == 0 {
 		return 0, ErrHeadTooLong
--- a/internal/plat/head/head.go
+++ b/internal/plat/head/head.go
@@ -1,4 +1,5 @@
-// Package head says what the head of an HTTP/1.1 response is, and checks it byte by byte before a library reads it.
+// Package head says what the head of an HTTP/1.1 response is, and checks it byte by byte before a library reads it, and so the
+// fields behind the last chunk of a body.
 //
 // Libraries take heads that the standard does not allow, and each makes something else of them: a status of 000 is skipped
 // like an informational one, or read as 200; a field whose name holds a blank is kept, renamed or left out, and with it what
@@ -35,6 +36,7 @@
 	FieldName  Part = "field_name"
 	FieldValue Part = "field_value"
 	LineEnd    Part = "line_end"
+	Trailer    Part = "trailer" // a field behind the last chunk
 )
 
 const (
@@ -45,18 +47,28 @@
 	inValue
 	inLineEnd
 	inLastLineEnd
-	behindHead
+	inChunkSize
+	inChunkExtension
+	inChunk
+	inChunkEnd
+	unchecked
 )
 
 type (
-	// Checker checks the head of one response, and of the informational ones before it. What follows the head is
-	// not checked. The zero value expects a head.
+	// Checker checks the head of one response, those of the informational ones before it, and the fields behind the
+	// last chunk of its body. What follows is not checked. The zero value expects a head.
 	Checker struct {
-		state  state
-		offset int // in the status line
-		status int
-		found  error // what is broken in the line
-		err    error // found, once the line has ended
+		NoBody bool // the response has no body whatever its head says: the request's method is HEAD
+
+		state   state
+		offset  int  // in the status line
+		minor   byte // of the version, as a digit
+		status  int
+		coding  coding
+		chunk   chunk
+		trailer bool  // the last chunk is over
+		found   error // what is broken in the line
+		err     error // found, once the line has ended
 	}
 
 	// Error reports a response with a broken head. The request may have run.
@@ -81,33 +93,45 @@
 }
 
 // Check checks the next bytes that were received. It fails with an *Error at the end of a line that is broken, and from
-// then on: nothing that comes over the connection may be used.
-func (c *Checker) Check(p []byte) error {
-	for _, b := range p {
-		switch {
-		case c.err != nil || c.state == behindHead:
-			return c.err
-		case c.found == nil:
-			c.found = c.step(b)
+// then on. Before is the number of bytes before the part of that line which p has: nothing that comes after them may be used.
+func (c *Checker) Check(p []byte) (before int, err error) {
+	for i := 0; i < len(p) && c.err == nil && c.state != unchecked; {
+		if c.state == inChunk {
+			i += c.skipChunk(len(p) - i)
+			before = i
+			continue
+		}
+		if c.found == nil {
+			c.found = c.step(p[i])
 		}
-		if b == '\n' {
+		i++
+		if p[i-1] == '\n' && c.found == nil {
+			before = i
+		} else if p[i-1] == '\n' {
 			c.err = c.found
 		}
 	}
-	return c.err
+	if c.err == nil {
+		before = len(p)
+	}
+	return before, c.err
 }
 
-// Read reads from r and checks what it has read. After an error of Check it reads no more: a library may go on after
-// it, and r may have nothing further to give.
+// Read reads from r and checks what it has read. It returns what comes before a broken line, and then the error of
+// Check, without reading on: r may have nothing further to give.
 func (c *Checker) Read(r io.Reader, p []byte) (n int, err error) {
 	if c.err != nil {
 		return 0, c.err
 	}
 	n, err = r.Read(p)
-	if broken := c.Check(p[:n]); broken != nil {
+	before, broken := c.Check(p[:n])
+	if broken != nil && before == 0 {
 		return 0, broken
 	}
-	return n, err
+	if broken != nil {
+		err = nil // the next read tells
+	}
+	return before, err
 }
 
 // Err returns the error that Check has returned, if any.
@@ -131,7 +155,10 @@
 	case inReason:
 		return c.stepText(b, Reason)
 	case inValue:
+		c.coding.stepValue(b)
 		return c.stepText(b, FieldValue)
+	case inChunkSize, inChunkExtension, inChunkEnd:
+		c.stepChunk(b)
 	case inLineEnd, inLastLineEnd:
 		if b != '\n' {
 			return &Error{Part: LineEnd, Byte: b}
@@ -149,7 +176,10 @@
 	at := c.offset
 	c.offset++
 	switch {
-	case at < minorVersion && b == versionPrefix[at], at == minorVersion && isDigit(b), at == statusBegin-1 && b == ' ':
+	case at < minorVersion && b == versionPrefix[at], at == statusBegin-1 && b == ' ':
+		return nil
+	case at == minorVersion && isDigit(b):
+		c.minor = b
 		return nil
 	case at >= statusBegin && at < statusEnd && isDigit(b):
 		c.status = c.status*10 + int(b-'0')
@@ -169,8 +199,12 @@
 // value before, is broken as well: the standard has no such lines any more.
 func (c *Checker) stepName(b byte, valid bool) error {
 	if !valid {
-		return &Error{Part: FieldName, Byte: b}
+		return c.fieldError(FieldName, b)
+	}
+	if c.state == atLineStart {
+		c.coding.begin()
 	}
+	c.coding.stepName(b)
 	c.state = inName
 	if b == ':' {
 		c.state = inValue
@@ -186,18 +220,30 @@
 	case b == '\n': // alone is a line's end, too
 		c.state = atLineStart
 	case !isTextByte(b):
-		return &Error{Part: part, Byte: b}
+		return c.fieldError(part, b)
 	}
 	return nil
 }
 
-// endHead ends a head. Another one follows an informational one.
+func (c *Checker) fieldError(part Part, b byte) error {
+	if c.trailer {
+		part = Trailer
+	}
+	return &Error{Part: part, Byte: b}
+}
+
+// endHead ends a head, or the fields behind the last chunk. Another head follows an informational one.
 func (c *Checker) endHead() {
-	if c.status >= minFinalStatus {
-		c.state = behindHead
-		return
+	switch {
+	case c.trailer:
+		c.state = unchecked
+	case c.status < minFinalStatus:
+		*c = Checker{NoBody: c.NoBody}
+	case c.isChunked():
+		c.state = inChunkSize
+	default:
+		c.state = unchecked
 	}
-	*c = Checker{}
 }
 
 // isStatus reports whether a response may have the status. Nobody here asks for a switch of protocols.
--- a/internal/plat/httpc/broken_test.go
+++ b/internal/plat/httpc/broken_test.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// Guards against a response with a broken name behind its last chunk that passes for a whole one.
+func TestBrokenTrailers(t *testing.T) {
+	for what, response := range broken.Trailers(chunkedOK) {
+		for name, read := range readers {
+			t.Run(name+", "+what, func(t *testing.T) {
+				is := is.New(t)
+				_, _, err := receive(t, read, response)
+				var part *head.Error
+				is.True(errors.As(err, &part) && part.Part == head.Trailer)
+			})
+		}
+	}
+}
+
 // Guards against an informational response that passes for the one behind it.
 func TestInformationalResponses(t *testing.T) {
 	for what, c := range map[string]struct {
--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -128,12 +128,8 @@
 func (e Endpoint) receive(ctx context.Context, c *conn, resp *fasthttp.Response) error {
 	br := bufio.NewReader(c)
 	for range maxResponses {
-		err := resp.ReadLimitBody(br, orDefault(e.MaxBody, defaultMaxBody))
-		if broken := c.checker.Err(); broken != nil {
-			err = broken // the library may have read a part as a response, or hide the cause
-		}
-		if err != nil {
-			return &Error{Sent: true, Err: cause(ctx, err)}
+		if err := resp.ReadLimitBody(br, orDefault(e.MaxBody, defaultMaxBody)); err != nil {
+			return &Error{Sent: true, Err: c.cause(ctx, err)}
 		}
 		if resp.StatusCode() >= http.StatusOK {
 			return nil
@@ -156,9 +152,9 @@
 // the connection has stalled.
 func (r *Response) UseIdleTimeout() { r.conn.timeout = r.idleTimeout }
 
-// Cause returns the cause of the read error err: the context's error, an error that
-// wraps ErrStalled after a timeout, or err itself.
-func (r *Response) Cause(err error) error { return cause(r.ctx, err) }
+// Cause returns the cause of the read error err: a *head.Error after broken bytes, the context's error, an error
+// that wraps ErrStalled after a timeout, or err itself.
+func (r *Response) Cause(err error) error { return r.conn.cause(r.ctx, err) }
 
 // Close closes the connection.
 func (r *Response) Close() {
@@ -221,6 +217,14 @@
 	return c.Conn.Write(p)
 }
 
+// cause does what cause does, after broken bytes of the response, too: the library may hide them.
+func (c *conn) cause(ctx context.Context, err error) error {
+	if broken := c.checker.Err(); broken != nil {
+		return broken
+	}
+	return cause(ctx, err)
+}
+
 func cause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
--- a/internal/plat/trip/trip.go
+++ b/internal/plat/trip/trip.go
@@ -38,6 +38,9 @@
 		expected atomic.Bool  // a request is about to be sent
 		checker  head.Checker // of the reading goroutine
 	}
+
+	// received reads from a connection without checking, but for where a response begins.
+	received struct{ conn *conn }
 )
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -75,25 +78,22 @@
 	}
 }
 
-// Read reads from the connection. A read that began before the request was sent may return the response.
-func (c *conn) Read(p []byte) (int, error) {
-	if broken := c.checker.Err(); broken != nil {
-		return 0, broken
-	}
-	n, err := c.Conn.Read(p)
-	if c.expected.Swap(false) {
-		c.checker = head.Checker{}
-	}
-	if broken := c.checker.Check(p[:n]); broken != nil {
-		c.report(broken)
-		return 0, broken
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (n int, err error) {
+	known := c.checker.Err()
+	n, err = c.checker.Read(received{c}, p)
+	var broken *head.Error
+	if known == nil && c.broken != nil && errors.As(c.checker.Err(), &broken) {
+		c.broken(broken)
 	}
 	return n, err
 }
 
-func (c *conn) report(err error) {
-	var broken *head.Error
-	if c.broken != nil && errors.As(err, &broken) {
-		c.broken(broken)
+// Read reads what the connection has received. A read that began before a request was sent may return its response.
+func (r received) Read(p []byte) (n int, err error) {
+	n, err = r.conn.Conn.Read(p)
+	if r.conn.expected.Swap(false) {
+		r.conn.checker = head.Checker{}
 	}
+	return n, err
 }
--- a/internal/plat/trip/trip_test.go
+++ b/internal/plat/trip/trip_test.go
@@ -121,6 +121,24 @@
 	}
 }
 
+// Guards against a response with a broken name behind its last chunk that passes for a whole one.
+func TestBrokenTrailers(t *testing.T) {
+	for what, response := range broken.Trailers(chunked) {
+		t.Run(what, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, response)
+			var part head.Part
+			transport := &Transport{Broken: func(err *head.Error) { part = err.Part }}
+			_, err := s.do(t, &http.Client{Transport: transport}, http.MethodPost)
+			is.True(err != nil)
+			is.Equal(part, head.Trailer)
+			transport.CloseIdleConnections()
+			_ = s.Close()
+			s.conns.Wait()
+		})
+	}
+}
+
 // Guards against whole responses that are refused, over a connection that carries several, and a read that is not sent again.
 func TestWholeResponses(t *testing.T) {
 	const early = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
