--- a/internal/fake/broken/broken.go
+++ b/internal/fake/broken/broken.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 )
 
@@ -73,6 +75,15 @@
 	}
 }
 
+// Nth returns one of the broken responses in place of a whole one, each of which comes in turn.
+func Nth(whole string, n int64) string {
+	all := Statuses(whole)
+	maps.Copy(all, Names(whole))
+	maps.Copy(all, Values(whole))
+	kinds := slices.Sorted(maps.Keys(all))
+	return all[kinds[int(n)%len(kinds)]]
+}
+
 // Trailers returns responses in chunks, of which a field behind the last chunk is broken.
 func Trailers(whole string) Responses {
 	out := Responses{}
--- a/internal/fake/upstrm/repeat.go
+++ b/internal/fake/upstrm/repeat.go
@@ -1,8 +1,12 @@
 package upstrm
 
 import (
+	"bufio"
 	"bytes"
 	"net"
+	"net/textproto"
+
+	"github.com/slaterock/slaterock/internal/fake/broken"
 )
 
 type (
@@ -11,7 +15,7 @@
 		u *Upstream
 	}
 
-	// repeatConn sends some refusals once more, before the next response.
+	// repeatConn sends some refusals once more, before the next response, and some responses broken.
 	repeatConn struct {
 		net.Conn
 		u    *Upstream
@@ -24,7 +28,8 @@
 	refusalHeader = []byte("\r\nNot-Executed: ")
 )
 
-// Listener returns a listener over whose connections the upstream repeats refusals, see RepeatEvery.
+// Listener returns a listener over whose connections the upstream repeats refusals and spoils responses, see RepeatEvery
+// and SpoilEvery.
 func (u *Upstream) Listener(ln net.Listener) net.Listener { return repeatListener{ln, u} }
 
 func (l repeatListener) Accept() (net.Conn, error) {
@@ -41,6 +46,11 @@
 	if !bytes.HasPrefix(p, responseStart) {
 		return c.Conn.Write(p)
 	}
+	whole := len(p)
+	if n := c.u.responses.Add(1); isNth(n, &c.u.SpoilEvery) {
+		c.u.RunLog.addSpoiled(p)
+		p = []byte(broken.Nth(string(p), n/c.u.SpoilEvery.Load()))
+	}
 	late := c.late
 	c.late = nil
 	if bytes.Contains(p, refusalHeader) && isNth(c.u.refusals.Add(1), &c.u.RepeatEvery) {
@@ -51,5 +61,30 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(p)
+	if _, err := c.Conn.Write(p); err != nil {
+		return 0, err
+	}
+	return whole, nil
+}
+
+// addSpoiled notes that a response is sent broken, of which this is the beginning, unless it is a refusal.
+func (l *RunLog) addSpoiled(response []byte) {
+	_, fields, _ := bytes.Cut(response, []byte("\r\n"))
+	h, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	if err != nil || h.Get("Server-Signature") == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.spoiled == nil {
+		l.spoiled = map[string]int{}
+	}
+	l.spoiled[h.Get("Request-Id")]++
+}
+
+// Spoiled returns how many responses of an attempt's executions were sent broken.
+func (l *RunLog) Spoiled(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.spoiled[id]
 }
--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -57,6 +57,7 @@
 		mu         sync.Mutex
 		runs       map[string]int // number of executions by attempt id
 		violations []string       // descriptions of violations
+		spoiled    map[string]int // number of broken responses by attempt id
 		crashes    map[string]int // number of processes that ended, by the value of Crash
 	}
 
@@ -77,12 +78,16 @@
 		// Every RepeatEvery-th refusal is sent once more, where the next response on its connection is due;
 		// 0 means none. It needs Listener.
 		RepeatEvery atomic.Int64
+		// Every SpoilEvery-th response is sent broken, over a connection that stays open; 0 means none. It needs Listener.
+		SpoilEvery atomic.Int64
 
 		starts   atomic.Int64 // that have ended because of a request
 		inFlight atomic.Int64
 		runs     atomic.Int64
 		arrivals atomic.Int64
 		refusals atomic.Int64
+		// responses counts those of which the beginning was sent.
+		responses atomic.Int64
 	}
 )
 
--- a/internal/play/chaos/caller.go
+++ b/internal/play/chaos/caller.go
@@ -60,6 +60,7 @@
 	// observed is the result of one attempt, as its caller received it.
 	observed struct {
 		status     int // 0 if there was no response
+		complete   bool
 		idempotent bool
 		err        error
 	}
@@ -70,6 +71,7 @@
 func (v *tally) record(ctx context.Context, id string, s observed, complete bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	s.complete = complete
 	v.attempts[id] = s
 	switch {
 	case complete:
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -171,6 +171,9 @@
 		if runs > 0 && !a.idempotent && meansNotRun(a.status) {
 			s.observed.addViolation("%s was refused with %d and ran", id, a.status)
 		}
+		if runs > 0 && a.complete && s.runLog.Spoiled(id) >= runs {
+			s.observed.addViolation("%s was answered whole, and each response of its upstreams was broken", id)
+		}
 	}
 	for _, text := range s.runLog.Violations() {
 		s.observed.addViolation("%s", text)
@@ -209,6 +212,7 @@
 	repeatCtx, stopRepeats := context.WithDeadline(ctx, until)
 	defer stopRepeats()
 	running.Go(func() { s.repeatRefusals(repeatCtx) })
+	running.Go(func() { s.spoilResponses(repeatCtx) })
 	running.Go(func() { s.loseFronts(repeatCtx) })
 	running.Go(func() { s.hideRecords(repeatCtx) })
 	running.Go(func() { s.misbehave(repeatCtx) })
--- a/internal/play/chaos/extra.go
+++ b/internal/play/chaos/extra.go
@@ -14,6 +14,9 @@
 	shedEvery   = 3
 	repeatEvery = 2
 	repeatTime  = time.Second
+	// While an upstream spoils responses, it sends one in spoilEvery broken.
+	spoilEvery = 4
+	spoilTime  = time.Second
 )
 
 // repeatRefusals has one upstream after another refuse requests, and send refusals once more, late, until
@@ -30,3 +33,15 @@
 		pause.For(ctx, time.Duration(rnd.IntN(2000))*time.Millisecond)
 	}
 }
+
+// spoilResponses has one upstream after another send broken responses, until ctx ends, as repeatRefusals has them repeat some.
+func (s *Runner) spoilResponses(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(s.Seed, 7))
+	for ctx.Err() == nil {
+		u := s.upstreams[rnd.IntN(len(s.upstreams))]
+		u.SpoilEvery.Store(spoilEvery)
+		pause.For(ctx, spoilTime)
+		u.SpoilEvery.Store(0)
+		pause.For(ctx, time.Duration(rnd.IntN(3000))*time.Millisecond)
+	}
+}
