trace: a broken answer of the collector does not say that it has the spans

Spans were gone without the warning "trace spans lost" when the collector's answer had a blank in the name of a field, and each export waited for its time-out of 5 s when that field was the length.

The exporter's client now goes through trip.Transport; its proxy and time-outs stay.

A status of 000 or 999 and a 101 were errors already.

--- a/internal/obs/trace/trace.go
+++ b/internal/obs/trace/trace.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/slaterock/slaterock/internal/plat/trip"
 	"github.com/slaterock/slaterock/internal/prog/result"
 )
 
@@ -39,7 +41,8 @@
 	service       = "slaterock"
 	header        = "traceparent"
 	exportTimeout = 5 * time.Second
-	queueSize     = 4096 // spans waiting for export
+	idleTimeout   = 90 * time.Second // of connections to the collector
+	queueSize     = 4096             // spans waiting for export
 )
 
 type (
@@ -78,7 +81,7 @@
 		e, err := otlptracehttp.New(ctx,
 			otlptracehttp.WithEndpoint(s.Endpoint),
 			otlptracehttp.WithInsecure(),
-			otlptracehttp.WithTimeout(exportTimeout),
+			otlptracehttp.WithHTTPClient(collectorClient()),
 		)
 		if err != nil {
 			return nil, err
@@ -98,6 +101,10 @@
 	return open(s, exporters...), nil
 }
 
+func collectorClient() *http.Client {
+	return &http.Client{Transport: &trip.Transport{Proxy: http.ProxyFromEnvironment, IdleTimeout: idleTimeout}, Timeout: exportTimeout}
+}
+
 func open(s Settings, exporters ...sdk.SpanExporter) *Trace {
 	options := []sdk.TracerProviderOption{
 		sdk.WithSampler(sampler(s, len(exporters))),
--- a/internal/plat/trip/trip.go
+++ b/internal/plat/trip/trip.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,8 +23,9 @@
 	// Transport is an http.RoundTripper. Set the exported fields before use; the zero value works.
 	Transport struct {
 		Dialer      net.Dialer
-		IdlePerHost int           // idle connections that are kept for a host; 0 is the default of http.Transport
-		IdleTimeout time.Duration // of idle connections; 0 for none
+		Proxy       func(r *http.Request) (*url.URL, error) // nil for none
+		IdlePerHost int                                     // idle connections that are kept for a host; 0 is the default of http.Transport
+		IdleTimeout time.Duration                           // of idle connections; 0 for none
 		// Broken is called for each response that is broken; nil for nothing.
 		Broken func(err *head.Error)
 
@@ -59,6 +61,7 @@
 
 func (t *Transport) init() {
 	t.base.DialContext = t.dial
+	t.base.Proxy = t.Proxy
 	t.base.MaxIdleConnsPerHost = t.IdlePerHost
 	t.base.IdleConnTimeout = t.IdleTimeout
 	t.base.DisableCompression = true
