--- a/internal/fake/broken/broken.go
+++ b/internal/fake/broken/broken.go
@@ -3,11 +3,13 @@
 package broken
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 )
@@ -114,3 +116,29 @@
 		return near, nil
 	}
 }
+
+// Serve answers each request with these bytes, over connections that stay open, until the listener is closed.
+func Serve(ln net.Listener, response string) {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go answer(nc, response)
+	}
+}
+
+func answer(nc net.Conn, response string) {
+	defer func() { _ = nc.Close() }()
+	br := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if _, err = io.WriteString(nc, response); err != nil {
+			return
+		}
+	}
+}
--- a/internal/obs/trace/broken_test.go
+++ b/internal/obs/trace/broken_test.go
@@ -1,10 +1,7 @@
 package trace
 
 import (
-	"bufio"
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"testing"
 
@@ -20,26 +17,7 @@
 	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(nc, response)
-				}
-			}()
-		}
-	}()
+	go broken.Serve(ln, response)
 	return ln.Addr().String()
 }
 
