duplex, upconn: a response that ends with its connection is whole only if the write of the request has not failed

Callers got a part of a response as the whole one, with the status 200: an upstream answered a long upload at once, without a length, and reset the connection while the upload was being written. On routes that keep turns the part entered the history.

Cause: a socket reports a reset once, to the call that comes first. Where that was the blocked write, the read behind it returned the end of the input, as after an orderly close, and nobody asked the write before the response was passed on. The kernel's time-out of unacknowledged bytes leaves its error the same way: an upstream that answers and then takes nothing more ended so, too.

duplex.Conn owns reads and writes of a connection: at the end of the input it waits for a write in progress, and the error of one that failed is that of the read. An end that only closed its side and reads on is waited for, a second at most: one that has closed the connection resets it as soon as more bytes arrive. One that closes its side and then resets the connection while the request is being written can't be told from a process that has ended, and is a loss too. Such an end is an outcome of its upstream like any other: ran unknown, a safe request goes to another one, the cause in the line of the request, responses_reset in the metrics. The cause of a failure whose body was cut was hidden behind its status there.

--- a/internal/front/proxy/send.go
+++ b/internal/front/proxy/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,7 @@
 	"github.com/slaterock/slaterock/internal/front/upconn"
 	"github.com/slaterock/slaterock/internal/obs/trace"
 	"github.com/slaterock/slaterock/internal/peer/pause"
+	"github.com/slaterock/slaterock/internal/plat/duplex"
 	"github.com/slaterock/slaterock/internal/plat/head"
 )
 
@@ -245,13 +247,17 @@
 	return &lostError{up: s.up, reused: s.conn.Reused, err: err}
 }
 
-// countFault counts a response that was broken, or longer than a bound.
+// countFault counts a response that was broken, longer than a bound, or whose connection has failed.
 func (q *request) countFault(err error) {
 	var broken *head.Error
 	if errors.As(err, &broken) {
 		q.e.Scope.Tagged(map[string]string{"part": string(broken.Part)}).Counter("responses_broken").Inc(1)
 		return
 	}
+	if during := whenReset(err); during != "" {
+		q.e.Scope.Tagged(map[string]string{"during": during}).Counter("responses_reset").Inc(1)
+		return
+	}
 	bound := ""
 	switch {
 	case errors.Is(err, upconn.ErrHeadTooLong):
@@ -266,6 +272,19 @@
 	q.e.Scope.Tagged(map[string]string{"bound": bound}).Counter("responses_too_long").Inc(1)
 }
 
+// whenReset returns what the front was doing when a connection was reset, or when too long nothing had been acknowledged over it;
+// empty if that is not what err reports.
+func whenReset(err error) (during string) {
+	switch {
+	case errors.Is(err, duplex.ErrReset):
+		return "write"
+	case errors.IsAny(err, syscall.ECONNRESET, syscall.ETIMEDOUT):
+		return "read"
+	default:
+		return ""
+	}
+}
+
 // handleNotRun ends a send that the upstream refused without running it. If the request may be sent to it
 // again, the connection is closed: a second copy of this refusal would bear the id of that send, too.
 func (q *request) handleNotRun(s *exchange, repeats bool) error {
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -230,7 +230,7 @@
 		}
 		if err != nil || t.headerSent {
 			t.endWithoutResponse(s, err)
-			return t.recordLoss(ctx, s, errors.CombineErrors(errors.Newf("upstream returned status %d", s.resp.StatusCode), err))
+			return t.recordLoss(ctx, s, statusLoss(s.resp.StatusCode, err))
 		}
 		s.releaseConn(t.e.Pool)
 		if s.resp.StatusCode >= http.StatusInternalServerError {
@@ -281,6 +281,14 @@
 	}
 }
 
+// statusLoss returns the error of a response that can't be passed on; err is as for endWithoutResponse.
+func statusLoss(status int, err error) error {
+	if err == nil {
+		return errors.Newf("upstream returned status %d", status)
+	}
+	return errors.Wrapf(err, "upstream returned status %d", status)
+}
+
 // endWithoutResponse ends an exchange whose response can't be passed on: err is why it is not whole,
 // nil if only its status does not fit.
 func (t *turn) endWithoutResponse(s *exchange, err error) {
--- a/internal/front/upconn/conn.go
+++ b/internal/front/upconn/conn.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/slaterock/slaterock/internal/plat/duplex"
 	"github.com/slaterock/slaterock/internal/plat/head"
 )
 
@@ -62,6 +63,7 @@
 		Number int64     // of the connections of its pool, in the order in which they were established, from 1
 
 		net        net.Conn
+		rw         *duplex.Conn // of net, for all reads and writes of requests and responses
 		in         headReader
 		br         *bufio.Reader // of in
 		address    string
@@ -107,12 +109,17 @@
 	}
 	done := make(chan error, 1)
 	c.writing = done
-	go func() { done <- c.writeParts(b.Bytes(), r.Body) }() // a long body is not copied
+	end := c.rw.Begin()
+	go func() {
+		err := c.writeParts(b.Bytes(), r.Body) // a long body is not copied
+		end(err)
+		done <- err
+	}()
 	return nil
 }
 
 func (c *Conn) write(p []byte) error {
-	n, err := c.net.Write(p)
+	n, err := c.rw.Write(p)
 	if n > 0 {
 		c.sent.Store(true)
 	}
--- a/internal/front/upconn/pool.go
+++ b/internal/front/upconn/pool.go
@@ -15,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/slaterock/slaterock/internal/plat/duplex"
 )
 
 const (
@@ -103,8 +105,8 @@
 }
 
 func newConn(nc net.Conn, id, address string) *Conn {
-	c := &Conn{Opened: time.Now(), net: nc, address: address, upstreamID: id}
-	c.in.conn = nc
+	c := &Conn{Opened: time.Now(), net: nc, rw: &duplex.Conn{Conn: nc}, address: address, upstreamID: id}
+	c.in.conn = c.rw
 	c.br = bufio.NewReaderSize(&c.in, readBuffer)
 	return c
 }
