trip, platform: an answer of the store whose connection fails during the call is no answer

Fronts and VMs with a disk took a part of the store's answer for the whole: a write whose value was still on its way counted as done (200 with an empty body), or as refused for what the store holds (a 412 or 404), or failed as an answer that can't be decoded, which is not "unknown".

Its connections are now each a duplex.Conn, which is told when the write of a request begins and ends: the transport writes a body in pieces, and the end of the input may come between two of them.

--- a/cmd/slaterock/front.go
+++ b/cmd/slaterock/front.go
@@ -87,7 +87,7 @@
 	log, closeLog := logbuf.Open(os.Stdout, s.Node)
 	defer closeLog()
 	p := &process{settings: s, store: platform.Open(s.Store.Address), log: log, metric: metric.New(), stop: make(chan struct{})}
-	p.store.Broken = p.noteBrokenAnswer
+	p.store.Broken, p.store.Reset = p.noteBrokenAnswer, p.noteResetAnswer
 	log.Info().Interface("settings", s).Msg("start")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -109,6 +109,12 @@
 	p.metric.Scope().Tagged(map[string]string{"part": string(err.Part)}).Counter("store_responses_broken").Inc(1)
 }
 
+// noteResetAnswer logs and counts an answer of the store that may be a part.
+func (p *process) noteResetAnswer(err error) {
+	p.log.Warn().Err(err).Msg("connection to the store failed while a call was written")
+	p.metric.Scope().Counter("store_responses_reset").Inc(1)
+}
+
 // boundMemory has clients hold only what the VM has room for, and the runtime collect garbage before the VM has none.
 func (p *process) boundMemory(ctx context.Context) {
 	vm := int64(p.settings.MemoryMB) << 20
--- a/internal/plat/trip/trip.go
+++ b/internal/plat/trip/trip.go
@@ -1,8 +1,9 @@
-// Package trip is an HTTP transport over which no response with a broken header comes.
+// Package trip is an HTTP transport over which no response with a broken header comes, and none of which the
+// connection failed while its request was being written.
 //
-// http.Transport pools connections, and reads whatever its own reader takes. Here each connection has a head.Checker.
-// It has to know where a response begins: when the transport takes a connection for a request, all of the response
-// before was read.
+// http.Transport pools connections, reads whatever its own reader takes, and no longer tells of a failed write once a
+// response has begun. Here each connection is a duplex.Conn and has a head.Checker. It has to know where a response begins: when
+// the transport takes a connection for a request, all of the response before was read.
 package trip
 
 import (
@@ -16,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/slaterock/slaterock/internal/plat/duplex"
 	"github.com/slaterock/slaterock/internal/plat/head"
 )
 
@@ -28,6 +30,9 @@
 		IdleTimeout time.Duration                           // of idle connections; 0 for none
 		// Broken is called for each response that is broken; nil for nothing.
 		Broken func(err *head.Error)
+		// Reset is called for each response of which the connection failed while the request was being written; nil for
+		// nothing. The error wraps duplex.ErrReset.
+		Reset func(err error)
 
 		once sync.Once
 		base http.Transport
@@ -35,10 +40,16 @@
 
 	// conn passes on no bytes of a broken header.
 	conn struct {
-		net.Conn
-		broken   func(err *head.Error)
-		expected atomic.Bool  // a request is about to be sent
-		checker  head.Checker // of the reading goroutine
+		*duplex.Conn
+		transport *Transport
+		expected  atomic.Bool  // a request is about to be sent
+		checker   head.Checker // of the reading goroutine
+	}
+
+	// writing is the write of one request, over one connection after another.
+	writing struct {
+		mu   sync.Mutex
+		done func(err error) // ends it at the connection; nil if none has begun
 	}
 
 	// received reads from a connection without checking, but for where a response begins.
@@ -52,7 +63,8 @@
 // http.Transport does when a used one breaks.
 func (t *Transport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
 	t.once.Do(t.init)
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: expectResponse})
+	var w writing
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: w.begin, WroteRequest: w.end})
 	return t.base.RoundTrip(r.WithContext(ctx))
 }
 
@@ -72,12 +84,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, broken: t.Broken}, nil
+	return &conn{Conn: &duplex.Conn{Conn: nc}, transport: t}, nil
+}
+
+// begin notes that the request is about to be written to a connection. One before has failed.
+func (w *writing) begin(info httptrace.GotConnInfo) {
+	w.end(httptrace.WroteRequestInfo{})
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	c.expected.Store(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = c.Begin()
 }
 
-func expectResponse(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*conn); ok {
-		c.expected.Store(true)
+// end notes that the request was written, or that this has failed.
+func (w *writing) end(info httptrace.WroteRequestInfo) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done != nil {
+		w.done(info.Err)
+		w.done = nil
 	}
 }
 
@@ -86,8 +115,11 @@
 	known := c.checker.Err()
 	n, err = c.checker.Read(received{c}, p)
 	var broken *head.Error
-	if known == nil && c.broken != nil && errors.As(c.checker.Err(), &broken) {
-		c.broken(broken)
+	if known == nil && errors.As(c.checker.Err(), &broken) && c.transport.Broken != nil {
+		c.transport.Broken(broken)
+	}
+	if errors.Is(err, duplex.ErrReset) && c.transport.Reset != nil {
+		c.transport.Reset(err)
 	}
 	return n, err
 }
