conns, proxy: a stream that breaks off resets the connection of a caller of HTTP/1.0

A caller that speaks HTTP/1.0 took a stream that broke off for a whole one: there are no chunks for it, the stream ends with its connection, and the front closed that as after a whole one.

Cause: aborting the handler closes the connection. The connection now resets when it is closed, from the header of such a stream until the stream is whole (a linger time of 0). So the kernel does it whoever ends it: the handler, a stop, a client that has to give way, a process that crashes.

--- a/internal/front/conns/conns.go
+++ b/internal/front/conns/conns.go
@@ -42,6 +42,8 @@
 	// lingerTime is how long the rest of a body is read that is not wanted: closing a connection with unread
 	// bytes resets it, and the client may not see why.
 	lingerTime = 250 * time.Millisecond
+	// orderly is the linger time, in seconds, of a connection that is closed in the background once all was sent.
+	orderly = -1
 	// acceptPause is the pause before connections are accepted again after the process had no descriptor for one.
 	acceptPause = 10 * time.Millisecond
 )
@@ -237,6 +239,20 @@
 	return c.handled && !c.trusted
 }
 
+// SetUnfinished has the connection reset in place of closed, whoever ends it: a client that gets a response that ends with its connection
+// could not tell a part from the whole. Once the response is whole, false restores the orderly close.
+func (c *Conn) SetUnfinished(unfinished bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := orderly
+	if unfinished {
+		linger = 0
+	}
+	_ = tcp.SetLinger(linger) // fails if the connection has ended
+}
+
 // Close closes the connection and returns all that it holds.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -58,6 +58,7 @@
 	}
 	err := t.relayTurn(ctx)
 	if err == nil {
+		q.conn.SetUnfinished(false)
 		return
 	}
 	t.settle()
@@ -301,6 +302,9 @@
 
 func (t *turn) writeHeader(resp *http.Response) {
 	t.headerSent = true
+	if !t.r.ProtoAtLeast(1, 1) {
+		t.conn.SetUnfinished(true) // its end is that of the connection
+	}
 	t.summary.status = resp.StatusCode
 	h := t.w.Header()
 	for name, values := range t.e.Dialect.Return(resp.Header) {
