proxy, duplex: comments of the new parts, one place that tells a caller of HTTP/1.0

The linger time is only touched for callers of HTTP/1.0. No change of behaviour; the tests of duplex, conns and TestEarly, TestBrokenStreamToHTTP10 of proxy pass.

--- a/internal/front/conns/conns.go
+++ b/internal/front/conns/conns.go
@@ -239,8 +239,8 @@
 	return c.handled && !c.trusted
 }
 
-// SetUnfinished has the connection reset in place of closed, whoever ends it: a client that gets a response that ends with its connection
-// could not tell a part from the whole. Once the response is whole, false restores the orderly close.
+// SetUnfinished has the connection reset in place of closed, whoever ends it, until it is called with false: where a response ends
+// with its connection, the client could not tell a part from the whole.
 func (c *Conn) SetUnfinished(unfinished bool) {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
--- a/internal/front/proxy/stream.go
+++ b/internal/front/proxy/stream.go
@@ -58,7 +58,7 @@
 	}
 	err := t.relayTurn(ctx)
 	if err == nil {
-		q.conn.SetUnfinished(false)
+		t.setUnfinished(false)
 		return
 	}
 	t.settle()
@@ -300,11 +300,16 @@
 	s.closeConn()
 }
 
-func (t *turn) writeHeader(resp *http.Response) {
-	t.headerSent = true
+// setUnfinished has a caller of HTTP/1.0 tell a part of the stream from the whole, which ends with its connection.
+func (t *turn) setUnfinished(unfinished bool) {
 	if !t.r.ProtoAtLeast(1, 1) {
-		t.conn.SetUnfinished(true) // its end is that of the connection
+		t.conn.SetUnfinished(unfinished)
 	}
+}
+
+func (t *turn) writeHeader(resp *http.Response) {
+	t.headerSent = true
+	t.setUnfinished(true)
 	t.summary.status = resp.StatusCode
 	h := t.w.Header()
 	for name, values := range t.e.Dialect.Return(resp.Header) {
--- a/internal/plat/duplex/duplex.go
+++ b/internal/plat/duplex/duplex.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// Read implements net.Conn. At the end of the input, it waits for writes in progress. If one has failed, the error is that of
-// the write, and wraps ErrReset unless this end has closed the connection, or its deadline has passed. One that takes
-// longer has not failed: the other end keeps the connection, and has sent all that it will.
+// Read implements net.Conn. At the end of the input, it waits for writes in progress, no longer than settleTime. If one has
+// failed, the error is that of the write, and wraps ErrReset unless this end has closed the connection, or its deadline has
+// passed. A write that is still in progress has not failed: the other end keeps the connection, and has sent all that it will.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
 	switch {
@@ -101,7 +101,7 @@
 	return c.settled
 }
 
-// cause returns the error of a read that has ended so.
+// cause returns the error of a read that got end: that of a write that failed before, or else end itself.
 func (c *Conn) cause(end error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
