chaos, upstrm: upstreams of the soak answer long uploads early and reset the connection

No soak could see that callers got parts of responses: its callers sent short bodies, and its proxies made an orderly close of a reset, by the very cause: the write towards the upstream took the error, and the read behind it found an end.

One call in four and one sub-agent in two now has a body of nearly 4 MiB, one upstream after another answers every second of these before it has read it and resets the connection, with random numbers of its own. Proxies read through a duplex.Conn and pass a reset on. A whole answer to a request whose runs were all cut breaks a guarantee, as for broken heads.

--- a/internal/fake/upstrm/repeat.go
+++ b/internal/fake/upstrm/repeat.go
@@ -74,15 +74,20 @@
 	if err != nil || h.Get("Server-Signature") == "" {
 		return
 	}
+	l.addCut(h.Get("Request-Id"))
+}
+
+// addCut notes that the response of an execution of the attempt is not sent whole.
+func (l *RunLog) addCut(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.spoiled == nil {
 		l.spoiled = map[string]int{}
 	}
-	l.spoiled[h.Get("Request-Id")]++
+	l.spoiled[id]++
 }
 
-// Spoiled returns how many responses of an attempt's executions were sent broken.
+// Spoiled returns how many responses of an attempt's executions were sent broken, or cut while the request was being written.
 func (l *RunLog) Spoiled(id string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fake/upstrm/upstrm.go
+++ b/internal/fake/upstrm/upstrm.go
@@ -80,6 +80,9 @@
 		RepeatEvery atomic.Int64
 		// Every SpoilEvery-th response is sent broken, over a connection that stays open; 0 means none. It needs Listener.
 		SpoilEvery atomic.Int64
+		// Every CutEvery-th request with a long body is answered before it is read, with a part of a response after which the
+		// connection is reset; 0 means none. It needs Listener.
+		CutEvery atomic.Int64
 
 		starts   atomic.Int64 // that have ended because of a request
 		inFlight atomic.Int64
@@ -88,6 +91,8 @@
 		refusals atomic.Int64
 		// responses counts those of which the beginning was sent.
 		responses atomic.Int64
+		// uploads counts requests with a long body.
+		uploads atomic.Int64
 	}
 )
 
@@ -138,6 +143,10 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.cutsUpload(r) {
+		u.cutUpload(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the client closed the connection
--- a/internal/play/chaos/caller.go
+++ b/internal/play/chaos/caller.go
@@ -25,6 +25,9 @@
 	tokensPerEvent  = 3
 	maxOtherSamples = 20
 
+	longCallEvery = 4              // one call in so many has a long body, and so has one sub-agent in two
+	longInput     = 4<<20 - 64<<10 // its length in bytes, within the limit of the fronts
+
 	turnPath   = "/turn/"
 	resumePath = "/resume/"
 	storedPath = "/stored/" // its streams may be taken up, and its turns are stored
@@ -42,6 +45,7 @@
 
 		timeout time.Duration // of an attempt; 0 for attemptTimeout
 		longer  time.Duration // by which upstreams take longer for each event
+		calls   int           // sent so far
 	}
 
 	// tally collects the results of all callers.
@@ -156,8 +160,12 @@
 	}
 	sub := &caller{s: c.s, rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 1)), id: c.id, front: -1, client: c.client}
 	done := make(chan int, 1)
+	input := []byte("help")
+	if turn%2 == 0 {
+		input = bytes.Repeat(input, longInput/len(input))
+	}
 	go func() {
-		_, tokens, _, _ := sub.turn(ctx, resumePath, program, fmt.Sprintf("%s-h%d", program, turn), "", nil, []byte("help"))
+		_, tokens, _, _ := sub.turn(ctx, resumePath, program, fmt.Sprintf("%s-h%d", program, turn), "", nil, input)
 		done <- tokens
 		close(done)
 	}()
@@ -197,7 +205,13 @@
 // complete.
 func (c *caller) call(ctx context.Context, id string, safe bool) {
 	path := map[bool]string{true: "/safe/x", false: "/unsafe/x"}[safe]
-	status, body, err := c.send(ctx, path, id, http.Header{}, []byte("call"))
+	input := []byte("call")
+	if c.calls++; c.calls%longCallEvery == 0 {
+		input = bytes.Repeat(input, longInput/len(input))
+	}
+	h := http.Header{}
+	h.Set(upstrm.ExpectBody, upstrm.Digest(input))
+	status, body, err := c.send(ctx, path, id, h, input)
 	complete := status == http.StatusOK && err == nil
 	if complete && string(body) != "answer to "+id {
 		c.s.observed.addViolation("%s: got %.100q", id, body)
--- a/internal/play/chaos/chaos.go
+++ b/internal/play/chaos/chaos.go
@@ -213,6 +213,7 @@
 	defer stopRepeats()
 	running.Go(func() { s.repeatRefusals(repeatCtx) })
 	running.Go(func() { s.spoilResponses(repeatCtx) })
+	running.Go(func() { s.cutUploads(repeatCtx) })
 	running.Go(func() { s.loseFronts(repeatCtx) })
 	running.Go(func() { s.hideRecords(repeatCtx) })
 	running.Go(func() { s.misbehave(repeatCtx) })
--- a/internal/play/chaos/extra.go
+++ b/internal/play/chaos/extra.go
@@ -17,6 +17,9 @@
 	// While an upstream spoils responses, it sends one in spoilEvery broken.
 	spoilEvery = 4
 	spoilTime  = time.Second
+	// While an upstream cuts uploads, it answers one in cutEvery before it has read it, and resets the connection.
+	cutEvery = 2
+	cutTime  = time.Second
 )
 
 // repeatRefusals has one upstream after another refuse requests, and send refusals once more, late, until
@@ -45,3 +48,16 @@
 		pause.For(ctx, time.Duration(rnd.IntN(3000))*time.Millisecond)
 	}
 }
+
+// cutUploads has one upstream after another answer long requests early and reset the connection, until ctx ends, as repeatRefusals has
+// them repeat some refusals.
+func (s *Runner) cutUploads(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(s.Seed, 11))
+	for ctx.Err() == nil {
+		u := s.upstreams[rnd.IntN(len(s.upstreams))]
+		u.CutEvery.Store(cutEvery)
+		pause.For(ctx, cutTime)
+		u.CutEvery.Store(0)
+		pause.For(ctx, time.Duration(rnd.IntN(1000))*time.Millisecond)
+	}
+}
--- a/internal/play/chaos/proxy.go
+++ b/internal/play/chaos/proxy.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/slaterock/slaterock/internal/plat/duplex"
 )
 
 const (
@@ -94,9 +96,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // makes Close send a reset
-		}
+		reset(c)
 		_ = c.Close()
 	}
 }
@@ -130,15 +130,25 @@
 			return
 		}
 	}
-	done := make(chan struct{}, 2)
-	go p.copy(far, near, false, done)
-	go p.copy(near, far, true, done)
-	<-done
+	done := make(chan error, 2)
+	end := &duplex.Conn{Conn: far}
+	go func() { done <- p.copy(end, near, false) }()
+	go func() { done <- p.copy(near, end, true) }()
+	if err := <-done; err != nil {
+		reset(near)
+		reset(far)
+	}
 }
 
-// copy forwards one direction of a connection.
-func (p *Proxy) copy(to, from net.Conn, fromTarget bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// reset has a connection reset when it is closed.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// copy forwards one direction of a connection, until its end. The error is that of the connection.
+func (p *Proxy) copy(to io.Writer, from io.Reader, fromTarget bool) error {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
@@ -150,14 +160,24 @@
 		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
-				return
+				return err
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			closeWrite(to)
+			return nil
+		}
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
-				_ = tcp.CloseWrite()
-			}
-			return
+			return err
 		}
 	}
 }
+
+func closeWrite(w io.Writer) {
+	if c, ok := w.(*duplex.Conn); ok {
+		w = c.Conn
+	}
+	if tcp, ok := w.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
